--- /dev/null
+++ b/src/stagewalk/node/daemon.py
@@ -0,0 +1,1 @@
+"""The daemon: carries the core's instructions out over sockets and feeds events back."""
