Model the engine as a pure state machine

Cause: simulation and stand-in need one engine with batching, prefix cache, fenced orders and truthful text.

--- /dev/null
+++ b/src/stagewalk/simulation/engine_messages.py
@@ -0,0 +1,143 @@
+"""What goes into and comes out of the engine model."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from stagewalk.core.completions import Priority, TokenChunk
+from stagewalk.core.identities import AttemptId, ModelName, RequestId, TenantName, WeightVersion
+from stagewalk.core.platform import OrderOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class EngineRequest:
+    """An attempt as it reaches an engine.
+
+    Attributes
+    ----------
+    max_tokens
+        Limit of the whole answer, the resumed part included.
+    resume_offset
+        Tokens of the answer that the client holds already.
+    """
+
+    attempt: AttemptId
+    request_id: RequestId
+    tenant: TenantName
+    model: ModelName
+    prompt: str
+    max_tokens: int
+    seed: int | None = None
+    priority: int = Priority.INTERACTIVE
+    resume_offset: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The attempt will run."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The attempt did not and will not run."""
+
+    detail: str
+    retry_after_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Duplicate:
+    """The engine knows this attempt already; it runs or ran once."""
+
+
+Submission = Accepted | Refused | Duplicate
+
+
+@dataclass(frozen=True, slots=True)
+class OrderAnswer:
+    """Answer to a fenced order; `epoch` is the largest the engine has seen."""
+
+    outcome: OrderOutcome
+    epoch: int
+    detail: str = ""
+
+
+class WorkOutcome(StrEnum):
+    """How an attempt ended at its engine."""
+
+    FINISHED = "finished"
+    CANCELLED = "cancelled"
+    CUT = "cut"
+
+
+@dataclass(frozen=True, slots=True)
+class ChunkProduced:
+    """Tokens of an attempt, all made by one version."""
+
+    attempt: AttemptId
+    chunk: TokenChunk
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptDone:
+    """An attempt ended; `token_count` counts the whole answer, the resumed part included."""
+
+    attempt: AttemptId
+    outcome: WorkOutcome
+    token_count: int
+    prompt_tokens: int
+    finish_reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptPreempted:
+    """An attempt lost its KV memory and waits for the batch again; its tokens stand."""
+
+    attempt: AttemptId
+
+
+@dataclass(frozen=True, slots=True)
+class StageBegan:
+    """The engine fetches weights: whoever drives the model answers with `stage_ended`."""
+
+    model: ModelName
+    version: WeightVersion
+
+
+@dataclass(frozen=True, slots=True)
+class ActivationEnded:
+    """A swap of weights ended, on the ordered version or on another."""
+
+    ordered: WeightVersion
+    active: WeightVersion
+
+
+EngineOutput = ChunkProduced | AttemptDone | AttemptPreempted | StageBegan | ActivationEnded
+
+
+@dataclass(frozen=True, slots=True)
+class KvSnapshot:
+    """KV cache of one attempt, exported: which answer it belongs to and how far it reaches."""
+
+    content_key: str
+    prompt_tokens: int
+    answer_tokens: int
+
+
+class CacheEventKind(StrEnum):
+    """What became of a prefix block."""
+
+    STORED = "stored"
+    EVICTED = "evicted"
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A change of the prefix cache; `token_count` is the length of the whole prefix."""
+
+    sequence: int
+    kind: CacheEventKind
+    prefix_hash: str
+    token_count: int
+    at: float
