Run stand-ins of the platform as real processes

Cause: tests, demo and benchmarks need engines, log, weight store, machine list, scorer, trainers and callers that speak docs/PLATFORM.md and docs/API.md and write what they saw.

--- /dev/null
+++ b/src/stagewalk_standins/caller.py
@@ -0,0 +1,292 @@
+"""Stand-in of callers of completions: an open loop at a rate, through the nodes beside it."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+import anyio
+import httpx
+import msgspec
+
+from stagewalk.core.completions import VersionSpan
+from stagewalk.history.answer_text import answer_length
+from stagewalk.history.observations import (
+    RequestAnswered,
+    RequestCut,
+    RequestRefused,
+    RequestSent,
+)
+from stagewalk_standins.event_log import log_event
+from stagewalk_standins.history_file import HistoryFile, clock
+from stagewalk_standins.node_pool import NodeEndpoint, NodePool
+
+SEND_AGAIN_SECONDS = 0.5
+DEADLINE_MARGIN_SECONDS = 10.0
+PREFIX_CHARACTERS = 800
+MAXIMUM_SEED = 2**31 - 1
+EVENT_PREFIX = "data: "
+DONE_DATA = "[DONE]"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerOptions:
+    """What a caller does.
+
+    Attributes
+    ----------
+    rate
+        Mean requests a second, exponential gaps.
+    streaming_fraction, non_repeatable_fraction
+        How the requests are mixed.
+    impatient_fraction
+        Fraction of calls whose connection the caller itself breaks before the answer.
+    sends
+        Most times one request id is sent; again only after its connection broke.
+    prefixes
+        Number of distinct shared prompt prefixes.
+    """
+
+    caller: str
+    tenant: str
+    model: str
+    rate: float
+    duration_seconds: float
+    deadline_seconds: float
+    max_tokens: int
+    streaming_fraction: float
+    non_repeatable_fraction: float
+    impatient_fraction: float
+    sends: int
+    prefixes: int
+
+
+class CompletionBody(msgspec.Struct, frozen=True):
+    """Body of a completion request."""
+
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+    seed: int
+    tenant: str
+    request_id: str
+    repeatable: bool
+    deadline_seconds: float
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """One choice of an answer."""
+
+    text: str = ""
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """An error answer."""
+
+    title: str = ""
+    status: int = 0
+    detail: str = ""
+    ran: str = "unknown"
+    step: str = ""
+    peer: str = ""
+
+
+class CompletionAnswer(msgspec.Struct, frozen=True):
+    """An answer, or one event of a streamed one."""
+
+    choices: list[Choice] = []
+    versions: list[VersionSpan] | None = None
+    error: Problem | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The caller holds a whole answer."""
+
+    text: str
+    spans: tuple[VersionSpan, ...]
+
+
+Result = Answered | Problem | None
+"""A whole answer, a final error, or None for a connection that broke before either."""
+
+
+class Caller:
+    """Sends requests until its time is over, then waits for what is in flight."""
+
+    def __init__(
+        self,
+        options: CallerOptions,
+        nodes: NodePool,
+        client: httpx.AsyncClient,
+        history: HistoryFile,
+        generator: random.Random,
+    ) -> None:
+        self._options = options
+        self._nodes = nodes
+        self._client = client
+        self._history = history
+        self._generator = generator
+        self._counts = {"answered": 0, "refused": 0, "cut": 0}
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Send at the given rate until the time is over or `stop` is set."""
+        ends_at = anyio.current_time() + self._options.duration_seconds
+        number = 0
+        async with anyio.create_task_group() as group:
+            while not stop.is_set():
+                gap = self._generator.expovariate(self._options.rate)
+                if anyio.current_time() + gap >= ends_at:
+                    break
+                with anyio.move_on_after(gap):
+                    await stop.wait()
+                    break
+                number += 1
+                group.start_soon(self._request, self._new_body(number))
+        log_event("caller_finished", sent=number, **self._counts)
+
+    def _new_body(self, number: int) -> CompletionBody:
+        options, generator = self._options, self._generator
+        topic = generator.randrange(options.prefixes)
+        prefix = f"{options.tenant} topic {topic}. ".ljust(PREFIX_CHARACTERS, ".")
+        request_id = f"{options.caller}-{number}-{generator.getrandbits(48):012x}"
+        return CompletionBody(
+            model=options.model,
+            prompt=f"{prefix} Question {request_id}?",
+            max_tokens=options.max_tokens,
+            stream=generator.random() < options.streaming_fraction,
+            seed=generator.randrange(MAXIMUM_SEED),
+            tenant=options.tenant,
+            request_id=request_id,
+            repeatable=generator.random() >= options.non_repeatable_fraction,
+            deadline_seconds=options.deadline_seconds,
+        )
+
+    async def _request(self, body: CompletionBody) -> None:
+        """Send a request; after a broken connection send the same id through another node."""
+        node = self._nodes.current
+        for _ in range(self._options.sends):
+            result = await self._send(node, body)
+            self._observe_result(node, body, result)
+            if result is not None:
+                return
+            await anyio.sleep(SEND_AGAIN_SECONDS)
+            node = self._nodes.after(node)
+
+    async def _send(self, node: NodeEndpoint, body: CompletionBody) -> Result:
+        self._history.write(
+            RequestSent(
+                at=clock(),
+                caller=self._options.caller,
+                node=node.name,
+                tenant=body.tenant,
+                request_id=body.request_id,
+                repeatable=body.repeatable,
+                prompt=body.prompt,
+                seed=body.seed,
+                expected_tokens=answer_length(body.prompt, body.seed, body.max_tokens),
+            )
+        )
+        patience = body.deadline_seconds + DEADLINE_MARGIN_SECONDS
+        if self._generator.random() < self._options.impatient_fraction:
+            patience = self._generator.uniform(0.0, 1.0)
+        result: Result = None
+        with anyio.move_on_after(patience):
+            result = await self._exchange(node, body)
+        return result
+
+    async def _exchange(self, node: NodeEndpoint, body: CompletionBody) -> Result:
+        content = msgspec.json.encode(body)
+        headers = {"content-type": "application/json"}
+        url = f"{node.url}/v1/completions"
+        try:
+            async with self._client.stream("POST", url, content=content, headers=headers) as answer:
+                if answer.status_code != 200:
+                    return msgspec.json.decode(await answer.aread(), type=Problem)
+                if body.stream:
+                    return await _read_stream(answer)
+                whole = msgspec.json.decode(await answer.aread(), type=CompletionAnswer)
+                return Answered(whole.choices[0].text, tuple(whole.versions or ()))
+        except httpx.HTTPError as error:
+            log_event("call_failed", node=node.name, error=type(error).__name__)
+            return None
+        except msgspec.MsgspecError as error:
+            log_event("answer_unreadable", node=node.name, error=str(error))
+            return None
+
+    def _observe_result(self, node: NodeEndpoint, body: CompletionBody, result: Result) -> None:
+        at, caller = clock(), self._options.caller
+        tenant, request_id = body.tenant, body.request_id
+        observation: RequestAnswered | RequestRefused | RequestCut
+        if isinstance(result, Answered):
+            outcome, detail = "answered", ""
+            observation = RequestAnswered(
+                at=at,
+                caller=caller,
+                node=node.name,
+                tenant=tenant,
+                request_id=request_id,
+                text=result.text,
+                spans=result.spans,
+            )
+        elif isinstance(result, Problem):
+            outcome, detail = "refused", result.detail
+            observation = RequestRefused(
+                at=at,
+                caller=caller,
+                node=node.name,
+                tenant=tenant,
+                request_id=request_id,
+                ran=result.ran,
+                kind=result.title,
+                step=result.step,
+                peer=result.peer,
+            )
+        else:
+            outcome, detail = "cut", ""
+            observation = RequestCut(
+                at=at, caller=caller, node=node.name, tenant=tenant, request_id=request_id
+            )
+        self._history.write(observation)
+        self._counts[outcome] += 1
+        log_event(
+            "request_ended",
+            request_id=request_id,
+            node=node.name,
+            outcome=outcome,
+            detail=detail,
+        )
+
+
+async def _read_stream(answer: httpx.Response) -> Result:
+    """Read a streamed answer; only one that ends with `[DONE]` is whole."""
+    texts: list[str] = []
+    spans: tuple[VersionSpan, ...] = ()
+    async for line in answer.aiter_lines():
+        if not line.startswith(EVENT_PREFIX):
+            continue
+        data = line[len(EVENT_PREFIX) :]
+        if data == DONE_DATA:
+            return Answered("".join(texts), spans)
+        event = msgspec.json.decode(data, type=CompletionAnswer)
+        if event.error is not None:
+            return event.error
+        texts.extend(choice.text for choice in event.choices)
+        if event.versions is not None:
+            spans = tuple(event.versions)
+    return None
+
+
+async def run_caller(
+    options: CallerOptions,
+    nodes: NodePool,
+    history: HistoryFile,
+    generator: random.Random,
+    stop: anyio.Event,
+) -> None:
+    """Run a caller to its end."""
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=32)
+    timeout = httpx.Timeout(options.deadline_seconds + DEADLINE_MARGIN_SECONDS, connect=3.0)
+    async with httpx.AsyncClient(timeout=timeout, limits=limits) as client:
+        await Caller(options, nodes, client, history, generator).run(stop)
--- /dev/null
+++ b/src/stagewalk_standins/commands.py
@@ -0,0 +1,190 @@
+"""Starting each stand-in from its flags; what a stand-in doesn't need is never imported."""
+
+from __future__ import annotations
+
+import argparse
+import random
+import time
+from pathlib import Path
+
+import anyio
+
+from stagewalk_standins.history_file import HistoryFile
+
+
+async def run_log(options: argparse.Namespace) -> None:
+    """Run the append-only log."""
+    from stagewalk_standins.log_server import LogServer
+    from stagewalk_standins.serving import serve_until_signal
+
+    await serve_until_signal(LogServer(_history(options)).application(), options.listen)
+
+
+async def run_weights(options: argparse.Namespace) -> None:
+    """Run the weight store."""
+    from stagewalk_standins.serving import serve_until_signal
+    from stagewalk_standins.weight_server import WeightServer
+
+    server = WeightServer(options.bytes_per_second, options.fetch_limit)
+    for item in filter(None, options.models.split(",")):
+        model, _, version = item.partition(":")
+        server.publish(model, int(version), options.size_bytes)
+    await serve_until_signal(server.application(), options.listen)
+
+
+async def run_machines(options: argparse.Namespace) -> None:
+    """Run the machine list."""
+    from stagewalk_standins.machine_server import MachineServer
+    from stagewalk_standins.serving import serve_until_signal
+
+    await serve_until_signal(MachineServer(options.lag_seconds).application(), options.listen)
+
+
+async def run_scorer(options: argparse.Namespace) -> None:
+    """Run the scorer."""
+    from stagewalk_standins.scorer_server import ScorerServer
+    from stagewalk_standins.serving import serve_until_signal
+
+    generator = random.Random(options.seed)
+    server = ScorerServer(options.seconds, options.failure_fraction, generator)
+    await serve_until_signal(server.application(), options.listen)
+
+
+async def run_engine(options: argparse.Namespace) -> None:
+    """Run an engine until it was asked to stop and has finished what ran."""
+    from stagewalk.core.identities import EngineName, Incarnation, ModelName, WeightVersion
+    from stagewalk.simulation.engine_model import EngineModel
+    from stagewalk.simulation.platform_settings import EngineSettings
+    from stagewalk_standins.engine_history import EngineHistory
+    from stagewalk_standins.engine_server import EngineServer, register
+    from stagewalk_standins.history_file import clock
+    from stagewalk_standins.serving import serve_until, set_on_stop_signal
+    from stagewalk_standins.weight_fetcher import WeightFetcher
+
+    name = EngineName(options.name or options.listen)
+    incarnation = Incarnation(options.incarnation or int(time.time()))
+    settings = EngineSettings(
+        batch_limit=options.batch_limit,
+        queue_limit=options.queue_limit,
+        kv_capacity_tokens=options.kv_capacity_tokens,
+        chunk_seconds=options.chunk_seconds,
+        activation_seconds=options.activation_seconds,
+        activation_failure_fraction=options.activation_failure_fraction,
+    )
+    model = EngineModel(
+        settings,
+        engine=name,
+        incarnation=incarnation,
+        model=ModelName(options.model),
+        active_version=WeightVersion(options.version),
+        generator=random.Random(options.seed),
+        started_at=clock(),
+    )
+    history = EngineHistory(_history(options), name, incarnation)
+    server = EngineServer(model, history, WeightFetcher(options.weights))
+    stop_asked, stop_serving = anyio.Event(), anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(set_on_stop_signal, stop_asked)
+        group.start_soon(server.run)
+        group.start_soon(serve_until, server.application(), options.listen, stop_serving)
+        if options.machines:
+            group.start_soon(register, options.machines, name, _machine(options))
+        await stop_asked.wait()
+        await server.leave()
+        stop_serving.set()
+        await anyio.sleep(0.2)
+        group.cancel_scope.cancel()
+
+
+async def run_trainer(options: argparse.Namespace) -> None:
+    """Run a trainer to its last step, or until it is asked to stop."""
+    from stagewalk_standins import trainer
+    from stagewalk_standins.node_pool import NodePool, parse_nodes
+    from stagewalk_standins.serving import set_on_stop_signal
+    from stagewalk_standins.trainer_checkpoint import CheckpointFile
+
+    trainer_options = trainer.TrainerOptions(
+        tenant=options.tenant,
+        trainer=options.name,
+        model=options.model,
+        steps=options.steps,
+        prompts=options.prompts,
+        samples_per_prompt=options.samples_per_prompt,
+        max_tokens=options.max_tokens,
+        train_seconds=options.train_seconds,
+        look_ahead=options.look_ahead,
+        deadline_seconds=options.deadline_seconds,
+        weights_url=options.weights,
+        size_bytes=options.size_bytes,
+    )
+    path = Path(options.checkpoint) if options.checkpoint else None
+    checkpoint = CheckpointFile(path, _history(options))
+    nodes = NodePool(parse_nodes(options.nodes))
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(set_on_stop_signal, stop)
+
+        async def run_to_end() -> None:
+            await trainer.run_trainer(trainer_options, nodes, checkpoint)
+            stop.set()
+
+        group.start_soon(run_to_end)
+        await stop.wait()
+        group.cancel_scope.cancel()
+
+
+async def run_caller(options: argparse.Namespace) -> None:
+    """Run a caller until its time is over and nothing is in flight."""
+    from stagewalk_standins import caller
+    from stagewalk_standins.node_pool import NodePool, parse_nodes
+    from stagewalk_standins.serving import set_on_stop_signal
+
+    caller_options = caller.CallerOptions(
+        caller=options.name,
+        tenant=options.tenant,
+        model=options.model,
+        rate=options.rate,
+        duration_seconds=options.duration_seconds,
+        deadline_seconds=options.deadline_seconds,
+        max_tokens=options.max_tokens,
+        streaming_fraction=options.streaming_fraction,
+        non_repeatable_fraction=options.non_repeatable_fraction,
+        impatient_fraction=options.impatient_fraction,
+        sends=options.sends,
+        prefixes=options.prefixes,
+    )
+    nodes = NodePool(parse_nodes(options.nodes))
+    generator = random.Random(f"{options.name} {options.seed}")
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(set_on_stop_signal, stop)
+        await caller.run_caller(caller_options, nodes, _history(options), generator, stop)
+        group.cancel_scope.cancel()
+
+
+def _history(options: argparse.Namespace) -> HistoryFile:
+    return HistoryFile(Path(options.history) if options.history else None)
+
+
+def _machine(options: argparse.Namespace) -> dict[str, str | int]:
+    host, _, port = options.listen.rpartition(":")
+    return {
+        "kind": "engine",
+        "host": host,
+        "port": int(port),
+        "region": options.region,
+        "zone": options.zone,
+        "state": "live",
+        "service": options.service,
+    }
+
+
+COMMANDS = {
+    "engine": run_engine,
+    "log": run_log,
+    "weights": run_weights,
+    "machines": run_machines,
+    "scorer": run_scorer,
+    "trainer": run_trainer,
+    "caller": run_caller,
+}
--- /dev/null
+++ b/src/stagewalk_standins/engine_server.py
@@ -0,0 +1,298 @@
+"""Stand-in of a model engine: the engine model behind the platform's HTTP protocol."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncGenerator
+
+import anyio
+import httpx
+import msgspec
+from anyio.abc import TaskGroup
+
+from stagewalk.core.completions import Priority
+from stagewalk.core.identities import (
+    AttemptId,
+    Epoch,
+    ModelName,
+    RequestId,
+    TenantName,
+    WeightVersion,
+)
+from stagewalk.core.platform import EngineOrder, OrderKind, OrderOutcome
+from stagewalk.simulation.engine_messages import (
+    ActivationEnded,
+    AttemptDone,
+    AttemptPreempted,
+    ChunkProduced,
+    Duplicate,
+    EngineOutput,
+    EngineRequest,
+    KvSnapshot,
+    Refused,
+    StageBegan,
+)
+from stagewalk.simulation.engine_model import EngineModel
+from stagewalk_standins.engine_history import EngineHistory
+from stagewalk_standins.engine_stream import AttemptStream
+from stagewalk_standins.event_log import log_event
+from stagewalk_standins.history_file import clock
+from stagewalk_standins.web import (
+    EVENT_STREAM,
+    OCTETS,
+    Answer,
+    Application,
+    BadRequest,
+    Request,
+    Response,
+    StreamingResponse,
+    json_response,
+    problem_response,
+)
+from stagewalk_standins.weight_fetcher import WeightFetcher
+
+LOST_STREAM_SECONDS = 10.0
+SWEEP_SECONDS = 1.0
+LEAVE_SECONDS = 2.0
+"""Least time between `leaving` and the exit: long enough for clients to read it."""
+STOP_POLL_SECONDS = 0.05
+
+
+class CompletionBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of a completion request."""
+
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool = True
+    seed: int | None = None
+    priority: int = Priority.INTERACTIVE
+    resume_offset: int = 0
+    resume_text: str = ""
+    tenant: str = ""
+    request_id: str = ""
+
+
+class OrderBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of a fenced order."""
+
+    order_id: str
+    epoch: int
+    kind: OrderKind
+    model: str
+    version: int = 0
+
+
+class AttemptBody(msgspec.Struct, frozen=True):
+    """Body of calls that name an attempt."""
+
+    attempt: str
+
+
+class OrderAnswerBody(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Answer to an order."""
+
+    outcome: str
+    epoch: int | None = None
+    detail: str | None = None
+
+
+ORDER_STATUS = {
+    OrderOutcome.ACCEPTED: 200,
+    OrderOutcome.STALE_EPOCH: 409,
+    OrderOutcome.REFUSED: 422,
+}
+
+
+class EngineServer:
+    """Drives one engine model in real time and keeps the streams of its attempts."""
+
+    def __init__(self, model: EngineModel, history: EngineHistory, weights: WeightFetcher) -> None:
+        self._model = model
+        self._history = history
+        self._weights = weights
+        self._streams: dict[AttemptId, AttemptStream] = {}
+        self._changed = anyio.Event()
+        self._group: TaskGroup | None = None
+
+    def application(self) -> Application:
+        """Return the routes of the engine."""
+        application = Application()
+        application.route("POST", "/v1/completions", self._complete)
+        application.route("GET", "/v1/streams/{attempt}", self._stream_again)
+        application.route("GET", "/control/report", self._report)
+        application.route("GET", "/control/cache_events", self._cache_events)
+        application.route("POST", "/control/orders", self._order)
+        application.route("POST", "/control/cancel", self._cancel)
+        application.route("POST", "/control/kv/export", self._export_kv)
+        application.route("POST", "/control/kv/import", self._import_kv)
+        return application
+
+    async def run(self) -> None:
+        """Let the model's time pass until cancelled."""
+        self._history.serving()
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self._sweep_streams)
+            while True:
+                changed = self._changed
+                self._hand_on(self._model.advance(clock()))
+                wakeup = self._model.next_wakeup()
+                delay = None if wakeup is None else max(0.0, wakeup - clock())
+                with anyio.move_on_after(delay):
+                    await changed.wait()
+
+    async def leave(self) -> None:
+        """Refuse new work, say so, finish what runs, and return when all is read."""
+        began = clock()
+        self._model.leave(began)
+        self._history.leaving()
+        while not self._all_read() or clock() < began + LEAVE_SECONDS:
+            await anyio.sleep(STOP_POLL_SECONDS)
+
+    def _all_read(self) -> bool:
+        unread = any(stream.readers for stream in self._streams.values())
+        return self._model.idle and not unread
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _hand_on(self, outputs: list[EngineOutput]) -> None:
+        for output in outputs:
+            match output:
+                case ChunkProduced(attempt, chunk):
+                    self._streams[attempt].add(chunk)
+                case AttemptDone():
+                    self._history.work_ended(output)
+                    self._streams[output.attempt].end(output)
+                case StageBegan(model, version):
+                    assert self._group is not None
+                    self._group.start_soon(self._fetch, model, version)
+                case ActivationEnded(ordered, active):
+                    log_event("activation_ended", ordered=ordered, active=active)
+                case AttemptPreempted(attempt):
+                    log_event("attempt_preempted", attempt=attempt)
+
+    async def _fetch(self, model: ModelName, version: WeightVersion) -> None:
+        succeeded = await self._weights.fetch(model, version)
+        self._model.stage_ended(version, succeeded, clock())
+        self._wake()
+
+    async def _sweep_streams(self) -> None:
+        """Cancel attempts whose client is gone for good, and forget ended streams."""
+        while True:
+            await anyio.sleep(SWEEP_SECONDS)
+            now = clock()
+            for attempt, stream in list(self._streams.items()):
+                if stream.readers or now < stream.unread_since + LOST_STREAM_SECONDS:
+                    continue
+                if stream.done:
+                    del self._streams[attempt]
+                else:
+                    log_event("stream_lost", attempt=attempt)
+                    self._model.cancel(attempt, now)
+                    self._wake()
+
+    async def _complete(self, request: Request) -> Answer:
+        body = request.decode(CompletionBody)
+        attempt = request.headers.get("x-request-id", "")
+        if not attempt or body.max_tokens < 1 or body.resume_offset < 0:
+            raise BadRequest("X-Request-Id, max_tokens >= 1 and resume_offset >= 0 are required")
+        submitted = EngineRequest(
+            attempt=AttemptId(attempt),
+            request_id=RequestId(body.request_id),
+            tenant=TenantName(body.tenant),
+            model=ModelName(body.model),
+            prompt=body.prompt,
+            max_tokens=body.max_tokens,
+            seed=body.seed,
+            priority=body.priority,
+            resume_offset=body.resume_offset,
+        )
+        now = clock()
+        match self._model.submit(submitted, now):
+            case Refused(detail, retry_after_seconds):
+                log_event("attempt_refused", attempt=attempt, detail=detail)
+                return problem_response(503, "overloaded", detail, "no", retry_after_seconds)
+            case Duplicate():
+                return problem_response(409, "duplicate", "the attempt is known", "unknown")
+        self._history.work_received(submitted)
+        stream = AttemptStream(submitted, now)
+        self._streams[submitted.attempt] = stream
+        self._wake()
+        return StreamingResponse(self._read(stream, 0), EVENT_STREAM)
+
+    async def _stream_again(self, request: Request) -> Answer:
+        stream = self._streams.get(AttemptId(request.path_values["attempt"]))
+        if stream is None:
+            return problem_response(404, "unknown_attempt", "the stream is not known", "unknown")
+        offset = int(request.number("offset", 0))
+        return StreamingResponse(self._read(stream, offset), EVENT_STREAM)
+
+    async def _read(self, stream: AttemptStream, offset: int) -> AsyncGenerator[bytes, None]:
+        stream.readers += 1
+        try:
+            async for event in stream.events(offset):
+                yield event
+        finally:
+            stream.readers -= 1
+            stream.unread_since = clock()
+
+    async def _report(self, request: Request) -> Answer:
+        return json_response(self._model.report(clock()))
+
+    async def _cache_events(self, request: Request) -> Answer:
+        after = int(request.number("after", 0))
+        events, following = self._model.cache_events(after, clock())
+        return json_response({"events": events, "next": following})
+
+    async def _order(self, request: Request) -> Answer:
+        body = request.decode(OrderBody)
+        order = EngineOrder(
+            order_id=body.order_id,
+            epoch=Epoch(body.epoch),
+            kind=body.kind,
+            model=ModelName(body.model),
+            version=WeightVersion(body.version),
+        )
+        answer = self._model.order(order, clock())
+        log_event(
+            "order_answered",
+            kind=str(order.kind),
+            version=order.version,
+            epoch=order.epoch,
+            outcome=str(answer.outcome),
+        )
+        if answer.outcome is OrderOutcome.ACCEPTED:
+            self._history.obeyed(order, self._model.weights.active_version)
+        self._wake()
+        stale = answer.outcome is OrderOutcome.STALE_EPOCH
+        value = OrderAnswerBody(
+            str(answer.outcome), answer.epoch if stale else None, answer.detail or None
+        )
+        return json_response(value, ORDER_STATUS[answer.outcome])
+
+    async def _cancel(self, request: Request) -> Answer:
+        known = self._model.cancel(AttemptId(request.decode(AttemptBody).attempt), clock())
+        self._wake()
+        return json_response({"known": known})
+
+    async def _export_kv(self, request: Request) -> Answer:
+        snapshot = self._model.export_kv(AttemptId(request.decode(AttemptBody).attempt), clock())
+        if snapshot is None:
+            return problem_response(404, "unknown_attempt", "no KV cache of this attempt")
+        return Response(body=msgspec.msgpack.encode(snapshot), content_type=OCTETS)
+
+    async def _import_kv(self, request: Request) -> Answer:
+        try:
+            snapshot = msgspec.msgpack.decode(request.body, type=KvSnapshot)
+        except msgspec.MsgspecError as error:
+            raise BadRequest(str(error)) from error
+        return json_response({"token_count": self._model.import_kv(snapshot, clock())})
+
+
+async def register(machines_url: str, name: str, machine: dict[str, str | int]) -> None:
+    """Enter this engine in the platform's machine list."""
+    async with httpx.AsyncClient(timeout=5.0) as client:
+        answer = await client.put(f"{machines_url}/machines/{name}", json=machine)
+        answer.raise_for_status()
--- /dev/null
+++ b/src/stagewalk_standins/web.py
@@ -0,0 +1,222 @@
+"""A small ASGI application: typed requests and answers behind routes, served by hypercorn."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncGenerator, Awaitable, Callable, Mapping, MutableMapping
+from contextlib import aclosing
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+from urllib.parse import parse_qsl
+
+import anyio
+import msgspec
+
+Scope = MutableMapping[str, Any]
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+Body = TypeVar("Body")
+
+JSON = "application/json"
+OCTETS = "application/octet-stream"
+EVENT_STREAM = "text/event-stream"
+PROBLEM = "application/problem+json"
+ABOUT_BLANK = "about:blank"
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True, kw_only=True):
+    """An error answer (RFC 9457) with what it says about execution."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    ran: str | None = None
+
+
+class BadRequest(Exception):
+    """The request's body or parameters can't be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One HTTP request; `path_values` are what the route's placeholders stood for."""
+
+    method: str
+    path_values: Mapping[str, str]
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+    receive: Receive
+
+    def decode(self, kind: type[Body]) -> Body:
+        """Return the JSON body as a typed value."""
+        try:
+            return msgspec.json.decode(self.body, type=kind)
+        except msgspec.MsgspecError as error:
+            raise BadRequest(str(error)) from error
+
+    def number(self, name: str, default: float) -> float:
+        """Return a numeric query parameter."""
+        try:
+            return float(self.query.get(name, default))
+        except ValueError as error:
+            raise BadRequest(f"{name}: {error}") from error
+
+    async def disconnected(self) -> None:
+        """Wait until the client has closed its connection."""
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """A whole answer."""
+
+    status: int = 200
+    body: bytes = b""
+    content_type: str = JSON
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class StreamingResponse:
+    """An answer sent in pieces, until `pieces` ends or the client goes away."""
+
+    pieces: AsyncGenerator[bytes, None]
+    content_type: str
+
+
+Answer = Response | StreamingResponse
+Handler = Callable[[Request], Awaitable[Answer]]
+
+
+def json_response(value: object, status: int = 200) -> Response:
+    """Return a JSON answer."""
+    return Response(status, msgspec.json.encode(value))
+
+
+def problem_response(
+    status: int,
+    title: str,
+    detail: str,
+    ran: str | None = None,
+    retry_after_seconds: float | None = None,
+) -> Response:
+    """Return an error answer."""
+    body = msgspec.json.encode(
+        Problem(type=ABOUT_BLANK, title=title, status=status, detail=detail, ran=ran)
+    )
+    headers = {}
+    if retry_after_seconds is not None:
+        headers["retry-after"] = str(max(1, round(retry_after_seconds)))
+    return Response(status, body, PROBLEM, headers)
+
+
+class Application:
+    """Routes requests by method and path; a route's `{name}` matches one path segment."""
+
+    def __init__(self) -> None:
+        self._routes: list[tuple[str, tuple[str, ...], Handler]] = []
+
+    def route(self, method: str, path: str, handler: Handler) -> None:
+        """Add a route."""
+        self._routes.append((method, tuple(path.split("/")), handler))
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one ASGI connection."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+            return
+        answer = await self._answer(scope, receive)
+        if isinstance(answer, Response):
+            await _send_whole(answer, send)
+        else:
+            await _send_pieces(answer, receive, send)
+
+    async def _answer(self, scope: Scope, receive: Receive) -> Answer:
+        found = self._find(scope["method"], tuple(scope["path"].split("/")))
+        if found is None:
+            return problem_response(404, "not_found", f"{scope['method']} {scope['path']}")
+        handler, path_values = found
+        request = Request(
+            method=scope["method"],
+            path_values=path_values,
+            query=dict(parse_qsl(scope["query_string"].decode())),
+            headers={name.decode().lower(): value.decode() for name, value in scope["headers"]},
+            body=await _read_body(receive),
+            receive=receive,
+        )
+        try:
+            return await handler(request)
+        except BadRequest as error:
+            return problem_response(400, "invalid_request", str(error), ran="no")
+
+    def _find(
+        self, method: str, segments: tuple[str, ...]
+    ) -> tuple[Handler, dict[str, str]] | None:
+        for route_method, pattern, handler in self._routes:
+            if route_method == method:
+                path_values = _match(pattern, segments)
+                if path_values is not None:
+                    return handler, path_values
+        return None
+
+
+def _match(pattern: tuple[str, ...], segments: tuple[str, ...]) -> dict[str, str] | None:
+    if len(pattern) != len(segments):
+        return None
+    values = {}
+    for expected, segment in zip(pattern, segments, strict=True):
+        if expected.startswith("{"):
+            values[expected[1:-1]] = segment
+        elif expected != segment:
+            return None
+    return values
+
+
+async def _read_body(receive: Receive) -> bytes:
+    parts = []
+    while True:
+        message = await receive()
+        parts.append(message.get("body", b""))
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+def _start(status: int, content_type: str, headers: Mapping[str, str]) -> Message:
+    encoded = [(name.encode(), value.encode()) for name, value in headers.items()]
+    encoded.append((b"content-type", content_type.encode()))
+    return {"type": "http.response.start", "status": status, "headers": encoded}
+
+
+async def _send_whole(answer: Response, send: Send) -> None:
+    headers = {**answer.headers, "content-length": str(len(answer.body))}
+    await send(_start(answer.status, answer.content_type, headers))
+    await send({"type": "http.response.body", "body": answer.body})
+
+
+async def _send_pieces(answer: StreamingResponse, receive: Receive, send: Send) -> None:
+    """Send a stream; stop reading its source as soon as the client is gone."""
+    await send(_start(200, answer.content_type, {"cache-control": "no-store"}))
+    async with anyio.create_task_group() as group:
+
+        async def watch_client() -> None:
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            group.cancel_scope.cancel()
+
+        group.start_soon(watch_client)
+        async with aclosing(answer.pieces) as pieces:
+            async for piece in pieces:
+                await send({"type": "http.response.body", "body": piece, "more_body": True})
+        await send({"type": "http.response.body", "body": b""})
+        group.cancel_scope.cancel()
+
+
+async def _serve_lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
--- /dev/null
+++ b/src/stagewalk_standins/weight_fetcher.py
@@ -0,0 +1,46 @@
+"""An engine's fetches from the weight store."""
+
+from __future__ import annotations
+
+import anyio
+import httpx
+
+from stagewalk.core.identities import ModelName, WeightVersion
+from stagewalk_standins.event_log import log_event
+
+FETCH_TRIES = 30
+FETCH_RETRY_SECONDS = 1.0
+FETCH_TIMEOUT_SECONDS = 30.0
+
+
+class WeightFetcher:
+    """Fetches weights, waiting while the store is busy; the bytes themselves are dropped."""
+
+    def __init__(self, store_url: str) -> None:
+        self._store_url = store_url
+
+    async def fetch(self, model: ModelName, version: WeightVersion) -> bool:
+        """Return whether the version's weights have arrived."""
+        if not self._store_url:
+            return True
+        url = f"{self._store_url}/models/{model}/versions/{version}/weights"
+        async with httpx.AsyncClient(timeout=FETCH_TIMEOUT_SECONDS) as client:
+            for _ in range(FETCH_TRIES):
+                status = await _fetch_once(client, url)
+                if status in (200, 404):
+                    log_event("weights_fetched", model=model, version=version, status=status)
+                    return status == 200
+                await anyio.sleep(FETCH_RETRY_SECONDS)
+        log_event("weights_not_fetched", model=model, version=version)
+        return False
+
+
+async def _fetch_once(client: httpx.AsyncClient, url: str) -> int:
+    """Return the status of one try, 0 if the connection failed."""
+    try:
+        async with client.stream("GET", url) as answer:
+            async for _ in answer.aiter_raw():
+                pass
+            return answer.status_code
+    except httpx.HTTPError:
+        return 0
