--- /dev/null
+++ b/src/stagewalk/samples/config.py
@@ -0,0 +1,77 @@
+"""Settings of the sample ledger."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class LotConfig:
+    """How a node runs lots and hands over their samples.
+
+    Attributes
+    ----------
+    maximum_outstanding_per_lot
+        Most slots of one lot that run at once, duplicates not counted.
+    maximum_slots_per_lot
+        Largest lot accepted.
+    request_deadline_seconds
+        Least time a rollout is given before it counts as failed.
+    retry_base_seconds, retry_limit_seconds
+        First and largest delay before a failed rollout, score or claim is tried again.
+    claim_wait_seconds
+        How long a scored sample waits for its claim before it is handed over without one.
+    hand_over_margin_seconds
+        Added to a sample's age in seconds, for the way to the trainer and the lag of news.
+    tail_fraction
+        A step is near its end when at most this share of its slots is unfinished.
+    straggler_factor
+        A slot is a straggler when it has run this many times the lot's 90th percentile.
+    duplicate_fraction
+        Most duplicates of stragglers, as a share of the lot's slots (at least one).
+    look_ahead_steps
+        Steps after a trainer's current one that may run before the trainer pulls them.
+    retained_steps
+        Steps of one trainer kept besides the newest; older ones are forgotten.
+    retention_seconds
+        How long a completed lot is kept for pulls that are repeated.
+    idle_pause_seconds
+        A lot whose trainer has been silent for so long here stops running.
+    idle_retention_seconds
+        A lot whose trainer has been silent for so long here is forgotten.
+    stuck_after_failures
+        Failures of one slot in a row after which it is logged as stuck.
+    """
+
+    maximum_outstanding_per_lot: int = 256
+    maximum_slots_per_lot: int = 65536
+    request_deadline_seconds: float = 600.0
+    retry_base_seconds: float = 0.2
+    retry_limit_seconds: float = 10.0
+    claim_wait_seconds: float = 2.0
+    hand_over_margin_seconds: float = 1.0
+    tail_fraction: float = 0.1
+    straggler_factor: float = 2.0
+    duplicate_fraction: float = 0.05
+    look_ahead_steps: int = 1
+    retained_steps: int = 3
+    retention_seconds: float = 300.0
+    idle_pause_seconds: float = 120.0
+    idle_retention_seconds: float = 900.0
+    stuck_after_failures: int = 5
+
+    def __post_init__(self) -> None:
+        positive = (
+            self.maximum_outstanding_per_lot,
+            self.maximum_slots_per_lot,
+            self.request_deadline_seconds,
+            self.retry_base_seconds,
+            self.straggler_factor,
+            self.retention_seconds,
+        )
+        if min(positive) <= 0:
+            raise ValueError("limits, deadlines and retentions must be positive")
+        if self.retry_limit_seconds < self.retry_base_seconds:
+            raise ValueError("retry_limit_seconds must not be below retry_base_seconds")
+        if not (0.0 <= self.tail_fraction <= 1.0 and 0.0 <= self.duplicate_fraction <= 1.0):
+            raise ValueError("tail_fraction and duplicate_fraction must be within 0 and 1")
--- /dev/null
+++ b/src/stagewalk/samples/core.py
@@ -0,0 +1,284 @@
+"""The sample ledger of a node: lots in, exactly one fresh sample a slot out.
+
+What must last of it lies elsewhere: what a trainer holds is in the cursor its pulls carry, and
+which sample is a slot's is in the claim register. A node that dies takes only time with it; the
+trainer submits the step to another node and goes on with its cursor.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from stagewalk.configuration.parameters import Tenant
+from stagewalk.core.completions import CompletionResult
+from stagewalk.core.errors import StagewalkError
+from stagewalk.core.events import SampleScored, SampleScoringFailed
+from stagewalk.core.identities import CallId, ModelName, RequestId, TenantName, WeightVersion
+from stagewalk.core.instructions import AcceptLot, FailCall, LogEvent
+from stagewalk.core.rollouts import RolloutLot, SamplePull
+from stagewalk.samples.config import LotConfig
+from stagewalk.samples.cursor import decode_cursor
+from stagewalk.samples.delivery import Delivery, OpenPull
+from stagewalk.samples.lots import Lot, LotKey, SlotPhase, lot_digest, lot_key, make_lot
+from stagewalk.samples.scheduler import RolloutScheduler
+from stagewalk.samples.settlement import LotOutput, SampleSettlement
+from stagewalk.samples.status import LotStatus
+from stagewalk.samples.store import LotStore
+from stagewalk.samples.timers import TimerQueue
+from stagewalk.samples.validation import check_lot, check_pull, invalid, unknown_lot
+
+if TYPE_CHECKING:
+    from stagewalk.node.node_core import NodeIdentity
+
+_HOUSEKEEPING_SECONDS = 1.0
+"""Time between two looks for stragglers and for lots to pause or forget."""
+
+
+class LotCore:
+    """Decides what is run for trainers and what they are handed.
+
+    Parameters
+    ----------
+    identity
+        This node; its name and incarnation make request ids unique.
+    generator
+        Source of jitter.
+    """
+
+    def __init__(self, identity: NodeIdentity, config: LotConfig, generator: random.Random) -> None:
+        self._node = identity.name
+        self._config = config
+        self._store = LotStore()
+        self._timers = TimerQueue()
+        self._scheduler = RolloutScheduler(self._store, config, identity.name, identity.incarnation)
+        self._settlement = SampleSettlement(
+            self._store, self._scheduler, self._timers, config, generator
+        )
+        self._delivery = Delivery(self._store, self._scheduler, self._settlement, config)
+        self._housekeeping_at = 0.0
+
+    def set_tenants(self, tenants: dict[TenantName, Tenant]) -> None:
+        """Put a configuration in force: bounds and objectives hold from the next decision on."""
+        self._store.tenants = dict(tenants)
+
+    def submit(self, call: CallId, lot: RolloutLot, now: float) -> list[LotOutput]:
+        """Take a step's lot; the same lot again changes nothing."""
+        error = check_lot(lot, self._store.tenants.get(lot.tenant), self._config, self._node)
+        if error is not None:
+            return [FailCall(call, error)]
+        key = lot_key(lot)
+        known = self._store.lots.get(key)
+        if known is None:
+            known = self._add(lot, now)
+        elif known.digest != lot_digest(lot):
+            detail = f"step {lot.step} was submitted with other contents before"
+            return [FailCall(call, invalid(self._node, "step", detail))]
+        self._store.name_trainer_version(key, lot.trainer_version)
+        self._store.versions.known(lot.model, lot.trainer_version, now)
+        self._touch(known, now)
+        output: list[LotOutput] = [AcceptLot(call, lot)]
+        output += self._forget_superseded(key)
+        output += self._advance(known, now)
+        return output
+
+    def pull(self, call: CallId, pull: SamplePull, now: float) -> list[LotOutput]:
+        """Answer a pull at once if samples are ready, else when some are or its wait is over."""
+        error = check_pull(pull, self._store.tenants.get(pull.tenant), self._node)
+        if error is not None:
+            return [FailCall(call, error)]
+        lot = self._store.lots.get(LotKey(pull.tenant, pull.trainer, pull.step))
+        if lot is None:
+            return [FailCall(call, unknown_lot(self._node, pull))]
+        decoded = decode_cursor(pull.cursor, lot.digest, len(lot.slots))
+        if decoded.is_error():
+            return [FailCall(call, invalid(self._node, "cursor", decoded.error.detail))]
+        self._store.name_trainer_version(lot.key, pull.trainer_version)
+        self._store.versions.known(lot.lot.model, pull.trainer_version, now)
+        lot.pulled = True
+        self._touch(lot, now)
+        output = self._delivery.pull(lot, OpenPull(call, pull, decoded.ok), now)
+        for other in self._store.lots_of_trainer(lot.key):
+            output += self._scheduler.dispatch(other, now)
+        return output
+
+    def abandon(self, call: CallId, now: float) -> list[LotOutput]:
+        """Forget a call whose caller went away. What it would have been handed stays ready."""
+        self._delivery.abandon(call)
+        return []
+
+    def request_finished(
+        self, request_id: RequestId, result: CompletionResult, now: float
+    ) -> list[LotOutput]:
+        """Take the whole answer of a rollout."""
+        lot = self._lot_of_request(request_id)
+        output = self._settlement.rollout_finished(request_id, result, now)
+        return output + self._advance(lot, now)
+
+    def request_failed(
+        self, request_id: RequestId, error: StagewalkError, now: float
+    ) -> list[LotOutput]:
+        """Take the final error of a rollout."""
+        lot = self._lot_of_request(request_id)
+        output = self._settlement.rollout_failed(request_id, error, now)
+        return output + self._advance(lot, now)
+
+    def handle(self, event: SampleScored | SampleScoringFailed, now: float) -> list[LotOutput]:
+        """Take the scorer's answer, or that there was none."""
+        if isinstance(event, SampleScored):
+            return self._settlement.scored(event.sample_id, event.score, now)
+        return self._settlement.scoring_failed(event.sample_id, event.error, now)
+
+    def claim_decided(self, key: str, value: bytes, won: bool, now: float) -> list[LotOutput]:
+        """Take the value chosen for a claim; `won` says whether this node's proposal was it."""
+        place = self._store.claims.get(key)
+        output = self._settlement.claim_decided(key, value, now)
+        lot = None if place is None else self._store.lots.get(place.lot)
+        return output + self._advance(lot, now)
+
+    def claim_undecided(self, key: str, error: StagewalkError, now: float) -> list[LotOutput]:
+        """Take that a claim could not be decided for now."""
+        return self._settlement.claim_undecided(key, now)
+
+    def versions_known(
+        self, model: ModelName, newest: WeightVersion, now: float
+    ) -> list[LotOutput]:
+        """Take that a version is a model's newest, as the store or an engine's report says."""
+        before = self._store.versions.newest(model)
+        self._store.versions.known(model, newest, now)
+        if before is not None and newest <= before:
+            return []
+        output: list[LotOutput] = []
+        for lot in list(self._store.lots.values()):
+            if lot.lot.model == model:
+                output += self._scheduler.dispatch(lot, now)
+        return output
+
+    def tick(self, now: float) -> list[LotOutput]:
+        """Do what has become due."""
+        output: list[LotOutput] = []
+        touched: dict[LotKey, Lot] = {}
+        for timer in self._timers.pop_due(now):
+            lot = self._store.lots.get(timer.lot)
+            if lot is None or lot.slots[timer.index].change != timer.change:
+                continue
+            touched[timer.lot] = lot
+            output += self._settlement.timer_due(timer.kind, lot, timer.index, now)
+        for lot in touched.values():
+            output += self._advance(lot, now)
+        output += self._delivery.answer_expired(now)
+        if now >= self._housekeeping_at:
+            self._housekeeping_at = now + _HOUSEKEEPING_SECONDS
+            output += self._keep_house(now)
+        return output
+
+    def status(self, now: float) -> tuple[LotStatus, ...]:
+        """Return what operators may see of each lot."""
+        return tuple(self._lot_status(lot, now) for lot in self._store.lots.values())
+
+    def _add(self, lot: RolloutLot, now: float) -> Lot:
+        added = make_lot(lot, now)
+        self._store.lots[added.key] = added
+        for index in range(len(added.slots)):
+            self._scheduler.enqueue(added, index)
+        return added
+
+    def _touch(self, lot: Lot, now: float) -> None:
+        """Take note that a trainer is alive, and speaks to this node."""
+        for other in self._store.lots_of_trainer(lot.key):
+            other.active_at = now
+            other.paused = False
+
+    def _lot_of_request(self, request_id: RequestId) -> Lot | None:
+        place = self._store.requests.get(request_id)
+        return None if place is None else self._store.lots.get(place.lot)
+
+    def _advance(self, lot: Lot | None, now: float) -> list[LotOutput]:
+        """Start what may run now and answer the pull that waits for the lot."""
+        if lot is None:
+            return []
+        output: list[LotOutput] = []
+        if lot.indices[SlotPhase.READY]:
+            output += self._delivery.answer_parked(lot, now)
+        output += self._scheduler.dispatch(lot, now)
+        return output
+
+    def _keep_house(self, now: float) -> list[LotOutput]:
+        output: list[LotOutput] = []
+        for lot in list(self._store.lots.values()):
+            if self._is_over(lot, now):
+                output += self._forget(lot)
+                continue
+            if not lot.paused and self._is_silent(lot, now):
+                output += self._pause(lot, now)
+            if self._delivery.has_parked(lot.key):
+                output += self._delivery.answer_parked(lot, now)
+            output += self._scheduler.dispatch(lot, now)
+            output += self._scheduler.duplicate_stragglers(lot, now)
+        return output
+
+    def _is_over(self, lot: Lot, now: float) -> bool:
+        silent = now - lot.active_at
+        if lot.completed_at is not None and now - lot.completed_at > self._config.retention_seconds:
+            return silent > self._config.retention_seconds
+        return silent > self._config.idle_retention_seconds
+
+    def _is_silent(self, lot: Lot, now: float) -> bool:
+        if self._delivery.has_parked(lot.key):
+            return False
+        limit = self._config.idle_pause_seconds
+        return now - lot.active_at > limit
+
+    def _pause(self, lot: Lot, now: float) -> list[LotOutput]:
+        """Stop running a lot: its trainer seems to be gone, or served by another node."""
+        lot.paused = True
+        output: list[LotOutput] = []
+        for index in sorted(lot.indices[SlotPhase.RUNNING]):
+            output += self._scheduler.cancel(lot.slots[index])
+            lot.move(index, SlotPhase.WAITING)
+            self._scheduler.enqueue(lot, index)
+        fields: dict[str, str | int | float | bool] = {
+            "tenant": lot.key.tenant,
+            "trainer": lot.key.trainer,
+            "step": lot.key.step,
+            "silent_seconds": round(now - lot.active_at, 1),
+        }
+        return [*output, LogEvent("lot_paused", fields)]
+
+    def _forget_superseded(self, key: LotKey) -> list[LotOutput]:
+        """Keep only the newest few steps of a trainer."""
+        lots = self._store.lots_of_trainer(key)
+        kept = self._config.retained_steps + 1 + self._config.look_ahead_steps
+        output: list[LotOutput] = []
+        for lot in lots[: max(0, len(lots) - kept)]:
+            if lot.key != key:
+                output += self._forget(lot)
+        return output
+
+    def _forget(self, lot: Lot) -> list[LotOutput]:
+        output = self._delivery.drop(lot)
+        for slot in lot.slots:
+            output += self._scheduler.cancel(slot)
+        self._store.forget(lot.key)
+        return output
+
+    def _lot_status(self, lot: Lot, now: float) -> LotStatus:
+        underway = (SlotPhase.RUNNING, SlotPhase.SCORING, SlotPhase.CLAIMING)
+        ready = [lot.slots[index] for index in lot.indices[SlotPhase.READY]]
+        failing = self._config.stuck_after_failures
+        return LotStatus(
+            tenant=lot.key.tenant,
+            trainer=lot.key.trainer,
+            step=lot.key.step,
+            slots=len(lot.slots),
+            acknowledged=lot.acknowledged.bit_count(),
+            ready=len(ready),
+            running=sum(lot.count(phase) for phase in underway),
+            waiting=lot.count(SlotPhase.WAITING),
+            stuck=sum(1 for slot in lot.slots if slot.failures >= failing),
+            stale_reruns=lot.stale_reruns,
+            duplicates=lot.duplicates,
+            unclaimed=sum(1 for slot in ready if not slot.decided),
+            trainer_version=self._store.trainer_version(lot.key),
+            seconds_since_pull=now - lot.active_at,
+        )
--- /dev/null
+++ b/src/stagewalk/samples/delivery.py
@@ -0,0 +1,175 @@
+"""Hand-over of samples: pulls, their cursors, and pulls that wait for a first sample."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from stagewalk.core.identities import CallId
+from stagewalk.core.instructions import DeliverSamples
+from stagewalk.core.rollouts import Sample, SampleBatch, SamplePull
+from stagewalk.samples.config import LotConfig
+from stagewalk.samples.cursor import encode_cursor
+from stagewalk.samples.lots import Lot, LotKey, SlotPhase
+from stagewalk.samples.scheduler import RolloutScheduler
+from stagewalk.samples.settlement import LotOutput, SampleSettlement
+from stagewalk.samples.staleness import Freshness, judge_freshness
+from stagewalk.samples.store import LotStore
+
+
+@dataclass(frozen=True, slots=True)
+class OpenPull:
+    """A pull that is to be answered; `delivered` is the bitmap of its cursor."""
+
+    call: CallId
+    pull: SamplePull
+    delivered: int
+
+
+class Delivery:
+    """Answers pulls.
+
+    A sample handed over stays ready until a cursor covers its slot: if the answer is lost, the
+    same pull gets it again. What a trainer holds is decided by its cursor alone.
+    """
+
+    def __init__(
+        self,
+        store: LotStore,
+        scheduler: RolloutScheduler,
+        settlement: SampleSettlement,
+        config: LotConfig,
+    ) -> None:
+        self._store = store
+        self._scheduler = scheduler
+        self._settlement = settlement
+        self._config = config
+        self._parked: dict[LotKey, OpenPull] = {}
+
+    def pull(self, lot: Lot, opened: OpenPull, now: float) -> list[LotOutput]:
+        """Answer a pull, or park it until there is something to hand over."""
+        outdated = opened.delivered != lot.acknowledged and (
+            opened.delivered | lot.acknowledged == lot.acknowledged
+        )
+        parked = self._parked.get(lot.key)
+        if parked is not None and outdated:
+            # A delayed repetition of an earlier pull: the one parked since is the trainer's own.
+            return [self._empty_answer(lot, opened)]
+        output = self._acknowledge(lot, opened.delivered)
+        if parked is not None:
+            # A trainer has one pull open at a time, so nobody waits for the parked one.
+            del self._parked[lot.key]
+            output.append(self._empty_answer(lot, parked))
+        output += self._answer(lot, opened, now)
+        return output
+
+    def answer_parked(self, lot: Lot, now: float) -> list[LotOutput]:
+        """Answer the pull that waits for a lot, if it can be by now."""
+        parked = self._parked.pop(lot.key, None)
+        return [] if parked is None else self._answer(lot, parked, now)
+
+    def answer_expired(self, now: float) -> list[LotOutput]:
+        """Answer pulls that have waited as long as they wished."""
+        if not self._parked:
+            return []
+        output: list[LotOutput] = []
+        for key in sorted(self._parked):
+            if self._parked[key].pull.wait_until <= now:
+                output += self.answer_parked(self._store.lots[key], now)
+        return output
+
+    def abandon(self, call: CallId) -> None:
+        """Forget a pull whose caller went away; what it would have got stays ready."""
+        for key, parked in list(self._parked.items()):
+            if parked.call == call:
+                del self._parked[key]
+
+    def has_parked(self, key: LotKey) -> bool:
+        """Say whether a pull waits for a lot."""
+        return key in self._parked
+
+    def drop(self, lot: Lot) -> list[LotOutput]:
+        """Answer the pull of a lot that is about to be forgotten."""
+        parked = self._parked.pop(lot.key, None)
+        return [] if parked is None else [self._empty_answer(lot, parked)]
+
+    def _answer(self, lot: Lot, opened: OpenPull, now: float) -> list[LotOutput]:
+        output: list[LotOutput] = []
+        handed = opened.delivered
+        samples: list[Sample] = []
+        for index in self._available(lot, opened.delivered):
+            if len(samples) >= opened.pull.max_samples:
+                break
+            sample = lot.slots[index].sample
+            if sample is None:
+                continue
+            match self._judge(lot, sample, opened.pull, now):
+                case Freshness.FRESH:
+                    samples.append(sample)
+                    handed |= 1 << index
+                case Freshness.STALE:
+                    output += self._settlement.run_again(lot, index, "too stale at hand-over", now)
+        complete = handed == lot.all_slots
+        if not samples and not complete and now < opened.pull.wait_until:
+            self._parked[lot.key] = opened
+            return output
+        if complete and lot.completed_at is None:
+            lot.completed_at = now
+        cursor = encode_cursor(lot.digest, len(lot.slots), handed)
+        remaining = (lot.all_slots & ~handed).bit_count()
+        batch = SampleBatch(tuple(samples), cursor, complete, remaining)
+        output.append(DeliverSamples(opened.call, batch))
+        return output
+
+    def _available(self, lot: Lot, delivered: int) -> list[int]:
+        ready = sorted(lot.indices[SlotPhase.READY])
+        return [index for index in ready if not delivered >> index & 1]
+
+    def _judge(self, lot: Lot, sample: Sample, pull: SamplePull, now: float) -> Freshness:
+        parameters = self._store.parameters(lot.key.tenant)
+        if parameters is None:
+            return Freshness.UNCERTAIN
+        return judge_freshness(
+            parameters,
+            self._store.versions,
+            lot.lot.model,
+            sample.oldest_version,
+            trainer_version=pull.trainer_version,
+            at=now + self._config.hand_over_margin_seconds,
+        )
+
+    def _acknowledge(self, lot: Lot, delivered: int) -> list[LotOutput]:
+        """Make a pull's cursor the lot's: what it covers is done, what it lacks is wanted.
+
+        A cursor may lack what an earlier one covered: the trainer went back to a checkpoint, or
+        a delayed pull came late. Such a slot is served from its kept sample or run again.
+        """
+        output: list[LotOutput] = []
+        for index in _set_bits(delivered & ~lot.acknowledged):
+            output += self._scheduler.cancel(lot.slots[index])
+            lot.move(index, SlotPhase.ACKNOWLEDGED)
+        for index in _set_bits(lot.acknowledged & ~delivered):
+            self._reopen(lot, index)
+        lot.acknowledged = delivered
+        return output
+
+    def _reopen(self, lot: Lot, index: int) -> None:
+        if lot.slots[index].sample is not None:
+            lot.move(index, SlotPhase.READY)
+            return
+        lot.move(index, SlotPhase.WAITING)
+        self._scheduler.enqueue(lot, index)
+
+    def _empty_answer(self, lot: Lot, opened: OpenPull) -> DeliverSamples:
+        cursor = encode_cursor(lot.digest, len(lot.slots), opened.delivered)
+        missing = (lot.all_slots & ~opened.delivered).bit_count()
+        return DeliverSamples(opened.call, SampleBatch((), cursor, missing == 0, missing))
+
+
+def _set_bits(bitmap: int) -> list[int]:
+    """Return the positions of a bitmap's ones, ascending."""
+    positions = []
+    while bitmap:
+        lowest = bitmap & -bitmap
+        positions.append(lowest.bit_length() - 1)
+        bitmap ^= lowest
+    return positions
--- /dev/null
+++ b/src/stagewalk/samples/lengths.py
@@ -0,0 +1,77 @@
+"""Online prediction of answer lengths, so that the longest rollouts start first."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+import xxhash
+
+from stagewalk.core.identities import TenantName
+from stagewalk.core.rollouts import RolloutPrompt
+
+MAXIMUM_PREDICTOR_ENTRIES = 20_000
+"""Prompts and families remembered; the least recently used go first."""
+
+_SMOOTHING = 0.2
+"""Weight of a new length in a moving mean, once it rests on several."""
+
+_PRIOR_STRENGTH = 2.0
+"""How many observations of its own an estimate needs to weigh as much as the coarser one."""
+
+_UNKNOWN_SHARE_OF_LIMIT = 0.5
+"""Predicted share of `max_tokens` while nothing is known of a tenant."""
+
+
+@dataclass(slots=True)
+class _MovingMean:
+    mean: float = 0.0
+    count: int = 0
+
+    def add(self, value: float) -> None:
+        self.count += 1
+        weight = max(_SMOOTHING, 1.0 / self.count)
+        self.mean += weight * (value - self.mean)
+
+
+class LengthPredictor:
+    """Moving means of answer lengths by prompt, by prompt family and by tenant.
+
+    A fine estimate is shrunk towards the coarser one while it rests on few observations.
+    """
+
+    def __init__(self, maximum_entries: int = MAXIMUM_PREDICTOR_ENTRIES) -> None:
+        self._maximum_entries = maximum_entries
+        self._means: OrderedDict[tuple[str, str], _MovingMean] = OrderedDict()
+
+    def observe(self, tenant: TenantName, prompt: RolloutPrompt, token_count: int) -> None:
+        """Learn the length of a finished answer, in tokens."""
+        for level in _levels(prompt):
+            key = (tenant, level)
+            mean = self._means.setdefault(key, _MovingMean())
+            mean.add(token_count)
+            self._means.move_to_end(key)
+        while len(self._means) > self._maximum_entries:
+            self._means.popitem(last=False)
+
+    def predict(self, tenant: TenantName, prompt: RolloutPrompt) -> float:
+        """Return the expected length of an answer to a prompt, in tokens."""
+        estimate = prompt.max_tokens * _UNKNOWN_SHARE_OF_LIMIT
+        for level in _levels(prompt):
+            mean = self._means.get((tenant, level))
+            if mean is None:
+                continue
+            weight = mean.count / (mean.count + _PRIOR_STRENGTH)
+            estimate += weight * (mean.mean - estimate)
+        return min(estimate, float(prompt.max_tokens))
+
+
+def prompt_family(prompt_id: str) -> str:
+    """Return the family of a prompt: its id without the number at its end."""
+    return prompt_id.rstrip("0123456789").rstrip("-_./:#")
+
+
+def _levels(prompt: RolloutPrompt) -> tuple[str, str, str]:
+    """Return the keys of the means that speak of a prompt, coarsest first."""
+    digest = xxhash.xxh64_hexdigest(prompt.prompt.encode())
+    return ("", f"family/{prompt_family(prompt.prompt_id)}", f"prompt/{digest}")
--- /dev/null
+++ b/src/stagewalk/samples/notifications.py
@@ -0,0 +1,33 @@
+"""What the sample ledger asks of the other subsystems."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from stagewalk.core.completions import CompletionRequest
+from stagewalk.core.identities import RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class RequestWanted:
+    """Run this rollout; the outcome comes back by its request id."""
+
+    request: CompletionRequest
+
+
+@dataclass(frozen=True, slots=True)
+class RequestUnwanted:
+    """Cancel this rollout: its slot is filled or acknowledged. No outcome is expected."""
+
+    request_id: RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimWanted:
+    """Propose a value for a write-once key; the decision comes back by the key."""
+
+    key: str
+    value: bytes
+
+
+LotNotification = RequestWanted | RequestUnwanted | ClaimWanted
--- /dev/null
+++ b/src/stagewalk/samples/scheduler.py
@@ -0,0 +1,158 @@
+"""Which slots run next: order, look-ahead, and duplicates of stragglers."""
+
+from __future__ import annotations
+
+import bisect
+
+from stagewalk.core.completions import CompletionRequest, Priority
+from stagewalk.core.identities import Incarnation, NodeName, RequestId, WeightVersion
+from stagewalk.core.rollouts import slot_seed
+from stagewalk.samples.config import LotConfig
+from stagewalk.samples.lengths import LengthPredictor
+from stagewalk.samples.lots import Lot, Slot, SlotPhase
+from stagewalk.samples.notifications import LotNotification, RequestUnwanted, RequestWanted
+from stagewalk.samples.staleness import version_slack
+from stagewalk.samples.store import LotStore, SlotPlace
+
+_MINIMUM_DURATIONS = 5
+"""Finished rollouts of a lot needed before any other counts as a straggler."""
+
+_STRAGGLER_PERCENTILE = 0.9
+
+
+class RolloutScheduler:
+    """Starts and cancels the rollouts of slots."""
+
+    def __init__(
+        self, store: LotStore, config: LotConfig, node: NodeName, incarnation: Incarnation
+    ) -> None:
+        self._store = store
+        self._config = config
+        self._node = node
+        self._incarnation = incarnation
+        self.lengths = LengthPredictor()
+
+    def enqueue(self, lot: Lot, index: int) -> None:
+        """Queue a waiting slot by its predicted length."""
+        predicted = self.lengths.predict(lot.key.tenant, lot.slots[index].prompt)
+        lot.enqueue(index, predicted)
+
+    def dispatch(self, lot: Lot, now: float) -> list[LotNotification]:
+        """Start waiting slots of a lot, as many as its limits let run."""
+        if lot.paused or not lot.queue:
+            return []
+        depth = self._steps_ahead(lot)
+        if depth > self._config.look_ahead_steps or not self._has_eligible_version(lot, depth):
+            return []
+        started: list[LotNotification] = []
+        while lot.count(SlotPhase.RUNNING) < self._config.maximum_outstanding_per_lot:
+            index = lot.next_in_queue()
+            if index is None:
+                break
+            lot.move(index, SlotPhase.RUNNING)
+            started.append(self._start(lot, index, depth, now))
+        return started
+
+    def duplicate_stragglers(self, lot: Lot, now: float) -> list[LotNotification]:
+        """Run the stragglers of a step that is nearly done a second time.
+
+        Sampling is seeded by the slot, so both attempts give the same answer if they run under
+        the same weights; whichever is claimed first is the sample.
+        """
+        if lot.paused or not self._near_end(lot):
+            return []
+        budget = max(1, int(self._config.duplicate_fraction * len(lot.slots))) - lot.duplicates
+        limit = self._config.straggler_factor * _percentile(lot.durations, _STRAGGLER_PERCENTILE)
+        stragglers = [
+            (min(lot.slots[index].requests.values()), index)
+            for index in sorted(lot.indices[SlotPhase.RUNNING])
+            if len(lot.slots[index].requests) == 1
+        ]
+        started: list[LotNotification] = []
+        for started_at, index in sorted(stragglers):
+            if budget <= 0 or now - started_at < limit:
+                break
+            budget -= 1
+            lot.duplicates += 1
+            started.append(self._start(lot, index, self._steps_ahead(lot), now))
+        return started
+
+    def cancel(self, slot: Slot) -> list[LotNotification]:
+        """Cancel all rollouts of a slot."""
+        unwanted: list[LotNotification] = []
+        for request_id in sorted(slot.requests):
+            self._store.requests.pop(request_id, None)
+            unwanted.append(RequestUnwanted(request_id))
+        slot.requests.clear()
+        return unwanted
+
+    def finished(self, lot: Lot, slot: Slot, started_at: float, tokens: int, now: float) -> None:
+        """Learn from a finished rollout."""
+        self.lengths.observe(lot.key.tenant, slot.prompt, tokens)
+        bisect.insort(lot.durations, now - started_at)
+
+    def _near_end(self, lot: Lot) -> bool:
+        unfinished = lot.count(SlotPhase.RUNNING)
+        if not unfinished or lot.count(SlotPhase.WAITING):
+            return False
+        enough_known = len(lot.durations) >= _MINIMUM_DURATIONS
+        return enough_known and unfinished <= max(1, self._config.tail_fraction * len(lot.slots))
+
+    def _steps_ahead(self, lot: Lot) -> int:
+        """Return how many of its trainer's steps must be whole before a lot is pulled."""
+        earlier = [
+            other
+            for other in self._store.lots_of_trainer(lot.key)
+            if other.key.step < lot.key.step and other.completed_at is None and not other.paused
+        ]
+        return len(earlier)
+
+    def _has_eligible_version(self, lot: Lot, depth: int) -> bool:
+        """Say whether weights exist that are fresh enough; a step ahead may have to wait."""
+        newest = self._store.versions.newest(lot.lot.model)
+        minimum = self._minimum_version(lot, depth)
+        return depth == 0 or newest is None or minimum is None or newest >= minimum
+
+    def _minimum_version(self, lot: Lot, depth: int) -> WeightVersion | None:
+        """Return the oldest version that will still be fresh enough when the step is pulled.
+
+        A trainer publishes a version after each step, so a pull for a step ahead will name a
+        version that is newer by as many steps.
+        """
+        parameters = self._store.parameters(lot.key.tenant)
+        if parameters is None:
+            return None
+        expected = self._store.trainer_version(lot.key) + depth
+        minimum = expected - version_slack(parameters)
+        if parameters.minimum_version is not None:
+            minimum = max(minimum, parameters.minimum_version)
+        return WeightVersion(minimum) if minimum > 0 else None
+
+    def _start(self, lot: Lot, index: int, depth: int, now: float) -> RequestWanted:
+        slot = lot.slots[index]
+        slot.tries += 1
+        source = f"{self._node}.{self._incarnation}"
+        request_id = RequestId(f"{slot.key}#{slot.generation}.{slot.tries}@{source}")
+        slot.requests[request_id] = now
+        self._store.requests[request_id] = SlotPlace(lot.key, index)
+        parameters = self._store.parameters(lot.key.tenant)
+        return RequestWanted(
+            CompletionRequest(
+                request_id=request_id,
+                tenant=lot.key.tenant,
+                model=lot.lot.model,
+                prompt=slot.prompt.prompt,
+                max_tokens=slot.prompt.max_tokens,
+                repeatable=True,
+                deadline=max(lot.lot.deadline, now + self._config.request_deadline_seconds),
+                priority=Priority.ROLLOUT,
+                seed=slot_seed(slot.key),
+                prompt_token_count=slot.prompt.prompt_token_count,
+                minimum_version=self._minimum_version(lot, depth),
+                maximum_version=None if parameters is None else parameters.maximum_version,
+            )
+        )
+
+
+def _percentile(ascending: list[float], fraction: float) -> float:
+    return ascending[min(len(ascending) - 1, int(fraction * len(ascending)))]
--- /dev/null
+++ b/src/stagewalk/samples/settlement.py
@@ -0,0 +1,254 @@
+"""From a finished rollout to the slot's one sample: freshness, score, claim."""
+
+from __future__ import annotations
+
+import random
+
+from stagewalk.core.completions import CompletionResult
+from stagewalk.core.errors import StagewalkError
+from stagewalk.core.identities import RequestId, SlotKey
+from stagewalk.core.instructions import Instruction, LogEvent, ScoreSample
+from stagewalk.core.rollouts import Sample
+from stagewalk.samples.backoff import retry_delay
+from stagewalk.samples.config import LotConfig
+from stagewalk.samples.lots import Lot, Slot, SlotPhase
+from stagewalk.samples.notifications import ClaimWanted, LotNotification
+from stagewalk.samples.sample_codec import claim_key, decode_sample, encode_sample
+from stagewalk.samples.scheduler import RolloutScheduler
+from stagewalk.samples.staleness import Freshness, judge_freshness
+from stagewalk.samples.store import LotStore, SlotPlace
+from stagewalk.samples.timers import TimerKind, TimerQueue
+
+LotOutput = Instruction | LotNotification
+
+
+class SampleSettlement:
+    """Moves slots from a finished rollout to a sample that may be handed over."""
+
+    def __init__(
+        self,
+        store: LotStore,
+        scheduler: RolloutScheduler,
+        timers: TimerQueue,
+        config: LotConfig,
+        generator: random.Random,
+    ) -> None:
+        self._store = store
+        self._scheduler = scheduler
+        self._timers = timers
+        self._config = config
+        self._generator = generator
+
+    def rollout_finished(
+        self, request_id: RequestId, result: CompletionResult, now: float
+    ) -> list[LotOutput]:
+        """Take a rollout's whole answer."""
+        place = self._store.requests.get(request_id)
+        if place is None:
+            return []
+        lot, index = self._store.lots[place.lot], place.index
+        slot = lot.slots[index]
+        started_at = slot.requests.pop(request_id, None)
+        if started_at is None or slot.phase is not SlotPhase.RUNNING:
+            return []
+        self._scheduler.finished(lot, slot, started_at, result.token_count, now)
+        output: list[LotOutput] = list(self._scheduler.cancel(slot))
+        fault = self._answer_fault(lot, result, now)
+        if fault is not None:
+            self._store.requests.pop(request_id, None)
+            return output + self.run_again(lot, index, fault, now)
+        slot.candidate_id = request_id
+        slot.candidate = result
+        lot.move(index, SlotPhase.SCORING)
+        return [*output, _score(slot, request_id, result)]
+
+    def rollout_failed(
+        self, request_id: RequestId, error: StagewalkError, now: float
+    ) -> list[LotOutput]:
+        """Take the final error of a rollout: its slot is run again after a while."""
+        place = self._store.requests.pop(request_id, None)
+        if place is None:
+            return []
+        lot = self._store.lots[place.lot]
+        slot = lot.slots[place.index]
+        slot.requests.pop(request_id, None)
+        if slot.phase is not SlotPhase.RUNNING or slot.requests:
+            return []
+        failures = slot.failures + 1
+        lot.move(place.index, SlotPhase.WAITING)
+        slot.failures = failures
+        delay = retry_delay(self._config, failures, self._generator)
+        if error.retry_after_seconds is not None:
+            delay = max(delay, min(error.retry_after_seconds, self._config.retry_limit_seconds))
+        self._set_timer(now + delay, TimerKind.RUN, lot, place.index)
+        return self._log_if_stuck(slot, error)
+
+    def scored(self, sample_id: str, score: float, now: float) -> list[LotOutput]:
+        """Take a sample's score and propose the sample as its slot's."""
+        place = self._store.requests.get(RequestId(sample_id))
+        if place is None:
+            return []
+        lot, index = self._store.lots[place.lot], place.index
+        slot = lot.slots[index]
+        if slot.phase is not SlotPhase.SCORING or slot.candidate_id != sample_id:
+            return []
+        result = slot.candidate
+        if result is None:
+            return []
+        del self._store.requests[slot.candidate_id]
+        slot.candidate = None
+        slot.sample = Sample(
+            slot.key, sample_id, result.text, result.token_count, result.spans, score, now
+        )
+        slot.decided = False
+        lot.move(index, SlotPhase.CLAIMING)
+        wait_until = now + self._config.claim_wait_seconds
+        self._set_timer(wait_until, TimerKind.CLAIM_WAIT, lot, index)
+        return [self._propose(lot, index, slot.sample)]
+
+    def scoring_failed(self, sample_id: str, error: StagewalkError, now: float) -> list[LotOutput]:
+        """Have a sample scored again after a while; scoring is idempotent."""
+        place = self._store.requests.get(RequestId(sample_id))
+        if place is None:
+            return []
+        lot = self._store.lots[place.lot]
+        slot = lot.slots[place.index]
+        if slot.phase is not SlotPhase.SCORING or slot.candidate_id != sample_id:
+            return []
+        slot.failures += 1
+        delay = retry_delay(self._config, slot.failures, self._generator)
+        self._set_timer(now + delay, TimerKind.SCORE, lot, place.index)
+        return self._log_if_stuck(slot, error)
+
+    def claim_decided(self, key: str, value: bytes, now: float) -> list[LotOutput]:
+        """Take the sample that was chosen for a slot, be it this node's or another's."""
+        place = self._store.claims.pop(key, None)
+        if place is None:
+            return []
+        lot = self._store.lots[place.lot]
+        slot = lot.slots[place.index]
+        chosen = decode_sample(slot.key, value, now)
+        if chosen is None:
+            return [LogEvent("claim_value_damaged", {"key": key})]
+        slot.sample = chosen
+        slot.decided = True
+        if slot.phase in {SlotPhase.CLAIMING, SlotPhase.SCORING, SlotPhase.RUNNING}:
+            lot.move(place.index, SlotPhase.READY)
+        return list(self._scheduler.cancel(slot))
+
+    def claim_undecided(self, key: str, now: float) -> list[LotOutput]:
+        """Propose again after a while: no majority of the claim's replicas answered."""
+        place = self._store.claims.get(key)
+        if place is None:
+            return []
+        lot = self._store.lots[place.lot]
+        slot = lot.slots[place.index]
+        if slot.phase not in {SlotPhase.CLAIMING, SlotPhase.READY}:
+            del self._store.claims[key]
+            return []
+        slot.failures += 1
+        delay = retry_delay(self._config, slot.failures, self._generator)
+        self._set_timer(now + delay, TimerKind.CLAIM, lot, place.index)
+        return []
+
+    def timer_due(self, kind: TimerKind, lot: Lot, index: int, now: float) -> list[LotOutput]:
+        """Do what a timer of a slot was set for."""
+        slot = lot.slots[index]
+        match kind:
+            case TimerKind.RUN:
+                self._scheduler.enqueue(lot, index)
+                return []
+            case TimerKind.SCORE:
+                if slot.candidate_id is None or slot.candidate is None:
+                    return []
+                return [_score(slot, slot.candidate_id, slot.candidate)]
+            case TimerKind.CLAIM:
+                if slot.sample is None or slot.decided:
+                    return []
+                return [self._propose(lot, index, slot.sample)]
+            case TimerKind.CLAIM_WAIT:
+                return self._stop_waiting_for_claim(lot, index, now)
+
+    def run_again(self, lot: Lot, index: int, reason: str, now: float) -> list[LotOutput]:
+        """Open a slot again whose answer or sample is too stale to be delivered.
+
+        Staleness only grows, so if the sample was the chosen one, its generation is dead.
+        """
+        slot = lot.slots[index]
+        if slot.sample is not None:
+            self._store.claims.pop(claim_key(slot.key, slot.generation), None)
+            slot.generation += 1
+            slot.sample = None
+            slot.decided = False
+        slot.candidate = None
+        lot.stale_reruns += 1
+        lot.move(index, SlotPhase.WAITING)
+        self._scheduler.enqueue(lot, index)
+        fields: dict[str, str | int | float | bool] = {
+            "slot": str(slot.key),
+            "generation": slot.generation,
+            "reason": reason,
+            "trainer_version": self._store.trainer_version(lot.key),
+        }
+        return [LogEvent("slot_run_again", fields)]
+
+    def _answer_fault(self, lot: Lot, result: CompletionResult, now: float) -> str | None:
+        """Say why an answer can't become a sample, or None."""
+        parameters = self._store.parameters(lot.key.tenant)
+        if not result.spans or parameters is None:
+            return "the answer names no version"
+        if len(result.spans) > 1 and not parameters.allow_mixed_versions:
+            return "several versions produced the answer"
+        oldest = min(span.version for span in result.spans)
+        verdict = judge_freshness(
+            parameters,
+            self._store.versions,
+            lot.lot.model,
+            oldest,
+            trainer_version=self._store.trainer_version(lot.key),
+            at=now + self._config.hand_over_margin_seconds,
+        )
+        return "too stale when it finished" if verdict is Freshness.STALE else None
+
+    def _stop_waiting_for_claim(self, lot: Lot, index: int, now: float) -> list[LotOutput]:
+        """Hand a sample over without a decided claim.
+
+        The cursor alone keeps the trainer from taking two samples for a slot; the claim only
+        keeps a sample through this node's death. While no majority can be reached, the trainer
+        should not stand idle for that.
+        """
+        if lot.slots[index].phase is not SlotPhase.CLAIMING:
+            return []
+        lot.move(index, SlotPhase.READY)
+        self._set_timer(now + self._config.retry_limit_seconds, TimerKind.CLAIM, lot, index)
+        return []
+
+    def _propose(self, lot: Lot, index: int, sample: Sample) -> ClaimWanted:
+        slot = lot.slots[index]
+        key = claim_key(slot.key, slot.generation)
+        self._store.claims[key] = SlotPlace(lot.key, index)
+        return ClaimWanted(key, encode_sample(sample))
+
+    def _set_timer(self, due: float, kind: TimerKind, lot: Lot, index: int) -> None:
+        self._timers.set(due, kind, lot.key, index, lot.slots[index].change)
+
+    def _log_if_stuck(self, slot: Slot, error: StagewalkError) -> list[LotOutput]:
+        if slot.failures != self._config.stuck_after_failures:
+            return []
+        return [_stuck_event(slot.key, slot.failures, error)]
+
+
+def _score(slot: Slot, request_id: RequestId, result: CompletionResult) -> ScoreSample:
+    return ScoreSample(request_id, slot.key.tenant, slot.prompt.prompt, result.text)
+
+
+def _stuck_event(slot: SlotKey, failures: int, error: StagewalkError) -> LogEvent:
+    fields: dict[str, str | int | float | bool] = {
+        "slot": str(slot),
+        "failures": failures,
+        "kind": error.kind,
+        "step": error.step,
+        "peer": error.peer,
+        "detail": error.detail,
+    }
+    return LogEvent("slot_stuck", fields)
--- /dev/null
+++ b/src/stagewalk/weights/config.py
@@ -0,0 +1,81 @@
+"""Settings of weight rollouts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutConfig:
+    """How the duty holder of a pool brings new weights to its engines.
+
+    Attributes
+    ----------
+    evaluation_interval_seconds
+        Least time between two evaluations of a pool.
+    version_poll_seconds
+        Time between two reads of the store's list of a model's versions.
+    busy_poll_seconds, idle_poll_seconds
+        Largest age of a report of an engine under orders, and of any other engine.
+    maximum_polls_per_evaluation
+        Most polls sent in one evaluation of a pool, so that a new holder's come spread out.
+    evidence_seconds
+        Age from which a report no longer says that the engine is alive.
+    missing_grace_seconds
+        How long a listed engine without evidence counts as lost capacity; then it is left out.
+    settle_seconds
+        After taking a pool over, how long to wait for the effects of the predecessor's orders.
+    initial_staging, maximum_staging
+        Engines of a pool that fetch weights at once, at first and at most.
+    stage_timeout_seconds, activation_timeout_seconds
+        After an order, how long to wait for a report that shows its effect.
+    order_answer_seconds
+        How long to wait for the answer to an order before it counts as unknown.
+    base_loading_fraction, idle_weight_loading_fraction
+        Share of a pool that may load at once, for an objective of 0 and what 1 adds to it.
+    staged_quorum
+        Share of a pool that must hold a version before its activation begins.
+    stage_stall_seconds, maximum_stage_wait_seconds
+        Longest wait for that quorum since one more engine held the version, and since the first
+        did.
+    immediate_activation_engines
+        Pools up to this size activate each engine as soon as it holds the version.
+    retry_base_seconds, retry_limit_seconds
+        First and largest delay before an engine is ordered again after a failure.
+    quarantine_after_failures, quarantine_seconds
+        Failures in a row after which an engine is left alone, and for how long.
+    """
+
+    evaluation_interval_seconds: float = 0.25
+    version_poll_seconds: float = 2.0
+    busy_poll_seconds: float = 0.5
+    idle_poll_seconds: float = 30.0
+    maximum_polls_per_evaluation: int = 100
+    evidence_seconds: float = 60.0
+    missing_grace_seconds: float = 30.0
+    settle_seconds: float = 2.0
+    initial_staging: int = 8
+    maximum_staging: int = 64
+    stage_timeout_seconds: float = 60.0
+    activation_timeout_seconds: float = 10.0
+    order_answer_seconds: float = 5.0
+    base_loading_fraction: float = 0.34
+    idle_weight_loading_fraction: float = 0.1
+    staged_quorum: float = 0.95
+    stage_stall_seconds: float = 20.0
+    maximum_stage_wait_seconds: float = 120.0
+    immediate_activation_engines: int = 16
+    retry_base_seconds: float = 1.0
+    retry_limit_seconds: float = 30.0
+    quarantine_after_failures: int = 3
+    quarantine_seconds: float = 300.0
+
+    def __post_init__(self) -> None:
+        if not 0.0 < self.base_loading_fraction <= 1.0:
+            raise ValueError("base_loading_fraction must be above 0 and at most 1")
+        if not 0.0 < self.staged_quorum <= 1.0:
+            raise ValueError("staged_quorum must be above 0 and at most 1")
+        if self.initial_staging < 1 or self.maximum_staging < self.initial_staging:
+            raise ValueError("need 1 <= initial_staging <= maximum_staging")
+        if self.quarantine_after_failures < 1:
+            raise ValueError("quarantine_after_failures must be at least 1")
--- /dev/null
+++ b/src/stagewalk/weights/core.py
@@ -0,0 +1,152 @@
+"""Rollouts of weights over the pools whose duty this node holds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from stagewalk.configuration.parameters import Tenant
+from stagewalk.core.identities import EngineName, Epoch, ModelName, TenantName, WeightVersion
+from stagewalk.core.instructions import Instruction, ReadVersions
+from stagewalk.core.platform import (
+    EngineReport,
+    Machine,
+    MachineKind,
+    MachineState,
+    OrderOutcome,
+    PublishedVersion,
+)
+from stagewalk.weights.config import RolloutConfig
+from stagewalk.weights.engines import EngineView
+from stagewalk.weights.pool import PoolRollout
+from stagewalk.weights.status import PoolStatus
+
+if TYPE_CHECKING:
+    from stagewalk.node.node_core import NodeIdentity
+
+
+class RolloutCore:
+    """Decides which weights engines fetch and swap to, for each pool by lease.
+
+    A pool is a model; its engines are those of the machine list whose service is the model's
+    name or whose reports name the model. Without a lease on a pool nothing is ordered in it.
+
+    Parameters
+    ----------
+    identity
+        This node; its name and incarnation make order ids unique.
+    """
+
+    def __init__(self, identity: NodeIdentity, config: RolloutConfig) -> None:
+        self._config = config
+        self._source = f"{identity.name}.{identity.incarnation}"
+        self._pools: dict[ModelName, PoolRollout] = {}
+        self._tenants: tuple[Tenant, ...] = ()
+        self._machines: dict[EngineName, Machine] = {}
+        self._published: dict[ModelName, tuple[WeightVersion, ...]] = {}
+        self._models: dict[EngineName, ModelName] = {}
+        self._read_at: dict[ModelName, float] = {}
+        self._evaluate_at = 0.0
+
+    def set_lease(self, pool: ModelName, epoch: Epoch | None) -> None:
+        """Take up a pool's duty under an epoch, or lay it down."""
+        known = self._pools.get(pool)
+        if epoch is None:
+            self._pools.pop(pool, None)
+        elif known is None or known.epoch != epoch:
+            rollout = PoolRollout(pool, epoch, self._source, self._config)
+            rollout.published = self._published.get(pool, ())
+            rollout.tenants = self._tenants
+            self._pools[pool] = rollout
+
+    def set_tenants(self, tenants: dict[TenantName, Tenant]) -> None:
+        """Put a configuration in force: pins and objectives hold from the next decision on."""
+        self._tenants = tuple(tenants[name] for name in sorted(tenants))
+        for rollout in self._pools.values():
+            rollout.tenants = self._tenants
+
+    def handle_machines(self, machines: tuple[Machine, ...], now: float) -> list[Instruction]:
+        """Take the machine list: where engines are, not whether they live."""
+        self._machines = {
+            EngineName(machine.name): machine
+            for machine in machines
+            if machine.kind is MachineKind.ENGINE
+        }
+        for rollout in self._pools.values():
+            self._list_engines(rollout, now)
+        return []
+
+    def handle_report(self, report: EngineReport, now: float) -> list[Instruction]:
+        """Take an engine's report, polled by this node or passed on by another."""
+        moved = self._models.get(report.engine) != report.model
+        self._models[report.engine] = report.model
+        if moved:
+            for pool in self._pools.values():
+                self._list_engine(pool, report.engine, now)
+        rollout = self._pools.get(report.model)
+        return [] if rollout is None else rollout.take_report(report, now)
+
+    def handle_versions(
+        self, model: ModelName, versions: tuple[PublishedVersion, ...], now: float
+    ) -> list[Instruction]:
+        """Take the store's list of a model's versions."""
+        published = tuple(sorted(item.version for item in versions))
+        self._published[model] = published
+        rollout = self._pools.get(model)
+        if rollout is not None:
+            rollout.published = published
+        return []
+
+    def handle_order_answer(
+        self, engine: EngineName, order_id: str, outcome: OrderOutcome, now: float
+    ) -> list[Instruction]:
+        """Take an engine's answer to an order, or that none came."""
+        output: list[Instruction] = []
+        for rollout in self._pools.values():
+            output += rollout.take_answer(engine, order_id, outcome, now)
+        return output
+
+    def tick(self, now: float) -> list[Instruction]:
+        """Evaluate the pools whose duty this node holds."""
+        if not self._pools or now < self._evaluate_at:
+            return []
+        self._evaluate_at = now + self._config.evaluation_interval_seconds
+        output: list[Instruction] = []
+        for pool in sorted(self._pools):
+            rollout = self._pools[pool]
+            if not rollout.engines:
+                self._list_engines(rollout, now)
+            output += self._read_versions(pool, now)
+            output += rollout.evaluate(now)
+        return output
+
+    def status(self, now: float) -> tuple[PoolStatus, ...]:
+        """Return the progress of each pool whose duty this node holds."""
+        return tuple(self._pools[pool].status(now) for pool in sorted(self._pools))
+
+    def _read_versions(self, pool: ModelName, now: float) -> list[Instruction]:
+        read_at = self._read_at.get(pool)
+        if read_at is not None and now - read_at < self._config.version_poll_seconds:
+            return []
+        self._read_at[pool] = now
+        return [ReadVersions(pool)]
+
+    def _list_engines(self, rollout: PoolRollout, now: float) -> None:
+        """Bring a pool's engines in line with the machine list."""
+        for name in sorted({*rollout.engines, *self._machines}):
+            self._list_engine(rollout, name, now)
+
+    def _list_engine(self, rollout: PoolRollout, name: EngineName, now: float) -> None:
+        machine = self._machines.get(name)
+        if machine is None or self._pool_of(name, machine) != rollout.pool:
+            rollout.engines.pop(name, None)
+            return
+        view = rollout.engines.get(name)
+        if view is None:
+            view = EngineView(name, machine.address, now)
+            rollout.engines[name] = view
+        view.address = machine.address
+        view.leaving = machine.state is MachineState.LEAVING
+
+    def _pool_of(self, name: EngineName, machine: Machine) -> ModelName:
+        """Return the model an engine says it serves, else the service the list names."""
+        return self._models.get(name, ModelName(machine.service))
--- /dev/null
+++ b/src/stagewalk/weights/engines.py
@@ -0,0 +1,122 @@
+"""What the duty holder knows of one engine: its reports, and the order it is under."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import xxhash
+
+from stagewalk.core.identities import Address, EngineName, WeightVersion
+from stagewalk.core.platform import EngineOrder, EngineReport, EngineState, OrderKind
+from stagewalk.weights.config import RolloutConfig
+
+_MAXIMUM_EXPONENT = 16
+
+
+@dataclass(slots=True)
+class OpenOrder:
+    """An order whose effect no report has shown yet.
+
+    Attributes
+    ----------
+    sent_at
+        When it was sent, in seconds.
+    answered
+        Whether the engine accepted it.
+    seen_loading
+        Whether a report showed the engine loading since.
+    """
+
+    order: EngineOrder
+    sent_at: float
+    answered: bool = False
+    seen_loading: bool = False
+
+
+@dataclass(slots=True)
+class EngineView:
+    """An engine of a pool, as its reports show it.
+
+    Attributes
+    ----------
+    listed_at
+        When this holder first found it in the machine list.
+    reported_at
+        When its newest report came here; None before the first.
+    polled_at
+        When it was last asked for a report.
+    failures
+        Orders in a row that failed.
+    retry_at
+        Time before which it is not ordered again.
+    quarantined_until
+        Until when it is left alone; None if it is not in quarantine.
+    """
+
+    name: EngineName
+    address: Address
+    listed_at: float
+    leaving: bool = False
+    report: EngineReport | None = None
+    reported_at: float | None = None
+    polled_at: float | None = None
+    open_order: OpenOrder | None = None
+    failures: int = 0
+    retry_at: float = 0.0
+    quarantined_until: float | None = None
+
+    def take_report(self, report: EngineReport, now: float) -> bool:
+        """Take a report unless a newer one is known; say whether it was taken."""
+        known = self.report
+        if known is not None and _report_order(report) < _report_order(known):
+            return False
+        if known is not None and report.incarnation != known.incarnation:
+            # A restarted engine has forgotten its orders and its staged versions.
+            self.open_order = None
+        self.report = report
+        self.reported_at = now
+        if self.open_order is not None and report.state is EngineState.LOADING:
+            self.open_order.seen_loading = True
+        return True
+
+    def has_evidence(self, now: float, config: RolloutConfig) -> bool:
+        """Say whether a fresh enough report shows that it is alive."""
+        return self.reported_at is not None and now - self.reported_at <= config.evidence_seconds
+
+    def is_going(self) -> bool:
+        """Say whether it is draining or leaving, by its own word or the machine list's."""
+        gone = {EngineState.LEAVING, EngineState.DRAINING}
+        return self.leaving or (self.report is not None and self.report.state in gone)
+
+    def holds(self) -> frozenset[WeightVersion]:
+        """Return the versions it runs or has staged."""
+        if self.report is None:
+            return frozenset()
+        return frozenset((self.report.active_version, *self.report.staged_versions))
+
+    def is_under(self, kind: OrderKind) -> bool:
+        """Say whether an order of a kind is open."""
+        return self.open_order is not None and self.open_order.order.kind is kind
+
+    def note_success(self) -> None:
+        """Close the open order: a report shows its effect."""
+        self.open_order = None
+        self.failures = 0
+        self.retry_at = 0.0
+
+    def note_failure(self, now: float, config: RolloutConfig) -> None:
+        """Close the open order as failed, and wait before the next."""
+        self.open_order = None
+        self.failures += 1
+        exponent = min(self.failures - 1, _MAXIMUM_EXPONENT)
+        ceiling = min(config.retry_limit_seconds, config.retry_base_seconds * 2.0**exponent)
+        self.retry_at = now + ceiling * (0.5 + 0.5 * self._jitter())
+
+    def _jitter(self) -> float:
+        """Return a fraction that differs between engines and tries, but not between runs."""
+        digest = xxhash.xxh32_intdigest(f"{self.name}/{self.failures}".encode())
+        return digest / float(1 << 32)
+
+
+def _report_order(report: EngineReport) -> tuple[int, float]:
+    return (report.incarnation, report.generated_at)
--- /dev/null
+++ b/src/stagewalk/weights/targets.py
@@ -0,0 +1,132 @@
+"""Which version each engine of a pool is to hold."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from stagewalk.configuration.parameters import Tenant
+from stagewalk.core.identities import EngineName, ModelName, WeightVersion
+
+
+@dataclass(frozen=True, slots=True)
+class VersionTarget:
+    """A version that part of a pool is to hold, for tenants with the same pins.
+
+    Attributes
+    ----------
+    version
+        The newest published version that the pins allow.
+    minimum, maximum
+        The pins, both included; None leaves that side open.
+    share
+        Sum of the capacity shares of the tenants that want it.
+    """
+
+    version: WeightVersion
+    minimum: WeightVersion | None
+    maximum: WeightVersion | None
+    share: float
+
+    def allows(self, version: WeightVersion) -> bool:
+        """Say whether a version is within the pins."""
+        above = self.minimum is None or version >= self.minimum
+        return above and (self.maximum is None or version <= self.maximum)
+
+
+def pool_targets(
+    model: ModelName, tenants: Iterable[Tenant], published: Iterable[WeightVersion]
+) -> tuple[VersionTarget, ...]:
+    """Return the versions a pool is to hold, oldest first.
+
+    Tenants whose pins lead to the same version share a target with the tighter pins of both.
+    """
+    versions = sorted(published)
+    targets: dict[WeightVersion, VersionTarget] = {}
+    for tenant in sorted(tenants, key=lambda tenant: tenant.name):
+        parameters = tenant.parameters
+        if model not in parameters.models:
+            continue
+        wanted = VersionTarget(
+            WeightVersion(0),
+            parameters.minimum_version,
+            parameters.maximum_version,
+            parameters.capacity_share,
+        )
+        allowed = [version for version in versions if wanted.allows(version)]
+        if allowed:
+            newest = allowed[-1]
+            targets[newest] = _merge(targets.get(newest), wanted, newest)
+    return tuple(targets[version] for version in sorted(targets))
+
+
+def pool_idle_weight(model: ModelName, tenants: Iterable[Tenant]) -> float:
+    """Return the objective of a pool: its tenants' idle weights, averaged by their shares."""
+    using = [tenant.parameters for tenant in tenants if model in tenant.parameters.models]
+    total = sum(parameters.capacity_share for parameters in using)
+    if total == 0.0:
+        return 0.5
+    return sum(item.idle_weight * item.capacity_share for item in using) / total
+
+
+def assign_targets(
+    targets: tuple[VersionTarget, ...],
+    holdings: dict[EngineName, frozenset[WeightVersion]],
+) -> dict[EngineName, VersionTarget]:
+    """Divide a pool's engines among its targets by share, moving as few as possible.
+
+    Parameters
+    ----------
+    holdings
+        Versions that each engine runs or has staged. An engine that holds a target already is
+        preferred for it, so that the division is stable from one evaluation to the next.
+    """
+    if not targets:
+        return {}
+    if len(targets) == 1:
+        return dict.fromkeys(sorted(holdings), targets[0])
+    quotas = _quotas(targets, len(holdings))
+    assigned: dict[EngineName, VersionTarget] = {}
+    for target in targets:
+        holders = [name for name in sorted(holdings) if target.version in holdings[name]]
+        for name in holders:
+            if name not in assigned and quotas[target.version] > 0:
+                assigned[name] = target
+                quotas[target.version] -= 1
+    for name in sorted(holdings):
+        if name not in assigned:
+            target = max(targets, key=lambda item: (quotas[item.version], item.version))
+            assigned[name] = target
+            quotas[target.version] -= 1
+    return assigned
+
+
+def _merge(
+    known: VersionTarget | None, wanted: VersionTarget, version: WeightVersion
+) -> VersionTarget:
+    if known is None:
+        return VersionTarget(version, wanted.minimum, wanted.maximum, wanted.share)
+    minima = [pin for pin in (known.minimum, wanted.minimum) if pin is not None]
+    maxima = [pin for pin in (known.maximum, wanted.maximum) if pin is not None]
+    return VersionTarget(
+        version,
+        max(minima) if minima else None,
+        min(maxima) if maxima else None,
+        known.share + wanted.share,
+    )
+
+
+def _quotas(targets: tuple[VersionTarget, ...], engines: int) -> dict[WeightVersion, int]:
+    """Return engines for each target by largest remainder; at least one each if there are."""
+    total = sum(target.share for target in targets)
+    exact = {target.version: engines * target.share / total for target in targets}
+    quotas = {version: int(count) for version, count in exact.items()}
+    by_remainder = sorted(exact, key=lambda version: (quotas[version] - exact[version], -version))
+    for version in by_remainder[: engines - sum(quotas.values())]:
+        quotas[version] += 1
+    for version in sorted(quotas, reverse=True):
+        largest = max(quotas, key=lambda item: (quotas[item], item))
+        if quotas[version] == 0 and quotas[largest] > 1:
+            quotas[version] += 1
+            quotas[largest] -= 1
+    return quotas
--- /dev/null
+++ b/tests/samples/world.py
@@ -0,0 +1,143 @@
+"""Builders and a small world around `LotCore`: engines, scorer and claim register that answer."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from stagewalk.configuration.parameters import Tenant, TenantParameters
+from stagewalk.core.completions import CompletionRequest, CompletionResult, VersionSpan
+from stagewalk.core.events import SampleScored
+from stagewalk.core.identities import (
+    Address,
+    CallId,
+    Incarnation,
+    ModelName,
+    NodeName,
+    Placement,
+    TenantName,
+    WeightVersion,
+)
+from stagewalk.core.instructions import DeliverSamples, FailCall, LogEvent, ScoreSample
+from stagewalk.core.rollouts import RolloutLot, RolloutPrompt, SamplePull
+from stagewalk.node.node_core import NodeIdentity
+from stagewalk.samples.config import LotConfig
+from stagewalk.samples.core import LotCore
+from stagewalk.samples.notifications import ClaimWanted, RequestUnwanted, RequestWanted
+from stagewalk.samples.settlement import LotOutput
+
+TENANT = TenantName("thornfield")
+MODEL = ModelName("rollout-lm")
+TRAINER = "trainer"
+
+
+def tenants(**parameters: object) -> dict[TenantName, Tenant]:
+    values = TenantParameters(models=(MODEL,), **parameters)  # type: ignore[arg-type]
+    tenant = Tenant(name=TENANT, partner="p", template="t", revision=1, parameters=values)
+    return {TENANT: tenant}
+
+
+def make_lot(step: int = 1, version: int = 3, prompts: int = 3, samples: int = 2) -> RolloutLot:
+    rows = tuple(RolloutPrompt(f"p-{i}", f"prompt {i}", 100 + i) for i in range(prompts))
+    return RolloutLot(TENANT, TRAINER, step, MODEL, WeightVersion(version), rows, samples, 600.0)
+
+
+def make_pull(
+    cursor: str = "", step: int = 1, version: int = 3, maximum: int = 100, wait_until: float = 0.0
+) -> SamplePull:
+    return SamplePull(TENANT, TRAINER, step, cursor, WeightVersion(version), maximum, wait_until)
+
+
+def make_core(name: str = "node", config: LotConfig | None = None, **parameters: object) -> LotCore:
+    identity = NodeIdentity(
+        NodeName(name), Incarnation(1), Address("127.0.0.1", 1), Placement("r", "z")
+    )
+    core = LotCore(identity, config or LotConfig(), random.Random(7))
+    core.set_tenants(tenants(**parameters))
+    return core
+
+
+def answer(version: int = 3, tokens: int = 10) -> CompletionResult:
+    return CompletionResult("text", tokens, (VersionSpan(WeightVersion(version), tokens),), "stop")
+
+
+class World:
+    """Runs one core and answers what it asks for, as far as a test lets it.
+
+    `engine` answers a rollout or returns None to keep it running; claims are decided by a dict
+    that several worlds may share, or left open.
+    """
+
+    def __init__(self, core: LotCore, register: dict[str, bytes] | None = None) -> None:
+        self.core = core
+        self.register = {} if register is None else register
+        self.engine: Callable[[CompletionRequest], CompletionResult | None] = lambda _: answer()
+        self.claims_open = True
+        self.scores = True
+        self.running: dict[str, CompletionRequest] = {}
+        self.started: list[CompletionRequest] = []
+        self.cancelled: list[str] = []
+        self.undecided: list[ClaimWanted] = []
+        self.batches: dict[CallId, DeliverSamples] = {}
+        self.failures: dict[CallId, FailCall] = {}
+        self.events: list[LogEvent] = []
+        self.calls = 0
+
+    def submit(self, lot: RolloutLot, now: float = 0.0) -> CallId:
+        call = self._call()
+        self.take(self.core.submit(call, lot, now), now)
+        return call
+
+    def pull(self, pull: SamplePull, now: float = 0.0) -> CallId:
+        call = self._call()
+        self.take(self.core.pull(call, pull, now), now)
+        return call
+
+    def tick(self, now: float) -> None:
+        self.take(self.core.tick(now), now)
+
+    def finish(self, request_id: str, result: CompletionResult, now: float) -> None:
+        request = self.running.pop(request_id)
+        self.take(self.core.request_finished(request.request_id, result, now), now)
+
+    def event_names(self) -> list[str]:
+        return [event.name for event in self.events]
+
+    def take(self, output: list[LotOutput], now: float) -> None:
+        for item in output:
+            match item:
+                case RequestWanted(request):
+                    self._run(request, now)
+                case RequestUnwanted(request_id):
+                    self.running.pop(request_id, None)
+                    self.cancelled.append(request_id)
+                case ScoreSample(sample_id=sample_id):
+                    if self.scores:
+                        self.take(self.core.handle(SampleScored(sample_id, 1.0), now), now)
+                case ClaimWanted():
+                    self._claim(item, now)
+                case DeliverSamples(call=call):
+                    self.batches[call] = item
+                case FailCall(call=call):
+                    self.failures[call] = item
+                case LogEvent():
+                    self.events.append(item)
+
+    def _run(self, request: CompletionRequest, now: float) -> None:
+        self.started.append(request)
+        self.running[request.request_id] = request
+        result = self.engine(request)
+        if result is not None:
+            self.finish(request.request_id, result, now)
+
+    def _claim(self, wanted: ClaimWanted, now: float) -> None:
+        if not self.claims_open:
+            self.undecided.append(wanted)
+            return
+        chosen = self.register.setdefault(wanted.key, wanted.value)
+        won = chosen == wanted.value
+        self.take(self.core.claim_decided(wanted.key, chosen, won, now), now)
+
+    def _call(self) -> CallId:
+        self.calls += 1
+        return CallId(f"call-{self.calls}")
--- /dev/null
+++ b/tests/weights/world.py
@@ -0,0 +1,214 @@
+"""A pool of engines that obey orders late, lag in their reports, and fail as told."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from stagewalk.configuration.parameters import Tenant, TenantParameters
+from stagewalk.core.identities import (
+    Address,
+    EngineName,
+    Epoch,
+    Incarnation,
+    ModelName,
+    NodeName,
+    Placement,
+    TenantName,
+    WeightVersion,
+)
+from stagewalk.core.instructions import (
+    Instruction,
+    LogEvent,
+    OrderEngine,
+    PollEngine,
+    ReadVersions,
+)
+from stagewalk.core.platform import (
+    EngineOrder,
+    EngineReport,
+    EngineState,
+    Machine,
+    MachineKind,
+    MachineState,
+    OrderKind,
+    OrderOutcome,
+    PublishedVersion,
+)
+from stagewalk.node.node_core import NodeIdentity
+from stagewalk.weights.config import RolloutConfig
+from stagewalk.weights.core import RolloutCore
+
+POOL = ModelName("rollout-lm")
+PLACEMENT = Placement("r", "z")
+TICK = 0.1
+REPORT_LAG_SECONDS = 1.0
+
+
+def tenant(name: str = "t", **parameters: object) -> Tenant:
+    values = TenantParameters(models=(POOL,), **parameters)  # type: ignore[arg-type]
+    return Tenant(name=TenantName(name), partner="p", template="x", revision=1, parameters=values)
+
+
+def by_name(*tenants: Tenant) -> dict[TenantName, Tenant]:
+    return {item.name: item for item in tenants}
+
+
+def make_core(name: str = "holder", config: RolloutConfig | None = None) -> RolloutCore:
+    identity = NodeIdentity(NodeName(name), Incarnation(1), Address("127.0.0.1", 1), PLACEMENT)
+    core = RolloutCore(identity, config or RolloutConfig())
+    core.set_tenants(by_name(tenant()))
+    return core
+
+
+@dataclass
+class Engine:
+    """One modelled engine; `reports` holds what it would say, by time, for the lag."""
+
+    name: EngineName
+    active: int = 1
+    incarnation: int = 1
+    epoch: int = 0
+    staged: set[int] = field(default_factory=set)
+    activation: tuple[float, int] | None = None
+    fetch: tuple[float, int] | None = None
+    going: bool = False
+    alive: bool = True
+    reports: list[EngineReport] = field(default_factory=list)
+
+    def report(self, now: float) -> EngineReport:
+        state = EngineState.LOADING if self.activation else EngineState.SERVING
+        return EngineReport(
+            engine=self.name,
+            incarnation=Incarnation(self.incarnation),
+            model=POOL,
+            state=EngineState.LEAVING if self.going else state,
+            active_version=WeightVersion(self.active),
+            staged_versions=tuple(WeightVersion(version) for version in sorted(self.staged)),
+            epoch=Epoch(self.epoch),
+            running=0,
+            waiting=0,
+            pending_tokens=0,
+            tokens_per_second=0.0,
+            batch_limit=8,
+            kv_used_tokens=0,
+            kv_capacity_tokens=100,
+            generated_at=now,
+        )
+
+
+class Pool:
+    """Engines under one or several holders, stepped in virtual time."""
+
+    def __init__(self, size: int, fetch_seconds: float = 3.0, load_seconds: float = 2.5) -> None:
+        names = [EngineName(f"engine-{number:03d}") for number in range(size)]
+        self.engines = {name: Engine(name) for name in names}
+        self.now = 0.0
+        self.fetch_seconds = fetch_seconds
+        self.load_seconds = load_seconds
+        self.published: list[int] = [1]
+        self.cores: list[RolloutCore] = []
+        self.orders: list[tuple[float, OrderEngine]] = []
+        self.log: list[LogEvent] = []
+        self.most_fetching = 0
+        self.most_loading = 0
+        self.misload: Callable[[EngineName, int], int] = lambda _, version: version
+        self.lose_answers = False
+
+    def machines(self) -> tuple[Machine, ...]:
+        return tuple(
+            Machine(
+                name,
+                MachineKind.ENGINE,
+                Address("127.0.0.1", 9),
+                PLACEMENT,
+                MachineState.LIVE,
+                POOL,
+            )
+            for name in self.engines
+        )
+
+    def add_holder(self, core: RolloutCore, epoch: int) -> RolloutCore:
+        core.handle_machines(self.machines(), self.now)
+        core.set_lease(POOL, Epoch(epoch))
+        self.cores.append(core)
+        return core
+
+    def run(self, seconds: float, until: Callable[[], bool] | None = None) -> float:
+        """Step until a condition holds, for so long at most; return the time it took."""
+        began = self.now
+        while self.now - began < seconds and not (until is not None and until()):
+            self.now = round(self.now + TICK, 6)
+            self._step_engines()
+            for core in self.cores:
+                self._carry_out(core, core.tick(self.now))
+        return self.now - began
+
+    def all_on(self, version: int) -> bool:
+        return all(engine.active == version for engine in self.engines.values())
+
+    def orders_of(self, kind: OrderKind) -> list[EngineOrder]:
+        return [item.order for _, item in self.orders if item.order.kind is kind]
+
+    def _step_engines(self) -> None:
+        for engine in self.engines.values():
+            if engine.fetch is not None and engine.fetch[0] <= self.now:
+                engine.staged.add(engine.fetch[1])
+                engine.fetch = None
+            if engine.activation is not None and engine.activation[0] <= self.now:
+                engine.active = self.misload(engine.name, engine.activation[1])
+                engine.activation = None
+            engine.reports = [
+                *(item for item in engine.reports[-20:]),
+                engine.report(self.now),
+            ]
+        engines = self.engines.values()
+        self.most_fetching = max(self.most_fetching, sum(1 for e in engines if e.fetch))
+        self.most_loading = max(self.most_loading, sum(1 for e in engines if e.activation))
+
+    def _carry_out(self, core: RolloutCore, instructions: Iterable[Instruction]) -> None:
+        for item in instructions:
+            match item:
+                case PollEngine(engine=name):
+                    self._poll(core, self.engines[name])
+                case ReadVersions(model=model):
+                    published = tuple(
+                        PublishedVersion(model, WeightVersion(version), 1, 0.0)
+                        for version in self.published
+                    )
+                    self._carry_out(core, core.handle_versions(model, published, self.now))
+                case OrderEngine():
+                    self.orders.append((self.now, item))
+                    outcome = self._obey(self.engines[item.engine], item.order)
+                    answered = core.handle_order_answer(
+                        item.engine,
+                        item.order.order_id,
+                        OrderOutcome.UNKNOWN if self.lose_answers else outcome,
+                        self.now,
+                    )
+                    self._carry_out(core, answered)
+                case LogEvent():
+                    self.log.append(item)
+
+    def _poll(self, core: RolloutCore, engine: Engine) -> None:
+        if not engine.alive:
+            return
+        seen = [
+            item for item in engine.reports if item.generated_at <= self.now - REPORT_LAG_SECONDS
+        ]
+        if seen:
+            self._carry_out(core, core.handle_report(seen[-1], self.now))
+
+    def _obey(self, engine: Engine, order: EngineOrder) -> OrderOutcome:
+        if not engine.alive:
+            return OrderOutcome.UNKNOWN
+        if order.epoch < engine.epoch:
+            return OrderOutcome.STALE_EPOCH
+        engine.epoch = order.epoch
+        if order.kind is OrderKind.STAGE:
+            engine.fetch = (self.now + self.fetch_seconds, order.version)
+            return OrderOutcome.ACCEPTED
+        if order.version not in engine.staged or engine.activation is not None:
+            return OrderOutcome.REFUSED
+        engine.activation = (self.now + self.load_seconds, order.version)
+        return OrderOutcome.ACCEPTED
