Fold, follow and append: configuration and log client with their final interfaces

Cause: node core, daemon and simulation need the configuration subsystem and the log client to compose against.

--- /dev/null
+++ b/src/stagewalk/configuration/notifications.py
@@ -0,0 +1,18 @@
+"""What the configuration subsystem tells the node's other cores."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from stagewalk.configuration.parameters import Tenant
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationChanged:
+    """The configuration in force is now this: all tenants, sorted by name.
+
+    `offset` is the offset after the last record folded. It never decreases within a process.
+    """
+
+    tenants: tuple[Tenant, ...]
+    offset: int
--- /dev/null
+++ b/src/stagewalk/configuration/outcomes.py
@@ -0,0 +1,62 @@
+"""What the fold makes of a record, and the history of it that operators read."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import msgspec
+
+from stagewalk.core.identities import RecordId
+
+
+class RejectionReason(StrEnum):
+    """Why a record has no effect: the same on every node."""
+
+    MALFORMED = "malformed"
+    """Not a record of this stream, or a value is outside its range."""
+    NOT_OWNER = "not_owner"
+    """The tenant, or its name, belongs to the other partner."""
+    UNKNOWN_TENANT = "unknown_tenant"
+    TENANT_EXISTS = "tenant_exists"
+    STALE_REVISION = "stale_revision"
+    """Another change came first: `base_revision` is not the tenant's revision."""
+    UNKNOWN_REVISION = "unknown_revision"
+    """The revision to roll back to does not exist or is no longer kept."""
+    POOL_OVERCOMMITTED = "pool_overcommitted"
+    """The shares of a pool's tenants would add up to more than 1."""
+    TOO_MANY_TENANTS = "too_many_tenants"
+
+
+class ChangeAccepted(msgspec.Struct, frozen=True, tag="accepted"):
+    """The record is in force: the tenant is at this revision."""
+
+    revision: int
+
+
+class ChangeRejected(msgspec.Struct, frozen=True, tag="rejected"):
+    """The record has no effect; `field` is the path of the offending value, if one is at fault."""
+
+    reason: RejectionReason
+    detail: str
+    field: str | None = None
+
+
+class ChangeRepeated(msgspec.Struct, frozen=True, tag="repeated"):
+    """The record was folded before, at `first_offset`, and counts once."""
+
+    first_offset: int
+
+
+FoldOutcome = ChangeAccepted | ChangeRejected | ChangeRepeated
+
+
+class HistoryEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """A folded record and its outcome; a malformed record has no operator, partner or tenant."""
+
+    offset: int
+    record_id: RecordId
+    kind: str
+    operator: str
+    partner: str
+    tenant: str
+    outcome: ChangeAccepted | ChangeRejected
--- a/src/stagewalk/configuration/parameters.py
+++ b/src/stagewalk/configuration/parameters.py
@@ -8,10 +8,20 @@
 
 from stagewalk.core.identities import ModelName, TenantName, WeightVersion
 
+MAXIMUM_INTEGER = 2**53 - 1
+"""Largest integer that every JSON reader represents exactly."""
+
+NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}\Z"
+"""Names of tenants, partners, operators, templates, models and classes."""
+
 Share = Annotated[float, msgspec.Meta(gt=0.0, le=1.0)]
 Fraction = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
-Seconds = Annotated[float, msgspec.Meta(gt=0.0)]
-NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0)]
+Seconds = Annotated[float, msgspec.Meta(gt=0.0, le=1e9)]
+NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_INTEGER)]
+Name = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
+TenantNameField = Annotated[TenantName, msgspec.Meta(pattern=NAME_PATTERN)]
+ModelNameField = Annotated[ModelName, msgspec.Meta(pattern=NAME_PATTERN)]
+VersionField = Annotated[WeightVersion, msgspec.Meta(ge=0, le=MAXIMUM_INTEGER)]
 
 
 class TenantParameters(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -39,18 +49,36 @@
         How long claims and retained answers are kept.
     """
 
-    models: tuple[ModelName, ...]
-    minimum_version: WeightVersion | None = None
-    maximum_version: WeightVersion | None = None
+    models: Annotated[tuple[ModelNameField, ...], msgspec.Meta(min_length=1, max_length=16)]
+    minimum_version: VersionField | None = None
+    maximum_version: VersionField | None = None
     staleness_bound_versions: NonNegativeInteger = 1
     staleness_bound_seconds: Seconds | None = None
-    non_repeatable_classes: tuple[str, ...] = ()
+    non_repeatable_classes: Annotated[tuple[Name, ...], msgspec.Meta(max_length=64)] = ()
     capacity_share: Share = 0.5
     idle_weight: Fraction = 0.5
     allow_mixed_versions: bool = True
     retention_seconds: Seconds = 3600.0
 
 
+class ParameterFault(msgspec.Struct, frozen=True):
+    """A value that contradicts another one, found after each was checked for itself."""
+
+    field: str
+    detail: str
+
+
+def parameters_fault(parameters: TenantParameters) -> ParameterFault | None:
+    """Return the first contradiction within a tenant's parameters, or None."""
+    if len(set(parameters.models)) != len(parameters.models):
+        return ParameterFault("models", "a model is listed twice")
+    minimum = parameters.minimum_version
+    maximum = parameters.maximum_version
+    if minimum is not None and maximum is not None and minimum > maximum:
+        return ParameterFault("maximum_version", "it is smaller than minimum_version")
+    return None
+
+
 class Tenant(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """A tenant in force: owned by one partner, at one revision (1 at its creation)."""
 
--- /dev/null
+++ b/src/stagewalk/configuration/records.py
@@ -0,0 +1,120 @@
+"""Records that operators publish on the stream `configuration`, as JSON."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated
+
+import msgspec
+from expression import Error, Ok, Result
+
+from stagewalk.configuration.parameters import (
+    MAXIMUM_INTEGER,
+    Name,
+    TenantNameField,
+    TenantParameters,
+    parameters_fault,
+)
+from stagewalk.core.errors import ErrorKind, StagewalkError, Step
+
+CONFIGURATION_STREAM = "configuration"
+"""Stream of the log on which operators publish."""
+
+SNAPSHOT_STREAM = "configuration-snapshots"
+"""The system's own stream of snapshots of the folded state."""
+
+MAXIMUM_PAYLOAD_BYTES = 32 * 1024
+
+MAXIMUM_DETAIL_LENGTH = 200
+"""Characters kept of a decoder's message, which may quote the input at length."""
+
+Revision = Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_INTEGER)]
+
+
+class ConfigurationChange(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, tag_field="kind"
+):
+    """Base of all records.
+
+    Attributes
+    ----------
+    operator, partner
+        Who publishes, and for which partner.
+    base_revision
+        The tenant's revision that the operator saw: the record is rejected if another change
+        came first. 0 for a name that was never used; a deleted tenant keeps its last revision.
+    """
+
+    operator: Name
+    partner: Name
+    tenant: TenantNameField
+    base_revision: Revision
+
+
+class CreateTenant(ConfigurationChange, frozen=True, tag="create_tenant"):
+    """Create a tenant; `parameters` is the template with the operator's own values put in."""
+
+    template: Name
+    parameters: TenantParameters
+
+
+class ChangeParameters(ConfigurationChange, frozen=True, tag="change_parameters"):
+    """Replace all parameters of a tenant."""
+
+    parameters: TenantParameters
+
+
+class RollBack(ConfigurationChange, frozen=True, tag="roll_back"):
+    """Put the parameters of an earlier revision in force again, as a new revision."""
+
+    to_revision: Revision
+
+
+class DeleteTenant(ConfigurationChange, frozen=True, tag="delete_tenant"):
+    """Delete a tenant; its name stays with its partner and its revisions go on growing."""
+
+
+AnyChange = CreateTenant | ChangeParameters | RollBack | DeleteTenant
+
+_ENCODER = msgspec.json.Encoder(order="sorted")
+_DECODER = msgspec.json.Decoder(AnyChange)
+_PATH = re.compile(r" - at `\$\.?(.*)`$")
+_NAMED_FIELD = re.compile(r"(?:unknown|missing required) field `([^`]*)`")
+
+
+def encode_change(change: AnyChange) -> bytes:
+    """Return a record's payload."""
+    return _ENCODER.encode(change)
+
+
+def decode_change(payload: bytes) -> Result[AnyChange, StagewalkError]:
+    """Parse a record's payload; whatever the bytes, it returns and never raises."""
+    if len(payload) > MAXIMUM_PAYLOAD_BYTES:
+        return Error(invalid(f"the payload is longer than {MAXIMUM_PAYLOAD_BYTES} bytes", None))
+    try:
+        change = _DECODER.decode(payload)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return Error(validation_error(error))
+    if isinstance(change, CreateTenant | ChangeParameters):
+        fault = parameters_fault(change.parameters)
+        if fault is not None:
+            return Error(invalid(fault.detail, f"parameters.{fault.field}"))
+    return Ok(change)
+
+
+def validation_error(error: Exception) -> StagewalkError:
+    """Return a decoder's exception as an error that names the offending field."""
+    text = str(error).encode("ascii", "backslashreplace").decode()
+    path = _PATH.search(text)
+    named = _NAMED_FIELD.search(text)
+    parts = [path.group(1) if path else "", named.group(1) if named else ""]
+    field = ".".join(part for part in parts if part)[:MAXIMUM_DETAIL_LENGTH]
+    detail = text[: path.start()] if path else text
+    return invalid(detail[:MAXIMUM_DETAIL_LENGTH], field or None)
+
+
+def invalid(detail: str, field: str | None) -> StagewalkError:
+    """Return the error of a record that breaks the schema."""
+    return StagewalkError(
+        ErrorKind.INVALID_REQUEST, Step.CONFIGURATION, "operator", detail, field=field
+    )
--- /dev/null
+++ b/src/stagewalk/configuration/state.py
@@ -0,0 +1,116 @@
+"""Lasting state of the configuration fold, its checks against the pool, and its snapshots."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+from stagewalk.configuration.outcomes import HistoryEntry
+from stagewalk.configuration.parameters import Tenant, TenantParameters
+from stagewalk.core.identities import ModelName, TenantName
+
+SHARE_UNITS = 1_000_000
+"""Capacity shares are added up in millionths, so that the sum is exact on every machine."""
+
+SNAPSHOT_FORMAT = 1
+
+
+class RevisionEntry(msgspec.Struct, frozen=True):
+    """Parameters that a tenant had at a revision, kept to roll back to."""
+
+    revision: int
+    parameters: TenantParameters
+
+
+class TenantRecord(msgspec.Struct, frozen=True):
+    """A tenant with its recent revisions; a deleted one keeps its name's owner and revision."""
+
+    tenant: Tenant
+    deleted: bool
+    revisions: tuple[RevisionEntry, ...]
+
+
+class FoldState(msgspec.Struct, frozen=True, kw_only=True):
+    """The whole state at an offset.
+
+    Attributes
+    ----------
+    chain
+        Hash over the ids and outcomes of all records so far: two nodes with the same chain have
+        folded the same prefix.
+    """
+
+    offset: int
+    chain: int
+    tenants: dict[TenantName, TenantRecord]
+    history: tuple[HistoryEntry, ...]
+
+
+class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """A state as it travels between nodes and through the log."""
+
+    format: int
+    digest: str
+    state: FoldState
+
+
+_ENCODER = msgspec.json.Encoder(order="sorted")
+_DECODER = msgspec.json.Decoder(Snapshot)
+
+
+def state_digest(offset: int, chain: int, tenants: dict[TenantName, TenantRecord]) -> str:
+    """Return the digest of a state: the xxHash of its canonical encoding, in hexadecimal."""
+    return xxhash.xxh3_128_hexdigest(_ENCODER.encode((offset, chain, tenants)))
+
+
+def extend_chain(chain: int, entry: bytes) -> int:
+    """Return the chain extended by one record's id and outcome."""
+    return xxhash.xxh3_64_intdigest(chain.to_bytes(8, "big") + entry)
+
+
+def encode_snapshot(state: FoldState) -> bytes:
+    """Return a state as the payload of a snapshot record."""
+    digest = state_digest(state.offset, state.chain, state.tenants)
+    return _ENCODER.encode(Snapshot(format=SNAPSHOT_FORMAT, digest=digest, state=state))
+
+
+def decode_snapshot(payload: bytes) -> FoldState | None:
+    """Return a snapshot's state, or None if it is damaged or of another format."""
+    try:
+        snapshot = _DECODER.decode(payload)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return None
+    state = snapshot.state
+    if snapshot.format != SNAPSHOT_FORMAT:
+        return None
+    if snapshot.digest != state_digest(state.offset, state.chain, state.tenants):
+        return None
+    return state
+
+
+def overcommitted_model(
+    tenants: Iterable[Tenant], parameters: TenantParameters
+) -> ModelName | None:
+    """Return the first model whose pool has too little share left for new parameters.
+
+    Parameters
+    ----------
+    tenants
+        All other tenants in force.
+    """
+    others = tuple(tenants)
+    for model in sorted(parameters.models):
+        total = share_units(parameters)
+        total += sum(
+            share_units(other.parameters) for other in others if model in other.parameters.models
+        )
+        if total > SHARE_UNITS:
+            return model
+    return None
+
+
+def share_units(parameters: TenantParameters) -> int:
+    """Return a capacity share in millionths, at least one."""
+    return max(1, round(parameters.capacity_share * SHARE_UNITS))
--- /dev/null
+++ b/src/stagewalk/log_client/core.py
@@ -0,0 +1,125 @@
+"""Pure core of the log client: ordered reads of streams, and appends that are never blind.
+
+Each stream has a state of its own, so trouble with one never holds up another. An append whose
+answer was lost is settled by reading the stream: the record either turns up, or a read begun well
+after the failure reaches the stream's head without it, and only then it is sent again, under the
+same record id. A copy that was still under way may then land too, so whoever folds a stream
+counts a record id once.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from stagewalk.core.errors import ErrorKind, StagewalkError, Step
+from stagewalk.core.events import AppendConfirmed, AppendFailed, LogRead, LogReadFailed
+from stagewalk.core.identities import RecordId
+from stagewalk.core.instructions import AppendRecord, LogEvent, ReadLog
+from stagewalk.log_client.config import LogClientConfig
+from stagewalk.log_client.notifications import AppendAbandoned, AppendSettled, RecordsRead
+from stagewalk.log_client.stream import StreamState
+
+LogClientOutput = ReadLog | AppendRecord | LogEvent | RecordsRead | AppendSettled | AppendAbandoned
+
+LogClientEvent = LogRead | LogReadFailed | AppendConfirmed | AppendFailed
+
+RECORD_ID_BITS = 128
+
+
+@dataclass(frozen=True, slots=True)
+class QueuedAppend:
+    """An append that was taken on, and what to do at once."""
+
+    record_id: RecordId
+    output: list[LogClientOutput]
+
+
+class LogClientCore:
+    """Reads and appends of all streams of one process.
+
+    Parameters
+    ----------
+    generator
+        Source of record ids and of the jitter of backoffs; two processes must not share a seed.
+    """
+
+    def __init__(self, generator: random.Random, config: LogClientConfig) -> None:
+        self._generator = generator
+        self._config = config
+        self._streams: dict[str, StreamState] = {}
+
+    def follow(self, stream: str, offset: int) -> None:
+        """Notify the records of a stream from an offset on; the first read leaves with a tick."""
+        self._state(stream).follow(offset)
+
+    def follow_latest(self, stream: str, count: int) -> None:
+        """Notify the last `count` records of a stream, then all that follow."""
+        self._state(stream).follow_latest(count)
+
+    def advance(self, stream: str, offset: int) -> None:
+        """Skip records that were learnt otherwise; a smaller offset than reached is ignored."""
+        self._state(stream).advance(offset)
+
+    def append(
+        self, stream: str, payload: bytes, now: float
+    ) -> Result[QueuedAppend, StagewalkError]:
+        """Queue a record; records of one stream are sent in order, one at a time.
+
+        Returns
+        -------
+        QueuedAppend
+            Its outcome follows as `AppendSettled` or `AppendAbandoned`.
+        StagewalkError
+            Kind `overloaded` if the stream's queue is full: nothing was queued.
+        """
+        state = self._state(stream)
+        if len(state.appends) >= self._config.queue_limit:
+            detail = f"{len(state.appends)} appends to {stream} are waiting"
+            return Error(
+                StagewalkError(
+                    ErrorKind.OVERLOADED,
+                    Step.LOG_APPEND,
+                    "log",
+                    detail,
+                    retry_after_seconds=self._config.maximum_backoff,
+                )
+            )
+        bits = self._generator.getrandbits(RECORD_ID_BITS)
+        record_id = RecordId(f"{self._config.client_id}{bits:032x}")
+        state.queue(record_id, payload, now)
+        return Ok(QueuedAppend(record_id, state.proceed(now)))
+
+    def handle(self, event: LogClientEvent, now: float) -> list[LogClientOutput]:
+        """Take the log's answer to a read or an append."""
+        state = self._streams.get(event.stream)
+        if state is None:
+            return []
+        match event:
+            case LogRead():
+                output = state.read(event, now)
+            case LogReadFailed():
+                output = state.read_failed(event.detail, now)
+            case AppendConfirmed():
+                output = state.append_confirmed(event.record_id, event.offset)
+            case AppendFailed():
+                output = state.append_failed(event, now)
+        return output + state.proceed(now)
+
+    def tick(self, now: float) -> list[LogClientOutput]:
+        """Begin reads and appends that are due; give up what waited too long."""
+        output: list[LogClientOutput] = []
+        for state in self._streams.values():
+            if now >= state.next_wake:
+                output += state.expire(now)
+                output += state.proceed(now)
+        return output
+
+    def _state(self, stream: str) -> StreamState:
+        state = self._streams.get(stream)
+        if state is None:
+            state = StreamState(stream, self._config, self._generator)
+            self._streams[stream] = state
+        return state
--- /dev/null
+++ b/src/stagewalk/log_client/notifications.py
@@ -0,0 +1,40 @@
+"""What the log client tells the node's other cores."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from stagewalk.core.identities import RecordId
+from stagewalk.core.platform import LogRecord
+
+
+@dataclass(frozen=True, slots=True)
+class RecordsRead:
+    """The next records of a followed stream, in order, without gaps or repeats.
+
+    `head` is the offset after the stream's last record when they were read. The first successful
+    read is notified even if it brought no record, so that followers learn that they are current.
+    """
+
+    stream: str
+    records: tuple[LogRecord, ...]
+    head: int
+
+
+@dataclass(frozen=True, slots=True)
+class AppendSettled:
+    """A record is known to be in the log at an offset."""
+
+    stream: str
+    record_id: RecordId
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class AppendAbandoned:
+    """An append was given up; if `outcome_unknown`, the record may be in the log or come later."""
+
+    stream: str
+    record_id: RecordId
+    outcome_unknown: bool
+    detail: str
--- /dev/null
+++ b/src/stagewalk/log_client/stream.py
@@ -0,0 +1,291 @@
+"""One stream's reads and appends."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from stagewalk.core.events import AppendFailed, LogRead
+from stagewalk.core.identities import RecordId
+from stagewalk.core.instructions import AppendRecord, LogEvent, ReadLog
+from stagewalk.core.platform import LogRecord
+from stagewalk.log_client.backoff import Backoff
+from stagewalk.log_client.config import LogClientConfig
+from stagewalk.log_client.notifications import AppendAbandoned, AppendSettled, RecordsRead
+
+StreamOutput = ReadLog | AppendRecord | LogEvent | RecordsRead | AppendSettled | AppendAbandoned
+
+
+class AppendState(Enum):
+    """How far an append has come."""
+
+    WAITING = auto()
+    """To be sent (again): no attempt is under way."""
+    SENT = auto()
+    UNKNOWN = auto()
+    """Its answer was lost: reading decides."""
+
+
+@dataclass(slots=True)
+class PendingAppend:
+    """An append that is not settled.
+
+    Attributes
+    ----------
+    may_have_landed
+        The answer of some attempt was lost.
+    proof_head
+        Head found by a read that began well after the answer was lost: if the stream holds no
+        such record below it, the record is absent.
+    """
+
+    record_id: RecordId
+    payload: bytes
+    queued_at: float
+    state: AppendState = AppendState.WAITING
+    changed_at: float = 0.0
+    not_before: float = 0.0
+    may_have_landed: bool = False
+    proof_head: int | None = None
+
+
+class StreamState:
+    """Reads one stream and sends its appends, in order and one at a time.
+
+    `_cursor` is the next offset to look at. Before the first append of a stream that is not
+    followed, its head is read, so that a lost answer is looked for from there on and not from
+    the stream's beginning.
+    """
+
+    def __init__(self, name: str, config: LogClientConfig, generator: random.Random) -> None:
+        self._name = name
+        self._config = config
+        self.appends: deque[PendingAppend] = deque()
+        self.next_wake = 0.0
+        self._followed = False
+        self._latest_count: int | None = None
+        self._cursor: int | None = None
+        self._deliver_from = 0
+        self._first_read_notified = False
+        self._reading_since: float | None = None
+        self._read_not_before = 0.0
+        initial, maximum = config.initial_backoff, config.maximum_backoff
+        self._read_backoff = Backoff(generator, initial, maximum)
+        self._append_backoff = Backoff(generator, initial, maximum)
+
+    def follow(self, offset: int) -> None:
+        """Notify records from an offset on; a stream that is followed already goes on as it was."""
+        if self._followed:
+            return
+        self._followed = True
+        self._deliver_from = offset
+        if self._cursor is None or not self._is_unsettled():
+            self._cursor = offset
+        else:
+            self._cursor = min(self._cursor, offset)
+        self.next_wake = 0.0
+
+    def follow_latest(self, count: int) -> None:
+        """Notify the last `count` records, then all that follow."""
+        if self._followed:
+            return
+        self._followed = True
+        self._latest_count = count
+        self.next_wake = 0.0
+
+    def advance(self, offset: int) -> None:
+        """Skip records below an offset, except where an unsettled append is looked for."""
+        self._deliver_from = max(self._deliver_from, offset)
+        if self._cursor is not None and not self._is_unsettled():
+            self._cursor = max(self._cursor, offset)
+
+    def queue(self, record_id: RecordId, payload: bytes, now: float) -> None:
+        """Take on an append."""
+        self.appends.append(PendingAppend(record_id, payload, now))
+
+    def read(self, event: LogRead, now: float) -> list[StreamOutput]:
+        """Take the answer to a read."""
+        began = self._reading_since
+        self._reading_since = None
+        self._read_backoff.reset()
+        output: list[StreamOutput] = []
+        cursor = self._place_cursor(event.head)
+        if event.head < cursor:
+            output.append(self._event("log_head_behind", {"head": event.head, "cursor": cursor}))
+        fresh: list[LogRecord] = []
+        for record in event.records:
+            if record.offset < cursor:
+                continue
+            if record.offset > cursor:
+                output.append(self._event("log_gap", {"cursor": cursor, "offset": record.offset}))
+                break
+            output += self._settle(record.record_id, record.offset)
+            fresh.append(record)
+            cursor += 1
+        self._cursor = cursor
+        self._read_not_before = now if fresh else now + self._config.empty_read_pause
+        if began is not None:
+            self._prove_absent(event.head, began, now)
+        return output + self._deliver(fresh, event.head)
+
+    def read_failed(self, detail: str, now: float) -> list[StreamOutput]:
+        """Take the failure of a read: try again after a while."""
+        self._reading_since = None
+        self._read_not_before = now + self._read_backoff.draw()
+        return [self._event("log_read_failed", {"detail": detail})]
+
+    def append_confirmed(self, record_id: RecordId, offset: int) -> list[StreamOutput]:
+        """Take the log's word for where a record landed."""
+        return self._settle(record_id, offset)
+
+    def append_failed(self, event: AppendFailed, now: float) -> list[StreamOutput]:
+        """Take the failure of an append; an unknown outcome is settled by reading."""
+        append = self._first()
+        if append is None or append.record_id != event.record_id:
+            return []
+        if append.state is not AppendState.SENT:
+            return []
+        append.changed_at = now
+        if event.outcome_unknown:
+            self._lose_answer(append)
+        else:
+            append.state = AppendState.WAITING
+            append.not_before = now + self._append_backoff.draw()
+        fields: dict[str, str | int | float | bool] = {
+            "record_id": event.record_id,
+            "outcome_unknown": event.outcome_unknown,
+            "detail": event.detail,
+        }
+        return [self._event("log_append_failed", fields)]
+
+    def expire(self, now: float) -> list[StreamOutput]:
+        """Treat answers that never came as lost, and abandon appends that waited too long."""
+        output: list[StreamOutput] = []
+        since = self._reading_since
+        if since is not None and now >= since + self._config.read_timeout:
+            output += self.read_failed("no answer to the read", now)
+        append = self._first()
+        if append is not None and append.state is AppendState.SENT:
+            if now >= append.changed_at + self._config.append_timeout:
+                append.changed_at = now
+                self._lose_answer(append)
+            return output
+        while append is not None and now >= append.queued_at + self._config.abandon_after:
+            self.appends.popleft()
+            output.append(self._abandoned(append))
+            append = self._first()
+        return output
+
+    def proceed(self, now: float) -> list[StreamOutput]:
+        """Send the append and the read that are due, and set the time of the next wake-up."""
+        output: list[StreamOutput] = []
+        append = self._first()
+        if append is not None and self._may_send(append, now):
+            append.state = AppendState.SENT
+            append.changed_at = now
+            append.proof_head = None
+            output.append(AppendRecord(self._name, append.record_id, append.payload))
+        if self._wants_read() and self._reading_since is None and now >= self._read_not_before:
+            self._reading_since = now
+            output.append(ReadLog(self._name, self._cursor or 0))
+        self.next_wake = self._wake_time()
+        return output
+
+    def _first(self) -> PendingAppend | None:
+        return self.appends[0] if self.appends else None
+
+    def _is_unsettled(self) -> bool:
+        """Return whether a record may be in the log without this client knowing."""
+        append = self._first()
+        if append is None:
+            return False
+        return append.state is not AppendState.WAITING or append.may_have_landed
+
+    def _may_send(self, append: PendingAppend, now: float) -> bool:
+        if self._cursor is None or append.state is not AppendState.WAITING:
+            return False
+        return now >= append.not_before
+
+    def _wants_read(self) -> bool:
+        if self._followed:
+            return True
+        append = self._first()
+        if append is None:
+            return False
+        return self._cursor is None or append.state is AppendState.UNKNOWN
+
+    def _place_cursor(self, head: int) -> int:
+        """Return the cursor, placing it by the head if it is unknown."""
+        if self._latest_count is not None:
+            start = max(0, head - self._latest_count)
+            self._latest_count = None
+            self._deliver_from = max(self._deliver_from, start)
+            if self._cursor is None or not self._is_unsettled():
+                return self._deliver_from
+        if self._cursor is None:
+            return head
+        return self._cursor
+
+    def _lose_answer(self, append: PendingAppend) -> None:
+        append.state = AppendState.UNKNOWN
+        append.may_have_landed = True
+        append.proof_head = None
+
+    def _settle(self, record_id: RecordId, offset: int) -> list[StreamOutput]:
+        append = self._first()
+        if append is None or append.record_id != record_id:
+            return []
+        self.appends.popleft()
+        self._append_backoff.reset()
+        if not self._followed and self._cursor is not None:
+            self._cursor = max(self._cursor, offset + 1)
+        return [AppendSettled(self._name, record_id, offset)]
+
+    def _prove_absent(self, head: int, began: float, now: float) -> None:
+        """Send an append again once the stream is seen not to hold it."""
+        append = self._first()
+        if append is None or append.state is not AppendState.UNKNOWN:
+            return
+        if append.proof_head is None and began >= append.changed_at + self._config.settle_delay:
+            append.proof_head = head
+        if append.proof_head is None or self._cursor is None or self._cursor < append.proof_head:
+            return
+        append.state = AppendState.WAITING
+        append.changed_at = now
+        append.not_before = now + self._append_backoff.draw()
+
+    def _deliver(self, fresh: list[LogRecord], head: int) -> list[StreamOutput]:
+        if not self._followed:
+            return []
+        records = tuple(record for record in fresh if record.offset >= self._deliver_from)
+        if not records and self._first_read_notified:
+            return []
+        self._first_read_notified = True
+        return [RecordsRead(self._name, records, head)]
+
+    def _abandoned(self, append: PendingAppend) -> AppendAbandoned:
+        detail = f"not settled within {self._config.abandon_after:g} s"
+        return AppendAbandoned(self._name, append.record_id, append.may_have_landed, detail)
+
+    def _wake_time(self) -> float:
+        """Return when something falls due without an event."""
+        wake = math.inf
+        if self._reading_since is not None:
+            wake = self._reading_since + self._config.read_timeout
+        elif self._wants_read():
+            wake = self._read_not_before
+        append = self._first()
+        if append is None:
+            return wake
+        if append.state is AppendState.SENT:
+            return min(wake, append.changed_at + self._config.append_timeout)
+        wake = min(wake, append.queued_at + self._config.abandon_after)
+        if append.state is AppendState.WAITING and self._cursor is not None:
+            wake = min(wake, append.not_before)
+        return wake
+
+    def _event(self, name: str, fields: dict[str, str | int | float | bool]) -> LogEvent:
+        return LogEvent(name, {"stream": self._name, **fields})
--- /dev/null
+++ b/tests/configuration/test_fold.py
@@ -0,0 +1,224 @@
+"""The fold decides alike everywhere, moves only forward and survives any payload."""
+
+from __future__ import annotations
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from stagewalk.configuration.fold import HISTORY_LIMIT, REVISION_LIMIT, ConfigurationFold
+from stagewalk.configuration.outcomes import (
+    ChangeAccepted,
+    ChangeRejected,
+    ChangeRepeated,
+    FoldOutcome,
+    RejectionReason,
+)
+from stagewalk.configuration.parameters import TenantParameters
+from stagewalk.configuration.records import AnyChange, encode_change
+from stagewalk.core.identities import ModelName, TenantName, WeightVersion
+from stagewalk.core.platform import LogRecord
+from tests.configuration.records import (
+    change,
+    create,
+    delete,
+    log_record,
+    parameters,
+    publish,
+    roll_back,
+)
+
+CATALOGUE = TenantName("catalogue")
+
+tenants = st.sampled_from(["catalogue", "advice", "tuning"])
+partners = st.sampled_from(["amman", "thornfield"])
+bases = st.integers(0, 4)
+values = st.builds(
+    parameters,
+    share=st.sampled_from([0.1, 0.4, 0.7, 1.0]),
+    model=st.sampled_from(["qari-2", "rollout-lm"]),
+    bound=st.integers(0, 3),
+)
+changes = st.one_of(
+    st.builds(create, tenants, partners, bases, values),
+    st.builds(change, bases, values, tenants, partners),
+    st.builds(delete, bases, tenants, partners),
+    st.builds(roll_back, bases, bases),
+)
+payloads = st.one_of(changes.map(encode_change), st.binary(max_size=60))
+record_ids = st.one_of(
+    st.integers(0, 30).map(lambda n: f"r{n}"), st.sampled_from(["", "a b", "\ud800", "x" * 200])
+)
+prefixes = st.lists(st.tuples(record_ids, payloads), max_size=40)
+
+
+def records_of(prefix: list[tuple[str, bytes]]) -> list[LogRecord]:
+    return [
+        log_record(offset, payload, record_id) for offset, (record_id, payload) in enumerate(prefix)
+    ]
+
+
+def rejection(outcome: FoldOutcome) -> tuple[RejectionReason, str | None]:
+    assert isinstance(outcome, ChangeRejected), outcome
+    return outcome.reason, outcome.field
+
+
+class FoldRulesTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.fold = ConfigurationFold()
+
+    def apply(self, *published: AnyChange) -> FoldOutcome:
+        outcomes = [publish(self.fold, each) for each in published]
+        return outcomes[-1]
+
+    def test_life_of_a_tenant_counts_revisions_up_even_over_its_deletion(self) -> None:
+        steps = (
+            create(),
+            change(1, parameters(bound=7)),
+            roll_back(2, 1),
+            delete(3),
+            create(base=4),
+        )
+        outcomes = [publish(self.fold, step) for step in steps]
+        self.assertEqual([ChangeAccepted(n) for n in range(1, 6)], outcomes)
+        self.assertEqual(5, self.fold.tenants[CATALOGUE].revision)
+
+    def test_rollback_puts_the_old_parameters_in_force_as_a_new_revision(self) -> None:
+        self.apply(create(), change(1, parameters(bound=7)), roll_back(2, 1))
+        tenant = self.fold.tenants[CATALOGUE]
+        self.assertEqual((3, 1), (tenant.revision, tenant.parameters.staleness_bound_versions))
+
+    def test_rollback_needs_a_revision_that_is_kept(self) -> None:
+        self.apply(create(), *(change(base) for base in range(1, REVISION_LIMIT + 1)))
+        outcome = self.apply(roll_back(REVISION_LIMIT + 1, 1))
+        self.assertEqual((RejectionReason.UNKNOWN_REVISION, "to_revision"), rejection(outcome))
+
+    def test_of_two_raced_changes_the_first_in_the_log_wins(self) -> None:
+        outcome = self.apply(create(), change(1, parameters(bound=7)), change(1))
+        self.assertEqual((RejectionReason.STALE_REVISION, "base_revision"), rejection(outcome))
+        self.assertEqual(7, self.fold.tenants[CATALOGUE].parameters.staleness_bound_versions)
+
+    def test_no_partner_touches_the_tenant_of_the_other(self) -> None:
+        self.apply(create())
+        for foreign in (change(1, partner="thornfield"), delete(1, partner="thornfield")):
+            self.assertEqual(
+                (RejectionReason.NOT_OWNER, "partner"), rejection(publish(self.fold, foreign))
+            )
+        self.apply(delete(1))
+        outcome = self.apply(create(partner="thornfield", base=2))
+        self.assertEqual(RejectionReason.NOT_OWNER, rejection(outcome)[0])
+
+    def test_shares_of_a_pool_are_never_overcommitted_by_whoever_comes_later(self) -> None:
+        self.apply(create(values=parameters(0.7)))
+        outcome = self.apply(create("advice", "thornfield", 0, parameters(0.4)))
+        expected = (RejectionReason.POOL_OVERCOMMITTED, "parameters.capacity_share")
+        self.assertEqual(expected, rejection(outcome))
+        other_pool = create("advice", "thornfield", 0, parameters(0.4, "rollout-lm"))
+        self.assertEqual(ChangeAccepted(1), self.apply(other_pool))
+        tenths = [create(f"tenth{n}", values=parameters(0.1)) for n in range(3)]
+        self.assertEqual(ChangeAccepted(1), self.apply(*tenths))
+
+    def test_a_rollback_is_checked_against_the_pool_of_today(self) -> None:
+        self.apply(create(values=parameters(0.9)), change(1, parameters(0.2)))
+        self.apply(create("advice", "thornfield", 0, parameters(0.5)))
+        outcome = self.apply(roll_back(2, 1))
+        self.assertEqual(RejectionReason.POOL_OVERCOMMITTED, rejection(outcome)[0])
+
+    def test_a_record_appended_again_is_folded_once(self) -> None:
+        first = publish(self.fold, create(), "same")
+        second = publish(self.fold, create(), "same")
+        self.assertEqual((ChangeAccepted(1), ChangeRepeated(0)), (first, second))
+        self.assertEqual(1, len(self.fold.history))
+
+    def test_schema_faults_name_their_field(self) -> None:
+        template = encode_change(create()).decode()
+        faults = {
+            "parameters.capacity_share": template.replace("0.5", "1.5", 1),
+            "tenant": template.replace('"tenant":"catalogue"', '"tenant":"a/b"'),
+            "parameters.models[0]": template.replace("qari-2", "qari 2"),
+            "parameters.idle_wieght": template.replace('"idle_weight"', '"idle_wieght"'),
+            "base_revision": template.replace('"base_revision":0', '"base_revision":-1'),
+        }
+        for field, payload in faults.items():
+            outcome = self.fold.apply(log_record(self.fold.offset, payload.encode()))
+            self.assertEqual((RejectionReason.MALFORMED, field), rejection(outcome), payload)
+
+    def test_contradicting_parameters_name_their_field(self) -> None:
+        pinned = TenantParameters(
+            models=(ModelName("qari-2"),),
+            minimum_version=WeightVersion(5),
+            maximum_version=WeightVersion(4),
+        )
+        outcome = self.apply(create(values=pinned))
+        expected = (RejectionReason.MALFORMED, "parameters.maximum_version")
+        self.assertEqual(expected, rejection(outcome))
+
+    def test_history_is_bounded_and_holds_rejections(self) -> None:
+        self.apply(*(delete(0) for _ in range(HISTORY_LIMIT + 5)))
+        self.assertEqual(HISTORY_LIMIT, len(self.fold.history))
+        reason = rejection(self.fold.history[-1].outcome)[0]
+        self.assertEqual(RejectionReason.UNKNOWN_TENANT, reason)
+
+    def test_a_gap_is_refused(self) -> None:
+        self.assertRaises(ValueError, self.fold.apply, log_record(1, b""))
+
+
+class FoldPropertiesTest(testtools.TestCase):
+    @given(prefixes)
+    def test_same_prefix_same_digest_and_revisions_only_grow(
+        self, prefix: list[tuple[str, bytes]]
+    ) -> None:
+        one, other = ConfigurationFold(), ConfigurationFold()
+        largest: dict[TenantName, int] = {}
+        for record in records_of(prefix):
+            self.assertEqual(one.apply(record), other.apply(record))
+            self.assertEqual(one.digest(), other.digest())
+            for name, tenant in one.tenants.items():
+                self.assertGreaterEqual(tenant.revision, largest.get(name, 0))
+                largest[name] = tenant.revision
+        for model in ("qari-2", "rollout-lm"):
+            users = [t for t in one.tenants.values() if model in t.parameters.models]
+            self.assertLessEqual(sum(t.parameters.capacity_share for t in users), 1.0 + 1e-9)
+
+    @given(prefixes, st.integers(0, 40))
+    def test_a_restored_snapshot_goes_on_like_the_original(
+        self, prefix: list[tuple[str, bytes]], cut: int
+    ) -> None:
+        original, restored = ConfigurationFold(), ConfigurationFold()
+        records = records_of(prefix)
+        for record in records[:cut]:
+            original.apply(record)
+        self.assertEqual(original.offset > 0, restored.restore(original.snapshot()))
+        for record in records[cut:]:
+            self.assertEqual(original.apply(record), restored.apply(record))
+        self.assertEqual(original.digest(), restored.digest())
+        self.assertEqual(original.history, restored.history)
+
+    @given(st.binary(max_size=200))
+    def test_no_payload_raises(self, payload: bytes) -> None:
+        fold = ConfigurationFold()
+        self.assertEqual(
+            RejectionReason.MALFORMED, rejection(fold.apply(log_record(0, payload)))[0]
+        )
+        self.assertFalse(fold.restore(payload))
+        self.assertEqual(1, fold.offset)
+
+    @given(st.data())
+    def test_no_damaged_record_raises(self, data: st.DataObject) -> None:
+        payload = bytearray(encode_change(data.draw(changes)))
+        for _ in range(data.draw(st.integers(1, 4))):
+            payload[data.draw(st.integers(0, len(payload) - 1))] = data.draw(st.integers(0, 255))
+        fold = ConfigurationFold()
+        fold.apply(log_record(0, bytes(payload)))
+        self.assertEqual(1, fold.offset)
+        self.assertTrue(ConfigurationFold().restore(fold.snapshot()))
+
+    def test_an_older_or_damaged_snapshot_is_not_taken(self) -> None:
+        fold = ConfigurationFold()
+        publish(fold, create())
+        old = fold.snapshot()
+        publish(fold, change(1))
+        self.assertFalse(fold.restore(old))
+        self.assertFalse(ConfigurationFold().restore(old.replace(b"0.5", b"0.4")))
+        self.assertEqual(2, fold.tenants[CATALOGUE].revision)
