--- /dev/null
+++ b/src/stagewalk/claims/core.py
@@ -0,0 +1,215 @@
+"""Write-once registers: of all values proposed for a key, at most one is ever decided.
+
+`ClaimCore` is a proposer for its own node and a replica of the partitions placed on it. The
+argument for its safety is in `docs/design/0040-claims.md`.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Mapping
+
+from stagewalk.claims.config import ClaimConfig
+from stagewalk.claims.messages import ANSWERS
+from stagewalk.claims.notifications import ClaimOutput, PlacementAppendWanted
+from stagewalk.claims.placement import (
+    PLACEMENT_STREAM,
+    GroupMember,
+    GroupPlacement,
+    MemberRecord,
+    RecoveryAbandoned,
+    encode_record,
+)
+from stagewalk.claims.proposer import ProposerCore
+from stagewalk.claims.replica import Outgoing, ReplicaCore
+from stagewalk.claims.types import Peer, Replica
+from stagewalk.core.identities import Address, Incarnation, NodeName
+from stagewalk.core.instructions import (
+    MAXIMUM_DATAGRAM_BYTES,
+    SendPeerMessage,
+    Transport,
+)
+from stagewalk.wire.claims_pb2 import ClaimMessage
+from stagewalk.wire.envelope_pb2 import Envelope
+
+REPORT_INTERVAL_SECONDS = 30.0
+"""An abandoned recovery is reported again until the log shows it."""
+
+
+class ClaimCore:
+    """A node's part in all claims.
+
+    Parameters
+    ----------
+    identity
+        This process. Its incarnation must be larger than that of any earlier start.
+    generator
+        Source of the random pauses after conflicts.
+    """
+
+    def __init__(self, identity: Replica, config: ClaimConfig, generator: random.Random) -> None:
+        self._identity = identity
+        self._member = GroupMember(identity.name, identity.incarnation)
+        self._replica = ReplicaCore(self._member, config)
+        self._proposer = ProposerCore(self._member, config, generator)
+        self._members: dict[NodeName, Peer] = {}
+        self._placement = GroupPlacement.empty()
+        self._placement_changed = False
+        self._local: deque[ClaimMessage] = deque()
+        self._outputs: list[ClaimOutput] = []
+        self._report_at = float("-inf")
+
+    @property
+    def ready(self) -> bool:
+        """Whether this node votes in every group in force that it is a member of."""
+        return not self._placement_changed and self._replica.ready
+
+    @property
+    def entry_count(self) -> int:
+        """Return how many claims this node holds as a replica."""
+        return self._replica.usage.entries
+
+    @property
+    def size_bytes(self) -> int:
+        """Return an estimate of the memory these take."""
+        return self._replica.usage.size_bytes
+
+    @property
+    def proposal_count(self) -> int:
+        """Return how many proposals and reads are under way."""
+        return self._proposer.count
+
+    def set_groups(self, placement: GroupPlacement) -> None:
+        """Take up the groups in force; heeded before anything else is."""
+        self._placement = placement
+        self._placement_changed = True
+
+    def set_members(self, members: Mapping[NodeName, Peer]) -> None:
+        """Replace the table of where other nodes are reached."""
+        self._members = dict(members)
+
+    def propose(self, key: str, value: bytes, now: float) -> list[ClaimOutput]:
+        """Try to make `value` the value of a key.
+
+        Ends with `ClaimDecided` or `ClaimUndecided`. Proposers must use distinct values, or
+        more than one is told that it won.
+        """
+        self._adopt_placement(now)
+        self._proposer.propose(key, value, now)
+        return self._finish(now)
+
+    def read(self, key: str, now: float) -> list[ClaimOutput]:
+        """Ask what is decided for a key.
+
+        Ends with `ClaimDecided`, `ClaimAbsent` or `ClaimUndecided`.
+        """
+        self._adopt_placement(now)
+        self._proposer.read(key, now)
+        return self._finish(now)
+
+    def handle_message(
+        self,
+        source: Address,
+        sender: NodeName,
+        sender_incarnation: Incarnation,
+        message: ClaimMessage,
+        now: float,
+    ) -> list[ClaimOutput]:
+        """Take a message of another node, that came from address `source`."""
+        self._adopt_placement(now)
+        self._dispatch(source, GroupMember(sender, sender_incarnation), message, now)
+        return self._finish(now)
+
+    def tick(self, now: float) -> list[ClaimOutput]:
+        """Let time pass: resend, retry, give up, expire."""
+        self._adopt_placement(now)
+        self._proposer.tick(now)
+        for outgoing in self._replica.tick(now):
+            self._send(outgoing)
+        self._report_abandonments(now)
+        return self._finish(now)
+
+    def _adopt_placement(self, now: float) -> None:
+        if not self._placement_changed:
+            return
+        self._placement_changed = False
+        self._replica.adopt(self._placement, now)
+        self._proposer.adopt(self._placement, now)
+
+    def _report_abandonments(self, now: float) -> None:
+        if now < self._report_at:
+            return
+        groups = self._replica.unreported_abandonments()
+        if not groups:
+            return
+        self._report_at = now + REPORT_INTERVAL_SECONDS
+        member = MemberRecord(self._member.name, self._member.incarnation)
+        payload = encode_record(RecoveryAbandoned(member=member, groups=groups))
+        self._outputs.append(PlacementAppendWanted(PLACEMENT_STREAM, payload))
+
+    # Messages
+
+    def _finish(self, now: float) -> list[ClaimOutput]:
+        """Deliver this node's messages to itself until there are none, and return the rest."""
+        self._collect_from_proposer()
+        while self._local:
+            self._dispatch(self._identity.address, self._member, self._local.popleft(), now)
+            self._collect_from_proposer()
+        outputs = self._outputs
+        self._outputs = []
+        return outputs
+
+    def _collect_from_proposer(self) -> None:
+        for outgoing in self._proposer.take_outgoing():
+            self._send(outgoing)
+        self._outputs.extend(self._proposer.take_notifications())
+
+    def _dispatch(
+        self, source: Address, sender: GroupMember, message: ClaimMessage, now: float
+    ) -> None:
+        body = message.WhichOneof("body")
+        if body in ANSWERS or (body == "decision" and message.exchange_id):
+            self._dispatch_answer(sender, message, now)
+            return
+        if body is None:
+            return
+        answer = self._replica.handle_request(sender, message, now)
+        if answer is not None:
+            self._answer(source, sender, answer)
+
+    def _dispatch_answer(self, sender: GroupMember, message: ClaimMessage, now: float) -> None:
+        if message.requester_incarnation != self._member.incarnation:
+            return
+        if message.exchange_id % 2:
+            for outgoing in self._replica.handle_answer(sender, message, now):
+                self._send(outgoing)
+        else:
+            self._proposer.handle_answer(sender, message, now)
+
+    def _send(self, outgoing: Outgoing) -> None:
+        outgoing.message.requester_incarnation = self._member.incarnation
+        if outgoing.to == self._member.name:
+            self._local.append(outgoing.message)
+            return
+        peer = self._members.get(outgoing.to)
+        if peer is not None:
+            self._transmit(peer.address, outgoing.message)
+
+    def _answer(self, source: Address, sender: GroupMember, message: ClaimMessage) -> None:
+        if sender == self._member:
+            self._local.append(message)
+            return
+        peer = self._members.get(sender.name)
+        known = peer is not None and peer.incarnation == sender.incarnation
+        self._transmit(peer.address if peer is not None and known else source, message)
+
+    def _transmit(self, address: Address, message: ClaimMessage) -> None:
+        envelope = Envelope(
+            sender=self._member.name,
+            sender_incarnation=self._member.incarnation,
+            claims=message,
+        )
+        small = envelope.ByteSize() <= MAXIMUM_DATAGRAM_BYTES
+        transport = Transport.DATAGRAM if small else Transport.STREAM
+        self._outputs.append(SendPeerMessage(address, envelope, transport))
--- /dev/null
+++ b/src/stagewalk/claims/messages.py
@@ -0,0 +1,82 @@
+"""Building of claim messages: each function returns one kind of request or answer."""
+
+from __future__ import annotations
+
+from stagewalk.claims.codec import write_ballot
+from stagewalk.claims.types import Ballot
+from stagewalk.wire import claims_pb2
+from stagewalk.wire.claims_pb2 import ClaimMessage, ClaimReject, ClaimStateRequest
+
+Reason = claims_pb2.ClaimReject.Reason
+Purpose = claims_pb2.ClaimStateRequest.Purpose
+
+ANSWERS = frozenset({"promise", "accepted", "reject", "state"})
+"""Bodies that answer a request; a `decision` may come unasked too."""
+
+
+def prepare(key: str, ballot: Ballot | None) -> ClaimMessage:
+    """Ask for a promise, or, without a ballot, only for what is held."""
+    message = ClaimMessage()
+    message.prepare.key = key
+    if ballot is not None:
+        message.prepare.ballot.CopyFrom(write_ballot(ballot))
+    return message
+
+
+def accept(key: str, ballot: Ballot, value: bytes) -> ClaimMessage:
+    """Ask for a vote."""
+    message = ClaimMessage()
+    message.accept.key = key
+    message.accept.value = value
+    message.accept.ballot.CopyFrom(write_ballot(ballot))
+    return message
+
+
+def decision_of_ballot(key: str, ballot: Ballot) -> ClaimMessage:
+    """Tell replicas that accepted `ballot` that its value is decided."""
+    message = ClaimMessage()
+    message.decision.key = key
+    message.decision.ballot.CopyFrom(write_ballot(ballot))
+    return message
+
+
+def decision_of_value(key: str, value: bytes) -> ClaimMessage:
+    """Answer that the key is decided."""
+    message = ClaimMessage()
+    message.decision.key = key
+    message.decision.value = value
+    return message
+
+
+def promise(accepted: Ballot | None, value: bytes) -> ClaimMessage:
+    """Answer a prepare: nothing smaller will be accepted; this has been accepted so far."""
+    message = ClaimMessage()
+    message.promise.SetInParent()
+    if accepted is not None:
+        message.promise.accepted_ballot.CopyFrom(write_ballot(accepted))
+        message.promise.value = value
+    return message
+
+
+def accepted(ballot: Ballot) -> ClaimMessage:
+    """Answer an accept with a vote."""
+    message = ClaimMessage()
+    message.accepted.ballot.CopyFrom(write_ballot(ballot))
+    return message
+
+
+def reject(
+    reason: Reason.ValueType, promised: Ballot | None = None, retry_after_seconds: float = 0.0
+) -> ClaimMessage:
+    """Answer without a vote."""
+    message = ClaimMessage(
+        reject=ClaimReject(reason=reason, retry_after_seconds=retry_after_seconds)
+    )
+    if promised is not None:
+        message.reject.promised.CopyFrom(write_ballot(promised))
+    return message
+
+
+def state_request(purpose: Purpose.ValueType, after_key: str) -> ClaimMessage:
+    """Ask for the next piece of a partition's state."""
+    return ClaimMessage(state_request=ClaimStateRequest(purpose=purpose, after_key=after_key))
--- /dev/null
+++ b/src/stagewalk/claims/notifications.py
@@ -0,0 +1,70 @@
+"""What claims tell the other cores of the node."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from stagewalk.core.errors import StagewalkError
+from stagewalk.core.instructions import LogEvent, SendPeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimDecided:
+    """A key's value is decided for good.
+
+    Attributes
+    ----------
+    value
+        The decided value, the same for whoever asks, until the retention ends.
+    won
+        Whether that is the value `proposed` here. Proposers use values of their own, so at
+        most one of them wins.
+    proposed
+        What this node proposed; `None` if it was a read.
+    """
+
+    key: str
+    value: bytes
+    won: bool
+    proposed: bytes | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAbsent:
+    """The answer to a read: when the read began, nothing had been decided for the key."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimUndecided:
+    """A proposal or read ended without an answer.
+
+    `error.kind` is `OUTCOME_UNKNOWN` if nobody can vouch for the key or this proposal's value
+    may still be decided, `TIMEOUT` if no majority answered, `OVER_LIMIT`, `UNREACHABLE` (no
+    replica group is known) or `INVALID_REQUEST`.
+
+    Attributes
+    ----------
+    offered
+        False: the proposed value was shown to no replica and will never be decided.
+        True: it may be decided yet; reading the key again may tell.
+    """
+
+    key: str
+    error: StagewalkError
+    offered: bool = False
+    proposed: bytes | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementAppendWanted:
+    """A record is to be appended to the log's stream `placement`."""
+
+    stream: str
+    payload: bytes
+
+
+ClaimOutput = (
+    SendPeerMessage | LogEvent | ClaimDecided | ClaimAbsent | ClaimUndecided | PlacementAppendWanted
+)
--- /dev/null
+++ b/src/stagewalk/claims/partition.py
@@ -0,0 +1,141 @@
+"""One partition as one replica holds it: which epoch it votes in, and its votes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from stagewalk.claims import messages
+from stagewalk.claims.codec import read_ballot
+from stagewalk.claims.config import ClaimConfig
+from stagewalk.claims.messages import Reason
+from stagewalk.claims.placement import Group, PartitionChain
+from stagewalk.claims.register import ClaimEntry, Register, Usage
+from stagewalk.core.identities import Incarnation, NodeName
+from stagewalk.wire.claims_pb2 import ClaimAccept, ClaimDecision, ClaimMessage, ClaimPrepare
+
+
+@dataclass(slots=True)
+class PartitionReplica:
+    """A replica's state of one partition.
+
+    Attributes
+    ----------
+    held_epoch
+        The epoch up to which the state is complete: it holds what every quorum of earlier epochs
+        voted for, and all this replica's own votes in this one. Never decreases.
+    complete
+        False before the first state was held, and after it was dropped by a replica that left.
+    known_epoch
+        The largest epoch heard of, from the log or a successor: no vote is given in a smaller.
+    heard
+        Latest incarnations heard of, of the members of the group of `held_epoch`.
+    lost_until
+        Node's clock, seconds: keys without an entry may be older than a loss of state until then.
+    """
+
+    config: ClaimConfig
+    register: Register
+    usage: Usage
+    chain: PartitionChain = field(default_factory=PartitionChain)
+    held_epoch: int = 0
+    complete: bool = False
+    known_epoch: int = 0
+    heard: dict[NodeName, Incarnation] = field(default_factory=dict)
+    lost_until: float = float("-inf")
+
+    def begin_epoch(
+        self, group: Group, heard: dict[NodeName, Incarnation], sealed: bool = False
+    ) -> None:
+        """Hold the state of an epoch completely and vote in it unless a later one is known."""
+        self.held_epoch = group.epoch
+        self.complete = True
+        self.heard = {member.name: member.incarnation for member in group.members}
+        for name in sorted(heard):
+            if name in self.heard:
+                self.heard[name] = max(self.heard[name], heard[name])
+        self.seal_below(group.epoch + 1 if sealed else group.epoch)
+
+    def seal_below(self, epoch: int) -> None:
+        """Vote in no epoch before this one any more."""
+        self.known_epoch = max(self.known_epoch, epoch)
+
+    def refuse_epoch(self, epoch: int) -> ClaimMessage | None:
+        """Return the refusal of a request made in an epoch this replica does not vote in."""
+        if epoch != self.known_epoch:
+            return messages.reject(Reason.EPOCH)
+        if not self.complete or self.held_epoch != epoch:
+            return messages.reject(Reason.RECOVERING)
+        return None
+
+    def prepare(self, request: ClaimPrepare, now: float) -> ClaimMessage:
+        """Promise, or say what is held, or refuse."""
+        entry = self._entry(request.key, now)
+        if entry is not None and entry.decided:
+            return messages.decision_of_value(request.key, entry.value)
+        if entry is None and now < self.lost_until:
+            return messages.reject(Reason.LOST, retry_after_seconds=self.lost_until - now)
+        if not request.HasField("ballot"):
+            held = entry or ClaimEntry(expires_at=now)
+            return messages.promise(held.accepted, held.value)
+        ballot = read_ballot(request.ballot)
+        if entry is None:
+            entry = self._new_entry(request.key, now)
+            if entry is None:
+                return messages.reject(Reason.OVER_LIMIT)
+        if entry.promised is not None and ballot < entry.promised:
+            return messages.reject(Reason.BALLOT, entry.promised)
+        entry.promised = ballot
+        self._keep(entry, self.config.promise_retention_seconds, now)
+        return messages.promise(entry.accepted, entry.value)
+
+    def accept(self, request: ClaimAccept, now: float) -> ClaimMessage:
+        """Vote, or refuse."""
+        ballot = read_ballot(request.ballot)
+        entry = self._entry(request.key, now)
+        if entry is not None and entry.decided:
+            return messages.decision_of_value(request.key, entry.value)
+        if entry is None and now < self.lost_until:
+            return messages.reject(Reason.LOST, retry_after_seconds=self.lost_until - now)
+        if entry is None:
+            entry = self._new_entry(request.key, now)
+            if entry is None:
+                return messages.reject(Reason.OVER_LIMIT)
+        if entry.promised is not None and ballot < entry.promised:
+            return messages.reject(Reason.BALLOT, entry.promised)
+        if entry.accepted is None and not self._fits(len(request.value)):
+            return messages.reject(Reason.OVER_LIMIT)
+        entry.promised = ballot
+        entry.accepted = ballot
+        self.register.set_value(entry, request.value)
+        self._keep(entry, self.config.value_retention_seconds, now)
+        return messages.accepted(ballot)
+
+    def learn(self, decision: ClaimDecision, now: float) -> None:
+        """Note that the value this replica accepted is decided."""
+        entry = self._entry(decision.key, now)
+        if entry is None or entry.accepted is None or not decision.HasField("ballot"):
+            return
+        if entry.accepted == read_ballot(decision.ballot):
+            entry.decided = True
+            self._keep(entry, self.config.value_retention_seconds, now)
+
+    def _entry(self, key: str, now: float) -> ClaimEntry | None:
+        entry = self.register.entries.get(key)
+        if entry is not None and entry.expires_at <= now:
+            self.register.remove(key)
+            return None
+        return entry
+
+    def _new_entry(self, key: str, now: float) -> ClaimEntry | None:
+        if self.usage.entries >= self.config.maximum_entries or not self._fits(0):
+            return None
+        entry = ClaimEntry(expires_at=now + self.config.promise_retention_seconds)
+        self.register.add(key, entry)
+        return entry
+
+    def _fits(self, value_bytes: int) -> bool:
+        return self.usage.size_bytes + value_bytes < self.config.maximum_bytes
+
+    @staticmethod
+    def _keep(entry: ClaimEntry, seconds: float, now: float) -> None:
+        entry.expires_at = max(entry.expires_at, now + seconds)
--- /dev/null
+++ b/src/stagewalk/claims/placement.py
@@ -0,0 +1,317 @@
+"""Which nodes hold which claims: a deterministic fold over the log stream `placement`.
+
+Keys hash onto a fixed number of partitions. Each partition has a chain of groups, numbered by
+epochs; every change names the epoch it is based on, so of two racing changes the fold rejects
+the later one, identically at every node. A group names its members with their incarnations:
+only the incarnation named may start the epoch from the group before; any later start of the
+same node must first recover from the other members.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+import msgspec
+import xxhash
+
+from stagewalk.core.identities import Incarnation, NodeName
+from stagewalk.core.platform import LogRecord
+
+PLACEMENT_STREAM = "placement"
+DEFAULT_PARTITION_COUNT = 64
+GROUP_SIZE = 3
+CHAIN_LENGTH = 8
+"""Groups remembered for a partition: a replica further behind can't take over any more."""
+
+
+def partition_of(key: str, partition_count: int) -> int:
+    """Return the partition that holds a key."""
+    return xxhash.xxh64_intdigest(key.encode()) % partition_count
+
+
+def quorum_size(group_size: int) -> int:
+    """Return how many votes decide: any two quorums of a group share a member."""
+    return group_size // 2 + 1
+
+
+def recovery_size(group_size: int) -> int:
+    """Return how many replicas' states are sure to hold whatever a quorum has voted for."""
+    return group_size - quorum_size(group_size) + 1
+
+
+@dataclass(frozen=True, slots=True)
+class GroupMember:
+    """A replica of a group, and the start of its process that the group was formed with."""
+
+    name: NodeName
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """The replicas of a partition during one epoch.
+
+    Attributes
+    ----------
+    forgets
+        The state of the group before was lost: this group starts with nothing, and refuses keys
+        it does not know until they can't be older than the loss.
+    certified
+        Only for a group that forgets: the group before has proved that it can't vote any more.
+    """
+
+    epoch: int
+    members: tuple[GroupMember, ...]
+    forgets: bool = False
+    certified: bool = False
+
+    @property
+    def names(self) -> tuple[NodeName, ...]:
+        """Return the members' names in the order of the record."""
+        return tuple(member.name for member in self.members)
+
+    @property
+    def quorum(self) -> int:
+        """Return how many votes decide."""
+        return quorum_size(len(self.members))
+
+    @property
+    def recovery(self) -> int:
+        """Return how many members' states are needed to recover or take over."""
+        return recovery_size(len(self.members))
+
+    def incarnation_of(self, name: NodeName) -> Incarnation | None:
+        """Return the incarnation a member joined with, or None for a stranger."""
+        for member in self.members:
+            if member.name == name:
+                return member.incarnation
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class Abandonment:
+    """A restarted member's final word that it will not vote in an epoch.
+
+    `recovering` are the other members it found recovering like itself.
+    """
+
+    member: GroupMember
+    recovering: tuple[GroupMember, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PartitionChain:
+    """The last groups of one partition, oldest first; empty before the first.
+
+    `abandonments` are those of members of the current group, the latest of each member.
+    """
+
+    groups: tuple[Group, ...] = ()
+    abandonments: tuple[Abandonment, ...] = ()
+
+    @property
+    def current(self) -> Group | None:
+        """Return the group in force."""
+        return self.groups[-1] if self.groups else None
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch in force, 0 before the first."""
+        return self.groups[-1].epoch if self.groups else 0
+
+    @property
+    def lost(self) -> bool:
+        """Whether so many members gave up that nobody can ever recover from the rest.
+
+        Members that gave up must have seen one another recovering in the very incarnations
+        that gave up, or an older report might count a member that has recovered since.
+        """
+        group = self.current
+        if group is None:
+            return False
+        if len(group.members) - len(self.abandonments) >= group.recovery:
+            return False
+        given_up = {item.member.name: item.member.incarnation for item in self.abandonments}
+        return all(
+            seen.incarnation <= given_up.get(seen.name, seen.incarnation)
+            for item in self.abandonments
+            for seen in item.recovering
+        )
+
+    def group_at(self, epoch: int) -> Group | None:
+        """Return the group of an epoch, if it is remembered."""
+        for group in reversed(self.groups):
+            if group.epoch == epoch:
+                return group
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class GroupPlacement:
+    """All partitions' groups as of some offset of the log."""
+
+    partitions: tuple[PartitionChain, ...]
+
+    @classmethod
+    def empty(cls, partition_count: int = DEFAULT_PARTITION_COUNT) -> GroupPlacement:
+        """Return the placement before the first record."""
+        return cls(partitions=(PartitionChain(),) * partition_count)
+
+    def partition_of(self, key: str) -> int:
+        """Return the partition that holds a key."""
+        return partition_of(key, len(self.partitions))
+
+
+class MemberRecord(msgspec.Struct, frozen=True):
+    """A member as a record names it."""
+
+    name: str
+    incarnation: int
+
+
+class GroupChange(msgspec.Struct, frozen=True):
+    """A partition's next group, based on the epoch it replaces (0 for none)."""
+
+    partition: int
+    base_epoch: int
+    members: tuple[MemberRecord, ...]
+    forgets: bool = False
+
+
+class PlacementChange(msgspec.Struct, frozen=True, tag="change"):
+    """Record: the holder of the placement lease changes groups; `fence` is its lease's epoch."""
+
+    fence: int
+    changes: tuple[GroupChange, ...]
+
+
+class AbandonedGroup(msgspec.Struct, frozen=True):
+    """A group's epoch, and its other members found recovering too."""
+
+    partition: int
+    epoch: int
+    recovering: tuple[MemberRecord, ...]
+
+
+class RecoveryAbandoned(msgspec.Struct, frozen=True, tag="abandoned"):
+    """Record: a restarted replica gave up recovering in these groups and never will vote there."""
+
+    member: MemberRecord
+    groups: tuple[AbandonedGroup, ...]
+
+
+PlacementRecord = PlacementChange | RecoveryAbandoned
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER: msgspec.json.Decoder[PlacementRecord] = msgspec.json.Decoder(PlacementRecord)
+
+
+def encode_record(record: PlacementRecord) -> bytes:
+    """Return a record as the payload of the placement stream."""
+    return _ENCODER.encode(record)
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementOutcome:
+    """What the fold made of a record; each rejection is a sentence for a person."""
+
+    changed: bool
+    rejections: tuple[str, ...] = ()
+
+
+class PlacementFold:
+    """State machine over the records of the placement stream: same prefix, same placement."""
+
+    def __init__(self, partition_count: int = DEFAULT_PARTITION_COUNT) -> None:
+        self.placement = GroupPlacement.empty(partition_count)
+        self.fence = 0
+        """Largest lease epoch seen: changes of earlier holders are rejected."""
+
+    def apply(self, record: LogRecord) -> PlacementOutcome:
+        """Fold one record in; a record that is malformed or lost a race changes nothing."""
+        try:
+            parsed = _DECODER.decode(record.payload)
+        except msgspec.DecodeError as error:
+            return PlacementOutcome(False, (f"malformed record: {error}",))
+        if isinstance(parsed, RecoveryAbandoned):
+            return self._apply_abandoned(parsed)
+        return self._apply_change(parsed)
+
+    def _apply_change(self, record: PlacementChange) -> PlacementOutcome:
+        if record.fence < self.fence:
+            return PlacementOutcome(
+                False, (f"lease epoch {record.fence} is older than {self.fence}",)
+            )
+        self.fence = record.fence
+        chains = list(self.placement.partitions)
+        rejections: list[str] = []
+        changed = False
+        for change in record.changes:
+            fault = self._fault(change, chains)
+            if fault is not None:
+                rejections.append(fault)
+                continue
+            chains[change.partition] = _extended(chains[change.partition], change)
+            changed = True
+        self.placement = GroupPlacement(tuple(chains))
+        return PlacementOutcome(changed, tuple(rejections))
+
+    @staticmethod
+    def _fault(change: GroupChange, chains: list[PartitionChain]) -> str | None:
+        if not 0 <= change.partition < len(chains):
+            return f"partition {change.partition} does not exist"
+        chain = chains[change.partition]
+        where = f"partition {change.partition}"
+        if change.base_epoch != chain.epoch:
+            return f"{where}: based on epoch {change.base_epoch}, in force is {chain.epoch}"
+        names = {member.name for member in change.members}
+        if not 1 <= len(change.members) <= GROUP_SIZE or len(names) != len(change.members):
+            return f"{where}: a group has 1 to {GROUP_SIZE} distinct members"
+        if change.forgets and not chain.groups:
+            return f"{where}: there is nothing to forget"
+        if chain.lost and not change.forgets:
+            return f"{where}: its state is lost, nothing can be taken over"
+        return None
+
+    def _apply_abandoned(self, record: RecoveryAbandoned) -> PlacementOutcome:
+        chains = list(self.placement.partitions)
+        member = _member(record.member)
+        rejections: list[str] = []
+        changed = False
+        for item in record.groups:
+            chain = chains[item.partition] if 0 <= item.partition < len(chains) else None
+            group = chain.current if chain is not None else None
+            if chain is None or group is None or group.epoch != item.epoch:
+                rejections.append(f"partition {item.partition}: epoch {item.epoch} is not in force")
+                continue
+            if member.name not in group.names:
+                rejections.append(f"partition {item.partition}: {member.name} is no member")
+                continue
+            chains[item.partition] = _with_abandonment(
+                chain, Abandonment(member, tuple(_member(seen) for seen in item.recovering))
+            )
+            changed = True
+        self.placement = GroupPlacement(tuple(chains))
+        return PlacementOutcome(changed, tuple(rejections))
+
+
+def _member(record: MemberRecord) -> GroupMember:
+    return GroupMember(NodeName(record.name), Incarnation(record.incarnation))
+
+
+def _with_abandonment(chain: PartitionChain, abandonment: Abandonment) -> PartitionChain:
+    others = [item for item in chain.abandonments if item.member.name != abandonment.member.name]
+    older = [item for item in chain.abandonments if item.member.name == abandonment.member.name]
+    if any(item.member.incarnation > abandonment.member.incarnation for item in older):
+        return chain
+    return replace(chain, abandonments=(*others, abandonment))
+
+
+def _extended(chain: PartitionChain, change: GroupChange) -> PartitionChain:
+    group = Group(
+        epoch=chain.epoch + 1,
+        members=tuple(_member(member) for member in change.members),
+        forgets=change.forgets,
+        certified=change.forgets and chain.lost,
+    )
+    return PartitionChain(groups=(*chain.groups, group)[-CHAIN_LENGTH:])
--- /dev/null
+++ b/src/stagewalk/claims/planner.py
@@ -0,0 +1,210 @@
+"""Which changes of replica groups the holder of the placement duty proposes."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from stagewalk.claims.placement import (
+    GROUP_SIZE,
+    Group,
+    GroupChange,
+    GroupMember,
+    GroupPlacement,
+    MemberRecord,
+    PartitionChain,
+    PlacementChange,
+)
+from stagewalk.core.identities import Incarnation, NodeName, Placement
+
+
+@dataclass(frozen=True, slots=True)
+class PlannerConfig:
+    """Delays of the planner; every change costs a transfer of state.
+
+    Attributes
+    ----------
+    settle_seconds
+        Members must be unchanged for this long before first groups are formed or groups grown.
+    replace_after_seconds
+        A replica missing for this long is replaced.
+    lost_after_seconds
+        A group that lacks too many members to hand over for this long is taken as lost.
+    retry_seconds
+        A proposed change that the log does not show after this is proposed again.
+    maximum_changes
+        Most partitions changed by one record, but for the first groups.
+    """
+
+    settle_seconds: float = 3.0
+    replace_after_seconds: float = 8.0
+    lost_after_seconds: float = 120.0
+    retry_seconds: float = 4.0
+    maximum_changes: int = 16
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementCandidate:
+    """A live node; one that is leaving still hands its state over."""
+
+    incarnation: Incarnation
+    placement: Placement
+    leaving: bool = False
+
+
+Candidates = Mapping[NodeName, PlacementCandidate]
+
+
+class PlacementPlanner:
+    """Proposes changes that keep every partition on live replicas, zones apart.
+
+    It decides nothing: its records are folded by everyone, and one that lost a race is rejected.
+    """
+
+    def __init__(self, config: PlannerConfig) -> None:
+        self._config = config
+        self._members: dict[NodeName, PlacementCandidate] = {}
+        self._changed_at = float("-inf")
+        self._missing_since: dict[NodeName, float] = {}
+        self._proposed: GroupPlacement | None = None
+        self._retry_at = float("-inf")
+
+    def plan(
+        self, members: Candidates, placement: GroupPlacement, fence: int, now: float
+    ) -> PlacementChange | None:
+        """Return the record to append now, if any. `fence` is the placement lease's epoch."""
+        self._note_members(members, placement, now)
+        if placement is self._proposed and now < self._retry_at:
+            return None
+        changes: list[GroupChange] = []
+        for partition, chain in enumerate(placement.partitions):
+            change = self._plan_partition(partition, chain, now)
+            if change is not None:
+                changes.append(change)
+        changes = self._limited(changes)
+        if not changes:
+            return None
+        self._proposed = placement
+        self._retry_at = now + self._config.retry_seconds
+        return PlacementChange(fence=fence, changes=tuple(changes))
+
+    def _limited(self, changes: Sequence[GroupChange]) -> list[GroupChange]:
+        first = [change for change in changes if change.base_epoch == 0]
+        later = [change for change in changes if change.base_epoch > 0]
+        return first + later[: self._config.maximum_changes]
+
+    def _note_members(self, members: Candidates, placement: GroupPlacement, now: float) -> None:
+        if dict(members) != self._members:
+            self._members = dict(members)
+            self._changed_at = now
+        for name in [name for name in self._missing_since if name in members]:
+            del self._missing_since[name]
+        for chain in placement.partitions:
+            for name in chain.current.names if chain.current is not None else ():
+                if name not in members:
+                    self._missing_since.setdefault(name, now)
+
+    def _plan_partition(
+        self, partition: int, chain: PartitionChain, now: float
+    ) -> GroupChange | None:
+        settled = now >= self._changed_at + self._config.settle_seconds
+        group = chain.current
+        if group is None:
+            chosen = self._chosen(partition, []) if settled else []
+            return self._change(partition, 0, chosen) if chosen else None
+        if chain.lost or self._is_given_up(group, now):
+            chosen = self._chosen(partition, [])
+            return self._change(partition, chain.epoch, chosen, forgets=True) if chosen else None
+        if len(self._present(group)) < group.recovery:
+            return None
+        kept = [name for name in group.names if self._is_kept(name, now)]
+        renewed = any(self._has_given_up(member.name, chain) for member in group.members)
+        if len(kept) == len(group.members) and not renewed:
+            if not settled:
+                return None
+            kept = self._without_crowding(kept)
+        chosen = self._chosen(partition, kept)
+        if not chosen or (set(chosen) == set(group.names) and not renewed):
+            return None
+        return self._change(partition, chain.epoch, chosen)
+
+    def _present(self, group: Group) -> list[GroupMember]:
+        return [member for member in group.members if member.name in self._members]
+
+    def _is_given_up(self, group: Group, now: float) -> bool:
+        """Return whether too few members are left to hand over, for long enough."""
+        lost_after = self._config.lost_after_seconds
+        missing = [
+            name
+            for name in group.names
+            if name in self._missing_since and now >= self._missing_since[name] + lost_after
+        ]
+        return len(group.members) - len(missing) < group.recovery
+
+    def _is_kept(self, name: NodeName, now: float) -> bool:
+        member = self._members.get(name)
+        if member is not None:
+            return not member.leaving
+        missing_since = self._missing_since.get(name, now)
+        return now < missing_since + self._config.replace_after_seconds
+
+    def _has_given_up(self, name: NodeName, chain: PartitionChain) -> bool:
+        """Return whether a live member has abandoned its recovery: it must join anew."""
+        member = self._members.get(name)
+        return member is not None and any(
+            item.member == GroupMember(name, member.incarnation) for item in chain.abandonments
+        )
+
+    def _without_crowding(self, kept: list[NodeName]) -> list[NodeName]:
+        """Drop one replica of a zone that has two, if a zone without one could take it."""
+        zones = [self._members[name].placement for name in kept if name in self._members]
+        free = {member.placement for member in self._members.values() if not member.leaving} - set(
+            zones
+        )
+        if len(set(zones)) == len(zones) or not free or len(zones) < len(kept):
+            return kept
+        for index, name in enumerate(kept):
+            if self._members[name].placement in zones[:index]:
+                return [other for other in kept if other != name]
+        return kept
+
+    def _chosen(self, partition: int, kept: list[NodeName]) -> list[NodeName]:
+        """Fill a group up from live nodes: other zones first, then the highest weight."""
+        chosen = list(kept)
+        free = {
+            name
+            for name, member in self._members.items()
+            if not member.leaving and name not in kept
+        }
+        while len(chosen) < GROUP_SIZE and free:
+            best = min(free, key=lambda name: self._preference(partition, name, chosen))
+            chosen.append(best)
+            free.remove(best)
+        return chosen
+
+    def _preference(
+        self, partition: int, name: NodeName, chosen: list[NodeName]
+    ) -> tuple[bool, bool, int, str]:
+        """Order candidates: a zone of its own, the region of the others, the hash's weight."""
+        placement = self._members[name].placement
+        others = [self._members[other].placement for other in chosen if other in self._members]
+        crowded = placement in others
+        far = bool(others) and placement.region != others[0].region
+        weight = xxhash.xxh64_intdigest(f"{partition}\x00{name}".encode())
+        return crowded, far, -weight, name
+
+    def _change(
+        self, partition: int, base_epoch: int, chosen: list[NodeName], forgets: bool = False
+    ) -> GroupChange | None:
+        members = tuple(
+            MemberRecord(name, self._members[name].incarnation)
+            for name in chosen
+            if name in self._members
+        )
+        if not members:
+            return None
+        return GroupChange(
+            partition=partition, base_epoch=base_epoch, members=members, forgets=forgets
+        )
--- /dev/null
+++ b/src/stagewalk/claims/proposer.py
@@ -0,0 +1,316 @@
+"""All proposals and reads of one node."""
+
+from __future__ import annotations
+
+import random
+
+from stagewalk.claims import messages
+from stagewalk.claims.codec import read_ballot, read_incarnations
+from stagewalk.claims.config import ClaimConfig
+from stagewalk.claims.notifications import ClaimAbsent, ClaimDecided, ClaimUndecided
+from stagewalk.claims.placement import GroupMember, GroupPlacement
+from stagewalk.claims.proposal import Accepted, Phase, Proposal, Verdict
+from stagewalk.claims.quorum import Answer
+from stagewalk.claims.replica import Outgoing
+from stagewalk.claims.types import Ballot
+from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
+from stagewalk.wire.claims_pb2 import ClaimMessage
+
+Notification = ClaimDecided | ClaimAbsent | ClaimUndecided
+
+
+class ProposerCore:
+    """Drives this node's proposals to a decision, or to the time at which they are given up.
+
+    Parameters
+    ----------
+    member
+        This process.
+    """
+
+    def __init__(self, member: GroupMember, config: ClaimConfig, generator: random.Random) -> None:
+        self._member = member
+        self._config = config
+        self._generator = generator
+        self._placement = GroupPlacement.empty()
+        self._proposals: dict[str, Proposal] = {}
+        self._key_of_exchange: dict[int, str] = {}
+        self._exchange_count = 0
+        self._attempt_count = 0
+        self._outgoing: list[Outgoing] = []
+        self._notifications: list[Notification] = []
+
+    @property
+    def count(self) -> int:
+        """Return how many proposals and reads are under way."""
+        return len(self._proposals)
+
+    def take_outgoing(self) -> list[Outgoing]:
+        """Return the messages to send since the last call."""
+        outgoing = self._outgoing
+        self._outgoing = []
+        return outgoing
+
+    def take_notifications(self) -> list[Notification]:
+        """Return the ends of proposals and reads since the last call."""
+        notifications = self._notifications
+        self._notifications = []
+        return notifications
+
+    def adopt(self, placement: GroupPlacement, now: float) -> None:
+        """Begin proposals anew whose group has changed."""
+        self._placement = placement
+        for proposal in list(self._proposals.values()):
+            if now >= proposal.deadline:
+                continue
+            proposal.partition = placement.partition_of(proposal.key)
+            if proposal.group != placement.partitions[proposal.partition].current:
+                self._begin_attempt(proposal, now)
+
+    def propose(self, key: str, value: bytes, now: float) -> None:
+        """Begin a proposal, or join the one of this key that is under way."""
+        if len(value) > self._config.maximum_value_bytes:
+            limit = self._config.maximum_value_bytes
+            detail = f"the claim's value has {len(value)} bytes, the limit is {limit}"
+            self._refuse(key, value, ErrorKind.INVALID_REQUEST, detail)
+            return
+        proposal = self._open(key, value, now)
+        if proposal is None:
+            return
+        if value not in proposal.wanted:
+            proposal.wanted.append(value)
+        if proposal.phase == Phase.WAITING and proposal.group is None:
+            self._begin_attempt(proposal, now)
+
+    def read(self, key: str, now: float) -> None:
+        """Begin a read, or join what is under way for this key."""
+        proposal = self._open(key, None, now)
+        if proposal is None:
+            return
+        proposal.has_reader = True
+        if proposal.phase == Phase.WAITING and proposal.group is None:
+            self._begin_attempt(proposal, now)
+
+    def _open(self, key: str, value: bytes | None, now: float) -> Proposal | None:
+        proposal = self._proposals.get(key)
+        if proposal is not None and now >= proposal.deadline:
+            self._give_up(proposal)
+            proposal = None
+        if proposal is not None:
+            return proposal
+        if len(self._proposals) >= self._config.maximum_proposals:
+            detail = f"{len(self._proposals)} claims are under way at this node"
+            self._refuse(key, value, ErrorKind.OVER_LIMIT, detail)
+            return None
+        proposal = Proposal(
+            key=key,
+            partition=self._placement.partition_of(key),
+            deadline=now + self._config.proposal_timeout_seconds,
+        )
+        self._proposals[key] = proposal
+        return proposal
+
+    # Attempts
+
+    def _begin_attempt(self, proposal: Proposal, now: float) -> None:
+        proposal.group = self._placement.partitions[proposal.partition].current
+        if proposal.group is None:
+            proposal.phase = Phase.WAITING
+            proposal.wake_at = proposal.deadline
+            return
+        if not proposal.wanted and proposal.ballot is None:
+            self._begin_phase(proposal, Phase.QUERY, now)
+            return
+        self._begin_prepare(proposal, now)
+
+    def _begin_prepare(self, proposal: Proposal, now: float) -> None:
+        self._attempt_count += 1
+        proposal.largest_round += 1
+        proposal.ballot = Ballot(
+            proposal.largest_round,
+            self._member.name,
+            self._member.incarnation,
+            self._attempt_count,
+        )
+        self._begin_phase(proposal, Phase.PREPARE, now)
+
+    def _begin_phase(self, proposal: Proposal, phase: Phase, now: float) -> None:
+        self._key_of_exchange.pop(proposal.exchange_id, None)
+        self._exchange_count += 1
+        proposal.begin_phase(phase, 2 * self._exchange_count)
+        self._key_of_exchange[proposal.exchange_id] = proposal.key
+        self._send_phase(proposal, now)
+
+    def _send_phase(self, proposal: Proposal, now: float) -> None:
+        assert proposal.group is not None
+        proposal.wake_at = now + self._config.resend_seconds
+        for name in proposal.unanswered():
+            message = self._request(proposal)
+            message.exchange_id = proposal.exchange_id
+            message.partition = proposal.partition
+            message.epoch = proposal.group.epoch
+            self._outgoing.append(Outgoing(name, message))
+
+    @staticmethod
+    def _request(proposal: Proposal) -> ClaimMessage:
+        if proposal.phase == Phase.QUERY:
+            return messages.prepare(proposal.key, None)
+        assert proposal.ballot is not None
+        if proposal.phase == Phase.PREPARE:
+            return messages.prepare(proposal.key, proposal.ballot)
+        return messages.accept(proposal.key, proposal.ballot, proposal.value)
+
+    # Answers
+
+    def handle_answer(self, sender: GroupMember, message: ClaimMessage, now: float) -> None:
+        """Take a replica's answer to one of this node's requests."""
+        key = self._key_of_exchange.get(message.exchange_id)
+        proposal = self._proposals.get(key) if key is not None else None
+        if proposal is None or proposal.group is None:
+            return
+        if now >= proposal.deadline:
+            # Replicas may have forgotten promises to later ballots: nothing counts any more.
+            self._give_up(proposal)
+            return
+        if sender.name not in proposal.group.names:
+            return
+        body = message.WhichOneof("body")
+        if body == "decision":
+            self._decide(proposal, message.decision.value)
+        elif body == "reject":
+            proposal.note_refusal(sender.name, message)
+            self._judge(proposal, now)
+        elif body == "promise" and proposal.phase in (Phase.QUERY, Phase.PREPARE):
+            promise = message.promise
+            accepted = promise.HasField("accepted_ballot")
+            ballot = read_ballot(promise.accepted_ballot) if accepted else None
+            self._note_vote(proposal, sender, message, Accepted(ballot, promise.value), now)
+        elif body == "accepted" and proposal.phase == Phase.ACCEPT:
+            self._note_vote(proposal, sender, message, Accepted(None, b""), now)
+
+    def _note_vote(
+        self,
+        proposal: Proposal,
+        sender: GroupMember,
+        message: ClaimMessage,
+        accepted: Accepted,
+        now: float,
+    ) -> None:
+        heard = read_incarnations(message)
+        proposal.note_answer(sender.name, Answer(sender.incarnation, heard, accepted))
+        self._judge(proposal, now)
+
+    def _judge(self, proposal: Proposal, now: float) -> None:
+        verdict = proposal.verdict()
+        if verdict == Verdict.QUORUM:
+            self._advance(proposal, now)
+        elif verdict == Verdict.LOST:
+            detail = "the claim's replicas lost their state and cannot vouch for the key"
+            self._fail(proposal, ErrorKind.OUTCOME_UNKNOWN, detail)
+        elif verdict == Verdict.OVER_LIMIT:
+            detail = "the claim's replicas hold as many claims as they may"
+            self._fail(proposal, ErrorKind.OVER_LIMIT, detail)
+        elif verdict == Verdict.CONFLICT:
+            self._back_off(proposal, now)
+
+    def _advance(self, proposal: Proposal, now: float) -> None:
+        if proposal.phase == Phase.ACCEPT:
+            self._announce(proposal)
+            self._decide(proposal, proposal.value)
+            return
+        accepted = proposal.largest_accepted()
+        if proposal.phase == Phase.QUERY:
+            if accepted.ballot is not None or proposal.wanted:
+                proposal.largest_round = max(
+                    proposal.largest_round, accepted.ballot.round if accepted.ballot else 0
+                )
+                self._begin_prepare(proposal, now)
+            else:
+                self._end(proposal)
+                self._notifications.append(ClaimAbsent(proposal.key))
+            return
+        if accepted.ballot is not None:
+            proposal.value = accepted.value
+        elif proposal.wanted:
+            proposal.value = proposal.wanted[0]
+            proposal.offered.add(proposal.value)
+        else:
+            self._end(proposal)
+            self._notifications.append(ClaimAbsent(proposal.key))
+            return
+        self._begin_phase(proposal, Phase.ACCEPT, now)
+
+    def _announce(self, proposal: Proposal) -> None:
+        assert proposal.group is not None and proposal.ballot is not None
+        for name in proposal.group.names:
+            message = messages.decision_of_ballot(proposal.key, proposal.ballot)
+            message.partition = proposal.partition
+            message.epoch = proposal.group.epoch
+            self._outgoing.append(Outgoing(name, message))
+
+    def _back_off(self, proposal: Proposal, now: float) -> None:
+        """Pause for a random time, so that one of several proposers gets through."""
+        proposal.phase = Phase.WAITING
+        longest = self._config.backoff_limit_seconds
+        mean = min(longest, self._config.backoff_seconds * 2.0**proposal.conflicts)
+        proposal.conflicts = min(proposal.conflicts + 1, 16)
+        proposal.wake_at = now + mean * (0.5 + self._generator.random())
+
+    # Ends
+
+    def _decide(self, proposal: Proposal, value: bytes) -> None:
+        self._end(proposal)
+        for wanted in proposal.wanted:
+            self._notifications.append(
+                ClaimDecided(proposal.key, value, won=value == wanted, proposed=wanted)
+            )
+        if proposal.has_reader or not proposal.wanted:
+            self._notifications.append(ClaimDecided(proposal.key, value, won=False))
+
+    def _give_up(self, proposal: Proposal) -> None:
+        if proposal.group is None:
+            kind, detail = ErrorKind.UNREACHABLE, "no replica group is known for the claim"
+        elif proposal.offered:
+            kind = ErrorKind.OUTCOME_UNKNOWN
+            detail = "no majority of the claim's replicas confirmed it in time"
+        else:
+            kind, detail = ErrorKind.TIMEOUT, "no majority of the claim's replicas answered in time"
+        self._fail(proposal, kind, detail)
+
+    def _fail(self, proposal: Proposal, kind: ErrorKind, detail: str) -> None:
+        self._end(proposal)
+        peer = ",".join(proposal.group.names) if proposal.group is not None else self._member.name
+        error = _error(kind, peer, detail)
+        for wanted in proposal.wanted:
+            offered = wanted in proposal.offered
+            self._notifications.append(ClaimUndecided(proposal.key, error, offered, wanted))
+        if proposal.has_reader or not proposal.wanted:
+            self._notifications.append(ClaimUndecided(proposal.key, error))
+
+    def _refuse(self, key: str, value: bytes | None, kind: ErrorKind, detail: str) -> None:
+        error = _error(kind, self._member.name, detail)
+        self._notifications.append(ClaimUndecided(key, error, proposed=value))
+
+    def _end(self, proposal: Proposal) -> None:
+        del self._proposals[proposal.key]
+        self._key_of_exchange.pop(proposal.exchange_id, None)
+
+    def tick(self, now: float) -> None:
+        """Send again, begin the next attempts, give up what has run out of time."""
+        for proposal in list(self._proposals.values()):
+            if now >= proposal.deadline:
+                self._give_up(proposal)
+            elif now < proposal.wake_at:
+                continue
+            elif proposal.phase == Phase.WAITING:
+                self._begin_attempt(proposal, now)
+            else:
+                self._send_phase(proposal, now)
+
+
+def _error(kind: ErrorKind, peer: str, detail: str) -> StagewalkError:
+    """Return an error of a claim.
+
+    Whatever this node knows, another may have run what the claim is for: `ran` is unknown.
+    """
+    return StagewalkError(kind, Step.CLAIM, peer, detail, Ran.UNKNOWN)
--- /dev/null
+++ b/src/stagewalk/claims/quorum.py
@@ -0,0 +1,67 @@
+"""Counting answers of replicas that may have restarted without their memory.
+
+An answer is void once a later start of its replica is known to any other answerer: what the
+answer promised may have died with the process. A replica that hands its state to a restarted
+one notes the new incarnation first; so if two answers agree on the incarnations, each was given
+before the other replica's successor recovered, and that successor has recovered the answer's
+effect too ("crash-consistent" quorums: Michael, Ports, Sharma, Szekeres, "Recovering Shared
+Objects Without Stable Storage", DISC 2017).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from stagewalk.core.identities import Incarnation, NodeName
+
+Payload = TypeVar("Payload")
+
+
+@dataclass(frozen=True, slots=True)
+class Answer(Generic[Payload]):
+    """One replica's answer, with the incarnations it had heard of when giving it."""
+
+    incarnation: Incarnation
+    heard: Mapping[NodeName, Incarnation]
+    payload: Payload
+
+
+def add_answer(
+    answers: dict[NodeName, Answer[Payload]], name: NodeName, answer: Answer[Payload]
+) -> None:
+    """Note a replica's answer; one of an earlier start never replaces that of a later."""
+    known = answers.get(name)
+    if known is None or known.incarnation <= answer.incarnation:
+        answers[name] = answer
+
+
+def consistent_answers(
+    answers: Mapping[NodeName, Answer[Payload]],
+) -> dict[NodeName, Answer[Payload]]:
+    """Return the answers that no other answer shows to be of an earlier start."""
+    latest = merged_incarnations(answers)
+    return {
+        name: answer
+        for name, answer in answers.items()
+        if answer.incarnation >= latest.get(name, answer.incarnation)
+    }
+
+
+def merged_incarnations(
+    answers: Mapping[NodeName, Answer[Payload]],
+) -> dict[NodeName, Incarnation]:
+    """Return the latest incarnation of each replica that any answerer had heard of."""
+    latest: dict[NodeName, Incarnation] = {}
+    for answer in answers.values():
+        merge_incarnations(latest, answer.heard)
+    return latest
+
+
+def merge_incarnations(
+    known: dict[NodeName, Incarnation], heard: Mapping[NodeName, Incarnation]
+) -> None:
+    """Raise known incarnations to those heard of."""
+    for name, incarnation in heard.items():
+        known[name] = max(incarnation, known.get(name, incarnation))
--- /dev/null
+++ b/src/stagewalk/claims/register.py
@@ -0,0 +1,102 @@
+"""The claims one replica holds of one partition, and the memory they take."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from stagewalk.claims.types import Ballot
+
+ENTRY_OVERHEAD_BYTES = 700
+"""Flat estimate of what an entry takes besides its key and value."""
+
+
+@dataclass(slots=True)
+class ClaimEntry:
+    """What a replica knows of one key.
+
+    Attributes
+    ----------
+    promised
+        No smaller ballot may be accepted.
+    accepted, value
+        The largest ballot accepted and its value; `None` before the first.
+    decided
+        The value is known to be decided: it will never differ.
+    expires_at
+        Node's clock, seconds: the entry is forgotten after this.
+    """
+
+    expires_at: float
+    promised: Ballot | None = None
+    accepted: Ballot | None = None
+    value: bytes = b""
+    decided: bool = False
+
+
+@dataclass(slots=True)
+class Usage:
+    """What all registers of a node hold together."""
+
+    entries: int = 0
+    size_bytes: int = 0
+
+
+@dataclass(slots=True)
+class Register:
+    """The entries of one partition."""
+
+    usage: Usage
+    entries: dict[str, ClaimEntry] = field(default_factory=dict)
+
+    def add(self, key: str, entry: ClaimEntry) -> None:
+        """Hold a new key."""
+        self.entries[key] = entry
+        self.usage.entries += 1
+        self.usage.size_bytes += _entry_size(key, entry)
+
+    def remove(self, key: str) -> None:
+        """Forget a key."""
+        entry = self.entries.pop(key)
+        self.usage.entries -= 1
+        self.usage.size_bytes -= _entry_size(key, entry)
+
+    def clear(self) -> None:
+        """Forget all keys."""
+        for key in list(self.entries):
+            self.remove(key)
+
+    def set_value(self, entry: ClaimEntry, value: bytes) -> None:
+        """Replace the value of an entry held."""
+        self.usage.size_bytes += len(value) - len(entry.value)
+        entry.value = value
+
+    def merge(self, key: str, other: ClaimEntry) -> None:
+        """Add what another replica knows of a key: the larger of all that only grows."""
+        entry = self.entries.get(key)
+        if entry is None:
+            self.add(key, other)
+            return
+        entry.expires_at = max(entry.expires_at, other.expires_at)
+        entry.promised = _larger(entry.promised, other.promised)
+        if entry.decided:
+            return
+        if other.decided or _larger(entry.accepted, other.accepted) != entry.accepted:
+            entry.accepted = other.accepted
+            entry.decided = other.decided
+            self.set_value(entry, other.value)
+
+    def expire(self, now: float) -> None:
+        """Forget all entries whose time is over."""
+        expired = [key for key, entry in self.entries.items() if entry.expires_at <= now]
+        for key in expired:
+            self.remove(key)
+
+
+def _entry_size(key: str, entry: ClaimEntry) -> int:
+    return ENTRY_OVERHEAD_BYTES + len(key) + len(entry.value)
+
+
+def _larger(one: Ballot | None, other: Ballot | None) -> Ballot | None:
+    if one is None or other is None:
+        return one or other
+    return max(one, other)
--- /dev/null
+++ b/src/stagewalk/claims/types.py
@@ -0,0 +1,39 @@
+"""Who takes part in claims, and the ballots that order proposals."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from stagewalk.core.identities import Address, Incarnation, NodeName, Placement
+
+
+@dataclass(frozen=True, slots=True)
+class Replica:
+    """This process: a replica of some groups and a proposer for its own node."""
+
+    name: NodeName
+    incarnation: Incarnation
+    address: Address
+    placement: Placement
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Where another node is reached now, and which start of it that is."""
+
+    address: Address
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Ballot:
+    """Totally ordered identity of one attempt of one proposer.
+
+    `attempt` counts the proposer's attempts over all keys, so no two attempts share a ballot,
+    and `incarnation` keeps those of a restarted proposer apart.
+    """
+
+    round: int
+    proposer: NodeName
+    incarnation: Incarnation
+    attempt: int
--- /dev/null
+++ b/tests/claims/network.py
@@ -0,0 +1,161 @@
+"""Claim cores joined by a network that loses, doubles, delays and reorders messages."""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+from stagewalk.claims.config import ClaimConfig
+from stagewalk.claims.core import ClaimCore
+from stagewalk.claims.notifications import (
+    ClaimAbsent,
+    ClaimDecided,
+    ClaimOutput,
+    ClaimUndecided,
+    PlacementAppendWanted,
+)
+from stagewalk.claims.placement import (
+    GroupChange,
+    MemberRecord,
+    PlacementChange,
+    PlacementFold,
+    encode_record,
+)
+from stagewalk.claims.types import Peer, Replica
+from stagewalk.core.identities import Address, Incarnation, NodeName, Placement, RecordId
+from stagewalk.core.instructions import SendPeerMessage
+from stagewalk.core.platform import LogRecord
+
+TICK = 0.1
+
+
+class Network:
+    """Runs one `ClaimCore` a node on virtual time; each node sees the log with its own lag."""
+
+    def __init__(
+        self, names: str, seed: int = 0, loss: float = 0.0, config: ClaimConfig | None = None
+    ) -> None:
+        self.random = random.Random(seed)
+        self.config = config or ClaimConfig()
+        self.loss = loss
+        self.now = 0.0
+        self.cores: dict[str, ClaimCore] = {}
+        self.incarnations: dict[str, int] = {}
+        self.down: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+        self.log: list[bytes] = []
+        self.folds: dict[str, PlacementFold] = {}
+        self.folded: dict[str, int] = {}
+        self.log_blocked: set[str] = set()
+        self.decided: dict[str, set[bytes]] = {}
+        self.ended: list[tuple[str, ClaimDecided | ClaimAbsent | ClaimUndecided]] = []
+        self.sent = 0
+        self._queue: list[tuple[float, int, str, SendPeerMessage]] = []
+        self._sequence = 0
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start a node, or start it again without its memory."""
+        self.incarnations[name] = self.incarnations.get(name, 0) + 1
+        self.down.discard(name)
+        identity = Replica(
+            NodeName(name),
+            Incarnation(self.incarnations[name]),
+            Address(name, 1),
+            Placement("r", name),
+        )
+        self.cores[name] = ClaimCore(identity, self.config, random.Random(self.random.random()))
+        self.folds[name] = PlacementFold(1)
+        self.folded[name] = 0
+
+    def append(
+        self,
+        base_epoch: int,
+        names: str,
+        forgets: bool = False,
+        as_of: dict[str, int] | None = None,
+    ) -> None:
+        """Append a change of the one partition's group."""
+        incarnations = as_of or self.incarnations
+        members = tuple(MemberRecord(name, incarnations[name]) for name in names)
+        change = GroupChange(partition=0, base_epoch=base_epoch, members=members, forgets=forgets)
+        self.log.append(encode_record(PlacementChange(fence=1, changes=(change,))))
+
+    def propose(self, name: str, key: str, value: bytes) -> None:
+        self._take(name, self.cores[name].propose(key, value, self.now))
+
+    def read(self, name: str, key: str) -> None:
+        self._take(name, self.cores[name].read(key, self.now))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass, tick by tick."""
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self._deliver_until(self.now + TICK)
+            self.now += TICK
+            for name in sorted(self.cores):
+                if name not in self.down:
+                    self._follow_log(name)
+                    self._take(name, self.cores[name].tick(self.now))
+
+    def results(self, name: str, key: str) -> list[ClaimDecided | ClaimAbsent | ClaimUndecided]:
+        return [item for node, item in self.ended if node == name and item.key == key]
+
+    def _follow_log(self, name: str) -> None:
+        core = self.cores[name]
+        core.set_members(
+            {
+                NodeName(other): Peer(Address(other, 1), Incarnation(incarnation))
+                for other, incarnation in self.incarnations.items()
+            }
+        )
+        if name in self.log_blocked or self.folded[name] == len(self.log):
+            return
+        offset = self.folded[name]
+        fold = self.folds[name]
+        fold.apply(LogRecord(offset, RecordId(str(offset)), self.log[offset]))
+        self.folded[name] = offset + 1
+        core.set_groups(fold.placement)
+
+    def _take(self, name: str, outputs: list[ClaimOutput]) -> None:
+        for output in outputs:
+            if isinstance(output, SendPeerMessage):
+                self._send(name, output)
+            elif isinstance(output, PlacementAppendWanted):
+                self.log.append(output.payload)
+            elif isinstance(output, ClaimDecided | ClaimAbsent | ClaimUndecided):
+                self.ended.append((name, output))
+                if isinstance(output, ClaimDecided):
+                    self.decided.setdefault(output.key, set()).add(output.value)
+
+    def _send(self, name: str, output: SendPeerMessage) -> None:
+        self.sent += 1
+        copies = 1
+        if self.random.random() < self.loss:
+            copies = self.random.choice((0, 0, 2))
+        for _ in range(copies):
+            delay = 0.001
+            if self.random.random() < self.loss:
+                delay = self.random.choice((0.05, 0.3, 2.0)) * self.random.random()
+            self._sequence += 1
+            heapq.heappush(self._queue, (self.now + delay, self._sequence, name, output))
+
+    def _deliver_until(self, end: float) -> None:
+        while self._queue and self._queue[0][0] <= end:
+            at, _, sender, output = heapq.heappop(self._queue)
+            self.now = max(self.now, at)
+            to = output.address.host
+            if to in self.down or to not in self.cores or frozenset((sender, to)) in self.cut:
+                continue
+            envelope = output.envelope
+            self._take(
+                to,
+                self.cores[to].handle_message(
+                    Address(sender, 1),
+                    NodeName(envelope.sender),
+                    Incarnation(envelope.sender_incarnation),
+                    envelope.claims,
+                    self.now,
+                ),
+            )
