Detect failed nodes by SWIM probes with suspicion and gossip

Membership needs an answer within seconds where the platform's machine list lags. Refutations are counted apart from incarnations, so that an incarnation stays the number of a process for the other subsystems.

--- /dev/null
+++ b/src/stagewalk/membership/contacts.py
@@ -0,0 +1,57 @@
+"""Nodes that may run but are no members: named by the machine list, or dead."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from stagewalk.core.identities import Address, NodeName
+from stagewalk.core.platform import Machine, MachineKind, MachineState
+from stagewalk.membership.member_table import MemberTable
+from stagewalk.membership.members import MemberState
+
+
+class ContactList:
+    """Addresses worth a message now and then.
+
+    The machine list lags behind reality: it only adds addresses here. It never makes a member,
+    and a machine missing from it, or leaving by it, takes none away.
+    """
+
+    def __init__(self, own_name: NodeName, table: MemberTable, generator: random.Random) -> None:
+        self._own_name = own_name
+        self._table = table
+        self._generator = generator
+        self._listed: dict[NodeName, Address] = {}
+
+    def set_machines(self, machines: Iterable[Machine]) -> None:
+        """Take the platform's machine list."""
+        self._listed = {
+            NodeName(machine.name): machine.address
+            for machine in machines
+            if machine.kind is MachineKind.NODE and machine.state is MachineState.LIVE
+        }
+        self._listed.pop(self._own_name, None)
+
+    def choose(self, count: int) -> list[Address]:
+        """Return some addresses, at random, at which no member is known."""
+        addresses = {str(address): address for address in self._candidates()}
+        keys = sorted(addresses)
+        chosen = self._generator.sample(keys, min(count, len(keys)))
+        return [addresses[key] for key in chosen]
+
+    def _candidates(self) -> list[Address]:
+        listed = [
+            address for name, address in self._listed.items() if self._table.get(name) is None
+        ]
+        dead = [
+            fact.address
+            for fact in self._table.ended()
+            if fact.state is MemberState.DEAD and fact.address is not None
+        ]
+        moved = [
+            self._listed[fact.name]
+            for fact in self._table.ended()
+            if fact.state is MemberState.DEAD and fact.name in self._listed
+        ]
+        return listed + dead + moved
--- /dev/null
+++ b/src/stagewalk/membership/core.py
@@ -0,0 +1,341 @@
+"""The membership core: which nodes are there, as far as this one can tell.
+
+The parts: `member_table` holds the newest fact about each node, `failure_detector` probes,
+`suspicion` gives suspects time to deny, `dissemination` passes facts on, `contacts` keeps
+addresses worth trying. This module decides what each message and each moment changes.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable
+from dataclasses import replace
+
+from stagewalk.core.identities import Address, NodeName
+from stagewalk.core.instructions import SendPeerMessage
+from stagewalk.core.platform import Machine
+from stagewalk.membership.codec import record_to_fact
+from stagewalk.membership.config import MembershipConfig
+from stagewalk.membership.contacts import ContactList
+from stagewalk.membership.dissemination import UpdateQueue
+from stagewalk.membership.failure_detector import FailureDetector
+from stagewalk.membership.member_table import MemberFact, MemberTable, TableChange
+from stagewalk.membership.members import Member, MemberIdentity, MemberState, MemberStatus
+from stagewalk.membership.messages import MessageWriter
+from stagewalk.membership.notifications import (
+    IdentitySuperseded,
+    MemberChanged,
+    MembershipNotification,
+)
+from stagewalk.membership.suspicion import SuspicionTerms, SuspicionTimers
+from stagewalk.wire.membership_pb2 import MembershipKind, MembershipMessage
+
+MembershipOutput = SendPeerMessage | MembershipNotification
+
+JOIN_CONTACTS = 2
+"""Machines contacted in each round while no member is known."""
+LEAVE_FANOUT = 8
+"""Members told at once that this node leaves."""
+FORGET_INTERVAL_SECONDS = 60.0
+
+
+class MembershipCore:
+    """Membership of one node: messages and time in, messages and notifications out.
+
+    Parameters
+    ----------
+    identity
+        This node. Its incarnation must be greater than that of any earlier process of its name.
+    config
+        Timing and sizes.
+    generator
+        Source of all random choices.
+
+    Notes
+    -----
+    All times are seconds of one clock that never decreases. After each call the outputs are to
+    be carried out in order.
+    """
+
+    def __init__(
+        self, identity: MemberIdentity, config: MembershipConfig, generator: random.Random
+    ) -> None:
+        self.identity = identity
+        self._config = config
+        self._generator = generator
+        self._table = MemberTable()
+        self._queue = UpdateQueue(config.retransmission_factor)
+        self._writer = MessageWriter(identity, self._table, self._queue)
+        self._detector = FailureDetector(identity, config, self._table, self._writer, generator)
+        self._timers = SuspicionTimers()
+        self._contacts = ContactList(identity.name, self._table, generator)
+        self._outputs: list[MembershipOutput] = []
+        self._leaving = False
+        self._superseded_by = identity.incarnation
+        self._last_tick_at: float | None = None
+        self._next_gossip_at = 0.0
+        self._next_exchange_at = 0.0
+        self._next_contact_at = 0.0
+        self._next_forget_at = 0.0
+        self._own_fact = MemberFact(
+            identity.name,
+            identity.incarnation,
+            refutation=0,
+            state=MemberState.ALIVE,
+            address=identity.address,
+            placement=identity.placement,
+        )
+        self._table.apply(self._own_fact, 0.0)
+        self._queue.add(self._own_fact)
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the alive and suspect members by name; this node too until it leaves."""
+        return self._table.members()
+
+    def set_status(self, status: MemberStatus) -> None:
+        """Set what this node tells of itself from now on."""
+        self._own_fact = replace(self._own_fact, status=status)
+        self._table.apply(self._own_fact, 0.0)
+
+    def handle_machines(self, machines: Iterable[Machine], now: float) -> list[MembershipOutput]:
+        """Take the platform's machine list as a list of addresses to try."""
+        self._contacts.set_machines(machines)
+        if len(self._table.present()) <= 1:
+            self._next_contact_at = now
+        return []
+
+    def handle_message(
+        self, source: Address, sender: NodeName, message: MembershipMessage, now: float
+    ) -> list[MembershipOutput]:
+        """Take another node's message; `source` is where it came from."""
+        self._notice_pause(now)
+        if sender == self.identity.name:
+            self._hear_of_self(replace(record_to_fact(message.origin), name=sender), now)
+            return self._drain()
+        address = self._take_origin(source, sender, message, now)
+        if address is None:
+            return self._drain()
+        self._take_updates(sender, message, now)
+        self._outputs.extend(self._answer(address, sender, message, now))
+        return self._drain()
+
+    def tick(self, now: float) -> list[MembershipOutput]:
+        """Do what is due."""
+        self._notice_pause(now)
+        if not self._leaving:
+            self._probe(now)
+        for name in self._timers.expired(now):
+            self._declare_dead(name, now)
+        if self._queue and now >= self._next_gossip_at:
+            self._gossip(now)
+        if now >= self._next_exchange_at:
+            self._compare_with_random_member(now)
+        if now >= self._next_contact_at:
+            self._try_contacts(now)
+        if now >= self._next_forget_at:
+            self._next_forget_at = now + FORGET_INTERVAL_SECONDS
+            self._table.forget_ended_before(now - self._config.dead_retention)
+        return self._drain()
+
+    def leave(self, now: float) -> list[MembershipOutput]:
+        """Tell the others that this node leaves; it goes on answering until it is ended.
+
+        Leaving can't be taken back: only a greater incarnation joins again.
+        """
+        if self._leaving:
+            return []
+        self._leaving = True
+        self._own_fact = replace(self._own_fact, state=MemberState.LEFT)
+        self._table.apply(self._own_fact, now)
+        self._queue.add(self._own_fact)
+        self._send_gossip(LEAVE_FANOUT)
+        self._next_gossip_at = now + self._config.gossip_interval
+        return self._drain()
+
+    # Messages
+
+    def _take_origin(
+        self, source: Address, sender: NodeName, message: MembershipMessage, now: float
+    ) -> Address | None:
+        """Learn of the sender; return where to answer, or `None` if its word no longer counts."""
+        origin = replace(record_to_fact(message.origin), name=sender)
+        address = origin.address or source
+        known = self._table.get(sender)
+        if known is not None and origin.incarnation < known.incarnation:
+            # An earlier process under this name still runs, or its datagram came late: tell it.
+            gossip = MembershipKind.MEMBERSHIP_KIND_GOSSIP
+            self._outputs.append(self._writer.datagram(address, gossip, sender))
+            return None
+        self._apply(origin, sender, now)
+        return address
+
+    def _take_updates(self, sender: NodeName, message: MembershipMessage, now: float) -> None:
+        is_full_state = message.kind == MembershipKind.MEMBERSHIP_KIND_FULL_STATE
+        for record in message.updates:
+            fact = record_to_fact(record)
+            if is_full_state and fact.state is MemberState.DEAD:
+                # The other side of a healed partition takes all of this side for dead. Give each
+                # of them the time to deny it.
+                fact = replace(fact, state=MemberState.SUSPECT)
+            self._apply(fact, fact.accuser or sender, now)
+
+    def _answer(
+        self, address: Address, sender: NodeName, message: MembershipMessage, now: float
+    ) -> list[SendPeerMessage]:
+        kind = message.kind
+        if kind == MembershipKind.MEMBERSHIP_KIND_PROBE:
+            return self._detector.answer_probe(sender, address, message)
+        if kind == MembershipKind.MEMBERSHIP_KIND_INDIRECT_PROBE:
+            return self._detector.relay_probe(sender, address, message, now)
+        if kind == MembershipKind.MEMBERSHIP_KIND_ACKNOWLEDGEMENT:
+            return self._detector.take_acknowledgement(sender, message)
+        if kind == MembershipKind.MEMBERSHIP_KIND_NO_ANSWER:
+            self._detector.take_no_answer(message)
+        elif kind == MembershipKind.MEMBERSHIP_KIND_DIGEST:
+            if message.digest != self._table.digest:
+                return [self._writer.full_state(address, answer_wanted=True)]
+        elif kind == MembershipKind.MEMBERSHIP_KIND_FULL_STATE and message.answer_wanted:
+            return [self._writer.full_state(address, answer_wanted=False)]
+        return []
+
+    # Facts
+
+    def _apply(self, fact: MemberFact, teller: NodeName, now: float) -> None:
+        if fact.name == self.identity.name:
+            self._hear_of_self(fact, now)
+            return
+        change = self._table.apply(fact, now)
+        if change is not None:
+            self._take_change(change, fact.accuser or teller, now)
+        elif fact.state is MemberState.SUSPECT and fact.accuser is not None:
+            self._confirm_suspicion(fact, fact.accuser)
+
+    def _take_change(self, change: TableChange, accuser: NodeName, now: float) -> None:
+        fact, old = change.fact, change.old
+        self._queue.add(fact)
+        if fact.state is MemberState.SUSPECT:
+            self._start_suspicion(fact, accuser, now)
+        else:
+            self._timers.stop(fact.name)
+        old_state = old.state if old is not None else None
+        old_incarnation = old.incarnation if old is not None else None
+        if old_state is fact.state and old_incarnation == fact.incarnation:
+            return
+        if fact.state is MemberState.ALIVE and old_state is not MemberState.SUSPECT:
+            self._detector.schedule.add(fact.name)
+        self._outputs.append(MemberChanged(fact.name, old_state, fact.state, fact.incarnation))
+
+    def _hear_of_self(self, fact: MemberFact, now: float) -> None:
+        """Deny what is wrong about this node, with a word newer than the rumour."""
+        own = self._own_fact
+        if fact.incarnation > self._superseded_by or (
+            fact.state is MemberState.LEFT and not self._leaving and fact.rank > own.rank
+        ):
+            self._superseded_by = fact.incarnation
+            self._outputs.append(IdentitySuperseded(fact.incarnation))
+            return
+        if self._leaving or fact.incarnation != own.incarnation or fact.rank <= own.rank:
+            return
+        if fact.state is not MemberState.ALIVE:
+            self._detector.health.worsen()
+        self._own_fact = replace(own, refutation=fact.refutation + 1)
+        self._table.apply(self._own_fact, now)
+        self._queue.add(self._own_fact)
+
+    # Suspicion
+
+    def _probe(self, now: float) -> None:
+        step = self._detector.tick(now)
+        self._outputs.extend(step.messages)
+        for target in step.failed:
+            suspicion = replace(target, state=MemberState.SUSPECT, accuser=self.identity.name)
+            self._apply(suspicion, self.identity.name, now)
+
+    def _start_suspicion(self, fact: MemberFact, accuser: NodeName, now: float) -> None:
+        count = len(self._table.present())
+        scale = max(1.0, math.log10(max(1, count))) * self._config.probe_interval
+        shortest = self._config.suspicion_factor * scale
+        own_region = self.identity.placement.region
+        if fact.placement is not None and fact.placement.region != own_region:
+            shortest *= self._config.remote_suspicion_factor
+        longest = shortest * self._config.suspicion_spread
+        others = max(0, count - 2)
+        confirmations = min(self._config.suspicion_confirmations, others)
+        terms = SuspicionTerms(shortest, longest, confirmations)
+        self._timers.start(fact.name, accuser, terms, now)
+
+    def _confirm_suspicion(self, fact: MemberFact, accuser: NodeName) -> None:
+        known = self._table.get(fact.name)
+        if known is None or known.rank != fact.rank:
+            return
+        if self._timers.confirm(fact.name, accuser):
+            self._queue.add(fact)
+
+    def _declare_dead(self, name: NodeName, now: float) -> None:
+        self._timers.stop(name)
+        known = self._table.get(name)
+        if known is None or known.state is not MemberState.SUSPECT:
+            return
+        dead = replace(known, state=MemberState.DEAD, accuser=self.identity.name)
+        self._apply(dead, self.identity.name, now)
+
+    def _notice_pause(self, now: float) -> None:
+        """After a gap between ticks, distrust what this process has not heard meanwhile.
+
+        Without this a process that was paused would wake up, find all its probes and suspicions
+        overdue, and declare healthy members dead.
+        """
+        if self._last_tick_at is None:
+            self._detector.begin(now)
+            jitter = self._generator.random()
+            self._next_exchange_at = now + jitter * self._config.exchange_interval
+            self._last_tick_at = now
+            return
+        gap = now - self._last_tick_at
+        self._last_tick_at = now
+        if gap > self._config.pause_threshold:
+            self._detector.forget_running(now)
+            self._detector.health.worsen()
+            self._timers.postpone(gap)
+
+    # Spreading
+
+    def _gossip(self, now: float) -> None:
+        self._next_gossip_at = now + self._config.gossip_interval
+        self._send_gossip(self._config.gossip_fanout)
+
+    def _send_gossip(self, fanout: int) -> None:
+        for member in self._random_members(fanout):
+            gossip = MembershipKind.MEMBERSHIP_KIND_GOSSIP
+            self._outputs.append(self._writer.datagram(member.address, gossip, member.name))
+
+    def _compare_with_random_member(self, now: float) -> None:
+        self._next_exchange_at = now + self._config.exchange_interval
+        for member in self._random_members(1):
+            digest = MembershipKind.MEMBERSHIP_KIND_DIGEST
+            self._outputs.append(self._writer.datagram(member.address, digest, member.name))
+
+    def _try_contacts(self, now: float) -> None:
+        """Join through the machine list, or look whether one held dead answers after all."""
+        if len(self._table.present()) <= 1 and not self._leaving:
+            self._next_contact_at = now + self._config.probe_interval
+            for address in self._contacts.choose(JOIN_CONTACTS):
+                self._outputs.append(self._writer.full_state(address, answer_wanted=True))
+            return
+        jitter = 0.5 + self._generator.random()
+        self._next_contact_at = now + self._config.contact_interval * jitter
+        for address in self._contacts.choose(1):
+            digest = MembershipKind.MEMBERSHIP_KIND_DIGEST
+            self._outputs.append(self._writer.datagram(address, digest))
+
+    def _random_members(self, count: int) -> list[Member]:
+        others = [
+            member for name, member in self._table.present().items() if name != self.identity.name
+        ]
+        return self._generator.sample(others, min(count, len(others)))
+
+    def _drain(self) -> list[MembershipOutput]:
+        outputs = self._outputs
+        self._outputs = []
+        return outputs
--- /dev/null
+++ b/src/stagewalk/membership/failure_detector.py
@@ -0,0 +1,217 @@
+"""Probes members, directly and through others, and says which did not answer.
+
+This is SWIM's detector (Das, Gupta, Motivala 2002) with Lifeguard's local health: a node that has
+reason to doubt itself waits longer before it doubts others.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from stagewalk.core.identities import Address, NodeName
+from stagewalk.core.instructions import SendPeerMessage
+from stagewalk.membership.config import MembershipConfig
+from stagewalk.membership.member_table import MemberFact, MemberTable
+from stagewalk.membership.members import Member, MemberIdentity
+from stagewalk.membership.messages import MessageWriter
+from stagewalk.membership.probing import PendingProbe, ProbeSchedule, RelayedProbe
+from stagewalk.wire.membership_pb2 import MembershipKind, MembershipMessage
+
+
+class LocalHealth:
+    """Penalty of a node that doubts itself; 0 when healthy."""
+
+    def __init__(self, maximum: int) -> None:
+        self._maximum = maximum
+        self.penalty = 0
+
+    @property
+    def factor(self) -> int:
+        """Return by what timeouts and intervals are stretched."""
+        return self.penalty + 1
+
+    def worsen(self) -> None:
+        """Count a sign that this node itself is slow or cut off."""
+        self.penalty = min(self._maximum, self.penalty + 1)
+
+    def improve(self) -> None:
+        """Count a probe that was answered in time."""
+        self.penalty = max(0, self.penalty - 1)
+
+
+@dataclass(slots=True)
+class ProbeStep:
+    """What a step of the detector came to: messages to send and members that failed a probe."""
+
+    messages: list[SendPeerMessage] = field(default_factory=list)
+    failed: list[MemberFact] = field(default_factory=list)
+
+
+class FailureDetector:
+    """The probes of one node, its own and those it runs for others."""
+
+    def __init__(
+        self,
+        identity: MemberIdentity,
+        config: MembershipConfig,
+        table: MemberTable,
+        writer: MessageWriter,
+        generator: random.Random,
+    ) -> None:
+        self._identity = identity
+        self._config = config
+        self._table = table
+        self._writer = writer
+        self._generator = generator
+        self.health = LocalHealth(config.maximum_health_penalty)
+        self.schedule = ProbeSchedule(generator)
+        self._pending: dict[int, PendingProbe] = {}
+        self._relayed: dict[int, RelayedProbe] = {}
+        self._last_exchange_id = generator.getrandbits(32)
+        self._next_probe_at = 0.0
+
+    def begin(self, now: float) -> None:
+        """Spread the nodes' probes over the interval."""
+        self._next_probe_at = now + self._generator.random() * self._config.probe_interval
+
+    def forget_running(self, now: float) -> None:
+        """Judge no probe that was under way while this process was paused."""
+        self._pending.clear()
+        self._relayed.clear()
+        self._next_probe_at = now
+
+    def tick(self, now: float) -> ProbeStep:
+        """Advance running probes and send the next one when it is due."""
+        step = ProbeStep()
+        if self._pending:
+            self._advance_pending(now, step)
+        if self._relayed:
+            self._expire_relayed(now, step)
+        if now >= self._next_probe_at:
+            self._next_probe_at = now + self._config.probe_interval * self.health.factor
+            self._start_probe(now, step)
+        return step
+
+    def answer_probe(
+        self, sender: NodeName, address: Address, message: MembershipMessage
+    ) -> list[SendPeerMessage]:
+        """Acknowledge a probe that is meant for this node and not for an earlier one here."""
+        if message.target.name != self._identity.name:
+            return []
+        acknowledgement = MembershipKind.MEMBERSHIP_KIND_ACKNOWLEDGEMENT
+        return [self._writer.datagram(address, acknowledgement, sender, message.exchange_id)]
+
+    def relay_probe(
+        self, sender: NodeName, address: Address, message: MembershipMessage, now: float
+    ) -> list[SendPeerMessage]:
+        """Probe a member for another one."""
+        target = self._table.get(NodeName(message.target.name))
+        if target is None or target.address is None:
+            return []
+        exchange_id = self._new_exchange_id()
+        deadline = now + self._timeout(target)
+        self._relayed[exchange_id] = RelayedProbe(
+            sender, address, message.exchange_id, target, deadline
+        )
+        return [self._probe(target, target.address, exchange_id)]
+
+    def take_acknowledgement(
+        self, sender: NodeName, message: MembershipMessage
+    ) -> list[SendPeerMessage]:
+        """Settle the probe that an acknowledgement answers, or pass it on to who asked."""
+        if self._pending.pop(message.exchange_id, None) is not None:
+            self.health.improve()
+            return []
+        relayed = self._relayed.pop(message.exchange_id, None)
+        if relayed is None or relayed.target.name != sender:
+            return []
+        return [
+            self._writer.datagram(
+                relayed.requester_address,
+                MembershipKind.MEMBERSHIP_KIND_ACKNOWLEDGEMENT,
+                relayed.requester,
+                relayed.exchange_id,
+            )
+        ]
+
+    def take_no_answer(self, message: MembershipMessage) -> None:
+        """Count a helper that is alive itself: the fault is not this node's own."""
+        pending = self._pending.get(message.exchange_id)
+        if pending is not None:
+            pending.helper_answers += 1
+
+    def _start_probe(self, now: float, step: ProbeStep) -> None:
+        member = self.schedule.next(self._table.present(), self._identity.name)
+        if member is None:
+            return
+        target = self._table.get(member.name)
+        assert target is not None
+        exchange_id = self._new_exchange_id()
+        timeout = self._timeout(target) * self.health.factor
+        period = max(self._config.probe_interval * self.health.factor, 3 * timeout)
+        self._pending[exchange_id] = PendingProbe(target, now + timeout, now + period)
+        step.messages.append(self._probe(target, member.address, exchange_id))
+
+    def _advance_pending(self, now: float, step: ProbeStep) -> None:
+        for exchange_id, pending in list(self._pending.items()):
+            if now >= pending.final_deadline:
+                del self._pending[exchange_id]
+                self._fail(pending, step)
+            elif now >= pending.direct_deadline and pending.helpers == 0:
+                self._ask_helpers(exchange_id, pending, step)
+
+    def _fail(self, pending: PendingProbe, step: ProbeStep) -> None:
+        """Report a failed probe; if no helper was heard either, doubt this node as well."""
+        if pending.helpers > 0 and pending.helper_answers == 0:
+            self.health.worsen()
+        step.failed.append(pending.target)
+
+    def _ask_helpers(self, exchange_id: int, pending: PendingProbe, step: ProbeStep) -> None:
+        helpers = self._choose_helpers(pending.target)
+        pending.helpers = max(1, len(helpers))
+        for helper in helpers:
+            step.messages.append(
+                self._writer.datagram(
+                    helper.address,
+                    MembershipKind.MEMBERSHIP_KIND_INDIRECT_PROBE,
+                    helper.name,
+                    exchange_id,
+                    pending.target,
+                )
+            )
+
+    def _choose_helpers(self, target: MemberFact) -> list[Member]:
+        excluded = (self._identity.name, target.name)
+        others = [member for name, member in self._table.present().items() if name not in excluded]
+        return self._generator.sample(others, min(self._config.indirect_probes, len(others)))
+
+    def _expire_relayed(self, now: float, step: ProbeStep) -> None:
+        for exchange_id, relayed in list(self._relayed.items()):
+            if now < relayed.deadline:
+                continue
+            del self._relayed[exchange_id]
+            step.messages.append(
+                self._writer.datagram(
+                    relayed.requester_address,
+                    MembershipKind.MEMBERSHIP_KIND_NO_ANSWER,
+                    relayed.requester,
+                    relayed.exchange_id,
+                )
+            )
+
+    def _probe(self, target: MemberFact, address: Address, exchange_id: int) -> SendPeerMessage:
+        kind = MembershipKind.MEMBERSHIP_KIND_PROBE
+        return self._writer.datagram(address, kind, target.name, exchange_id, target)
+
+    def _timeout(self, target: MemberFact) -> float:
+        own = self._identity.placement
+        if target.placement is None or target.placement.region != own.region:
+            return self._config.remote_timeout
+        if target.placement.zone != own.zone:
+            return self._config.region_timeout
+        return self._config.zone_timeout
+
+    def _new_exchange_id(self) -> int:
+        self._last_exchange_id += 1
+        return self._last_exchange_id
--- /dev/null
+++ b/src/stagewalk/membership/members.py
@@ -0,0 +1,55 @@
+"""What a node knows of itself and of the other nodes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+from stagewalk.core.identities import Address, Incarnation, NodeName, Placement
+
+
+@dataclass(frozen=True, slots=True)
+class MemberIdentity:
+    """Who a node is. `incarnation` grows with each start of a process under the same name."""
+
+    name: NodeName
+    incarnation: Incarnation
+    address: Address
+    placement: Placement
+
+
+class MemberState(IntEnum):
+    """State of a member, with the numbers of the wire format."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    """Its probes failed; it has some seconds to deny it. Still a member."""
+    DEAD = 2
+    """It did not deny. It comes back if it answers after all (a healed partition)."""
+    LEFT = 3
+    """It said that it leaves. Only a greater incarnation comes back under its name."""
+
+
+@dataclass(frozen=True, slots=True)
+class MemberStatus:
+    """The little that every node tells of itself.
+
+    Attributes
+    ----------
+    configuration_offset
+        Offset after the last configuration record in force there; it never falls.
+    """
+
+    configuration_offset: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A member as this node sees it now."""
+
+    name: NodeName
+    incarnation: Incarnation
+    address: Address
+    placement: Placement
+    state: MemberState
+    status: MemberStatus
--- /dev/null
+++ b/src/stagewalk/membership/messages.py
@@ -0,0 +1,72 @@
+"""Builds the messages of membership, filling datagrams up with waiting updates."""
+
+from __future__ import annotations
+
+from stagewalk.core.identities import Address, NodeName
+from stagewalk.core.instructions import MAXIMUM_DATAGRAM_BYTES, SendPeerMessage, Transport
+from stagewalk.membership.codec import fact_to_record
+from stagewalk.membership.dissemination import REPEATED_FIELD_OVERHEAD_BYTES, UpdateQueue
+from stagewalk.membership.member_table import MemberFact, MemberTable
+from stagewalk.membership.members import MemberIdentity, MemberState
+from stagewalk.wire.envelope_pb2 import Envelope
+from stagewalk.wire.membership_pb2 import MemberRecord, MembershipKind, MembershipMessage
+
+LENGTH_FIELD_RESERVE_BYTES = 8
+"""Room for the length fields that grow when updates are added to a message."""
+
+
+class MessageWriter:
+    """Addresses messages in the name of this node."""
+
+    def __init__(self, identity: MemberIdentity, table: MemberTable, queue: UpdateQueue) -> None:
+        self._identity = identity
+        self._table = table
+        self._queue = queue
+
+    def datagram(
+        self,
+        address: Address,
+        kind: MembershipKind.ValueType,
+        recipient: NodeName | None = None,
+        exchange_id: int = 0,
+        target: MemberFact | None = None,
+    ) -> SendPeerMessage:
+        """Return a message that carries as many waiting updates as fit into a datagram."""
+        message = MembershipMessage(exchange_id=exchange_id, kind=kind, digest=self._table.digest)
+        if target is not None:
+            message.target.CopyFrom(fact_to_record(target, with_place=True))
+        envelope = self._envelope(message)
+        budget = MAXIMUM_DATAGRAM_BYTES - envelope.ByteSize() - LENGTH_FIELD_RESERVE_BYTES
+        updates = self._news_for(recipient)
+        budget -= sum(record.ByteSize() + REPEATED_FIELD_OVERHEAD_BYTES for record in updates)
+        updates += self._queue.take(budget, len(self._table.present()))
+        envelope.membership.updates.extend(updates)
+        return SendPeerMessage(address, envelope, Transport.DATAGRAM)
+
+    def full_state(self, address: Address, answer_wanted: bool) -> SendPeerMessage:
+        """Return a message with all that this node knows, for a stream."""
+        message = MembershipMessage(
+            kind=MembershipKind.MEMBERSHIP_KIND_FULL_STATE,
+            digest=self._table.digest,
+            answer_wanted=answer_wanted,
+            updates=[fact_to_record(fact, with_place=True) for fact in self._table.facts()],
+        )
+        return SendPeerMessage(address, self._envelope(message), Transport.STREAM)
+
+    def _envelope(self, message: MembershipMessage) -> Envelope:
+        own = self._table.get(self._identity.name)
+        if own is not None:
+            message.origin.CopyFrom(fact_to_record(own, with_place=True))
+            message.origin.ClearField("name")
+        return Envelope(
+            sender=self._identity.name,
+            sender_incarnation=self._identity.incarnation,
+            membership=message,
+        )
+
+    def _news_for(self, recipient: NodeName | None) -> list[MemberRecord]:
+        """Tell a member that this node does not hold alive, so that it can deny it."""
+        fact = self._table.get(recipient) if recipient is not None else None
+        if fact is None or fact.state is MemberState.ALIVE:
+            return []
+        return [fact_to_record(fact, with_place=False)]
--- /dev/null
+++ b/src/stagewalk/membership/notifications.py
@@ -0,0 +1,32 @@
+"""What membership tells the other subsystems."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from stagewalk.core.identities import Incarnation, NodeName
+from stagewalk.membership.members import MemberState
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChanged:
+    """A member's state or incarnation changed. `old_state` is `None` for one not known before."""
+
+    name: NodeName
+    old_state: MemberState | None
+    new_state: MemberState
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class IdentitySuperseded:
+    """Another process runs, or ran, under this node's name with a greater incarnation.
+
+    The node can't be heard any more: the others drop what it says of itself. It should stop, or
+    start again with an incarnation above `incarnation`.
+    """
+
+    incarnation: Incarnation
+
+
+MembershipNotification = MemberChanged | IdentitySuperseded
--- /dev/null
+++ b/tests/membership/network.py
@@ -0,0 +1,153 @@
+"""Deterministic in-memory network of membership cores, with loss, delay, partitions and pauses."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable, Iterable
+from itertools import count
+
+from stagewalk.core.events import TICK_INTERVAL_SECONDS
+from stagewalk.core.identities import Address, Incarnation, NodeName, Placement
+from stagewalk.core.instructions import SendPeerMessage, Transport
+from stagewalk.core.platform import Machine, MachineKind, MachineState
+from stagewalk.membership.config import MembershipConfig
+from stagewalk.membership.core import MembershipCore, MembershipOutput
+from stagewalk.membership.members import MemberIdentity, MemberState
+from stagewalk.membership.notifications import MembershipNotification
+from stagewalk.wire.envelope_pb2 import Envelope
+
+UDP_OVERHEAD_BYTES = 28
+
+
+class Network:
+    def __init__(self, seed: int = 0, config: MembershipConfig | None = None) -> None:
+        self.generator = random.Random(seed)
+        self.config = config or MembershipConfig()
+        self.now = 100.0
+        self.loss = 0.0
+        self.delay = 0.002
+        self.cut: Callable[[str, str], bool] = lambda sender, receiver: False
+        self.cores: dict[str, MembershipCore] = {}
+        self.paused: set[str] = set()
+        self.notifications: list[tuple[float, str, MembershipNotification]] = []
+        self.bytes_sent = 0
+        self.largest_datagram = 0
+        self._incarnations = count(1)
+        self._order = count()
+        self._queue: list[tuple[float, int, str, Address, bytes]] = []
+        self._names: dict[Address, str] = {}
+        self._next_tick: dict[str, float] = {}
+
+    def start(self, name: str, zone: str = "z1", region: str = "r1") -> MembershipCore:
+        """Start a node, or start it anew under the same name and address."""
+        if name in self.cores:
+            address = self.cores[name].identity.address
+        else:
+            address = Address("10.0.0.1", 7000 + len(self.cores))
+        incarnation = Incarnation(next(self._incarnations))
+        identity = MemberIdentity(NodeName(name), incarnation, address, Placement(region, zone))
+        generator = random.Random(self.generator.random())
+        self.cores[name] = MembershipCore(identity, self.config, generator)
+        self._names[address] = name
+        self.paused.discard(name)
+        self._next_tick[name] = self.now + self.generator.random() * TICK_INTERVAL_SECONDS
+        return self.cores[name]
+
+    def kill(self, name: str) -> None:
+        """End a node's process without a word."""
+        self.paused.add(name)
+
+    def list_machines(self, names: Iterable[str] | None = None) -> None:
+        """Show every running node a machine list."""
+        machines = [self._machine(name) for name in sorted(names or self.cores)]
+        for name in sorted(self.cores):
+            if name not in self.paused:
+                self._carry_out(name, self.cores[name].handle_machines(machines, self.now))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while True:
+            tick_at, name = min((at, name) for name, at in self._next_tick.items())
+            if self._queue and self._queue[0][0] <= tick_at:
+                if self._queue[0][0] > end:
+                    break
+                self._deliver(*heapq.heappop(self._queue))
+            elif tick_at > end:
+                break
+            else:
+                self._tick(tick_at, name)
+        self.now = end
+
+    def views(self) -> set[tuple[tuple[str, int], ...]]:
+        """Return the distinct sets of members that the running nodes hold alive."""
+        return {
+            tuple(
+                (member.name, member.incarnation)
+                for member in core.members()
+                if member.state is MemberState.ALIVE
+            )
+            for name, core in self.cores.items()
+            if name not in self.paused
+        }
+
+    def changes_to(self, state: MemberState) -> list[tuple[float, str, str]]:
+        """Return when, at whom and about whom a change to a state was told."""
+        return [
+            (at, observer, change.name)
+            for at, observer, change in self.notifications
+            if getattr(change, "new_state", None) is state
+        ]
+
+    def carry_out(self, name: str, outputs: list[MembershipOutput]) -> None:
+        self._carry_out(name, outputs)
+
+    def _tick(self, at: float, name: str) -> None:
+        self.now = max(self.now, at)
+        self._next_tick[name] = at + TICK_INTERVAL_SECONDS
+        if name not in self.paused:
+            self._carry_out(name, self.cores[name].tick(self.now))
+
+    def _deliver(
+        self, at: float, order: int, receiver: str, source: Address, payload: bytes
+    ) -> None:
+        self.now = max(self.now, at)
+        if receiver in self.paused:
+            return
+        envelope = Envelope.FromString(payload)
+        outputs = self.cores[receiver].handle_message(
+            source, NodeName(envelope.sender), envelope.membership, self.now
+        )
+        self._carry_out(receiver, outputs)
+
+    def _carry_out(self, name: str, outputs: list[MembershipOutput]) -> None:
+        for output in outputs:
+            if isinstance(output, SendPeerMessage):
+                self._send(name, output)
+            else:
+                self.notifications.append((self.now, name, output))
+
+    def _send(self, sender: str, output: SendPeerMessage) -> None:
+        payload = output.envelope.SerializeToString()
+        self.bytes_sent += len(payload) + UDP_OVERHEAD_BYTES
+        if output.transport is Transport.DATAGRAM:
+            self.largest_datagram = max(self.largest_datagram, len(payload))
+        receiver = self._names.get(output.address)
+        if receiver is None or self.cut(sender, receiver):
+            return
+        if self.generator.random() < self.loss:
+            return
+        arrival = self.now + self.delay * (0.5 + self.generator.random())
+        source = self.cores[sender].identity.address
+        heapq.heappush(self._queue, (arrival, next(self._order), receiver, source, payload))
+
+    def _machine(self, name: str) -> Machine:
+        identity = self.cores[name].identity
+        return Machine(
+            name,
+            MachineKind.NODE,
+            identity.address,
+            identity.placement,
+            MachineState.LIVE,
+            "stagewalk",
+        )
