Name a request's and a process's identity in core

Cause: routing, admission and the request state machine key by tenant and request id, and need a node's name, incarnation and placement without importing the node package. Change: RequestKey and the ProcessIdentity protocol, both additive.

--- a/src/stagewalk/core/identities.py
+++ b/src/stagewalk/core/identities.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import NewType
+from typing import NewType, Protocol
 
 NodeName = NewType("NodeName", str)
 """Name of a node, from its settings file. A restarted process keeps its name."""
@@ -55,6 +55,33 @@
     zone: str
 
 
+class ProcessIdentity(Protocol):
+    """Who a process is, as far as cores need to know; `NodeIdentity` satisfies it."""
+
+    @property
+    def name(self) -> NodeName:
+        """Return the node's name."""
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return the number of this start of the process."""
+
+    @property
+    def placement(self) -> Placement:
+        """Return the node's failure domains."""
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class RequestKey:
+    """The identity of a completion request: its id is unique within its tenant."""
+
+    tenant: TenantName
+    request_id: RequestId
+
+    def __str__(self) -> str:
+        return f"{self.tenant}/{self.request_id}"
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class SlotKey:
     """The place of one sample in a training step.
