--- a/src/stagewalk/admission/__init__.py
+++ b/src/stagewalk/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Tenants' shares, concurrency limits and load shedding."""
+"""How many requests may run at once, and whose turn it is."""
--- /dev/null
+++ b/src/stagewalk/admission/limiter.py
@@ -0,0 +1,52 @@
+"""Adaptive limit of requests in flight, driven by refusals and by late first tokens."""
+
+from __future__ import annotations
+
+import math
+
+from stagewalk.admission.config import LimiterConfig
+
+
+class AdaptiveLimiter:
+    """Additive increase while full and well, multiplicative decrease when the pool pushes back.
+
+    Many nodes share the pool without a central point; each of them falls at a refusal and
+    grows slowly, which leads them towards equal parts.
+    """
+
+    def __init__(self, config: LimiterConfig) -> None:
+        self._config = config
+        self._limit = config.initial_limit
+        self._decreased_at = -math.inf
+        self._usual_delay = math.inf
+
+    @property
+    def limit(self) -> float:
+        """Return the requests that may be in flight."""
+        return self._limit
+
+    def note_completed(self, in_flight: int) -> None:
+        """Grow by one for each full window of completions, if the limit was in use."""
+        if in_flight * 2 >= self._limit:
+            self._limit = min(self._config.maximum_limit, self._limit + 1.0 / self._limit)
+
+    def note_refused(self, now: float) -> None:
+        """Fall: an engine had no room."""
+        self._decrease(self._config.decrease_factor, now)
+
+    def note_first_token(self, delay_seconds: float, now: float) -> None:
+        """Fall a little when the first token came much later than usual."""
+        if delay_seconds < self._usual_delay:
+            self._usual_delay = delay_seconds
+            return
+        late = self._usual_delay * self._config.delay_tolerance
+        if delay_seconds > late + self._config.delay_allowance_seconds:
+            self._decrease(self._config.delay_decrease_factor, now)
+        growth = self._config.baseline_growth * (delay_seconds - self._usual_delay)
+        self._usual_delay += growth
+
+    def _decrease(self, factor: float, now: float) -> None:
+        if now - self._decreased_at < self._config.decrease_interval_seconds:
+            return
+        self._decreased_at = now
+        self._limit = max(self._config.minimum_limit, self._limit * factor)
--- a/src/stagewalk/requests/__init__.py
+++ b/src/stagewalk/requests/__init__.py
@@ -1,1 +1,1 @@
-"""State machine of one request: attempts, retries, resumption and its final answer."""
+"""The life of a completion request: claim, admission, attempts, retries, one final answer."""
--- /dev/null
+++ b/src/stagewalk/requests/attempts.py
@@ -0,0 +1,391 @@
+"""Attempts of admitted requests: dispatch, chunks, ends, retries, hedges and stalls.
+
+The one rule for requests that are not repeatable: an attempt is started only while the claim
+is held, no attempt is under way, and none that ended may have run.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+from stagewalk.admission.controller import AdmissionController
+from stagewalk.core.completions import (
+    CompletionRequest,
+    CompletionResult,
+    Priority,
+    TokenChunk,
+)
+from stagewalk.core.errors import StagewalkError, Step
+from stagewalk.core.events import AttemptChunk, AttemptFailed, AttemptFinished, AttemptRefused
+from stagewalk.core.identities import AttemptId, EngineName, ProcessIdentity
+from stagewalk.core.instructions import CancelAttempt, StartAttempt
+from stagewalk.requests import faults
+from stagewalk.requests.answer import AnswerAssembly, HeldAnswer
+from stagewalk.requests.book import RequestBook
+from stagewalk.requests.config import RequestConfig
+from stagewalk.requests.delays import DelayWindow
+from stagewalk.requests.record import Attempt, RequestRecord
+from stagewalk.requests.retries import RetryBudget, backoff_seconds
+from stagewalk.requests.states import AttemptClass, Cause
+from stagewalk.requests.timers import Timer, TimerKind
+from stagewalk.routing.router import EngineChoice, Router
+
+FINISH_REASON_LENGTH = "length"
+
+
+class AttemptRunner:
+    """Starts attempts and takes what becomes of them."""
+
+    def __init__(
+        self,
+        identity: ProcessIdentity,
+        book: RequestBook,
+        router: Router,
+        admission: AdmissionController,
+        config: RequestConfig,
+        *,
+        generator: random.Random,
+    ) -> None:
+        self._identity = identity
+        self._book = book
+        self._router = router
+        self._admission = admission
+        self._config = config
+        self._generator = generator
+        self._delays = DelayWindow(config.hedge.window)
+        self._prefix = f"{identity.name}.{identity.incarnation:x}.{generator.getrandbits(32):08x}"
+        self._number = 0
+        self.budget = RetryBudget(config.retry)
+
+    def dispatch(self, record: RequestRecord, now: float) -> None:
+        """Start an attempt of a record in `ROUTING`, or look again later, or give up."""
+        if now >= record.request.deadline:
+            error = faults.deadline_passed(record, self._identity.name, Step.ROUTING)
+            self._fail(record, Cause.DEADLINE, error, now)
+            return
+        request = self._pinned_request(record)
+        choice = self._router.choose(request, frozenset(record.excluded), now)
+        if choice.is_error() and record.excluded:
+            record.excluded.clear()
+            choice = self._router.choose(request, frozenset(), now)
+        if choice.is_error():
+            self._wait_for_engine(record, choice.error, now)
+            return
+        record.no_engine_since = None
+        self._start(record, request, choice.ok, Cause.DISPATCHED, now)
+
+    def handle_chunk(self, event: AttemptChunk, now: float) -> None:
+        """Take a piece of an answer; one of an unknown attempt is late or foreign."""
+        record = self._book.owners.get(event.attempt)
+        if record is None:
+            return
+        attempt = record.attempts[event.attempt]
+        before = attempt.assembly.characters
+        taken = attempt.assembly.add(event.chunk)
+        self._book.count_characters(record, attempt.assembly.characters - before)
+        if taken.is_error():
+            self._give_up_attempt(record, attempt, taken.error.detail, now)
+            return
+        if not taken.ok:
+            return
+        if attempt.last_chunk_at is None:
+            self._note_first_token(record, attempt, now)
+        attempt.last_chunk_at = now
+        self._stream(record, attempt, taken.ok)
+
+    def handle_finished(self, event: AttemptFinished, now: float) -> None:
+        """Take the final frame: the answer is whole only if the count agrees."""
+        record = self._book.owners.get(event.attempt)
+        if record is None:
+            return
+        attempt = record.attempts[event.attempt]
+        if attempt.assembly.whole(event.token_count):
+            self._finish(record, attempt, event.finish_reason, now)
+            return
+        held = attempt.assembly.token_count
+        detail = f"the answer is truncated: {held} of {event.token_count} tokens came"
+        self._attempt_ended(record, attempt, AttemptClass.MAY_HAVE_RUN, detail, now)
+
+    def handle_refused(self, event: AttemptRefused, now: float) -> None:
+        """Take a refusal; one after the first token contradicts itself and proves nothing."""
+        record = self._book.owners.get(event.attempt)
+        if record is None:
+            return
+        attempt = record.attempts[event.attempt]
+        if attempt.last_chunk_at is not None:
+            detail = f"refused after it had begun: {event.detail}"
+            self._attempt_ended(record, attempt, AttemptClass.MAY_HAVE_RUN, detail, now)
+            return
+        self._router.note_refused(attempt.engine, attempt.attempt, event.retry_after_seconds, now)
+        self._admission.note_refused(record.request.model, now)
+        self._attempt_ended(
+            record,
+            attempt,
+            AttemptClass.REFUSED,
+            event.detail,
+            now,
+            retry_after_seconds=event.retry_after_seconds,
+        )
+
+    def handle_failed(self, event: AttemptFailed, now: float) -> None:
+        """Take the end of an attempt without a final frame."""
+        record = self._book.owners.get(event.attempt)
+        if record is None:
+            return
+        attempt = record.attempts[event.attempt]
+        began = event.sent or attempt.last_chunk_at is not None
+        outcome = AttemptClass.MAY_HAVE_RUN if began else AttemptClass.NOT_SENT
+        self._attempt_ended(record, attempt, outcome, event.detail, now)
+
+    def handle_hedge_timer(self, record: RequestRecord, timer: Timer, now: float) -> None:
+        """Start a second attempt if the first has not answered by now."""
+        first = record.attempts.get(timer.attempt) if timer.attempt is not None else None
+        if first is None or first.last_chunk_at is not None or len(record.attempts) > 1:
+            return
+        if record.stream or not record.request.repeatable:
+            return
+        excluded = frozenset({*record.excluded, first.engine})
+        choice = self._router.choose(record.request, excluded, now)
+        if choice.is_error() or not self.budget.take(record.key.tenant):
+            return
+        self._start(record, record.request, choice.ok, Cause.HEDGED, now)
+
+    def handle_stall_timer(self, record: RequestRecord, timer: Timer, now: float) -> None:
+        """Give up an attempt that has been silent for too long; its request is resumed."""
+        attempt = record.attempts.get(timer.attempt) if timer.attempt is not None else None
+        if attempt is None:
+            return
+        silent_until = self._silent_until(attempt)
+        if now >= silent_until:
+            self._give_up_attempt(record, attempt, "the engine fell silent", now)
+            return
+        self._set_timer(record, TimerKind.STALL, silent_until, attempt.attempt)
+
+    def cancel_all(self, record: RequestRecord, now: float) -> None:
+        """Cancel a record's attempts; they may have run."""
+        for attempt in list(record.attempts.values()):
+            self._cancel(record, attempt, now)
+
+    def _start(
+        self,
+        record: RequestRecord,
+        request: CompletionRequest,
+        choice: EngineChoice,
+        cause: Cause,
+        now: float,
+    ) -> None:
+        if not record.request.repeatable and not self._may_run_once(record):
+            raise AssertionError(f"a second execution of {record.key} was about to start")
+        self._restart_if_versions_differ(record, choice)
+        self._number += 1
+        attempt = Attempt(
+            attempt=AttemptId(f"{self._prefix}.{self._number:x}"),
+            engine=choice.engine,
+            address=choice.address,
+            started_at=now,
+            resume_offset=record.held.token_count,
+            assembly=AnswerAssembly.after(
+                record.held, request, record.mixed_versions, self._config.memory
+            ),
+        )
+        self._book.move(record, cause)
+        record.attempts[attempt.attempt] = attempt
+        record.attempt_count += 1
+        self._book.owners[attempt.attempt] = record
+        self._router.note_started(choice.engine, attempt.attempt, request, now)
+        self._set_attempt_timers(record, attempt, now)
+        self._book.output(
+            StartAttempt(
+                attempt=attempt.attempt,
+                engine=choice.engine,
+                address=choice.address,
+                request=request,
+                resume_offset=record.held.token_count,
+                resume_text=record.held.text,
+            )
+        )
+
+    def _may_run_once(self, record: RequestRecord) -> bool:
+        return record.claim_held and not record.may_have_run and not record.attempts
+
+    def _pinned_request(self, record: RequestRecord) -> CompletionRequest:
+        """Pin the version of an answer partly given to a caller who wants no mixed versions."""
+        if record.mixed_versions or record.streamed_tokens == 0:
+            return record.request
+        version = record.held.spans[-1].version
+        return replace(record.request, minimum_version=version, maximum_version=version)
+
+    def _restart_if_versions_differ(self, record: RequestRecord, choice: EngineChoice) -> None:
+        """Drop an unseen part of an answer rather than go on with it under another version."""
+        if record.mixed_versions or record.streamed_tokens > 0 or record.held.token_count == 0:
+            return
+        if record.held.spans[-1].version != choice.version:
+            record.held = HeldAnswer()
+
+    def _set_attempt_timers(self, record: RequestRecord, attempt: Attempt, now: float) -> None:
+        if not record.request.repeatable:
+            return
+        self._set_timer(record, TimerKind.STALL, self._silent_until(attempt), attempt.attempt)
+        if self._may_hedge(record):
+            hedge = self._config.hedge
+            delay = max(hedge.minimum_delay_seconds, self._delays.percentile(hedge.percentile))
+            self._set_timer(record, TimerKind.HEDGE, now + delay, attempt.attempt)
+
+    def _may_hedge(self, record: RequestRecord) -> bool:
+        hedge = self._config.hedge
+        if not hedge.enabled or record.stream or len(self._delays) < hedge.minimum_samples:
+            return False
+        if record.attempt_count >= self._config.retry.maximum_attempts:
+            return False
+        return hedge.rollouts or record.request.priority is Priority.INTERACTIVE
+
+    def _silent_until(self, attempt: Attempt) -> float:
+        if attempt.last_chunk_at is None:
+            return attempt.started_at + self._config.first_token_seconds
+        return attempt.last_chunk_at + self._config.stall_seconds
+
+    def _set_timer(
+        self, record: RequestRecord, kind: TimerKind, at: float, attempt: AttemptId | None = None
+    ) -> None:
+        self._book.timers.add(at, kind, record.key, record.serial, attempt)
+
+    def _note_first_token(self, record: RequestRecord, attempt: Attempt, now: float) -> None:
+        delay = now - attempt.started_at
+        self._delays.add(delay)
+        self._admission.note_first_token(record.request.model, delay, now)
+        self._router.note_progress(attempt.attempt, now)
+
+    def _stream(self, record: RequestRecord, attempt: Attempt, taken: list[TokenChunk]) -> None:
+        """Pass on what came, unless a second attempt might answer otherwise."""
+        if not record.stream or len(record.attempts) > 1:
+            return
+        if taken[0].offset == record.streamed_tokens:
+            text = "".join(chunk.text for chunk in taken)
+        else:
+            text = attempt.assembly.text()[record.streamed_characters :]
+        self._book.stream_up_to(record, text, attempt.assembly.token_count, taken[-1].version)
+
+    def _finish(
+        self, record: RequestRecord, attempt: Attempt, finish_reason: str, now: float
+    ) -> None:
+        self._router.note_finished(attempt.engine, attempt.attempt, now)
+        self._forget(record, attempt)
+        record.may_have_run = True
+        self.cancel_all(record, now)
+        self._admission.ended(record.key, now)
+        self._book.finish(record, Cause.WHOLE, attempt.assembly.result(finish_reason), now)
+
+    def _give_up_attempt(
+        self, record: RequestRecord, attempt: Attempt, detail: str, now: float
+    ) -> None:
+        """Cancel an attempt that can't give a whole answer any more."""
+        self._book.output(CancelAttempt(attempt.attempt, attempt.engine, attempt.address))
+        self._attempt_ended(record, attempt, AttemptClass.MAY_HAVE_RUN, detail, now)
+
+    def _attempt_ended(
+        self,
+        record: RequestRecord,
+        attempt: Attempt,
+        outcome: AttemptClass,
+        detail: str,
+        now: float,
+        *,
+        retry_after_seconds: float | None = None,
+    ) -> None:
+        """Take an attempt's end without a whole answer, and go on as its class allows."""
+        self._forget(record, attempt)
+        if outcome is not AttemptClass.REFUSED:
+            self._router.note_failed(attempt.engine, attempt.attempt, now)
+        if outcome is AttemptClass.MAY_HAVE_RUN:
+            record.may_have_run = True
+            self._keep(record, attempt)
+        record.excluded.add(attempt.engine)
+        if record.held.token_count >= record.request.max_tokens:
+            self._finish_at_length(record, now)
+            return
+        error = self._error_of(record, attempt.engine, outcome, detail, retry_after_seconds)
+        record.last_error = error
+        if record.attempts:
+            self._book.move(record, Cause.ATTEMPT_LOST)
+            return
+        self._retry_or_fail(record, outcome, error, now)
+
+    def _retry_or_fail(
+        self, record: RequestRecord, outcome: AttemptClass, error: StagewalkError, now: float
+    ) -> None:
+        if not record.request.repeatable and record.may_have_run:
+            unknown = faults.outcome_unknown(Step.EXECUTION, error.peer, error.detail)
+            self._fail(record, Cause.OUTCOME_UNKNOWN, unknown, now)
+            return
+        retries = max(0, record.attempt_count - 1)
+        pause = backoff_seconds(self._config.retry, retries, self._generator)
+        exhausted = record.attempt_count >= self._config.retry.maximum_attempts
+        too_late = now + pause >= record.request.deadline
+        if exhausted or too_late or not self.budget.take(record.key.tenant):
+            self._fail(record, Cause.GAVE_UP, error, now)
+            return
+        self._book.move(record, Cause.RETRIED)
+        if outcome is AttemptClass.MAY_HAVE_RUN or retries > 0:
+            self._set_timer(record, TimerKind.ROUTE, now + pause)
+            return
+        self.dispatch(record, now)
+
+    def _wait_for_engine(self, record: RequestRecord, error: StagewalkError, now: float) -> None:
+        """Look again soon, until patience ends; the answer is then given at once."""
+        if record.no_engine_since is None:
+            record.no_engine_since = now
+        retry = self._config.retry
+        waited = now - record.no_engine_since
+        again = now + retry.no_engine_interval_seconds
+        if waited >= retry.no_engine_patience_seconds or again >= record.request.deadline:
+            last = record.last_error
+            final = replace(error if last is None else last, ran=record.ran)
+            self._fail(record, Cause.GAVE_UP, final, now)
+            return
+        self._set_timer(record, TimerKind.ROUTE, again)
+
+    def _finish_at_length(self, record: RequestRecord, now: float) -> None:
+        """End an answer that has all the tokens it may have; only its final frame was lost."""
+        self.cancel_all(record, now)
+        self._admission.ended(record.key, now)
+        held = record.held
+        result = CompletionResult(held.text, held.token_count, held.spans, FINISH_REASON_LENGTH)
+        self._book.finish(record, Cause.WHOLE, result, now)
+
+    def _keep(self, record: RequestRecord, attempt: Attempt) -> None:
+        """Keep what an attempt brought, to resume from; callers' text must remain its start."""
+        longer = attempt.assembly.token_count > record.held.token_count
+        if longer or record.streamed_tokens > 0:
+            record.held = attempt.assembly.held()
+
+    def _error_of(
+        self,
+        record: RequestRecord,
+        engine: EngineName,
+        outcome: AttemptClass,
+        detail: str,
+        retry_after_seconds: float | None,
+    ) -> StagewalkError:
+        match outcome:
+            case AttemptClass.NOT_SENT:
+                return faults.attempt_unsent(record, engine, detail)
+            case AttemptClass.REFUSED:
+                return faults.attempt_refused(record, engine, detail, retry_after_seconds)
+            case AttemptClass.MAY_HAVE_RUN:
+                return faults.attempt_failed(record, engine, detail)
+
+    def _cancel(self, record: RequestRecord, attempt: Attempt, now: float) -> None:
+        self._book.output(CancelAttempt(attempt.attempt, attempt.engine, attempt.address))
+        self._router.note_cancelled(attempt.attempt, now)
+        self._forget(record, attempt)
+        record.may_have_run = True
+
+    def _forget(self, record: RequestRecord, attempt: Attempt) -> None:
+        del record.attempts[attempt.attempt]
+        del self._book.owners[attempt.attempt]
+
+    def _fail(self, record: RequestRecord, cause: Cause, error: StagewalkError, now: float) -> None:
+        self.cancel_all(record, now)
+        self._admission.withdraw(record.key)
+        self._book.fail(record, cause, error, now)
--- /dev/null
+++ b/src/stagewalk/requests/book.py
@@ -0,0 +1,134 @@
+"""All requests in progress at this node, and the only places where one moves or ends."""
+
+from __future__ import annotations
+
+from stagewalk.core.completions import CompletionResult, TokenChunk
+from stagewalk.core.errors import StagewalkError
+from stagewalk.core.identities import AttemptId, RequestKey, WeightVersion
+from stagewalk.requests.config import RequestConfig
+from stagewalk.requests.notifications import (
+    RequestChunk,
+    RequestFailed,
+    RequestFinished,
+    RequestJoined,
+    RequestOutput,
+)
+from stagewalk.requests.record import RequestRecord
+from stagewalk.requests.retained import RetainedOutcome, RetainedOutcomes
+from stagewalk.requests.states import Cause, next_state
+from stagewalk.requests.timers import Timer, TimerQueue
+
+
+class RequestBook:
+    """Records, timers, retained outcomes and pending outputs, with their memory counted."""
+
+    def __init__(self, config: RequestConfig) -> None:
+        self.records: dict[RequestKey, RequestRecord] = {}
+        self.owners: dict[AttemptId, RequestRecord] = {}
+        self.timers = TimerQueue()
+        self.retained = RetainedOutcomes(config.memory)
+        self.held_characters = 0
+        self._outputs: list[RequestOutput] = []
+        self._serial = 0
+
+    def next_serial(self) -> int:
+        """Return a number no other record of this process has."""
+        self._serial += 1
+        return self._serial
+
+    def add(self, record: RequestRecord) -> None:
+        """Take a new record in."""
+        self.records[record.key] = record
+        self.count_characters(record, len(record.request.prompt))
+
+    def count_characters(self, record: RequestRecord, more: int) -> None:
+        """Count text that a record holds from now on."""
+        record.characters += more
+        self.held_characters += more
+
+    def output(self, output: RequestOutput) -> None:
+        """Append an output, in order."""
+        self._outputs.append(output)
+
+    def drain(self) -> list[RequestOutput]:
+        """Return the outputs since the last time."""
+        outputs = self._outputs
+        self._outputs = []
+        return outputs
+
+    def move(self, record: RequestRecord, cause: Cause) -> None:
+        """Change a record's state as the table of transitions says."""
+        record.state = next_state(record.state, cause)
+
+    def stream_up_to(
+        self, record: RequestRecord, text: str, token_count: int, version: WeightVersion
+    ) -> None:
+        """Give streaming calls a text, which brings what they have to this many tokens."""
+        piece = TokenChunk(
+            sequence=record.next_sequence,
+            offset=record.streamed_tokens,
+            token_count=token_count - record.streamed_tokens,
+            text=text,
+            version=version,
+        )
+        record.next_sequence += 1
+        record.streamed_tokens = token_count
+        record.streamed_characters += len(text)
+        self.output(RequestChunk(record.key, piece))
+
+    def finish(
+        self, record: RequestRecord, cause: Cause, result: CompletionResult, now: float
+    ) -> None:
+        """End a record with its whole answer, after what streaming calls still lack of it."""
+        if record.stream and result.token_count > record.streamed_tokens:
+            rest = result.text[record.streamed_characters :]
+            self.stream_up_to(record, rest, result.token_count, result.spans[-1].version)
+        self.output(RequestFinished(record.key, result))
+        self._end(record, cause, now, result=result)
+
+    def answer_again(self, key: RequestKey, result: CompletionResult, stream: bool) -> None:
+        """Answer a submission with the retained answer of an earlier one."""
+        held = None
+        if stream and result.token_count > 0:
+            held = TokenChunk(0, 0, result.token_count, result.text, result.spans[-1].version)
+        self.output(RequestJoined(key, held))
+        self.output(RequestFinished(key, result))
+
+    def fail(self, record: RequestRecord, cause: Cause, error: StagewalkError, now: float) -> None:
+        """End a record with an error."""
+        self.output(RequestFailed(record.key, error))
+        self._end(record, cause, now, error=error)
+
+    def abandon(self, record: RequestRecord, now: float) -> None:
+        """End a record whose callers left."""
+        self._end(record, Cause.ABANDONED, now)
+
+    def compact_timers(self) -> None:
+        """Drop timers of ended requests when they have become many."""
+        self.timers.compact(self._is_live, len(self.records))
+
+    def _is_live(self, timer: Timer) -> bool:
+        record = self.records.get(timer.key)
+        return record is not None and record.serial == timer.serial
+
+    def _end(
+        self,
+        record: RequestRecord,
+        cause: Cause,
+        now: float,
+        result: CompletionResult | None = None,
+        error: StagewalkError | None = None,
+    ) -> None:
+        self.move(record, cause)
+        del self.records[record.key]
+        self.held_characters -= record.characters
+        outcome = RetainedOutcome(
+            fingerprint=record.fingerprint,
+            repeatable=record.request.repeatable,
+            may_have_run=record.may_have_run,
+            expires_at=now + record.retention_seconds,
+            result=result,
+            error=error,
+            claim=record.claim,
+        )
+        self.retained.put(record.key, outcome)
--- /dev/null
+++ b/src/stagewalk/requests/core.py
@@ -0,0 +1,459 @@
+"""The request core: every completion request of this node, from submission to its one answer.
+
+It composes claims, admission and routing: a request that is not repeatable is claimed first,
+then every request passes admission, then attempts are made until one answer is whole or
+nothing more may be tried. `states.TRANSITIONS` and `docs/REQUESTS.md` list all transitions.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+from stagewalk.admission.controller import Admission, AdmissionController, PoolCapacity
+from stagewalk.configuration.parameters import Tenant, TenantParameters
+from stagewalk.core.completions import CompletionRequest, CompletionResult, TokenChunk
+from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
+from stagewalk.core.events import AttemptChunk, AttemptFailed, AttemptFinished, AttemptRefused
+from stagewalk.core.identities import (
+    ModelName,
+    ProcessIdentity,
+    RequestKey,
+    TenantName,
+    WeightVersion,
+)
+from stagewalk.requests import faults
+from stagewalk.requests.attempts import AttemptRunner
+from stagewalk.requests.book import RequestBook
+from stagewalk.requests.claim_value import ClaimValue, claim_key, decode_claim, encode_claim
+from stagewalk.requests.config import RequestConfig
+from stagewalk.requests.notifications import (
+    AnswerWanted,
+    ClaimWanted,
+    RequestJoined,
+    RequestOutput,
+    SubmissionRejected,
+)
+from stagewalk.requests.record import RequestRecord, fingerprint_of
+from stagewalk.requests.retained import RetainedOutcome
+from stagewalk.requests.states import Cause, RequestState
+from stagewalk.requests.timers import Timer, TimerKind
+from stagewalk.routing.router import Router
+
+AttemptEvent = AttemptChunk | AttemptFinished | AttemptRefused | AttemptFailed
+
+NONCE_BITS = 128
+POOL_VIEW_SECONDS = 0.1
+CLAIM_STATES = frozenset({RequestState.CLAIMING, RequestState.AWAITING_OWNER})
+
+
+class RequestCore:
+    """State machines of all requests at this node.
+
+    Parameters
+    ----------
+    identity
+        This node: its name, incarnation and a nonce bind claims to this process.
+    router, admission
+        Used by this core alone.
+    generator
+        Source of nonces and jitter.
+    """
+
+    def __init__(
+        self,
+        identity: ProcessIdentity,
+        router: Router,
+        admission: AdmissionController,
+        config: RequestConfig,
+        generator: random.Random,
+    ) -> None:
+        self._identity = identity
+        self._router = router
+        self._admission = admission
+        self._config = config
+        self._generator = generator
+        self._book = RequestBook(config)
+        self._runner = AttemptRunner(
+            identity, self._book, router, admission, config, generator=generator
+        )
+        self._tenants: dict[TenantName, TenantParameters] = {}
+        self._claims: dict[str, RequestRecord] = {}
+        self._pool_views_at: dict[ModelName, float] = {}
+        self._stopping = False
+
+    def set_tenants(self, tenants: Iterable[Tenant]) -> None:
+        """Take the tenants in force; requests already submitted keep what was in force then."""
+        known = tuple(tenants)
+        self._tenants = {tenant.name: tenant.parameters for tenant in known}
+        self._admission.set_tenants(known)
+        self._runner.budget.retain(frozenset(self._tenants))
+
+    def submit(self, request: CompletionRequest, now: float) -> list[RequestOutput]:
+        """Take a request of a caller or of a trainer's lot.
+
+        The same request submitted again joins the first, or gets its retained answer.
+        """
+        key = RequestKey(request.tenant, request.request_id)
+        parameters = self._tenants.get(request.tenant)
+        if parameters is None or request.model not in parameters.models:
+            self._reject(key, self._unknown(request, parameters))
+            return self._book.drain()
+        request = apply_parameters(request, parameters)
+        fingerprint = fingerprint_of(request)
+        record = self._book.records.get(key)
+        if record is not None:
+            self._join(record, request, fingerprint)
+            return self._book.drain()
+        outcome = self._book.retained.get(key, now)
+        if outcome is not None and self._answer_from(outcome, key, request, fingerprint):
+            return self._book.drain()
+        self._open(request, parameters, fingerprint, outcome, now)
+        return self._book.drain()
+
+    def handle(self, event: AttemptEvent, now: float) -> list[RequestOutput]:
+        """Take what became of an attempt."""
+        match event:
+            case AttemptChunk():
+                self._runner.handle_chunk(event, now)
+            case AttemptFinished():
+                self._runner.handle_finished(event, now)
+            case AttemptRefused():
+                self._runner.handle_refused(event, now)
+            case AttemptFailed():
+                self._runner.handle_failed(event, now)
+        if not isinstance(event, AttemptChunk):
+            self._release(now)
+        return self._book.drain()
+
+    def claim_decided(self, key: str, value: bytes, won: bool, now: float) -> list[RequestOutput]:
+        """Take a claim's decision: only now, and only if this very claim won, may it be sent."""
+        record = self._claims.pop(key, None)
+        if record is None or record.state is not RequestState.CLAIMING:
+            return []
+        decided = decode_claim(value)
+        if won and decided is not None and decided == record.claim:
+            record.claim_held = True
+            self._admit(record, now)
+        else:
+            self._claim_lost(record, decided, now)
+        return self._book.drain()
+
+    def claim_undecided(self, key: str, error: StagewalkError, now: float) -> list[RequestOutput]:
+        """Fail a request whose claim nobody can vouch for; it is never sent later.
+
+        The error says `ran: unknown`: this node never sends it, but the caller may have sent
+        the same request through another node before, and only the claim could tell.
+        """
+        record = self._claims.pop(key, None)
+        if record is None or record.state is not RequestState.CLAIMING:
+            return []
+        unknown = replace(error, kind=ErrorKind.OUTCOME_UNKNOWN, step=Step.CLAIM, ran=record.ran)
+        self._book.fail(record, Cause.CLAIM_UNDECIDED, unknown, now)
+        return self._book.drain()
+
+    def answer_fetched(
+        self, key: RequestKey, result: CompletionResult | None, detail: str, now: float
+    ) -> list[RequestOutput]:
+        """Take what the owner of a claim said: its answer, or None and why there is none."""
+        record = self._book.records.get(key)
+        if record is None or record.state is not RequestState.AWAITING_OWNER:
+            return []
+        if result is not None:
+            record.may_have_run = True
+            self._book.finish(record, Cause.ANSWER_FETCHED, result, now)
+        else:
+            self._fail_unknown(record, Cause.ANSWER_UNKNOWN, detail, now)
+        return self._book.drain()
+
+    def retained(self, key: RequestKey, now: float) -> RetainedOutcome | None:
+        """Return how a request ended at this node, if that is still known."""
+        return self._book.retained.get(key, now)
+
+    def in_progress(self, key: RequestKey) -> bool:
+        """Say whether a request is in progress at this node."""
+        return key in self._book.records
+
+    def in_flight_count(self) -> int:
+        """Return how many requests are in progress: a planned stop waits until none is."""
+        return len(self._book.records)
+
+    def abandon(self, key: RequestKey, now: float) -> list[RequestOutput]:
+        """Take notice that the last call of a request has gone.
+
+        One that may not run again, and runs, is kept running so that its answer is retained.
+        """
+        record = self._book.records.get(key)
+        if record is None:
+            return []
+        if record.state is RequestState.RUNNING and not record.request.repeatable:
+            record.detached = True
+            self._book.move(record, Cause.DETACHED)
+            return []
+        self._runner.cancel_all(record, now)
+        self._forget_claim(record)
+        self._admission.withdraw(key)
+        self._book.abandon(record, now)
+        self._release(now)
+        return self._book.drain()
+
+    def stop(self, now: float) -> list[RequestOutput]:
+        """Refuse new requests from now on; those in progress run to their end."""
+        self._stopping = True
+        return []
+
+    def tick(self, now: float) -> list[RequestOutput]:
+        """Do what is due."""
+        for timer in self._book.timers.due(now):
+            record = self._book.records.get(timer.key)
+            if record is not None and record.serial == timer.serial:
+                self._handle_timer(record, timer, now)
+        self._refresh_pools(now)
+        self._release(now)
+        self._book.retained.expire(now)
+        self._book.compact_timers()
+        return self._book.drain()
+
+    def _join(self, record: RequestRecord, request: CompletionRequest, fingerprint: str) -> None:
+        if fingerprint != record.fingerprint:
+            self._reject(record.key, faults.duplicate(self._identity.name, record.ran))
+            return
+        record.detached = False
+        record.stream = record.stream or request.stream
+        held = None
+        if record.streamed_tokens > 0:
+            source = next(iter(record.attempts.values()), None)
+            text = record.held.text if source is None else source.assembly.text()
+            spans = record.held.spans if source is None else source.assembly.spans
+            held = TokenChunk(
+                sequence=0,
+                offset=0,
+                token_count=record.streamed_tokens,
+                text=text[: record.streamed_characters],
+                version=spans[-1].version,
+            )
+        self._book.output(RequestJoined(record.key, held))
+
+    def _answer_from(
+        self,
+        outcome: RetainedOutcome,
+        key: RequestKey,
+        request: CompletionRequest,
+        fingerprint: str,
+    ) -> bool:
+        """Answer from a retained outcome; say False if the request is to be run (again)."""
+        if outcome.fingerprint != fingerprint:
+            ran = Ran.UNKNOWN if outcome.may_have_run else Ran.NO
+            self._reject(key, faults.duplicate(self._identity.name, ran))
+            return True
+        if outcome.result is not None:
+            self._book.answer_again(key, outcome.result, request.stream)
+            return True
+        if outcome.repeatable or not outcome.may_have_run:
+            return False
+        detail = "it was sent before, and may not be sent again"
+        error = faults.outcome_unknown(Step.EXECUTION, str(self._identity.name), detail)
+        self._reject(key, outcome.error or error)
+        return True
+
+    def _open(
+        self,
+        request: CompletionRequest,
+        parameters: TenantParameters,
+        fingerprint: str,
+        outcome: RetainedOutcome | None,
+        now: float,
+    ) -> None:
+        key = RequestKey(request.tenant, request.request_id)
+        record = RequestRecord(
+            key=key,
+            serial=self._book.next_serial(),
+            request=request,
+            fingerprint=fingerprint,
+            mixed_versions=parameters.allow_mixed_versions,
+            retention_seconds=parameters.retention_seconds,
+            stream=request.stream,
+            submitted_at=now,
+            may_have_run=outcome is not None and outcome.may_have_run,
+            claim=None if outcome is None else outcome.claim,
+        )
+        refusal = self._refusal(record, now)
+        if refusal is not None:
+            self._reject(key, refusal)
+            return
+        self._book.add(record)
+        self._runner.budget.note_request(key.tenant)
+        self._book.timers.add(request.deadline, TimerKind.DEADLINE, key, record.serial)
+        if request.repeatable:
+            self._admit(record, now)
+        else:
+            self._propose_claim(record)
+
+    def _refusal(self, record: RequestRecord, now: float) -> StagewalkError | None:
+        """Return why a new request can't be taken in, before anything is done for it."""
+        node = self._identity.name
+        memory = self._config.memory
+        if self._stopping:
+            return faults.stopping(node, record.ran)
+        if now >= record.request.deadline:
+            return faults.deadline_passed(record, node, Step.VALIDATION)
+        if len(self._book.records) >= memory.maximum_requests:
+            return faults.too_many(node, record.ran, "too many requests are in progress")
+        if self._book.held_characters >= memory.maximum_held_characters:
+            return faults.too_many(node, record.ran, "too much text is held")
+        if not record.request.repeatable and len(self._claims) >= memory.maximum_claiming:
+            return faults.too_many(node, record.ran, "too many claims are being decided")
+        return None
+
+    def _propose_claim(self, record: RequestRecord) -> None:
+        """Ask for the claim that makes this process the only one to send the request."""
+        if record.claim is None:
+            record.claim = ClaimValue(
+                node=self._identity.name,
+                incarnation=self._identity.incarnation,
+                nonce=f"{self._generator.getrandbits(NONCE_BITS):032x}",
+                fingerprint=record.fingerprint,
+            )
+        key = claim_key(record.key)
+        self._claims[key] = record
+        self._book.move(record, Cause.CLAIM_WANTED)
+        self._book.output(ClaimWanted(key, encode_claim(record.claim)))
+
+    def _claim_lost(self, record: RequestRecord, decided: ClaimValue | None, now: float) -> None:
+        """Another submission owns the request: it may have run there."""
+        if decided is None:
+            detail = "the claim is held by an unknown owner"
+            self._fail_unknown(record, Cause.OUTCOME_UNKNOWN, detail, now)
+            return
+        if decided.fingerprint != record.fingerprint:
+            error = faults.duplicate(self._identity.name, Ran.UNKNOWN)
+            self._book.fail(record, Cause.OUTCOME_UNKNOWN, error, now)
+            return
+        owned_here = decided.node == self._identity.name
+        if owned_here or not self._config.fetch_answers:
+            detail = f"node {decided.node} owns the request and may have run it"
+            error = faults.outcome_unknown(Step.CLAIM, str(decided.node), detail)
+            self._book.fail(record, Cause.OUTCOME_UNKNOWN, error, now)
+            return
+        self._book.move(record, Cause.CLAIM_LOST)
+        until = now + self._config.fetch_timeout_seconds
+        self._book.timers.add(until, TimerKind.FETCH, record.key, record.serial)
+        self._book.output(AnswerWanted(record.key, decided.node, decided.incarnation))
+
+    def _fail_unknown(self, record: RequestRecord, cause: Cause, detail: str, now: float) -> None:
+        error = faults.outcome_unknown(Step.CLAIM, str(self._identity.name), detail)
+        self._book.fail(record, cause, error, now)
+
+    def _forget_claim(self, record: RequestRecord) -> None:
+        if record.state is RequestState.CLAIMING:
+            self._claims.pop(claim_key(record.key), None)
+
+    def _admit(self, record: RequestRecord, now: float) -> None:
+        self._refresh_pool(record.request.model, now)
+        admission = self._admission.admit(record.key, record.request, now)
+        if admission.is_error():
+            refusal = replace(admission.error, ran=record.ran)
+            self._book.fail(record, Cause.REFUSED, refusal, now)
+            return
+        if admission.ok is Admission.WAITING:
+            self._book.move(record, Cause.QUEUED)
+            shed_at = self._admission.latest_start(record.request)
+            self._book.timers.add(shed_at, TimerKind.SHED, record.key, record.serial)
+            return
+        self._book.move(record, Cause.ADMITTED)
+        self._runner.dispatch(record, now)
+
+    def _release(self, now: float) -> None:
+        """Start waiting requests that there is room for now."""
+        if not self._admission.waiting_count():
+            return
+        for key in self._admission.release(now):
+            record = self._book.records[key]
+            self._book.move(record, Cause.ADMITTED)
+            self._runner.dispatch(record, now)
+
+    def _handle_timer(self, record: RequestRecord, timer: Timer, now: float) -> None:
+        match timer.kind:
+            case TimerKind.DEADLINE:
+                self._handle_deadline(record, now)
+            case TimerKind.SHED:
+                if record.state is RequestState.WAITING:
+                    self._shed(record, now)
+            case TimerKind.ROUTE:
+                if record.state is RequestState.ROUTING:
+                    self._runner.dispatch(record, now)
+            case TimerKind.HEDGE:
+                self._runner.handle_hedge_timer(record, timer, now)
+            case TimerKind.STALL:
+                self._runner.handle_stall_timer(record, timer, now)
+            case TimerKind.FETCH:
+                if record.state is RequestState.AWAITING_OWNER:
+                    detail = "the owner of the request did not say its answer"
+                    self._fail_unknown(record, Cause.ANSWER_UNKNOWN, detail, now)
+
+    def _handle_deadline(self, record: RequestRecord, now: float) -> None:
+        if record.state is RequestState.WAITING:
+            self._shed(record, now)
+            return
+        step = Step.CLAIM if record.state in CLAIM_STATES else Step.EXECUTION
+        self._forget_claim(record)
+        self._runner.cancel_all(record, now)
+        self._admission.withdraw(record.key)
+        error = faults.deadline_passed(record, self._identity.name, step)
+        self._book.fail(record, Cause.DEADLINE, error, now)
+
+    def _shed(self, record: RequestRecord, now: float) -> None:
+        """Refuse a waiting request as soon as it can't be answered in time any more."""
+        wait = self._admission.expected_wait_seconds(record.request.model, record.request.priority)
+        self._admission.withdraw(record.key)
+        error = faults.shed(self._identity.name, record.ran, wait)
+        self._book.fail(record, Cause.SHED, error, now)
+
+    def _refresh_pools(self, now: float) -> None:
+        for model in self._admission.models():
+            self._refresh_pool(model, now)
+
+    def _refresh_pool(self, model: ModelName, now: float) -> None:
+        """Give admission a newer view of a pool, at most once in `POOL_VIEW_SECONDS`."""
+        if now - self._pool_views_at.get(model, -math.inf) < POOL_VIEW_SECONDS:
+            return
+        self._pool_views_at[model] = now
+        view = self._router.pool_view(model, now)
+        self._admission.set_pool(model, PoolCapacity(view.slots, view.load, view.scale))
+
+    def _reject(self, key: RequestKey, error: StagewalkError) -> None:
+        self._book.output(SubmissionRejected(key, error))
+
+    def _unknown(
+        self, request: CompletionRequest, parameters: TenantParameters | None
+    ) -> StagewalkError:
+        if parameters is None:
+            kind, field, detail = ErrorKind.UNKNOWN_TENANT, "tenant", "no such tenant"
+        else:
+            kind, field, detail = ErrorKind.UNKNOWN_MODEL, "model", "not a model of the tenant"
+        return StagewalkError(kind, Step.VALIDATION, str(self._identity.name), detail, field=field)
+
+
+def apply_parameters(request: CompletionRequest, parameters: TenantParameters) -> CompletionRequest:
+    """Return the request as its tenant's parameters make it: versions pinned, class obeyed."""
+    repeatable = request.repeatable and (
+        request.request_class not in parameters.non_repeatable_classes
+    )
+    return replace(
+        request,
+        repeatable=repeatable,
+        minimum_version=_tighter(max, request.minimum_version, parameters.minimum_version),
+        maximum_version=_tighter(min, request.maximum_version, parameters.maximum_version),
+    )
+
+
+def _tighter(
+    choose: Callable[[WeightVersion, WeightVersion], WeightVersion],
+    one: WeightVersion | None,
+    other: WeightVersion | None,
+) -> WeightVersion | None:
+    if one is None or other is None:
+        return other if one is None else one
+    return choose(one, other)
--- /dev/null
+++ b/src/stagewalk/requests/faults.py
@@ -0,0 +1,96 @@
+"""The errors a request can end with."""
+
+from __future__ import annotations
+
+from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
+from stagewalk.core.identities import EngineName, NodeName
+from stagewalk.requests.record import RequestRecord
+
+STOPPING_RETRY_SECONDS = 0.0
+BUSY_RETRY_SECONDS = 1.0
+
+
+def deadline_passed(record: RequestRecord, node: NodeName, step: Step) -> StagewalkError:
+    """Return the error of a request whose deadline passed."""
+    return StagewalkError(
+        ErrorKind.DEADLINE, step, str(node), "the deadline passed", ran=record.ran
+    )
+
+
+def outcome_unknown(step: Step, peer: str, detail: str) -> StagewalkError:
+    """Return the error of a request that may have run and may not run again."""
+    return StagewalkError(ErrorKind.OUTCOME_UNKNOWN, step, peer, detail, ran=Ran.UNKNOWN)
+
+
+def duplicate(node: NodeName, ran: Ran) -> StagewalkError:
+    """Return the error of a submission whose id belongs to another request."""
+    return StagewalkError(
+        ErrorKind.DUPLICATE,
+        Step.VALIDATION,
+        str(node),
+        "another request was sent under this id",
+        ran=ran,
+        field="request_id",
+    )
+
+
+def stopping(node: NodeName, ran: Ran) -> StagewalkError:
+    """Return the error of a submission to a node that is about to stop."""
+    return StagewalkError(
+        ErrorKind.STOPPING,
+        Step.ADMISSION,
+        str(node),
+        "the node is stopping; send the request to another",
+        ran=ran,
+        retry_after_seconds=STOPPING_RETRY_SECONDS,
+    )
+
+
+def too_many(node: NodeName, ran: Ran, detail: str) -> StagewalkError:
+    """Return the error of a submission beyond what the node can hold."""
+    return StagewalkError(
+        ErrorKind.OVERLOADED,
+        Step.ADMISSION,
+        str(node),
+        detail,
+        ran=ran,
+        retry_after_seconds=BUSY_RETRY_SECONDS,
+    )
+
+
+def attempt_failed(record: RequestRecord, engine: EngineName, detail: str) -> StagewalkError:
+    """Return the error of a request whose last attempt failed at an engine."""
+    return StagewalkError(
+        ErrorKind.ENGINE_FAILED, Step.EXECUTION, str(engine), detail, ran=record.ran
+    )
+
+
+def attempt_unsent(record: RequestRecord, engine: EngineName, detail: str) -> StagewalkError:
+    """Return the error of a request whose last attempt did not reach an engine."""
+    return StagewalkError(ErrorKind.UNREACHABLE, Step.DISPATCH, str(engine), detail, ran=record.ran)
+
+
+def attempt_refused(
+    record: RequestRecord, engine: EngineName, detail: str, retry_after_seconds: float | None
+) -> StagewalkError:
+    """Return the error of a request whose last attempt an engine refused."""
+    return StagewalkError(
+        ErrorKind.OVERLOADED,
+        Step.DISPATCH,
+        str(engine),
+        detail,
+        ran=record.ran,
+        retry_after_seconds=retry_after_seconds or BUSY_RETRY_SECONDS,
+    )
+
+
+def shed(node: NodeName, ran: Ran, wait_seconds: float) -> StagewalkError:
+    """Return the error of a waiting request that can't be answered in time any more."""
+    return StagewalkError(
+        ErrorKind.OVERLOADED,
+        Step.ADMISSION,
+        str(node),
+        "the deadline can't be met any more",
+        ran=ran,
+        retry_after_seconds=max(BUSY_RETRY_SECONDS, wait_seconds),
+    )
--- /dev/null
+++ b/src/stagewalk/requests/notifications.py
@@ -0,0 +1,83 @@
+"""What the request core tells the node's other cores."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from stagewalk.core.completions import CompletionResult, TokenChunk
+from stagewalk.core.errors import StagewalkError
+from stagewalk.core.identities import Incarnation, NodeName, RequestKey
+from stagewalk.core.instructions import CancelAttempt, StartAttempt
+
+
+@dataclass(frozen=True, slots=True)
+class RequestJoined:
+    """The submission just made joined an earlier one of the same request.
+
+    `held` is the text that earlier calls have been streamed already: this call lacks it.
+    """
+
+    key: RequestKey
+    held: TokenChunk | None
+
+
+@dataclass(frozen=True, slots=True)
+class RequestChunk:
+    """The next piece of a streamed answer, for every call of the request."""
+
+    key: RequestKey
+    chunk: TokenChunk
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFinished:
+    """The whole answer, for every call of the request; sent once for each submission's life."""
+
+    key: RequestKey
+    result: CompletionResult
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFailed:
+    """The final error, for every call of the request."""
+
+    key: RequestKey
+    error: StagewalkError
+
+
+@dataclass(frozen=True, slots=True)
+class SubmissionRejected:
+    """The submission just made fails, and only it: other calls of the same id go on."""
+
+    key: RequestKey
+    error: StagewalkError
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimWanted:
+    """Propose a write-once claim."""
+
+    claim_key: str
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerWanted:
+    """Fetch a request's answer from the node that owns its claim."""
+
+    key: RequestKey
+    owner: NodeName
+    owner_incarnation: Incarnation
+
+
+RequestOutput = (
+    StartAttempt
+    | CancelAttempt
+    | RequestJoined
+    | RequestChunk
+    | RequestFinished
+    | RequestFailed
+    | SubmissionRejected
+    | ClaimWanted
+    | AnswerWanted
+)
--- /dev/null
+++ b/src/stagewalk/requests/record.py
@@ -0,0 +1,103 @@
+"""What the core keeps of a request in progress and of its attempts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import xxhash
+
+from stagewalk.core.completions import CompletionRequest
+from stagewalk.core.errors import Ran, StagewalkError
+from stagewalk.core.identities import Address, AttemptId, EngineName, RequestKey
+from stagewalk.requests.answer import AnswerAssembly, HeldAnswer
+from stagewalk.requests.claim_value import ClaimValue
+from stagewalk.requests.states import RequestState
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt under way at an engine; times are of the node's clock, in seconds."""
+
+    attempt: AttemptId
+    engine: EngineName
+    address: Address
+    started_at: float
+    resume_offset: int
+    assembly: AnswerAssembly
+    last_chunk_at: float | None = None
+
+
+@dataclass(slots=True)
+class RequestRecord:
+    """A request in progress.
+
+    Attributes
+    ----------
+    serial
+        Tells it from an earlier request under the same key.
+    request
+        The request with the tenant's parameters applied.
+    claim, claim_held
+        The claim proposed for it, and whether it was won.
+    attempt_count
+        Attempts started, those under way included.
+    may_have_run
+        Whether an attempt that ended may have been executed.
+    held
+        The longest part of the answer that is certain, to resume from.
+    stream
+        Whether a call wants the answer piece by piece.
+    streamed_tokens, streamed_characters, next_sequence
+        How much of it the calls were given, and in how many pieces.
+    excluded
+        Engines that failed or refused it.
+    no_engine_since
+        Since when no engine was eligible; `None` if one was.
+    detached
+        Its callers left; it runs on because it can't be run again.
+    """
+
+    key: RequestKey
+    serial: int
+    request: CompletionRequest
+    fingerprint: str
+    mixed_versions: bool
+    retention_seconds: float
+    stream: bool
+    submitted_at: float
+    state: RequestState = RequestState.NEW
+    claim: ClaimValue | None = None
+    claim_held: bool = False
+    attempts: dict[AttemptId, Attempt] = field(default_factory=dict)
+    attempt_count: int = 0
+    may_have_run: bool = False
+    held: HeldAnswer = field(default_factory=HeldAnswer)
+    streamed_tokens: int = 0
+    streamed_characters: int = 0
+    next_sequence: int = 0
+    excluded: set[EngineName] = field(default_factory=set)
+    last_error: StagewalkError | None = None
+    no_engine_since: float | None = None
+    detached: bool = False
+    characters: int = 0
+
+    @property
+    def ran(self) -> Ran:
+        """Return what may be said of the request: `no` only if it is proven.
+
+        A request that is not repeatable may have been sent through another node before, so
+        without its claim this node can't say that it did not run.
+        """
+        unproven = not self.request.repeatable and not self.claim_held
+        if self.may_have_run or self.attempts or unproven:
+            return Ran.UNKNOWN
+        return Ran.NO
+
+
+def fingerprint_of(request: CompletionRequest) -> str:
+    """Return the hash of what makes two submissions under one id the same request."""
+    content = (
+        f"{request.model}\x00{request.max_tokens}\x00{request.seed}\x00{request.repeatable}\x00"
+        f"{request.prompt}"
+    )
+    return xxhash.xxh3_128_hexdigest(content.encode())
--- /dev/null
+++ b/src/stagewalk/requests/retries.py
@@ -0,0 +1,41 @@
+"""Retry budget and backoff: retries may not multiply an overload."""
+
+from __future__ import annotations
+
+import random
+
+from stagewalk.core.identities import TenantName
+from stagewalk.requests.config import RetryConfig
+
+
+class RetryBudget:
+    """A token bucket per tenant, filled by requests and emptied by retries and hedges."""
+
+    def __init__(self, config: RetryConfig) -> None:
+        self._config = config
+        self._tokens: dict[TenantName, float] = {}
+
+    def note_request(self, tenant: TenantName) -> None:
+        """Add what a new request earns."""
+        capacity = self._config.budget_capacity
+        tokens = self._tokens.get(tenant, capacity) + self._config.budget_per_request
+        self._tokens[tenant] = min(capacity, tokens)
+
+    def take(self, tenant: TenantName) -> bool:
+        """Take one retry out of a tenant's budget; say whether there was one."""
+        tokens = self._tokens.get(tenant, self._config.budget_capacity)
+        if tokens < 1.0:
+            return False
+        self._tokens[tenant] = tokens - 1.0
+        return True
+
+    def retain(self, tenants: frozenset[TenantName]) -> None:
+        """Forget tenants that are no more."""
+        for tenant in [name for name in self._tokens if name not in tenants]:
+            del self._tokens[tenant]
+
+
+def backoff_seconds(config: RetryConfig, retries: int, generator: random.Random) -> float:
+    """Return the pause before a retry: exponential with full jitter; `retries` counts from 0."""
+    longest = config.first_backoff_seconds * 2.0 ** min(retries, 30)
+    return generator.uniform(0.0, min(config.maximum_backoff_seconds, longest))
--- a/src/stagewalk/routing/__init__.py
+++ b/src/stagewalk/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Choice of the engine for an attempt."""
+"""Where a request runs: evidence about engines, scores, and policies to choose by."""
--- /dev/null
+++ b/src/stagewalk/routing/config.py
@@ -0,0 +1,160 @@
+"""Parameters of the engine table and the router."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class EngineTableConfig:
+    """How evidence about engines is gathered and how long it holds.
+
+    Attributes
+    ----------
+    subset_size
+        Engines this node routes over; a pool no larger is used whole.
+    poll_interval_seconds
+        Time between two polls of one engine, if the budget allows.
+    polls_per_second
+        Budget of polls over all engines; a larger subset is polled more slowly.
+    poll_timeout_seconds
+        A poll unanswered for so long is given up and may be sent again.
+    evidence_seconds
+        How long after a poll was sent its report vouches for the engine.
+    local_zone_weight, local_region_weight
+        Weights in rendezvous hashing of engines in this node's zone and region, against 1
+        for all others.
+    refusal_pause_seconds
+        How long an engine that refused as draining gets no work unless a newer report says
+        that it serves again.
+    report_lag_seconds
+        How much older than its poll a report may be and still hold for the full time; one
+        that is older, as from an engine whose reports are stuck, expires sooner.
+    clock_drift_fraction
+        Largest drift assumed between this clock and an engine's.
+    clock_step_seconds
+        A report older than the last one by more is taken as a step of the engine's clock.
+    """
+
+    subset_size: int = 16
+    poll_interval_seconds: float = 0.5
+    polls_per_second: float = 16.0
+    poll_timeout_seconds: float = 1.5
+    evidence_seconds: float = 2.5
+    local_zone_weight: float = 4.0
+    local_region_weight: float = 2.0
+    refusal_pause_seconds: float = 2.5
+    report_lag_seconds: float = 0.5
+    clock_drift_fraction: float = 1e-4
+    clock_step_seconds: float = 2.0
+
+    def __post_init__(self) -> None:
+        if self.subset_size < 1:
+            raise ValueError("subset_size must be at least 1")
+        if min(self.poll_interval_seconds, self.polls_per_second, self.evidence_seconds) <= 0:
+            raise ValueError("intervals and budgets must be positive")
+
+
+@dataclass(frozen=True, slots=True)
+class ScoreConfig:
+    """Model of an attempt's completion time and the parts of it that are switched on.
+
+    Attributes
+    ----------
+    prefill_tokens_per_second
+        Prompt tokens an engine takes in per second.
+    decode_tokens_per_second
+        Rate of one sequence assumed until an engine's own rate is seen.
+    expected_answer_fraction
+        Expected answer length as a fraction of `max_tokens`.
+    expected_answer_tokens
+        Expected answer length if it is smaller than that fraction.
+    batch_slowdown
+        Relative slowdown of a sequence in a full batch against an empty one.
+    zone_cost_seconds, region_cost_seconds
+        Cost of leaving this node's zone or region.
+    kv_pressure_threshold
+        Fraction of KV memory in use above which evictions make an engine slower.
+    slow_start_seconds, slow_start_factor
+        A new engine's score grows by this factor at first, fading over this time.
+    """
+
+    prefill_tokens_per_second: float = 4000.0
+    decode_tokens_per_second: float = 50.0
+    expected_answer_fraction: float = 0.5
+    expected_answer_tokens: float = 160.0
+    batch_slowdown: float = 1.0
+    zone_cost_seconds: float = 0.002
+    region_cost_seconds: float = 0.2
+    kv_pressure_threshold: float = 0.9
+    slow_start_seconds: float = 5.0
+    slow_start_factor: float = 1.0
+    use_load: bool = True
+    use_lag_correction: bool = True
+    use_prefix_cache: bool = True
+    use_zone_cost: bool = True
+    use_slow_start: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class PrefixIndexConfig:
+    """Memory bounds of the index of prompt prefixes that engines probably cache.
+
+    Attributes
+    ----------
+    block_characters
+        Length of one hashed block of a prompt.
+    maximum_blocks_per_prompt
+        Blocks of a prompt that are looked at; the rest counts as not cached.
+    maximum_blocks_per_engine
+        Blocks remembered for one engine, least recently used dropped first.
+    characters_per_token
+        Estimated length of a token.
+    """
+
+    block_characters: int = 128
+    maximum_blocks_per_prompt: int = 32
+    maximum_blocks_per_engine: int = 1024
+    characters_per_token: float = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class OutlierConfig:
+    """When an engine that fails attempts is set aside.
+
+    Attributes
+    ----------
+    failures_to_eject
+        Failures in a row, without a success, that eject an engine.
+    ejection_seconds, maximum_ejection_seconds
+        First and longest time set aside; it doubles with each ejection in a row.
+    maximum_ejected_fraction
+        Never more than this fraction of the eligible engines is set aside.
+    """
+
+    failures_to_eject: int = 3
+    ejection_seconds: float = 2.0
+    maximum_ejection_seconds: float = 30.0
+    maximum_ejected_fraction: float = 0.5
+    enabled: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class RouterConfig:
+    """Parameters of the router.
+
+    Attributes
+    ----------
+    policy
+        Name of the policy, as in `routing.policies.POLICIES`.
+    choices
+        Engines drawn at random and compared by score; the one with the longest cached
+        prefix is compared with them.
+    """
+
+    policy: str = "product"
+    choices: int = 4
+    use_power_of_choices: bool = True
+    score: ScoreConfig = field(default_factory=ScoreConfig)
+    prefix_index: PrefixIndexConfig = field(default_factory=PrefixIndexConfig)
+    outlier: OutlierConfig = field(default_factory=OutlierConfig)
--- /dev/null
+++ b/src/stagewalk/routing/engine_record.py
@@ -0,0 +1,125 @@
+"""What a node knows of one engine: row, report, own attempts since, and recent failures."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from stagewalk.core.identities import AttemptId, EngineName, WeightVersion
+from stagewalk.core.platform import EngineReport, EngineState, Machine, MachineState
+
+MAXIMUM_REMEMBERED_ENDS = 256
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptLoad:
+    """What one of this node's attempts adds to an engine's load."""
+
+    started_at: float
+    expected_tokens: float
+
+
+@dataclass(frozen=True, slots=True)
+class EndedAttempt:
+    """An attempt of this node that the engine's last report still counts."""
+
+    ended_at: float
+    load: AttemptLoad
+
+
+@dataclass(slots=True)
+class EngineRecord:
+    """Mutable knowledge of one engine; all times are of this node's clock, in seconds.
+
+    Attributes
+    ----------
+    evidence_until
+        The last good report vouches for the engine until then.
+    reported_at
+        When the report was made, translated to this node's clock.
+    clock_offset, clock_offset_at
+        Smallest difference seen between arrival and `generated_at`, and when it was updated.
+    refused_at, refused_until
+        When the engine last refused work, and until when it is spared for it.
+    ejected_until
+        The engine is set aside as an outlier until then.
+    added_sequences, added_tokens
+        What this node's attempts add to the report's load, or take from it if negative.
+    sequence_rate
+        Tokens per second of one sequence as last seen; 0 if never seen.
+    """
+
+    machine: Machine
+    report: EngineReport | None = None
+    evidence_until: float = -math.inf
+    reported_at: float = -math.inf
+    clock_offset: float = math.inf
+    clock_offset_at: float = 0.0
+    poll_sent_at: float | None = None
+    serving_since: float = -math.inf
+    refused_at: float = -math.inf
+    refused_until: float = -math.inf
+    failures_in_row: int = 0
+    ejections_in_row: int = 0
+    ejected_until: float = -math.inf
+    attempts: dict[AttemptId, AttemptLoad] = field(default_factory=dict)
+    ended: list[EndedAttempt] = field(default_factory=list)
+    added_sequences: int = 0
+    added_tokens: float = 0.0
+    sequence_rate: float = 0.0
+
+    @property
+    def name(self) -> EngineName:
+        """Return the engine's name."""
+        return EngineName(self.machine.name)
+
+    @property
+    def version(self) -> WeightVersion | None:
+        """Return the weights the engine said it runs."""
+        return None if self.report is None else self.report.active_version
+
+    def serves(self, now: float) -> bool:
+        """Say whether fresh evidence vouches that the engine takes new work."""
+        return (
+            self.report is not None
+            and now <= self.evidence_until
+            and self.report.state is EngineState.SERVING
+            and now >= self.refused_until
+            and self.machine.state is not MachineState.LEAVING
+        )
+
+    def begin_attempt(self, attempt: AttemptId, load: AttemptLoad) -> None:
+        """Add an attempt that the report can't know yet."""
+        self.attempts[attempt] = load
+        self.added_sequences += 1
+        self.added_tokens += load.expected_tokens
+
+    def end_attempt(self, attempt: AttemptId, now: float) -> None:
+        """Take an attempt away, from the report's load too if that counts it."""
+        load = self.attempts.pop(attempt, None)
+        if load is None:
+            return
+        self.added_sequences -= 1
+        self.added_tokens -= load.expected_tokens
+        self.ended.append(EndedAttempt(now, load))
+        del self.ended[:-MAXIMUM_REMEMBERED_ENDS]
+
+    def take_report(self, report: EngineReport, reported_at: float) -> None:
+        """Replace the report by a newer one and count anew what it can't know."""
+        self.report = report
+        self.reported_at = reported_at
+        self.ended = [end for end in self.ended if end.ended_at > reported_at]
+        started = [load for load in self.attempts.values() if load.started_at > reported_at]
+        gone = [end.load for end in self.ended if end.load.started_at <= reported_at]
+        self.added_sequences = len(started) - len(gone)
+        self.added_tokens = sum(load.expected_tokens for load in started) - sum(
+            load.expected_tokens for load in gone
+        )
+        if report.running > 0 and report.tokens_per_second > 0:
+            self.sequence_rate = report.tokens_per_second / report.running
+
+    def forget(self) -> None:
+        """Reset all that was known of an older incarnation; its attempts died with it."""
+        fresh = EngineRecord(machine=self.machine)
+        for name in EngineRecord.__dataclass_fields__:
+            setattr(self, name, getattr(fresh, name))
--- /dev/null
+++ b/src/stagewalk/routing/policies.py
@@ -0,0 +1,185 @@
+"""Routing policies behind one protocol: the product's own and the baselines it is held against."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from typing import Protocol
+
+from stagewalk.core.completions import CompletionRequest
+from stagewalk.routing.config import RouterConfig
+from stagewalk.routing.engine_record import EngineRecord
+from stagewalk.routing.prefix_index import PrefixBlocks, PrefixIndex
+from stagewalk.routing.scoring import CompletionTimeModel
+
+
+class RoutingPolicy(Protocol):
+    """Chooses one of several eligible engines."""
+
+    def select(
+        self,
+        request: CompletionRequest,
+        blocks: PrefixBlocks,
+        candidates: Sequence[EngineRecord],
+        now: float,
+    ) -> EngineRecord:
+        """Return one of the candidates, of which there is at least one."""
+
+
+def load_of(record: EngineRecord) -> int:
+    """Return the sequences at an engine, corrected for this node's own attempts."""
+    if record.report is None:
+        return 0
+    return max(0, record.report.running + record.report.waiting + record.added_sequences)
+
+
+class ProductPolicy:
+    """Least expected completion time among a few random engines and the best cached one.
+
+    Few random choices keep nodes with the same lagging reports from all taking the same
+    engine; the engine with the longest cached prefix is always looked at.
+    """
+
+    def __init__(
+        self,
+        config: RouterConfig,
+        model: CompletionTimeModel,
+        prefix_index: PrefixIndex,
+        generator: random.Random,
+    ) -> None:
+        self._config = config
+        self._model = model
+        self._prefix_index = prefix_index
+        self._generator = generator
+
+    def select(
+        self,
+        request: CompletionRequest,
+        blocks: PrefixBlocks,
+        candidates: Sequence[EngineRecord],
+        now: float,
+    ) -> EngineRecord:
+        """Return the candidate with the least score among those drawn."""
+        drawn = self._draw(blocks, candidates)
+        return min(
+            drawn,
+            key=lambda record: (
+                self._model.score(request, blocks, record, now),
+                record.machine.name,
+            ),
+        )
+
+    def _draw(
+        self, blocks: PrefixBlocks, candidates: Sequence[EngineRecord]
+    ) -> Sequence[EngineRecord]:
+        if not self._config.use_power_of_choices or len(candidates) <= self._config.choices:
+            return candidates
+        drawn = self._generator.sample(candidates, self._config.choices)
+        if self._config.score.use_prefix_cache and blocks:
+            drawn.append(longest_match(self._prefix_index, blocks, candidates))
+        return drawn
+
+
+class RoundRobinPolicy:
+    """Each engine in turn."""
+
+    def __init__(self) -> None:
+        self._turn = 0
+
+    def select(
+        self,
+        request: CompletionRequest,
+        blocks: PrefixBlocks,
+        candidates: Sequence[EngineRecord],
+        now: float,
+    ) -> EngineRecord:
+        """Return the next candidate."""
+        self._turn += 1
+        return candidates[self._turn % len(candidates)]
+
+
+class LeastLoadedPolicy:
+    """The engine with the fewest sequences, as far as this node knows."""
+
+    def select(
+        self,
+        request: CompletionRequest,
+        blocks: PrefixBlocks,
+        candidates: Sequence[EngineRecord],
+        now: float,
+    ) -> EngineRecord:
+        """Return the least loaded candidate, by name among equals."""
+        return min(candidates, key=lambda record: (load_of(record), record.machine.name))
+
+
+class PowerOfTwoPolicy:
+    """The less loaded of two random engines."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+
+    def select(
+        self,
+        request: CompletionRequest,
+        blocks: PrefixBlocks,
+        candidates: Sequence[EngineRecord],
+        now: float,
+    ) -> EngineRecord:
+        """Return the less loaded of two drawn candidates."""
+        drawn = self._generator.sample(candidates, min(2, len(candidates)))
+        return min(drawn, key=lambda record: (load_of(record), record.machine.name))
+
+
+class PrefixAffinityPolicy:
+    """The engine with the longest cached prefix; the less loaded among equals."""
+
+    def __init__(self, prefix_index: PrefixIndex) -> None:
+        self._prefix_index = prefix_index
+
+    def select(
+        self,
+        request: CompletionRequest,
+        blocks: PrefixBlocks,
+        candidates: Sequence[EngineRecord],
+        now: float,
+    ) -> EngineRecord:
+        """Return the candidate that has most of the prompt in its cache."""
+        return longest_match(self._prefix_index, blocks, candidates)
+
+
+def longest_match(
+    prefix_index: PrefixIndex, blocks: PrefixBlocks, candidates: Sequence[EngineRecord]
+) -> EngineRecord:
+    """Return the candidate with the longest cached prefix, the less loaded among equals."""
+    return min(
+        candidates,
+        key=lambda record: (
+            -prefix_index.matched_tokens(record.name, blocks),
+            load_of(record),
+            record.machine.name,
+        ),
+    )
+
+
+POLICIES = ("product", "round_robin", "least_loaded", "power_of_two", "prefix_affinity")
+
+
+def make_policy(
+    config: RouterConfig,
+    model: CompletionTimeModel,
+    prefix_index: PrefixIndex,
+    generator: random.Random,
+) -> RoutingPolicy:
+    """Return the policy a configuration names; raise `ValueError` for an unknown one."""
+    match config.policy:
+        case "product":
+            return ProductPolicy(config, model, prefix_index, generator)
+        case "round_robin":
+            return RoundRobinPolicy()
+        case "least_loaded":
+            return LeastLoadedPolicy()
+        case "power_of_two":
+            return PowerOfTwoPolicy(generator)
+        case "prefix_affinity":
+            return PrefixAffinityPolicy(prefix_index)
+    raise ValueError(f"unknown routing policy {config.policy!r}, known: {', '.join(POLICIES)}")
--- /dev/null
+++ b/src/stagewalk/routing/prefix_index.py
@@ -0,0 +1,69 @@
+"""Which prompt prefixes an engine probably has in its cache, by this node's own history.
+
+A prompt is cut into blocks; each block's hash is chained to the one before, so that equal
+hashes mean equal prefixes. Engines publish cache events late and with gaps, so the index is a
+guess that costs time when wrong, never correctness.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import xxhash
+
+from stagewalk.core.identities import EngineName
+from stagewalk.routing.config import PrefixIndexConfig
+
+PrefixBlocks = tuple[int, ...]
+
+
+def hash_blocks(prompt: str, config: PrefixIndexConfig) -> PrefixBlocks:
+    """Return the chained hashes of a prompt's whole blocks, bounded in number."""
+    size = config.block_characters
+    count = min(len(prompt) // size, config.maximum_blocks_per_prompt)
+    hashes = []
+    chained = 0
+    for index in range(count):
+        chained = xxhash.xxh64_intdigest(
+            prompt[index * size : (index + 1) * size].encode(), chained
+        )
+        hashes.append(chained)
+    return tuple(hashes)
+
+
+class PrefixIndex:
+    """Bounded memory of the prefix blocks sent to each engine, least recently used first out."""
+
+    def __init__(self, config: PrefixIndexConfig) -> None:
+        self._config = config
+        self._engines: dict[EngineName, OrderedDict[int, None]] = {}
+
+    def note_sent(self, engine: EngineName, blocks: PrefixBlocks) -> None:
+        """Note that an engine took in a prompt and holds its blocks now."""
+        held = self._engines.setdefault(engine, OrderedDict())
+        for block in reversed(blocks):
+            held[block] = None
+            held.move_to_end(block)
+        while len(held) > self._config.maximum_blocks_per_engine:
+            held.popitem(last=False)
+
+    def matched_tokens(self, engine: EngineName, blocks: PrefixBlocks) -> float:
+        """Return the estimated number of prompt tokens an engine need not take in again."""
+        held = self._engines.get(engine)
+        if not held:
+            return 0.0
+        matched = 0
+        for block in blocks:
+            if block not in held:
+                break
+            matched += 1
+        return matched * self._config.block_characters / self._config.characters_per_token
+
+    def forget(self, engine: EngineName) -> None:
+        """Drop all that is remembered of an engine, whose cache is empty or gone."""
+        self._engines.pop(engine, None)
+
+    def retain(self, engines: frozenset[EngineName]) -> None:
+        """Drop engines that this node no longer knows."""
+        for engine in [name for name in self._engines if name not in engines]:
+            del self._engines[engine]
--- /dev/null
+++ b/src/stagewalk/routing/router.py
@@ -0,0 +1,182 @@
+"""Chooses the engine for an attempt."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from stagewalk.core.completions import CompletionRequest
+from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
+from stagewalk.core.identities import (
+    Address,
+    AttemptId,
+    EngineName,
+    Incarnation,
+    ModelName,
+    ProcessIdentity,
+    WeightVersion,
+)
+from stagewalk.routing.config import RouterConfig
+from stagewalk.routing.engine_record import EngineRecord
+from stagewalk.routing.engine_table import EngineTable, PoolView
+from stagewalk.routing.outliers import note_failure, note_success, without_outliers
+from stagewalk.routing.policies import make_policy
+from stagewalk.routing.prefix_index import PrefixIndex, hash_blocks
+from stagewalk.routing.scoring import CompletionTimeModel, expected_tokens
+
+NO_ENGINE_RETRY_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineChoice:
+    """The engine chosen for an attempt.
+
+    Attributes
+    ----------
+    version
+        Weights it said it runs.
+    expected_seconds
+        Expected time from dispatch to the last token.
+    """
+
+    engine: EngineName
+    address: Address
+    version: WeightVersion
+    expected_seconds: float
+
+
+def version_suits(request: CompletionRequest, version: WeightVersion | None) -> bool:
+    """Say whether a weight version may serve a request."""
+    if version is None:
+        return False
+    if request.minimum_version is not None and version < request.minimum_version:
+        return False
+    return request.maximum_version is None or version <= request.maximum_version
+
+
+class Router:
+    """Chooses engines by a policy over those with fresh evidence.
+
+    Parameters
+    ----------
+    identity
+        This node; its place decides the cost of other zones.
+    engine_table
+        Evidence about engines; told by this router of all attempts.
+    generator
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        identity: ProcessIdentity,
+        engine_table: EngineTable,
+        config: RouterConfig,
+        generator: random.Random,
+    ) -> None:
+        self._table = engine_table
+        self._config = config
+        self._prefix_index = PrefixIndex(config.prefix_index)
+        self._model = CompletionTimeModel(identity.placement, config, self._prefix_index)
+        self._policy = make_policy(config, self._model, self._prefix_index, generator)
+        self._incarnations: dict[EngineName, Incarnation] = {}
+
+    def choose(
+        self, request: CompletionRequest, excluded: frozenset[EngineName], now: float
+    ) -> Result[EngineChoice, StagewalkError]:
+        """Return the engine for an attempt; the error is `NO_ENGINE`, never sent (`ran: no`)."""
+        serving = self._table.eligible(request.model, now)
+        suitable = [
+            record
+            for record in serving
+            if record.name not in excluded and version_suits(request, record.version)
+        ]
+        if not suitable:
+            return Error(self._no_engine(request, len(serving), len(excluded)))
+        candidates = without_outliers(suitable, self._config.outlier, now)
+        self._drop_cold_caches(candidates)
+        blocks = hash_blocks(request.prompt, self._config.prefix_index)
+        chosen = self._policy.select(request, blocks, candidates, now)
+        version = chosen.version
+        if version is None:
+            return Error(self._no_engine(request, len(serving), len(excluded)))
+        seconds = self._model.score(request, blocks, chosen, now)
+        return Ok(EngineChoice(chosen.name, chosen.machine.address, version, seconds))
+
+    def pool_view(self, model: ModelName, now: float) -> PoolView:
+        """Return this node's view of the engines that serve a model."""
+        return self._table.pool_view(model, now)
+
+    def note_started(
+        self, engine: EngineName, attempt: AttemptId, request: CompletionRequest, now: float
+    ) -> None:
+        """Note that an attempt was sent."""
+        tokens = expected_tokens(request, self._config.score)
+        self._table.note_started(engine, attempt, tokens, now)
+        self._prefix_index.note_sent(engine, hash_blocks(request.prompt, self._config.prefix_index))
+
+    def note_progress(self, attempt: AttemptId, now: float) -> None:
+        """Note that an attempt's engine generates."""
+        self._table.note_progress(attempt, now)
+
+    def note_finished(self, engine: EngineName, attempt: AttemptId, now: float) -> None:
+        """Note that an attempt ended whole."""
+        record = self._table.record(engine)
+        self._table.note_ended(attempt, now)
+        if record is not None:
+            note_success(record)
+
+    def note_cancelled(self, attempt: AttemptId, now: float) -> None:
+        """Note that this node cancelled an attempt: no fault of the engine."""
+        self._table.note_ended(attempt, now)
+
+    def note_refused(
+        self,
+        engine: EngineName,
+        attempt: AttemptId,
+        retry_after_seconds: float | None,
+        now: float,
+    ) -> None:
+        """Note that an engine refused an attempt."""
+        self._table.note_ended(attempt, now)
+        self._table.note_refused(engine, retry_after_seconds, now)
+
+    def note_failed(self, engine: EngineName, attempt: AttemptId, now: float) -> None:
+        """Note that an attempt failed at an engine or on the way to it."""
+        record = self._table.record(engine)
+        self._table.note_ended(attempt, now)
+        if record is not None:
+            note_failure(record, self._config.outlier, now)
+
+    def _drop_cold_caches(self, candidates: list[EngineRecord]) -> None:
+        """Forget the prefixes of engines that restarted since: their caches are empty."""
+        for record in candidates:
+            report = record.report
+            if report is None or self._incarnations.get(record.name) == report.incarnation:
+                continue
+            self._prefix_index.forget(record.name)
+            self._incarnations[record.name] = report.incarnation
+            if len(self._incarnations) > self._table.size() * 2 + 16:
+                self._forget_unknown_engines()
+
+    def _forget_unknown_engines(self) -> None:
+        known = self._table.names()
+        self._prefix_index.retain(known)
+        self._incarnations = {
+            name: incarnation for name, incarnation in self._incarnations.items() if name in known
+        }
+
+    def _no_engine(self, request: CompletionRequest, serving: int, excluded: int) -> StagewalkError:
+        return StagewalkError(
+            kind=ErrorKind.NO_ENGINE,
+            step=Step.ROUTING,
+            peer=str(request.model),
+            detail=(
+                f"no engine may take the request: {serving} serve the model, {excluded} were "
+                f"tried, versions allowed: {request.minimum_version} to {request.maximum_version}"
+            ),
+            ran=Ran.NO,
+            retry_after_seconds=NO_ENGINE_RETRY_SECONDS,
+        )
--- /dev/null
+++ b/src/stagewalk/routing/scoring.py
@@ -0,0 +1,105 @@
+"""Expected completion time of a request at an engine."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from stagewalk.core.completions import CompletionRequest
+from stagewalk.core.identities import Placement
+from stagewalk.routing.config import RouterConfig, ScoreConfig
+from stagewalk.routing.engine_record import EngineRecord
+from stagewalk.routing.prefix_index import PrefixBlocks, PrefixIndex
+
+KV_PRESSURE_FACTOR = 10.0
+
+
+def expected_tokens(request: CompletionRequest, config: ScoreConfig) -> float:
+    """Return how long an answer is expected to be, in tokens."""
+    bound = request.max_tokens * config.expected_answer_fraction
+    return max(1.0, min(bound, config.expected_answer_tokens))
+
+
+def prompt_tokens(request: CompletionRequest, config: RouterConfig) -> float:
+    """Return the estimated length of the prompt, in tokens."""
+    if request.prompt_token_count > 0:
+        return float(request.prompt_token_count)
+    return len(request.prompt) / config.prefix_index.characters_per_token
+
+
+@dataclass(slots=True)
+class CompletionTimeModel:
+    """Estimates, in seconds, how long a request would take at an engine.
+
+    The parts of the sum can be switched off one by one, to measure what each earns.
+    """
+
+    placement: Placement
+    config: RouterConfig
+    prefix_index: PrefixIndex
+
+    def score(
+        self, request: CompletionRequest, blocks: PrefixBlocks, record: EngineRecord, now: float
+    ) -> float:
+        """Return the expected seconds from dispatch to the last token."""
+        config = self.config.score
+        seconds = self._prefill_seconds(request, blocks, record)
+        seconds += self._queue_and_decode_seconds(request, record)
+        if config.use_slow_start:
+            seconds *= self._slow_start(record, now)
+        if config.use_zone_cost:
+            seconds += self._placement_cost(record.machine.placement)
+        return seconds
+
+    def _prefill_seconds(
+        self, request: CompletionRequest, blocks: PrefixBlocks, record: EngineRecord
+    ) -> float:
+        config = self.config.score
+        tokens = prompt_tokens(request, self.config)
+        if config.use_prefix_cache and blocks:
+            tokens = max(0.0, tokens - self.prefix_index.matched_tokens(record.name, blocks))
+        return tokens / config.prefill_tokens_per_second
+
+    def _queue_and_decode_seconds(self, request: CompletionRequest, record: EngineRecord) -> float:
+        config = self.config.score
+        report = record.report
+        rate = record.sequence_rate or config.decode_tokens_per_second
+        answer = expected_tokens(request, config)
+        if report is None or not config.use_load:
+            return answer / rate
+        sequences = report.running + report.waiting
+        pending = float(report.pending_tokens)
+        if config.use_lag_correction:
+            sequences = max(0, sequences + record.added_sequences)
+            pending = max(0.0, pending + record.added_tokens)
+        batch = max(1, report.batch_limit)
+        fullness = min(1.0, (sequences + 1) / batch)
+        decode = answer / rate * (1.0 + config.batch_slowdown * fullness)
+        excess = sequences + 1 - batch
+        if excess <= 0:
+            return decode + self._kv_pressure(record, decode)
+        mean_remaining = pending / sequences
+        return decode + excess * mean_remaining / (rate * batch) + self._kv_pressure(record, decode)
+
+    def _kv_pressure(self, record: EngineRecord, decode_seconds: float) -> float:
+        """Return the cost of evictions at an engine whose KV memory is nearly full."""
+        report = record.report
+        if report is None or report.kv_capacity_tokens <= 0:
+            return 0.0
+        used = report.kv_used_tokens / report.kv_capacity_tokens
+        excess = used - self.config.score.kv_pressure_threshold
+        return max(0.0, excess) * KV_PRESSURE_FACTOR * decode_seconds
+
+    def _slow_start(self, record: EngineRecord, now: float) -> float:
+        """Return the factor of a new engine: one restarted has cold caches and is unproved."""
+        config = self.config.score
+        age = now - record.serving_since
+        if age >= config.slow_start_seconds:
+            return 1.0
+        return 1.0 + config.slow_start_factor * (1.0 - age / config.slow_start_seconds)
+
+    def _placement_cost(self, placement: Placement) -> float:
+        if placement.region != self.placement.region:
+            return self.config.score.region_cost_seconds
+        if placement.zone != self.placement.zone:
+            return self.config.score.zone_cost_seconds
+        return 0.0
--- /dev/null
+++ b/tests/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the requests subsystem."""
--- /dev/null
+++ b/tests/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the routing subsystem."""
