--- a/src/stagewalk/node/node_core.py
+++ b/src/stagewalk/node/node_core.py
@@ -36,6 +36,8 @@
         Digest of the whole state in force.
     revisions
         Revision in force, by tenant.
+    models
+        Models of all tenants in force.
     """
 
     name: str
@@ -48,6 +50,7 @@
     members: dict[str, str]
     requests_in_flight: int
     leases: dict[str, int]
+    models: tuple[str, ...] = ()
 
 
 class NodeCore:
