--- /dev/null
+++ b/src/stagewalk/adapters/http_calls.py
@@ -0,0 +1,107 @@
+"""Calls with JSON bodies over pooled HTTP connections, with errors as values."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+from urllib.parse import quote
+
+import httpx
+import msgspec
+from expression import Error, Ok, Result
+
+from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
+
+Answer = TypeVar("Answer")
+
+NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+"""Failures before any byte of a request was written."""
+
+CONNECT_TIMEOUT_SECONDS = 2.0
+POOL_TIMEOUT_SECONDS = 2.0
+KEEPALIVE_SECONDS = 4.0
+"""Idle connections are dropped before usual servers close them, so that none breaks in use."""
+
+_JSON_HEADERS = {"Content-Type": "application/json"}
+_DETAIL_CHARACTERS = 200
+
+
+def open_client(maximum_connections: int, maximum_idle: int) -> httpx.AsyncClient:
+    """Return a client with its own pool; the process's proxy variables are not followed."""
+    limits = httpx.Limits(
+        max_connections=maximum_connections,
+        max_keepalive_connections=maximum_idle,
+        keepalive_expiry=KEEPALIVE_SECONDS,
+    )
+    return httpx.AsyncClient(limits=limits, trust_env=False, verify=False)
+
+
+def call_timeout(read_seconds: float | None) -> httpx.Timeout:
+    """Return the timeouts of a call whose answer may take `read_seconds` (`None`: for ever)."""
+    return httpx.Timeout(read_seconds, connect=CONNECT_TIMEOUT_SECONDS, pool=POOL_TIMEOUT_SECONDS)
+
+
+def path_part(name: str) -> str:
+    """Return a name quoted as one segment of a URL's path."""
+    return quote(name, safe="")
+
+
+async def call_json(
+    client: httpx.AsyncClient,
+    method: str,
+    url: str,
+    *,
+    answer: type[Answer],
+    step: Step,
+    peer: str,
+    read_seconds: float,
+    body: object | None = None,
+) -> Result[Answer, StagewalkError]:
+    """Send a JSON body (if any) and decode the JSON answer.
+
+    The error's `ran` is `no` only if the request was never sent or the peer refused it (4xx).
+    """
+    content = None if body is None else msgspec.json.encode(body)
+    headers = None if body is None else _JSON_HEADERS
+    try:
+        response = await client.request(
+            method, url, content=content, headers=headers, timeout=call_timeout(read_seconds)
+        )
+    except httpx.HTTPError as error:
+        return Error(transport_error(error, step, peer))
+    if not response.is_success:
+        return Error(status_error(response, step, peer))
+    try:
+        return Ok(msgspec.json.decode(response.content, type=answer))
+    except msgspec.DecodeError as error:
+        return Error(
+            StagewalkError(ErrorKind.REJECTED, step, peer, f"bad answer: {error}", Ran.UNKNOWN)
+        )
+
+
+def transport_error(error: httpx.HTTPError, step: Step, peer: str) -> StagewalkError:
+    """Return the error value for a connection that failed."""
+    timed_out = isinstance(error, httpx.TimeoutException)
+    return StagewalkError(
+        kind=ErrorKind.TIMEOUT if timed_out else ErrorKind.UNREACHABLE,
+        step=step,
+        peer=peer,
+        detail=describe(error),
+        ran=Ran.NO if isinstance(error, NOT_SENT_ERRORS) else Ran.UNKNOWN,
+    )
+
+
+def status_error(response: httpx.Response, step: Step, peer: str) -> StagewalkError:
+    """Return the error value for an answer whose status is not 2xx."""
+    detail = response.content[:_DETAIL_CHARACTERS].decode(errors="replace")
+    return StagewalkError(
+        kind=ErrorKind.REJECTED,
+        step=step,
+        peer=peer,
+        detail=f"status {response.status_code}: {detail}",
+        ran=Ran.NO if response.is_client_error else Ran.UNKNOWN,
+    )
+
+
+def describe(error: BaseException) -> str:
+    """Return an exception as one short text, never empty."""
+    return f"{type(error).__name__}: {error}"[:_DETAIL_CHARACTERS]
--- /dev/null
+++ b/src/stagewalk/adapters/http_engines.py
@@ -0,0 +1,86 @@
+"""HTTP client of the model engines."""
+
+from __future__ import annotations
+
+import httpx
+import msgspec
+from expression import Result
+
+from stagewalk.adapters.engine_stream import stream_attempt
+from stagewalk.adapters.http_calls import call_json, call_timeout, describe
+from stagewalk.core.errors import StagewalkError, Step
+from stagewalk.core.events import OrderAnswered
+from stagewalk.core.identities import Address
+from stagewalk.core.instructions import CancelAttempt, OrderEngine, StartAttempt
+from stagewalk.core.platform import EngineReport, OrderOutcome
+from stagewalk.ports.engines import AttemptSink
+
+REPORT_TIMEOUT_SECONDS = 1.5
+CANCEL_TIMEOUT_SECONDS = 2.0
+ORDER_TIMEOUT_SECONDS = 5.0
+
+
+class _CancelAnswer(msgspec.Struct):
+    known: bool
+
+
+class _OrderAnswer(msgspec.Struct):
+    outcome: OrderOutcome
+    detail: str = ""
+    epoch: int | None = None
+
+
+class HttpEngineClient:
+    """Speaks to engines: attempts through one pool, control calls through another.
+
+    Separate pools keep many long streams from delaying reports and cancellations.
+    """
+
+    def __init__(self, streams: httpx.AsyncClient, control: httpx.AsyncClient) -> None:
+        self._streams = streams
+        self._control = control
+
+    async def run_attempt(self, start: StartAttempt, deliver: AttemptSink) -> None:
+        """Send an attempt and deliver its events."""
+        await stream_attempt(self._streams, start, deliver)
+
+    async def cancel(self, cancel: CancelAttempt) -> Result[None, StagewalkError]:
+        """Ask the engine to stop an attempt."""
+        answer = await call_json(
+            self._control,
+            "POST",
+            f"http://{cancel.address}/control/cancel",
+            body={"attempt": cancel.attempt},
+            answer=_CancelAnswer,
+            step=Step.EXECUTION,
+            peer=cancel.engine,
+            read_seconds=CANCEL_TIMEOUT_SECONDS,
+        )
+        return answer.map(lambda _: None)
+
+    async def report(self, engine: str, address: Address) -> Result[EngineReport, StagewalkError]:
+        """Read the engine's report."""
+        return await call_json(
+            self._control,
+            "GET",
+            f"http://{address}/control/report",
+            answer=EngineReport,
+            step=Step.ROUTING,
+            peer=engine,
+            read_seconds=REPORT_TIMEOUT_SECONDS,
+        )
+
+    async def order(self, order: OrderEngine) -> OrderAnswered:
+        """Send a fenced order."""
+        try:
+            response = await self._control.post(
+                f"http://{order.address}/control/orders",
+                content=msgspec.json.encode(order.order),
+                headers={"Content-Type": "application/json"},
+                timeout=call_timeout(ORDER_TIMEOUT_SECONDS),
+            )
+            answer = msgspec.json.decode(response.content, type=_OrderAnswer)
+        except (httpx.HTTPError, msgspec.DecodeError) as error:
+            answer = _OrderAnswer(OrderOutcome.UNKNOWN, describe(error))
+        detail = answer.detail if answer.epoch is None else f"largest epoch seen {answer.epoch}"
+        return OrderAnswered(order.engine, order.order.order_id, answer.outcome, detail)
--- /dev/null
+++ b/src/stagewalk/adapters/http_platform.py
@@ -0,0 +1,210 @@
+"""HTTP clients of the platform's log, machine list, weight store and scorer."""
+
+from __future__ import annotations
+
+import httpx
+import msgspec
+from expression import Error, Ok, Result
+
+from stagewalk.adapters.http_calls import call_json, path_part
+from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
+from stagewalk.core.identities import Address, ModelName, Placement, RecordId, WeightVersion
+from stagewalk.core.instructions import ScoreSample
+from stagewalk.core.platform import (
+    LogRecord,
+    Machine,
+    MachineKind,
+    MachineState,
+    PublishedVersion,
+)
+from stagewalk.ports.platform_services import LogPage
+
+LOG_WAIT_SECONDS = 5.0
+"""How long the log may hold a read back for a first record."""
+
+LOG_READ_TIMEOUT_SECONDS = LOG_WAIT_SECONDS + 5.0
+LOG_APPEND_TIMEOUT_SECONDS = 5.0
+LOG_PAGE_RECORDS = 500
+MACHINES_TIMEOUT_SECONDS = 5.0
+VERSIONS_TIMEOUT_SECONDS = 5.0
+SCORE_TIMEOUT_SECONDS = 10.0
+
+LOG_PEER = "log"
+MACHINES_PEER = "machines"
+WEIGHTS_PEER = "weights"
+SCORER_PEER = "scorer"
+
+
+class _AppendedRecord(msgspec.Struct):
+    record_id: str
+    payload: bytes
+
+
+class _AppendBody(msgspec.Struct):
+    records: tuple[_AppendedRecord, ...]
+
+
+class _AppendAnswer(msgspec.Struct):
+    offsets: list[int]
+
+
+class _MachineRow(msgspec.Struct):
+    name: str
+    kind: MachineKind
+    host: str
+    port: int
+    region: str
+    zone: str
+    state: MachineState
+    service: str = ""
+
+    def machine(self) -> Machine:
+        return Machine(
+            name=self.name,
+            kind=self.kind,
+            address=Address(self.host, self.port),
+            placement=Placement(self.region, self.zone),
+            state=self.state,
+            service=self.service,
+        )
+
+
+class _MachinesAnswer(msgspec.Struct):
+    machines: list[_MachineRow]
+
+
+class _VersionRow(msgspec.Struct):
+    version: int
+    size_bytes: int
+    published_at: float
+
+
+class _VersionsAnswer(msgspec.Struct):
+    versions: list[_VersionRow]
+
+
+class _ScoreAnswer(msgspec.Struct):
+    score: float
+
+
+class _LogAnswer(msgspec.Struct):
+    records: tuple[LogRecord, ...]
+    head: int
+
+
+class HttpLogService:
+    """The append-only log at a base URL."""
+
+    def __init__(self, client: httpx.AsyncClient, base_url: str) -> None:
+        self._client = client
+        self._base_url = base_url
+
+    async def read(self, stream: str, offset: int) -> Result[LogPage, StagewalkError]:
+        """Read records from an offset on, waiting up to `LOG_WAIT_SECONDS` for a first one."""
+        query = f"offset={offset}&limit={LOG_PAGE_RECORDS}&wait_seconds={LOG_WAIT_SECONDS}"
+        answer = await call_json(
+            self._client,
+            "GET",
+            f"{self._records_url(stream)}?{query}",
+            answer=_LogAnswer,
+            step=Step.LOG_READ,
+            peer=LOG_PEER,
+            read_seconds=LOG_READ_TIMEOUT_SECONDS,
+        )
+        return answer.map(lambda page: LogPage(page.records, page.head))
+
+    async def append(
+        self, stream: str, record_id: RecordId, payload: bytes
+    ) -> Result[int, StagewalkError]:
+        """Append a record and return its offset."""
+        answer = await call_json(
+            self._client,
+            "POST",
+            self._records_url(stream),
+            body=_AppendBody((_AppendedRecord(record_id, payload),)),
+            answer=_AppendAnswer,
+            step=Step.LOG_APPEND,
+            peer=LOG_PEER,
+            read_seconds=LOG_APPEND_TIMEOUT_SECONDS,
+        )
+        return answer.bind(_single_offset)
+
+    def _records_url(self, stream: str) -> str:
+        return f"{self._base_url}/streams/{path_part(stream)}/records"
+
+
+def _single_offset(answer: _AppendAnswer) -> Result[int, StagewalkError]:
+    if len(answer.offsets) == 1:
+        return Ok(answer.offsets[0])
+    detail = f"expected one offset, got {len(answer.offsets)}"
+    return Error(StagewalkError(ErrorKind.REJECTED, Step.LOG_APPEND, LOG_PEER, detail, Ran.UNKNOWN))
+
+
+class HttpMachineList:
+    """The machine list at a base URL."""
+
+    def __init__(self, client: httpx.AsyncClient, base_url: str) -> None:
+        self._client = client
+        self._base_url = base_url
+
+    async def read(self) -> Result[tuple[Machine, ...], StagewalkError]:
+        """Read the whole list."""
+        answer = await call_json(
+            self._client,
+            "GET",
+            f"{self._base_url}/machines",
+            answer=_MachinesAnswer,
+            step=Step.ROUTING,
+            peer=MACHINES_PEER,
+            read_seconds=MACHINES_TIMEOUT_SECONDS,
+        )
+        return answer.map(lambda rows: tuple(row.machine() for row in rows.machines))
+
+
+class HttpWeightStore:
+    """The weight store at a base URL."""
+
+    def __init__(self, client: httpx.AsyncClient, base_url: str) -> None:
+        self._client = client
+        self._base_url = base_url
+
+    async def versions(
+        self, model: ModelName
+    ) -> Result[tuple[PublishedVersion, ...], StagewalkError]:
+        """Read the list of a model's versions."""
+        answer = await call_json(
+            self._client,
+            "GET",
+            f"{self._base_url}/models/{path_part(model)}/versions",
+            answer=_VersionsAnswer,
+            step=Step.WEIGHTS,
+            peer=WEIGHTS_PEER,
+            read_seconds=VERSIONS_TIMEOUT_SECONDS,
+        )
+        return answer.map(lambda rows: tuple(_published(model, row) for row in rows.versions))
+
+
+def _published(model: ModelName, row: _VersionRow) -> PublishedVersion:
+    return PublishedVersion(model, WeightVersion(row.version), row.size_bytes, row.published_at)
+
+
+class HttpScorer:
+    """The scorer at a base URL."""
+
+    def __init__(self, client: httpx.AsyncClient, base_url: str) -> None:
+        self._client = client
+        self._base_url = base_url
+
+    async def score(self, sample: ScoreSample) -> Result[float, StagewalkError]:
+        """Score one sample; idempotent."""
+        answer = await call_json(
+            self._client,
+            "POST",
+            f"{self._base_url}/score",
+            body=sample,
+            answer=_ScoreAnswer,
+            step=Step.SCORING,
+            peer=SCORER_PEER,
+            read_seconds=SCORE_TIMEOUT_SECONDS,
+        )
+        return answer.map(lambda scored: scored.score)
--- /dev/null
+++ b/src/stagewalk/cli/main.py
@@ -0,0 +1,59 @@
+"""The command `stagewalk`: hands each subcommand to its own module, imported only when asked for.
+
+A subcommand is a module `stagewalk.cli.<name>` with `add_flags(parser)` and
+`run(arguments) -> int`. Importing late keeps the daemon free of the simulation's libraries.
+"""
+
+from __future__ import annotations
+
+import argparse
+import importlib
+import sys
+from collections.abc import Callable, Sequence
+from typing import Protocol, cast
+
+from absl.flags import argparse_flags
+
+SUBCOMMANDS = {
+    "node": "run the node daemon",
+    "config": "validate, publish and inspect published configuration",
+    "sim": "simulate nodes, engines and faults on a virtual clock",
+    "bench": "put load on running processes and measure them",
+    "report": "draw tables and plots from results",
+}
+
+
+class Subcommand(Protocol):
+    """What a module of a subcommand offers."""
+
+    def add_flags(self, parser: argparse.ArgumentParser) -> None:
+        """Define the subcommand's flags."""
+
+    def run(self, arguments: argparse.Namespace) -> int:
+        """Carry the subcommand out and return the exit code."""
+
+
+def run(arguments: Sequence[str] | None = None) -> int:
+    """Run the command line and return its exit code (2 for wrong flags or settings)."""
+    words = list(sys.argv[1:] if arguments is None else arguments)
+    chosen = next((word for word in words if word in SUBCOMMANDS), None)
+    parser = _new_parser()
+    subparsers = parser.add_subparsers(dest="subcommand", required=True, metavar="SUBCOMMAND")
+    subcommand = None
+    for name, summary in SUBCOMMANDS.items():
+        subparser = subparsers.add_parser(name, help=summary, description=summary)
+        if name == chosen:
+            subcommand = cast(Subcommand, importlib.import_module(f"stagewalk.cli.{name}"))
+            subcommand.add_flags(subparser)
+    parsed = parser.parse_args(words)
+    assert subcommand is not None
+    return subcommand.run(parsed)
+
+
+def _new_parser() -> argparse.ArgumentParser:
+    new_parser: Callable[..., argparse.ArgumentParser] = argparse_flags.ArgumentParser
+    return new_parser(prog="stagewalk", description=__doc__.splitlines()[0])
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- /dev/null
+++ b/src/stagewalk/node/core_runner.py
@@ -0,0 +1,84 @@
+"""The loop around the core: events in their order, ticks, and instructions handed on."""
+
+from __future__ import annotations
+
+import time
+import traceback
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+
+from stagewalk.core.events import TICK_INTERVAL_SECONDS, Event, Tick
+from stagewalk.core.instructions import Instruction
+from stagewalk.node.event_queue import EventQueue
+from stagewalk.node.log_lines import log_event
+from stagewalk.node.metrics import NodeMetrics
+from stagewalk.node.node_core import NodeStatus
+
+Clock = Callable[[], float]
+
+
+class Core(Protocol):
+    """What the shell needs of `NodeCore`."""
+
+    def handle(self, event: Event, now: float) -> list[Instruction]:
+        """Take an event and return what to do."""
+
+    def status(self, now: float) -> NodeStatus:
+        """Return what operators and probes may see."""
+
+
+class CoreRunner:
+    """Feeds the core one event at a time and hands its instructions on in order.
+
+    An exception of the core ends the process: a state machine that failed half-way must not
+    decide anything more, and a node that is gone is a case every peer is built for.
+    """
+
+    def __init__(
+        self,
+        core: Core,
+        events: EventQueue,
+        carry_out: Callable[[Instruction], None],
+        metrics: NodeMetrics,
+        clock: Clock = time.monotonic,
+    ) -> None:
+        self._core = core
+        self._events = events
+        self._carry_out = carry_out
+        self._metrics = metrics
+        self._clock = clock
+        self._tick_queued_at: float | None = None
+
+    async def run(self) -> None:
+        """Handle events for ever."""
+        async for event in self._events.events():
+            self._handle(event)
+
+    async def tick(self) -> None:
+        """Queue a tick every `TICK_INTERVAL_SECONDS`, but never two at once."""
+        while True:
+            await anyio.sleep(TICK_INTERVAL_SECONDS)
+            if self._tick_queued_at is None:
+                self._tick_queued_at = self._clock()
+                await self._events.put(Tick())
+
+    def status(self) -> NodeStatus:
+        """Return the core's status now."""
+        return self._core.status(self._clock())
+
+    def _handle(self, event: Event) -> None:
+        now = self._clock()
+        if isinstance(event, Tick) and self._tick_queued_at is not None:
+            self._metrics.tick_lag.set(now - self._tick_queued_at)
+            self._tick_queued_at = None
+        try:
+            instructions = self._core.handle(event, now)
+        except Exception as error:
+            trace = "".join(traceback.format_exception(error))
+            log_event("core_failed", "error", input=type(event).__name__, trace=trace)
+            raise
+        for instruction in instructions:
+            self._carry_out(instruction)
+        self._metrics.event_handling.observe(self._clock() - now)
--- a/src/stagewalk/node/daemon.py
+++ b/src/stagewalk/node/daemon.py
@@ -1,1 +1,177 @@
 """The daemon: carries the core's instructions out over sockets and feeds events back."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import time
+import traceback
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+
+import anyio
+import anyio.abc
+
+from stagewalk.adapters.http_calls import open_client
+from stagewalk.adapters.http_engines import HttpEngineClient
+from stagewalk.adapters.http_platform import (
+    HttpLogService,
+    HttpMachineList,
+    HttpScorer,
+    HttpWeightStore,
+)
+from stagewalk.core.events import StopRequested
+from stagewalk.core.identities import Incarnation, NodeName, Placement
+from stagewalk.core.instructions import Instruction
+from stagewalk.node.core_runner import Core, CoreRunner
+from stagewalk.node.edge.app import EdgeApp
+from stagewalk.node.edge.call_desk import CallDesk
+from stagewalk.node.edge.completions import CompletionEndpoints
+from stagewalk.node.edge.operators import OperatorEndpoints
+from stagewalk.node.edge.rollouts import RolloutEndpoints
+from stagewalk.node.engine_tasks import EngineTasks
+from stagewalk.node.event_queue import EventQueue
+from stagewalk.node.http_server import open_listener, serve_http
+from stagewalk.node.instruction_runner import InstructionRunner
+from stagewalk.node.log_lines import configure_logs, log_event
+from stagewalk.node.metrics import NodeMetrics
+from stagewalk.node.node_core import NodeCore, NodeIdentity
+from stagewalk.node.open_calls import OpenCalls
+from stagewalk.node.peer_transport import PeerTransport
+from stagewalk.node.platform_tasks import PlatformServices, PlatformTasks
+from stagewalk.settings.node_settings import NodeSettings
+
+EXIT_CLEAN = 0
+EXIT_FAILED = 1
+
+MAXIMUM_STREAM_CONNECTIONS = 1024
+MAXIMUM_CONTROL_CONNECTIONS = 128
+MAXIMUM_PLATFORM_CONNECTIONS = 64
+MAXIMUM_IDLE_CONNECTIONS = 32
+
+CoreFactory = Callable[[NodeIdentity, random.Random], Core]
+
+
+def run_node(settings: NodeSettings, core_factory: CoreFactory = NodeCore) -> int:
+    """Run a node until it is asked to stop; return the process's exit code."""
+    undo_logs = configure_logs(settings.log_level)
+    try:
+        anyio.run(Daemon(settings, core_factory).run, backend="asyncio")
+    except Exception as error:
+        trace = "".join(traceback.format_exception(error))
+        log_event("node_failed", "error", node=settings.name, trace=trace)
+        return EXIT_FAILED
+    finally:
+        undo_logs()
+    return EXIT_CLEAN
+
+
+def new_identity(settings: NodeSettings) -> NodeIdentity:
+    """Return this process's identity.
+
+    Machines keep nothing, so the wall clock (milliseconds) makes the incarnation grow.
+    """
+    return NodeIdentity(
+        name=NodeName(settings.name),
+        incarnation=Incarnation(time.time_ns() // 1_000_000),
+        address=settings.peer_listen,
+        placement=Placement(settings.region, settings.zone),
+    )
+
+
+class Daemon:
+    """One node: its core, and around it the tasks that speak to the outside."""
+
+    def __init__(self, settings: NodeSettings, core_factory: CoreFactory) -> None:
+        self._settings = settings
+        self._identity = new_identity(settings)
+        self._core = core_factory(self._identity, random.Random())
+        self._metrics = NodeMetrics()
+        self._events = EventQueue()
+        limits = settings.limits
+        self._calls = OpenCalls(limits.open_calls, limits.buffered_chunks)
+        self._peers = PeerTransport(settings.peer_listen, self._events, self._metrics)
+        self._exit = anyio.Event()
+
+    async def run(self) -> None:
+        """Serve until the core says that everything in flight has ended after a stop."""
+        listener = open_listener(self._settings.listen)
+        async with AsyncExitStack() as resources:
+            engines = await self._open_engines(resources)
+            services = await self._open_platform(resources)
+            tasks = await resources.enter_async_context(anyio.create_task_group())
+            carry_out = self._build_instruction_runner(engines, services, tasks)
+            runner = CoreRunner(self._core, self._events, carry_out, self._metrics)
+            tasks.start_soon(self._watch_signals)
+            await tasks.start(self._peers.run)
+            tasks.start_soon(runner.run)
+            tasks.start_soon(runner.tick)
+            self._log("node_started")
+            await serve_http(self._build_app(runner), listener, self._exit)
+            self._log("node_stopped")
+            tasks.cancel_scope.cancel()
+
+    async def _open_engines(self, resources: AsyncExitStack) -> HttpEngineClient:
+        streams = open_client(MAXIMUM_STREAM_CONNECTIONS, MAXIMUM_IDLE_CONNECTIONS)
+        control = open_client(MAXIMUM_CONTROL_CONNECTIONS, MAXIMUM_IDLE_CONNECTIONS)
+        return HttpEngineClient(
+            await resources.enter_async_context(streams),
+            await resources.enter_async_context(control),
+        )
+
+    async def _open_platform(self, resources: AsyncExitStack) -> PlatformServices:
+        pool = open_client(MAXIMUM_PLATFORM_CONNECTIONS, MAXIMUM_IDLE_CONNECTIONS)
+        client = await resources.enter_async_context(pool)
+        urls = self._settings.platform
+        return PlatformServices(
+            log=HttpLogService(client, urls.log),
+            machines=HttpMachineList(client, urls.machines),
+            weights=HttpWeightStore(client, urls.weights),
+            scorer=HttpScorer(client, urls.scorer),
+        )
+
+    def _build_instruction_runner(
+        self, engines: HttpEngineClient, services: PlatformServices, tasks: anyio.abc.TaskGroup
+    ) -> Callable[[Instruction], None]:
+        runner = InstructionRunner(
+            self._calls,
+            EngineTasks(engines, self._events, self._metrics, tasks),
+            PlatformTasks(services, self._events, self._metrics, self._peers, tasks),
+            self._peers,
+            self._exit.set,
+        )
+        return runner.carry_out
+
+    def _build_app(self, runner: CoreRunner) -> EdgeApp:
+        limits = self._settings.limits
+        desk = CallDesk(self._calls, self._events, self._metrics)
+        operators = OperatorEndpoints(
+            runner.status, self._calls, self._metrics, self._events.__len__
+        )
+        return EdgeApp(
+            CompletionEndpoints(desk, limits, self._metrics),
+            RolloutEndpoints(desk, limits),
+            operators,
+            limits,
+        )
+
+    async def _watch_signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                if self._calls.stopping:
+                    self._log("stop_forced", "warning")
+                    os._exit(EXIT_FAILED)
+                self._calls.stopping = True
+                self._log("stop_requested")
+                await self._events.put(StopRequested())
+
+    def _log(self, event: str, level: str = "info") -> None:
+        log_event(
+            event,
+            level,
+            node=self._identity.name,
+            incarnation=self._identity.incarnation,
+            listen=str(self._settings.listen),
+            peer_listen=str(self._settings.peer_listen),
+        )
--- /dev/null
+++ b/src/stagewalk/node/edge/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP edge of a node: callers, trainers and operators."""
--- /dev/null
+++ b/src/stagewalk/node/edge/app.py
@@ -0,0 +1,117 @@
+"""The ASGI application: finds the endpoint of an exchange and runs it."""
+
+from __future__ import annotations
+
+import traceback
+from collections.abc import Awaitable, Callable
+
+import anyio
+from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, HTTPScope, Scope
+
+from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
+from stagewalk.node.edge.completions import CompletionEndpoints
+from stagewalk.node.edge.exchange import PROBLEM_CONTENT, Exchange
+from stagewalk.node.edge.operators import OperatorEndpoints
+from stagewalk.node.edge.problems import render_problem
+from stagewalk.node.edge.rollouts import RolloutEndpoints
+from stagewalk.node.edge.schemas import invalid
+from stagewalk.node.log_lines import log_event
+from stagewalk.node.open_calls import EDGE_PEER
+from stagewalk.settings.node_settings import Limits
+
+Endpoint = Callable[[Exchange], Awaitable[None]]
+
+RETAINED_ANSWER_PREFIX = "/v1/requests/"
+
+
+class EdgeApp:
+    """Application of the node's HTTP edge."""
+
+    def __init__(
+        self,
+        completions: CompletionEndpoints,
+        rollouts: RolloutEndpoints,
+        operators: OperatorEndpoints,
+        limits: Limits,
+    ) -> None:
+        self._completions = completions
+        self._limits = limits
+        self._endpoints: dict[str, dict[str, Endpoint]] = {
+            "/v1/completions": {"POST": completions.complete},
+            "/v1/models": {"GET": operators.models},
+            "/v1/rollouts": {"POST": rollouts.submit},
+            "/v1/rollouts/pull": {"POST": rollouts.pull},
+            "/healthz": {"GET": operators.health},
+            "/readyz": {"GET": operators.readiness},
+            "/metrics": {"GET": operators.metrics},
+            "/control/status": {"GET": operators.status},
+        }
+
+    async def __call__(
+        self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        """Serve one ASGI connection."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self._serve_exchange(scope, receive, send)
+        else:
+            await send({"type": "websocket.close", "code": 1008, "reason": None})
+
+    async def _serve_exchange(
+        self, scope: HTTPScope, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        exchange = Exchange(scope, receive, send, self._limits)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(exchange.watch)
+            try:
+                await self._route(exchange)
+            except Exception as error:
+                await _report_crash(exchange, error)
+            tasks.cancel_scope.cancel()
+
+    async def _route(self, exchange: Exchange) -> None:
+        if exchange.path.startswith(RETAINED_ANSWER_PREFIX):
+            await self._route_retained_answer(exchange)
+            return
+        methods = self._endpoints.get(exchange.path)
+        if methods is None:
+            await _respond_plainly(exchange, 404, f"there is no {exchange.path}")
+            return
+        endpoint = methods.get(exchange.method)
+        if endpoint is None:
+            await _respond_plainly(exchange, 405, f"use {', '.join(methods)}")
+            return
+        await endpoint(exchange)
+
+    async def _route_retained_answer(self, exchange: Exchange) -> None:
+        if exchange.method != "GET":
+            await _respond_plainly(exchange, 405, "use GET")
+            return
+        request_id = exchange.path.removeprefix(RETAINED_ANSWER_PREFIX)
+        await self._completions.retained_answer(exchange, request_id)
+
+
+async def _respond_plainly(exchange: Exchange, status: int, detail: str) -> None:
+    await exchange.respond(status, PROBLEM_CONTENT, render_problem(invalid("", detail), status))
+
+
+async def _report_crash(exchange: Exchange, error: Exception) -> None:
+    trace = "".join(traceback.format_exception(error))
+    log_event("exchange_failed", "error", path=exchange.path, trace=trace)
+    if exchange.started:
+        return
+    failure = StagewalkError(
+        ErrorKind.OUTCOME_UNKNOWN, Step.DELIVERY, EDGE_PEER, "internal error", Ran.UNKNOWN
+    )
+    await exchange.fail(failure)
+
+
+async def _serve_lifespan(receive: ASGIReceiveCallable, send: ASGISendCallable) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "lifespan.startup":
+            await send({"type": "lifespan.startup.complete"})
+        elif message["type"] == "lifespan.shutdown":
+            await send({"type": "lifespan.shutdown.complete"})
+            return
--- /dev/null
+++ b/src/stagewalk/node/edge/call_desk.py
@@ -0,0 +1,106 @@
+"""Opens a call for an exchange, puts its question to the core, and ends both together."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
+from stagewalk.core.events import CallAbandoned, Event
+from stagewalk.core.identities import CallId
+from stagewalk.core.instructions import FailCall, SendChunk
+from stagewalk.node.edge.exchange import Exchange
+from stagewalk.node.event_queue import EventQueue
+from stagewalk.node.metrics import NodeMetrics
+from stagewalk.node.open_calls import EDGE_PEER, CallAnswer, OpenCall, OpenCalls
+
+ANSWER_GRACE_SECONDS = 5.0
+"""How long after its deadline the core's answer to a call is still waited for."""
+
+OUTCOME_OK = "ok"
+OUTCOME_ABANDONED = "abandoned"
+OUTCOME_SLOW_READER = "slow_reader"
+
+Answerer = Callable[[OpenCall], Awaitable[str]]
+"""Sends the core's answers to the caller and returns the call's outcome."""
+
+
+class CallDesk:
+    """Runs calls: from the exchange to the core's last answer, or to the caller's leaving."""
+
+    def __init__(self, calls: OpenCalls, events: EventQueue, metrics: NodeMetrics) -> None:
+        self._calls = calls
+        self._events = events
+        self._metrics = metrics
+
+    async def run(
+        self,
+        exchange: Exchange,
+        endpoint: str,
+        ask: Callable[[CallId], Event],
+        answer: Answerer,
+        *,
+        streaming: bool = False,
+    ) -> None:
+        """Ask the core and have `answer` send what it says, until the caller goes away."""
+        opened = self._calls.open(streaming)
+        if opened.is_error():
+            self._count(endpoint, opened.error.kind.value)
+            await exchange.fail(opened.error)
+            return
+        call = opened.ok
+        began = time.monotonic()
+        self._metrics.open_calls.inc()
+        try:
+            outcome = await self._converse(exchange, call, ask, answer)
+        finally:
+            self._metrics.open_calls.dec()
+            self._calls.close(call)
+            if not call.ended:
+                with anyio.CancelScope(shield=True):
+                    await self._events.put(CallAbandoned(call.id))
+        self._count(endpoint, outcome)
+        self._metrics.request_latency.labels(endpoint=endpoint).observe(time.monotonic() - began)
+
+    async def _converse(
+        self,
+        exchange: Exchange,
+        call: OpenCall,
+        ask: Callable[[CallId], Event],
+        answer: Answerer,
+    ) -> str:
+        with anyio.CancelScope() as scope:
+            exchange.on_disconnect(scope.cancel)
+            call.on_overflow(scope.cancel)
+            await self._events.put(ask(call.id))
+            return await answer(call)
+        if call.overflowed:
+            self._metrics.slow_readers.inc()
+            return OUTCOME_SLOW_READER
+        return OUTCOME_ABANDONED
+
+    def _count(self, endpoint: str, outcome: str) -> None:
+        self._metrics.calls.labels(endpoint=endpoint, outcome=outcome).inc()
+
+
+async def whole_answer(call: OpenCall, seconds: float) -> CallAnswer:
+    """Return the core's last answer to a call, or an error if none came in time."""
+    with anyio.move_on_after(seconds + ANSWER_GRACE_SECONDS):
+        while True:
+            answer = await call.next_answer()
+            if not isinstance(answer, SendChunk):
+                return answer
+    return FailCall(call.id, late_error())
+
+
+def late_error() -> StagewalkError:
+    """Return the error for a call that the core did not answer by its deadline."""
+    return StagewalkError(
+        ErrorKind.OUTCOME_UNKNOWN,
+        Step.DELIVERY,
+        EDGE_PEER,
+        "no answer by the deadline",
+        Ran.UNKNOWN,
+    )
--- /dev/null
+++ b/src/stagewalk/node/edge/completions.py
@@ -0,0 +1,263 @@
+"""The callers' endpoints: completions, whole or streamed, and retained answers."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import msgspec
+from expression import Error, Ok, Result
+
+from stagewalk.core.completions import CompletionRequest, CompletionResult, Priority, TokenChunk
+from stagewalk.core.errors import StagewalkError
+from stagewalk.core.events import AnswerRequested, CompletionRequested
+from stagewalk.core.identities import ModelName, RequestId, TenantName
+from stagewalk.core.instructions import FailCall, FinishCall, SendChunk
+from stagewalk.node.edge.call_desk import (
+    ANSWER_GRACE_SECONDS,
+    OUTCOME_OK,
+    CallDesk,
+    late_error,
+    whole_answer,
+)
+from stagewalk.node.edge.exchange import JSON_CONTENT, Exchange
+from stagewalk.node.edge.problems import render_stream_error
+from stagewalk.node.edge.schemas import (
+    CallerHeaders,
+    Choice,
+    CompletionAnswer,
+    CompletionBody,
+    Usage,
+    check_fields,
+    decode_body,
+    invalid,
+)
+from stagewalk.node.metrics import NodeMetrics
+from stagewalk.node.open_calls import CallAnswer, OpenCall
+from stagewalk.settings.node_settings import Limits
+
+COMPLETIONS_ENDPOINT = "completions"
+ANSWERS_ENDPOINT = "answers"
+CHARACTERS_PER_TOKEN = 4
+"""Rough length of a token, by which a prompt's tokens are estimated."""
+
+EVENT_STREAM_CONTENT = "text/event-stream; charset=utf-8"
+RETAINED_ANSWER_SECONDS = 10.0
+
+_OBJECT = "text_completion"
+_STREAM_END = b"data: [DONE]\n\n"
+
+
+@dataclass(frozen=True, slots=True)
+class _Question:
+    """A checked request and when it arrived, on the node's clock."""
+
+    request: CompletionRequest
+    arrived: float
+    deadline_seconds: float
+
+
+class CompletionEndpoints:
+    """`POST /v1/completions` and `GET /v1/requests/{request_id}`."""
+
+    def __init__(
+        self,
+        desk: CallDesk,
+        limits: Limits,
+        metrics: NodeMetrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._desk = desk
+        self._limits = limits
+        self._metrics = metrics
+        self._clock = clock
+
+    async def complete(self, exchange: Exchange) -> None:
+        """Answer `POST /v1/completions`."""
+        body = await exchange.body()
+        question = body.bind(lambda content: self._question(exchange, content))
+        if question.is_error():
+            await exchange.fail(question.error)
+            return
+        asked = question.ok
+        await self._desk.run(
+            exchange,
+            COMPLETIONS_ENDPOINT,
+            lambda call: CompletionRequested(call, asked.request),
+            lambda call: self._answer(exchange, call, asked),
+            streaming=asked.request.stream,
+        )
+
+    async def retained_answer(self, exchange: Exchange, request_id: str) -> None:
+        """Answer `GET /v1/requests/{request_id}`."""
+        fields = {"tenant": exchange.query.get("tenant"), "request_id": request_id}
+        checked = check_fields(fields, CallerHeaders)
+        if checked.is_error():
+            await exchange.fail(checked.error)
+            return
+        tenant, request = TenantName(checked.ok.tenant), RequestId(checked.ok.request_id)
+        await self._desk.run(
+            exchange,
+            ANSWERS_ENDPOINT,
+            lambda call: AnswerRequested(call, tenant, request),
+            lambda call: _answer_retained(exchange, call, request_id),
+        )
+
+    def _question(self, exchange: Exchange, content: bytes) -> Result[_Question, StagewalkError]:
+        body = decode_body(content, CompletionBody)
+        return body.bind(lambda decoded: self._checked(exchange, decoded))
+
+    def _checked(
+        self, exchange: Exchange, body: CompletionBody
+    ) -> Result[_Question, StagewalkError]:
+        if len(body.prompt) > self._limits.prompt_characters:
+            limit = self._limits.prompt_characters
+            return Error(invalid("prompt", f"the prompt has more than {limit} characters"))
+        request_id = body.request_id or exchange.header("x-request-id") or uuid.uuid4().hex
+        fields = {"tenant": body.tenant or exchange.header("x-tenant"), "request_id": request_id}
+        headers = check_fields(fields, CallerHeaders)
+        return headers.bind(lambda checked: Ok(self._to_question(body, checked)))
+
+    def _to_question(self, body: CompletionBody, headers: CallerHeaders) -> _Question:
+        arrived = self._clock()
+        priority = Priority.INTERACTIVE if body.priority == "interactive" else Priority.ROLLOUT
+        request = CompletionRequest(
+            request_id=RequestId(headers.request_id),
+            tenant=TenantName(headers.tenant),
+            model=ModelName(body.model),
+            prompt=body.prompt,
+            max_tokens=body.max_tokens,
+            repeatable=body.repeatable,
+            deadline=arrived + body.deadline_seconds,
+            priority=priority,
+            stream=body.stream,
+            seed=body.seed,
+            prompt_token_count=estimate_tokens(body.prompt),
+            request_class=body.request_class,
+        )
+        return _Question(request, arrived, body.deadline_seconds)
+
+    async def _answer(self, exchange: Exchange, call: OpenCall, question: _Question) -> str:
+        if not question.request.stream:
+            answer = await whole_answer(call, question.deadline_seconds)
+            return await _respond_whole(exchange, answer, question.request)
+        stream = _AnswerStream(exchange, question, self._metrics, self._clock)
+        with anyio.move_on_after(question.deadline_seconds + ANSWER_GRACE_SECONDS):
+            return await stream.relay(call)
+        return await stream.fail(late_error())
+
+
+class _AnswerStream:
+    """The server-sent events of one streamed answer."""
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        question: _Question,
+        metrics: NodeMetrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._exchange = exchange
+        self._question = question
+        self._metrics = metrics
+        self._clock = clock
+        self._sent_characters = 0
+
+    async def relay(self, call: OpenCall) -> str:
+        """Send the core's answers on until the last; return the call's outcome."""
+        while True:
+            answer = await call.next_answer()
+            if isinstance(answer, SendChunk):
+                await self._send_chunk(answer.chunk)
+            elif isinstance(answer, FinishCall):
+                await self._finish(answer.result)
+                return OUTCOME_OK
+            elif isinstance(answer, FailCall):
+                return await self.fail(answer.error)
+
+    async def fail(self, error: StagewalkError) -> str:
+        """Send an error: as the response, or as the stream's last event if it has begun."""
+        if self._exchange.started:
+            await self._exchange.write(_event(render_stream_error(error)), last=True)
+        else:
+            await self._exchange.fail(error)
+        return error.kind.value
+
+    async def _send_chunk(self, chunk: TokenChunk) -> None:
+        await self._start()
+        self._sent_characters += len(chunk.text)
+        await self._send(_piece(self._question.request, chunk.text))
+
+    async def _finish(self, result: CompletionResult) -> None:
+        """Send what text the caller has not had yet, with the versions, and end the stream."""
+        await self._start()
+        last = _whole(self._question.request, result)
+        last.choices[0].text = result.text[self._sent_characters :]
+        await self._send(last)
+        await self._exchange.write(_STREAM_END, last=True)
+
+    async def _start(self) -> None:
+        if self._exchange.started:
+            return
+        self._metrics.first_chunk_latency.observe(self._clock() - self._question.arrived)
+        headers = (("cache-control", "no-cache"),)
+        await self._exchange.start(200, EVENT_STREAM_CONTENT, headers)
+
+    async def _send(self, answer: CompletionAnswer) -> None:
+        await self._exchange.write(_event(msgspec.json.encode(answer)))
+
+
+async def _respond_whole(exchange: Exchange, answer: CallAnswer, request: CompletionRequest) -> str:
+    if isinstance(answer, FinishCall):
+        body = msgspec.json.encode(_whole(request, answer.result))
+        await exchange.respond(200, JSON_CONTENT, body)
+        return OUTCOME_OK
+    error = answer.error if isinstance(answer, FailCall) else late_error()
+    await exchange.fail(error)
+    return error.kind.value
+
+
+async def _answer_retained(exchange: Exchange, call: OpenCall, request_id: str) -> str:
+    answer = await whole_answer(call, RETAINED_ANSWER_SECONDS)
+    if isinstance(answer, FinishCall):
+        completion = _completion(request_id, "", 0, answer.result)
+        await exchange.respond(200, JSON_CONTENT, msgspec.json.encode(completion))
+        return OUTCOME_OK
+    error = answer.error if isinstance(answer, FailCall) else late_error()
+    await exchange.fail(error)
+    return error.kind.value
+
+
+def estimate_tokens(prompt: str) -> int:
+    """Return roughly how many tokens a prompt has, at least one."""
+    return max(1, len(prompt) // CHARACTERS_PER_TOKEN)
+
+
+def _event(data: bytes) -> bytes:
+    return b"data: " + data + b"\n\n"
+
+
+def _piece(request: CompletionRequest, text: str) -> CompletionAnswer:
+    choices = (Choice(text, None),)
+    return CompletionAnswer(request.request_id, _OBJECT, int(time.time()), request.model, choices)
+
+
+def _whole(request: CompletionRequest, result: CompletionResult) -> CompletionAnswer:
+    return _completion(request.request_id, request.model, request.prompt_token_count, result)
+
+
+def _completion(
+    request_id: str, model: str, prompt_tokens: int, result: CompletionResult
+) -> CompletionAnswer:
+    return CompletionAnswer(
+        id=request_id,
+        object=_OBJECT,
+        created=int(time.time()),
+        model=model,
+        choices=(Choice(result.text, result.finish_reason),),
+        versions=result.spans,
+        usage=Usage(prompt_tokens, result.token_count, prompt_tokens + result.token_count),
+    )
--- /dev/null
+++ b/src/stagewalk/node/edge/exchange.py
@@ -0,0 +1,140 @@
+"""One HTTP exchange over ASGI: its body within limits, its answer, its caller going away."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from urllib.parse import parse_qsl
+
+import anyio
+from expression import Error, Ok, Result
+from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, HTTPScope
+
+from stagewalk.core.errors import ErrorKind, StagewalkError, Step
+from stagewalk.node.edge.problems import BODY_FIELD, problem_headers, problem_status, render_problem
+from stagewalk.node.open_calls import CALLER_PEER
+from stagewalk.settings.node_settings import Limits
+
+JSON_CONTENT = "application/json"
+PROBLEM_CONTENT = "application/problem+json"
+
+Headers = Iterable[tuple[str, str]]
+
+
+class Exchange:
+    """One request and its response.
+
+    `watch` runs beside the handler for the whole exchange. It keeps taking what the caller
+    sends, beyond the limit only to throw it away, so that the server's queue never fills up
+    and the caller's going away is always noticed.
+    """
+
+    def __init__(
+        self,
+        scope: HTTPScope,
+        receive: ASGIReceiveCallable,
+        send: ASGISendCallable,
+        limits: Limits,
+    ) -> None:
+        self.method: str = scope["method"]
+        self.path: str = scope["path"]
+        self.query: dict[str, str] = dict(parse_qsl(scope["query_string"].decode("latin-1")))
+        self.started = False
+        """Whether the response's status has been sent."""
+        self.disconnected = False
+        self._headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        self._receive = receive
+        self._send = send
+        self._limits = limits
+        self._body = bytearray()
+        self._too_large = self._announces_too_much()
+        self._body_settled = anyio.Event()
+        self._on_disconnect: Callable[[], None] | None = None
+
+    def header(self, name: str) -> str | None:
+        """Return a request header by its lower-case name."""
+        return self._headers.get(name)
+
+    def on_disconnect(self, action: Callable[[], None]) -> None:
+        """Set what to do when the caller goes away; done at once if it has gone."""
+        self._on_disconnect = action
+        if self.disconnected:
+            action()
+
+    async def watch(self) -> None:
+        """Take what the caller sends until it goes away."""
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                break
+            if message["type"] == "http.request":
+                self._take(message.get("body", b""), message.get("more_body", False))
+        self.disconnected = True
+        self._body_settled.set()
+        if self._on_disconnect is not None:
+            self._on_disconnect()
+
+    async def body(self) -> Result[bytes, StagewalkError]:
+        """Wait for the whole body, within the limits of size and time."""
+        if not self._too_large:
+            with anyio.move_on_after(self._limits.body_seconds) as waiting:
+                await self._body_settled.wait()
+            if waiting.cancelled_caught:
+                detail = f"the body did not arrive within {self._limits.body_seconds} s"
+                return Error(_body_error(ErrorKind.TIMEOUT, detail))
+        if self._too_large:
+            detail = f"the body is larger than {self._limits.body_bytes} bytes"
+            return Error(_body_error(ErrorKind.INVALID_REQUEST, detail))
+        return Ok(bytes(self._body))
+
+    async def respond(
+        self, status: int, content_type: str, body: bytes, headers: Headers = ()
+    ) -> None:
+        """Send a whole response."""
+        length = ("content-length", str(len(body)))
+        await self.start(status, content_type, (length, *headers))
+        await self.write(body, last=True)
+
+    async def fail(self, error: StagewalkError) -> None:
+        """Send an error as the whole response."""
+        await self.respond(
+            problem_status(error), PROBLEM_CONTENT, render_problem(error), problem_headers(error)
+        )
+
+    async def start(self, status: int, content_type: str, headers: Headers = ()) -> None:
+        """Send the response's status and headers."""
+        self.started = True
+        all_headers = (("content-type", content_type), *headers)
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [(name.encode(), value.encode()) for name, value in all_headers],
+                "trailers": False,
+            }
+        )
+
+    async def write(self, part: bytes, *, last: bool = False) -> None:
+        """Send a part of the response's body, waiting while the caller reads slowly."""
+        await self._send({"type": "http.response.body", "body": part, "more_body": not last})
+
+    def _announces_too_much(self) -> bool:
+        length = self._headers.get("content-length", "")
+        return length.isdecimal() and int(length) > self._limits.body_bytes
+
+    def _take(self, part: bytes, more: bool) -> None:
+        if len(self._body) + len(part) > self._limits.body_bytes:
+            self._too_large = True
+            self._body.clear()
+        if self._too_large:
+            self._body_settled.set()
+            return
+        self._body += part
+        if not more:
+            self._body_settled.set()
+
+
+def _body_error(kind: ErrorKind, detail: str) -> StagewalkError:
+    return StagewalkError(kind, Step.VALIDATION, CALLER_PEER, detail, field=BODY_FIELD)
--- /dev/null
+++ b/src/stagewalk/node/edge/operators.py
@@ -0,0 +1,67 @@
+"""The operators' endpoints: health, readiness, metrics, status and the list of models."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+import msgspec
+
+from stagewalk.node.edge.exchange import JSON_CONTENT, Exchange
+from stagewalk.node.edge.schemas import ModelList, ModelRow
+from stagewalk.node.metrics import NodeMetrics
+from stagewalk.node.node_core import NodeStatus
+from stagewalk.node.open_calls import OpenCalls
+
+TEXT_CONTENT = "text/plain; charset=utf-8"
+METRICS_CONTENT = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class OperatorEndpoints:
+    """`GET /healthz`, `/readyz`, `/metrics`, `/control/status` and `/v1/models`."""
+
+    def __init__(
+        self,
+        status: Callable[[], NodeStatus],
+        calls: OpenCalls,
+        metrics: NodeMetrics,
+        queue_length: Callable[[], int],
+    ) -> None:
+        self._status = status
+        self._calls = calls
+        self._metrics = metrics
+        self._queue_length = queue_length
+
+    async def health(self, exchange: Exchange) -> None:
+        """Answer 200 as long as the process serves at all."""
+        await exchange.respond(200, TEXT_CONTENT, b"ok\n")
+
+    async def readiness(self, exchange: Exchange) -> None:
+        """Answer 200 if the node takes new calls, else 503."""
+        status = self._status()
+        if self._calls.stopping or status.stopping:
+            await exchange.respond(503, TEXT_CONTENT, b"stopping\n")
+        elif not status.ready:
+            await exchange.respond(503, TEXT_CONTENT, b"not ready\n")
+        else:
+            await exchange.respond(200, TEXT_CONTENT, b"ready\n")
+
+    async def metrics(self, exchange: Exchange) -> None:
+        """Answer with all metrics."""
+        status = self._status()
+        self._metrics.ready.set(status.ready and not self._calls.stopping)
+        self._metrics.configuration_offset.set(status.configuration_offset)
+        self._metrics.event_queue_length.set(self._queue_length())
+        self._metrics.members.clear()
+        for state, count in Counter(status.members.values()).items():
+            self._metrics.members.labels(state=state).set(count)
+        await exchange.respond(200, METRICS_CONTENT, self._metrics.render())
+
+    async def status(self, exchange: Exchange) -> None:
+        """Answer with the fields of `NodeStatus`."""
+        await exchange.respond(200, JSON_CONTENT, msgspec.json.encode(self._status()))
+
+    async def models(self, exchange: Exchange) -> None:
+        """Answer with the models of all tenants."""
+        rows = [ModelRow(model) for model in sorted(self._status().models)]
+        await exchange.respond(200, JSON_CONTENT, msgspec.json.encode(ModelList(rows)))
--- /dev/null
+++ b/src/stagewalk/node/event_queue.py
@@ -0,0 +1,46 @@
+"""The one ordered queue of events into the core.
+
+Everything that happens to a node becomes an event in this queue; the core handles them one by
+one. Its length is bounded: whoever can wait, waits (callers, engines' streams), and what may be
+lost anyway (messages of other nodes) is dropped.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import anyio
+
+from stagewalk.core.events import Event
+
+MAXIMUM_QUEUED_EVENTS = 4096
+_RESERVED_FOR_WAITING = 1024
+"""Room that droppable events leave to the others."""
+
+
+class EventQueue:
+    """Bounded queue of events, first in, first out."""
+
+    def __init__(self) -> None:
+        send, receive = anyio.create_memory_object_stream[Event](MAXIMUM_QUEUED_EVENTS)
+        self._send = send
+        self._receive = receive
+
+    async def put(self, event: Event) -> None:
+        """Add an event, waiting for room."""
+        await self._send.send(event)
+
+    def put_droppable(self, event: Event) -> bool:
+        """Add an event if there is room to spare; return whether it was taken."""
+        if len(self) >= MAXIMUM_QUEUED_EVENTS - _RESERVED_FOR_WAITING:
+            return False
+        self._send.send_nowait(event)
+        return True
+
+    async def events(self) -> AsyncIterator[Event]:
+        """Yield events in their order, for ever."""
+        async for event in self._receive:
+            yield event
+
+    def __len__(self) -> int:
+        return self._receive.statistics().current_buffer_used
--- /dev/null
+++ b/src/stagewalk/node/http_server.py
@@ -0,0 +1,43 @@
+"""Serves the edge's application with `hypercorn`."""
+
+from __future__ import annotations
+
+import logging
+import socket
+
+import anyio
+import hypercorn.asyncio
+from hypercorn.config import Config
+from hypercorn.typing import ASGIFramework
+
+from stagewalk.core.identities import Address
+
+BACKLOG = 1024
+KEEP_ALIVE_SECONDS = 75.0
+"""Longer than clients usually keep idle connections, so that it is they who close them."""
+
+GRACEFUL_SECONDS = 3.0
+STALLED_WRITE_MILLISECONDS = 30_000
+"""After that time the kernel drops a connection whose peer takes no more data."""
+
+
+def open_listener(address: Address) -> socket.socket:
+    """Bind and return the listening socket; raises `OSError` if the address is taken."""
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    listener = socket.create_server((address.host, address.port), family=family, backlog=BACKLOG)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, STALLED_WRITE_MILLISECONDS)
+    return listener
+
+
+async def serve_http(app: ASGIFramework, listener: socket.socket, stop: anyio.Event) -> None:
+    """Serve the application on a listening socket until `stop` is set."""
+    config = Config()
+    config.bind = [f"fd://{listener.detach()}"]
+    config.accesslog = None
+    config.errorlog = logging.getLogger("hypercorn.error")
+    config.backlog = BACKLOG
+    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+    config.graceful_timeout = GRACEFUL_SECONDS
+    config.include_server_header = False
+    await hypercorn.asyncio.serve(app, config, shutdown_trigger=stop.wait, mode="asgi")
--- /dev/null
+++ b/src/stagewalk/node/instruction_runner.py
@@ -0,0 +1,77 @@
+"""Hands each instruction of the core to what carries it out. Nothing here waits."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from stagewalk.core.instructions import (
+    AcceptLot,
+    AppendRecord,
+    CancelAttempt,
+    DeliverSamples,
+    ExitProcess,
+    FailCall,
+    FinishCall,
+    Instruction,
+    LogEvent,
+    OrderEngine,
+    PollEngine,
+    ReadLog,
+    ReadMachines,
+    ReadVersions,
+    ScoreSample,
+    SendChunk,
+    SendPeerMessage,
+    StartAttempt,
+)
+from stagewalk.node.engine_tasks import EngineTasks
+from stagewalk.node.log_lines import LEVELS, log_event
+from stagewalk.node.open_calls import OpenCalls
+from stagewalk.node.peer_transport import PeerTransport
+from stagewalk.node.platform_tasks import PlatformTasks
+
+_LEVEL_FIELD = "level"
+_DEFAULT_LEVEL = "info"
+
+
+class InstructionRunner:
+    """Dispatches instructions by their type."""
+
+    def __init__(
+        self,
+        calls: OpenCalls,
+        engines: EngineTasks,
+        platform: PlatformTasks,
+        peers: PeerTransport,
+        exit_process: Callable[[], None],
+    ) -> None:
+        self._handlers: dict[type[Instruction], Callable[[Any], None]] = {
+            SendChunk: calls.offer,
+            FinishCall: calls.offer,
+            FailCall: calls.offer,
+            AcceptLot: calls.offer,
+            DeliverSamples: calls.offer,
+            StartAttempt: engines.start_attempt,
+            CancelAttempt: engines.cancel_attempt,
+            PollEngine: engines.poll,
+            OrderEngine: engines.order,
+            ReadMachines: platform.read_machines,
+            ReadVersions: platform.read_versions,
+            ReadLog: platform.read_log,
+            AppendRecord: platform.append,
+            ScoreSample: platform.score,
+            SendPeerMessage: peers.send,
+            LogEvent: _write_log_event,
+            ExitProcess: lambda _: exit_process(),
+        }
+
+    def carry_out(self, instruction: Instruction) -> None:
+        """Carry an instruction out, or start the task that does."""
+        self._handlers[type(instruction)](instruction)
+
+
+def _write_log_event(event: LogEvent) -> None:
+    fields = dict(event.fields)
+    level = str(fields.pop(_LEVEL_FIELD, _DEFAULT_LEVEL))
+    log_event(event.name, level if level in LEVELS else _DEFAULT_LEVEL, **fields)
--- /dev/null
+++ b/src/stagewalk/node/metrics.py
@@ -0,0 +1,114 @@
+"""Metrics of the daemon, on a registry of its own. Units are in the names."""
+
+from __future__ import annotations
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    disable_created_metrics,
+    generate_latest,
+)
+
+_LATENCY_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0)
+_EVENT_BUCKETS = (0.0001, 0.0005, 0.002, 0.01, 0.05, 0.25, 1.0)
+
+
+class NodeMetrics:
+    """All counters, gauges and histograms of one node."""
+
+    def __init__(self) -> None:
+        disable_created_metrics()
+        registry = CollectorRegistry()
+        self._registry = registry
+        ProcessCollector(registry=registry)
+        self.calls = Counter(
+            "stagewalk_calls",
+            "Calls ended, by endpoint and outcome (ok, an error kind, or abandoned).",
+            ["endpoint", "outcome"],
+            registry=registry,
+        )
+        self.request_latency = Histogram(
+            "stagewalk_request_latency_seconds",
+            "Time from a call's arrival to its last byte.",
+            ["endpoint"],
+            buckets=_LATENCY_BUCKETS,
+            registry=registry,
+        )
+        self.first_chunk_latency = Histogram(
+            "stagewalk_first_chunk_latency_seconds",
+            "Time from a streaming call's arrival to its first chunk.",
+            buckets=_LATENCY_BUCKETS,
+            registry=registry,
+        )
+        self.open_calls = Gauge(
+            "stagewalk_open_calls", "Calls open at the edge.", registry=registry
+        )
+        self.slow_readers = Counter(
+            "stagewalk_slow_readers",
+            "Streams cut because the caller read too slowly.",
+            registry=registry,
+        )
+        self.attempts = Counter(
+            "stagewalk_attempts",
+            "Attempts at engines that ended, by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
+        self.running_attempts = Gauge(
+            "stagewalk_running_attempts", "Attempts running at engines.", registry=registry
+        )
+        self.answer_tokens = Counter(
+            "stagewalk_answer_tokens", "Tokens received from engines.", registry=registry
+        )
+        self.service_errors = Counter(
+            "stagewalk_service_errors",
+            "Failed calls to engines' control and to platform services.",
+            ["step", "kind"],
+            registry=registry,
+        )
+        self.peer_messages = Counter(
+            "stagewalk_peer_messages",
+            "Messages between nodes.",
+            ["direction", "transport"],
+            registry=registry,
+        )
+        self.peer_bytes = Counter(
+            "stagewalk_peer_bytes",
+            "Bytes of messages between nodes, without IP headers.",
+            ["direction", "transport"],
+            registry=registry,
+        )
+        self.peer_messages_dropped = Counter(
+            "stagewalk_peer_messages_dropped",
+            "Messages between nodes dropped, by cause.",
+            ["cause"],
+            registry=registry,
+        )
+        self.event_queue_length = Gauge(
+            "stagewalk_event_queue_length", "Events waiting for the core.", registry=registry
+        )
+        self.event_handling = Histogram(
+            "stagewalk_event_handling_seconds",
+            "Time the core spent on one event.",
+            buckets=_EVENT_BUCKETS,
+            registry=registry,
+        )
+        self.tick_lag = Gauge(
+            "stagewalk_tick_lag_seconds", "How late the last tick was handled.", registry=registry
+        )
+        self.ready = Gauge("stagewalk_ready", "1 while the node takes calls.", registry=registry)
+        self.configuration_offset = Gauge(
+            "stagewalk_configuration_offset",
+            "Offset after the last configuration record in force.",
+            registry=registry,
+        )
+        self.members = Gauge(
+            "stagewalk_members", "Nodes known, by state.", ["state"], registry=registry
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/src/stagewalk/node/peer_streams.py
@@ -0,0 +1,162 @@
+"""Outgoing TCP connections to other nodes: one a peer, opened on its first message."""
+
+from __future__ import annotations
+
+import contextlib
+
+import anyio
+import anyio.abc
+from anyio.streams.memory import MemoryObjectReceiveStream
+
+from stagewalk.core.identities import Address
+from stagewalk.node.metrics import NodeMetrics
+
+QUEUED_FRAMES = 256
+"""Most frames that wait for one peer; a further one is dropped."""
+
+MAXIMUM_PEERS = 1024
+CONNECT_TIMEOUT_SECONDS = 2.0
+SEND_TIMEOUT_SECONDS = 5.0
+IDLE_SECONDS = 60.0
+FIRST_BACKOFF_SECONDS = 0.1
+LAST_BACKOFF_SECONDS = 5.0
+
+_STREAM_ENDED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
+
+
+class OutgoingStream:
+    """Queue and connection to one peer.
+
+    A frame is written at most once: what a broken connection swallowed is lost, as is what
+    waited while connecting failed, since the cores repeat what they still need.
+    """
+
+    def __init__(self, address: Address, metrics: NodeMetrics) -> None:
+        self.address = address
+        self._metrics = metrics
+        send, receive = anyio.create_memory_object_stream[bytes](QUEUED_FRAMES)
+        self._send = send
+        self._receive = receive
+        self._backoff_seconds = FIRST_BACKOFF_SECONDS
+
+    def offer(self, frame: bytes) -> None:
+        """Queue a frame, or drop it if too many wait."""
+        try:
+            self._send.send_nowait(frame)
+        except anyio.WouldBlock:
+            self._dropped("overflow")
+
+    async def run(self) -> None:
+        """Deliver frames until none came for `IDLE_SECONDS`."""
+        with self._send, self._receive:
+            while await self._deliver_until_broken():
+                pass
+
+    async def _deliver_until_broken(self) -> bool:
+        """Use one connection as long as it lasts; return whether to go on with another."""
+        with anyio.move_on_after(IDLE_SECONDS) as waiting:
+            frame = await self._receive.receive()
+        if waiting.cancelled_caught:
+            return False
+        connection = await self._connect()
+        if connection is None:
+            self._drop_waiting()
+            await self._back_off()
+            return True
+        self._backoff_seconds = FIRST_BACKOFF_SECONDS
+        return await _Connection(connection, self._receive, self._metrics).use(frame)
+
+    async def _connect(self) -> anyio.abc.SocketStream | None:
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
+                return await anyio.connect_tcp(self.address.host, self.address.port)
+        except (OSError, TimeoutError):
+            return None
+
+    def _drop_waiting(self) -> None:
+        self._dropped("unreachable")
+        while self._receive.statistics().current_buffer_used:
+            self._receive.receive_nowait()
+            self._dropped("unreachable")
+
+    async def _back_off(self) -> None:
+        await anyio.sleep(self._backoff_seconds)
+        self._backoff_seconds = min(LAST_BACKOFF_SECONDS, 2 * self._backoff_seconds)
+
+    def _dropped(self, cause: str) -> None:
+        self._metrics.peer_messages_dropped.labels(cause=cause).inc()
+
+
+class _Connection:
+    """One open connection: writes frames, and watches for the peer closing it.
+
+    Without the watch the first frame after a peer's restart would vanish into a dead socket.
+    """
+
+    def __init__(
+        self,
+        stream: anyio.abc.SocketStream,
+        frames: MemoryObjectReceiveStream[bytes],
+        metrics: NodeMetrics,
+    ) -> None:
+        self._stream = stream
+        self._frames = frames
+        self._metrics = metrics
+        self._idle = False
+
+    async def use(self, first_frame: bytes) -> bool:
+        """Write frames until the connection breaks (True) or is idle for long (False)."""
+        async with self._stream, anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch, tasks.cancel_scope)
+            await self._write_all(first_frame)
+            tasks.cancel_scope.cancel()
+        return not self._idle
+
+    async def _watch(self, scope: anyio.CancelScope) -> None:
+        with contextlib.suppress(*_STREAM_ENDED):
+            await self._stream.receive(1)
+        scope.cancel()
+
+    async def _write_all(self, frame: bytes) -> None:
+        while await self._write(frame):
+            with anyio.move_on_after(IDLE_SECONDS):
+                frame = await self._frames.receive()
+                continue
+            self._idle = True
+            return
+
+    async def _write(self, frame: bytes) -> bool:
+        try:
+            with anyio.fail_after(SEND_TIMEOUT_SECONDS):
+                await self._stream.send(frame)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, TimeoutError):
+            self._metrics.peer_messages_dropped.labels(cause="broken").inc()
+            return False
+        return True
+
+
+class OutgoingStreams:
+    """All outgoing connections, by address; an idle one is closed and forgotten."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup, metrics: NodeMetrics) -> None:
+        self._tasks = tasks
+        self._metrics = metrics
+        self._streams: dict[Address, OutgoingStream] = {}
+
+    def offer(self, address: Address, frame: bytes) -> None:
+        """Queue a frame for the peer at an address, or drop it."""
+        stream = self._streams.get(address)
+        if stream is None:
+            if len(self._streams) >= MAXIMUM_PEERS:
+                self._metrics.peer_messages_dropped.labels(cause="overflow").inc()
+                return
+            stream = OutgoingStream(address, self._metrics)
+            self._streams[address] = stream
+            self._tasks.start_soon(self._run, stream)
+        stream.offer(frame)
+
+    async def _run(self, stream: OutgoingStream) -> None:
+        try:
+            await stream.run()
+        finally:
+            del self._streams[stream.address]
--- /dev/null
+++ b/src/stagewalk/node/peer_transport.py
@@ -0,0 +1,145 @@
+"""Messages between nodes: protobuf envelopes in UDP datagrams and in framed TCP streams."""
+
+from __future__ import annotations
+
+import anyio
+import anyio.abc
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from stagewalk.core.events import PeerMessageReceived
+from stagewalk.core.identities import Address
+from stagewalk.core.instructions import MAXIMUM_DATAGRAM_BYTES, SendPeerMessage, Transport
+from stagewalk.node.event_queue import EventQueue
+from stagewalk.node.metrics import NodeMetrics
+from stagewalk.node.peer_frames import (
+    LENGTH_BYTES,
+    decode_envelope,
+    decode_length,
+    encode_frame,
+)
+from stagewalk.node.peer_streams import OutgoingStreams
+
+QUEUED_DATAGRAMS = 512
+MAXIMUM_INCOMING_CONNECTIONS = 1024
+INCOMING_IDLE_SECONDS = 120.0
+MAXIMUM_KNOWN_SENDERS = 8192
+
+
+class PeerTransport:
+    """Sends and receives the envelopes of this node.
+
+    The source given to the core is the peer's listening address. Datagrams are sent from the
+    listening socket, so theirs is the socket's own. A stream comes from a port of the moment:
+    its source is the listening address last seen for the envelope's sender name, in a datagram
+    or in the machine list; only for a sender not heard of so far is it the stream's own address.
+    """
+
+    def __init__(self, listen: Address, events: EventQueue, metrics: NodeMetrics) -> None:
+        self._listen = listen
+        self._events = events
+        self._metrics = metrics
+        self._listening_addresses: dict[str, Address] = {}
+        self._incoming = 0
+        self._outgoing: OutgoingStreams | None = None
+        send, receive = anyio.create_memory_object_stream[tuple[bytes, Address]](QUEUED_DATAGRAMS)
+        self._datagrams_out = send
+        self._datagrams_in_queue = receive
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Open the sockets, report them open, and serve until cancelled."""
+        host, port = self._listen.host, self._listen.port
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        async with (
+            listener,
+            await anyio.create_udp_socket(local_host=host, local_port=port) as socket,
+            anyio.create_task_group() as tasks,
+        ):
+            self._outgoing = OutgoingStreams(tasks, self._metrics)
+            tasks.start_soon(self._send_datagrams, socket)
+            tasks.start_soon(self._receive_datagrams, socket)
+            tasks.start_soon(listener.serve, self._serve_connection)
+            task_status.started()
+            await anyio.sleep_forever()
+
+    def learn_address(self, node: str, address: Address) -> None:
+        """Note where a node listens."""
+        if len(self._listening_addresses) < MAXIMUM_KNOWN_SENDERS:
+            self._listening_addresses[node] = address
+
+    def send(self, message: SendPeerMessage) -> None:
+        """Send an envelope without waiting; a datagram too long for UDP goes over TCP."""
+        payload = message.envelope.SerializeToString()
+        if message.transport is Transport.STREAM or len(payload) > MAXIMUM_DATAGRAM_BYTES:
+            if self._outgoing is not None:
+                self._outgoing.offer(message.address, encode_frame(payload))
+                self._count("sent", Transport.STREAM, len(payload))
+            return
+        try:
+            self._datagrams_out.send_nowait((payload, message.address))
+        except anyio.WouldBlock:
+            self._dropped("overflow")
+
+    async def _send_datagrams(self, socket: anyio.abc.UDPSocket) -> None:
+        async for payload, address in self._datagrams_in_queue:
+            try:
+                await socket.sendto(payload, address.host, address.port)
+            except (OSError, anyio.BrokenResourceError):
+                self._dropped("unreachable")
+                continue
+            self._count("sent", Transport.DATAGRAM, len(payload))
+
+    async def _receive_datagrams(self, socket: anyio.abc.UDPSocket) -> None:
+        async for payload, source in socket:
+            self._receive(payload, Address(source[0], source[1]), Transport.DATAGRAM)
+
+    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            if self._incoming >= MAXIMUM_INCOMING_CONNECTIONS:
+                self._dropped("too_many_connections")
+                return
+            self._incoming += 1
+            try:
+                await self._receive_frames(stream)
+            except (
+                anyio.EndOfStream,
+                anyio.IncompleteRead,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+                TimeoutError,
+            ):
+                return
+            finally:
+                self._incoming -= 1
+
+    async def _receive_frames(self, stream: anyio.abc.SocketStream) -> None:
+        remote = stream.extra(anyio.abc.SocketAttribute.remote_address)
+        source = Address(str(remote[0]), int(remote[1]))
+        buffered = BufferedByteReceiveStream(stream)
+        while True:
+            with anyio.fail_after(INCOMING_IDLE_SECONDS):
+                length = decode_length(await buffered.receive_exactly(LENGTH_BYTES))
+                if length is None:
+                    self._dropped("bad_frame")
+                    return
+                payload = await buffered.receive_exactly(length)
+            self._receive(payload, source, Transport.STREAM)
+
+    def _receive(self, payload: bytes, source: Address, transport: Transport) -> None:
+        self._count("received", transport, len(payload))
+        envelope = decode_envelope(payload)
+        if envelope is None:
+            self._dropped("bad_frame")
+            return
+        if transport is Transport.DATAGRAM:
+            self.learn_address(envelope.sender, source)
+        else:
+            source = self._listening_addresses.get(envelope.sender, source)
+        if not self._events.put_droppable(PeerMessageReceived(source, envelope)):
+            self._dropped("busy")
+
+    def _count(self, direction: str, transport: Transport, size: int) -> None:
+        self._metrics.peer_messages.labels(direction, transport.value).inc()
+        self._metrics.peer_bytes.labels(direction, transport.value).inc(size)
+
+    def _dropped(self, cause: str) -> None:
+        self._metrics.peer_messages_dropped.labels(cause=cause).inc()
--- /dev/null
+++ b/src/stagewalk/ports/engines.py
@@ -0,0 +1,41 @@
+"""Port of the model engines."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from expression import Result
+
+from stagewalk.core.errors import StagewalkError
+from stagewalk.core.events import (
+    AttemptChunk,
+    AttemptFailed,
+    AttemptFinished,
+    AttemptRefused,
+    OrderAnswered,
+)
+from stagewalk.core.identities import Address
+from stagewalk.core.instructions import CancelAttempt, OrderEngine, StartAttempt
+from stagewalk.core.platform import EngineReport
+
+FinalAttemptEvent = AttemptFinished | AttemptRefused | AttemptFailed
+AttemptEvent = AttemptChunk | FinalAttemptEvent
+AttemptSink = Callable[[AttemptEvent], Awaitable[None]]
+"""Takes an attempt's events in order; waiting in it holds the engine's stream back."""
+
+
+class EngineClient(Protocol):
+    """What a node asks of engines; every call names the engine's address."""
+
+    async def run_attempt(self, start: StartAttempt, deliver: AttemptSink) -> None:
+        """Send an attempt and deliver its chunks, then exactly one final event."""
+
+    async def cancel(self, cancel: CancelAttempt) -> Result[None, StagewalkError]:
+        """Ask the engine to stop an attempt."""
+
+    async def report(self, engine: str, address: Address) -> Result[EngineReport, StagewalkError]:
+        """Read the engine's report."""
+
+    async def order(self, order: OrderEngine) -> OrderAnswered:
+        """Send a fenced order; no answer in time is `OrderOutcome.UNKNOWN`."""
--- /dev/null
+++ b/src/stagewalk/ports/platform_services.py
@@ -0,0 +1,59 @@
+"""Ports of the platform's services: log, machine list, weight store and scorer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from expression import Result
+
+from stagewalk.core.errors import StagewalkError
+from stagewalk.core.identities import ModelName, RecordId
+from stagewalk.core.instructions import ScoreSample
+from stagewalk.core.platform import LogRecord, Machine, PublishedVersion
+
+
+@dataclass(frozen=True, slots=True)
+class LogPage:
+    """Records read from a stream; `head` is the offset after the stream's last record."""
+
+    records: tuple[LogRecord, ...]
+    head: int
+
+
+class LogService(Protocol):
+    """The append-only log."""
+
+    async def read(self, stream: str, offset: int) -> Result[LogPage, StagewalkError]:
+        """Read records from an offset on, waiting some seconds for a first one."""
+
+    async def append(
+        self, stream: str, record_id: RecordId, payload: bytes
+    ) -> Result[int, StagewalkError]:
+        """Append a record and return its offset.
+
+        An error with `ran=unknown` means that the record may have landed all the same.
+        """
+
+
+class MachineList(Protocol):
+    """The list of live and leaving machines."""
+
+    async def read(self) -> Result[tuple[Machine, ...], StagewalkError]:
+        """Read the whole list."""
+
+
+class WeightStore(Protocol):
+    """The store of published weights."""
+
+    async def versions(
+        self, model: ModelName
+    ) -> Result[tuple[PublishedVersion, ...], StagewalkError]:
+        """Read the list of a model's versions."""
+
+
+class Scorer(Protocol):
+    """The service that scores samples."""
+
+    async def score(self, sample: ScoreSample) -> Result[float, StagewalkError]:
+        """Score one sample; idempotent."""
--- /dev/null
+++ b/src/stagewalk/settings/addresses.py
@@ -0,0 +1,64 @@
+"""Addresses of a settings file: IP numbers only, never host names."""
+
+from __future__ import annotations
+
+import ipaddress
+from urllib.parse import SplitResult, urlsplit
+
+from expression import Error, Ok, Result
+
+from stagewalk.core.errors import ErrorKind, StagewalkError, Step
+from stagewalk.core.identities import Address
+
+SETTINGS_PEER = "settings"
+_URL_SCHEME = "http"
+
+
+def settings_error(field: str, detail: str) -> StagewalkError:
+    """Return the error for a settings field, by its path in the file."""
+    return StagewalkError(
+        kind=ErrorKind.INVALID_REQUEST,
+        step=Step.SETTINGS,
+        peer=SETTINGS_PEER,
+        detail=detail,
+        field=field,
+    )
+
+
+def parse_listen_address(field: str, text: str) -> Result[Address, StagewalkError]:
+    """Parse `IP:PORT` (`[IP]:PORT` for IPv6) on which this process can be reached by others."""
+    parsed = _split(f"//{text}")
+    if parsed is None or parsed.netloc != text:
+        return Error(settings_error(field, f"expected IP:PORT, got {text!r}"))
+    return _address(field, parsed, text)
+
+
+def parse_service_url(field: str, text: str) -> Result[str, StagewalkError]:
+    """Check `http://IP:PORT[/PATH]` and return it without a trailing slash."""
+    parsed = _split(text)
+    if parsed is None or parsed.scheme != _URL_SCHEME or parsed.query or parsed.fragment:
+        return Error(settings_error(field, f"expected http://IP:PORT, got {text!r}"))
+    return _address(field, parsed, text).map(lambda _: text.rstrip("/"))
+
+
+def _split(text: str) -> SplitResult | None:
+    try:
+        return urlsplit(text)
+    except ValueError:
+        return None
+
+
+def _address(field: str, parsed: SplitResult, text: str) -> Result[Address, StagewalkError]:
+    try:
+        host, port = parsed.hostname, parsed.port
+    except ValueError:
+        return Error(settings_error(field, f"the port of {text!r} is not a number up to 65535"))
+    if not host or not port or parsed.username is not None:
+        return Error(settings_error(field, f"expected an IP number and a port, got {text!r}"))
+    try:
+        number = ipaddress.ip_address(host)
+    except ValueError:
+        return Error(settings_error(field, f"{host!r} is not an IP number"))
+    if number.is_unspecified or number.is_multicast:
+        return Error(settings_error(field, f"{host!r} is not an address others can reach"))
+    return Ok(Address(str(number), port))
--- /dev/null
+++ b/src/stagewalk/settings/node_settings.py
@@ -0,0 +1,173 @@
+"""Settings of one node: a TOML file, overridden by flags."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from expression import Error, Ok, Result, effect
+
+from stagewalk.core.errors import StagewalkError
+from stagewalk.core.identities import Address
+from stagewalk.settings.addresses import parse_listen_address, parse_service_url, settings_error
+
+PositiveInteger = Annotated[int, msgspec.Meta(ge=1)]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=100)]
+LogLevel = Literal["debug", "info", "warning", "error"]
+
+_FIELD_PATH = re.compile(r" - at `\$\.?([^`]*)`$")
+_FIELD_NAME = re.compile(r"field `([^`]*)`")
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Limits against callers that ask too much.
+
+    Attributes
+    ----------
+    body_bytes
+        Largest body of a call, in bytes.
+    prompt_characters
+        Longest prompt, in characters.
+    open_calls
+        Most calls that are open at once; a further one is refused.
+    buffered_chunks
+        Most chunks of an answer held for a caller that reads slower than the engine writes.
+    body_seconds
+        Longest time a caller may take to send its body, in seconds.
+    """
+
+    body_bytes: PositiveInteger = 8 * 1024 * 1024
+    prompt_characters: PositiveInteger = 262_144
+    open_calls: PositiveInteger = 512
+    buffered_chunks: PositiveInteger = 256
+    body_seconds: PositiveInteger = 30
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformUrls:
+    """Base URLs of the platform's services, without a trailing slash."""
+
+    log: str
+    weights: str
+    machines: str
+    scorer: str
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Checked settings of a node.
+
+    Attributes
+    ----------
+    listen
+        Address of the HTTP edge for callers, trainers and operators.
+    peer_listen
+        Address other nodes reach this one at, over UDP and TCP.
+    """
+
+    name: str
+    region: str
+    zone: str
+    listen: Address
+    peer_listen: Address
+    platform: PlatformUrls
+    limits: Limits
+    log_level: LogLevel
+
+
+class _PlatformSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    log: str
+    weights: str
+    machines: str
+    scorer: str
+
+
+class _SettingsFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    name: Name
+    region: Name
+    zone: Name
+    listen: str
+    peer_listen: str
+    platform: _PlatformSection
+    limits: Limits = Limits()
+    log_level: LogLevel = "info"
+
+
+def load_node_settings(
+    path: Path | None, overrides: Mapping[str, str | None]
+) -> Result[NodeSettings, StagewalkError]:
+    """Read, override and check a node's settings.
+
+    Parameters
+    ----------
+    path
+        The TOML file; `None` takes everything from `overrides`.
+    overrides
+        Values of flags by dotted field path, such as `platform.log`; `None` leaves a field alone.
+    """
+    return _read_table(path).bind(lambda table: _decode(_override(table, overrides))).bind(_check)
+
+
+def _read_table(path: Path | None) -> Result[dict[str, Any], StagewalkError]:
+    if path is None:
+        return Ok({})
+    try:
+        return Ok(tomllib.loads(path.read_text(encoding="utf-8")))
+    except OSError as error:
+        return Error(settings_error("settings", f"can't read {path}: {error.strerror}"))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return Error(settings_error("settings", f"{path} is not TOML: {error}"))
+
+
+def _override(table: dict[str, Any], overrides: Mapping[str, str | None]) -> dict[str, Any]:
+    for field, value in overrides.items():
+        if value is None:
+            continue
+        *sections, key = field.split(".")
+        target = table
+        for section in sections:
+            target = target.setdefault(section, {})
+            if not isinstance(target, dict):
+                break
+        else:
+            target[key] = value
+    return table
+
+
+def _decode(table: dict[str, Any]) -> Result[_SettingsFile, StagewalkError]:
+    try:
+        return Ok(msgspec.convert(table, _SettingsFile))
+    except msgspec.ValidationError as error:
+        return Error(settings_error(_field_of(str(error)), _FIELD_PATH.sub("", str(error))))
+
+
+def _field_of(message: str) -> str:
+    path = _FIELD_PATH.search(message)
+    name = _FIELD_NAME.search(message)
+    parts = (path.group(1) if path else "", name.group(1) if name else "")
+    return ".".join(part for part in parts if part)
+
+
+@effect.result[NodeSettings, StagewalkError]()
+def _check(file: _SettingsFile) -> Any:
+    listen = yield from parse_listen_address("listen", file.listen)
+    peer_listen = yield from parse_listen_address("peer_listen", file.peer_listen)
+    log = yield from parse_service_url("platform.log", file.platform.log)
+    weights = yield from parse_service_url("platform.weights", file.platform.weights)
+    machines = yield from parse_service_url("platform.machines", file.platform.machines)
+    scorer = yield from parse_service_url("platform.scorer", file.platform.scorer)
+    return NodeSettings(
+        name=file.name,
+        region=file.region,
+        zone=file.zone,
+        listen=listen,
+        peer_listen=peer_listen,
+        platform=PlatformUrls(log, weights, machines, scorer),
+        limits=file.limits,
+        log_level=file.log_level,
+    )
--- /dev/null
+++ b/tests/node/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the node daemon's shell, with a scripted core."""
--- /dev/null
+++ b/tests/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of settings."""
