Compose the node's core from its subsystems

Cause: requests, samples, routing, claims, leases, membership, configuration and weights stood alone; daemon and simulation need the one NodeCore. Change: ControlPlane and DataPlane wire the cores; NodeCore hands notifications on depth first until only instructions are left. Ruled out: cores that call each other: an order of effects could not be replayed. Before: NodeCore raised NotImplementedError. Conclusion: ready for the daemon and the simulation to run it.

--- a/src/stagewalk/core/instructions.py
+++ b/src/stagewalk/core/instructions.py
@@ -155,12 +155,16 @@
     transport: Transport = Transport.DATAGRAM
 
 
+LogFields = dict[str, str | int | float | bool]
+"""Key and value pairs of one log line; the key `level` sets its level."""
+
+
 @dataclass(frozen=True, slots=True)
 class LogEvent:
     """Write one structured log line."""
 
     name: str
-    fields: dict[str, str | int | float | bool] = field(default_factory=dict)
+    fields: LogFields = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/stagewalk/node/control_plane.py
@@ -0,0 +1,236 @@
+"""The node's control plane: what nodes agree on, and the duties this one holds.
+
+Membership, the log's streams, configuration, leases, placement of replica groups, claims and
+weight rollouts, wired to each other. Everything is rebuilt from the log, peers and engines
+after a restart.
+"""
+
+from __future__ import annotations
+
+import random
+
+from stagewalk.claims.core import ClaimCore
+from stagewalk.claims.notifications import PlacementAppendWanted
+from stagewalk.claims.placement import PLACEMENT_STREAM, PlacementFold, encode_record
+from stagewalk.claims.planner import PlacementCandidate, PlacementPlanner
+from stagewalk.claims.types import Peer, Replica
+from stagewalk.configuration.follower import ConfigurationFollower
+from stagewalk.configuration.notifications import ConfigurationChanged
+from stagewalk.configuration.records import CONFIGURATION_STREAM
+from stagewalk.core.events import (
+    AppendConfirmed,
+    AppendFailed,
+    LogRead,
+    LogReadFailed,
+    PeerMessageReceived,
+)
+from stagewalk.core.identities import Epoch, Incarnation, ModelName, NodeName
+from stagewalk.core.instructions import LogEvent, LogFields
+from stagewalk.core.platform import LogRecord, Machine, MachineKind, MachineState
+from stagewalk.leases.core import Candidate, LeaseCore, LiveMember
+from stagewalk.leases.fold import LEASE_STREAM
+from stagewalk.leases.notifications import AppendWanted, LeaseAcquired, LeaseLost
+from stagewalk.log_client.core import LogClientCore
+from stagewalk.log_client.notifications import AppendAbandoned, RecordsRead
+from stagewalk.membership.core import MembershipCore
+from stagewalk.membership.members import MemberIdentity, MemberStatus
+from stagewalk.node.node_config import NodeConfig
+from stagewalk.node.node_identity import NodeIdentity
+from stagewalk.node.outputs import NodeOutput
+from stagewalk.weights.core import RolloutCore
+
+PLACEMENT_DUTY = "placement"
+ROLLOUT_DUTY_PREFIX = "rollout/"
+
+
+class ControlPlane:
+    """The control plane's cores and what passes between them.
+
+    Parameters
+    ----------
+    identity
+        This node.
+    generator
+        Source of all random choices of its cores.
+    """
+
+    def __init__(
+        self, identity: NodeIdentity, config: NodeConfig, generator: random.Random
+    ) -> None:
+        self._config = config
+        self.membership = MembershipCore(
+            MemberIdentity(
+                identity.name, identity.incarnation, identity.address, identity.placement
+            ),
+            config.membership,
+            generator,
+        )
+        self.log_client = LogClientCore(generator, config.log_client)
+        self.follower = ConfigurationFollower(identity, config.follower, generator)
+        self.leases = LeaseCore(
+            Candidate(identity.name, identity.incarnation), config.leases, generator
+        )
+        self.claims = ClaimCore(
+            Replica(identity.name, identity.incarnation, identity.address, identity.placement),
+            config.claims,
+            generator,
+        )
+        self.weights = RolloutCore(identity, config.weights)
+        self._placement = PlacementFold()
+        self._planner = PlacementPlanner(config.planner)
+        self._leaving_machines: frozenset[str] = frozenset()
+        self._plan_at = 0.0
+        for stream in (CONFIGURATION_STREAM, LEASE_STREAM, PLACEMENT_STREAM):
+            self.log_client.follow(stream, 0)
+        self.members_changed()
+
+    # Events
+
+    def tick(self, now: float) -> list[NodeOutput]:
+        """Let time pass in all cores."""
+        output: list[NodeOutput] = []
+        output += self.membership.tick(now)
+        output += self.log_client.tick(now)
+        output += self.follower.tick(now)
+        output += self.leases.tick(now)
+        output += self.claims.tick(now)
+        output += self.weights.tick(now)
+        if now >= self._plan_at:
+            self._plan_at = now + self._config.planning_interval_seconds
+            output += self._plan_placement(now)
+        return output
+
+    def handle_message(self, event: PeerMessageReceived, now: float) -> list[NodeOutput]:
+        """Take another node's message."""
+        envelope = event.envelope
+        sender = NodeName(envelope.sender)
+        incarnation = Incarnation(envelope.sender_incarnation)
+        output: list[NodeOutput] = []
+        match envelope.WhichOneof("body"):
+            case "membership":
+                output += self.membership.handle_message(
+                    event.source, sender, envelope.membership, now
+                )
+            case "claims":
+                output += self.claims.handle_message(
+                    event.source, sender, incarnation, envelope.claims, now
+                )
+            case "configuration":
+                output += self.follower.handle_message(
+                    event.source, sender, envelope.configuration, now
+                )
+            case _:
+                output.append(LogEvent("unknown_peer_message", {"peer": sender}))
+        return output
+
+    def handle_log(
+        self, event: LogRead | LogReadFailed | AppendConfirmed | AppendFailed, now: float
+    ) -> list[NodeOutput]:
+        """Take the log's answer to a read or an append."""
+        return list(self.log_client.handle(event, now))
+
+    def lease_stream_read(self, event: LogRead, now: float) -> list[NodeOutput]:
+        """Note, after its records are folded, that a read went to the lease stream's head."""
+        reached_head = not event.records or event.records[-1].offset + 1 >= event.head
+        return list(self.leases.note_caught_up(now)) if reached_head else []
+
+    def handle_machines(self, machines: tuple[Machine, ...], now: float) -> list[NodeOutput]:
+        """Take the platform's machine list."""
+        self._leaving_machines = frozenset(
+            machine.name
+            for machine in machines
+            if machine.kind is MachineKind.NODE and machine.state is MachineState.LEAVING
+        )
+        output: list[NodeOutput] = []
+        output += self.membership.handle_machines(machines, now)
+        output += self.weights.handle_machines(machines, now)
+        self.members_changed()
+        return output
+
+    # Notifications
+
+    def records_read(self, read: RecordsRead, now: float) -> list[NodeOutput]:
+        """Fold the next records of a stream."""
+        if read.stream == CONFIGURATION_STREAM:
+            return list(self.follower.handle_records(read.records, now, read.head))
+        if read.stream == LEASE_STREAM:
+            return [output for record in read.records for output in self.leases.fold(record, now)]
+        return self._fold_placement(read.records)
+
+    def append_wanted(
+        self, wanted: AppendWanted | PlacementAppendWanted, now: float
+    ) -> list[NodeOutput]:
+        """Append a record for a core."""
+        queued = self.log_client.append(wanted.stream, wanted.payload, now)
+        if queued.is_ok():
+            return list(queued.ok.output)
+        return [LogEvent("append_refused", {"stream": wanted.stream, "detail": str(queued.error)})]
+
+    def append_abandoned(self, abandoned: AppendAbandoned, now: float) -> list[NodeOutput]:
+        """Say that an append was given up; its core asks again if it still wants it."""
+        fields = {"stream": abandoned.stream, "detail": abandoned.detail}
+        return [LogEvent("append_abandoned", {"level": "warning", **fields})]
+
+    def configuration_changed(self, changed: ConfigurationChanged, now: float) -> list[NodeOutput]:
+        """Put a configuration in force in the control plane's cores."""
+        self.log_client.advance(CONFIGURATION_STREAM, changed.offset)
+        self.membership.set_status(MemberStatus(configuration_offset=changed.offset))
+        self.weights.set_tenants({tenant.name: tenant for tenant in changed.tenants})
+        models = {model for tenant in changed.tenants for model in tenant.parameters.models}
+        duties = [f"{ROLLOUT_DUTY_PREFIX}{model}" for model in sorted(models)]
+        self.leases.set_duties([PLACEMENT_DUTY, *duties])
+        fields: LogFields = {"offset": changed.offset, "digest": self.follower.fold.digest()}
+        return [LogEvent("configuration_in_force", fields)]
+
+    def lease_acquired(self, acquired: LeaseAcquired, now: float) -> list[NodeOutput]:
+        """Take up a duty."""
+        self._set_rollout_lease(acquired.duty, acquired.epoch)
+        return [LogEvent("lease_acquired", {"duty": acquired.duty, "epoch": acquired.epoch})]
+
+    def lease_lost(self, lost: LeaseLost, now: float) -> list[NodeOutput]:
+        """Lay a duty down."""
+        self._set_rollout_lease(lost.duty, None)
+        return [LogEvent("lease_lost", {"duty": lost.duty})]
+
+    def members_changed(self) -> None:
+        """Hand the members that are alive to the cores that need them."""
+        members = self.membership.members()
+        leaving = self._leaving_machines
+        self.claims.set_members({m.name: Peer(m.address, m.incarnation) for m in members})
+        self.leases.set_members(
+            {m.name: LiveMember(m.incarnation, m.name in leaving) for m in members}
+        )
+        self.follower.set_members(tuple((m.name, m.address) for m in members))
+
+    # Steps
+
+    def _set_rollout_lease(self, duty: str, epoch: Epoch | None) -> None:
+        if duty.startswith(ROLLOUT_DUTY_PREFIX):
+            self.weights.set_lease(ModelName(duty.removeprefix(ROLLOUT_DUTY_PREFIX)), epoch)
+
+    def _fold_placement(self, records: tuple[LogRecord, ...]) -> list[NodeOutput]:
+        output: list[NodeOutput] = []
+        changed = False
+        for record in records:
+            outcome = self._placement.apply(record)
+            changed = changed or outcome.changed
+            for rejection in outcome.rejections:
+                output.append(LogEvent("placement_rejected", {"detail": rejection}))
+        if changed:
+            self.claims.set_groups(self._placement.placement)
+        return output
+
+    def _plan_placement(self, now: float) -> list[NodeOutput]:
+        epoch = self.leases.held().get(PLACEMENT_DUTY)
+        if epoch is None:
+            return []
+        candidates = {
+            member.name: PlacementCandidate(
+                member.incarnation, member.placement, member.name in self._leaving_machines
+            )
+            for member in self.membership.members()
+        }
+        change = self._planner.plan(candidates, self._placement.placement, epoch, now)
+        if change is None:
+            return []
+        return [PlacementAppendWanted(PLACEMENT_STREAM, encode_record(change))]
--- /dev/null
+++ b/src/stagewalk/node/data_plane.py
@@ -0,0 +1,265 @@
+"""The node's data plane: requests of callers, lots of trainers, engines.
+
+It keeps which open call waits for which request; the decisions are the cores'.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict
+
+from stagewalk.admission.controller import AdmissionController
+from stagewalk.configuration.parameters import Tenant
+from stagewalk.core.completions import CompletionRequest, CompletionResult
+from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
+from stagewalk.core.events import (
+    AnswerRequested,
+    AttemptChunk,
+    AttemptFailed,
+    AttemptFinished,
+    AttemptRefused,
+    CallAbandoned,
+    CompletionRequested,
+    EngineReported,
+    LotSubmitted,
+    SamplesPulled,
+)
+from stagewalk.core.identities import CallId, RequestId, RequestKey
+from stagewalk.core.instructions import FailCall, FinishCall, LogEvent, SendChunk
+from stagewalk.core.platform import Machine
+from stagewalk.node.node_config import NodeConfig
+from stagewalk.node.node_identity import NodeIdentity
+from stagewalk.node.outputs import NodeOutput
+from stagewalk.requests.core import RequestCore
+from stagewalk.requests.notifications import (
+    RequestChunk,
+    RequestFailed,
+    RequestFinished,
+    RequestJoined,
+    SubmissionRejected,
+)
+from stagewalk.routing.engine_table import EngineTable
+from stagewalk.routing.router import Router
+from stagewalk.samples.core import LotCore
+from stagewalk.samples.notifications import RequestUnwanted, RequestWanted
+
+STOPPING_RETRY_SECONDS = 1.0
+"""When a caller refused by a stopping node may try another one."""
+
+
+class DataPlane:
+    """The data plane's cores, and the open calls at this node's edge."""
+
+    def __init__(
+        self, identity: NodeIdentity, config: NodeConfig, generator: random.Random
+    ) -> None:
+        self._identity = identity
+        self.engine_table = EngineTable(identity, config.engine_table)
+        router = Router(identity, self.engine_table, config.router, generator)
+        admission = AdmissionController(identity.name, config.admission)
+        self.requests = RequestCore(identity, router, admission, config.requests, generator)
+        self.lots = LotCore(identity, config.lots, generator)
+        self._streams: dict[CallId, bool] = {}
+        self._key_of_call: dict[CallId, RequestKey] = {}
+        self._calls_of_key: defaultdict[RequestKey, list[CallId]] = defaultdict(list)
+        self._rollouts: dict[RequestId, RequestKey] = {}
+        self._submitting: CallId | None = None
+        self._stopping = False
+
+    def set_tenants(self, tenants: tuple[Tenant, ...]) -> None:
+        """Put a configuration in force."""
+        self.requests.set_tenants(tenants)
+        self.lots.set_tenants({tenant.name: tenant for tenant in tenants})
+
+    def stop(self, now: float) -> list[NodeOutput]:
+        """Refuse new work from now on."""
+        self._stopping = True
+        return list(self.requests.stop(now))
+
+    def idle(self) -> bool:
+        """Return whether nothing that a caller waits for is in flight."""
+        return not self._key_of_call and self.requests.in_flight_count() == 0
+
+    def tick(self, now: float) -> list[NodeOutput]:
+        """Let time pass in all cores."""
+        output: list[NodeOutput] = []
+        output += self.engine_table.tick(now)
+        output += self.requests.tick(now)
+        output += self.lots.tick(now)
+        return output
+
+    # Calls at the edge
+
+    def completion_requested(self, event: CompletionRequested, now: float) -> list[NodeOutput]:
+        """Submit a caller's request."""
+        key = _key(event.request)
+        self._streams[event.call] = event.request.stream
+        self._key_of_call[event.call] = key
+        self._calls_of_key[key].append(event.call)
+        self._submitting = event.call
+        return list(self.requests.submit(event.request, now))
+
+    def answer_requested(self, event: AnswerRequested, now: float) -> list[NodeOutput]:
+        """Return the retained answer of an earlier request."""
+        key = RequestKey(event.tenant, event.request_id)
+        outcome = self.requests.retained(key, now)
+        if outcome is not None and outcome.result is not None:
+            return [FinishCall(event.call, outcome.result)]
+        if outcome is not None and outcome.error is not None:
+            return [FailCall(event.call, outcome.error)]
+        detail = "the request is still running" if self.requests.in_progress(key) else "not known"
+        error = StagewalkError(
+            ErrorKind.OUTCOME_UNKNOWN,
+            Step.DELIVERY,
+            self._identity.name,
+            f"{detail} at this node",
+            ran=Ran.UNKNOWN,
+            retry_after_seconds=STOPPING_RETRY_SECONDS,
+        )
+        return [FailCall(event.call, error)]
+
+    def call_abandoned(self, event: CallAbandoned, now: float) -> list[NodeOutput]:
+        """Forget a call whose caller went away, and its request if no other call waits for it."""
+        key = self._key_of_call.get(event.call)
+        if key is None:
+            return list(self.lots.abandon(event.call, now))
+        self._forget_call(event.call)
+        if self._calls_of_key.get(key) or key.request_id in self._rollouts:
+            return []
+        return list(self.requests.abandon(key, now))
+
+    def lot_submitted(self, event: LotSubmitted, now: float) -> list[NodeOutput]:
+        """Take a trainer's lot."""
+        if self._stopping:
+            return [FailCall(event.call, self._stopping_error())]
+        return list(self.lots.submit(event.call, event.lot, now))
+
+    def samples_pulled(self, event: SamplesPulled, now: float) -> list[NodeOutput]:
+        """Answer a trainer's pull, now or when samples are there."""
+        if self._stopping:
+            return [FailCall(event.call, self._stopping_error())]
+        return list(self.lots.pull(event.call, event.pull, now))
+
+    # Engines
+
+    def attempt_event(
+        self, event: AttemptChunk | AttemptFinished | AttemptRefused | AttemptFailed, now: float
+    ) -> list[NodeOutput]:
+        """Take what became of an attempt."""
+        return list(self.requests.handle(event, now))
+
+    def handle_machines(self, machines: tuple[Machine, ...], now: float) -> None:
+        """Take the platform's machine list."""
+        self.engine_table.handle_machines(machines, now)
+
+    def engine_reported(self, event: EngineReported, now: float) -> list[NodeOutput]:
+        """Take an engine's report."""
+        self.engine_table.handle_report(event.engine, event.report, now)
+        report = event.report
+        return list(self.lots.versions_known(report.model, report.active_version, now))
+
+    # Notifications of the request core
+
+    def request_joined(self, joined: RequestJoined, now: float) -> list[NodeOutput]:
+        """Give a call that joined a running request what the earlier calls have had."""
+        call = self._submitting
+        if call is None or joined.held is None or not self._streams.get(call, False):
+            return []
+        return [SendChunk(call, joined.held)]
+
+    def request_chunk(self, chunk: RequestChunk, now: float) -> list[NodeOutput]:
+        """Pass a piece of an answer to every streaming call of the request."""
+        calls = self._calls_of_key.get(chunk.key, ())
+        return [SendChunk(call, chunk.chunk) for call in calls if self._streams[call]]
+
+    def request_finished(self, finished: RequestFinished, now: float) -> list[NodeOutput]:
+        """Answer every call of the request, and the lot that wanted it."""
+        output: list[NodeOutput] = [
+            FinishCall(call, finished.result) for call in self._take_calls(finished.key)
+        ]
+        return output + self._rollout_ended(finished.key, finished.result, now)
+
+    def request_failed(self, failed: RequestFailed, now: float) -> list[NodeOutput]:
+        """Fail every call of the request, and tell the lot that wanted it."""
+        calls = self._take_calls(failed.key)
+        output: list[NodeOutput] = [FailCall(call, failed.error) for call in calls]
+        if calls:
+            output.append(_failure_event(failed.key, failed.error))
+        return output + self._rollout_ended(failed.key, failed.error, now)
+
+    def submission_rejected(self, rejected: SubmissionRejected, now: float) -> list[NodeOutput]:
+        """Fail the call that has just been made, and no other of the same request."""
+        if self._submitting is None:
+            return self._rollout_ended(rejected.key, rejected.error, now)
+        call = self._submitting
+        self._forget_call(call)
+        return [FailCall(call, rejected.error), _failure_event(rejected.key, rejected.error)]
+
+    # Notifications of the lot core
+
+    def request_wanted(self, wanted: RequestWanted, now: float) -> list[NodeOutput]:
+        """Run a rollout."""
+        key = _key(wanted.request)
+        self._rollouts[key.request_id] = key
+        self._submitting = None
+        return list(self.requests.submit(wanted.request, now))
+
+    def request_unwanted(self, unwanted: RequestUnwanted, now: float) -> list[NodeOutput]:
+        """Cancel a rollout."""
+        key = self._rollouts.pop(unwanted.request_id, None)
+        return [] if key is None else list(self.requests.abandon(key, now))
+
+    # Steps
+
+    def _take_calls(self, key: RequestKey) -> list[CallId]:
+        calls = list(self._calls_of_key.get(key, ()))
+        for call in calls:
+            self._forget_call(call)
+        return calls
+
+    def _forget_call(self, call: CallId) -> None:
+        key = self._key_of_call.pop(call)
+        del self._streams[call]
+        calls = self._calls_of_key[key]
+        calls.remove(call)
+        if not calls:
+            del self._calls_of_key[key]
+
+    def _rollout_ended(
+        self, key: RequestKey, outcome: CompletionResult | StagewalkError, now: float
+    ) -> list[NodeOutput]:
+        if self._rollouts.get(key.request_id) != key:
+            return []
+        del self._rollouts[key.request_id]
+        if isinstance(outcome, StagewalkError):
+            return list(self.lots.request_failed(key.request_id, outcome, now))
+        return list(self.lots.request_finished(key.request_id, outcome, now))
+
+    def _stopping_error(self) -> StagewalkError:
+        return StagewalkError(
+            ErrorKind.STOPPING,
+            Step.ADMISSION,
+            self._identity.name,
+            "this node is stopping; use another one",
+            retry_after_seconds=STOPPING_RETRY_SECONDS,
+        )
+
+
+def _key(request: CompletionRequest) -> RequestKey:
+    return RequestKey(request.tenant, request.request_id)
+
+
+def _failure_event(key: RequestKey, error: StagewalkError) -> LogEvent:
+    return LogEvent(
+        "request_failed",
+        {
+            "level": "warning",
+            "tenant": key.tenant,
+            "request_id": key.request_id,
+            "kind": error.kind,
+            "step": error.step,
+            "peer": error.peer,
+            "ran": error.ran,
+            "detail": error.detail,
+        },
+    )
--- /dev/null
+++ b/src/stagewalk/node/node_config.py
@@ -0,0 +1,50 @@
+"""Settings of all the cores a node is composed of."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from stagewalk.admission.config import AdmissionConfig
+from stagewalk.claims.config import ClaimConfig
+from stagewalk.claims.planner import PlannerConfig
+from stagewalk.configuration.follower import FollowerConfig
+from stagewalk.leases.config import LeaseConfig
+from stagewalk.log_client.config import LogClientConfig
+from stagewalk.membership.config import MembershipConfig
+from stagewalk.requests.config import RequestConfig
+from stagewalk.routing.config import EngineTableConfig, RouterConfig
+from stagewalk.samples.config import LotConfig
+from stagewalk.weights.config import RolloutConfig
+
+LARGEST_CLAIMED_SAMPLE_BYTES = 64 * 1024
+"""A claim holds a whole finished sample; a longer one is handed over without a claim."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeConfig:
+    """Settings of a node's cores.
+
+    Attributes
+    ----------
+    machine_list_interval_seconds
+        Time between two reads of the platform's machine list.
+    planning_interval_seconds
+        Time between two looks of the placement duty's holder at the replica groups.
+    """
+
+    machine_list_interval_seconds: float = 2.0
+    planning_interval_seconds: float = 1.0
+    membership: MembershipConfig = field(default_factory=MembershipConfig)
+    log_client: LogClientConfig = field(default_factory=LogClientConfig)
+    follower: FollowerConfig = field(default_factory=FollowerConfig)
+    leases: LeaseConfig = field(default_factory=LeaseConfig)
+    claims: ClaimConfig = field(
+        default_factory=lambda: ClaimConfig(maximum_value_bytes=LARGEST_CLAIMED_SAMPLE_BYTES)
+    )
+    planner: PlannerConfig = field(default_factory=PlannerConfig)
+    weights: RolloutConfig = field(default_factory=RolloutConfig)
+    engine_table: EngineTableConfig = field(default_factory=EngineTableConfig)
+    router: RouterConfig = field(default_factory=RouterConfig)
+    admission: AdmissionConfig = field(default_factory=AdmissionConfig)
+    requests: RequestConfig = field(default_factory=RequestConfig)
+    lots: LotConfig = field(default_factory=LotConfig)
--- a/src/stagewalk/node/node_core.py
+++ b/src/stagewalk/node/node_core.py
@@ -7,21 +7,61 @@
 from __future__ import annotations
 
 import random
+from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
-from stagewalk.core.events import Event
-from stagewalk.core.identities import Address, Incarnation, NodeName, Placement
-from stagewalk.core.instructions import Instruction
+from stagewalk.claims.notifications import (
+    ClaimAbsent,
+    ClaimDecided,
+    ClaimUndecided,
+    PlacementAppendWanted,
+)
+from stagewalk.configuration.notifications import ConfigurationChanged
+from stagewalk.core.events import (
+    AnswerRequested,
+    AppendConfirmed,
+    AppendFailed,
+    AttemptChunk,
+    AttemptFailed,
+    AttemptFinished,
+    AttemptRefused,
+    CallAbandoned,
+    CompletionRequested,
+    EngineReported,
+    EngineReportFailed,
+    Event,
+    LogRead,
+    LogReadFailed,
+    LotSubmitted,
+    MachinesRead,
+    OrderAnswered,
+    PeerMessageReceived,
+    SampleScored,
+    SampleScoringFailed,
+    SamplesPulled,
+    StopRequested,
+    Tick,
+    VersionsRead,
+)
+from stagewalk.core.instructions import ExitProcess, Instruction, LogEvent, LogFields, ReadMachines
+from stagewalk.leases.fold import LEASE_STREAM
+from stagewalk.leases.notifications import AppendWanted, LeaseAcquired, LeaseLost
+from stagewalk.log_client.notifications import AppendAbandoned, AppendSettled, RecordsRead
+from stagewalk.membership.notifications import IdentitySuperseded, MemberChanged
+from stagewalk.node.control_plane import ControlPlane
+from stagewalk.node.data_plane import DataPlane
+from stagewalk.node.node_config import NodeConfig
+from stagewalk.node.node_identity import NodeIdentity
+from stagewalk.node.outputs import NodeOutput
+from stagewalk.requests import notifications as requests
+from stagewalk.samples import notifications as samples
 
+__all__ = ["NodeCore", "NodeIdentity", "NodeStatus"]
 
-@dataclass(frozen=True, slots=True)
-class NodeIdentity:
-    """Who this node is; `address` is its peer address for UDP and TCP."""
-
-    name: NodeName
-    incarnation: Incarnation
-    address: Address
-    placement: Placement
+REQUEST_CLAIM_PREFIX = "request/"
+"""Claims under this prefix are requests'; all others are samples'."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,16 +102,225 @@
         The node's own name, incarnation and place.
     generator
         Source of all its random choices; seeded by the simulation.
+    config
+        Settings of its cores.
     """
 
-    def __init__(self, identity: NodeIdentity, generator: random.Random) -> None:
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        generator: random.Random,
+        config: NodeConfig | None = None,
+    ) -> None:
         self.identity = identity
-        self._generator = generator
+        self.config = config or NodeConfig()
+        self.control = ControlPlane(identity, self.config, generator)
+        self.data = DataPlane(identity, self.config, generator)
+        self._pending: deque[NodeOutput] = deque()
+        self._now = float("-inf")
+        self._read_machines_at = float("-inf")
+        self._machines_known = False
+        self._stopping = False
+        self._exited = False
+        self._event_handlers = self._make_event_handlers()
+        self._notification_handlers = self._make_notification_handlers()
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take an event at time `now` (seconds, never decreasing) and return what to do."""
-        raise NotImplementedError
+        self._now = max(now, self._now)
+        self._pending.extend(self._event_handlers[type(event)](event, self._now))
+        return self._settle()
 
     def status(self, now: float) -> NodeStatus:
         """Return what operators and probes may see."""
-        raise NotImplementedError
+        fold = self.control.follower.fold
+        tenants = [fold.tenants[name] for name in sorted(fold.tenants)]
+        models = {str(model) for tenant in tenants for model in tenant.parameters.models}
+        return NodeStatus(
+            name=self.identity.name,
+            incarnation=self.identity.incarnation,
+            ready=self.control.follower.current and self._machines_known and not self._stopping,
+            stopping=self._stopping,
+            configuration_offset=fold.offset,
+            configuration_digest=fold.digest(),
+            revisions={str(tenant.name): tenant.revision for tenant in tenants},
+            members={
+                str(member.name): member.state.name.lower()
+                for member in self.control.membership.members()
+            },
+            requests_in_flight=self.data.requests.in_flight_count(),
+            leases={duty: int(epoch) for duty, epoch in self.control.leases.held().items()},
+            models=tuple(sorted(models)),
+        )
+
+    def _settle(self) -> list[Instruction]:
+        """Hand notifications to the cores they are for until only instructions are left.
+
+        What a notification leads to comes before what was returned after it, so that the
+        instructions stand in the order of their causes.
+        """
+        instructions: list[Instruction] = []
+        while self._pending:
+            output = self._pending.popleft()
+            handler = self._notification_handlers.get(type(output))
+            if handler is None:
+                instructions.append(output)  # type: ignore[arg-type]
+                continue
+            self._pending.extendleft(reversed(handler(output, self._now)))
+        return instructions
+
+    def _make_event_handlers(self) -> dict[type, Callable[[Any, float], list[NodeOutput]]]:
+        control, data = self.control, self.data
+        return {
+            Tick: self._tick,
+            CompletionRequested: data.completion_requested,
+            AnswerRequested: data.answer_requested,
+            CallAbandoned: data.call_abandoned,
+            LotSubmitted: data.lot_submitted,
+            SamplesPulled: data.samples_pulled,
+            AttemptChunk: data.attempt_event,
+            AttemptFinished: data.attempt_event,
+            AttemptRefused: data.attempt_event,
+            AttemptFailed: data.attempt_event,
+            EngineReported: self._engine_reported,
+            EngineReportFailed: self._engine_report_failed,
+            OrderAnswered: self._order_answered,
+            MachinesRead: self._machines_read,
+            VersionsRead: self._versions_read,
+            LogRead: self._log_read,
+            LogReadFailed: control.handle_log,
+            AppendConfirmed: control.handle_log,
+            AppendFailed: control.handle_log,
+            SampleScored: self._sample_scored,
+            SampleScoringFailed: self._sample_scored,
+            PeerMessageReceived: control.handle_message,
+            StopRequested: self._stop_requested,
+        }
+
+    def _make_notification_handlers(self) -> dict[type, Callable[[Any, float], list[NodeOutput]]]:
+        control, data = self.control, self.data
+        return {
+            MemberChanged: self._member_changed,
+            IdentitySuperseded: self._identity_superseded,
+            RecordsRead: control.records_read,
+            AppendSettled: _ignore,
+            AppendAbandoned: control.append_abandoned,
+            AppendWanted: control.append_wanted,
+            PlacementAppendWanted: control.append_wanted,
+            ConfigurationChanged: self._configuration_changed,
+            LeaseAcquired: control.lease_acquired,
+            LeaseLost: control.lease_lost,
+            ClaimDecided: self._claim_decided,
+            ClaimUndecided: self._claim_undecided,
+            ClaimAbsent: _ignore,
+            requests.ClaimWanted: self._request_claim_wanted,
+            requests.AnswerWanted: _ignore,
+            requests.RequestJoined: data.request_joined,
+            requests.RequestChunk: data.request_chunk,
+            requests.RequestFinished: data.request_finished,
+            requests.RequestFailed: data.request_failed,
+            requests.SubmissionRejected: data.submission_rejected,
+            samples.RequestWanted: data.request_wanted,
+            samples.RequestUnwanted: data.request_unwanted,
+            samples.ClaimWanted: self._sample_claim_wanted,
+        }
+
+    # Events that concern both planes
+
+    def _tick(self, event: Tick, now: float) -> list[NodeOutput]:
+        output: list[NodeOutput] = []
+        if now >= self._read_machines_at:
+            self._read_machines_at = now + self.config.machine_list_interval_seconds
+            output.append(ReadMachines())
+        output += self.control.tick(now)
+        output += self.data.tick(now)
+        if self._stopping and not self._exited and self.data.idle():
+            self._exited = True
+            output += self.control.membership.leave(now)
+            output.append(ExitProcess())
+        return output
+
+    def _engine_reported(self, event: EngineReported, now: float) -> list[NodeOutput]:
+        output = self.data.engine_reported(event, now)
+        return output + self.control.weights.handle_report(event.report, now)
+
+    def _engine_report_failed(self, event: EngineReportFailed, now: float) -> list[NodeOutput]:
+        self.data.engine_table.handle_report_failed(event.engine, now)
+        return []
+
+    def _order_answered(self, event: OrderAnswered, now: float) -> list[NodeOutput]:
+        weights = self.control.weights
+        return list(weights.handle_order_answer(event.engine, event.order_id, event.outcome, now))
+
+    def _machines_read(self, event: MachinesRead, now: float) -> list[NodeOutput]:
+        self._machines_known = True
+        self.data.handle_machines(event.machines, now)
+        return self.control.handle_machines(event.machines, now)
+
+    def _versions_read(self, event: VersionsRead, now: float) -> list[NodeOutput]:
+        output: list[NodeOutput] = []
+        output += self.control.weights.handle_versions(event.model, event.versions, now)
+        newest = max((published.version for published in event.versions), default=None)
+        if newest is not None:
+            output += self.data.lots.versions_known(event.model, newest, now)
+        return output
+
+    def _log_read(self, event: LogRead, now: float) -> list[NodeOutput]:
+        # The records must be folded before the lease core learns that it is at the head.
+        self._pending.extend(self.control.handle_log(event, now))
+        output: list[NodeOutput] = list(self._settle())
+        if event.stream == LEASE_STREAM:
+            output += self.control.lease_stream_read(event, now)
+        return output
+
+    def _sample_scored(
+        self, event: SampleScored | SampleScoringFailed, now: float
+    ) -> list[NodeOutput]:
+        return list(self.data.lots.handle(event, now))
+
+    def _stop_requested(self, event: StopRequested, now: float) -> list[NodeOutput]:
+        if self._stopping:
+            return []
+        self._stopping = True
+        output: list[NodeOutput] = [LogEvent("node_stopping", {})]
+        output += self.data.stop(now)
+        output += self.control.leases.release_all(now)
+        return output
+
+    # Notifications that concern both planes
+
+    def _member_changed(self, changed: MemberChanged, now: float) -> list[NodeOutput]:
+        self.control.members_changed()
+        fields = {"member": changed.name, "state": changed.new_state.name.lower()}
+        return [LogEvent("member_changed", {**fields, "incarnation": changed.incarnation})]
+
+    def _identity_superseded(self, superseded: IdentitySuperseded, now: float) -> list[NodeOutput]:
+        """Stop: two processes under one name would both act for it."""
+        fields: LogFields = {"level": "error", "incarnation": superseded.incarnation}
+        event = LogEvent("identity_superseded", fields)
+        return [event, *self._stop_requested(StopRequested(), now)]
+
+    def _configuration_changed(self, changed: ConfigurationChanged, now: float) -> list[NodeOutput]:
+        self.data.set_tenants(changed.tenants)
+        return self.control.configuration_changed(changed, now)
+
+    def _request_claim_wanted(self, wanted: requests.ClaimWanted, now: float) -> list[NodeOutput]:
+        return list(self.control.claims.propose(wanted.claim_key, wanted.value, now))
+
+    def _sample_claim_wanted(self, wanted: samples.ClaimWanted, now: float) -> list[NodeOutput]:
+        return list(self.control.claims.propose(wanted.key, wanted.value, now))
+
+    def _claim_decided(self, decided: ClaimDecided, now: float) -> list[NodeOutput]:
+        if decided.key.startswith(REQUEST_CLAIM_PREFIX):
+            requests_core = self.data.requests
+            return list(requests_core.claim_decided(decided.key, decided.value, decided.won, now))
+        return list(self.data.lots.claim_decided(decided.key, decided.value, decided.won, now))
+
+    def _claim_undecided(self, undecided: ClaimUndecided, now: float) -> list[NodeOutput]:
+        if undecided.key.startswith(REQUEST_CLAIM_PREFIX):
+            return list(self.data.requests.claim_undecided(undecided.key, undecided.error, now))
+        return list(self.data.lots.claim_undecided(undecided.key, undecided.error, now))
+
+
+def _ignore(notification: object, now: float) -> list[NodeOutput]:
+    return []
