--- a/src/stagewalk/simulation/engine_sequence.py
+++ b/src/stagewalk/simulation/engine_sequence.py
@@ -86,21 +86,30 @@
         self.sequences: dict[AttemptId, Sequence] = {}
         self.progress = 0.0
         self._next_finish: float | None = None
+        self._kv_base = 0.0
 
     def __len__(self) -> int:
         return len(self.sequences)
 
     def enter(self, sequence: Sequence) -> None:
         """Let a sequence decode from its next token on."""
+        if not self.sequences:
+            self.progress = self._kv_base = 0.0
         sequence.entry_progress = self.progress - sequence.held_tokens
+        self._kv_base += sequence.prompt_tokens - sequence.entry_progress
         self.sequences[sequence.request.attempt] = sequence
         self._next_finish = None
 
     def remove(self, sequence: Sequence) -> None:
         """Take a sequence out, finished or not."""
         del self.sequences[sequence.request.attempt]
+        self._kv_base -= sequence.prompt_tokens - sequence.entry_progress
         self._next_finish = None
 
+    def kv_tokens(self) -> int:
+        """Return what the sequences hold of the KV cache, at the cost of one multiplication."""
+        return math.floor(self._kv_base + len(self.sequences) * self.progress + ROUNDING_TOKENS)
+
     def tokens_to_finish(self) -> float:
         """Return how many more tokens the next sequence to finish needs."""
         if not self.sequences:
--- a/src/stagewalk_standins/caller.py
+++ b/src/stagewalk_standins/caller.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from dataclasses import dataclass
+from enum import Enum
 
 import anyio
 import httpx
@@ -12,6 +14,7 @@
 from stagewalk.core.completions import VersionSpan
 from stagewalk.history.answer_text import answer_length
 from stagewalk.history.observations import (
+    FaultInjected,
     RequestAnswered,
     RequestCut,
     RequestRefused,
@@ -19,11 +22,16 @@
 )
 from stagewalk_standins.event_log import log_event
 from stagewalk_standins.history_file import HistoryFile, clock
+from stagewalk_standins.http_client import open_client
 from stagewalk_standins.node_pool import NodeEndpoint, NodePool
 
 SEND_AGAIN_SECONDS = 0.5
 DEADLINE_MARGIN_SECONDS = 10.0
 PREFIX_CHARACTERS = 800
+MOST_PATIENCE_SECONDS = 1.0
+"""Within this an impatient caller breaks its connection."""
+CONNECTION_CUT = "connection_cut"
+"""Kind of the fault observed when the caller breaks a connection itself."""
 MAXIMUM_SEED = 2**31 - 1
 EVENT_PREFIX = "data: "
 DONE_DATA = "[DONE]"
@@ -108,8 +116,18 @@
     spans: tuple[VersionSpan, ...]
 
 
-Result = Answered | Problem | None
-"""A whole answer, a final error, or None for a connection that broke before either."""
+class Broken(Enum):
+    """Why a call ended without an answer or a final error."""
+
+    UNREACHABLE = "unreachable"
+    """No connection was made, so nothing was sent."""
+    CUT = "cut"
+    """The connection broke, or the answer could not be read."""
+    GIVEN_UP = "given_up"
+    """The caller broke the connection itself."""
+
+
+Result = Answered | Problem | Broken
 
 
 class Caller:
@@ -128,7 +146,7 @@
         self._client = client
         self._history = history
         self._generator = generator
-        self._counts = {"answered": 0, "refused": 0, "cut": 0}
+        self._counts: Counter[str] = Counter()
 
     async def run(self, stop: anyio.Event) -> None:
         """Send at the given rate until the time is over or `stop` is set."""
@@ -169,7 +187,7 @@
         for _ in range(self._options.sends):
             result = await self._send(node, body)
             self._observe_result(node, body, result)
-            if result is not None:
+            if not isinstance(result, Broken):
                 return
             await anyio.sleep(SEND_AGAIN_SECONDS)
             node = self._nodes.after(node)
@@ -188,11 +206,10 @@
                 expected_tokens=answer_length(body.prompt, body.seed, body.max_tokens),
             )
         )
-        patience = body.deadline_seconds + DEADLINE_MARGIN_SECONDS
-        if self._generator.random() < self._options.impatient_fraction:
-            patience = self._generator.uniform(0.0, 1.0)
-        result: Result = None
-        with anyio.move_on_after(patience):
+        if self._generator.random() >= self._options.impatient_fraction:
+            return await self._exchange(node, body)
+        result: Result = Broken.GIVEN_UP
+        with anyio.move_on_after(self._generator.uniform(0.0, MOST_PATIENCE_SECONDS)):
             result = await self._exchange(node, body)
         return result
 
@@ -208,54 +225,75 @@
                     return await _read_stream(answer)
                 whole = msgspec.json.decode(await answer.aread(), type=CompletionAnswer)
                 return Answered(whole.choices[0].text, tuple(whole.versions or ()))
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            log_event("node_unreachable", node=node.name, error=type(error).__name__)
+            return Broken.UNREACHABLE
         except httpx.HTTPError as error:
             log_event("call_failed", node=node.name, error=type(error).__name__)
-            return None
+            return Broken.CUT
         except msgspec.MsgspecError as error:
             log_event("answer_unreadable", node=node.name, error=str(error))
-            return None
+            return Broken.CUT
 
     def _observe_result(self, node: NodeEndpoint, body: CompletionBody, result: Result) -> None:
-        at, caller = clock(), self._options.caller
-        tenant, request_id = body.tenant, body.request_id
-        observation: RequestAnswered | RequestRefused | RequestCut
-        if isinstance(result, Answered):
-            outcome, detail = "answered", ""
-            observation = RequestAnswered(
-                at=at,
-                caller=caller,
+        match result:
+            case Answered():
+                outcome = "answered"
+                self._observe_answer(node, body, result)
+            case Problem():
+                outcome = f"refused_{result.title}"
+                self._observe_refusal(node, body, result)
+            case Broken():
+                outcome = result.value
+                self._observe_break(node, body, result)
+        self._counts[outcome] += 1
+        log_event("request_ended", request_id=body.request_id, node=node.name, outcome=outcome)
+
+    def _observe_answer(self, node: NodeEndpoint, body: CompletionBody, answer: Answered) -> None:
+        self._history.write(
+            RequestAnswered(
+                at=clock(),
+                caller=self._options.caller,
                 node=node.name,
-                tenant=tenant,
-                request_id=request_id,
-                text=result.text,
-                spans=result.spans,
+                tenant=body.tenant,
+                request_id=body.request_id,
+                text=answer.text,
+                spans=answer.spans,
             )
-        elif isinstance(result, Problem):
-            outcome, detail = "refused", result.detail
-            observation = RequestRefused(
-                at=at,
-                caller=caller,
+        )
+
+    def _observe_refusal(self, node: NodeEndpoint, body: CompletionBody, problem: Problem) -> None:
+        self._history.write(
+            RequestRefused(
+                at=clock(),
+                caller=self._options.caller,
                 node=node.name,
-                tenant=tenant,
-                request_id=request_id,
-                ran=result.ran,
-                kind=result.title,
-                step=result.step,
-                peer=result.peer,
+                tenant=body.tenant,
+                request_id=body.request_id,
+                ran=problem.ran,
+                kind=problem.title,
+                step=problem.step,
+                peer=problem.peer,
             )
-        else:
-            outcome, detail = "cut", ""
-            observation = RequestCut(
-                at=at, caller=caller, node=node.name, tenant=tenant, request_id=request_id
+        )
+
+    def _observe_break(self, node: NodeEndpoint, body: CompletionBody, broken: Broken) -> None:
+        """Observe a broken connection; one that was never made is none."""
+        if broken is Broken.UNREACHABLE:
+            return
+        at = clock()
+        if broken is Broken.GIVEN_UP:
+            self._history.write(
+                FaultInjected(at=at, kind=CONNECTION_CUT, target=node.name, until=at)
+            )
+        self._history.write(
+            RequestCut(
+                at=at,
+                caller=self._options.caller,
+                node=node.name,
+                tenant=body.tenant,
+                request_id=body.request_id,
             )
-        self._history.write(observation)
-        self._counts[outcome] += 1
-        log_event(
-            "request_ended",
-            request_id=request_id,
-            node=node.name,
-            outcome=outcome,
-            detail=detail,
         )
 
 
@@ -275,7 +313,7 @@
         texts.extend(choice.text for choice in event.choices)
         if event.versions is not None:
             spans = tuple(event.versions)
-    return None
+    return Broken.CUT
 
 
 async def run_caller(
@@ -286,7 +324,6 @@
     stop: anyio.Event,
 ) -> None:
     """Run a caller to its end."""
-    limits = httpx.Limits(max_connections=None, max_keepalive_connections=32)
     timeout = httpx.Timeout(options.deadline_seconds + DEADLINE_MARGIN_SECONDS, connect=3.0)
-    async with httpx.AsyncClient(timeout=timeout, limits=limits) as client:
+    async with open_client(timeout) as client:
         await Caller(options, nodes, client, history, generator).run(stop)
--- a/src/stagewalk_standins/commands.py
+++ b/src/stagewalk_standins/commands.py
@@ -10,44 +10,41 @@
 import anyio
 
 from stagewalk_standins.history_file import HistoryFile
+from stagewalk_standins.web import Application
 
 
 async def run_log(options: argparse.Namespace) -> None:
     """Run the append-only log."""
     from stagewalk_standins.log_server import LogServer
-    from stagewalk_standins.serving import serve_until_signal
 
-    await serve_until_signal(LogServer(_history(options)).application(), options.listen)
+    await _serve_service(LogServer(_history(options)).application(), options)
 
 
 async def run_weights(options: argparse.Namespace) -> None:
     """Run the weight store."""
-    from stagewalk_standins.serving import serve_until_signal
     from stagewalk_standins.weight_server import WeightServer
 
     server = WeightServer(options.bytes_per_second, options.fetch_limit)
     for item in filter(None, options.models.split(",")):
         model, _, version = item.partition(":")
         server.publish(model, int(version), options.size_bytes)
-    await serve_until_signal(server.application(), options.listen)
+    await _serve_service(server.application(), options)
 
 
 async def run_machines(options: argparse.Namespace) -> None:
     """Run the machine list."""
     from stagewalk_standins.machine_server import MachineServer
-    from stagewalk_standins.serving import serve_until_signal
 
-    await serve_until_signal(MachineServer(options.lag_seconds).application(), options.listen)
+    await _serve_service(MachineServer(options.lag_seconds).application(), options)
 
 
 async def run_scorer(options: argparse.Namespace) -> None:
     """Run the scorer."""
     from stagewalk_standins.scorer_server import ScorerServer
-    from stagewalk_standins.serving import serve_until_signal
 
     generator = random.Random(options.seed)
     server = ScorerServer(options.seconds, options.failure_fraction, generator)
-    await serve_until_signal(server.application(), options.listen)
+    await _serve_service(server.application(), options)
 
 
 async def run_engine(options: argparse.Namespace) -> None:
@@ -62,7 +59,7 @@
     from stagewalk_standins.weight_fetcher import WeightFetcher
 
     name = EngineName(options.name or options.listen)
-    incarnation = Incarnation(options.incarnation or int(time.time()))
+    incarnation = Incarnation(options.incarnation or time.time_ns() // 1_000_000)
     settings = EngineSettings(
         batch_limit=options.batch_limit,
         queue_limit=options.queue_limit,
@@ -162,6 +159,15 @@
         group.cancel_scope.cancel()
 
 
+async def _serve_service(application: Application, options: argparse.Namespace) -> None:
+    """Serve one of the platform's services, with switches for its faults."""
+    from stagewalk_standins.faults import FaultSwitch
+    from stagewalk_standins.serving import serve_until_signal
+
+    FaultSwitch().add_routes(application)
+    await serve_until_signal(application, options.listen)
+
+
 def _history(options: argparse.Namespace) -> HistoryFile:
     return HistoryFile(Path(options.history) if options.history else None)
 
--- a/src/stagewalk_standins/engine_server.py
+++ b/src/stagewalk_standins/engine_server.py
@@ -5,7 +5,6 @@
 from collections.abc import AsyncGenerator
 
 import anyio
-import httpx
 import msgspec
 from anyio.abc import TaskGroup
 
@@ -36,6 +35,7 @@
 from stagewalk_standins.engine_stream import AttemptStream
 from stagewalk_standins.event_log import log_event
 from stagewalk_standins.history_file import clock
+from stagewalk_standins.http_client import open_client
 from stagewalk_standins.web import (
     EVENT_STREAM,
     OCTETS,
@@ -293,6 +293,6 @@
 
 async def register(machines_url: str, name: str, machine: dict[str, str | int]) -> None:
     """Enter this engine in the platform's machine list."""
-    async with httpx.AsyncClient(timeout=5.0) as client:
+    async with open_client(timeout=5.0) as client:
         answer = await client.put(f"{machines_url}/machines/{name}", json=machine)
         answer.raise_for_status()
--- a/src/stagewalk_standins/flags.py
+++ b/src/stagewalk_standins/flags.py
@@ -29,7 +29,9 @@
     _add_server_flags(parser)
     parser.add_argument("--model", required=True)
     parser.add_argument("--version", type=int, default=1, help="version active at the start")
-    parser.add_argument("--incarnation", type=int, default=0, help="0: the wall clock's seconds")
+    parser.add_argument(
+        "--incarnation", type=int, default=0, help="0: the wall clock's milliseconds"
+    )
     parser.add_argument("--weights", default="", help="URL of the weight store")
     parser.add_argument("--machines", default="", help="URL of the machine list to enter")
     parser.add_argument("--region", default="")
--- /dev/null
+++ b/src/stagewalk_standins/http_client.py
@@ -0,0 +1,24 @@
+"""HTTP clients of the stand-ins."""
+
+from __future__ import annotations
+
+import httpx
+
+MOST_IDLE_CONNECTIONS = 32
+KEEP_ALIVE_SECONDS = 4.0
+
+
+def open_client(timeout: httpx.Timeout | float) -> httpx.AsyncClient:
+    """Return a client without a limit of open calls; the process's proxies are not used.
+
+    Parameters
+    ----------
+    timeout
+        Of connecting and of each read, seconds.
+    """
+    limits = httpx.Limits(
+        max_connections=None,
+        max_keepalive_connections=MOST_IDLE_CONNECTIONS,
+        keepalive_expiry=KEEP_ALIVE_SECONDS,
+    )
+    return httpx.AsyncClient(timeout=timeout, limits=limits, trust_env=False, verify=False)
--- a/src/stagewalk_standins/log_server.py
+++ b/src/stagewalk_standins/log_server.py
@@ -1,11 +1,10 @@
-"""Stand-in of the append-only log service, with switches for its faults."""
+"""Stand-in of the append-only log service."""
 
 from __future__ import annotations
 
 import base64
 import binascii
 from dataclasses import dataclass, field
-from typing import Annotated
 
 import anyio
 import msgspec
@@ -19,7 +18,6 @@
     BadRequest,
     Request,
     json_response,
-    problem_response,
 )
 
 DEFAULT_READ_LIMIT = 256
@@ -47,24 +45,6 @@
     payload: str
 
 
-class LogFaults(msgspec.Struct, frozen=True):
-    """Faults that the log shows.
-
-    Attributes
-    ----------
-    down
-        Every append and read fails at once, with nothing done.
-    delay_seconds
-        Every append and read takes this much longer.
-    lose_every
-        Each n-th append takes effect but its answer is lost; 0 for none.
-    """
-
-    down: bool = False
-    delay_seconds: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0
-    lose_every: Annotated[int, msgspec.Meta(ge=0)] = 0
-
-
 @dataclass(slots=True)
 class _Stream:
     records: list[StoredRecord] = field(default_factory=list)
@@ -77,21 +57,15 @@
     def __init__(self, history: HistoryFile) -> None:
         self._history = history
         self._streams: dict[str, _Stream] = {}
-        self._faults = LogFaults()
-        self._appends = 0
 
     def application(self) -> Application:
-        """Return the routes of the service and of its fault switches."""
+        """Return the routes of the service."""
         application = Application()
         application.route("POST", "/streams/{stream}/records", self._append)
         application.route("GET", "/streams/{stream}/records", self._read)
-        application.route("PUT", "/control/faults", self._set_faults)
-        application.route("GET", "/control/faults", self._get_faults)
         return application
 
     async def _append(self, request: Request) -> Answer:
-        if await self._fails():
-            return _unavailable()
         body = request.decode(AppendBody)
         payloads = [_decoded(record) for record in body.records]
         stream = self._stream(request.path_values["stream"])
@@ -103,15 +77,9 @@
             self._observe(request.path_values["stream"], offset, record.record_id, payload)
         stream.appended.set()
         stream.appended = anyio.Event()
-        self._appends += 1
-        if self._faults.lose_every and self._appends % self._faults.lose_every == 0:
-            log_event("append_answer_lost", stream=request.path_values["stream"])
-            return problem_response(500, "internal_error", "the answer was lost", ran="unknown")
         return json_response({"offsets": offsets})
 
     async def _read(self, request: Request) -> Answer:
-        if await self._fails():
-            return _unavailable()
         offset = int(request.number("offset", 0))
         limit = int(request.number("limit", DEFAULT_READ_LIMIT))
         wait_seconds = min(request.number("wait_seconds", 0.0), MAXIMUM_WAIT_SECONDS)
@@ -119,34 +87,11 @@
             raise BadRequest("offset and limit must not be negative")
         stream = self._stream(request.path_values["stream"])
         with anyio.move_on_after(wait_seconds):
-            while len(stream.records) <= offset and not self._faults.down:
+            while len(stream.records) <= offset:
                 await stream.appended.wait()
-        if self._faults.down:
-            return _unavailable()
         records = stream.records[offset : offset + limit]
         return json_response({"records": records, "head": len(stream.records)})
 
-    async def _set_faults(self, request: Request) -> Answer:
-        self._faults = request.decode(LogFaults)
-        for stream in self._streams.values():
-            stream.appended.set()
-            stream.appended = anyio.Event()
-        log_event(
-            "faults_set",
-            down=self._faults.down,
-            delay_seconds=self._faults.delay_seconds,
-            lose_every=self._faults.lose_every,
-        )
-        return json_response(self._faults)
-
-    async def _get_faults(self, request: Request) -> Answer:
-        return json_response(self._faults)
-
-    async def _fails(self) -> bool:
-        """Take the fault's time and return whether the call fails with nothing done."""
-        await anyio.sleep(self._faults.delay_seconds)
-        return self._faults.down
-
     def _stream(self, name: str) -> _Stream:
         return self._streams.setdefault(name, _Stream())
 
@@ -159,10 +104,6 @@
         log_event("record_appended", stream=stream, offset=offset, record_id=record_id)
 
 
-def _unavailable() -> Answer:
-    return problem_response(503, "unavailable", "the log is down", ran="no")
-
-
 def _decoded(record: NewRecord) -> bytes:
     try:
         return base64.b64decode(record.payload, validate=True)
--- a/src/stagewalk_standins/trainer.py
+++ b/src/stagewalk_standins/trainer.py
@@ -20,6 +20,7 @@
 )
 from stagewalk_standins.event_log import log_event
 from stagewalk_standins.history_file import clock
+from stagewalk_standins.http_client import open_client
 from stagewalk_standins.node_pool import NodePool
 from stagewalk_standins.trainer_checkpoint import CheckpointFile
 
@@ -391,5 +392,5 @@
 
 async def run_trainer(options: TrainerOptions, nodes: NodePool, checkpoint: CheckpointFile) -> None:
     """Run a trainer to its last step."""
-    async with httpx.AsyncClient(timeout=CALL_TIMEOUT_SECONDS) as client:
+    async with open_client(timeout=CALL_TIMEOUT_SECONDS) as client:
         await Trainer(options, nodes, client, checkpoint).run()
--- a/src/stagewalk_standins/web.py
+++ b/src/stagewalk_standins/web.py
@@ -47,7 +47,6 @@
     query: Mapping[str, str]
     headers: Mapping[str, str]
     body: bytes
-    receive: Receive
 
     def decode(self, kind: type[Body]) -> Body:
         """Return the JSON body as a typed value."""
@@ -63,11 +62,6 @@
         except ValueError as error:
             raise BadRequest(f"{name}: {error}") from error
 
-    async def disconnected(self) -> None:
-        """Wait until the client has closed its connection."""
-        while (await self.receive())["type"] != "http.disconnect":
-            pass
-
 
 @dataclass(frozen=True, slots=True)
 class Response:
@@ -89,6 +83,7 @@
 
 Answer = Response | StreamingResponse
 Handler = Callable[[Request], Awaitable[Answer]]
+Guard = Callable[[Request, Handler], Awaitable[Answer]]
 
 
 def json_response(value: object, status: int = 200) -> Response:
@@ -113,15 +108,30 @@
     return Response(status, body, PROBLEM, headers)
 
 
+@dataclass(frozen=True, slots=True)
+class _Route:
+    method: str
+    pattern: tuple[str, ...]
+    handler: Handler
+    guarded: bool
+
+
 class Application:
-    """Routes requests by method and path; a route's `{name}` matches one path segment."""
+    """Routes requests by method and path; a route's `{name}` matches one path segment.
+
+    Attributes
+    ----------
+    guard
+        Called instead of the handler of each guarded route, with the handler.
+    """
 
     def __init__(self) -> None:
-        self._routes: list[tuple[str, tuple[str, ...], Handler]] = []
+        self.guard: Guard | None = None
+        self._routes: list[_Route] = []
 
-    def route(self, method: str, path: str, handler: Handler) -> None:
+    def route(self, method: str, path: str, handler: Handler, *, guarded: bool = True) -> None:
         """Add a route."""
-        self._routes.append((method, tuple(path.split("/")), handler))
+        self._routes.append(_Route(method, tuple(path.split("/")), handler, guarded))
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one ASGI connection."""
@@ -138,28 +148,27 @@
         found = self._find(scope["method"], tuple(scope["path"].split("/")))
         if found is None:
             return problem_response(404, "not_found", f"{scope['method']} {scope['path']}")
-        handler, path_values = found
+        route, path_values = found
         request = Request(
             method=scope["method"],
             path_values=path_values,
             query=dict(parse_qsl(scope["query_string"].decode())),
             headers={name.decode().lower(): value.decode() for name, value in scope["headers"]},
             body=await _read_body(receive),
-            receive=receive,
         )
         try:
-            return await handler(request)
+            if self.guard is not None and route.guarded:
+                return await self.guard(request, route.handler)
+            return await route.handler(request)
         except BadRequest as error:
             return problem_response(400, "invalid_request", str(error), ran="no")
 
-    def _find(
-        self, method: str, segments: tuple[str, ...]
-    ) -> tuple[Handler, dict[str, str]] | None:
-        for route_method, pattern, handler in self._routes:
-            if route_method == method:
-                path_values = _match(pattern, segments)
+    def _find(self, method: str, segments: tuple[str, ...]) -> tuple[_Route, dict[str, str]] | None:
+        for route in self._routes:
+            if route.method == method:
+                path_values = _match(route.pattern, segments)
                 if path_values is not None:
-                    return handler, path_values
+                    return route, path_values
         return None
 
 
--- a/src/stagewalk_standins/weight_fetcher.py
+++ b/src/stagewalk_standins/weight_fetcher.py
@@ -7,6 +7,7 @@
 
 from stagewalk.core.identities import ModelName, WeightVersion
 from stagewalk_standins.event_log import log_event
+from stagewalk_standins.http_client import open_client
 
 FETCH_TRIES = 30
 FETCH_RETRY_SECONDS = 1.0
@@ -24,7 +25,7 @@
         if not self._store_url:
             return True
         url = f"{self._store_url}/models/{model}/versions/{version}/weights"
-        async with httpx.AsyncClient(timeout=FETCH_TIMEOUT_SECONDS) as client:
+        async with open_client(timeout=FETCH_TIMEOUT_SECONDS) as client:
             for _ in range(FETCH_TRIES):
                 status = await _fetch_once(client, url)
                 if status in (200, 404):
--- /dev/null
+++ b/tests/standins/engines.py
@@ -0,0 +1,63 @@
+"""Engines for tests."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from stagewalk.core.identities import (
+    AttemptId,
+    EngineName,
+    Epoch,
+    Incarnation,
+    ModelName,
+    RequestId,
+    TenantName,
+    WeightVersion,
+)
+from stagewalk.core.platform import EngineOrder, OrderKind
+from stagewalk.simulation.engine_messages import EngineOutput, EngineRequest
+from stagewalk.simulation.engine_model import EngineModel
+from stagewalk.simulation.platform_settings import EngineSettings
+
+MODEL = ModelName("m")
+
+
+def engine(started_at: float = 0.0, seed: int = 0, **settings: Any) -> EngineModel:
+    return EngineModel(
+        EngineSettings(**settings),
+        engine=EngineName("e"),
+        incarnation=Incarnation(1),
+        model=MODEL,
+        active_version=WeightVersion(1),
+        generator=random.Random(seed),
+        started_at=started_at,
+    )
+
+
+def request(attempt: str, prompt: str = "", max_tokens: int = 400, **fields: Any) -> EngineRequest:
+    return EngineRequest(
+        attempt=AttemptId(attempt),
+        request_id=RequestId(f"r-{attempt}"),
+        tenant=TenantName("t"),
+        model=fields.pop("model", MODEL),
+        prompt=prompt or f"prompt of {attempt}",
+        max_tokens=max_tokens,
+        seed=7,
+        **fields,
+    )
+
+
+def order(kind: OrderKind, version: int = 0, epoch: int = 1, order_id: str = "") -> EngineOrder:
+    order_id = order_id or f"{kind}-{version}-{epoch}"
+    return EngineOrder(order_id, Epoch(epoch), kind, MODEL, WeightVersion(version))
+
+
+def run_to_idle(model: EngineModel, most_wakeups: int = 20_000) -> list[EngineOutput]:
+    outputs: list[EngineOutput] = []
+    for _ in range(most_wakeups):
+        wakeup = model.next_wakeup()
+        if wakeup is None:
+            return outputs
+        outputs.extend(model.advance(wakeup))
+    raise AssertionError("the engine never came to rest")
