Judge the nine promises from outside observations

Change: history/checker*.py, one module for each group of promises; each counts its checks and explains a violation by the subject's observations in order. Ruled out: excusing a refusal as not run when an earlier send of the same id ran the work; the same id is the same request.

--- /dev/null
+++ b/src/stagewalk/history/checker_configuration.py
@@ -0,0 +1,193 @@
+"""Judges that accepted configuration is in force everywhere in time and never reverts."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from stagewalk.configuration.parameters import TenantParameters
+from stagewalk.history.checker_verdict import Promise, Verdict
+from stagewalk.history.observations import (
+    AnyObservation,
+    ConfigurationSeen,
+    FaultInjected,
+    PublishAnswered,
+    RecordAppended,
+)
+
+CONFIGURATION_STREAM = "configuration"
+IN_FORCE_SECONDS = 10.0
+"""How long an accepted record may take until every node applies it."""
+
+EVERY_NODE = "*"
+"""Target of a `FaultInjected` that concerns every node."""
+
+LOG_UNREACHABLE_KINDS = frozenset({"log_down", "log_slow", "partition", "pause"})
+"""Faults that keep the targeted node from the log and its peers while they last."""
+
+
+class ConfigurationOracle(Protocol):
+    """The rules by which published records are accepted, applied one by one."""
+
+    def apply(self, record: RecordAppended) -> bool:
+        """Apply the next record of the stream; return whether it was accepted."""
+        ...
+
+    def parameters(self) -> dict[str, TenantParameters]:
+        """Return the parameters in force, by tenant."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class StalenessBounds:
+    """The loosest bounds a tenant may have been served under; `None` seconds: no bound."""
+
+    versions: int
+    seconds: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class _Accepted:
+    at: float
+    record: RecordAppended
+    parameters: dict[str, TenantParameters]
+
+
+@dataclass(slots=True)
+class ConfigurationTimeline:
+    """Which configuration was accepted when, folded from the log's own record."""
+
+    accepted: list[_Accepted] = field(default_factory=list)
+    accepted_ids: set[str] = field(default_factory=set)
+    rejected: dict[str, RecordAppended] = field(default_factory=dict)
+    faults: list[FaultInjected] = field(default_factory=list)
+
+    def due(self, at: float) -> RecordAppended | None:
+        """Return the last accepted record that must be in force by a time."""
+        count = bisect_right(self.accepted, at - IN_FORCE_SECONDS, key=lambda item: item.at)
+        return self.accepted[count - 1].record if count else None
+
+    def excused(self, node: str | None, at: float) -> FaultInjected | None:
+        """Return a fault that kept a node (None: any) from the log in the last seconds."""
+        for fault in self.faults:
+            concerned = node is None or fault.target in {EVERY_NODE, node}
+            if concerned and fault.at <= at and fault.until >= at - IN_FORCE_SECONDS:
+                return fault
+        return None
+
+    def bounds(self, tenant: str, at: float) -> StalenessBounds | None:
+        """Return the loosest bounds that can have been in force for a tenant at a time.
+
+        A node may lag behind the log by `IN_FORCE_SECONDS`, and by as long as it cannot
+        reach the log.
+        """
+        since = at - IN_FORCE_SECONDS
+        fault = self.excused(None, since)
+        while fault is not None:
+            since = fault.at - IN_FORCE_SECONDS
+            fault = self.excused(None, since)
+        first = max(0, bisect_right(self.accepted, since, key=lambda item: item.at) - 1)
+        candidates = [
+            item.parameters[tenant]
+            for item in self.accepted[first:]
+            if item.at <= at and tenant in item.parameters
+        ]
+        if not candidates:
+            return None
+        seconds = [item.staleness_bound_seconds for item in candidates]
+        limited = [value for value in seconds if value is not None]
+        return StalenessBounds(
+            versions=max(item.staleness_bound_versions for item in candidates),
+            seconds=max(limited) if len(limited) == len(seconds) else None,
+        )
+
+
+def fold_timeline(
+    history: Sequence[AnyObservation], oracle: ConfigurationOracle
+) -> ConfigurationTimeline:
+    """Fold the configuration stream as the log recorded it."""
+    timeline = ConfigurationTimeline()
+    records = [
+        item
+        for item in history
+        if isinstance(item, RecordAppended) and item.stream == CONFIGURATION_STREAM
+    ]
+    for record in sorted(records, key=lambda item: item.offset):
+        if oracle.apply(record):
+            timeline.accepted_ids.add(record.record_id)
+            timeline.accepted.append(_Accepted(record.at, record, oracle.parameters()))
+        else:
+            timeline.rejected[record.record_id] = record
+    timeline.faults = [
+        item
+        for item in history
+        if isinstance(item, FaultInjected) and item.kind in LOG_UNREACHABLE_KINDS
+    ]
+    return timeline
+
+
+def check_configuration(
+    history: Sequence[AnyObservation], timeline: ConfigurationTimeline, verdict: Verdict
+) -> None:
+    """Judge config_in_force."""
+    last_seen: dict[tuple[str, int], ConfigurationSeen] = {}
+    first_seen_at: dict[tuple[str, int], float] = {}
+    digests: dict[int, ConfigurationSeen] = {}
+    for item in history:
+        if isinstance(item, ConfigurationSeen):
+            verdict.check(Promise.CONFIG_IN_FORCE)
+            incarnation = (item.node, item.incarnation)
+            first_seen_at.setdefault(incarnation, item.at)
+            _check_in_force(item, first_seen_at[incarnation], timeline, verdict)
+            _check_not_reverted(item, last_seen.get(incarnation), verdict)
+            _check_same_state(item, digests.setdefault(item.offset, item), verdict)
+            last_seen[incarnation] = item
+        elif isinstance(item, PublishAnswered) and item.accepted:
+            _check_publish(item, timeline, verdict)
+
+
+def _check_in_force(
+    seen: ConfigurationSeen, first_at: float, timeline: ConfigurationTimeline, verdict: Verdict
+) -> None:
+    due = timeline.due(seen.at)
+    if due is None or seen.offset > due.offset or seen.at < first_at + IN_FORCE_SECONDS:
+        return
+    if timeline.excused(seen.node, seen.at) is not None:
+        return
+    late = seen.at - due.at
+    detail = f"offset {due.offset} was not in force {late:.1f} s after the log took it"
+    verdict.violate(Promise.CONFIG_IN_FORCE, seen.at, f"node {seen.node}", detail, [due, seen])
+
+
+def _check_not_reverted(
+    seen: ConfigurationSeen, before: ConfigurationSeen | None, verdict: Verdict
+) -> None:
+    if before is None or seen.offset >= before.offset:
+        return
+    detail = f"went back from offset {before.offset} to {seen.offset}"
+    verdict.violate(Promise.CONFIG_IN_FORCE, seen.at, f"node {seen.node}", detail, [before, seen])
+
+
+def _check_same_state(seen: ConfigurationSeen, first: ConfigurationSeen, verdict: Verdict) -> None:
+    if seen.digest == first.digest and seen.revisions == first.revisions:
+        return
+    detail = f"offset {seen.offset} means another state than at {first.node}"
+    verdict.violate(Promise.CONFIG_IN_FORCE, seen.at, f"node {seen.node}", detail, [first, seen])
+
+
+def _check_publish(
+    answered: PublishAnswered, timeline: ConfigurationTimeline, verdict: Verdict
+) -> None:
+    verdict.check(Promise.CONFIG_IN_FORCE)
+    if answered.record_id in timeline.accepted_ids:
+        return
+    rejected = timeline.rejected.get(answered.record_id)
+    reason = "the rules reject the record" if rejected else "the log never took the record"
+    detail = f"{answered.operator} was told that a change is accepted, but {reason}"
+    events: list[AnyObservation] = [answered]
+    events.extend([rejected] if rejected is not None else [])
+    verdict.violate(
+        Promise.CONFIG_IN_FORCE, answered.at, f"record {answered.record_id}", detail, events
+    )
