--- /dev/null
+++ b/src/stagewalk/simulation/witness.py
@@ -0,0 +1,25 @@
+"""Collects what the observers of a run saw, in order of time."""
+
+from __future__ import annotations
+
+import xxhash
+
+from stagewalk.history.observations import AnyObservation, encode_line
+
+
+class Witness:
+    """The history of a run."""
+
+    def __init__(self) -> None:
+        self.history: list[AnyObservation] = []
+
+    def note(self, observation: AnyObservation) -> None:
+        """Add an observation; time never decreases between two of them."""
+        self.history.append(observation)
+
+    def digest(self) -> str:
+        """Return the hash of the encoded history: equal runs have equal digests."""
+        hasher = xxhash.xxh3_128()
+        for observation in self.history:
+            hasher.update(encode_line(observation))
+        return hasher.hexdigest()
