--- /dev/null
+++ b/src/stagewalk/history/checker_oracle.py
@@ -0,0 +1,26 @@
+"""The product's own fold as the checker's oracle of what is accepted."""
+
+from __future__ import annotations
+
+from stagewalk.configuration.fold import ConfigurationFold
+from stagewalk.configuration.outcomes import ChangeAccepted
+from stagewalk.configuration.parameters import TenantParameters
+from stagewalk.core.identities import RecordId
+from stagewalk.core.platform import LogRecord
+from stagewalk.history.observations import RecordAppended
+
+
+class FoldOracle:
+    """Applies the log's records, in their order, to a fold that no node has touched."""
+
+    def __init__(self) -> None:
+        self._fold = ConfigurationFold()
+
+    def apply(self, record: RecordAppended) -> bool:
+        """Apply the next record of the stream; return whether it was accepted."""
+        row = LogRecord(record.offset, RecordId(record.record_id), record.payload)
+        return isinstance(self._fold.apply(row), ChangeAccepted)
+
+    def parameters(self) -> dict[str, TenantParameters]:
+        """Return the parameters in force, by tenant."""
+        return {name: tenant.parameters for name, tenant in self._fold.tenants.items()}
--- /dev/null
+++ b/src/stagewalk/simulation/callers.py
@@ -0,0 +1,294 @@
+"""Interactive callers: each request until its final answer, with retries under the same id."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from stagewalk.core.completions import CompletionRequest, CompletionResult, Priority
+from stagewalk.core.errors import ErrorKind, Ran, StagewalkError
+from stagewalk.core.events import CompletionRequested, Event
+from stagewalk.core.identities import CallId, RequestId
+from stagewalk.core.instructions import FailCall, FinishCall, SendChunk
+from stagewalk.history.answer_text import answer_length
+from stagewalk.history.checker_stops import CONNECTION_CUT
+from stagewalk.history.observations import (
+    FaultInjected,
+    RequestAnswered,
+    RequestCut,
+    RequestRefused,
+    RequestSent,
+)
+from stagewalk.simulation.client_calls import other_nodes
+from stagewalk.simulation.engine_prefix_cache import prompt_token_count
+from stagewalk.simulation.layout import CallerLoad
+from stagewalk.simulation.network import Connection
+from stagewalk.simulation.node_host import CallAnswer, NodeHost
+from stagewalk.simulation.platform_settings import EngineSettings
+from stagewalk.simulation.prompts import PromptSource
+from stagewalk.simulation.virtual_time import Scheduler, Steps
+from stagewalk.simulation.witness import Witness
+
+MAXIMUM_SENDS = 4
+PATIENCE_SECONDS = 5.0
+"""How long beyond its deadline a caller waits for a final answer."""
+
+STREAMED_FRACTION = 0.5
+RETRY_AFTER_REFUSAL_FRACTION = 0.5
+RETRY_SECONDS = (0.1, 1.5)
+RETRIABLE = frozenset(
+    {
+        ErrorKind.OVER_LIMIT,
+        ErrorKind.OVERLOADED,
+        ErrorKind.NO_ENGINE,
+        ErrorKind.STOPPING,
+        ErrorKind.UNREACHABLE,
+        ErrorKind.UNKNOWN_TENANT,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CallerWorld:
+    """What callers need of the world."""
+
+    scheduler: Scheduler
+    witness: Witness
+    nodes: Sequence[NodeHost]
+    engine_settings: EngineSettings
+
+
+@dataclass(frozen=True, slots=True)
+class Question:
+    """What a caller asks."""
+
+    request_id: RequestId
+    prompt: str
+    seed: int
+    repeatable: bool
+    streamed: bool
+    deadline_at: float
+
+
+class InteractiveCaller:
+    """The callers beside one node."""
+
+    def __init__(
+        self,
+        world: CallerWorld,
+        load: CallerLoad,
+        home: NodeHost,
+        rate: float,
+        generator: random.Random,
+    ) -> None:
+        self.world = world
+        self.load = load
+        self.home = home
+        self.name = f"{load.tenant}@{home.name}"
+        self.generator = generator
+        self._rate = rate
+        self._prompts = PromptSource(self.name, load.prompt_families, generator)
+        self._count = 0
+        self.unanswered = 0
+
+    def run(self) -> Steps:
+        """Ask for ever, at random intervals."""
+        while True:
+            yield self.world.scheduler.sleep(self.generator.expovariate(self._rate))
+            RequestLife(self, self._question()).send(self.home)
+
+    def _question(self) -> Question:
+        self._count += 1
+        draw = self.generator.random
+        return Question(
+            request_id=RequestId(f"{self.name}/{self._count}"),
+            prompt=self._prompts.draw(),
+            seed=self.generator.getrandbits(31),
+            repeatable=draw() >= self.load.non_repeatable_fraction,
+            streamed=draw() < STREAMED_FRACTION,
+            deadline_at=self.world.scheduler.now + self.load.deadline_seconds,
+        )
+
+
+class RequestLife:
+    """One request from its first send to its final answer or its caller's end of patience."""
+
+    def __init__(self, caller: InteractiveCaller, question: Question) -> None:
+        self.caller = caller
+        self.question = question
+        self._sends = 0
+        self._current: Send | None = None
+        self._done = False
+        scheduler = caller.world.scheduler
+        patience_ends = question.deadline_at + PATIENCE_SECONDS
+        scheduler.at(patience_ends, lambda: self._abandon(unanswered=True))
+        if caller.generator.random() < caller.load.abandon_fraction:
+            scheduler.after(5.0 * caller.generator.random(), self._abandon)
+
+    def send(self, node: NodeHost) -> None:
+        """Send it to a node, or to another one if that one refuses the connection."""
+        if self._done:
+            return
+        world = self.caller.world
+        if world.scheduler.now >= self.question.deadline_at:
+            self._done = True
+            return
+        current = Send(self, node)
+        connection = node.open_call(self.caller.home.endpoint, current, self._event)
+        if connection is None:
+            self._retry()
+            return
+        current.connection = connection
+        self._current = current
+        self._note_sent(node)
+
+    def answered(self, node: NodeHost, text: str, result: CompletionResult) -> None:
+        """Take the whole answer."""
+        self._done = True
+        self.caller.world.witness.note(
+            RequestAnswered(
+                at=self.caller.world.scheduler.now,
+                caller=self.caller.name,
+                node=node.name,
+                tenant=self.caller.load.tenant,
+                request_id=self.question.request_id,
+                text=text,
+                spans=result.spans,
+            )
+        )
+
+    def refused(self, node: NodeHost, error: StagewalkError) -> None:
+        """Take a final error; a refused request may be sent again under the same id."""
+        self.caller.world.witness.note(
+            RequestRefused(
+                at=self.caller.world.scheduler.now,
+                caller=self.caller.name,
+                node=node.name,
+                tenant=self.caller.load.tenant,
+                request_id=self.question.request_id,
+                ran=error.ran,
+                kind=error.kind,
+                step=error.step,
+                peer=error.peer,
+            )
+        )
+        chance = self.caller.generator.random() < RETRY_AFTER_REFUSAL_FRACTION
+        if error.ran is Ran.NO and error.kind in RETRIABLE and chance:
+            self._retry(error.retry_after_seconds or 0.0)
+        else:
+            self._done = True
+
+    def cut(self, node: NodeHost, by_network: bool) -> None:
+        """Ask another node under the same id after the connection broke."""
+        now = self.caller.world.scheduler.now
+        if by_network:
+            self.caller.world.witness.note(
+                FaultInjected(at=now, kind=CONNECTION_CUT, target=node.name, until=now)
+            )
+        self.caller.world.witness.note(
+            RequestCut(
+                at=now,
+                caller=self.caller.name,
+                node=node.name,
+                tenant=self.caller.load.tenant,
+                request_id=self.question.request_id,
+            )
+        )
+        self._retry()
+
+    def _retry(self, least_seconds: float = 0.0) -> None:
+        self._current = None
+        self._sends += 1
+        if self._sends >= MAXIMUM_SENDS:
+            self._done = True
+            return
+        generator = self.caller.generator
+        node = generator.choice(other_nodes(self.caller.world.nodes, self.caller.home))
+        delay = least_seconds + generator.uniform(*RETRY_SECONDS)
+        self.caller.world.scheduler.after(delay, lambda: self.send(node))
+
+    def _abandon(self, unanswered: bool = False) -> None:
+        if self._done:
+            return
+        self._done = True
+        self.caller.unanswered += int(unanswered)
+        if self._current is not None:
+            self._current.close()
+
+    def _note_sent(self, node: NodeHost) -> None:
+        world, question, load = self.caller.world, self.question, self.caller.load
+        expected = answer_length(
+            question.prompt, question.seed, load.max_tokens, world.engine_settings.lengths
+        )
+        world.witness.note(
+            RequestSent(
+                at=world.scheduler.now,
+                caller=self.caller.name,
+                node=node.name,
+                tenant=load.tenant,
+                request_id=question.request_id,
+                repeatable=question.repeatable,
+                prompt=question.prompt,
+                seed=question.seed,
+                expected_tokens=expected,
+            )
+        )
+
+    def _event(self, call: CallId, node_time: float) -> Event:
+        question, load = self.question, self.caller.load
+        remaining = question.deadline_at - self.caller.world.scheduler.now
+        request = CompletionRequest(
+            request_id=question.request_id,
+            tenant=load.tenant,
+            model=load.model,
+            prompt=question.prompt,
+            max_tokens=load.max_tokens,
+            repeatable=question.repeatable,
+            deadline=node_time + remaining,
+            priority=Priority.INTERACTIVE,
+            stream=question.streamed,
+            seed=question.seed,
+            prompt_token_count=prompt_token_count(question.prompt),
+        )
+        return CompletionRequested(call, request)
+
+
+class Send:
+    """One call of a request: the caller's end of the connection."""
+
+    def __init__(self, life: RequestLife, node: NodeHost) -> None:
+        self.connection: Connection | None = None
+        self._life = life
+        self._node = node
+        self._text: list[str] = []
+        self._closed = False
+
+    def answered(self, answer: CallAnswer) -> None:
+        """Take a piece of the answer, its end, or an error."""
+        if self._closed:
+            return
+        if isinstance(answer, SendChunk):
+            self._text.append(answer.chunk.text)
+            return
+        self._closed = True
+        if self.connection is not None:
+            self.connection.finish()
+        if isinstance(answer, FinishCall):
+            streamed = self._life.question.streamed
+            text = "".join(self._text) if streamed else answer.result.text
+            self._life.answered(self._node, text, answer.result)
+        elif isinstance(answer, FailCall):
+            self._life.refused(self._node, answer.error)
+
+    def lost(self, by_network: bool) -> None:
+        """Learn that the connection broke."""
+        if not self._closed:
+            self._closed = True
+            self._life.cut(self._node, by_network)
+
+    def close(self) -> None:
+        """Go away without an answer."""
+        self._closed = True
+        if self.connection is not None:
+            self.connection.client_gone()
--- /dev/null
+++ b/src/stagewalk/simulation/operators.py
@@ -0,0 +1,200 @@
+"""Operators of both partners, who publish changes on the log and race each other."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Generator
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+import simpy
+
+from stagewalk.configuration.fold import ConfigurationFold
+from stagewalk.configuration.outcomes import ChangeAccepted
+from stagewalk.configuration.parameters import TenantParameters
+from stagewalk.configuration.records import (
+    CONFIGURATION_STREAM,
+    AnyChange,
+    ChangeParameters,
+    CreateTenant,
+    encode_change,
+)
+from stagewalk.core.identities import RecordId, TenantName
+from stagewalk.history.observations import PublishAnswered
+from stagewalk.simulation.layout import Endpoint, Layout, TenantSite
+from stagewalk.simulation.log_service import LogPage, LogService
+from stagewalk.simulation.virtual_time import Scheduler, Steps
+from stagewalk.simulation.witness import Witness
+
+CHANGE_INTERVAL_SECONDS = 30.0
+STALE_BASE_FRACTION = 0.1
+FOREIGN_FRACTION = 0.05
+OVERCOMMITTED_FRACTION = 0.05
+RETRY_SECONDS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorWorld:
+    """What operators need of the world."""
+
+    scheduler: Scheduler
+    log: LogService
+    witness: Witness
+    layout: Layout
+
+
+class Operator:
+    """One operator of a partner.
+
+    It follows the log with a fold of its own, bases its changes on what it has read, and
+    learns from the log what became of them, also when the append's answer was lost.
+    """
+
+    def __init__(
+        self,
+        world: OperatorWorld,
+        name: str,
+        partner: str,
+        endpoint: Endpoint,
+        generator: random.Random,
+    ) -> None:
+        self.name = name
+        self.partner = partner
+        self._world = world
+        self._endpoint = endpoint
+        self._generator = generator
+        self._fold = ConfigurationFold()
+        self._published = 0
+
+    def run(self, creates_tenants: bool) -> Steps:
+        """Create the partner's tenants, if that is this operator's part, then change them."""
+        if creates_tenants:
+            for site in self._own_sites():
+                yield from self._publish(self._creation(site))
+        while True:
+            wait = self._generator.expovariate(1.0 / CHANGE_INTERVAL_SECONDS)
+            yield self._world.scheduler.sleep(wait)
+            yield from self._catch_up()
+            change = self._draw_change()
+            if change is not None:
+                yield from self._publish(change)
+
+    def _own_sites(self) -> list[TenantSite]:
+        return [site for site in self._world.layout.tenants if site.partner == self.partner]
+
+    def _creation(self, site: TenantSite) -> CreateTenant:
+        return CreateTenant(
+            operator=self.name,
+            partner=self.partner,
+            tenant=site.name,
+            base_revision=0,
+            template=site.template,
+            parameters=site.parameters,
+        )
+
+    def _draw_change(self) -> AnyChange | None:
+        """Draw a change: most are sound, some are stale, foreign or claim too much."""
+        foreign = self._generator.random() < FOREIGN_FRACTION
+        sites = list(self._world.layout.tenants) if foreign else self._own_sites()
+        site = self._generator.choice(sites)
+        tenant = self._fold.tenants.get(site.name)
+        if tenant is None:
+            return None
+        stale = self._generator.random() < STALE_BASE_FRACTION
+        return ChangeParameters(
+            operator=self.name,
+            partner=self.partner,
+            tenant=TenantName(site.name),
+            base_revision=max(0, tenant.revision - int(stale)),
+            parameters=self._draw_parameters(site, tenant.parameters),
+        )
+
+    def _draw_parameters(
+        self, site: TenantSite, current: TenantParameters
+    ) -> TenantParameters:
+        draw = self._generator.random()
+        if draw < OVERCOMMITTED_FRACTION:
+            return msgspec.structs.replace(current, capacity_share=1.0)
+        if draw < 0.5:
+            bound = self._generator.choice((1, 1, 2))
+            return msgspec.structs.replace(current, staleness_bound_versions=bound)
+        if draw < 0.75:
+            share = site.parameters.capacity_share * self._generator.uniform(0.7, 1.0)
+            return msgspec.structs.replace(current, capacity_share=share)
+        weight = round(self._generator.random(), 2)
+        return msgspec.structs.replace(current, idle_weight=weight)
+
+    def _publish(self, change: AnyChange) -> Steps:
+        """Append a change and wait until the log shows what became of it."""
+        self._published += 1
+        record_id = RecordId(f"{self.name}/{self._published}")
+        landed = yield from self._append(record_id, encode_change(change))
+        if not landed:
+            return
+        while (outcome := self._fold.outcome_of(record_id)) is None:
+            yield from self._read()
+        self._world.witness.note(
+            PublishAnswered(
+                at=self._world.scheduler.now,
+                operator=self.name,
+                record_id=record_id,
+                accepted=isinstance(outcome, ChangeAccepted),
+                detail=str(outcome),
+            )
+        )
+
+    def _append(
+        self, record_id: RecordId, payload: bytes
+    ) -> Generator[simpy.Event, Any, bool]:
+        """Append a record once; a lost answer is settled by reading the log back."""
+        while True:
+            head_before = yield from self._catch_up()
+            settled = self._world.scheduler.signal()
+            self._world.log.append(
+                self._endpoint,
+                CONFIGURATION_STREAM,
+                record_id,
+                payload,
+                answered=lambda _, settled=settled: settled.succeed("landed"),  # type: ignore[misc]
+                failed=lambda sent, settled=settled: settled.succeed(  # type: ignore[misc]
+                    "unknown" if sent else "not sent"
+                ),
+            )
+            result = yield settled
+            if result == "landed":
+                return True
+            if result == "unknown":
+                yield self._world.scheduler.sleep(RETRY_SECONDS)
+                yield from self._catch_up()
+                if self._fold.outcome_of(record_id) is not None:
+                    return True
+                if self._fold.offset == head_before:
+                    return False
+                return False
+            yield self._world.scheduler.sleep(RETRY_SECONDS)
+
+    def _catch_up(self) -> Generator[simpy.Event, Any, int]:
+        """Read up to the head of the stream and return it."""
+        while True:
+            page = yield from self._read()
+            if page is not None and self._fold.offset >= page.head:
+                return page.head
+
+    def _read(self) -> Generator[simpy.Event, Any, LogPage | None]:
+        """Read and fold what follows; None if the log did not answer."""
+        arrival = self._world.scheduler.signal()
+        self._world.log.read(
+            self._endpoint,
+            CONFIGURATION_STREAM,
+            self._fold.offset,
+            answered=arrival.succeed,
+            failed=lambda _: arrival.succeed(None),
+        )
+        page: LogPage | None = yield arrival
+        if page is None:
+            yield self._world.scheduler.sleep(RETRY_SECONDS)
+            return None
+        for record in page.records:
+            self._fold.apply(record)
+        return page
