Test the log client against lost answers, late landings and outages

Cause: the client's promises (whole ordered reads, one landing per append) need proof. Change: a model log with seeded faults on virtual time; properties over random fault mixes. Ruled out: drawing a read's failure at each poll of the model: no read then ever succeeds.

--- /dev/null
+++ b/tests/log_client/test_core.py
@@ -0,0 +1,162 @@
+"""Reads are whole and in order, appends land once, under any faults of the log."""
+
+from __future__ import annotations
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from stagewalk.core.errors import ErrorKind, Step
+from stagewalk.core.events import AppendConfirmed, LogRead
+from stagewalk.core.identities import RecordId
+from stagewalk.core.platform import LogRecord
+from stagewalk.log_client.config import LogClientConfig
+from tests.log_client.model import Faults, LogWorld
+
+chances = st.sampled_from([0.0, 0.3, 0.7])
+fault_mixes = st.builds(Faults, chances, chances, chances, chances, st.just(0.0))
+PATIENT = LogClientConfig(abandon_after=1e6)
+
+
+def world(faults: Faults | None = None, config: LogClientConfig = PATIENT) -> LogWorld:
+    return LogWorld(3, faults or Faults(), config)
+
+
+class ReadTest(testtools.TestCase):
+    @given(st.integers(0, 2**32), chances, st.integers(0, 12))
+    @settings(max_examples=40)
+    def test_followed_records_come_whole_and_once(
+        self, seed: int, read_fails: float, start: int
+    ) -> None:
+        log = LogWorld(seed, Faults(read_fails=read_fails), PATIENT)
+        for n in range(12):
+            log.put("s", f"a{n}")
+        log.client.follow("s", start)
+        log.run(3.0)
+        for n in range(12):
+            log.put("s", f"b{n}")
+        log.run(120.0)
+        self.assertEqual(log.streams["s"][start:], log.read["s"])
+        self.assertEqual(24, log.heads["s"][-1])
+        self.assertEqual(1, log.most_reads_open)
+
+    def test_the_first_read_of_an_empty_stream_is_notified_once(self) -> None:
+        log = world()
+        log.client.follow("s", 0)
+        log.run(20.0)
+        self.assertEqual([0], log.heads["s"])
+
+    def test_latest_records_alone_can_be_followed(self) -> None:
+        log = world()
+        for n in range(20):
+            log.put("s", f"a{n}")
+        log.client.follow_latest("s", 2)
+        log.run(5.0)
+        self.assertEqual(log.streams["s"][18:], log.read["s"])
+
+    def test_advancing_skips_what_was_learnt_otherwise(self) -> None:
+        log = world()
+        for n in range(20):
+            log.put("s", f"a{n}")
+        log.client.follow("s", 0)
+        log.client.advance("s", 15)
+        log.client.advance("s", 4)
+        log.run(5.0)
+        self.assertEqual(log.streams["s"][15:], log.read["s"])
+
+    def test_answers_with_gaps_or_repeats_bring_only_what_comes_next(self) -> None:
+        log = world()
+        log.client.follow("s", 0)
+        records = [LogRecord(n, RecordId(f"a{n}"), b"") for n in range(9)]
+        for offsets in ((0, 1), (1, 2), (4, 5), (0, 1, 2, 3, 5)):
+            log.feed(LogRead("s", tuple(records[n] for n in offsets), 9))
+        self.assertEqual(records[:4], log.read["s"])
+
+
+class AppendTest(testtools.TestCase):
+    @given(st.integers(0, 2**32), fault_mixes, st.booleans())
+    @settings(max_examples=60)
+    def test_every_record_lands_once_and_in_order(
+        self, seed: int, faults: Faults, followed: bool
+    ) -> None:
+        log = LogWorld(seed, faults, PATIENT)
+        for n in range(8):
+            log.put("s", f"old{n}")
+        if followed:
+            log.client.follow("s", 0)
+        ids = [log.append("s") for _ in range(4)]
+        log.run(1000.0)
+        self.assertEqual(ids, [record.record_id for record in log.streams["s"][8:]])
+        self.assertEqual({each: [8 + n] for n, each in enumerate(ids)}, log.settled)
+
+    @given(st.integers(0, 2**32))
+    @settings(max_examples=30)
+    def test_a_copy_that_lands_late_is_the_same_record(self, seed: int) -> None:
+        log = LogWorld(seed, Faults(lands_late=0.5, answer_lost=0.3), PATIENT)
+        log.client.follow("s", 0)
+        ids = [log.append("s") for _ in range(3)]
+        log.run(200.0)
+        landed = [record.record_id for record in log.streams["s"]]
+        self.assertEqual(ids, sorted(set(landed), key=landed.index))
+        self.assertEqual({each: [landed.index(each)] for each in ids}, log.settled)
+
+    def test_a_lost_answer_is_not_answered_by_sending_again(self) -> None:
+        log = world(Faults(answer_lost=1.0))
+        record_id = log.append("s")
+        log.run(60.0)
+        self.assertEqual([record_id], log.appends_sent)
+        self.assertEqual({record_id: [0]}, log.settled)
+
+    def test_one_stream_in_trouble_does_not_hold_up_another(self) -> None:
+        log = world()
+        log.down.add("bad")
+        log.client.follow("bad", 0)
+        log.client.follow("good", 0)
+        bad, good = log.append("bad"), log.append("good")
+        log.run(1.0)
+        self.assertEqual({good: [0]}, log.settled)
+        log.down.clear()
+        log.run(15.0)
+        self.assertEqual({good: [0], bad: [0]}, log.settled)
+
+    def test_an_outage_is_met_with_few_attempts(self) -> None:
+        log = world()
+        log.client.follow("s", 0)
+        log.run(1.0)
+        log.down.add("s")
+        record_id = log.append("s")
+        log.run(3600.0)
+        self.assertLess(len(log.appends_sent), 1500)
+        log.down.clear()
+        log.run(10.0)
+        self.assertEqual({record_id: [0]}, log.settled)
+
+    def test_abandoning_says_whether_the_record_may_be_there(self) -> None:
+        for faults, unknown in ((Faults(append_refused=1), False), (Faults(append_lost=1), True)):
+            log = world(faults, LogClientConfig(abandon_after=20.0))
+            log.append("s")
+            log.run(60.0)
+            self.assertEqual([unknown], [each.outcome_unknown for each in log.abandoned])
+
+    def test_a_full_queue_refuses_with_a_typed_error(self) -> None:
+        log = world(config=LogClientConfig(queue_limit=2))
+        log.append("s")
+        log.append("s")
+        error = log.client.append("s", b"", 0.0).error
+        self.assertEqual((ErrorKind.OVERLOADED, Step.LOG_APPEND), (error.kind, error.step))
+        self.assertTrue(log.client.append("other", b"", 0.0).is_ok())
+
+    def test_answers_that_never_come_count_as_lost(self) -> None:
+        log = world(Faults(longest_delay=1e5), LogClientConfig(abandon_after=100.0))
+        log.client.follow("s", 0)
+        log.append("s")
+        log.feed(LogRead("s", (), 0))
+        log.run(200.0)
+        self.assertEqual([True], [each.outcome_unknown for each in log.abandoned])
+
+    def test_a_foreign_confirmation_is_ignored(self) -> None:
+        log = world()
+        record_id = log.append("s")
+        log.feed(AppendConfirmed("s", RecordId("foreign"), 0))
+        log.run(5.0)
+        self.assertEqual({record_id: [0]}, log.settled)
