--- a/src/stagewalk/simulation/faults.py
+++ b/src/stagewalk/simulation/faults.py
@@ -200,7 +200,8 @@
 
 
 def _link(layout: Layout, generator: random.Random) -> tuple[str, ...]:
-    names = [site.endpoint.name for site in (*layout.nodes, *layout.engines)]
+    names = [node.endpoint.name for node in layout.nodes]
+    names.extend(engine.endpoint.name for engine in layout.engines)
     return tuple(generator.sample(names, 2))
 
 
--- a/src/stagewalk/simulation/layouts.py
+++ b/src/stagewalk/simulation/layouts.py
@@ -146,9 +146,7 @@
     """Return the two deployments as regions of one, the archive a guest in the growers' pool."""
     first, second = amman(), thornfield()
     guest = _tenant("map-overflow", "archive", POLICY, share=0.1, idle_weight=0.2)
-    guest_load = replace(
-        first.callers[0], tenant=guest.name, model=POLICY, requests_per_second=1.0
-    )
+    guest_load = replace(first.callers[0], tenant=guest.name, model=POLICY, requests_per_second=1.0)
     return Layout(
         name="both",
         latencies={**first.latencies, **second.latencies},
--- /dev/null
+++ b/src/stagewalk/simulation/machines.py
@@ -0,0 +1,179 @@
+"""Keeps the simulated machines: starts, stops, restarts, and their rows in the machine list."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from stagewalk.core.identities import Address, ModelName, WeightVersion
+from stagewalk.core.platform import Machine, MachineKind, MachineState
+from stagewalk.simulation.engine_host import EngineHost
+from stagewalk.simulation.layout import EngineSite, Layout, NodeSite
+from stagewalk.simulation.log_service import LogService
+from stagewalk.simulation.node_host import NodeHost
+from stagewalk.simulation.platform_services import (
+    MachineListService,
+    ScorerService,
+    WeightStoreService,
+)
+from stagewalk.simulation.virtual_time import Scheduler
+from stagewalk.simulation.witness import Witness
+
+STOP_LIMIT_SECONDS = 150.0
+"""A planned stop that takes longer than this is ended by a kill."""
+
+LIST_LEAVES_AFTER_SECONDS = 10.0
+"""How long a dead machine's row stays in the list at first."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformServices:
+    """The platform's services."""
+
+    log: LogService
+    machines: MachineListService
+    store: WeightStoreService
+    scorer: ScorerService
+
+
+class MachineKeeper:
+    """All machines by name; also finds them by address."""
+
+    def __init__(
+        self, scheduler: Scheduler, layout: Layout, services: PlatformServices, witness: Witness
+    ) -> None:
+        self.layout = layout
+        self.services = services
+        self.witness = witness
+        self.nodes: dict[str, NodeHost] = {}
+        self.engines: dict[str, EngineHost] = {}
+        self._scheduler = scheduler
+        self._nodes_by_address: dict[Address, NodeHost] = {}
+        self._engines_by_address: dict[Address, EngineHost] = {}
+        self._restart_after: dict[str, float] = {}
+
+    @property
+    def service_names(self) -> frozenset[str]:
+        """Return the names of the platform's services on the network."""
+        services = self.services
+        return frozenset(
+            service.endpoint.name
+            for service in (services.log, services.machines, services.store, services.scorer)
+        )
+
+    @property
+    def all_names(self) -> frozenset[str]:
+        """Return the names of everything on the network."""
+        return frozenset({*self.nodes, *self.engines}) | self.service_names
+
+    def add_node(self, node: NodeHost) -> None:
+        """Take a node's machine in."""
+        self.nodes[node.name] = node
+        self._nodes_by_address[node.site.address] = node
+        self._list(node.site)
+
+    def add_engine(self, engine: EngineHost) -> None:
+        """Take an engine's machine in."""
+        self.engines[engine.name] = engine
+        self._engines_by_address[engine.site.address] = engine
+        self._list(engine.site)
+
+    def node_at(self, address: Address) -> NodeHost | None:
+        """Return the node's machine that listens at an address."""
+        return self._nodes_by_address.get(address)
+
+    def engine_at(self, address: Address) -> EngineHost | None:
+        """Return the engine's machine that listens at an address."""
+        return self._engines_by_address.get(address)
+
+    def start_all(self) -> None:
+        """Start every machine."""
+        for engine in self.engines.values():
+            engine.start(self.first_version(engine.site.model))
+        for node in self.nodes.values():
+            node.start()
+
+    def first_version(self, model: ModelName) -> WeightVersion:
+        """Return the version that a started engine loads: the newest of the store."""
+        return self.services.store.latest(model)
+
+    def kill_node(
+        self, name: str, restart_after_seconds: float, machine_lost: bool = False
+    ) -> None:
+        """Kill a node and start it again later under the same name and address."""
+        node = self.nodes[name]
+        if node.alive:
+            node.kill(machine_lost)
+            self._scheduler.after(restart_after_seconds, lambda: self._start_node(node))
+
+    def stop_node(self, name: str, restart_after_seconds: float) -> None:
+        """Stop a node in order; it starts again some time after it has left."""
+        node = self.nodes[name]
+        if not node.alive or node.stopping:
+            return
+        incarnation = node.incarnation
+        self._restart_after[name] = restart_after_seconds
+        self.services.machines.mark_leaving(name)
+        node.stop()
+
+        def enforce() -> None:
+            if node.alive and node.incarnation == incarnation:
+                self.kill_node(name, restart_after_seconds)
+
+        self._scheduler.after(STOP_LIMIT_SECONDS, enforce)
+
+    def node_exited(self, node: NodeHost) -> None:
+        """Take note that a planned stop ended."""
+        self.services.machines.remove(node.name)
+        delay = self._restart_after.pop(node.name, LIST_LEAVES_AFTER_SECONDS)
+        self._scheduler.after(delay, lambda: self._start_node(node))
+
+    def node_failed(self, node: NodeHost) -> None:
+        """Start a node again that ended by itself."""
+        self._scheduler.after(LIST_LEAVES_AFTER_SECONDS, lambda: self._start_node(node))
+
+    def crash_engine(
+        self, name: str, restart_after_seconds: float, machine_lost: bool = False
+    ) -> None:
+        """Crash an engine and start it again later."""
+        engine = self.engines[name]
+        if engine.alive:
+            engine.crash(machine_lost)
+            self._scheduler.after(restart_after_seconds, lambda: self._start_engine(engine))
+
+    def stop_engine(self, name: str, restart_after_seconds: float) -> None:
+        """Stop an engine in order; the machine list learns of it late."""
+        engine = self.engines[name]
+        if not engine.alive or engine.stopping:
+            return
+        self._restart_after[name] = restart_after_seconds
+        self.services.machines.mark_leaving(name)
+        engine.stop()
+
+    def engine_exited(self, engine: EngineHost) -> None:
+        """Take note that a planned stop ended."""
+        self.services.machines.remove(engine.name)
+        delay = self._restart_after.pop(engine.name, LIST_LEAVES_AFTER_SECONDS)
+        self._scheduler.after(delay, lambda: self._start_engine(engine))
+
+    def _start_node(self, node: NodeHost) -> None:
+        if not node.alive:
+            self._list(node.site)
+            node.start()
+
+    def _start_engine(self, engine: EngineHost) -> None:
+        if not engine.alive:
+            self._list(engine.site)
+            engine.start(self.first_version(engine.site.model))
+
+    def _list(self, site: NodeSite | EngineSite) -> None:
+        kind = MachineKind.NODE if isinstance(site, NodeSite) else MachineKind.ENGINE
+        self.services.machines.put(
+            Machine(
+                site.endpoint.name,
+                kind,
+                site.address,
+                site.endpoint.placement,
+                MachineState.LIVE,
+                site.service,
+            )
+        )
--- a/src/stagewalk/simulation/operators.py
+++ b/src/stagewalk/simulation/operators.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Generator
 from dataclasses import dataclass
+from enum import Enum, auto
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -44,6 +46,12 @@
     layout: Layout
 
 
+class _Append(Enum):
+    LANDED = auto()
+    NOT_SENT = auto()
+    UNKNOWN = auto()
+
+
 class Operator:
     """One operator of a partner.
 
@@ -110,9 +118,7 @@
             parameters=self._draw_parameters(site, tenant.parameters),
         )
 
-    def _draw_parameters(
-        self, site: TenantSite, current: TenantParameters
-    ) -> TenantParameters:
+    def _draw_parameters(self, site: TenantSite, current: TenantParameters) -> TenantParameters:
         draw = self._generator.random()
         if draw < OVERCOMMITTED_FRACTION:
             return msgspec.structs.replace(current, capacity_share=1.0)
@@ -144,34 +150,26 @@
             )
         )
 
-    def _append(
-        self, record_id: RecordId, payload: bytes
-    ) -> Generator[simpy.Event, Any, bool]:
+    def _append(self, record_id: RecordId, payload: bytes) -> Generator[simpy.Event, Any, bool]:
         """Append a record once; a lost answer is settled by reading the log back."""
         while True:
-            head_before = yield from self._catch_up()
+            yield from self._catch_up()
             settled = self._world.scheduler.signal()
             self._world.log.append(
                 self._endpoint,
                 CONFIGURATION_STREAM,
                 record_id,
                 payload,
-                answered=lambda _, settled=settled: settled.succeed("landed"),  # type: ignore[misc]
-                failed=lambda sent, settled=settled: settled.succeed(  # type: ignore[misc]
-                    "unknown" if sent else "not sent"
-                ),
+                answered=partial(_append_answered, settled),
+                failed=partial(_append_failed, settled),
             )
-            result = yield settled
-            if result == "landed":
+            result: _Append = yield settled
+            if result is _Append.LANDED:
                 return True
-            if result == "unknown":
+            if result is _Append.UNKNOWN:
                 yield self._world.scheduler.sleep(RETRY_SECONDS)
                 yield from self._catch_up()
-                if self._fold.outcome_of(record_id) is not None:
-                    return True
-                if self._fold.offset == head_before:
-                    return False
-                return False
+                return self._fold.outcome_of(record_id) is not None
             yield self._world.scheduler.sleep(RETRY_SECONDS)
 
     def _catch_up(self) -> Generator[simpy.Event, Any, int]:
@@ -188,8 +186,8 @@
             self._endpoint,
             CONFIGURATION_STREAM,
             self._fold.offset,
-            answered=arrival.succeed,
-            failed=lambda _: arrival.succeed(None),
+            answered=lambda page: _settle(arrival, page),
+            failed=lambda _: _settle(arrival, None),
         )
         page: LogPage | None = yield arrival
         if page is None:
@@ -198,3 +196,15 @@
         for record in page.records:
             self._fold.apply(record)
         return page
+
+
+def _settle(arrival: simpy.Event, page: LogPage | None) -> None:
+    arrival.succeed(page)
+
+
+def _append_answered(settled: simpy.Event, _: int) -> None:
+    settled.succeed(_Append.LANDED)
+
+
+def _append_failed(settled: simpy.Event, sent: bool) -> None:
+    settled.succeed(_Append.UNKNOWN if sent else _Append.NOT_SENT)
--- a/src/stagewalk/simulation/trainers.py
+++ b/src/stagewalk/simulation/trainers.py
@@ -157,9 +157,7 @@
         self._checkpoint = Checkpoint(step + 1, version)
         self._world.store.publish(self.load.model, version)
 
-    def _pull(
-        self, life: int, progress: _Progress
-    ) -> Generator[simpy.Event, Any, bool]:
+    def _pull(self, life: int, progress: _Progress) -> Generator[simpy.Event, Any, bool]:
         """Pull once; return whether the step is whole."""
         checkpoint = self._checkpoint
         if checkpoint.step not in progress.submitted:
