--- /dev/null
+++ b/src/stagewalk/simulation/simulation_run.py
@@ -0,0 +1,149 @@
+"""One simulation from its arguments to its report."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from stagewalk.history.checker import check_history
+from stagewalk.history.checker_oracle import FoldOracle
+from stagewalk.history.checker_verdict import Promise, Verdict
+from stagewalk.history.observations import AnyObservation
+from stagewalk.history.summary import TenantSummary, summarize
+from stagewalk.simulation.faults import Fault, FaultLevel, draw_schedule
+from stagewalk.simulation.idle_bound import idle_lower_bounds
+from stagewalk.simulation.layouts import LAYOUTS
+from stagewalk.simulation.mutants import MUTANTS
+from stagewalk.simulation.policies import POLICIES, PRODUCT
+from stagewalk.simulation.world import World
+
+PROGRESS_SECONDS = 5.0
+EXPLANATIONS_PER_PROMISE = 3
+FAILURES_REPORTED = 5
+
+
+class SimulationArguments(msgspec.Struct, frozen=True, kw_only=True):
+    """What determines a run to the byte.
+
+    `schedule` replaces the drawn faults, for replays and for shrinking.
+    """
+
+    deployment: str = "thornfield"
+    seed: int = 1
+    duration_seconds: float = 120.0
+    faults: FaultLevel = FaultLevel.NONE
+    policy: str = PRODUCT
+    mutant: str = ""
+    schedule: tuple[Fault, ...] | None = None
+
+
+class SimulationReport(msgspec.Struct, frozen=True, kw_only=True):
+    """The result of a run.
+
+    Attributes
+    ----------
+    digest
+        Hash of the whole history; the same for the same arguments.
+    idle_lower_bound
+        Least idle fraction any service could reach, over all trainers; by tenant beside it.
+    core_failures
+        Exceptions that cores raised, each of which fails the run.
+    unanswered
+        Requests whose caller ran out of patience without any final answer.
+    control_bytes_per_second
+        Sent to other nodes, averaged over nodes and time.
+    wall_seconds, events
+        Cost of the run: processor's wall time and actions executed.
+    """
+
+    arguments: SimulationArguments
+    digest: str
+    checked: dict[str, int]
+    violations: dict[str, int]
+    explanations: list[str]
+    tenants: dict[str, TenantSummary]
+    idle_lower_bound: float
+    idle_lower_bounds: dict[str, float]
+    core_failures: list[str]
+    unanswered: int
+    control_bytes_per_second: float
+    schedule: tuple[Fault, ...]
+    observations: int
+    wall_seconds: float
+    events: int
+
+    @property
+    def clean(self) -> bool:
+        """Return whether no promise was broken and no core failed."""
+        return not any(self.violations.values()) and not self.core_failures
+
+
+class SimulationResult(msgspec.Struct, frozen=True, kw_only=True):
+    """A report with the history behind it."""
+
+    report: SimulationReport
+    history: list[AnyObservation]
+
+
+def planned_schedule(arguments: SimulationArguments) -> tuple[Fault, ...]:
+    """Return the faults of a run."""
+    if arguments.schedule is not None:
+        return arguments.schedule
+    layout = LAYOUTS[arguments.deployment]()
+    return draw_schedule(layout, arguments.faults, arguments.seed, arguments.duration_seconds)
+
+
+def run_simulation(
+    arguments: SimulationArguments, progress: Callable[[float], None] = lambda _: None
+) -> SimulationResult:
+    """Run a simulation; `progress` is told the virtual time now and then."""
+    began = time.perf_counter()
+    schedule = planned_schedule(arguments)
+    layout = LAYOUTS[arguments.deployment]()
+    factory = POLICIES[arguments.policy]
+    if arguments.mutant:
+        factory = MUTANTS[arguments.mutant].factory
+    world = World(layout, arguments.seed, factory)
+    world.start(schedule)
+    while world.scheduler.now < arguments.duration_seconds:
+        step = min(world.scheduler.now + PROGRESS_SECONDS, arguments.duration_seconds)
+        world.scheduler.run_until(step)
+        progress(world.scheduler.now)
+    verdict = check_history(world.witness.history, FoldOracle())
+    report = _report(arguments, world, verdict, schedule, time.perf_counter() - began)
+    return SimulationResult(report=report, history=world.witness.history)
+
+
+def _report(
+    arguments: SimulationArguments,
+    world: World,
+    verdict: Verdict,
+    schedule: tuple[Fault, ...],
+    wall_seconds: float,
+) -> SimulationReport:
+    history = world.witness.history
+    bounds = idle_lower_bounds(world)
+    sent = sum(node.peer_bytes_sent for node in world.keeper.nodes.values())
+    node_seconds = len(world.keeper.nodes) * arguments.duration_seconds
+    failures = [
+        f"{each.at:.3f} s {each.node} on {each.event}: {each.trace}" for each in world.failures
+    ]
+    return SimulationReport(
+        arguments=arguments,
+        digest=world.witness.digest(),
+        checked={promise.value: verdict.checked[promise] for promise in Promise},
+        violations={promise.value: len(verdict.violations[promise]) for promise in Promise},
+        explanations=verdict.explanations(EXPLANATIONS_PER_PROMISE),
+        tenants=summarize(history),
+        idle_lower_bound=sum(bounds.values()) / max(1, len(bounds)),
+        idle_lower_bounds=bounds,
+        core_failures=failures[:FAILURES_REPORTED],
+        unanswered=sum(caller.unanswered for caller in world.callers),
+        control_bytes_per_second=sent / node_seconds,
+        schedule=schedule,
+        observations=len(history),
+        wall_seconds=wall_seconds,
+        events=world.scheduler.executed,
+    )
