Test the edge on loopback with a scripted core; answer early refusals before closing

Cause: a refusal sent while the caller still uploads was lost to a connection reset, and a cancelled hypercorn hid the error that ended the node. Change: take the rest of the body for up to 2 s after the answer; stop the server through its own shutdown on cancellation too. Ruled out: waiting for the body before answering, which delays the answer.

--- a/src/stagewalk/adapters/http_calls.py
+++ b/src/stagewalk/adapters/http_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -21,18 +22,22 @@
 KEEPALIVE_SECONDS = 4.0
 """Idle connections are dropped before usual servers close them, so that none breaks in use."""
 
+_BARE_TLS_CONTEXT = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 _JSON_HEADERS = {"Content-Type": "application/json"}
 _DETAIL_CHARACTERS = 200
 
 
 def open_client(maximum_connections: int, maximum_idle: int) -> httpx.AsyncClient:
-    """Return a client with its own pool; the process's proxy variables are not followed."""
+    """Return a client with its own pool; the process's proxy variables are not followed.
+
+    Services are met over plain HTTP: the bare TLS context only spares loading certificates.
+    """
     limits = httpx.Limits(
         max_connections=maximum_connections,
         max_keepalive_connections=maximum_idle,
         keepalive_expiry=KEEPALIVE_SECONDS,
     )
-    return httpx.AsyncClient(limits=limits, trust_env=False, verify=False)
+    return httpx.AsyncClient(limits=limits, trust_env=False, verify=_BARE_TLS_CONTEXT)
 
 
 def call_timeout(read_seconds: float | None) -> httpx.Timeout:
--- a/src/stagewalk/node/daemon.py
+++ b/src/stagewalk/node/daemon.py
@@ -156,15 +156,19 @@
             limits,
         )
 
+    async def request_stop(self) -> None:
+        """Begin a planned stop: refuse new calls, and let the core end what is in flight."""
+        self._calls.stopping = True
+        self._log("stop_requested")
+        await self._events.put(StopRequested())
+
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
                 if self._calls.stopping:
                     self._log("stop_forced", "warning")
                     os._exit(EXIT_FAILED)
-                self._calls.stopping = True
-                self._log("stop_requested")
-                await self._events.put(StopRequested())
+                await self.request_stop()
 
     def _log(self, event: str, level: str = "info") -> None:
         log_event(
--- a/src/stagewalk/node/edge/exchange.py
+++ b/src/stagewalk/node/edge/exchange.py
@@ -17,6 +17,9 @@
 JSON_CONTENT = "application/json"
 PROBLEM_CONTENT = "application/problem+json"
 
+LINGER_SECONDS = 2.0
+"""How long an answered caller may go on sending its body before the connection is closed."""
+
 Headers = Iterable[tuple[str, str]]
 
 
@@ -51,6 +54,7 @@
         self._body = bytearray()
         self._too_large = self._announces_too_much()
         self._body_settled = anyio.Event()
+        self._body_ended = anyio.Event()
         self._on_disconnect: Callable[[], None] | None = None
 
     def header(self, name: str) -> str | None:
@@ -73,6 +77,7 @@
                 self._take(message.get("body", b""), message.get("more_body", False))
         self.disconnected = True
         self._body_settled.set()
+        self._body_ended.set()
         if self._on_disconnect is not None:
             self._on_disconnect()
 
@@ -92,10 +97,17 @@
     async def respond(
         self, status: int, content_type: str, body: bytes, headers: Headers = ()
     ) -> None:
-        """Send a whole response."""
+        """Send a whole response, at once even if the caller is still sending its body.
+
+        Closing then would reset the connection under the answer, so the rest of the body is
+        taken and thrown away for a while first.
+        """
         length = ("content-length", str(len(body)))
         await self.start(status, content_type, (length, *headers))
-        await self.write(body, last=True)
+        await self.write(body)
+        with anyio.move_on_after(LINGER_SECONDS):
+            await self._body_ended.wait()
+        await self.write(b"", last=True)
 
     async def fail(self, error: StagewalkError) -> None:
         """Send an error as the whole response."""
@@ -125,14 +137,14 @@
         return length.isdecimal() and int(length) > self._limits.body_bytes
 
     def _take(self, part: bytes, more: bool) -> None:
-        if len(self._body) + len(part) > self._limits.body_bytes:
+        if self._too_large or len(self._body) + len(part) > self._limits.body_bytes:
             self._too_large = True
             self._body.clear()
-        if self._too_large:
-            self._body_settled.set()
-            return
-        self._body += part
+        else:
+            self._body += part
         if not more:
+            self._body_ended.set()
+        if self._too_large or not more:
             self._body_settled.set()
 
 
--- a/src/stagewalk/node/http_server.py
+++ b/src/stagewalk/node/http_server.py
@@ -31,7 +31,25 @@
 
 
 async def serve_http(app: ASGIFramework, listener: socket.socket, stop: anyio.Event) -> None:
-    """Serve the application on a listening socket until `stop` is set."""
+    """Serve the application on a listening socket until `stop` is set.
+
+    `hypercorn` can't be cancelled half-way through its shutdown, so a cancellation of this call
+    sets `stop` and waits for the orderly end, at most `GRACEFUL_SECONDS`.
+    """
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_serve_shielded, app, _configuration(listener), stop)
+        try:
+            await stop.wait()
+        finally:
+            stop.set()
+
+
+async def _serve_shielded(app: ASGIFramework, config: Config, stop: anyio.Event) -> None:
+    with anyio.CancelScope(shield=True):
+        await hypercorn.asyncio.serve(app, config, shutdown_trigger=stop.wait, mode="asgi")
+
+
+def _configuration(listener: socket.socket) -> Config:
     config = Config()
     config.bind = [f"fd://{listener.detach()}"]
     config.accesslog = None
@@ -40,4 +58,4 @@
     config.keep_alive_timeout = KEEP_ALIVE_SECONDS
     config.graceful_timeout = GRACEFUL_SECONDS
     config.include_server_header = False
-    await hypercorn.asyncio.serve(app, config, shutdown_trigger=stop.wait, mode="asgi")
+    return config
--- a/src/stagewalk/node/metrics.py
+++ b/src/stagewalk/node/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -16,11 +18,14 @@
 _EVENT_BUCKETS = (0.0001, 0.0005, 0.002, 0.01, 0.05, 0.25, 1.0)
 
 
+_omit_creation_times: Callable[[], None] = disable_created_metrics
+
+
 class NodeMetrics:
     """All counters, gauges and histograms of one node."""
 
     def __init__(self) -> None:
-        disable_created_metrics()
+        _omit_creation_times()
         registry = CollectorRegistry()
         self._registry = registry
         ProcessCollector(registry=registry)
--- /dev/null
+++ b/tests/node/running_node.py
@@ -0,0 +1,91 @@
+"""Runs a whole node with the scripted core on loopback, in the test's own process."""
+
+from __future__ import annotations
+
+import random
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import anyio
+import httpx
+
+from stagewalk.core.identities import Address
+from stagewalk.node.daemon import Daemon
+from stagewalk.node.http_server import open_listener, serve_http
+from stagewalk.node.node_core import NodeIdentity
+from stagewalk.settings.node_settings import Limits, NodeSettings, PlatformUrls
+from tests.node.echo_core import EchoCore
+
+NOWHERE = "http://127.0.0.1:1"
+PATIENCE_SECONDS = 10.0
+
+
+def free_address() -> Address:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address("127.0.0.1", probe.getsockname()[1])
+
+
+def node_settings(limits: Limits) -> NodeSettings:
+    urls = PlatformUrls(NOWHERE, NOWHERE, NOWHERE, NOWHERE)
+    listen, peer_listen = free_address(), free_address()
+    return NodeSettings("n1", "region", "zone", listen, peer_listen, urls, limits, "info")
+
+
+@dataclass
+class RunningNode:
+    settings: NodeSettings
+    daemon: Daemon
+    core: EchoCore
+    client: httpx.AsyncClient
+
+    async def post(self, path: str, body: object, **headers: str) -> httpx.Response:
+        return await self.client.post(path, json=body, headers=headers)
+
+    async def metrics(self) -> str:
+        return (await self.client.get("/metrics")).text
+
+
+@asynccontextmanager
+async def running_node(limits: Limits = Limits()) -> AsyncIterator[RunningNode]:  # noqa: B008
+    settings = node_settings(limits)
+    cores: list[EchoCore] = []
+
+    def new_core(identity: NodeIdentity, generator: random.Random) -> EchoCore:
+        cores.append(EchoCore(identity, generator))
+        return cores[0]
+
+    daemon = Daemon(settings, new_core)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(daemon.run)
+        url = f"http://{settings.listen}"
+        async with httpx.AsyncClient(base_url=url, trust_env=False) as client:
+            await eventually(lambda: _healthy(client))
+            yield RunningNode(settings, daemon, cores[0], client)
+        tasks.cancel_scope.cancel()
+
+
+async def _healthy(client: httpx.AsyncClient) -> bool:
+    try:
+        return (await client.get("/healthz")).is_success
+    except httpx.TransportError:
+        return False
+
+
+async def eventually(condition: Callable[[], Awaitable[bool]]) -> None:
+    with anyio.fail_after(PATIENCE_SECONDS):
+        while not await condition():
+            await anyio.sleep(0.01)
+
+
+@asynccontextmanager
+async def serving(app: object) -> AsyncIterator[Address]:
+    """Serve an ASGI application on loopback."""
+    address = free_address()
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(serve_http, app, open_listener(address), stop)
+        yield address
+        tasks.cancel_scope.cancel()
