--- a/src/stagewalk/node/edge/app.py
+++ b/src/stagewalk/node/edge/app.py
@@ -9,6 +9,7 @@
 from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, HTTPScope, Scope
 
 from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
+from stagewalk.node.edge.body_budget import BodyBudget
 from stagewalk.node.edge.completions import CompletionEndpoints
 from stagewalk.node.edge.exchange import PROBLEM_CONTENT, Exchange
 from stagewalk.node.edge.operators import OperatorEndpoints
@@ -36,6 +37,7 @@
     ) -> None:
         self._completions = completions
         self._limits = limits
+        self._budget = BodyBudget(limits.buffered_body_bytes)
         self._endpoints: dict[str, dict[str, Endpoint]] = {
             "/v1/completions": {"POST": completions.complete},
             "/v1/models": {"GET": operators.models},
@@ -61,13 +63,15 @@
     async def _serve_exchange(
         self, scope: HTTPScope, receive: ASGIReceiveCallable, send: ASGISendCallable
     ) -> None:
-        exchange = Exchange(scope, receive, send, self._limits)
+        exchange = Exchange(scope, receive, send, self._limits, self._budget)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(exchange.watch)
             try:
                 await self._route(exchange)
             except Exception as error:
                 await _report_crash(exchange, error)
+            finally:
+                exchange.release_body()
             tasks.cancel_scope.cancel()
 
     async def _route(self, exchange: Exchange) -> None:
--- a/src/stagewalk/node/edge/exchange.py
+++ b/src/stagewalk/node/edge/exchange.py
@@ -10,8 +10,9 @@
 from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, HTTPScope
 
 from stagewalk.core.errors import ErrorKind, StagewalkError, Step
+from stagewalk.node.edge.body_budget import BodyBudget
 from stagewalk.node.edge.problems import BODY_FIELD, problem_headers, problem_status, render_problem
-from stagewalk.node.open_calls import CALLER_PEER
+from stagewalk.node.open_calls import BUSY_RETRY_SECONDS, CALLER_PEER, EDGE_PEER
 from stagewalk.settings.node_settings import Limits
 
 JSON_CONTENT = "application/json"
@@ -37,6 +38,7 @@
         receive: ASGIReceiveCallable,
         send: ASGISendCallable,
         limits: Limits,
+        budget: BodyBudget,
     ) -> None:
         self.method: str = scope["method"]
         self.path: str = scope["path"]
@@ -51,8 +53,9 @@
         self._receive = receive
         self._send = send
         self._limits = limits
+        self._budget = budget
         self._body = bytearray()
-        self._too_large = self._announces_too_much()
+        self._fault = _too_large(limits) if self._announces_too_much() else None
         self._body_settled = anyio.Event()
         self._body_ended = anyio.Event()
         self._on_disconnect: Callable[[], None] | None = None
@@ -82,17 +85,22 @@
             self._on_disconnect()
 
     async def body(self) -> Result[bytes, StagewalkError]:
-        """Wait for the whole body, within the limits of size and time."""
-        if not self._too_large:
+        """Wait for the whole body, within the limits of size and time, and hand it over."""
+        if self._fault is None:
             with anyio.move_on_after(self._limits.body_seconds) as waiting:
                 await self._body_settled.wait()
             if waiting.cancelled_caught:
-                detail = f"the body did not arrive within {self._limits.body_seconds} s"
-                return Error(_body_error(ErrorKind.TIMEOUT, detail))
-        if self._too_large:
-            detail = f"the body is larger than {self._limits.body_bytes} bytes"
-            return Error(_body_error(ErrorKind.INVALID_REQUEST, detail))
-        return Ok(bytes(self._body))
+                self._fault = _too_slow(self._limits)
+        if self._fault is not None:
+            return Error(self._fault)
+        content = bytes(self._body)
+        self.release_body()
+        return Ok(content)
+
+    def release_body(self) -> None:
+        """Give up the memory of what has arrived of the body."""
+        self._budget.give_back(len(self._body))
+        self._body = bytearray()
 
     async def respond(
         self, status: int, content_type: str, body: bytes, headers: Headers = ()
@@ -137,16 +145,43 @@
         return length.isdecimal() and int(length) > self._limits.body_bytes
 
     def _take(self, part: bytes, more: bool) -> None:
-        if self._too_large or len(self._body) + len(part) > self._limits.body_bytes:
-            self._too_large = True
-            self._body.clear()
-        else:
-            self._body += part
+        if self._fault is None:
+            self._fault = self._keep(part)
+        if self._fault is not None:
+            self.release_body()
         if not more:
             self._body_ended.set()
-        if self._too_large or not more:
+        if self._fault is not None or not more:
             self._body_settled.set()
 
+    def _keep(self, part: bytes) -> StagewalkError | None:
+        if len(self._body) + len(part) > self._limits.body_bytes:
+            return _too_large(self._limits)
+        if not self._budget.take(len(part)):
+            return _too_many_bodies()
+        self._body += part
+        return None
+
+
+def _too_large(limits: Limits) -> StagewalkError:
+    detail = f"the body is larger than {limits.body_bytes} bytes"
+    return _body_error(ErrorKind.INVALID_REQUEST, detail)
+
+
+def _too_slow(limits: Limits) -> StagewalkError:
+    detail = f"the body did not arrive within {limits.body_seconds} s"
+    return _body_error(ErrorKind.TIMEOUT, detail)
+
+
+def _too_many_bodies() -> StagewalkError:
+    return StagewalkError(
+        kind=ErrorKind.OVERLOADED,
+        step=Step.ADMISSION,
+        peer=EDGE_PEER,
+        detail="too many bodies are arriving at once",
+        retry_after_seconds=BUSY_RETRY_SECONDS,
+    )
+
 
 def _body_error(kind: ErrorKind, detail: str) -> StagewalkError:
     return StagewalkError(kind, Step.VALIDATION, CALLER_PEER, detail, field=BODY_FIELD)
--- a/src/stagewalk/settings/node_settings.py
+++ b/src/stagewalk/settings/node_settings.py
@@ -31,6 +31,8 @@
     ----------
     body_bytes
         Largest body of a call, in bytes.
+    buffered_body_bytes
+        Most bytes held for bodies that are still arriving, of all callers together.
     prompt_characters
         Longest prompt, in characters.
     open_calls
@@ -42,6 +44,7 @@
     """
 
     body_bytes: PositiveInteger = 8 * 1024 * 1024
+    buffered_body_bytes: PositiveInteger = 32 * 1024 * 1024
     prompt_characters: PositiveInteger = 262_144
     open_calls: PositiveInteger = 512
     buffered_chunks: PositiveInteger = 256
--- a/tests/node/test_edge.py
+++ b/tests/node/test_edge.py
@@ -139,6 +139,18 @@
 
         on_node(body, Limits(body_bytes=10_000))
 
+    def test_bodies_arriving_at_once_share_a_budget(self) -> None:
+        async def body(node: RunningNode) -> None:
+            listen = node.settings.listen
+            async with await anyio.connect_tcp(listen.host, listen.port) as stream:
+                await stream.send(b"POST /v1/completions HTTP/1.1\r\nHost: n\r\n")
+                await stream.send(b"Content-Length: 8000\r\n\r\n" + b"x" * 7000)
+                ask = ASK | {"prompt": "echo " + "x" * 4000}
+                await eventually(lambda: self._refused(node, ask))
+            await eventually(lambda: self._answered(node, ask))
+
+        on_node(body, Limits(body_bytes=8_000, buffered_body_bytes=10_000))
+
     def test_slow_body_is_given_up(self) -> None:
         async def body(node: RunningNode) -> None:
             listen = node.settings.listen
@@ -185,6 +197,13 @@
 
         on_node(body, Limits(buffered_chunks=50))
 
+    async def _refused(self, node: RunningNode, ask: object) -> bool:
+        answer = await node.post("/v1/completions", ask)
+        return answer.status_code == 503 and answer.json()["ran"] == "no"
+
+    async def _answered(self, node: RunningNode, ask: object) -> bool:
+        return (await node.post("/v1/completions", ask)).is_success
+
     async def _open(self, node: RunningNode, count: int) -> bool:
         return len(node.core.open) == count
 
