Count a sample's age from store reads only; take lots over through their claims

Cause: a trainer's pull or an engine's report may name a version long after another trainer published the next, so neither shows how old a sample is; and a trainer that moves to another node made it run again what the first had nearly done. Change: VersionClock takes ages from reads of the store alone (LotCore asks for them); a lot that comes with a cursor reads its claims for a while; a window of rollouts per lot shrinks with refusals; acknowledged samples are kept within a byte budget; stuck slots are logged once in a while. Ruled out: the store's publish times (no clock is shared); a pull as evidence of the newest.

--- a/src/stagewalk/samples/config.py
+++ b/src/stagewalk/samples/config.py
@@ -19,10 +19,18 @@
         Least time a rollout is given before it counts as failed.
     retry_base_seconds, retry_limit_seconds
         First and largest delay before a failed rollout, score or claim is tried again.
+    no_room_retry_seconds
+        Largest delay before a rollout that found no engine or no room is tried again.
     claim_wait_seconds
         How long a scored sample waits for its claim before it is handed over without one.
+    maximum_claim_bytes
+        Largest sample the claim register takes; a larger one is handed over without a claim.
     hand_over_margin_seconds
-        Added to a sample's age in seconds, for the way to the trainer and the lag of news.
+        Added to a sample's age in seconds, for the way of the answer to the trainer.
+    news_lag_seconds
+        Longest way of an answer of the weight store: what it says was true then at the latest.
+    version_poll_seconds
+        Time between reads of the store's versions while lots run whose tenant bounds seconds.
     tail_fraction
         A step is near its end when at most this share of its slots is unfinished.
     straggler_factor
@@ -35,12 +43,19 @@
         Steps of one trainer kept besides the newest; older ones are forgotten.
     retention_seconds
         How long a completed lot is kept for pulls that are repeated.
-    idle_pause_seconds
-        A lot whose trainer has been silent for so long here stops running.
+    pulled_pause_seconds, idle_pause_seconds
+        A lot whose trainer has been silent for so long here stops running: one that it was
+        pulling, and one that it was not.
     idle_retention_seconds
         A lot whose trainer has been silent for so long here is forgotten.
-    stuck_after_failures
-        Failures of one slot in a row after which it is logged as stuck.
+    stuck_after_failures, stuck_log_seconds
+        Failures of one slot in a row after which it is logged as stuck, and the least time
+        between two such log lines of a lot.
+    claim_reads
+        How often the claims of a lot taken over from another node are read, at growing
+        intervals from `claim_read_seconds` on, for samples that node still finishes.
+    retained_bytes
+        Text of acknowledged samples kept for trainers that go back to an older cursor.
     """
 
     maximum_outstanding_per_lot: int = 256
@@ -48,17 +63,26 @@
     request_deadline_seconds: float = 600.0
     retry_base_seconds: float = 0.2
     retry_limit_seconds: float = 10.0
+    no_room_retry_seconds: float = 1.0
     claim_wait_seconds: float = 2.0
-    hand_over_margin_seconds: float = 1.0
+    maximum_claim_bytes: int = 4000
+    hand_over_margin_seconds: float = 5.0
+    news_lag_seconds: float = 5.0
+    version_poll_seconds: float = 2.0
     tail_fraction: float = 0.1
     straggler_factor: float = 2.0
     duplicate_fraction: float = 0.05
     look_ahead_steps: int = 1
     retained_steps: int = 3
     retention_seconds: float = 300.0
+    pulled_pause_seconds: float = 30.0
     idle_pause_seconds: float = 120.0
     idle_retention_seconds: float = 900.0
     stuck_after_failures: int = 5
+    stuck_log_seconds: float = 30.0
+    claim_reads: int = 4
+    claim_read_seconds: float = 2.0
+    retained_bytes: int = 4 * 1024 * 1024
 
     def __post_init__(self) -> None:
         positive = (
--- a/src/stagewalk/samples/core.py
+++ b/src/stagewalk/samples/core.py
@@ -8,18 +8,25 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING
 
 from stagewalk.configuration.parameters import Tenant
 from stagewalk.core.completions import CompletionResult
 from stagewalk.core.errors import StagewalkError
 from stagewalk.core.events import SampleScored, SampleScoringFailed
-from stagewalk.core.identities import CallId, ModelName, RequestId, TenantName, WeightVersion
-from stagewalk.core.instructions import AcceptLot, FailCall, LogEvent
+from stagewalk.core.identities import (
+    CallId,
+    ModelName,
+    ProcessIdentity,
+    RequestId,
+    TenantName,
+    WeightVersion,
+)
+from stagewalk.core.instructions import AcceptLot, FailCall
 from stagewalk.core.rollouts import RolloutLot, SamplePull
 from stagewalk.samples.config import LotConfig
 from stagewalk.samples.cursor import decode_cursor
 from stagewalk.samples.delivery import Delivery, OpenPull
+from stagewalk.samples.housekeeping import LotKeeper
 from stagewalk.samples.lots import Lot, LotKey, SlotPhase, lot_digest, lot_key, make_lot
 from stagewalk.samples.scheduler import RolloutScheduler
 from stagewalk.samples.settlement import LotOutput, SampleSettlement
@@ -28,9 +35,6 @@
 from stagewalk.samples.timers import TimerQueue
 from stagewalk.samples.validation import check_lot, check_pull, invalid, unknown_lot
 
-if TYPE_CHECKING:
-    from stagewalk.node.node_core import NodeIdentity
-
 _HOUSEKEEPING_SECONDS = 1.0
 """Time between two looks for stragglers and for lots to pause or forget."""
 
@@ -46,7 +50,9 @@
         Source of jitter.
     """
 
-    def __init__(self, identity: NodeIdentity, config: LotConfig, generator: random.Random) -> None:
+    def __init__(
+        self, identity: ProcessIdentity, config: LotConfig, generator: random.Random
+    ) -> None:
         self._node = identity.name
         self._config = config
         self._store = LotStore()
@@ -56,7 +62,9 @@
             self._store, self._scheduler, self._timers, config, generator
         )
         self._delivery = Delivery(self._store, self._scheduler, self._settlement, config)
+        self._keeper = LotKeeper(self._store, self._scheduler, self._delivery, config)
         self._housekeeping_at = 0.0
+        self._uses = 0
 
     def set_tenants(self, tenants: dict[TenantName, Tenant]) -> None:
         """Put a configuration in force: bounds and objectives hold from the next decision on."""
@@ -74,11 +82,11 @@
         elif known.digest != lot_digest(lot):
             detail = f"step {lot.step} was submitted with other contents before"
             return [FailCall(call, invalid(self._node, "step", detail))]
-        self._store.name_trainer_version(key, lot.trainer_version)
-        self._store.versions.known(lot.model, lot.trainer_version, now)
+        self._store.note_trainer(known, lot.trainer_version, pulling=False)
         self._touch(known, now)
         output: list[LotOutput] = [AcceptLot(call, lot)]
-        output += self._forget_superseded(key)
+        output += self._keeper.forget_superseded(key)
+        output += self._keeper.read_versions(now)
         output += self._advance(known, now)
         return output
 
@@ -93,14 +101,15 @@
         decoded = decode_cursor(pull.cursor, lot.digest, len(lot.slots))
         if decoded.is_error():
             return [FailCall(call, invalid(self._node, "cursor", decoded.error.detail))]
-        self._store.name_trainer_version(lot.key, pull.trainer_version)
-        self._store.versions.known(lot.lot.model, pull.trainer_version, now)
+        moved_here = not lot.pulled and decoded.ok != 0
         lot.pulled = True
+        self._store.note_trainer(lot, pull.trainer_version, pulling=True)
         self._touch(lot, now)
         output = self._delivery.pull(lot, OpenPull(call, pull, decoded.ok), now)
-        for other in self._store.lots_of_trainer(lot.key):
-            output += self._scheduler.dispatch(other, now)
-        return output
+        if moved_here:
+            output += self._keeper.take_over(lot, now)
+        lots = self._store.lots_of_trainer(lot.key)
+        return output + list(self._scheduler.dispatch_all(lots, now))
 
     def abandon(self, call: CallId, now: float) -> list[LotOutput]:
         """Forget a call whose caller went away. What it would have been handed stays ready."""
@@ -126,7 +135,9 @@
     def handle(self, event: SampleScored | SampleScoringFailed, now: float) -> list[LotOutput]:
         """Take the scorer's answer, or that there was none."""
         if isinstance(event, SampleScored):
-            return self._settlement.scored(event.sample_id, event.score, now)
+            lot = self._lot_of_request(RequestId(event.sample_id))
+            output = self._settlement.scored(event.sample_id, event.score, now)
+            return output + self._advance(lot, now)
         return self._settlement.scoring_failed(event.sample_id, event.error, now)
 
     def claim_decided(self, key: str, value: bytes, won: bool, now: float) -> list[LotOutput]:
@@ -138,21 +149,29 @@
 
     def claim_undecided(self, key: str, error: StagewalkError, now: float) -> list[LotOutput]:
         """Take that a claim could not be decided for now."""
-        return self._settlement.claim_undecided(key, now)
+        place = self._store.claims.get(key)
+        output = self._settlement.claim_undecided(key, error, now)
+        lot = None if place is None else self._store.lots.get(place.lot)
+        return output + self._advance(lot, now)
 
     def versions_known(
         self, model: ModelName, newest: WeightVersion, now: float
     ) -> list[LotOutput]:
-        """Take that a version is a model's newest, as the store or an engine's report says."""
-        before = self._store.versions.newest(model)
-        self._store.versions.known(model, newest, now)
-        if before is not None and newest <= before:
+        """Take that the weight store's list, read by this node, ends with a version.
+
+        Ages in seconds are counted from this, so it must be no other news than the store's own.
+        """
+        at = now - self._config.news_lag_seconds
+        self._store.versions.read_as_newest(model, newest, at)
+        return self._version_news(model, now)
+
+    def version_seen(self, model: ModelName, version: WeightVersion, now: float) -> list[LotOutput]:
+        """Take that a version exists, as an engine's report or another node says."""
+        known = self._store.versions.newest(model)
+        if known is not None and version <= known:
             return []
-        output: list[LotOutput] = []
-        for lot in list(self._store.lots.values()):
-            if lot.lot.model == model:
-                output += self._scheduler.dispatch(lot, now)
-        return output
+        self._store.versions.seen(model, version)
+        return self._version_news(model, now)
 
     def tick(self, now: float) -> list[LotOutput]:
         """Do what has become due."""
@@ -169,7 +188,9 @@
         output += self._delivery.answer_expired(now)
         if now >= self._housekeeping_at:
             self._housekeeping_at = now + _HOUSEKEEPING_SECONDS
-            output += self._keep_house(now)
+            output += self._keeper.read_versions(now)
+            for lot in list(self._store.lots.values()):
+                output += self._keeper.look_after(lot, now)
         return output
 
     def status(self, now: float) -> tuple[LotStatus, ...]:
@@ -177,7 +198,7 @@
         return tuple(self._lot_status(lot, now) for lot in self._store.lots.values())
 
     def _add(self, lot: RolloutLot, now: float) -> Lot:
-        added = make_lot(lot, now)
+        added = make_lot(lot, self._config.maximum_outstanding_per_lot, now)
         self._store.lots[added.key] = added
         for index in range(len(added.slots)):
             self._scheduler.enqueue(added, index)
@@ -185,10 +206,20 @@
 
     def _touch(self, lot: Lot, now: float) -> None:
         """Take note that a trainer is alive, and speaks to this node."""
+        self._uses += 1
+        lot.used = self._uses
         for other in self._store.lots_of_trainer(lot.key):
             other.active_at = now
             other.paused = False
 
+    def _version_news(self, model: ModelName, now: float) -> list[LotOutput]:
+        """Do what waited for news of a model's versions."""
+        output: list[LotOutput] = []
+        for lot in list(self._store.lots.values()):
+            if lot.lot.model == model:
+                output += self._advance(lot, now)
+        return output
+
     def _lot_of_request(self, request_id: RequestId) -> Lot | None:
         place = self._store.requests.get(request_id)
         return None if place is None else self._store.lots.get(place.lot)
@@ -203,65 +234,6 @@
         output += self._scheduler.dispatch(lot, now)
         return output
 
-    def _keep_house(self, now: float) -> list[LotOutput]:
-        output: list[LotOutput] = []
-        for lot in list(self._store.lots.values()):
-            if self._is_over(lot, now):
-                output += self._forget(lot)
-                continue
-            if not lot.paused and self._is_silent(lot, now):
-                output += self._pause(lot, now)
-            if self._delivery.has_parked(lot.key):
-                output += self._delivery.answer_parked(lot, now)
-            output += self._scheduler.dispatch(lot, now)
-            output += self._scheduler.duplicate_stragglers(lot, now)
-        return output
-
-    def _is_over(self, lot: Lot, now: float) -> bool:
-        silent = now - lot.active_at
-        if lot.completed_at is not None and now - lot.completed_at > self._config.retention_seconds:
-            return silent > self._config.retention_seconds
-        return silent > self._config.idle_retention_seconds
-
-    def _is_silent(self, lot: Lot, now: float) -> bool:
-        if self._delivery.has_parked(lot.key):
-            return False
-        limit = self._config.idle_pause_seconds
-        return now - lot.active_at > limit
-
-    def _pause(self, lot: Lot, now: float) -> list[LotOutput]:
-        """Stop running a lot: its trainer seems to be gone, or served by another node."""
-        lot.paused = True
-        output: list[LotOutput] = []
-        for index in sorted(lot.indices[SlotPhase.RUNNING]):
-            output += self._scheduler.cancel(lot.slots[index])
-            lot.move(index, SlotPhase.WAITING)
-            self._scheduler.enqueue(lot, index)
-        fields: dict[str, str | int | float | bool] = {
-            "tenant": lot.key.tenant,
-            "trainer": lot.key.trainer,
-            "step": lot.key.step,
-            "silent_seconds": round(now - lot.active_at, 1),
-        }
-        return [*output, LogEvent("lot_paused", fields)]
-
-    def _forget_superseded(self, key: LotKey) -> list[LotOutput]:
-        """Keep only the newest few steps of a trainer."""
-        lots = self._store.lots_of_trainer(key)
-        kept = self._config.retained_steps + 1 + self._config.look_ahead_steps
-        output: list[LotOutput] = []
-        for lot in lots[: max(0, len(lots) - kept)]:
-            if lot.key != key:
-                output += self._forget(lot)
-        return output
-
-    def _forget(self, lot: Lot) -> list[LotOutput]:
-        output = self._delivery.drop(lot)
-        for slot in lot.slots:
-            output += self._scheduler.cancel(slot)
-        self._store.forget(lot.key)
-        return output
-
     def _lot_status(self, lot: Lot, now: float) -> LotStatus:
         underway = (SlotPhase.RUNNING, SlotPhase.SCORING, SlotPhase.CLAIMING)
         ready = [lot.slots[index] for index in lot.indices[SlotPhase.READY]]
--- a/src/stagewalk/samples/delivery.py
+++ b/src/stagewalk/samples/delivery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 
 from stagewalk.core.identities import CallId
@@ -15,6 +16,9 @@
 from stagewalk.samples.staleness import Freshness, judge_freshness
 from stagewalk.samples.store import LotStore
 
+_SAMPLE_OVERHEAD_BYTES = 400
+"""What a sample takes besides its text, roughly."""
+
 
 @dataclass(frozen=True, slots=True)
 class OpenPull:
@@ -25,6 +29,13 @@
     delivered: int
 
 
+@dataclass(frozen=True, slots=True)
+class _RetainedText:
+    lot: LotKey
+    index: int
+    size: int
+
+
 class Delivery:
     """Answers pulls.
 
@@ -44,6 +55,8 @@
         self._settlement = settlement
         self._config = config
         self._parked: dict[LotKey, OpenPull] = {}
+        self._retained: deque[_RetainedText] = deque()
+        self._retained_bytes = 0
 
     def pull(self, lot: Lot, opened: OpenPull, now: float) -> list[LotOutput]:
         """Answer a pull, or park it until there is something to hand over."""
@@ -147,11 +160,27 @@
         for index in _set_bits(delivered & ~lot.acknowledged):
             output += self._scheduler.cancel(lot.slots[index])
             lot.move(index, SlotPhase.ACKNOWLEDGED)
+            self._retain(lot, index)
         for index in _set_bits(lot.acknowledged & ~delivered):
             self._reopen(lot, index)
         lot.acknowledged = delivered
         return output
 
+    def _retain(self, lot: Lot, index: int) -> None:
+        """Keep an acknowledged sample for an older cursor, as long as there is room."""
+        sample = lot.slots[index].sample
+        if sample is None:
+            return
+        size = len(sample.text) + _SAMPLE_OVERHEAD_BYTES
+        self._retained.append(_RetainedText(lot.key, index, size))
+        self._retained_bytes += size
+        while self._retained_bytes > self._config.retained_bytes:
+            oldest = self._retained.popleft()
+            self._retained_bytes -= oldest.size
+            kept = self._store.lots.get(oldest.lot)
+            if kept is not None and oldest.index in kept.indices[SlotPhase.ACKNOWLEDGED]:
+                kept.slots[oldest.index].sample = None
+
     def _reopen(self, lot: Lot, index: int) -> None:
         if lot.slots[index].sample is not None:
             lot.move(index, SlotPhase.READY)
--- /dev/null
+++ b/src/stagewalk/samples/housekeeping.py
@@ -0,0 +1,141 @@
+"""Care for lots over time: pausing silent ones, forgetting old ones, recovering moved ones."""
+
+from __future__ import annotations
+
+from stagewalk.core.identities import ModelName
+from stagewalk.core.instructions import LogEvent, ReadVersions
+from stagewalk.samples.config import LotConfig
+from stagewalk.samples.delivery import Delivery
+from stagewalk.samples.lots import Lot, LotKey, SlotPhase
+from stagewalk.samples.notifications import ClaimReadWanted
+from stagewalk.samples.sample_codec import claim_key
+from stagewalk.samples.scheduler import RolloutScheduler
+from stagewalk.samples.settlement import LotOutput
+from stagewalk.samples.store import LotStore, SlotPlace
+
+_UNFINISHED = (SlotPhase.WAITING, SlotPhase.RUNNING)
+
+
+class LotKeeper:
+    """Bounds what lots cost while nobody asks for them."""
+
+    def __init__(
+        self,
+        store: LotStore,
+        scheduler: RolloutScheduler,
+        delivery: Delivery,
+        config: LotConfig,
+    ) -> None:
+        self._store = store
+        self._scheduler = scheduler
+        self._delivery = delivery
+        self._config = config
+        self._versions_read_at: dict[ModelName, float] = {}
+
+    def look_after(self, lot: Lot, now: float) -> list[LotOutput]:
+        """Forget or pause a lot whose trainer has been silent, and start what its state asks."""
+        if self._is_over(lot, now):
+            return self.forget(lot)
+        output: list[LotOutput] = []
+        if not lot.paused and self._is_silent(lot, now):
+            output += self._pause(lot, now)
+        output += self._read_claims_again(lot, now)
+        output += self._delivery.answer_parked(lot, now)
+        output += self._scheduler.dispatch(lot, now)
+        output += self._scheduler.duplicate_stragglers(lot, now)
+        return output
+
+    def read_versions(self, now: float) -> list[LotOutput]:
+        """Read the store's versions of models whose samples are bound in seconds."""
+        output: list[LotOutput] = []
+        for model in sorted({lot.lot.model for lot in self._store.lots.values()}):
+            read_at = self._versions_read_at.get(model)
+            due = read_at is None or now - read_at >= self._config.version_poll_seconds
+            if due and self._is_bound_in_seconds(model):
+                self._versions_read_at[model] = now
+                output.append(ReadVersions(model))
+        return output
+
+    def take_over(self, lot: Lot, now: float) -> list[LotOutput]:
+        """Look for what another node has made of a lot, and goes on making for a while.
+
+        A cursor that covers slots comes with a lot that began elsewhere: that node may have
+        died, or be alive with rollouts that are nearly done. What it finishes, it claims.
+        """
+        lot.reads_left = self._config.claim_reads - 1
+        lot.next_read_at = now + self._config.claim_read_seconds
+        return self._read_claims(lot)
+
+    def forget(self, lot: Lot) -> list[LotOutput]:
+        """Drop a lot; what was handed over of it is in its trainer's cursor."""
+        output = self._delivery.drop(lot)
+        for slot in lot.slots:
+            output += self._scheduler.cancel(slot)
+        self._store.forget(lot.key)
+        return output
+
+    def forget_superseded(self, key: LotKey) -> list[LotOutput]:
+        """Keep only those lots of a trainer that it used last."""
+        lots = [lot for lot in self._store.lots_of_trainer(key) if lot.key != key]
+        lots.sort(key=lambda lot: (lot.used, lot.key.step))
+        kept = self._config.retained_steps + self._config.look_ahead_steps
+        output: list[LotOutput] = []
+        for lot in lots[: max(0, len(lots) - kept)]:
+            output += self.forget(lot)
+        return output
+
+    def _is_bound_in_seconds(self, model: ModelName) -> bool:
+        for lot in self._store.lots.values():
+            if lot.lot.model != model or lot.paused:
+                continue
+            parameters = self._store.parameters(lot.key.tenant)
+            if parameters is not None and parameters.staleness_bound_seconds is not None:
+                return True
+        return False
+
+    def _is_over(self, lot: Lot, now: float) -> bool:
+        silent = now - lot.active_at
+        if lot.completed_at is not None:
+            return silent > self._config.retention_seconds
+        return silent > self._config.idle_retention_seconds
+
+    def _is_silent(self, lot: Lot, now: float) -> bool:
+        if self._delivery.has_parked(lot.key):
+            return False
+        pulling = lot.pulled and lot.completed_at is None
+        limit = self._config.pulled_pause_seconds if pulling else self._config.idle_pause_seconds
+        return now - lot.active_at > limit
+
+    def _pause(self, lot: Lot, now: float) -> list[LotOutput]:
+        """Stop running a lot: its trainer seems to be gone, or served by another node."""
+        lot.paused = True
+        output: list[LotOutput] = []
+        for index in sorted(lot.indices[SlotPhase.RUNNING]):
+            output += self._scheduler.cancel(lot.slots[index])
+            lot.move(index, SlotPhase.WAITING)
+            self._scheduler.enqueue(lot, index)
+        fields: dict[str, str | int | float | bool] = {
+            "tenant": lot.key.tenant,
+            "trainer": lot.key.trainer,
+            "step": lot.key.step,
+            "silent_seconds": round(now - lot.active_at, 1),
+        }
+        return [*output, LogEvent("lot_paused", fields)]
+
+    def _read_claims_again(self, lot: Lot, now: float) -> list[LotOutput]:
+        if lot.reads_left == 0 or now < lot.next_read_at or lot.paused:
+            return []
+        done = self._config.claim_reads - lot.reads_left
+        lot.reads_left -= 1
+        lot.next_read_at = now + self._config.claim_read_seconds * 2.0**done
+        return self._read_claims(lot)
+
+    def _read_claims(self, lot: Lot) -> list[LotOutput]:
+        output: list[LotOutput] = []
+        for phase in _UNFINISHED:
+            for index in sorted(lot.indices[phase]):
+                slot = lot.slots[index]
+                key = claim_key(slot.key, slot.generation)
+                self._store.claims[key] = SlotPlace(lot.key, index)
+                output.append(ClaimReadWanted(key))
+        return output
--- a/src/stagewalk/samples/lots.py
+++ b/src/stagewalk/samples/lots.py
@@ -31,7 +31,7 @@
     """How far a slot has come at this node."""
 
     WAITING = "waiting"
-    """To be run, not before its `retry_at`."""
+    """To be run, when its turn comes or the timer of a failed rollout is due."""
     RUNNING = "running"
     SCORING = "scoring"
     CLAIMING = "claiming"
@@ -41,6 +41,9 @@
     """A pull's cursor covers it; its sample, if there is one, is kept for an older cursor."""
 
 
+_PHASES_BEFORE_ANSWER = frozenset({SlotPhase.WAITING, SlotPhase.RUNNING})
+
+
 @dataclass(slots=True)
 class Slot:
     """One slot of a lot.
@@ -52,9 +55,7 @@
     tries
         Rollouts started for it at this node; makes request ids unique.
     failures
-        Failures of its present phase in a row.
-    retry_at
-        Time before which its present phase is not tried again.
+        Failures in a row: of its rollouts until there is an answer, then of its present phase.
     requests
         Rollouts running for it, with the time each was started: two for a straggler.
     candidate
@@ -73,7 +74,6 @@
     generation: int = 0
     tries: int = 0
     failures: int = 0
-    retry_at: float = 0.0
     requests: dict[RequestId, float] = field(default_factory=dict)
     candidate_id: RequestId | None = None
     candidate: CompletionResult | None = None
@@ -96,12 +96,20 @@
         When the trainer last submitted or pulled it here.
     pulled
         Whether a pull for it has come to this node.
+    window
+        Rollouts that may run at once; shrinks with refusals, grows with answers.
     paused
         Its trainer has been silent for long: nothing of it is run.
     completed_at
         When a pull's answer first covered every slot, if one did.
     durations
         Seconds that finished rollouts took, ascending.
+    reads_left, next_read_at
+        How often claims are still to be read for what another node made of the lot, and when.
+    used
+        Order among its trainer's lots in which it was last submitted or pulled.
+    stuck_logged_at
+        When one of its slots was last logged as stuck.
     """
 
     key: LotKey
@@ -110,6 +118,7 @@
     slots: list[Slot]
     active_at: float
     indices: dict[SlotPhase, set[int]]
+    window: float
     queue: list[tuple[float, int]] = field(default_factory=list)
     acknowledged: int = 0
     pulled: bool = False
@@ -118,20 +127,26 @@
     durations: list[float] = field(default_factory=list)
     stale_reruns: int = 0
     duplicates: int = 0
+    reads_left: int = 0
+    next_read_at: float = 0.0
+    used: int = 0
+    stuck_logged_at: float | None = None
 
     @property
     def all_slots(self) -> int:
         """Return the bitmap of all its slots."""
         return (1 << len(self.slots)) - 1
 
-    def move(self, index: int, phase: SlotPhase) -> None:
-        """Bring a slot to a phase."""
+    def move(self, index: int, phase: SlotPhase, *, keep_timers: bool = False) -> None:
+        """Bring a slot to a phase; its timers are out of date then, unless they are kept."""
         slot = self.slots[index]
         self.indices[slot.phase].discard(index)
         self.indices[phase].add(index)
         slot.phase = phase
-        slot.failures = 0
-        slot.change += 1
+        if phase not in _PHASES_BEFORE_ANSWER:
+            slot.failures = 0
+        if not keep_timers:
+            slot.change += 1
 
     def enqueue(self, index: int, predicted_tokens: float) -> None:
         """Have a waiting slot run as soon as its turn comes: longest first."""
@@ -171,7 +186,7 @@
     return xxhash.xxh64_intdigest(msgspec.msgpack.encode(contents))
 
 
-def make_lot(lot: RolloutLot, now: float) -> Lot:
+def make_lot(lot: RolloutLot, window: int, now: float) -> Lot:
     """Return a lot with all its slots waiting, in the order its cursors count them."""
     slots = [
         Slot(SlotKey(lot.tenant, lot.trainer, lot.step, prompt.prompt_id, index), prompt)
@@ -180,4 +195,4 @@
     ]
     indices: dict[SlotPhase, set[int]] = {phase: set() for phase in SlotPhase}
     indices[SlotPhase.WAITING].update(range(len(slots)))
-    return Lot(lot_key(lot), lot, lot_digest(lot), slots, now, indices)
+    return Lot(lot_key(lot), lot, lot_digest(lot), slots, now, indices, float(window))
--- a/src/stagewalk/samples/notifications.py
+++ b/src/stagewalk/samples/notifications.py
@@ -30,4 +30,11 @@
     value: bytes
 
 
-LotNotification = RequestWanted | RequestUnwanted | ClaimWanted
+@dataclass(frozen=True, slots=True)
+class ClaimReadWanted:
+    """Read a write-once key. Only a decided value need be told; absence changes nothing."""
+
+    key: str
+
+
+LotNotification = RequestWanted | RequestUnwanted | ClaimWanted | ClaimReadWanted
--- a/src/stagewalk/samples/scheduler.py
+++ b/src/stagewalk/samples/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+from collections.abc import Iterable
 
 from stagewalk.core.completions import CompletionRequest, Priority
 from stagewalk.core.identities import Incarnation, NodeName, RequestId, WeightVersion
@@ -19,6 +20,11 @@
 
 _STRAGGLER_PERCENTILE = 0.9
 
+MINIMUM_WINDOW = 4
+"""Rollouts of a lot that may always run at once, however often they are refused."""
+
+_WINDOW_DECREASE = 0.8
+
 
 class RolloutScheduler:
     """Starts and cancels the rollouts of slots."""
@@ -39,18 +45,23 @@
 
     def dispatch(self, lot: Lot, now: float) -> list[LotNotification]:
         """Start waiting slots of a lot, as many as its limits let run."""
-        if lot.paused or not lot.queue:
-            return []
-        depth = self._steps_ahead(lot)
-        if depth > self._config.look_ahead_steps or not self._has_eligible_version(lot, depth):
+        if lot.paused or not lot.queue or not self._may_run(lot, now):
             return []
+        minimum = self._minimum_version(lot, now)
         started: list[LotNotification] = []
-        while lot.count(SlotPhase.RUNNING) < self._config.maximum_outstanding_per_lot:
+        while lot.count(SlotPhase.RUNNING) < int(lot.window):
             index = lot.next_in_queue()
             if index is None:
                 break
             lot.move(index, SlotPhase.RUNNING)
-            started.append(self._start(lot, index, depth, now))
+            started.append(self._start(lot, index, minimum, now))
+        return started
+
+    def dispatch_all(self, lots: Iterable[Lot], now: float) -> list[LotNotification]:
+        """Start waiting slots of several lots, in their order."""
+        started: list[LotNotification] = []
+        for lot in lots:
+            started += self.dispatch(lot, now)
         return started
 
     def duplicate_stragglers(self, lot: Lot, now: float) -> list[LotNotification]:
@@ -74,23 +85,32 @@
                 break
             budget -= 1
             lot.duplicates += 1
-            started.append(self._start(lot, index, self._steps_ahead(lot), now))
+            started.append(self._start(lot, index, self._minimum_version(lot, now), now))
         return started
 
     def cancel(self, slot: Slot) -> list[LotNotification]:
-        """Cancel all rollouts of a slot."""
+        """Cancel all rollouts of a slot, and forget an answer that is being scored."""
         unwanted: list[LotNotification] = []
         for request_id in sorted(slot.requests):
             self._store.requests.pop(request_id, None)
             unwanted.append(RequestUnwanted(request_id))
         slot.requests.clear()
+        if slot.candidate_id is not None:
+            self._store.requests.pop(slot.candidate_id, None)
+        slot.candidate_id = None
+        slot.candidate = None
         return unwanted
 
     def finished(self, lot: Lot, slot: Slot, started_at: float, tokens: int, now: float) -> None:
-        """Learn from a finished rollout."""
+        """Learn from a finished rollout, and let a few more run at once."""
+        lot.window = min(float(self._config.maximum_outstanding_per_lot), lot.window + 1.0)
         self.lengths.observe(lot.key.tenant, slot.prompt, tokens)
         bisect.insort(lot.durations, now - started_at)
 
+    def refused(self, lot: Lot) -> None:
+        """Let fewer of a lot's rollouts run at once: there is no room for them."""
+        lot.window = max(float(MINIMUM_WINDOW), lot.window * _WINDOW_DECREASE)
+
     def _near_end(self, lot: Lot) -> bool:
         unfinished = lot.count(SlotPhase.RUNNING)
         if not unfinished or lot.count(SlotPhase.WAITING):
@@ -98,23 +118,30 @@
         enough_known = len(lot.durations) >= _MINIMUM_DURATIONS
         return enough_known and unfinished <= max(1, self._config.tail_fraction * len(lot.slots))
 
-    def _steps_ahead(self, lot: Lot) -> int:
-        """Return how many of its trainer's steps must be whole before a lot is pulled."""
-        earlier = [
-            other
-            for other in self._store.lots_of_trainer(lot.key)
-            if other.key.step < lot.key.step and other.completed_at is None and not other.paused
-        ]
-        return len(earlier)
+    def _may_run(self, lot: Lot, now: float) -> bool:
+        """Say whether a lot's turn has come.
 
-    def _has_eligible_version(self, lot: Lot, depth: int) -> bool:
-        """Say whether weights exist that are fresh enough; a step ahead may have to wait."""
+        A step ahead of its trainer's runs only with what the steps before it leave free, and
+        only once weights exist that will be fresh enough when it is pulled.
+        """
+        ahead = self._store.steps_ahead(lot)
+        if ahead == 0:
+            return True
+        if ahead > self._config.look_ahead_steps or self._has_earlier_work(lot):
+            return False
         newest = self._store.versions.newest(lot.lot.model)
-        minimum = self._minimum_version(lot, depth)
-        return depth == 0 or newest is None or minimum is None or newest >= minimum
+        minimum = self._minimum_version(lot, now)
+        return newest is None or minimum is None or newest >= minimum
 
-    def _minimum_version(self, lot: Lot, depth: int) -> WeightVersion | None:
-        """Return the oldest version that will still be fresh enough when the step is pulled.
+    def _has_earlier_work(self, lot: Lot) -> bool:
+        return any(
+            other.count(SlotPhase.WAITING) > 0 and not other.paused
+            for other in self._store.lots_of_trainer(lot.key)
+            if other.key.step < lot.key.step and other.completed_at is None
+        )
+
+    def _minimum_version(self, lot: Lot, now: float) -> WeightVersion | None:
+        """Return the oldest version that will still be fresh enough when the lot is pulled.
 
         A trainer publishes a version after each step, so a pull for a step ahead will name a
         version that is newer by as many steps.
@@ -122,13 +149,25 @@
         parameters = self._store.parameters(lot.key.tenant)
         if parameters is None:
             return None
-        expected = self._store.trainer_version(lot.key) + depth
+        expected = self._store.trainer_version(lot.key) + self._store.steps_ahead(lot)
         minimum = expected - version_slack(parameters)
         if parameters.minimum_version is not None:
             minimum = max(minimum, parameters.minimum_version)
+        if parameters.staleness_bound_seconds is not None:
+            at = now + self._expected_seconds(lot) + self._config.hand_over_margin_seconds
+            bound = parameters.staleness_bound_seconds
+            fresh = self._store.versions.oldest_within(lot.lot.model, bound, at)
+            minimum = max(minimum, fresh or 0)
         return WeightVersion(minimum) if minimum > 0 else None
 
-    def _start(self, lot: Lot, index: int, depth: int, now: float) -> RequestWanted:
+    def _expected_seconds(self, lot: Lot) -> float:
+        if not lot.durations:
+            return 0.0
+        return _percentile(lot.durations, _STRAGGLER_PERCENTILE)
+
+    def _start(
+        self, lot: Lot, index: int, minimum: WeightVersion | None, now: float
+    ) -> RequestWanted:
         slot = lot.slots[index]
         slot.tries += 1
         source = f"{self._node}.{self._incarnation}"
@@ -148,7 +187,7 @@
                 priority=Priority.ROLLOUT,
                 seed=slot_seed(slot.key),
                 prompt_token_count=slot.prompt.prompt_token_count,
-                minimum_version=self._minimum_version(lot, depth),
+                minimum_version=minimum,
                 maximum_version=None if parameters is None else parameters.maximum_version,
             )
         )
--- a/src/stagewalk/samples/settlement.py
+++ b/src/stagewalk/samples/settlement.py
@@ -5,7 +5,7 @@
 import random
 
 from stagewalk.core.completions import CompletionResult
-from stagewalk.core.errors import StagewalkError
+from stagewalk.core.errors import ErrorKind, StagewalkError
 from stagewalk.core.identities import RequestId, SlotKey
 from stagewalk.core.instructions import Instruction, LogEvent, ScoreSample
 from stagewalk.core.rollouts import Sample
@@ -21,6 +21,9 @@
 
 LotOutput = Instruction | LotNotification
 
+_NO_ROOM = frozenset({ErrorKind.NO_ENGINE, ErrorKind.OVERLOADED, ErrorKind.OVER_LIMIT})
+"""Errors that say nothing against a slot: there was no room, or no engine with the weights."""
+
 
 class SampleSettlement:
     """Moves slots from a finished rollout to a sample that may be handed over."""
@@ -55,7 +58,7 @@
         output: list[LotOutput] = list(self._scheduler.cancel(slot))
         fault = self._answer_fault(lot, result, now)
         if fault is not None:
-            self._store.requests.pop(request_id, None)
+            del self._store.requests[request_id]
             return output + self.run_again(lot, index, fault, now)
         slot.candidate_id = request_id
         slot.candidate = result
@@ -77,11 +80,14 @@
         failures = slot.failures + 1
         lot.move(place.index, SlotPhase.WAITING)
         slot.failures = failures
+        limit = self._config.retry_limit_seconds
+        if error.kind in _NO_ROOM:
+            self._scheduler.refused(lot)
+            limit = self._config.no_room_retry_seconds
         delay = retry_delay(self._config, failures, self._generator)
-        if error.retry_after_seconds is not None:
-            delay = max(delay, min(error.retry_after_seconds, self._config.retry_limit_seconds))
+        delay = min(limit, max(delay, error.retry_after_seconds or 0.0))
         self._set_timer(now + delay, TimerKind.RUN, lot, place.index)
-        return self._log_if_stuck(slot, error)
+        return self._log_if_stuck(lot, slot, error, now)
 
     def scored(self, sample_id: str, score: float, now: float) -> list[LotOutput]:
         """Take a sample's score and propose the sample as its slot's."""
@@ -95,13 +101,14 @@
         result = slot.candidate
         if result is None:
             return []
-        del self._store.requests[slot.candidate_id]
-        slot.candidate = None
+        self._scheduler.cancel(slot)
         slot.sample = Sample(
             slot.key, sample_id, result.text, result.token_count, result.spans, score, now
         )
         slot.decided = False
         lot.move(index, SlotPhase.CLAIMING)
+        if len(encode_sample(slot.sample)) > self._config.maximum_claim_bytes:
+            return self._stop_waiting_for_claim(lot, index)
         wait_until = now + self._config.claim_wait_seconds
         self._set_timer(wait_until, TimerKind.CLAIM_WAIT, lot, index)
         return [self._propose(lot, index, slot.sample)]
@@ -118,7 +125,7 @@
         slot.failures += 1
         delay = retry_delay(self._config, slot.failures, self._generator)
         self._set_timer(now + delay, TimerKind.SCORE, lot, place.index)
-        return self._log_if_stuck(slot, error)
+        return self._log_if_stuck(lot, slot, error, now)
 
     def claim_decided(self, key: str, value: bytes, now: float) -> list[LotOutput]:
         """Take the sample that was chosen for a slot, be it this node's or another's."""
@@ -132,20 +139,21 @@
             return [LogEvent("claim_value_damaged", {"key": key})]
         slot.sample = chosen
         slot.decided = True
-        if slot.phase in {SlotPhase.CLAIMING, SlotPhase.SCORING, SlotPhase.RUNNING}:
+        if slot.phase not in {SlotPhase.READY, SlotPhase.ACKNOWLEDGED}:
             lot.move(place.index, SlotPhase.READY)
         return list(self._scheduler.cancel(slot))
 
-    def claim_undecided(self, key: str, now: float) -> list[LotOutput]:
+    def claim_undecided(self, key: str, error: StagewalkError, now: float) -> list[LotOutput]:
         """Propose again after a while: no majority of the claim's replicas answered."""
         place = self._store.claims.get(key)
         if place is None:
             return []
         lot = self._store.lots[place.lot]
         slot = lot.slots[place.index]
-        if slot.phase not in {SlotPhase.CLAIMING, SlotPhase.READY}:
+        hopeless = error.kind is ErrorKind.INVALID_REQUEST
+        if hopeless or slot.phase not in {SlotPhase.CLAIMING, SlotPhase.READY}:
             del self._store.claims[key]
-            return []
+            return self._stop_waiting_for_claim(lot, place.index)
         slot.failures += 1
         delay = retry_delay(self._config, slot.failures, self._generator)
         self._set_timer(now + delay, TimerKind.CLAIM, lot, place.index)
@@ -167,7 +175,7 @@
                     return []
                 return [self._propose(lot, index, slot.sample)]
             case TimerKind.CLAIM_WAIT:
-                return self._stop_waiting_for_claim(lot, index, now)
+                return self._stop_waiting_for_claim(lot, index)
 
     def run_again(self, lot: Lot, index: int, reason: str, now: float) -> list[LotOutput]:
         """Open a slot again whose answer or sample is too stale to be delivered.
@@ -180,7 +188,6 @@
             slot.generation += 1
             slot.sample = None
             slot.decided = False
-        slot.candidate = None
         lot.stale_reruns += 1
         lot.move(index, SlotPhase.WAITING)
         self._scheduler.enqueue(lot, index)
@@ -195,8 +202,9 @@
     def _answer_fault(self, lot: Lot, result: CompletionResult, now: float) -> str | None:
         """Say why an answer can't become a sample, or None."""
         parameters = self._store.parameters(lot.key.tenant)
-        if not result.spans or parameters is None:
-            return "the answer names no version"
+        named = sum(span.token_count for span in result.spans)
+        if parameters is None or named != result.token_count or named == 0:
+            return "the answer does not name the versions of all its tokens"
         if len(result.spans) > 1 and not parameters.allow_mixed_versions:
             return "several versions produced the answer"
         oldest = min(span.version for span in result.spans)
@@ -210,17 +218,15 @@
         )
         return "too stale when it finished" if verdict is Freshness.STALE else None
 
-    def _stop_waiting_for_claim(self, lot: Lot, index: int, now: float) -> list[LotOutput]:
+    def _stop_waiting_for_claim(self, lot: Lot, index: int) -> list[LotOutput]:
         """Hand a sample over without a decided claim.
 
         The cursor alone keeps the trainer from taking two samples for a slot; the claim only
         keeps a sample through this node's death. While no majority can be reached, the trainer
         should not stand idle for that.
         """
-        if lot.slots[index].phase is not SlotPhase.CLAIMING:
-            return []
-        lot.move(index, SlotPhase.READY)
-        self._set_timer(now + self._config.retry_limit_seconds, TimerKind.CLAIM, lot, index)
+        if lot.slots[index].phase is SlotPhase.CLAIMING:
+            lot.move(index, SlotPhase.READY, keep_timers=True)
         return []
 
     def _propose(self, lot: Lot, index: int, sample: Sample) -> ClaimWanted:
@@ -232,9 +238,15 @@
     def _set_timer(self, due: float, kind: TimerKind, lot: Lot, index: int) -> None:
         self._timers.set(due, kind, lot.key, index, lot.slots[index].change)
 
-    def _log_if_stuck(self, slot: Slot, error: StagewalkError) -> list[LotOutput]:
-        if slot.failures != self._config.stuck_after_failures:
+    def _log_if_stuck(
+        self, lot: Lot, slot: Slot, error: StagewalkError, now: float
+    ) -> list[LotOutput]:
+        logged_at = lot.stuck_logged_at
+        if slot.failures < self._config.stuck_after_failures:
+            return []
+        if logged_at is not None and now - logged_at < self._config.stuck_log_seconds:
             return []
+        lot.stuck_logged_at = now
         return [_stuck_event(slot.key, slot.failures, error)]
 
 
--- a/src/stagewalk/samples/store.py
+++ b/src/stagewalk/samples/store.py
@@ -18,6 +18,22 @@
     index: int
 
 
+@dataclass(slots=True)
+class TrainerView:
+    """What a trainer has said here.
+
+    Attributes
+    ----------
+    version
+        Newest version it has named.
+    pulled_step
+        Newest step it has pulled; None before its first pull.
+    """
+
+    version: WeightVersion
+    pulled_step: int | None = None
+
+
 class LotStore:
     """Shared state of the sample ledger's parts.
 
@@ -28,9 +44,11 @@
     requests
         Slot of each rollout that runs or is scored.
     claims
-        Slot of each claim proposed, by its key.
+        Slot of each claim proposed or read, by its key.
     versions
         What is known of each model's newest version.
+    tenants
+        Configuration in force.
     """
 
     def __init__(self) -> None:
@@ -39,7 +57,7 @@
         self.claims: dict[str, SlotPlace] = {}
         self.versions = VersionClock()
         self.tenants: dict[TenantName, Tenant] = {}
-        self._trainer_versions: dict[tuple[TenantName, str], WeightVersion] = {}
+        self._trainers: dict[tuple[TenantName, str], TrainerView] = {}
 
     def parameters(self, tenant: TenantName) -> TenantParameters | None:
         """Return the parameters in force of a tenant, if it exists."""
@@ -48,12 +66,25 @@
 
     def trainer_version(self, key: LotKey) -> WeightVersion:
         """Return the newest version that a lot's trainer has named here."""
-        return self._trainer_versions.get((key.tenant, key.trainer), WeightVersion(0))
+        trainer = self._trainers.get((key.tenant, key.trainer))
+        return WeightVersion(0) if trainer is None else trainer.version
+
+    def note_trainer(self, lot: Lot, version: WeightVersion, *, pulling: bool) -> None:
+        """Take note of what a trainer says; an older version, come late, changes nothing."""
+        key = lot.key
+        trainer = self._trainers.setdefault((key.tenant, key.trainer), TrainerView(version))
+        trainer.version = max(version, trainer.version)
+        if pulling:
+            trainer.pulled_step = max(key.step, trainer.pulled_step or key.step)
+        self.versions.seen(lot.lot.model, version)
 
-    def name_trainer_version(self, key: LotKey, version: WeightVersion) -> None:
-        """Take note of the version a trainer names; an older one, come late, changes nothing."""
-        newest = max(version, self.trainer_version(key))
-        self._trainer_versions[key.tenant, key.trainer] = newest
+    def steps_ahead(self, lot: Lot) -> int:
+        """Return how many steps a lot lies ahead of the one its trainer is at."""
+        trainer = self._trainers.get((lot.key.tenant, lot.key.trainer))
+        current = None if trainer is None else trainer.pulled_step
+        if current is None:
+            current = min(other.key.step for other in self.lots_of_trainer(lot.key))
+        return max(0, lot.key.step - current)
 
     def lots_of_trainer(self, key: LotKey) -> list[Lot]:
         """Return the lots of a lot's trainer, in order of their steps."""
@@ -70,4 +101,4 @@
         self.requests = {id_: place for id_, place in self.requests.items() if place.lot != key}
         self.claims = {name: place for name, place in self.claims.items() if place.lot != key}
         if not self.lots_of_trainer(key):
-            self._trainer_versions.pop((key.tenant, key.trainer), None)
+            self._trainers.pop((key.tenant, key.trainer), None)
--- a/src/stagewalk/weights/core.py
+++ b/src/stagewalk/weights/core.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from stagewalk.configuration.parameters import Tenant
-from stagewalk.core.identities import EngineName, Epoch, ModelName, TenantName, WeightVersion
+from stagewalk.core.identities import (
+    EngineName,
+    Epoch,
+    ModelName,
+    ProcessIdentity,
+    TenantName,
+    WeightVersion,
+)
 from stagewalk.core.instructions import Instruction, ReadVersions
 from stagewalk.core.platform import (
     EngineReport,
@@ -20,9 +25,6 @@
 from stagewalk.weights.pool import PoolRollout
 from stagewalk.weights.status import PoolStatus
 
-if TYPE_CHECKING:
-    from stagewalk.node.node_core import NodeIdentity
-
 
 class RolloutCore:
     """Decides which weights engines fetch and swap to, for each pool by lease.
@@ -36,7 +38,7 @@
         This node; its name and incarnation make order ids unique.
     """
 
-    def __init__(self, identity: NodeIdentity, config: RolloutConfig) -> None:
+    def __init__(self, identity: ProcessIdentity, config: RolloutConfig) -> None:
         self._config = config
         self._source = f"{identity.name}.{identity.incarnation}"
         self._pools: dict[ModelName, PoolRollout] = {}
