--- a/src/stagewalk/simulation/engine_prefix_cache.py
+++ b/src/stagewalk/simulation/engine_prefix_cache.py
@@ -52,19 +52,18 @@
         for prefix_hash in hashes:
             if prefix_hash not in self._blocks:
                 break
-            self._blocks.move_to_end(prefix_hash)
-            matched += PREFIX_BLOCK_TOKENS
-        return matched
+            matched += 1
+        self._mark_used(hashes[:matched])
+        return matched * PREFIX_BLOCK_TOKENS
 
     def store(self, hashes: tuple[str, ...], now: float) -> None:
         """Hold a prompt's blocks; the caller shrinks the cache to its room afterwards."""
         for index, prefix_hash in enumerate(hashes):
-            token_count = (index + 1) * PREFIX_BLOCK_TOKENS
-            if prefix_hash in self._blocks:
-                self._blocks.move_to_end(prefix_hash)
-                continue
-            self._blocks[prefix_hash] = token_count
-            self._record(CacheEventKind.STORED, prefix_hash, token_count, now)
+            if prefix_hash not in self._blocks:
+                token_count = (index + 1) * PREFIX_BLOCK_TOKENS
+                self._blocks[prefix_hash] = token_count
+                self._record(CacheEventKind.STORED, prefix_hash, token_count, now)
+        self._mark_used(hashes)
 
     def shrink_to(self, token_limit: int, now: float) -> None:
         """Evict least recently used blocks until the rest fits."""
@@ -85,6 +84,11 @@
         )
         return told, (told[-1].sequence + 1 if told else after)
 
+    def _mark_used(self, hashes: tuple[str, ...]) -> None:
+        """Make the blocks the last to go, longer prefixes before the shorter they need."""
+        for prefix_hash in reversed(hashes):
+            self._blocks.move_to_end(prefix_hash)
+
     def _record(self, kind: CacheEventKind, prefix_hash: str, token_count: int, now: float) -> None:
         sequence = self._next_sequence
         self._next_sequence += 1
--- a/src/stagewalk_standins/machine_server.py
+++ b/src/stagewalk_standins/machine_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 
 import msgspec
 
@@ -26,12 +27,13 @@
 
 
 class MachineServer:
-    """Keeps past lists until they are too old to be told."""
+    """Keeps past lists until they are too old to be told; `now` is its clock, seconds."""
 
-    def __init__(self, lag_seconds: float) -> None:
+    def __init__(self, lag_seconds: float, now: Callable[[], float] = clock) -> None:
         self._lag_seconds = lag_seconds
+        self._now = now
         self._machines: dict[str, MachineBody] = {}
-        self._past: deque[tuple[float, tuple[MachineBody, ...]]] = deque([(clock(), ())])
+        self._past: deque[tuple[float, tuple[MachineBody, ...]]] = deque([(now(), ())])
 
     def application(self) -> Application:
         """Return the routes of the service."""
@@ -42,7 +44,7 @@
         return application
 
     async def _list(self, request: Request) -> Answer:
-        as_of = clock() - self._lag_seconds
+        as_of = self._now() - self._lag_seconds
         while len(self._past) > 1 and self._past[1][0] <= as_of:
             self._past.popleft()
         return json_response({"machines": self._past[0][1], "as_of": as_of})
@@ -65,4 +67,4 @@
 
     def _remember(self) -> None:
         machines = tuple(self._machines[name] for name in sorted(self._machines))
-        self._past.append((clock(), machines))
+        self._past.append((self._now(), machines))
