Publish from the command line, and describe both deployments

Cause: operators need a way to publish and to learn what became of it; demo and simulation need the places, services and loads of the deployments. Ruled out: a second way of settling lost answers in the command line: the pure client core is driven by a synchronous loop instead.

--- /dev/null
+++ b/src/stagewalk/cli/config_log.py
@@ -0,0 +1,221 @@
+"""An operator's session with the log: the product's log client over plain HTTP calls."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import time
+from collections import deque
+from dataclasses import dataclass
+
+import httpx
+import msgspec
+from expression import Error, Ok, Result
+
+from stagewalk.configuration.fold import ConfigurationFold
+from stagewalk.configuration.outcomes import ChangeAccepted, ChangeRejected
+from stagewalk.configuration.records import (
+    CONFIGURATION_STREAM,
+    SNAPSHOT_STREAM,
+    AnyChange,
+    encode_change,
+)
+from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
+from stagewalk.core.events import AppendConfirmed, AppendFailed, LogRead, LogReadFailed
+from stagewalk.core.identities import RecordId
+from stagewalk.core.instructions import AppendRecord, ReadLog
+from stagewalk.core.platform import LogRecord
+from stagewalk.log_client.config import LogClientConfig
+from stagewalk.log_client.core import LogClientCore, LogClientEvent, LogClientOutput
+from stagewalk.log_client.notifications import AppendAbandoned, AppendSettled, RecordsRead
+
+CALL_TIMEOUT_SECONDS = 5.0
+PAUSE_SECONDS = 0.02
+READ_LIMIT = 500
+
+
+class _ReadRecord(msgspec.Struct):
+    offset: int
+    record_id: str
+    payload: bytes
+
+
+class _ReadAnswer(msgspec.Struct):
+    records: list[_ReadRecord]
+    head: int
+
+
+class _AppendedRecord(msgspec.Struct):
+    record_id: str
+    payload: bytes
+
+
+class _AppendBody(msgspec.Struct):
+    records: list[_AppendedRecord]
+
+
+class _AppendAnswer(msgspec.Struct):
+    offsets: list[int]
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """A change that is in the log, and what the fold made of it on every node."""
+
+    record_id: RecordId
+    offset: int
+    outcome: ChangeAccepted | ChangeRejected
+
+
+class LogSession:
+    """Follows the configuration's stream and publishes on it.
+
+    Parameters
+    ----------
+    timeout_seconds
+        How long each operation may go on trying.
+    """
+
+    def __init__(self, url: str, client_id: str, timeout_seconds: float) -> None:
+        self.fold = ConfigurationFold()
+        self._http = httpx.Client(base_url=url, timeout=CALL_TIMEOUT_SECONDS)
+        self._url = url
+        self._timeout = timeout_seconds
+        config = LogClientConfig(client_id=client_id, abandon_after=timeout_seconds)
+        self._client = LogClientCore(random.Random(secrets.randbits(128)), config)
+        self._head: int | None = None
+        self._snapshots_read = False
+        self._settled: AppendSettled | AppendAbandoned | None = None
+        self._last_failure = "no answer"
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.close()
+
+    def catch_up(self) -> Result[int, StagewalkError]:
+        """Fold the stream, from the latest snapshot on, up to its head; return that offset."""
+        deadline = time.monotonic() + self._timeout
+        self._client.follow_latest(SNAPSHOT_STREAM, 1)
+        while not self._snapshots_read:
+            if not self._step(deadline):
+                return Error(self._failure(Step.LOG_READ, Ran.NO))
+        self._client.follow(CONFIGURATION_STREAM, self.fold.offset)
+        while self._head is None or self.fold.offset < self._head:
+            if not self._step(deadline):
+                return Error(self._failure(Step.LOG_READ, Ran.NO))
+        return Ok(self.fold.offset)
+
+    def publish(self, change: AnyChange) -> Result[Published, StagewalkError]:
+        """Append a change, settle it if its answer is lost, and return what became of it.
+
+        The error says `ran=unknown` if the record may have landed or may still land.
+        """
+        now = time.monotonic()
+        deadline = now + self._timeout
+        queued = self._client.append(CONFIGURATION_STREAM, encode_change(change), now)
+        if queued.is_error():
+            return Error(queued.error)
+        self._settled = None
+        record_id = queued.ok.record_id
+        self._carry_out(queued.ok.output)
+        while True:
+            outcome = self.fold.outcome_of(record_id)
+            if outcome is not None:
+                return Ok(Published(record_id, self._offset_of(record_id), outcome))
+            if isinstance(self._settled, AppendAbandoned):
+                ran = Ran.UNKNOWN if self._settled.outcome_unknown else Ran.NO
+                return Error(self._failure(Step.LOG_APPEND, ran, record_id))
+            if not self._step(deadline):
+                return Error(self._failure(Step.LOG_APPEND, Ran.UNKNOWN, record_id))
+
+    def _offset_of(self, record_id: RecordId) -> int:
+        return next(entry.offset for entry in self.fold.history if entry.record_id == record_id)
+
+    def _step(self, deadline: float) -> bool:
+        """Let the client do what is due; False once the deadline has passed."""
+        now = time.monotonic()
+        if now >= deadline:
+            return False
+        output = self._client.tick(now)
+        if not output:
+            time.sleep(PAUSE_SECONDS)
+        self._carry_out(output)
+        return True
+
+    def _carry_out(self, output: list[LogClientOutput]) -> None:
+        """Carry instructions out one by one, with those that follow from their answers."""
+        waiting = deque(output)
+        while waiting:
+            item = waiting.popleft()
+            match item:
+                case ReadLog():
+                    waiting.extend(self._handle(self._read(item)))
+                case AppendRecord():
+                    waiting.extend(self._handle(self._append(item)))
+                case RecordsRead():
+                    self._fold_records(item)
+                case AppendSettled() | AppendAbandoned():
+                    self._settled = item
+
+    def _handle(self, event: LogClientEvent) -> list[LogClientOutput]:
+        if isinstance(event, LogReadFailed | AppendFailed):
+            self._last_failure = event.detail
+        return self._client.handle(event, time.monotonic())
+
+    def _fold_records(self, read: RecordsRead) -> None:
+        if read.stream == SNAPSHOT_STREAM:
+            self._snapshots_read = True
+            if read.records:
+                self.fold.restore(read.records[-1].payload)
+            return
+        for record in read.records:
+            self.fold.apply(record)
+        self._head = read.head
+
+    def _read(self, item: ReadLog) -> LogRead | LogReadFailed:
+        parameters = {"offset": item.offset, "limit": READ_LIMIT, "wait_seconds": 0}
+        try:
+            response = self._http.get(f"/streams/{item.stream}/records", params=parameters)
+            response.raise_for_status()
+            answer = msgspec.json.decode(response.content, type=_ReadAnswer)
+        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+            return LogReadFailed(item.stream, _describe(error))
+        records = tuple(
+            LogRecord(record.offset, RecordId(record.record_id), record.payload)
+            for record in answer.records
+        )
+        return LogRead(item.stream, records, answer.head)
+
+    def _append(self, item: AppendRecord) -> AppendConfirmed | AppendFailed:
+        """Append; only a connection that never came about or a 4xx proves that nothing landed."""
+        body = _AppendBody([_AppendedRecord(item.record_id, item.payload)])
+        stream, record_id = item.stream, item.record_id
+        try:
+            response = self._http.post(
+                f"/streams/{stream}/records",
+                content=msgspec.json.encode(body),
+                headers={"content-type": "application/json"},
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            return AppendFailed(stream, record_id, False, _describe(error))
+        except httpx.HTTPError as error:
+            return AppendFailed(stream, record_id, True, _describe(error))
+        if response.is_client_error:
+            return AppendFailed(stream, record_id, False, f"HTTP {response.status_code}")
+        if not response.is_success:
+            return AppendFailed(stream, record_id, True, f"HTTP {response.status_code}")
+        try:
+            answer = msgspec.json.decode(response.content, type=_AppendAnswer)
+            return AppendConfirmed(stream, record_id, answer.offsets[0])
+        except (msgspec.MsgspecError, IndexError) as error:
+            return AppendFailed(stream, record_id, True, _describe(error))
+
+    def _failure(self, step: Step, ran: Ran, record_id: RecordId | None = None) -> StagewalkError:
+        kind = ErrorKind.OUTCOME_UNKNOWN if ran is Ran.UNKNOWN else ErrorKind.UNREACHABLE
+        record = f" for record {record_id}" if record_id else ""
+        detail = f"no result within {self._timeout:g} s{record}; last: {self._last_failure}"
+        return StagewalkError(kind, step, self._url, detail, ran)
+
+
+def _describe(error: Exception) -> str:
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/src/stagewalk/cli/config_nodes.py
@@ -0,0 +1,78 @@
+"""Asks nodes which configuration they have in force."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import httpx
+import msgspec
+
+CALL_TIMEOUT_SECONDS = 2.0
+POLL_SECONDS = 0.2
+
+
+class NodeReport(msgspec.Struct, frozen=True):
+    """The fields of a node's status that concern configuration.
+
+    `configuration_offsets` is what the node has heard of the other members' offsets.
+    """
+
+    name: str
+    configuration_offset: int
+    configuration_digest: str
+    ready: bool = True
+    revisions: dict[str, int] = {}
+    configuration_offsets: dict[str, int] = {}
+
+
+@dataclass(frozen=True, slots=True)
+class NodeProgress:
+    """How far one node is, in its own words or, with an empty digest, in another's.
+
+    `offset` is None for a node that did not answer; `failure` says why.
+    """
+
+    name: str
+    offset: int | None
+    digest: str = ""
+    failure: str = ""
+
+    def is_late(self, offset: int) -> bool:
+        """Return whether the node is not known to have reached an offset."""
+        return self.offset is None or self.offset < offset
+
+
+def ask_nodes(urls: Sequence[str]) -> list[NodeProgress]:
+    """Return the progress of the nodes asked and of the members they know, sorted by name."""
+    progress: dict[str, NodeProgress] = {}
+    heard: dict[str, int] = {}
+    with httpx.Client(timeout=CALL_TIMEOUT_SECONDS) as client:
+        for url in urls:
+            try:
+                response = client.get(f"{url.rstrip('/')}/control/status")
+                response.raise_for_status()
+                report = msgspec.json.decode(response.content, type=NodeReport)
+            except (httpx.HTTPError, httpx.InvalidURL, msgspec.MsgspecError) as error:
+                failure = str(error) or type(error).__name__
+                progress[url] = NodeProgress(url, None, failure=failure)
+                continue
+            progress[report.name] = NodeProgress(
+                report.name, report.configuration_offset, report.configuration_digest
+            )
+            for name, offset in report.configuration_offsets.items():
+                heard[name] = max(offset, heard.get(name, 0))
+    for name, offset in heard.items():
+        progress.setdefault(name, NodeProgress(name, offset))
+    return [progress[name] for name in sorted(progress)]
+
+
+def wait_for_nodes(urls: Sequence[str], offset: int, timeout_seconds: float) -> list[NodeProgress]:
+    """Ask until every node has reached an offset or time is up; return the last progress."""
+    deadline = time.monotonic() + timeout_seconds
+    while True:
+        nodes = ask_nodes(urls)
+        if not any(node.is_late(offset) for node in nodes) or time.monotonic() >= deadline:
+            return nodes
+        time.sleep(POLL_SECONDS)
--- /dev/null
+++ b/tests/configuration/test_deployments.py
@@ -0,0 +1,61 @@
+"""The deployments at hand load, and their tenants are accepted by the fold."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import testtools
+
+from stagewalk.cli.config_files import load_desired_tenant
+from stagewalk.configuration.deployment import Deployment, load_deployment
+from stagewalk.configuration.fold import ConfigurationFold
+from stagewalk.configuration.outcomes import ChangeAccepted
+from tests.configuration.records import create, publish
+
+ROOT = Path(__file__).resolve().parents[2] / "deployments"
+PARTNERS = {"amman": "archive", "thornfield": "thornfield"}
+
+
+def load(name: str) -> Deployment:
+    return load_deployment(ROOT / name / "deployment.toml").ok
+
+
+class DeploymentTest(testtools.TestCase):
+    def test_tenants_of_each_deployment_are_accepted_together(self) -> None:
+        for name in ("amman", "thornfield", "both", "two_year"):
+            fold = ConfigurationFold()
+            for file in load(name).tenant_files:
+                path = (ROOT / name / file).resolve()
+                desired = load_desired_tenant(path, None).ok
+                partner = PARTNERS[path.parents[1].name]
+                record = create(desired.file.tenant, partner, 0, desired.parameters)
+                self.assertEqual(ChangeAccepted(1), publish(fold, record), path)
+
+    def test_counts_are_those_of_today_and_of_the_plan(self) -> None:
+        counts = {name: load(name).engine_count for name in ("amman", "thornfield", "two_year")}
+        self.assertEqual({"amman": 5, "thornfield": 6, "two_year": 600}, counts)
+        plan = load("two_year")
+        self.assertEqual((420, 7), (plan.node_count, sum(len(r.zones) for r in plan.regions)))
+        steps = [s.prompts_per_step * s.samples_per_prompt for s in plan.trainer_services]
+        self.assertEqual([4096, 4096], steps)
+        self.assertEqual(3200.0, sum(s.requests_per_second for s in plan.caller_services))
+
+    def test_faults_name_their_field(self) -> None:
+        text = (ROOT / "amman" / "deployment.toml").read_text()
+        faults = {
+            "engine_services[0].count": text.replace("count = 5", "count = 0"),
+            "caller_services[0].region": text.replace('region = "amman"', 'region = "x"').replace(
+                'region = "x"', 'region = "amman"', 1
+            ),
+            "trainer_services[0].model": '"qari-9"'.join(text.rsplit('"qari-2"', 1)),
+            "colour": 'colour = "red"\n' + text,
+        }
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "deployment.toml"
+            for field, content in faults.items():
+                path.write_text(content)
+                self.assertEqual(field, load_deployment(path).error.field)
+            path.write_text("= broken")
+            self.assertIsNone(load_deployment(path).error.field)
+            self.assertTrue(load_deployment(Path(folder) / "none.toml").is_error())
