--- /dev/null
+++ b/src/stagewalk/node/answer_exchange.py
@@ -0,0 +1,136 @@
+"""Fetches answers of at-most-once requests from the nodes that own their claims.
+
+The caller of a request may come back through another node, after the first one lost it or
+was lost itself. The claim names who ran the request; that process, if it still lives, is asked.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from stagewalk.core.completions import CompletionResult, VersionSpan
+from stagewalk.core.errors import StagewalkError
+from stagewalk.core.events import PeerMessageReceived
+from stagewalk.core.identities import (
+    Address,
+    NodeName,
+    RequestId,
+    RequestKey,
+    TenantName,
+    WeightVersion,
+)
+from stagewalk.core.instructions import SendPeerMessage, Transport
+from stagewalk.membership.core import MembershipCore
+from stagewalk.node.node_identity import NodeIdentity
+from stagewalk.node.outputs import NodeOutput
+from stagewalk.requests.core import RequestCore
+from stagewalk.requests.notifications import AnswerWanted
+from stagewalk.wire.answers_pb2 import AnswerMessage, AnswerQuery, AnswerReply, AnswerSpan
+from stagewalk.wire.envelope_pb2 import Envelope
+
+MAXIMUM_WAITING_QUERIES = 1024
+"""Queries for answers still being made; one more is answered as not known."""
+
+
+class AnswerExchange:
+    """Asks owners for answers, and answers other nodes' queries."""
+
+    def __init__(
+        self, identity: NodeIdentity, requests: RequestCore, membership: MembershipCore
+    ) -> None:
+        self._identity = identity
+        self._requests = requests
+        self._membership = membership
+        self._waiting: defaultdict[RequestKey, list[Address]] = defaultdict(list)
+        self._waiting_count = 0
+
+    def answer_wanted(self, wanted: AnswerWanted, now: float) -> list[NodeOutput]:
+        """Ask the owner of a claim, if that very process still lives."""
+        for member in self._membership.members():
+            if member.name != wanted.owner or member.incarnation != wanted.owner_incarnation:
+                continue
+            message = _message(wanted.key)
+            message.query.CopyFrom(AnswerQuery(owner_incarnation=wanted.owner_incarnation))
+            return [self._send(member.address, message)]
+        detail = f"node {wanted.owner} that ran it is gone"
+        return list(self._requests.answer_fetched(wanted.key, None, detail, now))
+
+    def handle_message(self, event: PeerMessageReceived, now: float) -> list[NodeOutput]:
+        """Take another node's query or reply."""
+        message = event.envelope.answers
+        key = RequestKey(TenantName(message.tenant), RequestId(message.request_id))
+        if message.WhichOneof("body") == "query":
+            return self._answer_query(key, message.query, event, now)
+        result = _result(message.reply) if message.reply.known else None
+        return list(self._requests.answer_fetched(key, result, message.reply.detail, now))
+
+    def request_ended(
+        self, key: RequestKey, outcome: CompletionResult | StagewalkError
+    ) -> list[NodeOutput]:
+        """Answer the nodes that wait for the outcome of a request of this node."""
+        addresses = self._waiting.pop(key, [])
+        self._waiting_count -= len(addresses)
+        return [self._reply(address, key, outcome) for address in addresses]
+
+    def _answer_query(
+        self, key: RequestKey, query: AnswerQuery, event: PeerMessageReceived, now: float
+    ) -> list[NodeOutput]:
+        address = self._address_of(NodeName(event.envelope.sender), event.source)
+        if query.owner_incarnation != self._identity.incarnation:
+            return [self._reply(address, key, None)]
+        outcome = self._requests.retained(key, now)
+        if outcome is not None:
+            return [self._reply(address, key, outcome.result or outcome.error)]
+        if self._requests.in_progress(key) and self._waiting_count < MAXIMUM_WAITING_QUERIES:
+            self._waiting[key].append(address)
+            self._waiting_count += 1
+            return []
+        return [self._reply(address, key, None)]
+
+    def _address_of(self, sender: NodeName, source: Address) -> Address:
+        for member in self._membership.members():
+            if member.name == sender:
+                return member.address
+        return source
+
+    def _reply(
+        self, address: Address, key: RequestKey, outcome: CompletionResult | StagewalkError | None
+    ) -> SendPeerMessage:
+        message = _message(key)
+        if isinstance(outcome, CompletionResult):
+            message.reply.CopyFrom(_encode(outcome))
+        else:
+            detail = "the owner does not know it any more" if outcome is None else str(outcome)
+            message.reply.CopyFrom(AnswerReply(known=False, detail=detail))
+        return self._send(address, message)
+
+    def _send(self, address: Address, message: AnswerMessage) -> SendPeerMessage:
+        envelope = Envelope(
+            sender=self._identity.name,
+            sender_incarnation=self._identity.incarnation,
+            answers=message,
+        )
+        return SendPeerMessage(address, envelope, Transport.STREAM)
+
+
+def _message(key: RequestKey) -> AnswerMessage:
+    return AnswerMessage(tenant=key.tenant, request_id=key.request_id)
+
+
+def _encode(result: CompletionResult) -> AnswerReply:
+    return AnswerReply(
+        known=True,
+        text=result.text,
+        token_count=result.token_count,
+        finish_reason=result.finish_reason,
+        spans=[AnswerSpan(version=s.version, token_count=s.token_count) for s in result.spans],
+    )
+
+
+def _result(reply: AnswerReply) -> CompletionResult:
+    return CompletionResult(
+        text=reply.text,
+        token_count=reply.token_count,
+        spans=tuple(VersionSpan(WeightVersion(s.version), s.token_count) for s in reply.spans),
+        finish_reason=reply.finish_reason,
+    )
--- a/src/stagewalk/node/data_plane.py
+++ b/src/stagewalk/node/data_plane.py
@@ -156,7 +156,7 @@
         """Take an engine's report."""
         self.engine_table.handle_report(event.engine, event.report, now)
         report = event.report
-        return list(self.lots.versions_known(report.model, report.active_version, now))
+        return list(self.lots.version_seen(report.model, report.active_version, now))
 
     # Notifications of the request core
 
--- a/src/stagewalk/node/node_core.py
+++ b/src/stagewalk/node/node_core.py
@@ -10,7 +10,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, cast, get_args
 
 from stagewalk.claims.notifications import (
     ClaimAbsent,
@@ -50,6 +50,7 @@
 from stagewalk.leases.notifications import AppendWanted, LeaseAcquired, LeaseLost
 from stagewalk.log_client.notifications import AppendAbandoned, AppendSettled, RecordsRead
 from stagewalk.membership.notifications import IdentitySuperseded, MemberChanged
+from stagewalk.node.answer_exchange import AnswerExchange
 from stagewalk.node.control_plane import ControlPlane
 from stagewalk.node.data_plane import DataPlane
 from stagewalk.node.node_config import NodeConfig
@@ -63,6 +64,8 @@
 REQUEST_CLAIM_PREFIX = "request/"
 """Claims under this prefix are requests'; all others are samples'."""
 
+INSTRUCTION_TYPES: tuple[type, ...] = get_args(Instruction)
+
 
 @dataclass(frozen=True, slots=True)
 class NodeStatus:
@@ -116,6 +119,7 @@
         self.config = config or NodeConfig()
         self.control = ControlPlane(identity, self.config, generator)
         self.data = DataPlane(identity, self.config, generator)
+        self.answers = AnswerExchange(identity, self.data.requests, self.control.membership)
         self._pending: deque[NodeOutput] = deque()
         self._now = float("-inf")
         self._read_machines_at = float("-inf")
@@ -163,10 +167,12 @@
         while self._pending:
             output = self._pending.popleft()
             handler = self._notification_handlers.get(type(output))
-            if handler is None:
-                instructions.append(output)  # type: ignore[arg-type]
-                continue
-            self._pending.extendleft(reversed(handler(output, self._now)))
+            if handler is not None:
+                self._pending.extendleft(reversed(handler(output, self._now)))
+            elif isinstance(output, INSTRUCTION_TYPES):
+                instructions.append(cast(Instruction, output))
+            else:
+                raise TypeError(f"no core takes {type(output).__name__}")
         return instructions
 
     def _make_event_handlers(self) -> dict[type, Callable[[Any, float], list[NodeOutput]]]:
@@ -193,7 +199,7 @@
             AppendFailed: control.handle_log,
             SampleScored: self._sample_scored,
             SampleScoringFailed: self._sample_scored,
-            PeerMessageReceived: control.handle_message,
+            PeerMessageReceived: self._peer_message_received,
             StopRequested: self._stop_requested,
         }
 
@@ -214,15 +220,16 @@
             ClaimUndecided: self._claim_undecided,
             ClaimAbsent: _ignore,
             requests.ClaimWanted: self._request_claim_wanted,
-            requests.AnswerWanted: _ignore,
+            requests.AnswerWanted: self.answers.answer_wanted,
             requests.RequestJoined: data.request_joined,
             requests.RequestChunk: data.request_chunk,
-            requests.RequestFinished: data.request_finished,
-            requests.RequestFailed: data.request_failed,
+            requests.RequestFinished: self._request_finished,
+            requests.RequestFailed: self._request_failed,
             requests.SubmissionRejected: data.submission_rejected,
             samples.RequestWanted: data.request_wanted,
             samples.RequestUnwanted: data.request_unwanted,
             samples.ClaimWanted: self._sample_claim_wanted,
+            samples.ClaimReadWanted: self._sample_claim_read_wanted,
         }
 
     # Events that concern both planes
@@ -265,6 +272,11 @@
             output += self.data.lots.versions_known(event.model, newest, now)
         return output
 
+    def _peer_message_received(self, event: PeerMessageReceived, now: float) -> list[NodeOutput]:
+        if event.envelope.WhichOneof("body") == "answers":
+            return self.answers.handle_message(event, now)
+        return self.control.handle_message(event, now)
+
     def _log_read(self, event: LogRead, now: float) -> list[NodeOutput]:
         # The records must be folded before the lease core learns that it is at the head.
         self._pending.extend(self.control.handle_log(event, now))
@@ -304,12 +316,25 @@
         self.data.set_tenants(changed.tenants)
         return self.control.configuration_changed(changed, now)
 
+    def _request_finished(self, finished: requests.RequestFinished, now: float) -> list[NodeOutput]:
+        output = self.answers.request_ended(finished.key, finished.result)
+        return output + self.data.request_finished(finished, now)
+
+    def _request_failed(self, failed: requests.RequestFailed, now: float) -> list[NodeOutput]:
+        output = self.answers.request_ended(failed.key, failed.error)
+        return output + self.data.request_failed(failed, now)
+
     def _request_claim_wanted(self, wanted: requests.ClaimWanted, now: float) -> list[NodeOutput]:
         return list(self.control.claims.propose(wanted.claim_key, wanted.value, now))
 
     def _sample_claim_wanted(self, wanted: samples.ClaimWanted, now: float) -> list[NodeOutput]:
         return list(self.control.claims.propose(wanted.key, wanted.value, now))
 
+    def _sample_claim_read_wanted(
+        self, wanted: samples.ClaimReadWanted, now: float
+    ) -> list[NodeOutput]:
+        return list(self.control.claims.read(wanted.key, now))
+
     def _claim_decided(self, decided: ClaimDecided, now: float) -> list[NodeOutput]:
         if decided.key.startswith(REQUEST_CLAIM_PREFIX):
             requests_core = self.data.requests
