--- a/src/stagewalk/node/daemon.py
+++ b/src/stagewalk/node/daemon.py
@@ -90,7 +90,7 @@
         self._metrics = NodeMetrics()
         self._events = EventQueue()
         limits = settings.limits
-        self._calls = OpenCalls(limits.open_calls, limits.buffered_chunks)
+        self._calls = OpenCalls(limits.open_calls, limits.buffered_characters)
         self._peers = PeerTransport(settings.peer_listen, self._events, self._metrics)
         self._exit = anyio.Event()
 
--- a/src/stagewalk/node/edge/call_desk.py
+++ b/src/stagewalk/node/edge/call_desk.py
@@ -10,11 +10,11 @@
 from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
 from stagewalk.core.events import CallAbandoned, Event
 from stagewalk.core.identities import CallId
-from stagewalk.core.instructions import FailCall, SendChunk
+from stagewalk.core.instructions import FailCall
 from stagewalk.node.edge.exchange import Exchange
 from stagewalk.node.event_queue import EventQueue
 from stagewalk.node.metrics import NodeMetrics
-from stagewalk.node.open_calls import EDGE_PEER, CallAnswer, OpenCall, OpenCalls
+from stagewalk.node.open_calls import EDGE_PEER, AnswerPiece, LastAnswer, OpenCall, OpenCalls
 
 ANSWER_GRACE_SECONDS = 5.0
 """How long after its deadline the core's answer to a call is still waited for."""
@@ -78,6 +78,8 @@
             return await answer(call)
         if call.overflowed:
             self._metrics.slow_readers.inc()
+            if not exchange.started:
+                await exchange.fail(delivery_error("the answer came faster than it was read"))
             return OUTCOME_SLOW_READER
         return OUTCOME_ABANDONED
 
@@ -85,22 +87,21 @@
         self._metrics.calls.labels(endpoint=endpoint, outcome=outcome).inc()
 
 
-async def whole_answer(call: OpenCall, seconds: float) -> CallAnswer:
+async def whole_answer(call: OpenCall, seconds: float) -> LastAnswer:
     """Return the core's last answer to a call, or an error if none came in time."""
     with anyio.move_on_after(seconds + ANSWER_GRACE_SECONDS):
         while True:
             answer = await call.next_answer()
-            if not isinstance(answer, SendChunk):
+            if not isinstance(answer, AnswerPiece):
                 return answer
     return FailCall(call.id, late_error())
 
 
 def late_error() -> StagewalkError:
     """Return the error for a call that the core did not answer by its deadline."""
-    return StagewalkError(
-        ErrorKind.OUTCOME_UNKNOWN,
-        Step.DELIVERY,
-        EDGE_PEER,
-        "no answer by the deadline",
-        Ran.UNKNOWN,
-    )
+    return delivery_error("no answer by the deadline")
+
+
+def delivery_error(detail: str) -> StagewalkError:
+    """Return the error for an answer that could not be handed over."""
+    return StagewalkError(ErrorKind.OUTCOME_UNKNOWN, Step.DELIVERY, EDGE_PEER, detail, Ran.UNKNOWN)
--- a/src/stagewalk/node/edge/completions.py
+++ b/src/stagewalk/node/edge/completions.py
@@ -9,17 +9,19 @@
 
 import anyio
 import msgspec
+import xxhash
 from expression import Error, Ok, Result
 
-from stagewalk.core.completions import CompletionRequest, CompletionResult, Priority, TokenChunk
+from stagewalk.core.completions import CompletionRequest, CompletionResult, Priority
 from stagewalk.core.errors import StagewalkError
 from stagewalk.core.events import AnswerRequested, CompletionRequested
 from stagewalk.core.identities import ModelName, RequestId, TenantName
-from stagewalk.core.instructions import FailCall, FinishCall, SendChunk
+from stagewalk.core.instructions import FailCall, FinishCall
 from stagewalk.node.edge.call_desk import (
     ANSWER_GRACE_SECONDS,
     OUTCOME_OK,
     CallDesk,
+    delivery_error,
     late_error,
     whole_answer,
 )
@@ -36,7 +38,7 @@
     invalid,
 )
 from stagewalk.node.metrics import NodeMetrics
-from stagewalk.node.open_calls import CallAnswer, OpenCall
+from stagewalk.node.open_calls import AnswerPiece, LastAnswer, OpenCall
 from stagewalk.settings.node_settings import Limits
 
 COMPLETIONS_ENDPOINT = "completions"
@@ -48,6 +50,7 @@
 RETAINED_ANSWER_SECONDS = 10.0
 
 _OBJECT = "text_completion"
+_NOT_WHOLE = "the streamed text is not the beginning of the whole answer"
 _STREAM_END = b"data: [DONE]\n\n"
 
 
@@ -151,7 +154,10 @@
 
 
 class _AnswerStream:
-    """The server-sent events of one streamed answer."""
+    """The server-sent events of one streamed answer.
+
+    What was streamed is compared with the whole answer before that is called finished.
+    """
 
     def __init__(
         self,
@@ -165,16 +171,16 @@
         self._metrics = metrics
         self._clock = clock
         self._sent_characters = 0
+        self._sent_digest = xxhash.xxh64()
 
     async def relay(self, call: OpenCall) -> str:
         """Send the core's answers on until the last; return the call's outcome."""
         while True:
             answer = await call.next_answer()
-            if isinstance(answer, SendChunk):
-                await self._send_chunk(answer.chunk)
+            if isinstance(answer, AnswerPiece):
+                await self._send_piece(answer.text)
             elif isinstance(answer, FinishCall):
-                await self._finish(answer.result)
-                return OUTCOME_OK
+                return await self._finish(answer.result)
             elif isinstance(answer, FailCall):
                 return await self.fail(answer.error)
 
@@ -186,18 +192,23 @@
             await self._exchange.fail(error)
         return error.kind.value
 
-    async def _send_chunk(self, chunk: TokenChunk) -> None:
+    async def _send_piece(self, text: str) -> None:
         await self._start()
-        self._sent_characters += len(chunk.text)
-        await self._send(_piece(self._question.request, chunk.text))
+        self._sent_characters += len(text)
+        self._sent_digest.update(text.encode())
+        await self._send(_piece(self._question.request, text))
 
-    async def _finish(self, result: CompletionResult) -> None:
+    async def _finish(self, result: CompletionResult) -> str:
         """Send what text the caller has not had yet, with the versions, and end the stream."""
+        sent, rest = result.text[: self._sent_characters], result.text[self._sent_characters :]
+        if xxhash.xxh64_intdigest(sent.encode()) != self._sent_digest.intdigest():
+            return await self.fail(delivery_error(_NOT_WHOLE))
         await self._start()
         last = _whole(self._question.request, result)
-        last.choices[0].text = result.text[self._sent_characters :]
+        last.choices[0].text = rest
         await self._send(last)
         await self._exchange.write(_STREAM_END, last=True)
+        return OUTCOME_OK
 
     async def _start(self) -> None:
         if self._exchange.started:
@@ -210,7 +221,7 @@
         await self._exchange.write(_event(msgspec.json.encode(answer)))
 
 
-async def _respond_whole(exchange: Exchange, answer: CallAnswer, request: CompletionRequest) -> str:
+async def _respond_whole(exchange: Exchange, answer: LastAnswer, request: CompletionRequest) -> str:
     if isinstance(answer, FinishCall):
         body = msgspec.json.encode(_whole(request, answer.result))
         await exchange.respond(200, JSON_CONTENT, body)
--- a/src/stagewalk/node/edge/rollouts.py
+++ b/src/stagewalk/node/edge/rollouts.py
@@ -25,7 +25,7 @@
     decode_body,
     invalid,
 )
-from stagewalk.node.open_calls import CallAnswer, OpenCall
+from stagewalk.node.open_calls import LastAnswer, OpenCall
 from stagewalk.settings.node_settings import Limits
 
 LOTS_ENDPOINT = "rollouts"
@@ -128,7 +128,7 @@
     return error.kind.value
 
 
-def _error_of(answer: CallAnswer) -> StagewalkError:
+def _error_of(answer: LastAnswer) -> StagewalkError:
     return answer.error if isinstance(answer, FailCall) else late_error()
 
 
--- a/src/stagewalk/node/instruction_runner.py
+++ b/src/stagewalk/node/instruction_runner.py
@@ -47,11 +47,11 @@
         exit_process: Callable[[], None],
     ) -> None:
         self._handlers: dict[type[Instruction], Callable[[Any], None]] = {
-            SendChunk: calls.offer,
-            FinishCall: calls.offer,
-            FailCall: calls.offer,
-            AcceptLot: calls.offer,
-            DeliverSamples: calls.offer,
+            SendChunk: calls.send_chunk,
+            FinishCall: calls.end,
+            FailCall: calls.end,
+            AcceptLot: calls.end,
+            DeliverSamples: calls.end,
             StartAttempt: engines.start_attempt,
             CancelAttempt: engines.cancel_attempt,
             PollEngine: engines.poll,
--- a/src/stagewalk/node/open_calls.py
+++ b/src/stagewalk/node/open_calls.py
@@ -4,6 +4,7 @@
 
 import uuid
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import anyio
 from expression import Error, Ok, Result
@@ -12,7 +13,15 @@
 from stagewalk.core.identities import CallId
 from stagewalk.core.instructions import AcceptLot, DeliverSamples, FailCall, FinishCall, SendChunk
 
-CallAnswer = SendChunk | FinishCall | FailCall | AcceptLot | DeliverSamples
+LastAnswer = FinishCall | FailCall | AcceptLot | DeliverSamples
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerPiece:
+    """Text of one or more chunks that the caller has not had yet."""
+
+    text: str
+
 
 EDGE_PEER = "edge"
 CALLER_PEER = "caller"
@@ -22,45 +31,65 @@
 class OpenCall:
     """One open call.
 
-    The core's answers wait in a buffer of bounded length. A caller that lets it overflow reads
-    too slowly: its call is cut, so that it can't hold the node's memory.
+    Chunks that come faster than the caller reads are joined, up to a bounded length. A caller
+    that lets them grow beyond it reads too slowly: its call is cut, so that it can't hold the
+    node's memory. The bound counts characters, not chunks, since the core may well give many
+    chunks at once.
     """
 
-    def __init__(self, call: CallId, streaming: bool, buffered: int) -> None:
+    def __init__(self, call: CallId, streaming: bool, maximum_characters: int) -> None:
         self.id = call
         self.streaming = streaming
-        self.ended = False
-        """Whether the core has given its last answer."""
         self.overflowed = False
-        send, receive = anyio.create_memory_object_stream[CallAnswer](buffered)
-        self._send = send
-        self._receive = receive
+        self._maximum_characters = maximum_characters
+        self._texts: list[str] = []
+        self._characters = 0
+        self._last: LastAnswer | None = None
+        self._news = anyio.Event()
         self._on_overflow: Callable[[], None] | None = None
 
+    @property
+    def ended(self) -> bool:
+        """Whether the core has given its last answer."""
+        return self._last is not None
+
     def on_overflow(self, action: Callable[[], None]) -> None:
         """Set what stops the call's task if it stands in a write that doesn't move."""
         self._on_overflow = action
 
-    def offer(self, answer: CallAnswer) -> None:
-        """Buffer an answer, or cut the call if its buffer is full."""
-        try:
-            self._send.send_nowait(answer)
-        except anyio.WouldBlock:
+    def add_text(self, text: str) -> None:
+        """Buffer a piece of the answer, or cut the call if too much waits already."""
+        if self._characters + len(text) > self._maximum_characters:
             self._cut()
             return
-        self.ended = not isinstance(answer, SendChunk)
-
-    async def next_answer(self) -> CallAnswer:
-        """Wait for the next answer."""
-        return await self._receive.receive()
-
-    def close(self) -> None:
-        """Release the buffer."""
-        self._send.close()
-        self._receive.close()
+        self._texts.append(text)
+        self._characters += len(text)
+        self._news.set()
+
+    def end(self, answer: LastAnswer) -> None:
+        """Take the core's last answer."""
+        self._last = answer
+        self._news.set()
+
+    async def next_answer(self) -> AnswerPiece | LastAnswer:
+        """Wait for what the core says next."""
+        while not self._texts and self._last is None:
+            self._news = anyio.Event()
+            await self._news.wait()
+        if self._texts:
+            return self._take_texts()
+        assert self._last is not None
+        return self._last
+
+    def _take_texts(self) -> AnswerPiece:
+        piece = AnswerPiece("".join(self._texts))
+        self._texts.clear()
+        self._characters = 0
+        return piece
 
     def _cut(self) -> None:
         self.overflowed = True
+        self._texts.clear()
         if self._on_overflow is not None:
             self._on_overflow()
 
@@ -68,9 +97,9 @@
 class OpenCalls:
     """All open calls of the node, limited in number."""
 
-    def __init__(self, maximum: int, buffered_chunks: int) -> None:
+    def __init__(self, maximum: int, buffered_characters: int) -> None:
         self._maximum = maximum
-        self._buffered_chunks = buffered_chunks
+        self._buffered_characters = buffered_characters
         self._calls: dict[CallId, OpenCall] = {}
         self.stopping = False
         """Set at a planned stop: calls in flight go on, new ones are refused."""
@@ -84,23 +113,31 @@
             return Error(_refusal(ErrorKind.STOPPING, "this node is stopping; ask another one"))
         if len(self._calls) >= self._maximum:
             return Error(_refusal(ErrorKind.OVERLOADED, f"{self._maximum} calls are open"))
-        call = OpenCall(CallId(uuid.uuid4().hex), streaming, self._buffered_chunks)
+        call = OpenCall(CallId(uuid.uuid4().hex), streaming, self._buffered_characters)
         self._calls[call.id] = call
         return Ok(call)
 
     def close(self, call: OpenCall) -> None:
         """Forget a call; answers that still come for it are dropped."""
         self._calls.pop(call.id, None)
-        call.close()
 
-    def offer(self, answer: CallAnswer) -> None:
-        """Hand the core's answer to its call, if that is still open and wants it."""
-        call = self._calls.get(answer.call)
+    def send_chunk(self, send: SendChunk) -> None:
+        """Hand a chunk to its call, if that is still open and streams."""
+        call = self._find(send.call)
+        if call is not None and call.streaming:
+            call.add_text(send.chunk.text)
+
+    def end(self, answer: LastAnswer) -> None:
+        """Hand the core's last answer to its call, if that is still open."""
+        call = self._find(answer.call)
+        if call is not None:
+            call.end(answer)
+
+    def _find(self, name: CallId) -> OpenCall | None:
+        call = self._calls.get(name)
         if call is None or call.ended or call.overflowed:
-            return
-        if isinstance(answer, SendChunk) and not call.streaming:
-            return
-        call.offer(answer)
+            return None
+        return call
 
 
 def _refusal(kind: ErrorKind, detail: str) -> StagewalkError:
--- a/src/stagewalk/settings/node_settings.py
+++ b/src/stagewalk/settings/node_settings.py
@@ -37,8 +37,8 @@
         Longest prompt, in characters.
     open_calls
         Most calls that are open at once; a further one is refused.
-    buffered_chunks
-        Most chunks of an answer held for a caller that reads slower than the engine writes.
+    buffered_characters
+        Most text, in characters, held for a caller that reads slower than the engine writes.
     body_seconds
         Longest time a caller may take to send its body, in seconds.
     """
@@ -47,7 +47,7 @@
     buffered_body_bytes: PositiveInteger = 32 * 1024 * 1024
     prompt_characters: PositiveInteger = 262_144
     open_calls: PositiveInteger = 512
-    buffered_chunks: PositiveInteger = 256
+    buffered_characters: PositiveInteger = 262_144
     body_seconds: PositiveInteger = 30
 
 
--- a/tests/node/test_edge.py
+++ b/tests/node/test_edge.py
@@ -195,7 +195,14 @@
                 await eventually(lambda: self._cut(node))
             self.assertIsInstance(node.core.seen[-1], CallAbandoned)
 
-        on_node(body, Limits(buffered_chunks=50))
+        on_node(body, Limits(buffered_characters=1_000_000))
+
+    def test_answer_that_never_fitted_is_a_clear_error(self) -> None:
+        async def body(node: RunningNode) -> None:
+            answer = await node.post("/v1/completions", ASK | {"stream": True})
+            self.assertEqual((502, "unknown"), (answer.status_code, answer.json()["ran"]))
+
+        on_node(body, Limits(buffered_characters=3))
 
     async def _refused(self, node: RunningNode, ask: object) -> bool:
         answer = await node.post("/v1/completions", ask)
--- a/tests/node/test_engine_stream.py
+++ b/tests/node/test_engine_stream.py
@@ -60,7 +60,10 @@
         self, scope: Any, receive: Callable[[], Awaitable[Any]], send: Callable[[Any], Any]
     ) -> None:
         if scope["type"] != "http":
-            raise RuntimeError("no lifespan")
+            for step in ("startup", "shutdown"):
+                await receive()
+                await send({"type": f"lifespan.{step}.complete"})
+            return
         self.paths.append(scope["path"])
         body, more = b"", True
         while more:
--- /dev/null
+++ b/tests/node/test_log_lines.py
@@ -0,0 +1,51 @@
+"""One line of key=value pairs for each event."""
+
+from __future__ import annotations
+
+import logging
+import shlex
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from stagewalk.node.log_lines import configure_logs, format_line, log_event
+
+
+class LogLinesTest(testtools.TestCase):
+    def capture(self, level: str = "info") -> list[str]:
+        lines: list[str] = []
+        self.addCleanup(configure_logs(level, lines.append))
+        lines.clear()  # eliot hands its first destination what was logged before
+        return lines
+
+    def test_event(self) -> None:
+        lines = self.capture()
+        log_event("request_finished", request_id="r1", tokens=3, seconds=0.25, ok=True)
+        (line,) = lines
+        self.assertRegex(line, r"^time=\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z level=info ")
+        self.assertIn("event=request_finished request_id=r1 tokens=3 seconds=0.25 ok=true\n", line)
+
+    def test_values_are_quoted_where_needed(self) -> None:
+        lines = self.capture()
+        log_event("failed", detail='a "b"\nc=d', empty="")
+        self.assertIn(r'detail="a \"b\"\nc=d" empty=""', lines[0])
+
+    @given(st.text(max_size=40), st.text(max_size=10))
+    def test_any_value_stays_on_one_line_and_in_its_field(self, value: str, key: str) -> None:
+        message = {"timestamp": 0.0, "message_type": "event", f"x{key}": value, "last": "1"}
+        line = format_line(message)
+        self.assertEqual(set(), {"\n", "\r"} & set(line))
+        if value.isascii():
+            self.assertEqual(5, len(shlex.split(line)))
+
+    def test_levels_below_the_minimum_are_left_out(self) -> None:
+        lines = self.capture("warning")
+        log_event("quiet")
+        log_event("loud", "error")
+        self.assertEqual(["loud"], [line.split("event=")[1].strip() for line in lines])
+
+    def test_messages_of_libraries_become_events(self) -> None:
+        lines = self.capture()
+        logging.getLogger("some.library").error("broken %s", "pipe")
+        self.assertIn('event=library_message logger=some.library detail="broken pipe"', lines[0])
