--- a/src/stagewalk/adapters/engine_stream.py
+++ b/src/stagewalk/adapters/engine_stream.py
@@ -2,171 +2,179 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 
 import anyio
 import httpx
 import msgspec
 
-from stagewalk.adapters.http_calls import NOT_SENT_ERRORS, call_timeout, describe
+from stagewalk.adapters.engine_frames import (
+    StreamEvent,
+    decode_event,
+    decode_problem,
+    encode_attempt,
+)
+from stagewalk.adapters.http_calls import (
+    NOT_SENT_ERRORS,
+    call_timeout,
+    describe,
+    path_part,
+    process_url,
+)
 from stagewalk.core.completions import TokenChunk
 from stagewalk.core.errors import Ran
 from stagewalk.core.events import AttemptChunk, AttemptFailed, AttemptFinished, AttemptRefused
-from stagewalk.core.identities import AttemptId, WeightVersion
 from stagewalk.core.instructions import StartAttempt
 from stagewalk.ports.engines import AttemptSink, FinalAttemptEvent
 
 ATTEMPT_GRACE_SECONDS = 5.0
 """How long a stream may outlive its request's deadline before it is given up."""
 
+RECONNECTIONS = 3
+"""How often in a row, without a further chunk, a lost stream is asked for again."""
+
+RECONNECTION_DELAY_SECONDS = 0.2
+
 _DATA_FIELD = "data:"
 _STREAM_END = "[DONE]"
 _DUPLICATE_STATUS = 409
 _PROBLEM_BYTES = 4096
 
 
-class _CompletionBody(msgspec.Struct, omit_defaults=True):
-    model: str
-    prompt: str
-    max_tokens: int
-    priority: int
-    tenant: str
-    request_id: str
-    stream: bool
-    seed: int | None = None
-    resume_offset: int = 0
-    resume_text: str = ""
-
-
-class _Frame(msgspec.Struct):
-    sequence: int
-    offset: int
-    token_count: int
-    version: int
-
-
-class _Choice(msgspec.Struct):
-    text: str = ""
-    finish_reason: str | None = None
-
-
-class _Usage(msgspec.Struct):
-    completion_tokens: int
-
-
-class _StreamEvent(msgspec.Struct):
-    id: str
-    choices: list[_Choice] = msgspec.field(default_factory=list)
-    frame: _Frame | None = None
-    usage: _Usage | None = None
-
-
-class _Problem(msgspec.Struct):
-    detail: str = ""
-    ran: str = Ran.UNKNOWN
+class AttemptStream:
+    """One attempt at an engine, over as many connections as it takes.
 
-
-_EVENT_DECODER = msgspec.json.Decoder(_StreamEvent)
-_PROBLEM_DECODER = msgspec.json.Decoder(_Problem)
-
-
-async def stream_attempt(
-    client: httpx.AsyncClient, start: StartAttempt, deliver: AttemptSink
-) -> None:
-    """Send an attempt and deliver its events: chunks, then exactly one final event.
-
-    An attempt counts as sent unless connecting failed. A stream that ends without the engine's
-    final frame, or that carries another attempt's frame, is a failed attempt.
+    An attempt counts as sent unless connecting failed. If its stream is lost, the engine is asked
+    for the rest of the same attempt, which runs nothing twice; the attempt has failed when the
+    engine can't be reached or no longer has it.
     """
-    await deliver(await _run(client, start, deliver))
-
 
-async def _run(
-    client: httpx.AsyncClient, start: StartAttempt, deliver: AttemptSink
-) -> FinalAttemptEvent:
-    try:
-        with anyio.fail_after(_seconds_left(start)):
-            async with client.stream(
-                "POST",
-                f"http://{start.address}/v1/completions",
-                content=_encode_body(start),
-                headers={"Content-Type": "application/json", "X-Request-Id": start.attempt},
-                timeout=call_timeout(None),
-            ) as response:
+    def __init__(
+        self, client: httpx.AsyncClient, start: StartAttempt, deliver: AttemptSink
+    ) -> None:
+        self._client = client
+        self._start = start
+        self._deliver = deliver
+        self._next_offset = start.resume_offset
+        self._next_sequence = 0
+        self._reconnections_left = RECONNECTIONS
+
+    async def run(self) -> None:
+        """Deliver the attempt's chunks, then exactly one final event."""
+        try:
+            with anyio.fail_after(self._seconds_left()):
+                final = await self._follow()
+        except TimeoutError:
+            final = self._failed("the stream outlived its deadline")
+        await self._deliver(final)
+
+    def _seconds_left(self) -> float:
+        left = self._start.request.deadline - time.monotonic()
+        return max(0.0, left) + ATTEMPT_GRACE_SECONDS
+
+    async def _follow(self) -> FinalAttemptEvent:
+        final = await self._send()
+        while isinstance(final, _Lost):
+            if self._reconnections_left == 0:
+                return self._failed(final.detail)
+            self._reconnections_left -= 1
+            await anyio.sleep(RECONNECTION_DELAY_SECONDS)
+            final = await self._reconnect(final)
+        return final
+
+    async def _send(self) -> FinalAttemptEvent | _Lost:
+        request = self._client.stream(
+            "POST",
+            process_url(self._start.address, "/v1/completions"),
+            content=encode_attempt(self._start),
+            headers={"Content-Type": "application/json", "X-Request-Id": self._start.attempt},
+            timeout=call_timeout(None),
+        )
+        try:
+            async with request as response:
                 if response.is_success:
-                    return await _relay_stream(response, start.attempt, deliver)
-                return await _refusal(response, start.attempt)
-    except httpx.HTTPError as error:
-        sent = not isinstance(error, NOT_SENT_ERRORS)
-        return AttemptFailed(start.attempt, sent, describe(error))
-    except TimeoutError:
-        return AttemptFailed(start.attempt, True, "the stream outlived its deadline")
-    except msgspec.DecodeError as error:
-        return AttemptFailed(start.attempt, True, f"bad frame: {error}")
-
-
-def _seconds_left(start: StartAttempt) -> float:
-    return max(0.0, start.request.deadline - time.monotonic()) + ATTEMPT_GRACE_SECONDS
-
-
-def _encode_body(start: StartAttempt) -> bytes:
-    request = start.request
-    return msgspec.json.encode(
-        _CompletionBody(
-            model=request.model,
-            prompt=request.prompt,
-            max_tokens=request.max_tokens,
-            priority=int(request.priority),
-            tenant=request.tenant,
-            request_id=request.request_id,
-            stream=True,
-            seed=request.seed,
-            resume_offset=start.resume_offset,
-            resume_text=start.resume_text,
+                    return await self._relay(response)
+                return await self._refusal(response)
+        except NOT_SENT_ERRORS as error:
+            return AttemptFailed(self._start.attempt, False, describe(error))
+        except httpx.HTTPError as error:
+            return _Lost(describe(error))
+
+    async def _reconnect(self, lost: _Lost) -> FinalAttemptEvent | _Lost:
+        path = f"/v1/streams/{path_part(self._start.attempt)}?offset={self._next_offset}"
+        request = self._client.stream(
+            "GET", process_url(self._start.address, path), timeout=call_timeout(None)
         )
-    )
-
-
-async def _relay_stream(
-    response: httpx.Response, attempt: AttemptId, deliver: AttemptSink
-) -> FinalAttemptEvent:
-    async for line in response.aiter_lines():
-        if not line.startswith(_DATA_FIELD):
-            continue
-        data = line.removeprefix(_DATA_FIELD).strip()
-        if data == _STREAM_END:
-            break
-        event = _EVENT_DECODER.decode(data)
-        if event.id != attempt:
-            return AttemptFailed(attempt, True, f"the stream carries attempt {event.id}")
-        choice = event.choices[0] if event.choices else _Choice()
-        if event.frame is not None and event.frame.token_count > 0:
-            await deliver(AttemptChunk(attempt, _chunk(event.frame, choice.text)))
-        if choice.finish_reason is not None and event.usage is not None:
-            tokens = event.usage.completion_tokens
-            return AttemptFinished(attempt, tokens, choice.finish_reason)
-    return AttemptFailed(attempt, True, "the stream ended without its final frame")
-
-
-def _chunk(frame: _Frame, text: str) -> TokenChunk:
-    version = WeightVersion(frame.version)
-    return TokenChunk(frame.sequence, frame.offset, frame.token_count, text, version)
-
-
-async def _refusal(response: httpx.Response, attempt: AttemptId) -> FinalAttemptEvent:
-    content = b""
-    async for part in response.aiter_bytes():
-        content += part
-        if len(content) >= _PROBLEM_BYTES:
-            break
-    try:
-        problem = _PROBLEM_DECODER.decode(content)
-    except msgspec.DecodeError:
-        problem = _Problem()
-    detail = f"status {response.status_code}: {problem.detail}"
-    if problem.ran != Ran.NO or response.status_code == _DUPLICATE_STATUS:
-        return AttemptFailed(attempt, True, detail)
-    return AttemptRefused(attempt, detail, _retry_after(response))
+        try:
+            async with request as response:
+                if response.is_success:
+                    return await self._relay(response, renumber=True)
+                return self._failed(f"{lost.detail}; asked again: status {response.status_code}")
+        except NOT_SENT_ERRORS as error:
+            return self._failed(f"{lost.detail}; asked again: {describe(error)}")
+        except httpx.HTTPError as error:
+            return _Lost(describe(error))
+
+    async def _relay(
+        self, response: httpx.Response, *, renumber: bool = False
+    ) -> FinalAttemptEvent | _Lost:
+        async for line in response.aiter_lines():
+            if not line.startswith(_DATA_FIELD):
+                continue
+            data = line.removeprefix(_DATA_FIELD).strip()
+            if data == _STREAM_END:
+                break
+            try:
+                event = decode_event(data)
+            except msgspec.DecodeError as error:
+                return _Lost(f"bad frame: {error}")
+            final = await self._take(event, renumber)
+            if final is not None:
+                return final
+        return _Lost("the stream ended without its final frame")
+
+    async def _take(self, event: StreamEvent, renumber: bool) -> FinalAttemptEvent | None:
+        if event.id != self._start.attempt:
+            return self._failed(f"the stream carries attempt {event.id}")
+        chunk = event.chunk()
+        if chunk is not None:
+            await self._deliver_chunk(chunk, renumber)
+        reason = event.choice.finish_reason
+        if reason is not None and event.usage is not None:
+            return AttemptFinished(self._start.attempt, event.usage.completion_tokens, reason)
+        return None
+
+    async def _deliver_chunk(self, chunk: TokenChunk, renumber: bool) -> None:
+        """Deliver a chunk; a repeated stream's numbers go on from those of the lost one."""
+        if renumber:
+            chunk = dataclasses.replace(chunk, sequence=self._next_sequence)
+        self._next_sequence = chunk.sequence + 1
+        self._next_offset = chunk.offset + chunk.token_count
+        self._reconnections_left = RECONNECTIONS
+        await self._deliver(AttemptChunk(self._start.attempt, chunk))
+
+    async def _refusal(self, response: httpx.Response) -> FinalAttemptEvent:
+        content = b""
+        async for part in response.aiter_bytes():
+            content += part
+            if len(content) >= _PROBLEM_BYTES:
+                break
+        problem = decode_problem(content)
+        detail = f"status {response.status_code}: {problem.detail}"
+        if problem.ran != Ran.NO or response.status_code == _DUPLICATE_STATUS:
+            return self._failed(detail)
+        return AttemptRefused(self._start.attempt, detail, _retry_after(response))
+
+    def _failed(self, detail: str) -> AttemptFailed:
+        return AttemptFailed(self._start.attempt, True, detail)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Lost:
+    """A connection ended before the attempt's final frame."""
+
+    detail: str
 
 
 def _retry_after(response: httpx.Response) -> float | None:
--- a/src/stagewalk/adapters/http_calls.py
+++ b/src/stagewalk/adapters/http_calls.py
@@ -11,6 +11,7 @@
 from expression import Error, Ok, Result
 
 from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
+from stagewalk.core.identities import Address
 
 Answer = TypeVar("Answer")
 
@@ -45,6 +46,12 @@
     return httpx.Timeout(read_seconds, connect=CONNECT_TIMEOUT_SECONDS, pool=POOL_TIMEOUT_SECONDS)
 
 
+def process_url(address: Address, path: str) -> str:
+    """Return the URL of a path at a process's address."""
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    return f"http://{host}:{address.port}{path}"
+
+
 def path_part(name: str) -> str:
     """Return a name quoted as one segment of a URL's path."""
     return quote(name, safe="")
--- a/src/stagewalk/adapters/http_engines.py
+++ b/src/stagewalk/adapters/http_engines.py
@@ -6,8 +6,8 @@
 import msgspec
 from expression import Result
 
-from stagewalk.adapters.engine_stream import stream_attempt
-from stagewalk.adapters.http_calls import call_json, call_timeout, describe
+from stagewalk.adapters.engine_stream import AttemptStream
+from stagewalk.adapters.http_calls import call_json, call_timeout, describe, process_url
 from stagewalk.core.errors import StagewalkError, Step
 from stagewalk.core.events import OrderAnswered
 from stagewalk.core.identities import Address
@@ -42,14 +42,14 @@
 
     async def run_attempt(self, start: StartAttempt, deliver: AttemptSink) -> None:
         """Send an attempt and deliver its events."""
-        await stream_attempt(self._streams, start, deliver)
+        await AttemptStream(self._streams, start, deliver).run()
 
     async def cancel(self, cancel: CancelAttempt) -> Result[None, StagewalkError]:
         """Ask the engine to stop an attempt."""
         answer = await call_json(
             self._control,
             "POST",
-            f"http://{cancel.address}/control/cancel",
+            process_url(cancel.address, "/control/cancel"),
             body={"attempt": cancel.attempt},
             answer=_CancelAnswer,
             step=Step.EXECUTION,
@@ -63,7 +63,7 @@
         return await call_json(
             self._control,
             "GET",
-            f"http://{address}/control/report",
+            process_url(address, "/control/report"),
             answer=EngineReport,
             step=Step.ROUTING,
             peer=engine,
@@ -74,7 +74,7 @@
         """Send a fenced order."""
         try:
             response = await self._control.post(
-                f"http://{order.address}/control/orders",
+                process_url(order.address, "/control/orders"),
                 content=msgspec.json.encode(order.order),
                 headers={"Content-Type": "application/json"},
                 timeout=call_timeout(ORDER_TIMEOUT_SECONDS),
--- a/src/stagewalk/node/daemon.py
+++ b/src/stagewalk/node/daemon.py
@@ -49,6 +49,9 @@
 MAXIMUM_CONTROL_CONNECTIONS = 128
 MAXIMUM_PLATFORM_CONNECTIONS = 64
 MAXIMUM_IDLE_CONNECTIONS = 32
+NO_IDLE_CONNECTIONS = 0
+"""Each attempt has a connection of its own: an engine that is gone then refuses to connect, which
+proves the attempt not sent, where an idle connection would have swallowed it."""
 
 CoreFactory = Callable[[NodeIdentity, random.Random], Core]
 
@@ -113,7 +116,7 @@
             tasks.cancel_scope.cancel()
 
     async def _open_engines(self, resources: AsyncExitStack) -> HttpEngineClient:
-        streams = open_client(MAXIMUM_STREAM_CONNECTIONS, MAXIMUM_IDLE_CONNECTIONS)
+        streams = open_client(MAXIMUM_STREAM_CONNECTIONS, NO_IDLE_CONNECTIONS)
         control = open_client(MAXIMUM_CONTROL_CONNECTIONS, MAXIMUM_IDLE_CONNECTIONS)
         return HttpEngineClient(
             await resources.enter_async_context(streams),
--- a/src/stagewalk/node/edge/schemas.py
+++ b/src/stagewalk/node/edge/schemas.py
@@ -35,8 +35,14 @@
 _FIELD_NAME = re.compile(r"field `([^`]*)`")
 
 
+class StreamOptions(msgspec.Struct):
+    """OpenAI's options of a stream; usage is always included."""
+
+    include_usage: bool = True
+
+
 class CompletionBody(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
-    """Body of `POST /v1/completions`."""
+    """Body of `POST /v1/completions`; `user` and `stream_options` are taken and change nothing."""
 
     model: Name
     prompt: Text
@@ -44,6 +50,8 @@
     stream: bool = False
     seed: Seed | None = None
     n: Literal[1] = 1
+    user: str | None = None
+    stream_options: StreamOptions | None = None
     tenant: Name | None = None
     request_id: RequestIdText | None = None
     repeatable: bool = True
