--- a/src/stagewalk/history/checker_configuration.py
+++ b/src/stagewalk/history/checker_configuration.py
@@ -39,6 +39,10 @@
         """Return the parameters in force, by tenant."""
         ...
 
+    def revisions(self) -> dict[str, int]:
+        """Return the revisions in force, by tenant."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class StalenessBounds:
@@ -63,6 +67,7 @@
     accepted_ids: set[str] = field(default_factory=set)
     rejected: dict[str, RecordAppended] = field(default_factory=dict)
     faults: list[FaultInjected] = field(default_factory=list)
+    revisions: dict[int, dict[str, int]] = field(default_factory=lambda: {0: {}})
 
     def due(self, at: float) -> RecordAppended | None:
         """Return the last accepted record that must be in force by a time."""
@@ -115,7 +120,9 @@
         if isinstance(item, RecordAppended) and item.stream == CONFIGURATION_STREAM
     ]
     for record in sorted(records, key=lambda item: item.offset):
-        if oracle.apply(record):
+        accepted = oracle.apply(record)
+        timeline.revisions[record.offset + 1] = oracle.revisions()
+        if accepted:
             timeline.accepted_ids.add(record.record_id)
             timeline.accepted.append(_Accepted(record.at, record, oracle.parameters()))
         else:
@@ -143,6 +150,7 @@
             _check_in_force(item, first_seen_at[incarnation], timeline, verdict)
             _check_not_reverted(item, last_seen.get(incarnation), verdict)
             _check_same_state(item, digests.setdefault(item.offset, item), verdict)
+            _check_true_state(item, timeline, verdict)
             last_seen[incarnation] = item
         elif isinstance(item, PublishAnswered) and item.accepted:
             _check_publish(item, timeline, verdict)
@@ -177,6 +185,25 @@
     verdict.violate(Promise.CONFIG_IN_FORCE, seen.at, f"node {seen.node}", detail, [first, seen])
 
 
+def _check_true_state(
+    seen: ConfigurationSeen, timeline: ConfigurationTimeline, verdict: Verdict
+) -> None:
+    """Compare with what the log's records amount to."""
+    truth = timeline.revisions.get(seen.offset)
+    if truth == seen.revisions:
+        return
+    wrong = "the log holds no such offset"
+    if truth is not None:
+        names = sorted(truth.keys() | seen.revisions.keys())
+        differing = [name for name in names if truth.get(name) != seen.revisions.get(name)]
+        wrong = ", ".join(
+            f"{name} at {seen.revisions.get(name)} instead of {truth.get(name)}"
+            for name in differing
+        )
+    detail = f"at offset {seen.offset}: {wrong}"
+    verdict.violate(Promise.CONFIG_IN_FORCE, seen.at, f"node {seen.node}", detail, [seen])
+
+
 def _check_publish(
     answered: PublishAnswered, timeline: ConfigurationTimeline, verdict: Verdict
 ) -> None:
--- a/src/stagewalk/history/checker_oracle.py
+++ b/src/stagewalk/history/checker_oracle.py
@@ -24,3 +24,7 @@
     def parameters(self) -> dict[str, TenantParameters]:
         """Return the parameters in force, by tenant."""
         return {name: tenant.parameters for name, tenant in self._fold.tenants.items()}
+
+    def revisions(self) -> dict[str, int]:
+        """Return the revisions in force, by tenant."""
+        return {name: tenant.revision for name, tenant in self._fold.tenants.items()}
--- a/src/stagewalk/history/checker_stops.py
+++ b/src/stagewalk/history/checker_stops.py
@@ -20,10 +20,13 @@
     RequestSent,
     WorkEnded,
     WorkReceived,
+    WorkRefused,
 )
 
 LEAVING_GRACE_SECONDS = 3.0
-"""How long after an engine said that it is leaving it may still be given work."""
+"""How long after an engine said that it is leaving it may still be sent work.
+
+Work that it refuses counts as well: the promise is the service's, not the engine's."""
 
 STOP_RACE_SECONDS = 1.0
 """A request sent less than this before a stop may still have been on its way to the node."""
@@ -49,7 +52,7 @@
                 leaving.setdefault((item.engine, item.incarnation), item)
             case EngineServing():
                 leaving.pop((item.engine, item.incarnation), None)
-            case WorkReceived():
+            case WorkReceived() | WorkRefused():
                 began = leaving.get((item.engine, item.incarnation))
                 if began is None or item.at <= began.at + LEAVING_GRACE_SECONDS:
                     continue
--- a/src/stagewalk/history/observations.py
+++ b/src/stagewalk/history/observations.py
@@ -69,7 +69,7 @@
 
 
 class WorkReceived(Observation, frozen=True, tag=True):
-    """An engine accepted an attempt and will run it (a refusal is not observed)."""
+    """An engine accepted an attempt and will run it."""
 
     engine: str
     incarnation: int
@@ -79,6 +79,16 @@
     resumed: bool
 
 
+class WorkRefused(Observation, frozen=True, tag=True):
+    """An engine was sent an attempt and refused to run it because it is leaving or draining."""
+
+    engine: str
+    incarnation: int
+    attempt: str
+    request_id: str
+    tenant: str
+
+
 class WorkEnded(Observation, frozen=True, tag=True):
     """An engine ended an attempt: `finished`, `cancelled`, `cut` (stopped by the engine)."""
 
@@ -219,6 +229,7 @@
     | RequestRefused
     | RequestCut
     | WorkReceived
+    | WorkRefused
     | WorkEnded
     | EngineLeaving
     | EngineServing
--- a/src/stagewalk/simulation/baseline_node.py
+++ b/src/stagewalk/simulation/baseline_node.py
@@ -78,6 +78,7 @@
 
 POLL_SECONDS = 1.0
 LIST_SECONDS = 3.0
+RETRY_SECONDS = 1.0
 ATTEMPTS_PER_REQUEST = 5
 
 LotKey = tuple[str, str, int]
@@ -94,6 +95,7 @@
     text: str = ""
     token_count: int = 0
     spans: tuple[VersionSpan, ...] = ()
+    not_before: float = 0.0
 
 
 @dataclass(slots=True)
@@ -212,8 +214,9 @@
         if not self._reading:
             self._reading = True
             self._out.append(ReadLog(CONFIGURATION_STREAM, self._fold.offset))
-        queue, self._queue = self._queue, []
-        for work in queue:
+        due = [work for work in self._queue if work.not_before <= self._now]
+        self._queue = [work for work in self._queue if work.not_before > self._now]
+        for work in due:
             self._begin(work)
         if self._stopping and not self._works and not self._queue:
             self._out.append(ExitProcess())
@@ -295,6 +298,7 @@
         if streamed or (work.slot is None and work.tries > ATTEMPTS_PER_REQUEST):
             self._fail(work, ErrorKind.ENGINE_FAILED, Ran.UNKNOWN)
         else:
+            work.not_before = self._now + RETRY_SECONDS
             self._queue.append(work)
 
     def _fail(self, work: _Work, kind: ErrorKind, ran: Ran) -> None:
--- a/src/stagewalk/simulation/callers.py
+++ b/src/stagewalk/simulation/callers.py
@@ -37,6 +37,10 @@
 STREAMED_FRACTION = 0.5
 RETRY_AFTER_REFUSAL_FRACTION = 0.5
 RETRY_SECONDS = (0.1, 1.5)
+BURST_FRACTION = 0.005
+BURST_REQUESTS = 40
+"""Now and then many requests come at once, so that some must be refused."""
+
 RETRIABLE = frozenset(
     {
         ErrorKind.OVER_LIMIT,
@@ -96,7 +100,9 @@
         """Ask for ever, at random intervals."""
         while True:
             yield self.world.scheduler.sleep(self.generator.expovariate(self._rate))
-            RequestLife(self, self._question()).send(self.home)
+            burst = self.generator.random() < BURST_FRACTION
+            for _ in range(BURST_REQUESTS if burst else 1):
+                RequestLife(self, self._question()).send(self.home)
 
     def _question(self) -> Question:
         self._count += 1
--- a/src/stagewalk/simulation/engine_host.py
+++ b/src/stagewalk/simulation/engine_host.py
@@ -17,6 +17,7 @@
     ProcessKilled,
     WorkEnded,
     WorkReceived,
+    WorkRefused,
 )
 from stagewalk.simulation.engine_messages import (
     Accepted,
@@ -26,6 +27,7 @@
     EngineOutput,
     EngineRequest,
     OrderAnswer,
+    Refused,
     StageBegan,
     Submission,
     WorkOutcome,
@@ -174,6 +176,17 @@
                     resumed=request.resume_offset > 0,
                 )
             )
+        elif isinstance(submission, Refused) and life.told_leaving:
+            self._witness.note(
+                WorkRefused(
+                    at=self.now,
+                    engine=self.name,
+                    incarnation=self.incarnation,
+                    attempt=request.attempt,
+                    request_id=request.request_id,
+                    tenant=request.tenant,
+                )
+            )
         self._pump(life)
         return submission
 
--- a/tests/history/histories.py
+++ b/tests/history/histories.py
@@ -15,6 +15,7 @@
     RequestSent,
     SampleAccepted,
     WorkReceived,
+    WorkRefused,
 )
 
 PROMPT = "boundary notes of folio 12"
@@ -90,6 +91,10 @@
     )
 
 
+def work_refused(at: float) -> WorkRefused:
+    return WorkRefused(at=at, engine="e1", incarnation=1, attempt="a1", request_id="r", tenant="t")
+
+
 def sample(
     at: float,
     versions: tuple[int, ...] = (4,),
@@ -126,10 +131,12 @@
 
     def __init__(self) -> None:
         self._bound = 1
+        self._revision = 0
 
     def apply(self, record: RecordAppended) -> bool:
         accepted = record.payload.isdigit()
         if accepted:
+            self._revision += 1
             self._bound = int(record.payload)
         return accepted
 
@@ -142,5 +149,8 @@
             )
         }
 
+    def revisions(self) -> dict[str, int]:
+        return {"t": self._revision} if self._revision else {}
+
 
 History = list[AnyObservation]
--- a/tests/history/test_checker.py
+++ b/tests/history/test_checker.py
@@ -31,13 +31,19 @@
     sent,
     spans,
     work,
+    work_refused,
 )
 
 
 def seen(at: float, offset: int, node: str = "n1", digest: str = "") -> ConfigurationSeen:
     digest = digest or f"digest{offset}"
     return ConfigurationSeen(
-        at=at, node=node, incarnation=1, offset=offset, digest=digest, revisions={"t": offset}
+        at=at,
+        node=node,
+        incarnation=1,
+        offset=offset,
+        digest=digest,
+        revisions={"t": offset} if offset else {},
     )
 
 
@@ -151,6 +157,7 @@
         self.assert_clean([leaving, work(3.9)], Promise.LEAVING_NO_WORK)
         self.assert_clean([leaving, serving, work(6)])
         self.assert_broken(Promise.LEAVING_NO_WORK, [leaving, work(4.1)])
+        self.assert_broken(Promise.LEAVING_NO_WORK, [leaving, work_refused(4.1)])
 
     def test_engine_stop_cuts_work(self) -> None:
         stop = PlannedStopBegan(at=1, process="e1")
@@ -170,7 +177,7 @@
     def test_new_incarnation_ends_the_stop(self) -> None:
         before = seen(0, 0, digest="same")
         restarted = ConfigurationSeen(
-            at=7, node="n1", incarnation=2, offset=0, digest="same", revisions={"t": 0}
+            at=7, node="n1", incarnation=2, offset=0, digest="same", revisions={}
         )
         stop = PlannedStopBegan(at=5, process="n1")
         self.assert_clean([before, stop, restarted, sent(8), cut(9)])
@@ -193,12 +200,18 @@
         self.assert_clean([seen(0, 0), record(1, 0, b"rejected"), seen(12, 0)])
 
     def test_reverted(self) -> None:
-        self.assert_broken(Promise.CONFIG_IN_FORCE, [seen(0, 2), seen(1, 1)])
+        records: History = [record(0, 0), record(0, 1)]
+        self.assert_broken(Promise.CONFIG_IN_FORCE, [*records, seen(0, 2), seen(1, 1)])
 
     def test_two_states_at_one_offset(self) -> None:
-        split = [seen(0, 2), seen(1, 2, node="n2", digest="other")]
+        split = [record(0, 0), seen(0, 1), seen(1, 1, node="n2", digest="other")]
         self.assert_broken(Promise.CONFIG_IN_FORCE, split)
 
+    def test_state_other_than_the_records_amount_to(self) -> None:
+        rejected = record(0, 0, b"rejected")
+        self.assert_broken(Promise.CONFIG_IN_FORCE, [rejected, seen(1, 1)])
+        self.assert_broken(Promise.CONFIG_IN_FORCE, [seen(1, 1)])
+
     def test_operator_told_of_an_acceptance_that_was_none(self) -> None:
         rejected = record(1, 0, b"rejected")
         self.assert_broken(Promise.CONFIG_IN_FORCE, [rejected, published(2, "rec0")])
