--- a/src/stagewalk/simulation/engine_model.py
+++ b/src/stagewalk/simulation/engine_model.py
@@ -76,6 +76,7 @@
         self.model = model
         self.weights = WeightHolder(settings, model, active_version, generator)
         self._time = started_at
+        self._next_event_at = math.inf
         self._known: OrderedDict[AttemptId, None] = OrderedDict()
         self._cache = PrefixCache(
             settings.cache_event_lag_seconds, settings.cache_event_loss_fraction, generator
@@ -133,10 +134,9 @@
         """Return when `advance` must be called next if nothing else happens, or None for never."""
         if self._scheduler.outputs:
             return self._time
-        if self._crashed:
+        if self._crashed or self._next_event_at == math.inf:
             return None
-        wakeup = self._next_event()
-        return None if wakeup == math.inf else wakeup
+        return max(self._time, self._next_event_at)
 
     def order(self, order: EngineOrder, now: float) -> OrderAnswer:
         """Take a fenced order; `ACCEPTED` means begun."""
@@ -249,19 +249,11 @@
 
     def _move_to(self, now: float) -> None:
         self._refresh_report(now)
-        while not self._crashed:
-            event_at = self._next_event()
-            if event_at > now:
-                break
-            self._pass_time(event_at)
+        while self._next_event_at <= now and not self._crashed:
+            self._pass_time(max(self._time, self._next_event_at))
             self._settle()
         self._pass_time(max(now, self._time))
 
-    def _next_event(self) -> float:
-        if self.weights.activating:
-            return max(self._time, self.weights.activation_ends_at)
-        return self._time + self._scheduler.seconds_to_next_event(self._time)
-
     def _pass_time(self, until: float) -> None:
         elapsed = until - self._time
         self._time = until
@@ -274,8 +266,11 @@
             self._cache.clear(self._time)
             self.weights.end_activation()
         self._scheduler.outputs.extend(self.weights.take_outputs())
-        if not self.weights.activating:
-            self._scheduler.settle(self._time, self.weights.active_version)
+        if self.weights.activating:
+            self._next_event_at = self.weights.activation_ends_at
+            return
+        self._scheduler.settle(self._time, self.weights.active_version)
+        self._next_event_at = self._time + self._scheduler.seconds_to_next_event(self._time)
 
     def _expected_tokens(self, sequence: Sequence) -> int:
         limit = min(sequence.request.max_tokens, self.settings.expected_answer_tokens)
