--- a/src/stagewalk_standins/caller.py
+++ b/src/stagewalk_standins/caller.py
@@ -53,6 +53,9 @@
         Most times one request id is sent; again only after its connection broke.
     prefixes
         Number of distinct shared prompt prefixes.
+    request_class
+        If given, non-repeatable requests are marked by this class of their tenant instead of by
+        themselves.
     """
 
     caller: str
@@ -67,6 +70,7 @@
     impatient_fraction: float
     sends: int
     prefixes: int
+    request_class: str = ""
 
 
 class CompletionBody(msgspec.Struct, frozen=True):
@@ -80,6 +84,7 @@
     tenant: str
     request_id: str
     repeatable: bool
+    request_class: str
     deadline_seconds: float
 
 
@@ -169,6 +174,7 @@
         topic = generator.randrange(options.prefixes)
         prefix = f"{options.tenant} topic {topic}. ".ljust(PREFIX_CHARACTERS, ".")
         request_id = f"{options.caller}-{number}-{generator.getrandbits(48):012x}"
+        repeatable = generator.random() >= options.non_repeatable_fraction
         return CompletionBody(
             model=options.model,
             prompt=f"{prefix} Question {request_id}?",
@@ -177,7 +183,8 @@
             seed=generator.randrange(MAXIMUM_SEED),
             tenant=options.tenant,
             request_id=request_id,
-            repeatable=generator.random() >= options.non_repeatable_fraction,
+            repeatable=repeatable or bool(options.request_class),
+            request_class="" if repeatable else options.request_class,
             deadline_seconds=options.deadline_seconds,
         )
 
@@ -200,7 +207,7 @@
                 node=node.name,
                 tenant=body.tenant,
                 request_id=body.request_id,
-                repeatable=body.repeatable,
+                repeatable=body.repeatable and not body.request_class,
                 prompt=body.prompt,
                 seed=body.seed,
                 expected_tokens=answer_length(body.prompt, body.seed, body.max_tokens),
--- a/src/stagewalk_standins/commands.py
+++ b/src/stagewalk_standins/commands.py
@@ -149,6 +149,7 @@
         impatient_fraction=options.impatient_fraction,
         sends=options.sends,
         prefixes=options.prefixes,
+        request_class=options.request_class,
     )
     nodes = NodePool(parse_nodes(options.nodes))
     generator = random.Random(f"{options.name} {options.seed}")
--- a/src/stagewalk_standins/flags.py
+++ b/src/stagewalk_standins/flags.py
@@ -94,6 +94,7 @@
     parser.add_argument("--duration_seconds", type=float, default=30.0)
     parser.add_argument("--streaming_fraction", type=float, default=0.5)
     parser.add_argument("--non_repeatable_fraction", type=float, default=0.3)
+    parser.add_argument("--request_class", default="", help="marks non-repeatable requests")
     parser.add_argument("--impatient_fraction", type=float, default=0.0)
     parser.add_argument("--sends", type=int, default=3, help="most times an id is sent")
     parser.add_argument("--prefixes", type=int, default=8, help="distinct shared prefixes")
