Run both deployments as real processes: make demo

Cause: the whole path had run in simulation only. Change: the demonstration lays deployments/both out on loopback addresses, one a process; publishes the five tenants by the product's command; runs callers and trainers; kills an engine and a node, takes the log down for 8 s, stops an engine and a node in order; and has the checker judge all observers' histories. Before: no run of real processes.

--- /dev/null
+++ b/src/stagewalk_standins/demo/operator.py
@@ -0,0 +1,183 @@
+"""The demonstration's operator: publishes configuration, probes nodes, brings faults about.
+
+What it sees and does goes into a history of its own, as evidence for the checker.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from pathlib import Path
+
+import anyio
+import httpx
+import msgspec
+
+from stagewalk.history.observations import (
+    AnyObservation,
+    ConfigurationSeen,
+    FaultInjected,
+    PlannedStopBegan,
+    ProcessKilled,
+)
+from stagewalk_standins.demo.processes import ProcessGroup
+from stagewalk_standins.demo.topology import PEER_PORT, Host, Topology
+from stagewalk_standins.history_file import HistoryFile
+
+PROBE_INTERVAL_SECONDS = 0.5
+PROBE_TIMEOUT_SECONDS = 1.0
+READY_TIMEOUT_SECONDS = 30.0
+
+
+class ProbedStatus(msgspec.Struct, frozen=True):
+    """What the operator reads of a node's `GET /control/status`."""
+
+    name: str
+    incarnation: int
+    ready: bool
+    configuration_offset: int
+    configuration_digest: str
+    revisions: dict[str, int]
+
+
+class Operator:
+    """Acts for both partners' operators and for the platform's own tools.
+
+    Parameters
+    ----------
+    directory
+        Where its history goes.
+    """
+
+    def __init__(self, topology: Topology, group: ProcessGroup, directory: Path) -> None:
+        self._topology = topology
+        self._group = group
+        self._history = HistoryFile(directory / "operator.history")
+        self._client = httpx.AsyncClient(timeout=PROBE_TIMEOUT_SECONDS)
+        self.statuses: dict[str, ProbedStatus] = {}
+
+    async def register_nodes(self) -> None:
+        """Enter the nodes into the platform's machine list."""
+        machines = self._topology.services["machines"].url
+        for node in self._topology.nodes:
+            body = _machine_row(node.host)
+            answer = await self._client.put(f"{machines}/machines/{node.host.name}", json=body)
+            answer.raise_for_status()
+
+    async def probe_forever(self) -> None:
+        """Read every node's status again and again."""
+        while True:
+            async with anyio.create_task_group() as tasks:
+                for node in self._topology.nodes:
+                    tasks.start_soon(self._probe, node.host)
+            await anyio.sleep(PROBE_INTERVAL_SECONDS)
+
+    async def wait_ready(self, names: list[str]) -> bool:
+        """Wait until nodes say that they are ready; return whether they all did."""
+        give_up_at = time.monotonic() + READY_TIMEOUT_SECONDS
+        while time.monotonic() < give_up_at:
+            statuses = [self.statuses.get(name) for name in names]
+            if all(status is not None and status.ready for status in statuses):
+                return True
+            await anyio.sleep(PROBE_INTERVAL_SECONDS)
+        return False
+
+    async def wait_in_force(self, offset: int) -> bool:
+        """Wait until every node has folded the configuration up to an offset."""
+        give_up_at = time.monotonic() + READY_TIMEOUT_SECONDS
+        names = [node.host.name for node in self._topology.nodes]
+        while time.monotonic() < give_up_at:
+            statuses = [self.statuses.get(name) for name in names]
+            if all(s is not None and s.configuration_offset >= offset for s in statuses):
+                return True
+            await anyio.sleep(PROBE_INTERVAL_SECONDS)
+        return False
+
+    async def publish(self, change: Path, partner: str) -> bool:
+        """Publish a change file by the product's own command; return whether it was accepted."""
+        command = [
+            sys.executable,
+            "-m",
+            "stagewalk",
+            "config",
+            "publish",
+            str(change),
+            f"--log={self._topology.services['log'].url}",
+            f"--operator={partner}-operator",
+            f"--partner={partner}",
+        ]
+        completed = await anyio.run_process(command, check=False, stderr=None)
+        print(f"  config publish {change.name}: {completed.stdout.decode().strip()}", flush=True)
+        return completed.returncode == 0
+
+    async def set_log_down(self, seconds: float) -> None:
+        """Take the log down for some seconds."""
+        self.observe(
+            FaultInjected(at=_now(), kind="log_down", target="log", until=_now() + seconds)
+        )
+        await self._set_log_faults(down=True)
+        await anyio.sleep(seconds)
+        await self._set_log_faults(down=False)
+
+    async def kill(self, name: str, down_seconds: float) -> None:
+        """Kill a process and start it again some seconds later."""
+        print(f"  SIGKILL {name}", flush=True)
+        self.observe(ProcessKilled(at=_now(), process=name))
+        specification = self._group.kill(name)
+        await anyio.sleep(down_seconds)
+        self._group.start(specification)
+
+    async def restart_in_order(self, name: str) -> None:
+        """Stop a process in order, then start it again."""
+        print(f"  SIGTERM {name}", flush=True)
+        specification = self._group.specification(name)
+        await self.stop([name])
+        self._group.start(specification)
+
+    async def stop(self, names: list[str]) -> None:
+        """Stop processes in order."""
+        for name in names:
+            self.observe(PlannedStopBegan(at=_now(), process=name))
+        await anyio.to_thread.run_sync(self._group.stop, names)
+
+    def observe(self, observation: AnyObservation) -> None:
+        """Write down something the operator saw or did."""
+        self._history.write(observation)
+
+    async def _set_log_faults(self, down: bool) -> None:
+        log = self._topology.services["log"].url
+        await self._client.put(f"{log}/control/faults", json={"down": down})
+
+    async def _probe(self, host: Host) -> None:
+        try:
+            answer = await self._client.get(f"{host.url}/control/status")
+            status = msgspec.json.decode(answer.content, type=ProbedStatus)
+        except (httpx.HTTPError, msgspec.DecodeError):
+            return
+        self.statuses[host.name] = status
+        self.observe(
+            ConfigurationSeen(
+                at=_now(),
+                node=status.name,
+                incarnation=status.incarnation,
+                offset=status.configuration_offset,
+                digest=status.configuration_digest,
+                revisions=status.revisions,
+            )
+        )
+
+
+def _machine_row(host: Host) -> dict[str, str | int]:
+    return {
+        "kind": "node",
+        "host": host.address,
+        "port": PEER_PORT,
+        "region": host.region,
+        "zone": host.zone,
+        "state": "live",
+        "service": "stagewalk",
+    }
+
+
+def _now() -> float:
+    return time.monotonic()
--- a/src/stagewalk_standins/demo/processes.py
+++ b/src/stagewalk_standins/demo/processes.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import subprocess
-import time
-from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 
 STOP_TIMEOUT_SECONDS = 20.0
-POLL_INTERVAL_SECONDS = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +48,10 @@
         self.killed.append(name)
         return process.specification
 
+    def specification(self, name: str) -> ProcessSpecification:
+        """Return how a running process is started."""
+        return self._running[name].specification
+
     def request_stop(self, name: str) -> None:
         """Ask a process to stop in order (SIGTERM)."""
         self._running[name].handle.terminate()
@@ -99,13 +100,3 @@
         for process in self._running.values():
             process.handle.wait()
         self._running.clear()
-
-
-def wait_until(condition: Callable[[], bool], timeout_seconds: float) -> bool:
-    """Poll a condition until it holds or the time is over; return whether it held."""
-    give_up_at = time.monotonic() + timeout_seconds
-    while time.monotonic() < give_up_at:
-        if condition():
-            return True
-        time.sleep(POLL_INTERVAL_SECONDS)
-    return condition()
