--- /dev/null
+++ b/src/stagewalk_standins/machine_registration.py
@@ -0,0 +1,53 @@
+"""An engine's own entry in the platform's machine list."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import anyio
+import httpx
+
+from stagewalk.core.platform import MachineKind, MachineState
+from stagewalk_standins.event_log import log_event
+from stagewalk_standins.http_client import open_client
+
+REGISTER_TIMEOUT_SECONDS = 5.0
+REGISTER_RETRY_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineMachine:
+    """Where an engine stands, and in whose list (`machines_url`; empty for none)."""
+
+    machines_url: str
+    name: str
+    listen: str
+    region: str
+    zone: str
+    service: str
+
+    async def register(self, state: MachineState) -> None:
+        """Enter the engine in a state, trying until the list takes it."""
+        if not self.machines_url:
+            return
+        host, _, port = self.listen.rpartition(":")
+        row: dict[str, str | int] = {
+            "kind": MachineKind.ENGINE,
+            "host": host,
+            "port": int(port),
+            "region": self.region,
+            "zone": self.zone,
+            "state": state,
+            "service": self.service,
+        }
+        async with open_client(REGISTER_TIMEOUT_SECONDS) as client:
+            while not await self._put(client, row):
+                await anyio.sleep(REGISTER_RETRY_SECONDS)
+
+    async def _put(self, client: httpx.AsyncClient, row: dict[str, str | int]) -> bool:
+        try:
+            answer = await client.put(f"{self.machines_url}/machines/{self.name}", json=row)
+        except httpx.HTTPError as error:
+            log_event("not_registered", error=type(error).__name__)
+            return False
+        return answer.is_success
