--- a/src/stagewalk_standins/trainer.py
+++ b/src/stagewalk_standins/trainer.py
@@ -8,7 +8,6 @@
 import httpx
 import msgspec
 
-from stagewalk.core.completions import VersionSpan
 from stagewalk.core.identities import SlotKey, TenantName, WeightVersion
 from stagewalk.core.rollouts import slot_seed
 from stagewalk.history.answer_text import answer_length
@@ -23,6 +22,15 @@
 from stagewalk_standins.http_client import open_client
 from stagewalk_standins.node_pool import NodePool
 from stagewalk_standins.trainer_checkpoint import CheckpointFile
+from stagewalk_standins.trainer_protocol import (
+    LotBody,
+    PromptBody,
+    PublishedVersionBody,
+    PullAnswer,
+    PullBody,
+    PulledSample,
+    VersionList,
+)
 
 RETRY_SECONDS = 0.5
 PULL_WAIT_SECONDS = 5.0
@@ -59,73 +67,6 @@
     size_bytes: int
 
 
-class PromptBody(msgspec.Struct, frozen=True):
-    """One prompt of a lot."""
-
-    prompt_id: str
-    prompt: str
-    max_tokens: int
-
-
-class LotBody(msgspec.Struct, frozen=True):
-    """Body of a lot's submission."""
-
-    tenant: str
-    trainer: str
-    step: int
-    model: str
-    version: int
-    prompts: list[PromptBody]
-    samples_per_prompt: int
-    deadline_seconds: float
-
-
-class PullBody(msgspec.Struct, frozen=True):
-    """Body of a pull."""
-
-    tenant: str
-    trainer: str
-    step: int
-    cursor: str
-    version: int
-    max_samples: int
-    wait_seconds: float
-
-
-class PulledSample(msgspec.Struct, frozen=True):
-    """A sample in a pull's answer."""
-
-    prompt_id: str
-    sample_index: int
-    sample_id: str
-    text: str
-    token_count: int
-    versions: list[VersionSpan]
-    score: float | None = None
-
-
-class PullAnswer(msgspec.Struct, frozen=True):
-    """Answer to a pull."""
-
-    samples: list[PulledSample]
-    cursor: str
-    complete: bool
-    remaining: int
-
-
-class PublishedVersionBody(msgspec.Struct, frozen=True):
-    """A version as the weight store lists it."""
-
-    version: int
-    published_at: float
-
-
-class VersionList(msgspec.Struct, frozen=True):
-    """The weight store's answer."""
-
-    versions: list[PublishedVersionBody]
-
-
 class Trainer:
     """Takes steps one after the other, through whichever node answers."""
 
--- a/src/stagewalk_standins/web.py
+++ b/src/stagewalk_standins/web.py
@@ -11,6 +11,8 @@
 import anyio
 import msgspec
 
+from stagewalk_standins.event_log import log_event
+
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Message]]
@@ -157,11 +159,17 @@
             body=await _read_body(receive),
         )
         try:
-            if self.guard is not None and route.guarded:
-                return await self.guard(request, route.handler)
-            return await route.handler(request)
+            return await self._handle(route, request)
         except BadRequest as error:
             return problem_response(400, "invalid_request", str(error), ran="no")
+        except Exception as error:
+            log_event("handler_failed", path=scope["path"], error=repr(error))
+            return problem_response(500, "internal_error", repr(error), ran="unknown")
+
+    async def _handle(self, route: _Route, request: Request) -> Answer:
+        if self.guard is not None and route.guarded:
+            return await self.guard(request, route.handler)
+        return await route.handler(request)
 
     def _find(self, method: str, segments: tuple[str, ...]) -> tuple[_Route, dict[str, str]] | None:
         for route in self._routes:
--- a/tests/standins/test_services.py
+++ b/tests/standins/test_services.py
@@ -17,7 +17,7 @@
 from stagewalk_standins.log_server import LogServer
 from stagewalk_standins.machine_server import MachineServer
 from stagewalk_standins.scorer_server import ScorerServer
-from stagewalk_standins.web import Application
+from stagewalk_standins.web import Answer, Application, Request
 from stagewalk_standins.weight_server import WeightServer
 from tests.standins.temporary import temporary_directory
 
@@ -166,6 +166,22 @@
         call(MachineServer(lag_seconds=2.0, now=lambda: now[0]).application(), steps)
 
 
+class ApplicationTest(testtools.TestCase):
+    def test_failing_handler_and_unknown_path_are_answered(self) -> None:
+        async def fail(request: Request) -> Answer:
+            raise RuntimeError(request.path_values["name"])
+
+        async def steps(client: httpx.AsyncClient) -> None:
+            failed = await client.get("/things/x")
+            self.assertEqual((500, "unknown"), (failed.status_code, failed.json()["ran"]))
+            self.assertEqual(404, (await client.post("/things/x")).status_code)
+            self.assertEqual(404, (await client.get("/things")).status_code)
+
+        application = Application()
+        application.route("GET", "/things/{name}", fail)
+        call(application, steps)
+
+
 class ScorerTest(testtools.TestCase):
     def test_scores_are_idempotent(self) -> None:
         async def steps(client: httpx.AsyncClient) -> None:
