--- a/tests/requests/support.py
+++ b/tests/requests/support.py
@@ -130,9 +130,10 @@
         engines: tuple[str, ...] = ("e1", "e2", "e3"),
         admission: AdmissionConfig | None = None,
         seed: int = 1,
+        identity: Identity | None = None,
         **parameters: object,
     ) -> None:
-        identity = Identity()
+        identity = identity or Identity()
         generator = random.Random(seed)
         self.now = 0.0
         self.engines = engines
@@ -166,11 +167,13 @@
         decided = wanted.value if value is None else value
         return self.take(self.core.claim_decided(wanted.claim_key, decided, won, self.now))
 
-    def advance(self, seconds: float, engines_report: bool = True) -> list[RequestOutput]:
+    def advance(
+        self, seconds: float, engines_report: bool = True, step: float = 0.1
+    ) -> list[RequestOutput]:
         end = self.now + seconds
         outputs = []
         while self.now < end:
-            self.now = min(end, self.now + 0.1)
+            self.now = min(end, self.now + step)
             if engines_report:
                 self.report_all()
             outputs += self.take(self.core.tick(self.now))
