Spare a refusing engine until a newer report; part claims from the request core

Change: after a refusal only a report made later makes an engine eligible; a report in another engine's name is dropped; an engine missing from the machine list is kept while its own reports vouch for it; an idle node polls less; the subset is no larger than the polling budget keeps fresh. ClaimGate holds claims, tenancy a tenant's parameters. Ruled out: trusting Retry-After alone.

--- /dev/null
+++ b/src/stagewalk/requests/claim_gate.py
@@ -0,0 +1,133 @@
+"""The claim that comes before a request that is not repeatable may be sent.
+
+The claim is a write-once register shared by all nodes. Its value names this process by a nonce
+that only this process's memory holds, so of all submissions of a request, through any nodes,
+at most one process ever believes that it may send it.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+from stagewalk.core.completions import CompletionResult
+from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
+from stagewalk.core.identities import ProcessIdentity, RequestKey
+from stagewalk.requests import faults
+from stagewalk.requests.book import RequestBook
+from stagewalk.requests.claim_value import ClaimValue, claim_key, decode_claim, encode_claim
+from stagewalk.requests.config import RequestConfig
+from stagewalk.requests.notifications import AnswerWanted, ClaimWanted
+from stagewalk.requests.record import RequestRecord
+from stagewalk.requests.states import Cause, RequestState
+from stagewalk.requests.timers import TimerKind
+
+NONCE_BITS = 128
+
+
+class ClaimGate:
+    """Proposes claims and takes their decisions; a record passes only when its own claim won."""
+
+    def __init__(
+        self,
+        identity: ProcessIdentity,
+        book: RequestBook,
+        config: RequestConfig,
+        generator: random.Random,
+    ) -> None:
+        self._identity = identity
+        self._book = book
+        self._config = config
+        self._generator = generator
+        self._claiming: dict[str, RequestRecord] = {}
+
+    def __len__(self) -> int:
+        return len(self._claiming)
+
+    def propose(self, record: RequestRecord) -> None:
+        """Ask for the claim that makes this process the only one to send the request.
+
+        A record of a request whose earlier submission here never ran has that one's claim:
+        it may have been chosen since, and then it is proposed again and wins.
+        """
+        if record.claim is None:
+            record.claim = ClaimValue(
+                node=self._identity.name,
+                incarnation=self._identity.incarnation,
+                nonce=f"{self._generator.getrandbits(NONCE_BITS):032x}",
+                fingerprint=record.fingerprint,
+            )
+        key = claim_key(record.key)
+        self._claiming[key] = record
+        self._book.move(record, Cause.CLAIM_WANTED)
+        self._book.output(ClaimWanted(key, encode_claim(record.claim)))
+
+    def decided(self, key: str, value: bytes, won: bool, now: float) -> RequestRecord | None:
+        """Take a decision; return the record if it may be sent from now on.
+
+        A decision for a record that no longer waits for one is late and changes nothing.
+        """
+        record = self._claiming.pop(key, None)
+        if record is None or record.state is not RequestState.CLAIMING:
+            return None
+        chosen = decode_claim(value)
+        if won and chosen is not None and chosen == record.claim:
+            record.claim_held = True
+            return record
+        self._lost(record, chosen, now)
+        return None
+
+    def undecided(self, key: str, error: StagewalkError, now: float) -> None:
+        """Fail a request whose claim nobody can vouch for; it is never sent later.
+
+        The error says `ran: unknown`: this node never sends it, but the caller may have sent
+        the same request through another node before, and only the claim could tell.
+        """
+        record = self._claiming.pop(key, None)
+        if record is None or record.state is not RequestState.CLAIMING:
+            return
+        unknown = replace(error, kind=ErrorKind.OUTCOME_UNKNOWN, step=Step.CLAIM, ran=record.ran)
+        self._book.fail(record, Cause.CLAIM_UNDECIDED, unknown, now)
+
+    def answer_fetched(
+        self, key: RequestKey, result: CompletionResult | None, detail: str, now: float
+    ) -> None:
+        """Take what the owner of a lost claim said: its answer, or None and why not."""
+        record = self._book.records.get(key)
+        if record is None or record.state is not RequestState.AWAITING_OWNER:
+            return
+        if result is None:
+            self.fail_unknown(record, Cause.ANSWER_UNKNOWN, detail, now)
+            return
+        record.may_have_run = True
+        self._book.finish(record, Cause.ANSWER_FETCHED, result, now)
+
+    def forget(self, record: RequestRecord) -> None:
+        """Forget a record that no longer waits; its claim may still be chosen, to no effect."""
+        if record.state is RequestState.CLAIMING:
+            self._claiming.pop(claim_key(record.key), None)
+
+    def fail_unknown(self, record: RequestRecord, cause: Cause, detail: str, now: float) -> None:
+        """Fail a request that another submission may have run."""
+        peer = str(self._identity.name) if record.owner is None else str(record.owner)
+        self._book.fail(record, cause, faults.outcome_unknown(Step.CLAIM, peer, detail), now)
+
+    def _lost(self, record: RequestRecord, chosen: ClaimValue | None, now: float) -> None:
+        """Another submission owns the request: it may have run there."""
+        if chosen is None:
+            detail = "the claim is held by an unknown owner"
+            self.fail_unknown(record, Cause.OUTCOME_UNKNOWN, detail, now)
+            return
+        record.owner = chosen.node
+        if chosen.fingerprint != record.fingerprint:
+            error = faults.duplicate(self._identity.name, Ran.UNKNOWN)
+            self._book.fail(record, Cause.OUTCOME_UNKNOWN, error, now)
+            return
+        if chosen.node == self._identity.name or not self._config.fetch_answers:
+            detail = f"node {chosen.node} owns the request and may have run it"
+            self.fail_unknown(record, Cause.OUTCOME_UNKNOWN, detail, now)
+            return
+        self._book.move(record, Cause.CLAIM_LOST)
+        until = now + self._config.fetch_timeout_seconds
+        self._book.timers.add(until, TimerKind.FETCH, record.key, record.serial)
+        self._book.output(AnswerWanted(record.key, chosen.node, chosen.incarnation))
--- a/src/stagewalk/requests/core.py
+++ b/src/stagewalk/requests/core.py
@@ -9,7 +9,7 @@
 
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import replace
 
 from stagewalk.admission.controller import Admission, AdmissionController, PoolCapacity
@@ -22,16 +22,13 @@
     ProcessIdentity,
     RequestKey,
     TenantName,
-    WeightVersion,
 )
 from stagewalk.requests import faults
 from stagewalk.requests.attempts import AttemptRunner
 from stagewalk.requests.book import RequestBook
-from stagewalk.requests.claim_value import ClaimValue, claim_key, decode_claim, encode_claim
+from stagewalk.requests.claim_gate import ClaimGate
 from stagewalk.requests.config import RequestConfig
 from stagewalk.requests.notifications import (
-    AnswerWanted,
-    ClaimWanted,
     RequestJoined,
     RequestOutput,
     SubmissionRejected,
@@ -39,12 +36,12 @@
 from stagewalk.requests.record import RequestRecord, fingerprint_of
 from stagewalk.requests.retained import RetainedOutcome
 from stagewalk.requests.states import Cause, RequestState
+from stagewalk.requests.tenancy import apply_parameters
 from stagewalk.requests.timers import Timer, TimerKind
 from stagewalk.routing.router import Router
 
 AttemptEvent = AttemptChunk | AttemptFinished | AttemptRefused | AttemptFailed
 
-NONCE_BITS = 128
 POOL_VIEW_SECONDS = 0.1
 CLAIM_STATES = frozenset({RequestState.CLAIMING, RequestState.AWAITING_OWNER})
 
@@ -74,13 +71,12 @@
         self._router = router
         self._admission = admission
         self._config = config
-        self._generator = generator
         self._book = RequestBook(config)
         self._runner = AttemptRunner(
             identity, self._book, router, admission, config, generator=generator
         )
+        self._gate = ClaimGate(identity, self._book, config, generator)
         self._tenants: dict[TenantName, TenantParameters] = {}
-        self._claims: dict[str, RequestRecord] = {}
         self._pool_views_at: dict[ModelName, float] = {}
         self._stopping = False
 
@@ -130,42 +126,21 @@
 
     def claim_decided(self, key: str, value: bytes, won: bool, now: float) -> list[RequestOutput]:
         """Take a claim's decision: only now, and only if this very claim won, may it be sent."""
-        record = self._claims.pop(key, None)
-        if record is None or record.state is not RequestState.CLAIMING:
-            return []
-        decided = decode_claim(value)
-        if won and decided is not None and decided == record.claim:
-            record.claim_held = True
+        record = self._gate.decided(key, value, won, now)
+        if record is not None:
             self._admit(record, now)
-        else:
-            self._claim_lost(record, decided, now)
         return self._book.drain()
 
     def claim_undecided(self, key: str, error: StagewalkError, now: float) -> list[RequestOutput]:
-        """Fail a request whose claim nobody can vouch for; it is never sent later.
-
-        The error says `ran: unknown`: this node never sends it, but the caller may have sent
-        the same request through another node before, and only the claim could tell.
-        """
-        record = self._claims.pop(key, None)
-        if record is None or record.state is not RequestState.CLAIMING:
-            return []
-        unknown = replace(error, kind=ErrorKind.OUTCOME_UNKNOWN, step=Step.CLAIM, ran=record.ran)
-        self._book.fail(record, Cause.CLAIM_UNDECIDED, unknown, now)
+        """Fail a request whose claim nobody can vouch for, at once; it is never sent later."""
+        self._gate.undecided(key, error, now)
         return self._book.drain()
 
     def answer_fetched(
         self, key: RequestKey, result: CompletionResult | None, detail: str, now: float
     ) -> list[RequestOutput]:
         """Take what the owner of a claim said: its answer, or None and why there is none."""
-        record = self._book.records.get(key)
-        if record is None or record.state is not RequestState.AWAITING_OWNER:
-            return []
-        if result is not None:
-            record.may_have_run = True
-            self._book.finish(record, Cause.ANSWER_FETCHED, result, now)
-        else:
-            self._fail_unknown(record, Cause.ANSWER_UNKNOWN, detail, now)
+        self._gate.answer_fetched(key, result, detail, now)
         return self._book.drain()
 
     def retained(self, key: RequestKey, now: float) -> RetainedOutcome | None:
@@ -193,7 +168,7 @@
             self._book.move(record, Cause.DETACHED)
             return []
         self._runner.cancel_all(record, now)
-        self._forget_claim(record)
+        self._gate.forget(record)
         self._admission.withdraw(key)
         self._book.abandon(record, now)
         self._release(now)
@@ -289,7 +264,7 @@
         if request.repeatable:
             self._admit(record, now)
         else:
-            self._propose_claim(record)
+            self._gate.propose(record)
 
     def _refusal(self, record: RequestRecord, now: float) -> StagewalkError | None:
         """Return why a new request can't be taken in, before anything is done for it."""
@@ -303,53 +278,10 @@
             return faults.too_many(node, record.ran, "too many requests are in progress")
         if self._book.held_characters >= memory.maximum_held_characters:
             return faults.too_many(node, record.ran, "too much text is held")
-        if not record.request.repeatable and len(self._claims) >= memory.maximum_claiming:
+        if not record.request.repeatable and len(self._gate) >= memory.maximum_claiming:
             return faults.too_many(node, record.ran, "too many claims are being decided")
         return None
 
-    def _propose_claim(self, record: RequestRecord) -> None:
-        """Ask for the claim that makes this process the only one to send the request."""
-        if record.claim is None:
-            record.claim = ClaimValue(
-                node=self._identity.name,
-                incarnation=self._identity.incarnation,
-                nonce=f"{self._generator.getrandbits(NONCE_BITS):032x}",
-                fingerprint=record.fingerprint,
-            )
-        key = claim_key(record.key)
-        self._claims[key] = record
-        self._book.move(record, Cause.CLAIM_WANTED)
-        self._book.output(ClaimWanted(key, encode_claim(record.claim)))
-
-    def _claim_lost(self, record: RequestRecord, decided: ClaimValue | None, now: float) -> None:
-        """Another submission owns the request: it may have run there."""
-        if decided is None:
-            detail = "the claim is held by an unknown owner"
-            self._fail_unknown(record, Cause.OUTCOME_UNKNOWN, detail, now)
-            return
-        if decided.fingerprint != record.fingerprint:
-            error = faults.duplicate(self._identity.name, Ran.UNKNOWN)
-            self._book.fail(record, Cause.OUTCOME_UNKNOWN, error, now)
-            return
-        owned_here = decided.node == self._identity.name
-        if owned_here or not self._config.fetch_answers:
-            detail = f"node {decided.node} owns the request and may have run it"
-            error = faults.outcome_unknown(Step.CLAIM, str(decided.node), detail)
-            self._book.fail(record, Cause.OUTCOME_UNKNOWN, error, now)
-            return
-        self._book.move(record, Cause.CLAIM_LOST)
-        until = now + self._config.fetch_timeout_seconds
-        self._book.timers.add(until, TimerKind.FETCH, record.key, record.serial)
-        self._book.output(AnswerWanted(record.key, decided.node, decided.incarnation))
-
-    def _fail_unknown(self, record: RequestRecord, cause: Cause, detail: str, now: float) -> None:
-        error = faults.outcome_unknown(Step.CLAIM, str(self._identity.name), detail)
-        self._book.fail(record, cause, error, now)
-
-    def _forget_claim(self, record: RequestRecord) -> None:
-        if record.state is RequestState.CLAIMING:
-            self._claims.pop(claim_key(record.key), None)
-
     def _admit(self, record: RequestRecord, now: float) -> None:
         self._refresh_pool(record.request.model, now)
         admission = self._admission.admit(record.key, record.request, now)
@@ -391,14 +323,14 @@
             case TimerKind.FETCH:
                 if record.state is RequestState.AWAITING_OWNER:
                     detail = "the owner of the request did not say its answer"
-                    self._fail_unknown(record, Cause.ANSWER_UNKNOWN, detail, now)
+                    self._gate.fail_unknown(record, Cause.ANSWER_UNKNOWN, detail, now)
 
     def _handle_deadline(self, record: RequestRecord, now: float) -> None:
         if record.state is RequestState.WAITING:
             self._shed(record, now)
             return
         step = Step.CLAIM if record.state in CLAIM_STATES else Step.EXECUTION
-        self._forget_claim(record)
+        self._gate.forget(record)
         self._runner.cancel_all(record, now)
         self._admission.withdraw(record.key)
         error = faults.deadline_passed(record, self._identity.name, step)
@@ -434,26 +366,3 @@
         else:
             kind, field, detail = ErrorKind.UNKNOWN_MODEL, "model", "not a model of the tenant"
         return StagewalkError(kind, Step.VALIDATION, str(self._identity.name), detail, field=field)
-
-
-def apply_parameters(request: CompletionRequest, parameters: TenantParameters) -> CompletionRequest:
-    """Return the request as its tenant's parameters make it: versions pinned, class obeyed."""
-    repeatable = request.repeatable and (
-        request.request_class not in parameters.non_repeatable_classes
-    )
-    return replace(
-        request,
-        repeatable=repeatable,
-        minimum_version=_tighter(max, request.minimum_version, parameters.minimum_version),
-        maximum_version=_tighter(min, request.maximum_version, parameters.maximum_version),
-    )
-
-
-def _tighter(
-    choose: Callable[[WeightVersion, WeightVersion], WeightVersion],
-    one: WeightVersion | None,
-    other: WeightVersion | None,
-) -> WeightVersion | None:
-    if one is None or other is None:
-        return other if one is None else one
-    return choose(one, other)
--- a/src/stagewalk/requests/record.py
+++ b/src/stagewalk/requests/record.py
@@ -8,7 +8,7 @@
 
 from stagewalk.core.completions import CompletionRequest
 from stagewalk.core.errors import Ran, StagewalkError
-from stagewalk.core.identities import Address, AttemptId, EngineName, RequestKey
+from stagewalk.core.identities import Address, AttemptId, EngineName, NodeName, RequestKey
 from stagewalk.requests.answer import AnswerAssembly, HeldAnswer
 from stagewalk.requests.claim_value import ClaimValue
 from stagewalk.requests.states import RequestState
@@ -39,6 +39,8 @@
         The request with the tenant's parameters applied.
     claim, claim_held
         The claim proposed for it, and whether it was won.
+    owner
+        The node that holds the claim, if another one won it.
     attempt_count
         Attempts started, those under way included.
     may_have_run
@@ -68,6 +70,7 @@
     state: RequestState = RequestState.NEW
     claim: ClaimValue | None = None
     claim_held: bool = False
+    owner: NodeName | None = None
     attempts: dict[AttemptId, Attempt] = field(default_factory=dict)
     attempt_count: int = 0
     may_have_run: bool = False
--- a/src/stagewalk/routing/config.py
+++ b/src/stagewalk/routing/config.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+FRESHNESS_MARGIN = 0.75
+
 
 @dataclass(frozen=True, slots=True)
 class EngineTableConfig:
@@ -12,9 +14,12 @@
     Attributes
     ----------
     subset_size
-        Engines this node routes over; a pool no larger is used whole.
+        Engines of each service this node routes over; a pool no larger is used whole. Fewer
+        are used when the polling budget can't keep the evidence about so many fresh.
     poll_interval_seconds
         Time between two polls of one engine, if the budget allows.
+    idle_poll_interval_seconds, idle_after_seconds
+        The same at a node that has routed nothing for a while; it must leave evidence fresh.
     polls_per_second
         Budget of polls over all engines; a larger subset is polled more slowly.
     poll_timeout_seconds
@@ -25,8 +30,8 @@
         Weights in rendezvous hashing of engines in this node's zone and region, against 1
         for all others.
     refusal_pause_seconds
-        How long an engine that refused as draining gets no work unless a newer report says
-        that it serves again.
+        Longest time an engine that refused work is spared though a newer report says that it
+        serves; until such a report it gets none in any case.
     report_lag_seconds
         How much older than its poll a report may be and still hold for the full time; one
         that is older, as from an engine whose reports are stuck, expires sooner.
@@ -39,11 +44,13 @@
     subset_size: int = 16
     poll_interval_seconds: float = 0.5
     polls_per_second: float = 16.0
+    idle_poll_interval_seconds: float = 1.5
+    idle_after_seconds: float = 10.0
     poll_timeout_seconds: float = 1.5
     evidence_seconds: float = 2.5
     local_zone_weight: float = 4.0
     local_region_weight: float = 2.0
-    refusal_pause_seconds: float = 2.5
+    refusal_pause_seconds: float = 1.0
     report_lag_seconds: float = 0.5
     clock_drift_fraction: float = 1e-4
     clock_step_seconds: float = 2.0
@@ -53,6 +60,15 @@
             raise ValueError("subset_size must be at least 1")
         if min(self.poll_interval_seconds, self.polls_per_second, self.evidence_seconds) <= 0:
             raise ValueError("intervals and budgets must be positive")
+        if not self.poll_interval_seconds <= self.idle_poll_interval_seconds:
+            raise ValueError("an idle node must not poll faster")
+        if self.idle_poll_interval_seconds >= self.evidence_seconds:
+            raise ValueError("an idle node's evidence must not expire between polls")
+
+    @property
+    def sustainable_engines(self) -> int:
+        """Return how many engines the budget keeps fresh, one poll of each lost now and then."""
+        return max(1, int(self.polls_per_second * self.evidence_seconds * FRESHNESS_MARGIN))
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/routing/engine_record.py
+++ b/src/stagewalk/routing/engine_record.py
@@ -39,8 +39,9 @@
         When the report was made, translated to this node's clock.
     clock_offset, clock_offset_at
         Smallest difference seen between arrival and `generated_at`, and when it was updated.
-    refused_at, refused_until
-        When the engine last refused work, and until when it is spared for it.
+    refused_at, refused_until, spared_until
+        When the engine last refused work, and until when it gets none for it: for ever until
+        a report made later arrives, which shortens that to the time it is spared for.
     ejected_until
         The engine is set aside as an outlier until then.
     added_sequences, added_tokens
@@ -59,6 +60,7 @@
     serving_since: float = -math.inf
     refused_at: float = -math.inf
     refused_until: float = -math.inf
+    spared_until: float = -math.inf
     failures_in_row: int = 0
     ejections_in_row: int = 0
     ejected_until: float = -math.inf
--- a/src/stagewalk/routing/engine_table.py
+++ b/src/stagewalk/routing/engine_table.py
@@ -65,14 +65,21 @@
         self._poll_queue: list[tuple[float, EngineName]] = []
         self._poll_tokens = config.polls_per_second
         self._poll_tokens_at: float | None = None
+        self._demand_at = -math.inf
 
     def handle_machines(self, machines: Iterable[Machine], now: float) -> None:
-        """Take the platform's machine list, which may lag behind reality."""
+        """Take the platform's machine list, which may lag behind reality.
+
+        An engine missing from it is kept while its own reports still vouch for it.
+        """
         engines = {
             EngineName(machine.name): machine
             for machine in machines
             if machine.kind is MachineKind.ENGINE
         }
+        for name, record in self._records.items():
+            if name not in engines and record.evidence_until >= now:
+                engines[name] = record.machine
         if engines == self._machines:
             return
         self._machines = engines
@@ -91,7 +98,7 @@
             return
         sent_at = now if record.poll_sent_at is None else record.poll_sent_at
         record.poll_sent_at = None
-        if not self._is_news(record, report):
+        if report.engine != engine or not self._is_news(record, report):
             return
         self._translate_clock(record, report, now)
         was_serving = record.report is not None and record.report.state is EngineState.SERVING
@@ -104,7 +111,7 @@
             reported_at + self._config.evidence_seconds + self._config.report_lag_seconds,
         )
         if reported_at > record.refused_at:
-            record.refused_until = now
+            record.refused_until = min(record.refused_until, record.spared_until)
 
     def handle_report_failed(self, engine: EngineName, now: float) -> None:
         """Note that a poll failed: its evidence goes on expiring."""
@@ -112,6 +119,13 @@
         if record is not None:
             record.poll_sent_at = None
 
+    def note_demand(self, now: float) -> None:
+        """Note that a request asks for an engine: an idle node begins to poll faster."""
+        if now - self._demand_at > self._config.idle_after_seconds:
+            self._poll_queue = [(min(at, now), name) for at, name in self._poll_queue]
+            heapq.heapify(self._poll_queue)
+        self._demand_at = now
+
     def note_started(
         self, engine: EngineName, attempt: AttemptId, expected_tokens: float, now: float
     ) -> None:
@@ -146,7 +160,8 @@
         if retry_after_seconds is not None:
             pause = min(pause, retry_after_seconds)
         record.refused_at = now
-        record.refused_until = max(record.refused_until, now + pause)
+        record.refused_until = math.inf
+        record.spared_until = now + pause
 
     def record(self, engine: EngineName) -> EngineRecord | None:
         """Return what is known of an engine."""
@@ -187,13 +202,17 @@
         """Return the polls that are due, within the budget; none is doubled in flight."""
         self._refill_poll_tokens(now)
         polls: list[PollEngine] = []
+        idle = now - self._demand_at > self._config.idle_after_seconds
+        interval = (
+            self._config.idle_poll_interval_seconds if idle else self._config.poll_interval_seconds
+        )
         queue = self._poll_queue
         while queue and queue[0][0] <= now and self._poll_tokens >= 1.0:
             _, engine = heapq.heappop(queue)
             record = self._records.get(engine)
             if record is None:
                 continue
-            heapq.heappush(queue, (now + self._config.poll_interval_seconds, engine))
+            heapq.heappush(queue, (now + interval, engine))
             if self._poll_in_flight(record, now):
                 continue
             self._poll_tokens -= 1.0
--- a/src/stagewalk/routing/router.py
+++ b/src/stagewalk/routing/router.py
@@ -87,6 +87,7 @@
         self, request: CompletionRequest, excluded: frozenset[EngineName], now: float
     ) -> Result[EngineChoice, StagewalkError]:
         """Return the engine for an attempt; the error is `NO_ENGINE`, never sent (`ran: no`)."""
+        self._table.note_demand(now)
         serving = self._table.eligible(request.model, now)
         suitable = [
             record
--- a/src/stagewalk/routing/subsets.py
+++ b/src/stagewalk/routing/subsets.py
@@ -43,7 +43,10 @@
         weight = placement_weight(placement, engine.placement, config)
         score = rendezvous_score(node, engine.name, weight)
         by_service.setdefault(engine.service, []).append((score, engine.name))
+    if not by_service:
+        return frozenset()
+    size = min(config.subset_size, max(1, config.sustainable_engines // len(by_service)))
     chosen: set[str] = set()
     for scored in by_service.values():
-        chosen.update(name for _, name in heapq.nlargest(config.subset_size, scored))
+        chosen.update(name for _, name in heapq.nlargest(size, scored))
     return frozenset(chosen)
