--- a/src/stagewalk/requests/attempts.py
+++ b/src/stagewalk/requests/attempts.py
@@ -89,9 +89,10 @@
             return
         if not taken.ok:
             return
-        if attempt.last_chunk_at is None:
-            self._note_first_token(record, attempt, now)
+        first = attempt.last_chunk_at is None
         attempt.last_chunk_at = now
+        if first:
+            self._note_first_token(record, attempt, now)
         self._stream(record, attempt, taken.ok)
 
     def handle_finished(self, event: AttemptFinished, now: float) -> None:
@@ -154,13 +155,12 @@
     def handle_stall_timer(self, record: RequestRecord, timer: Timer, now: float) -> None:
         """Give up an attempt that has been silent for too long; its request is resumed."""
         attempt = record.attempts.get(timer.attempt) if timer.attempt is not None else None
-        if attempt is None:
+        if attempt is None or timer.at != attempt.stall_timer_at:
             return
-        silent_until = self._silent_until(attempt)
-        if now >= silent_until:
+        if now >= self._silent_until(attempt):
             self._give_up_attempt(record, attempt, "the engine fell silent", now)
             return
-        self._set_timer(record, TimerKind.STALL, silent_until, attempt.attempt)
+        self._watch_for_silence(record, attempt)
 
     def cancel_all(self, record: RequestRecord, now: float) -> None:
         """Cancel a record's attempts; they may have run."""
@@ -226,12 +226,16 @@
     def _set_attempt_timers(self, record: RequestRecord, attempt: Attempt, now: float) -> None:
         if not record.request.repeatable:
             return
-        self._set_timer(record, TimerKind.STALL, self._silent_until(attempt), attempt.attempt)
+        self._watch_for_silence(record, attempt)
         if self._may_hedge(record):
             hedge = self._config.hedge
             delay = max(hedge.minimum_delay_seconds, self._delays.percentile(hedge.percentile))
             self._set_timer(record, TimerKind.HEDGE, now + delay, attempt.attempt)
 
+    def _watch_for_silence(self, record: RequestRecord, attempt: Attempt) -> None:
+        attempt.stall_timer_at = self._silent_until(attempt)
+        self._set_timer(record, TimerKind.STALL, attempt.stall_timer_at, attempt.attempt)
+
     def _may_hedge(self, record: RequestRecord) -> bool:
         hedge = self._config.hedge
         if not hedge.enabled or record.stream or len(self._delays) < hedge.minimum_samples:
@@ -255,6 +259,8 @@
         self._delays.add(delay)
         self._admission.note_first_token(record.request.model, delay, now)
         self._router.note_progress(attempt.attempt, now)
+        if record.request.repeatable:
+            self._watch_for_silence(record, attempt)
 
     def _stream(self, record: RequestRecord, attempt: Attempt, taken: list[TokenChunk]) -> None:
         """Pass on what came, unless a second attempt might answer otherwise."""
--- a/src/stagewalk/requests/record.py
+++ b/src/stagewalk/requests/record.py
@@ -16,7 +16,10 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One attempt under way at an engine; times are of the node's clock, in seconds."""
+    """One attempt under way at an engine; times are of the node's clock, in seconds.
+
+    `stall_timer_at` names the one timer that still counts among those set for it.
+    """
 
     attempt: AttemptId
     engine: EngineName
@@ -25,6 +28,7 @@
     resume_offset: int
     assembly: AnswerAssembly
     last_chunk_at: float | None = None
+    stall_timer_at: float = 0.0
 
 
 @dataclass(slots=True)
--- a/tests/requests/support.py
+++ b/tests/requests/support.py
@@ -188,11 +188,12 @@
     def streamed(self) -> str:
         return "".join(output.chunk.text for output in self.of(RequestChunk))
 
-    def errors(self) -> list:  # type: ignore[type-arg]
-        return [output.error for output in self.of((RequestFailed, SubmissionRejected))]  # type: ignore[arg-type]
+    def errors(self, key: RequestKey = KEY) -> list:  # type: ignore[type-arg]
+        ends = (RequestFailed, SubmissionRejected)
+        return [each.error for each in self.outputs if isinstance(each, ends) and each.key == key]
 
-    def results(self) -> list:  # type: ignore[type-arg]
-        return [output.result for output in self.of(RequestFinished)]
+    def results(self, key: RequestKey = KEY) -> list:  # type: ignore[type-arg]
+        return [each.result for each in self.of(RequestFinished) if each.key == key]
 
     def cancelled(self) -> list[str]:
         return [output.attempt for output in self.of(CancelAttempt)]
