--- a/src/stagewalk/samples/core.py
+++ b/src/stagewalk/samples/core.py
@@ -185,7 +185,7 @@
             output += self._settlement.timer_due(timer.kind, lot, timer.index, now)
         for lot in touched.values():
             output += self._advance(lot, now)
-        output += self._delivery.answer_expired(now)
+        output += self._delivery.answer_all_parked(now)
         if now >= self._housekeeping_at:
             self._housekeeping_at = now + _HOUSEKEEPING_SECONDS
             output += self._keeper.read_versions(now)
@@ -225,14 +225,11 @@
         return None if place is None else self._store.lots.get(place.lot)
 
     def _advance(self, lot: Lot | None, now: float) -> list[LotOutput]:
-        """Start what may run now and answer the pull that waits for the lot."""
+        """Start what may run now, and answer the pull that waits if its batch is full."""
         if lot is None:
             return []
-        output: list[LotOutput] = []
-        if lot.indices[SlotPhase.READY]:
-            output += self._delivery.answer_parked(lot, now)
-        output += self._scheduler.dispatch(lot, now)
-        return output
+        output = self._delivery.answer_parked_if_full(lot, now)
+        return output + list(self._scheduler.dispatch(lot, now))
 
     def _lot_status(self, lot: Lot, now: float) -> LotStatus:
         underway = (SlotPhase.RUNNING, SlotPhase.SCORING, SlotPhase.CLAIMING)
--- a/src/stagewalk/samples/delivery.py
+++ b/src/stagewalk/samples/delivery.py
@@ -75,19 +75,31 @@
         output += self._answer(lot, opened, now)
         return output
 
-    def answer_parked(self, lot: Lot, now: float) -> list[LotOutput]:
-        """Answer the pull that waits for a lot, if it can be by now."""
-        parked = self._parked.pop(lot.key, None)
-        return [] if parked is None else self._answer(lot, parked, now)
+    def answer_parked_if_full(self, lot: Lot, now: float) -> list[LotOutput]:
+        """Answer the pull that waits for a lot if no more could come with its batch."""
+        parked = self._parked.get(lot.key)
+        if parked is None:
+            return []
+        ready = lot.count(SlotPhase.READY)
+        missing = len(lot.slots) - parked.delivered.bit_count()
+        if ready < min(missing, parked.pull.max_samples):
+            return []
+        del self._parked[lot.key]
+        return self._answer(lot, parked, now)
 
-    def answer_expired(self, now: float) -> list[LotOutput]:
-        """Answer pulls that have waited as long as they wished."""
+    def answer_all_parked(self, now: float) -> list[LotOutput]:
+        """Answer pulls for which there are samples, or that have waited as long as they wished.
+
+        Done once a tick, so that samples that finish together travel together.
+        """
         if not self._parked:
             return []
         output: list[LotOutput] = []
         for key in sorted(self._parked):
-            if self._parked[key].pull.wait_until <= now:
-                output += self.answer_parked(self._store.lots[key], now)
+            lot, parked = self._store.lots[key], self._parked[key]
+            if lot.indices[SlotPhase.READY] or parked.pull.wait_until <= now:
+                del self._parked[key]
+                output += self._answer(lot, parked, now)
         return output
 
     def abandon(self, call: CallId) -> None:
--- a/src/stagewalk/samples/housekeeping.py
+++ b/src/stagewalk/samples/housekeeping.py
@@ -40,7 +40,6 @@
         if not lot.paused and self._is_silent(lot, now):
             output += self._pause(lot, now)
         output += self._read_claims_again(lot, now)
-        output += self._delivery.answer_parked(lot, now)
         output += self._scheduler.dispatch(lot, now)
         output += self._scheduler.duplicate_stragglers(lot, now)
         return output
--- a/tests/samples/world.py
+++ b/tests/samples/world.py
@@ -23,7 +23,12 @@
 from stagewalk.node.node_core import NodeIdentity
 from stagewalk.samples.config import LotConfig
 from stagewalk.samples.core import LotCore
-from stagewalk.samples.notifications import ClaimWanted, RequestUnwanted, RequestWanted
+from stagewalk.samples.notifications import (
+    ClaimReadWanted,
+    ClaimWanted,
+    RequestUnwanted,
+    RequestWanted,
+)
 from stagewalk.samples.settlement import LotOutput
 
 TENANT = TenantName("thornfield")
@@ -73,7 +78,6 @@
         self.register = {} if register is None else register
         self.engine: Callable[[CompletionRequest], CompletionResult | None] = lambda _: answer()
         self.claims_open = True
-        self.scores = True
         self.running: dict[str, CompletionRequest] = {}
         self.started: list[CompletionRequest] = []
         self.cancelled: list[str] = []
@@ -112,10 +116,11 @@
                     self.running.pop(request_id, None)
                     self.cancelled.append(request_id)
                 case ScoreSample(sample_id=sample_id):
-                    if self.scores:
-                        self.take(self.core.handle(SampleScored(sample_id, 1.0), now), now)
+                    self.take(self.core.handle(SampleScored(sample_id, 1.0), now), now)
                 case ClaimWanted():
                     self._claim(item, now)
+                case ClaimReadWanted(key):
+                    self._read_claim(key, now)
                 case DeliverSamples(call=call):
                     self.batches[call] = item
                 case FailCall(call=call):
@@ -138,6 +143,10 @@
         won = chosen == wanted.value
         self.take(self.core.claim_decided(wanted.key, chosen, won, now), now)
 
+    def _read_claim(self, key: str, now: float) -> None:
+        if key in self.register:
+            self.take(self.core.claim_decided(key, self.register[key], False, now), now)
+
     def _call(self) -> CallId:
         self.calls += 1
         return CallId(f"call-{self.calls}")
