Fence a pool's engines before swapping; repair, quarantine and rest by evidence

Cause: a random test of holders' deaths found two holders at once loading 4 of 6 engines: a predecessor that wakes up is refused only by engines that have seen the newer epoch. Change: a new holder first has every engine see its epoch by an order that does nothing else, and counts those that have not as possibly loading. Failed fetches are ordered again, failing engines quarantined, a fenced holder pauses, a resting pool is evaluated and polled seldom. Ruled out: trusting the lease alone (a paused holder still believes in its own); an activation order as the fence (the floor is broken by then). Before: 4 of 6 engines loading at once in the found case. Conclusion: epochs, not leases, keep the floor.

--- a/src/stagewalk/weights/config.py
+++ b/src/stagewalk/weights/config.py
@@ -13,6 +13,8 @@
     ----------
     evaluation_interval_seconds
         Least time between two evaluations of a pool.
+    resting_interval_seconds
+        The same while nothing has changed and no engine is under orders.
     version_poll_seconds
         Time between two reads of the store's list of a model's versions.
     busy_poll_seconds, idle_poll_seconds
@@ -27,10 +29,11 @@
         After taking a pool over, how long to wait for the effects of the predecessor's orders.
     initial_staging, maximum_staging
         Engines of a pool that fetch weights at once, at first and at most.
+    stage_repeat_seconds
+        Time after which an order to fetch weights is sent again: a fetch that failed shows in
+        no report, and to an engine that is still fetching the order says nothing new.
     stage_timeout_seconds, activation_timeout_seconds
         After an order, how long to wait for a report that shows its effect.
-    order_answer_seconds
-        How long to wait for the answer to an order before it counts as unknown.
     base_loading_fraction, idle_weight_loading_fraction
         Share of a pool that may load at once, for an objective of 0 and what 1 adds to it.
     staged_quorum
@@ -42,23 +45,26 @@
         Pools up to this size activate each engine as soon as it holds the version.
     retry_base_seconds, retry_limit_seconds
         First and largest delay before an engine is ordered again after a failure.
+    fence_pause_seconds
+        How long no order is sent after an engine was found to obey a newer holder.
     quarantine_after_failures, quarantine_seconds
         Failures in a row after which an engine is left alone, and for how long.
     """
 
     evaluation_interval_seconds: float = 0.25
+    resting_interval_seconds: float = 1.0
     version_poll_seconds: float = 2.0
     busy_poll_seconds: float = 0.5
-    idle_poll_seconds: float = 30.0
+    idle_poll_seconds: float = 60.0
     maximum_polls_per_evaluation: int = 100
-    evidence_seconds: float = 60.0
+    evidence_seconds: float = 130.0
     missing_grace_seconds: float = 30.0
     settle_seconds: float = 2.0
     initial_staging: int = 8
     maximum_staging: int = 64
+    stage_repeat_seconds: float = 10.0
     stage_timeout_seconds: float = 60.0
-    activation_timeout_seconds: float = 10.0
-    order_answer_seconds: float = 5.0
+    activation_timeout_seconds: float = 6.0
     base_loading_fraction: float = 0.34
     idle_weight_loading_fraction: float = 0.1
     staged_quorum: float = 0.95
@@ -67,6 +73,7 @@
     immediate_activation_engines: int = 16
     retry_base_seconds: float = 1.0
     retry_limit_seconds: float = 30.0
+    fence_pause_seconds: float = 15.0
     quarantine_after_failures: int = 3
     quarantine_seconds: float = 300.0
 
--- a/src/stagewalk/weights/core.py
+++ b/src/stagewalk/weights/core.py
@@ -56,15 +56,15 @@
             self._pools.pop(pool, None)
         elif known is None or known.epoch != epoch:
             rollout = PoolRollout(pool, epoch, self._source, self._config)
-            rollout.published = self._published.get(pool, ())
-            rollout.tenants = self._tenants
+            rollout.set_published(self._published.get(pool, ()))
+            rollout.set_tenants(self._tenants)
             self._pools[pool] = rollout
 
     def set_tenants(self, tenants: dict[TenantName, Tenant]) -> None:
         """Put a configuration in force: pins and objectives hold from the next decision on."""
         self._tenants = tuple(tenants[name] for name in sorted(tenants))
         for rollout in self._pools.values():
-            rollout.tenants = self._tenants
+            rollout.set_tenants(self._tenants)
 
     def handle_machines(self, machines: tuple[Machine, ...], now: float) -> list[Instruction]:
         """Take the machine list: where engines are, not whether they live."""
@@ -95,7 +95,7 @@
         self._published[model] = published
         rollout = self._pools.get(model)
         if rollout is not None:
-            rollout.published = published
+            rollout.set_published(published)
         return []
 
     def handle_order_answer(
--- a/src/stagewalk/weights/engines.py
+++ b/src/stagewalk/weights/engines.py
@@ -19,17 +19,18 @@
 
     Attributes
     ----------
-    sent_at
-        When it was sent, in seconds.
-    answered
-        Whether the engine accepted it.
+    first_sent_at, sent_at
+        When it was sent first, and last (with a newer id), in seconds.
+    fetches
+        Whether it has the engine fetch weights from the store.
     seen_loading
         Whether a report showed the engine loading since.
     """
 
     order: EngineOrder
+    first_sent_at: float
     sent_at: float
-    answered: bool = False
+    fetches: bool = False
     seen_loading: bool = False
 
 
@@ -68,7 +69,8 @@
     def take_report(self, report: EngineReport, now: float) -> bool:
         """Take a report unless a newer one is known; say whether it was taken."""
         known = self.report
-        if known is not None and _report_order(report) < _report_order(known):
+        if known is not None and _report_order(report) <= _report_order(known):
+            # Late, or the same again from another node: no fresh evidence that it lives.
             return False
         if known is not None and report.incarnation != known.incarnation:
             # A restarted engine has forgotten its orders and its staged versions.
@@ -98,6 +100,10 @@
         """Say whether an order of a kind is open."""
         return self.open_order is not None and self.open_order.order.kind is kind
 
+    def is_fetching(self) -> bool:
+        """Say whether it is under an order to fetch weights that it did not hold."""
+        return self.open_order is not None and self.open_order.fetches
+
     def note_success(self) -> None:
         """Close the open order: a report shows its effect."""
         self.open_order = None
--- a/src/stagewalk/weights/pool.py
+++ b/src/stagewalk/weights/pool.py
@@ -16,6 +16,7 @@
 )
 from stagewalk.weights.config import RolloutConfig
 from stagewalk.weights.engines import EngineView, OpenOrder
+from stagewalk.weights.staging import StagingProgress
 from stagewalk.weights.status import PoolStatus, QuarantineStatus
 from stagewalk.weights.targets import (
     VersionTarget,
@@ -36,15 +37,6 @@
     output: list[Instruction] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class _StagingProgress:
-    """How a version spreads over a pool: when the first engine held it, and the last so far."""
-
-    began_at: float
-    grew_at: float
-    holders: int
-
-
 class PoolRollout:
     """Brings a pool's engines to the versions its tenants want, while this node holds its duty.
 
@@ -55,28 +47,41 @@
         self.pool = pool
         self.epoch = epoch
         self.engines: dict[EngineName, EngineView] = {}
-        self.published: tuple[WeightVersion, ...] = ()
-        self.tenants: tuple[Tenant, ...] = ()
+        self._published: tuple[WeightVersion, ...] = ()
+        self._tenants: tuple[Tenant, ...] = ()
         self._source = source
         self._config = config
         self._orders_sent = 0
         self._staging_limit = config.initial_staging
+        self._staging = StagingProgress(config)
+        self._targets: tuple[VersionTarget, ...] = ()
         self._acquired_at: float | None = None
-        self._staging: dict[WeightVersion, _StagingProgress] = {}
-        self._fenced = False
+        self._fenced_until: float | None = None
+        self._evaluate_at = 0.0
+        self._changed = True
+
+    def set_published(self, published: tuple[WeightVersion, ...]) -> None:
+        """Take the versions the store holds."""
+        if published != self._published:
+            self._published = published
+            self._retarget()
 
-    @property
-    def is_fenced(self) -> bool:
-        """Say whether an engine has obeyed a newer holder: this one is to send no more orders."""
-        return self._fenced
+    def set_tenants(self, tenants: tuple[Tenant, ...]) -> None:
+        """Put a configuration in force."""
+        self._tenants = tenants
+        self._retarget()
 
     def take_report(self, report: EngineReport, now: float) -> list[Instruction]:
         """Take a report and settle the engine's open order by it."""
         view = self.engines.get(report.engine)
-        if view is None or not view.take_report(report, now):
+        if view is None:
+            return []
+        before = view.report
+        if not view.take_report(report, now):
             return []
+        self._changed = self._changed or before is None or _differ(before, report)
         if report.epoch > self.epoch:
-            return self._fence(report.engine, report.epoch)
+            return self._fence(report.engine, now)
         if view.open_order is None:
             return []
         return self._settle(view, view.open_order, report, now)
@@ -84,39 +89,42 @@
     def take_answer(
         self, engine: EngineName, order_id: str, outcome: OrderOutcome, now: float
     ) -> list[Instruction]:
-        """Take an engine's answer to an order. What the order came to is in its reports."""
+        """Take an engine's answer to an order. What the order came to is in its reports.
+
+        No answer says nothing: the order may have been obeyed. Reports tell, or its time runs
+        out.
+        """
         view = self.engines.get(engine)
         if view is None or view.open_order is None:
             return []
         if view.open_order.order.order_id != order_id:
             return []
-        match outcome:
-            case OrderOutcome.ACCEPTED:
-                view.open_order.answered = True
-                return []
-            case OrderOutcome.STALE_EPOCH:
-                view.open_order = None
-                return self._fence(engine, None)
-            case OrderOutcome.REFUSED:
-                return self._fail(view, "refused", now)
-            case OrderOutcome.UNKNOWN:
-                # It may have been obeyed: reports will tell, or the order's time will run out.
-                return []
+        if outcome is OrderOutcome.STALE_EPOCH:
+            return [*self._fail(view, "obeys a newer epoch", now), *self._fence(engine, now)]
+        if outcome is OrderOutcome.REFUSED:
+            return self._fail(view, "refused", now)
+        return []
 
     def evaluate(self, now: float) -> list[Instruction]:
         """Poll engines, give up on orders without effect, and send the next ones."""
         if self._acquired_at is None:
             self._acquired_at = now
-        if self._fenced:
+        if now < self._evaluate_at and not self._changed:
             return []
+        self._changed = False
         output = self._poll(now)
-        for view in self.engines.values():
-            output += self._expire_order(view, now)
-            self._end_quarantine(view, now)
+        for name in sorted(self.engines):
+            output += self._follow_order(self.engines[name], now)
+        if self._fenced_until is not None and now < self._fenced_until:
+            return output
         plan = self._plan(now)
+        self._raise_epochs(plan, now)
         self._stage(plan, now)
         if now - self._acquired_at >= self._config.settle_seconds:
             self._activate(plan, now)
+        resting = all(_is_at_rest(view, plan) for view in plan.engines)
+        interval = self._config.resting_interval_seconds
+        self._evaluate_at = now + (interval if resting else 0.0)
         return output + plan.output
 
     def status(self, now: float) -> PoolStatus:
@@ -129,10 +137,10 @@
         return PoolStatus(
             pool=self.pool,
             epoch=self.epoch,
-            targets=tuple(target.version for target in self._targets()),
+            targets=tuple(target.version for target in self._targets),
             engines=len(plan.engines),
             on_target=sum(1 for view in plan.engines if _is_on_target(view, plan)),
-            staging=sum(1 for view in plan.engines if view.is_under(OrderKind.STAGE)),
+            staging=sum(1 for view in plan.engines if view.is_fetching()),
             activating=sum(1 for view in plan.engines if _is_loading(view)),
             missing=sum(
                 1 for view in self.engines.values() if not view.has_evidence(now, self._config)
@@ -151,8 +159,11 @@
             ),
         )
 
-    def _targets(self) -> tuple[VersionTarget, ...]:
-        return pool_targets(self.pool, self.tenants, self.published)
+    def _retarget(self) -> None:
+        self._targets = pool_targets(self.pool, self._tenants, self._published)
+        if self._targets:
+            self._staging.forget_older_than(self._targets[0].version)
+        self._changed = True
 
     def _plan(self, now: float) -> _Plan:
         engines = [
@@ -161,7 +172,7 @@
             if self._counts(self.engines[name], now)
         ]
         holdings = {view.name: view.holds() for view in engines}
-        return _Plan(engines, assign_targets(self._targets(), holdings))
+        return _Plan(engines, assign_targets(self._targets, holdings))
 
     def _counts(self, view: EngineView, now: float) -> bool:
         return view.has_evidence(now, self._config) and not view.is_going()
@@ -181,9 +192,23 @@
                 polls.append(PollEngine(view.name, view.address))
         return polls
 
+    def _raise_epochs(self, plan: _Plan, now: float) -> None:
+        """Have engines see this holder's epoch before anything is swapped.
+
+        A predecessor that was paused may wake up and go on activating. Both holders together
+        could take a pool below its floor, so the engines must refuse the older one first. An
+        order to fetch the weights an engine runs already does nothing but raise its epoch.
+        """
+        for view in plan.engines:
+            if self._is_behind(view) and self._may_order(view, now):
+                plan.output.append(self._order(view, OrderKind.STAGE, _active(view), now))
+
+    def _is_behind(self, view: EngineView) -> bool:
+        return view.report is not None and view.report.epoch < self.epoch
+
     def _stage(self, plan: _Plan, now: float) -> None:
         """Have engines fetch their targets, few at once: the store limits its rate."""
-        fetching = sum(1 for view in plan.engines if view.is_under(OrderKind.STAGE))
+        fetching = sum(1 for view in plan.engines if view.is_fetching())
         for view in plan.engines:
             if fetching >= self._staging_limit:
                 return
@@ -198,15 +223,18 @@
     def _activate(self, plan: _Plan, now: float) -> None:
         """Swap engines to their targets, as many at once as the capacity floor leaves free."""
         allowed = self._loading_allowance(plan, now)
-        versions = self._activation_versions(plan, now)
+        versions: dict[WeightVersion, WeightVersion | None] = {}
+        for target in self._targets:
+            members = [view for view in plan.engines if plan.targets.get(view.name) == target]
+            versions[target.version] = self._staging.activation_version(target, members, now)
         for view in plan.engines:
             if allowed <= 0:
                 return
-            target = plan.targets.get(view.name)
-            if target is None or not self._may_order(view, now):
+            wanted = plan.targets.get(view.name)
+            if wanted is None or not self._may_order(view, now):
                 continue
-            version = versions.get(target.version)
-            if version is None or not _wants(view, version, target):
+            version = versions[wanted.version]
+            if version is None or not _wants(view, version, wanted):
                 continue
             allowed -= 1
             plan.output.append(self._order(view, OrderKind.ACTIVATE, version, now))
@@ -215,11 +243,19 @@
         """Return how many more engines may load now without going below the capacity floor."""
         missing = sum(1 for view in self.engines.values() if self._is_newly_missing(view, now))
         size = len(plan.engines) + missing
-        idle_weight = pool_idle_weight(self.pool, self.tenants)
+        idle_weight = pool_idle_weight(self.pool, self._tenants)
         fraction = self._config.base_loading_fraction
         fraction += self._config.idle_weight_loading_fraction * idle_weight
         loading = sum(1 for view in plan.engines if _is_loading(view))
-        return max(1, int(size * fraction)) - loading - missing
+        at_once = max(1, int(size * fraction))
+        return at_once - loading - missing - self._unfenced(plan, now)
+
+    def _unfenced(self, plan: _Plan, now: float) -> int:
+        """Return how many engines a predecessor could still order to load."""
+        acquired_at = now if self._acquired_at is None else self._acquired_at
+        if now - acquired_at > self._config.missing_grace_seconds:
+            return 0
+        return sum(1 for view in plan.engines if self._is_behind(view) and not _is_loading(view))
 
     def _is_newly_missing(self, view: EngineView, now: float) -> bool:
         """Say whether an engine without evidence may come back, or be loading, still."""
@@ -230,45 +266,11 @@
             since = view.reported_at + self._config.evidence_seconds
         return now - since <= self._config.missing_grace_seconds
 
-    def _activation_versions(self, plan: _Plan, now: float) -> dict[WeightVersion, WeightVersion]:
-        """Return, for each target, the version to activate now: the newest held by enough.
-
-        Were only the target itself ever activated, versions published faster than they can be
-        staged would keep a pool on its old one for ever.
-        """
-        chosen: dict[WeightVersion, WeightVersion] = {}
-        for target in self._targets():
-            members = [view for view in plan.engines if plan.targets.get(view.name) == target]
-            usable = [view for view in members if view.quarantined_until is None]
-            candidates = sorted({version for view in usable for version in view.holds()})
-            for version in reversed(candidates):
-                if not target.allows(version) or version > target.version:
-                    continue
-                if self._is_staged_enough(version, usable, now):
-                    chosen[target.version] = version
-                    break
-        return chosen
-
-    def _is_staged_enough(
-        self, version: WeightVersion, engines: list[EngineView], now: float
-    ) -> bool:
-        holders = sum(1 for view in engines if version in view.holds())
-        if holders == 0:
-            return False
-        progress = self._staging.setdefault(version, _StagingProgress(now, now, holders))
-        if holders > progress.holders:
-            progress.holders = holders
-            progress.grew_at = now
-        if len(engines) <= self._config.immediate_activation_engines:
-            return True
-        stalled = now - progress.grew_at >= self._config.stage_stall_seconds
-        overdue = now - progress.began_at >= self._config.maximum_stage_wait_seconds
-        return stalled or overdue or holders >= self._config.staged_quorum * len(engines)
-
     def _may_order(self, view: EngineView, now: float) -> bool:
         free = view.open_order is None and view.quarantined_until is None
         serving = view.report is not None and view.report.state is EngineState.SERVING
-        return free and serving and now >= view.retry_at
+        obeys = view.report is not None and view.report.epoch <= self.epoch
+        return free and serving and obeys and now >= view.retry_at
 
     def _order(
         self, view: EngineView, kind: OrderKind, version: WeightVersion, now: float
@@ -276,7 +278,10 @@
         self._orders_sent += 1
         order_id = f"{self.pool}.{self.epoch}.{self._source}.{self._orders_sent}"
         order = EngineOrder(order_id, self.epoch, kind, self.pool, version)
-        view.open_order = OpenOrder(order, now)
+        opened = view.open_order
+        first_sent_at = now if opened is None else opened.first_sent_at
+        fetches = kind is OrderKind.STAGE and version != _active(view)
+        view.open_order = OpenOrder(order, first_sent_at, now, fetches)
         return OrderEngine(view.name, view.address, order)
 
     def _settle(
@@ -285,9 +290,8 @@
         """Close an engine's open order if a report shows what it came to."""
         version = opened.order.version
         if opened.order.kind is OrderKind.STAGE:
-            if version in view.holds():
-                view.note_success()
-                self._staging_limit = min(self._staging_limit + 1, self._config.maximum_staging)
+            if version in view.holds() and report.epoch >= opened.order.epoch:
+                self._close_stage(view)
             return []
         if report.state is not EngineState.SERVING:
             return []
@@ -298,19 +302,31 @@
             return self._fail(view, f"came up on version {report.active_version}", now)
         return []
 
-    def _expire_order(self, view: EngineView, now: float) -> list[Instruction]:
+    def _close_stage(self, view: EngineView) -> None:
+        if view.is_fetching():
+            self._staging_limit = min(self._staging_limit + 1, self._config.maximum_staging)
+        view.note_success()
+
+    def _follow_order(self, view: EngineView, now: float) -> list[Instruction]:
+        """Repeat an order that may be lost, give up one without effect, end a quarantine."""
+        if view.quarantined_until is not None and now >= view.quarantined_until:
+            view.quarantined_until = None
         opened = view.open_order
         if opened is None:
             return []
-        staging = opened.order.kind is OrderKind.STAGE
-        limit = self._config.order_answer_seconds
-        if opened.answered or not staging:
-            limit = self._config.activation_timeout_seconds
-        if opened.answered and staging:
-            limit = self._config.stage_timeout_seconds
-        if now - opened.sent_at < limit:
+        if opened.order.kind is OrderKind.ACTIVATE:
+            if now - opened.sent_at < self._config.activation_timeout_seconds:
+                return []
+            return self._fail(view, "no report shows its effect", now)
+        if now - opened.first_sent_at >= self._config.stage_timeout_seconds:
+            return self._fail(view, "no report shows the version staged", now)
+        if now - opened.sent_at < self._config.stage_repeat_seconds:
+            return []
+        wanted = any(target.version == opened.order.version for target in self._targets)
+        if opened.fetches and not wanted:
+            view.open_order = None
             return []
-        return self._fail(view, "no report shows its effect", now)
+        return [self._order(view, OrderKind.STAGE, opened.order.version, now)]
 
     def _fail(self, view: EngineView, detail: str, now: float) -> list[Instruction]:
         opened = view.open_order
@@ -334,18 +350,16 @@
             output.append(LogEvent("engine_quarantined", dict(fields)))
         return output
 
-    def _end_quarantine(self, view: EngineView, now: float) -> None:
-        if view.quarantined_until is not None and now >= view.quarantined_until:
-            view.quarantined_until = None
+    def _fence(self, engine: EngineName, now: float) -> list[Instruction]:
+        """Pause: an engine obeys a newer epoch, so this node's lease is probably gone.
 
-    def _fence(self, engine: EngineName, epoch: Epoch | None) -> list[Instruction]:
-        """Stop: an engine obeys a newer holder, so this one's lease is long gone."""
-        if self._fenced:
+        If the lease is still this node's after the pause, the engine got its epoch elsewhere,
+        and the others are served on; it itself is not ordered before the next lease.
+        """
+        if self._fenced_until is not None:
             return []
-        self._fenced = True
+        self._fenced_until = now + self._config.fence_pause_seconds
         fields: LogFields = {"pool": self.pool, "epoch": self.epoch, "engine": engine}
-        if epoch is not None:
-            fields["newer_epoch"] = epoch
         return [LogEvent("rollout_fenced", fields)]
 
 
@@ -353,6 +367,25 @@
     return WeightVersion(0) if view.report is None else view.report.active_version
 
 
+def _differ(before: EngineReport, after: EngineReport) -> bool:
+    """Say whether a report tells something new about state or weights."""
+    return _weights_state(before) != _weights_state(after)
+
+
+def _weights_state(report: EngineReport) -> tuple[object, ...]:
+    return (
+        report.incarnation,
+        report.state,
+        report.active_version,
+        report.staged_versions,
+        report.epoch,
+    )
+
+
+def _is_at_rest(view: EngineView, plan: _Plan) -> bool:
+    return view.open_order is None and _is_on_target(view, plan)
+
+
 def _is_on_target(view: EngineView, plan: _Plan) -> bool:
     target = plan.targets.get(view.name)
     return target is not None and _active(view) == target.version
--- a/tests/weights/world.py
+++ b/tests/weights/world.py
@@ -110,6 +110,7 @@
         self.cores: list[RolloutCore] = []
         self.orders: list[tuple[float, OrderEngine]] = []
         self.log: list[LogEvent] = []
+        self.polls = 0
         self.most_fetching = 0
         self.most_loading = 0
         self.misload: Callable[[EngineName, int], int] = lambda _, version: version
@@ -158,14 +159,17 @@
             if engine.activation is not None and engine.activation[0] <= self.now:
                 engine.active = self.misload(engine.name, engine.activation[1])
                 engine.activation = None
-            engine.reports = [
-                *(item for item in engine.reports[-20:]),
-                engine.report(self.now),
-            ]
+            self._note_report(engine)
         engines = self.engines.values()
         self.most_fetching = max(self.most_fetching, sum(1 for e in engines if e.fetch))
         self.most_loading = max(self.most_loading, sum(1 for e in engines if e.activation))
 
+    def _note_report(self, engine: Engine) -> None:
+        """Have an engine's report change once a lag, as its clients see it."""
+        reports = engine.reports
+        if not reports or self.now - reports[-1].generated_at >= REPORT_LAG_SECONDS - TICK / 2:
+            reports.append(engine.report(self.now))
+
     def _carry_out(self, core: RolloutCore, instructions: Iterable[Instruction]) -> None:
         for item in instructions:
             match item:
@@ -191,13 +195,10 @@
                     self.log.append(item)
 
     def _poll(self, core: RolloutCore, engine: Engine) -> None:
+        self.polls += 1
         if not engine.alive:
             return
-        seen = [
-            item for item in engine.reports if item.generated_at <= self.now - REPORT_LAG_SECONDS
-        ]
-        if seen:
-            self._carry_out(core, core.handle_report(seen[-1], self.now))
+        self._carry_out(core, core.handle_report(engine.reports[-1], self.now))
 
     def _obey(self, engine: Engine, order: EngineOrder) -> OrderOutcome:
         if not engine.alive:
@@ -206,6 +207,8 @@
             return OrderOutcome.STALE_EPOCH
         engine.epoch = order.epoch
         if order.kind is OrderKind.STAGE:
+            if order.version == engine.active or order.version in engine.staged:
+                return OrderOutcome.ACCEPTED
             engine.fetch = (self.now + self.fetch_seconds, order.version)
             return OrderOutcome.ACCEPTED
         if order.version not in engine.staged or engine.activation is not None:
