--- a/src/stagewalk/settings/node_settings.py
+++ b/src/stagewalk/settings/node_settings.py
@@ -31,20 +31,23 @@
     ----------
     body_bytes
         Largest body of a call, in bytes.
+    buffered_body_bytes
+        Most bytes held for bodies that are still arriving, of all callers together.
     prompt_characters
         Longest prompt, in characters.
     open_calls
         Most calls that are open at once; a further one is refused.
-    buffered_chunks
-        Most chunks of an answer held for a caller that reads slower than the engine writes.
+    buffered_characters
+        Most text, in characters, held for a caller that reads slower than the engine writes.
     body_seconds
         Longest time a caller may take to send its body, in seconds.
     """
 
     body_bytes: PositiveInteger = 8 * 1024 * 1024
+    buffered_body_bytes: PositiveInteger = 32 * 1024 * 1024
     prompt_characters: PositiveInteger = 262_144
     open_calls: PositiveInteger = 512
-    buffered_chunks: PositiveInteger = 256
+    buffered_characters: PositiveInteger = 262_144
     body_seconds: PositiveInteger = 30
 
 
