--- a/src/stagewalk/configuration/fold.py
+++ b/src/stagewalk/configuration/fold.py
@@ -47,11 +47,14 @@
 
 It is rejected all the same, because its base revision has been passed."""
 
-REVISION_LIMIT = 16
+REVISION_LIMIT = 12
 """Revisions of a tenant that can be rolled back to."""
 
-TENANT_LIMIT_PER_PARTNER = 200
-"""Names a partner may take up, deleted ones included, so that nobody fills the nodes' memory."""
+TENANT_LIMIT_PER_PARTNER = 64
+"""Names a partner may take up, deleted ones included.
+
+With the bounds of `TenantParameters` it keeps a snapshot of two partners' full use below 3 MB,
+which fits a frame between nodes."""
 
 RECORD_ID_PATTERN = re.compile(r"[!-~]{1,128}")
 
--- a/src/stagewalk/configuration/follower.py
+++ b/src/stagewalk/configuration/follower.py
@@ -17,6 +17,7 @@
 from stagewalk.configuration.outcomes import ChangeRejected
 from stagewalk.configuration.progress import ProgressTable
 from stagewalk.configuration.relay import RelayCache, relayed_records
+from stagewalk.configuration.state import snapshot_offset
 from stagewalk.core.identities import Address, NodeName
 from stagewalk.core.instructions import LogEvent, SendPeerMessage, Transport
 from stagewalk.core.platform import LogRecord
@@ -49,6 +50,8 @@
     start_patience
         How long a starting node without access to the log collects announcements before it
         takes the newest state it heard of for current.
+    snapshot_records
+        A snapshot is due after that many records since the last one.
     relay_records, relay_bytes
         Latest records kept for peers; a peer further behind gets a snapshot.
     reply_bytes
@@ -62,6 +65,7 @@
     request_delay: float = 0.3
     request_timeout: float = 1.0
     start_patience: float = 3.0
+    snapshot_records: int = 128
     relay_records: int = 256
     relay_bytes: int = 512 * 1024
     reply_bytes: int = 256 * 1024
@@ -90,6 +94,7 @@
         self._generator = generator
         self._fold = ConfigurationFold()
         self._members: tuple[tuple[NodeName, Address], ...] = ()
+        self._peers: tuple[tuple[NodeName, Address], ...] = ()
         self._addresses: dict[NodeName, Address] = {}
         self._progress = ProgressTable(identity.name)
         self._relay = RelayCache(config.relay_records, config.relay_bytes)
@@ -104,6 +109,10 @@
         self._requested_until = 0.0
         self._started_at: float | None = None
         self._met_current_peer = False
+        self._mismatch_offset: int | None = None
+        self._snapshot_offset = 0
+        self._snapshot_for_peers: tuple[int, bytes] | None = None
+        self._members_changed = False
 
     @property
     def fold(self) -> ConfigurationFold:
@@ -122,17 +131,17 @@
 
     def member_offsets(self) -> dict[NodeName, int]:
         """Return the offset in force at each member, as far as gossip has told, own included."""
+        self._use_members()
         self._progress.learn(self._identity.name, self._fold.offset)
         return self._progress.offsets()
 
     def set_members(self, members: tuple[tuple[NodeName, Address], ...]) -> None:
-        """Take over the members that are alive, with their peer addresses."""
-        others = (member for member in members if member[0] != self._identity.name)
-        self._members = tuple(sorted(others, key=lambda member: member[0]))
-        names = tuple(name for name, _ in self._members)
-        self._addresses = dict(self._members)
-        self._progress.set_members(names)
-        self._ahead = {name: peer for name, peer in self._ahead.items() if name in names}
+        """Take over the members that are alive, with their peer addresses.
+
+        Many changes may come in a row, so they are worked in when the members are next needed.
+        """
+        self._members = members
+        self._members_changed = True
 
     def handle_records(
         self, records: tuple[LogRecord, ...], now: float, head: int | None = None
@@ -154,16 +163,33 @@
     def handle_snapshots(self, records: tuple[LogRecord, ...], now: float) -> list[FollowerOutput]:
         """Take over the newest of the snapshots read from the stream of snapshots."""
         for record in reversed(records):
-            if self._restore(record.payload, now):
-                return self._notify()
-        return []
+            offset = snapshot_offset(record.payload)
+            if offset is None:
+                continue
+            self._snapshot_offset = max(self._snapshot_offset, offset)
+            self._restore(record.payload, now)
+            break
+        return self._notify()
+
+    def take_snapshot(self) -> bytes | None:
+        """Return a snapshot to append to the stream of snapshots, if one is due.
+
+        For the one node that holds the duty; two holders at once do no harm, since snapshots of
+        the same offset are the same.
+        """
+        due = self._fold.offset - self._snapshot_offset >= self._config.snapshot_records
+        if not due or not self._current:
+            return None
+        self._snapshot_offset = self._fold.offset
+        return self._fold.snapshot()
 
     def handle_message(
         self, source: Address, sender: NodeName, message: ConfigurationMessage, now: float
     ) -> list[FollowerOutput]:
         """Take another node's message that came from an address."""
         output: list[FollowerOutput] = []
-        self._progress.learn(sender, message.offset)
+        self._use_members()
+        self._progress.learn(sender, message.offset, restarted=not message.current)
         self._progress.read(message)
         if message.snapshot:
             self._restore(message.snapshot, now)
@@ -217,6 +243,7 @@
 
     def _moved_forward(self, now: float) -> None:
         """Spread the news, and forget the peers that are no longer ahead."""
+        self._snapshot_for_peers = None
         self._news_pending = True
         self._requested_until = now
         ahead = {n: peer for n, peer in self._ahead.items() if peer.offset > self._fold.offset}
@@ -224,10 +251,22 @@
         if not ahead:
             self._behind_since = None
 
+    def _use_members(self) -> None:
+        if not self._members_changed:
+            return
+        self._members_changed = False
+        own_name = self._identity.name
+        self._peers = tuple(sorted(member for member in self._members if member[0] != own_name))
+        self._addresses = dict(self._peers)
+        self._progress.set_members(tuple(self._addresses))
+        self._ahead = {n: peer for n, peer in self._ahead.items() if n in self._addresses}
+
     def _compare(
         self, address: Address, sender: NodeName, message: ConfigurationMessage, now: float
     ) -> list[FollowerOutput]:
         """Set a peer's announced state against this node's own."""
+        if message.offset <= self._fold.offset:
+            self._ahead.pop(sender, None)
         if message.offset < self._fold.offset:
             return [self._send(address, self._announcement(), Transport.DATAGRAM)]
         if message.offset > self._fold.offset:
@@ -236,8 +275,9 @@
                 self._behind_since = now if self._behind_since is None else self._behind_since
             return []
         self._met_current_peer = self._met_current_peer or message.current
-        if message.digest == self._short_digest():
+        if message.digest == self._short_digest() or self._mismatch_offset == message.offset:
             return []
+        self._mismatch_offset = message.offset
         return [
             LogEvent("configuration_digest_mismatch", {"peer": sender, "offset": message.offset})
         ]
@@ -266,8 +306,11 @@
             return []
         if now < self._requested_until:
             return []
-        names = sorted(self._ahead)
-        peer = self._ahead[self._generator.choice(names)]
+        self._use_members()
+        if not self._ahead:
+            self._behind_since = None
+            return []
+        peer = self._ahead[self._generator.choice(sorted(self._ahead))]
         self._requested_until = now + self._config.request_timeout
         message = self._state_message()
         message.records_wanted = True
@@ -279,13 +322,23 @@
             return []
         message = self._state_message()
         if not self._relay.write(message, offset, self._config.reply_bytes):
-            message.snapshot = self._fold.snapshot()
+            message.snapshot = self._peer_snapshot()
         return [self._send(address, message, Transport.STREAM)]
 
+    def _peer_snapshot(self) -> bytes:
+        """Return a snapshot, the same one for all peers that ask at this offset."""
+        known = self._snapshot_for_peers
+        if known is not None and known[0] == self._fold.offset:
+            return known[1]
+        payload = self._fold.snapshot()
+        self._snapshot_for_peers = (self._fold.offset, payload)
+        return payload
+
     def _announce(self, fanout: int, now: float) -> list[FollowerOutput]:
         self._news_pending = False
         self._next_news = now + self._config.news_interval
-        chosen = self._generator.sample(self._members, min(fanout, len(self._members)))
+        self._use_members()
+        chosen = self._generator.sample(self._peers, min(fanout, len(self._peers)))
         return [
             self._send(address, self._announcement(), Transport.DATAGRAM) for _, address in chosen
         ]
--- a/src/stagewalk/configuration/parameters.py
+++ b/src/stagewalk/configuration/parameters.py
@@ -49,12 +49,12 @@
         How long claims and retained answers are kept.
     """
 
-    models: Annotated[tuple[ModelNameField, ...], msgspec.Meta(min_length=1, max_length=16)]
+    models: Annotated[tuple[ModelNameField, ...], msgspec.Meta(min_length=1, max_length=8)]
     minimum_version: VersionField | None = None
     maximum_version: VersionField | None = None
     staleness_bound_versions: NonNegativeInteger = 1
     staleness_bound_seconds: Seconds | None = None
-    non_repeatable_classes: Annotated[tuple[Name, ...], msgspec.Meta(max_length=64)] = ()
+    non_repeatable_classes: Annotated[tuple[Name, ...], msgspec.Meta(max_length=16)] = ()
     capacity_share: Share = 0.5
     idle_weight: Fraction = 0.5
     allow_mixed_versions: bool = True
--- a/src/stagewalk/configuration/progress.py
+++ b/src/stagewalk/configuration/progress.py
@@ -43,10 +43,17 @@
         """Return the offset of each member of which one is known, sorted by name."""
         return {name: self._offsets[name] for name in self._names if name in self._offsets}
 
-    def learn(self, name: NodeName, offset: int) -> None:
-        """Take a member's own word for its offset."""
+    def learn(self, name: NodeName, offset: int, *, restarted: bool = False) -> None:
+        """Take a member's own word for its offset.
+
+        It only grows, and a smaller one is an old message, unless the member has restarted and
+        is still catching up.
+        """
         position = self._positions.get(name)
-        if position is None or self._offsets.get(name) == offset:
+        if position is None:
+            return
+        known = self._offsets.get(name, -1)
+        if offset == known or (offset < known and not restarted):
             return
         self._offsets[name] = offset
         if offset >= self._mark:
@@ -66,8 +73,7 @@
             position = (news & -news).bit_length() - 1
             news &= news - 1
             name = self._names[position]
-            if message.offset > self._offsets.get(name, 0):
-                self.learn(name, message.offset)
+            self.learn(name, message.offset)
 
     def write(self, message: ConfigurationMessage) -> None:
         """Tell which members are known to have reached the offset of a message."""
--- a/src/stagewalk/configuration/state.py
+++ b/src/stagewalk/configuration/state.py
@@ -90,6 +90,12 @@
     return state
 
 
+def snapshot_offset(payload: bytes) -> int | None:
+    """Return the offset of a snapshot's state, or None if it cannot be used."""
+    state = decode_snapshot(payload)
+    return None if state is None else state.offset
+
+
 def overcommitted_model(
     tenants: Iterable[Tenant], parameters: TenantParameters
 ) -> ModelName | None:
