--- a/src/stagewalk/configuration/follower.py
+++ b/src/stagewalk/configuration/follower.py
@@ -270,9 +270,8 @@
         if message.offset < self._fold.offset:
             return [self._send(address, self._announcement(), Transport.DATAGRAM)]
         if message.offset > self._fold.offset:
-            if message.current:
-                self._ahead[sender] = _PeerAhead(address, message.offset)
-                self._behind_since = now if self._behind_since is None else self._behind_since
+            self._ahead[sender] = _PeerAhead(address, message.offset)
+            self._behind_since = now if self._behind_since is None else self._behind_since
             return []
         self._met_current_peer = self._met_current_peer or message.current
         if message.digest == self._short_digest() or self._mismatch_offset == message.offset:
--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -5,10 +5,12 @@
 import testtools
 
 from stagewalk.configuration.follower import FollowerConfig
+from stagewalk.configuration.progress import ProgressTable
 from stagewalk.configuration.records import AnyChange, encode_change
 from stagewalk.core.identities import NodeName
 from stagewalk.core.instructions import MAXIMUM_DATAGRAM_BYTES
 from stagewalk.core.platform import LogRecord
+from stagewalk.wire.configuration_pb2 import ConfigurationMessage
 from tests.configuration.cluster import Cluster
 from tests.configuration.records import change, create, log_record, parameters
 
@@ -92,6 +94,19 @@
         fields = cluster.events[0].fields
         self.assertEqual(("stale_revision", "base_revision"), (fields["reason"], fields["field"]))
 
+    def test_progress_told_about_other_members_is_not_misread(self) -> None:
+        one, other = ProgressTable(FIRST), ProgressTable(FIRST)
+        one.set_members((SECOND, NodeName("node-002")))
+        other.set_members((NodeName("node-002"), NodeName("node-003")))
+        one.learn(SECOND, 7)
+        message = ConfigurationMessage(offset=7)
+        one.write(message)
+        other.read(message)
+        self.assertEqual({}, other.offsets())
+        other.set_members((SECOND, NodeName("node-002")))
+        other.read(message)
+        self.assertEqual({SECOND: 7}, other.offsets())
+
     def test_every_node_learns_the_offsets_of_all_within_the_budget(self) -> None:
         size, seconds = 420, 10
         cluster = Cluster(size)
--- a/tests/log_client/model.py
+++ b/tests/log_client/model.py
@@ -18,6 +18,7 @@
 TICK_SECONDS = 0.1
 POLL_SECONDS = 2.0
 READ_LIMIT = 5
+LANDS_LATE_SECONDS = 4.0
 
 
 @dataclass
@@ -47,6 +48,7 @@
         self.settled: dict[RecordId, list[int]] = {}
         self.abandoned: list[AppendAbandoned] = []
         self.appends_sent: list[RecordId] = []
+        self.read_offsets: list[int] = []
         self.reads_open: dict[str, int] = {}
         self.most_reads_open = 0
         self._scheduled: list[tuple[float, int, Callable[[], None]]] = []
@@ -99,6 +101,7 @@
                     self.abandoned.append(item)
 
     def _begin_read(self, item: ReadLog) -> None:
+        self.read_offsets.append(item.offset)
         self.reads_open[item.stream] = self.reads_open.get(item.stream, 0) + 1
         self.most_reads_open = max(self.most_reads_open, self.reads_open[item.stream])
         if self._happens(self.faults.read_fails):
@@ -133,7 +136,7 @@
             self._after(self._delay(), lambda: self.feed(failure))
         elif self._happens(self.faults.lands_late):
             self._after(self._delay(), lambda: self.feed(failure))
-            self._after(4.0, lambda: self._land(item, answered=False))
+            self._after(LANDS_LATE_SECONDS, lambda: self._land(item, answered=False))
         elif self._happens(self.faults.answer_lost):
             self._after(self._delay(), lambda: self._land(item, answered=False))
             self._after(self._delay(), lambda: self.feed(failure))
--- a/tests/log_client/test_core.py
+++ b/tests/log_client/test_core.py
@@ -11,7 +11,7 @@
 from stagewalk.core.identities import RecordId
 from stagewalk.core.platform import LogRecord
 from stagewalk.log_client.config import LogClientConfig
-from tests.log_client.model import Faults, LogWorld
+from tests.log_client.model import LANDS_LATE_SECONDS, Faults, LogWorld
 
 chances = st.sampled_from([0.0, 0.3, 0.7])
 fault_mixes = st.builds(Faults, chances, chances, chances, chances, st.just(0.0))
@@ -100,6 +100,15 @@
         self.assertEqual(ids, sorted(set(landed), key=landed.index))
         self.assertEqual({each: [landed.index(each)] for each in ids}, log.settled)
 
+    @given(st.integers(0, 2**32))
+    @settings(max_examples=10)
+    def test_a_copy_that_lands_before_the_proof_is_not_sent_twice(self, seed: int) -> None:
+        patient = LogClientConfig(abandon_after=1e6, settle_delay=LANDS_LATE_SECONDS + 1.0)
+        log = LogWorld(seed, Faults(lands_late=0.5), patient)
+        ids = [log.append("s") for _ in range(3)]
+        log.run(60.0)
+        self.assertEqual(ids, [record.record_id for record in log.streams["s"]])
+
     def test_a_lost_answer_is_not_answered_by_sending_again(self) -> None:
         log = world(Faults(answer_lost=1.0))
         record_id = log.append("s")
@@ -107,6 +116,26 @@
         self.assertEqual([record_id], log.appends_sent)
         self.assertEqual({record_id: [0]}, log.settled)
 
+    def test_a_record_beyond_a_long_backlog_is_looked_for_up_to_the_head(self) -> None:
+        log = world(Faults(answer_lost=1.0))
+        for n in range(400):
+            log.put("s", f"old{n}")
+        log.client.follow("s", 0)
+        log.run(0.2)
+        record_id = log.append("s")
+        log.run(60.0)
+        self.assertEqual([record_id], log.appends_sent)
+        self.assertEqual({record_id: [400]}, log.settled)
+
+    def test_a_stream_that_is_not_followed_is_not_read_from_its_beginning(self) -> None:
+        log = world(Faults(answer_lost=1.0))
+        for n in range(400):
+            log.put("s", f"old{n}")
+        record_id = log.append("s")
+        log.run(60.0)
+        self.assertEqual({record_id: [400]}, log.settled)
+        self.assertEqual([0, 400], log.read_offsets[:2])
+
     def test_one_stream_in_trouble_does_not_hold_up_another(self) -> None:
         log = world()
         log.down.add("bad")
