--- a/src/stagewalk/claims/register.py
+++ b/src/stagewalk/claims/register.py
@@ -65,6 +65,11 @@
         for key in list(self.entries):
             self.remove(key)
 
+    def keep_decided(self) -> None:
+        """Forget all keys but those known to be decided."""
+        for key in [key for key, entry in self.entries.items() if not entry.decided]:
+            self.remove(key)
+
     def set_value(self, entry: ClaimEntry, value: bytes) -> None:
         """Replace the value of an entry held."""
         self.usage.size_bytes += len(value) - len(entry.value)
--- a/src/stagewalk/claims/replica.py
+++ b/src/stagewalk/claims/replica.py
@@ -111,6 +111,8 @@
         if identity in self._transfers or identity in self._abandoned:
             return
         if joined_as == self.member.incarnation and group.forgets:
+            # A vote or promise alone says nothing any more: a larger one may have been lost.
+            replica.register.keep_decided()
             replica.lost_until = max(replica.lost_until, now + self._quarantine(group))
             replica.begin_epoch(group, {})
         elif joined_as == self.member.incarnation and group.epoch == 1:
