--- /dev/null
+++ b/src/stagewalk/adapters/engine_stream.py
@@ -0,0 +1,184 @@
+"""Streamed attempts at model engines over server-sent events."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+
+import anyio
+import httpx
+import msgspec
+
+from stagewalk.adapters.engine_frames import (
+    StreamEvent,
+    decode_event,
+    decode_problem,
+    encode_attempt,
+)
+from stagewalk.adapters.http_calls import (
+    NOT_SENT_ERRORS,
+    call_timeout,
+    describe,
+    path_part,
+    process_url,
+)
+from stagewalk.core.completions import TokenChunk
+from stagewalk.core.errors import Ran
+from stagewalk.core.events import AttemptChunk, AttemptFailed, AttemptFinished, AttemptRefused
+from stagewalk.core.instructions import StartAttempt
+from stagewalk.ports.engines import AttemptSink, FinalAttemptEvent
+
+ATTEMPT_GRACE_SECONDS = 5.0
+"""How long a stream may outlive its request's deadline before it is given up."""
+
+RECONNECTIONS = 3
+"""How often in a row, without a further chunk, a lost stream is asked for again."""
+
+RECONNECTION_DELAY_SECONDS = 0.2
+
+_DATA_FIELD = "data:"
+_STREAM_END = "[DONE]"
+_DUPLICATE_STATUS = 409
+_PROBLEM_BYTES = 4096
+
+
+class AttemptStream:
+    """One attempt at an engine, over as many connections as it takes.
+
+    An attempt counts as sent unless connecting failed. If its stream is lost, the engine is asked
+    for the rest of the same attempt, which runs nothing twice; the attempt has failed when the
+    engine can't be reached or no longer has it.
+    """
+
+    def __init__(
+        self, client: httpx.AsyncClient, start: StartAttempt, deliver: AttemptSink
+    ) -> None:
+        self._client = client
+        self._start = start
+        self._deliver = deliver
+        self._next_offset = start.resume_offset
+        self._next_sequence = 0
+        self._reconnections_left = RECONNECTIONS
+
+    async def run(self) -> None:
+        """Deliver the attempt's chunks, then exactly one final event."""
+        try:
+            with anyio.fail_after(self._seconds_left()):
+                final = await self._follow()
+        except TimeoutError:
+            final = self._failed("the stream outlived its deadline")
+        await self._deliver(final)
+
+    def _seconds_left(self) -> float:
+        left = self._start.request.deadline - time.monotonic()
+        return max(0.0, left) + ATTEMPT_GRACE_SECONDS
+
+    async def _follow(self) -> FinalAttemptEvent:
+        final = await self._send()
+        while isinstance(final, _Lost):
+            if self._reconnections_left == 0:
+                return self._failed(final.detail)
+            self._reconnections_left -= 1
+            await anyio.sleep(RECONNECTION_DELAY_SECONDS)
+            final = await self._reconnect(final)
+        return final
+
+    async def _send(self) -> FinalAttemptEvent | _Lost:
+        request = self._client.stream(
+            "POST",
+            process_url(self._start.address, "/v1/completions"),
+            content=encode_attempt(self._start),
+            headers={"Content-Type": "application/json", "X-Request-Id": self._start.attempt},
+            timeout=call_timeout(None),
+        )
+        try:
+            async with request as response:
+                if response.is_success:
+                    return await self._relay(response)
+                return await self._refusal(response)
+        except NOT_SENT_ERRORS as error:
+            return AttemptFailed(self._start.attempt, False, describe(error))
+        except httpx.HTTPError as error:
+            return _Lost(describe(error))
+
+    async def _reconnect(self, lost: _Lost) -> FinalAttemptEvent | _Lost:
+        path = f"/v1/streams/{path_part(self._start.attempt)}?offset={self._next_offset}"
+        request = self._client.stream(
+            "GET", process_url(self._start.address, path), timeout=call_timeout(None)
+        )
+        try:
+            async with request as response:
+                if response.is_success:
+                    return await self._relay(response, renumber=True)
+                return self._failed(f"{lost.detail}; asked again: status {response.status_code}")
+        except NOT_SENT_ERRORS as error:
+            return self._failed(f"{lost.detail}; asked again: {describe(error)}")
+        except httpx.HTTPError as error:
+            return _Lost(describe(error))
+
+    async def _relay(
+        self, response: httpx.Response, *, renumber: bool = False
+    ) -> FinalAttemptEvent | _Lost:
+        async for line in response.aiter_lines():
+            if not line.startswith(_DATA_FIELD):
+                continue
+            data = line.removeprefix(_DATA_FIELD).strip()
+            if data == _STREAM_END:
+                break
+            try:
+                event = decode_event(data)
+            except msgspec.DecodeError as error:
+                return _Lost(f"bad frame: {error}")
+            final = await self._take(event, renumber)
+            if final is not None:
+                return final
+        return _Lost("the stream ended without its final frame")
+
+    async def _take(self, event: StreamEvent, renumber: bool) -> FinalAttemptEvent | None:
+        if event.id != self._start.attempt:
+            return self._failed(f"the stream carries attempt {event.id}")
+        chunk = event.chunk()
+        if chunk is not None:
+            await self._deliver_chunk(chunk, renumber)
+        reason = event.choice.finish_reason
+        if reason is not None and event.usage is not None:
+            return AttemptFinished(self._start.attempt, event.usage.completion_tokens, reason)
+        return None
+
+    async def _deliver_chunk(self, chunk: TokenChunk, renumber: bool) -> None:
+        """Deliver a chunk; a repeated stream's numbers go on from those of the lost one."""
+        if renumber:
+            chunk = dataclasses.replace(chunk, sequence=self._next_sequence)
+        self._next_sequence = chunk.sequence + 1
+        self._next_offset = chunk.offset + chunk.token_count
+        self._reconnections_left = RECONNECTIONS
+        await self._deliver(AttemptChunk(self._start.attempt, chunk))
+
+    async def _refusal(self, response: httpx.Response) -> FinalAttemptEvent:
+        content = b""
+        async for part in response.aiter_bytes():
+            content += part
+            if len(content) >= _PROBLEM_BYTES:
+                break
+        problem = decode_problem(content)
+        detail = f"status {response.status_code}: {problem.detail}"
+        if problem.ran != Ran.NO or response.status_code == _DUPLICATE_STATUS:
+            return self._failed(detail)
+        return AttemptRefused(self._start.attempt, detail, _retry_after(response))
+
+    def _failed(self, detail: str) -> AttemptFailed:
+        return AttemptFailed(self._start.attempt, True, detail)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Lost:
+    """A connection ended before the attempt's final frame."""
+
+    detail: str
+
+
+def _retry_after(response: httpx.Response) -> float | None:
+    try:
+        return max(0.0, float(response.headers["Retry-After"]))
+    except (KeyError, ValueError):
+        return None
--- /dev/null
+++ b/src/stagewalk/node/open_calls.py
@@ -0,0 +1,150 @@
+"""Calls open at this node's edge: each an id, and a bounded buffer of what to tell the caller."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+from expression import Error, Ok, Result
+
+from stagewalk.core.errors import ErrorKind, StagewalkError, Step
+from stagewalk.core.identities import CallId
+from stagewalk.core.instructions import AcceptLot, DeliverSamples, FailCall, FinishCall, SendChunk
+
+LastAnswer = FinishCall | FailCall | AcceptLot | DeliverSamples
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerPiece:
+    """Text of one or more chunks that the caller has not had yet."""
+
+    text: str
+
+
+EDGE_PEER = "edge"
+CALLER_PEER = "caller"
+BUSY_RETRY_SECONDS = 1.0
+
+
+class OpenCall:
+    """One open call.
+
+    Chunks that come faster than the caller reads are joined, up to a bounded length. A caller
+    that lets them grow beyond it reads too slowly: its call is cut, so that it can't hold the
+    node's memory. The bound counts characters, not chunks, since the core may well give many
+    chunks at once.
+    """
+
+    def __init__(self, call: CallId, streaming: bool, maximum_characters: int) -> None:
+        self.id = call
+        self.streaming = streaming
+        self.overflowed = False
+        self._maximum_characters = maximum_characters
+        self._texts: list[str] = []
+        self._characters = 0
+        self._last: LastAnswer | None = None
+        self._news = anyio.Event()
+        self._on_overflow: Callable[[], None] | None = None
+
+    @property
+    def ended(self) -> bool:
+        """Whether the core has given its last answer."""
+        return self._last is not None
+
+    def on_overflow(self, action: Callable[[], None]) -> None:
+        """Set what stops the call's task if it stands in a write that doesn't move."""
+        self._on_overflow = action
+
+    def add_text(self, text: str) -> None:
+        """Buffer a piece of the answer, or cut the call if too much waits already."""
+        if self._characters + len(text) > self._maximum_characters:
+            self._cut()
+            return
+        self._texts.append(text)
+        self._characters += len(text)
+        self._news.set()
+
+    def end(self, answer: LastAnswer) -> None:
+        """Take the core's last answer."""
+        self._last = answer
+        self._news.set()
+
+    async def next_answer(self) -> AnswerPiece | LastAnswer:
+        """Wait for what the core says next."""
+        while not self._texts and self._last is None:
+            self._news = anyio.Event()
+            await self._news.wait()
+        if self._texts:
+            return self._take_texts()
+        assert self._last is not None
+        return self._last
+
+    def _take_texts(self) -> AnswerPiece:
+        piece = AnswerPiece("".join(self._texts))
+        self._texts.clear()
+        self._characters = 0
+        return piece
+
+    def _cut(self) -> None:
+        self.overflowed = True
+        self._texts.clear()
+        if self._on_overflow is not None:
+            self._on_overflow()
+
+
+class OpenCalls:
+    """All open calls of the node, limited in number."""
+
+    def __init__(self, maximum: int, buffered_characters: int) -> None:
+        self._maximum = maximum
+        self._buffered_characters = buffered_characters
+        self._calls: dict[CallId, OpenCall] = {}
+        self.stopping = False
+        """Set at a planned stop: calls in flight go on, new ones are refused."""
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def open(self, streaming: bool) -> Result[OpenCall, StagewalkError]:
+        """Open a call, or refuse it: nothing was run for it."""
+        if self.stopping:
+            return Error(_refusal(ErrorKind.STOPPING, "this node is stopping; ask another one"))
+        if len(self._calls) >= self._maximum:
+            return Error(_refusal(ErrorKind.OVERLOADED, f"{self._maximum} calls are open"))
+        call = OpenCall(CallId(uuid.uuid4().hex), streaming, self._buffered_characters)
+        self._calls[call.id] = call
+        return Ok(call)
+
+    def close(self, call: OpenCall) -> None:
+        """Forget a call; answers that still come for it are dropped."""
+        self._calls.pop(call.id, None)
+
+    def send_chunk(self, send: SendChunk) -> None:
+        """Hand a chunk to its call, if that is still open and streams."""
+        call = self._find(send.call)
+        if call is not None and call.streaming:
+            call.add_text(send.chunk.text)
+
+    def end(self, answer: LastAnswer) -> None:
+        """Hand the core's last answer to its call, if that is still open."""
+        call = self._find(answer.call)
+        if call is not None:
+            call.end(answer)
+
+    def _find(self, name: CallId) -> OpenCall | None:
+        call = self._calls.get(name)
+        if call is None or call.ended or call.overflowed:
+            return None
+        return call
+
+
+def _refusal(kind: ErrorKind, detail: str) -> StagewalkError:
+    return StagewalkError(
+        kind=kind,
+        step=Step.ADMISSION,
+        peer=EDGE_PEER,
+        detail=detail,
+        retry_after_seconds=BUSY_RETRY_SECONDS,
+    )
