Hold promises as long as votes; let renewable keys be decided anew after a loss

After a total loss every key was refused for the retention, also those whose proposers need no earlier decision. Change: one retention for promises and values; propose(renewable=True).

--- a/src/stagewalk/claims/config.py
+++ b/src/stagewalk/claims/config.py
@@ -65,15 +65,11 @@
             raise ValueError("limits must be at least 1")
 
     @property
-    def promise_retention_seconds(self) -> float:
-        """Return how long a promise without an accepted value is held, in seconds.
+    def entry_retention_seconds(self) -> float:
+        """Return how long a replica holds a promise or value after it last gave one, in seconds.
 
-        Only its own proposer counts the votes for a ballot, and gives up after the proposal
-        timeout; so a promise against smaller ballots is needed only that long.
+        The retention counts from the decision, which comes later than the votes. Bare promises
+        are held as long: forgotten earlier, a smaller ballot might decide while a vote for the
+        larger one lies unread at a paused replica.
         """
-        return 4 * self.proposal_timeout_seconds
-
-    @property
-    def value_retention_seconds(self) -> float:
-        """Return how long an accepted value is held: the retention counts from the decision."""
         return self.retention_seconds + 2 * self.proposal_timeout_seconds
--- a/src/stagewalk/claims/core.py
+++ b/src/stagewalk/claims/core.py
@@ -89,23 +89,33 @@
         """Replace the table of where other nodes are reached."""
         self._members = dict(members)
 
-    def propose(self, key: str, value: bytes, now: float) -> list[ClaimOutput]:
+    def propose(
+        self, key: str, value: bytes, now: float, renewable: bool = False
+    ) -> list[ClaimOutput]:
         """Try to make `value` the value of a key.
 
         Ends with `ClaimDecided` or `ClaimUndecided`. Proposers must use distinct values, or
         more than one is told that it won.
+
+        Parameters
+        ----------
+        renewable
+            Whoever proposes this key can do without a decision made before a majority of its
+            replicas lost their memory: the key may be decided anew after that. Otherwise such
+            keys are answered `OUTCOME_UNKNOWN` until the retention has passed.
         """
         self._adopt_placement(now)
-        self._proposer.propose(key, value, now)
+        self._proposer.propose(key, value, renewable, now)
         return self._finish(now)
 
-    def read(self, key: str, now: float) -> list[ClaimOutput]:
+    def read(self, key: str, now: float, renewable: bool = False) -> list[ClaimOutput]:
         """Ask what is decided for a key.
 
-        Ends with `ClaimDecided`, `ClaimAbsent` or `ClaimUndecided`.
+        Ends with `ClaimDecided`, `ClaimAbsent` or `ClaimUndecided`. `renewable` is as in
+        `propose`.
         """
         self._adopt_placement(now)
-        self._proposer.read(key, now)
+        self._proposer.read(key, renewable, now)
         return self._finish(now)
 
     def handle_message(
--- a/src/stagewalk/claims/messages.py
+++ b/src/stagewalk/claims/messages.py
@@ -14,20 +14,22 @@
 """Bodies that answer a request; a `decision` may come unasked too."""
 
 
-def prepare(key: str, ballot: Ballot | None) -> ClaimMessage:
+def prepare(key: str, ballot: Ballot | None, renewable: bool) -> ClaimMessage:
     """Ask for a promise, or, without a ballot, only for what is held."""
     message = ClaimMessage()
     message.prepare.key = key
+    message.prepare.renewable = renewable
     if ballot is not None:
         message.prepare.ballot.CopyFrom(write_ballot(ballot))
     return message
 
 
-def accept(key: str, ballot: Ballot, value: bytes) -> ClaimMessage:
+def accept(key: str, ballot: Ballot, value: bytes, renewable: bool) -> ClaimMessage:
     """Ask for a vote."""
     message = ClaimMessage()
     message.accept.key = key
     message.accept.value = value
+    message.accept.renewable = renewable
     message.accept.ballot.CopyFrom(write_ballot(ballot))
     return message
 
--- a/src/stagewalk/claims/partition.py
+++ b/src/stagewalk/claims/partition.py
@@ -72,7 +72,7 @@
         entry = self._entry(request.key, now)
         if entry is not None and entry.decided:
             return messages.decision_of_value(request.key, entry.value)
-        if entry is None and now < self.lost_until:
+        if entry is None and now < self.lost_until and not request.renewable:
             return messages.reject(Reason.LOST, retry_after_seconds=self.lost_until - now)
         if not request.HasField("ballot"):
             held = entry or ClaimEntry(expires_at=now)
@@ -85,7 +85,7 @@
         if entry.promised is not None and ballot < entry.promised:
             return messages.reject(Reason.BALLOT, entry.promised)
         entry.promised = ballot
-        self._keep(entry, self.config.promise_retention_seconds, now)
+        self._keep(entry, now)
         return messages.promise(entry.accepted, entry.value)
 
     def accept(self, request: ClaimAccept, now: float) -> ClaimMessage:
@@ -94,7 +94,7 @@
         entry = self._entry(request.key, now)
         if entry is not None and entry.decided:
             return messages.decision_of_value(request.key, entry.value)
-        if entry is None and now < self.lost_until:
+        if entry is None and now < self.lost_until and not request.renewable:
             return messages.reject(Reason.LOST, retry_after_seconds=self.lost_until - now)
         if entry is None:
             entry = self._new_entry(request.key, now)
@@ -107,7 +107,7 @@
         entry.promised = ballot
         entry.accepted = ballot
         self.register.set_value(entry, request.value)
-        self._keep(entry, self.config.value_retention_seconds, now)
+        self._keep(entry, now)
         return messages.accepted(ballot)
 
     def learn(self, decision: ClaimDecision, now: float) -> None:
@@ -116,8 +116,8 @@
         if entry is None or entry.accepted is None or not decision.HasField("ballot"):
             return
         if entry.accepted == read_ballot(decision.ballot):
-            entry.decided = True
-            self._keep(entry, self.config.value_retention_seconds, now)
+            entry.settle()
+            self._keep(entry, now)
 
     def _entry(self, key: str, now: float) -> ClaimEntry | None:
         entry = self.register.entries.get(key)
@@ -129,13 +129,12 @@
     def _new_entry(self, key: str, now: float) -> ClaimEntry | None:
         if self.usage.entries >= self.config.maximum_entries or not self._fits(0):
             return None
-        entry = ClaimEntry(expires_at=now + self.config.promise_retention_seconds)
+        entry = ClaimEntry(expires_at=now + self.config.entry_retention_seconds)
         self.register.add(key, entry)
         return entry
 
     def _fits(self, value_bytes: int) -> bool:
         return self.usage.size_bytes + value_bytes < self.config.maximum_bytes
 
-    @staticmethod
-    def _keep(entry: ClaimEntry, seconds: float, now: float) -> None:
-        entry.expires_at = max(entry.expires_at, now + seconds)
+    def _keep(self, entry: ClaimEntry, now: float) -> None:
+        entry.expires_at = max(entry.expires_at, now + self.config.entry_retention_seconds)
--- a/src/stagewalk/claims/planner.py
+++ b/src/stagewalk/claims/planner.py
@@ -39,7 +39,7 @@
     """
 
     settle_seconds: float = 3.0
-    replace_after_seconds: float = 8.0
+    replace_after_seconds: float = 5.0
     lost_after_seconds: float = 120.0
     retry_seconds: float = 4.0
     maximum_changes: int = 16
--- a/src/stagewalk/claims/proposal.py
+++ b/src/stagewalk/claims/proposal.py
@@ -56,9 +56,11 @@
 
     Attributes
     ----------
+    renewable
+        The key may be decided anew after a loss of state.
     wanted
         The values proposed here for the key, the first of them offered; empty for reads alone.
-    readers
+    has_reader
         Whether somebody reads the key.
     deadline
         Node's clock, seconds: nothing is counted or offered after it.
@@ -69,6 +71,7 @@
     key: str
     partition: int
     deadline: float
+    renewable: bool = False
     wanted: list[bytes] = field(default_factory=list)
     has_reader: bool = False
     phase: Phase = Phase.WAITING
--- a/src/stagewalk/claims/proposer.py
+++ b/src/stagewalk/claims/proposer.py
@@ -67,14 +67,14 @@
             if proposal.group != placement.partitions[proposal.partition].current:
                 self._begin_attempt(proposal, now)
 
-    def propose(self, key: str, value: bytes, now: float) -> None:
+    def propose(self, key: str, value: bytes, renewable: bool, now: float) -> None:
         """Begin a proposal, or join the one of this key that is under way."""
         if len(value) > self._config.maximum_value_bytes:
             limit = self._config.maximum_value_bytes
             detail = f"the claim's value has {len(value)} bytes, the limit is {limit}"
             self._refuse(key, value, ErrorKind.INVALID_REQUEST, detail)
             return
-        proposal = self._open(key, value, now)
+        proposal = self._open(key, value, renewable, now)
         if proposal is None:
             return
         if value not in proposal.wanted:
@@ -82,16 +82,16 @@
         if proposal.phase == Phase.WAITING and proposal.group is None:
             self._begin_attempt(proposal, now)
 
-    def read(self, key: str, now: float) -> None:
+    def read(self, key: str, renewable: bool, now: float) -> None:
         """Begin a read, or join what is under way for this key."""
-        proposal = self._open(key, None, now)
+        proposal = self._open(key, None, renewable, now)
         if proposal is None:
             return
         proposal.has_reader = True
         if proposal.phase == Phase.WAITING and proposal.group is None:
             self._begin_attempt(proposal, now)
 
-    def _open(self, key: str, value: bytes | None, now: float) -> Proposal | None:
+    def _open(self, key: str, value: bytes | None, renewable: bool, now: float) -> Proposal | None:
         proposal = self._proposals.get(key)
         if proposal is not None and now >= proposal.deadline:
             self._give_up(proposal)
@@ -106,6 +106,7 @@
             key=key,
             partition=self._placement.partition_of(key),
             deadline=now + self._config.proposal_timeout_seconds,
+            renewable=renewable,
         )
         self._proposals[key] = proposal
         return proposal
@@ -154,11 +155,11 @@
     @staticmethod
     def _request(proposal: Proposal) -> ClaimMessage:
         if proposal.phase == Phase.QUERY:
-            return messages.prepare(proposal.key, None)
+            return messages.prepare(proposal.key, None, proposal.renewable)
         assert proposal.ballot is not None
         if proposal.phase == Phase.PREPARE:
-            return messages.prepare(proposal.key, proposal.ballot)
-        return messages.accept(proposal.key, proposal.ballot, proposal.value)
+            return messages.prepare(proposal.key, proposal.ballot, proposal.renewable)
+        return messages.accept(proposal.key, proposal.ballot, proposal.value, proposal.renewable)
 
     # Answers
 
@@ -169,7 +170,7 @@
         if proposal is None or proposal.group is None:
             return
         if now >= proposal.deadline:
-            # Replicas may have forgotten promises to later ballots: nothing counts any more.
+            # This process may have been paused for longer than replicas keep their promises.
             self._give_up(proposal)
             return
         if sender.name not in proposal.group.names:
--- a/src/stagewalk/claims/register.py
+++ b/src/stagewalk/claims/register.py
@@ -6,7 +6,7 @@
 
 from stagewalk.claims.types import Ballot
 
-ENTRY_OVERHEAD_BYTES = 700
+ENTRY_OVERHEAD_BYTES = 400
 """Flat estimate of what an entry takes besides its key and value."""
 
 
@@ -21,7 +21,7 @@
     accepted, value
         The largest ballot accepted and its value; `None` before the first.
     decided
-        The value is known to be decided: it will never differ.
+        The value is known to be decided: it will never differ, and ballots are kept no longer.
     expires_at
         Node's clock, seconds: the entry is forgotten after this.
     """
@@ -32,6 +32,12 @@
     value: bytes = b""
     decided: bool = False
 
+    def settle(self) -> None:
+        """Note that the value is decided: ballots matter no more."""
+        self.decided = True
+        self.promised = None
+        self.accepted = None
+
 
 @dataclass(slots=True)
 class Usage:
@@ -82,12 +88,15 @@
             self.add(key, other)
             return
         entry.expires_at = max(entry.expires_at, other.expires_at)
-        entry.promised = _larger(entry.promised, other.promised)
         if entry.decided:
             return
-        if other.decided or _larger(entry.accepted, other.accepted) != entry.accepted:
+        if other.decided:
+            self.set_value(entry, other.value)
+            entry.settle()
+            return
+        entry.promised = _larger(entry.promised, other.promised)
+        if _larger(entry.accepted, other.accepted) != entry.accepted:
             entry.accepted = other.accepted
-            entry.decided = other.decided
             self.set_value(entry, other.value)
 
     def expire(self, now: float) -> None:
--- a/src/stagewalk/claims/replica.py
+++ b/src/stagewalk/claims/replica.py
@@ -53,6 +53,8 @@
         self._transfer_of_exchange: dict[int, tuple[tuple[int, int], NodeName]] = {}
         self._abandoned: dict[tuple[int, int], AbandonedGroup] = {}
         self._left_at: dict[int, float] = {}
+        self._order: list[int] = []
+        """Partitions in the order of their first appearance, in which they are swept."""
         self._sweep_position = 0
         self._exchange_count = 0
 
@@ -88,6 +90,7 @@
         if replica is None:
             replica = PartitionReplica(self._config, Register(self.usage), self.usage)
             self._partitions[partition] = replica
+            self._order.append(partition)
         replica.chain = chain
         replica.seal_below(chain.epoch)
         current = chain.current
@@ -123,7 +126,7 @@
             self._transfers[identity] = transfer
 
     def _quarantine(self, group: Group) -> float:
-        seconds = self._config.value_retention_seconds
+        seconds = self._config.entry_retention_seconds
         return seconds if group.certified else 2 * seconds
 
     def _drop_obsolete_transfers(self, partition: int, replica: PartitionReplica) -> None:
@@ -369,10 +372,9 @@
 
     def _sweep(self, now: float) -> None:
         """Expire one partition's entries a call: the whole takes some seconds."""
-        if not self._partitions:
+        if not self._order:
             return
-        partitions = sorted(self._partitions)
-        partition = partitions[self._sweep_position % len(partitions)]
+        partition = self._order[self._sweep_position % len(self._order)]
         self._sweep_position += 1
         replica = self._partitions[partition]
         replica.register.expire(now)
--- a/tests/claims/network.py
+++ b/tests/claims/network.py
@@ -17,6 +17,7 @@
 from stagewalk.claims.placement import (
     GroupChange,
     MemberRecord,
+    PartitionChain,
     PlacementChange,
     PlacementFold,
     encode_record,
@@ -82,8 +83,15 @@
         change = GroupChange(partition=0, base_epoch=base_epoch, members=members, forgets=forgets)
         self.log.append(encode_record(PlacementChange(fence=1, changes=(change,))))
 
-    def propose(self, name: str, key: str, value: bytes) -> None:
-        self._take(name, self.cores[name].propose(key, value, self.now))
+    def chain(self) -> PartitionChain:
+        """Return the partition's groups as of the log's end."""
+        fold = PlacementFold(1)
+        for offset, payload in enumerate(self.log):
+            fold.apply(LogRecord(offset, RecordId(str(offset)), payload))
+        return fold.placement.partitions[0]
+
+    def propose(self, name: str, key: str, value: bytes, renewable: bool = False) -> None:
+        self._take(name, self.cores[name].propose(key, value, self.now, renewable))
 
     def read(self, name: str, key: str) -> None:
         self._take(name, self.cores[name].read(key, self.now))
@@ -99,6 +107,32 @@
                     self._follow_log(name)
                     self._take(name, self.cores[name].tick(self.now))
 
+    def deliver(self, count: int) -> None:
+        """Deliver the next messages only, without letting timers run."""
+        for _ in range(count):
+            self._deliver_next()
+
+    def step(self) -> None:
+        """Deliver the next message, or let time pass if there is none."""
+        if self._queue:
+            self._deliver_next()
+        else:
+            self.run(TICK)
+
+    def hold(self, to: str) -> list[tuple[str, SendPeerMessage]]:
+        """Take the messages on their way to a node out of the network."""
+        held = [(sender, output) for _, _, sender, output in self._queue]
+        return [item for item in held if item[1].address.host == to]
+
+    def drop_all(self) -> None:
+        """Lose all messages on their way."""
+        self._queue.clear()
+
+    def release(self, held: list[tuple[str, SendPeerMessage]]) -> None:
+        """Put messages that were held back into the network."""
+        for sender, output in held:
+            self._send(sender, output)
+
     def results(self, name: str, key: str) -> list[ClaimDecided | ClaimAbsent | ClaimUndecided]:
         return [item for node, item in self.ended if node == name and item.key == key]
 
@@ -143,19 +177,20 @@
 
     def _deliver_until(self, end: float) -> None:
         while self._queue and self._queue[0][0] <= end:
-            at, _, sender, output = heapq.heappop(self._queue)
-            self.now = max(self.now, at)
-            to = output.address.host
-            if to in self.down or to not in self.cores or frozenset((sender, to)) in self.cut:
-                continue
-            envelope = output.envelope
-            self._take(
-                to,
-                self.cores[to].handle_message(
-                    Address(sender, 1),
-                    NodeName(envelope.sender),
-                    Incarnation(envelope.sender_incarnation),
-                    envelope.claims,
-                    self.now,
-                ),
-            )
+            self._deliver_next()
+
+    def _deliver_next(self) -> None:
+        at, _, sender, output = heapq.heappop(self._queue)
+        self.now = max(self.now, at)
+        to = output.address.host
+        if to in self.down or to not in self.cores or frozenset((sender, to)) in self.cut:
+            return
+        envelope = output.envelope
+        outputs = self.cores[to].handle_message(
+            Address(sender, 1),
+            NodeName(envelope.sender),
+            Incarnation(envelope.sender_incarnation),
+            envelope.claims,
+            self.now,
+        )
+        self._take(to, outputs)
