Heal lists that differ, ask suspects a last time, and test pauses and partitions

Causes: on a link that loses a fifth of its datagrams a lost denial let single nodes declare live members dead (4 times in 120 s on 12 nodes); news sent while few members were known ended too early and left lists apart until the next exchange; a node that joined took its neighbours' tombstones for suspects.

Changes: a suspect is asked itself three times before it is declared dead; lists whose digests differ for 3 s are compared at once; a death told by a whole list is doubted only of a member held present; whole lists are offered at most once a second.

--- a/src/stagewalk/membership/core.py
+++ b/src/stagewalk/membership/core.py
@@ -20,7 +20,7 @@
 from stagewalk.membership.contacts import ContactList
 from stagewalk.membership.dissemination import UpdateQueue
 from stagewalk.membership.failure_detector import FailureDetector
-from stagewalk.membership.member_table import MemberFact, MemberTable, TableChange
+from stagewalk.membership.member_table import PRESENT_STATES, MemberFact, MemberTable, TableChange
 from stagewalk.membership.members import Member, MemberIdentity, MemberState, MemberStatus
 from stagewalk.membership.messages import MessageWriter
 from stagewalk.membership.notifications import (
@@ -37,6 +37,9 @@
 """Machines contacted in each round while no member is known."""
 LEAVE_FANOUT = 8
 """Members told at once that this node leaves."""
+FULL_STATE_INTERVAL_SECONDS = 1.0
+"""Least time between two whole lists offered: at 420 members one takes about 30 KB."""
+LASTING_DIFFERENCE_SECONDS = 3.0
 FORGET_INTERVAL_SECONDS = 60.0
 
 
@@ -78,6 +81,8 @@
         self._next_exchange_at = 0.0
         self._next_contact_at = 0.0
         self._next_forget_at = 0.0
+        self._next_full_state_at = 0.0
+        self._differs_since: float | None = None
         self._own_fact = MemberFact(
             identity.name,
             identity.incarnation,
@@ -117,6 +122,7 @@
         if address is None:
             return self._drain()
         self._take_updates(sender, message, now)
+        self._notice_difference(message, now)
         self._outputs.extend(self._answer(address, sender, message, now))
         return self._drain()
 
@@ -125,8 +131,11 @@
         self._notice_pause(now)
         if not self._leaving:
             self._probe(now)
-        for name in self._timers.expired(now):
-            self._declare_dead(name, now)
+        for call in self._timers.overdue(now):
+            if call.is_final:
+                self._declare_dead(call.name, now)
+            else:
+                self._tell_suspect(call.name)
         if self._queue and now >= self._next_gossip_at:
             self._gossip(now)
         if now >= self._next_exchange_at:
@@ -174,9 +183,7 @@
         is_full_state = message.kind == MembershipKind.MEMBERSHIP_KIND_FULL_STATE
         for record in message.updates:
             fact = record_to_fact(record)
-            if is_full_state and fact.state is MemberState.DEAD:
-                # The other side of a healed partition takes all of this side for dead. Give each
-                # of them the time to deny it.
+            if is_full_state and self._doubts_death(fact):
                 fact = replace(fact, state=MemberState.SUSPECT)
             self._apply(fact, fact.accuser or sender, now)
 
@@ -193,12 +200,36 @@
         if kind == MembershipKind.MEMBERSHIP_KIND_NO_ANSWER:
             self._detector.take_no_answer(message)
         elif kind == MembershipKind.MEMBERSHIP_KIND_DIGEST:
-            if message.digest != self._table.digest:
-                return [self._writer.full_state(address, answer_wanted=True)]
+            return self._answer_digest(address, message, now)
         elif kind == MembershipKind.MEMBERSHIP_KIND_FULL_STATE and message.answer_wanted:
             return [self._writer.full_state(address, answer_wanted=False)]
         return []
 
+    def _doubts_death(self, fact: MemberFact) -> bool:
+        """Return whether a whole list calls dead whom this node holds alive.
+
+        The other side of a healed partition takes all of this side for dead: each of them gets
+        the time to deny it. Of a process not known here the word is taken, lest a node that
+        joins revives it.
+        """
+        if fact.state is not MemberState.DEAD:
+            return False
+        known = self._table.get(fact.name)
+        return (
+            known is not None
+            and known.state in PRESENT_STATES
+            and known.incarnation == fact.incarnation
+        )
+
+    def _answer_digest(
+        self, address: Address, message: MembershipMessage, now: float
+    ) -> list[SendPeerMessage]:
+        """Send the whole list to a member whose list differs, but not to many at once."""
+        if message.digest == self._table.digest or now < self._next_full_state_at:
+            return []
+        self._next_full_state_at = now + FULL_STATE_INTERVAL_SECONDS
+        return [self._writer.full_state(address, answer_wanted=True)]
+
     # Facts
 
     def _apply(self, fact: MemberFact, teller: NodeName, now: float) -> None:
@@ -222,6 +253,8 @@
         old_incarnation = old.incarnation if old is not None else None
         if old_state is fact.state and old_incarnation == fact.incarnation:
             return
+        if old is None and fact.state not in PRESENT_STATES:
+            return
         if fact.state is MemberState.ALIVE and old_state is not MemberState.SUSPECT:
             self._detector.schedule.add(fact.name)
         self._outputs.append(MemberChanged(fact.name, old_state, fact.state, fact.incarnation))
@@ -272,6 +305,12 @@
         if self._timers.confirm(fact.name, accuser):
             self._queue.add(fact)
 
+    def _tell_suspect(self, name: NodeName) -> None:
+        """Ask a suspect itself: every message to it names the suspicion it has to deny."""
+        fact = self._table.get(name)
+        if fact is not None and fact.address is not None:
+            self._outputs.append(self._detector.probe_again(fact, fact.address))
+
     def _declare_dead(self, name: NodeName, now: float) -> None:
         self._timers.stop(name)
         known = self._table.get(name)
@@ -301,6 +340,20 @@
 
     # Spreading
 
+    def _notice_difference(self, message: MembershipMessage, now: float) -> None:
+        """Compare lists soon if all that others send has differed from this one for a while.
+
+        News on its way makes lists differ for a second or two. A difference that lasts was left
+        by news whose last copy got lost, or that was sent when few members were known.
+        """
+        if message.digest == self._table.digest:
+            self._differs_since = None
+        elif self._differs_since is None:
+            self._differs_since = now
+        elif now - self._differs_since >= LASTING_DIFFERENCE_SECONDS:
+            self._differs_since = None
+            self._next_exchange_at = now
+
     def _gossip(self, now: float) -> None:
         self._next_gossip_at = now + self._config.gossip_interval
         self._send_gossip(self._config.gossip_fanout)
--- a/src/stagewalk/membership/failure_detector.py
+++ b/src/stagewalk/membership/failure_detector.py
@@ -13,7 +13,7 @@
 from stagewalk.core.instructions import SendPeerMessage
 from stagewalk.membership.config import MembershipConfig
 from stagewalk.membership.member_table import MemberFact, MemberTable
-from stagewalk.membership.members import Member, MemberIdentity
+from stagewalk.membership.members import Member, MemberIdentity, MemberState
 from stagewalk.membership.messages import MessageWriter
 from stagewalk.membership.probing import PendingProbe, ProbeSchedule, RelayedProbe
 from stagewalk.wire.membership_pb2 import MembershipKind, MembershipMessage
@@ -93,6 +93,10 @@
             self._start_probe(now, step)
         return step
 
+    def probe_again(self, target: MemberFact, address: Address) -> SendPeerMessage:
+        """Return a probe whose failure changes nothing; its answer brings the member's denial."""
+        return self._probe(target, address, self._new_exchange_id())
+
     def answer_probe(
         self, sender: NodeName, address: Address, message: MembershipMessage
     ) -> list[SendPeerMessage]:
@@ -182,8 +186,11 @@
             )
 
     def _choose_helpers(self, target: MemberFact) -> list[Member]:
-        excluded = (self._identity.name, target.name)
-        others = [member for name, member in self._table.present().items() if name not in excluded]
+        others = [
+            member
+            for name, member in self._table.present().items()
+            if member.state is MemberState.ALIVE and name not in (self._identity.name, target.name)
+        ]
         return self._generator.sample(others, min(self._config.indirect_probes, len(others)))
 
     def _expire_relayed(self, now: float, step: ProbeStep) -> None:
--- a/src/stagewalk/membership/member_table.py
+++ b/src/stagewalk/membership/member_table.py
@@ -16,6 +16,8 @@
 from stagewalk.membership.members import Member, MemberState, MemberStatus
 
 UNKNOWN_STATUS = MemberStatus()
+PRESENT_STATES = (MemberState.ALIVE, MemberState.SUSPECT)
+"""States in which a node is a member."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +129,7 @@
 
 
 def _is_present(fact: MemberFact) -> bool:
-    return fact.state in (MemberState.ALIVE, MemberState.SUSPECT)
+    return fact.state in PRESENT_STATES
 
 
 def _is_newer(fact: MemberFact, old: MemberFact) -> bool:
--- a/src/stagewalk/membership/suspicion.py
+++ b/src/stagewalk/membership/suspicion.py
@@ -11,6 +11,17 @@
 
 from stagewalk.core.identities import NodeName
 
+LAST_CALLS = 3
+LAST_CALL_INTERVAL_SECONDS = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class LastCall:
+    """A suspect to be asked a last time, or, if `is_final`, one that did not answer that."""
+
+    name: NodeName
+    is_final: bool
+
 
 @dataclass(frozen=True, slots=True)
 class SuspicionTerms:
@@ -29,6 +40,8 @@
     began_at: float
     terms: SuspicionTerms
     accusers: set[NodeName] = field(default_factory=set)
+    last_calls: int = 0
+    next_call_at: float = 0.0
 
 
 class SuspicionTimers:
@@ -60,15 +73,21 @@
         for suspicion in self._running.values():
             suspicion.began_at += seconds
 
-    def expired(self, now: float) -> list[NodeName]:
-        """Return the members whose time to deny is over, in the order of their names."""
-        if not self._running:
-            return []
-        return sorted(
-            name
-            for name, suspicion in self._running.items()
-            if now >= suspicion.began_at + _duration(suspicion)
-        )
+    def overdue(self, now: float) -> list[LastCall]:
+        """Return the suspects whose time to deny is over, in the order of their names.
+
+        Their denial may have been lost on its way here, so each is asked itself some times, and
+        only then is it final.
+        """
+        calls: list[LastCall] = []
+        for name in sorted(self._running):
+            suspicion = self._running[name]
+            if now < suspicion.began_at + _duration(suspicion) or now < suspicion.next_call_at:
+                continue
+            calls.append(LastCall(name, is_final=suspicion.last_calls == LAST_CALLS))
+            suspicion.last_calls += 1
+            suspicion.next_call_at = now + LAST_CALL_INTERVAL_SECONDS
+        return calls
 
 
 def _duration(suspicion: _Suspicion) -> float:
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -37,21 +37,22 @@
         self._order = count()
         self._queue: list[tuple[float, int, str, Address, bytes]] = []
         self._names: dict[Address, str] = {}
-        self._next_tick: dict[str, float] = {}
+        self._ticks: list[tuple[float, str]] = []
 
     def start(self, name: str, zone: str = "z1", region: str = "r1") -> MembershipCore:
         """Start a node, or start it anew under the same name and address."""
-        if name in self.cores:
-            address = self.cores[name].identity.address
-        else:
-            address = Address("10.0.0.1", 7000 + len(self.cores))
+        known = self.cores.get(name)
+        fresh = Address("10.0.0.1", 7000 + len(self.cores))
+        address = known.identity.address if known is not None else fresh
         incarnation = Incarnation(next(self._incarnations))
         identity = MemberIdentity(NodeName(name), incarnation, address, Placement(region, zone))
         generator = random.Random(self.generator.random())
         self.cores[name] = MembershipCore(identity, self.config, generator)
         self._names[address] = name
         self.paused.discard(name)
-        self._next_tick[name] = self.now + self.generator.random() * TICK_INTERVAL_SECONDS
+        if known is None:
+            first_tick = self.now + self.generator.random() * TICK_INTERVAL_SECONDS
+            heapq.heappush(self._ticks, (first_tick, name))
         return self.cores[name]
 
     def kill(self, name: str) -> None:
@@ -68,7 +69,7 @@
     def run(self, seconds: float) -> None:
         end = self.now + seconds
         while True:
-            tick_at, name = min((at, name) for name, at in self._next_tick.items())
+            tick_at, name = self._ticks[0]
             if self._queue and self._queue[0][0] <= tick_at:
                 if self._queue[0][0] > end:
                     break
@@ -104,7 +105,7 @@
 
     def _tick(self, at: float, name: str) -> None:
         self.now = max(self.now, at)
-        self._next_tick[name] = at + TICK_INTERVAL_SECONDS
+        heapq.heapreplace(self._ticks, (at + TICK_INTERVAL_SECONDS, name))
         if name not in self.paused:
             self._carry_out(name, self.cores[name].tick(self.now))
 
--- a/tests/membership/test_core.py
+++ b/tests/membership/test_core.py
@@ -1,6 +1,14 @@
+from dataclasses import replace
+
 import testtools
 
+from stagewalk.core.identities import NodeName
+from stagewalk.core.instructions import MAXIMUM_DATAGRAM_BYTES
+from stagewalk.membership.codec import fact_to_record
+from stagewalk.membership.member_table import MemberFact
 from stagewalk.membership.members import MemberState
+from stagewalk.membership.notifications import IdentitySuperseded
+from stagewalk.wire.membership_pb2 import MemberRecord, MembershipMessage
 from tests.membership.network import Network
 
 
@@ -58,3 +66,99 @@
         told = network.changes_to(MemberState.LEFT)
         self.assertEqual(29, len({observer for _, observer, _ in told}))
         self.assertLess(max(at for at, _, _ in told) - left_at, 3.0)
+
+    def test_losing_a_fifth_of_the_datagrams_kills_nobody(self) -> None:
+        network = cluster(12)
+        network.loss = 0.2
+        network.run(120)
+        network.loss = 0.0
+        network.run(5)
+        self.assertEqual([], network.changes_to(MemberState.DEAD))
+        self.assertEqual({12}, {len(view) for view in network.views()})
+
+    def test_datagrams_stay_within_their_size_while_many_join(self) -> None:
+        network = cluster(40)
+        self.assertGreater(network.largest_datagram, MAXIMUM_DATAGRAM_BYTES // 2)
+        self.assertLessEqual(network.largest_datagram, MAXIMUM_DATAGRAM_BYTES)
+
+
+class PauseTest(testtools.TestCase):
+    def test_a_node_that_wakes_up_declares_nobody_dead(self) -> None:
+        network = cluster(12)
+        network.paused.add("node-004")
+        network.run(30)
+        network.paused.discard("node-004")
+        network.notifications.clear()
+        network.run(20)
+        told = [name for _, observer, name in network.changes_to(MemberState.DEAD)]
+        self.assertEqual([], told)
+
+    def test_it_comes_back_with_the_same_incarnation(self) -> None:
+        network = cluster(12)
+        (before,) = network.views()
+        network.paused.add("node-004")
+        network.run(30)
+        self.assertEqual({11}, {len(view) for view in network.views()})
+        network.paused.discard("node-004")
+        network.run(20)
+        self.assertEqual({before}, network.views())
+
+
+class PartitionTest(testtools.TestCase):
+    def test_regions_find_each_other_again_without_the_machine_list(self) -> None:
+        network = Network(seed=3)
+        for index in range(16):
+            network.start(f"node-{index:03}", f"zone-{index % 4}", f"region-{index % 2}")
+        network.list_machines()
+        network.run(10)
+        (before,) = network.views()
+        network.cut = lambda sender, receiver: int(sender[-1]) % 2 != int(receiver[-1]) % 2
+        network.run(60)
+        self.assertEqual([8, 8], [len(view) for view in network.views()])
+        network.cut = lambda sender, receiver: False
+        network.run(40)
+        self.assertEqual({before}, network.views())
+
+    def test_a_node_reached_by_others_only_is_not_declared_dead(self) -> None:
+        network = cluster(8)
+        pair = {"node-001", "node-002"}
+        network.cut = lambda sender, receiver: {sender, receiver} == pair
+        network.run(60)
+        self.assertEqual([], network.changes_to(MemberState.DEAD))
+        self.assertEqual({8}, {len(view) for view in network.views()})
+
+
+class IdentityTest(testtools.TestCase):
+    def test_the_older_of_two_processes_of_a_name_is_told(self) -> None:
+        network = cluster(5)
+        old = network.cores["node-002"]
+        restarted = network.start("node-002")
+        network.list_machines()
+        network.run(3)
+        record = MemberRecord(incarnation=restarted.identity.incarnation)
+        message = MembershipMessage(origin=record)
+        told = old.handle_message(old.identity.address, old.identity.name, message, network.now)
+        self.assertEqual([IdentitySuperseded(restarted.identity.incarnation)], told)
+
+    def test_gossip_about_a_process_long_dead_revives_nothing(self) -> None:
+        network = cluster(5)
+        dead = network.cores["node-002"].identity
+        network.kill("node-002")
+        network.run(15)
+        rumour = MemberFact(dead.name, dead.incarnation, 0, MemberState.ALIVE, dead.address)
+        rumour = replace(rumour, placement=dead.placement)
+        message = MembershipMessage(updates=[fact_to_record(rumour, with_place=True)])
+        witness = network.cores["node-000"]
+        message.origin.incarnation = network.cores["node-001"].identity.incarnation
+        witness.handle_message(dead.address, NodeName("node-001"), message, network.now)
+        self.assertEqual(4, len(witness.members()))
+
+    def test_leaving_is_final_for_a_process_but_not_for_its_name(self) -> None:
+        network = cluster(5)
+        network.carry_out("node-002", network.cores["node-002"].leave(network.now))
+        network.run(60)
+        self.assertEqual({4}, {len(view) for view in network.views()})
+        network.start("node-002")
+        network.list_machines()
+        network.run(5)
+        self.assertEqual({5}, {len(view) for view in network.views()})
