Ask an engine for the rest of a lost stream before an attempt has failed

Cause: a cut connection ended an attempt though the engine went on with it, so that a request that may run only once ended with an unknown outcome. Ruled out: doing so in the core, which has no instruction for it.

--- a/src/stagewalk/adapters/engine_stream.py
+++ b/src/stagewalk/adapters/engine_stream.py
@@ -149,8 +149,9 @@
         """Deliver a chunk; a repeated stream's numbers go on from those of the lost one."""
         if renumber:
             chunk = dataclasses.replace(chunk, sequence=self._next_sequence)
-        self._next_sequence = chunk.sequence + 1
-        self._next_offset = chunk.offset + chunk.token_count
+        self._next_sequence = max(self._next_sequence, chunk.sequence + 1)
+        if chunk.offset <= self._next_offset:
+            self._next_offset = max(self._next_offset, chunk.offset + chunk.token_count)
         self._reconnections_left = RECONNECTIONS
         await self._deliver(AttemptChunk(self._start.attempt, chunk))
 
