--- a/src/stagewalk/cli/main.py
+++ b/src/stagewalk/cli/main.py
@@ -43,13 +43,21 @@
     for name, summary in SUBCOMMANDS.items():
         subparser = subparsers.add_parser(name, help=summary, description=summary)
         if name == chosen:
-            subcommand = cast(Subcommand, importlib.import_module(f"stagewalk.cli.{name}"))
+            subcommand = _import(name, subparser)
             subcommand.add_flags(subparser)
     parsed = parser.parse_args(words)
     assert subcommand is not None
     return subcommand.run(parsed)
 
 
+def _import(name: str, parser: argparse.ArgumentParser) -> Subcommand:
+    """Import a subcommand's module; a library that is not installed ends the command line."""
+    try:
+        return cast(Subcommand, importlib.import_module(f"stagewalk.cli.{name}"))
+    except ModuleNotFoundError as error:
+        parser.error(f"{error}; the extra 'simulation' may have to be installed")
+
+
 def _new_parser() -> argparse.ArgumentParser:
     new_parser: Callable[..., argparse.ArgumentParser] = argparse_flags.ArgumentParser
     return new_parser(prog="stagewalk", description=__doc__.splitlines()[0])
