--- a/tests/node/running_node.py
+++ b/tests/node/running_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -89,3 +90,29 @@
         tasks.start_soon(serve_http, app, open_listener(address), stop)
         yield address
         tasks.cancel_scope.cancel()
+
+
+AsyncTest = Callable[..., Awaitable[None]]
+
+
+def asynchronous(test: AsyncTest) -> Callable[..., None]:
+    """Make a coroutine a test."""
+
+    @functools.wraps(test)
+    def run(*arguments: object) -> None:
+        anyio.run(test, *arguments)
+
+    return run
+
+
+def on_node(limits: Limits = Limits()) -> Callable[[AsyncTest], Callable[..., None]]:  # noqa: B008
+    """Make a coroutine a test that is given a running node."""
+
+    def decorate(test: AsyncTest) -> Callable[..., None]:
+        async def run(case: object) -> None:
+            async with running_node(limits) as node:
+                await test(case, node)
+
+        return functools.wraps(test)(asynchronous(run))
+
+    return decorate
--- a/tests/node/test_peer_transport.py
+++ b/tests/node/test_peer_transport.py
@@ -19,7 +19,7 @@
 from stagewalk.node.peer_frames import MAXIMUM_FRAME_BYTES, decode_envelope, encode_frame
 from stagewalk.node.peer_transport import PeerTransport
 from stagewalk.wire.envelope_pb2 import Envelope
-from tests.node.running_node import eventually, free_address
+from tests.node.running_node import asynchronous, eventually, free_address
 
 
 def envelope(sender: str, exchange: int = 1) -> Envelope:
@@ -58,89 +58,67 @@
 
 
 class PeerTransportTest(testtools.TestCase):
-    def test_datagram_carries_the_senders_listening_address(self) -> None:
-        async def body() -> None:
-            async with peer() as a, peer() as b:
-                a.transport.send(SendPeerMessage(b.address, envelope("a")))
-                self.assertEqual(PeerMessageReceived(a.address, envelope("a")), await b.receive())
-
-        anyio.run(body)
-
-    def test_stream_source_is_resolved_by_the_senders_name(self) -> None:
-        async def body() -> None:
-            async with peer() as a, peer() as b:
-                message = SendPeerMessage(b.address, envelope("a", 2), Transport.STREAM)
+    @asynchronous
+    async def test_datagram_carries_the_senders_listening_address(self) -> None:
+        async with peer() as a, peer() as b:
+            a.transport.send(SendPeerMessage(b.address, envelope("a")))
+            self.assertEqual(PeerMessageReceived(a.address, envelope("a")), await b.receive())
+
+    @asynchronous
+    async def test_stream_source_is_resolved_by_the_senders_name(self) -> None:
+        async with peer() as a, peer() as b:
+            message = SendPeerMessage(b.address, envelope("a", 2), Transport.STREAM)
+            a.transport.send(message)
+            unknown = await b.receive()
+            self.assertEqual((a.address.host, True), (
+                unknown.source.host, unknown.source.port != a.address.port))  # fmt: skip
+            b.transport.learn_address("a", a.address)
+            a.transport.send(message)
+            self.assertEqual(a.address, (await b.receive()).source)
+
+    @asynchronous
+    async def test_message_too_long_for_a_datagram_goes_by_stream(self) -> None:
+        async with peer() as a, peer() as b:
+            long = envelope("a" * 90)
+            long.MergeFromString(b"\xba\x06" + bytes([0x80, 0x20]) + b"x" * 4096)
+            a.transport.send(SendPeerMessage(b.address, long))
+            self.assertEqual(long, (await b.receive()).envelope)
+            self.assertIn('sent",transport="stream"} 1.0', a.metrics.render().decode())
+
+    @asynchronous
+    async def test_streams_come_back_after_the_peers_restart(self) -> None:
+        async with peer() as a:
+            async with peer() as b:
+                message = SendPeerMessage(b.address, envelope("a"), Transport.STREAM)
                 a.transport.send(message)
-                unknown = await b.receive()
-                self.assertEqual((a.address.host, True), (
-                    unknown.source.host, unknown.source.port != a.address.port))  # fmt: skip
-                b.transport.learn_address("a", a.address)
-                a.transport.send(message)
-                self.assertEqual(a.address, (await b.receive()).source)
-
-        anyio.run(body)
-
-    def test_message_too_long_for_a_datagram_goes_by_stream(self) -> None:
-        async def body() -> None:
-            async with peer() as a, peer() as b:
-                long = envelope("a" * 90)
-                long.MergeFromString(b"\xba\x06" + bytes([0x80, 0x20]) + b"x" * 4096)
-                a.transport.send(SendPeerMessage(b.address, long))
-                self.assertEqual(long, (await b.receive()).envelope)
-                self.assertIn('sent",transport="stream"} 1.0', a.metrics.render().decode())
-
-        anyio.run(body)
-
-    def test_streams_come_back_after_the_peers_restart(self) -> None:
-        async def body() -> None:
-            async with peer() as a:
-                async with peer() as b:
-                    message = SendPeerMessage(b.address, envelope("a"), Transport.STREAM)
-                    a.transport.send(message)
-                    await b.receive()
-                a.transport.send(message)
-                await eventually(lambda: a.dropped("unreachable"))
-                async with peer(b.address) as restarted:
-                    received: list[PeerMessageReceived] = []
-
-                    async def arrived() -> bool:
-                        a.transport.send(message)
-                        with anyio.move_on_after(0.1):
-                            received.append(await restarted.receive())
-                        return bool(received)
-
-                    await eventually(arrived)
-
-        anyio.run(body)
-
-    def test_bad_frames_are_dropped_and_counted(self) -> None:
-        async def body() -> None:
-            async with peer() as a, peer() as b:
-                host, port = b.address.host, b.address.port
-                async with await anyio.connect_tcp(host, port) as stream:
-                    await stream.send(encode_frame(b"\xff\xff\xff"))
-                    await stream.send(encode_frame(envelope("a").SerializeToString()))
-                    await b.receive()
-                    self.assertTrue(await b.dropped("bad_frame"))
-                    await stream.send((MAXIMUM_FRAME_BYTES + 1).to_bytes(4, "big"))
-                    with anyio.fail_after(10):
-                        self.assertRaises(anyio.EndOfStream, await self._end_of(stream))
-                a.transport.send(SendPeerMessage(b.address, envelope("a")))
                 await b.receive()
+            a.transport.send(message)
+            await eventually(lambda: a.dropped("unreachable"))
+            async with peer(b.address) as restarted:
+                received: list[PeerMessageReceived] = []
 
-        anyio.run(body)
-
-    async def _end_of(self, stream: anyio.abc.SocketStream) -> object:
-        try:
-            await stream.receive()
-        except anyio.EndOfStream as ended:
-            error = ended
-
-            def again() -> None:
-                raise error
-
-            return again
-        return lambda: None
+                async def arrived() -> bool:
+                    a.transport.send(message)
+                    with anyio.move_on_after(0.1):
+                        received.append(await restarted.receive())
+                    return bool(received)
+
+                await eventually(arrived)
+
+    @asynchronous
+    async def test_bad_frames_are_dropped_and_counted(self) -> None:
+        async with peer() as a, peer() as b:
+            host, port = b.address.host, b.address.port
+            async with await anyio.connect_tcp(host, port) as stream:
+                await stream.send(encode_frame(b"\xff\xff\xff"))
+                await stream.send(encode_frame(envelope("a").SerializeToString()))
+                await b.receive()
+                self.assertTrue(await b.dropped("bad_frame"))
+                await stream.send((MAXIMUM_FRAME_BYTES + 1).to_bytes(4, "big"))
+                with anyio.fail_after(10), self.assertRaises(anyio.EndOfStream):
+                    await stream.receive()
+            a.transport.send(SendPeerMessage(b.address, envelope("a")))
+            await b.receive()
 
     @given(st.binary(max_size=200))
     def test_any_bytes_decode_to_a_named_envelope_or_nothing(self, payload: bytes) -> None:
