Say "not run" only of a request that was not sent before

Cause: a caller whose connection broke asks another node under the same id; that node, refusing, truly did not run it, but the first one may have: "ran: no" was then false. Change: a caller says that it sent the request before (body member, X-Retry-Count, or the header of OpenAI's clients), and every error of that call says unknown; a non-repeatable request with the caller's own id is not vouched for by a full edge. A planned stop is refused by the core, which joins a repeated request to the one in flight. Ruled out: unknown for every given id, which makes each shed request look as if it had run.

--- a/src/stagewalk/node/daemon.py
+++ b/src/stagewalk/node/daemon.py
@@ -104,6 +104,7 @@
         self._calls = OpenCalls(limits.open_calls, limits.buffered_characters)
         self._peers = PeerTransport(settings.peer_listen, self._events, self._metrics)
         self._exit = anyio.Event()
+        self._stopping = False
 
     async def run(self) -> None:
         """Serve until the core says that everything in flight has ended after a stop."""
@@ -150,7 +151,7 @@
             EngineTasks(engines, self._events, self._metrics, tasks),
             PlatformTasks(services, self._events, self._metrics, self._peers, tasks),
             self._peers,
-            self._exit.set,
+            self._exit_process,
         )
         return runner.carry_out
 
@@ -158,7 +159,7 @@
         limits = self._settings.limits
         desk = CallDesk(self._calls, self._events, self._metrics)
         operators = OperatorEndpoints(
-            runner.status, self._calls, self._metrics, self._events.__len__
+            runner.status, lambda: self._stopping, self._metrics, self._events.__len__
         )
         return EdgeApp(
             CompletionEndpoints(desk, limits, self._metrics),
@@ -168,15 +169,19 @@
         )
 
     async def request_stop(self) -> None:
-        """Begin a planned stop: refuse new calls, and let the core end what is in flight."""
-        self._calls.stopping = True
+        """Begin a planned stop: the core refuses new requests and ends what is in flight."""
+        self._stopping = True
         self._log("stop_requested")
         await self._events.put(StopRequested())
 
+    def _exit_process(self) -> None:
+        self._calls.closed = True
+        self._exit.set()
+
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
-                if self._calls.stopping:
+                if self._stopping:
                     self._log("stop_forced", "warning")
                     os._exit(EXIT_FAILED)
                 await self.request_stop()
--- a/src/stagewalk/node/edge/call_desk.py
+++ b/src/stagewalk/node/edge/call_desk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 from collections.abc import Awaitable, Callable
 
@@ -43,12 +44,16 @@
         answer: Answerer,
         *,
         streaming: bool = False,
+        unasked: Ran = Ran.NO,
     ) -> None:
-        """Ask the core and have `answer` send what it says, until the caller goes away."""
+        """Ask the core and have `answer` send what it says, until the caller goes away.
+
+        `unasked` is what may be said of a request that this node refuses without its core.
+        """
         opened = self._calls.open(streaming)
         if opened.is_error():
             self._count(endpoint, opened.error.kind.value)
-            await exchange.fail(opened.error)
+            await exchange.fail(dataclasses.replace(opened.error, ran=unasked))
             return
         call = opened.ok
         began = time.monotonic()
--- a/src/stagewalk/node/edge/completions.py
+++ b/src/stagewalk/node/edge/completions.py
@@ -13,7 +13,7 @@
 from expression import Error, Ok, Result
 
 from stagewalk.core.completions import CompletionRequest, CompletionResult, Priority
-from stagewalk.core.errors import StagewalkError
+from stagewalk.core.errors import Ran, StagewalkError
 from stagewalk.core.events import AnswerRequested, CompletionRequested
 from stagewalk.core.identities import ModelName, RequestId, TenantName
 from stagewalk.core.instructions import FailCall, FinishCall
@@ -56,11 +56,16 @@
 
 @dataclass(frozen=True, slots=True)
 class _Question:
-    """A checked request and when it arrived, on the node's clock."""
+    """A checked request and when it arrived, on the node's clock.
+
+    `unasked` is what may be said of it without asking the core: one that is not repeatable may
+    have been sent through another node before, unless its id was made up here.
+    """
 
     request: CompletionRequest
     arrived: float
     deadline_seconds: float
+    unasked: Ran
 
 
 class CompletionEndpoints:
@@ -92,6 +97,7 @@
             lambda call: CompletionRequested(call, asked.request),
             lambda call: self._answer(exchange, call, asked),
             streaming=asked.request.stream,
+            unasked=asked.unasked,
         )
 
     async def retained_answer(self, exchange: Exchange, request_id: str) -> None:
@@ -119,12 +125,17 @@
         if len(body.prompt) > self._limits.prompt_characters:
             limit = self._limits.prompt_characters
             return Error(invalid("prompt", f"the prompt has more than {limit} characters"))
-        request_id = body.request_id or exchange.header("x-request-id") or uuid.uuid4().hex
-        fields = {"tenant": body.tenant or exchange.header("x-tenant"), "request_id": request_id}
+        exchange.resubmitted |= body.resubmitted
+        given_id = body.request_id or exchange.header("x-request-id")
+        fields = {
+            "tenant": body.tenant or exchange.header("x-tenant"),
+            "request_id": given_id or uuid.uuid4().hex,
+        }
+        unasked = Ran.NO if body.repeatable or given_id is None else Ran.UNKNOWN
         headers = check_fields(fields, CallerHeaders)
-        return headers.bind(lambda checked: Ok(self._to_question(body, checked)))
+        return headers.bind(lambda checked: Ok(self._to_question(body, checked, unasked)))
 
-    def _to_question(self, body: CompletionBody, headers: CallerHeaders) -> _Question:
+    def _to_question(self, body: CompletionBody, headers: CallerHeaders, unasked: Ran) -> _Question:
         arrived = self._clock()
         priority = Priority.INTERACTIVE if body.priority == "interactive" else Priority.ROLLOUT
         request = CompletionRequest(
@@ -141,7 +152,7 @@
             prompt_token_count=estimate_tokens(body.prompt),
             request_class=body.request_class,
         )
-        return _Question(request, arrived, body.deadline_seconds)
+        return _Question(request, arrived, body.deadline_seconds, unasked)
 
     async def _answer(self, exchange: Exchange, call: OpenCall, question: _Question) -> str:
         if not question.request.stream:
@@ -187,6 +198,7 @@
     async def fail(self, error: StagewalkError) -> str:
         """Send an error: as the response, or as the stream's last event if it has begun."""
         if self._exchange.started:
+            error = self._exchange.truthful(error)
             await self._exchange.write(_event(render_stream_error(error)), last=True)
         else:
             await self._exchange.fail(error)
--- a/src/stagewalk/node/edge/exchange.py
+++ b/src/stagewalk/node/edge/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable, Iterable
 from urllib.parse import parse_qsl
 
@@ -9,7 +10,7 @@
 from expression import Error, Ok, Result
 from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, HTTPScope
 
-from stagewalk.core.errors import ErrorKind, StagewalkError, Step
+from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
 from stagewalk.node.edge.body_budget import BodyBudget
 from stagewalk.node.edge.problems import BODY_FIELD, problem_headers, problem_status, render_problem
 from stagewalk.node.open_calls import BUSY_RETRY_SECONDS, CALLER_PEER, EDGE_PEER
@@ -21,6 +22,9 @@
 LINGER_SECONDS = 2.0
 """How long an answered caller may go on sending its body before the connection is closed."""
 
+RETRY_COUNT_HEADERS = ("x-retry-count", "x-stainless-retry-count")
+"""Headers by which callers, and OpenAI's clients, count how often they sent a request before."""
+
 Headers = Iterable[tuple[str, str]]
 
 
@@ -50,6 +54,8 @@
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in scope["headers"]
         }
+        self.resubmitted = self._says_resubmitted()
+        """Whether the caller has sent the same request before, here or elsewhere."""
         self._receive = receive
         self._send = send
         self._limits = limits
@@ -119,10 +125,18 @@
 
     async def fail(self, error: StagewalkError) -> None:
         """Send an error as the whole response."""
+        error = self.truthful(error)
         await self.respond(
             problem_status(error), PROBLEM_CONTENT, render_problem(error), problem_headers(error)
         )
 
+    def truthful(self, error: StagewalkError) -> StagewalkError:
+        """Return an error that says "not run" only of a request that was not sent before.
+
+        What this node did not run may well have run when it was sent the first time.
+        """
+        return dataclasses.replace(error, ran=Ran.UNKNOWN) if self.resubmitted else error
+
     async def start(self, status: int, content_type: str, headers: Headers = ()) -> None:
         """Send the response's status and headers."""
         self.started = True
@@ -140,6 +154,9 @@
         """Send a part of the response's body, waiting while the caller reads slowly."""
         await self._send({"type": "http.response.body", "body": part, "more_body": not last})
 
+    def _says_resubmitted(self) -> bool:
+        return any(self._headers.get(name, "0") != "0" for name in RETRY_COUNT_HEADERS)
+
     def _announces_too_much(self) -> bool:
         length = self._headers.get("content-length", "")
         return length.isdecimal() and int(length) > self._limits.body_bytes
--- a/src/stagewalk/node/edge/operators.py
+++ b/src/stagewalk/node/edge/operators.py
@@ -11,7 +11,6 @@
 from stagewalk.node.edge.schemas import ModelList, ModelRow
 from stagewalk.node.metrics import NodeMetrics
 from stagewalk.node.node_core import NodeStatus
-from stagewalk.node.open_calls import OpenCalls
 
 TEXT_CONTENT = "text/plain; charset=utf-8"
 METRICS_CONTENT = "text/plain; version=0.0.4; charset=utf-8"
@@ -23,12 +22,12 @@
     def __init__(
         self,
         status: Callable[[], NodeStatus],
-        calls: OpenCalls,
+        stopping: Callable[[], bool],
         metrics: NodeMetrics,
         queue_length: Callable[[], int],
     ) -> None:
         self._status = status
-        self._calls = calls
+        self._stopping = stopping
         self._metrics = metrics
         self._queue_length = queue_length
 
@@ -39,7 +38,7 @@
     async def readiness(self, exchange: Exchange) -> None:
         """Answer 200 if the node takes new calls, else 503."""
         status = self._status()
-        if self._calls.stopping or status.stopping:
+        if self._stopping() or status.stopping:
             await exchange.respond(503, TEXT_CONTENT, b"stopping\n")
         elif not status.ready:
             await exchange.respond(503, TEXT_CONTENT, b"not ready\n")
@@ -49,7 +48,7 @@
     async def metrics(self, exchange: Exchange) -> None:
         """Answer with all metrics."""
         status = self._status()
-        self._metrics.ready.set(status.ready and not self._calls.stopping)
+        self._metrics.ready.set(status.ready and not self._stopping())
         self._metrics.configuration_offset.set(status.configuration_offset)
         self._metrics.event_queue_length.set(self._queue_length())
         self._metrics.members.clear()
--- a/src/stagewalk/node/open_calls.py
+++ b/src/stagewalk/node/open_calls.py
@@ -101,16 +101,19 @@
         self._maximum = maximum
         self._buffered_characters = buffered_characters
         self._calls: dict[CallId, OpenCall] = {}
-        self.stopping = False
-        """Set at a planned stop: calls in flight go on, new ones are refused."""
+        self.closed = False
+        """Set when the node exits: from then on nobody answers a call."""
 
     def __len__(self) -> int:
         return len(self._calls)
 
     def open(self, streaming: bool) -> Result[OpenCall, StagewalkError]:
-        """Open a call, or refuse it: nothing was run for it."""
-        if self.stopping:
-            return Error(_refusal(ErrorKind.STOPPING, "this node is stopping; ask another one"))
+        """Open a call, or refuse it: nothing was run for it.
+
+        A planned stop is not refused here: the core knows which calls join a request in flight.
+        """
+        if self.closed:
+            return Error(_refusal(ErrorKind.STOPPING, "this node exits; ask another one"))
         if len(self._calls) >= self._maximum:
             return Error(_refusal(ErrorKind.OVERLOADED, f"{self._maximum} calls are open"))
         call = OpenCall(CallId(uuid.uuid4().hex), streaming, self._buffered_characters)
--- a/tests/node/echo_core.py
+++ b/tests/node/echo_core.py
@@ -128,6 +128,10 @@
 
     def _complete(self, event: CompletionRequested) -> list[Instruction]:
         call, request = event.call, event.request
+        if self.stopping:
+            error = StagewalkError(ErrorKind.STOPPING, Step.ADMISSION, "node-1", "stopping",
+                                   retry_after_seconds=1.0)  # fmt: skip
+            return [FailCall(call, error)]
         self.open.add(call)
         if request.prompt == "hang":
             return []
--- a/tests/node/test_edge.py
+++ b/tests/node/test_edge.py
@@ -50,6 +50,19 @@
                 tuple(problem[key] for key in ("title", "ran", "step", "peer")),
             )
 
+    @on_node()
+    async def test_nothing_says_not_run_of_a_request_sent_before(self, node: RunningNode) -> None:
+        fail = ASK | {"prompt": "fail"}
+        answers = [
+            await node.post("/v1/completions", fail | {"resubmitted": True}),
+            await node.post("/v1/completions", fail | {"stream": True}, **{"X-Retry-Count": "1"}),
+            await node.post("/v1/completions", fail, **{"X-Stainless-Retry-Count": "2"}),
+            await node.client.post("/v1/completions", content=b"{", headers={"X-Retry-Count": "1"}),
+        ]
+        self.assertEqual(["unknown"] * 4, [answer.json()["ran"] for answer in answers])
+        first = await node.post("/v1/completions", fail, **{"X-Stainless-Retry-Count": "0"})
+        self.assertEqual("no", first.json()["ran"])
+
     @on_node()
     async def test_error_after_a_chunk_ends_the_stream_without_done(
         self, node: RunningNode
@@ -139,6 +152,10 @@
             self.assertEqual(503, answer.status_code)
             self.assertEqual("no", answer.json()["ran"])
             self.assertIn("Retry-After", answer.headers)
+            once = ASK | {"repeatable": False}
+            made_up = await node.post("/v1/completions", once)
+            given = await node.post("/v1/completions", once | {"request_id": "r1"})
+            self.assertEqual(["no", "unknown"], [a.json()["ran"] for a in (made_up, given)])
             tasks.cancel_scope.cancel()
 
     @on_node()
--- a/tests/node/test_open_calls.py
+++ b/tests/node/test_open_calls.py
@@ -60,8 +60,8 @@
         self.calls.end(FinishCall(ended.id, whole("second")))
         self.assertEqual(first, anyio.run(ended.next_answer))
 
-    def test_limit_and_stop_refuse_new_calls(self) -> None:
+    def test_limit_and_exit_refuse_new_calls(self) -> None:
         self.open(), self.open()
         self.assertEqual(ErrorKind.OVERLOADED, self.calls.open(True).error.kind)
-        self.calls.stopping = True
+        self.calls.closed = True
         self.assertEqual(ErrorKind.STOPPING, self.calls.open(True).error.kind)
