--- a/src/stagewalk/simulation/node_host.py
+++ b/src/stagewalk/simulation/node_host.py
@@ -290,12 +290,19 @@
     def _handle(self, life: NodeLife, event: Event) -> None:
         try:
             instructions = life.core.handle(event, self.local_time)
+            for instruction in instructions:
+                self._require_known(instruction)
         except Exception as error:
             self._fail(event, error)
             return
         for instruction in instructions:
             self._carry_out(life, instruction)
 
+    def _require_known(self, instruction: object) -> None:
+        """Let an output that the daemon's shell could not carry out count as the core's fault."""
+        if not isinstance(instruction, Instruction):
+            raise TypeError(f"not an instruction: {instruction}")
+
     def _fail(self, event: Event, error: Exception) -> None:
         trace = "".join(traceback.format_exception(error))
         self._on_failure(CoreFailure(self._scheduler.now, self.name, type(event).__name__, trace))
