--- a/src/stagewalk/simulation/mutants.py
+++ b/src/stagewalk/simulation/mutants.py
@@ -1,12 +1,235 @@
-"""Mechanisms switched off one at a time, inside the simulation only, to prove the checker."""
+"""Mechanisms switched off one at a time, inside the simulation only, to prove the checker.
+
+A mutant that the checker doesn't catch leaves its promise unproved: either the checker is
+blind, or the faults never come where the mechanism is needed.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import random
+from dataclasses import dataclass, replace
 
+from stagewalk.configuration.fold import ConfigurationFold
+from stagewalk.configuration.outcomes import ChangeRejected, RejectionReason
+from stagewalk.configuration.records import CONFIGURATION_STREAM, AnyChange
+from stagewalk.configuration.state import TenantRecord
+from stagewalk.core.errors import Ran
+from stagewalk.core.events import (
+    AttemptChunk,
+    AttemptFailed,
+    AttemptFinished,
+    EngineReported,
+    Event,
+    LogRead,
+    LotSubmitted,
+    MachinesRead,
+    PeerMessageReceived,
+    SamplesPulled,
+    StopRequested,
+    VersionsRead,
+)
+from stagewalk.core.identities import AttemptId, ModelName, WeightVersion
+from stagewalk.core.instructions import ExitProcess, FailCall, Instruction, StartAttempt
+from stagewalk.core.platform import EngineState, MachineState
 from stagewalk.history.checker_verdict import Promise
+from stagewalk.node.node_core import NodeCore, NodeIdentity, NodeStatus
+from stagewalk.node.outputs import NodeOutput
+from stagewalk.requests.notifications import ClaimWanted
 from stagewalk.simulation.node_host import CoreFactory
 
+CONFIGURATION_FROZEN_AT_OFFSET = 4
+
+
+class AlteredCore:
+    """A real core whose events or instructions are altered on their way."""
+
+    def __init__(self, identity: NodeIdentity, generator: random.Random) -> None:
+        self.core = NodeCore(identity, generator)
+
+    def handle(self, event: Event, now: float) -> list[Instruction]:
+        """Take an event and return what to do."""
+        altered = self.alter_event(event)
+        if altered is None:
+            return []
+        return self.alter_instructions(event, self.core.handle(altered, now))
+
+    def status(self, now: float) -> NodeStatus:
+        """Return what operators and probes may see."""
+        return self.core.status(now)
+
+    def alter_event(self, event: Event) -> Event | None:
+        """Return what the core is told instead, or None to keep it from it."""
+        return event
+
+    def alter_instructions(
+        self, event: Event, instructions: list[Instruction]
+    ) -> list[Instruction]:
+        """Return what is done instead of what the core decided."""
+        return instructions
+
+
+class NewestVersionNamed(AlteredCore):
+    """Believes that an engine runs the newest weights, whatever its frames say."""
+
+    def __init__(self, identity: NodeIdentity, generator: random.Random) -> None:
+        super().__init__(identity, generator)
+        self._newest: dict[ModelName, WeightVersion] = {}
+        self._models: dict[AttemptId, ModelName] = {}
+
+    def alter_event(self, event: Event) -> Event | None:
+        """Put the newest version in place of the engine's."""
+        if isinstance(event, VersionsRead) and event.versions:
+            self._newest[event.model] = max(each.version for each in event.versions)
+        if isinstance(event, AttemptChunk):
+            model = self._models.get(event.attempt)
+            newest = self._newest.get(model) if model is not None else None
+            if newest is not None:
+                return replace(event, chunk=replace(event.chunk, version=newest))
+        return event
+
+    def alter_instructions(
+        self, event: Event, instructions: list[Instruction]
+    ) -> list[Instruction]:
+        """Remember each attempt's model."""
+        for instruction in instructions:
+            if isinstance(instruction, StartAttempt):
+                self._models[instruction.attempt] = instruction.request.model
+        return instructions
+
+
+class StalenessAtDispatchOnly(AlteredCore):
+    """Judges staleness against the version that the trainer held when it asked for the step."""
+
+    def __init__(self, identity: NodeIdentity, generator: random.Random) -> None:
+        super().__init__(identity, generator)
+        self._asked_at: dict[tuple[str, str, int], WeightVersion] = {}
+
+    def alter_event(self, event: Event) -> Event | None:
+        """Put the version at submission in place of the version that a pull names."""
+        if isinstance(event, LotSubmitted):
+            lot = event.lot
+            self._asked_at.setdefault((lot.tenant, lot.trainer, lot.step), lot.trainer_version)
+        if isinstance(event, SamplesPulled):
+            pull = event.pull
+            version = self._asked_at.get((pull.tenant, pull.trainer, pull.step))
+            if version is not None:
+                return replace(event, pull=replace(pull, trainer_version=version))
+        return event
+
+
+class CursorForgotten(AlteredCore):
+    """A restarted node begins a delivery again from its start."""
+
+    def alter_event(self, event: Event) -> Event | None:
+        """Drop the cursor."""
+        if isinstance(event, SamplesPulled) and self.core.identity.incarnation > 1:
+            return replace(event, pull=replace(event.pull, cursor=""))
+        return event
+
+
+class TruncatedStreamAccepted(AlteredCore):
+    """Takes the end of a connection for the end of the answer."""
+
+    def __init__(self, identity: NodeIdentity, generator: random.Random) -> None:
+        super().__init__(identity, generator)
+        self._tokens: dict[AttemptId, int] = {}
+
+    def alter_event(self, event: Event) -> Event | None:
+        """Finish an attempt whose stream broke."""
+        if isinstance(event, AttemptChunk):
+            self._tokens[event.attempt] = event.chunk.offset + event.chunk.token_count
+        if isinstance(event, AttemptFailed) and event.attempt in self._tokens:
+            return AttemptFinished(event.attempt, self._tokens[event.attempt], "stop")
+        return event
+
+
+class UnknownCalledNotRun(AlteredCore):
+    """Tells callers that a request did not run when nobody knows."""
+
+    def alter_instructions(
+        self, event: Event, instructions: list[Instruction]
+    ) -> list[Instruction]:
+        """Turn every `unknown` into `no`."""
+        return [
+            replace(each, error=replace(each.error, ran=Ran.NO))
+            if isinstance(each, FailCall)
+            else each
+            for each in instructions
+        ]
+
+
+class MayHaveRunRetried(AlteredCore):
+    """Takes every broken attempt for one that never reached its engine."""
+
+    def alter_event(self, event: Event) -> Event | None:
+        """Forget that an attempt was sent."""
+        return replace(event, sent=False) if isinstance(event, AttemptFailed) else event
+
+
+class ClaimsNotAsked(NodeCore):
+    """Runs a non-repeatable request without asking whether another node has claimed it."""
+
+    def _request_claim_wanted(self, wanted: ClaimWanted, now: float) -> list[NodeOutput]:
+        decided = self.data.requests.claim_decided(wanted.claim_key, wanted.value, True, now)
+        return list(decided)
+
+
+class DrainIgnored(AlteredCore):
+    """Takes draining and leaving engines for serving ones."""
+
+    def alter_event(self, event: Event) -> Event | None:
+        """Hide what an engine or the machine list says of leaving."""
+        if isinstance(event, EngineReported):
+            return replace(event, report=replace(event.report, state=EngineState.SERVING))
+        if isinstance(event, MachinesRead):
+            machines = tuple(replace(each, state=MachineState.LIVE) for each in event.machines)
+            return MachinesRead(machines)
+        return event
+
+
+class StopsAtOnce(AlteredCore):
+    """Leaves as soon as it is asked to, whatever is in flight."""
+
+    def alter_instructions(
+        self, event: Event, instructions: list[Instruction]
+    ) -> list[Instruction]:
+        """Exit after the request to stop."""
+        return [*instructions, ExitProcess()] if isinstance(event, StopRequested) else instructions
+
+
+class _LastWriterWinsFold(ConfigurationFold):
+    def _reject_stale(
+        self, change: AnyChange, record: TenantRecord | None
+    ) -> ChangeRejected | None:
+        rejection = super()._reject_stale(change, record)
+        if rejection is not None and rejection.reason is RejectionReason.STALE_REVISION:
+            return None
+        return rejection
+
+
+class LastWriterWins(NodeCore):
+    """Accepts a change whose base revision was overtaken."""
+
+    def __init__(self, identity: NodeIdentity, generator: random.Random) -> None:
+        super().__init__(identity, generator)
+        self.control.follower._fold = _LastWriterWinsFold()
+
+
+class ConfigurationReadOnce(AlteredCore):
+    """Reads the configuration when it starts, and never again."""
+
+    def alter_event(self, event: Event) -> Event | None:
+        """Keep later records from the core, from wherever they come."""
+        frozen = self.core.control.follower.fold.offset >= CONFIGURATION_FROZEN_AT_OFFSET
+        if not frozen:
+            return event
+        if isinstance(event, LogRead) and event.stream == CONFIGURATION_STREAM:
+            return LogRead(event.stream, (), event.head)
+        relayed = isinstance(event, PeerMessageReceived) and event.envelope.HasField(
+            "configuration"
+        )
+        return None if relayed else event
+
 
 @dataclass(frozen=True, slots=True)
 class Mutant:
@@ -14,7 +237,18 @@
 
     factory: CoreFactory
     breaks: Promise
-    explanation: str
 
 
-MUTANTS: dict[str, Mutant] = {}
+MUTANTS: dict[str, Mutant] = {
+    "newest_version_named": Mutant(NewestVersionNamed, Promise.VERSION_NAMED),
+    "staleness_at_dispatch_only": Mutant(StalenessAtDispatchOnly, Promise.STALENESS_BOUND),
+    "cursor_forgotten": Mutant(CursorForgotten, Promise.EXACTLY_ONCE),
+    "truncated_stream_accepted": Mutant(TruncatedStreamAccepted, Promise.WHOLE_ANSWER),
+    "unknown_called_not_run": Mutant(UnknownCalledNotRun, Promise.NOT_RUN_TRUE),
+    "may_have_run_retried": Mutant(MayHaveRunRetried, Promise.AT_MOST_ONCE),
+    "claims_not_asked": Mutant(ClaimsNotAsked, Promise.AT_MOST_ONCE),
+    "drain_ignored": Mutant(DrainIgnored, Promise.LEAVING_NO_WORK),
+    "stops_at_once": Mutant(StopsAtOnce, Promise.PLANNED_STOP_CLEAN),
+    "last_writer_wins": Mutant(LastWriterWins, Promise.CONFIG_IN_FORCE),
+    "configuration_read_once": Mutant(ConfigurationReadOnce, Promise.CONFIG_IN_FORCE),
+}
