--- a/src/stagewalk/simulation/mutants.py
+++ b/src/stagewalk/simulation/mutants.py
@@ -37,7 +37,7 @@
 from stagewalk.requests.notifications import ClaimWanted
 from stagewalk.simulation.node_host import CoreFactory
 
-CONFIGURATION_FROZEN_AT_OFFSET = 4
+CONFIGURATION_FROZEN_AT_OFFSET = 2
 
 
 class AlteredCore:
--- a/src/stagewalk/simulation/node_host.py
+++ b/src/stagewalk/simulation/node_host.py
@@ -37,6 +37,10 @@
 from stagewalk.wire.envelope_pb2 import Envelope
 
 BACKLOG_LIMIT = 4096
+GRACEFUL_SECONDS = 3.0
+"""How long the HTTP server of an exiting node still answers calls on open connections."""
+
+GRACEFUL_CHECK_SECONDS = 0.1
 
 CallAnswer = SendChunk | FinishCall | FailCall | AcceptLot | DeliverSamples
 
@@ -96,6 +100,7 @@
     calls_opened: int = 0
     paused: bool = False
     stopping: bool = False
+    exiting_since: float | None = None
 
 
 class Directory(Protocol):
@@ -242,7 +247,7 @@
         `event` makes the core's event from the call's id and the node's time.
         """
         life = self._life
-        if life is None:
+        if life is None or life.exiting_since is not None:
             return None
         if self.network.blocked(client, self.endpoint) or self.network.blocked(
             self.endpoint, client
@@ -360,10 +365,20 @@
             self._take(life, CallAbandoned(call))
 
     def _exit(self, life: NodeLife) -> None:
-        """Leave as the core decided; calls still open are cut off."""
-        if self._life is life:
-            self._end(0.0)
-            self._on_exit(self)
+        """Take no more connections; leave once the open ones are done, or after a while."""
+        if life.exiting_since is None:
+            life.exiting_since = self._scheduler.now
+        self._leave_when_done(life)
+
+    def _leave_when_done(self, life: NodeLife) -> None:
+        if self._life is not life or life.exiting_since is None:
+            return
+        waited = self._scheduler.now - life.exiting_since
+        if life.calls and waited < GRACEFUL_SECONDS:
+            self._scheduler.after(GRACEFUL_CHECK_SECONDS, lambda: self._leave_when_done(life))
+            return
+        self._end(0.0)
+        self._on_exit(self)
 
     def _end(self, silence_seconds: float) -> None:
         life = self._life
--- a/src/stagewalk_standins/demo/__main__.py
+++ b/src/stagewalk_standins/demo/__main__.py
@@ -14,8 +14,8 @@
 
 import anyio
 import anyio.abc
-from stagewalk.configuration.deployment import Deployment, load_deployment
 
+from stagewalk.configuration.deployment import Deployment, load_deployment
 from stagewalk.history.checker import check_history
 from stagewalk.history.checker_oracle import FoldOracle
 from stagewalk.history.observations import read_history
--- a/src/stagewalk_standins/demo/topology.py
+++ b/src/stagewalk_standins/demo/topology.py
@@ -14,7 +14,6 @@
     Region,
     TrainerService,
 )
-
 from stagewalk_standins.demo.processes import ProcessSpecification
 
 HTTP_PORT = 8080
