--- a/src/stagewalk/history/checker_configuration.py
+++ b/src/stagewalk/history/checker_configuration.py
@@ -43,6 +43,10 @@
         """Return the revisions in force, by tenant."""
         ...
 
+    def digest(self) -> str:
+        """Return the digest that a node in this state shows."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class StalenessBounds:
@@ -59,6 +63,12 @@
     parameters: dict[str, TenantParameters]
 
 
+@dataclass(frozen=True, slots=True)
+class _State:
+    revisions: dict[str, int]
+    digest: str
+
+
 @dataclass(slots=True)
 class ConfigurationTimeline:
     """Which configuration was accepted when, folded from the log's own record."""
@@ -67,7 +77,7 @@
     accepted_ids: set[str] = field(default_factory=set)
     rejected: dict[str, RecordAppended] = field(default_factory=dict)
     faults: list[FaultInjected] = field(default_factory=list)
-    revisions: dict[int, dict[str, int]] = field(default_factory=lambda: {0: {}})
+    states: dict[int, _State] = field(default_factory=dict)
 
     def due(self, at: float) -> RecordAppended | None:
         """Return the last accepted record that must be in force by a time."""
@@ -114,6 +124,7 @@
 ) -> ConfigurationTimeline:
     """Fold the configuration stream as the log recorded it."""
     timeline = ConfigurationTimeline()
+    timeline.states[0] = _State(oracle.revisions(), oracle.digest())
     records = [
         item
         for item in history
@@ -121,7 +132,7 @@
     ]
     for record in sorted(records, key=lambda item: item.offset):
         accepted = oracle.apply(record)
-        timeline.revisions[record.offset + 1] = oracle.revisions()
+        timeline.states[record.offset + 1] = _State(oracle.revisions(), oracle.digest())
         if accepted:
             timeline.accepted_ids.add(record.record_id)
             timeline.accepted.append(_Accepted(record.at, record, oracle.parameters()))
@@ -141,7 +152,6 @@
     """Judge config_in_force."""
     last_seen: dict[tuple[str, int], ConfigurationSeen] = {}
     first_seen_at: dict[tuple[str, int], float] = {}
-    digests: dict[int, ConfigurationSeen] = {}
     for item in history:
         if isinstance(item, ConfigurationSeen):
             verdict.check(Promise.CONFIG_IN_FORCE)
@@ -149,7 +159,6 @@
             first_seen_at.setdefault(incarnation, item.at)
             _check_in_force(item, first_seen_at[incarnation], timeline, verdict)
             _check_not_reverted(item, last_seen.get(incarnation), verdict)
-            _check_same_state(item, digests.setdefault(item.offset, item), verdict)
             _check_true_state(item, timeline, verdict)
             last_seen[incarnation] = item
         elif isinstance(item, PublishAnswered) and item.accepted:
@@ -178,28 +187,24 @@
     verdict.violate(Promise.CONFIG_IN_FORCE, seen.at, f"node {seen.node}", detail, [before, seen])
 
 
-def _check_same_state(seen: ConfigurationSeen, first: ConfigurationSeen, verdict: Verdict) -> None:
-    if seen.digest == first.digest and seen.revisions == first.revisions:
-        return
-    detail = f"offset {seen.offset} means another state than at {first.node}"
-    verdict.violate(Promise.CONFIG_IN_FORCE, seen.at, f"node {seen.node}", detail, [first, seen])
-
-
 def _check_true_state(
     seen: ConfigurationSeen, timeline: ConfigurationTimeline, verdict: Verdict
 ) -> None:
     """Compare with what the log's records amount to."""
-    truth = timeline.revisions.get(seen.offset)
-    if truth == seen.revisions:
-        return
-    wrong = "the log holds no such offset"
-    if truth is not None:
-        names = sorted(truth.keys() | seen.revisions.keys())
-        differing = [name for name in names if truth.get(name) != seen.revisions.get(name)]
+    truth = timeline.states.get(seen.offset)
+    if truth is None:
+        wrong = "the log holds no such offset"
+    elif truth.revisions != seen.revisions:
+        names = sorted(truth.revisions.keys() | seen.revisions.keys())
         wrong = ", ".join(
-            f"{name} at {seen.revisions.get(name)} instead of {truth.get(name)}"
-            for name in differing
+            f"{name} at {seen.revisions.get(name)} instead of {truth.revisions.get(name)}"
+            for name in names
+            if truth.revisions.get(name) != seen.revisions.get(name)
         )
+    elif truth.digest != seen.digest:
+        wrong = f"digest {seen.digest} instead of {truth.digest}"
+    else:
+        return
     detail = f"at offset {seen.offset}: {wrong}"
     verdict.violate(Promise.CONFIG_IN_FORCE, seen.at, f"node {seen.node}", detail, [seen])
 
--- a/src/stagewalk/history/checker_oracle.py
+++ b/src/stagewalk/history/checker_oracle.py
@@ -28,3 +28,7 @@
     def revisions(self) -> dict[str, int]:
         """Return the revisions in force, by tenant."""
         return {name: tenant.revision for name, tenant in self._fold.tenants.items()}
+
+    def digest(self) -> str:
+        """Return the digest that a node in this state shows."""
+        return self._fold.digest()
--- a/src/stagewalk/simulation/mutants.py
+++ b/src/stagewalk/simulation/mutants.py
@@ -9,8 +9,12 @@
 import random
 from dataclasses import dataclass, replace
 
+import msgspec
+
 from stagewalk.configuration.fold import ConfigurationFold
+from stagewalk.configuration.notifications import ConfigurationChanged
 from stagewalk.configuration.outcomes import ChangeRejected, RejectionReason
+from stagewalk.configuration.parameters import Tenant
 from stagewalk.configuration.records import CONFIGURATION_STREAM, AnyChange
 from stagewalk.configuration.state import TenantRecord
 from stagewalk.core.errors import Ran
@@ -38,6 +42,7 @@
 from stagewalk.simulation.node_host import CoreFactory
 
 CONFIGURATION_FROZEN_AT_OFFSET = 2
+UNBOUNDED_VERSIONS = 1000
 
 
 class AlteredCore:
@@ -117,6 +122,24 @@
         return event
 
 
+class StalenessUnchecked(NodeCore):
+    """Runs and hands over samples of any age."""
+
+    def _configuration_changed(self, changed: ConfigurationChanged, now: float) -> list[NodeOutput]:
+        output = super()._configuration_changed(changed, now)
+        self.data.lots.set_tenants({each.name: _unbounded(each) for each in changed.tenants})
+        return output
+
+
+def _unbounded(tenant: Tenant) -> Tenant:
+    parameters = msgspec.structs.replace(
+        tenant.parameters,
+        staleness_bound_versions=UNBOUNDED_VERSIONS,
+        staleness_bound_seconds=None,
+    )
+    return msgspec.structs.replace(tenant, parameters=parameters)
+
+
 class CursorForgotten(AlteredCore):
     """A restarted node begins a delivery again from its start."""
 
@@ -162,8 +185,13 @@
     """Takes every broken attempt for one that never reached its engine."""
 
     def alter_event(self, event: Event) -> Event | None:
-        """Forget that an attempt was sent."""
-        return replace(event, sent=False) if isinstance(event, AttemptFailed) else event
+        """Forget that an attempt was sent and has answered."""
+        if not isinstance(event, AttemptFailed):
+            return event
+        record = self.core.data.requests._book.owners.get(event.attempt)
+        if record is not None:
+            record.attempts[event.attempt].last_chunk_at = None
+        return replace(event, sent=False)
 
 
 class ClaimsNotAsked(NodeCore):
@@ -242,6 +270,7 @@
 MUTANTS: dict[str, Mutant] = {
     "newest_version_named": Mutant(NewestVersionNamed, Promise.VERSION_NAMED),
     "staleness_at_dispatch_only": Mutant(StalenessAtDispatchOnly, Promise.STALENESS_BOUND),
+    "staleness_unchecked": Mutant(StalenessUnchecked, Promise.STALENESS_BOUND),
     "cursor_forgotten": Mutant(CursorForgotten, Promise.EXACTLY_ONCE),
     "truncated_stream_accepted": Mutant(TruncatedStreamAccepted, Promise.WHOLE_ANSWER),
     "unknown_called_not_run": Mutant(UnknownCalledNotRun, Promise.NOT_RUN_TRUE),
--- a/tests/history/histories.py
+++ b/tests/history/histories.py
@@ -152,5 +152,8 @@
     def revisions(self) -> dict[str, int]:
         return {"t": self._revision} if self._revision else {}
 
+    def digest(self) -> str:
+        return f"digest{self._revision}"
+
 
 History = list[AnyObservation]
--- a/tests/history/test_checker.py
+++ b/tests/history/test_checker.py
@@ -175,9 +175,9 @@
         self.assert_clean([*begun, broken_by_network, cut(6)])
 
     def test_new_incarnation_ends_the_stop(self) -> None:
-        before = seen(0, 0, digest="same")
+        before = seen(0, 0)
         restarted = ConfigurationSeen(
-            at=7, node="n1", incarnation=2, offset=0, digest="same", revisions={}
+            at=7, node="n1", incarnation=2, offset=0, digest="digest0", revisions={}
         )
         stop = PlannedStopBegan(at=5, process="n1")
         self.assert_clean([before, stop, restarted, sent(8), cut(9)])
@@ -203,7 +203,7 @@
         records: History = [record(0, 0), record(0, 1)]
         self.assert_broken(Promise.CONFIG_IN_FORCE, [*records, seen(0, 2), seen(1, 1)])
 
-    def test_two_states_at_one_offset(self) -> None:
+    def test_other_digest_at_the_same_revisions(self) -> None:
         split = [record(0, 0), seen(0, 1), seen(1, 1, node="n2", digest="other")]
         self.assert_broken(Promise.CONFIG_IN_FORCE, split)
 
