Fail a hung test with its stack instead of hanging the run

Cause: one test of a cut stream waited for ever and held a fresh clone's make test for ten minutes without a word. Change: faulthandler prints the stack and ends the run after 240 s in one test. Before: the run hung.

--- a/tests/runner.py
+++ b/tests/runner.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import faulthandler
 import sys
 import time
 import unittest
@@ -15,6 +16,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SLOWEST_SHOWN = 10
+HUNG_AFTER_SECONDS = 240
+"""A test that takes this long hangs: its stack is printed and the run fails."""
 
 
 def known_red() -> set[str]:
@@ -27,10 +30,12 @@
 class TimedResult(unittest.TextTestResult):
     def startTest(self, test: unittest.TestCase) -> None:
         super().startTest(test)
+        faulthandler.dump_traceback_later(HUNG_AFTER_SECONDS, exit=True)
         self._began = time.monotonic()
 
     def stopTest(self, test: unittest.TestCase) -> None:
         super().stopTest(test)
+        faulthandler.cancel_dump_traceback_later()
         DURATIONS.append((time.monotonic() - self._began, test.id()))
 
 
