Keep the stream of the second-signal test open for sure

Cause: the test's unread flood could fill the edge's buffer, which ends the call; the node then left before the second signal (connection refused, once in 344 tests). Change: a stream that sends one small chunk a tick, so the call outlives the test. Conclusion: the test's assertions are unchanged.

--- a/tests/node/echo_core.py
+++ b/tests/node/echo_core.py
@@ -1,7 +1,7 @@
 """A scripted core: answers by what the prompt, the trainer or the model says.
 
 Prompts: `echo ...` answers with the prompt in chunks of a word; `fail` fails; `fail late` fails
-after a chunk; `flood` sends chunks without end; `hang` never answers; `engine` relays an attempt
+after a chunk; `flood` sends chunks without end; `drip` a small one a tick; `hang` never answers; `engine` relays an attempt
 at `ENGINE_ADDRESS`.
 """
 
@@ -85,6 +85,7 @@
         self.seen: list[Event] = []
         self.open: set[CallId] = set()
         self.floods: dict[CallId, int] = {}
+        self.drips: set[CallId] = set()
         self.attempts: dict[AttemptId, CallId] = {}
         self.stopping = False
         self._handlers: dict[type, Callable[[Any], list[Instruction]]] = {
@@ -117,10 +118,11 @@
     def _tick(self, event: Tick) -> list[Instruction]:
         instructions: list[Instruction] = []
         for call in self.floods:
-            for _ in range(FLOOD_PER_TICK):
+            drips = call in self.drips
+            for _ in range(1 if drips else FLOOD_PER_TICK):
                 number = self.floods[call]
                 self.floods[call] += 1
-                chunk = TokenChunk(number, number, 1, FLOOD_TEXT, VERSION)
+                chunk = TokenChunk(number, number, 1, "." if drips else FLOOD_TEXT, VERSION)
                 instructions.append(SendChunk(call, chunk))
         if self.stopping and not self.open:
             instructions.append(ExitProcess())
@@ -135,8 +137,10 @@
         self.open.add(call)
         if request.prompt == "hang":
             return []
-        if request.prompt == "flood":
+        if request.prompt in ("flood", "drip"):
             self.floods[call] = 0
+            if request.prompt == "drip":
+                self.drips.add(call)
             return []
         if request.prompt == "engine":
             return [self._start_attempt(call, request)]
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -59,7 +59,7 @@
 
     def test_second_signal_forces_exit_with_1(self) -> None:
         self.wait_ready()
-        with self.client.stream("POST", "/v1/completions", json=ASK | {"prompt": "flood",
+        with self.client.stream("POST", "/v1/completions", json=ASK | {"prompt": "drip",
                                 "stream": True, "deadline_seconds": 60.0}):  # fmt: skip
             self.process.send_signal(signal.SIGTERM)
             while self.client.get("/readyz").is_success:
