Bind slot claims to their lot's contents; name the tenant of an unwanted rollout

Cause: a step submitted elsewhere with other prompts shared claims with its namesake, and the node core needs the tenant to abandon a request. Change: the claim's key ends with the lot's digest; RequestUnwanted names the tenant; the lengths of a new lot are predicted once a prompt. Conclusion: samples of other prompts can't fill a slot.

--- a/src/stagewalk/samples/core.py
+++ b/src/stagewalk/samples/core.py
@@ -200,8 +200,7 @@
     def _add(self, lot: RolloutLot, now: float) -> Lot:
         added = make_lot(lot, self._config.maximum_outstanding_per_lot, now)
         self._store.lots[added.key] = added
-        for index in range(len(added.slots)):
-            self._scheduler.enqueue(added, index)
+        self._scheduler.enqueue_all(added)
         return added
 
     def _touch(self, lot: Lot, now: float) -> None:
--- a/src/stagewalk/samples/housekeeping.py
+++ b/src/stagewalk/samples/housekeeping.py
@@ -134,7 +134,7 @@
         for phase in _UNFINISHED:
             for index in sorted(lot.indices[phase]):
                 slot = lot.slots[index]
-                key = claim_key(slot.key, slot.generation)
+                key = claim_key(slot.key, slot.generation, lot.digest)
                 self._store.claims[key] = SlotPlace(lot.key, index)
                 output.append(ClaimReadWanted(key))
         return output
--- a/src/stagewalk/samples/notifications.py
+++ b/src/stagewalk/samples/notifications.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from stagewalk.core.completions import CompletionRequest
-from stagewalk.core.identities import RequestId
+from stagewalk.core.identities import RequestId, TenantName
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,6 +19,7 @@
 class RequestUnwanted:
     """Cancel this rollout: its slot is filled or acknowledged. No outcome is expected."""
 
+    tenant: TenantName
     request_id: RequestId
 
 
--- a/src/stagewalk/samples/sample_codec.py
+++ b/src/stagewalk/samples/sample_codec.py
@@ -10,7 +10,9 @@
 from stagewalk.core.identities import SlotKey, WeightVersion
 from stagewalk.core.rollouts import Sample
 
-_KEY_PREFIX = "slot"
+CLAIM_KEY_PREFIX = "slot/"
+"""Begins the keys of all claims that decide slots."""
+
 _MINIMUM_COMPRESSED_BYTES = 256
 
 
@@ -28,12 +30,13 @@
 _DECODER = msgspec.msgpack.Decoder(_EncodedSample)
 
 
-def claim_key(slot: SlotKey, generation: int) -> str:
+def claim_key(slot: SlotKey, generation: int, lot_digest: int) -> str:
     """Return the key of the claim that decides a slot's sample.
 
     A generation whose chosen sample grew too stale is dead; the next one has a key of its own.
+    So has a step that was submitted elsewhere with other prompts: its samples are not this one's.
     """
-    return f"{_KEY_PREFIX}/{slot}/{generation}"
+    return f"{CLAIM_KEY_PREFIX}{slot}/{generation}/{lot_digest:016x}"
 
 
 def encode_sample(sample: Sample) -> bytes:
--- a/src/stagewalk/samples/scheduler.py
+++ b/src/stagewalk/samples/scheduler.py
@@ -43,6 +43,15 @@
         predicted = self.lengths.predict(lot.key.tenant, lot.slots[index].prompt)
         lot.enqueue(index, predicted)
 
+    def enqueue_all(self, lot: Lot) -> None:
+        """Queue all slots of a new lot."""
+        predicted = {
+            prompt.prompt_id: self.lengths.predict(lot.key.tenant, prompt)
+            for prompt in lot.lot.prompts
+        }
+        for index, slot in enumerate(lot.slots):
+            lot.enqueue(index, predicted[slot.prompt.prompt_id])
+
     def dispatch(self, lot: Lot, now: float) -> list[LotNotification]:
         """Start waiting slots of a lot, as many as its limits let run."""
         if lot.paused or not lot.queue or not self._may_run(lot, now):
@@ -93,7 +102,7 @@
         unwanted: list[LotNotification] = []
         for request_id in sorted(slot.requests):
             self._store.requests.pop(request_id, None)
-            unwanted.append(RequestUnwanted(request_id))
+            unwanted.append(RequestUnwanted(slot.key.tenant, request_id))
         slot.requests.clear()
         if slot.candidate_id is not None:
             self._store.requests.pop(slot.candidate_id, None)
@@ -124,6 +133,8 @@
         A step ahead of its trainer's runs only with what the steps before it leave free, and
         only once weights exist that will be fresh enough when it is pulled.
         """
+        if self._store.parameters(lot.key.tenant) is None:
+            return False
         ahead = self._store.steps_ahead(lot)
         if ahead == 0:
             return True
--- a/src/stagewalk/samples/settlement.py
+++ b/src/stagewalk/samples/settlement.py
@@ -184,7 +184,7 @@
         """
         slot = lot.slots[index]
         if slot.sample is not None:
-            self._store.claims.pop(claim_key(slot.key, slot.generation), None)
+            self._store.claims.pop(claim_key(slot.key, slot.generation, lot.digest), None)
             slot.generation += 1
             slot.sample = None
             slot.decided = False
@@ -231,7 +231,7 @@
 
     def _propose(self, lot: Lot, index: int, sample: Sample) -> ClaimWanted:
         slot = lot.slots[index]
-        key = claim_key(slot.key, slot.generation)
+        key = claim_key(slot.key, slot.generation, lot.digest)
         self._store.claims[key] = SlotPlace(lot.key, index)
         return ClaimWanted(key, encode_sample(sample))
 
--- a/tests/samples/test_exactly_once.py
+++ b/tests/samples/test_exactly_once.py
@@ -319,7 +319,7 @@
                         newest = WeightVersion(max(self.published))
                         core = self.nodes[name].core
                         self._take(name, core.versions_known(MODEL, newest, self.now))
-                case RequestUnwanted(request_id):
+                case RequestUnwanted(request_id=request_id):
                     self.work = [item for item in self.work if _request_id(item[1]) != request_id]
                 case RequestWanted() | ScoreSample() | ClaimWanted() | ClaimReadWanted():
                     self.work.append((name, item))
--- a/tests/samples/test_ledger.py
+++ b/tests/samples/test_ledger.py
@@ -38,7 +38,7 @@
         world.submit(make_lot(version=3))
         world.engine = lambda _: answer(version=5)
         world.pull(make_pull(version=5), 1.0)
-        generations = sorted({key.rsplit("/", 1)[1] for key in world.register})
+        generations = sorted({key.split("/")[-2] for key in world.register})
         self.assertEqual(["0", "1"], generations)
 
     def test_rollouts_ask_for_weights_that_will_be_fresh_when_pulled(self) -> None:
@@ -101,6 +101,13 @@
         second = other.batches[other.pull(make_pull())].batch.samples
         self.assertEqual([s.sample_id for s in first], [s.sample_id for s in second])
 
+    def test_step_with_other_prompts_has_claims_of_its_own(self) -> None:
+        register: dict[str, bytes] = {}
+        one, other = World(make_core("one"), register), World(make_core("other"), register)
+        one.submit(make_lot(prompts=2))
+        other.submit(make_lot(prompts=3))
+        self.assertEqual(4 + 6, len(register))
+
     def test_sample_is_handed_over_without_its_claim_after_a_short_wait(self) -> None:
         world = World(make_core())
         world.claims_open = False
--- a/tests/samples/world.py
+++ b/tests/samples/world.py
@@ -112,7 +112,7 @@
             match item:
                 case RequestWanted(request):
                     self._run(request, now)
-                case RequestUnwanted(request_id):
+                case RequestUnwanted(request_id=request_id):
                     self.running.pop(request_id, None)
                     self.cancelled.append(request_id)
                 case ScoreSample(sample_id=sample_id):
