Say who was slowest, and show the nodes when the log is down

Cause: an operator asks who is late and by how much; status said nothing of the nodes during an outage of the log; a digest mismatch was logged as information. Ruled out: nothing else was tried.

--- a/src/stagewalk/cli/config.py
+++ b/src/stagewalk/cli/config.py
@@ -9,7 +9,6 @@
 import argparse
 import re
 import sys
-import time
 from collections.abc import Callable
 from contextlib import closing
 from pathlib import Path
@@ -234,36 +233,39 @@
 
 
 def _wait(arguments: argparse.Namespace, offset: int) -> int:
-    began = time.monotonic()
-    nodes = wait_for_nodes(_node_urls(arguments), offset, arguments.timeout_seconds)
-    late = [node for node in nodes if node.is_late(offset)]
-    for node in late:
+    waited = wait_for_nodes(_node_urls(arguments), offset, arguments.timeout_seconds)
+    for node in waited.late:
         print(_progress_text(node, offset))
-    if late or not nodes:
-        print(f"not_in_force nodes={len(nodes)} late={len(late)}", file=sys.stderr)
+    counts = f"nodes={len(waited.nodes)} late={len(waited.late)} seconds={waited.seconds:.2f}"
+    if waited.late or not waited.nodes:
+        print(f"not_in_force {counts}", file=sys.stderr)
         return EXIT_NOT_DONE
-    print(f"in_force nodes={len(nodes)} seconds={time.monotonic() - began:.2f}")
+    slowest = f" slowest={waited.slowest}" if waited.slowest else ""
+    print(f"in_force {counts}{slowest}")
     return EXIT_DONE
 
 
 def _status(arguments: argparse.Namespace) -> int:
+    """Show what is in force; without the log, what the nodes say."""
     with closing(_session(arguments, "")) as session:
         caught_up = session.catch_up()
-        if caught_up.is_error():
-            return _print_error(caught_up.error, EXIT_NOT_DONE)
         fold = session.fold
-    print(f"log offset={fold.offset} digest={fold.digest()}")
+    exit_code = EXIT_DONE
+    if caught_up.is_error():
+        exit_code = _print_error(caught_up.error, EXIT_NOT_DONE)
+    else:
+        print(f"log offset={fold.offset} digest={fold.digest()}")
     for tenant in fold.tenants.values():
         owner = f"partner={tenant.partner} template={tenant.template}"
         print(f"tenant={tenant.name} revision={tenant.revision} {owner}")
-    nodes = ask_nodes(_node_urls(arguments))
-    for node in nodes:
+    for node in ask_nodes(_node_urls(arguments)):
         print(_progress_text(node, fold.offset))
-    differing = [node for node in nodes if _differs(node, fold)]
-    for node in differing:
-        print(f"node={node.name} holds another state at the same offset", file=sys.stderr)
-    late = any(node.is_late(fold.offset) for node in nodes)
-    return EXIT_NOT_DONE if late or differing else EXIT_DONE
+        if node.is_late(fold.offset):
+            exit_code = EXIT_NOT_DONE
+        if _differs(node, fold):
+            print(f"node={node.name} holds another state at the same offset", file=sys.stderr)
+            exit_code = EXIT_NOT_DONE
+    return exit_code
 
 
 def _differs(node: NodeProgress, fold: ConfigurationFold) -> bool:
--- a/src/stagewalk/cli/config_log.py
+++ b/src/stagewalk/cli/config_log.py
@@ -176,7 +176,8 @@
         parameters = {"offset": item.offset, "limit": READ_LIMIT, "wait_seconds": 0}
         try:
             response = self._http.get(f"/streams/{item.stream}/records", params=parameters)
-            response.raise_for_status()
+            if not response.is_success:
+                return LogReadFailed(item.stream, f"HTTP {response.status_code}")
             answer = msgspec.json.decode(response.content, type=_ReadAnswer)
         except (httpx.HTTPError, msgspec.MsgspecError) as error:
             return LogReadFailed(item.stream, _describe(error))
--- a/src/stagewalk/cli/config_nodes.py
+++ b/src/stagewalk/cli/config_nodes.py
@@ -8,6 +8,7 @@
 
 import httpx
 import msgspec
+from expression import Error, Ok, Result
 
 CALL_TIMEOUT_SECONDS = 2.0
 POLL_SECONDS = 0.2
@@ -50,14 +51,11 @@
     heard: dict[str, int] = {}
     with httpx.Client(timeout=CALL_TIMEOUT_SECONDS) as client:
         for url in urls:
-            try:
-                response = client.get(f"{url.rstrip('/')}/control/status")
-                response.raise_for_status()
-                report = msgspec.json.decode(response.content, type=NodeReport)
-            except (httpx.HTTPError, httpx.InvalidURL, msgspec.MsgspecError) as error:
-                failure = str(error) or type(error).__name__
-                progress[url] = NodeProgress(url, None, failure=failure)
+            answer = _ask(client, url)
+            if answer.is_error():
+                progress[url] = NodeProgress(url, None, failure=answer.error)
                 continue
+            report = answer.ok
             progress[report.name] = NodeProgress(
                 report.name, report.configuration_offset, report.configuration_digest
             )
@@ -68,11 +66,35 @@
     return [progress[name] for name in sorted(progress)]
 
 
-def wait_for_nodes(urls: Sequence[str], offset: int, timeout_seconds: float) -> list[NodeProgress]:
-    """Ask until every node has reached an offset or time is up; return the last progress."""
-    deadline = time.monotonic() + timeout_seconds
+def _ask(client: httpx.Client, url: str) -> Result[NodeReport, str]:
+    try:
+        response = client.get(f"{url.rstrip('/')}/control/status")
+        if not response.is_success:
+            return Error(f"HTTP {response.status_code}")
+        return Ok(msgspec.json.decode(response.content, type=NodeReport))
+    except (httpx.HTTPError, httpx.InvalidURL, msgspec.MsgspecError) as error:
+        return Error(str(error) or type(error).__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class WaitResult:
+    """How a wait ended: the last progress of all nodes and, if none is late, who came last."""
+
+    nodes: list[NodeProgress]
+    late: list[NodeProgress]
+    slowest: str
+    seconds: float
+
+
+def wait_for_nodes(urls: Sequence[str], offset: int, timeout_seconds: float) -> WaitResult:
+    """Ask until every node has reached an offset or time is up."""
+    began = time.monotonic()
+    slowest = ""
     while True:
         nodes = ask_nodes(urls)
-        if not any(node.is_late(offset) for node in nodes) or time.monotonic() >= deadline:
-            return nodes
+        late = [node for node in nodes if node.is_late(offset)]
+        waited = time.monotonic() - began
+        if not late or waited >= timeout_seconds:
+            return WaitResult(nodes, late, slowest, waited)
+        slowest = late[0].name
         time.sleep(POLL_SECONDS)
--- a/src/stagewalk/configuration/follower.py
+++ b/src/stagewalk/configuration/follower.py
@@ -19,7 +19,7 @@
 from stagewalk.configuration.relay import RelayCache, relayed_records
 from stagewalk.configuration.state import snapshot_offset
 from stagewalk.core.identities import Address, NodeName
-from stagewalk.core.instructions import LogEvent, SendPeerMessage, Transport
+from stagewalk.core.instructions import LogEvent, LogFields, SendPeerMessage, Transport
 from stagewalk.core.platform import LogRecord
 from stagewalk.wire.configuration_pb2 import ConfigurationMessage
 from stagewalk.wire.envelope_pb2 import Envelope
@@ -277,9 +277,8 @@
         if message.digest == self._short_digest() or self._mismatch_offset == message.offset:
             return []
         self._mismatch_offset = message.offset
-        return [
-            LogEvent("configuration_digest_mismatch", {"peer": sender, "offset": message.offset})
-        ]
+        fields: LogFields = {"level": "error", "peer": sender, "offset": message.offset}
+        return [LogEvent("configuration_digest_mismatch", fields)]
 
     def _trust_peers(self, now: float) -> None:
         """Take the newest state heard of for current if the log has stayed out of reach."""
--- a/src/stagewalk/log_client/stream.py
+++ b/src/stagewalk/log_client/stream.py
@@ -10,7 +10,7 @@
 
 from stagewalk.core.events import AppendFailed, LogRead
 from stagewalk.core.identities import RecordId
-from stagewalk.core.instructions import AppendRecord, LogEvent, ReadLog
+from stagewalk.core.instructions import AppendRecord, LogEvent, LogFields, ReadLog
 from stagewalk.core.platform import LogRecord
 from stagewalk.log_client.backoff import Backoff
 from stagewalk.log_client.config import LogClientConfig
@@ -154,7 +154,7 @@
         else:
             append.state = AppendState.WAITING
             append.not_before = now + self._append_backoff.draw()
-        fields: dict[str, str | int | float | bool] = {
+        fields: LogFields = {
             "record_id": event.record_id,
             "outcome_unknown": event.outcome_unknown,
             "detail": event.detail,
@@ -287,5 +287,5 @@
             wake = min(wake, append.not_before)
         return wake
 
-    def _event(self, name: str, fields: dict[str, str | int | float | bool]) -> LogEvent:
-        return LogEvent(name, {"stream": self._name, **fields})
+    def _event(self, name: str, fields: LogFields) -> LogEvent:
+        return LogEvent(name, {"level": "warning", "stream": self._name, **fields})
