--- a/src/stagewalk/node/daemon.py
+++ b/src/stagewalk/node/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import random
 import signal
@@ -13,7 +14,7 @@
 import anyio
 import anyio.abc
 
-from stagewalk.adapters.http_calls import open_client
+from stagewalk.adapters.http_calls import open_client, open_transport
 from stagewalk.adapters.http_engines import HttpEngineClient
 from stagewalk.adapters.http_platform import (
     HttpLogService,
@@ -59,6 +60,7 @@
 def run_node(settings: NodeSettings, core_factory: CoreFactory = NodeCore) -> int:
     """Run a node until it is asked to stop; return the process's exit code."""
     undo_logs = configure_logs(settings.log_level)
+    _exempt_loaded_modules_from_collection()
     try:
         anyio.run(Daemon(settings, core_factory).run, backend="asyncio")
     except Exception as error:
@@ -83,6 +85,12 @@
     )
 
 
+def _exempt_loaded_modules_from_collection() -> None:
+    """Keep the garbage collector from walking through what lives as long as the process."""
+    gc.collect()
+    gc.freeze()
+
+
 class Daemon:
     """One node: its core, and around it the tasks that speak to the outside."""
 
@@ -96,6 +104,7 @@
         self._calls = OpenCalls(limits.open_calls, limits.buffered_characters)
         self._peers = PeerTransport(settings.peer_listen, self._events, self._metrics)
         self._exit = anyio.Event()
+        self._stopping = False
 
     async def run(self) -> None:
         """Serve until the core says that everything in flight has ended after a stop."""
@@ -117,21 +126,21 @@
 
     async def _open_engines(self, resources: AsyncExitStack) -> HttpEngineClient:
         streams = open_client(MAXIMUM_STREAM_CONNECTIONS, NO_IDLE_CONNECTIONS)
-        control = open_client(MAXIMUM_CONTROL_CONNECTIONS, MAXIMUM_IDLE_CONNECTIONS)
+        control = open_transport(MAXIMUM_CONTROL_CONNECTIONS, MAXIMUM_IDLE_CONNECTIONS)
         return HttpEngineClient(
             await resources.enter_async_context(streams),
             await resources.enter_async_context(control),
         )
 
     async def _open_platform(self, resources: AsyncExitStack) -> PlatformServices:
-        pool = open_client(MAXIMUM_PLATFORM_CONNECTIONS, MAXIMUM_IDLE_CONNECTIONS)
-        client = await resources.enter_async_context(pool)
+        pool = open_transport(MAXIMUM_PLATFORM_CONNECTIONS, MAXIMUM_IDLE_CONNECTIONS)
+        transport = await resources.enter_async_context(pool)
         urls = self._settings.platform
         return PlatformServices(
-            log=HttpLogService(client, urls.log),
-            machines=HttpMachineList(client, urls.machines),
-            weights=HttpWeightStore(client, urls.weights),
-            scorer=HttpScorer(client, urls.scorer),
+            log=HttpLogService(transport, urls.log),
+            machines=HttpMachineList(transport, urls.machines),
+            weights=HttpWeightStore(transport, urls.weights),
+            scorer=HttpScorer(transport, urls.scorer),
         )
 
     def _build_instruction_runner(
@@ -142,7 +151,7 @@
             EngineTasks(engines, self._events, self._metrics, tasks),
             PlatformTasks(services, self._events, self._metrics, self._peers, tasks),
             self._peers,
-            self._exit.set,
+            self._exit_process,
         )
         return runner.carry_out
 
@@ -150,7 +159,7 @@
         limits = self._settings.limits
         desk = CallDesk(self._calls, self._events, self._metrics)
         operators = OperatorEndpoints(
-            runner.status, self._calls, self._metrics, self._events.__len__
+            runner.status, lambda: self._stopping, self._metrics, self._events.__len__
         )
         return EdgeApp(
             CompletionEndpoints(desk, limits, self._metrics),
@@ -160,15 +169,19 @@
         )
 
     async def request_stop(self) -> None:
-        """Begin a planned stop: refuse new calls, and let the core end what is in flight."""
-        self._calls.stopping = True
+        """Begin a planned stop: the core refuses new requests and ends what is in flight."""
+        self._stopping = True
         self._log("stop_requested")
         await self._events.put(StopRequested())
 
+    def _exit_process(self) -> None:
+        self._calls.closed = True
+        self._exit.set()
+
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
-                if self._calls.stopping:
+                if self._stopping:
                     self._log("stop_forced", "warning")
                     os._exit(EXIT_FAILED)
                 await self.request_stop()
