--- a/src/stagewalk/cli/config.py
+++ b/src/stagewalk/cli/config.py
@@ -13,6 +13,7 @@
 from contextlib import closing
 from pathlib import Path
 
+import httpx
 import msgspec
 
 from stagewalk.cli.config_files import DesiredTenant, load_desired_tenant
@@ -96,12 +97,14 @@
 
 
 def _add_log_flags(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("--log", required=True, help="base URL of the log service")
+    parser.add_argument("--log", required=True, type=_url, help="base URL of the log service")
     parser.add_argument("--timeout_seconds", type=float, default=DEFAULT_TIMEOUT_SECONDS)
 
 
 def _add_node_flags(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("--nodes", default="", help="base URLs of nodes, separated by commas")
+    parser.add_argument(
+        "--nodes", default=[], type=_urls, help="base URLs of nodes, separated by commas"
+    )
 
 
 def _add_publisher_flags(parser: argparse.ArgumentParser) -> None:
@@ -121,6 +124,20 @@
     return text
 
 
+def _url(text: str) -> str:
+    try:
+        url = httpx.URL(text)
+    except httpx.InvalidURL as error:
+        raise argparse.ArgumentTypeError(f"{text!r}: {error}") from error
+    if url.scheme not in ("http", "https") or not url.host:
+        raise argparse.ArgumentTypeError(f"{text!r} is not an http URL")
+    return text.rstrip("/")
+
+
+def _urls(text: str) -> list[str]:
+    return [_url(part) for part in text.split(",") if part]
+
+
 def _validate(arguments: argparse.Namespace) -> int:
     exit_code = EXIT_DONE
     for path in arguments.files:
@@ -203,6 +220,9 @@
     change: Callable[[ConfigurationFold, int], AnyChange],
 ) -> int:
     """Publish the change that follows from what is in force; print what became of it."""
+    if arguments.wait and not arguments.nodes:
+        print("stagewalk config: --wait needs --nodes; nothing was published", file=sys.stderr)
+        return EXIT_NOT_DONE
     with closing(_session(arguments, f"{arguments.operator}-")) as session:
         caught_up = session.catch_up()
         if caught_up.is_error():
@@ -233,11 +253,11 @@
 
 
 def _wait(arguments: argparse.Namespace, offset: int) -> int:
-    waited = wait_for_nodes(_node_urls(arguments), offset, arguments.timeout_seconds)
+    waited = wait_for_nodes(arguments.nodes, offset, arguments.timeout_seconds)
     for node in waited.late:
         print(_progress_text(node, offset))
     counts = f"nodes={len(waited.nodes)} late={len(waited.late)} seconds={waited.seconds:.2f}"
-    if waited.late or not waited.nodes:
+    if waited.late:
         print(f"not_in_force {counts}", file=sys.stderr)
         return EXIT_NOT_DONE
     slowest = f" slowest={waited.slowest}" if waited.slowest else ""
@@ -258,7 +278,7 @@
     for tenant in fold.tenants.values():
         owner = f"partner={tenant.partner} template={tenant.template}"
         print(f"tenant={tenant.name} revision={tenant.revision} {owner}")
-    for node in ask_nodes(_node_urls(arguments)):
+    for node in ask_nodes(arguments.nodes):
         print(_progress_text(node, fold.offset))
         if node.is_late(fold.offset):
             exit_code = EXIT_NOT_DONE
@@ -317,10 +337,6 @@
     return LogSession(arguments.log, client_id, arguments.timeout_seconds)
 
 
-def _node_urls(arguments: argparse.Namespace) -> list[str]:
-    return [url for url in arguments.nodes.split(",") if url]
-
-
 def _print_error(error: StagewalkError, exit_code: int) -> int:
     print(f"stagewalk config: {error} ran={error.ran}", file=sys.stderr)
     return exit_code
--- a/src/stagewalk/cli/config_nodes.py
+++ b/src/stagewalk/cli/config_nodes.py
@@ -68,11 +68,11 @@
 
 def _ask(client: httpx.Client, url: str) -> Result[NodeReport, str]:
     try:
-        response = client.get(f"{url.rstrip('/')}/control/status")
+        response = client.get(f"{url}/control/status")
         if not response.is_success:
             return Error(f"HTTP {response.status_code}")
         return Ok(msgspec.json.decode(response.content, type=NodeReport))
-    except (httpx.HTTPError, httpx.InvalidURL, msgspec.MsgspecError) as error:
+    except (httpx.HTTPError, msgspec.MsgspecError) as error:
         return Error(str(error) or type(error).__name__)
 
 
--- a/tests/cli/test_config.py
+++ b/tests/cli/test_config.py
@@ -87,6 +87,14 @@
         self.assertEqual(1, self.publish(self.write_change(models=[])))
         self.assertEqual(0, self.records())
 
+    def test_flags_are_checked_before_anything_is_published(self) -> None:
+        self.assertEqual(2, self.publish(CATALOGUE, "--wait"))
+        self.assertIn("--wait needs --nodes", self.output)
+        for flag in ("--operator=a b", "--nodes=127.0.0.1:80", "--nodes=http://[::", "--log="):
+            error = self.assertRaises(SystemExit, self.publish, CATALOGUE, flag)
+            self.assertEqual(2, error.code)
+        self.assertEqual(0, self.records())
+
     def test_a_lost_answer_is_settled_by_reading_back(self) -> None:
         self.log.lose_answers = 1
         self.assertEqual(0, self.publish())
--- a/tests/configuration/records.py
+++ b/tests/configuration/records.py
@@ -2,25 +2,25 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from stagewalk.configuration.fold import ConfigurationFold
 from stagewalk.configuration.outcomes import FoldOutcome
 from stagewalk.configuration.parameters import TenantParameters
-from stagewalk.configuration.records import (
-    AnyChange,
-    ChangeParameters,
-    CreateTenant,
-    DeleteTenant,
-    RollBack,
-    encode_change,
-)
-from stagewalk.core.identities import ModelName, RecordId, TenantName
+from stagewalk.configuration.records import AnyChange, encode_change
+from stagewalk.core.identities import ModelName, RecordId
 from stagewalk.core.platform import LogRecord
 
 
 def parameters(share: float = 0.5, model: str = "qari-2", bound: int = 1) -> TenantParameters:
-    return TenantParameters(
-        models=(ModelName(model),), capacity_share=share, staleness_bound_versions=bound
-    )
+    models = (ModelName(model),)
+    return TenantParameters(models=models, capacity_share=share, staleness_bound_versions=bound)
+
+
+def build(kind: str, tenant: str, partner: str, base: int, **fields: object) -> AnyChange:
+    who = {"operator": "layla", "partner": partner, "tenant": tenant, "base_revision": base}
+    values = msgspec.to_builtins({"kind": kind, **who, **fields})
+    return msgspec.convert(values, AnyChange)  # type: ignore[no-any-return, call-overload]
 
 
 def create(
@@ -28,15 +28,9 @@
     partner: str = "amman",
     base: int = 0,
     values: TenantParameters | None = None,
-) -> CreateTenant:
-    return CreateTenant(
-        operator="layla",
-        partner=partner,
-        tenant=TenantName(tenant),
-        base_revision=base,
-        template="catalogue",
-        parameters=values or parameters(),
-    )
+) -> AnyChange:
+    fields = {"template": "catalogue", "parameters": values or parameters()}
+    return build("create_tenant", tenant, partner, base, **fields)
 
 
 def change(
@@ -44,30 +38,16 @@
     values: TenantParameters | None = None,
     tenant: str = "catalogue",
     partner: str = "amman",
-) -> ChangeParameters:
-    return ChangeParameters(
-        operator="layla",
-        partner=partner,
-        tenant=TenantName(tenant),
-        base_revision=base,
-        parameters=values or parameters(),
-    )
-
-
-def roll_back(base: int, to_revision: int) -> RollBack:
-    return RollBack(
-        operator="layla",
-        partner="amman",
-        tenant=TenantName("catalogue"),
-        base_revision=base,
-        to_revision=to_revision,
-    )
-
-
-def delete(base: int, tenant: str = "catalogue", partner: str = "amman") -> DeleteTenant:
-    return DeleteTenant(
-        operator="layla", partner=partner, tenant=TenantName(tenant), base_revision=base
-    )
+) -> AnyChange:
+    return build("change_parameters", tenant, partner, base, parameters=values or parameters())
+
+
+def roll_back(base: int, to_revision: int) -> AnyChange:
+    return build("roll_back", "catalogue", "amman", base, to_revision=to_revision)
+
+
+def delete(base: int, tenant: str = "catalogue", partner: str = "amman") -> AnyChange:
+    return build("delete_tenant", tenant, partner, base)
 
 
 def log_record(offset: int, payload: bytes, record_id: str | None = None) -> LogRecord:
