--- a/src/stagewalk/claims/core.py
+++ b/src/stagewalk/claims/core.py
@@ -162,10 +162,12 @@
 
     def _finish(self, now: float) -> list[ClaimOutput]:
         """Deliver this node's messages to itself until there are none, and return the rest."""
+        self._outputs.extend(self._replica.take_events())
         self._collect_from_proposer()
         while self._local:
             self._dispatch(self._identity.address, self._member, self._local.popleft(), now)
             self._collect_from_proposer()
+            self._outputs.extend(self._replica.take_events())
         outputs = self._outputs
         self._outputs = []
         return outputs
--- a/src/stagewalk/claims/messages.py
+++ b/src/stagewalk/claims/messages.py
@@ -4,11 +4,10 @@
 
 from stagewalk.claims.codec import write_ballot
 from stagewalk.claims.types import Ballot
-from stagewalk.wire import claims_pb2
 from stagewalk.wire.claims_pb2 import ClaimMessage, ClaimReject, ClaimStateRequest
 
-Reason = claims_pb2.ClaimReject.Reason
-Purpose = claims_pb2.ClaimStateRequest.Purpose
+Reason = ClaimReject.Reason
+Purpose = ClaimStateRequest.Purpose
 
 ANSWERS = frozenset({"promise", "accepted", "reject", "state"})
 """Bodies that answer a request; a `decision` may come unasked too."""
--- a/src/stagewalk/claims/replica.py
+++ b/src/stagewalk/claims/replica.py
@@ -21,6 +21,7 @@
 from stagewalk.claims.register import Register, Usage
 from stagewalk.claims.transfer import HeldState, Source, StateTransfer
 from stagewalk.core.identities import Incarnation, NodeName
+from stagewalk.core.instructions import LogEvent
 from stagewalk.wire.claims_pb2 import ClaimMessage, ClaimState
 
 MAXIMUM_PATIENCE = 8
@@ -57,6 +58,7 @@
         """Partitions in the order of their first appearance, in which they are swept."""
         self._sweep_position = 0
         self._exchange_count = 0
+        self._events: list[LogEvent] = []
 
     @property
     def ready(self) -> bool:
@@ -66,6 +68,12 @@
             epoch == self._partitions[partition].chain.epoch for partition, epoch in waiting
         )
 
+    def take_events(self) -> list[LogEvent]:
+        """Return the log lines due since the last call."""
+        events = self._events
+        self._events = []
+        return events
+
     @property
     def transfers(self) -> tuple[tuple[int, int], ...]:
         """Return partition and epoch of each state being waited for."""
@@ -118,12 +126,14 @@
             replica.register.keep_decided()
             replica.lost_until = max(replica.lost_until, now + self._quarantine(group))
             replica.begin_epoch(group, {})
+            self._log("claims_forgotten", partition, group, level="warning")
         elif joined_as == self.member.incarnation and group.epoch == 1:
             replica.begin_epoch(group, {})
         else:
             previous = replica.chain.group_at(group.epoch - 1)
             transfer = StateTransfer.begin(partition, group, previous, self.member, now)
             self._transfers[identity] = transfer
+            self._log("claims_state_wanted", partition, group, purpose=transfer.purpose_name)
 
     def _quarantine(self, group: Group) -> float:
         seconds = self._config.entry_retention_seconds
@@ -138,6 +148,14 @@
             if identity[1] < current:
                 del self._abandoned[identity]
 
+    def _log(self, name: str, partition: int, group: Group, **fields: str | int | float) -> None:
+        place: dict[str, str | int | float | bool] = {
+            "partition": partition,
+            "epoch": group.epoch,
+            "members": ",".join(group.names),
+        }
+        self._events.append(LogEvent(name, {**place, **fields}))
+
     def _remove_transfer(self, identity: tuple[int, int]) -> StateTransfer:
         transfer = self._transfers.pop(identity)
         for source in transfer.sources.values():
@@ -318,6 +336,14 @@
         if transfer.purpose == Purpose.RECOVERY:
             heard[self.member.name] = self.member.incarnation
         replica.begin_epoch(transfer.group, heard, transfer.sealed)
+        self._log(
+            "claims_state_held",
+            transfer.partition,
+            transfer.group,
+            purpose=transfer.purpose_name,
+            seconds=round(now - transfer.began_at, 3),
+            entries=len(replica.register.entries),
+        )
         self._drop_obsolete_transfers(transfer.partition, replica)
         return True
 
@@ -346,6 +372,7 @@
                 for member in transfer.recovering_members()
             ),
         )
+        self._log("claims_abandoned", transfer.partition, transfer.group, level="warning")
         return True
 
     def _is_stuck(self, transfer: StateTransfer, now: float) -> bool:
--- a/src/stagewalk/claims/transfer.py
+++ b/src/stagewalk/claims/transfer.py
@@ -94,6 +94,11 @@
             transfer.sources[name] = Source()
         return transfer
 
+    @property
+    def purpose_name(self) -> str:
+        """Return the purpose as log lines show it."""
+        return Purpose.Name(self.purpose).lower()
+
     def note_state(self, name: NodeName, answer: Answer[HeldState]) -> None:
         """Note that a replica's state has been read to its end."""
         add_answer(self.answers, name, answer)
