--- a/src/stagewalk/claims/core.py
+++ b/src/stagewalk/claims/core.py
@@ -22,7 +22,8 @@
     encode_record,
 )
 from stagewalk.claims.proposer import ProposerCore
-from stagewalk.claims.replica import Outgoing, ReplicaCore
+from stagewalk.claims.replica import ReplicaCore
+from stagewalk.claims.transfers import Outgoing
 from stagewalk.claims.types import Peer, Replica
 from stagewalk.core.identities import Address, Incarnation, NodeName
 from stagewalk.core.instructions import (
@@ -63,7 +64,7 @@
     @property
     def ready(self) -> bool:
         """Whether this node votes in every group in force that it is a member of."""
-        return not self._placement_changed and self._replica.ready
+        return not self._placement_changed and self._replica.transfers.idle
 
     @property
     def entry_count(self) -> int:
@@ -135,7 +136,8 @@
         """Let time pass: resend, retry, give up, expire."""
         self._adopt_placement(now)
         self._proposer.tick(now)
-        for outgoing in self._replica.tick(now):
+        self._replica.sweep(now)
+        for outgoing in self._replica.transfers.tick(now):
             self._send(outgoing)
         self._report_abandonments(now)
         return self._finish(now)
@@ -150,7 +152,7 @@
     def _report_abandonments(self, now: float) -> None:
         if now < self._report_at:
             return
-        groups = self._replica.unreported_abandonments()
+        groups = self._replica.transfers.unreported_abandonments()
         if not groups:
             return
         self._report_at = now + REPORT_INTERVAL_SECONDS
@@ -162,12 +164,12 @@
 
     def _finish(self, now: float) -> list[ClaimOutput]:
         """Deliver this node's messages to itself until there are none, and return the rest."""
-        self._outputs.extend(self._replica.take_events())
+        self._outputs.extend(self._replica.transfers.take_events())
         self._collect_from_proposer()
         while self._local:
             self._dispatch(self._identity.address, self._member, self._local.popleft(), now)
             self._collect_from_proposer()
-            self._outputs.extend(self._replica.take_events())
+            self._outputs.extend(self._replica.transfers.take_events())
         outputs = self._outputs
         self._outputs = []
         return outputs
@@ -194,7 +196,7 @@
         if message.requester_incarnation != self._member.incarnation:
             return
         if message.exchange_id % 2:
-            for outgoing in self._replica.handle_answer(sender, message, now):
+            for outgoing in self._replica.transfers.handle_answer(sender, message, now):
                 self._send(outgoing)
         else:
             self._proposer.handle_answer(sender, message, now)
--- a/src/stagewalk/claims/proposer.py
+++ b/src/stagewalk/claims/proposer.py
@@ -11,7 +11,7 @@
 from stagewalk.claims.placement import GroupMember, GroupPlacement
 from stagewalk.claims.proposal import Accepted, Phase, Proposal, Verdict
 from stagewalk.claims.quorum import Answer
-from stagewalk.claims.replica import Outgoing
+from stagewalk.claims.transfers import Outgoing
 from stagewalk.claims.types import Ballot
 from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
 from stagewalk.wire.claims_pb2 import ClaimMessage
--- a/src/stagewalk/claims/replica.py
+++ b/src/stagewalk/claims/replica.py
@@ -1,40 +1,23 @@
-"""The replica's side of claims: votes, and how a replica gets the state to vote from."""
+"""The replica's side of claims: which epochs it votes in, its votes, and handing over its state."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from stagewalk.claims import messages
-from stagewalk.claims.codec import read_entry, read_incarnations, write_entry, write_incarnations
+from stagewalk.claims.codec import write_entry, write_incarnations
 from stagewalk.claims.config import ClaimConfig
 from stagewalk.claims.messages import Purpose, Reason
 from stagewalk.claims.partition import PartitionReplica
 from stagewalk.claims.placement import (
-    AbandonedGroup,
     Group,
     GroupMember,
     GroupPlacement,
-    MemberRecord,
     PartitionChain,
 )
-from stagewalk.claims.quorum import Answer
 from stagewalk.claims.register import Register, Usage
-from stagewalk.claims.transfer import HeldState, Source, StateTransfer
+from stagewalk.claims.transfers import TransferCore
 from stagewalk.core.identities import Incarnation, NodeName
-from stagewalk.core.instructions import LogEvent
 from stagewalk.wire.claims_pb2 import ClaimMessage, ClaimState
 
-MAXIMUM_PATIENCE = 8
-"""Unanswered requests for state are repeated ever more slowly, up to this many retry delays."""
-
-
-@dataclass(frozen=True, slots=True)
-class Outgoing:
-    """A request to another replica, by name."""
-
-    to: NodeName
-    message: ClaimMessage
-
 
 class ReplicaCore:
     """All partitions of which this process is, was or becomes a replica.
@@ -50,34 +33,12 @@
         self.usage = Usage()
         self._config = config
         self._partitions: dict[int, PartitionReplica] = {}
-        self._transfers: dict[tuple[int, int], StateTransfer] = {}
-        self._transfer_of_exchange: dict[int, tuple[tuple[int, int], NodeName]] = {}
-        self._abandoned: dict[tuple[int, int], AbandonedGroup] = {}
+        self.transfers = TransferCore(member, config, self._partitions)
+        """The state this replica lacks."""
         self._left_at: dict[int, float] = {}
         self._order: list[int] = []
         """Partitions in the order of their first appearance, in which they are swept."""
         self._sweep_position = 0
-        self._exchange_count = 0
-        self._events: list[LogEvent] = []
-
-    @property
-    def ready(self) -> bool:
-        """Whether this replica votes in every group in force that it is a member of."""
-        waiting = (*self._transfers, *self._abandoned)
-        return not any(
-            epoch == self._partitions[partition].chain.epoch for partition, epoch in waiting
-        )
-
-    def take_events(self) -> list[LogEvent]:
-        """Return the log lines due since the last call."""
-        events = self._events
-        self._events = []
-        return events
-
-    @property
-    def transfers(self) -> tuple[tuple[int, int], ...]:
-        """Return partition and epoch of each state being waited for."""
-        return tuple(sorted(self._transfers))
 
     # Placement
 
@@ -108,7 +69,7 @@
             self._left_at.setdefault(partition, now)
         for group in chain.groups:
             self._enter_group(partition, replica, group, now)
-        self._drop_obsolete_transfers(partition, replica)
+        self.transfers.drop_obsolete(partition)
 
     def _enter_group(
         self, partition: int, replica: PartitionReplica, group: Group, now: float
@@ -118,50 +79,21 @@
             return
         if joined_as > self.member.incarnation:
             return  # A later start of this node exists: this process must never vote here.
-        identity = (partition, group.epoch)
-        if identity in self._transfers or identity in self._abandoned:
-            return
         if joined_as == self.member.incarnation and group.forgets:
             # A vote or promise alone says nothing any more: a larger one may have been lost.
             replica.register.keep_decided()
             replica.lost_until = max(replica.lost_until, now + self._quarantine(group))
             replica.begin_epoch(group, {})
-            self._log("claims_forgotten", partition, group, level="warning")
+            self.transfers.log("claims_forgotten", partition, group, level="warning")
         elif joined_as == self.member.incarnation and group.epoch == 1:
             replica.begin_epoch(group, {})
         else:
-            previous = replica.chain.group_at(group.epoch - 1)
-            transfer = StateTransfer.begin(partition, group, previous, self.member, now)
-            self._transfers[identity] = transfer
-            self._log("claims_state_wanted", partition, group, purpose=transfer.purpose_name)
+            self.transfers.begin(partition, group, now)
 
     def _quarantine(self, group: Group) -> float:
         seconds = self._config.entry_retention_seconds
         return seconds if group.certified else 2 * seconds
 
-    def _drop_obsolete_transfers(self, partition: int, replica: PartitionReplica) -> None:
-        current = replica.chain.epoch
-        for identity in [key for key in self._transfers if key[0] == partition]:
-            if identity[1] <= replica.held_epoch:
-                self._remove_transfer(identity)
-        for identity in [key for key in self._abandoned if key[0] == partition]:
-            if identity[1] < current:
-                del self._abandoned[identity]
-
-    def _log(self, name: str, partition: int, group: Group, **fields: str | int | float) -> None:
-        place: dict[str, str | int | float | bool] = {
-            "partition": partition,
-            "epoch": group.epoch,
-            "members": ",".join(group.names),
-        }
-        self._events.append(LogEvent(name, {**place, **fields}))
-
-    def _remove_transfer(self, identity: tuple[int, int]) -> StateTransfer:
-        transfer = self._transfers.pop(identity)
-        for source in transfer.sources.values():
-            self._transfer_of_exchange.pop(source.exchange_id, None)
-        return transfer
-
     # Requests of others
 
     def handle_request(
@@ -252,152 +184,7 @@
             state.entries.append(entry)
         return ClaimMessage(state=state)
 
-    # This replica's own transfers
-
-    def tick(self, now: float) -> list[Outgoing]:
-        """Ask again for missing state, forget what has expired."""
-        self._sweep(now)
-        outgoing: list[Outgoing] = []
-        for identity in sorted(self._transfers):
-            transfer = self._transfers[identity]
-            if self._finish_if_complete(transfer, now) or self._give_up(transfer, now):
-                continue
-            for name, source in sorted(transfer.sources.items()):
-                if now >= source.next_request_at and name not in transfer.answers:
-                    outgoing.append(self._request_piece(transfer, name, source, now))
-        return outgoing
-
-    def _request_piece(
-        self, transfer: StateTransfer, name: NodeName, source: Source, now: float
-    ) -> Outgoing:
-        self._transfer_of_exchange.pop(source.exchange_id, None)
-        self._exchange_count += 1
-        # Odd, so that exchanges of transfers and of proposals never share an id.
-        source.exchange_id = 2 * self._exchange_count + 1
-        source.next_request_at = now + self._config.transfer_retry_seconds * source.patience
-        source.patience = min(2 * source.patience, MAXIMUM_PATIENCE)
-        identity = (transfer.partition, transfer.group.epoch)
-        self._transfer_of_exchange[source.exchange_id] = (identity, name)
-        message = messages.state_request(transfer.purpose, source.after_key)
-        message.exchange_id = source.exchange_id
-        message.partition = transfer.partition
-        message.epoch = transfer.group.epoch
-        return Outgoing(name, message)
-
-    def handle_answer(
-        self, sender: GroupMember, message: ClaimMessage, now: float
-    ) -> list[Outgoing]:
-        """Take a piece of state, or the refusal of one."""
-        identity, name = self._transfer_of_exchange.get(message.exchange_id, (None, sender.name))
-        transfer = self._transfers.get(identity) if identity is not None else None
-        if transfer is None or name != sender.name:
-            return []
-        source = transfer.sources[name]
-        if message.WhichOneof("body") == "reject":
-            recovering = message.reject.reason == Reason.RECOVERING
-            source.recovering = sender.incarnation if recovering else None
-            source.restart()
-            return []
-        source.recovering = None
-        source.patience = 1
-        if source.incarnation is not None and source.incarnation != sender.incarnation:
-            source.restart()
-            return [self._request_piece(transfer, name, source, now)]
-        source.incarnation = sender.incarnation
-        return self._take_piece(transfer, source, sender, message, now)
-
-    def _take_piece(
-        self,
-        transfer: StateTransfer,
-        source: Source,
-        sender: GroupMember,
-        message: ClaimMessage,
-        now: float,
-    ) -> list[Outgoing]:
-        replica = self._partitions[transfer.partition]
-        state = message.state
-        for item in state.entries:
-            replica.register.merge(item.key, read_entry(item, now))
-            source.after_key = item.key
-        if not state.last:
-            return [self._request_piece(transfer, sender.name, source, now)]
-        held = HeldState(state.held_epoch, state.sealed, state.lost_seconds)
-        answer = Answer(sender.incarnation, read_incarnations(message), held)
-        transfer.note_state(sender.name, answer)
-        self._finish_if_complete(transfer, now)
-        return []
-
-    def _finish_if_complete(self, transfer: StateTransfer, now: float) -> bool:
-        replica = self._partitions[transfer.partition]
-        if not transfer.finished(self.member, self._own_answer(replica)):
-            return False
-        replica.lost_until = max(replica.lost_until, now + transfer.lost_seconds)
-        heard = transfer.heard()
-        if transfer.purpose == Purpose.RECOVERY:
-            heard[self.member.name] = self.member.incarnation
-        replica.begin_epoch(transfer.group, heard, transfer.sealed)
-        self._log(
-            "claims_state_held",
-            transfer.partition,
-            transfer.group,
-            purpose=transfer.purpose_name,
-            seconds=round(now - transfer.began_at, 3),
-            entries=len(replica.register.entries),
-        )
-        self._drop_obsolete_transfers(transfer.partition, replica)
-        return True
-
-    def _own_answer(self, replica: PartitionReplica) -> Answer[HeldState] | None:
-        if not replica.complete:
-            return None
-        held = HeldState(replica.held_epoch, False, 0.0)
-        return Answer(self.member.incarnation, replica.heard, held)
-
-    def _give_up(self, transfer: StateTransfer, now: float) -> bool:
-        identity = (transfer.partition, transfer.group.epoch)
-        if transfer.group.epoch != self._partitions[transfer.partition].chain.epoch:
-            # Kept for a while: a later group may need this epoch's state from here.
-            if now < transfer.began_at + self._config.handover_seconds:
-                return False
-            self._remove_transfer(identity)
-            return True
-        if not self._is_stuck(transfer, now):
-            return False
-        self._remove_transfer(identity)
-        self._abandoned[identity] = AbandonedGroup(
-            partition=transfer.partition,
-            epoch=transfer.group.epoch,
-            recovering=tuple(
-                MemberRecord(member.name, member.incarnation)
-                for member in transfer.recovering_members()
-            ),
-        )
-        self._log("claims_abandoned", transfer.partition, transfer.group, level="warning")
-        return True
-
-    def _is_stuck(self, transfer: StateTransfer, now: float) -> bool:
-        if not transfer.is_hopeless():
-            transfer.stuck_since = None
-            return False
-        if transfer.stuck_since is None:
-            transfer.stuck_since = now
-        patience = self._config.abandon_seconds
-        if transfer.purpose == Purpose.TAKEOVER:
-            patience = self._config.takeover_abandon_seconds
-        return now >= transfer.stuck_since + patience
-
-    def unreported_abandonments(self) -> tuple[AbandonedGroup, ...]:
-        """Return the groups given up that the log does not show yet."""
-        return tuple(
-            item
-            for (partition, _), item in sorted(self._abandoned.items())
-            if not any(
-                known.member == self.member
-                for known in self._partitions[partition].chain.abandonments
-            )
-        )
-
-    def _sweep(self, now: float) -> None:
+    def sweep(self, now: float) -> None:
         """Expire one partition's entries a call: the whole takes some seconds."""
         if not self._order:
             return
--- /dev/null
+++ b/src/stagewalk/claims/transfers.py
@@ -0,0 +1,242 @@
+"""All transfers of partitions' state to this replica."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from stagewalk.claims import messages
+from stagewalk.claims.codec import read_entry, read_incarnations
+from stagewalk.claims.config import ClaimConfig
+from stagewalk.claims.messages import Purpose, Reason
+from stagewalk.claims.partition import PartitionReplica
+from stagewalk.claims.placement import AbandonedGroup, Group, GroupMember, MemberRecord
+from stagewalk.claims.quorum import Answer
+from stagewalk.claims.transfer import HeldState, Source, StateTransfer
+from stagewalk.core.identities import NodeName
+from stagewalk.core.instructions import LogEvent
+from stagewalk.wire.claims_pb2 import ClaimMessage
+
+MAXIMUM_PATIENCE = 8
+"""Unanswered requests for state are repeated ever more slowly, up to this many retry delays."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A request to another replica, by name."""
+
+    to: NodeName
+    message: ClaimMessage
+
+
+class TransferCore:
+    """Obtains the state of partitions that this process is to vote in but does not hold.
+
+    Parameters
+    ----------
+    member
+        This process.
+    partitions
+        The partitions of the replica, shared with it: finished transfers are put there.
+    """
+
+    def __init__(
+        self, member: GroupMember, config: ClaimConfig, partitions: dict[int, PartitionReplica]
+    ) -> None:
+        self._member = member
+        self._config = config
+        self._partitions = partitions
+        self._transfers: dict[tuple[int, int], StateTransfer] = {}
+        self._transfer_of_exchange: dict[int, tuple[tuple[int, int], NodeName]] = {}
+        self._abandoned: dict[tuple[int, int], AbandonedGroup] = {}
+        self._exchange_count = 0
+        self._events: list[LogEvent] = []
+
+    @property
+    def idle(self) -> bool:
+        """Whether no group in force is being waited for or has been given up."""
+        waiting = (*self._transfers, *self._abandoned)
+        return not any(
+            epoch == self._partitions[partition].chain.epoch for partition, epoch in waiting
+        )
+
+    def take_events(self) -> list[LogEvent]:
+        """Return the log lines due since the last call."""
+        events = self._events
+        self._events = []
+        return events
+
+    def begin(self, partition: int, group: Group, now: float) -> None:
+        """Obtain a partition's state for a group, unless that is under way or was given up."""
+        identity = (partition, group.epoch)
+        if identity in self._transfers or identity in self._abandoned:
+            return
+        previous = self._partitions[partition].chain.group_at(group.epoch - 1)
+        transfer = StateTransfer.begin(partition, group, previous, self._member, now)
+        self._transfers[identity] = transfer
+        self.log("claims_state_wanted", partition, group, purpose=transfer.purpose_name)
+
+    def drop_obsolete(self, partition: int) -> None:
+        """Forget transfers of epochs no longer needed, and what was given up in earlier ones."""
+        replica = self._partitions[partition]
+        for identity in [key for key in self._transfers if key[0] == partition]:
+            if identity[1] <= replica.held_epoch:
+                self._remove(identity)
+        for identity in [key for key in self._abandoned if key[0] == partition]:
+            if identity[1] < replica.chain.epoch:
+                del self._abandoned[identity]
+
+    def log(self, name: str, partition: int, group: Group, **fields: str | int | float) -> None:
+        """Write a log line about a group."""
+        place: dict[str, str | int | float | bool] = {
+            "partition": partition,
+            "epoch": group.epoch,
+            "members": ",".join(group.names),
+        }
+        self._events.append(LogEvent(name, {**place, **fields}))
+
+    def _remove(self, identity: tuple[int, int]) -> None:
+        transfer = self._transfers.pop(identity)
+        for source in transfer.sources.values():
+            self._transfer_of_exchange.pop(source.exchange_id, None)
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Ask for missing state, again and ever more slowly; give up what is hopeless."""
+        outgoing: list[Outgoing] = []
+        for identity in sorted(self._transfers):
+            transfer = self._transfers[identity]
+            if self._finish_if_complete(transfer, now) or self._give_up(transfer, now):
+                continue
+            for name, source in sorted(transfer.sources.items()):
+                if now >= source.next_request_at and name not in transfer.answers:
+                    outgoing.append(self._request_piece(transfer, name, source, now))
+        return outgoing
+
+    def _request_piece(
+        self, transfer: StateTransfer, name: NodeName, source: Source, now: float
+    ) -> Outgoing:
+        self._transfer_of_exchange.pop(source.exchange_id, None)
+        self._exchange_count += 1
+        # Odd, so that exchanges of transfers and of proposals never share an id.
+        source.exchange_id = 2 * self._exchange_count + 1
+        source.next_request_at = now + self._config.transfer_retry_seconds * source.patience
+        source.patience = min(2 * source.patience, MAXIMUM_PATIENCE)
+        identity = (transfer.partition, transfer.group.epoch)
+        self._transfer_of_exchange[source.exchange_id] = (identity, name)
+        message = messages.state_request(transfer.purpose, source.after_key)
+        message.exchange_id = source.exchange_id
+        message.partition = transfer.partition
+        message.epoch = transfer.group.epoch
+        return Outgoing(name, message)
+
+    def handle_answer(
+        self, sender: GroupMember, message: ClaimMessage, now: float
+    ) -> list[Outgoing]:
+        """Take a piece of state, or the refusal of one."""
+        identity, name = self._transfer_of_exchange.get(message.exchange_id, (None, sender.name))
+        transfer = self._transfers.get(identity) if identity is not None else None
+        if transfer is None or name != sender.name:
+            return []
+        source = transfer.sources[name]
+        if message.WhichOneof("body") == "reject":
+            recovering = message.reject.reason == Reason.RECOVERING
+            source.recovering = sender.incarnation if recovering else None
+            source.restart()
+            return []
+        source.recovering = None
+        source.patience = 1
+        if source.incarnation is not None and source.incarnation != sender.incarnation:
+            source.restart()
+            return [self._request_piece(transfer, name, source, now)]
+        source.incarnation = sender.incarnation
+        return self._take_piece(transfer, source, sender, message, now)
+
+    def _take_piece(
+        self,
+        transfer: StateTransfer,
+        source: Source,
+        sender: GroupMember,
+        message: ClaimMessage,
+        now: float,
+    ) -> list[Outgoing]:
+        replica = self._partitions[transfer.partition]
+        state = message.state
+        for item in state.entries:
+            replica.register.merge(item.key, read_entry(item, now))
+            source.after_key = item.key
+        if not state.last:
+            return [self._request_piece(transfer, sender.name, source, now)]
+        held = HeldState(state.held_epoch, state.sealed, state.lost_seconds)
+        answer = Answer(sender.incarnation, read_incarnations(message), held)
+        transfer.note_state(sender.name, answer)
+        self._finish_if_complete(transfer, now)
+        return []
+
+    def _finish_if_complete(self, transfer: StateTransfer, now: float) -> bool:
+        replica = self._partitions[transfer.partition]
+        if not transfer.finished(self._member, self._own_answer(replica)):
+            return False
+        replica.lost_until = max(replica.lost_until, now + transfer.lost_seconds)
+        heard = transfer.heard()
+        if transfer.purpose == Purpose.RECOVERY:
+            heard[self._member.name] = self._member.incarnation
+        replica.begin_epoch(transfer.group, heard, transfer.sealed)
+        self.log(
+            "claims_state_held",
+            transfer.partition,
+            transfer.group,
+            purpose=transfer.purpose_name,
+            seconds=round(now - transfer.began_at, 3),
+            entries=len(replica.register.entries),
+        )
+        self.drop_obsolete(transfer.partition)
+        return True
+
+    def _own_answer(self, replica: PartitionReplica) -> Answer[HeldState] | None:
+        if not replica.complete:
+            return None
+        held = HeldState(replica.held_epoch, False, 0.0)
+        return Answer(self._member.incarnation, replica.heard, held)
+
+    def _give_up(self, transfer: StateTransfer, now: float) -> bool:
+        identity = (transfer.partition, transfer.group.epoch)
+        if transfer.group.epoch != self._partitions[transfer.partition].chain.epoch:
+            # Kept for a while: a later group may need this epoch's state from here.
+            if now < transfer.began_at + self._config.handover_seconds:
+                return False
+            self._remove(identity)
+            return True
+        if not self._is_stuck(transfer, now):
+            return False
+        self._remove(identity)
+        self._abandoned[identity] = AbandonedGroup(
+            partition=transfer.partition,
+            epoch=transfer.group.epoch,
+            recovering=tuple(
+                MemberRecord(member.name, member.incarnation)
+                for member in transfer.recovering_members()
+            ),
+        )
+        self.log("claims_abandoned", transfer.partition, transfer.group, level="warning")
+        return True
+
+    def _is_stuck(self, transfer: StateTransfer, now: float) -> bool:
+        if not transfer.is_hopeless():
+            transfer.stuck_since = None
+            return False
+        if transfer.stuck_since is None:
+            transfer.stuck_since = now
+        patience = self._config.abandon_seconds
+        if transfer.purpose == Purpose.TAKEOVER:
+            patience = self._config.takeover_abandon_seconds
+        return now >= transfer.stuck_since + patience
+
+    def unreported_abandonments(self) -> tuple[AbandonedGroup, ...]:
+        """Return the groups given up that the log does not show yet."""
+        return tuple(
+            item
+            for (partition, _), item in sorted(self._abandoned.items())
+            if not any(
+                known.member == self._member
+                for known in self._partitions[partition].chain.abandonments
+            )
+        )
