--- a/tests/node/echo_core.py
+++ b/tests/node/echo_core.py
@@ -128,6 +128,10 @@
 
     def _complete(self, event: CompletionRequested) -> list[Instruction]:
         call, request = event.call, event.request
+        if self.stopping:
+            error = StagewalkError(ErrorKind.STOPPING, Step.ADMISSION, "node-1", "stopping",
+                                   retry_after_seconds=1.0)  # fmt: skip
+            return [FailCall(call, error)]
         self.open.add(call)
         if request.prompt == "hang":
             return []
@@ -155,7 +159,8 @@
     def _attempt_finished(self, event: AttemptFinished) -> list[Instruction]:
         call = self.attempts[event.attempt]
         self.open.discard(call)
-        chunks = [e.chunk for e in self.seen if isinstance(e, AttemptChunk)]
+        chunks = [e.chunk for e in self.seen
+                  if isinstance(e, AttemptChunk) and e.attempt == event.attempt]  # fmt: skip
         text = "".join(chunk.text for chunk in chunks)
         spans = (VersionSpan(VERSION, event.token_count),)
         result = CompletionResult(text, event.token_count, spans, event.finish_reason)
