--- /dev/null
+++ b/src/stagewalk/bench/hollow_layout.py
@@ -0,0 +1,77 @@
+"""Names, addresses and places of a hollow cluster of any size, in the planned proportions."""
+
+from __future__ import annotations
+
+import time
+
+from stagewalk.core.identities import Address, Incarnation, NodeName, Placement
+from stagewalk.core.platform import Machine, MachineKind, MachineState
+from stagewalk.node.node_identity import NodeIdentity
+
+PLANNED_NODES = 420
+PLANNED_ENGINES = 600
+
+ZONES = (
+    Placement("amman", "jabal-hall"),
+    Placement("new-england", "hall-north"),
+    Placement("amman", "abdali-vault"),
+    Placement("new-england", "hall-east"),
+    Placement("amman", "marka-annex"),
+    Placement("new-england", "hall-south"),
+    Placement("amman", "sahab-yard"),
+)
+MODELS = ("qari", "rollout-lm")
+"""One model a region; the service of its engines has the same name."""
+
+PEER_PORT = 7946
+ENGINE_PORT = 8000
+ADDRESSES_PER_NETWORK = 250
+
+
+def node_identities(count: int) -> tuple[NodeIdentity, ...]:
+    """Return that many nodes, zone by zone in turn, each with a loopback address of its own."""
+    incarnation = Incarnation(time.time_ns() // 1_000_000)
+    return tuple(
+        NodeIdentity(
+            NodeName(f"{ZONES[index % len(ZONES)].zone}-{index}"),
+            incarnation,
+            _address(77, index, PEER_PORT),
+            ZONES[index % len(ZONES)],
+        )
+        for index in range(count)
+    )
+
+
+def machine_list(identities: tuple[NodeIdentity, ...]) -> tuple[Machine, ...]:
+    """Return the machine list: these nodes, and engines in the planned proportion."""
+    nodes = tuple(
+        Machine(
+            identity.name,
+            MachineKind.NODE,
+            identity.address,
+            identity.placement,
+            MachineState.LIVE,
+            "stagewalk",
+        )
+        for identity in identities
+    )
+    engine_count = round(len(identities) * PLANNED_ENGINES / PLANNED_NODES)
+    return nodes + tuple(_engine(index) for index in range(engine_count))
+
+
+def _engine(index: int) -> Machine:
+    placement = ZONES[index % len(ZONES)]
+    service = MODELS[0] if placement.region == ZONES[0].region else MODELS[1]
+    return Machine(
+        f"{service}-{index}",
+        MachineKind.ENGINE,
+        _address(78, index, ENGINE_PORT),
+        placement,
+        MachineState.LIVE,
+        service,
+    )
+
+
+def _address(network: int, index: int, port: int) -> Address:
+    high, low = divmod(index, ADDRESSES_PER_NETWORK)
+    return Address(f"127.{network}.{high}.{low + 1}", port)
--- a/src/stagewalk/membership/member_table.py
+++ b/src/stagewalk/membership/member_table.py
@@ -58,6 +58,7 @@
         self._facts: dict[NodeName, MemberFact] = {}
         self._ended_at: dict[NodeName, float] = {}
         self._digest = 0
+        self._members: dict[NodeName, Member] = {}
         self._present: dict[NodeName, Member] | None = None
 
     def get(self, name: NodeName) -> MemberFact | None:
@@ -113,8 +114,7 @@
     def _take_status(self, old: MemberFact, fact: MemberFact) -> None:
         offset = fact.status.configuration_offset
         if offset > old.status.configuration_offset:
-            self._facts[old.name] = replace(old, status=MemberStatus(offset))
-            self._present = None
+            self._keep(replace(old, status=MemberStatus(offset)))
 
     def _store(self, fact: MemberFact, old: MemberFact | None, now: float) -> None:
         if old is not None and _is_present(old):
@@ -124,7 +124,14 @@
             self._ended_at.pop(fact.name, None)
         else:
             self._ended_at[fact.name] = now
+        self._keep(fact)
+
+    def _keep(self, fact: MemberFact) -> None:
         self._facts[fact.name] = fact
+        if _is_present(fact):
+            self._members[fact.name] = _member(fact)
+        else:
+            self._members.pop(fact.name, None)
         self._present = None
 
 
