--- a/src/stagewalk/node/log_lines.py
+++ b/src/stagewalk/node/log_lines.py
@@ -19,6 +19,9 @@
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
+LIBRARY_MESSAGE_INTERVAL_SECONDS = 10.0
+MAXIMUM_LIBRARY_MESSAGES = 256
+
 _OMITTED = frozenset({"task_uuid", "task_level", "timestamp", "message_type", "level"})
 _SAFE_PUNCTUATION = frozenset("._:/-+@,%[]{}()*;~^<>!?&|#$")
 
@@ -91,7 +94,23 @@
 
 
 class _LibraryHandler(logging.Handler):
+    """Turns library messages into events, the same message at most once in a while.
+
+    A broken caller could otherwise have a library fill the log with one message.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._written_at: dict[str, float] = {}
+
     def emit(self, record: logging.LogRecord) -> None:
+        message = f"{record.name} {record.msg}"
+        last = self._written_at.get(message)
+        if last is not None and record.created < last + LIBRARY_MESSAGE_INTERVAL_SECONDS:
+            return
+        if len(self._written_at) >= MAXIMUM_LIBRARY_MESSAGES:
+            self._written_at.clear()
+        self._written_at[message] = record.created
         level = "error" if record.levelno >= logging.ERROR else "warning"
         detail = record.getMessage()
         if record.exc_info and record.exc_info[1] is not None:
--- a/tests/node/test_log_lines.py
+++ b/tests/node/test_log_lines.py
@@ -47,5 +47,7 @@
 
     def test_messages_of_libraries_become_events(self) -> None:
         lines = self.capture()
-        logging.getLogger("some.library").error("broken %s", "pipe")
+        for _ in range(3):
+            logging.getLogger("some.library").error("broken %s", "pipe")
+        self.assertEqual(1, len(lines))
         self.assertIn('event=library_message logger=some.library detail="broken pipe"', lines[0])
