--- a/tests/requests/support.py
+++ b/tests/requests/support.py
@@ -130,9 +130,10 @@
         engines: tuple[str, ...] = ("e1", "e2", "e3"),
         admission: AdmissionConfig | None = None,
         seed: int = 1,
+        identity: Identity | None = None,
         **parameters: object,
     ) -> None:
-        identity = Identity()
+        identity = identity or Identity()
         generator = random.Random(seed)
         self.now = 0.0
         self.engines = engines
@@ -166,11 +167,13 @@
         decided = wanted.value if value is None else value
         return self.take(self.core.claim_decided(wanted.claim_key, decided, won, self.now))
 
-    def advance(self, seconds: float, engines_report: bool = True) -> list[RequestOutput]:
+    def advance(
+        self, seconds: float, engines_report: bool = True, step: float = 0.1
+    ) -> list[RequestOutput]:
         end = self.now + seconds
         outputs = []
         while self.now < end:
-            self.now = min(end, self.now + 0.1)
+            self.now = min(end, self.now + step)
             if engines_report:
                 self.report_all()
             outputs += self.take(self.core.tick(self.now))
@@ -185,11 +188,12 @@
     def streamed(self) -> str:
         return "".join(output.chunk.text for output in self.of(RequestChunk))
 
-    def errors(self) -> list:  # type: ignore[type-arg]
-        return [output.error for output in self.of((RequestFailed, SubmissionRejected))]  # type: ignore[arg-type]
+    def errors(self, key: RequestKey = KEY) -> list:  # type: ignore[type-arg]
+        ends = (RequestFailed, SubmissionRejected)
+        return [each.error for each in self.outputs if isinstance(each, ends) and each.key == key]
 
-    def results(self) -> list:  # type: ignore[type-arg]
-        return [output.result for output in self.of(RequestFinished)]
+    def results(self, key: RequestKey = KEY) -> list:  # type: ignore[type-arg]
+        return [each.result for each in self.of(RequestFinished) if each.key == key]
 
     def cancelled(self) -> list[str]:
         return [output.attempt for output in self.of(CancelAttempt)]
