--- a/tests/node/echo_core.py
+++ b/tests/node/echo_core.py
@@ -1,8 +1,8 @@
 """A scripted core: answers by what the prompt, the trainer or the model says.
 
 Prompts: `echo ...` answers with the prompt in chunks of a word; `fail` fails; `fail late` fails
-after a chunk; `flood` sends chunks without end; `drip` a small one a tick; `hang` never answers; `engine` relays an attempt
-at `ENGINE_ADDRESS`.
+after a chunk; `flood` sends chunks without end; `drip` a small one a tick; `hang` never answers;
+`engine` relays an attempt at `ENGINE_ADDRESS`.
 """
 
 from __future__ import annotations
