--- a/src/stagewalk_standins/commands.py
+++ b/src/stagewalk_standins/commands.py
@@ -65,7 +65,10 @@
 
     name = EngineName(options.name or options.listen)
     incarnation = Incarnation(options.incarnation or time.time_ns() // 1_000_000)
+    usual = EngineSettings()
     settings = EngineSettings(
+        step_base_seconds=usual.step_base_seconds * options.slowdown,
+        step_seconds_per_sequence=usual.step_seconds_per_sequence * options.slowdown,
         batch_limit=options.batch_limit,
         queue_limit=options.queue_limit,
         kv_capacity_tokens=options.kv_capacity_tokens,
--- a/src/stagewalk_standins/engine_server.py
+++ b/src/stagewalk_standins/engine_server.py
@@ -223,8 +223,8 @@
 
     async def _stream_again(self, request: Request) -> Answer:
         stream = self._streams.get(AttemptId(request.path_values["attempt"]))
-        if stream is None:
-            return problem_response(404, "unknown_attempt", "the stream is not known", "unknown")
+        if stream is None or stream.cut:
+            return problem_response(404, "unknown_attempt", "no stream of it is left", "unknown")
         offset = int(request.number("offset", 0))
         return StreamingResponse(self._read(stream, offset), EVENT_STREAM)
 
--- a/src/stagewalk_standins/engine_stream.py
+++ b/src/stagewalk_standins/engine_stream.py
@@ -75,6 +75,11 @@
         """Return whether the attempt has ended."""
         return self._done is not None
 
+    @property
+    def cut(self) -> bool:
+        """Return whether the attempt has ended without its whole answer."""
+        return self._done is not None and self._done.outcome is not WorkOutcome.FINISHED
+
     def add(self, chunk: TokenChunk) -> None:
         """Take the next chunk."""
         self._chunks.append(chunk)
--- a/src/stagewalk_standins/flags.py
+++ b/src/stagewalk_standins/flags.py
@@ -41,6 +41,7 @@
     parser.add_argument("--batch_limit", type=int, default=32)
     parser.add_argument("--queue_limit", type=int, default=64)
     parser.add_argument("--kv_capacity_tokens", type=int, default=65536)
+    parser.add_argument("--slowdown", type=float, default=1.0, help="factor of decoding time")
     parser.add_argument("--chunk_seconds", type=float, default=0.25)
     parser.add_argument("--activation_seconds", type=float, default=1.0)
     parser.add_argument("--activation_failure_fraction", type=float, default=0.0)
--- a/tests/standins/test_engine_server.py
+++ b/tests/standins/test_engine_server.py
@@ -121,6 +121,7 @@
                 await anyio.sleep(0.05)
                 known = await client.post("/control/cancel", json={"attempt": "a"})
             self.assertEqual({"known": True}, known.json())
+            self.assertEqual(404, (await client.get("/v1/streams/a")).status_code)
             self.assertNotIn("[DONE]", answers[0].text)
 
         history = run_engine(self.history, steps, step_base_seconds=0.5)
