--- a/src/stagewalk/claims/core.py
+++ b/src/stagewalk/claims/core.py
@@ -22,7 +22,8 @@
     encode_record,
 )
 from stagewalk.claims.proposer import ProposerCore
-from stagewalk.claims.replica import Outgoing, ReplicaCore
+from stagewalk.claims.replica import ReplicaCore
+from stagewalk.claims.transfers import Outgoing
 from stagewalk.claims.types import Peer, Replica
 from stagewalk.core.identities import Address, Incarnation, NodeName
 from stagewalk.core.instructions import (
@@ -63,7 +64,7 @@
     @property
     def ready(self) -> bool:
         """Whether this node votes in every group in force that it is a member of."""
-        return not self._placement_changed and self._replica.ready
+        return not self._placement_changed and self._replica.transfers.idle
 
     @property
     def entry_count(self) -> int:
@@ -89,23 +90,33 @@
         """Replace the table of where other nodes are reached."""
         self._members = dict(members)
 
-    def propose(self, key: str, value: bytes, now: float) -> list[ClaimOutput]:
+    def propose(
+        self, key: str, value: bytes, now: float, renewable: bool = False
+    ) -> list[ClaimOutput]:
         """Try to make `value` the value of a key.
 
         Ends with `ClaimDecided` or `ClaimUndecided`. Proposers must use distinct values, or
         more than one is told that it won.
+
+        Parameters
+        ----------
+        renewable
+            Whoever proposes this key can do without a decision made before a majority of its
+            replicas lost their memory: the key may be decided anew after that. Otherwise such
+            keys are answered `OUTCOME_UNKNOWN` until the retention has passed.
         """
         self._adopt_placement(now)
-        self._proposer.propose(key, value, now)
+        self._proposer.propose(key, value, renewable, now)
         return self._finish(now)
 
-    def read(self, key: str, now: float) -> list[ClaimOutput]:
+    def read(self, key: str, now: float, renewable: bool = False) -> list[ClaimOutput]:
         """Ask what is decided for a key.
 
-        Ends with `ClaimDecided`, `ClaimAbsent` or `ClaimUndecided`.
+        Ends with `ClaimDecided`, `ClaimAbsent` or `ClaimUndecided`. `renewable` is as in
+        `propose`.
         """
         self._adopt_placement(now)
-        self._proposer.read(key, now)
+        self._proposer.read(key, renewable, now)
         return self._finish(now)
 
     def handle_message(
@@ -125,7 +136,8 @@
         """Let time pass: resend, retry, give up, expire."""
         self._adopt_placement(now)
         self._proposer.tick(now)
-        for outgoing in self._replica.tick(now):
+        self._replica.sweep(now)
+        for outgoing in self._replica.transfers.tick(now):
             self._send(outgoing)
         self._report_abandonments(now)
         return self._finish(now)
@@ -140,7 +152,7 @@
     def _report_abandonments(self, now: float) -> None:
         if now < self._report_at:
             return
-        groups = self._replica.unreported_abandonments()
+        groups = self._replica.transfers.unreported_abandonments()
         if not groups:
             return
         self._report_at = now + REPORT_INTERVAL_SECONDS
@@ -152,10 +164,12 @@
 
     def _finish(self, now: float) -> list[ClaimOutput]:
         """Deliver this node's messages to itself until there are none, and return the rest."""
+        self._outputs.extend(self._replica.transfers.take_events())
         self._collect_from_proposer()
         while self._local:
             self._dispatch(self._identity.address, self._member, self._local.popleft(), now)
             self._collect_from_proposer()
+            self._outputs.extend(self._replica.transfers.take_events())
         outputs = self._outputs
         self._outputs = []
         return outputs
@@ -182,7 +196,7 @@
         if message.requester_incarnation != self._member.incarnation:
             return
         if message.exchange_id % 2:
-            for outgoing in self._replica.handle_answer(sender, message, now):
+            for outgoing in self._replica.transfers.handle_answer(sender, message, now):
                 self._send(outgoing)
         else:
             self._proposer.handle_answer(sender, message, now)
--- a/src/stagewalk/requests/record.py
+++ b/src/stagewalk/requests/record.py
@@ -8,7 +8,7 @@
 
 from stagewalk.core.completions import CompletionRequest
 from stagewalk.core.errors import Ran, StagewalkError
-from stagewalk.core.identities import Address, AttemptId, EngineName, RequestKey
+from stagewalk.core.identities import Address, AttemptId, EngineName, NodeName, RequestKey
 from stagewalk.requests.answer import AnswerAssembly, HeldAnswer
 from stagewalk.requests.claim_value import ClaimValue
 from stagewalk.requests.states import RequestState
@@ -16,7 +16,10 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One attempt under way at an engine; times are of the node's clock, in seconds."""
+    """One attempt under way at an engine; times are of the node's clock, in seconds.
+
+    `stall_timer_at` names the one timer that still counts among those set for it.
+    """
 
     attempt: AttemptId
     engine: EngineName
@@ -25,6 +28,7 @@
     resume_offset: int
     assembly: AnswerAssembly
     last_chunk_at: float | None = None
+    stall_timer_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -39,6 +43,8 @@
         The request with the tenant's parameters applied.
     claim, claim_held
         The claim proposed for it, and whether it was won.
+    owner
+        The node that holds the claim, if another one won it.
     attempt_count
         Attempts started, those under way included.
     may_have_run
@@ -68,6 +74,7 @@
     state: RequestState = RequestState.NEW
     claim: ClaimValue | None = None
     claim_held: bool = False
+    owner: NodeName | None = None
     attempts: dict[AttemptId, Attempt] = field(default_factory=dict)
     attempt_count: int = 0
     may_have_run: bool = False
--- a/src/stagewalk/samples/housekeeping.py
+++ b/src/stagewalk/samples/housekeeping.py
@@ -40,7 +40,6 @@
         if not lot.paused and self._is_silent(lot, now):
             output += self._pause(lot, now)
         output += self._read_claims_again(lot, now)
-        output += self._delivery.answer_parked(lot, now)
         output += self._scheduler.dispatch(lot, now)
         output += self._scheduler.duplicate_stragglers(lot, now)
         return output
@@ -135,7 +134,7 @@
         for phase in _UNFINISHED:
             for index in sorted(lot.indices[phase]):
                 slot = lot.slots[index]
-                key = claim_key(slot.key, slot.generation)
+                key = claim_key(slot.key, slot.generation, lot.digest)
                 self._store.claims[key] = SlotPlace(lot.key, index)
                 output.append(ClaimReadWanted(key))
         return output
