Follow a lot that another node runs; watch versions before trainers come

Cause: in the simulation a trainer that wanders to another node had its whole step, and its step ahead, run a second time there; and a node that had never read the store took every sample one version behind for too old. Change: a new lot probes a few claims, a moved one follows all of them and starts nothing while news of it comes; nodes read the versions of models bound in seconds now and then. Ruled out: a claim on a lot's home node with forwarded pulls (more state, a hop for each pull).

--- a/src/stagewalk/samples/config.py
+++ b/src/stagewalk/samples/config.py
@@ -29,8 +29,10 @@
         Added to a sample's age in seconds, for the way of the answer to the trainer.
     news_lag_seconds
         Longest way of an answer of the weight store: what it says was true then at the latest.
-    version_poll_seconds
-        Time between reads of the store's versions while lots run whose tenant bounds seconds.
+    version_poll_seconds, version_watch_seconds
+        Time between reads of the store's versions of a model that a tenant with a bound in
+        seconds uses: while this node runs lots of it, and while it does not. A trainer may come
+        at any time, and a node that never read can't tell the age of any version.
     tail_fraction
         A step is near its end when at most this share of its slots is unfinished.
     straggler_factor
@@ -51,9 +53,13 @@
     stuck_after_failures, stuck_log_seconds
         Failures of one slot in a row after which it is logged as stuck, and the least time
         between two such log lines of a lot.
-    claim_reads
-        How often the claims of a lot taken over from another node are read, at growing
-        intervals from `claim_read_seconds` on, for samples that node still finishes.
+    claim_probes
+        Claims of a new lot that are read to find out whether another node runs it.
+    probe_seconds
+        How long a new lot, or one taken over, is held back for the answers to such reads.
+    claim_read_seconds, quiet_reads
+        Time between reads of the claims of a lot that another node runs, and how many of them
+        in a row must find nothing new before it is run here.
     retained_bytes
         Text of acknowledged samples kept for trainers that go back to an older cursor.
     """
@@ -69,19 +75,22 @@
     hand_over_margin_seconds: float = 5.0
     news_lag_seconds: float = 5.0
     version_poll_seconds: float = 2.0
+    version_watch_seconds: float = 15.0
     tail_fraction: float = 0.1
     straggler_factor: float = 2.0
     duplicate_fraction: float = 0.05
     look_ahead_steps: int = 1
     retained_steps: int = 3
     retention_seconds: float = 300.0
-    pulled_pause_seconds: float = 30.0
+    pulled_pause_seconds: float = 60.0
     idle_pause_seconds: float = 120.0
     idle_retention_seconds: float = 900.0
     stuck_after_failures: int = 5
     stuck_log_seconds: float = 30.0
-    claim_reads: int = 4
-    claim_read_seconds: float = 2.0
+    claim_probes: int = 16
+    probe_seconds: float = 0.15
+    claim_read_seconds: float = 1.5
+    quiet_reads: int = 3
     retained_bytes: int = 4 * 1024 * 1024
 
     def __post_init__(self) -> None:
--- a/src/stagewalk/samples/core.py
+++ b/src/stagewalk/samples/core.py
@@ -69,6 +69,7 @@
     def set_tenants(self, tenants: dict[TenantName, Tenant]) -> None:
         """Put a configuration in force: bounds and objectives hold from the next decision on."""
         self._store.tenants = dict(tenants)
+        self._keeper.set_tenants(tenants.values())
 
     def submit(self, call: CallId, lot: RolloutLot, now: float) -> list[LotOutput]:
         """Take a step's lot; the same lot again changes nothing."""
@@ -77,6 +78,7 @@
             return [FailCall(call, error)]
         key = lot_key(lot)
         known = self._store.lots.get(key)
+        is_new = known is None
         if known is None:
             known = self._add(lot, now)
         elif known.digest != lot_digest(lot):
@@ -87,6 +89,8 @@
         output: list[LotOutput] = [AcceptLot(call, lot)]
         output += self._keeper.forget_superseded(key)
         output += self._keeper.read_versions(now)
+        if is_new:
+            output += self._keeper.probe(known, now)
         output += self._advance(known, now)
         return output
 
@@ -185,6 +189,9 @@
             output += self._settlement.timer_due(timer.kind, lot, timer.index, now)
         for lot in touched.values():
             output += self._advance(lot, now)
+        for lot in self._store.lots.values():
+            if lot.moved or lot.held_until:
+                output += self._release(lot, now)
         output += self._delivery.answer_all_parked(now)
         if now >= self._housekeeping_at:
             self._housekeeping_at = now + _HOUSEKEEPING_SECONDS
@@ -211,6 +218,14 @@
             other.active_at = now
             other.paused = False
 
+    def _release(self, lot: Lot, now: float) -> list[LotOutput]:
+        """Start a lot that was held back, or go on following the node that runs it."""
+        output = self._keeper.follow(lot, now)
+        if now >= lot.held_until and not lot.following:
+            lot.held_until = 0.0
+            output += self._scheduler.dispatch(lot, now)
+        return output
+
     def _version_news(self, model: ModelName, now: float) -> list[LotOutput]:
         """Do what waited for news of a model's versions."""
         output: list[LotOutput] = []
--- a/src/stagewalk/samples/housekeeping.py
+++ b/src/stagewalk/samples/housekeeping.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+from stagewalk.configuration.parameters import Tenant
 from stagewalk.core.identities import ModelName
 from stagewalk.core.instructions import LogEvent, ReadVersions
 from stagewalk.samples.config import LotConfig
@@ -30,6 +33,7 @@
         self._scheduler = scheduler
         self._delivery = delivery
         self._config = config
+        self._bounded_models: set[ModelName] = set()
         self._versions_read_at: dict[ModelName, float] = {}
 
     def look_after(self, lot: Lot, now: float) -> list[LotOutput]:
@@ -39,31 +43,63 @@
         output: list[LotOutput] = []
         if not lot.paused and self._is_silent(lot, now):
             output += self._pause(lot, now)
-        output += self._read_claims_again(lot, now)
         output += self._scheduler.dispatch(lot, now)
         output += self._scheduler.duplicate_stragglers(lot, now)
         return output
 
     def read_versions(self, now: float) -> list[LotOutput]:
         """Read the store's versions of models whose samples are bound in seconds."""
+        running = {lot.lot.model for lot in self._store.lots.values() if not lot.paused}
         output: list[LotOutput] = []
-        for model in sorted({lot.lot.model for lot in self._store.lots.values()}):
+        for model in sorted(self._bounded_models):
+            interval = self._config.version_watch_seconds
+            if model in running:
+                interval = self._config.version_poll_seconds
             read_at = self._versions_read_at.get(model)
-            due = read_at is None or now - read_at >= self._config.version_poll_seconds
-            if due and self._is_bound_in_seconds(model):
+            if read_at is None or now - read_at >= interval:
                 self._versions_read_at[model] = now
                 output.append(ReadVersions(model))
         return output
 
+    def set_tenants(self, tenants: Iterable[Tenant]) -> None:
+        """Take which models' versions are to be read."""
+        self._bounded_models = {
+            model
+            for tenant in tenants
+            if tenant.parameters.staleness_bound_seconds is not None
+            for model in tenant.parameters.models
+        }
+
+    def probe(self, lot: Lot, now: float) -> list[LotOutput]:
+        """Look whether another node runs a lot that is new here: what it finishes, it claims."""
+        count = len(lot.slots)
+        probes = min(count, self._config.claim_probes)
+        lot.held_until = now + self._config.probe_seconds
+        lot.next_read_at = lot.held_until
+        return [self._read_claim(lot, probe * count // probes) for probe in range(probes)]
+
     def take_over(self, lot: Lot, now: float) -> list[LotOutput]:
-        """Look for what another node has made of a lot, and goes on making for a while.
+        """Follow a lot that began at another node, which may be dead or at it still.
 
-        A cursor that covers slots comes with a lot that began elsewhere: that node may have
-        died, or be alive with rollouts that are nearly done. What it finishes, it claims.
+        What that node finishes it claims. Running the same slots here as well would take the
+        engines from it, so nothing is started while news of it comes.
         """
-        lot.reads_left = self._config.claim_reads - 1
-        lot.next_read_at = now + self._config.claim_read_seconds
-        return self._read_claims(lot)
+        lot.moved = True
+        lot.following = True
+        lot.quiet_reads = 0
+        return self._read_claims(lot, now)
+
+    def follow(self, lot: Lot, now: float) -> list[LotOutput]:
+        """Go on reading what another node makes of a lot; run it here once nothing comes."""
+        if now < lot.next_read_at or lot.paused:
+            return []
+        if not lot.moved:
+            # The probes' answers are in.
+            return self.take_over(lot, now) if lot.news else []
+        lot.quiet_reads = 0 if lot.news else lot.quiet_reads + 1
+        if lot.quiet_reads >= self._config.quiet_reads:
+            lot.following = False
+        return self._read_claims(lot, now)
 
     def forget(self, lot: Lot) -> list[LotOutput]:
         """Drop a lot; what was handed over of it is in its trainer's cursor."""
@@ -83,15 +119,6 @@
             output += self.forget(lot)
         return output
 
-    def _is_bound_in_seconds(self, model: ModelName) -> bool:
-        for lot in self._store.lots.values():
-            if lot.lot.model != model or lot.paused:
-                continue
-            parameters = self._store.parameters(lot.key.tenant)
-            if parameters is not None and parameters.staleness_bound_seconds is not None:
-                return True
-        return False
-
     def _is_over(self, lot: Lot, now: float) -> bool:
         silent = now - lot.active_at
         if lot.completed_at is not None:
@@ -121,20 +148,17 @@
         }
         return [*output, LogEvent("lot_paused", fields)]
 
-    def _read_claims_again(self, lot: Lot, now: float) -> list[LotOutput]:
-        if lot.reads_left == 0 or now < lot.next_read_at or lot.paused:
-            return []
-        done = self._config.claim_reads - lot.reads_left
-        lot.reads_left -= 1
-        lot.next_read_at = now + self._config.claim_read_seconds * 2.0**done
-        return self._read_claims(lot)
-
-    def _read_claims(self, lot: Lot) -> list[LotOutput]:
-        output: list[LotOutput] = []
-        for phase in _UNFINISHED:
-            for index in sorted(lot.indices[phase]):
-                slot = lot.slots[index]
-                key = claim_key(slot.key, slot.generation, lot.digest)
-                self._store.claims[key] = SlotPlace(lot.key, index)
-                output.append(ClaimReadWanted(key))
-        return output
+    def _read_claims(self, lot: Lot, now: float) -> list[LotOutput]:
+        lot.news = 0
+        lot.next_read_at = now + self._config.claim_read_seconds
+        return [
+            self._read_claim(lot, index)
+            for phase in _UNFINISHED
+            for index in sorted(lot.indices[phase])
+        ]
+
+    def _read_claim(self, lot: Lot, index: int) -> ClaimReadWanted:
+        slot = lot.slots[index]
+        key = claim_key(slot.key, slot.generation, lot.digest)
+        self._store.claims[key] = SlotPlace(lot.key, index)
+        return ClaimReadWanted(key)
--- a/src/stagewalk/samples/lots.py
+++ b/src/stagewalk/samples/lots.py
@@ -104,8 +104,15 @@
         When a pull's answer first covered every slot, if one did.
     durations
         Seconds that finished rollouts took, ascending.
-    reads_left, next_read_at
-        How often claims are still to be read for what another node made of the lot, and when.
+    held_until
+        Nothing of it is started before: it is being found out whether another node runs it.
+    moved
+        Another node runs it, or did: its claims are read from time to time.
+    following
+        That node was heard of lately: nothing is started here.
+    news, quiet_reads, next_read_at
+        Claims found decided since the last read of them all, how many reads in a row found
+        none, and when the next is due.
     used
         Order among its trainer's lots in which it was last submitted or pulled.
     stuck_logged_at
@@ -127,7 +134,11 @@
     durations: list[float] = field(default_factory=list)
     stale_reruns: int = 0
     duplicates: int = 0
-    reads_left: int = 0
+    held_until: float = 0.0
+    moved: bool = False
+    following: bool = False
+    news: int = 0
+    quiet_reads: int = 0
     next_read_at: float = 0.0
     used: int = 0
     stuck_logged_at: float | None = None
--- a/src/stagewalk/samples/scheduler.py
+++ b/src/stagewalk/samples/scheduler.py
@@ -54,7 +54,7 @@
 
     def dispatch(self, lot: Lot, now: float) -> list[LotNotification]:
         """Start waiting slots of a lot, as many as its limits let run."""
-        if lot.paused or not lot.queue or not self._may_run(lot, now):
+        if lot.paused or lot.following or not lot.queue or not self._may_run(lot, now):
             return []
         minimum = self._minimum_version(lot, now)
         started: list[LotNotification] = []
@@ -133,7 +133,7 @@
         A step ahead of its trainer's runs only with what the steps before it leave free, and
         only once weights exist that will be fresh enough when it is pulled.
         """
-        if self._store.parameters(lot.key.tenant) is None:
+        if now < lot.held_until or self._store.parameters(lot.key.tenant) is None:
             return False
         ahead = self._store.steps_ahead(lot)
         if ahead == 0:
--- a/src/stagewalk/samples/settlement.py
+++ b/src/stagewalk/samples/settlement.py
@@ -19,6 +19,8 @@
 from stagewalk.samples.store import LotStore, SlotPlace
 from stagewalk.samples.timers import TimerKind, TimerQueue
 
+_UNFINISHED = frozenset({SlotPhase.WAITING, SlotPhase.RUNNING})
+
 LotOutput = Instruction | LotNotification
 
 _NO_ROOM = frozenset({ErrorKind.NO_ENGINE, ErrorKind.OVERLOADED, ErrorKind.OVER_LIMIT})
@@ -139,6 +141,8 @@
             return [LogEvent("claim_value_damaged", {"key": key})]
         slot.sample = chosen
         slot.decided = True
+        if slot.phase in _UNFINISHED:
+            lot.news += 1
         if slot.phase not in {SlotPhase.READY, SlotPhase.ACKNOWLEDGED}:
             lot.move(place.index, SlotPhase.READY)
         return list(self._scheduler.cancel(slot))
--- a/tests/samples/test_ledger.py
+++ b/tests/samples/test_ledger.py
@@ -77,6 +77,8 @@
         core = make_core(staleness_bound_seconds=60.0)
         output = core.submit(CallId("c"), make_lot(), 0.0)
         self.assertIn(ReadVersions(MODEL), output)
+        self.assertEqual([], core.tick(1.0))
+        self.assertIn(ReadVersions(MODEL), core.tick(2.5))
         unbounded = make_core().submit(CallId("c"), make_lot(), 0.0)
         self.assertNotIn(ReadVersions(MODEL), unbounded)
 
@@ -118,14 +120,14 @@
         self.assertEqual(6, len(world.batches[call].batch.samples))
 
     def test_sample_too_large_for_the_register_is_handed_over_at_once(self) -> None:
-        world = World(make_core(config=LotConfig(maximum_claim_bytes=10)))
+        world = World(make_core(config=LotConfig(maximum_claim_bytes=10, probe_seconds=0.0)))
         world.claims_open = False
         world.submit(make_lot())
         self.assertEqual(6, len(world.batches[world.pull(make_pull())].batch.samples))
 
     def test_node_a_trainer_moves_to_recovers_what_was_claimed(self) -> None:
         register: dict[str, bytes] = {}
-        old, new = World(make_core("old"), register), World(make_core("new"), register)
+        old, new = World(make_core("old"), register), World(make_core("new", LotConfig()), register)
         old.submit(make_lot())
         batch = old.batches[old.pull(make_pull(maximum=2))].batch
         new.engine = never
@@ -135,10 +137,39 @@
         self.assertEqual(4, len(new.batches[call].batch.samples))
         self.assertEqual({}, new.running)
 
+    def test_lot_that_another_node_runs_is_followed_until_it_falls_silent(self) -> None:
+        register: dict[str, bytes] = {}
+        old, new = World(make_core("old"), register), World(make_core("new", LotConfig()), register)
+        old.engine = new.engine = never
+        old.submit(make_lot())
+        old.finish(next(iter(old.running)), answer(), 0.0)
+        new.submit(make_lot())
+        call = new.pull(make_pull(wait_until=60.0))
+        for tenth in range(20):
+            new.tick(tenth / 10.0)
+        self.assertEqual([], new.started)
+        self.assertEqual(1, len(new.batches[call].batch.samples))
+        old.finish(next(iter(old.running)), answer(), 2.0)
+        for tenth in range(20, 45):
+            new.tick(tenth / 10.0)
+        self.assertEqual([], new.started)
+        for tenth in range(45, 100):
+            new.tick(tenth / 10.0)
+        self.assertEqual(4, len(new.started))
+
+    def test_lot_new_everywhere_is_held_back_no_longer_than_the_probes_take(self) -> None:
+        world = World(make_core("node", LotConfig()))
+        world.engine = never
+        world.submit(make_lot())
+        self.assertEqual([], world.started)
+        world.tick(0.1)
+        world.tick(0.2)
+        self.assertEqual(6, len(world.started))
+
 
 class SchedulingTest(testtools.TestCase):
     def test_longest_predicted_rollouts_start_first(self) -> None:
-        world = World(make_core(config=LotConfig(maximum_outstanding_per_lot=4)))
+        world = World(make_core(config=LotConfig(maximum_outstanding_per_lot=4, probe_seconds=0.0)))
         world.engine = lambda request: answer(tokens=5 if request.prompt.endswith("1") else 90)
         world.submit(make_lot(step=1))
         world.pull(make_pull(step=1))
--- a/tests/samples/world.py
+++ b/tests/samples/world.py
@@ -34,6 +34,8 @@
 TENANT = TenantName("thornfield")
 MODEL = ModelName("rollout-lm")
 TRAINER = "trainer"
+AT_ONCE = LotConfig(probe_seconds=0.0)
+"""Starts new lots without waiting for what other nodes may have made of them."""
 
 
 def tenants(**parameters: object) -> dict[TenantName, Tenant]:
@@ -57,7 +59,7 @@
     identity = NodeIdentity(
         NodeName(name), Incarnation(1), Address("127.0.0.1", 1), Placement("r", "z")
     )
-    core = LotCore(identity, config or LotConfig(), random.Random(7))
+    core = LotCore(identity, config or AT_ONCE, random.Random(7))
     core.set_tenants(tenants(**parameters))
     return core
 
