--- a/src/stagewalk/claims/core.py
+++ b/src/stagewalk/claims/core.py
@@ -66,6 +66,15 @@
         """Whether this node votes in every group in force that it is a member of."""
         return not self._placement_changed and self._replica.transfers.idle
 
+    @property
+    def group_count(self) -> int:
+        """Return how many groups in force this process is a member of.
+
+        A planned stop does well to wait for 0 (the planner replaces a leaving replica) and a
+        second more, in which the successors take over; not for long, and not if the log is down.
+        """
+        return self._replica.group_count
+
     @property
     def entry_count(self) -> int:
         """Return how many claims this node holds as a replica."""
--- a/src/stagewalk/claims/replica.py
+++ b/src/stagewalk/claims/replica.py
@@ -18,6 +18,8 @@
 from stagewalk.core.identities import Incarnation, NodeName
 from stagewalk.wire.claims_pb2 import ClaimMessage, ClaimState
 
+SWEEP_INTERVAL_SECONDS = 1.0
+
 
 class ReplicaCore:
     """All partitions of which this process is, was or becomes a replica.
@@ -39,6 +41,12 @@
         self._order: list[int] = []
         """Partitions in the order of their first appearance, in which they are swept."""
         self._sweep_position = 0
+        self._sweep_at = float("-inf")
+
+    @property
+    def group_count(self) -> int:
+        """Return how many groups in force this process is a member of."""
+        return len(self._partitions) - len(self._left_at)
 
     # Placement
 
@@ -185,9 +193,10 @@
         return ClaimMessage(state=state)
 
     def sweep(self, now: float) -> None:
-        """Expire one partition's entries a call: the whole takes some seconds."""
-        if not self._order:
+        """Expire one partition's entries a second: votes on a key expire it themselves."""
+        if now < self._sweep_at or not self._order:
             return
+        self._sweep_at = now + SWEEP_INTERVAL_SECONDS
         partition = self._order[self._sweep_position % len(self._order)]
         self._sweep_position += 1
         replica = self._partitions[partition]
--- a/tests/claims/test_faults.py
+++ b/tests/claims/test_faults.py
@@ -123,6 +123,21 @@
         network.run(0.5)
         self.assertEqual([ClaimDecided("k", b"1", False, b"2")], network.results("f", "k"))
 
+    def test_a_replica_that_left_knows_it_and_hands_over_all_the_same(self) -> None:
+        network = Network("abcd")
+        network.append(0, "abc")
+        network.run(0.5)
+        network.propose("a", "k", b"1")
+        network.run(0.5)
+        network.append(1, "abd")
+        network.down.add("b")
+        network.run(3.0)
+        self.assertEqual([0, 1], [network.cores[name].group_count for name in "cd"])
+        self.assertTrue(network.cores["d"].ready)
+        network.propose("d", "k", b"2")
+        network.run(0.5)
+        self.assertEqual([ClaimDecided("k", b"1", False, b"2")], network.results("d", "k"))
+
     def test_two_changes_read_at_once_are_taken_step_by_step(self) -> None:
         network = Network("abcde")
         network.append(0, "abc")
