--- a/src/stagewalk/node/daemon.py
+++ b/src/stagewalk/node/daemon.py
@@ -65,13 +65,20 @@
         anyio.run(Daemon(settings, core_factory).run, backend="asyncio")
     except Exception as error:
         trace = "".join(traceback.format_exception(error))
-        log_event("node_failed", "error", node=settings.name, trace=trace)
+        log_event("node_failed", "error", node=settings.name, cause=_cause(error), trace=trace)
         return EXIT_FAILED
     finally:
         undo_logs()
     return EXIT_CLEAN
 
 
+def _cause(error: BaseException) -> str:
+    """Return the first error of a group of failed tasks, as one short text."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return f"{type(error).__name__}: {error}"
+
+
 def new_identity(settings: NodeSettings) -> NodeIdentity:
     """Return this process's identity.
 
--- a/tests/node/running_node.py
+++ b/tests/node/running_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 import random
 import socket
@@ -24,9 +25,12 @@
 
 
 def free_address() -> Address:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", probe.getsockname()[1])
+    """Return an address outside the range that outgoing connections take their ports from."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind(("127.0.0.1", port))
+            return Address("127.0.0.1", port)
 
 
 def node_settings(limits: Limits) -> NodeSettings:
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -73,7 +73,7 @@
         second = self.start()
         _, errors = second.communicate(timeout=PATIENCE_SECONDS)
         self.assertEqual(1, second.returncode)
-        self.assertIn("event=node_failed", errors)
+        self.assertIn('event=node_failed node=advice-api-1 cause="OSError: ', errors)
 
     def test_idle_memory_and_imports(self) -> None:
         self.wait_ready()
