--- a/src/stagewalk/simulation/simulation_run.py
+++ b/src/stagewalk/simulation/simulation_run.py
@@ -19,6 +19,7 @@
 from stagewalk.simulation.layouts import LAYOUTS
 from stagewalk.simulation.mutants import MUTANTS
 from stagewalk.simulation.policies import POLICIES, PRODUCT
+from stagewalk.simulation.series import TenantSeries, collect_series
 from stagewalk.simulation.world import World
 
 PROGRESS_SECONDS = 5.0
@@ -73,6 +74,7 @@
     unanswered: int
     control_bytes_per_second: float
     schedule: tuple[Fault, ...]
+    series: dict[str, TenantSeries]
     observations: int
     wall_seconds: float
     events: int
@@ -163,6 +165,7 @@
         unanswered=sum(caller.unanswered for caller in world.callers),
         control_bytes_per_second=sent / node_seconds,
         schedule=schedule,
+        series=collect_series(history, arguments.duration_seconds),
         observations=len(history),
         wall_seconds=wall_seconds,
         events=world.scheduler.executed,
