--- a/src/stagewalk/node/edge/operators.py
+++ b/src/stagewalk/node/edge/operators.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable
 
 import msgspec
@@ -47,13 +46,8 @@
 
     async def metrics(self, exchange: Exchange) -> None:
         """Answer with all metrics."""
-        status = self._status()
-        self._metrics.ready.set(status.ready and not self._stopping())
-        self._metrics.configuration_offset.set(status.configuration_offset)
+        self._metrics.show_status(self._status(), self._stopping())
         self._metrics.event_queue_length.set(self._queue_length())
-        self._metrics.members.clear()
-        for state, count in Counter(status.members.values()).items():
-            self._metrics.members.labels(state=state).set(count)
         await exchange.respond(200, METRICS_CONTENT, self._metrics.render())
 
     async def status(self, exchange: Exchange) -> None:
--- a/src/stagewalk/node/metrics.py
+++ b/src/stagewalk/node/metrics.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections import Counter as Counted
+from collections.abc import Callable, Mapping
 
 from prometheus_client import (
     CollectorRegistry,
@@ -14,6 +15,8 @@
     generate_latest,
 )
 
+from stagewalk.node.node_core import NodeStatus
+
 _LATENCY_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0)
 _EVENT_BUCKETS = (0.0001, 0.0005, 0.002, 0.01, 0.05, 0.25, 1.0)
 
@@ -114,6 +117,37 @@
             "stagewalk_members", "Nodes known, by state.", ["state"], registry=registry
         )
 
+        self.requests_in_flight = Gauge(
+            "stagewalk_requests_in_flight",
+            "Requests in progress, those of lots included.",
+            registry=registry,
+        )
+        self.tenant_revision = Gauge(
+            "stagewalk_tenant_revision", "Revision in force.", ["tenant"], registry=registry
+        )
+        self.lease_epoch = Gauge(
+            "stagewalk_lease_epoch",
+            "Epoch of each lease this node holds.",
+            ["duty"],
+            registry=registry,
+        )
+
+    def show_status(self, status: NodeStatus, stopping: bool) -> None:
+        """Set the gauges that come from the core's status."""
+        self.ready.set(status.ready and not stopping)
+        self.configuration_offset.set(status.configuration_offset)
+        self.requests_in_flight.set(status.requests_in_flight)
+        _set_all(self.members, Counted(status.members.values()))
+        _set_all(self.tenant_revision, status.revisions)
+        _set_all(self.lease_epoch, status.leases)
+
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         return generate_latest(self._registry)
+
+
+def _set_all(gauge: Gauge, values: Mapping[str, int]) -> None:
+    """Set a gauge with one label to these values and no others."""
+    gauge.clear()
+    for label, value in values.items():
+        gauge.labels(label).set(value)
--- a/tests/node/test_edge.py
+++ b/tests/node/test_edge.py
@@ -238,6 +238,7 @@
             'stagewalk_request_latency_seconds_count{endpoint="completions"} 1.0',
             'stagewalk_members{state="suspect"} 1.0',
             "stagewalk_ready 1.0",
+            'stagewalk_tenant_revision{tenant="archive"} 2.0',
         ):
             self.assertIn(line, metrics)
 
