Let a request say that it is sent again

Change: CompletionRequest.resent, default false; nothing reads it yet. Ruled out: calling every refusal unknown, which would tell callers of fresh requests nothing. Conclusion: requests.record.RequestRecord.ran has to count a resent request as unproven, and the edge has to read the flag.

--- a/src/stagewalk/core/completions.py
+++ b/src/stagewalk/core/completions.py
@@ -35,6 +35,9 @@
         The caller's class of the request; a tenant may declare classes that are never repeatable.
     minimum_version, maximum_version
         Weight versions that may serve it, both included; `None` means unbounded.
+    resent
+        The caller says that it has sent this id before, without learning what became of it:
+        no node may then call it not run for its own ignorance of the earlier send.
     """
 
     request_id: RequestId
@@ -51,6 +54,7 @@
     request_class: str = ""
     minimum_version: WeightVersion | None = None
     maximum_version: WeightVersion | None = None
+    resent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
