Say unknown of a refused request that was sent before; refuse while starting

Change: CompletionRequest.resent, set by the API's member resent or a retry count, turns every error of that call to ran=unknown, in the core as at the edge; a node without configuration in force refuses with kind starting and when to come back. Ruled out: unknown in every refusal, which makes shedding useless to callers. Conclusion: not run is said per request, not per send.

--- a/src/stagewalk/core/errors.py
+++ b/src/stagewalk/core/errors.py
@@ -50,6 +50,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     ENGINE_FAILED = "engine_failed"
     UNREACHABLE = "unreachable"
+    STARTING = "starting"
     STOPPING = "stopping"
     REJECTED = "rejected"
     TIMEOUT = "timeout"
--- a/src/stagewalk/node/data_plane.py
+++ b/src/stagewalk/node/data_plane.py
@@ -7,6 +7,7 @@
 
 import random
 from collections import defaultdict
+from dataclasses import dataclass, replace
 
 from stagewalk.admission.controller import AdmissionController
 from stagewalk.configuration.parameters import Tenant
@@ -46,6 +47,24 @@
 STOPPING_RETRY_SECONDS = 1.0
 """When a caller refused by a stopping node may try another one."""
 
+STARTING_RETRY_SECONDS = 1.0
+"""When a caller refused by a starting node may try it again."""
+
+
+@dataclass(frozen=True, slots=True)
+class _OpenCall:
+    """A completion call at the edge, waiting for its answer.
+
+    Attributes
+    ----------
+    resent
+        The caller sent the same request before, here or elsewhere.
+    """
+
+    key: RequestKey
+    stream: bool
+    resent: bool
+
 
 class DataPlane:
     """The data plane's cores, and the open calls at this node's edge."""
@@ -59,15 +78,16 @@
         admission = AdmissionController(identity.name, config.admission)
         self.requests = RequestCore(identity, router, admission, config.requests, generator)
         self.lots = LotCore(identity, config.lots, generator)
-        self._streams: dict[CallId, bool] = {}
-        self._key_of_call: dict[CallId, RequestKey] = {}
+        self._open_calls: dict[CallId, _OpenCall] = {}
         self._calls_of_key: defaultdict[RequestKey, list[CallId]] = defaultdict(list)
         self._rollouts: dict[RequestId, RequestKey] = {}
         self._submitting: CallId | None = None
+        self._configured = False
         self._stopping = False
 
     def set_tenants(self, tenants: tuple[Tenant, ...]) -> None:
         """Put a configuration in force."""
+        self._configured = True
         self.requests.set_tenants(tenants)
         self.lots.set_tenants({tenant.name: tenant for tenant in tenants})
 
@@ -78,7 +98,7 @@
 
     def idle(self) -> bool:
         """Return whether nothing that a caller waits for is in flight."""
-        return not self._key_of_call and self.requests.in_flight_count() == 0
+        return not self._open_calls and self.requests.in_flight_count() == 0
 
     def tick(self, now: float) -> list[NodeOutput]:
         """Let time pass in all cores."""
@@ -93,9 +113,11 @@
     def completion_requested(self, event: CompletionRequested, now: float) -> list[NodeOutput]:
         """Submit a caller's request."""
         key = _key(event.request)
-        self._streams[event.call] = event.request.stream
-        self._key_of_call[event.call] = key
+        request = event.request
+        self._open_calls[event.call] = _OpenCall(key, request.stream, request.resent)
         self._calls_of_key[key].append(event.call)
+        if not self._configured:
+            return [self._fail(event.call, self._starting_error())]
         self._submitting = event.call
         return list(self.requests.submit(event.request, now))
 
@@ -120,10 +142,11 @@
 
     def call_abandoned(self, event: CallAbandoned, now: float) -> list[NodeOutput]:
         """Forget a call whose caller went away, and its request if no other call waits for it."""
-        key = self._key_of_call.get(event.call)
-        if key is None:
+        open_call = self._open_calls.get(event.call)
+        if open_call is None:
             return list(self.lots.abandon(event.call, now))
         self._forget_call(event.call)
+        key = open_call.key
         if self._calls_of_key.get(key) or key.request_id in self._rollouts:
             return []
         return list(self.requests.abandon(key, now))
@@ -132,12 +155,16 @@
         """Take a trainer's lot."""
         if self._stopping:
             return [FailCall(event.call, self._stopping_error())]
+        if not self._configured:
+            return [FailCall(event.call, self._starting_error())]
         return list(self.lots.submit(event.call, event.lot, now))
 
     def samples_pulled(self, event: SamplesPulled, now: float) -> list[NodeOutput]:
         """Answer a trainer's pull, now or when samples are there."""
         if self._stopping:
             return [FailCall(event.call, self._stopping_error())]
+        if not self._configured:
+            return [FailCall(event.call, self._starting_error())]
         return list(self.lots.pull(event.call, event.pull, now))
 
     # Engines
@@ -163,14 +190,14 @@
     def request_joined(self, joined: RequestJoined, now: float) -> list[NodeOutput]:
         """Give a call that joined a running request what the earlier calls have had."""
         call = self._submitting
-        if call is None or joined.held is None or not self._streams.get(call, False):
+        if call is None or joined.held is None or not self._open_calls[call].stream:
             return []
         return [SendChunk(call, joined.held)]
 
     def request_chunk(self, chunk: RequestChunk, now: float) -> list[NodeOutput]:
         """Pass a piece of an answer to every streaming call of the request."""
         calls = self._calls_of_key.get(chunk.key, ())
-        return [SendChunk(call, chunk.chunk) for call in calls if self._streams[call]]
+        return [SendChunk(call, chunk.chunk) for call in calls if self._open_calls[call].stream]
 
     def request_finished(self, finished: RequestFinished, now: float) -> list[NodeOutput]:
         """Answer every call of the request, and the lot that wanted it."""
@@ -181,8 +208,8 @@
 
     def request_failed(self, failed: RequestFailed, now: float) -> list[NodeOutput]:
         """Fail every call of the request, and tell the lot that wanted it."""
-        calls = self._take_calls(failed.key)
-        output: list[NodeOutput] = [FailCall(call, failed.error) for call in calls]
+        calls = list(self._calls_of_key.get(failed.key, ()))
+        output: list[NodeOutput] = [self._fail(call, failed.error) for call in calls]
         if calls:
             output.append(_failure_event(failed.key, failed.error))
         return output + self._rollout_ended(failed.key, failed.error, now)
@@ -191,9 +218,8 @@
         """Fail the call that has just been made, and no other of the same request."""
         if self._submitting is None:
             return self._rollout_ended(rejected.key, rejected.error, now)
-        call = self._submitting
-        self._forget_call(call)
-        return [FailCall(call, rejected.error), _failure_event(rejected.key, rejected.error)]
+        failure = self._fail(self._submitting, rejected.error)
+        return [failure, _failure_event(rejected.key, rejected.error)]
 
     # Notifications of the lot core
 
@@ -211,6 +237,15 @@
 
     # Steps
 
+    def _fail(self, call: CallId, error: StagewalkError) -> FailCall:
+        """End a completion call with an error that is true of every send of the request.
+
+        What this node did not run may have run when the caller sent it the first time.
+        """
+        resent = self._open_calls[call].resent
+        self._forget_call(call)
+        return FailCall(call, replace(error, ran=Ran.UNKNOWN) if resent else error)
+
     def _take_calls(self, key: RequestKey) -> list[CallId]:
         calls = list(self._calls_of_key.get(key, ()))
         for call in calls:
@@ -218,8 +253,7 @@
         return calls
 
     def _forget_call(self, call: CallId) -> None:
-        key = self._key_of_call.pop(call)
-        del self._streams[call]
+        key = self._open_calls.pop(call).key
         calls = self._calls_of_key[key]
         calls.remove(call)
         if not calls:
@@ -235,6 +269,15 @@
             return list(self.lots.request_failed(key.request_id, outcome, now))
         return list(self.lots.request_finished(key.request_id, outcome, now))
 
+    def _starting_error(self) -> StagewalkError:
+        return StagewalkError(
+            ErrorKind.STARTING,
+            Step.ADMISSION,
+            self._identity.name,
+            "this node has not yet read the configuration in force; use another one",
+            retry_after_seconds=STARTING_RETRY_SECONDS,
+        )
+
     def _stopping_error(self) -> StagewalkError:
         return StagewalkError(
             ErrorKind.STOPPING,
--- a/src/stagewalk/node/edge/completions.py
+++ b/src/stagewalk/node/edge/completions.py
@@ -125,7 +125,7 @@
         if len(body.prompt) > self._limits.prompt_characters:
             limit = self._limits.prompt_characters
             return Error(invalid("prompt", f"the prompt has more than {limit} characters"))
-        exchange.resubmitted |= body.resubmitted
+        exchange.resent |= body.resent
         given_id = body.request_id or exchange.header("x-request-id")
         fields = {
             "tenant": body.tenant or exchange.header("x-tenant"),
@@ -133,9 +133,13 @@
         }
         unasked = Ran.NO if body.repeatable or given_id is None else Ran.UNKNOWN
         headers = check_fields(fields, CallerHeaders)
-        return headers.bind(lambda checked: Ok(self._to_question(body, checked, unasked)))
+        return headers.bind(
+            lambda checked: Ok(self._to_question(body, checked, unasked, exchange.resent))
+        )
 
-    def _to_question(self, body: CompletionBody, headers: CallerHeaders, unasked: Ran) -> _Question:
+    def _to_question(
+        self, body: CompletionBody, headers: CallerHeaders, unasked: Ran, resent: bool
+    ) -> _Question:
         arrived = self._clock()
         priority = Priority.INTERACTIVE if body.priority == "interactive" else Priority.ROLLOUT
         request = CompletionRequest(
@@ -151,6 +155,7 @@
             seed=body.seed,
             prompt_token_count=estimate_tokens(body.prompt),
             request_class=body.request_class,
+            resent=resent,
         )
         return _Question(request, arrived, body.deadline_seconds, unasked)
 
--- a/src/stagewalk/node/edge/exchange.py
+++ b/src/stagewalk/node/edge/exchange.py
@@ -54,7 +54,7 @@
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in scope["headers"]
         }
-        self.resubmitted = self._says_resubmitted()
+        self.resent = self._says_resent()
         """Whether the caller has sent the same request before, here or elsewhere."""
         self._receive = receive
         self._send = send
@@ -135,7 +135,7 @@
 
         What this node did not run may well have run when it was sent the first time.
         """
-        return dataclasses.replace(error, ran=Ran.UNKNOWN) if self.resubmitted else error
+        return dataclasses.replace(error, ran=Ran.UNKNOWN) if self.resent else error
 
     async def start(self, status: int, content_type: str, headers: Headers = ()) -> None:
         """Send the response's status and headers."""
@@ -154,7 +154,7 @@
         """Send a part of the response's body, waiting while the caller reads slowly."""
         await self._send({"type": "http.response.body", "body": part, "more_body": not last})
 
-    def _says_resubmitted(self) -> bool:
+    def _says_resent(self) -> bool:
         return any(self._headers.get(name, "0") != "0" for name in RETRY_COUNT_HEADERS)
 
     def _announces_too_much(self) -> bool:
--- a/src/stagewalk/node/edge/problems.py
+++ b/src/stagewalk/node/edge/problems.py
@@ -24,6 +24,7 @@
     ErrorKind.OUTCOME_UNKNOWN: 502,
     ErrorKind.ENGINE_FAILED: 502,
     ErrorKind.UNREACHABLE: 503,
+    ErrorKind.STARTING: 503,
     ErrorKind.STOPPING: 503,
     ErrorKind.REJECTED: 409,
     ErrorKind.TIMEOUT: 504,
--- a/src/stagewalk/node/edge/schemas.py
+++ b/src/stagewalk/node/edge/schemas.py
@@ -44,7 +44,7 @@
 class CompletionBody(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Body of `POST /v1/completions`.
 
-    `resubmitted` says that the caller sent this request before; `user` and `stream_options` are
+    `resent` says that the caller sent this request before; `user` and `stream_options` are
     taken and change nothing.
     """
 
@@ -59,7 +59,7 @@
     tenant: Name | None = None
     request_id: RequestIdText | None = None
     repeatable: bool = True
-    resubmitted: bool = False
+    resent: bool = False
     deadline_seconds: Deadline = 60.0
     priority: Literal["interactive", "rollout"] = "interactive"
     request_class: Annotated[str, msgspec.Meta(max_length=200)] = ""
--- a/src/stagewalk_standins/caller.py
+++ b/src/stagewalk_standins/caller.py
@@ -89,6 +89,7 @@
     repeatable: bool
     request_class: str
     deadline_seconds: float
+    resent: bool = False
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -199,6 +200,8 @@
             self._observe_result(node, body, result)
             if not _worth_sending_again(result):
                 return
+            if result in (Broken.CUT, Broken.GIVEN_UP):
+                body = msgspec.structs.replace(body, resent=True)
             await anyio.sleep(SEND_AGAIN_SECONDS)
             node = self._nodes.after(node)
 
--- a/tests/node/test_edge.py
+++ b/tests/node/test_edge.py
@@ -54,7 +54,7 @@
     async def test_nothing_says_not_run_of_a_request_sent_before(self, node: RunningNode) -> None:
         fail = ASK | {"prompt": "fail"}
         answers = [
-            await node.post("/v1/completions", fail | {"resubmitted": True}),
+            await node.post("/v1/completions", fail | {"resent": True}),
             await node.post("/v1/completions", fail | {"stream": True}, **{"X-Retry-Count": "1"}),
             await node.post("/v1/completions", fail, **{"X-Stainless-Retry-Count": "2"}),
             await node.client.post("/v1/completions", content=b"{", headers={"X-Retry-Count": "1"}),
