Judge by time, not by reads, whether another node still runs a lot

Cause: the last slots of a step finish seconds apart, and each waited for the next read. Change: claims are read three times as often when few slots are open; a lot is run here once nothing new has come for 4.5 s.

--- a/src/stagewalk/samples/config.py
+++ b/src/stagewalk/samples/config.py
@@ -57,9 +57,11 @@
         Claims of a new lot that are read to find out whether another node runs it.
     probe_seconds
         How long a new lot, or one taken over, is held back for the answers to such reads.
-    claim_read_seconds, quiet_reads
-        Time between reads of the claims of a lot that another node runs, and how many of them
-        in a row must find nothing new before it is run here.
+    claim_read_seconds, last_claim_read_seconds
+        Time between reads of the claims of a lot that another node runs, and the same when no
+        more than `claim_probes` of its slots are open.
+    quiet_seconds
+        How long nothing new must be found in them before the lot is run here.
     retained_bytes
         Text of acknowledged samples kept for trainers that go back to an older cursor.
     """
@@ -90,7 +92,8 @@
     claim_probes: int = 16
     probe_seconds: float = 0.15
     claim_read_seconds: float = 1.5
-    quiet_reads: int = 3
+    last_claim_read_seconds: float = 0.5
+    quiet_seconds: float = 4.5
     retained_bytes: int = 4 * 1024 * 1024
 
     def __post_init__(self) -> None:
--- a/src/stagewalk/samples/housekeeping.py
+++ b/src/stagewalk/samples/housekeeping.py
@@ -86,7 +86,7 @@
         """
         lot.moved = True
         lot.following = True
-        lot.quiet_reads = 0
+        lot.news_at = now
         return self._read_claims(lot, now)
 
     def follow(self, lot: Lot, now: float) -> list[LotOutput]:
@@ -95,9 +95,8 @@
             return []
         if not lot.moved:
             # The probes' answers are in.
-            return self.take_over(lot, now) if lot.news else []
-        lot.quiet_reads = 0 if lot.news else lot.quiet_reads + 1
-        if lot.quiet_reads >= self._config.quiet_reads:
+            return [] if lot.news_at is None else self.take_over(lot, now)
+        if lot.news_at is None or now - lot.news_at >= self._config.quiet_seconds:
             lot.following = False
         return self._read_claims(lot, now)
 
@@ -149,13 +148,12 @@
         return [*output, LogEvent("lot_paused", fields)]
 
     def _read_claims(self, lot: Lot, now: float) -> list[LotOutput]:
-        lot.news = 0
-        lot.next_read_at = now + self._config.claim_read_seconds
-        return [
-            self._read_claim(lot, index)
-            for phase in _UNFINISHED
-            for index in sorted(lot.indices[phase])
-        ]
+        unfinished = [index for phase in _UNFINISHED for index in sorted(lot.indices[phase])]
+        interval = self._config.claim_read_seconds
+        if len(unfinished) <= self._config.claim_probes:
+            interval = self._config.last_claim_read_seconds
+        lot.next_read_at = now + interval
+        return [self._read_claim(lot, index) for index in unfinished]
 
     def _read_claim(self, lot: Lot, index: int) -> ClaimReadWanted:
         slot = lot.slots[index]
--- a/src/stagewalk/samples/lots.py
+++ b/src/stagewalk/samples/lots.py
@@ -110,9 +110,8 @@
         Another node runs it, or did: its claims are read from time to time.
     following
         That node was heard of lately: nothing is started here.
-    news, quiet_reads, next_read_at
-        Claims found decided since the last read of them all, how many reads in a row found
-        none, and when the next is due.
+    news_at, next_read_at
+        When a claim that another node had decided was last found, and when claims are read next.
     used
         Order among its trainer's lots in which it was last submitted or pulled.
     stuck_logged_at
@@ -137,8 +136,7 @@
     held_until: float = 0.0
     moved: bool = False
     following: bool = False
-    news: int = 0
-    quiet_reads: int = 0
+    news_at: float | None = None
     next_read_at: float = 0.0
     used: int = 0
     stuck_logged_at: float | None = None
--- a/src/stagewalk/samples/settlement.py
+++ b/src/stagewalk/samples/settlement.py
@@ -142,7 +142,7 @@
         slot.sample = chosen
         slot.decided = True
         if slot.phase in _UNFINISHED:
-            lot.news += 1
+            lot.news_at = now
         if slot.phase not in {SlotPhase.READY, SlotPhase.ACKNOWLEDGED}:
             lot.move(place.index, SlotPhase.READY)
         return list(self._scheduler.cancel(slot))
