Take the longest way of news and answers as their clients' timeouts give it

Cause: a read of the store may take 9 s with all its timeouts, an answer to the simulated trainer 6 s; the margins were 5 s each. Before/after: 52 tests of both folders pass.

--- a/src/stagewalk/samples/config.py
+++ b/src/stagewalk/samples/config.py
@@ -26,9 +26,11 @@
     maximum_claim_bytes
         Largest sample the claim register takes; a larger one is handed over without a claim.
     hand_over_margin_seconds
-        Added to a sample's age in seconds, for the way of the answer to the trainer.
+        Added to a sample's age in seconds, for the way of the answer to the trainer, which
+        drops an answer that takes longer than its pull's wait and this.
     news_lag_seconds
-        Longest way of an answer of the weight store: what it says was true then at the latest.
+        Longest time that a read of the weight store takes, all timeouts of its client together:
+        what an answer says was still true when the read began.
     version_poll_seconds, version_watch_seconds
         Time between reads of the store's versions of a model that a tenant with a bound in
         seconds uses: while this node runs lots of it, and while it does not. A trainer may come
@@ -74,8 +76,8 @@
     no_room_retry_seconds: float = 1.0
     claim_wait_seconds: float = 2.0
     maximum_claim_bytes: int = 4000
-    hand_over_margin_seconds: float = 5.0
-    news_lag_seconds: float = 5.0
+    hand_over_margin_seconds: float = 6.0
+    news_lag_seconds: float = 9.0
     version_poll_seconds: float = 2.0
     version_watch_seconds: float = 15.0
     tail_fraction: float = 0.1
