Pass groups on to nodes that cannot read the log

Cause: a node cut off from the log, or started while it is down, could not claim keys of a partition whose group had changed, nor vote in it. Change: refusals for an old epoch and requests for state carry the partition's chain; a node that knows no groups asks a peer for all. Of two chains the one of the larger epoch is the newer.

--- a/src/stagewalk/claims/core.py
+++ b/src/stagewalk/claims/core.py
@@ -22,6 +22,7 @@
     encode_record,
 )
 from stagewalk.claims.proposer import ProposerCore
+from stagewalk.claims.relay import PlacementView
 from stagewalk.claims.replica import ReplicaCore
 from stagewalk.claims.transfers import Outgoing
 from stagewalk.claims.types import Peer, Replica
@@ -31,12 +32,15 @@
     SendPeerMessage,
     Transport,
 )
-from stagewalk.wire.claims_pb2 import ClaimMessage
+from stagewalk.wire.claims_pb2 import ClaimMessage, ClaimPlacementRequest
 from stagewalk.wire.envelope_pb2 import Envelope
 
 REPORT_INTERVAL_SECONDS = 30.0
 """An abandoned recovery is reported again until the log shows it."""
 
+ASK_INTERVAL_SECONDS = 2.0
+"""A node that knows no groups asks another peer after this."""
+
 
 class ClaimCore:
     """A node's part in all claims.
@@ -55,7 +59,9 @@
         self._replica = ReplicaCore(self._member, config)
         self._proposer = ProposerCore(self._member, config, generator)
         self._members: dict[NodeName, Peer] = {}
-        self._placement = GroupPlacement.empty()
+        self._view = PlacementView()
+        self._generator = generator
+        self._ask_at = float("-inf")
         self._placement_changed = False
         self._local: deque[ClaimMessage] = deque()
         self._outputs: list[ClaimOutput] = []
@@ -91,8 +97,8 @@
         return self._proposer.count
 
     def set_groups(self, placement: GroupPlacement) -> None:
-        """Take up the groups in force; heeded before anything else is."""
-        self._placement = placement
+        """Take up the groups in the log; heeded before anything else is."""
+        self._view.take_log(placement)
         self._placement_changed = True
 
     def set_members(self, members: Mapping[NodeName, Peer]) -> None:
@@ -149,14 +155,15 @@
         for outgoing in self._replica.transfers.tick(now):
             self._send(outgoing)
         self._report_abandonments(now)
+        self._ask_for_placement(now)
         return self._finish(now)
 
     def _adopt_placement(self, now: float) -> None:
         if not self._placement_changed:
             return
         self._placement_changed = False
-        self._replica.adopt(self._placement, now)
-        self._proposer.adopt(self._placement, now)
+        self._replica.adopt(self._view.placement, now)
+        self._proposer.adopt(self._view.placement, now)
 
     def _report_abandonments(self, now: float) -> None:
         if now < self._report_at:
@@ -169,6 +176,16 @@
         payload = encode_record(RecoveryAbandoned(member=member, groups=groups))
         self._outputs.append(PlacementAppendWanted(PLACEMENT_STREAM, payload))
 
+    def _ask_for_placement(self, now: float) -> None:
+        """Ask a peer for the groups while this node knows none: the log may be down."""
+        if not self._view.is_empty or now < self._ask_at:
+            return
+        self._ask_at = now + ASK_INTERVAL_SECONDS
+        others = sorted(set(self._members) - {self._member.name})
+        if others:
+            message = ClaimMessage(placement_request=ClaimPlacementRequest())
+            self._send(Outgoing(self._generator.choice(others), message))
+
     # Messages
 
     def _finish(self, now: float) -> list[ClaimOutput]:
@@ -191,11 +208,19 @@
     def _dispatch(
         self, source: Address, sender: GroupMember, message: ClaimMessage, now: float
     ) -> None:
+        if self._view.take_peer(message):
+            self._placement_changed = True
+            self._adopt_placement(now)
         body = message.WhichOneof("body")
         if body in ANSWERS or (body == "decision" and message.exchange_id):
             self._dispatch_answer(sender, message, now)
             return
-        if body is None:
+        if body is None or body == "placement":
+            return
+        if body == "placement_request":
+            placement = ClaimMessage()
+            self._view.write_all(placement)
+            self._answer(source, sender, placement)
             return
         answer = self._replica.handle_request(sender, message, now)
         if answer is not None:
--- /dev/null
+++ b/src/stagewalk/claims/relay.py
@@ -0,0 +1,91 @@
+"""Groups learned from peers, for nodes that can't read the log.
+
+What a peer passes on is a prefix of the log's truth, so of two chains of a partition the one with
+the larger epoch is the newer, whoever sent it.
+"""
+
+from __future__ import annotations
+
+from stagewalk.claims.placement import Group, GroupMember, GroupPlacement, PartitionChain
+from stagewalk.core.identities import Incarnation, NodeName
+from stagewalk.wire.claims_pb2 import ClaimMessage
+
+
+class PlacementView:
+    """The newest groups known, from the log and from peers."""
+
+    def __init__(self) -> None:
+        self.placement = GroupPlacement.empty()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no partition has a group."""
+        return not any(chain.groups for chain in self.placement.partitions)
+
+    def take_log(self, placement: GroupPlacement) -> None:
+        """Take what the log says, but for partitions of which a peer knew more."""
+        if self.is_empty or len(placement.partitions) != len(self.placement.partitions):
+            self.placement = placement
+            return
+        chains = zip(self.placement.partitions, placement.partitions, strict=True)
+        self.placement = GroupPlacement(
+            tuple(known if known.epoch > read.epoch else read for known, read in chains)
+        )
+
+    def take_peer(self, message: ClaimMessage) -> bool:
+        """Take the chains of a peer's message, and return whether any was news."""
+        if not message.chains:
+            return False
+        count = message.placement.partition_count
+        if count and self.is_empty and count != len(self.placement.partitions):
+            self.placement = GroupPlacement.empty(count)
+        partitions = list(self.placement.partitions)
+        news = False
+        for partition, chain in _read_chains(message):
+            if partition < len(partitions) and chain.epoch > partitions[partition].epoch:
+                partitions[partition] = chain
+                news = True
+        if news:
+            self.placement = GroupPlacement(tuple(partitions))
+        return news
+
+    def write_all(self, message: ClaimMessage) -> None:
+        """Put all chains into an answer."""
+        message.placement.partition_count = len(self.placement.partitions)
+        for partition, chain in enumerate(self.placement.partitions):
+            if chain.groups:
+                write_chain(message, partition, chain)
+
+
+def write_chain(message: ClaimMessage, partition: int, chain: PartitionChain) -> None:
+    """Put a partition's groups into a message."""
+    written = message.chains.add(partition=partition)
+    for group in chain.groups:
+        item = written.groups.add(
+            epoch=group.epoch, forgets=group.forgets, certified=group.certified
+        )
+        for member in group.members:
+            item.members.add(name=member.name, incarnation=member.incarnation)
+
+
+def _read_chains(message: ClaimMessage) -> list[tuple[int, PartitionChain]]:
+    return [
+        (
+            chain.partition,
+            PartitionChain(
+                tuple(
+                    Group(
+                        epoch=group.epoch,
+                        members=tuple(
+                            GroupMember(NodeName(member.name), Incarnation(member.incarnation))
+                            for member in group.members
+                        ),
+                        forgets=group.forgets,
+                        certified=group.certified,
+                    )
+                    for group in chain.groups
+                )
+            ),
+        )
+        for chain in message.chains
+    ]
--- a/src/stagewalk/claims/replica.py
+++ b/src/stagewalk/claims/replica.py
@@ -14,6 +14,7 @@
     PartitionChain,
 )
 from stagewalk.claims.register import Register, Usage
+from stagewalk.claims.relay import write_chain
 from stagewalk.claims.transfers import TransferCore
 from stagewalk.core.identities import Incarnation, NodeName
 from stagewalk.wire.claims_pb2 import ClaimMessage, ClaimState
@@ -124,6 +125,8 @@
             answer = self._hand_over(replica, sender, message, now)
         else:
             answer = self._vote(replica, message, now)
+        if answer.HasField("reject") and replica.chain.epoch > message.epoch:
+            write_chain(answer, message.partition, replica.chain)
         return self._answered(message, answer, replica.known_epoch, replica.heard)
 
     @staticmethod
--- a/src/stagewalk/claims/transfers.py
+++ b/src/stagewalk/claims/transfers.py
@@ -11,6 +11,7 @@
 from stagewalk.claims.partition import PartitionReplica
 from stagewalk.claims.placement import AbandonedGroup, Group, GroupMember, MemberRecord
 from stagewalk.claims.quorum import Answer
+from stagewalk.claims.relay import write_chain
 from stagewalk.claims.transfer import HeldState, Source, StateTransfer
 from stagewalk.core.identities import NodeName
 from stagewalk.core.instructions import LogEvent
@@ -126,6 +127,7 @@
         message.exchange_id = source.exchange_id
         message.partition = transfer.partition
         message.epoch = transfer.group.epoch
+        write_chain(message, transfer.partition, self._partitions[transfer.partition].chain)
         return Outgoing(name, message)
 
     def handle_answer(
