Tell proposers when to ask again

Cause: an undecided claim named no time to come back. Change: refusals after a loss name the rest of the wait, others the time to replace a replica.

--- a/src/stagewalk/claims/proposal.py
+++ b/src/stagewalk/claims/proposal.py
@@ -86,7 +86,8 @@
     offered: set[bytes] = field(default_factory=set)
     wake_at: float = float("-inf")
     """When to send again, or to begin the next attempt while waiting."""
-    last_refusal: Reason.ValueType = Reason.REASON_UNSPECIFIED
+    retry_after_seconds: float = 0.0
+    """Longest time that a refusing replica has named until it may vouch for the key."""
 
     def begin_phase(self, phase: Phase, exchange_id: int) -> None:
         """Forget the answers of the phase before and expect those to a new exchange."""
@@ -98,7 +99,7 @@
     def note_refusal(self, name: NodeName, message: ClaimMessage) -> None:
         """Note that a replica did not vote, and why."""
         self.refusals[name] = message.reject.reason
-        self.last_refusal = message.reject.reason
+        self.retry_after_seconds = max(self.retry_after_seconds, message.reject.retry_after_seconds)
         if message.reject.HasField("promised"):
             promised = read_ballot(message.reject.promised)
             self.largest_round = max(self.largest_round, promised.round)
--- a/src/stagewalk/claims/proposer.py
+++ b/src/stagewalk/claims/proposer.py
@@ -16,6 +16,9 @@
 from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
 from stagewalk.wire.claims_pb2 import ClaimMessage
 
+RETRY_AFTER_SECONDS = 5.0
+"""When to ask again unless a replica knows better: about the time to replace a replica."""
+
 Notification = ClaimDecided | ClaimAbsent | ClaimUndecided
 
 
@@ -281,7 +284,7 @@
     def _fail(self, proposal: Proposal, kind: ErrorKind, detail: str) -> None:
         self._end(proposal)
         peer = ",".join(proposal.group.names) if proposal.group is not None else self._member.name
-        error = _error(kind, peer, detail)
+        error = _error(kind, peer, detail, proposal.retry_after_seconds or RETRY_AFTER_SECONDS)
         for wanted in proposal.wanted:
             offered = wanted in proposal.offered
             self._notifications.append(ClaimUndecided(proposal.key, error, offered, wanted))
@@ -289,7 +292,8 @@
             self._notifications.append(ClaimUndecided(proposal.key, error))
 
     def _refuse(self, key: str, value: bytes | None, kind: ErrorKind, detail: str) -> None:
-        error = _error(kind, self._member.name, detail)
+        retry = RETRY_AFTER_SECONDS if kind == ErrorKind.OVER_LIMIT else None
+        error = _error(kind, self._member.name, detail, retry)
         self._notifications.append(ClaimUndecided(key, error, proposed=value))
 
     def _end(self, proposal: Proposal) -> None:
@@ -309,9 +313,18 @@
                 self._send_phase(proposal, now)
 
 
-def _error(kind: ErrorKind, peer: str, detail: str) -> StagewalkError:
+def _error(
+    kind: ErrorKind, peer: str, detail: str, retry_after_seconds: float | None
+) -> StagewalkError:
     """Return an error of a claim.
 
     Whatever this node knows, another may have run what the claim is for: `ran` is unknown.
     """
-    return StagewalkError(kind, Step.CLAIM, peer, detail, Ran.UNKNOWN)
+    return StagewalkError(
+        kind=kind,
+        step=Step.CLAIM,
+        peer=peer,
+        detail=detail,
+        ran=Ran.UNKNOWN,
+        retry_after_seconds=retry_after_seconds,
+    )
--- a/tests/claims/test_faults.py
+++ b/tests/claims/test_faults.py
@@ -221,6 +221,8 @@
         assert isinstance(result, ClaimUndecided)
         self.assertEqual(ErrorKind.OUTCOME_UNKNOWN, result.error.kind)
         self.assertFalse(result.offered)
+        assert result.error.retry_after_seconds is not None
+        self.assertTrue(RETENTION - 2.0 < result.error.retry_after_seconds < RETENTION + 10.0)
         network.run(RETENTION + 10.0)
         network.propose("d", "new", b"3")
         network.run(0.5)
