--- /dev/null
+++ b/tests/admission/test_admission.py
@@ -0,0 +1,188 @@
+"""Shares hold at any moment, unused share is lent and comes back, refusals are at once."""
+
+from __future__ import annotations
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from stagewalk.admission.config import AdmissionConfig, LimiterConfig
+from stagewalk.admission.controller import (
+    Admission,
+    AdmissionController,
+    PoolCapacity,
+    TenantUsage,
+)
+from stagewalk.admission.limiter import AdaptiveLimiter
+from stagewalk.admission.shares import guaranteed
+from stagewalk.core.completions import Priority
+from stagewalk.core.errors import ErrorKind, Ran
+from stagewalk.core.identities import NodeName, RequestId, RequestKey, TenantName
+from tests.requests.support import MODEL, request, tenant
+
+SHARES = {TenantName("a"): 0.5, TenantName("b"): 0.3, TenantName("c"): 0.2}
+CONFIG = AdmissionConfig(
+    maximum_waiting=12,
+    maximum_waiting_per_tenant=6,
+    limiter=LimiterConfig(initial_limit=10.0, maximum_limit=10.0),
+)
+INTERACTIVE = Priority.INTERACTIVE
+ROLLOUT = Priority.ROLLOUT
+
+
+class Desk:
+    """A controller, and what a careful clerk knows of it."""
+
+    def __init__(self, config: AdmissionConfig = CONFIG) -> None:
+        self.controller = AdmissionController(NodeName("n1"), config)
+        self.controller.set_tenants(
+            [tenant(name, capacity_share=share) for name, share in SHARES.items()]
+        )
+        self.running: list[RequestKey] = []
+        self.waiting: list[RequestKey] = []
+        self.number = 0
+
+    def admit(self, name: str, priority: Priority = INTERACTIVE, deadline: float = 1e6):  # type: ignore[no-untyped-def]
+        self.number += 1
+        key = RequestKey(TenantName(name), RequestId(f"{name}{self.number}"))
+        asked = request(key.request_id, tenant=key.tenant, priority=priority, deadline=deadline)
+        outcome = self.controller.admit(key, asked, 0.0)
+        if outcome.is_ok():
+            (self.running if outcome.ok is Admission.ADMITTED else self.waiting).append(key)
+        return outcome
+
+    def end(self, index: int) -> list[RequestKey]:
+        if self.running:
+            self.controller.ended(self.running.pop(index % len(self.running)), 1.0)
+        return self.release()
+
+    def release(self) -> list[RequestKey]:
+        released = self.controller.release(1.0)
+        for key in released:
+            self.waiting.remove(key)
+        self.running += released
+        return released
+
+    def used(self, name: str) -> int:
+        return sum(1 for key in self.running if key.tenant == name)
+
+
+STEP = st.tuples(
+    st.sampled_from(("admit", "admit", "end", "withdraw")),
+    st.sampled_from(tuple(SHARES)),
+    st.sampled_from((INTERACTIVE, ROLLOUT)),
+    st.integers(0, 20),
+)
+
+
+class AdmissionTest(testtools.TestCase):
+    @given(st.lists(STEP, max_size=60))
+    def test_shares_at_any_moment(self, steps: list[tuple[str, str, Priority, int]]) -> None:
+        desk = Desk()
+        for act, name, priority, index in steps:
+            within_share = desk.used(name) + 1 <= guaranteed(SHARES, TenantName(name), 10.0)
+            free = len(desk.running) < 10
+            none_waits = not any(key.tenant == name for key in desk.waiting)
+            match act:
+                case "admit":
+                    outcome = desk.admit(name, priority)
+                    if within_share and free and none_waits:
+                        self.assertEqual(Admission.ADMITTED, outcome.ok)
+                    if outcome.is_error():
+                        self.assertEqual(Ran.NO, outcome.error.ran)
+                        self.assertGreater(outcome.error.retry_after_seconds, 0.0)
+                case "end":
+                    desk.end(index)
+                case _ if desk.waiting:
+                    desk.controller.withdraw(desk.waiting.pop(index % len(desk.waiting)))
+                    desk.release()
+            self.assertLessEqual(len(desk.running), 10)
+            self.assertLessEqual(len(desk.waiting), 12)
+            self.assertEqual(len(desk.running), desk.controller.in_flight_count())
+            self.assertEqual(len(desk.waiting), desk.controller.waiting_count())
+            if len(desk.running) < 10:
+                for key in desk.waiting:
+                    own = guaranteed(SHARES, key.tenant, 10.0)
+                    self.assertGreater(desk.used(key.tenant) + 1, own, "a guaranteed slot idles")
+
+    def test_unused_share_is_lent_but_for_a_reserve(self) -> None:
+        desk = Desk()
+        while desk.admit("a").is_ok() and not desk.waiting:
+            pass
+        self.assertEqual(9, desk.used("a"), "20% of the others' 5 slots stay free")
+        self.assertEqual(Admission.ADMITTED, desk.admit("b").ok)
+
+    def test_lent_slots_go_back_with_the_first_completions(self) -> None:
+        desk = Desk()
+        for _ in range(12):
+            desk.admit("a")
+        for _ in range(4):
+            desk.admit("b", ROLLOUT)
+        for _ in range(2):
+            desk.end(0)
+        self.assertEqual(3, desk.used("b"), "one from the reserve, then each slot that frees")
+
+    def test_interactive_before_rollouts(self) -> None:
+        desk = Desk()
+        while not desk.waiting:
+            desk.admit("a", ROLLOUT)
+        late = desk.admit("a", INTERACTIVE)
+        self.assertEqual(Admission.WAITING, late.ok)
+        self.assertEqual([desk.waiting[-1]], desk.end(0))
+
+    def test_rollouts_leave_a_part_of_the_pool_to_interactive(self) -> None:
+        desk = Desk()
+        desk.controller.set_pool(MODEL, PoolCapacity(slots=100, load=101))
+        self.assertEqual(Admission.WAITING, desk.admit("a", ROLLOUT).ok)
+        self.assertEqual(Admission.ADMITTED, desk.admit("a", INTERACTIVE).ok)
+
+    def test_full_pool_admits_nothing(self) -> None:
+        desk = Desk()
+        desk.controller.set_pool(MODEL, PoolCapacity(slots=100, load=110))
+        self.assertEqual(Admission.WAITING, desk.admit("a").ok)
+
+    def test_use_at_other_nodes_counts_against_the_share(self) -> None:
+        desk = Desk()
+        desk.controller.set_pool(MODEL, PoolCapacity(slots=100, load=92))
+        elsewhere = (TenantUsage(MODEL, TenantName("a"), 92),)
+        desk.controller.set_usage_elsewhere(elsewhere)
+        self.assertEqual(Admission.WAITING, desk.admit("a").ok)
+        self.assertEqual(Admission.ADMITTED, desk.admit("b").ok)
+
+    def test_hopeless_deadline_is_refused_before_it_waits(self) -> None:
+        desk = Desk()
+        while not desk.waiting:
+            desk.admit("a")
+        refused = desk.admit("a", deadline=0.5)
+        self.assertEqual((ErrorKind.OVERLOADED, Ran.NO), (refused.error.kind, refused.error.ran))
+
+    def test_new_shares_hold_at_once(self) -> None:
+        desk = Desk()
+        while not desk.waiting:
+            desk.admit("a")
+        swapped = (tenant("a", capacity_share=0.1), tenant("b", capacity_share=0.9))
+        desk.controller.set_tenants(swapped)
+        for _ in range(6):
+            desk.admit("b")
+        for _ in range(5):
+            desk.end(0)
+        self.assertEqual(6, desk.used("b"))
+
+
+class LimiterTest(testtools.TestCase):
+    def test_falls_at_refusals_once_in_an_interval_and_grows_back(self) -> None:
+        limiter = AdaptiveLimiter(LimiterConfig(initial_limit=10.0))
+        for _ in range(5):
+            limiter.note_refused(1.0)
+        self.assertEqual(8.0, limiter.limit)
+        for _ in range(20):
+            limiter.note_completed(8)
+        self.assertTrue(9.0 < limiter.limit < 11.0, limiter.limit)
+
+    def test_late_first_tokens_lower_it(self) -> None:
+        limiter = AdaptiveLimiter(LimiterConfig(initial_limit=10.0))
+        limiter.note_first_token(0.1, 0.0)
+        limiter.note_first_token(0.4, 1.0)
+        self.assertEqual(10.0, limiter.limit)
+        limiter.note_first_token(5.0, 2.0)
+        self.assertEqual(9.5, limiter.limit)
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,155 @@
+"""The least expected completion time wins; each part of it can be switched off."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+
+from stagewalk.core.errors import ErrorKind, Ran
+from stagewalk.core.identities import AttemptId, EngineName, Incarnation, Placement
+from stagewalk.routing.config import (
+    EngineTableConfig,
+    OutlierConfig,
+    PrefixIndexConfig,
+    RouterConfig,
+    ScoreConfig,
+)
+from stagewalk.routing.engine_table import EngineTable
+from stagewalk.routing.policies import POLICIES
+from stagewalk.routing.prefix_index import PrefixIndex, hash_blocks
+from stagewalk.routing.router import Router
+from tests.requests.support import PLACE, Identity, machine, report, request
+
+LONG_PROMPT = "survey sheet boundary parcel " * 200
+NO_SLOW_START = ScoreConfig(use_slow_start=False)
+
+
+def engines(count: int) -> list[str]:
+    return [f"e{number}" for number in range(1, count + 1)]
+
+
+class Site:
+    """A router over engines that have just reported."""
+
+    def __init__(self, config: RouterConfig | None = None, count: int = 3) -> None:
+        self.now = 0.0
+        self.table = EngineTable(Identity(), EngineTableConfig())
+        self.table.handle_machines([machine(name) for name in engines(count)], 0.0)
+        config = config or RouterConfig(score=NO_SLOW_START)
+        self.router = Router(Identity(), self.table, config, random.Random(1))
+        for name in engines(count):
+            self.report(name)
+
+    def report(self, name: str, **changes: object) -> None:
+        self.table.handle_report(EngineName(name), report(name, self.now, **changes), self.now)
+
+    def choose(self, excluded: tuple[str, ...] = (), **changes: object) -> str:
+        names = frozenset(EngineName(name) for name in excluded)
+        return self.router.choose(request(**changes), names, self.now).ok.engine  # type: ignore[arg-type]
+
+    def start(self, engine: str, attempt: str, **changes: object) -> None:
+        started = request(**changes)  # type: ignore[arg-type]
+        self.router.note_started(EngineName(engine), AttemptId(attempt), started, self.now)
+
+
+class RouterTest(testtools.TestCase):
+    def test_avoids_the_loaded(self) -> None:
+        site = Site()
+        site.report("e1", running=8, waiting=4, pending_tokens=900)
+        site.report("e2", running=8, waiting=1, pending_tokens=700)
+        self.assertEqual("e3", site.choose())
+
+    def test_own_attempts_since_the_report_count_as_load(self) -> None:
+        site = Site()
+        for number in range(6):
+            site.start(site.choose(), f"a{number}")
+        sent = [site.table.record(EngineName(name)).added_sequences for name in engines(3)]
+        self.assertEqual([2, 2, 2], sent)
+
+    def test_version_bounds_are_obeyed(self) -> None:
+        site = Site()
+        site.report("e2", active_version=3)
+        self.assertEqual("e2", site.choose(minimum_version=2, maximum_version=3))
+        refused = site.router.choose(request(minimum_version=4), frozenset(), 0.0).error
+        self.assertEqual((ErrorKind.NO_ENGINE, Ran.NO), (refused.kind, refused.ran))
+
+    def test_excluded_engines_are_not_chosen(self) -> None:
+        self.assertEqual("e3", Site().choose(excluded=("e1", "e2")))
+
+    def test_cached_prefix_attracts_until_the_engine_restarts(self) -> None:
+        site = Site()
+        site.choose()
+        site.start("e2", "a1", prompt=LONG_PROMPT)
+        site.router.note_finished(EngineName("e2"), AttemptId("a1"), 0.0)
+        self.assertEqual("e2", site.choose(prompt=LONG_PROMPT + "and what follows"))
+        site.report("e2", incarnation=Incarnation(2))
+        self.assertNotEqual("e2", site.choose(prompt=LONG_PROMPT))
+
+    def test_new_engine_is_loaded_slowly(self) -> None:
+        site = Site(RouterConfig(), count=2)
+        site.now = 20.0
+        site.report("e1", running=2)
+        site.report("e2", incarnation=Incarnation(2))
+        self.assertEqual("e1", site.choose())
+        site.now = 26.0
+        site.report("e1", running=2)
+        site.report("e2", incarnation=Incarnation(2))
+        self.assertEqual("e2", site.choose())
+
+    def test_outliers_are_set_aside_but_not_all(self) -> None:
+        site = Site(RouterConfig(score=NO_SLOW_START, outlier=OutlierConfig(failures_to_eject=2)))
+        for name in ("e1", "e2", "e3"):
+            for number in range(2):
+                site.start(name, f"{name}{number}")
+                site.router.note_failed(EngineName(name), AttemptId(f"{name}{number}"), 0.0)
+            if name == "e1":
+                chosen = {site.choose() for _ in range(10)}
+                self.assertNotIn("e1", chosen)
+        self.assertIn(site.choose(), engines(3))
+
+    def test_own_region_first(self) -> None:
+        site = Site()
+        far = machine("e1", Placement("jordan", "abdali-vault"))
+        near = machine("e2", Placement(PLACE.region, "hall-east"))
+        site.table.handle_machines([far, near], 0.0)
+        self.assertEqual("e2", site.choose(excluded=("e3",)))
+
+    def test_every_policy_spreads_work_over_equal_engines(self) -> None:
+        for policy in POLICIES:
+            site = Site(RouterConfig(policy=policy, score=NO_SLOW_START))
+            for number in range(30):
+                prompt = f"{number} {LONG_PROMPT}"
+                site.start(site.choose(prompt=prompt), f"a{number}", prompt=prompt)
+            sent = [site.table.record(EngineName(name)).added_sequences for name in engines(3)]
+            self.assertTrue(all(count >= 5 for count in sent), f"{policy}: {sent}")
+
+    def test_same_inputs_same_choices(self) -> None:
+        def run() -> list[str]:
+            site = Site(count=12)
+            chosen = []
+            for number in range(40):
+                chosen.append(site.choose(prompt=f"{number % 5} {LONG_PROMPT}"))
+                site.start(chosen[-1], f"a{number}", prompt=f"{number % 5} {LONG_PROMPT}")
+            return chosen
+
+        self.assertEqual(run(), run())
+        self.assertGreater(len(set(run())), 3)
+
+
+class PrefixIndexTest(testtools.TestCase):
+    def test_memory_is_bounded_and_keeps_the_start_of_prompts_longest(self) -> None:
+        config = PrefixIndexConfig(block_characters=4, maximum_blocks_per_engine=4)
+        index = PrefixIndex(config)
+        engine = EngineName("e1")
+        for start in ("old ", "new "):
+            index.note_sent(engine, hash_blocks(start + "abcdefgh", config))
+        self.assertEqual(3.0, index.matched_tokens(engine, hash_blocks("new abcdefgh", config)))
+        self.assertEqual(1.0, index.matched_tokens(engine, hash_blocks("old abcdefgh", config)))
+
+    def test_equal_blocks_after_different_starts_do_not_match(self) -> None:
+        config = PrefixIndexConfig(block_characters=4)
+        index = PrefixIndex(config)
+        index.note_sent(EngineName("e1"), hash_blocks("one same", config))
+        other = hash_blocks("two same", config)
+        self.assertEqual(0.0, index.matched_tokens(EngineName("e1"), other))
