--- /dev/null
+++ b/src/stagewalk/bench/capacity_data.py
@@ -0,0 +1,134 @@
+"""Measurements behind docs/CAPACITY.md, as they are kept in docs/capacity.json."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+
+class SizeMeasurement(msgspec.Struct, frozen=True, kw_only=True):
+    """One hollow cluster at rest, and how it took a change and a death.
+
+    Rates are for one node, in seconds. Bytes between nodes include 28 of IP and UDP headers a
+    message. `None`: it did not come about in the time given.
+
+    Attributes
+    ----------
+    complete
+        Whether every node saw all members before the rest was measured.
+    cpu_percent
+        Processor time of a node at rest, engine polls and log reads answered inside, in percent
+        of a core.
+    resident_kilobytes
+        Resident memory that a node adds to its process.
+    detection_seconds, last_detection_seconds
+        From a node's death until half, and until all, of the others called it dead.
+    in_force_seconds
+        From the publishing of a change until it was in force at the last node.
+    relayed_in_force_seconds
+        The same while only every tenth node reached the log.
+    """
+
+    nodes: int
+    complete: bool
+    join_seconds: float
+    join_cpu_seconds: float
+    cpu_percent: float
+    messages_out: float
+    bytes_out: float
+    bytes_in: float
+    engine_polls: float
+    machine_list_reads: float
+    log_reads: float
+    resident_kilobytes: float
+    detection_seconds: float | None
+    last_detection_seconds: float | None
+    in_force_seconds: float | None
+    relayed_in_force_seconds: float | None
+
+
+class UnitCost(msgspec.Struct, frozen=True, kw_only=True):
+    """What one unit of work costs, by a straight line through runs of several lengths.
+
+    Attributes
+    ----------
+    cpu_microseconds, cpu_error
+        Slope of processor time, and its standard error.
+    bytes_out, bytes_in
+        Octets that cross the socket, without IP and TCP headers; 0 where none does.
+    """
+
+    name: str
+    unit: str
+    cpu_microseconds: float
+    cpu_error: float
+    bytes_out: float = 0.0
+    bytes_in: float = 0.0
+    memory_bytes: float = 0.0
+
+
+class FaultMeasurement(msgspec.Struct, frozen=True, kw_only=True):
+    """How membership took a fault, on virtual time.
+
+    Attributes
+    ----------
+    settled_seconds
+        Until every running node saw exactly the running nodes it can reach, in steps of a second.
+    bytes_out, cpu_percent
+        Mean of a node over that time: bytes a second with IP and UDP headers, percent of a core.
+    wrongly_dead
+        Running, reachable nodes that anyone called dead meanwhile.
+    """
+
+    fault: str
+    nodes: int
+    settled_seconds: float | None
+    bytes_out: float
+    cpu_percent: float
+    wrongly_dead: int
+
+
+class EdgeMeasurement(msgspec.Struct, frozen=True, kw_only=True):
+    """Completions through a node against the same sent straight to an engine, in seconds."""
+
+    requests: int
+    direct_p50: float
+    through_p50: float
+    direct_p99: float
+    through_p99: float
+
+    @property
+    def added_p50(self) -> float:
+        """Return what the node adds at the median."""
+        return self.through_p50 - self.direct_p50
+
+
+class CapacityData(msgspec.Struct, frozen=True, kw_only=True):
+    """All measurements. `None` or empty: not measured."""
+
+    measured_at: str
+    machine: str
+    sizes: tuple[SizeMeasurement, ...] = ()
+    units: tuple[UnitCost, ...] = ()
+    faults: tuple[FaultMeasurement, ...] = ()
+    idle_memory_megabytes: float | None = None
+    idle_cpu_percent: float | None = None
+    edge: EdgeMeasurement | None = None
+
+    def unit(self, name: str) -> UnitCost | None:
+        """Return a unit cost by its name."""
+        return next((unit for unit in self.units if unit.name == name), None)
+
+
+def load(path: Path) -> CapacityData | None:
+    """Read measurements, or return `None` if there are none yet."""
+    if not path.exists():
+        return None
+    return msgspec.json.decode(path.read_bytes(), type=CapacityData)
+
+
+def save(path: Path, data: CapacityData) -> None:
+    """Write measurements, one field a line."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(data), indent=1) + b"\n")
--- a/src/stagewalk/bench/hollow_layout.py
+++ b/src/stagewalk/bench/hollow_layout.py
@@ -23,6 +23,9 @@
 MODELS = ("qari", "rollout-lm")
 """One model a region; the service of its engines has the same name."""
 
+NODE_NETWORK, ENGINE_NETWORK = 88, 89
+"""Second octets of the loopback addresses."""
+
 PEER_PORT = 7946
 ENGINE_PORT = 8000
 ADDRESSES_PER_NETWORK = 250
@@ -35,7 +38,7 @@
         NodeIdentity(
             NodeName(f"{ZONES[index % len(ZONES)].zone}-{index}"),
             incarnation,
-            _address(77, index, PEER_PORT),
+            _address(NODE_NETWORK, index, PEER_PORT),
             ZONES[index % len(ZONES)],
         )
         for index in range(count)
@@ -65,7 +68,7 @@
     return Machine(
         f"{service}-{index}",
         MachineKind.ENGINE,
-        _address(78, index, ENGINE_PORT),
+        _address(ENGINE_NETWORK, index, ENGINE_PORT),
         placement,
         MachineState.LIVE,
         service,
--- a/tests/membership/network.py
+++ b/src/stagewalk/bench/membership_network.py
@@ -14,13 +14,25 @@
 from stagewalk.membership.config import MembershipConfig
 from stagewalk.membership.core import MembershipCore, MembershipOutput
 from stagewalk.membership.members import MemberIdentity, MemberState
-from stagewalk.membership.notifications import MembershipNotification
+from stagewalk.membership.notifications import MemberChanged, MembershipNotification
 from stagewalk.wire.envelope_pb2 import Envelope
 
 UDP_OVERHEAD_BYTES = 28
 
 
-class Network:
+class MembershipNetwork:
+    """Membership cores on virtual time; tests and `fault_costs` decide what befalls them.
+
+    Attributes
+    ----------
+    loss
+        Share of messages lost.
+    delay
+        Mean time a message takes, seconds.
+    cut
+        Says whether messages from one node to another are lost.
+    """
+
     def __init__(self, seed: int = 0, config: MembershipConfig | None = None) -> None:
         self.generator = random.Random(seed)
         self.config = config or MembershipConfig()
@@ -59,6 +71,10 @@
         """End a node's process without a word."""
         self.paused.add(name)
 
+    def leave(self, name: str) -> None:
+        """Let a node say that it leaves."""
+        self._carry_out(name, self.cores[name].leave(self.now))
+
     def list_machines(self, names: Iterable[str] | None = None) -> None:
         """Show every running node a machine list."""
         machines = [self._machine(name) for name in sorted(names or self.cores)]
@@ -67,6 +83,7 @@
                 self._carry_out(name, self.cores[name].handle_machines(machines, self.now))
 
     def run(self, seconds: float) -> None:
+        """Let time pass."""
         end = self.now + seconds
         while True:
             tick_at, name = self._ticks[0]
@@ -97,12 +114,9 @@
         return [
             (at, observer, change.name)
             for at, observer, change in self.notifications
-            if getattr(change, "new_state", None) is state
+            if isinstance(change, MemberChanged) and change.new_state is state
         ]
 
-    def carry_out(self, name: str, outputs: list[MembershipOutput]) -> None:
-        self._carry_out(name, outputs)
-
     def _tick(self, at: float, name: str) -> None:
         self.now = max(self.now, at)
         heapq.heapreplace(self._ticks, (at + TICK_INTERVAL_SECONDS, name))
--- a/tests/membership/test_core.py
+++ b/tests/membership/test_core.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from stagewalk.bench.membership_network import MembershipNetwork
 from stagewalk.core.identities import NodeName
 from stagewalk.core.instructions import MAXIMUM_DATAGRAM_BYTES
 from stagewalk.membership.codec import fact_to_record
@@ -9,12 +10,11 @@
 from stagewalk.membership.members import MemberState
 from stagewalk.membership.notifications import IdentitySuperseded
 from stagewalk.wire.membership_pb2 import MemberRecord, MembershipMessage
-from tests.membership.network import Network
 
 
-def cluster(size: int, seed: int = 1) -> Network:
+def cluster(size: int, seed: int = 1) -> MembershipNetwork:
     """Start nodes spread over three zones and let them join through the machine list."""
-    network = Network(seed)
+    network = MembershipNetwork(seed)
     for index in range(size):
         network.start(f"node-{index:03}", zone=f"zone-{index % 3}")
     network.list_machines()
@@ -61,7 +61,7 @@
     def test_leaving_is_known_everywhere_within_three_seconds(self) -> None:
         network = cluster(30)
         left_at = network.now
-        network.carry_out("node-007", network.cores["node-007"].leave(network.now))
+        network.leave("node-007")
         network.run(10)
         told = network.changes_to(MemberState.LEFT)
         self.assertEqual(29, len({observer for _, observer, _ in told}))
@@ -106,7 +106,7 @@
 
 class PartitionTest(testtools.TestCase):
     def test_regions_find_each_other_again_without_the_machine_list(self) -> None:
-        network = Network(seed=3)
+        network = MembershipNetwork(seed=3)
         for index in range(16):
             network.start(f"node-{index:03}", f"zone-{index % 4}", f"region-{index % 2}")
         network.list_machines()
@@ -155,7 +155,7 @@
 
     def test_leaving_is_final_for_a_process_but_not_for_its_name(self) -> None:
         network = cluster(5)
-        network.carry_out("node-002", network.cores["node-002"].leave(network.now))
+        network.leave("node-002")
         network.run(60)
         self.assertEqual({4}, {len(view) for view in network.views()})
         network.start("node-002")
