Cut off no request when a node exits after a planned stop

Closing resets what the kernel has accepted and what is on its way on kept connections. Change: on exit a socket filter makes the kernel drop new connections, half a second later the listener closes; while stopping every answer ends its connection.

--- a/src/stagewalk/node/daemon.py
+++ b/src/stagewalk/node/daemon.py
@@ -173,6 +173,7 @@
             RolloutEndpoints(desk, limits),
             operators,
             limits,
+            lambda: self._stopping,
         )
 
     async def request_stop(self) -> None:
--- a/src/stagewalk/node/edge/app.py
+++ b/src/stagewalk/node/edge/app.py
@@ -34,7 +34,9 @@
         rollouts: RolloutEndpoints,
         operators: OperatorEndpoints,
         limits: Limits,
+        stopping: Callable[[], bool],
     ) -> None:
+        self._stopping = stopping
         self._completions = completions
         self._limits = limits
         self._budget = BodyBudget(limits.buffered_body_bytes)
@@ -63,7 +65,7 @@
     async def _serve_exchange(
         self, scope: HTTPScope, receive: ASGIReceiveCallable, send: ASGISendCallable
     ) -> None:
-        exchange = Exchange(scope, receive, send, self._limits, self._budget)
+        exchange = Exchange(scope, receive, send, self._limits, self._budget, last=self._stopping)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(exchange.watch)
             try:
--- a/src/stagewalk/node/edge/exchange.py
+++ b/src/stagewalk/node/edge/exchange.py
@@ -34,6 +34,11 @@
     `watch` runs beside the handler for the whole exchange. It keeps taking what the caller
     sends, beyond the limit only to throw it away, so that the server's queue never fills up
     and the caller's going away is always noticed.
+
+    Parameters
+    ----------
+    last
+        Says whether the connection is to end with this response, since the node stops.
     """
 
     def __init__(
@@ -43,10 +48,13 @@
         send: ASGISendCallable,
         limits: Limits,
         budget: BodyBudget,
+        *,
+        last: Callable[[], bool],
     ) -> None:
         self.method: str = scope["method"]
         self.path: str = scope["path"]
         self.query: dict[str, str] = dict(parse_qsl(scope["query_string"].decode("latin-1")))
+        self._persistent = scope["http_version"].startswith("1")
         self.started = False
         """Whether the response's status has been sent."""
         self.disconnected = False
@@ -59,6 +67,7 @@
         self._receive = receive
         self._send = send
         self._limits = limits
+        self._last = last
         self._budget = budget
         self._body = bytearray()
         self._fault = _too_large(limits) if self._announces_too_much() else None
@@ -140,7 +149,8 @@
     async def start(self, status: int, content_type: str, headers: Headers = ()) -> None:
         """Send the response's status and headers."""
         self.started = True
-        all_headers = (("content-type", content_type), *headers)
+        closing = (("connection", "close"),) if self._last() and self._persistent else ()
+        all_headers = (("content-type", content_type), *headers, *closing)
         await self._send(
             {
                 "type": "http.response.start",
--- a/src/stagewalk/node/http_server.py
+++ b/src/stagewalk/node/http_server.py
@@ -11,12 +11,16 @@
 from hypercorn.typing import ASGIFramework
 
 from stagewalk.core.identities import Address
+from stagewalk.node.listener_filter import drop_new_connections
 
 BACKLOG = 1024
 KEEP_ALIVE_SECONDS = 75.0
 """Longer than clients usually keep idle connections, so that it is they who close them."""
 
 GRACEFUL_SECONDS = 3.0
+
+EXIT_LINGER_SECONDS = 0.5
+"""How long requests that were under way when the node exits are still refused in words."""
 STALLED_WRITE_MILLISECONDS = 30_000
 """After that time the kernel drops a connection whose peer takes no more data."""
 
@@ -37,16 +41,32 @@
     sets `stop` and waits for the orderly end, at most `GRACEFUL_SECONDS`.
     """
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_serve_shielded, app, _configuration(listener), stop)
+        tasks.start_soon(_serve_shielded, app, listener, stop)
         try:
             await stop.wait()
         finally:
             stop.set()
 
 
-async def _serve_shielded(app: ASGIFramework, config: Config, stop: anyio.Event) -> None:
-    with anyio.CancelScope(shield=True):
-        await hypercorn.asyncio.serve(app, config, shutdown_trigger=stop.wait, mode="asgi")
+async def _serve_shielded(app: ASGIFramework, listener: socket.socket, stop: anyio.Event) -> None:
+    with anyio.CancelScope(shield=True), listener.dup() as door:
+
+        async def wait_for_stop() -> None:
+            await stop.wait()
+            await _close_door(door)
+
+        config = _configuration(listener)
+        await hypercorn.asyncio.serve(app, config, shutdown_trigger=wait_for_stop, mode="asgi")
+
+
+async def _close_door(door: socket.socket) -> None:
+    """Let no new connection in, and let those that are in get their last answer.
+
+    Closing the socket at once would reset connections that the kernel has accepted but the
+    server has not, and requests that were on their way.
+    """
+    drop_new_connections(door)
+    await anyio.sleep(EXIT_LINGER_SECONDS)
 
 
 def _configuration(listener: socket.socket) -> Config:
--- /dev/null
+++ b/src/stagewalk/node/listener_filter.py
@@ -0,0 +1,43 @@
+"""Makes the kernel drop new connections of a listening socket before it is closed.
+
+A classic socket filter on the listener drops the first packet of each new connection: the
+caller's kernel sends it again a second later and is then refused, which a caller may take for
+"nothing was sent". Connections that are accepted already are untouched.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import ctypes
+import socket
+
+SO_ATTACH_FILTER = 26
+"""Socket option of Linux, see socket(7); `socket` has no name for it."""
+
+RETURN_CONSTANT = 0x06
+"""Filter instruction: keep as many bytes of the packet as the constant says."""
+
+
+class _FilterInstruction(ctypes.Structure):
+    """`struct sock_filter` of Linux."""
+
+    _fields_ = (
+        ("code", ctypes.c_uint16),
+        ("jump_if_true", ctypes.c_uint8),
+        ("jump_if_false", ctypes.c_uint8),
+        ("constant", ctypes.c_uint32),
+    )
+
+
+class _FilterProgram(ctypes.Structure):
+    """`struct sock_fprog` of Linux."""
+
+    _fields_ = (("length", ctypes.c_uint16), ("instructions", ctypes.POINTER(_FilterInstruction)))
+
+
+def drop_new_connections(listener: socket.socket) -> None:
+    """Drop what arrives for the listener itself; a system without such filters goes without."""
+    drop_all = _FilterInstruction(RETURN_CONSTANT, 0, 0, 0)
+    program = _FilterProgram(1, ctypes.pointer(drop_all))
+    with contextlib.suppress(OSError):
+        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, bytes(program))
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -21,7 +21,9 @@
 ASK = {"model": "qari", "tenant": "archive", "prompt": "hang", "deadline_seconds": 1.0}
 
 
-class NodeProcessTest(testtools.TestCase):
+class NodeProcess(testtools.TestCase):
+    """A node with the scripted core, in a process of its own."""
+
     def setUp(self) -> None:
         super().setUp()
         self.listen, self.peer_listen = free_address(), free_address()
@@ -49,6 +51,8 @@
                 time.sleep(0.02)
         self.fail("the node did not become ready")
 
+
+class NodeProcessTest(NodeProcess):
     def test_planned_stop_exits_with_0_after_its_log_line(self) -> None:
         self.wait_ready()
         self.process.send_signal(signal.SIGTERM)
