--- a/src/stagewalk/node/control_plane.py
+++ b/src/stagewalk/node/control_plane.py
@@ -16,7 +16,7 @@
 from stagewalk.claims.types import Peer, Replica
 from stagewalk.configuration.follower import ConfigurationFollower
 from stagewalk.configuration.notifications import ConfigurationChanged
-from stagewalk.configuration.records import CONFIGURATION_STREAM
+from stagewalk.configuration.records import CONFIGURATION_STREAM, SNAPSHOT_STREAM
 from stagewalk.core.events import (
     AppendConfirmed,
     AppendFailed,
@@ -80,8 +80,10 @@
         self._planner = PlacementPlanner(config.planner)
         self._leaving_machines: frozenset[str] = frozenset()
         self._plan_at = 0.0
-        for stream in (CONFIGURATION_STREAM, LEASE_STREAM, PLACEMENT_STREAM):
+        self.log_client.follow_latest(SNAPSHOT_STREAM, 1)
+        for stream in (LEASE_STREAM, PLACEMENT_STREAM):
             self.log_client.follow(stream, 0)
+        self._follows_configuration = False
         self.members_changed()
 
     # Events
@@ -98,6 +100,7 @@
         if now >= self._plan_at:
             self._plan_at = now + self._config.planning_interval_seconds
             output += self._plan_placement(now)
+            output += self._take_snapshot()
         return output
 
     def handle_message(self, event: PeerMessageReceived, now: float) -> list[NodeOutput]:
@@ -151,6 +154,8 @@
 
     def records_read(self, read: RecordsRead, now: float) -> list[NodeOutput]:
         """Fold the next records of a stream."""
+        if read.stream == SNAPSHOT_STREAM:
+            return self._snapshots_read(read.records, now)
         if read.stream == CONFIGURATION_STREAM:
             return list(self.follower.handle_records(read.records, now, read.head))
         if read.stream == LEASE_STREAM:
@@ -208,6 +213,21 @@
         if duty.startswith(ROLLOUT_DUTY_PREFIX):
             self.weights.set_lease(ModelName(duty.removeprefix(ROLLOUT_DUTY_PREFIX)), epoch)
 
+    def _snapshots_read(self, records: tuple[LogRecord, ...], now: float) -> list[NodeOutput]:
+        """Take the newest snapshot over, then follow the configuration from there."""
+        output = list(self.follower.handle_snapshots(records, now))
+        if not self._follows_configuration:
+            self._follows_configuration = True
+            self.log_client.follow(CONFIGURATION_STREAM, self.follower.offset)
+        return list(output)
+
+    def _take_snapshot(self) -> list[NodeOutput]:
+        """Append a snapshot of the configuration if one is due and this node has the duty."""
+        if PLACEMENT_DUTY not in self.leases.held():
+            return []
+        snapshot = self.follower.take_snapshot()
+        return [] if snapshot is None else [AppendWanted(SNAPSHOT_STREAM, snapshot)]
+
     def _fold_placement(self, records: tuple[LogRecord, ...]) -> list[NodeOutput]:
         output: list[NodeOutput] = []
         changed = False
--- a/src/stagewalk/node/node_core.py
+++ b/src/stagewalk/node/node_core.py
@@ -9,7 +9,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, cast, get_args
 
 from stagewalk.claims.notifications import (
@@ -81,6 +81,8 @@
         Revision in force, by tenant.
     models
         Models of all tenants in force.
+    configuration_offsets
+        Offset in force at each member, as far as gossip has told.
     """
 
     name: str
@@ -94,6 +96,7 @@
     requests_in_flight: int
     leases: dict[str, int]
     models: tuple[str, ...] = ()
+    configuration_offsets: dict[str, int] = field(default_factory=dict)
 
 
 class NodeCore:
@@ -155,6 +158,9 @@
             requests_in_flight=self.data.requests.in_flight_count(),
             leases={duty: int(epoch) for duty, epoch in self.control.leases.held().items()},
             models=tuple(sorted(models)),
+            configuration_offsets={
+                str(name): offset for name, offset in self.control.follower.member_offsets().items()
+            },
         )
 
     def _settle(self) -> list[Instruction]:
