Work out a request's shape once for all engines it is scored at

Cause: prompt length and expected answer were computed for every engine. Change: RequestShape carries them and the hashed blocks; policies take it.

--- a/src/stagewalk/routing/policies.py
+++ b/src/stagewalk/routing/policies.py
@@ -6,11 +6,10 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from stagewalk.core.completions import CompletionRequest
 from stagewalk.routing.config import RouterConfig
 from stagewalk.routing.engine_record import EngineRecord
 from stagewalk.routing.prefix_index import PrefixBlocks, PrefixIndex
-from stagewalk.routing.scoring import CompletionTimeModel
+from stagewalk.routing.scoring import CompletionTimeModel, RequestShape
 
 
 class RoutingPolicy(Protocol):
@@ -18,8 +17,7 @@
 
     def select(
         self,
-        request: CompletionRequest,
-        blocks: PrefixBlocks,
+        shape: RequestShape,
         candidates: Sequence[EngineRecord],
         now: float,
     ) -> EngineRecord:
@@ -54,17 +52,16 @@
 
     def select(
         self,
-        request: CompletionRequest,
-        blocks: PrefixBlocks,
+        shape: RequestShape,
         candidates: Sequence[EngineRecord],
         now: float,
     ) -> EngineRecord:
         """Return the candidate with the least score among those drawn."""
-        drawn = self._draw(blocks, candidates)
+        drawn = self._draw(shape.blocks, candidates)
         return min(
             drawn,
             key=lambda record: (
-                self._model.score(request, blocks, record, now),
+                self._model.score(shape, record, now),
                 record.machine.name,
             ),
         )
@@ -88,8 +85,7 @@
 
     def select(
         self,
-        request: CompletionRequest,
-        blocks: PrefixBlocks,
+        shape: RequestShape,
         candidates: Sequence[EngineRecord],
         now: float,
     ) -> EngineRecord:
@@ -103,8 +99,7 @@
 
     def select(
         self,
-        request: CompletionRequest,
-        blocks: PrefixBlocks,
+        shape: RequestShape,
         candidates: Sequence[EngineRecord],
         now: float,
     ) -> EngineRecord:
@@ -120,8 +115,7 @@
 
     def select(
         self,
-        request: CompletionRequest,
-        blocks: PrefixBlocks,
+        shape: RequestShape,
         candidates: Sequence[EngineRecord],
         now: float,
     ) -> EngineRecord:
@@ -138,13 +132,12 @@
 
     def select(
         self,
-        request: CompletionRequest,
-        blocks: PrefixBlocks,
+        shape: RequestShape,
         candidates: Sequence[EngineRecord],
         now: float,
     ) -> EngineRecord:
         """Return the candidate that has most of the prompt in its cache."""
-        return longest_match(self._prefix_index, blocks, candidates)
+        return longest_match(self._prefix_index, shape.blocks, candidates)
 
 
 def longest_match(
--- a/src/stagewalk/routing/router.py
+++ b/src/stagewalk/routing/router.py
@@ -24,7 +24,7 @@
 from stagewalk.routing.outliers import note_failure, note_success, without_outliers
 from stagewalk.routing.policies import make_policy
 from stagewalk.routing.prefix_index import PrefixBlocks, PrefixIndex, hash_blocks
-from stagewalk.routing.scoring import CompletionTimeModel, expected_tokens
+from stagewalk.routing.scoring import CompletionTimeModel, expected_tokens, shape_of
 
 NO_ENGINE_RETRY_SECONDS = 1.0
 
@@ -97,8 +97,8 @@
             return Error(self._no_engine(request, len(serving), len(excluded)))
         candidates = without_outliers(suitable, self._config.outlier, now)
         self._drop_cold_caches(candidates)
-        blocks = self._blocks_of(request.prompt)
-        chosen = self._policy.select(request, blocks, candidates, now)
+        shape = shape_of(request, self._blocks_of(request.prompt), self._config)
+        chosen = self._policy.select(shape, candidates, now)
         version = chosen.version
         if version is None:
             return Error(self._no_engine(request, len(serving), len(excluded)))
--- a/src/stagewalk/routing/scoring.py
+++ b/src/stagewalk/routing/scoring.py
@@ -13,17 +13,39 @@
 KV_PRESSURE_FACTOR = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class RequestShape:
+    """What a request's cost depends on, worked out once for all engines.
+
+    Attributes
+    ----------
+    prompt_tokens
+        Estimated length of the prompt.
+    answer_tokens
+        Expected length of the answer.
+    blocks
+        Hashed blocks of the prompt.
+    """
+
+    prompt_tokens: float
+    answer_tokens: float
+    blocks: PrefixBlocks
+
+
 def expected_tokens(request: CompletionRequest, config: ScoreConfig) -> float:
     """Return how long an answer is expected to be, in tokens."""
     bound = request.max_tokens * config.expected_answer_fraction
     return max(1.0, min(bound, config.expected_answer_tokens))
 
 
-def prompt_tokens(request: CompletionRequest, config: RouterConfig) -> float:
-    """Return the estimated length of the prompt, in tokens."""
-    if request.prompt_token_count > 0:
-        return float(request.prompt_token_count)
-    return len(request.prompt) / config.prefix_index.characters_per_token
+def shape_of(
+    request: CompletionRequest, blocks: PrefixBlocks, config: RouterConfig
+) -> RequestShape:
+    """Return the shape of a request whose blocks are known."""
+    tokens = float(request.prompt_token_count)
+    if tokens <= 0:
+        tokens = len(request.prompt) / config.prefix_index.characters_per_token
+    return RequestShape(tokens, expected_tokens(request, config.score), blocks)
 
 
 @dataclass(slots=True)
@@ -37,33 +59,30 @@
     config: RouterConfig
     prefix_index: PrefixIndex
 
-    def score(
-        self, request: CompletionRequest, blocks: PrefixBlocks, record: EngineRecord, now: float
-    ) -> float:
+    def score(self, shape: RequestShape, record: EngineRecord, now: float) -> float:
         """Return the expected seconds from dispatch to the last token."""
         config = self.config.score
-        seconds = self._prefill_seconds(request, blocks, record)
-        seconds += self._queue_and_decode_seconds(request, record)
+        seconds = self._prefill_seconds(shape, record)
+        seconds += self._queue_and_decode_seconds(shape, record)
         if config.use_slow_start:
             seconds *= self._slow_start(record, now)
         if config.use_zone_cost:
             seconds += self._placement_cost(record.machine.placement)
         return seconds
 
-    def _prefill_seconds(
-        self, request: CompletionRequest, blocks: PrefixBlocks, record: EngineRecord
-    ) -> float:
+    def _prefill_seconds(self, shape: RequestShape, record: EngineRecord) -> float:
         config = self.config.score
-        tokens = prompt_tokens(request, self.config)
-        if config.use_prefix_cache and blocks:
-            tokens = max(0.0, tokens - self.prefix_index.matched_tokens(record.name, blocks))
+        tokens = shape.prompt_tokens
+        if config.use_prefix_cache:
+            cached = self.prefix_index.matched_tokens(record.name, shape.blocks)
+            tokens = max(0.0, tokens - cached)
         return tokens / config.prefill_tokens_per_second
 
-    def _queue_and_decode_seconds(self, request: CompletionRequest, record: EngineRecord) -> float:
+    def _queue_and_decode_seconds(self, shape: RequestShape, record: EngineRecord) -> float:
         config = self.config.score
         report = record.report
         rate = record.sequence_rate or config.decode_tokens_per_second
-        answer = expected_tokens(request, config)
+        answer = shape.answer_tokens
         if report is None or not config.use_load:
             return answer / rate
         sequences = report.running + report.waiting
