Keep an engine's cached blocks in its record

Cause: the prefix index kept engines' blocks apart from their records and looked at every candidate's incarnation on each choice. Change: the blocks live in the record and go with it when the engine restarts; candidates are not filtered again when nothing bounds them.

--- a/src/stagewalk/routing/engine_record.py
+++ b/src/stagewalk/routing/engine_record.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from stagewalk.core.identities import AttemptId, EngineName, WeightVersion
@@ -46,6 +47,8 @@
         The engine is set aside as an outlier until then.
     added_sequences, added_tokens
         What this node's attempts add to the report's load, or take from it if negative.
+    cached_blocks
+        Hashed prompt blocks it probably has in its cache, least recently used first.
     sequence_rate
         Tokens per second of one sequence as last seen; 0 if never seen.
     """
@@ -68,6 +71,7 @@
     ended: list[EndedAttempt] = field(default_factory=list)
     added_sequences: int = 0
     added_tokens: float = 0.0
+    cached_blocks: OrderedDict[int, None] = field(default_factory=OrderedDict)
     sequence_rate: float = 0.0
     name: EngineName = field(init=False)
 
--- a/src/stagewalk/routing/engine_table.py
+++ b/src/stagewalk/routing/engine_table.py
@@ -167,10 +167,6 @@
         """Return what is known of an engine."""
         return self._records.get(engine)
 
-    def size(self) -> int:
-        """Return the number of engines routed over or watched."""
-        return len(self._records)
-
     def names(self) -> frozenset[EngineName]:
         """Return the names of the engines routed over or watched."""
         return frozenset(self._records)
--- a/src/stagewalk/routing/policies.py
+++ b/src/stagewalk/routing/policies.py
@@ -147,7 +147,7 @@
     return min(
         candidates,
         key=lambda record: (
-            -prefix_index.matched_tokens(record.name, blocks),
+            -prefix_index.matched_tokens(record, blocks),
             load_of(record),
             record.machine.name,
         ),
--- a/src/stagewalk/routing/prefix_index.py
+++ b/src/stagewalk/routing/prefix_index.py
@@ -11,8 +11,8 @@
 
 import xxhash
 
-from stagewalk.core.identities import EngineName
 from stagewalk.routing.config import PrefixIndexConfig
+from stagewalk.routing.engine_record import EngineRecord
 
 PrefixBlocks = tuple[int, ...]
 
@@ -31,28 +31,30 @@
 
 
 class PrefixIndex:
-    """Bounded memory of the prefix blocks sent to each engine, least recently used first out."""
+    """Bounded memory of the prefix blocks sent to each engine, least recently used first out.
+
+    The blocks are kept in the engine's record, and go with it when the engine restarts.
+    """
 
     def __init__(self, config: PrefixIndexConfig) -> None:
         self._config = config
-        self._engines: dict[EngineName, OrderedDict[int, None]] = {}
+        self._tokens_per_block = config.block_characters / config.characters_per_token
 
-    def note_sent(self, engine: EngineName, blocks: PrefixBlocks) -> None:
+    def note_sent(self, record: EngineRecord, blocks: PrefixBlocks) -> None:
         """Note that an engine took in a prompt and holds its blocks now."""
-        held = self._engines.setdefault(engine, OrderedDict())
+        held = record.cached_blocks
         for block in reversed(blocks):
             held[block] = None
             held.move_to_end(block)
         while len(held) > self._config.maximum_blocks_per_engine:
             held.popitem(last=False)
 
-    def matched_tokens(self, engine: EngineName, blocks: PrefixBlocks) -> float:
+    def matched_tokens(self, record: EngineRecord, blocks: PrefixBlocks) -> float:
         """Return the estimated number of prompt tokens an engine need not take in again."""
-        held = self._engines.get(engine)
-        if not held or not blocks or blocks[0] not in held:
+        held = record.cached_blocks
+        if not blocks or blocks[0] not in held:
             return 0.0
-        matched = self._longest_held(held, blocks)
-        return matched * self._config.block_characters / self._config.characters_per_token
+        return self._longest_held(held, blocks) * self._tokens_per_block
 
     @staticmethod
     def _longest_held(held: OrderedDict[int, None], blocks: PrefixBlocks) -> int:
@@ -71,12 +73,3 @@
             else:
                 above = middle - 1
         return least
-
-    def forget(self, engine: EngineName) -> None:
-        """Drop all that is remembered of an engine, whose cache is empty or gone."""
-        self._engines.pop(engine, None)
-
-    def retain(self, engines: frozenset[EngineName]) -> None:
-        """Drop engines that this node no longer knows."""
-        for engine in [name for name in self._engines if name not in engines]:
-            del self._engines[engine]
--- a/src/stagewalk/routing/router.py
+++ b/src/stagewalk/routing/router.py
@@ -13,7 +13,6 @@
     Address,
     AttemptId,
     EngineName,
-    Incarnation,
     ModelName,
     ProcessIdentity,
     WeightVersion,
@@ -78,7 +77,6 @@
         self._prefix_index = PrefixIndex(config.prefix_index)
         self._model = CompletionTimeModel(identity.placement, config, self._prefix_index)
         self._policy = make_policy(config, self._model, self._prefix_index, generator)
-        self._incarnations: dict[EngineName, Incarnation] = {}
         self._last_prompt = ""
         self._last_blocks: PrefixBlocks = ()
 
@@ -88,15 +86,10 @@
         """Return the engine for an attempt; the error is `NO_ENGINE`, never sent (`ran: no`)."""
         self._table.note_demand(now)
         serving = self._table.eligible(request.model, now)
-        suitable = [
-            record
-            for record in serving
-            if record.name not in excluded and version_suits(request, record.version)
-        ]
+        suitable = self._suitable(request, serving, excluded)
         if not suitable:
             return Error(self._no_engine(request, len(serving), len(excluded)))
         candidates = without_outliers(suitable, self._config.outlier, now)
-        self._drop_cold_caches(candidates)
         shape = shape_of(request, self._blocks_of(request.prompt), self._config)
         chosen = self._policy.select(shape, candidates, now)
         version = chosen.version
@@ -114,7 +107,9 @@
         """Note that an attempt was sent."""
         tokens = expected_tokens(request, self._config.score)
         self._table.note_started(engine, attempt, tokens, now)
-        self._prefix_index.note_sent(engine, self._blocks_of(request.prompt))
+        record = self._table.record(engine)
+        if record is not None:
+            self._prefix_index.note_sent(record, self._blocks_of(request.prompt))
 
     def note_progress(self, attempt: AttemptId, now: float) -> None:
         """Note that an attempt's engine generates."""
@@ -156,23 +151,21 @@
             self._last_blocks = hash_blocks(prompt, self._config.prefix_index)
         return self._last_blocks
 
-    def _drop_cold_caches(self, candidates: list[EngineRecord]) -> None:
-        """Forget the prefixes of engines that restarted since: their caches are empty."""
-        for record in candidates:
-            report = record.report
-            if report is None or self._incarnations.get(record.name) == report.incarnation:
-                continue
-            self._prefix_index.forget(record.name)
-            self._incarnations[record.name] = report.incarnation
-            if len(self._incarnations) > self._table.size() * 2 + 16:
-                self._forget_unknown_engines()
-
-    def _forget_unknown_engines(self) -> None:
-        known = self._table.names()
-        self._prefix_index.retain(known)
-        self._incarnations = {
-            name: incarnation for name, incarnation in self._incarnations.items() if name in known
-        }
+    def _suitable(
+        self,
+        request: CompletionRequest,
+        serving: list[EngineRecord],
+        excluded: frozenset[EngineName],
+    ) -> list[EngineRecord]:
+        """Return the serving engines not excluded whose version may serve the request."""
+        unbounded = request.minimum_version is None and request.maximum_version is None
+        if unbounded and not excluded:
+            return serving
+        return [
+            record
+            for record in serving
+            if record.name not in excluded and version_suits(request, record.version)
+        ]
 
     def _no_engine(self, request: CompletionRequest, serving: int, excluded: int) -> StagewalkError:
         return StagewalkError(
--- a/src/stagewalk/routing/scoring.py
+++ b/src/stagewalk/routing/scoring.py
@@ -74,7 +74,7 @@
         config = self.config.score
         tokens = shape.prompt_tokens
         if config.use_prefix_cache:
-            cached = self.prefix_index.matched_tokens(record.name, shape.blocks)
+            cached = self.prefix_index.matched_tokens(record, shape.blocks)
             tokens = max(0.0, tokens - cached)
         return tokens / config.prefill_tokens_per_second
 
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -15,6 +15,7 @@
     RouterConfig,
     ScoreConfig,
 )
+from stagewalk.routing.engine_record import EngineRecord
 from stagewalk.routing.engine_table import EngineTable
 from stagewalk.routing.policies import POLICIES
 from stagewalk.routing.prefix_index import PrefixIndex, hash_blocks
@@ -79,7 +80,6 @@
 
     def test_cached_prefix_attracts_until_the_engine_restarts(self) -> None:
         site = Site()
-        site.choose()
         site.start("e2", "a1", prompt=LONG_PROMPT)
         site.router.note_finished(EngineName("e2"), AttemptId("a1"), 0.0)
         self.assertEqual("e2", site.choose(prompt=LONG_PROMPT + "and what follows"))
@@ -141,7 +141,7 @@
     def test_memory_is_bounded_and_keeps_the_start_of_prompts_longest(self) -> None:
         config = PrefixIndexConfig(block_characters=4, maximum_blocks_per_engine=4)
         index = PrefixIndex(config)
-        engine = EngineName("e1")
+        engine = EngineRecord(machine("e1"))
         for start in ("old ", "new "):
             index.note_sent(engine, hash_blocks(start + "abcdefgh", config))
         self.assertEqual(3.0, index.matched_tokens(engine, hash_blocks("new abcdefgh", config)))
@@ -150,6 +150,7 @@
     def test_equal_blocks_after_different_starts_do_not_match(self) -> None:
         config = PrefixIndexConfig(block_characters=4)
         index = PrefixIndex(config)
-        index.note_sent(EngineName("e1"), hash_blocks("one same", config))
+        engine = EngineRecord(machine("e1"))
+        index.note_sent(engine, hash_blocks("one same", config))
         other = hash_blocks("two same", config)
-        self.assertEqual(0.0, index.matched_tokens(EngineName("e1"), other))
+        self.assertEqual(0.0, index.matched_tokens(engine, other))
