Transfer less state, and resend more slowly

Cause: in a storm each change of a group made its members read whole states from everybody, and stuck proposals asked three replicas every 0.2 s. Change: a replica asks as many sources as it needs, names the decisions it holds, and learns epochs in force first; resends double; a proposer tells replicas of groups they have not read of.

--- a/src/stagewalk/claims/config.py
+++ b/src/stagewalk/claims/config.py
@@ -14,7 +14,7 @@
     proposal_timeout_seconds
         After this a proposal or read is given up as undecided.
     resend_seconds
-        An unanswered request is sent again after this.
+        An unanswered request is sent again after this, then after twice as long, and so on.
     backoff_seconds
         Mean of the first random pause after a ballot conflict; doubled with each further one.
     backoff_limit_seconds
--- a/src/stagewalk/claims/messages.py
+++ b/src/stagewalk/claims/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from stagewalk.claims.codec import write_ballot
 from stagewalk.claims.types import Ballot
 from stagewalk.wire.claims_pb2 import ClaimMessage, ClaimReject, ClaimStateRequest
@@ -78,6 +80,10 @@
     return message
 
 
-def state_request(purpose: Purpose.ValueType, after_key: str) -> ClaimMessage:
-    """Ask for the next piece of a partition's state."""
-    return ClaimMessage(state_request=ClaimStateRequest(purpose=purpose, after_key=after_key))
+def state_request(
+    purpose: Purpose.ValueType, after_key: str, held_keys: Iterable[int]
+) -> ClaimMessage:
+    """Ask for the next piece of a partition's state, but for decisions held already."""
+    return ClaimMessage(
+        state_request=ClaimStateRequest(purpose=purpose, after_key=after_key, held_keys=held_keys)
+    )
--- a/src/stagewalk/claims/proposal.py
+++ b/src/stagewalk/claims/proposal.py
@@ -83,6 +83,8 @@
     refusals: dict[NodeName, Reason.ValueType] = field(default_factory=dict)
     largest_round: int = 0
     conflicts: int = 0
+    resends: int = 0
+    """How often the requests of this phase have been sent again."""
     offered: set[bytes] = field(default_factory=set)
     wake_at: float = float("-inf")
     """When to send again, or to begin the next attempt while waiting."""
@@ -92,6 +94,7 @@
     def begin_phase(self, phase: Phase, exchange_id: int) -> None:
         """Forget the answers of the phase before and expect those to a new exchange."""
         self.phase = phase
+        self.resends = 0
         self.exchange_id = exchange_id
         self.answers = {}
         self.refusals = {}
--- a/src/stagewalk/claims/proposer.py
+++ b/src/stagewalk/claims/proposer.py
@@ -7,14 +7,17 @@
 from stagewalk.claims import messages
 from stagewalk.claims.codec import read_ballot, read_incarnations
 from stagewalk.claims.config import ClaimConfig
+from stagewalk.claims.messages import Reason
 from stagewalk.claims.notifications import ClaimAbsent, ClaimDecided, ClaimUndecided
 from stagewalk.claims.placement import GroupMember, GroupPlacement
 from stagewalk.claims.proposal import Accepted, Phase, Proposal, Verdict
 from stagewalk.claims.quorum import Answer
+from stagewalk.claims.relay import write_chain
 from stagewalk.claims.transfers import Outgoing
 from stagewalk.claims.types import Ballot
 from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
-from stagewalk.wire.claims_pb2 import ClaimMessage
+from stagewalk.core.identities import NodeName
+from stagewalk.wire.claims_pb2 import ClaimMessage, ClaimPlacement
 
 RETRY_AFTER_SECONDS = 5.0
 """When to ask again unless a replica knows better: about the time to replace a replica."""
@@ -147,7 +150,7 @@
 
     def _send_phase(self, proposal: Proposal, now: float) -> None:
         assert proposal.group is not None
-        proposal.wake_at = now + self._config.resend_seconds
+        proposal.wake_at = now + self._config.resend_seconds * 2.0**proposal.resends
         for name in proposal.unanswered():
             message = self._request(proposal)
             message.exchange_id = proposal.exchange_id
@@ -183,6 +186,8 @@
             self._decide(proposal, message.decision.value)
         elif body == "reject":
             proposal.note_refusal(sender.name, message)
+            if message.reject.reason == Reason.EPOCH and message.epoch < proposal.group.epoch:
+                self._tell_groups(proposal, sender.name)
             self._judge(proposal, now)
         elif body == "promise" and proposal.phase in (Phase.QUERY, Phase.PREPARE):
             promise = message.promise
@@ -192,6 +197,13 @@
         elif body == "accepted" and proposal.phase == Phase.ACCEPT:
             self._note_vote(proposal, sender, message, Accepted(None, b""), now)
 
+    def _tell_groups(self, proposal: Proposal, name: NodeName) -> None:
+        """Pass the groups on to a replica that has not read of them."""
+        message = ClaimMessage(placement=ClaimPlacement())
+        chain = self._placement.partitions[proposal.partition]
+        write_chain(message, proposal.partition, chain, 0)
+        self._outgoing.append(Outgoing(name, message))
+
     def _note_vote(
         self,
         proposal: Proposal,
@@ -253,10 +265,15 @@
             self._outgoing.append(Outgoing(name, message))
 
     def _back_off(self, proposal: Proposal, now: float) -> None:
-        """Pause for a random time, so that one of several proposers gets through."""
+        """Pause for a random time, so that one of several proposers gets through.
+
+        Replicas that do not vote yet are asked again more slowly than rivals are outbid.
+        """
         proposal.phase = Phase.WAITING
-        longest = self._config.backoff_limit_seconds
-        mean = min(longest, self._config.backoff_seconds * 2.0**proposal.conflicts)
+        has_rival = Reason.BALLOT in proposal.refusals.values()
+        first = self._config.backoff_seconds if has_rival else self._config.resend_seconds
+        longest = self._config.backoff_limit_seconds * (1 if has_rival else 2)
+        mean = min(longest, first * 2.0**proposal.conflicts)
         proposal.conflicts = min(proposal.conflicts + 1, 16)
         proposal.wake_at = now + mean * (0.5 + self._generator.random())
 
@@ -310,6 +327,7 @@
             elif proposal.phase == Phase.WAITING:
                 self._begin_attempt(proposal, now)
             else:
+                proposal.resends += 1
                 self._send_phase(proposal, now)
 
 
--- a/src/stagewalk/claims/register.py
+++ b/src/stagewalk/claims/register.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+import xxhash
+
 from stagewalk.claims.types import Ballot
 
 ENTRY_OVERHEAD_BYTES = 400
@@ -76,6 +78,14 @@
         for key in [key for key, entry in self.entries.items() if not entry.decided]:
             self.remove(key)
 
+    def decided_key_hashes(self, after_key: str) -> list[int]:
+        """Return the hashes of decided keys above one, in order."""
+        return sorted(
+            key_hash(key)
+            for key, entry in self.entries.items()
+            if entry.decided and key > after_key
+        )
+
     def set_value(self, entry: ClaimEntry, value: bytes) -> None:
         """Replace the value of an entry held."""
         self.usage.size_bytes += len(value) - len(entry.value)
@@ -106,6 +116,11 @@
             self.remove(key)
 
 
+def key_hash(key: str) -> int:
+    """Return the hash by which a key is named where only its presence matters."""
+    return xxhash.xxh64_intdigest(key.encode())
+
+
 def _entry_size(key: str, entry: ClaimEntry) -> int:
     return ENTRY_OVERHEAD_BYTES + len(key) + len(entry.value)
 
--- a/src/stagewalk/claims/relay.py
+++ b/src/stagewalk/claims/relay.py
@@ -6,7 +6,13 @@
 
 from __future__ import annotations
 
-from stagewalk.claims.placement import Group, GroupMember, GroupPlacement, PartitionChain
+from stagewalk.claims.placement import (
+    CHAIN_LENGTH,
+    Group,
+    GroupMember,
+    GroupPlacement,
+    PartitionChain,
+)
 from stagewalk.core.identities import Incarnation, NodeName
 from stagewalk.wire.claims_pb2 import ClaimMessage
 
@@ -43,7 +49,7 @@
         news = False
         for partition, chain in _read_chains(message):
             if partition < len(partitions) and chain.epoch > partitions[partition].epoch:
-                partitions[partition] = chain
+                partitions[partition] = _joined(partitions[partition], chain)
                 news = True
         if news:
             self.placement = GroupPlacement(tuple(partitions))
@@ -54,13 +60,17 @@
         message.placement.partition_count = len(self.placement.partitions)
         for partition, chain in enumerate(self.placement.partitions):
             if chain.groups:
-                write_chain(message, partition, chain)
+                write_chain(message, partition, chain, 0)
 
 
-def write_chain(message: ClaimMessage, partition: int, chain: PartitionChain) -> None:
-    """Put a partition's groups into a message."""
+def write_chain(
+    message: ClaimMessage, partition: int, chain: PartitionChain, first_epoch: int
+) -> None:
+    """Put a partition's groups into a message, from one epoch on."""
     written = message.chains.add(partition=partition)
     for group in chain.groups:
+        if group.epoch < first_epoch:
+            continue
         item = written.groups.add(
             epoch=group.epoch, forgets=group.forgets, certified=group.certified
         )
@@ -68,6 +78,13 @@
             item.members.add(name=member.name, incarnation=member.incarnation)
 
 
+def _joined(known: PartitionChain, news: PartitionChain) -> PartitionChain:
+    """Return a chain with the groups known before those that are news."""
+    first_epoch = news.groups[0].epoch
+    older = tuple(group for group in known.groups if group.epoch < first_epoch)
+    return PartitionChain((*older, *news.groups)[-CHAIN_LENGTH:])
+
+
 def _read_chains(message: ClaimMessage) -> list[tuple[int, PartitionChain]]:
     return [
         (
--- a/src/stagewalk/claims/replica.py
+++ b/src/stagewalk/claims/replica.py
@@ -13,11 +13,11 @@
     GroupPlacement,
     PartitionChain,
 )
-from stagewalk.claims.register import Register, Usage
+from stagewalk.claims.register import Register, Usage, key_hash
 from stagewalk.claims.relay import write_chain
 from stagewalk.claims.transfers import TransferCore
 from stagewalk.core.identities import Incarnation, NodeName
-from stagewalk.wire.claims_pb2 import ClaimMessage, ClaimState
+from stagewalk.wire.claims_pb2 import ClaimMessage, ClaimState, ClaimStateRequest
 
 SWEEP_INTERVAL_SECONDS = 1.0
 
@@ -126,7 +126,7 @@
         else:
             answer = self._vote(replica, message, now)
         if answer.HasField("reject") and replica.chain.epoch > message.epoch:
-            write_chain(answer, message.partition, replica.chain)
+            write_chain(answer, message.partition, replica.chain, message.epoch + 1)
         return self._answered(message, answer, replica.known_epoch, replica.heard)
 
     @staticmethod
@@ -174,10 +174,10 @@
             # earlier start can't be counted together with answers of this replica.
             known = replica.heard.get(sender.name, sender.incarnation)
             replica.heard[sender.name] = max(known, sender.incarnation)
-        return self._piece(replica, epoch, request.after_key, now)
+        return self._piece(replica, epoch, request, now)
 
     def _piece(
-        self, replica: PartitionReplica, epoch: int, after_key: str, now: float
+        self, replica: PartitionReplica, epoch: int, request: ClaimStateRequest, now: float
     ) -> ClaimMessage:
         state = ClaimState(
             sealed=replica.known_epoch > epoch,
@@ -186,7 +186,10 @@
             last=True,
         )
         size = 0
-        for key in sorted(key for key in replica.register.entries if key > after_key):
+        held = frozenset(request.held_keys)
+        for key in sorted(key for key in replica.register.entries if key > request.after_key):
+            if held and replica.register.entries[key].decided and key_hash(key) in held:
+                continue
             if size >= self._config.transfer_piece_bytes:
                 state.last = False
                 break
--- a/src/stagewalk/claims/transfer.py
+++ b/src/stagewalk/claims/transfer.py
@@ -94,6 +94,19 @@
             transfer.sources[name] = Source()
         return transfer
 
+    def stagger(self, needed: int, now: float, delay: float, overtaken: bool) -> None:
+        """Ask only as many sources as are needed at first, since a state may be large.
+
+        Members of the group before come first, as those of the new one lack the state too. An
+        epoch that is in force no more is asked for later: its state is rarely needed.
+        """
+        previous = self.previous.names if self.previous is not None else ()
+        order = sorted(self.sources, key=lambda name: (name not in previous, name))
+        rounds = 2 if overtaken else 0
+        for position, name in enumerate(order):
+            late = rounds + (position >= needed)
+            self.sources[name].next_request_at = now + late * delay
+
     @property
     def purpose_name(self) -> str:
         """Return the purpose as log lines show it."""
--- a/src/stagewalk/claims/transfers.py
+++ b/src/stagewalk/claims/transfers.py
@@ -73,9 +73,22 @@
             return
         previous = self._partitions[partition].chain.group_at(group.epoch - 1)
         transfer = StateTransfer.begin(partition, group, previous, self._member, now)
+        replica = self._partitions[partition]
+        transfer.stagger(
+            needed=self._sources_needed(transfer, replica),
+            now=now,
+            delay=self._config.transfer_retry_seconds,
+            overtaken=group.epoch < replica.chain.epoch,
+        )
         self._transfers[identity] = transfer
         self.log("claims_state_wanted", partition, group, purpose=transfer.purpose_name)
 
+    def _sources_needed(self, transfer: StateTransfer, replica: PartitionReplica) -> int:
+        if transfer.purpose == Purpose.RECOVERY or transfer.previous is None:
+            return transfer.group.recovery
+        own = replica.complete and replica.held_epoch == transfer.previous.epoch
+        return transfer.previous.recovery - own
+
     def drop_obsolete(self, partition: int) -> None:
         """Forget transfers of epochs no longer needed, and what was given up in earlier ones."""
         replica = self._partitions[partition]
@@ -123,11 +136,13 @@
         source.patience = min(2 * source.patience, MAXIMUM_PATIENCE)
         identity = (transfer.partition, transfer.group.epoch)
         self._transfer_of_exchange[source.exchange_id] = (identity, name)
-        message = messages.state_request(transfer.purpose, source.after_key)
+        replica = self._partitions[transfer.partition]
+        held_keys = replica.register.decided_key_hashes(source.after_key)
+        message = messages.state_request(transfer.purpose, source.after_key, held_keys)
         message.exchange_id = source.exchange_id
         message.partition = transfer.partition
         message.epoch = transfer.group.epoch
-        write_chain(message, transfer.partition, self._partitions[transfer.partition].chain)
+        write_chain(message, transfer.partition, replica.chain, transfer.group.epoch - 1)
         return Outgoing(name, message)
 
     def handle_answer(
