--- a/src/stagewalk/node/edge/exchange.py
+++ b/src/stagewalk/node/edge/exchange.py
@@ -34,6 +34,11 @@
     `watch` runs beside the handler for the whole exchange. It keeps taking what the caller
     sends, beyond the limit only to throw it away, so that the server's queue never fills up
     and the caller's going away is always noticed.
+
+    Parameters
+    ----------
+    last
+        Says whether the connection is to end with this response, since the node stops.
     """
 
     def __init__(
@@ -43,10 +48,13 @@
         send: ASGISendCallable,
         limits: Limits,
         budget: BodyBudget,
+        *,
+        last: Callable[[], bool],
     ) -> None:
         self.method: str = scope["method"]
         self.path: str = scope["path"]
         self.query: dict[str, str] = dict(parse_qsl(scope["query_string"].decode("latin-1")))
+        self._persistent = scope["http_version"].startswith("1")
         self.started = False
         """Whether the response's status has been sent."""
         self.disconnected = False
@@ -54,11 +62,12 @@
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in scope["headers"]
         }
-        self.resubmitted = self._says_resubmitted()
+        self.resent = self._says_resent()
         """Whether the caller has sent the same request before, here or elsewhere."""
         self._receive = receive
         self._send = send
         self._limits = limits
+        self._last = last
         self._budget = budget
         self._body = bytearray()
         self._fault = _too_large(limits) if self._announces_too_much() else None
@@ -135,12 +144,13 @@
 
         What this node did not run may well have run when it was sent the first time.
         """
-        return dataclasses.replace(error, ran=Ran.UNKNOWN) if self.resubmitted else error
+        return dataclasses.replace(error, ran=Ran.UNKNOWN) if self.resent else error
 
     async def start(self, status: int, content_type: str, headers: Headers = ()) -> None:
         """Send the response's status and headers."""
         self.started = True
-        all_headers = (("content-type", content_type), *headers)
+        closing = (("connection", "close"),) if self._last() and self._persistent else ()
+        all_headers = (("content-type", content_type), *headers, *closing)
         await self._send(
             {
                 "type": "http.response.start",
@@ -154,7 +164,7 @@
         """Send a part of the response's body, waiting while the caller reads slowly."""
         await self._send({"type": "http.response.body", "body": part, "more_body": not last})
 
-    def _says_resubmitted(self) -> bool:
+    def _says_resent(self) -> bool:
         return any(self._headers.get(name, "0") != "0" for name in RETRY_COUNT_HEADERS)
 
     def _announces_too_much(self) -> bool:
--- a/src/stagewalk/samples/config.py
+++ b/src/stagewalk/samples/config.py
@@ -26,9 +26,11 @@
     maximum_claim_bytes
         Largest sample the claim register takes; a larger one is handed over without a claim.
     hand_over_margin_seconds
-        Added to a sample's age in seconds, for the way of the answer to the trainer.
+        Added to a sample's age in seconds, for the way of the answer to the trainer, which
+        drops an answer that takes longer than its pull's wait and this.
     news_lag_seconds
-        Longest way of an answer of the weight store: what it says was true then at the latest.
+        Longest time that a read of the weight store takes, all timeouts of its client together:
+        what an answer says was still true when the read began.
     version_poll_seconds, version_watch_seconds
         Time between reads of the store's versions of a model that a tenant with a bound in
         seconds uses: while this node runs lots of it, and while it does not. A trainer may come
@@ -57,9 +59,11 @@
         Claims of a new lot that are read to find out whether another node runs it.
     probe_seconds
         How long a new lot, or one taken over, is held back for the answers to such reads.
-    claim_read_seconds, quiet_reads
-        Time between reads of the claims of a lot that another node runs, and how many of them
-        in a row must find nothing new before it is run here.
+    claim_read_seconds, last_claim_read_seconds
+        Time between reads of the claims of a lot that another node runs, and the same when no
+        more than `claim_probes` of its slots are open.
+    quiet_seconds
+        How long nothing new must be found in them before the lot is run here.
     retained_bytes
         Text of acknowledged samples kept for trainers that go back to an older cursor.
     """
@@ -72,8 +76,8 @@
     no_room_retry_seconds: float = 1.0
     claim_wait_seconds: float = 2.0
     maximum_claim_bytes: int = 4000
-    hand_over_margin_seconds: float = 5.0
-    news_lag_seconds: float = 5.0
+    hand_over_margin_seconds: float = 6.0
+    news_lag_seconds: float = 9.0
     version_poll_seconds: float = 2.0
     version_watch_seconds: float = 15.0
     tail_fraction: float = 0.1
@@ -90,7 +94,8 @@
     claim_probes: int = 16
     probe_seconds: float = 0.15
     claim_read_seconds: float = 1.5
-    quiet_reads: int = 3
+    last_claim_read_seconds: float = 0.5
+    quiet_seconds: float = 4.5
     retained_bytes: int = 4 * 1024 * 1024
 
     def __post_init__(self) -> None:
