Fill a pool that is seen empty without waiting for the limit to learn it

Change: a node may take a quarter of the pool's reported free slots between two views of it, whatever its adaptive limit.

--- a/src/stagewalk/admission/config.py
+++ b/src/stagewalk/admission/config.py
@@ -60,6 +60,9 @@
     pool_overcommit
         Load of the pool, as a multiple of its slots, above which nothing is admitted: a
         short queue at the engines keeps their batches full.
+    free_room_fraction
+        Part of the pool's reported free slots that this node may take between two views of
+        it, whatever its adaptive limit: several nodes see the same free slots.
     service_smoothing
         Weight of the newest duration in the moving mean of service times.
     initial_service_seconds
@@ -76,6 +79,7 @@
     share_reserve: float = 0.2
     interactive_reserve: float = 0.1
     pool_overcommit: float = 1.1
+    free_room_fraction: float = 0.25
     service_smoothing: float = 0.1
     initial_service_seconds: float = 2.0
     shed_service_fraction: float = 0.5
--- a/src/stagewalk/admission/controller.py
+++ b/src/stagewalk/admission/controller.py
@@ -63,10 +63,15 @@
     waiting: WaitingRoom = field(default_factory=WaitingRoom)
     capacity: PoolCapacity | None = None
     started_since: int = 0
+    room_limit: float = 0.0
 
     def in_flight(self) -> int:
         return sum(self.in_use.values())
 
+    def limit(self) -> float:
+        """Return the requests this node may have in flight: what it has learnt, or sees free."""
+        return max(self.limiter.limit, self.room_limit)
+
 
 @dataclass(frozen=True, slots=True)
 class _Admitted:
@@ -97,6 +102,8 @@
         pool = self._pool(model)
         pool.capacity = capacity
         pool.started_since = 0
+        free = max(0.0, capacity.slots * self._config.pool_overcommit - capacity.load)
+        pool.room_limit = pool.in_flight() + self._config.free_room_fraction * free
 
     def set_usage_elsewhere(self, usage: Iterable[TenantUsage]) -> None:
         """Take what other nodes say their tenants use, in sum over those nodes."""
@@ -182,13 +189,13 @@
 
     def limit(self, model: ModelName) -> float:
         """Return the adaptive limit of a pool, in requests in flight."""
-        return self._pool(model).limiter.limit
+        return self._pool(model).limit()
 
     def expected_wait_seconds(self, model: ModelName, priority: Priority) -> float:
         """Return how long a request of a priority would wait if it came now."""
         pool = self._pool(model)
         ahead = pool.waiting.ahead_of(priority) + 1
-        return ahead * pool.service_seconds[priority] / max(1.0, pool.limiter.limit)
+        return ahead * pool.service_seconds[priority] / max(1.0, pool.limit())
 
     def latest_start(self, request: CompletionRequest) -> float:
         """Return when a waiting request must start, at the latest, to be answered in time."""
@@ -213,7 +220,7 @@
     def _entitlement(self, pool: _Pool, name: QueueName) -> tuple[bool, int, float, str]:
         """Sort key: within the share first, then interactive, then the least served tenant."""
         in_use = pool.in_use.get(name.tenant, 0)
-        own = guaranteed(pool.shares, name.tenant, pool.limiter.limit)
+        own = guaranteed(pool.shares, name.tenant, pool.limit())
         share = pool.shares.get(name.tenant, 0.0)
         served = in_use / share if share > 0 else float(in_use)
         return (in_use + 1 > own, int(name.priority), served, str(name.tenant))
@@ -227,7 +234,7 @@
 
     def _may_start(self, pool: _Pool, name: QueueName) -> bool:
         reserve = self._config.share_reserve
-        limit = pool.limiter.limit
+        limit = pool.limit()
         if not may_use_one_more(pool.shares, pool.in_use, name.tenant, limit, reserve):
             return False
         return self._pool_has_room(pool, name)
