--- a/src/stagewalk/simulation/callers.py
+++ b/src/stagewalk/simulation/callers.py
@@ -126,6 +126,7 @@
         self._sends = 0
         self._current: Send | None = None
         self._done = False
+        self._unsettled = False
         scheduler = caller.world.scheduler
         patience_ends = question.deadline_at + PATIENCE_SECONDS
         scheduler.at(patience_ends, lambda: self._abandon(unanswered=True))
@@ -187,6 +188,7 @@
 
     def cut(self, node: NodeHost, by_network: bool) -> None:
         """Ask another node under the same id after the connection broke."""
+        self._unsettled = True
         now = self.caller.world.scheduler.now
         if by_network:
             self.caller.world.witness.note(
@@ -256,6 +258,7 @@
             stream=question.streamed,
             seed=question.seed,
             prompt_token_count=prompt_token_count(question.prompt),
+            resent=self._unsettled,
         )
         return CompletionRequested(call, request)
 
