--- a/src/stagewalk/requests/record.py
+++ b/src/stagewalk/requests/record.py
@@ -93,9 +93,10 @@
         """Return what may be said of the request: `no` only if it is proven.
 
         A request that is not repeatable may have been sent through another node before, so
-        without its claim this node can't say that it did not run.
+        without its claim this node can't say that it did not run; nor can it of a request
+        whose caller says that it has sent it before.
         """
-        unproven = not self.request.repeatable and not self.claim_held
+        unproven = self.request.resent or (not self.request.repeatable and not self.claim_held)
         if self.may_have_run or self.attempts or unproven:
             return Ran.UNKNOWN
         return Ran.NO
