--- a/src/stagewalk/bench/capacity_model.py
+++ b/src/stagewalk/bench/capacity_model.py
@@ -117,7 +117,9 @@
 
 
 def _rate(data: CapacityData, field: str) -> float:
-    return planned_value(data, field) or 0.0
+    """Return a rate that doesn't depend on the number of nodes: the mean of all sizes."""
+    values = [getattr(size, field) for size in complete_sizes(data)]
+    return sum(values) / len(values) if values else 0.0
 
 
 def _rest(data: CapacityData) -> RoleLoad:
--- a/src/stagewalk/bench/hollow_messages.py
+++ b/src/stagewalk/bench/hollow_messages.py
@@ -84,7 +84,9 @@
     cpu_seconds
         Processor time of the process.
     resident_bytes
-        Largest resident memory of the process so far, and what it had before its nodes.
+        Resident memory of the process.
+    empty_resident_bytes
+        The same before its nodes were started.
     complete
         Nodes that see all members alive and have the configuration in force.
     deaths
--- a/src/stagewalk/bench/hollow_worker.py
+++ b/src/stagewalk/bench/hollow_worker.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import resource
 import time
 from functools import partial
 from multiprocessing.connection import Connection
 
 import anyio
 import anyio.abc
+import psutil
 
 from stagewalk.bench.hollow_messages import (
     AppendRequested,
@@ -27,7 +27,6 @@
 from stagewalk.core.identities import ModelName
 from stagewalk.core.instructions import AppendRecord
 
-KILOBYTE = 1024
 START_INTERVAL_SECONDS = 0.01
 
 
@@ -110,4 +109,4 @@
 
 
 def _resident_bytes() -> int:
-    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KILOBYTE
+    return int(psutil.Process().memory_info().rss)
--- a/src/stagewalk/bench/scale.py
+++ b/src/stagewalk/bench/scale.py
@@ -11,6 +11,7 @@
 from stagewalk.bench.hollow_cluster import HollowCluster
 from stagewalk.bench.hollow_layout import MODELS
 from stagewalk.bench.hollow_messages import Seen, Traffic, WorkerSample
+from stagewalk.bench.hollow_platform import LOG_WAIT_SECONDS
 from stagewalk.configuration.parameters import TenantParameters
 from stagewalk.configuration.records import (
     CONFIGURATION_STREAM,
@@ -74,6 +75,7 @@
     resident = cluster.samples()
     in_force = _time_change(cluster, 1, node_count, timing.spread)
     cluster.cut_log(RELAY_FRACTION)
+    cluster.serve(LOG_WAIT_SECONDS + 1)
     relayed = _time_change(cluster, 2, node_count, timing.spread)
     deaths = _time_death(cluster, node_count, timing.detect)
     traffic = rates.traffic
--- a/src/stagewalk/cli/bench.py
+++ b/src/stagewalk/cli/bench.py
@@ -16,6 +16,8 @@
 EXIT_DONE = 0
 EXIT_BAD_ARGUMENTS = 2
 
+SIZES_PART, UNITS_PART, FAULTS_PART = "sizes", "units", "faults"
+PARTS = (SIZES_PART, UNITS_PART, FAULTS_PART)
 DEFAULT_SIZES = "30,60,120,240,420"
 DEFAULT_FAULT_SIZES = "105,210,420"
 DEFAULT_DATA = Path("docs/capacity.json")
@@ -35,7 +37,7 @@
         "--fault_sizes", default=DEFAULT_FAULT_SIZES, help="nodes of the networks under faults"
     )
     scale.add_argument(
-        "--skip_units", action="store_true", help="keep the unit costs measured before"
+        "--parts", default=",".join(PARTS), help="what to measure anew; the rest is kept"
     )
     _add_result_flags(scale)
 
@@ -66,9 +68,7 @@
                     file=sys.stderr,
                 )
                 return EXIT_BAD_ARGUMENTS
-            data = _measure_scale(data, sizes, arguments)
-            data = _measure_faults(data, fault_sizes)
-            save(OUTPUT / "scale.json", data)
+            data = _measure_scale(data, sizes, fault_sizes, arguments)
         case "idle_memory":
             data = _measure_idle(data, arguments.seconds)
         case "edge":
@@ -92,23 +92,40 @@
 
 
 def _measure_scale(
-    data: CapacityData, sizes: tuple[int, ...], arguments: argparse.Namespace
+    data: CapacityData,
+    sizes: tuple[int, ...],
+    fault_sizes: tuple[int, ...],
+    arguments: argparse.Namespace,
 ) -> CapacityData:
     from stagewalk.bench.plots import plot_sizes
-    from stagewalk.bench.scale import ScaleTiming, measure_size
 
-    timing = ScaleTiming(join=arguments.join_seconds, rest=arguments.rest_seconds)
-    measured: list[SizeMeasurement] = []
-    for size in sizes:
-        measured.append(measure_size(size, arguments.workers, timing))
-        print(msgspec.json.encode(measured[-1]).decode(), file=sys.stderr, flush=True)
-    data = msgspec.structs.replace(data, sizes=tuple(measured))
-    if not arguments.skip_units:
+    parts = arguments.parts.split(",")
+    if SIZES_PART in parts:
+        data = _measure_sizes(data, sizes, arguments)
+    if UNITS_PART in parts:
         data = _measure_units(data)
+    if FAULTS_PART in parts:
+        data = _measure_faults(data, fault_sizes)
+    save(OUTPUT / "scale.json", data)
     plot_sizes(data, OUTPUT / "scale.png")
     return data
 
 
+def _measure_sizes(
+    data: CapacityData, sizes: tuple[int, ...], arguments: argparse.Namespace
+) -> CapacityData:
+    """Measure hollow clusters; sizes measured before and not named now are kept."""
+    from stagewalk.bench.scale import ScaleTiming, measure_size
+
+    timing = ScaleTiming(join=arguments.join_seconds, rest=arguments.rest_seconds)
+    measured = {size.nodes: size for size in data.sizes}
+    for size in sizes:
+        measured[size] = measure_size(size, arguments.workers, timing)
+        print(msgspec.json.encode(measured[size]).decode(), file=sys.stderr, flush=True)
+    in_order = tuple(measured[size] for size in sorted(measured))
+    return msgspec.structs.replace(data, sizes=in_order)
+
+
 def _measure_faults(data: CapacityData, sizes: tuple[int, ...]) -> CapacityData:
     from stagewalk.bench.fault_costs import LARGEST_CUT, measure_faults
 
