--- a/src/stagewalk/claims/core.py
+++ b/src/stagewalk/claims/core.py
@@ -22,7 +22,9 @@
     encode_record,
 )
 from stagewalk.claims.proposer import ProposerCore
-from stagewalk.claims.replica import Outgoing, ReplicaCore
+from stagewalk.claims.relay import PlacementView
+from stagewalk.claims.replica import ReplicaCore
+from stagewalk.claims.transfers import Outgoing
 from stagewalk.claims.types import Peer, Replica
 from stagewalk.core.identities import Address, Incarnation, NodeName
 from stagewalk.core.instructions import (
@@ -30,12 +32,15 @@
     SendPeerMessage,
     Transport,
 )
-from stagewalk.wire.claims_pb2 import ClaimMessage
+from stagewalk.wire.claims_pb2 import ClaimMessage, ClaimPlacementRequest
 from stagewalk.wire.envelope_pb2 import Envelope
 
 REPORT_INTERVAL_SECONDS = 30.0
 """An abandoned recovery is reported again until the log shows it."""
 
+ASK_INTERVAL_SECONDS = 2.0
+"""A node that knows no groups asks another peer after this."""
+
 
 class ClaimCore:
     """A node's part in all claims.
@@ -54,7 +59,9 @@
         self._replica = ReplicaCore(self._member, config)
         self._proposer = ProposerCore(self._member, config, generator)
         self._members: dict[NodeName, Peer] = {}
-        self._placement = GroupPlacement.empty()
+        self._view = PlacementView()
+        self._generator = generator
+        self._ask_at = float("-inf")
         self._placement_changed = False
         self._local: deque[ClaimMessage] = deque()
         self._outputs: list[ClaimOutput] = []
@@ -63,7 +70,16 @@
     @property
     def ready(self) -> bool:
         """Whether this node votes in every group in force that it is a member of."""
-        return not self._placement_changed and self._replica.ready
+        return not self._placement_changed and self._replica.transfers.idle
+
+    @property
+    def group_count(self) -> int:
+        """Return how many groups in force this process is a member of.
+
+        A planned stop does well to wait for 0 (the planner replaces a leaving replica) and a
+        second more, in which the successors take over; not for long, and not if the log is down.
+        """
+        return self._replica.group_count
 
     @property
     def entry_count(self) -> int:
@@ -81,31 +97,41 @@
         return self._proposer.count
 
     def set_groups(self, placement: GroupPlacement) -> None:
-        """Take up the groups in force; heeded before anything else is."""
-        self._placement = placement
+        """Take up the groups in the log; heeded before anything else is."""
+        self._view.take_log(placement)
         self._placement_changed = True
 
     def set_members(self, members: Mapping[NodeName, Peer]) -> None:
         """Replace the table of where other nodes are reached."""
         self._members = dict(members)
 
-    def propose(self, key: str, value: bytes, now: float) -> list[ClaimOutput]:
+    def propose(
+        self, key: str, value: bytes, now: float, renewable: bool = False
+    ) -> list[ClaimOutput]:
         """Try to make `value` the value of a key.
 
         Ends with `ClaimDecided` or `ClaimUndecided`. Proposers must use distinct values, or
         more than one is told that it won.
+
+        Parameters
+        ----------
+        renewable
+            Whoever proposes this key can do without a decision made before a majority of its
+            replicas lost their memory: the key may be decided anew after that. Otherwise such
+            keys are answered `OUTCOME_UNKNOWN` until the retention has passed.
         """
         self._adopt_placement(now)
-        self._proposer.propose(key, value, now)
+        self._proposer.propose(key, value, renewable, now)
         return self._finish(now)
 
-    def read(self, key: str, now: float) -> list[ClaimOutput]:
+    def read(self, key: str, now: float, renewable: bool = False) -> list[ClaimOutput]:
         """Ask what is decided for a key.
 
-        Ends with `ClaimDecided`, `ClaimAbsent` or `ClaimUndecided`.
+        Ends with `ClaimDecided`, `ClaimAbsent` or `ClaimUndecided`. `renewable` is as in
+        `propose`.
         """
         self._adopt_placement(now)
-        self._proposer.read(key, now)
+        self._proposer.read(key, renewable, now)
         return self._finish(now)
 
     def handle_message(
@@ -125,22 +151,24 @@
         """Let time pass: resend, retry, give up, expire."""
         self._adopt_placement(now)
         self._proposer.tick(now)
-        for outgoing in self._replica.tick(now):
+        self._replica.sweep(now)
+        for outgoing in self._replica.transfers.tick(now):
             self._send(outgoing)
         self._report_abandonments(now)
+        self._ask_for_placement(now)
         return self._finish(now)
 
     def _adopt_placement(self, now: float) -> None:
         if not self._placement_changed:
             return
         self._placement_changed = False
-        self._replica.adopt(self._placement, now)
-        self._proposer.adopt(self._placement, now)
+        self._replica.adopt(self._view.placement, now)
+        self._proposer.adopt(self._view.placement, now)
 
     def _report_abandonments(self, now: float) -> None:
         if now < self._report_at:
             return
-        groups = self._replica.unreported_abandonments()
+        groups = self._replica.transfers.unreported_abandonments()
         if not groups:
             return
         self._report_at = now + REPORT_INTERVAL_SECONDS
@@ -148,14 +176,26 @@
         payload = encode_record(RecoveryAbandoned(member=member, groups=groups))
         self._outputs.append(PlacementAppendWanted(PLACEMENT_STREAM, payload))
 
+    def _ask_for_placement(self, now: float) -> None:
+        """Ask a peer for the groups while this node knows none: the log may be down."""
+        if not self._view.is_empty or now < self._ask_at:
+            return
+        self._ask_at = now + ASK_INTERVAL_SECONDS
+        others = sorted(set(self._members) - {self._member.name})
+        if others:
+            message = ClaimMessage(placement_request=ClaimPlacementRequest())
+            self._send(Outgoing(self._generator.choice(others), message))
+
     # Messages
 
     def _finish(self, now: float) -> list[ClaimOutput]:
         """Deliver this node's messages to itself until there are none, and return the rest."""
+        self._outputs.extend(self._replica.transfers.take_events())
         self._collect_from_proposer()
         while self._local:
             self._dispatch(self._identity.address, self._member, self._local.popleft(), now)
             self._collect_from_proposer()
+            self._outputs.extend(self._replica.transfers.take_events())
         outputs = self._outputs
         self._outputs = []
         return outputs
@@ -168,11 +208,19 @@
     def _dispatch(
         self, source: Address, sender: GroupMember, message: ClaimMessage, now: float
     ) -> None:
+        if self._view.take_peer(message):
+            self._placement_changed = True
+            self._adopt_placement(now)
         body = message.WhichOneof("body")
         if body in ANSWERS or (body == "decision" and message.exchange_id):
             self._dispatch_answer(sender, message, now)
             return
-        if body is None:
+        if body is None or body == "placement":
+            return
+        if body == "placement_request":
+            placement = ClaimMessage()
+            self._view.write_all(placement)
+            self._answer(source, sender, placement)
             return
         answer = self._replica.handle_request(sender, message, now)
         if answer is not None:
@@ -182,7 +230,7 @@
         if message.requester_incarnation != self._member.incarnation:
             return
         if message.exchange_id % 2:
-            for outgoing in self._replica.handle_answer(sender, message, now):
+            for outgoing in self._replica.transfers.handle_answer(sender, message, now):
                 self._send(outgoing)
         else:
             self._proposer.handle_answer(sender, message, now)
--- a/src/stagewalk/samples/settlement.py
+++ b/src/stagewalk/samples/settlement.py
@@ -19,6 +19,8 @@
 from stagewalk.samples.store import LotStore, SlotPlace
 from stagewalk.samples.timers import TimerKind, TimerQueue
 
+_UNFINISHED = frozenset({SlotPhase.WAITING, SlotPhase.RUNNING})
+
 LotOutput = Instruction | LotNotification
 
 _NO_ROOM = frozenset({ErrorKind.NO_ENGINE, ErrorKind.OVERLOADED, ErrorKind.OVER_LIMIT})
@@ -139,6 +141,8 @@
             return [LogEvent("claim_value_damaged", {"key": key})]
         slot.sample = chosen
         slot.decided = True
+        if slot.phase in _UNFINISHED:
+            lot.news_at = now
         if slot.phase not in {SlotPhase.READY, SlotPhase.ACKNOWLEDGED}:
             lot.move(place.index, SlotPhase.READY)
         return list(self._scheduler.cancel(slot))
@@ -184,7 +188,7 @@
         """
         slot = lot.slots[index]
         if slot.sample is not None:
-            self._store.claims.pop(claim_key(slot.key, slot.generation), None)
+            self._store.claims.pop(claim_key(slot.key, slot.generation, lot.digest), None)
             slot.generation += 1
             slot.sample = None
             slot.decided = False
@@ -231,7 +235,7 @@
 
     def _propose(self, lot: Lot, index: int, sample: Sample) -> ClaimWanted:
         slot = lot.slots[index]
-        key = claim_key(slot.key, slot.generation)
+        key = claim_key(slot.key, slot.generation, lot.digest)
         self._store.claims[key] = SlotPlace(lot.key, index)
         return ClaimWanted(key, encode_sample(sample))
 
--- a/src/stagewalk_standins/caller.py
+++ b/src/stagewalk_standins/caller.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from stagewalk.core.completions import VersionSpan
+from stagewalk.core.errors import Ran
 from stagewalk.history.answer_text import answer_length
 from stagewalk.history.observations import (
     FaultInjected,
@@ -26,6 +27,7 @@
 from stagewalk_standins.node_pool import NodeEndpoint, NodePool
 
 SEND_AGAIN_SECONDS = 0.5
+UNAVAILABLE_STATUS = 503
 DEADLINE_MARGIN_SECONDS = 10.0
 PREFIX_CHARACTERS = 800
 MOST_PATIENCE_SECONDS = 1.0
@@ -50,9 +52,13 @@
     impatient_fraction
         Fraction of calls whose connection the caller itself breaks before the answer.
     sends
-        Most times one request id is sent; again only after its connection broke.
+        Most times one request id is sent: again only after its connection broke, or after a
+        refusal as not run for a passing reason.
     prefixes
         Number of distinct shared prompt prefixes.
+    request_class
+        If given, non-repeatable requests are marked by this class of their tenant instead of by
+        themselves.
     """
 
     caller: str
@@ -67,6 +73,7 @@
     impatient_fraction: float
     sends: int
     prefixes: int
+    request_class: str = ""
 
 
 class CompletionBody(msgspec.Struct, frozen=True):
@@ -80,7 +87,9 @@
     tenant: str
     request_id: str
     repeatable: bool
+    request_class: str
     deadline_seconds: float
+    resent: bool = False
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -169,6 +178,7 @@
         topic = generator.randrange(options.prefixes)
         prefix = f"{options.tenant} topic {topic}. ".ljust(PREFIX_CHARACTERS, ".")
         request_id = f"{options.caller}-{number}-{generator.getrandbits(48):012x}"
+        repeatable = generator.random() >= options.non_repeatable_fraction
         return CompletionBody(
             model=options.model,
             prompt=f"{prefix} Question {request_id}?",
@@ -177,18 +187,21 @@
             seed=generator.randrange(MAXIMUM_SEED),
             tenant=options.tenant,
             request_id=request_id,
-            repeatable=generator.random() >= options.non_repeatable_fraction,
+            repeatable=repeatable or bool(options.request_class),
+            request_class="" if repeatable else options.request_class,
             deadline_seconds=options.deadline_seconds,
         )
 
     async def _request(self, body: CompletionBody) -> None:
-        """Send a request; after a broken connection send the same id through another node."""
+        """Send a request, and the same id again through another node if that may help."""
         node = self._nodes.current
         for _ in range(self._options.sends):
             result = await self._send(node, body)
             self._observe_result(node, body, result)
-            if not isinstance(result, Broken):
+            if not _worth_sending_again(result):
                 return
+            if result in (Broken.CUT, Broken.GIVEN_UP):
+                body = msgspec.structs.replace(body, resent=True)
             await anyio.sleep(SEND_AGAIN_SECONDS)
             node = self._nodes.after(node)
 
@@ -200,7 +213,7 @@
                 node=node.name,
                 tenant=body.tenant,
                 request_id=body.request_id,
-                repeatable=body.repeatable,
+                repeatable=body.repeatable and not body.request_class,
                 prompt=body.prompt,
                 seed=body.seed,
                 expected_tokens=answer_length(body.prompt, body.seed, body.max_tokens),
@@ -297,6 +310,13 @@
         )
 
 
+def _worth_sending_again(result: Result) -> bool:
+    """Return whether no answer came, or a refusal that names a passing trouble of its node."""
+    if isinstance(result, Problem):
+        return result.ran == Ran.NO and result.status == UNAVAILABLE_STATUS
+    return isinstance(result, Broken)
+
+
 async def _read_stream(answer: httpx.Response) -> Result:
     """Read a streamed answer; only one that ends with `[DONE]` is whole."""
     texts: list[str] = []
--- a/tests/node/echo_core.py
+++ b/tests/node/echo_core.py
@@ -1,8 +1,8 @@
 """A scripted core: answers by what the prompt, the trainer or the model says.
 
 Prompts: `echo ...` answers with the prompt in chunks of a word; `fail` fails; `fail late` fails
-after a chunk; `flood` sends chunks without end; `hang` never answers; `engine` relays an attempt
-at `ENGINE_ADDRESS`.
+after a chunk; `flood` sends chunks without end; `drip` a small one a tick; `hang` never answers;
+`engine` relays an attempt at `ENGINE_ADDRESS`.
 """
 
 from __future__ import annotations
@@ -85,6 +85,7 @@
         self.seen: list[Event] = []
         self.open: set[CallId] = set()
         self.floods: dict[CallId, int] = {}
+        self.drips: set[CallId] = set()
         self.attempts: dict[AttemptId, CallId] = {}
         self.stopping = False
         self._handlers: dict[type, Callable[[Any], list[Instruction]]] = {
@@ -117,10 +118,11 @@
     def _tick(self, event: Tick) -> list[Instruction]:
         instructions: list[Instruction] = []
         for call in self.floods:
-            for _ in range(FLOOD_PER_TICK):
+            drips = call in self.drips
+            for _ in range(1 if drips else FLOOD_PER_TICK):
                 number = self.floods[call]
                 self.floods[call] += 1
-                chunk = TokenChunk(number, number, 1, FLOOD_TEXT, VERSION)
+                chunk = TokenChunk(number, number, 1, "." if drips else FLOOD_TEXT, VERSION)
                 instructions.append(SendChunk(call, chunk))
         if self.stopping and not self.open:
             instructions.append(ExitProcess())
@@ -128,11 +130,17 @@
 
     def _complete(self, event: CompletionRequested) -> list[Instruction]:
         call, request = event.call, event.request
+        if self.stopping:
+            error = StagewalkError(ErrorKind.STOPPING, Step.ADMISSION, "node-1", "stopping",
+                                   retry_after_seconds=1.0)  # fmt: skip
+            return [FailCall(call, error)]
         self.open.add(call)
         if request.prompt == "hang":
             return []
-        if request.prompt == "flood":
+        if request.prompt in ("flood", "drip"):
             self.floods[call] = 0
+            if request.prompt == "drip":
+                self.drips.add(call)
             return []
         if request.prompt == "engine":
             return [self._start_attempt(call, request)]
@@ -155,7 +163,8 @@
     def _attempt_finished(self, event: AttemptFinished) -> list[Instruction]:
         call = self.attempts[event.attempt]
         self.open.discard(call)
-        chunks = [e.chunk for e in self.seen if isinstance(e, AttemptChunk)]
+        chunks = [e.chunk for e in self.seen
+                  if isinstance(e, AttemptChunk) and e.attempt == event.attempt]  # fmt: skip
         text = "".join(chunk.text for chunk in chunks)
         spans = (VersionSpan(VERSION, event.token_count),)
         result = CompletionResult(text, event.token_count, spans, event.finish_reason)
--- a/tests/node/running_node.py
+++ b/tests/node/running_node.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import functools
 import random
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -23,9 +25,12 @@
 
 
 def free_address() -> Address:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", probe.getsockname()[1])
+    """Return an address outside the range that outgoing connections take their ports from."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind(("127.0.0.1", port))
+            return Address("127.0.0.1", port)
 
 
 def node_settings(limits: Limits) -> NodeSettings:
@@ -89,3 +94,29 @@
         tasks.start_soon(serve_http, app, open_listener(address), stop)
         yield address
         tasks.cancel_scope.cancel()
+
+
+AsyncTest = Callable[..., Awaitable[None]]
+
+
+def asynchronous(test: AsyncTest) -> Callable[..., None]:
+    """Make a coroutine a test."""
+
+    @functools.wraps(test)
+    def run(*arguments: object) -> None:
+        anyio.run(test, *arguments)
+
+    return run
+
+
+def on_node(limits: Limits = Limits()) -> Callable[[AsyncTest], Callable[..., None]]:  # noqa: B008
+    """Make a coroutine a test that is given a running node."""
+
+    def decorate(test: AsyncTest) -> Callable[..., None]:
+        async def run(case: object) -> None:
+            async with running_node(limits) as node:
+                await test(case, node)
+
+        return functools.wraps(test)(asynchronous(run))
+
+    return decorate
--- a/tests/samples/world.py
+++ b/tests/samples/world.py
@@ -23,12 +23,19 @@
 from stagewalk.node.node_core import NodeIdentity
 from stagewalk.samples.config import LotConfig
 from stagewalk.samples.core import LotCore
-from stagewalk.samples.notifications import ClaimWanted, RequestUnwanted, RequestWanted
+from stagewalk.samples.notifications import (
+    ClaimReadWanted,
+    ClaimWanted,
+    RequestUnwanted,
+    RequestWanted,
+)
 from stagewalk.samples.settlement import LotOutput
 
 TENANT = TenantName("thornfield")
 MODEL = ModelName("rollout-lm")
 TRAINER = "trainer"
+AT_ONCE = LotConfig(probe_seconds=0.0)
+"""Starts new lots without waiting for what other nodes may have made of them."""
 
 
 def tenants(**parameters: object) -> dict[TenantName, Tenant]:
@@ -52,7 +59,7 @@
     identity = NodeIdentity(
         NodeName(name), Incarnation(1), Address("127.0.0.1", 1), Placement("r", "z")
     )
-    core = LotCore(identity, config or LotConfig(), random.Random(7))
+    core = LotCore(identity, config or AT_ONCE, random.Random(7))
     core.set_tenants(tenants(**parameters))
     return core
 
@@ -73,7 +80,6 @@
         self.register = {} if register is None else register
         self.engine: Callable[[CompletionRequest], CompletionResult | None] = lambda _: answer()
         self.claims_open = True
-        self.scores = True
         self.running: dict[str, CompletionRequest] = {}
         self.started: list[CompletionRequest] = []
         self.cancelled: list[str] = []
@@ -108,14 +114,15 @@
             match item:
                 case RequestWanted(request):
                     self._run(request, now)
-                case RequestUnwanted(request_id):
+                case RequestUnwanted(request_id=request_id):
                     self.running.pop(request_id, None)
                     self.cancelled.append(request_id)
                 case ScoreSample(sample_id=sample_id):
-                    if self.scores:
-                        self.take(self.core.handle(SampleScored(sample_id, 1.0), now), now)
+                    self.take(self.core.handle(SampleScored(sample_id, 1.0), now), now)
                 case ClaimWanted():
                     self._claim(item, now)
+                case ClaimReadWanted(key):
+                    self._read_claim(key, now)
                 case DeliverSamples(call=call):
                     self.batches[call] = item
                 case FailCall(call=call):
@@ -138,6 +145,10 @@
         won = chosen == wanted.value
         self.take(self.core.claim_decided(wanted.key, chosen, won, now), now)
 
+    def _read_claim(self, key: str, now: float) -> None:
+        if key in self.register:
+            self.take(self.core.claim_decided(key, self.register[key], False, now), now)
+
     def _call(self) -> CallId:
         self.calls += 1
         return CallId(f"call-{self.calls}")
