Tell full engines' refusals from others; let the claim judge a resent request

Cause: engines that swapped weights refused and so cut the limit of requests in flight, though the pool had room; a node without the tenant called a resent request not run; and a resent one whose claim this node holds was called unknown though the claim proves it. Change: EngineTable.note_refused says whether the engine looked full, and only that lowers the limit; RequestRecord.ran goes by the claim for requests that are not repeatable, by the caller's word for others; errors of unknown tenants and duplicates too. Conclusion: tests of requests, routing and admission pass.

--- a/src/stagewalk/requests/attempts.py
+++ b/src/stagewalk/requests/attempts.py
@@ -118,15 +118,16 @@
             detail = f"refused after it had begun: {event.detail}"
             self._attempt_ended(record, attempt, AttemptClass.MAY_HAVE_RUN, detail, now)
             return
-        self._router.note_refused(attempt.engine, attempt.attempt, event.retry_after_seconds, now)
-        self._admission.note_refused(record.request.model, now)
+        retry_after = event.retry_after_seconds
+        if self._router.note_refused(attempt.engine, attempt.attempt, retry_after, now):
+            self._admission.note_refused(record.request.model, now)
         self._attempt_ended(
             record,
             attempt,
             AttemptClass.REFUSED,
             event.detail,
             now,
-            retry_after_seconds=event.retry_after_seconds,
+            retry_after_seconds=retry_after,
         )
 
     def handle_failed(self, event: AttemptFailed, now: float) -> None:
--- a/src/stagewalk/requests/core.py
+++ b/src/stagewalk/requests/core.py
@@ -220,7 +220,7 @@
     ) -> bool:
         """Answer from a retained outcome; say False if the request is to be run (again)."""
         if outcome.fingerprint != fingerprint:
-            ran = Ran.UNKNOWN if outcome.may_have_run else Ran.NO
+            ran = Ran.UNKNOWN if outcome.may_have_run or request.resent else Ran.NO
             self._reject(key, faults.duplicate(self._identity.name, ran))
             return True
         if outcome.result is not None:
@@ -365,4 +365,6 @@
             kind, field, detail = ErrorKind.UNKNOWN_TENANT, "tenant", "no such tenant"
         else:
             kind, field, detail = ErrorKind.UNKNOWN_MODEL, "model", "not a model of the tenant"
-        return StagewalkError(kind, Step.VALIDATION, str(self._identity.name), detail, field=field)
+        ran = Ran.NO if request.repeatable and not request.resent else Ran.UNKNOWN
+        node = str(self._identity.name)
+        return StagewalkError(kind, Step.VALIDATION, node, detail, ran=ran, field=field)
--- a/src/stagewalk/requests/record.py
+++ b/src/stagewalk/requests/record.py
@@ -92,11 +92,11 @@
     def ran(self) -> Ran:
         """Return what may be said of the request: `no` only if it is proven.
 
-        A request that is not repeatable may have been sent through another node before, so
-        without its claim this node can't say that it did not run.
+        A request that is not repeatable may have been sent through another node before: only
+        its claim tells. Of a repeatable one, only the caller can say that it sent it before.
         """
-        unproven = not self.request.repeatable and not self.claim_held
-        if self.may_have_run or self.attempts or unproven:
+        proven = not self.request.resent if self.request.repeatable else self.claim_held
+        if self.may_have_run or self.attempts or not proven:
             return Ran.UNKNOWN
         return Ran.NO
 
--- a/src/stagewalk/routing/engine_table.py
+++ b/src/stagewalk/routing/engine_table.py
@@ -151,17 +151,23 @@
 
     def note_refused(
         self, engine: EngineName, retry_after_seconds: float | None, now: float
-    ) -> None:
-        """Note a refusal: no new work until a report made after it says that it serves."""
+    ) -> bool:
+        """Note a refusal: no new work until a report made after it says that it serves.
+
+        Return whether the engine looked full: else it refused for its state, as when it
+        drains or swaps weights, which says nothing about the pool's room.
+        """
         record = self._records.get(engine)
-        if record is None:
-            return
+        if record is None or record.report is None:
+            return False
         pause = self._config.refusal_pause_seconds
         if retry_after_seconds is not None:
             pause = min(pause, retry_after_seconds)
         record.refused_at = now
         record.refused_until = math.inf
         record.spared_until = now + pause
+        report = record.report
+        return report.running + report.waiting + record.added_sequences >= report.batch_limit
 
     def record(self, engine: EngineName) -> EngineRecord | None:
         """Return what is known of an engine."""
--- a/src/stagewalk/routing/router.py
+++ b/src/stagewalk/routing/router.py
@@ -132,10 +132,10 @@
         attempt: AttemptId,
         retry_after_seconds: float | None,
         now: float,
-    ) -> None:
-        """Note that an engine refused an attempt."""
+    ) -> bool:
+        """Note that an engine refused an attempt; return whether it looked full."""
         self._table.note_ended(attempt, now)
-        self._table.note_refused(engine, retry_after_seconds, now)
+        return self._table.note_refused(engine, retry_after_seconds, now)
 
     def note_failed(self, engine: EngineName, attempt: AttemptId, now: float) -> None:
         """Note that an attempt failed at an engine or on the way to it."""
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -171,13 +171,18 @@
 
 class LimiterTest(testtools.TestCase):
     def test_falls_at_refusals_once_in_an_interval_and_grows_back(self) -> None:
-        limiter = AdaptiveLimiter(LimiterConfig(initial_limit=10.0))
+        limiter = AdaptiveLimiter(LimiterConfig(initial_limit=8.0))
+        limiter.note_completed(3)
+        self.assertEqual(8.0, limiter.limit, "it was not in use")
+        limiter.note_completed(8)
+        limiter.note_completed(8)
+        self.assertEqual(10.0, limiter.limit)
         for _ in range(5):
             limiter.note_refused(1.0)
         self.assertEqual(8.0, limiter.limit)
         for _ in range(20):
             limiter.note_completed(8)
-        self.assertTrue(9.0 < limiter.limit < 11.0, limiter.limit)
+        self.assertEqual(13.0, limiter.limit, "a quarter each after the first refusal")
 
     def test_late_first_tokens_lower_it(self) -> None:
         limiter = AdaptiveLimiter(LimiterConfig(initial_limit=10.0))
--- a/tests/requests/test_request_core.py
+++ b/tests/requests/test_request_core.py
@@ -242,3 +242,29 @@
         driver.handle(finished(driver.last_start(), 0))
         self.assertEqual(0, driver.core.in_flight_count())
         self.assertEqual(1, len(driver.results()))
+
+    def test_refusal_of_a_swapping_engine_says_nothing_about_room(self) -> None:
+        driver = Driver()
+        driver.submit()
+        before = driver.admission._pools[driver.last_start().request.model].limiter.limit
+        driver.handle(AttemptRefused(driver.last_start().attempt, "loading", 0.1))
+        driver.report_all(running=8, waiting=4, generated_at=driver.now + 0.01)
+        limiter = driver.admission._pools[driver.last_start().request.model].limiter
+        self.assertEqual(before, limiter.limit)
+        driver.handle(AttemptRefused(driver.last_start().attempt, "queue is full", 0.1))
+        self.assertLess(limiter.limit, before)
+
+    def test_refusal_of_a_request_sent_before_is_not_called_not_run(self) -> None:
+        driver = Driver()
+        driver.take(driver.core.stop(driver.now))
+        driver.submit(resent=True)
+        driver.submit(tenant="nobody", resent=True)
+        ran = [output.error.ran for output in driver.outputs]
+        self.assertEqual([Ran.UNKNOWN] * 2, ran)
+
+    def test_claim_proves_that_a_resent_request_did_not_run(self) -> None:
+        driver = Driver(RequestConfig(retry=RetryConfig(maximum_attempts=1)))
+        driver.submit(repeatable=False, resent=True)
+        driver.decide()
+        driver.handle(AttemptRefused(driver.last_start().attempt, "full", 1.0))
+        self.assertEqual([Ran.NO], [error.ran for error in driver.errors()])
