--- a/src/stagewalk/requests/core.py
+++ b/src/stagewalk/requests/core.py
@@ -365,4 +365,8 @@
             kind, field, detail = ErrorKind.UNKNOWN_TENANT, "tenant", "no such tenant"
         else:
             kind, field, detail = ErrorKind.UNKNOWN_MODEL, "model", "not a model of the tenant"
-        return StagewalkError(kind, Step.VALIDATION, str(self._identity.name), detail, field=field)
+        # A node that has just started knows no tenant: another may have run the request before.
+        unproven = request.resent or not request.repeatable
+        ran = Ran.UNKNOWN if unproven else Ran.NO
+        node = str(self._identity.name)
+        return StagewalkError(kind, Step.VALIDATION, node, detail, ran=ran, field=field)
