--- a/src/stagewalk/simulation/machines.py
+++ b/src/stagewalk/simulation/machines.py
@@ -21,6 +21,9 @@
 STOP_LIMIT_SECONDS = 150.0
 """A planned stop that takes longer than this is ended by a kill."""
 
+STOP_RETRY_SECONDS = 3.0
+"""A machine that is down when it is to be stopped is stopped when it runs again."""
+
 LIST_LEAVES_AFTER_SECONDS = 10.0
 """How long a dead machine's row stays in the list at first."""
 
@@ -106,9 +109,14 @@
             self._scheduler.after(restart_after_seconds, lambda: self._start_node(node))
 
     def stop_node(self, name: str, restart_after_seconds: float) -> None:
-        """Stop a node in order; it starts again some time after it has left."""
+        """Stop a node in order, once it runs; it starts again some time after it has left."""
         node = self.nodes[name]
-        if not node.alive or node.stopping:
+        if node.stopping:
+            return
+        if not node.alive:
+            self._scheduler.after(
+                STOP_RETRY_SECONDS, lambda: self.stop_node(name, restart_after_seconds)
+            )
             return
         incarnation = node.incarnation
         self._restart_after[name] = restart_after_seconds
@@ -141,9 +149,14 @@
             self._scheduler.after(restart_after_seconds, lambda: self._start_engine(engine))
 
     def stop_engine(self, name: str, restart_after_seconds: float) -> None:
-        """Stop an engine in order; the machine list learns of it late."""
+        """Stop an engine in order, once it runs; the machine list learns of it late."""
         engine = self.engines[name]
-        if not engine.alive or engine.stopping:
+        if engine.stopping:
+            return
+        if not engine.alive:
+            self._scheduler.after(
+                STOP_RETRY_SECONDS, lambda: self.stop_engine(name, restart_after_seconds)
+            )
             return
         self._restart_after[name] = restart_after_seconds
         self.services.machines.mark_leaving(name)
