--- a/src/stagewalk/cli/sim.py
+++ b/src/stagewalk/cli/sim.py
@@ -24,6 +24,7 @@
 from stagewalk.simulation.policies import POLICIES, PRODUCT
 from stagewalk.simulation.shrink import Shrinker, broken_promises
 from stagewalk.simulation.simulation_run import (
+    Replay,
     SimulationArguments,
     SimulationReport,
     run_simulation,
@@ -77,7 +78,7 @@
     """Return a run's arguments, or None after saying what is wrong with them."""
     if arguments.replay is not None:
         try:
-            return read_report(arguments.replay).arguments
+            return msgspec.json.decode(arguments.replay.read_bytes(), type=Replay).arguments
         except (OSError, msgspec.MsgspecError) as error:
             print(f"cannot replay {arguments.replay}: {error}", file=sys.stderr)
             return None
--- a/src/stagewalk/simulation/simulation_run.py
+++ b/src/stagewalk/simulation/simulation_run.py
@@ -85,6 +85,12 @@
         return not any(self.violations.values()) and not self.core_failures
 
 
+class Replay(msgspec.Struct, frozen=True):
+    """What a run is repeated from: a report, or the part of it that determines the run."""
+
+    arguments: SimulationArguments
+
+
 class SimulationResult(msgspec.Struct, frozen=True, kw_only=True):
     """A report with the history behind it."""
 
