--- a/src/stagewalk/simulation/operators.py
+++ b/src/stagewalk/simulation/operators.py
@@ -33,6 +33,8 @@
 FOREIGN_FRACTION = 0.05
 OVERCOMMITTED_FRACTION = 0.05
 RETRY_SECONDS = 2.0
+CHANGES_START_SECONDS = 10.0
+"""Changes begin once all tenants exist: a share taken earlier could keep one from being made."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +81,7 @@
         if creates_tenants:
             for site in self._own_sites():
                 yield from self._publish(self._creation(site))
+        yield self._world.scheduler.sleep(CHANGES_START_SECONDS)
         while True:
             wait = self._generator.expovariate(1.0 / self._world.layout.change_interval_seconds)
             yield self._world.scheduler.sleep(wait)
