--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -191,3 +191,17 @@
         self.assertEqual(10.0, limiter.limit)
         limiter.note_first_token(5.0, 2.0)
         self.assertEqual(9.5, limiter.limit)
+
+
+class FreeRoomTest(testtools.TestCase):
+    def test_a_pool_seen_empty_is_filled_by_parts_whatever_the_learnt_limit(self) -> None:
+        limiter = LimiterConfig(initial_limit=1.0, minimum_limit=1.0)
+        desk = Desk(AdmissionConfig(limiter=limiter, pool_overcommit=1.0, share_reserve=0.0))
+        in_flight = []
+        for _ in range(3):
+            desk.controller.set_pool(MODEL, PoolCapacity(slots=100, load=len(desk.running)))
+            desk.release()
+            while desk.admit("a").is_ok() and not desk.waiting:
+                pass
+            in_flight.append(len(desk.running))
+        self.assertEqual([25, 43, 57], in_flight)
