Add a stand-in of a faulty network: TCP and UDP links with faults set over HTTP

Cause: integration tests need real processes behind a proxy that injects faults, scripted by a test while it runs. Datagrams leave from the sender's own front, so a receiver knows the sender by the address it is listed at. An engine stand-in may `--advertise` another address than it listens on. Ruled out: one link per pair for peers' TCP: on loopback all outgoing connections come from 127.0.0.1.

--- a/src/stagewalk_standins/commands.py
+++ b/src/stagewalk_standins/commands.py
@@ -50,6 +50,18 @@
     await _serve_service(server.application(), options)
 
 
+async def run_forwarder(options: argparse.Namespace) -> None:
+    """Run the faulty network."""
+    from stagewalk_standins.forwarder import Forwarder, read_links
+    from stagewalk_standins.serving import serve_until_signal
+
+    forwarder = Forwarder(read_links(Path(options.links)), options.seed)
+    async with anyio.create_task_group() as group:
+        group.start_soon(forwarder.run)
+        await serve_until_signal(forwarder.application(), options.listen)
+        group.cancel_scope.cancel()
+
+
 async def run_engine(options: argparse.Namespace) -> None:
     """Run an engine until it was asked to stop and has finished what ran."""
     from stagewalk.core.identities import EngineName, Incarnation, ModelName, WeightVersion
@@ -90,7 +102,7 @@
     machine = EngineMachine(
         machines_url=options.machines,
         name=name,
-        listen=options.listen,
+        listen=options.advertise or options.listen,
         region=options.region,
         zone=options.zone,
         service=options.service,
@@ -195,6 +207,7 @@
     "weights": run_weights,
     "machines": run_machines,
     "scorer": run_scorer,
+    "forwarder": run_forwarder,
     "trainer": run_trainer,
     "caller": run_caller,
 }
--- a/src/stagewalk_standins/flags.py
+++ b/src/stagewalk_standins/flags.py
@@ -34,6 +34,9 @@
     )
     parser.add_argument("--weights", default="", help="URL of the weight store")
     parser.add_argument("--machines", default="", help="URL of the machine list to enter")
+    parser.add_argument(
+        "--advertise", default="", help="IP:PORT for the machine list; default: --listen"
+    )
     parser.add_argument("--region", default="")
     parser.add_argument("--zone", default="")
     parser.add_argument("--service", default="")
@@ -60,6 +63,12 @@
     parser.add_argument("--lag_seconds", type=float, default=2.0)
 
 
+def _add_forwarder_flags(parser: argparse.ArgumentParser) -> None:
+    _add_server_flags(parser)
+    parser.add_argument("--links", required=True, help="JSON file of the links to carry")
+    parser.add_argument("--seed", type=int, default=0)
+
+
 def _add_scorer_flags(parser: argparse.ArgumentParser) -> None:
     _add_server_flags(parser)
     parser.add_argument("--seconds", type=float, default=0.05, help="time a score takes")
@@ -108,6 +117,7 @@
     "weights": _add_weights_flags,
     "machines": _add_machines_flags,
     "scorer": _add_scorer_flags,
+    "forwarder": _add_forwarder_flags,
     "trainer": _add_trainer_flags,
     "caller": _add_caller_flags,
 }
