Let the demonstration's parts serve other layouts

Cause: the process tests lay a smaller system out, with other addresses in front of the processes. Change: a node's place in the layout names the address that its peers reach it at; the operator tells what it does to whoever wants to know, and observes what a publish was answered; a process of the group can be sent a signal.

--- a/src/stagewalk_standins/demo/operator.py
+++ b/src/stagewalk_standins/demo/operator.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
+import re
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import anyio
@@ -19,14 +21,20 @@
     FaultInjected,
     PlannedStopBegan,
     ProcessKilled,
+    PublishAnswered,
 )
 from stagewalk_standins.demo.processes import ProcessGroup
-from stagewalk_standins.demo.topology import PEER_PORT, Host, Topology
+from stagewalk_standins.demo.topology import Host, NodeHost, Topology
 from stagewalk_standins.history_file import HistoryFile
 
 PROBE_INTERVAL_SECONDS = 0.5
 PROBE_TIMEOUT_SECONDS = 1.0
 READY_TIMEOUT_SECONDS = 30.0
+RECORD_ID = re.compile(r"\brecord_id=(\S+)")
+
+
+def _print_line(text: str) -> None:
+    print(text, flush=True)
 
 
 class ProbedStatus(msgspec.Struct, frozen=True):
@@ -47,11 +55,20 @@
     ----------
     directory
         Where its history goes.
+    announce
+        Told what it does, one line each.
     """
 
-    def __init__(self, topology: Topology, group: ProcessGroup, directory: Path) -> None:
+    def __init__(
+        self,
+        topology: Topology,
+        group: ProcessGroup,
+        directory: Path,
+        announce: Callable[[str], None] = _print_line,
+    ) -> None:
         self._topology = topology
         self._group = group
+        self._announce = announce
         self._history = HistoryFile(directory / "operator.history")
         self._client = httpx.AsyncClient(timeout=PROBE_TIMEOUT_SECONDS)
         self.statuses: dict[str, ProbedStatus] = {}
@@ -60,7 +77,7 @@
         """Enter the nodes into the platform's machine list."""
         machines = self._topology.services["machines"].url
         for node in self._topology.nodes:
-            body = _machine_row(node.host)
+            body = _machine_row(node)
             answer = await self._client.put(f"{machines}/machines/{node.host.name}", json=body)
             answer.raise_for_status()
 
@@ -107,7 +124,9 @@
             f"--partner={partner}",
         ]
         completed = await anyio.run_process(command, check=False, stderr=None)
-        print(f"  config publish {change.name}: {completed.stdout.decode().strip()}", flush=True)
+        answer = completed.stdout.decode().strip()
+        self._announce(f"  config publish {change.name}: {answer}")
+        self._observe_publish(f"{partner}-operator", completed.returncode == 0, answer)
         return completed.returncode == 0
 
     async def set_log_down(self, seconds: float) -> None:
@@ -121,7 +140,7 @@
 
     async def kill(self, name: str, down_seconds: float) -> None:
         """Kill a process and start it again some seconds later."""
-        print(f"  SIGKILL {name}", flush=True)
+        self._announce(f"  SIGKILL {name}")
         self.observe(ProcessKilled(at=_now(), process=name))
         specification = self._group.kill(name)
         await anyio.sleep(down_seconds)
@@ -129,7 +148,7 @@
 
     async def restart_in_order(self, name: str) -> None:
         """Stop a process in order, then start it again."""
-        print(f"  SIGTERM {name}", flush=True)
+        self._announce(f"  SIGTERM {name}")
         specification = self._group.specification(name)
         await self.stop([name])
         self._group.start(specification)
@@ -144,6 +163,21 @@
         """Write down something the operator saw or did."""
         self._history.write(observation)
 
+    def _observe_publish(self, operator: str, accepted: bool, answer: str) -> None:
+        """Observe what the command said; without a record's id nothing was told of a record."""
+        record = RECORD_ID.search(answer)
+        if record is None:
+            return
+        self.observe(
+            PublishAnswered(
+                at=_now(),
+                operator=operator,
+                record_id=record.group(1),
+                accepted=accepted,
+                detail=answer,
+            )
+        )
+
     async def _set_log_faults(self, down: bool) -> None:
         log = self._topology.services["log"].url
         await self._client.put(f"{log}/control/faults", json={"down": down})
@@ -167,13 +201,14 @@
         )
 
 
-def _machine_row(host: Host) -> dict[str, str | int]:
+def _machine_row(node: NodeHost) -> dict[str, str | int]:
+    address, _, port = node.peer_address.rpartition(":")
     return {
         "kind": "node",
-        "host": host.address,
-        "port": PEER_PORT,
-        "region": host.region,
-        "zone": host.zone,
+        "host": address,
+        "port": int(port),
+        "region": node.host.region,
+        "zone": node.host.zone,
         "state": "live",
         "service": "stagewalk",
     }
--- a/src/stagewalk_standins/demo/processes.py
+++ b/src/stagewalk_standins/demo/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import subprocess
 from dataclasses import dataclass
 from pathlib import Path
@@ -52,6 +53,10 @@
         """Return how a running process is started."""
         return self._running[name].specification
 
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a running process a signal, such as `SIGSTOP` and `SIGCONT`."""
+        self._running[name].handle.send_signal(number)
+
     def request_stop(self, name: str) -> None:
         """Ask a process to stop in order (SIGTERM)."""
         self._running[name].handle.terminate()
--- a/src/stagewalk_standins/demo/topology.py
+++ b/src/stagewalk_standins/demo/topology.py
@@ -51,10 +51,17 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeHost:
-    """A node, and the caller or trainer beside it."""
+    """A node, and the caller or trainer beside it.
+
+    Attributes
+    ----------
+    peer_address
+        `IP:PORT` at which other nodes reach it.
+    """
 
     host: Host
     specification: ProcessSpecification
+    peer_address: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,14 +145,14 @@
             "scorer": (),
         }
         return tuple(
-            _standin(name, name, f"--listen={host.address}:{HTTP_PORT}", *flags[name])
+            standin(name, name, f"--listen={host.address}:{HTTP_PORT}", *flags[name])
             for name, host in self._services.items()
         )
 
     def _engine(self, service: EngineService, index: int) -> ProcessSpecification:
         name = f"{service.name}-{index + 1}"
         host = self._host(name, self._regions[service.region], index)
-        return _standin(
+        return standin(
             name,
             "engine",
             f"--listen={host.address}:{HTTP_PORT}",
@@ -168,7 +175,8 @@
         path = self._directory / f"{name}.toml"
         path.write_text(self._node_settings(host))
         command = (sys.executable, "-m", "stagewalk", "node", f"--settings={path}")
-        return NodeHost(host, ProcessSpecification(name, command))
+        peer_address = f"{host.address}:{PEER_PORT}"
+        return NodeHost(host, ProcessSpecification(name, command), peer_address)
 
     def _node_settings(self, host: Host) -> str:
         platform = "\n".join(f'{name} = "{peer.url}"' for name, peer in self._services.items())
@@ -185,11 +193,11 @@
         self, service: CallerService, nodes: list[NodeHost], index: int
     ) -> ProcessSpecification:
         name = f"{service.name}-{index + 1}"
-        return _standin(
+        return standin(
             name,
             "caller",
             f"--name={name}",
-            f"--nodes={_preferring(nodes, index)}",
+            f"--nodes={preferring(nodes, index)}",
             f"--tenant={service.tenant}",
             f"--model={service.model}",
             f"--rate={service.requests_per_second / service.count}",
@@ -211,11 +219,11 @@
         name = f"{service.name}-{index + 1}"
         own = nodes[index]
         order = [own, *(node for node in spares if node is not own)]
-        return _standin(
+        return standin(
             name,
             "trainer",
             f"--name={name}",
-            f"--nodes={_preferring(order, 0)}",
+            f"--nodes={preferring(order, 0)}",
             f"--tenant={service.tenant}",
             f"--model={service.model}",
             f"--weights={self._services['weights'].url}",
@@ -231,11 +239,12 @@
         )
 
 
-def _standin(name: str, kind: str, *flags: str) -> ProcessSpecification:
+def standin(name: str, kind: str, *flags: str) -> ProcessSpecification:
+    """Return how a stand-in is started."""
     return ProcessSpecification(name, (sys.executable, "-m", "stagewalk_standins", kind, *flags))
 
 
-def _preferring(nodes: list[NodeHost], index: int) -> str:
+def preferring(nodes: list[NodeHost], index: int) -> str:
     """Return the nodes as a flag, the one at `index` first, the others as spares."""
     ordered = [*nodes[index:], *nodes[:index]]
     return ",".join(f"{node.host.name}={node.host.url}" for node in ordered)
