--- a/src/stagewalk/claims/proposal.py
+++ b/src/stagewalk/claims/proposal.py
@@ -83,14 +83,18 @@
     refusals: dict[NodeName, Reason.ValueType] = field(default_factory=dict)
     largest_round: int = 0
     conflicts: int = 0
+    resends: int = 0
+    """How often the requests of this phase have been sent again."""
     offered: set[bytes] = field(default_factory=set)
     wake_at: float = float("-inf")
     """When to send again, or to begin the next attempt while waiting."""
-    last_refusal: Reason.ValueType = Reason.REASON_UNSPECIFIED
+    retry_after_seconds: float = 0.0
+    """Longest time that a refusing replica has named until it may vouch for the key."""
 
     def begin_phase(self, phase: Phase, exchange_id: int) -> None:
         """Forget the answers of the phase before and expect those to a new exchange."""
         self.phase = phase
+        self.resends = 0
         self.exchange_id = exchange_id
         self.answers = {}
         self.refusals = {}
@@ -98,7 +102,7 @@
     def note_refusal(self, name: NodeName, message: ClaimMessage) -> None:
         """Note that a replica did not vote, and why."""
         self.refusals[name] = message.reject.reason
-        self.last_refusal = message.reject.reason
+        self.retry_after_seconds = max(self.retry_after_seconds, message.reject.retry_after_seconds)
         if message.reject.HasField("promised"):
             promised = read_ballot(message.reject.promised)
             self.largest_round = max(self.largest_round, promised.round)
--- a/tests/claims/test_faults.py
+++ b/tests/claims/test_faults.py
@@ -138,6 +138,20 @@
         network.run(0.5)
         self.assertEqual([ClaimDecided("k", b"1", False, b"2")], network.results("d", "k"))
 
+    def test_decisions_held_already_are_not_transferred(self) -> None:
+        network = Network("abcd")
+        network.append(0, "abc")
+        network.run(0.5)
+        for number in range(5):
+            network.propose("a", f"k{number}", b"v" * 3000)
+        network.run(0.5)
+        network.append(1, "abd")
+        network.bytes_to.clear()
+        network.run(3.0)
+        self.assertTrue(all(network.cores[name].ready for name in "abd"))
+        self.assertLess(network.bytes_to["a"], 5000)
+        self.assertGreater(network.bytes_to["d"], 15000)
+
     def test_two_changes_read_at_once_are_taken_step_by_step(self) -> None:
         network = Network("abcde")
         network.append(0, "abc")
@@ -163,6 +177,25 @@
         network.run(0.5)
         self.assertEqual([ClaimDecided("k", b"1", True, b"1")], network.results("a", "k"))
 
+    def test_groups_reach_nodes_that_cannot_read_the_log(self) -> None:
+        network = Network("abcde")
+        network.append(0, "abc")
+        network.run(0.5)
+        network.propose("e", "k", b"1")
+        network.run(0.5)
+        network.log_blocked.update("bce")
+        network.append(1, "bcd")
+        network.run(2.0)
+        network.propose("e", "k", b"2")
+        network.start("c")
+        network.run(3.0)
+        self.assertEqual(ClaimDecided("k", b"1", False, b"2"), network.results("e", "k")[-1])
+        self.assertTrue(all(network.cores[name].ready for name in "bcd"))
+        network.down.add("d")
+        network.propose("c", "new", b"3")
+        network.run(1.0)
+        self.assertEqual([ClaimDecided("new", b"3", True, b"3")], network.results("c", "new"))
+
     def test_an_old_group_that_handed_over_decides_nothing(self) -> None:
         network = Network("abcd")
         network.append(0, "abc")
@@ -170,9 +203,13 @@
         network.log_blocked.update("abc")
         network.append(1, "cd")
         network.run(2.0)
-        network.propose("a", "k", b"1")
+        network.cut.update(frozenset(pair) for pair in ("ac", "ad", "bc", "bd"))
+        network.propose("b", "k", b"1")
         network.run(4.0)
-        self.assertEqual({}, network.decided)
+        self.assertIsInstance(network.results("b", "k")[-1], ClaimUndecided)
+        network.propose("d", "k", b"2")
+        network.run(3.0)  # c learns of its group from d only now.
+        self.assertEqual([ClaimDecided("k", b"2", True, b"2")], network.results("d", "k"))
 
 
 class LossTest(testtools.TestCase):
@@ -198,6 +235,8 @@
         assert isinstance(result, ClaimUndecided)
         self.assertEqual(ErrorKind.OUTCOME_UNKNOWN, result.error.kind)
         self.assertFalse(result.offered)
+        assert result.error.retry_after_seconds is not None
+        self.assertTrue(RETENTION - 2.0 < result.error.retry_after_seconds < RETENTION + 10.0)
         network.run(RETENTION + 10.0)
         network.propose("d", "new", b"3")
         network.run(0.5)
