Test engines that are cut, silent, half-closed or killed behind the forwarder

Cause: the promises about requests were judged with real processes only in the demonstration, where nothing but kills and a log outage goes wrong. The first test resets, blackholes and half-closes streams of engines, drops answers, and kills an engine.

--- /dev/null
+++ b/tests/process/stage.py
@@ -0,0 +1,232 @@
+"""Runs a small system of real processes through a scenario and has the checker judge it."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+import httpx
+import msgspec
+import testtools
+from testtools.content import text_content
+
+from stagewalk.claims.placement import PLACEMENT_STREAM
+from stagewalk.history.checker import check_history
+from stagewalk.history.checker_oracle import FoldOracle
+from stagewalk.history.checker_verdict import Promise, Verdict
+from stagewalk.history.observations import (
+    AnyObservation,
+    FaultInjected,
+    ProcessKilled,
+    RecordAppended,
+    read_history,
+)
+from stagewalk_standins.demo.operator import Operator
+from stagewalk_standins.demo.processes import ProcessGroup
+from stagewalk_standins.demo.tables import history_files
+from stagewalk_standins.forwarder import LinkView
+from stagewalk_standins.forwarder_faults import LinkCounts, LinkFaults
+from tests.process.layout import Layout, Plan
+
+ROOT = Path(__file__).resolve().parents[2]
+CONFIGURATION = Path(__file__).parent / "configuration"
+START_SECONDS = 20.0
+POLL_SECONDS = 0.05
+WHOLE_TEST_SECONDS = 110.0
+"""Far above what a scenario takes: only a hanging one is cut off."""
+EXPLANATIONS_PER_PROMISE = 3
+KEEP_RUNS = "STAGEWALK_KEEP_RUNS" in os.environ
+"""Set it to keep the histories and logs in `out/process` of tests that pass, too."""
+
+Scenario = Callable[["Stage"], Awaitable[None]]
+
+
+class Stage:
+    """The processes of one test, and what a scenario may do to them."""
+
+    def __init__(self, plan: Plan, directory: Path) -> None:
+        self.plan = plan
+        self.directory = directory
+        layout = Layout(plan, directory)
+        self.topology = layout.topology()
+        self._forwarder = layout.forwarder_process()
+        self._control_url = f"{layout.forwarder.url}/control/links"
+        self.group = ProcessGroup(directory)
+        self.operator = Operator(self.topology, self.group, directory, _say_nothing)
+        self.node_names = [node.host.name for node in self.topology.nodes]
+        self.engine_names = [engine.name for engine in self.topology.engines]
+        self.caller_names = [
+            client.name for client in self.topology.clients if client.name != "trainer"
+        ]
+        self._http = httpx.AsyncClient(timeout=5.0, trust_env=False)
+        self._began_at = 0.0
+
+    async def start(self) -> None:
+        """Start all but the clients, and put the tenants in force."""
+        for specification in (*self.topology.service_processes, self._forwarder):
+            self.group.start(specification)
+        for name in self.topology.services:
+            await self._wait_answering(f"{self.topology.services[name].url}/control/faults")
+        await self._wait_answering(f"{self._control_url}/{self.engine_names[0]}")
+        await self.operator.register_nodes()
+        nodes = [node.specification for node in self.topology.nodes]
+        for specification in (*self.topology.engines, *nodes):
+            self.group.start(specification)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.publish, "advice", "growers")
+            tasks.start_soon(self.publish, "policy", "archive")
+
+    async def wait_ready(self) -> None:
+        """Wait until every node serves both partners' tenants."""
+        if not await self.operator.wait_ready(self.node_names):
+            raise AssertionError("not every node became ready")
+        if not await self.operator.wait_in_force(2):
+            raise AssertionError("the tenants are not in force everywhere")
+        await self.eventually(self._replicas_placed, "replicas of claims", START_SECONDS)
+
+    async def publish(self, tenant: str, partner: str) -> bool:
+        """Publish a tenant's file by its partner's operator."""
+        return await self.operator.publish(CONFIGURATION / "tenants" / f"{tenant}.toml", partner)
+
+    async def start_clients(self) -> None:
+        """Start the load; times of `at` count from here."""
+        for specification in self.topology.clients:
+            self.group.start(specification)
+        self._began_at = time.monotonic()
+
+    async def at(self, seconds: float) -> None:
+        """Wait until so long after the clients' start."""
+        await anyio.sleep(max(0.0, self._began_at + seconds - time.monotonic()))
+
+    async def eventually(self, condition: Callable[[], bool], what: str, seconds: float) -> None:
+        """Wait for a condition, and fail if it doesn't come in time."""
+        give_up_at = time.monotonic() + seconds
+        while not condition():
+            if time.monotonic() > give_up_at:
+                raise AssertionError(f"never came: {what}")
+            await anyio.sleep(POLL_SECONDS)
+
+    async def set_link(self, name: str, faults: LinkFaults = LinkFaults()) -> None:  # noqa: B008
+        """Set the faults of a link; none by default."""
+        answer = await self._http.put(
+            f"{self._control_url}/{name}", content=msgspec.json.encode(faults)
+        )
+        answer.raise_for_status()
+
+    async def link_counts(self, name: str) -> LinkCounts:
+        """Read what a link has seen."""
+        answer = await self._http.get(f"{self._control_url}/{name}")
+        return msgspec.json.decode(answer.raise_for_status().content, type=LinkView).counts
+
+    async def set_service(self, name: str, **faults: bool | float | int) -> None:
+        """Set the faults of one of the platform's services."""
+        url = f"{self.topology.services[name].url}/control/faults"
+        (await self._http.put(url, json=faults)).raise_for_status()
+
+    def kill(self, name: str) -> None:
+        """Kill a process."""
+        self.operator.observe(ProcessKilled(at=time.monotonic(), process=name))
+        self.group.kill(name)
+
+    def start_again(self, name: str) -> None:
+        """Start a process that was killed or stopped."""
+        everything = (
+            *self.topology.service_processes,
+            *self.topology.engines,
+            *(node.specification for node in self.topology.nodes),
+            *self.topology.clients,
+        )
+        self.group.start(next(each for each in everything if each.name == name))
+
+    async def pause(self, name: str, seconds: float) -> None:
+        """Stop a process's time for some seconds."""
+        now = time.monotonic()
+        self.operator.observe(FaultInjected(at=now, kind="pause", target=name, until=now + seconds))
+        self.group.send_signal(name, signal.SIGSTOP)
+        await anyio.sleep(seconds)
+        self.group.send_signal(name, signal.SIGCONT)
+
+    async def finish(self) -> None:
+        """Let the callers end, then stop the trainer, the nodes and the engines in order."""
+        await anyio.to_thread.run_sync(self._wait_callers)
+        await self.operator.stop(["trainer"])
+        await self.operator.stop(self.node_names)
+        await self.operator.stop(self.engine_names)
+
+    def history(self) -> list[AnyObservation]:
+        """Return what has been observed so far."""
+        return read_history(history_files(self.directory))
+
+    def close(self) -> None:
+        """Kill what still runs."""
+        for name in self.group.running():
+            self.group.send_signal(name, signal.SIGCONT)
+        self.group.kill_all()
+
+    def _replicas_placed(self) -> bool:
+        records = read_history([self.directory / "log.history"])
+        return any(
+            isinstance(each, RecordAppended) and each.stream == PLACEMENT_STREAM for each in records
+        )
+
+    def _wait_callers(self) -> None:
+        patience = self.plan.load_seconds + 3 * self.plan.deadline_seconds
+        for name in self.caller_names:
+            self.group.wait(name, patience)
+
+    async def _wait_answering(self, url: str) -> None:
+        give_up_at = time.monotonic() + START_SECONDS
+        while True:
+            try:
+                await self._http.get(url)
+                return
+            except httpx.TransportError:
+                if time.monotonic() > give_up_at:
+                    raise
+                await anyio.sleep(POLL_SECONDS)
+
+
+class ProcessTest(testtools.TestCase):
+    """Base of tests that play a scenario on a stage."""
+
+    def play(self, scenario: Scenario, plan: Plan) -> Stage:
+        """Run a scenario under load to its end; its processes are gone when this returns."""
+        directory = ROOT / "out" / "process" / self.id().rsplit(".", 1)[-1] / str(time.time_ns())
+        directory.mkdir(parents=True)
+        failed = []
+        self.addOnException(lambda _: failed.append(True))
+        self.addCleanup(lambda: KEEP_RUNS or failed or shutil.rmtree(directory))
+        stage = Stage(plan, directory)
+        self.addCleanup(stage.close)
+        anyio.run(_play, stage, scenario)
+        self.assertEqual({}, stage.group.bad_exits)
+        return stage
+
+    def judge(self, stage: Stage, *promises: Promise) -> Verdict:
+        """Require that no promise was broken and that those named were checked."""
+        verdict = check_history(stage.history(), FoldOracle())
+        self.addDetail("verdict", text_content(verdict.table()))
+        self.assertEqual("", "\n".join(verdict.explanations(EXPLANATIONS_PER_PROMISE)))
+        self.assertEqual([], [each for each in promises if verdict.checked[each] == 0])
+        return verdict
+
+
+async def _play(stage: Stage, scenario: Scenario) -> None:
+    with anyio.fail_after(WHOLE_TEST_SECONDS):
+        async with anyio.create_task_group() as tasks:
+            await stage.start()
+            tasks.start_soon(stage.operator.probe_forever)
+            await stage.wait_ready()
+            await stage.start_clients()
+            await scenario(stage)
+            await stage.finish()
+            tasks.cancel_scope.cancel()
+
+
+def _say_nothing(text: str) -> None:
+    """Take the operator's announcements."""
--- /dev/null
+++ b/tests/process/test_engines.py
@@ -0,0 +1,45 @@
+"""Engines that are cut off, go silent or are killed while they answer."""
+
+from __future__ import annotations
+
+from stagewalk.history.checker_verdict import Promise
+from stagewalk.history.observations import RequestAnswered
+from stagewalk_standins.forwarder_faults import BOTH_WAYS, Direction, LinkFaults
+from tests.process.layout import Plan
+from tests.process.stage import ProcessTest, Stage
+
+
+class EngineFaultsTest(ProcessTest):
+    def test_engine_cut_silent_and_killed_mid_stream(self) -> None:
+        async def scenario(stage: Stage) -> None:
+            await stage.at(2.0)
+            await stage.set_link("engine-1", LinkFaults(cut=True))
+            await stage.at(4.0)
+            await stage.set_link("engine-1")
+            await stage.set_link("engine-2", LinkFaults(black_holes=BOTH_WAYS))
+            await stage.at(7.0)
+            stage.kill("engine-3")
+            await stage.at(8.0)
+            await stage.set_link("engine-2", LinkFaults(drop_answers=True))
+            await stage.at(9.0)
+            await stage.set_link("engine-2")
+            await stage.set_link("engine-1", LinkFaults(half_closed=(Direction.TO_CLIENT,)))
+            await stage.at(10.0)
+            stage.start_again("engine-3")
+            await stage.set_link("engine-1")
+            for name, count in (("engine-1", "resets"), ("engine-2", "answers_dropped")):
+                counts = await stage.link_counts(name)
+                self.assertGreater(getattr(counts, count), 0)
+            self.assertGreater((await stage.link_counts("engine-2")).pieces_held, 0)
+            self.assertGreater((await stage.link_counts("engine-1")).half_closes, 0)
+
+        plan = Plan(
+            load_seconds=12.0,
+            deadline_seconds=6.0,
+            engine_flags=("--batch_limit=6", "--queue_limit=1"),
+            caller_flags=("--rate=5", "--non_repeatable_fraction=0.4"),
+        )
+        stage = self.play(scenario, plan)
+        self.judge(stage, Promise.WHOLE_ANSWER, Promise.NOT_RUN_TRUE, Promise.AT_MOST_ONCE)
+        answers = [each for each in stage.history() if isinstance(each, RequestAnswered)]
+        self.assertGreater(len(answers), 40)
