Exit with the command's code when run as a module

Cause: `python -m stagewalk` dropped what the subcommand returned and always exited with 0, so the demonstration took a rejected publish for an accepted one and a failed node for a clean stop. Found by the process test of raced publishes: the command printed "rejected reason=stale_revision" and exited 0. Change: pass the code on, as the installed command does. Conclusion: `python -m stagewalk config validate /nonexistent.toml` exits 1 (before: 0).

--- a/src/stagewalk/__main__.py
+++ b/src/stagewalk/__main__.py
@@ -1,5 +1,7 @@
 """`python -m stagewalk`: the command `stagewalk`."""
 
+import sys
+
 from stagewalk.cli.main import run
 
-run()
+sys.exit(run())
