--- a/src/stagewalk/bench/hollow_cluster.py
+++ b/src/stagewalk/bench/hollow_cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import multiprocessing
+import os
 import time
 from collections import defaultdict
 from collections.abc import Callable
@@ -28,6 +29,9 @@
 SERVE_STEP_SECONDS = 0.1
 STOP_SECONDS = 5.0
 
+FIRST_NETWORK, NETWORKS = 90, 160
+"""Second octets of loopback addresses that clusters of different processes choose among."""
+
 
 class HollowCluster:
     """Starts the workers, serves their log, and asks them what they have seen.
@@ -36,7 +40,8 @@
     """
 
     def __init__(self, node_count: int, worker_count: int) -> None:
-        self.identities = node_identities(node_count)
+        network = FIRST_NETWORK + os.getpid() % NETWORKS
+        self.identities = node_identities(node_count, network)
         self._offsets: defaultdict[str, int] = defaultdict(int)
         self._processes: list[BaseProcess] = []
         self._connections: list[Connection] = []
--- a/src/stagewalk/bench/hollow_layout.py
+++ b/src/stagewalk/bench/hollow_layout.py
@@ -24,21 +24,21 @@
 """One model a region; the service of its engines has the same name."""
 
 NODE_NETWORK, ENGINE_NETWORK = 88, 89
-"""Second octets of the loopback addresses."""
+"""Second octets of the loopback addresses, if the caller has no choice of its own."""
 
 PEER_PORT = 7946
 ENGINE_PORT = 8000
 ADDRESSES_PER_NETWORK = 250
 
 
-def node_identities(count: int) -> tuple[NodeIdentity, ...]:
-    """Return that many nodes, zone by zone in turn, each with a loopback address of its own."""
+def node_identities(count: int, network: int = NODE_NETWORK) -> tuple[NodeIdentity, ...]:
+    """Return that many nodes, zone by zone in turn, each with an address in 127.`network`/16."""
     incarnation = Incarnation(time.time_ns() // 1_000_000)
     return tuple(
         NodeIdentity(
             NodeName(f"{ZONES[index % len(ZONES)].zone}-{index}"),
             incarnation,
-            _address(NODE_NETWORK, index, PEER_PORT),
+            _address(network, index, PEER_PORT),
             ZONES[index % len(ZONES)],
         )
         for index in range(count)
--- a/src/stagewalk/bench/lone_node.py
+++ b/src/stagewalk/bench/lone_node.py
@@ -12,7 +12,7 @@
 import httpx
 import psutil
 
-from stagewalk.adapters.http_calls import open_client
+from stagewalk.adapters.http_calls import open_client, open_transport
 from stagewalk.adapters.http_platform import HttpLogService
 from stagewalk.bench.capacity_data import EdgeMeasurement
 from stagewalk.bench.processes import ChildProcesses, free_address, wait_until_answering
@@ -100,8 +100,9 @@
 
 
 async def _measure_edge(running: _Processes, requests: int) -> EdgeMeasurement:
+    async with open_transport(1, 1) as transport:
+        await _publish_tenant(transport, running)
     async with open_client(4, 4) as client:
-        await _publish_tenant(client, running)
         await _wait_until_served(client, running)
         direct: list[float] = []
         through: list[float] = []
@@ -120,7 +121,7 @@
     )
 
 
-async def _publish_tenant(client: httpx.AsyncClient, running: _Processes) -> None:
+async def _publish_tenant(transport: httpx.AsyncBaseTransport, running: _Processes) -> None:
     change = CreateTenant(
         operator="bench",
         partner="archive",
@@ -129,7 +130,7 @@
         template="rollouts",
         parameters=TenantParameters(models=(MODEL,)),
     )
-    log = HttpLogService(client, running.log_url)
+    log = HttpLogService(transport, running.log_url)
     record_id = RecordId("bench-tenant")
     appended = await log.append(CONFIGURATION_STREAM, record_id, encode_change(change))
     if appended.is_error():
--- a/src/stagewalk/cli/bench.py
+++ b/src/stagewalk/cli/bench.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from stagewalk.bench.capacity_data import CapacityData, SizeMeasurement, load, save
+from stagewalk.bench.capacity_data import CapacityData, load, save
 from stagewalk.bench.capacity_page import render, write_page
 
 EXIT_DONE = 0
--- a/src/stagewalk/membership/member_table.py
+++ b/src/stagewalk/membership/member_table.py
@@ -98,7 +98,7 @@
     def present(self) -> dict[NodeName, Member]:
         """Return the alive and suspect members by name, in the order of their names."""
         if self._present is None:
-            self._present = {fact.name: _member(fact) for fact in self.facts() if _is_present(fact)}
+            self._present = dict(sorted(self._members.items()))
         return self._present
 
     def ended(self) -> list[MemberFact]:
