--- a/src/stagewalk/routing/prefix_index.py
+++ b/src/stagewalk/routing/prefix_index.py
@@ -11,8 +11,8 @@
 
 import xxhash
 
-from stagewalk.core.identities import EngineName
 from stagewalk.routing.config import PrefixIndexConfig
+from stagewalk.routing.engine_record import EngineRecord
 
 PrefixBlocks = tuple[int, ...]
 
@@ -20,50 +20,56 @@
 def hash_blocks(prompt: str, config: PrefixIndexConfig) -> PrefixBlocks:
     """Return the chained hashes of a prompt's whole blocks, bounded in number."""
     size = config.block_characters
-    count = min(len(prompt) // size, config.maximum_blocks_per_prompt)
+    octets = prompt[: size * config.maximum_blocks_per_prompt].encode()
+    count = min(len(octets) // size, config.maximum_blocks_per_prompt)
     hashes = []
     chained = 0
-    for index in range(count):
-        chained = xxhash.xxh64_intdigest(
-            prompt[index * size : (index + 1) * size].encode(), chained
-        )
+    for start in range(0, count * size, size):
+        chained = xxhash.xxh64_intdigest(octets[start : start + size], chained)
         hashes.append(chained)
     return tuple(hashes)
 
 
 class PrefixIndex:
-    """Bounded memory of the prefix blocks sent to each engine, least recently used first out."""
+    """Bounded memory of the prefix blocks sent to each engine, least recently used first out.
+
+    The blocks are kept in the engine's record, and go with it when the engine restarts.
+    """
 
     def __init__(self, config: PrefixIndexConfig) -> None:
         self._config = config
-        self._engines: dict[EngineName, OrderedDict[int, None]] = {}
+        self._tokens_per_block = config.block_characters / config.characters_per_token
 
-    def note_sent(self, engine: EngineName, blocks: PrefixBlocks) -> None:
+    def note_sent(self, record: EngineRecord, blocks: PrefixBlocks) -> None:
         """Note that an engine took in a prompt and holds its blocks now."""
-        held = self._engines.setdefault(engine, OrderedDict())
+        held = record.cached_blocks
         for block in reversed(blocks):
             held[block] = None
             held.move_to_end(block)
         while len(held) > self._config.maximum_blocks_per_engine:
             held.popitem(last=False)
 
-    def matched_tokens(self, engine: EngineName, blocks: PrefixBlocks) -> float:
+    def matched_tokens(self, record: EngineRecord, blocks: PrefixBlocks) -> float:
         """Return the estimated number of prompt tokens an engine need not take in again."""
-        held = self._engines.get(engine)
-        if not held:
+        held = record.cached_blocks
+        if not blocks or blocks[0] not in held:
             return 0.0
-        matched = 0
-        for block in blocks:
-            if block not in held:
-                break
-            matched += 1
-        return matched * self._config.block_characters / self._config.characters_per_token
-
-    def forget(self, engine: EngineName) -> None:
-        """Drop all that is remembered of an engine, whose cache is empty or gone."""
-        self._engines.pop(engine, None)
-
-    def retain(self, engines: frozenset[EngineName]) -> None:
-        """Drop engines that this node no longer knows."""
-        for engine in [name for name in self._engines if name not in engines]:
-            del self._engines[engine]
+        return self._longest_held(held, blocks) * self._tokens_per_block
+
+    @staticmethod
+    def _longest_held(held: OrderedDict[int, None], blocks: PrefixBlocks) -> int:
+        """Return how many leading blocks are held, the first of which is.
+
+        A prompt's later blocks are always less recently used than its earlier ones and go
+        first, so no held block lacks one before it, and halving finds the border.
+        """
+        if blocks[-1] in held:
+            return len(blocks)
+        least, above = 1, len(blocks) - 1
+        while least < above:
+            middle = (least + above + 1) // 2
+            if blocks[middle - 1] in held:
+                least = middle
+            else:
+                above = middle - 1
+        return least
