Test paused and killed duty holders, and the log's faults with raced publishes

Cause: fenced orders and configuration had been judged with real processes only while nothing raced. Change: (1) the holder of the rollout duty is stopped until another one orders engines about, wakes up, and the other one is killed; each order an engine obeyed must carry an epoch that the log granted, never an older one than the engine's last. (2) The log is down while requests that run once are answered and samples delivered, then slow and losing every third answer while both partners' operators race twice and one node's link to the log is a black hole: all six records in force on every node within the time promised.

--- a/src/stagewalk_standins/demo/operator.py
+++ b/src/stagewalk_standins/demo/operator.py
@@ -46,6 +46,7 @@
     configuration_offset: int
     configuration_digest: str
     revisions: dict[str, int]
+    leases: dict[str, int] = {}
 
 
 class Operator:
--- a/tests/process/stage.py
+++ b/tests/process/stage.py
@@ -6,7 +6,8 @@
 import shutil
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import anyio
@@ -31,7 +32,7 @@
 from stagewalk_standins.demo.tables import history_files
 from stagewalk_standins.forwarder import LinkView
 from stagewalk_standins.forwarder_faults import LinkCounts, LinkFaults
-from tests.process.layout import Layout, Plan
+from tests.process.layout import MODEL, WEIGHT_BYTES, Layout, Plan
 
 ROOT = Path(__file__).resolve().parents[2]
 CONFIGURATION = Path(__file__).parent / "configuration"
@@ -64,6 +65,7 @@
             client.name for client in self.topology.clients if client.name != "trainer"
         ]
         self._http = httpx.AsyncClient(timeout=5.0, trust_env=False)
+        self._incarnations: dict[str, int] = {}
         self._began_at = 0.0
 
     async def start(self) -> None:
@@ -87,12 +89,26 @@
             raise AssertionError("not every node became ready")
         if not await self.operator.wait_in_force(2):
             raise AssertionError("the tenants are not in force everywhere")
+        self._incarnations = {
+            name: status.incarnation for name, status in self.operator.statuses.items()
+        }
         await self.eventually(self._replicas_placed, "replicas of claims", START_SECONDS)
 
     async def publish(self, tenant: str, partner: str) -> bool:
         """Publish a tenant's file by its partner's operator."""
         return await self.operator.publish(CONFIGURATION / "tenants" / f"{tenant}.toml", partner)
 
+    async def publish_version(self, version: int) -> None:
+        """Put a version into the weight store, as another trainer of the model would."""
+        url = f"{self.topology.services['weights'].url}/models/{MODEL}/versions/{version}"
+        await self._http.put(url, json={"size_bytes": WEIGHT_BYTES})
+
+    def holder(self, duty: str) -> str:
+        """Return the node that says it holds a duty; the newest holder if several do."""
+        statuses = self.operator.statuses.values()
+        held = [(each.leases[duty], each.name) for each in statuses if duty in each.leases]
+        return max(held)[1] if held else ""
+
     async def start_clients(self) -> None:
         """Start the load; times of `at` count from here."""
         for specification in self.topology.clients:
@@ -143,13 +159,29 @@
         )
         self.group.start(next(each for each in everything if each.name == name))
 
-    async def pause(self, name: str, seconds: float) -> None:
-        """Stop a process's time for some seconds."""
-        now = time.monotonic()
-        self.operator.observe(FaultInjected(at=now, kind="pause", target=name, until=now + seconds))
+    async def ready_again(self, name: str) -> None:
+        """Wait until a node that was started again says that it is ready."""
+        await self.eventually(lambda: self._ready_anew(name), f"{name} again", START_SECONDS)
+
+    def _ready_anew(self, name: str) -> bool:
+        status = self.operator.statuses.get(name)
+        if status is None or not status.ready or status.incarnation <= self._incarnations[name]:
+            return False
+        self._incarnations[name] = status.incarnation
+        return True
+
+    @asynccontextmanager
+    async def paused(self, name: str) -> AsyncIterator[None]:
+        """Stop a process's time."""
+        began_at = time.monotonic()
         self.group.send_signal(name, signal.SIGSTOP)
-        await anyio.sleep(seconds)
-        self.group.send_signal(name, signal.SIGCONT)
+        try:
+            yield
+        finally:
+            self.group.send_signal(name, signal.SIGCONT)
+            self.operator.observe(
+                FaultInjected(at=began_at, kind="pause", target=name, until=time.monotonic())
+            )
 
     async def finish(self) -> None:
         """Let the callers end, then stop the trainer, the nodes and the engines in order."""
