Let tests of the edge close their servers without lingering

Change: the linger is a parameter of serve_http; the tests' servers use none. Conclusion: only a daemon needs the linger.

--- a/src/stagewalk/node/http_server.py
+++ b/src/stagewalk/node/http_server.py
@@ -34,41 +34,44 @@
     return listener
 
 
-async def serve_http(app: ASGIFramework, listener: socket.socket, stop: anyio.Event) -> None:
+async def serve_http(
+    app: ASGIFramework,
+    listener: socket.socket,
+    stop: anyio.Event,
+    linger_seconds: float = EXIT_LINGER_SECONDS,
+) -> None:
     """Serve the application on a listening socket until `stop` is set.
 
+    `linger_seconds` is how long requests that come while it closes are still answered.
+
+    Closing the socket at once would reset connections that the kernel has accepted but the
+    server has not, and requests that were on their way; so first no new ones are let in.
+
     `hypercorn` can't be cancelled half-way through its shutdown, so a cancellation of this call
     sets `stop` and waits for the orderly end, at most `GRACEFUL_SECONDS`.
     """
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_serve_shielded, app, listener, stop)
+        tasks.start_soon(_serve_shielded, app, listener, stop, linger_seconds)
         try:
             await stop.wait()
         finally:
             stop.set()
 
 
-async def _serve_shielded(app: ASGIFramework, listener: socket.socket, stop: anyio.Event) -> None:
+async def _serve_shielded(
+    app: ASGIFramework, listener: socket.socket, stop: anyio.Event, linger_seconds: float
+) -> None:
     with anyio.CancelScope(shield=True), listener.dup() as door:
 
         async def wait_for_stop() -> None:
             await stop.wait()
-            await _close_door(door)
+            drop_new_connections(door)
+            await anyio.sleep(linger_seconds)
 
         config = _configuration(listener)
         await hypercorn.asyncio.serve(app, config, shutdown_trigger=wait_for_stop, mode="asgi")
 
 
-async def _close_door(door: socket.socket) -> None:
-    """Let no new connection in, and let those that are in get their last answer.
-
-    Closing the socket at once would reset connections that the kernel has accepted but the
-    server has not, and requests that were on their way.
-    """
-    drop_new_connections(door)
-    await anyio.sleep(EXIT_LINGER_SECONDS)
-
-
 def _configuration(listener: socket.socket) -> Config:
     config = Config()
     config.bind = [f"fd://{listener.detach()}"]
--- a/tests/node/running_node.py
+++ b/tests/node/running_node.py
@@ -21,6 +21,7 @@
 from tests.node.echo_core import EchoCore
 
 NOWHERE = "http://127.0.0.1:1"
+NO_LINGER_SECONDS = 0.0
 PATIENCE_SECONDS = 10.0
 
 
@@ -91,7 +92,7 @@
     address = free_address()
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(serve_http, app, open_listener(address), stop)
+        tasks.start_soon(serve_http, app, open_listener(address), stop, NO_LINGER_SECONDS)
         yield address
         tasks.cancel_scope.cancel()
 
