Don't take a missing weight version for a full pool

Cause: a rollout that found no engine with the weights it asks for counted as refused for want of room; a burst of them during a swap of weights took a lot's window from 256 to 66 or less, and it grew back by one an answer. Change: only refusals for want of room shrink the window, and at most once a second.

--- a/src/stagewalk/samples/lots.py
+++ b/src/stagewalk/samples/lots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
@@ -96,8 +97,9 @@
         When the trainer last submitted or pulled it here.
     pulled
         Whether a pull for it has come to this node.
-    window
-        Rollouts that may run at once; shrinks with refusals, grows with answers.
+    window, window_shrunk_at
+        Rollouts that may run at once; shrinks with refusals, grows with answers. When it last
+        shrank.
     paused
         Its trainer has been silent for long: nothing of it is run.
     completed_at
@@ -125,6 +127,7 @@
     active_at: float
     indices: dict[SlotPhase, set[int]]
     window: float
+    window_shrunk_at: float = -math.inf
     queue: list[tuple[float, int]] = field(default_factory=list)
     acknowledged: int = 0
     pulled: bool = False
--- a/src/stagewalk/samples/scheduler.py
+++ b/src/stagewalk/samples/scheduler.py
@@ -25,6 +25,9 @@
 
 _WINDOW_DECREASE = 0.8
 
+_WINDOW_DECREASE_SECONDS = 1.0
+"""A window shrinks at most once in this time: refusals come in bursts."""
+
 
 class RolloutScheduler:
     """Starts and cancels the rollouts of slots."""
@@ -116,8 +119,11 @@
         self.lengths.observe(lot.key.tenant, slot.prompt, tokens)
         bisect.insort(lot.durations, now - started_at)
 
-    def refused(self, lot: Lot) -> None:
+    def refused(self, lot: Lot, now: float) -> None:
         """Let fewer of a lot's rollouts run at once: there is no room for them."""
+        if now - lot.window_shrunk_at < _WINDOW_DECREASE_SECONDS:
+            return
+        lot.window_shrunk_at = now
         lot.window = max(float(MINIMUM_WINDOW), lot.window * _WINDOW_DECREASE)
 
     def _near_end(self, lot: Lot) -> bool:
--- a/src/stagewalk/samples/settlement.py
+++ b/src/stagewalk/samples/settlement.py
@@ -23,8 +23,12 @@
 
 LotOutput = Instruction | LotNotification
 
-_NO_ROOM = frozenset({ErrorKind.NO_ENGINE, ErrorKind.OVERLOADED, ErrorKind.OVER_LIMIT})
-"""Errors that say nothing against a slot: there was no room, or no engine with the weights."""
+_NO_ROOM = frozenset({ErrorKind.OVERLOADED, ErrorKind.OVER_LIMIT})
+"""Errors that say nothing against a slot: there was no room for it."""
+
+_SOON_AGAIN = _NO_ROOM | {ErrorKind.NO_ENGINE}
+"""Errors after which a slot is tried again soon: room, or an engine with the weights it asks
+for, may be there within a second."""
 
 
 class SampleSettlement:
@@ -84,7 +88,8 @@
         slot.failures = failures
         limit = self._config.retry_limit_seconds
         if error.kind in _NO_ROOM:
-            self._scheduler.refused(lot)
+            self._scheduler.refused(lot, now)
+        if error.kind in _SOON_AGAIN:
             limit = self._config.no_room_retry_seconds
         delay = retry_delay(self._config, failures, self._generator)
         delay = min(limit, max(delay, error.retry_after_seconds or 0.0))
