Let a tenant that weighs staleness run one step ahead; take half of a pool's free room

Cause: with a bound of one version an idle weight below 0.25 left no slack, so no step ran ahead and engines stood still while the trainer trained. And a node took a quarter of the free slots it saw, less what it reserves for other tenants, which left a tenth of the pool empty. Change: the slack of a tenant that weighs staleness is rounded up; free_room_fraction 0.5.

--- a/src/stagewalk/admission/config.py
+++ b/src/stagewalk/admission/config.py
@@ -79,7 +79,7 @@
     share_reserve: float = 0.2
     interactive_reserve: float = 0.1
     pool_overcommit: float = 1.1
-    free_room_fraction: float = 0.25
+    free_room_fraction: float = 0.5
     service_smoothing: float = 0.1
     initial_service_seconds: float = 2.0
     shed_service_fraction: float = 0.5
--- a/src/stagewalk/samples/staleness.py
+++ b/src/stagewalk/samples/staleness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -108,9 +109,11 @@
     """Return how many versions behind its trainer a rollout may start.
 
     A tenant that weighs idle time takes its whole bound. One that weighs staleness more starts
-    fresher rollouts than it must, and waits for engines that hold the newer weights.
+    fresher rollouts than it must, and waits for engines that hold the newer weights. One version
+    of slack is what lets a step run while its trainer trains on the one before; only a tenant
+    that gives idle time no weight at all does without.
     """
     bound = parameters.staleness_bound_versions
     if parameters.idle_weight >= 0.5:
         return bound
-    return round(bound * 2.0 * parameters.idle_weight)
+    return math.ceil(bound * 2.0 * parameters.idle_weight)
