--- a/src/stagewalk/samples/core.py
+++ b/src/stagewalk/samples/core.py
@@ -170,10 +170,11 @@
         return self._version_news(model, now)
 
     def version_seen(self, model: ModelName, version: WeightVersion, now: float) -> list[LotOutput]:
-        """Take that a version exists, as an engine's report or another node says."""
+        """Take an engine's report that it runs a version."""
+        self._store.served.reported(model, version, now)
         known = self._store.versions.newest(model)
         if known is not None and version <= known:
-            return []
+            return self._dispatch_model(model, now)
         self._store.versions.seen(model, version)
         return self._version_news(model, now)
 
@@ -234,6 +235,14 @@
                 output += self._advance(lot, now)
         return output
 
+    def _dispatch_model(self, model: ModelName, now: float) -> list[LotOutput]:
+        """Start what waited for engines to come up with a model's newer weights."""
+        output: list[LotOutput] = []
+        for lot in self._store.lots.values():
+            if lot.lot.model == model and lot.queue:
+                output += self._scheduler.dispatch(lot, now)
+        return output
+
     def _lot_of_request(self, request_id: RequestId) -> Lot | None:
         place = self._store.requests.get(request_id)
         return None if place is None else self._store.lots.get(place.lot)
--- a/src/stagewalk/samples/scheduler.py
+++ b/src/stagewalk/samples/scheduler.py
@@ -7,7 +7,7 @@
 
 from stagewalk.core.completions import CompletionRequest, Priority
 from stagewalk.core.identities import Incarnation, NodeName, RequestId, WeightVersion
-from stagewalk.core.rollouts import slot_seed
+from stagewalk.core.rollouts import RolloutPrompt, slot_seed
 from stagewalk.samples.config import LotConfig
 from stagewalk.samples.lengths import LengthPredictor
 from stagewalk.samples.lots import Lot, Slot, SlotPhase
@@ -43,14 +43,12 @@
 
     def enqueue(self, lot: Lot, index: int) -> None:
         """Queue a waiting slot by its predicted length."""
-        predicted = self.lengths.predict(lot.key.tenant, lot.slots[index].prompt)
-        lot.enqueue(index, predicted)
+        lot.enqueue(index, self._predicted_tokens(lot, lot.slots[index].prompt))
 
     def enqueue_all(self, lot: Lot) -> None:
         """Queue all slots of a new lot."""
         predicted = {
-            prompt.prompt_id: self.lengths.predict(lot.key.tenant, prompt)
-            for prompt in lot.lot.prompts
+            prompt.prompt_id: self._predicted_tokens(lot, prompt) for prompt in lot.lot.prompts
         }
         for index, slot in enumerate(lot.slots):
             lot.enqueue(index, predicted[slot.prompt.prompt_id])
@@ -60,8 +58,9 @@
         if lot.paused or lot.following or not lot.queue or not self._may_run(lot, now):
             return []
         minimum = self._minimum_version(lot, now)
+        limit = int(lot.window * self._served_share(lot, minimum, now))
         started: list[LotNotification] = []
-        while lot.count(SlotPhase.RUNNING) < int(lot.window):
+        while lot.count(SlotPhase.RUNNING) < limit:
             index = lot.next_in_queue()
             if index is None:
                 break
@@ -82,7 +81,7 @@
         Sampling is seeded by the slot, so both attempts give the same answer if they run under
         the same weights; whichever is claimed first is the sample.
         """
-        if lot.paused or not self._near_end(lot):
+        if not self._config.duplicate_stragglers or lot.paused or not self._near_end(lot):
             return []
         budget = max(1, int(self._config.duplicate_fraction * len(lot.slots))) - lot.duplicates
         limit = self._config.straggler_factor * _percentile(lot.durations, _STRAGGLER_PERCENTILE)
@@ -126,6 +125,11 @@
         lot.window_shrunk_at = now
         lot.window = max(float(MINIMUM_WINDOW), lot.window * _WINDOW_DECREASE)
 
+    def _predicted_tokens(self, lot: Lot, prompt: RolloutPrompt) -> float:
+        if not self._config.longest_first:
+            return 0.0
+        return self.lengths.predict(lot.key.tenant, prompt)
+
     def _near_end(self, lot: Lot) -> bool:
         unfinished = lot.count(SlotPhase.RUNNING)
         if not unfinished or lot.count(SlotPhase.WAITING):
@@ -150,6 +154,12 @@
         minimum = self._minimum_version(lot, now)
         return newest is None or minimum is None or newest >= minimum
 
+    def _served_share(self, lot: Lot, minimum: WeightVersion | None, now: float) -> float:
+        """Return the share of engines that could run a lot's rollouts."""
+        if minimum is None or not self._config.spread_over_swap:
+            return 1.0
+        return self._store.served.share_at_least(lot.lot.model, minimum, now)
+
     def _has_earlier_work(self, lot: Lot) -> bool:
         return any(
             other.count(SlotPhase.WAITING) > 0 and not other.paused
--- /dev/null
+++ b/src/stagewalk/samples/served_versions.py
@@ -0,0 +1,40 @@
+"""Which weight versions the engines in reach run, as far as their reports tell."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from stagewalk.core.identities import ModelName, WeightVersion
+
+WINDOW_SECONDS = 1.5
+"""Age up to which reports count: each engine is polled at least once in this time."""
+
+MAXIMUM_REPORTS = 512
+"""Reports of one model that are kept; the oldest go first."""
+
+
+class ServedVersions:
+    """Share of recent reports that name a version or a newer one.
+
+    All engines are polled alike, so this is close to the share of engines, and it needs no
+    table of them here. Without it a step that asks for new weights is sent whole to the first
+    engine that has swapped, and queues there while the others come up with empty batches.
+    """
+
+    def __init__(self) -> None:
+        self._reports: dict[ModelName, deque[tuple[float, WeightVersion]]] = {}
+
+    def reported(self, model: ModelName, version: WeightVersion, now: float) -> None:
+        """Take the version that an engine reports to run."""
+        reports = self._reports.setdefault(model, deque(maxlen=MAXIMUM_REPORTS))
+        reports.append((now, version))
+        while reports[0][0] < now - WINDOW_SECONDS:
+            reports.popleft()
+
+    def share_at_least(self, model: ModelName, minimum: WeightVersion, now: float) -> float:
+        """Return the share of reports that name `minimum` or newer; 1 if there are no reports."""
+        reports = self._reports.get(model, ())
+        recent = [version for at, version in reports if at >= now - WINDOW_SECONDS]
+        if not recent:
+            return 1.0
+        return sum(1 for version in recent if version >= minimum) / len(recent)
--- a/src/stagewalk/samples/store.py
+++ b/src/stagewalk/samples/store.py
@@ -7,6 +7,7 @@
 from stagewalk.configuration.parameters import Tenant, TenantParameters
 from stagewalk.core.identities import RequestId, TenantName, WeightVersion
 from stagewalk.samples.lots import Lot, LotKey
+from stagewalk.samples.served_versions import ServedVersions
 from stagewalk.samples.staleness import VersionClock
 
 
@@ -47,6 +48,8 @@
         Slot of each claim proposed or read, by its key.
     versions
         What is known of each model's newest version.
+    served
+        What the engines in reach run.
     tenants
         Configuration in force.
     """
@@ -56,6 +59,7 @@
         self.requests: dict[RequestId, SlotPlace] = {}
         self.claims: dict[str, SlotPlace] = {}
         self.versions = VersionClock()
+        self.served = ServedVersions()
         self.tenants: dict[TenantName, Tenant] = {}
         self._trainers: dict[tuple[TenantName, str], TrainerView] = {}
 
