--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -171,13 +171,18 @@
 
 class LimiterTest(testtools.TestCase):
     def test_falls_at_refusals_once_in_an_interval_and_grows_back(self) -> None:
-        limiter = AdaptiveLimiter(LimiterConfig(initial_limit=10.0))
+        limiter = AdaptiveLimiter(LimiterConfig(initial_limit=8.0))
+        limiter.note_completed(3)
+        self.assertEqual(8.0, limiter.limit, "it was not in use")
+        limiter.note_completed(8)
+        limiter.note_completed(8)
+        self.assertEqual(10.0, limiter.limit)
         for _ in range(5):
             limiter.note_refused(1.0)
         self.assertEqual(8.0, limiter.limit)
         for _ in range(20):
             limiter.note_completed(8)
-        self.assertTrue(9.0 < limiter.limit < 11.0, limiter.limit)
+        self.assertEqual(13.0, limiter.limit, "a quarter each after the first refusal")
 
     def test_late_first_tokens_lower_it(self) -> None:
         limiter = AdaptiveLimiter(LimiterConfig(initial_limit=10.0))
@@ -186,3 +191,17 @@
         self.assertEqual(10.0, limiter.limit)
         limiter.note_first_token(5.0, 2.0)
         self.assertEqual(9.5, limiter.limit)
+
+
+class FreeRoomTest(testtools.TestCase):
+    def test_a_pool_seen_empty_is_filled_by_parts_whatever_the_learnt_limit(self) -> None:
+        limiter = LimiterConfig(initial_limit=1.0, minimum_limit=1.0)
+        desk = Desk(AdmissionConfig(limiter=limiter, pool_overcommit=1.0, share_reserve=0.0))
+        in_flight = []
+        for _ in range(3):
+            desk.controller.set_pool(MODEL, PoolCapacity(slots=100, load=len(desk.running)))
+            desk.release()
+            while desk.admit("a").is_ok() and not desk.waiting:
+                pass
+            in_flight.append(len(desk.running))
+        self.assertEqual([25, 43, 57], in_flight)
