Hand a claim over to the node that the caller turns to after a refusal

Change: the owner of a claim whose request never ran, and is not in progress, gives the claim (bound to its nonce) to the process that asks, and forgets it in the same step; a reply names the query and the incarnation it answers, so that a late or doubled one gives nothing. New transition awaiting_owner -> claiming. Ruled out: saying only ran=no, which another send at the same instant could make false; admission before the claim, for the same reason. Before: the second node says unknown.

--- a/src/stagewalk/node/answer_exchange.py
+++ b/src/stagewalk/node/answer_exchange.py
@@ -1,12 +1,14 @@
 """Fetches answers of at-most-once requests from the nodes that own their claims.
 
-The caller of a request may come back through another node, after the first one lost it or
-was lost itself. The claim names who ran the request; that process, if it still lives, is asked.
+The caller of a request may come back through another node, after the first one lost or refused
+it. The claim names who may run the request; that process, if it still lives, is asked. If it ran
+the request it sends the answer; if it never ran it and never will, it hands the claim over.
 """
 
 from __future__ import annotations
 
 from collections import defaultdict
+from dataclasses import dataclass
 
 from stagewalk.core.completions import CompletionResult, VersionSpan
 from stagewalk.core.errors import StagewalkError
@@ -32,6 +34,16 @@
 """Queries for answers still being made; one more is answered as not known."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Query:
+    """Another node's question, waiting for the outcome of a request in progress here."""
+
+    address: Address
+    asker_incarnation: int
+    nonce: str
+    query_id: int
+
+
 class AnswerExchange:
     """Asks owners for answers, and answers other nodes' queries."""
 
@@ -41,7 +53,7 @@
         self._identity = identity
         self._requests = requests
         self._membership = membership
-        self._waiting: defaultdict[RequestKey, list[Address]] = defaultdict(list)
+        self._waiting: defaultdict[RequestKey, list[_Query]] = defaultdict(list)
         self._waiting_count = 0
 
     def answer_wanted(self, wanted: AnswerWanted, now: float) -> list[NodeOutput]:
@@ -50,7 +62,13 @@
             if member.name != wanted.owner or member.incarnation != wanted.owner_incarnation:
                 continue
             message = _message(wanted.key)
-            message.query.CopyFrom(AnswerQuery(owner_incarnation=wanted.owner_incarnation))
+            message.query.CopyFrom(
+                AnswerQuery(
+                    owner_incarnation=wanted.owner_incarnation,
+                    nonce=wanted.nonce,
+                    query_id=wanted.query_id,
+                )
+            )
             return [self._send(member.address, message)]
         detail = f"node {wanted.owner} that ran it is gone"
         return list(self._requests.answer_fetched(wanted.key, None, detail, now))
@@ -61,31 +79,40 @@
         key = RequestKey(TenantName(message.tenant), RequestId(message.request_id))
         if message.WhichOneof("body") == "query":
             return self._answer_query(key, message.query, event, now)
-        result = _result(message.reply) if message.reply.known else None
-        return list(self._requests.answer_fetched(key, result, message.reply.detail, now))
+        return self._take_reply(key, message.reply, now)
 
     def request_ended(
-        self, key: RequestKey, outcome: CompletionResult | StagewalkError
+        self, key: RequestKey, outcome: CompletionResult | StagewalkError, now: float
     ) -> list[NodeOutput]:
         """Answer the nodes that wait for the outcome of a request of this node."""
-        addresses = self._waiting.pop(key, [])
-        self._waiting_count -= len(addresses)
-        return [self._reply(address, key, outcome) for address in addresses]
+        queries = self._waiting.pop(key, [])
+        self._waiting_count -= len(queries)
+        return [self._reply(key, query, outcome, now) for query in queries]
+
+    def _take_reply(self, key: RequestKey, reply: AnswerReply, now: float) -> list[NodeOutput]:
+        if not reply.claim_handed_over:
+            result = _result(reply) if reply.known else None
+            return list(self._requests.answer_fetched(key, result, reply.detail, now))
+        if reply.asker_incarnation != self._identity.incarnation:
+            return []
+        return list(self._requests.claim_handed_over(key, reply.query_id, now))
 
     def _answer_query(
         self, key: RequestKey, query: AnswerQuery, event: PeerMessageReceived, now: float
     ) -> list[NodeOutput]:
-        address = self._address_of(NodeName(event.envelope.sender), event.source)
+        envelope = event.envelope
+        address = self._address_of(NodeName(envelope.sender), event.source)
+        waiting = _Query(address, envelope.sender_incarnation, query.nonce, query.query_id)
         if query.owner_incarnation != self._identity.incarnation:
-            return [self._reply(address, key, None)]
+            return [self._reply(key, waiting, None, now)]
         outcome = self._requests.retained(key, now)
-        if outcome is not None:
-            return [self._reply(address, key, outcome.result or outcome.error)]
         if self._requests.in_progress(key) and self._waiting_count < MAXIMUM_WAITING_QUERIES:
-            self._waiting[key].append(address)
+            self._waiting[key].append(waiting)
             self._waiting_count += 1
             return []
-        return [self._reply(address, key, None)]
+        if outcome is None:
+            return [self._reply(key, waiting, None, now)]
+        return [self._reply(key, waiting, outcome.result or outcome.error, now)]
 
     def _address_of(self, sender: NodeName, source: Address) -> Address:
         for member in self._membership.members():
@@ -94,15 +121,23 @@
         return source
 
     def _reply(
-        self, address: Address, key: RequestKey, outcome: CompletionResult | StagewalkError | None
+        self,
+        key: RequestKey,
+        query: _Query,
+        outcome: CompletionResult | StagewalkError | None,
+        now: float,
     ) -> SendPeerMessage:
         message = _message(key)
         if isinstance(outcome, CompletionResult):
             message.reply.CopyFrom(_encode(outcome))
+        elif self._requests.hand_over_claim(key, query.nonce, now):
+            message.reply.claim_handed_over = True
         else:
             detail = "the owner does not know it any more" if outcome is None else str(outcome)
             message.reply.CopyFrom(AnswerReply(known=False, detail=detail))
-        return self._send(address, message)
+        message.reply.query_id = query.query_id
+        message.reply.asker_incarnation = query.asker_incarnation
+        return self._send(query.address, message)
 
     def _send(self, address: Address, message: AnswerMessage) -> SendPeerMessage:
         envelope = Envelope(
--- a/src/stagewalk/node/node_core.py
+++ b/src/stagewalk/node/node_core.py
@@ -323,11 +323,11 @@
         return self.control.configuration_changed(changed, now)
 
     def _request_finished(self, finished: requests.RequestFinished, now: float) -> list[NodeOutput]:
-        output = self.answers.request_ended(finished.key, finished.result)
+        output = self.answers.request_ended(finished.key, finished.result, now)
         return output + self.data.request_finished(finished, now)
 
     def _request_failed(self, failed: requests.RequestFailed, now: float) -> list[NodeOutput]:
-        output = self.answers.request_ended(failed.key, failed.error)
+        output = self.answers.request_ended(failed.key, failed.error, now)
         return output + self.data.request_failed(failed, now)
 
     def _request_claim_wanted(self, wanted: requests.ClaimWanted, now: float) -> list[NodeOutput]:
--- a/src/stagewalk/requests/claim_gate.py
+++ b/src/stagewalk/requests/claim_gate.py
@@ -102,6 +102,36 @@
         record.may_have_run = True
         self._book.finish(record, Cause.ANSWER_FETCHED, result, now)
 
+    def hand_over(self, key: RequestKey, nonce: str, now: float) -> bool:
+        """Give the claim of a request that never ran here to another node; say if it was given.
+
+        From then on this process does not hold it, whether or not the other node learns of it:
+        of all processes at most one ever believes that it may send the request.
+        """
+        outcome = self._book.retained.get(key, now)
+        if key in self._book.records or outcome is None or outcome.may_have_run:
+            return False
+        if outcome.claim is None or outcome.claim.nonce != nonce:
+            return False
+        self._book.retained.put(key, replace(outcome, claim=None))
+        return True
+
+    def handed_over(self, key: RequestKey, query_id: int) -> RequestRecord | None:
+        """Take the claim from its owner; return the record if it may be sent from now on.
+
+        The query id is the record's serial number: a reply to an earlier record's query, late
+        or doubled, names a claim that may have gone on to another node since.
+        """
+        record = self._book.records.get(key)
+        if record is None or record.state is not RequestState.AWAITING_OWNER:
+            return None
+        if record.serial != query_id or record.owners_claim is None:
+            return None
+        self._book.move(record, Cause.CLAIM_HANDED_OVER)
+        record.claim = record.owners_claim
+        record.claim_held = True
+        return record
+
     def forget(self, record: RequestRecord) -> None:
         """Forget a record that no longer waits; its claim may still be chosen, to no effect."""
         if record.state is RequestState.CLAIMING:
@@ -130,4 +160,7 @@
         self._book.move(record, Cause.CLAIM_LOST)
         until = now + self._config.fetch_timeout_seconds
         self._book.timers.add(until, TimerKind.FETCH, record.key, record.serial)
-        self._book.output(AnswerWanted(record.key, chosen.node, chosen.incarnation))
+        record.owners_claim = chosen
+        self._book.output(
+            AnswerWanted(record.key, chosen.node, chosen.incarnation, chosen.nonce, record.serial)
+        )
--- a/src/stagewalk/requests/core.py
+++ b/src/stagewalk/requests/core.py
@@ -143,6 +143,17 @@
         self._gate.answer_fetched(key, result, detail, now)
         return self._book.drain()
 
+    def hand_over_claim(self, key: RequestKey, nonce: str, now: float) -> bool:
+        """Give the claim of a request that never ran here to another node; say if it was given."""
+        return self._gate.hand_over(key, nonce, now)
+
+    def claim_handed_over(self, key: RequestKey, query_id: int, now: float) -> list[RequestOutput]:
+        """Take a claim that its owner gave to this node in reply to a query."""
+        record = self._gate.handed_over(key, query_id)
+        if record is not None:
+            self._admit(record, now)
+        return self._book.drain()
+
     def retained(self, key: RequestKey, now: float) -> RetainedOutcome | None:
         """Return how a request ended at this node, if that is still known."""
         return self._book.retained.get(key, now)
--- a/src/stagewalk/requests/notifications.py
+++ b/src/stagewalk/requests/notifications.py
@@ -63,11 +63,21 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerWanted:
-    """Fetch a request's answer from the node that owns its claim."""
+    """Fetch a request's answer from the node that owns its claim, or the claim if it never ran.
+
+    Attributes
+    ----------
+    nonce
+        Of the claim that was decided.
+    query_id
+        Tells the reply to this query from replies to earlier ones for the same request.
+    """
 
     key: RequestKey
     owner: NodeName
     owner_incarnation: Incarnation
+    nonce: str
+    query_id: int
 
 
 RequestOutput = (
--- a/src/stagewalk/requests/record.py
+++ b/src/stagewalk/requests/record.py
@@ -43,8 +43,8 @@
         The request with the tenant's parameters applied.
     claim, claim_held
         The claim proposed for it, and whether it was won.
-    owner
-        The node that holds the claim, if another one won it.
+    owner, owners_claim
+        The node that holds the claim, if another one won it, and that claim.
     attempt_count
         Attempts started, those under way included.
     may_have_run
@@ -75,6 +75,7 @@
     claim: ClaimValue | None = None
     claim_held: bool = False
     owner: NodeName | None = None
+    owners_claim: ClaimValue | None = None
     attempts: dict[AttemptId, Attempt] = field(default_factory=dict)
     attempt_count: int = 0
     may_have_run: bool = False
--- a/src/stagewalk/requests/states.py
+++ b/src/stagewalk/requests/states.py
@@ -44,6 +44,7 @@
     CLAIM_UNDECIDED = "claim_undecided"
     ANSWER_FETCHED = "answer_fetched"
     ANSWER_UNKNOWN = "answer_unknown"
+    CLAIM_HANDED_OVER = "claim_handed_over"
     ADMITTED = "admitted"
     QUEUED = "queued"
     REFUSED = "refused"
@@ -105,6 +106,9 @@
     Transition(_S.CLAIMING, _C.ABANDONED, _S.ABANDONED, "The callers left: never sent."),
     Transition(_S.AWAITING_OWNER, _C.ANSWER_FETCHED, _S.FINISHED, "The owner had the answer."),
     Transition(_S.AWAITING_OWNER, _C.ANSWER_UNKNOWN, _S.FAILED, "The owner has none, or is gone."),
+    Transition(
+        _S.AWAITING_OWNER, _C.CLAIM_HANDED_OVER, _S.CLAIMING, "The owner never ran it: it is ours."
+    ),
     Transition(_S.AWAITING_OWNER, _C.DEADLINE, _S.FAILED, "The owner took too long."),
     Transition(_S.AWAITING_OWNER, _C.ABANDONED, _S.ABANDONED, "The callers left."),
     Transition(_S.WAITING, _C.ADMITTED, _S.ROUTING, "Its turn came."),
--- a/tests/requests/test_request_states.py
+++ b/tests/requests/test_request_states.py
@@ -16,7 +16,7 @@
 from stagewalk.requests import book
 from stagewalk.requests.claim_value import ClaimValue, encode_claim
 from stagewalk.requests.config import HedgeConfig, RequestConfig, RetryConfig
-from stagewalk.requests.notifications import ClaimWanted
+from stagewalk.requests.notifications import AnswerWanted, ClaimWanted
 from stagewalk.requests.record import fingerprint_of
 from stagewalk.requests.states import TRANSITIONS, Cause, RequestState, next_state
 from tests.requests.support import KEY, Driver, chunk, finished, request
@@ -98,6 +98,11 @@
     return event
 
 
+def hand_over(driver: Driver) -> None:
+    for wanted in driver.of(AnswerWanted):
+        driver.take(driver.core.claim_handed_over(KEY, wanted.query_id, driver.now))
+
+
 EVENTS: dict[str, Callable[[Driver], None]] = {
     "engine killed": fail(sent=True),
     "engine unreachable": fail(sent=False),
@@ -111,6 +116,7 @@
     ],
     "owner answers": owner_answers("<0:4>"),
     "owner knows nothing": owner_answers(None),
+    "owner hands over": hand_over,
     "engines silent": silence_engines,
     "a while": lambda driver: driver.advance(1.0, step=0.5) and None,  # type: ignore[func-returns-value]
     "deadline": lambda driver: driver.advance(25.0, step=2.4) and None,  # type: ignore[func-returns-value]
