--- a/tests/process/stage.py
+++ b/tests/process/stage.py
@@ -27,6 +27,7 @@
     RecordAppended,
     read_history,
 )
+from stagewalk.leases.fold import LEASE_STREAM
 from stagewalk_standins.demo.operator import Operator
 from stagewalk_standins.demo.processes import ProcessGroup
 from stagewalk_standins.demo.tables import history_files
@@ -75,6 +76,8 @@
         for name in self.topology.services:
             await self._wait_answering(f"{self.topology.services[name].url}/control/faults")
         await self._wait_answering(f"{self._control_url}/{self.engine_names[0]}")
+        for stream in (LEASE_STREAM, PLACEMENT_STREAM):
+            await self._append_foreign_record(stream)
         await self.operator.register_nodes()
         nodes = [node.specification for node in self.topology.nodes]
         for specification in (*self.topology.engines, *nodes):
@@ -83,6 +86,12 @@
             tasks.start_soon(self.publish, "advice", "growers")
             tasks.start_soon(self.publish, "policy", "archive")
 
+    async def _append_foreign_record(self, stream: str) -> None:
+        """Have a stream begin with what no node wrote: it must be skipped."""
+        url = f"{self.topology.services['log'].url}/streams/{stream}/records"
+        records = [{"record_id": "foreign", "payload": "bm90IG91cnM="}]
+        (await self._http.post(url, json={"records": records})).raise_for_status()
+
     async def wait_ready(self) -> None:
         """Wait until every node serves both partners' tenants."""
         if not await self.operator.wait_ready(self.node_names):
--- /dev/null
+++ b/tests/process/test_stops.py
@@ -0,0 +1,29 @@
+"""Planned stops of every node and engine under load."""
+
+from __future__ import annotations
+
+import anyio
+
+from stagewalk.history.checker_verdict import Promise
+from stagewalk.history.observations import EngineLeaving, PlannedStopBegan
+from tests.process.layout import Plan
+from tests.process.stage import ProcessTest, Stage
+
+
+class PlannedStopsTest(ProcessTest):
+    def test_every_node_and_engine_stopped_in_turn(self) -> None:
+        async def scenario(stage: Stage) -> None:
+            await stage.at(1.0)
+            for node, engine in zip(stage.node_names, stage.engine_names, strict=True):
+                async with anyio.create_task_group() as stops:
+                    stops.start_soon(stage.operator.restart_in_order, node)
+                    stops.start_soon(stage.operator.restart_in_order, engine)
+                await stage.ready_again(node)
+
+        stage = self.play(scenario, Plan(load_seconds=24.0))
+        self.judge(stage, Promise.PLANNED_STOP_CLEAN, Promise.LEAVING_NO_WORK)
+        history = stage.history()
+        stopped = {item.process for item in history if isinstance(item, PlannedStopBegan)}
+        self.assertLessEqual({*stage.node_names, *stage.engine_names}, stopped)
+        left = {item.engine for item in history if isinstance(item, EngineLeaving)}
+        self.assertEqual({*stage.engine_names}, left)
