--- a/src/stagewalk_standins/caller.py
+++ b/src/stagewalk_standins/caller.py
@@ -56,6 +56,10 @@
         refusal as not run for a passing reason.
     prefixes
         Number of distinct shared prompt prefixes.
+    seed
+        Its requests depend on its name, this, and their number alone.
+    resent
+        It runs again: an earlier run of it may have sent the same requests.
     request_class
         If given, non-repeatable requests are marked by this class of their tenant instead of by
         themselves.
@@ -73,7 +77,9 @@
     impatient_fraction: float
     sends: int
     prefixes: int
+    seed: int = 0
     request_class: str = ""
+    resent: bool = False
 
 
 class CompletionBody(msgspec.Struct, frozen=True):
@@ -174,7 +180,8 @@
         log_event("caller_finished", sent=number, **self._counts)
 
     def _new_body(self, number: int) -> CompletionBody:
-        options, generator = self._options, self._generator
+        options = self._options
+        generator = random.Random(f"{options.caller} {options.seed} {number}")
         topic = generator.randrange(options.prefixes)
         prefix = f"{options.tenant} topic {topic}. ".ljust(PREFIX_CHARACTERS, ".")
         request_id = f"{options.caller}-{number}-{generator.getrandbits(48):012x}"
@@ -190,6 +197,7 @@
             repeatable=repeatable or bool(options.request_class),
             request_class="" if repeatable else options.request_class,
             deadline_seconds=options.deadline_seconds,
+            resent=options.resent,
         )
 
     async def _request(self, body: CompletionBody) -> None:
--- a/src/stagewalk_standins/commands.py
+++ b/src/stagewalk_standins/commands.py
@@ -178,6 +178,8 @@
         sends=options.sends,
         prefixes=options.prefixes,
         request_class=options.request_class,
+        seed=options.seed,
+        resent=options.resent,
     )
     nodes = NodePool(parse_nodes(options.nodes))
     generator = random.Random(f"{options.name} {options.seed}")
--- a/src/stagewalk_standins/flags.py
+++ b/src/stagewalk_standins/flags.py
@@ -107,6 +107,7 @@
     parser.add_argument("--request_class", default="", help="marks non-repeatable requests")
     parser.add_argument("--impatient_fraction", type=float, default=0.0)
     parser.add_argument("--sends", type=int, default=3, help="most times an id is sent")
+    parser.add_argument("--resent", action="store_true", help="an earlier run may have sent these")
     parser.add_argument("--prefixes", type=int, default=8, help="distinct shared prefixes")
     parser.add_argument("--seed", type=int, default=0)
 
