Let a node tell its peers another address than it listens on

Cause: peers learn a node's address from its gossip, so nothing between two nodes, neither a translation of addresses nor the tests' forwarder, could stand in their way. Change: the optional setting `peer_advertise` (flag `--peer_advertise`); its default is `peer_listen`.

--- a/src/stagewalk/cli/node.py
+++ b/src/stagewalk/cli/node.py
@@ -17,6 +17,7 @@
     "zone": ("zone", "zone of this machine"),
     "listen": ("listen", "IP:PORT of the HTTP edge"),
     "peer_listen": ("peer_listen", "IP:PORT for other nodes, UDP and TCP"),
+    "peer_advertise": ("peer_advertise", "IP:PORT other nodes reach it at, if it is another"),
     "log_url": ("platform.log", "base URL of the append-only log"),
     "weights_url": ("platform.weights", "base URL of the weight store"),
     "machines_url": ("platform.machines", "base URL of the machine list"),
--- a/src/stagewalk/node/daemon.py
+++ b/src/stagewalk/node/daemon.py
@@ -87,7 +87,7 @@
     return NodeIdentity(
         name=NodeName(settings.name),
         incarnation=Incarnation(time.time_ns() // 1_000_000),
-        address=settings.peer_listen,
+        address=settings.peer_address,
         placement=Placement(settings.region, settings.zone),
     )
 
--- a/src/stagewalk/settings/node_settings.py
+++ b/src/stagewalk/settings/node_settings.py
@@ -70,7 +70,9 @@
     listen
         Address of the HTTP edge for callers, trainers and operators.
     peer_listen
-        Address other nodes reach this one at, over UDP and TCP.
+        Address for other nodes, over UDP and TCP.
+    peer_advertise
+        Address other nodes reach it at, if a translation of addresses lies in between.
     """
 
     name: str
@@ -81,6 +83,12 @@
     platform: PlatformUrls
     limits: Limits
     log_level: LogLevel
+    peer_advertise: Address | None = None
+
+    @property
+    def peer_address(self) -> Address:
+        """Return the address other nodes reach this one at."""
+        return self.peer_advertise or self.peer_listen
 
 
 class _PlatformSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -97,6 +105,7 @@
     listen: str
     peer_listen: str
     platform: _PlatformSection
+    peer_advertise: str | None = None
     limits: Limits = Limits()
     log_level: LogLevel = "info"
 
@@ -160,6 +169,9 @@
 def _check(file: _SettingsFile) -> Any:
     listen = yield from parse_listen_address("listen", file.listen)
     peer_listen = yield from parse_listen_address("peer_listen", file.peer_listen)
+    peer_advertise = None
+    if file.peer_advertise is not None:
+        peer_advertise = yield from parse_listen_address("peer_advertise", file.peer_advertise)
     log = yield from parse_service_url("platform.log", file.platform.log)
     weights = yield from parse_service_url("platform.weights", file.platform.weights)
     machines = yield from parse_service_url("platform.machines", file.platform.machines)
@@ -173,4 +185,5 @@
         platform=PlatformUrls(log, weights, machines, scorer),
         limits=file.limits,
         log_level=file.log_level,
+        peer_advertise=peer_advertise,
     )
--- a/tests/settings/test_node_settings.py
+++ b/tests/settings/test_node_settings.py
@@ -39,6 +39,14 @@
         self.assertEqual(Address("::1", 81), settings.listen)
         self.assertEqual("http://10.0.0.1:1", settings.platform.log)
 
+    def test_peers_are_told_another_address_only_if_one_is_set(self) -> None:
+        self.assertEqual(
+            Address("127.0.0.1", 7946), load_node_settings(EXAMPLE, {}).ok.peer_address
+        )
+        translated = load_node_settings(EXAMPLE, {"peer_advertise": "10.0.0.9:1"}).ok
+        self.assertEqual(Address("10.0.0.9", 1), translated.peer_address)
+        self.assertEqual(Address("127.0.0.1", 7946), translated.peer_listen)
+
     def test_flags_alone_are_enough(self) -> None:
         urls = {f"platform.{name}": "http://10.0.0.1:1" for name in
                 ("log", "weights", "machines", "scorer")}  # fmt: skip
@@ -56,6 +64,7 @@
             (listen, 'listen = "127.0.0.1:8080/x"', "listen"),
             (listen, "listen = 8080", "listen"),
             ('peer_listen = "127.0.0.1:7946"', 'peer_listen = "0.0.0.0:7946"', "peer_listen"),
+            (listen, f'{listen}\npeer_advertise = "here"', "peer_advertise"),
             (log, 'log = "http://log.example:9001"', "platform.log"),
             (log, 'log = "https://127.0.0.1:9001"', "platform.log"),
             (log, 'log = "127.0.0.1:9001"', "platform.log"),
