Lose, double, reorder and block datagrams between nodes in the engines' process test

Change: every node's peer address is the forwarder's; during the test datagrams are lost (0.1), doubled (0.2) and overtaken (0.2) between all nodes, and one link passes one way only. The forwarder sends one datagram of a front at a time (it died of two at once), and a process that ended by itself fails a test. Seen to fail: with the forwarder dead no node became ready.

--- a/src/stagewalk_standins/forwarder_datagrams.py
+++ b/src/stagewalk_standins/forwarder_datagrams.py
@@ -33,6 +33,7 @@
         self._names = {address: name for name, address in targets.items()}
         self._pairs = pairs
         self._fronts: dict[str, anyio.abc.UDPSocket] = {}
+        self._sending = {name: anyio.Lock() for name in targets}
 
     async def run(self, fronts: Mapping[str, HostPort]) -> None:
         """Open every peer's front and carry datagrams until cancelled."""
@@ -57,7 +58,8 @@
         self, sender: str, receiver: str, state: LinkState, payload: bytes, delay_seconds: float
     ) -> None:
         await anyio.sleep(delay_seconds)
-        await self._fronts[sender].sendto(payload, *self._targets[receiver])
+        async with self._sending[sender]:
+            await self._fronts[sender].sendto(payload, *self._targets[receiver])
         state.counts.datagrams_passed += 1
 
 
--- a/tests/process/layout.py
+++ b/tests/process/layout.py
@@ -29,6 +29,7 @@
 WEIGHT_BYTES = 1_000_000
 MACHINE_LIST_LAG_SECONDS = 1.0
 FIRST_LINK_PORT = 9001
+FIRST_PEER_PORT = 7946
 FIRST_NETWORK = 128
 """Loopback networks 127.128 to 127.227 are these tests'; the process id chooses one."""
 
@@ -141,15 +142,17 @@
             for name, service in self.services.items()
             if name != "log"
         )
+        front = f"{self.forwarder.address}:{FIRST_PEER_PORT + index}"
+        self.peers.append(Peer(host.name, front, f"{host.address}:{PEER_PORT}"))
         path.write_text(
             f'name = "{host.name}"\nregion = "{REGION}"\nzone = "{host.zone}"\n'
             f'listen = "{host.address}:{HTTP_PORT}"\n'
-            f'peer_listen = "{host.address}:{PEER_PORT}"\n'
+            f'peer_listen = "{host.address}:{PEER_PORT}"\npeer_advertise = "{front}"\n'
             f'[platform]\nlog = "http://{log}"\n{platform}'
         )
         command = (sys.executable, "-m", "stagewalk", "node", f"--settings={path}")
         specification = ProcessSpecification(host.name, command)
-        return NodeHost(host, specification, f"{host.address}:{PEER_PORT}")
+        return NodeHost(host, specification, front)
 
     def _caller(self, index: int, nodes: list[NodeHost]) -> ProcessSpecification:
         name = f"caller-{index + 1}"
--- a/tests/process/stage.py
+++ b/tests/process/stage.py
@@ -134,6 +134,11 @@
         )
         answer.raise_for_status()
 
+    def peer_pairs(self) -> list[str]:
+        """Return the links of datagrams between nodes."""
+        names = self.node_names
+        return [f"{sender}:{other}" for sender in names for other in names if sender != other]
+
     async def link_counts(self, name: str) -> LinkCounts:
         """Read what a link has seen."""
         answer = await self._http.get(f"{self._control_url}/{name}")
@@ -190,6 +195,7 @@
     async def finish(self) -> None:
         """Let the callers end, then stop the trainer, the nodes and the engines in order."""
         await anyio.to_thread.run_sync(self._wait_callers)
+        self.group.collect_unexpected_exits()
         await self.operator.stop(["trainer"])
         await self.operator.stop(self.node_names)
         await self.operator.stop(self.engine_names)
--- a/tests/process/test_engines.py
+++ b/tests/process/test_engines.py
@@ -1,4 +1,7 @@
-"""Engines that are cut off, go silent or are killed while they answer."""
+"""Engines that are cut off, go silent or are killed while they answer, over a bad network.
+
+Between the nodes datagrams are lost, doubled and overtaken, and pass one way only on one link.
+"""
 
 from __future__ import annotations
 
@@ -8,10 +11,15 @@
 from tests.process.layout import Plan
 from tests.process.stage import ProcessTest, Stage
 
+LOSSY = LinkFaults(loss_fraction=0.1, duplicate_fraction=0.2, reorder_fraction=0.2)
+
 
 class EngineFaultsTest(ProcessTest):
     def test_engine_cut_silent_and_killed_mid_stream(self) -> None:
         async def scenario(stage: Stage) -> None:
+            for pair in stage.peer_pairs():
+                await stage.set_link(pair, LOSSY)
+            await stage.set_link("node-1:node-2", LinkFaults(black_holes=(Direction.TO_TARGET,)))
             await stage.at(2.0)
             await stage.set_link("engine-1", LinkFaults(cut=True))
             await stage.at(4.0)
@@ -27,6 +35,10 @@
             await stage.at(10.0)
             stage.start_again("engine-3")
             await stage.set_link("engine-1")
+            await stage.set_link("node-1:node-2")
+            lossy = await stage.link_counts("node-2:node-1")
+            self.assertGreater(min(lossy.datagrams_lost, lossy.datagrams_duplicated), 0)
+            self.assertGreater(lossy.datagrams_reordered, 0)
             for name, count in (("engine-1", "resets"), ("engine-2", "answers_dropped")):
                 counts = await stage.link_counts(name)
                 self.assertGreater(getattr(counts, count), 0)
