--- a/tests/process/stage.py
+++ b/tests/process/stage.py
@@ -28,7 +28,7 @@
     read_history,
 )
 from stagewalk_standins.demo.operator import Operator
-from stagewalk_standins.demo.processes import ProcessGroup
+from stagewalk_standins.demo.processes import ProcessGroup, ProcessSpecification
 from stagewalk_standins.demo.tables import history_files
 from stagewalk_standins.forwarder import LinkView
 from stagewalk_standins.forwarder_faults import LinkCounts, LinkFaults
@@ -134,6 +134,11 @@
         )
         answer.raise_for_status()
 
+    def peer_pairs(self) -> list[str]:
+        """Return the links of datagrams between nodes."""
+        names = self.node_names
+        return [f"{sender}:{other}" for sender in names for other in names if sender != other]
+
     async def link_counts(self, name: str) -> LinkCounts:
         """Read what a link has seen."""
         answer = await self._http.get(f"{self._control_url}/{name}")
@@ -150,14 +155,18 @@
         self.group.kill(name)
 
     def start_again(self, name: str) -> None:
-        """Start a process that was killed or stopped."""
+        """Start a process that was killed or stopped; a caller sends the same requests again."""
         everything = (
             *self.topology.service_processes,
             *self.topology.engines,
             *(node.specification for node in self.topology.nodes),
             *self.topology.clients,
         )
-        self.group.start(next(each for each in everything if each.name == name))
+        specification = next(each for each in everything if each.name == name)
+        if name in self.caller_names:
+            command = (*specification.command, "--resent")
+            specification = ProcessSpecification(name, command)
+        self.group.start(specification)
 
     async def ready_again(self, name: str) -> None:
         """Wait until a node that was started again says that it is ready."""
@@ -186,6 +195,7 @@
     async def finish(self) -> None:
         """Let the callers end, then stop the trainer, the nodes and the engines in order."""
         await anyio.to_thread.run_sync(self._wait_callers)
+        self.group.collect_unexpected_exits()
         await self.operator.stop(["trainer"])
         await self.operator.stop(self.node_names)
         await self.operator.stop(self.engine_names)
