--- a/src/stagewalk/simulation/experiments.py
+++ b/src/stagewalk/simulation/experiments.py
@@ -55,8 +55,9 @@
     lines = [
         "# Results of the simulation",
         "",
-        f"Made by `{command}`. Each figure is the median over the seeds, with the smallest and",
-        "largest in brackets. All policies meet the same load and the same faults.",
+        f"Made by `{command}`.",
+        "",
+        "Each figure is the median over the seeds, with the smallest and largest in brackets. All policies meet the same load and the same faults.",
         "`product` is stagewalk; `routing_*` is stagewalk with another routing policy; `plain_*`",
         "is a whole service without claims, leases and staleness gate. The lower bound on idle",
         "time is worked out after the run: a step's work over the pool's capacity, and its longest",
