--- a/src/stagewalk/bench/capacity_model.py
+++ b/src/stagewalk/bench/capacity_model.py
@@ -46,12 +46,16 @@
 
 
 def planned_value(data: CapacityData, field: str) -> float | None:
-    """Return a figure at the planned size: measured there, else by the line."""
+    """Return a figure at the planned size: measured there, else by the line.
+
+    No figure falls as nodes are added: a line that does comes of noise, and the mean of the
+    sizes stands in for its value.
+    """
     for size in complete_sizes(data):
         if size.nodes == planned.NODES:
             return float(getattr(size, field))
     line = line_of(data, field)
-    return None if line is None else line.at(planned.NODES)
+    return None if line is None else max(line.at(planned.NODES), _rate(data, field))
 
 
 def control_roles(data: CapacityData) -> tuple[RoleLoad, ...]:
--- a/src/stagewalk/bench/core_costs.py
+++ b/src/stagewalk/bench/core_costs.py
@@ -39,7 +39,7 @@
     TenantName,
     WeightVersion,
 )
-from stagewalk.core.instructions import ScoreSample, StartAttempt
+from stagewalk.core.instructions import DeliverSamples, ScoreSample, StartAttempt
 from stagewalk.core.platform import EngineReport, EngineState, LogRecord, MachineKind
 from stagewalk.core.rollouts import RolloutLot, RolloutPrompt, SamplePull
 from stagewalk.node.node_core import NodeCore
@@ -63,6 +63,7 @@
 TENANT = TenantName("advice")
 MODEL = ModelName(MODELS[0])
 NOW = 1.0
+LATER = NOW + 1.0
 
 
 def measure_cores() -> tuple[UnitCost, ...]:
@@ -192,20 +193,25 @@
         prompts = tuple(RolloutPrompt(f"p-{i}", f"prompt {i}", 256) for i in range(slots // 8))
         lot = RolloutLot(TENANT, "trainer", 1, MODEL, VERSION, prompts, 8, 600.0)
         waiting = deque(self._core.submit(CallId("submit"), lot, NOW))
+        # A new lot is held back for a moment, lest another node has run it already.
+        waiting.extend(self._core.tick(LATER))
         while waiting:
             waiting.extend(self._answer(waiting.popleft()))
-        pull = SamplePull(TENANT, "trainer", 1, "", VERSION, slots, NOW)
-        self._core.pull(CallId("pull"), pull, NOW)
+        pull = SamplePull(TENANT, "trainer", 1, "", VERSION, slots, LATER)
+        answers = self._core.pull(CallId("pull"), pull, LATER)
+        batches = [item.batch for item in answers if isinstance(item, DeliverSamples)]
+        if [len(batch.samples) for batch in batches] != [slots]:
+            raise RuntimeError("the step's samples were not handed over whole")
 
     def _answer(self, output: LotOutput) -> list[LotOutput]:
         match output:
             case RequestWanted(request):
                 result = CompletionResult("text " * 64, 64, (VersionSpan(VERSION, 64),), "stop")
-                return self._core.request_finished(request.request_id, result, NOW)
+                return self._core.request_finished(request.request_id, result, LATER)
             case ScoreSample(sample_id=sample_id):
-                return self._core.handle(SampleScored(sample_id, 1.0), NOW)
-            case ClaimWanted(key, value):
-                return self._core.claim_decided(key, value, True, NOW)
+                return self._core.handle(SampleScored(sample_id, 1.0), LATER)
+            case ClaimWanted(key=key, value=value):
+                return self._core.claim_decided(key, value, True, LATER)
         return []
 
 
