Observe work refused by a leaving engine, and stop engines for longer than the checker's grace

Cause: a leaving engine stand-in refuses work itself and wrote nothing of it, so leaving_no_work could not be broken in any run of processes. Change: the engine stand-in observes `WorkRefused` while it is leaving or draining, as the simulation's engines do, and `--leave_seconds` sets how long it stays. The test of planned stops uses 5 s, above the grace of 3 s.

--- a/src/stagewalk_standins/commands.py
+++ b/src/stagewalk_standins/commands.py
@@ -98,7 +98,8 @@
         started_at=clock(),
     )
     history = EngineHistory(_history(options), name, incarnation)
-    server = EngineServer(model, history, WeightFetcher(options.weights))
+    fetcher = WeightFetcher(options.weights)
+    server = EngineServer(model, history, fetcher, options.leave_seconds)
     machine = EngineMachine(
         machines_url=options.machines,
         name=name,
--- a/src/stagewalk_standins/engine_history.py
+++ b/src/stagewalk_standins/engine_history.py
@@ -10,6 +10,7 @@
     OrderObeyed,
     WorkEnded,
     WorkReceived,
+    WorkRefused,
 )
 from stagewalk.simulation.engine_messages import AttemptDone, EngineRequest
 from stagewalk_standins.event_log import log_event
@@ -40,6 +41,19 @@
         )
         log_event("work_received", attempt=request.attempt, request_id=request.request_id)
 
+    def work_refused(self, request: EngineRequest) -> None:
+        """Observe that an attempt came while the engine takes none."""
+        self._file.write(
+            WorkRefused(
+                at=clock(),
+                engine=self._engine,
+                incarnation=self._incarnation,
+                attempt=request.attempt,
+                request_id=request.request_id,
+                tenant=request.tenant,
+            )
+        )
+
     def work_ended(self, done: AttemptDone) -> None:
         """Observe that an attempt ended."""
         self._file.write(
--- a/src/stagewalk_standins/engine_server.py
+++ b/src/stagewalk_standins/engine_server.py
@@ -17,7 +17,7 @@
     TenantName,
     WeightVersion,
 )
-from stagewalk.core.platform import EngineOrder, OrderKind, OrderOutcome
+from stagewalk.core.platform import EngineOrder, EngineState, OrderKind, OrderOutcome
 from stagewalk.simulation.engine_messages import (
     ActivationEnded,
     AttemptDone,
@@ -52,7 +52,7 @@
 LOST_STREAM_SECONDS = 10.0
 SWEEP_SECONDS = 1.0
 LEAVE_SECONDS = 2.0
-"""Least time between `leaving` and the exit: long enough for clients to read it."""
+"""Usual least time between `leaving` and the exit: long enough for clients to read it."""
 STOP_POLL_SECONDS = 0.05
 
 
@@ -105,7 +105,14 @@
 class EngineServer:
     """Drives one engine model in real time and keeps the streams of its attempts."""
 
-    def __init__(self, model: EngineModel, history: EngineHistory, weights: WeightFetcher) -> None:
+    def __init__(
+        self,
+        model: EngineModel,
+        history: EngineHistory,
+        weights: WeightFetcher,
+        leave_seconds: float = LEAVE_SECONDS,
+    ) -> None:
+        self._leave_seconds = leave_seconds
         self._model = model
         self._history = history
         self._weights = weights
@@ -145,7 +152,7 @@
         began = clock()
         self._model.leave(began)
         self._history.leaving()
-        while not self._all_read() or clock() < began + LEAVE_SECONDS:
+        while not self._all_read() or clock() < began + self._leave_seconds:
             await anyio.sleep(STOP_POLL_SECONDS)
 
     def _all_read(self) -> bool:
@@ -212,6 +219,8 @@
         match self._model.submit(submitted, now):
             case Refused(detail, retry_after_seconds):
                 log_event("attempt_refused", attempt=attempt, detail=detail)
+                if self._model.state in (EngineState.LEAVING, EngineState.DRAINING):
+                    self._history.work_refused(submitted)
                 return problem_response(503, "overloaded", detail, "no", retry_after_seconds)
             case Duplicate():
                 return problem_response(409, "duplicate", "the attempt is known", "unknown")
--- a/src/stagewalk_standins/flags.py
+++ b/src/stagewalk_standins/flags.py
@@ -46,6 +46,9 @@
     parser.add_argument("--kv_capacity_tokens", type=int, default=65536)
     parser.add_argument("--slowdown", type=float, default=1.0, help="factor of decoding time")
     parser.add_argument("--chunk_seconds", type=float, default=0.25)
+    parser.add_argument(
+        "--leave_seconds", type=float, default=2.0, help="least time from SIGTERM to the exit"
+    )
     parser.add_argument("--activation_seconds", type=float, default=1.0)
     parser.add_argument("--activation_failure_fraction", type=float, default=0.0)
 
--- a/tests/process/stage.py
+++ b/tests/process/stage.py
@@ -193,12 +193,11 @@
             )
 
     async def finish(self) -> None:
-        """Let the callers end, then stop the trainer, the nodes and the engines in order."""
+        """Let the callers end, then stop the trainer, and the nodes and engines together."""
         await anyio.to_thread.run_sync(self._wait_callers)
         self.group.collect_unexpected_exits()
         await self.operator.stop(["trainer"])
-        await self.operator.stop(self.node_names)
-        await self.operator.stop(self.engine_names)
+        await self.operator.stop([*self.node_names, *self.engine_names])
 
     def history(self) -> list[AnyObservation]:
         """Return what has been observed so far."""
--- a/tests/process/test_stops.py
+++ b/tests/process/test_stops.py
@@ -9,6 +9,9 @@
 from tests.process.layout import Plan
 from tests.process.stage import ProcessTest, Stage
 
+LEAVE_SECONDS = 5.0
+"""Longer than the time after which an engine that is leaving may get no more work."""
+
 
 class PlannedStopsTest(ProcessTest):
     def test_every_node_and_engine_stopped_in_turn(self) -> None:
@@ -20,7 +23,8 @@
                     stops.start_soon(stage.operator.restart_in_order, engine)
                 await stage.ready_again(node)
 
-        stage = self.play(scenario, Plan(load_seconds=24.0))
+        plan = Plan(load_seconds=22.0, engine_flags=(f"--leave_seconds={LEAVE_SECONDS}",))
+        stage = self.play(scenario, plan)
         self.judge(stage, Promise.PLANNED_STOP_CLEAN, Promise.LEAVING_NO_WORK)
         history = stage.history()
         stopped = {item.process for item in history if isinstance(item, PlannedStopBegan)}
