--- a/src/stagewalk/adapters/http_calls.py
+++ b/src/stagewalk/adapters/http_calls.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import ssl
-from typing import TypeVar
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Generic, TypeVar
 from urllib.parse import quote
 
 import anyio
@@ -28,6 +30,7 @@
 _JSON_HEADERS = {"Content-Type": "application/json"}
 _DETAIL_CHARACTERS = 200
 _REQUEST_TIMEOUT_STATUS = 408
+_NOT_MODIFIED_STATUS = 304
 
 
 def open_client(maximum_connections: int, maximum_idle: int) -> httpx.AsyncClient:
@@ -74,13 +77,15 @@
     *,
     read_seconds: float,
     body: object | None = None,
+    headers: Mapping[str, str] | None = None,
 ) -> httpx.Response:
     """Send a JSON body (if any) and read the whole answer; raises `httpx.HTTPError`.
 
     A peer that sends its answer in drops gets `read_seconds` for all of it, not for each.
     """
     content = None if body is None else msgspec.json.encode(body)
-    headers = None if body is None else _JSON_HEADERS
+    if body is not None:
+        headers = _JSON_HEADERS
     extensions = {"timeout": call_timeout(read_seconds).as_dict()}
     request = httpx.Request(method, url, headers=headers, content=content, extensions=extensions)
     try:
@@ -113,6 +118,46 @@
         return Error(transport_error(error, step, peer))
     if not response.is_success:
         return Error(status_error(response, step, peer))
+    return decode_answer(response, answer, step, peer)
+
+
+@dataclass(frozen=True, slots=True)
+class ChangedAnswer(Generic[Answer]):
+    """An answer that differs from the one known, and the tag to ask with next time."""
+
+    value: Answer
+    entity_tag: str | None
+
+
+async def call_json_if_changed(
+    transport: httpx.AsyncBaseTransport,
+    url: str,
+    entity_tag: str | None,
+    *,
+    answer: type[Answer],
+    step: Step,
+    peer: str,
+    read_seconds: float,
+) -> Result[ChangedAnswer[Answer] | None, StagewalkError]:
+    """Read a JSON answer unless it still has a known entity tag; None if it has."""
+    known = None if entity_tag is None else {"if-none-match": entity_tag}
+    try:
+        response = await send_json(transport, "GET", url, read_seconds=read_seconds, headers=known)
+    except httpx.HTTPError as error:
+        return Error(transport_error(error, step, peer))
+    if response.status_code == _NOT_MODIFIED_STATUS:
+        return Ok(None)
+    if not response.is_success:
+        return Error(status_error(response, step, peer))
+    return decode_answer(response, answer, step, peer).map(
+        lambda value: ChangedAnswer(value, response.headers.get("etag"))
+    )
+
+
+def decode_answer(
+    response: httpx.Response, answer: type[Answer], step: Step, peer: str
+) -> Result[Answer, StagewalkError]:
+    """Decode the JSON of a successful response."""
     try:
         return Ok(msgspec.json.decode(response.content, type=answer))
     except msgspec.DecodeError as error:
--- a/src/stagewalk/adapters/http_platform.py
+++ b/src/stagewalk/adapters/http_platform.py
@@ -6,7 +6,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from stagewalk.adapters.http_calls import call_json, path_part
+from stagewalk.adapters.http_calls import call_json, call_json_if_changed, path_part
 from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
 from stagewalk.core.identities import Address, ModelName, Placement, RecordId, WeightVersion
 from stagewalk.core.instructions import ScoreSample
@@ -99,9 +99,12 @@
         self._transport = transport
         self._base_url = base_url
 
-    async def read(self, stream: str, offset: int) -> Result[LogPage, StagewalkError]:
-        """Read records from an offset on, waiting up to `LOG_WAIT_SECONDS` for a first one."""
-        query = f"offset={offset}&limit={LOG_PAGE_RECORDS}&wait_seconds={LOG_WAIT_SECONDS}"
+    async def read(
+        self, stream: str, offset: int, *, wait: bool = True
+    ) -> Result[LogPage, StagewalkError]:
+        """Read records from an offset on; `wait`: up to `LOG_WAIT_SECONDS` for a first one."""
+        wait_seconds = LOG_WAIT_SECONDS if wait else 0
+        query = f"offset={offset}&limit={LOG_PAGE_RECORDS}&wait_seconds={wait_seconds}"
         answer = await call_json(
             self._transport,
             "GET",
@@ -146,19 +149,30 @@
     def __init__(self, transport: httpx.AsyncBaseTransport, base_url: str) -> None:
         self._transport = transport
         self._base_url = base_url
+        self._entity_tag: str | None = None
 
-    async def read(self) -> Result[tuple[Machine, ...], StagewalkError]:
-        """Read the whole list."""
-        answer = await call_json(
+    async def read(self) -> Result[tuple[Machine, ...] | None, StagewalkError]:
+        """Read the whole list; None if it is the same as at the last read.
+
+        A conditional request: at hundreds of nodes the list itself would be most of what a
+        node receives.
+        """
+        answer = await call_json_if_changed(
             self._transport,
-            "GET",
             f"{self._base_url}/machines",
+            self._entity_tag,
             answer=_MachinesAnswer,
             step=Step.ROUTING,
             peer=MACHINES_PEER,
             read_seconds=MACHINES_TIMEOUT_SECONDS,
         )
-        return answer.map(lambda rows: tuple(row.machine() for row in rows.machines))
+        if answer.is_error():
+            return Error(answer.error)
+        changed = answer.ok
+        if changed is None:
+            return Ok(None)
+        self._entity_tag = changed.entity_tag
+        return Ok(tuple(row.machine() for row in changed.value.machines))
 
 
 class HttpWeightStore:
--- a/src/stagewalk/core/instructions.py
+++ b/src/stagewalk/core/instructions.py
@@ -109,10 +109,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadLog:
-    """Read a stream from an offset, waiting a little for news. One read a stream at a time."""
+    """Read a stream from an offset. One read a stream at a time.
+
+    `wait` says whether a read that finds no record waits some seconds for one.
+    """
 
     stream: str
     offset: int
+    wait: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/log_client/stream.py
+++ b/src/stagewalk/log_client/stream.py
@@ -190,7 +190,9 @@
             output.append(AppendRecord(self._name, append.record_id, append.payload))
         if self._wants_read() and self._reading_since is None and now >= self._read_not_before:
             self._reading_since = now
-            output.append(ReadLog(self._name, self._cursor or 0))
+            # Where the latest records begin is known from the head, which needs no news.
+            wait = self._latest_count is None or self._first_read_notified
+            output.append(ReadLog(self._name, self._cursor or 0, wait))
         self.next_wake = self._wake_time()
         return output
 
--- a/src/stagewalk/node/control_plane.py
+++ b/src/stagewalk/node/control_plane.py
@@ -80,6 +80,7 @@
         self._planner = PlacementPlanner(config.planner)
         self._leaving_machines: frozenset[str] = frozenset()
         self._plan_at = 0.0
+        self._members_changed = True
         self.log_client.follow_latest(SNAPSHOT_STREAM, 1)
         for stream in (LEASE_STREAM, PLACEMENT_STREAM):
             self.log_client.follow(stream, 0)
@@ -92,6 +93,7 @@
         """Let time pass in all cores."""
         output: list[NodeOutput] = []
         output += self.membership.tick(now)
+        self._hand_over_members()
         output += self.log_client.tick(now)
         output += self.follower.tick(now)
         output += self.leases.tick(now)
@@ -139,15 +141,17 @@
 
     def handle_machines(self, machines: tuple[Machine, ...], now: float) -> list[NodeOutput]:
         """Take the platform's machine list."""
-        self._leaving_machines = frozenset(
+        leaving = frozenset(
             machine.name
             for machine in machines
             if machine.kind is MachineKind.NODE and machine.state is MachineState.LEAVING
         )
+        if leaving != self._leaving_machines:
+            self._leaving_machines = leaving
+            self.members_changed()
         output: list[NodeOutput] = []
         output += self.membership.handle_machines(machines, now)
         output += self.weights.handle_machines(machines, now)
-        self.members_changed()
         return output
 
     # Notifications
@@ -198,7 +202,14 @@
         return [LogEvent("lease_lost", {"duty": lost.duty})]
 
     def members_changed(self) -> None:
+        """Note that members changed; they are handed over once, at the next tick."""
+        self._members_changed = True
+
+    def _hand_over_members(self) -> None:
         """Hand the members that are alive to the cores that need them."""
+        if not self._members_changed:
+            return
+        self._members_changed = False
         members = self.membership.members()
         leaving = self._leaving_machines
         self.claims.set_members({m.name: Peer(m.address, m.incarnation) for m in members})
--- a/src/stagewalk/node/platform_tasks.py
+++ b/src/stagewalk/node/platform_tasks.py
@@ -81,7 +81,7 @@
         self._tasks.start_soon(self._score, sample)
 
     async def _read_log(self, read: ReadLog) -> None:
-        answer = await self._services.log.read(read.stream, read.offset)
+        answer = await self._services.log.read(read.stream, read.offset, wait=read.wait)
         event: Event
         if answer.is_ok():
             event = LogRead(read.stream, answer.ok.records, answer.ok.head)
@@ -107,10 +107,13 @@
         if answer.is_error():
             self._note_error(answer.error)
             return
-        for machine in answer.ok:
+        machines = answer.ok
+        if machines is None:
+            return
+        for machine in machines:
             if machine.kind is MachineKind.NODE:
                 self._peers.learn_address(machine.name, machine.address)
-        await self._events.put(MachinesRead(answer.ok))
+        await self._events.put(MachinesRead(machines))
 
     async def _read_versions(self, read: ReadVersions) -> None:
         answer = await self._services.weights.versions(read.model)
--- a/src/stagewalk/ports/platform_services.py
+++ b/src/stagewalk/ports/platform_services.py
@@ -24,8 +24,10 @@
 class LogService(Protocol):
     """The append-only log."""
 
-    async def read(self, stream: str, offset: int) -> Result[LogPage, StagewalkError]:
-        """Read records from an offset on, waiting some seconds for a first one."""
+    async def read(
+        self, stream: str, offset: int, *, wait: bool = True
+    ) -> Result[LogPage, StagewalkError]:
+        """Read records from an offset on; `wait`: some seconds for a first one."""
 
     async def append(
         self, stream: str, record_id: RecordId, payload: bytes
@@ -39,8 +41,8 @@
 class MachineList(Protocol):
     """The list of live and leaving machines."""
 
-    async def read(self) -> Result[tuple[Machine, ...], StagewalkError]:
-        """Read the whole list."""
+    async def read(self) -> Result[tuple[Machine, ...] | None, StagewalkError]:
+        """Read the whole list; None if it is the same as at the last read."""
 
 
 class WeightStore(Protocol):
--- a/src/stagewalk/simulation/log_service.py
+++ b/src/stagewalk/simulation/log_service.py
@@ -70,14 +70,16 @@
         offset: int,
         answered: Callable[[LogPage], None],
         failed: Callable[[bool], None],
+        *,
+        wait: bool = True,
     ) -> None:
-        """Read records, waiting some seconds for a first one."""
+        """Read records; `wait`: some seconds for a first one."""
 
         def serve(respond: Callable[[LogPage], None]) -> bool:
             if self.down:
                 return False
             self._network.scheduler.after(
-                self._service_seconds(), lambda: self._serve_read(stream, offset, respond)
+                self._service_seconds(), lambda: self._serve_read(stream, offset, respond, wait)
             )
             return True
 
@@ -131,9 +133,11 @@
             return SLOW_SECONDS * (0.5 + self._generator.random())
         return SERVICE_SECONDS * (0.5 + self._generator.random())
 
-    def _serve_read(self, stream: str, offset: int, respond: Callable[[LogPage], None]) -> None:
+    def _serve_read(
+        self, stream: str, offset: int, respond: Callable[[LogPage], None], wait: bool
+    ) -> None:
         waiter = _Waiter(offset, respond)
-        if offset < len(self._streams[stream]):
+        if offset < len(self._streams[stream]) or not wait:
             self._answer_read(stream, waiter)
             return
         self._waiters[stream].append(waiter)
--- a/src/stagewalk/simulation/outbound.py
+++ b/src/stagewalk/simulation/outbound.py
@@ -288,6 +288,7 @@
             read.offset,
             lambda page: self._feed(LogRead(read.stream, page.records, page.head)),
             lambda _: self._feed(LogReadFailed(read.stream, "log unreachable")),
+            wait=read.wait,
         )
 
     def _append(self, append: AppendRecord) -> None:
--- a/src/stagewalk_standins/machine_server.py
+++ b/src/stagewalk_standins/machine_server.py
@@ -4,13 +4,23 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 
 import msgspec
 
 from stagewalk.core.platform import MachineKind, MachineState
 from stagewalk_standins.event_log import log_event
 from stagewalk_standins.history_file import clock
-from stagewalk_standins.web import Answer, Application, Request, json_response, problem_response
+from stagewalk_standins.web import (
+    Answer,
+    Application,
+    Request,
+    Response,
+    json_response,
+    problem_response,
+)
+
+NOT_MODIFIED_STATUS = 304
 
 
 class MachineBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -47,7 +57,12 @@
         as_of = self._now() - self._lag_seconds
         while len(self._past) > 1 and self._past[1][0] <= as_of:
             self._past.popleft()
-        return json_response({"machines": self._past[0][1], "as_of": as_of})
+        since, machines = self._past[0]
+        entity_tag = f'"{since}"'
+        if request.headers.get("if-none-match") == entity_tag:
+            return Response(NOT_MODIFIED_STATUS, b"", headers={"etag": entity_tag})
+        answer = json_response({"machines": machines, "as_of": as_of})
+        return replace(answer, headers={**answer.headers, "etag": entity_tag})
 
     async def _put(self, request: Request) -> Answer:
         name = request.path_values["name"]
--- a/tests/log_client/test_core.py
+++ b/tests/log_client/test_core.py
@@ -9,6 +9,7 @@
 from stagewalk.core.errors import ErrorKind, Step
 from stagewalk.core.events import AppendConfirmed, LogRead
 from stagewalk.core.identities import RecordId
+from stagewalk.core.instructions import ReadLog
 from stagewalk.core.platform import LogRecord
 from stagewalk.log_client.config import LogClientConfig
 from tests.log_client.model import LANDS_LATE_SECONDS, Faults, LogWorld
@@ -54,6 +55,15 @@
         log.run(5.0)
         self.assertEqual(log.streams["s"][18:], log.read["s"])
 
+    def test_the_head_is_asked_for_without_waiting_for_news(self) -> None:
+        log = world()
+        log.client.follow_latest("s", 2)
+        (first,) = log.client.tick(0.0)
+        self.assertEqual(ReadLog("s", 0, wait=False), first)
+        log.client.handle(LogRead("s", (), 0), 0.1)
+        (second,) = log.client.tick(1.0)
+        self.assertEqual(ReadLog("s", 0, wait=True), second)
+
     def test_advancing_skips_what_was_learnt_otherwise(self) -> None:
         log = world()
         for n in range(20):
--- a/tests/node/test_platform_clients.py
+++ b/tests/node/test_platform_clients.py
@@ -89,6 +89,23 @@
         self.assertEqual(Address("10.0.0.1", 7946), machine.address)
         self.assertEqual(("amman", MachineState.LEAVING), (machine.placement.region, machine.state))
 
+    def test_an_unchanged_machine_list_is_not_sent_again(self) -> None:
+        tags: list[str | None] = []
+
+        def handler(request: httpx.Request) -> httpx.Response:
+            tags.append(request.headers.get("if-none-match"))
+            if tags[-1] == '"1"':
+                return httpx.Response(304)
+            return httpx.Response(200, json={"machines": [], "as_of": 1.0}, headers={"etag": '"1"'})
+
+        async def read_twice() -> None:
+            machines = HttpMachineList(client(handler), URL)
+            self.assertEqual((), (await machines.read()).ok)
+            self.assertIsNone((await machines.read()).ok)
+
+        anyio.run(read_twice)
+        self.assertEqual([None, '"1"'], tags)
+
     def test_versions_and_score(self) -> None:
         row = {"version": 5, "size_bytes": 10, "published_at": 2.0}
         store = HttpWeightStore(client(answering(200, {"versions": [row]})), URL)
--- a/tests/standins/test_services.py
+++ b/tests/standins/test_services.py
@@ -159,7 +159,10 @@
             listed = (await client.get("/machines")).json()["machines"]
             expected = {**MACHINE, "name": "n1", "state": "live", "service": ""}
             self.assertEqual([expected], listed)
+            known = {"if-none-match": (await client.get("/machines")).headers["etag"]}
+            self.assertEqual(304, (await client.get("/machines", headers=known)).status_code)
             now[0] += 2.5
+            self.assertEqual(200, (await client.get("/machines", headers=known)).status_code)
             self.assertEqual([], (await client.get("/machines")).json()["machines"])
             self.assertEqual(404, (await client.delete("/machines/n1")).status_code)
 
