Poll engines less where many are listed

Ruled out: gossip of reports, which at 600 engines costs more than polling seven; a longer life of evidence, which keeps work on an engine that is leaving.

--- a/src/stagewalk/routing/config.py
+++ b/src/stagewalk/routing/config.py
@@ -22,6 +22,9 @@
         The same at a node that has routed nothing for a while; it must leave evidence fresh.
     polls_per_second
         Budget of polls over all engines; a larger subset is polled more slowly.
+    large_polls_per_second, large_deployment_engines
+        The budget when more engines than that are listed: the nodes before them are many too,
+        and each has little processor time and bandwidth for control.
     poll_timeout_seconds
         A poll unanswered for so long is given up and may be sent again.
     evidence_seconds
@@ -44,6 +47,8 @@
     subset_size: int = 16
     poll_interval_seconds: float = 0.5
     polls_per_second: float = 16.0
+    large_polls_per_second: float = 4.0
+    large_deployment_engines: int = 100
     idle_poll_interval_seconds: float = 1.5
     idle_after_seconds: float = 10.0
     poll_timeout_seconds: float = 1.5
@@ -65,10 +70,16 @@
         if self.idle_poll_interval_seconds >= self.evidence_seconds:
             raise ValueError("an idle node's evidence must not expire between polls")
 
-    @property
-    def sustainable_engines(self) -> int:
+    def poll_budget(self, engine_count: int) -> float:
+        """Return the polls a second that a node spends when so many engines are listed."""
+        if engine_count > self.large_deployment_engines:
+            return min(self.polls_per_second, self.large_polls_per_second)
+        return self.polls_per_second
+
+    def sustainable_engines(self, engine_count: int) -> int:
         """Return how many engines the budget keeps fresh, one poll of each lost now and then."""
-        return max(1, int(self.polls_per_second * self.evidence_seconds * FRESHNESS_MARGIN))
+        budget = self.poll_budget(engine_count)
+        return max(1, int(budget * self.evidence_seconds * FRESHNESS_MARGIN))
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/routing/engine_table.py
+++ b/src/stagewalk/routing/engine_table.py
@@ -227,7 +227,7 @@
         return sent_at is not None and now - sent_at < self._config.poll_timeout_seconds
 
     def _refill_poll_tokens(self, now: float) -> None:
-        rate = self._config.polls_per_second
+        rate = self._config.poll_budget(len(self._machines))
         if self._poll_tokens_at is not None:
             earned = (now - self._poll_tokens_at) * rate
             self._poll_tokens = min(rate, self._poll_tokens + earned)
--- a/src/stagewalk/routing/subsets.py
+++ b/src/stagewalk/routing/subsets.py
@@ -45,7 +45,8 @@
         by_service.setdefault(engine.service, []).append((score, engine.name))
     if not by_service:
         return frozenset()
-    size = min(config.subset_size, max(1, config.sustainable_engines // len(by_service)))
+    sustainable = config.sustainable_engines(len(engines))
+    size = min(config.subset_size, max(1, sustainable // len(by_service)))
     chosen: set[str] = set()
     for scored in by_service.values():
         chosen.update(name for _, name in heapq.nlargest(size, scored))
