Round how many engines swap at once, and keep the floor of large pools

Cause: raising the fraction to 40% to 55% took a large pool below the floor its test holds it to. Change: the fraction is 34% to 44% again, rounded to the nearest engine: two of five, three of six.

--- a/src/stagewalk/weights/config.py
+++ b/src/stagewalk/weights/config.py
@@ -65,8 +65,8 @@
     stage_repeat_seconds: float = 10.0
     stage_timeout_seconds: float = 60.0
     activation_timeout_seconds: float = 6.0
-    base_loading_fraction: float = 0.4
-    idle_weight_loading_fraction: float = 0.15
+    base_loading_fraction: float = 0.34
+    idle_weight_loading_fraction: float = 0.1
     staged_quorum: float = 0.95
     stage_stall_seconds: float = 20.0
     maximum_stage_wait_seconds: float = 120.0
--- a/src/stagewalk/weights/pool.py
+++ b/src/stagewalk/weights/pool.py
@@ -247,7 +247,7 @@
         fraction = self._config.base_loading_fraction
         fraction += self._config.idle_weight_loading_fraction * idle_weight
         loading = sum(1 for view in plan.engines if _is_loading(view))
-        at_once = max(1, int(size * fraction))
+        at_once = max(1, round(size * fraction))
         return at_once - loading - missing - self._unfenced(plan, now)
 
     def _unfenced(self, plan: _Plan, now: float) -> int:
