Use the one name for log fields and the identity's protocol

Cause: the type of log fields stood in five places, and the follower reached up to the node for a type. Change: core's LogFields and ProcessIdentity. No behaviour changed; lint, types, layering and the touched tests pass.

--- a/src/stagewalk/claims/transfers.py
+++ b/src/stagewalk/claims/transfers.py
@@ -14,7 +14,7 @@
 from stagewalk.claims.relay import write_chain
 from stagewalk.claims.transfer import HeldState, Source, StateTransfer
 from stagewalk.core.identities import NodeName
-from stagewalk.core.instructions import LogEvent
+from stagewalk.core.instructions import LogEvent, LogFields
 from stagewalk.wire.claims_pb2 import ClaimMessage
 
 MAXIMUM_PATIENCE = 8
@@ -101,7 +101,7 @@
 
     def log(self, name: str, partition: int, group: Group, **fields: str | int | float) -> None:
         """Write a log line about a group."""
-        place: dict[str, str | int | float | bool] = {
+        place: LogFields = {
             "partition": partition,
             "epoch": group.epoch,
             "members": ",".join(group.names),
--- a/src/stagewalk/configuration/follower.py
+++ b/src/stagewalk/configuration/follower.py
@@ -10,7 +10,6 @@
 
 import random
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from stagewalk.configuration.fold import ConfigurationFold
 from stagewalk.configuration.notifications import ConfigurationChanged
@@ -18,15 +17,12 @@
 from stagewalk.configuration.progress import ProgressTable
 from stagewalk.configuration.relay import RelayCache, relayed_records
 from stagewalk.configuration.state import snapshot_offset
-from stagewalk.core.identities import Address, NodeName
+from stagewalk.core.identities import Address, NodeName, ProcessIdentity
 from stagewalk.core.instructions import LogEvent, LogFields, SendPeerMessage, Transport
 from stagewalk.core.platform import LogRecord
 from stagewalk.wire.configuration_pb2 import ConfigurationMessage
 from stagewalk.wire.envelope_pb2 import Envelope
 
-if TYPE_CHECKING:
-    from stagewalk.node.node_core import NodeIdentity
-
 FollowerOutput = SendPeerMessage | LogEvent | ConfigurationChanged
 
 DIGEST_HEX_DIGITS = 16
@@ -87,7 +83,7 @@
     """
 
     def __init__(
-        self, identity: NodeIdentity, config: FollowerConfig, generator: random.Random
+        self, identity: ProcessIdentity, config: FollowerConfig, generator: random.Random
     ) -> None:
         self._identity = identity
         self._config = config
--- a/src/stagewalk/samples/housekeeping.py
+++ b/src/stagewalk/samples/housekeeping.py
@@ -6,7 +6,7 @@
 
 from stagewalk.configuration.parameters import Tenant
 from stagewalk.core.identities import ModelName
-from stagewalk.core.instructions import LogEvent, ReadVersions
+from stagewalk.core.instructions import LogEvent, LogFields, ReadVersions
 from stagewalk.samples.config import LotConfig
 from stagewalk.samples.delivery import Delivery
 from stagewalk.samples.lots import Lot, LotKey, SlotPhase
@@ -139,7 +139,7 @@
             output += self._scheduler.cancel(lot.slots[index])
             lot.move(index, SlotPhase.WAITING)
             self._scheduler.enqueue(lot, index)
-        fields: dict[str, str | int | float | bool] = {
+        fields: LogFields = {
             "tenant": lot.key.tenant,
             "trainer": lot.key.trainer,
             "step": lot.key.step,
--- a/src/stagewalk/samples/settlement.py
+++ b/src/stagewalk/samples/settlement.py
@@ -7,7 +7,7 @@
 from stagewalk.core.completions import CompletionResult
 from stagewalk.core.errors import ErrorKind, StagewalkError
 from stagewalk.core.identities import RequestId, SlotKey
-from stagewalk.core.instructions import Instruction, LogEvent, ScoreSample
+from stagewalk.core.instructions import Instruction, LogEvent, LogFields, ScoreSample
 from stagewalk.core.rollouts import Sample
 from stagewalk.samples.backoff import retry_delay
 from stagewalk.samples.config import LotConfig
@@ -200,7 +200,7 @@
         lot.stale_reruns += 1
         lot.move(index, SlotPhase.WAITING)
         self._scheduler.enqueue(lot, index)
-        fields: dict[str, str | int | float | bool] = {
+        fields: LogFields = {
             "slot": str(slot.key),
             "generation": slot.generation,
             "reason": reason,
@@ -264,7 +264,7 @@
 
 
 def _stuck_event(slot: SlotKey, failures: int, error: StagewalkError) -> LogEvent:
-    fields: dict[str, str | int | float | bool] = {
+    fields: LogFields = {
         "slot": str(slot),
         "failures": failures,
         "kind": error.kind,
--- a/src/stagewalk/weights/pool.py
+++ b/src/stagewalk/weights/pool.py
@@ -6,7 +6,7 @@
 
 from stagewalk.configuration.parameters import Tenant
 from stagewalk.core.identities import EngineName, Epoch, ModelName, WeightVersion
-from stagewalk.core.instructions import Instruction, LogEvent, OrderEngine, PollEngine
+from stagewalk.core.instructions import Instruction, LogEvent, LogFields, OrderEngine, PollEngine
 from stagewalk.core.platform import (
     EngineOrder,
     EngineReport,
@@ -25,8 +25,6 @@
     pool_targets,
 )
 
-LogFields = dict[str, str | int | float | bool]
-
 
 @dataclass(slots=True)
 class _Plan:
