--- a/src/stagewalk/bench/capacity_model.py
+++ b/src/stagewalk/bench/capacity_model.py
@@ -126,6 +126,15 @@
     return sum(values) / len(values) if values else 0.0
 
 
+def _rate_of_largest(data: CapacityData, field: str) -> float:
+    """Return a rate that steps down where deployments grow large: that of the largest size."""
+    sizes = complete_sizes(data)
+    if not sizes:
+        return 0.0
+    largest = max(sizes, key=lambda size: size.nodes)
+    return float(getattr(largest, field))
+
+
 def _rest(data: CapacityData) -> RoleLoad:
     out, into = planned_value(data, "bytes_out"), planned_value(data, "bytes_in")
     return RoleLoad(
@@ -140,7 +149,7 @@
 
 
 def _engine_polls(data: CapacityData) -> RoleLoad:
-    unit, rate = data.unit("engine_poll"), _rate(data, "engine_polls")
+    unit, rate = data.unit("engine_poll"), _rate_of_largest(data, "engine_polls")
     return RoleLoad(
         role="engine evidence",
         state="the last report of each engine of the subset",
