Let a simulated trainer publish before its step is whole

The product had grown good at running fresh work, and no trainer's version moved within a step, so the gate at hand-over had nothing to do and stood unproved. Conclusion: the load, not the check, was too tame.

--- a/src/stagewalk/simulation/layout.py
+++ b/src/stagewalk/simulation/layout.py
@@ -84,6 +84,9 @@
         Time between holding a step's last sample and holding the next version.
     steps_ahead
         Whether it submits the next step before it trains on this one.
+    partial_update_fraction
+        Chance, after each pull, that it trains on what it holds of the step so far and
+        publishes a version before the step is whole.
     """
 
     tenant: TenantName
@@ -95,6 +98,7 @@
     max_tokens: int
     training_seconds: float
     steps_ahead: bool = True
+    partial_update_fraction: float = 0.0
 
     @property
     def slots_per_step(self) -> int:
--- a/src/stagewalk/simulation/layouts.py
+++ b/src/stagewalk/simulation/layouts.py
@@ -212,6 +212,7 @@
         samples_per_prompt=4,
         max_tokens=240,
         training_seconds=5.0,
+        partial_update_fraction=0.1,
     )
     return replace(
         base,
--- a/src/stagewalk/simulation/trainers.py
+++ b/src/stagewalk/simulation/trainers.py
@@ -147,9 +147,8 @@
         )
         self.needs.append(self._need(step))
         self._lots.pop(step, None)
-        version = WeightVersion(self._checkpoint.version + 1)
-        self._checkpoint = Checkpoint(step + 1, version)
-        self._world.store.publish(self.load.model, version)
+        self._checkpoint = Checkpoint(step + 1, self._checkpoint.version)
+        self._publish_next()
 
     def _pull(self, life: int, progress: _Progress) -> Generator[simpy.Event, Any, bool]:
         """Pull once; return whether the step is whole."""
@@ -179,6 +178,8 @@
                 checkpoint.held += len(batch.samples)
                 if not batch.samples and not batch.complete:
                     yield self._world.scheduler.sleep(0.1)
+                if not batch.complete and self._updates_early():
+                    self._publish_next()
                 return batch.complete
             case FailCall(error=error) if error.kind is ErrorKind.UNKNOWN_LOT:
                 progress.submitted.discard(checkpoint.step)
@@ -186,6 +187,14 @@
                 yield from self._failed(progress)
         return False
 
+    def _updates_early(self) -> bool:
+        fraction = self.load.partial_update_fraction
+        return fraction > 0.0 and self._generator.random() < fraction
+
+    def _publish_next(self) -> None:
+        self._checkpoint.version = WeightVersion(self._checkpoint.version + 1)
+        self._world.store.publish(self.load.model, self._checkpoint.version)
+
     def _submit(self, life: int, progress: _Progress, step: int) -> Steps:
         """Submit a step's lot until some node takes it."""
         self._note_started(step)
