Let an engine's view tell its version and whether it loads

Change: active_version and is_loading are methods of EngineView. Ruled out: splitting the evaluation itself, which reads as one loop of decisions. Conclusion: no behaviour changed.

--- a/src/stagewalk/weights/engines.py
+++ b/src/stagewalk/weights/engines.py
@@ -96,6 +96,15 @@
             return frozenset()
         return frozenset((self.report.active_version, *self.report.staged_versions))
 
+    def active_version(self) -> WeightVersion:
+        """Return the version it runs by its last report, 0 if there is none."""
+        return WeightVersion(0) if self.report is None else self.report.active_version
+
+    def is_loading(self) -> bool:
+        """Say whether it is out of service for a swap, by its report or by an open order."""
+        reported = self.report is not None and self.report.state is EngineState.LOADING
+        return reported or self.is_under(OrderKind.ACTIVATE)
+
     def is_under(self, kind: OrderKind) -> bool:
         """Say whether an order of a kind is open."""
         return self.open_order is not None and self.open_order.order.kind is kind
--- a/src/stagewalk/weights/pool.py
+++ b/src/stagewalk/weights/pool.py
@@ -130,7 +130,7 @@
         plan = self._plan(now)
         versions: dict[int, int] = {}
         for view in plan.engines:
-            version = _active(view)
+            version = view.active_version()
             versions[version] = versions.get(version, 0) + 1
         return PoolStatus(
             pool=self.pool,
@@ -139,7 +139,7 @@
             engines=len(plan.engines),
             on_target=sum(1 for view in plan.engines if _is_on_target(view, plan)),
             staging=sum(1 for view in plan.engines if view.is_fetching()),
-            activating=sum(1 for view in plan.engines if _is_loading(view)),
+            activating=sum(1 for view in plan.engines if view.is_loading()),
             missing=sum(
                 1 for view in self.engines.values() if not view.has_evidence(now, self._config)
             ),
@@ -147,7 +147,7 @@
             quarantined=tuple(
                 QuarantineStatus(
                     view.name,
-                    _active(view),
+                    view.active_version(),
                     plan.targets[view.name].version if view.name in plan.targets else 0,
                     view.failures,
                     view.quarantined_until - now,
@@ -182,7 +182,7 @@
             view = self.engines[name]
             if len(polls) >= self._config.maximum_polls_per_evaluation:
                 break
-            busy = view.open_order is not None or view.report is None or _is_loading(view)
+            busy = view.open_order is not None or view.report is None or view.is_loading()
             interval = self._config.busy_poll_seconds if busy else self._config.idle_poll_seconds
             asked_at = max(view.polled_at or -interval, view.reported_at or -interval)
             if now - asked_at >= interval:
@@ -199,7 +199,7 @@
         """
         for view in plan.engines:
             if self._is_behind(view) and self._may_order(view, now):
-                plan.output.append(self._order(view, OrderKind.STAGE, _active(view), now))
+                plan.output.append(self._order(view, OrderKind.STAGE, view.active_version(), now))
 
     def _is_behind(self, view: EngineView) -> bool:
         return view.report is not None and view.report.epoch < self.epoch
@@ -244,7 +244,7 @@
         idle_weight = pool_idle_weight(self.pool, self._tenants)
         fraction = self._config.base_loading_fraction
         fraction += self._config.idle_weight_loading_fraction * idle_weight
-        loading = sum(1 for view in plan.engines if _is_loading(view))
+        loading = sum(1 for view in plan.engines if view.is_loading())
         at_once = max(1, round(size * fraction))
         return at_once - loading - missing - self._unfenced(plan, now)
 
@@ -253,7 +253,7 @@
         acquired_at = now if self._acquired_at is None else self._acquired_at
         if now - acquired_at > self._config.missing_grace_seconds:
             return 0
-        return sum(1 for view in plan.engines if self._is_behind(view) and not _is_loading(view))
+        return sum(1 for view in plan.engines if self._is_behind(view) and not view.is_loading())
 
     def _is_newly_missing(self, view: EngineView, now: float) -> bool:
         """Say whether an engine without evidence may come back, or be loading, still."""
@@ -278,7 +278,7 @@
         order = EngineOrder(order_id, self.epoch, kind, self.pool, version)
         opened = view.open_order
         first_sent_at = now if opened is None else opened.first_sent_at
-        fetches = kind is OrderKind.STAGE and version != _active(view)
+        fetches = kind is OrderKind.STAGE and version != view.active_version()
         view.open_order = OpenOrder(order, first_sent_at, now, fetches)
         return OrderEngine(view.name, view.address, order)
 
@@ -338,7 +338,7 @@
             "order": opened.order.order_id,
             "kind": opened.order.kind,
             "version": opened.order.version,
-            "active_version": _active(view),
+            "active_version": view.active_version(),
             "failures": view.failures,
             "detail": detail,
         }
@@ -361,10 +361,6 @@
         return [LogEvent("rollout_fenced", fields)]
 
 
-def _active(view: EngineView) -> WeightVersion:
-    return WeightVersion(0) if view.report is None else view.report.active_version
-
-
 def _differ(before: EngineReport, after: EngineReport) -> bool:
     """Say whether a report tells something new about state or weights."""
     return _weights_state(before) != _weights_state(after)
@@ -386,12 +382,7 @@
 
 def _is_on_target(view: EngineView, plan: _Plan) -> bool:
     target = plan.targets.get(view.name)
-    return target is not None and _active(view) == target.version
-
-
-def _is_loading(view: EngineView) -> bool:
-    ordered = view.is_under(OrderKind.ACTIVATE)
-    return ordered or (view.report is not None and view.report.state is EngineState.LOADING)
+    return target is not None and view.active_version() == target.version
 
 
 def _wants(view: EngineView, version: WeightVersion, target: VersionTarget) -> bool:
