--- a/src/stagewalk/adapters/http_calls.py
+++ b/src/stagewalk/adapters/http_calls.py
@@ -39,7 +39,11 @@
     return httpx.AsyncClient(transport=transport, trust_env=False)
 
 
-def open_transport(maximum_connections: int, maximum_idle: int) -> httpx.AsyncHTTPTransport:
+def open_transport(
+    maximum_connections: int,
+    maximum_idle: int,
+    keepalive_seconds: float = KEEPALIVE_SECONDS,
+) -> httpx.AsyncHTTPTransport:
     """Return a pool of connections for short calls.
 
     Without a client's redirects, cookies and authentication a call costs a quarter less of the
@@ -49,7 +53,7 @@
     limits = httpx.Limits(
         max_connections=maximum_connections,
         max_keepalive_connections=maximum_idle,
-        keepalive_expiry=KEEPALIVE_SECONDS,
+        keepalive_expiry=keepalive_seconds,
     )
     return httpx.AsyncHTTPTransport(verify=_BARE_TLS_CONTEXT, limits=limits, trust_env=False)
 
--- /dev/null
+++ b/src/stagewalk/batches/item_run.py
@@ -0,0 +1,80 @@
+"""One item on its way to a result, across attempts at several workers."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from stagewalk.batches.records import BatchItem, ItemFinished, ItemProgress
+
+FAILURE_PAUSE_SECONDS = 0.1
+"""How long an item whose attempt failed waits before the next one."""
+
+
+@dataclass(slots=True)
+class RunningAttempt:
+    """An attempt under way. Times are of the steady clock."""
+
+    attempt: int
+    worker: str
+    started_at: float
+    last_event_at: float
+    events_before: int
+    """Events held already when it began."""
+
+
+@dataclass(slots=True)
+class ItemRun:
+    """What has been made of an item so far.
+
+    Attributes
+    ----------
+    events
+        Data of the events held, in order: event n is at index n - 1.
+    versions
+        Weight versions that made them, ascending.
+    run_failures
+        How often a worker ran it and said it failed.
+    recording
+        Whether its result is on its way to the log.
+    """
+
+    spec: BatchItem
+    events: list[str] = field(default_factory=list)
+    versions: list[int] = field(default_factory=list)
+    running: RunningAttempt | None = None
+    not_before: float = -math.inf
+    run_failures: int = 0
+    recording: bool = False
+    last_worker: str = ""
+
+    @property
+    def waiting(self) -> bool:
+        """Whether it needs an attempt."""
+        return self.running is None and not self.recording
+
+    def note_version(self, version: int) -> None:
+        """Take a version under which what follows is made."""
+        if version not in self.versions:
+            self.versions.append(version)
+            self.versions.sort()
+
+    def restart(self) -> None:
+        """Throw away what was made."""
+        self.events = []
+        self.versions = []
+
+    def adopt(self, progress: ItemProgress) -> None:
+        """Go on from text that another process made."""
+        if len(progress.events) > len(self.events):
+            self.events = list(progress.events)
+            self.versions = sorted(progress.versions)
+
+    def result(self, batch: str) -> ItemFinished:
+        """Return its succeeded result."""
+        text = "\n".join(self.events)
+        return ItemFinished(batch, self.spec.item, True, text, tuple(self.versions))
+
+    def failure(self, batch: str) -> ItemFinished:
+        """Return the result of an item that was given up."""
+        return ItemFinished(batch, self.spec.item, False, "", ())
--- /dev/null
+++ b/src/stagewalk/batches/ledger.py
@@ -0,0 +1,181 @@
+"""The fold of batch records: the same records give the same batches on every node.
+
+Pure but for times, which are of the steady clock and only tell how long this node has known
+something.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from stagewalk.batches.records import (
+    BatchClaimed,
+    BatchEnded,
+    BatchHeader,
+    BatchItem,
+    BatchRecord,
+    BatchReleased,
+    BatchSubmitted,
+    ItemFinished,
+    ItemProgress,
+)
+
+FORGET_AFTER_SECONDS = 240.0
+"""How long an ended batch is kept."""
+
+NOBODY = ""
+
+
+class LedgerChange(StrEnum):
+    """What a record changed."""
+
+    OPENED = "opened"
+    LISTED = "listed"
+    ENDED = "ended"
+    RUNNER = "runner"
+
+
+@dataclass(slots=True)
+class Batch:
+    """A batch as the records tell it.
+
+    Attributes
+    ----------
+    results
+        In the order of their records: a result's index is its position for ever.
+    runner
+        The process that runs it, `NOBODY` after a release.
+    epoch
+        Number of claims so far.
+    seen_at
+        When this node first saw it.
+    """
+
+    header: BatchHeader
+    items: dict[str, BatchItem]
+    runner: str
+    seen_at: float
+    epoch: int = 0
+    runner_since: float = 0.0
+    results: list[ItemFinished] = field(default_factory=list)
+    listed: set[str] = field(default_factory=set)
+    progress: dict[str, ItemProgress] = field(default_factory=dict)
+    ended: bool = False
+    ended_at: float = 0.0
+
+    @property
+    def open(self) -> bool:
+        """Whether anything of it is left to run."""
+        return not self.ended and len(self.listed) < len(self.items)
+
+
+ChangeListener = Callable[[Batch, LedgerChange], None]
+
+
+class BatchLedger:
+    """All batches of the partitions followed."""
+
+    def __init__(self, on_change: ChangeListener) -> None:
+        self._on_change = on_change
+        self._batches: dict[str, Batch] = {}
+        self._parts: dict[tuple[str, str], dict[int, BatchSubmitted]] = {}
+        self._finished: dict[str, ItemFinished] = {}
+
+    def get(self, batch: str) -> Batch | None:
+        """Return a batch."""
+        return self._batches.get(batch)
+
+    def open_batches(self) -> list[Batch]:
+        """Return the batches of which something is left to run."""
+        return [batch for batch in self._batches.values() if batch.open]
+
+    def earlier_result(self, item: str) -> ItemFinished | None:
+        """Return a succeeded result of an item from whichever batch listed it last."""
+        return self._finished.get(item)
+
+    def apply(self, record: BatchRecord, now: float) -> None:
+        """Fold one record in."""
+        match record:
+            case BatchSubmitted():
+                self._submitted(record, now)
+            case ItemFinished():
+                self._item_finished(record)
+            case ItemProgress():
+                self._item_progress(record)
+            case BatchEnded():
+                self._ended(record, now)
+            case BatchClaimed():
+                self._claimed(record, now)
+            case BatchReleased():
+                self._released(record, now)
+
+    def forget(self, now: float) -> None:
+        """Drop batches that ended long ago."""
+        for name, batch in list(self._batches.items()):
+            if batch.ended and now - batch.ended_at > FORGET_AFTER_SECONDS:
+                del self._batches[name]
+                for item in batch.items:
+                    self._finished.pop(item, None)
+
+    def _submitted(self, record: BatchSubmitted, now: float) -> None:
+        name = record.header.batch
+        if name in self._batches:
+            return
+        key = (name, record.submission)
+        parts = self._parts.setdefault(key, {})
+        parts[record.part] = record
+        if len(parts) < record.parts:
+            return
+        del self._parts[key]
+        items = {item.item: item for number in sorted(parts) for item in parts[number].items}
+        batch = Batch(record.header, items, record.runner, now, runner_since=now)
+        self._batches[name] = batch
+        self._on_change(batch, LedgerChange.OPENED)
+
+    def _item_finished(self, record: ItemFinished) -> None:
+        batch = self._batches.get(record.batch)
+        if batch is None or record.item not in batch.items or record.item in batch.listed:
+            return
+        if record.succeeded and any(v < batch.header.minimum_version for v in record.versions):
+            return
+        batch.listed.add(record.item)
+        batch.results.append(record)
+        batch.progress.pop(record.item, None)
+        if record.succeeded:
+            self._finished[record.item] = record
+        self._on_change(batch, LedgerChange.LISTED)
+
+    def _item_progress(self, record: ItemProgress) -> None:
+        batch = self._batches.get(record.batch)
+        if batch is None or record.item in batch.listed or record.item not in batch.items:
+            return
+        known = batch.progress.get(record.item)
+        if known is None or len(known.events) < len(record.events):
+            batch.progress[record.item] = record
+
+    def _ended(self, record: BatchEnded, now: float) -> None:
+        batch = self._batches.get(record.batch)
+        if batch is None or batch.ended:
+            return
+        batch.ended = True
+        batch.ended_at = now
+        self._on_change(batch, LedgerChange.ENDED)
+
+    def _claimed(self, record: BatchClaimed, now: float) -> None:
+        batch = self._batches.get(record.batch)
+        if batch is None or record.epoch != batch.epoch + 1:
+            return
+        batch.epoch = record.epoch
+        self._set_runner(batch, record.runner, now)
+
+    def _released(self, record: BatchReleased, now: float) -> None:
+        batch = self._batches.get(record.batch)
+        if batch is not None and batch.runner == record.runner:
+            self._set_runner(batch, NOBODY, now)
+
+    def _set_runner(self, batch: Batch, runner: str, now: float) -> None:
+        batch.runner = runner
+        batch.runner_since = now
+        self._on_change(batch, LedgerChange.RUNNER)
--- /dev/null
+++ b/src/stagewalk/batches/messages.py
@@ -0,0 +1,78 @@
+"""What the scheduler is told, and what it tells the shell to do."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from stagewalk.batches.records import BatchItem, ItemFinished, ItemProgress
+from stagewalk.ports.workers import AttemptFailure, StreamEvent, StreamHead
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptHead:
+    """A worker began to answer an attempt."""
+
+    attempt: int
+    head: StreamHead
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEvent:
+    """An attempt brought one more event."""
+
+    attempt: int
+    event: StreamEvent
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt's answer is whole."""
+
+    attempt: int
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptBroken:
+    """An attempt ended without a whole answer."""
+
+    attempt: int
+    failure: AttemptFailure
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed, or something else has changed that may let items start."""
+
+
+SchedulerEvent = AttemptHead | AttemptEvent | AttemptEnded | AttemptBroken | Tick
+
+
+@dataclass(frozen=True, slots=True)
+class StartItem:
+    """Send an item to a worker; with `resume_after`, from the event after that one."""
+
+    attempt: int
+    batch: str
+    host: str
+    item: BatchItem
+    worker: str
+    resume_after: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class StopItem:
+    """Close an attempt's connection: the worker stops working on it."""
+
+    attempt: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class RecordItem:
+    """Append a result or progress to the batch's partition."""
+
+    record: ItemFinished | ItemProgress
+
+
+SchedulerInstruction = StartItem | StopItem | RecordItem
--- /dev/null
+++ b/src/stagewalk/batches/records.py
@@ -0,0 +1,154 @@
+"""Records of batch jobs in the log.
+
+Encoded with `msgspec`, whose tagged types are the types the fold works on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+ItemHeaders = tuple[tuple[str, str], ...]
+
+
+class BatchItem(msgspec.Struct, frozen=True, array_like=True):
+    """One request of a batch.
+
+    Attributes
+    ----------
+    group
+        Items of one group are worth something only together; they share their prompt.
+    expected_length
+        The caller's guess of how much it will generate, in tokens; 0 if none.
+    """
+
+    item: str
+    path: str
+    headers: ItemHeaders
+    body: bytes
+    group: str
+    model: str
+    expected_length: int
+
+
+class BatchHeader(msgspec.Struct, frozen=True, array_like=True):
+    """What is said of a batch as a whole.
+
+    Attributes
+    ----------
+    host, path
+        Where it was submitted: they decide its route.
+    minimum_version
+        Oldest weight version that may make any of its results.
+    wanted_groups
+        Number of whole groups its trainer waits for.
+    """
+
+    batch: str
+    host: str
+    path: str
+    step: int
+    model: str
+    minimum_version: int
+    wanted_groups: int
+
+
+class BatchSubmitted(msgspec.Struct, frozen=True, array_like=True, tag="submitted"):
+    """A part of a submission: the batch exists once all parts of one submission are there.
+
+    The node that took it runs it.
+    """
+
+    header: BatchHeader
+    submission: str
+    part: int
+    parts: int
+    runner: str
+    items: tuple[BatchItem, ...]
+
+
+class ItemFinished(msgspec.Struct, frozen=True, array_like=True, tag="finished"):
+    """A result. The first one of an item in the log is the result; its place is its position."""
+
+    batch: str
+    item: str
+    succeeded: bool
+    text: str
+    versions: tuple[int, ...]
+
+
+class ItemProgress(msgspec.Struct, frozen=True, array_like=True, tag="progress"):
+    """Text made so far, for whoever runs the item next."""
+
+    batch: str
+    item: str
+    events: tuple[str, ...]
+    versions: tuple[int, ...]
+
+
+class BatchEnded(msgspec.Struct, frozen=True, array_like=True, tag="ended"):
+    """Nobody waits for the batch any more."""
+
+    batch: str
+
+
+class BatchClaimed(msgspec.Struct, frozen=True, array_like=True, tag="claimed"):
+    """A process takes over running a batch; void unless `epoch` follows the one in force."""
+
+    batch: str
+    runner: str
+    epoch: int
+
+
+class BatchReleased(msgspec.Struct, frozen=True, array_like=True, tag="released"):
+    """The runner stops: anyone may claim the batch at once."""
+
+    batch: str
+    runner: str
+
+
+BatchRecord = (
+    BatchSubmitted | ItemFinished | ItemProgress | BatchEnded | BatchClaimed | BatchReleased
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[BatchRecord] = msgspec.msgpack.Decoder(BatchRecord)
+
+RECORD_HEADROOM_BYTES = 4_096
+
+
+def encode_record(record: BatchRecord) -> bytes:
+    """Return a record's payload."""
+    return _ENCODER.encode(record)
+
+
+def decode_record(payload: bytes) -> BatchRecord | None:
+    """Return a payload's record, None if it is none."""
+    try:
+        return _DECODER.decode(payload)
+    except msgspec.DecodeError:
+        return None
+
+
+def split_submission(
+    header: BatchHeader,
+    items: Sequence[BatchItem],
+    submission: str,
+    runner: str,
+    record_bytes: int,
+) -> list[bytes]:
+    """Return a submission's records, none larger than the log takes."""
+    parts: list[list[BatchItem]] = [[]]
+    size = 0
+    for item in items:
+        item_size = len(_ENCODER.encode(item))
+        if parts[-1] and size + item_size > record_bytes - RECORD_HEADROOM_BYTES:
+            parts.append([])
+            size = 0
+        parts[-1].append(item)
+        size += item_size
+    return [
+        encode_record(BatchSubmitted(header, submission, number, len(parts), runner, tuple(part)))
+        for number, part in enumerate(parts)
+    ]
--- /dev/null
+++ b/src/stagewalk/batches/scheduler.py
@@ -0,0 +1,372 @@
+"""Decides which item runs where and when: a pure state machine of one node's running batches.
+
+Items of a step are worth something only as whole groups in time. So the longest start first,
+a silent or slow worker is left with what has been made so far (any worker goes on after the
+last event held), and what nobody waits for any more stops at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from stagewalk.batches.item_run import FAILURE_PAUSE_SECONDS, ItemRun, RunningAttempt
+from stagewalk.batches.ledger import Batch
+from stagewalk.batches.messages import (
+    AttemptBroken,
+    AttemptEnded,
+    AttemptEvent,
+    AttemptHead,
+    RecordItem,
+    SchedulerEvent,
+    SchedulerInstruction,
+    StartItem,
+    StopItem,
+    Tick,
+)
+from stagewalk.batches.placement import choose_engine, faster_engine
+from stagewalk.batches.records import ItemProgress
+from stagewalk.ports.workers import AttemptFailure, AttemptFault
+from stagewalk.routes.route import Route
+from stagewalk.workers.table import WorkerTable
+from stagewalk.workers.worker import Worker
+
+SILENCE_SECONDS = 1.6
+"""A worker that brings no event of an item for this long is left."""
+
+FIRST_EVENT_SECONDS = 3.0
+"""The same before the first event, when the item may still wait for its place."""
+
+REFUSAL_PAUSE_SECONDS = 0.25
+SUCCESS = 200
+IMPOSSIBLE = 422
+"""The worker says that the item can never be done."""
+
+RUN_FAILED = 500
+
+RouteOf = Callable[[str, str], Route | None]
+"""Finds the route in force for a host and a path."""
+
+
+@dataclass(slots=True)
+class _BatchRun:
+    batch: Batch
+    items: dict[str, ItemRun] = field(default_factory=dict)
+
+
+class BatchScheduler:
+    """Runs the batches that were given to it."""
+
+    def __init__(self, workers: WorkerTable, route_of: RouteOf, zone: str) -> None:
+        self._workers = workers
+        self._route_of = route_of
+        self._zone = zone
+        self._runs: dict[str, _BatchRun] = {}
+        self._attempts: dict[int, tuple[_BatchRun, ItemRun]] = {}
+        self._next_attempt = 1
+
+    @property
+    def batches(self) -> set[str]:
+        """Return the names of the batches being run."""
+        return set(self._runs)
+
+    @property
+    def running(self) -> int:
+        """Return the number of attempts under way."""
+        return len(self._attempts)
+
+    def open(self, batch: Batch, earlier: Callable[[str], ItemProgress | None]) -> None:
+        """Begin to run what is left of a batch; `earlier` finds text kept of an item."""
+        if batch.header.batch in self._runs:
+            return
+        run = _BatchRun(batch)
+        for name, spec in batch.items.items():
+            if name in batch.listed:
+                continue
+            item = ItemRun(spec)
+            for progress in (batch.progress.get(name), earlier(name)):
+                if progress is not None and self._fits(batch, progress):
+                    item.adopt(progress)
+            run.items[name] = item
+        self._runs[batch.header.batch] = run
+
+    def close(self, batch: str, reason: str) -> list[SchedulerInstruction]:
+        """Stop running a batch."""
+        run = self._runs.pop(batch, None)
+        if run is None:
+            return []
+        return [self._stop(item, reason) for item in run.items.values() if item.running]
+
+    def listed(self, batch: str, item: str) -> list[SchedulerInstruction]:
+        """Take the news that an item has its result, whoever made it."""
+        run = self._runs.get(batch)
+        known = None if run is None else run.items.pop(item, None)
+        if known is None or known.running is None:
+            return []
+        return [self._stop(known, "listed")]
+
+    def progress(self) -> list[RecordItem]:
+        """Return what has been made of all unfinished items, for another process to go on."""
+        return [
+            RecordItem(
+                ItemProgress(run.batch.header.batch, name, tuple(item.events), tuple(item.versions))
+            )
+            for run in self._runs.values()
+            for name, item in run.items.items()
+            if item.events and not item.recording
+        ]
+
+    def handle(self, event: SchedulerEvent, now: float) -> list[SchedulerInstruction]:
+        """Take an event and return what to do."""
+        match event:
+            case AttemptHead():
+                return self._head(event, now)
+            case AttemptEvent():
+                return self._event(event, now)
+            case AttemptEnded():
+                return self._ended(event, now)
+            case AttemptBroken():
+                return self._broken(event, now)
+            case Tick():
+                return self._tick(now)
+
+    # What attempts bring.
+
+    def _head(self, event: AttemptHead, now: float) -> list[SchedulerInstruction]:
+        known = self._attempts.get(event.attempt)
+        if known is None:
+            return []
+        run, item = known
+        assert item.running is not None
+        worker = self._workers.worker(item.running.worker)
+        if worker is not None:
+            worker.note_load(event.head.load, now)
+        if event.head.status != SUCCESS:
+            return []
+        item.running.last_event_at = now
+        return self._take_versions(run, item, event.head.versions, now)
+
+    def _event(self, event: AttemptEvent, now: float) -> list[SchedulerInstruction]:
+        known = self._attempts.get(event.attempt)
+        if known is None:
+            return []
+        run, item = known
+        assert item.running is not None
+        if event.event.number != len(item.events) + 1:
+            return self._leave(item, now, "event out of order")
+        if event.event.version is not None:
+            refused = self._take_versions(run, item, (event.event.version,), now)
+            if refused:
+                return refused
+        item.events.append(event.event.data)
+        self._note_pace(item.running, len(item.events), now)
+        item.running.last_event_at = now
+        return []
+
+    def _take_versions(
+        self, run: _BatchRun, item: ItemRun, versions: tuple[int, ...], now: float
+    ) -> list[SchedulerInstruction]:
+        """Note what makes the events that follow; leave a worker whose weights don't fit."""
+        assert item.running is not None
+        header = run.batch.header
+        worker = self._workers.worker(item.running.worker)
+        if worker is not None and versions:
+            worker.versions[item.spec.model] = versions[-1]
+        if any(version < header.minimum_version for version in versions):
+            return self._leave(item, now, "weights too old")
+        route = self._route_of(header.host, item.spec.path)
+        mixed = len({*versions, *item.versions}) > 1
+        if mixed and route is not None and route.single_version:
+            item.restart()
+            return self._leave(item, now, "weights changed")
+        for version in versions:
+            item.note_version(version)
+        return []
+
+    def _ended(self, event: AttemptEnded, now: float) -> list[SchedulerInstruction]:
+        known = self._attempts.pop(event.attempt, None)
+        if known is None:
+            return []
+        run, item = known
+        attempt = self._finish_attempt(item)
+        batch = run.batch.header.batch
+        if event.status == SUCCESS and item.events:
+            item.recording = True
+            return [RecordItem(item.result(batch))]
+        if event.status == IMPOSSIBLE:
+            item.recording = True
+            return [RecordItem(item.failure(batch))]
+        if event.status == RUN_FAILED:
+            item.run_failures += 1
+            route = self._route_of(run.batch.header.host, item.spec.path)
+            if route is not None and item.run_failures >= route.maximum_attempts:
+                item.recording = True
+                return [RecordItem(item.failure(batch))]
+        item.not_before = now + FAILURE_PAUSE_SECONDS
+        item.last_worker = attempt.worker
+        return self._start_items(now)
+
+    def _broken(self, event: AttemptBroken, now: float) -> list[SchedulerInstruction]:
+        known = self._attempts.pop(event.attempt, None)
+        if known is None:
+            return []
+        _, item = known
+        attempt = self._finish_attempt(item)
+        worker = self._workers.worker(attempt.worker)
+        if worker is not None:
+            worker.note_load(event.failure.load, now)
+            self._note_refusal(worker, item, event.failure, now)
+        item.not_before = now + FAILURE_PAUSE_SECONDS
+        item.last_worker = attempt.worker
+        return self._start_items(now)
+
+    # What time brings.
+
+    def _tick(self, now: float) -> list[SchedulerInstruction]:
+        instructions: list[SchedulerInstruction] = []
+        for _, item in list(self._attempts.values()):
+            if item.running is not None and self._silent(item.running, item, now):
+                worker = self._workers.worker(item.running.worker)
+                if worker is not None:
+                    worker.note_failure(now)
+                instructions += self._leave(item, now, "silent")
+        instructions += self._give_up(now)
+        instructions += self._move_from_slow(now)
+        instructions += self._start_items(now)
+        return instructions
+
+    def _silent(self, attempt: RunningAttempt, item: ItemRun, now: float) -> bool:
+        began = len(item.events) > attempt.events_before
+        allowed = SILENCE_SECONDS if began else FIRST_EVENT_SECONDS
+        worker = self._workers.worker(attempt.worker)
+        since = attempt.last_event_at
+        if worker is not None:
+            since = max(since, min(worker.loading_until.get(item.spec.model, since), now))
+        return now - since > allowed
+
+    def _give_up(self, now: float) -> list[SchedulerInstruction]:
+        instructions: list[SchedulerInstruction] = []
+        for run in self._runs.values():
+            for item in run.items.values():
+                route = self._route_of(run.batch.header.host, item.spec.path)
+                if route is None or item.recording:
+                    continue
+                if now - run.batch.seen_at > route.give_up_seconds:
+                    if item.running is not None:
+                        instructions.append(self._stop(item, "given up"))
+                    item.recording = True
+                    instructions.append(RecordItem(item.failure(run.batch.header.batch)))
+        return instructions
+
+    def _move_from_slow(self, now: float) -> list[SchedulerInstruction]:
+        instructions: list[SchedulerInstruction] = []
+        for run, item in list(self._attempts.values()):
+            if item.running is None:
+                continue
+            current = self._workers.worker(item.running.worker)
+            if current is None:
+                continue
+            candidates = self._candidates(run, item)
+            if faster_engine(current, candidates, item.spec.model, now) is not None:
+                instructions += self._leave(item, now, "slow worker")
+                item.not_before = now
+        return instructions
+
+    def _start_items(self, now: float) -> list[SchedulerInstruction]:
+        instructions: list[SchedulerInstruction] = []
+        waiting = [
+            (run, item)
+            for run in self._runs.values()
+            for item in run.items.values()
+            if item.waiting and item.not_before <= now
+        ]
+        waiting.sort(key=lambda pair: _start_order(*pair))
+        for run, item in waiting:
+            start = self._start(run, item, now)
+            if start is not None:
+                instructions.append(start)
+        return instructions
+
+    def _start(self, run: _BatchRun, item: ItemRun, now: float) -> StartItem | None:
+        siblings = {
+            other.running.worker
+            for other in run.items.values()
+            if other.running is not None and other.spec.group == item.spec.group
+        }
+        worker = choose_engine(
+            self._candidates(run, item),
+            item.spec.model,
+            now,
+            zone=self._zone,
+            siblings=siblings,
+            avoid=item.last_worker,
+        )
+        if worker is None:
+            return None
+        attempt = self._next_attempt
+        self._next_attempt += 1
+        name = worker.announcement.worker
+        item.running = RunningAttempt(attempt, name, now, now, len(item.events))
+        self._attempts[attempt] = (run, item)
+        worker.note_sent()
+        resume = len(item.events) or None
+        header = run.batch.header
+        return StartItem(attempt, header.batch, header.host, item.spec, name, resume)
+
+    def _candidates(self, run: _BatchRun, item: ItemRun) -> list[Worker]:
+        """Return the workers that may run an item: serving, on weights that fit."""
+        route = self._route_of(run.batch.header.host, item.spec.path)
+        if route is None:
+            return []
+        workers = [w for b in route.back_ends for w in self._workers.usable(b.service)]
+        model = item.spec.model
+        oldest = run.batch.header.minimum_version
+        return [w for w in workers if w.versions.get(model, oldest) >= oldest]
+
+    # How attempts end here.
+
+    def _leave(self, item: ItemRun, now: float, reason: str) -> list[SchedulerInstruction]:
+        assert item.running is not None
+        worker = item.running.worker
+        stop = self._stop(item, reason)
+        item.not_before = now + FAILURE_PAUSE_SECONDS
+        item.last_worker = worker
+        return [stop]
+
+    def _stop(self, item: ItemRun, reason: str) -> StopItem:
+        assert item.running is not None
+        attempt = item.running.attempt
+        self._attempts.pop(attempt, None)
+        self._finish_attempt(item)
+        return StopItem(attempt, reason)
+
+    def _finish_attempt(self, item: ItemRun) -> RunningAttempt:
+        attempt = item.running
+        assert attempt is not None
+        item.running = None
+        worker = self._workers.worker(attempt.worker)
+        if worker is not None:
+            worker.note_ended()
+        return attempt
+
+    @staticmethod
+    def _note_refusal(worker: Worker, item: ItemRun, failure: AttemptFailure, now: float) -> None:
+        """Avoid an engine that failed; one that refuses with places free loads weights."""
+        if failure.fault is not AttemptFault.NOT_RUN:
+            worker.note_failure(now)
+        elif failure.load is None or failure.load.running < failure.load.slots:
+            worker.loading_until[item.spec.model] = now + REFUSAL_PAUSE_SECONDS
+
+    def _note_pace(self, attempt: RunningAttempt, events: int, now: float) -> None:
+        """Learn a worker's time per event; the first one comes with the head and tells none."""
+        worker = self._workers.worker(attempt.worker)
+        if worker is not None and events > attempt.events_before + 1:
+            worker.note_success(now - attempt.last_event_at, now)
+
+    def _fits(self, batch: Batch, progress: ItemProgress) -> bool:
+        return all(v >= batch.header.minimum_version for v in progress.versions)
+
+
+def _start_order(run: _BatchRun, item: ItemRun) -> tuple[float, int, str]:
+    """Older batches first, within one the items expected to run longest."""
+    return run.batch.seen_at, -item.spec.expected_length, item.spec.group
--- /dev/null
+++ b/src/stagewalk/directory/node_table.py
@@ -0,0 +1,111 @@
+"""Nodes that announce themselves, and which of them are believed alive."""
+
+from __future__ import annotations
+
+import msgspec
+
+from stagewalk.core.identities import NodeName
+
+ALIVE_SECONDS = 3.5
+"""A node not heard of for this long, while the log answers, is believed dead."""
+
+STALE_VIEW_SECONDS = 2.0
+"""With a view older than this nothing new is concluded."""
+
+RESTART_GRACE_SECONDS = 3.5
+
+
+class NodeAnnouncement(msgspec.Struct, frozen=True, array_like=True):
+    """What a node says of itself, again and again.
+
+    Attributes
+    ----------
+    incarnation
+        Grows with each start of the process.
+    front
+        Address callers connect to.
+    serving
+        False once a planned stop has begun.
+    beat
+        Grows with each announcement.
+    """
+
+    node: str
+    incarnation: int
+    front: str
+    zone: str
+    region: str
+    serving: bool
+    beat: int
+
+    def encode(self) -> bytes:
+        """Return the record's value."""
+        return msgspec.msgpack.encode(self)
+
+
+def decode_announcement(value: bytes) -> NodeAnnouncement | None:
+    """Return an announcement, None if the value is none."""
+    try:
+        return msgspec.msgpack.decode(value, type=NodeAnnouncement)
+    except msgspec.DecodeError:
+        return None
+
+
+class NodeTable:
+    """Nodes by name. Times are of this process's steady clock."""
+
+    def __init__(self, own: NodeName) -> None:
+        self._own = own
+        self._nodes: dict[str, NodeAnnouncement] = {}
+        self._heard_at: dict[str, float] = {}
+
+    def announce(self, announcement: NodeAnnouncement, now: float) -> None:
+        """Take a node's announcement; one of an earlier start is ignored."""
+        known = self._nodes.get(announcement.node)
+        if known is not None and _order(announcement) <= _order(known):
+            return
+        self._nodes[announcement.node] = announcement
+        self._heard_at[announcement.node] = now
+
+    def forgive(self, now: float) -> None:
+        """Count every node as just heard: during an outage none could announce itself."""
+        for node in self._heard_at:
+            self._heard_at[node] = now
+
+    def alive(self, view_at: float) -> list[NodeAnnouncement]:
+        """Return the nodes heard of lately, as of when the view was last complete."""
+        return [
+            announcement
+            for node, announcement in self._nodes.items()
+            if view_at - self._heard_at[node] < ALIVE_SECONDS
+        ]
+
+    def process_alive(self, node: str, incarnation: int, view_at: float) -> bool:
+        """Whether a certain start of a node is believed to run still."""
+        known = self._nodes.get(node)
+        if known is None or known.incarnation > incarnation:
+            return False
+        return view_at - self._heard_at[node] < ALIVE_SECONDS
+
+    def known(self, node: str) -> NodeAnnouncement | None:
+        """Return a node's newest announcement."""
+        return self._nodes.get(node)
+
+
+def _order(announcement: NodeAnnouncement) -> tuple[int, int]:
+    return announcement.incarnation, announcement.beat
+
+
+def directory_order(
+    nodes: list[NodeAnnouncement], region: str, zone: str, most: int
+) -> list[NodeAnnouncement]:
+    """Return nodes that serve, nearest to a caller first.
+
+    Callers choose among the addresses at random, so all of a caller's region are named.
+    """
+    serving = [node for node in nodes if node.serving]
+
+    def distance(node: NodeAnnouncement) -> tuple[bool, bool, str]:
+        return node.region != region, node.zone != zone, node.node
+
+    return sorted(serving, key=distance)[:most]
--- /dev/null
+++ b/src/stagewalk/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding: which attempts a caller's opaque request gets, and what it is answered."""
--- /dev/null
+++ b/src/stagewalk/forwarding/forwarder.py
@@ -0,0 +1,185 @@
+"""Carries forwarded requests out: one task an attempt, the first whole answer wins."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+from expression import Error, Ok, Result
+
+from stagewalk.forwarding.policy import Ending, ForwardedRequest, is_success
+from stagewalk.node.log_lines import log_event
+from stagewalk.ports.workers import (
+    AttemptFailure,
+    AttemptFault,
+    HeaderList,
+    OutboundRequest,
+    WorkerAnswer,
+    WorkerClient,
+)
+from stagewalk.routes.route import Route, RouteKind
+from stagewalk.routes.table import RouteTable
+from stagewalk.workers.selection import choose_worker
+from stagewalk.workers.table import WorkerTable
+from stagewalk.workers.worker import Worker
+
+
+@dataclass(frozen=True, slots=True)
+class InboundRequest:
+    """A caller's request, whole."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: HeaderList
+    body: bytes
+
+
+@dataclass(slots=True)
+class _Settled:
+    """Where attempts leave the answer that wins."""
+
+    answer: WorkerAnswer | None = None
+
+
+class Forwarder:
+    """Forwards whole requests to workers of their route's services."""
+
+    def __init__(
+        self, client: WorkerClient, workers: WorkerTable, routes: RouteTable, zone: str
+    ) -> None:
+        self._client = client
+        self._workers = workers
+        self._routes = routes
+        self._zone = zone
+
+    async def forward(
+        self, request: InboundRequest, route: Route, deadline_at: float
+    ) -> Result[WorkerAnswer, Ending]:
+        """Return a worker's answer, or how the request ended without one.
+
+        Cancelling this call closes the connections of all its attempts.
+        """
+        state = ForwardedRequest(route, deadline_at)
+        service = self._routes.choose_back_end(route).service
+        settled = _Settled()
+        with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - time.monotonic())):
+            await self._attempt_until_settled(request, state, service, settled)
+        now = time.monotonic()
+        if settled.answer is not None:
+            self._log(request, state, f"answered_{settled.answer.status}")
+            return Ok(settled.answer)
+        ending = state.ending(now)
+        self._log(request, state, ending.value)
+        return Error(ending)
+
+    async def _attempt_until_settled(
+        self, request: InboundRequest, state: ForwardedRequest, service: str, settled: _Settled
+    ) -> None:
+        while settled.answer is None:
+            worker = self._choose(service, state)
+            if worker is None or not state.may_try_again(time.monotonic()):
+                return
+            await self._attempt_with_hedge(request, state, service, worker, settled)
+
+    async def _attempt_with_hedge(
+        self,
+        request: InboundRequest,
+        state: ForwardedRequest,
+        service: str,
+        worker: Worker,
+        settled: _Settled,
+    ) -> None:
+        """Run one attempt, and a second one beside it if it is slow, until none is left."""
+        async with anyio.create_task_group() as tasks:
+
+            async def attempt(chosen: Worker) -> None:
+                await self._attempt(request, state, chosen, settled)
+                if settled.answer is not None or state.under_way == 0:
+                    tasks.cancel_scope.cancel()
+
+            now = time.monotonic()
+            delay = state.hedge_after(worker.recent_latency(now))
+            self._start(state, worker)
+            tasks.start_soon(attempt, worker)
+            await anyio.sleep(delay)
+            second = self._choose(service, state)
+            if second is not None and state.may_hedge(time.monotonic()):
+                self._start(state, second)
+                tasks.start_soon(attempt, second)
+
+    def _choose(self, service: str, state: ForwardedRequest) -> Worker | None:
+        usable = self._workers.usable(service)
+        return choose_worker(usable, time.monotonic(), self._zone, state.tried)
+
+    @staticmethod
+    def _start(state: ForwardedRequest, worker: Worker) -> None:
+        state.started(worker.announcement.worker)
+        worker.note_sent()
+
+    async def _attempt(
+        self, request: InboundRequest, state: ForwardedRequest, worker: Worker, settled: _Settled
+    ) -> None:
+        began = time.monotonic()
+        outbound = OutboundRequest(
+            request_id=request.request_id,
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            deadline_seconds=state.worker_seconds(began),
+            repeatable=state.route.kind is RouteKind.REPEATABLE,
+        )
+        try:
+            result = await self._client.send(WorkerTable.target(worker), outbound)
+        finally:
+            worker.note_ended()
+        now = time.monotonic()
+        if result.is_error():
+            self._failed(request, state, worker, result.error)
+            return
+        answer = result.ok
+        worker.note_load(answer.load, now)
+        if is_success(answer.status) and not answer.genuine:
+            damaged = AttemptFailure(AttemptFault.MAY_HAVE_RUN, "an answer without signature")
+            self._failed(request, state, worker, damaged)
+            return
+        worker.note_success(now - began, now)
+        state.under_way -= 1
+        if state.accepts(answer, now):
+            settled.answer = answer
+
+    def _failed(
+        self,
+        request: InboundRequest,
+        state: ForwardedRequest,
+        worker: Worker,
+        failure: AttemptFailure,
+    ) -> None:
+        now = time.monotonic()
+        state.failed(failure)
+        worker.note_load(failure.load, now)
+        if failure.fault is not AttemptFault.NOT_RUN:
+            worker.note_failure(now)
+        log_event(
+            "attempt_failed",
+            request=request.request_id,
+            worker=worker.announcement.worker,
+            fault=failure.fault,
+            detail=failure.detail,
+            occupancy=worker.occupancy(now),
+            attempts=state.spent,
+        )
+
+    def _log(self, request: InboundRequest, state: ForwardedRequest, outcome: str) -> None:
+        log_event(
+            "request_ended",
+            request=request.request_id,
+            route=state.route.name,
+            configuration=self._routes.version,
+            outcome=outcome,
+            workers=",".join(state.tried),
+            attempts=state.spent,
+        )
--- /dev/null
+++ b/src/stagewalk/forwarding/policy.py
@@ -0,0 +1,119 @@
+"""Decides the attempts of one forwarded request: a pure state machine.
+
+What has provably not run may go to another worker; what may have run goes on only if it may be
+repeated. A second worker is tried beside a slow one when that is allowed.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from stagewalk.ports.workers import AttemptFailure, AttemptFault, WorkerAnswer
+from stagewalk.routes.route import Route
+
+SERVER_ERROR = 500
+SUCCESS_FROM = 200
+SUCCESS_BELOW = 300
+
+HEDGE_LATENCIES = 4.0
+"""A worker this many usual latencies late gets a second one beside it."""
+
+HEDGE_MINIMUM_SECONDS = 0.05
+HEDGE_TARGET_SHARE = 0.45
+"""The second attempt starts at the latest after this part of the latency target."""
+
+COME_BACK_SECONDS = 0.25
+"""When a caller whose request did not run may usefully send it again."""
+
+DEADLINE_RESERVE_SECONDS = 0.02
+"""Taken off the time a worker gets: its answer has to travel back."""
+
+
+class Ending(StrEnum):
+    """How a request ended without a worker's answer."""
+
+    NOT_RUN = "not_run"
+    """No worker ran it, and none will."""
+    UNKNOWN = "unknown"
+    """A worker may have run it."""
+    OUT_OF_TIME = "out_of_time"
+    """A worker may have run it, and its time is over."""
+
+
+@dataclass(slots=True)
+class ForwardedRequest:
+    """Counts a request's attempts. Times are of the steady clock.
+
+    Attributes
+    ----------
+    deadline_at
+        When the caller, or the route, stops waiting.
+    tried
+        Workers it was sent to, or tried to be.
+    spent
+        Attempts that count against the route's limit: a worker that said it did not run the
+        request counts too, one that was never reached doesn't.
+    """
+
+    route: Route
+    deadline_at: float
+    tried: list[str] = field(default_factory=list)
+    spent: int = 0
+    under_way: int = 0
+    may_have_run: bool = False
+    last_failure: AttemptFailure | None = None
+
+    def started(self, worker: str) -> None:
+        """Note that an attempt began."""
+        self.tried.append(worker)
+        self.spent += 1
+        self.under_way += 1
+
+    def failed(self, failure: AttemptFailure) -> None:
+        """Note that an attempt ended without an answer."""
+        self.under_way -= 1
+        self.last_failure = failure
+        if failure.fault is AttemptFault.NOT_SENT:
+            self.spent -= 1
+        if not failure.fault.proves_not_run:
+            self.may_have_run = True
+
+    def may_try_again(self, now: float) -> bool:
+        """Whether another attempt is allowed now that none is under way."""
+        in_time = now < self.deadline_at - DEADLINE_RESERVE_SECONDS
+        repeatable = self.route.repeatable or not self.may_have_run
+        return in_time and repeatable and self.spent < self.route.maximum_attempts
+
+    def may_hedge(self, now: float) -> bool:
+        """Whether an attempt beside the one under way is allowed."""
+        return self.route.repeatable and self.under_way == 1 and self.may_try_again(now)
+
+    def hedge_after(self, usual_latency: float | None) -> float:
+        """Return after how many seconds without an answer to try a second worker."""
+        latest = HEDGE_TARGET_SHARE * self.route.target_seconds
+        if usual_latency is None:
+            return latest
+        return min(latest, max(HEDGE_MINIMUM_SECONDS, HEDGE_LATENCIES * usual_latency))
+
+    def accepts(self, answer: WorkerAnswer, now: float) -> bool:
+        """Whether an answer is final; a worker's own failure may be worth another worker."""
+        if answer.status < SERVER_ERROR:
+            return True
+        self.may_have_run = True
+        return not self.may_try_again(now)
+
+    def worker_seconds(self, now: float) -> float:
+        """Return how long a worker may still work on it."""
+        return max(0.001, self.deadline_at - now - DEADLINE_RESERVE_SECONDS)
+
+    def ending(self, now: float) -> Ending:
+        """Return how it ends if no worker answers any more."""
+        if not self.may_have_run and self.under_way == 0:
+            return Ending.NOT_RUN
+        return Ending.OUT_OF_TIME if now >= self.deadline_at else Ending.UNKNOWN
+
+
+def is_success(status: int) -> bool:
+    """Whether a status is of the 2xx kind."""
+    return SUCCESS_FROM <= status < SUCCESS_BELOW
--- /dev/null
+++ b/src/stagewalk/gateway/app.py
@@ -0,0 +1,203 @@
+"""The gateway's ASGI application: own calls by path, everything else by routes."""
+
+from __future__ import annotations
+
+import time
+import traceback
+from collections.abc import Awaitable, Callable
+
+import anyio
+from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, HTTPScope, Scope
+
+from stagewalk.forwarding.forwarder import Forwarder, InboundRequest
+from stagewalk.forwarding.policy import COME_BACK_SECONDS, Ending
+from stagewalk.gateway.batch_calls import BatchCalls
+from stagewalk.gateway.exchange import OpaqueExchange
+from stagewalk.gateway.metrics import GatewayMetrics
+from stagewalk.gateway.node_service import NodeService
+from stagewalk.gateway.replies import reply_empty, reply_error, reply_json
+from stagewalk.node.edge.body_budget import BodyBudget
+from stagewalk.node.log_lines import log_event
+from stagewalk.ports.dialect import Dialect
+from stagewalk.routes.route import Route, RouteKind
+from stagewalk.routes.table import RouteTable
+from stagewalk.settings.node_settings import Limits
+
+Endpoint = Callable[[OpaqueExchange], Awaitable[None]]
+
+METRICS_PATH = "/metrics"
+MOST_ADDRESSES = 64
+SECONDS_TO_LIVE = 1.0
+"""How long callers may keep the directory's answer."""
+
+UNANSWERED_STATUS = {
+    Ending.NOT_RUN: 503,
+    Ending.UNKNOWN: 502,
+    Ending.OUT_OF_TIME: 504,
+}
+UNANSWERED_DETAIL = {
+    Ending.NOT_RUN: "no worker ran the request",
+    Ending.UNKNOWN: "a worker may have run the request",
+    Ending.OUT_OF_TIME: "the request's time is over",
+}
+
+
+class GatewayApp:
+    """Application of all the gateway's listeners."""
+
+    def __init__(
+        self,
+        *,
+        routes: RouteTable,
+        forwarder: Forwarder,
+        batches: BatchCalls,
+        nodes: NodeService,
+        dialect: Dialect,
+        limits: Limits,
+        metrics: GatewayMetrics,
+        ready: Callable[[], bool],
+        stopping: Callable[[], bool],
+    ) -> None:
+        self._routes = routes
+        self._forwarder = forwarder
+        self._batches = batches
+        self._nodes = nodes
+        self._dialect = dialect
+        self._spelling = dialect.callers
+        self._limits = limits
+        self._budget = BodyBudget(limits.buffered_body_bytes)
+        self._metrics = metrics
+        self._ready = ready
+        self._stopping = stopping
+        self._fixed: dict[str, Endpoint] = {
+            dialect.callers.ready_path: self._readiness,
+            dialect.callers.resolve_path: self._resolve,
+            METRICS_PATH: self._show_metrics,
+        }
+
+    async def __call__(
+        self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        """Serve one ASGI connection."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self._serve_exchange(scope, receive, send)
+        else:
+            await send({"type": "websocket.close", "code": 1008, "reason": None})
+
+    async def _serve_exchange(
+        self, scope: HTTPScope, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        exchange = OpaqueExchange(
+            scope, receive, send, self._limits, self._budget, last=self._stopping
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(exchange.watch)
+            exchange.on_disconnect(tasks.cancel_scope.cancel)
+            try:
+                await self._serve(exchange)
+            except Exception as error:
+                await _report_crash(exchange, error)
+            finally:
+                exchange.release_body()
+            tasks.cancel_scope.cancel()
+
+    async def _serve(self, exchange: OpaqueExchange) -> None:
+        fixed = self._fixed.get(exchange.path)
+        if fixed is not None:
+            await fixed(exchange)
+        elif exchange.path.startswith(self._spelling.batches_prefix):
+            await self._serve_batch(
+                exchange, exchange.path.removeprefix(self._spelling.batches_prefix)
+            )
+        elif exchange.path.startswith(self._spelling.items_prefix):
+            await self._batches.item(
+                exchange, exchange.path.removeprefix(self._spelling.items_prefix)
+            )
+        else:
+            await self._serve_route(exchange)
+
+    async def _serve_batch(self, exchange: OpaqueExchange, name: str) -> None:
+        if exchange.method == "DELETE":
+            await self._batches.end(exchange, name)
+        else:
+            await self._batches.results(exchange, name)
+
+    async def _serve_route(self, exchange: OpaqueExchange) -> None:
+        if self._routes.configuration is None:
+            await reply_error(exchange, 503, "no configuration is known yet", COME_BACK_SECONDS)
+            return
+        route = self._routes.find(exchange.host, exchange.path)
+        if route is None:
+            await reply_error(exchange, 404, "there is no such route")
+        elif route.kind is RouteKind.BATCH:
+            await self._batches.submit(exchange)
+        else:
+            await self._forward(exchange, route)
+
+    async def _forward(self, exchange: OpaqueExchange, route: Route) -> None:
+        began = time.monotonic()
+        body = await exchange.body()
+        if body.is_error():
+            await reply_error(exchange, 413, body.error.detail)
+            return
+        request = InboundRequest(
+            request_id=exchange.header(self._spelling.request_id) or "",
+            method=exchange.method,
+            target=exchange.target,
+            headers=exchange.end_to_end_headers(),
+            body=body.ok,
+        )
+        deadline_at = began + self._allowed_seconds(exchange, route)
+        outcome = await self._forwarder.forward(request, route, deadline_at)
+        if outcome.is_ok():
+            answer = outcome.ok
+            self._metrics.request_ended(route.kind.value, str(answer.status), began)
+            await exchange.relay(answer.status, answer.headers, answer.body)
+            return
+        ending = outcome.error
+        self._metrics.request_ended(route.kind.value, ending.value, began)
+        come_back = COME_BACK_SECONDS if ending is Ending.NOT_RUN else None
+        await reply_error(exchange, UNANSWERED_STATUS[ending], UNANSWERED_DETAIL[ending], come_back)
+
+    def _allowed_seconds(self, exchange: OpaqueExchange, route: Route) -> float:
+        text = exchange.header(self._spelling.deadline_milliseconds) or ""
+        if text.isdecimal():
+            return min(route.timeout_seconds, int(text) / 1000.0)
+        return route.timeout_seconds
+
+    async def _readiness(self, exchange: OpaqueExchange) -> None:
+        if self._ready() and not self._stopping():
+            await reply_empty(exchange, 200)
+        else:
+            await reply_error(exchange, 503, "starting or stopping")
+
+    async def _resolve(self, exchange: OpaqueExchange) -> None:
+        region = exchange.query.get("region", "")
+        zone = exchange.query.get("zone", "")
+        addresses = self._nodes.serving_nodes(region, zone, MOST_ADDRESSES)
+        if not addresses:
+            await reply_error(exchange, 503, "no node is known to serve")
+            return
+        await reply_json(exchange, self._dialect.addresses(addresses, SECONDS_TO_LIVE))
+
+    async def _show_metrics(self, exchange: OpaqueExchange) -> None:
+        await exchange.respond(200, "text/plain; version=0.0.4", self._metrics.render())
+
+
+async def _report_crash(exchange: OpaqueExchange, error: Exception) -> None:
+    trace = "".join(traceback.format_exception(error))
+    log_event("exchange_failed", "error", path=exchange.path, trace=trace)
+    if not exchange.started:
+        await reply_error(exchange, 500, "internal error")
+
+
+async def _serve_lifespan(receive: ASGIReceiveCallable, send: ASGISendCallable) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "lifespan.startup":
+            await send({"type": "lifespan.startup.complete"})
+        elif message["type"] == "lifespan.shutdown":
+            await send({"type": "lifespan.shutdown.complete"})
+            return
--- /dev/null
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -0,0 +1,290 @@
+"""Runs this node's batches: carries the scheduler's instructions out, takes over from the dead."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import anyio.abc
+import xxhash
+
+from stagewalk.batches.ledger import NOBODY, Batch, LedgerChange
+from stagewalk.batches.messages import (
+    AttemptBroken,
+    AttemptEnded,
+    AttemptEvent,
+    AttemptHead,
+    RecordItem,
+    SchedulerEvent,
+    SchedulerInstruction,
+    StartItem,
+    StopItem,
+    Tick,
+)
+from stagewalk.batches.records import (
+    BatchClaimed,
+    BatchHeader,
+    BatchReleased,
+    ItemFinished,
+    ItemProgress,
+)
+from stagewalk.batches.scheduler import BatchScheduler
+from stagewalk.gateway.batch_store import BatchStore
+from stagewalk.gateway.identity import ProcessId
+from stagewalk.gateway.node_service import NodeService
+from stagewalk.node.log_lines import log_event
+from stagewalk.ports.workers import (
+    AttemptFailure,
+    AttemptFault,
+    OutboundRequest,
+    StreamHead,
+    StreamPart,
+    WorkerClient,
+)
+from stagewalk.version_rollouts.core import VersionRollouts
+from stagewalk.workers.table import WorkerTable
+
+TICK_SECONDS = 0.05
+SUPERVISE_SECONDS = 0.25
+RANK_SECONDS = 1.0
+"""How much longer each next node waits before it takes over an orphaned batch."""
+
+CLAIM_REPEAT_SECONDS = 2.0
+MAXIMUM_VIEW_AGE_SECONDS = 3.0
+ITEM_METHOD = "POST"
+HOST_HEADER = "host"
+
+
+class BatchRunner:
+    """Runs the batches whose runner is this process."""
+
+    def __init__(
+        self,
+        *,
+        identity: ProcessId,
+        store: BatchStore,
+        scheduler: BatchScheduler,
+        client: WorkerClient,
+        workers: WorkerTable,
+        nodes: NodeService,
+        rollouts: VersionRollouts,
+    ) -> None:
+        self._identity = identity
+        self._store = store
+        self._scheduler = scheduler
+        self._client = client
+        self._workers = workers
+        self._nodes = nodes
+        self._rollouts = rollouts
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._scopes: dict[int, anyio.CancelScope] = {}
+        self._orphaned_since: dict[str, float] = {}
+        self._claimed_at: dict[str, float] = {}
+        self._stopping = False
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start running."""
+        self._tasks = tasks
+        self._store.on_change = self._ledger_changed
+        tasks.start_soon(self._tick)
+        tasks.start_soon(self._supervise)
+
+    def runner_for(self, header: BatchHeader) -> str:
+        """Return who is to run a batch that is submitted here now.
+
+        All batches of one trainer go to the same node while it lives: it has connections to the
+        engines open already, and sees all of the trainer's load.
+        """
+        nodes = self._nodes.serving()
+        if not nodes:
+            return NOBODY if self._stopping else str(self._identity)
+        trainer = f"{header.host}/{header.model}"
+        chosen = min(nodes, key=lambda node: _affinity(trainer, node.node))
+        return str(ProcessId(chosen.node, chosen.incarnation))
+
+    def hand_over(self) -> None:
+        """Stop running: tell the log what was made so far and that others may go on."""
+        self._stopping = True
+        for instruction in self._scheduler.progress():
+            self._carry_out([instruction])
+        for batch in sorted(self._scheduler.batches):
+            self._carry_out(self._scheduler.close(batch, "stopping"))
+            self._store.post(batch, BatchReleased(batch, str(self._identity)))
+            log_event("batch_released", batch=batch, runner=str(self._identity))
+
+    # From the ledger.
+
+    def _ledger_changed(self, batch: Batch, change: LedgerChange) -> None:
+        name = batch.header.batch
+        mine = batch.runner == str(self._identity) and not self._stopping
+        if change is LedgerChange.OPENED:
+            self._rollouts.note_minimum(batch.header.model, batch.header.minimum_version)
+        if change is LedgerChange.LISTED:
+            if name in self._scheduler.batches:
+                self._carry_out(self._scheduler.listed(name, batch.results[-1].item))
+        elif change is LedgerChange.ENDED:
+            self._carry_out(self._scheduler.close(name, "ended"))
+        elif mine:
+            self._open(batch)
+        elif name in self._scheduler.batches:
+            log_event("batch_taken_over", batch=name, runner=batch.runner, epoch=batch.epoch)
+            self._carry_out(self._scheduler.close(name, "taken over"))
+
+    def _open(self, batch: Batch) -> None:
+        if not batch.open:
+            return
+        log_event(
+            "batch_opened",
+            batch=batch.header.batch,
+            step=batch.header.step,
+            items=len(batch.items) - len(batch.listed),
+            minimum_version=batch.header.minimum_version,
+            epoch=batch.epoch,
+        )
+        self._scheduler.open(batch, self._earlier_text)
+        self._handle(Tick())
+
+    def _earlier_text(self, item: str) -> ItemProgress | None:
+        """Return an item's text from an earlier batch, if it was whole there."""
+        return None
+
+    # Taking over.
+
+    async def _supervise(self) -> None:
+        while True:
+            await anyio.sleep(SUPERVISE_SECONDS)
+            if not self._stopping:
+                self._claim_orphans(time.monotonic())
+                self._store.ledger.forget(time.monotonic())
+
+    def _claim_orphans(self, now: float) -> None:
+        orphans: set[str] = set()
+        for batch in self._store.ledger.open_batches():
+            name = batch.header.batch
+            if self._store.view_age(name, now) > MAXIMUM_VIEW_AGE_SECONDS:
+                continue
+            if self._nodes.process_alive(batch.runner):
+                continue
+            orphans.add(name)
+            since = self._orphaned_since.setdefault(name, now)
+            if now - since >= self._rank(name) * RANK_SECONDS:
+                self._claim(batch, now)
+        for name in set(self._orphaned_since) - orphans:
+            del self._orphaned_since[name]
+
+    def _claim(self, batch: Batch, now: float) -> None:
+        name = batch.header.batch
+        if now - self._claimed_at.get(name, 0.0) < CLAIM_REPEAT_SECONDS:
+            return
+        self._claimed_at[name] = now
+        log_event("batch_claimed", batch=name, from_runner=batch.runner, epoch=batch.epoch + 1)
+        self._store.post(name, BatchClaimed(name, str(self._identity), batch.epoch + 1))
+
+    def _rank(self, batch: str) -> int:
+        """Return this node's place among those that may take a batch over."""
+        names = sorted(
+            (node.node for node in self._nodes.serving()),
+            key=lambda node: _affinity(batch, node),
+        )
+        return names.index(self._identity.node) if self._identity.node in names else len(names)
+
+    # Attempts.
+
+    async def _tick(self) -> None:
+        while True:
+            await anyio.sleep(TICK_SECONDS)
+            if self._scheduler.batches:
+                self._handle(Tick())
+
+    def _handle(self, event: SchedulerEvent) -> None:
+        self._carry_out(self._scheduler.handle(event, time.monotonic()))
+
+    def _carry_out(self, instructions: list[SchedulerInstruction]) -> None:
+        for instruction in instructions:
+            match instruction:
+                case StartItem():
+                    self._start_item(instruction)
+                case StopItem():
+                    self._stop_item(instruction)
+                case RecordItem():
+                    self._record(instruction)
+
+    def _record(self, instruction: RecordItem) -> None:
+        record = instruction.record
+        self._store.post(record.batch, record)
+        if isinstance(record, ItemFinished):
+            log_event(
+                "item_finished",
+                item=record.item,
+                batch=record.batch,
+                succeeded=record.succeeded,
+                versions=",".join(map(str, record.versions)),
+                characters=len(record.text),
+            )
+
+    def _start_item(self, start: StartItem) -> None:
+        assert self._tasks is not None
+        scope = anyio.CancelScope()
+        self._scopes[start.attempt] = scope
+        self._tasks.start_soon(self._run_item, start, scope)
+        log_event(
+            "item_started",
+            item=start.item.item,
+            batch=start.batch,
+            attempt=start.attempt,
+            worker=start.worker,
+            resume_after=start.resume_after or 0,
+        )
+
+    def _stop_item(self, stop: StopItem) -> None:
+        scope = self._scopes.pop(stop.attempt, None)
+        if scope is not None:
+            log_event("item_stopped", attempt=stop.attempt, reason=stop.reason)
+            scope.cancel()
+
+    async def _run_item(self, start: StartItem, scope: anyio.CancelScope) -> None:
+        with scope:
+            event = await self._attempt(start)
+        if not scope.cancelled_caught:
+            self._scopes.pop(start.attempt, None)
+            self._handle(event)
+
+    async def _attempt(self, start: StartItem) -> AttemptEnded | AttemptBroken:
+        worker = self._workers.worker(start.worker)
+        if worker is None:
+            gone = AttemptFailure(AttemptFault.NOT_SENT, "the worker is gone")
+            return AttemptBroken(start.attempt, gone)
+        request = OutboundRequest(
+            request_id=start.item.item,
+            method=ITEM_METHOD,
+            target=start.item.path,
+            headers=((HOST_HEADER, start.host), *start.item.headers),
+            body=start.item.body,
+            deadline_seconds=None,
+            resume_after=start.resume_after,
+        )
+
+        async def deliver(part: StreamPart) -> None:
+            if isinstance(part, StreamHead):
+                self._handle(AttemptHead(start.attempt, part))
+            else:
+                self._handle(AttemptEvent(start.attempt, part))
+
+        result = await self._client.stream(WorkerTable.target(worker), request, deliver)
+        if result.is_ok():
+            return AttemptEnded(start.attempt, result.ok.status)
+        failure = result.error
+        log_event(
+            "item_attempt_failed",
+            item=start.item.item,
+            attempt=start.attempt,
+            worker=start.worker,
+            fault=failure.fault,
+            detail=failure.detail,
+        )
+        return AttemptBroken(start.attempt, failure)
+
+
+def _affinity(work: str, node: str) -> int:
+    """Return a node's place for a piece of work: the smallest one gets it."""
+    return xxhash.xxh64_intdigest(f"{work}/{node}".encode())
--- /dev/null
+++ b/src/stagewalk/gateway/batch_store.py
@@ -0,0 +1,127 @@
+"""This node's view of all batches, and appending to it: the ledger behind the log's partitions."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import xxhash
+from expression import Result
+
+from stagewalk.batches.ledger import Batch, BatchLedger, LedgerChange
+from stagewalk.batches.records import (
+    BatchEnded,
+    BatchRecord,
+    decode_record,
+    encode_record,
+    split_submission,
+)
+from stagewalk.node.log_lines import log_event
+from stagewalk.partitioned_log.appender import AppendOutcome, PartitionAppender
+from stagewalk.partitioned_log.follower import PartitionFollower
+from stagewalk.ports.dialect import Submission
+from stagewalk.ports.partitioned_log import Partition, PartitionedLog, PartitionRecord
+
+TOPIC = "batches"
+PARTITIONS = 6
+CATCH_UP_SECONDS = 0.8
+
+
+class BatchStore:
+    """Follows all partitions of batches; one appender for each."""
+
+    def __init__(
+        self,
+        log: PartitionedLog,
+        producer: str,
+        record_bytes: int,
+        call_bytes: int,
+        partitions: int,
+    ) -> None:
+        self._record_bytes = record_bytes
+        self.ledger = BatchLedger(self._changed)
+        self.on_change: Callable[[Batch, LedgerChange], None] = lambda _batch, _change: None
+        self._news: dict[str, anyio.Event] = {}
+        numbers = [Partition(TOPIC, n) for n in range(min(PARTITIONS, partitions))]
+        self._followers = [PartitionFollower(log, p, self._apply) for p in numbers]
+        self._appenders = [PartitionAppender(log, p, producer, call_bytes) for p in numbers]
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start following and appending."""
+        for follower in self._followers:
+            tasks.start_soon(follower.run)
+        for appender in self._appenders:
+            tasks.start_soon(appender.run)
+
+    @property
+    def ready(self) -> bool:
+        """Whether every partition was read to its end once."""
+        return all(follower.freshness.ever_confirmed for follower in self._followers)
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits to be appended."""
+        return all(appender.idle for appender in self._appenders)
+
+    def view_age(self, batch: str, now: float) -> float:
+        """Return how old the view of a batch's partition is, in seconds."""
+        return self._follower(batch).freshness.age(now)
+
+    async def catch_up(self, batch: str) -> bool:
+        """Bring the view of a batch's partition up to now; return whether that worked."""
+        return await self._follower(batch).catch_up(CATCH_UP_SECONDS)
+
+    async def submit(
+        self, submission: Submission, runner: str, timeout_seconds: float
+    ) -> Result[int, AppendOutcome]:
+        """Append a submission."""
+        header = submission.header
+        payloads = split_submission(
+            header, submission.items, uuid.uuid4().hex, runner, self._record_bytes
+        )
+        return await self._appender(header.batch).append(payloads, timeout_seconds)
+
+    async def end(self, batch: str, timeout_seconds: float) -> Result[int, AppendOutcome]:
+        """Append that nobody waits for a batch any more."""
+        payload = encode_record(BatchEnded(batch))
+        return await self._appender(batch).append([payload], timeout_seconds)
+
+    def post(self, batch: str, record: BatchRecord) -> None:
+        """Append a record without waiting for it."""
+        self._appender(batch).post([encode_record(record)])
+
+    def appends_stalled(self, batch: str) -> float | None:
+        """Return since when the batch's partition takes no appends, None if it does."""
+        return self._appender(batch).struggling_since
+
+    async def wait_for_news(self, batch: str, timeout_seconds: float) -> None:
+        """Wait until something of a batch changes."""
+        event = self._news.setdefault(batch, anyio.Event())
+        with anyio.move_on_after(timeout_seconds):
+            await event.wait()
+
+    def _follower(self, batch: str) -> PartitionFollower:
+        return self._followers[_partition_of(batch, len(self._followers))]
+
+    def _appender(self, batch: str) -> PartitionAppender:
+        return self._appenders[_partition_of(batch, len(self._appenders))]
+
+    def _apply(self, record: PartitionRecord) -> None:
+        decoded = decode_record(record.payload)
+        if decoded is None:
+            log_event("record_unreadable", "warning", topic=TOPIC, offset=record.offset)
+            return
+        self.ledger.apply(decoded, time.monotonic())
+
+    def _changed(self, batch: Batch, change: LedgerChange) -> None:
+        news = self._news.pop(batch.header.batch, None)
+        if news is not None:
+            news.set()
+        self.on_change(batch, change)
+
+
+def _partition_of(batch: str, partitions: int) -> int:
+    return xxhash.xxh64_intdigest(batch.encode()) % partitions
--- /dev/null
+++ b/src/stagewalk/gateway/daemon.py
@@ -0,0 +1,268 @@
+"""The gateway daemon: wires cores, ports and listeners together, and stops in order."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import sys
+import time
+import traceback
+import uuid
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+
+from stagewalk.batches.scheduler import BatchScheduler
+from stagewalk.core.identities import Address
+from stagewalk.forwarding.forwarder import Forwarder
+from stagewalk.gateway.app import GatewayApp
+from stagewalk.gateway.batch_calls import BatchCalls
+from stagewalk.gateway.batch_runner import BatchRunner
+from stagewalk.gateway.batch_store import BatchStore
+from stagewalk.gateway.identity import ProcessId
+from stagewalk.gateway.metrics import GatewayMetrics
+from stagewalk.gateway.node_service import NodeService
+from stagewalk.gateway.order_service import OrderService
+from stagewalk.gateway.settings import GatewaySettings
+from stagewalk.leases.log_lease import LogLease
+from stagewalk.node.http_server import open_listener, serve_http
+from stagewalk.node.log_lines import configure_logs, log_event
+from stagewalk.partitioned_log.follower import KeyedFollower
+from stagewalk.ports.dialect import Dialect, NamedVersion
+from stagewalk.ports.partitioned_log import KeyedRecord, Partition, PartitionedLog
+from stagewalk.ports.workers import WorkerClient
+from stagewalk.routes.route import CallerLimits
+from stagewalk.routes.table import RouteTable
+from stagewalk.settings.node_settings import Limits
+from stagewalk.version_rollouts.core import VersionRollouts
+from stagewalk.workers.table import WorkerTable
+
+EXIT_CLEAN = 0
+EXIT_FAILED = 1
+NODES = Partition("keyed.nodes", 0)
+WORKERS_PAUSE_SECONDS = 0.1
+EXPIRE_SECONDS = 0.25
+STEP_SECONDS = 0.1
+LEAVE_SECONDS = 3.5
+"""How long callers may still be sent here after a stop was announced: three times what the
+directory's answers live, and the time the news takes."""
+
+EXIT_RESERVE_SECONDS = 1.0
+"""Left of the grace for the last answers to be written."""
+
+BUFFERED_BODY_BYTES = 96 * 1024 * 1024
+PATIENCE_STEPS = 8
+PATIENCE_SECONDS = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """Everything outside the product, behind its ports."""
+
+    log: PartitionedLog
+    workers: WorkerClient
+    dialect: Dialect
+
+
+def run_gateway(settings: GatewaySettings, surroundings: Surroundings) -> int:
+    """Run a gateway until it is asked to stop; return the process's exit code."""
+    undo_logs = configure_logs(settings.log_level, sys.stdout.write)
+    gc.collect()
+    gc.freeze()
+    try:
+        anyio.run(Gateway(settings, surroundings).run, backend="asyncio")
+    except Exception as error:
+        trace = "".join(traceback.format_exception(error))
+        log_event("gateway_failed", "error", node=settings.name, trace=trace)
+        return EXIT_FAILED
+    finally:
+        undo_logs()
+        sys.stdout.flush()
+    return EXIT_CLEAN
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(self, settings: GatewaySettings, surroundings: Surroundings) -> None:
+        self._settings = settings
+        log, limits = surroundings.log, settings.log_limits
+        self._dialect = surroundings.dialect
+        self._identity = ProcessId(settings.name, time.time_ns() // 1_000_000)
+        producer = f"{settings.name}-{uuid.uuid4().hex}"
+        self._routes = RouteTable()
+        self._workers = WorkerTable()
+        self._workers.on_change = _log_worker_change
+        self._rollouts = VersionRollouts(self._workers)
+        self._nodes = NodeService(
+            log, NODES, self._identity, str(settings.front), settings.placement
+        )
+        self._store = BatchStore(
+            log, producer, limits.record_bytes, limits.call_bytes, limits.partitions
+        )
+        zone = settings.placement.zone
+        self._runner = BatchRunner(
+            identity=self._identity,
+            store=self._store,
+            scheduler=BatchScheduler(self._workers, self._routes.find, zone),
+            client=surroundings.workers,
+            workers=self._workers,
+            nodes=self._nodes,
+            rollouts=self._rollouts,
+        )
+        patience = PATIENCE_SECONDS * (uuid.uuid4().int % PATIENCE_STEPS)
+        self._orders = OrderService(
+            log=log,
+            identity=self._identity,
+            lease=LogLease(producer, settings.timing.lease_quiet, patience),
+            rollouts=self._rollouts,
+            workers=self._workers,
+            client=surroundings.workers,
+            producer=producer,
+            call_bytes=limits.call_bytes,
+        )
+        self._operators_follower = KeyedFollower(
+            log, self._dialect.operators, self._replace_published, self._apply_published
+        )
+        self._workers_follower = KeyedFollower(
+            log,
+            self._dialect.workers,
+            self._replace_workers,
+            self._apply_worker,
+            pause_seconds=WORKERS_PAUSE_SECONDS,
+        )
+        self._forwarder = Forwarder(surroundings.workers, self._workers, self._routes, zone)
+        self._metrics = GatewayMetrics()
+        self._exit = anyio.Event()
+        self._stopping = False
+
+    async def run(self) -> None:
+        """Serve until a stop was asked for and everything in flight has ended."""
+        listeners = [open_listener(address) for address in self._addresses()]
+        app = self._build_app()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_signals)
+            tasks.start_soon(self._operators_follower.run)
+            tasks.start_soon(self._workers_follower.run)
+            self._nodes.start(tasks)
+            self._store.start(tasks)
+            self._runner.start(tasks)
+            self._orders.start(tasks)
+            tasks.start_soon(self._housekeep)
+            self._log("gateway_started")
+            async with anyio.create_task_group() as servers:
+                for listener in listeners:
+                    servers.start_soon(serve_http, app, listener, self._exit)
+            self._log("gateway_stopped")
+            tasks.cancel_scope.cancel()
+
+    def _addresses(self) -> list[Address]:
+        settings = self._settings
+        addresses = [settings.front, settings.readiness, settings.directory]
+        if settings.metrics is not None:
+            addresses.append(settings.metrics)
+        return list(dict.fromkeys(addresses))
+
+    def _build_app(self) -> GatewayApp:
+        limits = CallerLimits()
+        return GatewayApp(
+            routes=self._routes,
+            forwarder=self._forwarder,
+            batches=BatchCalls(self._store, self._runner, self._dialect),
+            nodes=self._nodes,
+            dialect=self._dialect,
+            limits=Limits(body_bytes=limits.body_bytes, buffered_body_bytes=BUFFERED_BODY_BYTES),
+            metrics=self._metrics,
+            ready=self._ready,
+            stopping=lambda: self._stopping,
+        )
+
+    def _ready(self) -> bool:
+        """Whether routes, workers and batches are known."""
+        known = self._routes.configuration is not None and self._store.ready
+        return known and self._workers_follower.freshness.ever_confirmed
+
+    async def _housekeep(self) -> None:
+        while True:
+            await anyio.sleep(EXPIRE_SECONDS)
+            self._workers.expire(time.monotonic())
+            self._nodes.set_serving(self._ready() and not self._stopping)
+
+    # What operators, trainers and workers publish.
+
+    def _replace_published(self, records: tuple[KeyedRecord, ...]) -> None:
+        for record in records:
+            self._apply_published(record)
+
+    def _apply_published(self, record: KeyedRecord) -> None:
+        published = self._dialect.operator_record(record)
+        if published is None:
+            log_event("published_unreadable", "warning", key=record.key, offset=record.offset)
+        elif isinstance(published, NamedVersion):
+            if self._rollouts.name_version(published.model, published.version):
+                log_event("version_named", model=published.model, version=published.version)
+        elif self._routes.apply(published):
+            log_event(
+                "configuration_in_force",
+                version=published.version,
+                offset=record.offset,
+                routes=len(published.routes),
+            )
+
+    def _replace_workers(self, records: tuple[KeyedRecord, ...]) -> None:
+        announcements = [
+            announcement
+            for record in records
+            if (announcement := self._dialect.worker_announcement(record)) is not None
+        ]
+        self._workers.replace(announcements, time.monotonic(), self._disturbed_at())
+
+    def _apply_worker(self, record: KeyedRecord) -> None:
+        now = time.monotonic()
+        if record.value is None:
+            self._workers.remove(record.key, now, self._disturbed_at())
+            return
+        announcement = self._dialect.worker_announcement(record)
+        if announcement is not None:
+            self._workers.announce(announcement, now)
+
+    def _disturbed_at(self) -> float:
+        return self._workers_follower.freshness.disturbed_at
+
+    # Stopping.
+
+    async def _watch_signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self._log("settings_changed")
+                elif not self._stopping:
+                    await self._stop()
+
+    async def _stop(self) -> None:
+        """Tell callers and nodes, hand work over, and end once nobody is sent here any more."""
+        began = anyio.current_time()
+        self._stopping = True
+        self._log("stop_requested")
+        self._nodes.set_serving(False)
+        self._orders.stop()
+        self._runner.hand_over()
+        await anyio.sleep_until(began + LEAVE_SECONDS)
+        latest = began + self._settings.timing.stop_grace - EXIT_RESERVE_SECONDS
+        while not self._store.idle and anyio.current_time() < latest:
+            await anyio.sleep(STEP_SECONDS)
+        self._exit.set()
+
+    def _log(self, event: str) -> None:
+        log_event(
+            event,
+            node=self._identity.node,
+            incarnation=self._identity.incarnation,
+            front=str(self._settings.front),
+            configuration=self._routes.version,
+        )
+
+
+def _log_worker_change(worker: str, change: str) -> None:
+    log_event("worker_changed", worker=worker, change=change)
--- /dev/null
+++ b/src/stagewalk/gateway/node_service.py
@@ -0,0 +1,140 @@
+"""Announces this node through the log and follows the other nodes."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import anyio.abc
+
+from stagewalk.core.identities import NodeName, Placement
+from stagewalk.directory.node_table import (
+    NodeAnnouncement,
+    NodeTable,
+    decode_announcement,
+    directory_order,
+)
+from stagewalk.gateway.identity import ProcessId, parse_process_id
+from stagewalk.node.log_lines import log_event
+from stagewalk.partitioned_log.follower import KeyedFollower
+from stagewalk.ports.partitioned_log import KeyedRecord, Partition, PartitionedLog
+
+ANNOUNCE_SECONDS = 1.0
+READ_PAUSE_SECONDS = 0.4
+OUTAGE_SECONDS = 1.5
+"""A view not confirmed for longer than this has missed announcements."""
+
+
+class NodeService:
+    """This node's announcements, and its view of the others."""
+
+    def __init__(
+        self,
+        log: PartitionedLog,
+        partition: Partition,
+        identity: ProcessId,
+        front: str,
+        placement: Placement,
+    ) -> None:
+        self._log = log
+        self._partition = partition
+        self._identity = identity
+        self._front = front
+        self._placement = placement
+        self._table = NodeTable(NodeName(identity.node))
+        self._follower = KeyedFollower(
+            log, partition, self._replace, self._apply, pause_seconds=READ_PAUSE_SECONDS
+        )
+        self._beat = 0
+        self._view_at = 0.0
+        self._listed = anyio.Event()
+        self._wake = anyio.Event()
+        self._serves = False
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start announcing and following."""
+        tasks.start_soon(self._follower.run)
+        tasks.start_soon(self._announce)
+        tasks.start_soon(self._watch_view)
+
+    @property
+    def known(self) -> bool:
+        """Whether the other nodes have been listed once."""
+        return self._listed.is_set()
+
+    def set_serving(self, serving: bool) -> None:
+        """Say from now on whether callers may be sent here."""
+        if serving != self._serves:
+            self._serves = serving
+            self._wake.set()
+
+    def serving_nodes(self, region: str, zone: str, most: int) -> list[str]:
+        """Return the addresses of nodes that serve, nearest first."""
+        alive = directory_order(self.serving(), region, zone, most)
+        return [announcement.front for announcement in alive]
+
+    def serving(self) -> list[NodeAnnouncement]:
+        """Return the nodes that serve, this one as it knows itself."""
+        others = [
+            node
+            for node in self._table.alive(self._view_at)
+            if node.serving and node.node != self._identity.node
+        ]
+        return [*others, self._own()] if self._serves else others
+
+    def process_alive(self, process: str) -> bool:
+        """Whether a process is believed to run; unknown while the view is too old to tell."""
+        identity = parse_process_id(process)
+        if identity is None:
+            return False
+        if identity == self._identity:
+            return True
+        return self._table.process_alive(identity.node, identity.incarnation, self._view_at)
+
+    def _own(self) -> NodeAnnouncement:
+        return NodeAnnouncement(
+            self._identity.node,
+            self._identity.incarnation,
+            self._front,
+            self._placement.zone,
+            self._placement.region,
+            self._serves,
+            self._beat,
+        )
+
+    async def _announce(self) -> None:
+        await self._listed.wait()
+        while True:
+            self._beat += 1
+            own = self._own()
+            self._table.announce(own, time.monotonic())
+            answer = await self._log.append_keyed(self._partition, own.node, own.encode())
+            if answer.is_error():
+                log_event("announcement_failed", "debug", fault=answer.error.fault)
+            self._wake = anyio.Event()
+            if own.serving == self._serves:
+                with anyio.move_on_after(ANNOUNCE_SECONDS):
+                    await self._wake.wait()
+
+    async def _watch_view(self) -> None:
+        """Let the view's time follow the follower's; after an outage, forgive everyone."""
+        while True:
+            confirmed = self._follower.freshness.confirmed_at
+            if confirmed - self._view_at > OUTAGE_SECONDS:
+                self._table.forgive(confirmed)
+            self._view_at = max(self._view_at, confirmed)
+            await anyio.sleep(READ_PAUSE_SECONDS / 2)
+
+    def _replace(self, records: tuple[KeyedRecord, ...]) -> None:
+        for record in records:
+            self._apply(record)
+        previous = self._table.known(self._identity.node)
+        if not self.known and previous is not None:
+            later = previous.incarnation + 1
+            self._identity.incarnation = max(self._identity.incarnation, later)
+        self._listed.set()
+
+    def _apply(self, record: KeyedRecord) -> None:
+        announcement = None if record.value is None else decode_announcement(record.value)
+        if announcement is not None:
+            self._table.announce(announcement, time.monotonic())
--- /dev/null
+++ b/src/stagewalk/gateway/replies.py
@@ -0,0 +1,31 @@
+"""Answers the gateway gives itself."""
+
+from __future__ import annotations
+
+import msgspec
+
+from stagewalk.gateway.exchange import OpaqueExchange
+
+JSON_CONTENT = "application/json"
+RETRY_AFTER_HEADER = "retry-after"
+
+
+async def reply_json(exchange: OpaqueExchange, content: bytes, status: int = 200) -> None:
+    """Answer with JSON."""
+    await exchange.respond(status, JSON_CONTENT, content)
+
+
+async def reply_empty(exchange: OpaqueExchange, status: int) -> None:
+    """Answer with an empty JSON object."""
+    await exchange.respond(status, JSON_CONTENT, b"{}")
+
+
+async def reply_error(
+    exchange: OpaqueExchange, status: int, detail: str, come_back_seconds: float | None = None
+) -> None:
+    """Answer with an error, and when to come back if that may help."""
+    headers = []
+    if come_back_seconds is not None:
+        headers.append((RETRY_AFTER_HEADER, f"{come_back_seconds:g}"))
+    content = msgspec.json.encode({"error": detail})
+    await exchange.respond(status, JSON_CONTENT, content, headers)
--- /dev/null
+++ b/src/stagewalk/gateway/settings.py
@@ -0,0 +1,138 @@
+"""Settings of a gateway: a TOML file, checked as a whole before anything starts."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from expression import Error, Ok, Result, effect
+
+from stagewalk.core.errors import StagewalkError
+from stagewalk.core.identities import Address, Placement
+from stagewalk.settings.addresses import parse_listen_address, settings_error
+from stagewalk.settings.node_settings import LogLevel, Name, PositiveInteger
+
+_FIELD_PATH = re.compile(r" - at `\$\.?([^`]*)`$")
+_FIELD_NAME = re.compile(r"field `([^`]*)`")
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class Timing(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Bounds the surroundings set, in seconds.
+
+    Attributes
+    ----------
+    lease_quiet
+        How long nobody may order engines between two holders.
+    stop_grace
+        How long a process has from the request to stop until it is killed.
+    """
+
+    lease_quiet: Seconds = 3.0
+    stop_grace: Seconds = 8.0
+
+
+class LogLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """What the log takes: bytes a record, bytes a call, and partitions a topic has."""
+
+    record_bytes: PositiveInteger = 262_144
+    call_bytes: PositiveInteger = 2_097_152
+    partitions: PositiveInteger = 12
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Checked settings.
+
+    Attributes
+    ----------
+    front, readiness, directory
+        Where callers, readiness checks and askers for addresses connect.
+    metrics
+        Where metrics are served besides.
+    log
+        The platform's partitioned log.
+    """
+
+    name: str
+    placement: Placement
+    front: Address
+    readiness: Address
+    directory: Address
+    metrics: Address | None
+    log: Address
+    log_limits: LogLimits
+    timing: Timing
+    log_level: LogLevel
+
+
+class _ListenSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    front: str
+    readiness: str
+    directory: str
+    metrics: str | None = None
+
+
+class _LogSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    address: str
+    limits: LogLimits = LogLimits()
+
+
+class _SettingsFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    name: Name
+    region: Name
+    zone: Name
+    listen: _ListenSection
+    log: _LogSection
+    timing: Timing = Timing()
+    log_level: LogLevel = "info"
+
+
+def load_gateway_settings(path: Path) -> Result[GatewaySettings, StagewalkError]:
+    """Read and check settings; an error names the field."""
+    try:
+        table = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        return Error(settings_error("settings", f"can't read {path}: {error.strerror}"))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return Error(settings_error("settings", f"{path} is not TOML: {error}"))
+    return _decode(table).bind(_check)
+
+
+def _decode(table: dict[str, Any]) -> Result[_SettingsFile, StagewalkError]:
+    try:
+        return Ok(msgspec.convert(table, _SettingsFile))
+    except msgspec.ValidationError as error:
+        message = str(error)
+        path = _FIELD_PATH.search(message)
+        name = _FIELD_NAME.search(message)
+        parts = (path.group(1) if path else "", name.group(1) if name else "")
+        field = ".".join(part for part in parts if part)
+        return Error(settings_error(field, _FIELD_PATH.sub("", message)))
+
+
+@effect.result[GatewaySettings, StagewalkError]()
+def _check(file: _SettingsFile) -> Any:
+    front = yield from parse_listen_address("listen.front", file.listen.front)
+    readiness = yield from parse_listen_address("listen.readiness", file.listen.readiness)
+    directory = yield from parse_listen_address("listen.directory", file.listen.directory)
+    metrics = None
+    if file.listen.metrics is not None:
+        metrics = yield from parse_listen_address("listen.metrics", file.listen.metrics)
+    log = yield from parse_listen_address("log.address", file.log.address)
+    return GatewaySettings(
+        name=file.name,
+        placement=Placement(file.region, file.zone),
+        front=front,
+        readiness=readiness,
+        directory=directory,
+        metrics=metrics,
+        log=log,
+        log_limits=file.log.limits,
+        timing=file.timing,
+        log_level=file.log_level,
+    )
--- /dev/null
+++ b/src/stagewalk/leases/log_lease.py
@@ -0,0 +1,159 @@
+"""A lease kept as records of a log partition, won by conditional append.
+
+Pure. The fence is the offset of the record that won, so it only grows. Times are of each
+process's own steady clock: the holder counts from before it sent a renewal, the others from
+when they read it, so the holder always stops first.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+import msgspec
+
+LEASE_SECONDS = 2.0
+"""How long a holder may act after it sent a renewal that was taken."""
+
+RENEW_SECONDS = 0.6
+EXPIRY_MARGIN_SECONDS = 0.5
+"""How much longer others wait before one of them tries to win the lease."""
+
+NO_FENCE = -1
+
+
+class LeaseRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A step of a lease's history.
+
+    `fence` is `NO_FENCE` in a record that wins the lease; a renewal or release names the one
+    it belongs to, and is void under any other.
+    """
+
+    holder: str
+    fence: int
+    released: bool = False
+
+    def encode(self) -> bytes:
+        """Return the record's payload."""
+        return msgspec.msgpack.encode(self)
+
+
+def decode_lease_record(payload: bytes) -> LeaseRecord | None:
+    """Return a payload's record, None if it is none."""
+    try:
+        return msgspec.msgpack.decode(payload, type=LeaseRecord)
+    except msgspec.DecodeError:
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class Acquire:
+    """Append a winning record if the partition ends at `end`."""
+
+    end: int
+    record: LeaseRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Renew:
+    """Append a renewal or release."""
+
+    record: LeaseRecord
+
+
+class LogLease:
+    """One process's view of the lease.
+
+    Parameters
+    ----------
+    holder
+        Identity of this start of the process.
+    quiet_seconds
+        How long nobody may act between two holders.
+    patience_seconds
+        How much longer than the others this process waits: it keeps all from trying at once.
+    """
+
+    def __init__(self, holder: str, quiet_seconds: float, patience_seconds: float) -> None:
+        self._own = holder
+        self._quiet = quiet_seconds
+        self._patience = patience_seconds
+        self._end = 0
+        self._holder = ""
+        self._fence = NO_FENCE
+        self._heard_at = -math.inf
+        self._released = True
+        self._first_seen_at: float | None = None
+        self._valid_until = -math.inf
+        self._may_act_from = math.inf
+        self._renewed_at = -math.inf
+
+    @property
+    def holder(self) -> str:
+        """Return who holds the lease, or held it last."""
+        return self._holder
+
+    @property
+    def fence(self) -> int:
+        """Return the fence of the holder."""
+        return self._fence
+
+    def may_act(self, now: float) -> bool:
+        """Whether this process may act as the holder at this moment."""
+        holds = self._holder == self._own and not self._released
+        return holds and self._may_act_from <= now < self._valid_until
+
+    def apply(self, offset: int, record: LeaseRecord, now: float) -> None:
+        """Fold a record in."""
+        self._end = offset + 1
+        if record.fence == NO_FENCE:
+            self._won(offset, record, now)
+        elif record.fence == self._fence:
+            self._heard_at = now
+            self._released = self._released or record.released
+
+    def skip(self, next_offset: int) -> None:
+        """Note that the partition ends further on."""
+        self._end = max(self._end, next_offset)
+
+    def decide(self, now: float, current: bool) -> Acquire | Renew | None:
+        """Return what to append now; `current` says that all records were read just now."""
+        if self._holder == self._own and not self._released:
+            if now - self._renewed_at < RENEW_SECONDS:
+                return None
+            self._renewed_at = now
+            return Renew(LeaseRecord(self._own, self._fence))
+        if not current or now < self._free_at() + self._patience:
+            return None
+        return Acquire(self._end, LeaseRecord(self._own, NO_FENCE))
+
+    def renewal_taken(self, sent_at: float, fence: int) -> None:
+        """Note that the log took a renewal (or the winning record) sent at a time."""
+        if fence == self._fence and self._holder == self._own:
+            self._valid_until = max(self._valid_until, sent_at + LEASE_SECONDS)
+
+    def release(self) -> Renew | None:
+        """Give the lease up; return the record that says so, None if it isn't held."""
+        if self._holder != self._own or self._released:
+            return None
+        self._released = True
+        return Renew(LeaseRecord(self._own, self._fence, released=True))
+
+    def _won(self, offset: int, record: LeaseRecord, now: float) -> None:
+        """Take a new holder: nobody acts until the last one's orders are long past."""
+        first = self._holder == ""
+        quiet_from = self._heard_at if self._released else self._heard_at + LEASE_SECONDS
+        self._may_act_from = now if first else max(now, quiet_from + self._quiet)
+        if record.holder == self._holder:
+            self._may_act_from = now
+        self._holder = record.holder
+        self._fence = offset
+        self._heard_at = now
+        self._released = False
+        self._valid_until = -math.inf
+        self._renewed_at = -math.inf
+
+    def _free_at(self) -> float:
+        if self._holder == "" or self._released:
+            return -math.inf
+        return self._heard_at + LEASE_SECONDS + EXPIRY_MARGIN_SECONDS
--- a/src/stagewalk/node/edge/exchange.py
+++ b/src/stagewalk/node/edge/exchange.py
@@ -148,9 +148,13 @@
 
     async def start(self, status: int, content_type: str, headers: Headers = ()) -> None:
         """Send the response's status and headers."""
+        await self.begin(status, (("content-type", content_type), *headers))
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Send the response's status and headers, whatever its content is."""
         self.started = True
         closing = (("connection", "close"),) if self._last() and self._persistent else ()
-        all_headers = (("content-type", content_type), *headers, *closing)
+        all_headers = (*headers, *closing)
         await self._send(
             {
                 "type": "http.response.start",
--- /dev/null
+++ b/src/stagewalk/partitioned_log/follower.py
@@ -0,0 +1,167 @@
+"""Follows partitions of the log: each record is applied once, in order."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import anyio
+
+from stagewalk.node.log_lines import log_event
+from stagewalk.partitioned_log.freshness import Freshness
+from stagewalk.ports.partitioned_log import (
+    KeyedRecord,
+    LogFailure,
+    LogFault,
+    Partition,
+    PartitionedLog,
+    PartitionRecord,
+    RecordPage,
+)
+
+RETRY_SECONDS = 0.1
+SLOW_RETRY_SECONDS = 0.4
+QUICK_RETRIES = 5
+WAIT_SECONDS = 2.0
+"""How long a read waits for a first record."""
+
+
+class PartitionFollower:
+    """Applies the records of a partition from its oldest kept one on.
+
+    `catch_up` and the loop may read at the same time; a record is applied by whichever comes
+    first, and the other one skips it.
+    """
+
+    def __init__(
+        self,
+        log: PartitionedLog,
+        partition: Partition,
+        apply: Callable[[PartitionRecord], None],
+        pause_seconds: float = 0.0,
+    ) -> None:
+        self._log = log
+        self._partition = partition
+        self._apply = apply
+        self._pause_seconds = pause_seconds
+        self.next_offset = 0
+        self.freshness = Freshness(str(partition))
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        failures = 0
+        while True:
+            if await self._read(WAIT_SECONDS if self.freshness.ever_confirmed else 0.0):
+                failures = 0
+                await anyio.sleep(self._pause_seconds)
+            else:
+                failures += 1
+                await anyio.sleep(_retry_pause(failures))
+
+    async def catch_up(self, timeout_seconds: float) -> bool:
+        """Apply all that the partition holds now; return whether that was done in time."""
+        with anyio.move_on_after(timeout_seconds):
+            while not await self._read(0.0):
+                await anyio.sleep(RETRY_SECONDS)
+            return True
+        return False
+
+    async def _read(self, wait_seconds: float) -> bool:
+        """Read once, and on to the end if there is more; return whether the log answered."""
+        while True:
+            began = time.monotonic()
+            answer = await self._log.read(self._partition, self.next_offset, wait_seconds)
+            if answer.is_error():
+                self._note_failure(answer.error)
+                return False
+            page = answer.ok
+            self._apply_page(page)
+            if page.next_offset >= page.end:
+                self.freshness.confirm(began if wait_seconds == 0.0 else time.monotonic())
+                return True
+
+    def _apply_page(self, page: RecordPage) -> None:
+        for record in page.records:
+            if record.offset == self.next_offset:
+                self.next_offset += 1
+                self._apply(record)
+
+    def _note_failure(self, failure: LogFailure) -> None:
+        if failure.fault is LogFault.DROPPED and failure.first_offset > self.next_offset:
+            log_event(
+                "log_history_dropped",
+                "warning",
+                partition=str(self._partition),
+                offset=self.next_offset,
+                first_offset=failure.first_offset,
+            )
+            self.next_offset = failure.first_offset
+        self.freshness.fail(failure.detail)
+
+
+class KeyedFollower:
+    """Applies the newest record of each key of a compacted partition, then its changes.
+
+    `replace` takes a whole listing: keys that are not in it are gone. A listing is read at the
+    start and whenever changes were dropped before they could be read.
+    """
+
+    def __init__(
+        self,
+        log: PartitionedLog,
+        partition: Partition,
+        replace: Callable[[tuple[KeyedRecord, ...]], None],
+        apply: Callable[[KeyedRecord], None],
+        *,
+        pause_seconds: float = 0.0,
+        wait_seconds: float = WAIT_SECONDS,
+    ) -> None:
+        self._log = log
+        self._partition = partition
+        self._replace = replace
+        self._apply = apply
+        self._pause_seconds = pause_seconds
+        self._wait_seconds = wait_seconds
+        self._next_offset: int | None = None
+        self.freshness = Freshness(str(partition))
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        failures = 0
+        while True:
+            if await self._step():
+                failures = 0
+                await anyio.sleep(self._pause_seconds)
+            else:
+                failures += 1
+                await anyio.sleep(_retry_pause(failures))
+
+    async def _step(self) -> bool:
+        if self._next_offset is None:
+            return await self._list()
+        answer = await self._log.read_keyed(self._partition, self._next_offset, self._wait_seconds)
+        if answer.is_error():
+            if answer.error.fault is LogFault.DROPPED:
+                self._next_offset = None
+            self.freshness.fail(answer.error.detail)
+            return False
+        for record in answer.ok.records:
+            self._apply(record)
+        self._next_offset = max(self._next_offset, answer.ok.next_offset)
+        self.freshness.confirm(time.monotonic())
+        return True
+
+    async def _list(self) -> bool:
+        began = time.monotonic()
+        listing = await self._log.newest(self._partition)
+        if listing.is_error():
+            self.freshness.fail(listing.error.detail)
+            return False
+        self._replace(listing.ok.records)
+        self._next_offset = listing.ok.next_offset
+        self.freshness.confirm(began)
+        return True
+
+
+def _retry_pause(failures: int) -> float:
+    return RETRY_SECONDS if failures < QUICK_RETRIES else SLOW_RETRY_SECONDS
--- /dev/null
+++ b/src/stagewalk/partitioned_log/freshness.py
@@ -0,0 +1,55 @@
+"""How current a follower's view of its partition is, and since when the log answers."""
+
+from __future__ import annotations
+
+import math
+import time
+
+from stagewalk.node.log_lines import log_event
+
+LOST_AFTER_FAILURES = 3
+OUTAGE_GAP_SECONDS = 3.0
+"""A longer time without any answer counts as an outage, even if no call failed."""
+
+
+class Freshness:
+    """Times are of the steady clock, in seconds.
+
+    Attributes
+    ----------
+    confirmed_at
+        When the view was last known to be complete.
+    disturbed_at
+        When a call last failed, or an outage last ended.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._failures = 0
+        self.confirmed_at = -math.inf
+        self.disturbed_at = -math.inf
+
+    @property
+    def ever_confirmed(self) -> bool:
+        """Whether the view was ever complete."""
+        return self.confirmed_at > -math.inf
+
+    def age(self, now: float) -> float:
+        """Return how long ago the view was complete."""
+        return now - self.confirmed_at
+
+    def confirm(self, at: float) -> None:
+        """Note that the view was complete at a time."""
+        if self._failures >= LOST_AFTER_FAILURES:
+            log_event("dependency_regained", dependency=self._name, failures=self._failures)
+        if self.ever_confirmed and at - self.confirmed_at > OUTAGE_GAP_SECONDS:
+            self.disturbed_at = at
+        self._failures = 0
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def fail(self, detail: str) -> None:
+        """Note that a call failed."""
+        self._failures += 1
+        self.disturbed_at = time.monotonic()
+        if self._failures == LOST_AFTER_FAILURES:
+            log_event("dependency_lost", "warning", dependency=self._name, detail=detail)
--- /dev/null
+++ b/src/stagewalk/ports/partitioned_log.py
@@ -0,0 +1,122 @@
+"""Port of the platform's partitioned log: ordered records, conditional and idempotent appends."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+from expression import Result
+
+
+class LogFault(StrEnum):
+    """Why a call to the log failed."""
+
+    REFUSED = "refused"
+    """The log said that nothing was done: throttled, busy or down."""
+    UNKNOWN = "unknown"
+    """No answer: the call may have been done, or may still be done later."""
+    CONFLICT = "conflict"
+    """The condition of an append did not hold."""
+    OUT_OF_SEQUENCE = "out_of_sequence"
+    """An idempotent append did not follow the producer's last one."""
+    DROPPED = "dropped"
+    """The records asked for are gone; see `LogFailure.first_offset`."""
+    REJECTED = "rejected"
+    """The log can't take such a call at all."""
+
+
+@dataclass(frozen=True, slots=True)
+class LogFailure:
+    """A failed call. `first_offset` is the oldest kept record's, for `LogFault.DROPPED`."""
+
+    fault: LogFault
+    detail: str
+    first_offset: int = 0
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Partition:
+    """One ordered sequence of records of a topic."""
+
+    topic: str
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.topic}/{self.number}"
+
+
+@dataclass(frozen=True, slots=True)
+class PartitionRecord:
+    """A record and its place in the partition."""
+
+    offset: int
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RecordPage:
+    """Records in offset order; `next_offset` follows the last of them, `end` the partition's."""
+
+    records: tuple[PartitionRecord, ...]
+    next_offset: int
+    end: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """The value of a key as of an offset; `None` says that the key is dropped."""
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedPage:
+    """Keyed records in offset order."""
+
+    records: tuple[KeyedRecord, ...]
+    next_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProducerSequence:
+    """Makes an append idempotent: the log takes each sequence of a producer's epoch once."""
+
+    producer: str
+    epoch: int
+    sequence: int
+
+
+class PartitionedLog(Protocol):
+    """The log. A topic comes into being at its first use."""
+
+    async def append(
+        self, partition: Partition, payloads: Sequence[bytes], sequence: ProducerSequence
+    ) -> Result[int, LogFailure]:
+        """Append all records or none, once; return the offset of the first."""
+
+    async def append_at(
+        self, partition: Partition, payload: bytes, end: int
+    ) -> Result[int, LogFailure]:
+        """Append a record if the partition ends at `end`; return its offset."""
+
+    async def append_keyed(
+        self, partition: Partition, key: str, value: bytes
+    ) -> Result[int, LogFailure]:
+        """Set a key of a compacted topic; return the offset."""
+
+    async def read(
+        self, partition: Partition, offset: int, wait_seconds: float
+    ) -> Result[RecordPage, LogFailure]:
+        """Read from an offset on, waiting for a first record."""
+
+    async def read_keyed(
+        self, partition: Partition, offset: int, wait_seconds: float
+    ) -> Result[KeyedPage, LogFailure]:
+        """Read changes of a compacted topic from an offset on, waiting for a first one."""
+
+    async def newest(self, partition: Partition) -> Result[KeyedPage, LogFailure]:
+        """Read the newest record of each key, and the offset from which to read changes."""
--- /dev/null
+++ b/src/stagewalk/ports/workers.py
@@ -0,0 +1,191 @@
+"""Port of the workers: back ends of services, model engines among them."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+from expression import Result
+
+from stagewalk.core.identities import Address
+
+HeaderList = tuple[tuple[str, str], ...]
+
+
+class AttemptFault(StrEnum):
+    """How an attempt at a worker failed, by what it proves about execution."""
+
+    NOT_SENT = "not_sent"
+    """No byte of the request reached the worker."""
+    NOT_RUN = "not_run"
+    """The worker said that it did not run the request."""
+    WRONG_WORKER = "wrong_worker"
+    """Another worker has the address; it did not run the request."""
+    MAY_HAVE_RUN = "may_have_run"
+    """The connection broke, the answer was damaged or none came in time."""
+
+    @property
+    def proves_not_run(self) -> bool:
+        """Whether the request certainly did not run at this worker."""
+        return self is not AttemptFault.MAY_HAVE_RUN
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerLoad:
+    """Load a worker told with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerTarget:
+    """Where to send, and which worker must be there."""
+
+    worker: str
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class OutboundRequest:
+    """An opaque request as it goes to a worker.
+
+    Attributes
+    ----------
+    target
+        Path and query, exactly as the caller sent them.
+    deadline_seconds
+        How long the worker may work on it; None without a limit.
+    repeatable
+        Whether a kept connection may be used, which can break just as the request is sent.
+    resume_after
+        The last event already held, for a stream that goes on.
+    expected_version
+        Weight version the worker must hold to run it.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    headers: HeaderList
+    body: bytes
+    deadline_seconds: float | None
+    repeatable: bool = True
+    resume_after: int | None = None
+    expected_version: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerAnswer:
+    """A worker's whole answer, checked to belong to the request."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+    genuine: bool
+    """Whether it carries the worker's signature."""
+    load: WorkerLoad | None
+    leaving: bool
+    """Whether the worker closes the connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFailure:
+    """An attempt without a usable answer."""
+
+    fault: AttemptFault
+    detail: str
+    load: WorkerLoad | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StreamHead:
+    """The head of a stream of events."""
+
+    status: int
+    headers: HeaderList
+    versions: tuple[int, ...]
+    load: WorkerLoad | None
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """One whole event: its number, its data, and the weight version if it changed here."""
+
+    number: int
+    data: str
+    version: int | None
+    raw: bytes
+
+
+StreamPart = StreamHead | StreamEvent
+StreamSink = Callable[[StreamPart], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEnd:
+    """A stream ended whole, with the worker's status."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerReport:
+    """What an engine says of itself, some hundred milliseconds old.
+
+    `orders_taken` counts the orders it took since its start.
+    """
+
+    versions: dict[str, int]
+    ordering: bool
+    orders_taken: int
+    running: int
+    waiting: int
+
+
+@dataclass(frozen=True, slots=True)
+class VersionOrder:
+    """A fenced order to bring a model to a version, if `orders_taken` is still true."""
+
+    model: str
+    version: int
+    holder: str
+    fence: int
+    orders_taken: int
+
+
+class OrderOutcome(StrEnum):
+    """What became of an order."""
+
+    TAKEN = "taken"
+    HELD_ALREADY = "held_already"
+    CONFLICT = "conflict"
+    """Another order is under way, or the count of orders taken differs."""
+    FENCED = "fenced"
+    """A holder with a higher fence has ordered already."""
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    """No answer: it may be carried out, now or seconds later."""
+
+
+class WorkerClient(Protocol):
+    """What the product asks of workers."""
+
+    async def send(
+        self, target: WorkerTarget, request: OutboundRequest
+    ) -> Result[WorkerAnswer, AttemptFailure]:
+        """Send a request and read the whole answer."""
+
+    async def stream(
+        self, target: WorkerTarget, request: OutboundRequest, deliver: StreamSink
+    ) -> Result[StreamEnd, AttemptFailure]:
+        """Send a request and deliver its head and whole events as they arrive."""
+
+    async def report(self, target: WorkerTarget) -> Result[WorkerReport, AttemptFailure]:
+        """Ask an engine about itself."""
+
+    async def order_version(self, target: WorkerTarget, order: VersionOrder) -> OrderOutcome:
+        """Order an engine to change a model's version."""
--- /dev/null
+++ b/src/stagewalk/routes/route.py
@@ -0,0 +1,104 @@
+"""Routes and services as published by operators."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class RouteKind(StrEnum):
+    """What may be done with a route's requests."""
+
+    REPEATABLE = "repeatable"
+    """May run more than once."""
+    ONCE = "once"
+    """Runs at most once."""
+    STREAM = "stream"
+    """Answered by a stream of events; runs at most once unless it may be resumed."""
+    BATCH = "batch"
+    """Takes batch jobs, whose items run afterwards."""
+
+
+@dataclass(frozen=True, slots=True)
+class BackEnd:
+    """A service's share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A route in force.
+
+    Attributes
+    ----------
+    path_prefix
+        Begins and ends with a slash.
+    timeout_seconds
+        Longest time a request is held.
+    target_seconds
+        Time within which an answer has its full worth.
+    maximum_attempts
+        Most workers one request may be sent to.
+    priority
+        0 is the most urgent.
+    give_up_seconds
+        How long after its submission an item of a batch may be given up.
+    due_seconds
+        How long after its submission all results of a batch are due.
+    single_version
+        Whether one weight version must make a whole result.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    back_ends: tuple[BackEnd, ...]
+    timeout_seconds: float
+    target_seconds: float
+    maximum_attempts: int
+    priority: int = 5
+    resumable: bool = False
+    give_up_seconds: float = 60.0
+    due_seconds: float = 60.0
+    single_version: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether its requests may run more than once."""
+        return self.kind is RouteKind.REPEATABLE
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service whose workers are back ends.
+
+    `maximum_connections` is what one worker accepts from all callers together;
+    `report_path` answers health checks; `is_engine` says that its workers hold model weights.
+    """
+
+    name: str
+    maximum_connections: int
+    is_engine: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers may send, and how long they may take (seconds) or sit idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 33_554_432
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class RouteConfiguration:
+    """One published configuration, whole."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: CallerLimits
--- /dev/null
+++ b/src/stagewalk/version_rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Version rollouts: bringing each model's named weight version to the engines."""
--- /dev/null
+++ b/src/stagewalk/version_rollouts/core.py
@@ -0,0 +1,146 @@
+"""Decides which engine is ordered to which version, and when. Pure.
+
+Engines load fastest few at a time, and each load costs. A step that names the version before
+as good enough can run on engines that hold either; so an engine that is one version behind is
+left alone while others are further behind, and half of the engines change with each version.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from stagewalk.workers.table import WorkerTable
+from stagewalk.workers.worker import Worker
+
+LOADS_AT_ONCE = 2
+"""How many engines load at the same time."""
+
+LOAD_SECONDS = 0.9
+ORDER_DEADLINE_SECONDS = 3.0
+"""An order whose effect isn't seen after this time is looked into again."""
+
+RETRY_SECONDS = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class OrderVersion:
+    """Order an engine to bring a model to a version."""
+
+    worker: str
+    model: str
+    version: int
+
+
+@dataclass(slots=True)
+class _Pending:
+    model: str
+    version: int
+    until: float
+
+
+class VersionRollouts:
+    """Keeps the newest named version of each model and the orders under way."""
+
+    def __init__(self, workers: WorkerTable) -> None:
+        self._workers = workers
+        self._named: dict[str, int] = {}
+        self._lag: dict[str, int] = {}
+        self._pending: dict[str, _Pending] = {}
+        self._not_before: dict[str, float] = {}
+        self.on_named: Callable[[str, int], None] = lambda _model, _version: None
+
+    def name_version(self, model: str, version: int) -> bool:
+        """Take a named version; return whether it is the newest."""
+        if version <= self._named.get(model, 0):
+            return False
+        self._named[model] = version
+        self.on_named(model, version)
+        return True
+
+    def named(self, model: str) -> int:
+        """Return a model's newest named version, 0 if none was named."""
+        return self._named.get(model, 0)
+
+    def note_minimum(self, model: str, minimum_version: int) -> None:
+        """Learn from a submitted batch how far behind the newest version it lets engines be."""
+        named = self._named.get(model, 1)
+        self._lag[model] = max(0, named - minimum_version)
+
+    def pending(self, worker: str) -> bool:
+        """Whether an engine has an order under way."""
+        return worker in self._pending
+
+    def order_started(self, order: OrderVersion, now: float) -> None:
+        """Note that an order is being sent."""
+        until = now + ORDER_DEADLINE_SECONDS
+        self._pending[order.worker] = _Pending(order.model, order.version, until)
+
+    def order_taken(self, worker: str, now: float) -> None:
+        """Note that an engine took an order: it loads."""
+        known = self._workers.worker(worker)
+        if known is not None:
+            model = self._pending[worker].model if worker in self._pending else ""
+            known.loading_until[model] = now + LOAD_SECONDS
+
+    def order_failed(self, worker: str, now: float) -> None:
+        """Note that an order came to nothing; it is tried again after a pause."""
+        self._pending.pop(worker, None)
+        self._not_before[worker] = now + RETRY_SECONDS
+
+    def decide(self, now: float) -> list[OrderVersion]:
+        """Return the orders to send now."""
+        self._settle(now)
+        room = LOADS_AT_ONCE - len(self._pending)
+        if room <= 0:
+            return []
+        wanted = sorted(self._wanted(now), key=lambda pair: pair[0])
+        orders: list[OrderVersion] = []
+        chosen: set[str] = set()
+        for _, order in wanted:
+            if order.worker not in chosen and len(orders) < room:
+                orders.append(order)
+                chosen.add(order.worker)
+        return orders
+
+    def _settle(self, now: float) -> None:
+        """Forget orders whose effect is seen, or that took too long."""
+        for name, pending in list(self._pending.items()):
+            worker = self._workers.worker(name)
+            done = worker is None or worker.versions.get(pending.model, 0) >= pending.version
+            if done or now >= pending.until:
+                del self._pending[name]
+                if worker is not None:
+                    worker.loading_until.pop(pending.model, None)
+
+    def _wanted(self, now: float) -> list[tuple[tuple[int, float, str], OrderVersion]]:
+        wanted: list[tuple[tuple[int, float, str], OrderVersion]] = []
+        for model, version in self._named.items():
+            engines = [
+                worker
+                for worker in self._workers.all()
+                if model in worker.versions and not worker.announcement.draining
+            ]
+            for worker in self._due(engines, model, version):
+                name = worker.announcement.worker
+                if name in self._pending or self._not_before.get(name, -math.inf) > now:
+                    continue
+                held = worker.versions[model]
+                key = (held - version, worker.occupancy(now), name)
+                wanted.append((key, OrderVersion(name, model, version)))
+        return wanted
+
+    def _due(self, engines: list[Worker], model: str, version: int) -> list[Worker]:
+        """Return the engines to change: all that are too old, and half of them in all."""
+        behind = [worker for worker in engines if worker.versions[model] < version]
+        oldest_useful = version - self._lag.get(model, 0)
+        must = [worker for worker in behind if worker.versions[model] < oldest_useful]
+        newest = len(engines) - len(behind)
+        share = len(engines) // 2
+        missing = share - newest - len(must)
+        may = sorted(
+            (worker for worker in behind if worker not in must),
+            key=lambda worker: (worker.versions[model], worker.announcement.worker),
+        )
+        return must + may[: max(0, missing)]
--- /dev/null
+++ b/src/stagewalk/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Workers: what is known of each, and which one a request goes to."""
--- /dev/null
+++ b/src/stagewalk/workers/worker.py
@@ -0,0 +1,120 @@
+"""What is believed of one worker, and how old that is."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from stagewalk.core.identities import Address
+from stagewalk.ports.workers import WorkerLoad
+
+LATENCY_SMOOTHING = 0.15
+LATENCY_OUTLIER = 3.0
+"""A time counts for at most this many usual ones: one pause says little of a worker's pace."""
+
+LATENCY_VALID_SECONDS = 4.0
+"""A worker that was not used for so long is tried again as if it were as fast as any."""
+
+LOAD_VALID_SECONDS = 1.5
+"""A load told with an answer counts for this long."""
+
+SUSPECT_SECONDS = (0.5, 1.0, 2.0, 4.0)
+"""How long a worker is avoided after one, two, ... failures in a row."""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerAnnouncement:
+    """What the platform's list says of a worker.
+
+    Attributes
+    ----------
+    worker
+        Identity of this start of the worker.
+    versions
+        Weight version by model, empty for workers without models.
+    """
+
+    worker: str
+    service: str
+    address: Address
+    zone: str
+    slots: int
+    draining: bool
+    versions: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Worker:
+    """A listed worker with what this node has seen of it. Times are of the steady clock."""
+
+    announcement: WorkerAnnouncement
+    heard_at: float
+    in_flight: int = 0
+    failures: int = 0
+    suspect_until: float = -math.inf
+    load: WorkerLoad | None = None
+    load_at: float = -math.inf
+    sent_since_load: int = 0
+    latency: float | None = None
+    """Smoothed time to a whole answer, of engines to the next event, in seconds."""
+    latency_at: float = -math.inf
+    versions: dict[str, int] = field(default_factory=dict)
+    """Version by model: the newest evidence of the list, reports and answers."""
+    loading_until: dict[str, float] = field(default_factory=dict)
+    """By model, until when it is expected to refuse requests while it loads weights."""
+
+    def suspect(self, now: float) -> bool:
+        """Whether it failed so lately that others should be tried first."""
+        return now < self.suspect_until
+
+    def loading(self, model: str, now: float) -> bool:
+        """Whether it is expected to refuse a model's requests while it loads weights."""
+        return now < self.loading_until.get(model, -math.inf)
+
+    def occupancy(self, now: float) -> float:
+        """Return the requests it is believed to have, running and waiting, per slot."""
+        slots = max(1, self.announcement.slots)
+        if self.load is None or now - self.load_at > LOAD_VALID_SECONDS:
+            return self.in_flight / slots
+        told = self.load.running + self.load.waiting + self.sent_since_load
+        return max(told, self.in_flight) / slots
+
+    def note_sent(self) -> None:
+        """Count a request sent to it."""
+        self.in_flight += 1
+        self.sent_since_load += 1
+
+    def note_ended(self) -> None:
+        """Count a request that ended there, however it did."""
+        self.in_flight -= 1
+
+    def note_load(self, load: WorkerLoad | None, now: float) -> None:
+        """Take a load it told."""
+        if load is not None:
+            self.load = load
+            self.load_at = now
+            self.sent_since_load = 0
+
+    def recent_latency(self, now: float) -> float | None:
+        """Return its smoothed time unless that is too old to tell anything."""
+        return self.latency if now - self.latency_at < LATENCY_VALID_SECONDS else None
+
+    def note_success(self, seconds: float, now: float) -> None:
+        """Take the time an answer or event took."""
+        if now - self.latency_at >= LATENCY_VALID_SECONDS:
+            self.latency = None
+        self.latency_at = now
+        self.failures = 0
+        self.suspect_until = -math.inf
+        before = self.latency
+        if before is None:
+            self.latency = seconds
+            return
+        bounded = min(seconds, LATENCY_OUTLIER * before)
+        self.latency = before + LATENCY_SMOOTHING * (bounded - before)
+
+    def note_failure(self, now: float) -> None:
+        """Avoid it for a while, longer with each failure in a row."""
+        pause = SUSPECT_SECONDS[min(self.failures, len(SUSPECT_SECONDS) - 1)]
+        self.failures += 1
+        self.suspect_until = now + pause
