Place items by pace, move them rarely, tell engine loads through the log

Change: pace is the middle of an attempt's last three gaps; long or urgent items alone are moved, at most every 1.5 s; the order holder tells each order in the lease's partition, so runners expect the pause.

--- a/src/stagewalk/batches/item_run.py
+++ b/src/stagewalk/batches/item_run.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 
 from stagewalk.batches.records import BatchItem, ItemFinished, ItemProgress
 
+PACE_GAPS = 3
 FAILURE_PAUSE_SECONDS = 0.1
 """How long an item whose attempt failed waits before the next one."""
 
@@ -21,6 +23,15 @@
     last_event_at: float
     events_before: int
     """Events held already when it began."""
+    gaps: deque[float] = field(default_factory=lambda: deque(maxlen=PACE_GAPS))
+
+    def pace(self, gap: float) -> float | None:
+        """Take the time since the last event; return the middle one of the last few.
+
+        One pause (weights that load, a prompt that is read) says nothing of the pace.
+        """
+        self.gaps.append(gap)
+        return sorted(self.gaps)[PACE_GAPS // 2] if len(self.gaps) == PACE_GAPS else None
 
 
 @dataclass(slots=True)
@@ -47,6 +58,7 @@
     run_failures: int = 0
     recording: bool = False
     last_worker: str = ""
+    moved_at: float = -math.inf
 
     @property
     def waiting(self) -> bool:
--- /dev/null
+++ b/src/stagewalk/batches/length_estimate.py
@@ -0,0 +1,40 @@
+"""How many events an item still has to come.
+
+Callers guess lengths in tokens, right in the median but often far off; how many tokens an event
+carries is learnt from items that are done.
+"""
+
+from __future__ import annotations
+
+from stagewalk.batches.item_run import ItemRun
+
+MEMORY_ITEMS = 200
+"""How many items' worth of past is remembered."""
+
+LONG_TAIL_SHARE = 0.5
+"""An item that has outrun its guess is expected to go on for this part of what it has made:
+the longer one has run, the longer it is likely to go on."""
+
+
+class LengthEstimate:
+    """Learns the ratio of events made to tokens guessed."""
+
+    def __init__(self) -> None:
+        self._events = 0.0
+        self._guessed = 0.0
+
+    def learn(self, item: ItemRun) -> None:
+        """Take the length of an item that is done."""
+        if item.spec.expected_length <= 0:
+            return
+        keep = 1.0 - 1.0 / MEMORY_ITEMS
+        self._events = self._events * keep + len(item.events)
+        self._guessed = self._guessed * keep + item.spec.expected_length
+
+    def events_left(self, item: ItemRun) -> float:
+        """Return the number of events expected to come."""
+        tail = LONG_TAIL_SHARE * len(item.events)
+        if self._guessed <= 0.0:
+            return tail
+        guess = item.spec.expected_length * self._events / self._guessed
+        return max(tail, guess - len(item.events))
--- a/src/stagewalk/batches/placement.py
+++ b/src/stagewalk/batches/placement.py
@@ -14,9 +14,16 @@
 SIBLING_BONUS = 0.15
 """What it is worth, in parts of a full engine, that the group's prompt is there already."""
 
-PACE_WEIGHT = 0.6
-SLOW_RATIO = 2.2
-"""An engine this many times slower than another with room is left."""
+PACE_WEIGHT = 2.5
+"""What it costs, in parts of a full engine, to take twice as long for an event: a batch of
+requests slows an engine little, so a slow engine is worth using only once others are full."""
+
+MOVE_SECONDS = 0.15
+"""What going on at another engine takes."""
+
+LEAST_URGENT_GAIN_SECONDS = 0.25
+LEAST_GAIN_SECONDS = 1.0
+"""Moves that gain less than this are not worth their price."""
 
 ROOM_OCCUPANCY = 0.8
 
@@ -53,17 +60,38 @@
 
 
 def faster_engine(
-    current: Worker, engines: Sequence[Worker], model: str, now: float
+    current: Worker, engines: Sequence[Worker], model: str, now: float, *, left: float, urgent: bool
 ) -> Worker | None:
-    """Return an engine with room that is much faster than the one an item runs at."""
-    slow = current.recent_latency(now)
-    if slow is None:
+    """Return an engine with room at which an item would be done well before it is at its own.
+
+    Going on elsewhere costs reading the prompt and what was made so far again. `left` is the
+    number of events expected to come.
+    """
+    pace = current.recent_latency(now)
+    if pace is None:
         return None
+    pause = max(0.0, current.loading_until.get(model, now) - now)
+    best: Worker | None = None
+    best_gain = LEAST_URGENT_GAIN_SECONDS if urgent else LEAST_GAIN_SECONDS
     for engine in engines:
-        pace = engine.recent_latency(now)
-        if engine is current or pace is None or engine.suspect(now):
+        other = engine.recent_latency(now)
+        if engine is current or other is None or engine.suspect(now):
             continue
         has_room = engine.occupancy(now) < ROOM_OCCUPANCY and not engine.loading(model, now)
-        if has_room and slow > SLOW_RATIO * pace:
-            return engine
-    return None
+        gain = left * (pace - other) + pause - MOVE_SECONDS
+        if has_room and gain > best_gain:
+            best, best_gain = engine, gain
+    return best
+
+
+def has_room_elsewhere(
+    current: Worker | None, engines: Sequence[Worker], model: str, now: float
+) -> bool:
+    """Whether another engine could take an item at once."""
+    return any(
+        engine is not current
+        and not engine.suspect(now)
+        and not engine.loading(model, now)
+        and engine.occupancy(now) < ROOM_OCCUPANCY
+        for engine in engines
+    )
--- a/src/stagewalk/batches/scheduler.py
+++ b/src/stagewalk/batches/scheduler.py
@@ -12,6 +12,7 @@
 
 from stagewalk.batches.item_run import FAILURE_PAUSE_SECONDS, ItemRun, RunningAttempt
 from stagewalk.batches.ledger import Batch
+from stagewalk.batches.length_estimate import LengthEstimate
 from stagewalk.batches.messages import (
     AttemptBroken,
     AttemptEnded,
@@ -24,7 +25,7 @@
     StopItem,
     Tick,
 )
-from stagewalk.batches.placement import choose_engine, faster_engine
+from stagewalk.batches.placement import choose_engine, faster_engine, has_room_elsewhere
 from stagewalk.batches.records import ItemProgress
 from stagewalk.ports.workers import AttemptFailure, AttemptFault
 from stagewalk.routes.route import Route
@@ -34,6 +35,16 @@
 SILENCE_SECONDS = 1.6
 """A worker that brings no event of an item for this long is left."""
 
+IMPATIENT_SECONDS = 0.7
+IMPATIENT_PACES = 8.0
+"""With room at another worker it is left after this many times what an event takes there."""
+
+MOVE_PAUSE_SECONDS = 1.5
+"""An item that was moved stays where it is for this long."""
+
+URGENT_SHARE = 0.6
+"""An item is urgent that is expected to end after this part of the time its batch has."""
+
 FIRST_EVENT_SECONDS = 3.0
 """The same before the first event, when the item may still wait for its place."""
 
@@ -64,6 +75,7 @@
         self._runs: dict[str, _BatchRun] = {}
         self._attempts: dict[int, tuple[_BatchRun, ItemRun]] = {}
         self._next_attempt = 1
+        self._lengths = LengthEstimate()
 
     @property
     def batches(self) -> set[str]:
@@ -192,6 +204,7 @@
         batch = run.batch.header.batch
         if event.status == SUCCESS and item.events:
             item.recording = True
+            self._lengths.learn(item)
             return [RecordItem(item.result(batch))]
         if event.status == IMPOSSIBLE:
             item.recording = True
@@ -224,8 +237,8 @@
 
     def _tick(self, now: float) -> list[SchedulerInstruction]:
         instructions: list[SchedulerInstruction] = []
-        for _, item in list(self._attempts.values()):
-            if item.running is not None and self._silent(item.running, item, now):
+        for run, item in list(self._attempts.values()):
+            if item.running is not None and self._silent(run, item, now):
                 worker = self._workers.worker(item.running.worker)
                 if worker is not None:
                     worker.note_failure(now)
@@ -235,14 +248,28 @@
         instructions += self._start_items(now)
         return instructions
 
-    def _silent(self, attempt: RunningAttempt, item: ItemRun, now: float) -> bool:
-        began = len(item.events) > attempt.events_before
-        allowed = SILENCE_SECONDS if began else FIRST_EVENT_SECONDS
+    def _silent(self, run: _BatchRun, item: ItemRun, now: float) -> bool:
+        """Whether an attempt has brought nothing for too long; sooner if there is room elsewhere.
+
+        A worker is silent while it loads weights, which is no reason to leave it.
+        """
+        attempt = item.running
+        assert attempt is not None
         worker = self._workers.worker(attempt.worker)
         since = attempt.last_event_at
         if worker is not None:
             since = max(since, min(worker.loading_until.get(item.spec.model, since), now))
-        return now - since > allowed
+        silence = now - since
+        if len(item.events) == attempt.events_before:
+            return silence > FIRST_EVENT_SECONDS
+        pace = None if worker is None else worker.recent_latency(now)
+        impatient = max(IMPATIENT_SECONDS, IMPATIENT_PACES * (pace or 0.0))
+        if silence <= min(impatient, SILENCE_SECONDS):
+            return False
+        candidates = self._candidates(run, item)
+        return silence > SILENCE_SECONDS or has_room_elsewhere(
+            worker, candidates, item.spec.model, now
+        )
 
     def _give_up(self, now: float) -> list[SchedulerInstruction]:
         instructions: list[SchedulerInstruction] = []
@@ -261,17 +288,37 @@
     def _move_from_slow(self, now: float) -> list[SchedulerInstruction]:
         instructions: list[SchedulerInstruction] = []
         for run, item in list(self._attempts.values()):
-            if item.running is None:
+            if item.running is None or now - item.moved_at < MOVE_PAUSE_SECONDS:
                 continue
-            current = self._workers.worker(item.running.worker)
-            if current is None:
-                continue
-            candidates = self._candidates(run, item)
-            if faster_engine(current, candidates, item.spec.model, now) is not None:
-                instructions += self._leave(item, now, "slow worker")
+            if self._faster_elsewhere(run, item, now):
+                instructions += self._leave(item, now, "faster elsewhere")
                 item.not_before = now
+                item.moved_at = now
         return instructions
 
+    def _faster_elsewhere(self, run: _BatchRun, item: ItemRun, now: float) -> bool:
+        assert item.running is not None
+        current = self._workers.worker(item.running.worker)
+        if current is None:
+            return False
+        left = self._lengths.events_left(item)
+        faster = faster_engine(
+            current,
+            self._candidates(run, item),
+            item.spec.model,
+            now,
+            left=left,
+            urgent=self._urgent(run, item, left * (current.latency or 0.0), now),
+        )
+        return faster is not None
+
+    def _urgent(self, run: _BatchRun, item: ItemRun, seconds_left: float, now: float) -> bool:
+        """Whether an item may end near the time when its batch is due."""
+        route = self._route_of(run.batch.header.host, item.spec.path)
+        if route is None:
+            return False
+        return now - run.batch.seen_at + seconds_left > URGENT_SHARE * route.due_seconds
+
     def _start_items(self, now: float) -> list[SchedulerInstruction]:
         instructions: list[SchedulerInstruction] = []
         waiting = [
@@ -360,8 +407,11 @@
     def _note_pace(self, attempt: RunningAttempt, events: int, now: float) -> None:
         """Learn a worker's time per event; the first one comes with the head and tells none."""
         worker = self._workers.worker(attempt.worker)
-        if worker is not None and events > attempt.events_before + 1:
-            worker.note_success(now - attempt.last_event_at, now)
+        if worker is None or events <= attempt.events_before + 1:
+            return
+        pace = attempt.pace(now - attempt.last_event_at)
+        if pace is not None:
+            worker.note_success(pace, now)
 
     def _fits(self, batch: Batch, progress: ItemProgress) -> bool:
         return all(v >= batch.header.minimum_version for v in progress.versions)
--- a/src/stagewalk/gateway/order_service.py
+++ b/src/stagewalk/gateway/order_service.py
@@ -8,7 +8,14 @@
 import anyio.abc
 
 from stagewalk.gateway.identity import ProcessId
-from stagewalk.leases.log_lease import Acquire, LogLease, Renew, decode_lease_record
+from stagewalk.leases.log_lease import (
+    Acquire,
+    DutyRecord,
+    LeaseRecord,
+    LogLease,
+    Renew,
+    decode_lease_record,
+)
 from stagewalk.node.log_lines import log_event
 from stagewalk.partitioned_log.appender import PartitionAppender
 from stagewalk.partitioned_log.follower import PartitionFollower
@@ -48,7 +55,7 @@
         self._rollouts = rollouts
         self._workers = workers
         self._client = client
-        self._follower = PartitionFollower(log, partition, self._apply, pause_seconds=0.2)
+        self._follower = PartitionFollower(log, partition, self._apply, pause_seconds=0.02)
         self._appender = PartitionAppender(log, partition, producer, call_bytes)
         self._tasks: anyio.abc.TaskGroup | None = None
         self._stopping = False
@@ -111,8 +118,11 @@
     def _apply(self, record: PartitionRecord) -> None:
         decoded = decode_lease_record(record.payload)
         before = self._lease.holder
-        if decoded is None:
-            self._lease.skip(record.offset + 1)
+        self._lease.skip(record.offset + 1)
+        if isinstance(decoded, DutyRecord):
+            now = time.monotonic()
+            self._rollouts.expect_load(decoded.subject, decoded.detail, decoded.number, now)
+        if not isinstance(decoded, LeaseRecord):
             return
         self._lease.apply(record.offset, decoded, time.monotonic())
         if self._lease.holder != before:
@@ -129,11 +139,9 @@
             fence=self._lease.fence,
             outcome=outcome,
         )
-        if outcome is OrderOutcome.TAKEN:
-            self._rollouts.order_taken(order.worker, now)
-        elif outcome is OrderOutcome.HELD_ALREADY:
+        if outcome is OrderOutcome.HELD_ALREADY:
             self._note_version(order)
-        else:
+        elif outcome is not OrderOutcome.TAKEN:
             self._rollouts.order_failed(order.worker, now)
 
     async def _order(self, order: OrderVersion) -> OrderOutcome:
@@ -151,6 +159,8 @@
             return OrderOutcome.HELD_ALREADY
         if not self._lease.may_act(time.monotonic()):
             return OrderOutcome.REFUSED
+        announced = DutyRecord(order.worker, order.model, order.version)
+        self._appender.post([announced.encode()])
         return await self._client.order_version(
             target,
             VersionOrder(
--- a/src/stagewalk/leases/log_lease.py
+++ b/src/stagewalk/leases/log_lease.py
@@ -22,7 +22,7 @@
 NO_FENCE = -1
 
 
-class LeaseRecord(msgspec.Struct, frozen=True, array_like=True):
+class LeaseRecord(msgspec.Struct, frozen=True, array_like=True, tag="lease"):
     """A step of a lease's history.
 
     `fence` is `NO_FENCE` in a record that wins the lease; a renewal or release names the one
@@ -38,10 +38,35 @@
         return msgspec.msgpack.encode(self)
 
 
-def decode_lease_record(payload: bytes) -> LeaseRecord | None:
+class DutyRecord(msgspec.Struct, frozen=True, array_like=True, tag="duty"):
+    """What the holder is about to do, told so that other processes expect its effects.
+
+    Attributes
+    ----------
+    subject
+        The engine that is ordered.
+    detail, number
+        The model, and the version it is brought to.
+    """
+
+    subject: str
+    detail: str
+    number: int
+
+    def encode(self) -> bytes:
+        """Return the record's payload."""
+        return msgspec.msgpack.encode(self)
+
+
+_DECODER: msgspec.msgpack.Decoder[LeaseRecord | DutyRecord] = msgspec.msgpack.Decoder(
+    LeaseRecord | DutyRecord
+)
+
+
+def decode_lease_record(payload: bytes) -> LeaseRecord | DutyRecord | None:
     """Return a payload's record, None if it is none."""
     try:
-        return msgspec.msgpack.decode(payload, type=LeaseRecord)
+        return _DECODER.decode(payload)
     except msgspec.DecodeError:
         return None
 
--- a/src/stagewalk/version_rollouts/core.py
+++ b/src/stagewalk/version_rollouts/core.py
@@ -77,11 +77,10 @@
         until = now + ORDER_DEADLINE_SECONDS
         self._pending[order.worker] = _Pending(order.model, order.version, until)
 
-    def order_taken(self, worker: str, now: float) -> None:
-        """Note that an engine took an order: it loads."""
+    def expect_load(self, worker: str, model: str, version: int, now: float) -> None:
+        """Note that an engine is being ordered, by whoever holds the lease."""
         known = self._workers.worker(worker)
-        if known is not None:
-            model = self._pending[worker].model if worker in self._pending else ""
+        if known is not None and known.versions.get(model, 0) < version:
             known.loading_until[model] = now + LOAD_SECONDS
 
     def order_failed(self, worker: str, now: float) -> None:
--- a/src/stagewalk/workers/worker.py
+++ b/src/stagewalk/workers/worker.py
@@ -12,7 +12,7 @@
 LATENCY_OUTLIER = 3.0
 """A time counts for at most this many usual ones: one pause says little of a worker's pace."""
 
-LATENCY_VALID_SECONDS = 4.0
+LATENCY_VALID_SECONDS = 9.0
 """A worker that was not used for so long is tried again as if it were as fast as any."""
 
 LOAD_VALID_SECONDS = 1.5
