--- a/src/stagewalk/gateway/batch_calls.py
+++ b/src/stagewalk/gateway/batch_calls.py
@@ -91,6 +91,14 @@
             await self._wait(exchange, name)
         page = _page(batch, position)
         content = self._dialect.results(len(batch.items), position + len(page), page)
+        log_event(
+            "results_shown",
+            batch=name,
+            position=position,
+            count=len(page),
+            known=len(batch.results),
+            view_age=self._store.view_age(name, time.monotonic()),
+        )
         await reply_json(exchange, content)
 
     async def item(self, exchange: OpaqueExchange, name: str) -> None:
--- a/src/stagewalk/partitioned_log/freshness.py
+++ b/src/stagewalk/partitioned_log/freshness.py
@@ -51,5 +51,7 @@
         """Note that a call failed."""
         self._failures += 1
         self.disturbed_at = time.monotonic()
+        if self._failures == 1:
+            log_event("log_read_failed", partition=self._name, detail=detail)
         if self._failures == LOST_AFTER_FAILURES:
             log_event("dependency_lost", "warning", dependency=self._name, detail=detail)
