--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -71,7 +71,7 @@
     gc.collect()
     gc.freeze()
     try:
-        anyio.run(Gateway(settings, surroundings).run, backend="asyncio")
+        anyio.run(Gateway(settings, surroundings).run_until_signal, backend="asyncio")
     except Exception as error:
         trace = "".join(traceback.format_exception(error))
         log_event("gateway_failed", "error", node=settings.name, trace=trace)
@@ -98,13 +98,13 @@
         self._nodes = NodeService(
             log, NODES, self._identity, str(settings.front), settings.placement
         )
-        self._store = BatchStore(
+        self.store = BatchStore(
             log, producer, limits.record_bytes, limits.call_bytes, limits.partitions
         )
         zone = settings.placement.zone
         self._runner = BatchRunner(
             identity=self._identity,
-            store=self._store,
+            store=self.store,
             scheduler=BatchScheduler(self._workers, self._routes.find, zone),
             client=surroundings.workers,
             workers=self._workers,
@@ -137,16 +137,22 @@
         self._exit = anyio.Event()
         self._stopping = False
 
+    async def run_until_signal(self) -> None:
+        """Serve until the process is asked to stop, and stop in order."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_signals)
+            await self.run()
+            tasks.cancel_scope.cancel()
+
     async def run(self) -> None:
         """Serve until a stop was asked for and everything in flight has ended."""
         listeners = [open_listener(address) for address in self._addresses()]
         app = self._build_app()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch_signals)
             tasks.start_soon(self._operators_follower.run)
             tasks.start_soon(self._workers_follower.run)
             self._nodes.start(tasks)
-            self._store.start(tasks)
+            self.store.start(tasks)
             self._runner.start(tasks)
             self._orders.start(tasks)
             tasks.start_soon(self._housekeep)
@@ -169,7 +175,7 @@
         return GatewayApp(
             routes=self._routes,
             forwarder=self._forwarder,
-            batches=BatchCalls(self._store, self._runner, self._dialect),
+            batches=BatchCalls(self.store, self._runner, self._dialect),
             nodes=self._nodes,
             dialect=self._dialect,
             limits=Limits(body_bytes=limits.body_bytes, buffered_body_bytes=BUFFERED_BODY_BYTES),
@@ -180,7 +186,7 @@
 
     def _ready(self) -> bool:
         """Whether routes, workers and batches are known."""
-        known = self._routes.configuration is not None and self._store.ready
+        known = self._routes.configuration is not None and self.store.ready
         return known and self._workers_follower.freshness.ever_confirmed
 
     async def _housekeep(self) -> None:
@@ -238,9 +244,9 @@
                 if number == signal.SIGHUP:
                     self._log("settings_changed")
                 elif not self._stopping:
-                    await self._stop()
+                    await self.stop()
 
-    async def _stop(self) -> None:
+    async def stop(self) -> None:
         """Tell callers and nodes, hand work over, and end once nobody is sent here any more."""
         began = anyio.current_time()
         self._stopping = True
@@ -250,7 +256,7 @@
         self._runner.hand_over()
         await anyio.sleep_until(began + LEAVE_SECONDS)
         latest = began + self._settings.timing.stop_grace - EXIT_RESERVE_SECONDS
-        while not self._store.idle and anyio.current_time() < latest:
+        while not self.store.idle and anyio.current_time() < latest:
             await anyio.sleep(STEP_SECONDS)
         self._exit.set()
 
--- a/src/stagewalk/node/http_server.py
+++ b/src/stagewalk/node/http_server.py
@@ -14,6 +14,9 @@
 from stagewalk.node.listener_filter import drop_new_connections
 
 BACKLOG = 1024
+MAXIMUM_HEAD_BYTES = 64 * 1024
+"""Longest head of a request, well above what published limits let callers send."""
+
 KEEP_ALIVE_SECONDS = 75.0
 """Longer than clients usually keep idle connections, so that it is they who close them."""
 
@@ -81,4 +84,5 @@
     config.keep_alive_timeout = KEEP_ALIVE_SECONDS
     config.graceful_timeout = GRACEFUL_SECONDS
     config.include_server_header = False
+    config.h11_max_incomplete_size = MAXIMUM_HEAD_BYTES
     return config
--- a/src/stagewalk/partitioned_log/appender.py
+++ b/src/stagewalk/partitioned_log/appender.py
@@ -43,8 +43,9 @@
 class _Pending:
     payloads: tuple[bytes, ...]
     settled: anyio.Event = field(default_factory=anyio.Event)
-    sent: bool = False
-    refused: bool = False
+    may_land: bool = False
+    abandoned: bool = False
+    rejected: bool = False
     offset: int | None = None
 
     @property
@@ -80,12 +81,12 @@
             await pending.settled.wait()
         if pending.offset is not None:
             return Ok(pending.offset)
-        if pending.refused:
+        if pending.rejected:
             return Error(AppendOutcome.NOT_APPENDED)
-        if not pending.sent:
-            self._queue.remove(pending)
-            return Error(AppendOutcome.NOT_APPENDED)
-        return Error(AppendOutcome.UNKNOWN)
+        if pending.may_land:
+            return Error(AppendOutcome.UNKNOWN)
+        pending.abandoned = True
+        return Error(AppendOutcome.NOT_APPENDED)
 
     def post(self, payloads: Sequence[bytes]) -> None:
         """Append records without waiting for it."""
@@ -102,14 +103,18 @@
         while True:
             await self._arrived.wait()
             self._arrived = anyio.Event()
-            while self._queue:
-                await self._append_together(self._take())
+            while together := self._take():
+                await self._append_together(together)
 
     def _take(self) -> list[_Pending]:
         """Return the oldest appends that fit in one call; they stay queued until settled."""
         together: list[_Pending] = []
         size = 0
+        while self._queue and self._queue[0].abandoned:
+            self._queue.popleft()
         for pending in self._queue:
+            if pending.abandoned:
+                break
             size += pending.size
             if together and size > self._call_bytes:
                 break
@@ -117,38 +122,56 @@
         return together
 
     async def _append_together(self, together: list[_Pending]) -> None:
-        for pending in together:
-            pending.sent = True
-        self._sequence += 1
-        payloads = [payload for pending in together for payload in pending.payloads]
-        offset = await self._settle(payloads)
-        for pending in together:
-            self._queue.remove(pending)
-            pending.offset = offset
-            pending.refused = offset is None
-            if offset is not None:
-                offset += len(pending.payloads)
-            pending.settled.set()
+        """Send until the log has settled it.
 
-    async def _settle(self, payloads: list[bytes]) -> int | None:
-        """Send until the log has settled it; None if the log can't take it at all."""
+        While the log has refused every call, nothing of it can land, so appends that nobody
+        waits for any more are left out of the next call under the same sequence.
+        """
+        self._sequence += 1
         failures = 0
-        while True:
+        unsettled = False
+        while together:
+            for pending in together:
+                pending.may_land = True
+            payloads = [payload for pending in together for payload in pending.payloads]
             sequence = ProducerSequence(self._producer, self._epoch, self._sequence)
             answer = await self._log.append(self._partition, payloads, sequence)
             if answer.is_ok():
                 self._note_success()
-                return answer.ok
+                self._finish(together, answer.ok)
+                return
             failures += 1
             fault = answer.error.fault
             self._note_failure(fault, answer.error.detail, failures)
             if fault is LogFault.REJECTED:
-                return None
+                self._finish(together, None)
+                return
             if fault is LogFault.OUT_OF_SEQUENCE:
                 # A new epoch may begin at any sequence; what was doubled, readers drop.
                 self._epoch += 1
                 self._sequence = 1
+            unsettled = unsettled or fault is not LogFault.REFUSED
+            for pending in together:
+                pending.may_land = unsettled
             await anyio.sleep(RETRY_SECONDS if failures < QUICK_RETRIES else SLOW_RETRY_SECONDS)
+            if not unsettled:
+                together = self._without_abandoned(together)
+        self._sequence -= 1
+
+    def _without_abandoned(self, together: list[_Pending]) -> list[_Pending]:
+        for pending in together:
+            if pending.abandoned:
+                self._queue.remove(pending)
+        return [pending for pending in together if not pending.abandoned]
+
+    def _finish(self, together: list[_Pending], offset: int | None) -> None:
+        for pending in together:
+            self._queue.remove(pending)
+            pending.offset = offset
+            pending.rejected = offset is None
+            if offset is not None:
+                offset += len(pending.payloads)
+            pending.settled.set()
 
     def _note_success(self) -> None:
         if self.struggling_since is not None:
--- a/src/stagewalk/version_rollouts/core.py
+++ b/src/stagewalk/version_rollouts/core.py
@@ -47,6 +47,7 @@
         self._workers = workers
         self._named: dict[str, int] = {}
         self._lag: dict[str, int] = {}
+        self._minimum: dict[str, int] = {}
         self._pending: dict[str, _Pending] = {}
         self._not_before: dict[str, float] = {}
         self.on_named: Callable[[str, int], None] = lambda _model, _version: None
@@ -64,9 +65,15 @@
         return self._named.get(model, 0)
 
     def note_minimum(self, model: str, minimum_version: int) -> None:
-        """Learn from a submitted batch how far behind the newest version it lets engines be."""
-        named = self._named.get(model, 1)
-        self._lag[model] = max(0, named - minimum_version)
+        """Learn from a submitted batch how far behind the newest version it lets engines be.
+
+        Batches are read again after a restart, old ones too and in any order: only one that asks
+        for no older versions than those before it tells anything.
+        """
+        if minimum_version < self._minimum.get(model, 0):
+            return
+        self._minimum[model] = minimum_version
+        self._lag[model] = max(0, self._named.get(model, 1) - minimum_version)
 
     def pending(self, worker: str) -> bool:
         """Whether an engine has an order under way."""
--- /dev/null
+++ b/src/stagewalk_standins/memory_workers.py
@@ -0,0 +1,123 @@
+"""Workers in memory, for gateways in the same process: engines that make texts, and services."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+import anyio
+from expression import Error, Ok, Result
+
+from stagewalk.ports.workers import (
+    AttemptFailure,
+    AttemptFault,
+    OrderOutcome,
+    OutboundRequest,
+    StreamEnd,
+    StreamEvent,
+    StreamHead,
+    StreamSink,
+    VersionOrder,
+    WorkerAnswer,
+    WorkerLoad,
+    WorkerReport,
+    WorkerTarget,
+)
+
+SUCCESS = 200
+
+
+@dataclass(slots=True)
+class MemoryWorker:
+    """One worker's behaviour, which a test may change at any time.
+
+    Attributes
+    ----------
+    events
+        Number of events it makes of each item.
+    event_seconds
+        How long an event takes.
+    faults
+        Faults of the next requests, one each.
+    """
+
+    events: int = 3
+    event_seconds: float = 0.01
+    answer_seconds: float = 0.0
+    faults: list[AttemptFault] = field(default_factory=list)
+    versions: dict[str, int] = field(default_factory=dict)
+    orders: list[VersionOrder] = field(default_factory=list)
+    running: int = 0
+    slots: int = 4
+
+    @property
+    def load(self) -> WorkerLoad:
+        """Return its load."""
+        return WorkerLoad(self.running, 0, self.slots)
+
+
+class MemoryWorkers:
+    """All workers, by name; satisfies the port of the workers."""
+
+    def __init__(self) -> None:
+        self.workers: dict[str, MemoryWorker] = {}
+        self.arrivals: Counter[str] = Counter()
+        """Requests that reached a worker, by request."""
+        self.cancelled = 0
+
+    async def send(
+        self, target: WorkerTarget, request: OutboundRequest
+    ) -> Result[WorkerAnswer, AttemptFailure]:
+        """Answer with the worker's name and the body."""
+        worker = self.workers[target.worker]
+        if worker.faults and worker.faults[0] is AttemptFault.NOT_SENT:
+            return Error(AttemptFailure(worker.faults.pop(0), "scripted"))
+        self.arrivals[request.request_id] += 1
+        worker.running += 1
+        try:
+            await anyio.sleep(worker.answer_seconds)
+        except BaseException:
+            self.cancelled += 1
+            raise
+        finally:
+            worker.running -= 1
+        if worker.faults:
+            return Error(AttemptFailure(worker.faults.pop(0), "scripted", worker.load))
+        headers = (("x-worker", target.worker),)
+        body = request.target.encode() + b" " + request.body
+        return Ok(WorkerAnswer(SUCCESS, headers, body, True, worker.load, False))
+
+    async def stream(
+        self, target: WorkerTarget, request: OutboundRequest, deliver: StreamSink
+    ) -> Result[StreamEnd, AttemptFailure]:
+        """Make an item's events; a scripted fault strikes after the first of them."""
+        worker = self.workers[target.worker]
+        self.arrivals[request.request_id] += 1
+        fault = worker.faults.pop(0) if worker.faults else None
+        if fault is not None and fault.proves_not_run:
+            return Error(AttemptFailure(fault, "scripted", worker.load))
+        version = max(worker.versions.values(), default=1)
+        await deliver(StreamHead(SUCCESS, (), (version,), worker.load))
+        for number in range((request.resume_after or 0) + 1, worker.events + 1):
+            await anyio.sleep(worker.event_seconds)
+            data = f"{request.request_id}-{number}"
+            await deliver(StreamEvent(number, data, None, data.encode()))
+            if fault is not None:
+                return Error(AttemptFailure(fault, "scripted", worker.load))
+        return Ok(StreamEnd(SUCCESS))
+
+    async def report(self, target: WorkerTarget) -> Result[WorkerReport, AttemptFailure]:
+        """Report its versions."""
+        worker = self.workers[target.worker]
+        return Ok(WorkerReport(dict(worker.versions), False, len(worker.orders), 0, 0))
+
+    async def order_version(self, target: WorkerTarget, order: VersionOrder) -> OrderOutcome:
+        """Take an order at once, unless a higher fence was seen."""
+        worker = self.workers[target.worker]
+        if worker.orders and order.fence < worker.orders[-1].fence:
+            return OrderOutcome.FENCED
+        if order.orders_taken != len(worker.orders):
+            return OrderOutcome.CONFLICT
+        worker.orders.append(order)
+        worker.versions[order.model] = order.version
+        return OrderOutcome.TAKEN
--- /dev/null
+++ b/src/stagewalk_standins/partitioned_log.py
@@ -0,0 +1,260 @@
+"""Stand-in of the platform's partitioned log, in memory, with its faults.
+
+Clients get a view each (`client`), so that single processes can be refused or cut off.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.lowlevel
+from expression import Error, Ok, Result
+
+from stagewalk.ports.partitioned_log import (
+    KeyedPage,
+    KeyedRecord,
+    LogFailure,
+    LogFault,
+    Partition,
+    PartitionRecord,
+    ProducerSequence,
+    RecordPage,
+)
+
+KEPT_SEQUENCES = 5
+"""How many of a producer's last appends are recognised when they come again."""
+
+
+@dataclass(slots=True)
+class _Producer:
+    epoch: int
+    sequence: int
+    offsets: dict[int, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _Kept:
+    """What a partition holds: plain records, or keyed ones by offset."""
+
+    first: int = 0
+    payloads: list[bytes] = field(default_factory=list)
+    keyed: list[KeyedRecord] = field(default_factory=list)
+    newest: dict[str, KeyedRecord] = field(default_factory=dict)
+    producers: dict[str, _Producer] = field(default_factory=dict)
+    changed: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.payloads)
+
+    def announce(self) -> None:
+        """Wake whoever waits for a record."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+
+@dataclass(slots=True)
+class LogFaults:
+    """Faults as one client meets them.
+
+    Attributes
+    ----------
+    down
+        Every call is refused.
+    silent
+        No call is answered, and nothing is done.
+    lose_answers
+        So many of the next appends are done without an answer.
+    delay_appends
+        So many of the next appends get no answer and are done when `run_delayed` is called.
+    """
+
+    down: bool = False
+    silent: bool = False
+    lose_answers: int = 0
+    delay_appends: int = 0
+
+
+class MemoryLog:
+    """The log itself."""
+
+    def __init__(self) -> None:
+        self._partitions: dict[Partition, _Kept] = {}
+        self._delayed: list[Callable[[], object]] = []
+
+    def client(self) -> MemoryLogClient:
+        """Return a new client's view."""
+        return MemoryLogClient(self)
+
+    def kept(self, partition: Partition) -> _Kept:
+        """Return what a partition holds; it comes into being at its first use."""
+        return self._partitions.setdefault(partition, _Kept())
+
+    def payloads(self, partition: Partition) -> list[bytes]:
+        """Return a partition's records."""
+        return list(self.kept(partition).payloads)
+
+    def drop_history(self, partition: Partition, before: int) -> None:
+        """Drop the oldest records of a partition."""
+        kept = self.kept(partition)
+        dropped = max(0, before - kept.first)
+        kept.payloads = kept.payloads[dropped:]
+        kept.keyed = kept.keyed[dropped:]
+        kept.first += dropped
+
+    def drop_key(self, partition: Partition, key: str) -> None:
+        """Drop a key of a compacted partition."""
+        self.put_key(partition, key, None)
+
+    def put_key(self, partition: Partition, key: str, value: bytes | None) -> int:
+        """Set a key of a compacted partition."""
+        kept = self.kept(partition)
+        record = KeyedRecord(key, value, kept.end)
+        kept.payloads.append(value or b"")
+        kept.keyed.append(record)
+        kept.newest.pop(key, None)
+        if value is not None:
+            kept.newest[key] = record
+        kept.announce()
+        return record.offset
+
+    def run_delayed(self) -> None:
+        """Carry out the appends that were held back."""
+        delayed, self._delayed = self._delayed, []
+        for append in delayed:
+            append()
+
+    def delay(self, append: Callable[[], object]) -> None:
+        """Hold an append back."""
+        self._delayed.append(append)
+
+
+class MemoryLogClient:
+    """One client of a `MemoryLog`, with its own faults."""
+
+    def __init__(self, log: MemoryLog) -> None:
+        self._log = log
+        self.faults = LogFaults()
+        self.calls = 0
+
+    async def append(
+        self, partition: Partition, payloads: Sequence[bytes], sequence: ProducerSequence
+    ) -> Result[int, LogFailure]:
+        """Append all records or none, once."""
+        return await self._change(lambda: self._append(partition, payloads, sequence))
+
+    async def append_at(
+        self, partition: Partition, payload: bytes, end: int
+    ) -> Result[int, LogFailure]:
+        """Append if the partition ends at `end`."""
+        return await self._change(lambda: self._append_at(partition, payload, end))
+
+    async def append_keyed(
+        self, partition: Partition, key: str, value: bytes
+    ) -> Result[int, LogFailure]:
+        """Set a key."""
+        return await self._change(lambda: Ok(self._log.put_key(partition, key, value)))
+
+    async def read(
+        self, partition: Partition, offset: int, wait_seconds: float
+    ) -> Result[RecordPage, LogFailure]:
+        """Read records from an offset on."""
+        refused = await self._refusal()
+        if refused is not None:
+            return Error(refused)
+        kept = self._log.kept(partition)
+        await _wait_for_record(kept, offset, wait_seconds)
+        refused = await self._refusal()
+        if refused is not None:
+            return Error(refused)
+        if offset < kept.first:
+            return Error(LogFailure(LogFault.DROPPED, "dropped", kept.first))
+        payloads = kept.payloads[offset - kept.first :]
+        records = tuple(PartitionRecord(offset + n, p) for n, p in enumerate(payloads))
+        return Ok(RecordPage(records, offset + len(records), kept.end))
+
+    async def read_keyed(
+        self, partition: Partition, offset: int, wait_seconds: float
+    ) -> Result[KeyedPage, LogFailure]:
+        """Read changes from an offset on."""
+        refused = await self._refusal()
+        if refused is not None:
+            return Error(refused)
+        kept = self._log.kept(partition)
+        await _wait_for_record(kept, offset, wait_seconds)
+        refused = await self._refusal()
+        if refused is not None:
+            return Error(refused)
+        if offset < kept.first:
+            return Error(LogFailure(LogFault.DROPPED, "dropped", kept.first))
+        records = tuple(kept.keyed[offset - kept.first :])
+        return Ok(KeyedPage(records, offset + len(records)))
+
+    async def newest(self, partition: Partition) -> Result[KeyedPage, LogFailure]:
+        """Read the newest record of each key."""
+        refused = await self._refusal()
+        if refused is not None:
+            return Error(refused)
+        kept = self._log.kept(partition)
+        return Ok(KeyedPage(tuple(kept.newest.values()), kept.end))
+
+    async def _refusal(self) -> LogFailure | None:
+        self.calls += 1
+        await anyio.lowlevel.checkpoint()
+        if self.faults.silent:
+            return LogFailure(LogFault.UNKNOWN, "no answer")
+        if self.faults.down:
+            return LogFailure(LogFault.REFUSED, "down")
+        return None
+
+    async def _change(
+        self, change: Callable[[], Result[int, LogFailure]]
+    ) -> Result[int, LogFailure]:
+        refused = await self._refusal()
+        if refused is not None:
+            return Error(refused)
+        if self.faults.delay_appends > 0:
+            self.faults.delay_appends -= 1
+            self._log.delay(change)
+            return Error(LogFailure(LogFault.UNKNOWN, "answer lost, done later"))
+        outcome = change()
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return Error(LogFailure(LogFault.UNKNOWN, "answer lost"))
+        return outcome
+
+    def _append(
+        self, partition: Partition, payloads: Sequence[bytes], sequence: ProducerSequence
+    ) -> Result[int, LogFailure]:
+        kept = self._log.kept(partition)
+        known = kept.producers.get(sequence.producer)
+        if known is None or sequence.epoch > known.epoch:
+            known = _Producer(sequence.epoch, sequence.sequence - 1)
+            kept.producers[sequence.producer] = known
+        if sequence.sequence in known.offsets and sequence.epoch == known.epoch:
+            return Ok(known.offsets[sequence.sequence])
+        if sequence.epoch < known.epoch or sequence.sequence != known.sequence + 1:
+            return Error(LogFailure(LogFault.OUT_OF_SEQUENCE, "sequence"))
+        offset = kept.end
+        kept.payloads.extend(payloads)
+        known.sequence = sequence.sequence
+        known.offsets[sequence.sequence] = offset
+        known.offsets.pop(sequence.sequence - KEPT_SEQUENCES, None)
+        kept.announce()
+        return Ok(offset)
+
+    def _append_at(self, partition: Partition, payload: bytes, end: int) -> Result[int, LogFailure]:
+        kept = self._log.kept(partition)
+        if kept.end != end:
+            return Error(LogFailure(LogFault.CONFLICT, f"ends at {kept.end}"))
+        kept.payloads.append(payload)
+        kept.announce()
+        return Ok(end)
+
+
+async def _wait_for_record(kept: _Kept, offset: int, wait_seconds: float) -> None:
+    if kept.end <= offset and wait_seconds > 0.0:
+        with anyio.move_on_after(wait_seconds):
+            await kept.changed.wait()
--- /dev/null
+++ b/tests/batches/support.py
@@ -0,0 +1,54 @@
+"""Batches for tests."""
+
+from __future__ import annotations
+
+from stagewalk.batches.ledger import Batch, BatchLedger, LedgerChange
+from stagewalk.batches.records import BatchHeader, BatchItem, BatchSubmitted
+from stagewalk.routes.route import BackEnd, Route, RouteKind
+
+
+def header(batch: str = "b", minimum: int = 1, model: str = "m") -> BatchHeader:
+    return BatchHeader(batch, "h.example", "/run/", 0, model, minimum, 1)
+
+
+def item(name: str, expected: int = 0, group: str = "g") -> BatchItem:
+    return BatchItem(name, f"/run/{name}", (("a", "b"),), b"body", group, "m", expected)
+
+
+def submitted(
+    *items: BatchItem, batch: str = "b", runner: str = "n#1", minimum: int = 1
+) -> BatchSubmitted:
+    return BatchSubmitted(header(batch, minimum), "s1", 0, 1, runner, tuple(items))
+
+
+def batch_route(single_version: bool = False) -> Route:
+    return Route(
+        name="r",
+        host="h.example",
+        path_prefix="/run/",
+        kind=RouteKind.BATCH,
+        back_ends=(BackEnd("s", 1.0),),
+        timeout_seconds=10.0,
+        target_seconds=0.4,
+        maximum_attempts=3,
+        give_up_seconds=40.0,
+        due_seconds=7.5,
+        single_version=single_version,
+    )
+
+
+class RecordingLedger:
+    """A ledger that notes its changes."""
+
+    def __init__(self) -> None:
+        self.changes: list[LedgerChange] = []
+        self.ledger = BatchLedger(self._note)
+
+    def _note(self, batch: Batch, change: LedgerChange) -> None:
+        self.changes.append(change)
+
+    def open(self, record: BatchSubmitted) -> Batch:
+        self.ledger.apply(record, 0.0)
+        batch = self.ledger.get(record.header.batch)
+        assert batch is not None
+        return batch
--- /dev/null
+++ b/tests/batches/test_ledger.py
@@ -0,0 +1,119 @@
+"""The fold of batch records: positions never change, the first result of an item wins."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from stagewalk.batches.ledger import NOBODY, BatchLedger, LedgerChange
+from stagewalk.batches.records import (
+    BatchClaimed,
+    BatchEnded,
+    BatchRecord,
+    BatchReleased,
+    ItemFinished,
+    ItemProgress,
+    decode_record,
+    encode_record,
+    split_submission,
+)
+from tests.batches.support import RecordingLedger, header, item, submitted
+
+
+def finished(name: str, text: str = "t", versions: tuple[int, ...] = (1,)) -> ItemFinished:
+    return ItemFinished("b", name, True, text, versions)
+
+
+class LedgerTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.recording = RecordingLedger()
+        self.ledger = self.recording.ledger
+        self.batch = self.recording.open(submitted(item("x"), item("y")))
+
+    def test_the_first_result_of_an_item_keeps_its_position(self) -> None:
+        self.ledger.apply(finished("y", "first"), 1.0)
+        self.ledger.apply(finished("y", "second"), 2.0)
+        self.ledger.apply(finished("x"), 3.0)
+        self.assertEqual(["first", "t"], [result.text for result in self.batch.results])
+        self.assertFalse(self.batch.open)
+
+    def test_a_result_on_weights_that_are_too_old_is_none(self) -> None:
+        batch = self.recording.open(submitted(item("x"), batch="c", minimum=3))
+        self.ledger.apply(ItemFinished("c", "x", True, "t", (2, 3)), 1.0)
+        self.assertEqual([], batch.results)
+
+    def test_a_batch_handed_in_twice_stays_the_one_it_was(self) -> None:
+        self.ledger.apply(finished("x"), 1.0)
+        self.ledger.apply(submitted(item("x"), item("y"), runner="other#2"), 2.0)
+        self.assertEqual(1, len(self.batch.results))
+        self.assertEqual("n#1", self.batch.runner)
+
+    def test_a_submission_in_parts_exists_once_all_are_there(self) -> None:
+        items = [item(f"i{number}") for number in range(50)]
+        payloads = split_submission(header("p"), items, "s", "n#1", 5_000)
+        self.assertGreater(len(payloads), 1)
+        for payload in payloads:
+            self.assertIsNone(self.ledger.get("p"))
+            self.assertLessEqual(len(payload), 5_000)
+            self.ledger.apply(decode_record(payload), 0.0)
+        self.assertEqual(50, len(self.ledger.get("p").items))
+
+    def test_only_the_next_claim_counts(self) -> None:
+        self.ledger.apply(BatchClaimed("b", "second#1", 1), 1.0)
+        self.ledger.apply(BatchClaimed("b", "third#1", 1), 1.0)
+        self.assertEqual("second#1", self.batch.runner)
+        self.ledger.apply(BatchClaimed("b", "third#1", 2), 2.0)
+        self.assertEqual("third#1", self.batch.runner)
+
+    def test_only_the_runner_releases(self) -> None:
+        self.ledger.apply(BatchReleased("b", "other#1"), 1.0)
+        self.assertEqual("n#1", self.batch.runner)
+        self.ledger.apply(BatchReleased("b", "n#1"), 1.0)
+        self.assertEqual(NOBODY, self.batch.runner)
+
+    def test_the_longest_progress_is_kept_until_the_result(self) -> None:
+        self.ledger.apply(ItemProgress("b", "x", ("1", "2"), (1,)), 1.0)
+        self.ledger.apply(ItemProgress("b", "x", ("1",), (1,)), 1.0)
+        self.assertEqual(("1", "2"), self.batch.progress["x"].events)
+        self.ledger.apply(finished("x"), 1.0)
+        self.assertEqual({}, self.batch.progress)
+
+    def test_an_ended_batch_keeps_what_is_listed(self) -> None:
+        self.ledger.apply(finished("x"), 1.0)
+        self.ledger.apply(BatchEnded("b"), 2.0)
+        self.ledger.apply(BatchEnded("b"), 3.0)
+        self.assertEqual(1, self.recording.changes.count(LedgerChange.ENDED))
+        self.assertEqual(1, len(self.batch.results))
+
+    @given(st.randoms(use_true_random=False))
+    def test_every_node_folds_the_same_list_however_it_reads(self, chooser: random.Random) -> None:
+        names = [f"i{number}" for number in range(6)]
+        records: list[BatchRecord] = [submitted(*(item(name) for name in names))]
+        for number in range(30):
+            name = chooser.choice(names)
+            records.append(
+                chooser.choice(
+                    [
+                        finished(name, f"t{number}", (chooser.randint(0, 2),)),
+                        ItemFinished("b", name, False, "", ()),
+                        BatchClaimed("b", f"n#{number}", chooser.randint(1, 4)),
+                        ItemProgress("b", name, ("1",) * chooser.randint(1, 3), (1,)),
+                    ]
+                )
+            )
+        folds = [BatchLedger(lambda _batch, _change: None) for _ in range(2)]
+        shown: list[ItemFinished] = []
+        for record in records:
+            folds[0].apply(record, 0.0)
+            results = folds[0].get("b").results
+            self.assertEqual(shown, results[: len(shown)])
+            shown = list(results)
+        for record in records:
+            folds[1].apply(decode_record(encode_record(record)), chooser.random())
+        self.assertEqual(shown, folds[1].get("b").results)
+        self.assertEqual(folds[0].get("b").runner, folds[1].get("b").runner)
+        self.assertEqual(len(shown), len({result.item for result in shown}))
--- /dev/null
+++ b/tests/batches/test_scheduler.py
@@ -0,0 +1,251 @@
+"""Items run to a whole text across failing, slow, silent and reloading engines."""
+
+from __future__ import annotations
+
+import testtools
+
+from stagewalk.batches.messages import (
+    AttemptBroken,
+    AttemptEnded,
+    AttemptEvent,
+    AttemptHead,
+    RecordItem,
+    StartItem,
+    StopItem,
+    Tick,
+)
+from stagewalk.batches.records import BatchItem, ItemFinished, ItemProgress
+from stagewalk.batches.scheduler import BatchScheduler
+from stagewalk.ports.workers import (
+    AttemptFailure,
+    AttemptFault,
+    StreamEvent,
+    StreamHead,
+    WorkerLoad,
+)
+from stagewalk.workers.table import WorkerTable
+from tests.batches.support import RecordingLedger, batch_route, item, submitted
+from tests.workers.support import announcement
+
+ENGINES = ("e1", "e2", "e3")
+SUCCESS = 200
+
+
+class Bench:
+    """A scheduler over engines whose answers the test gives."""
+
+    def __init__(self, single_version: bool = False, engines: tuple[str, ...] = ENGINES) -> None:
+        self.now = 0.0
+        self.workers = WorkerTable()
+        for name in engines:
+            self.workers.announce(announcement(name, versions={"m": 1}), 0.0)
+        route = batch_route(single_version)
+        self.scheduler = BatchScheduler(self.workers, lambda _host, _path: route, "z1")
+        self.ledger = RecordingLedger()
+        self.attempts: dict[str, StartItem] = {}
+        self.stopped: dict[int, str] = {}
+        self.recorded: list[ItemFinished | ItemProgress] = []
+
+    def open(self, *items: BatchItem, minimum: int = 1) -> None:
+        batch = self.ledger.open(submitted(*items, minimum=minimum))
+        self.scheduler.open(batch, lambda _item: None)
+        self.tick()
+
+    def tick(self, seconds: float = 0.0) -> None:
+        self.now += seconds
+        self.take(self.scheduler.handle(Tick(), self.now))
+
+    def take(self, instructions) -> None:
+        for instruction in instructions:
+            match instruction:
+                case StartItem():
+                    self.attempts[instruction.item.item] = instruction
+                case StopItem():
+                    self.stopped[instruction.attempt] = instruction.reason
+                case RecordItem():
+                    self.recorded.append(instruction.record)
+
+    def head(self, name: str, version: int = 1, load: WorkerLoad | None = None) -> None:
+        head = StreamHead(SUCCESS, (), (version,), load)
+        self.take(self.scheduler.handle(AttemptHead(self.attempts[name].attempt, head), self.now))
+
+    def event(self, name: str, number: int, version: int | None = None) -> None:
+        event = StreamEvent(number, f"d{number}", version, b"")
+        attempt = self.attempts[name].attempt
+        self.take(self.scheduler.handle(AttemptEvent(attempt, event), self.now))
+
+    def end(self, name: str, status: int = SUCCESS) -> None:
+        attempt = self.attempts[name].attempt
+        self.take(self.scheduler.handle(AttemptEnded(attempt, status), self.now))
+
+    def break_off(self, name: str, fault: AttemptFault = AttemptFault.MAY_HAVE_RUN) -> None:
+        failure = AttemptFailure(fault, "", WorkerLoad(0, 0, 4))
+        attempt = self.attempts[name].attempt
+        self.take(self.scheduler.handle(AttemptBroken(attempt, failure), self.now))
+
+
+class SchedulerTests(testtools.TestCase):
+    def test_a_whole_stream_becomes_a_result_with_its_versions(self) -> None:
+        bench = Bench()
+        bench.open(item("x"))
+        bench.head("x", 1)
+        bench.event("x", 1)
+        bench.event("x", 2, version=2)
+        bench.end("x")
+        self.assertEqual([ItemFinished("b", "x", True, "d1\nd2", (1, 2))], bench.recorded)
+
+    def test_a_broken_stream_goes_on_elsewhere_after_the_last_event(self) -> None:
+        bench = Bench()
+        bench.open(item("x"))
+        first = bench.attempts["x"]
+        bench.head("x")
+        bench.event("x", 1)
+        bench.event("x", 2)
+        bench.break_off("x")
+        bench.tick(0.2)
+        second = bench.attempts["x"]
+        self.assertNotEqual(first.worker, second.worker)
+        self.assertEqual(2, second.resume_after)
+        bench.head("x")
+        bench.event("x", 3)
+        bench.end("x")
+        self.assertEqual("d1\nd2\nd3", bench.recorded[0].text)
+
+    def test_an_event_out_of_order_is_never_taken(self) -> None:
+        bench = Bench()
+        bench.open(item("x"))
+        bench.head("x")
+        bench.event("x", 1)
+        bench.event("x", 3)
+        self.assertEqual(["event out of order"], list(bench.stopped.values()))
+        bench.tick(0.2)
+        self.assertEqual(1, bench.attempts["x"].resume_after)
+
+    def test_an_empty_answer_is_no_result(self) -> None:
+        bench = Bench()
+        bench.open(item("x"))
+        bench.head("x")
+        bench.end("x")
+        self.assertEqual([], bench.recorded)
+
+    def test_weights_that_are_too_old_make_nothing(self) -> None:
+        bench = Bench()
+        bench.open(item("x"), minimum=1)
+        bench.head("x", version=0)
+        self.assertEqual(["weights too old"], list(bench.stopped.values()))
+
+    def test_engines_on_too_old_weights_get_nothing(self) -> None:
+        bench = Bench()
+        bench.workers.announce(announcement("e3", versions={"m": 2}), 0.0)
+        bench.open(item("x"), item("y"), minimum=2)
+        self.assertEqual({"e3"}, {start.worker for start in bench.attempts.values()})
+
+    def test_a_single_version_route_starts_over_when_weights_change(self) -> None:
+        bench = Bench(single_version=True)
+        bench.open(item("x"))
+        bench.head("x", 1)
+        bench.event("x", 1)
+        bench.event("x", 2, version=2)
+        bench.tick(0.2)
+        self.assertIsNone(bench.attempts["x"].resume_after)
+
+    def test_a_silent_engine_is_left(self) -> None:
+        bench = Bench()
+        bench.open(item("x"))
+        first = bench.attempts["x"].worker
+        bench.head("x")
+        bench.event("x", 1)
+        bench.tick(2.0)
+        bench.tick(0.2)
+        self.assertIn("silent", bench.stopped.values())
+        self.assertNotEqual(first, bench.attempts["x"].worker)
+
+    def test_an_engine_that_loads_weights_may_be_silent(self) -> None:
+        bench = Bench()
+        bench.open(item("x"))
+        worker = bench.workers.worker(bench.attempts["x"].worker)
+        bench.head("x")
+        bench.event("x", 1)
+        worker.loading_until["m"] = 0.9
+        bench.tick(0.95)
+        self.assertEqual({}, bench.stopped)
+
+    def test_a_refusal_while_places_are_free_means_that_weights_load(self) -> None:
+        bench = Bench()
+        bench.open(item("x"))
+        refused = bench.attempts["x"].worker
+        bench.break_off("x", AttemptFault.NOT_RUN)
+        self.assertTrue(bench.workers.worker(refused).loading("m", bench.now))
+        bench.tick(0.15)
+        self.assertNotEqual(refused, bench.attempts["x"].worker)
+
+    def test_an_impossible_item_is_given_up_at_once(self) -> None:
+        bench = Bench()
+        bench.open(item("x"))
+        bench.end("x", status=422)
+        self.assertEqual([ItemFinished("b", "x", False, "", ())], bench.recorded)
+
+    def test_a_failing_item_is_given_up_after_the_attempts_its_route_allows(self) -> None:
+        bench = Bench()
+        bench.open(item("x"))
+        for _ in range(2):
+            bench.end("x", status=500)
+            self.assertEqual([], bench.recorded)
+            bench.tick(0.2)
+        bench.end("x", status=500)
+        self.assertFalse(bench.recorded[0].succeeded)
+
+    def test_an_item_is_given_up_only_after_its_time(self) -> None:
+        bench = Bench(engines=())
+        bench.open(item("x"))
+        bench.tick(39.0)
+        self.assertEqual([], bench.recorded)
+        bench.tick(1.5)
+        self.assertFalse(bench.recorded[0].succeeded)
+
+    def test_the_longest_start_first_when_places_are_few(self) -> None:
+        bench = Bench(engines=("e1",))
+        items = [item(f"i{length}", expected=length) for length in range(1, 9)]
+        bench.open(*items)
+        started = {int(name.removeprefix("i")) for name in bench.attempts}
+        self.assertLess(len(started), len(items))
+        self.assertEqual(set(range(9 - len(started), 9)), started)
+
+    def test_ending_a_batch_stops_all_its_attempts(self) -> None:
+        bench = Bench()
+        bench.open(item("x"), item("y"))
+        bench.take(bench.scheduler.close("b", "ended"))
+        self.assertEqual({"ended"}, set(bench.stopped.values()))
+        self.assertEqual(2, len(bench.stopped))
+        self.assertEqual(0, sum(worker.in_flight for worker in bench.workers.all()))
+
+    def test_progress_is_told_and_taken_up_by_the_next_runner(self) -> None:
+        bench = Bench()
+        bench.open(item("x"))
+        bench.head("x")
+        bench.event("x", 1)
+        told = [instruction.record for instruction in bench.scheduler.progress()]
+        self.assertEqual([ItemProgress("b", "x", ("d1",), (1,))], told)
+        other = Bench()
+        batch = other.ledger.open(submitted(item("x")))
+        other.ledger.ledger.apply(told[0], 0.0)
+        other.scheduler.open(batch, lambda _item: None)
+        other.tick()
+        self.assertEqual(1, other.attempts["x"].resume_after)
+
+    def test_a_long_item_leaves_an_engine_that_turns_out_slow(self) -> None:
+        bench = Bench(engines=("e1", "e2"))
+        bench.open(item("x"), item("y"))
+        slow = bench.attempts["x"].worker
+        for number in range(1, 80):
+            bench.now += 0.04
+            for name in ("x", "y"):
+                if name == "y" or number % 4 == 1:
+                    if number == 1:
+                        bench.head(name)
+                    expected = number if name == "y" else (number + 3) // 4
+                    if bench.attempts[name].worker == slow or name == "y":
+                        bench.event(name, expected)
+            bench.tick()
+        self.assertIn("faster elsewhere", bench.stopped.values())
+        self.assertNotEqual(slow, bench.attempts["x"].worker)
--- /dev/null
+++ b/tests/directory/test_node_table.py
@@ -0,0 +1,57 @@
+"""Nodes are believed alive while they announce themselves, and while nobody can."""
+
+from __future__ import annotations
+
+import testtools
+
+from stagewalk.core.identities import NodeName
+from stagewalk.directory.node_table import (
+    ALIVE_SECONDS,
+    NodeAnnouncement,
+    NodeTable,
+    decode_announcement,
+    directory_order,
+)
+
+
+def node(
+    name: str, incarnation: int = 1, beat: int = 1, *, serving: bool = True, zone: str = "z1"
+) -> NodeAnnouncement:
+    return NodeAnnouncement(name, incarnation, f"{name}:80", zone, "r1", serving, beat)
+
+
+class NodeTableTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = NodeTable(NodeName("own"))
+        self.table.announce(node("a"), 0.0)
+
+    def alive(self, view_at: float) -> list[str]:
+        return [announcement.node for announcement in self.table.alive(view_at)]
+
+    def test_a_node_that_falls_silent_is_dead_as_of_the_view(self) -> None:
+        self.assertEqual(["a"], self.alive(ALIVE_SECONDS - 0.1))
+        self.assertEqual([], self.alive(ALIVE_SECONDS + 0.1))
+
+    def test_an_outage_kills_nobody(self) -> None:
+        self.table.forgive(60.0)
+        self.assertEqual(["a"], self.alive(61.0))
+
+    def test_a_restart_ends_the_process_before(self) -> None:
+        self.table.announce(node("a", incarnation=2), 1.0)
+        self.assertFalse(self.table.process_alive("a", 1, 1.0))
+        self.assertTrue(self.table.process_alive("a", 2, 1.0))
+
+    def test_a_late_announcement_of_an_earlier_start_is_ignored(self) -> None:
+        self.table.announce(node("a", incarnation=2), 1.0)
+        self.table.announce(node("a", incarnation=1, beat=99), 2.0)
+        self.assertTrue(self.table.process_alive("a", 2, 2.0))
+
+    def test_nearest_first_and_only_who_serves(self) -> None:
+        nodes = [node("far", zone="z2"), node("left", serving=False), node("near")]
+        order = [n.node for n in directory_order(nodes, "r1", "z1", 64)]
+        self.assertEqual(["near", "far"], order)
+
+    def test_announcements_survive_their_encoding(self) -> None:
+        self.assertEqual(node("a"), decode_announcement(node("a").encode()))
+        self.assertIsNone(decode_announcement(b"nonsense"))
--- /dev/null
+++ b/tests/gateway/support.py
@@ -0,0 +1,175 @@
+"""Gateways on loopback, over one log and one set of workers in memory."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+import httpx
+import msgspec
+
+from stagewalk.batches.records import BatchItem
+from stagewalk.core.identities import Placement
+from stagewalk.gateway.daemon import Gateway, Surroundings
+from stagewalk.gateway.settings import GatewaySettings, LogLimits, Timing
+from stagewalk.ports.dialect import NamedVersion
+from stagewalk.routes.route import (
+    BackEnd,
+    CallerLimits,
+    Route,
+    RouteConfiguration,
+    RouteKind,
+    Service,
+)
+from stagewalk_standins.memory_workers import MemoryWorker, MemoryWorkers
+from stagewalk_standins.partitioned_log import MemoryLog, MemoryLogClient
+from stagewalk_standins.plain_dialect import PlainDialect, SubmittedBatch
+from tests.node.running_node import free_address
+from tests.workers.support import announcement
+
+HOST = "h.example"
+PATIENCE_SECONDS = 20.0
+
+
+def route(name: str, prefix: str, kind: RouteKind, service: str, attempts: int = 2) -> Route:
+    return Route(name, HOST, prefix, kind, (BackEnd(service, 1.0),), 2.0, 0.2, attempts)
+
+
+ROUTES = (
+    route("ask", "/ask/", RouteKind.REPEATABLE, "app"),
+    route("once", "/once/", RouteKind.ONCE, "app"),
+    route("run", "/run/", RouteKind.BATCH, "engines", attempts=3),
+)
+
+
+@dataclass
+class Running:
+    """One gateway and how tests reach it."""
+
+    gateway: Gateway
+    log: MemoryLogClient
+    url: str
+    address: str
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+
+
+class Site:
+    """Everything of a test."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup, client: httpx.AsyncClient) -> None:
+        self.log = MemoryLog()
+        self.workers = MemoryWorkers()
+        self.dialect = PlainDialect()
+        self._tasks = tasks
+        self._client = client
+        for name, service in (("a1", "app"), ("a2", "app"), ("e1", "engines"), ("e2", "engines")):
+            self.add_worker(name, service)
+        self.publish(1)
+
+    def add_worker(self, name: str, service: str) -> None:
+        versions = {"m": 1} if service == "engines" else {}
+        self.workers.workers[name] = MemoryWorker(versions=dict(versions))
+        entry = announcement(name, service=service, versions=versions)
+        self.log.put_key(self.dialect.workers, name, msgspec.json.encode(entry))
+
+    def publish(self, version: int, routes: tuple[Route, ...] = ROUTES) -> None:
+        services = (Service("app", 100, False), Service("engines", 100, True))
+        configuration = RouteConfiguration(version, routes, services, CallerLimits())
+        value = msgspec.json.encode(configuration)
+        self.log.put_key(self.dialect.operators, "configuration", value)
+
+    def name_version(self, version: int) -> None:
+        value = msgspec.json.encode(NamedVersion("m", version))
+        self.log.put_key(self.dialect.operators, "version/m", value)
+
+    async def start(self, name: str, *, ready: bool = True) -> Running:
+        front = free_address()
+        settings = GatewaySettings(
+            name=name,
+            placement=Placement("r1", "z1"),
+            front=front,
+            readiness=front,
+            directory=front,
+            metrics=None,
+            log=front,
+            log_limits=LogLimits(),
+            timing=Timing(lease_quiet=0.2),
+            log_level="error",
+        )
+        log = self.log.client()
+        gateway = Gateway(settings, Surroundings(log, self.workers, self.dialect))
+        running = Running(gateway, log, f"http://{front}", str(front))
+        self._tasks.start_soon(self._run, running)
+        if ready:
+            await until(lambda: self.ready(running))
+        return running
+
+    async def _run(self, running: Running) -> None:
+        with running.scope:
+            await running.gateway.run()
+
+    async def ready(self, running: Running) -> bool:
+        return (await self.call(running, "GET", "/readyz")).status_code == httpx.codes.OK
+
+    async def call(
+        self, running: Running, method: str, path: str, content: bytes = b"", **headers: str
+    ) -> httpx.Response:
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        named.setdefault("host", HOST)
+        try:
+            return await self._client.request(
+                method, running.url + path, content=content, headers=named
+            )
+        except httpx.ConnectError:
+            return httpx.Response(599)
+
+    async def submit(
+        self, running: Running, batch: str, *items: str, minimum: int = 0
+    ) -> httpx.Response:
+        specs = tuple(
+            BatchItem(i, f"/run/{i}", (), b"body " + i.encode(), "g", "m", 0) for i in items
+        )
+        body = SubmittedBatch(items=specs, model="m", minimum_version=minimum)
+        content = msgspec.json.encode(body)
+        headers = {"stagewalk_request_id": batch}
+        return await self.call(running, "POST", "/run/batch", content, **headers)
+
+    async def results(self, running: Running, batch: str, position: int = 0) -> list[str]:
+        answer = await self.call(running, "GET", f"/v1/batches/{batch}?from_position={position}")
+        answer.raise_for_status()
+        return [result[2] for result in answer.json()["results"]]
+
+    async def until_listed(self, running: Running, batch: str, count: int) -> list[str]:
+        async def listed() -> bool:
+            return len(await self.results(running, batch)) >= count
+
+        await until(listed)
+        return await self.results(running, batch)
+
+
+async def until(condition: Callable[[], Awaitable[bool]]) -> None:
+    with anyio.fail_after(PATIENCE_SECONDS):
+        while not await condition():
+            await anyio.sleep(0.02)
+
+
+@asynccontextmanager
+async def site() -> AsyncIterator[Site]:
+    limits = httpx.Limits(max_keepalive_connections=0)
+    async with (
+        httpx.AsyncClient(trust_env=False, timeout=10.0, limits=limits) as client,
+        anyio.create_task_group() as tasks,
+    ):
+        yield Site(tasks, client)
+        tasks.cancel_scope.cancel()
+
+
+def run(scenario: Callable[[Site], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with site() as running:
+            await scenario(running)
+
+    anyio.run(main)
--- /dev/null
+++ b/tests/gateway/test_batches.py
@@ -0,0 +1,189 @@
+"""Batches through whole gateways: nothing accepted is lost, positions are the same everywhere."""
+
+from __future__ import annotations
+
+import anyio
+import testtools
+
+from stagewalk.ports.workers import AttemptFault
+from tests.gateway.support import Site, run, until
+
+
+class BatchTests(testtools.TestCase):
+    def test_results_stand_at_the_same_positions_at_every_node(self) -> None:
+        async def scenario(site: Site) -> None:
+            one, other = await site.start("n1"), await site.start("n2")
+            answer = await site.submit(one, "b1", "x", "y", "z")
+            self.assertEqual(202, answer.status_code)
+            here = await site.until_listed(one, "b1", 3)
+            there = await site.until_listed(other, "b1", 3)
+            self.assertEqual(here, there)
+            self.assertEqual({"x", "y", "z"}, set(here))
+            self.assertEqual(here[1:], await site.results(other, "b1", 1))
+
+        run(scenario)
+
+    def test_a_batch_handed_in_again_at_another_node_runs_once(self) -> None:
+        async def scenario(site: Site) -> None:
+            one, other = await site.start("n1"), await site.start("n2")
+            for node in (one, other, one):
+                self.assertEqual(202, (await site.submit(node, "b1", "x")).status_code)
+            await site.until_listed(one, "b1", 1)
+            self.assertEqual(1, site.workers.arrivals["x"])
+
+        run(scenario)
+
+    def test_a_lost_answer_of_the_log_neither_loses_nor_doubles_the_batch(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            node.log.faults.lose_answers = 2
+            self.assertEqual(202, (await site.submit(node, "b1", "x", "y")).status_code)
+            self.assertEqual(2, len(await site.until_listed(node, "b1", 2)))
+
+        run(scenario)
+
+    def test_nothing_is_accepted_while_the_log_is_down_and_told_when_to_come_back(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            node.log.faults.down = True
+            refused = await site.submit(node, "b1", "x")
+            self.assertEqual(503, refused.status_code)
+            self.assertIn("retry-after", refused.headers)
+            node.log.faults.down = False
+            self.assertEqual(202, (await site.submit(node, "b2", "y")).status_code)
+            await site.until_listed(node, "b2", 1)
+            self.assertEqual(0, site.workers.arrivals["x"])
+
+        run(scenario)
+
+    def test_an_acceptance_that_may_have_landed_is_not_called_refused(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            node.log.faults.silent = True
+            unknown = await site.submit(node, "b1", "x")
+            self.assertEqual(504, unknown.status_code)
+
+        run(scenario)
+
+    def test_a_node_that_cannot_be_sure_says_so_and_never_that_there_is_no_batch(self) -> None:
+        async def scenario(site: Site) -> None:
+            one, other = await site.start("n1"), await site.start("n2")
+            other.log.faults.silent = True
+            await site.submit(one, "b1", "x")
+            answer = await site.call(other, "GET", "/v1/batches/b1")
+            self.assertEqual(503, answer.status_code)
+            other.log.faults.silent = False
+            missing = await site.call(other, "GET", "/v1/batches/nowhere")
+            self.assertEqual(404, missing.status_code)
+
+        run(scenario)
+
+    def test_a_position_read_elsewhere_is_shown_or_refused_but_never_empty(self) -> None:
+        async def scenario(site: Site) -> None:
+            one, other = await site.start("n1"), await site.start("n2")
+            await site.submit(one, "b1", "x", "y")
+            await site.until_listed(one, "b1", 2)
+            answer = await site.call(other, "GET", "/v1/batches/b1?from_position=7")
+            self.assertEqual(503, answer.status_code)
+
+        run(scenario)
+
+    def test_the_body_of_an_item_can_be_read_at_any_node(self) -> None:
+        async def scenario(site: Site) -> None:
+            one, other = await site.start("n1"), await site.start("n2")
+            await site.submit(one, "b1", "x")
+
+            async def shown() -> bool:
+                answer = await site.call(other, "GET", "/v1/items/b1?item=x")
+                return answer.content == b"body x"
+
+            await until(shown)
+
+        run(scenario)
+
+    def test_a_broken_stream_still_gives_one_whole_text(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            for name in ("e1", "e2"):
+                site.workers.workers[name].faults = [AttemptFault.MAY_HAVE_RUN]
+            await site.submit(node, "b1", "x")
+            await site.until_listed(node, "b1", 1)
+            answer = await site.call(node, "GET", "/v1/batches/b1")
+            self.assertEqual("x-1\nx-2\nx-3", answer.json()["results"][0][4])
+
+        run(scenario)
+
+    def test_an_ended_batch_stops_at_the_engines(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            for name in ("e1", "e2"):
+                site.workers.workers[name].event_seconds = 0.3
+                site.workers.workers[name].events = 100
+            await site.submit(node, "b1", "x")
+            await until(lambda: _true_after(site.workers.arrivals["x"] > 0))
+            for _ in range(2):
+                answer = await site.call(node, "DELETE", "/v1/batches/b1")
+                self.assertEqual(200, answer.status_code)
+            await anyio.sleep(0.5)
+            self.assertEqual(1, site.workers.arrivals["x"])
+            self.assertEqual([], await site.results(node, "b1"))
+
+        run(scenario)
+
+    def test_another_node_goes_on_when_the_runner_is_gone(self) -> None:
+        async def scenario(site: Site) -> None:
+            nodes = {name: await site.start(name) for name in ("n1", "n2")}
+            for name in ("e1", "e2"):
+                site.workers.workers[name].event_seconds = 0.4
+                site.workers.workers[name].events = 6
+            await site.submit(nodes["n1"], "b1", "x")
+            ledger = nodes["n1"].gateway.store.ledger
+
+            async def opened() -> bool:
+                return ledger.get("b1") is not None
+
+            await until(opened)
+            runner = ledger.get("b1").runner.split("#")[0]
+            nodes[runner].scope.cancel()
+            survivor = nodes["n2" if runner == "n1" else "n1"]
+            self.assertEqual(["x"], await site.until_listed(survivor, "b1", 1))
+
+        run(scenario)
+
+    def test_a_stopping_node_hands_its_text_over(self) -> None:
+        async def scenario(site: Site) -> None:
+            nodes = {name: await site.start(name) for name in ("n1", "n2")}
+            for name in ("e1", "e2"):
+                site.workers.workers[name].event_seconds = 0.2
+                site.workers.workers[name].events = 8
+            await site.submit(nodes["n1"], "b1", "x")
+            ledger = nodes["n1"].gateway.store.ledger
+            await until(lambda: _true_after(ledger.get("b1") is not None))
+            await anyio.sleep(0.7)
+            runner = ledger.get("b1").runner.split("#")[0]
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(nodes[runner].gateway.stop)
+                survivor = nodes["n2" if runner == "n1" else "n1"]
+                await site.until_listed(survivor, "b1", 1)
+                answer = await site.call(survivor, "GET", "/v1/batches/b1")
+                tasks.cancel_scope.cancel()
+            expected = "\n".join(f"x-{number}" for number in range(1, 9))
+            self.assertEqual(expected, answer.json()["results"][0][4])
+
+        run(scenario)
+
+    def test_all_nodes_gone_right_after_the_acceptance_lose_nothing(self) -> None:
+        async def scenario(site: Site) -> None:
+            nodes = [await site.start("n1"), await site.start("n2")]
+            accepted = await site.submit(nodes[0], "b1", "x", "y")
+            self.assertEqual(202, accepted.status_code)
+            for node in nodes:
+                node.scope.cancel()
+            again = await site.start("n1")
+            self.assertEqual({"x", "y"}, set(await site.until_listed(again, "b1", 2)))
+
+        run(scenario)
+
+
+async def _true_after(condition: bool) -> bool:
+    return condition
--- /dev/null
+++ b/tests/gateway/test_requests.py
@@ -0,0 +1,178 @@
+"""Forwarded requests, the directory, configuration and version orders through whole gateways."""
+
+from __future__ import annotations
+
+import anyio
+import testtools
+
+from stagewalk.ports.workers import AttemptFault
+from stagewalk.routes.route import RouteKind
+from tests.gateway.support import ROUTES, Site, route, run, until
+
+
+class RequestTests(testtools.TestCase):
+    def test_target_and_body_arrive_unaltered(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            path = "/ask/a%20b?q=%C3%A4&r=1"
+            answer = await site.call(node, "POST", path, b"\x00body", stagewalk_request_id="q1")
+            self.assertEqual(path.encode() + b" \x00body", answer.content)
+            self.assertEqual(200, answer.status_code)
+
+        run(scenario)
+
+    def test_a_repeatable_request_survives_a_worker_that_breaks_off(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            for name in ("a1", "a2"):
+                site.workers.workers[name].faults = [AttemptFault.MAY_HAVE_RUN]
+            site.workers.workers["a2"].faults = []
+            answer = await site.call(node, "GET", "/ask/x", stagewalk_request_id="q1")
+            self.assertEqual(200, answer.status_code)
+
+        run(scenario)
+
+    def test_a_request_that_may_have_run_once_is_not_sent_again_nor_refused(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            for name in ("a1", "a2"):
+                site.workers.workers[name].faults = [AttemptFault.MAY_HAVE_RUN]
+            answer = await site.call(node, "POST", "/once/x", stagewalk_request_id="q1")
+            self.assertEqual(502, answer.status_code)
+            self.assertEqual(1, site.workers.arrivals["q1"])
+
+        run(scenario)
+
+    def test_what_no_worker_ran_is_refused_at_once_with_when_to_come_back(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            for name in ("a1", "a2"):
+                site.workers.workers[name].faults = [AttemptFault.NOT_RUN]
+            answer = await site.call(node, "POST", "/once/x", stagewalk_request_id="q1")
+            self.assertEqual(503, answer.status_code)
+            self.assertIn("retry-after", answer.headers)
+
+        run(scenario)
+
+    def test_a_slow_worker_gets_a_second_one_beside_it(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            site.workers.workers["a1"].answer_seconds = 1.5
+            for number in range(4):
+                answer = await site.call(node, "GET", "/ask/x", stagewalk_request_id=f"q{number}")
+                self.assertEqual("a2", answer.headers["x-worker"])
+
+        run(scenario)
+
+    def test_a_caller_that_leaves_ends_the_work_at_the_worker(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            for name in ("a1", "a2"):
+                site.workers.workers[name].answer_seconds = 1.5
+            with anyio.move_on_after(0.3):
+                await site.call(node, "POST", "/once/x", stagewalk_request_id="q1")
+            await until(lambda: _soon(site.workers.cancelled == 1))
+
+        run(scenario)
+
+    def test_a_request_past_its_time_is_ended_at_once(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            for name in ("a1", "a2"):
+                site.workers.workers[name].answer_seconds = 9.0
+            answer = await site.call(node, "POST", "/once/x", stagewalk_deadline_milliseconds="200")
+            self.assertEqual(504, answer.status_code)
+
+        run(scenario)
+
+    def test_a_node_without_configuration_refuses_and_never_denies(self) -> None:
+        async def scenario(site: Site) -> None:
+            site.log.drop_key(site.dialect.operators, "configuration")
+            node = await site.start("n1", ready=False)
+
+            async def answered() -> bool:
+                return (await site.call(node, "GET", "/ask/x")).status_code == 503
+
+            await until(answered)
+            self.assertFalse(await site.ready(node))
+
+        run(scenario)
+
+    def test_a_new_configuration_is_in_force_and_an_unknown_route_is_denied(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            self.assertEqual(404, (await site.call(node, "GET", "/new/x")).status_code)
+            site.publish(2, (*ROUTES, route("new", "/new/", RouteKind.REPEATABLE, "app")))
+
+            async def served() -> bool:
+                return (await site.call(node, "GET", "/new/x")).status_code == 200
+
+            await until(served)
+
+        run(scenario)
+
+    def test_a_draining_worker_gets_no_request_once_the_news_is_there(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            site.log.drop_key(site.dialect.workers, "a1")
+
+            async def only_other() -> bool:
+                answers = [await site.call(node, "GET", "/ask/x") for _ in range(3)]
+                return all(answer.headers["x-worker"] == "a2" for answer in answers)
+
+            await until(only_other)
+
+        run(scenario)
+
+
+class DirectoryTests(testtools.TestCase):
+    def test_ready_nodes_are_named_and_stopping_ones_no_more(self) -> None:
+        async def scenario(site: Site) -> None:
+            one, other = await site.start("n1"), await site.start("n2")
+
+            async def named(expected: set[str]) -> bool:
+                answer = await site.call(one, "GET", "/v1/resolve?region=r1&zone=z1")
+                return answer.status_code == 200 and set(answer.json()["addresses"]) == expected
+
+            await until(lambda: named({one.address, other.address}))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(other.gateway.stop)
+                await until(lambda: named({one.address}))
+                self.assertFalse(await site.ready(other))
+                tasks.cancel_scope.cancel()
+
+        run(scenario)
+
+
+class VersionTests(testtools.TestCase):
+    def test_one_holder_brings_named_versions_to_all_engines(self) -> None:
+        async def scenario(site: Site) -> None:
+            await site.start("n1")
+            await site.start("n2")
+            site.name_version(2)
+            engines = [site.workers.workers[name] for name in ("e1", "e2")]
+            await until(lambda: _soon(all(e.versions["m"] == 2 for e in engines)))
+            orders = [order for engine in engines for order in engine.orders]
+            self.assertEqual(1, len({order.holder for order in orders}))
+            self.assertEqual(1, len({order.fence for order in orders}))
+
+        run(scenario)
+
+    def test_a_batch_waits_for_engines_on_weights_that_fit(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            await site.submit(node, "b1", "x", minimum=2)
+            await anyio.sleep(0.3)
+            self.assertEqual([], await site.results(node, "b1"))
+            site.name_version(2)
+            for name in ("e1", "e2"):
+                site.add_worker(name, "engines")
+            await until(
+                lambda: _soon(all(site.workers.workers[n].versions["m"] == 2 for n in ("e1", "e2")))
+            )
+
+        run(scenario)
+
+
+async def _soon(condition: bool) -> bool:
+    return condition
--- /dev/null
+++ b/tests/partitioned_log/test_follower.py
@@ -0,0 +1,119 @@
+"""Followers apply each record once and in order, through outages and dropped history."""
+
+from __future__ import annotations
+
+import math
+import time
+
+import anyio
+import testtools
+
+from stagewalk.partitioned_log.follower import KeyedFollower, PartitionFollower
+from stagewalk.ports.partitioned_log import KeyedRecord, Partition, PartitionRecord
+from stagewalk_standins.partitioned_log import MemoryLog
+
+PLACE = Partition("t", 0)
+
+
+async def until(condition) -> None:
+    with anyio.fail_after(10):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+class PartitionFollowerTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = MemoryLog()
+        self.client = self.log.client()
+        self.seen: list[bytes] = []
+        self.follower = PartitionFollower(self.client, PLACE, self.note)
+
+    def note(self, record: PartitionRecord) -> None:
+        self.seen.append(record.payload)
+
+    async def append(self, *payloads: bytes) -> None:
+        writer = self.log.client()
+        for payload in payloads:
+            end = self.log.kept(PLACE).end
+            await writer.append_at(PLACE, payload, end)
+
+    def test_catching_up_beside_the_loop_applies_nothing_twice(self) -> None:
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.follower.run)
+                for number in range(20):
+                    await self.append(b"%d" % number)
+                    await self.follower.catch_up(1.0)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+        self.assertEqual([b"%d" % number for number in range(20)], self.seen)
+
+    def test_catching_up_fails_while_the_log_is_silent(self) -> None:
+        async def main() -> bool:
+            self.client.faults.silent = True
+            return await self.follower.catch_up(0.1)
+
+        self.assertFalse(anyio.run(main))
+        self.assertEqual(math.inf, self.follower.freshness.age(time.monotonic()))
+
+    def test_it_goes_on_after_dropped_history(self) -> None:
+        async def main() -> None:
+            await self.append(b"a", b"b", b"c")
+            self.log.drop_history(PLACE, 2)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.follower.run)
+                await until(lambda: self.seen == [b"c"])
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    def test_an_outage_marks_the_view_as_disturbed(self) -> None:
+        async def main() -> None:
+            await self.follower.catch_up(1.0)
+            before = time.monotonic()
+            self.client.faults.down = True
+            await self.follower.catch_up(0.05)
+            self.assertGreaterEqual(self.follower.freshness.disturbed_at, before)
+
+        anyio.run(main)
+
+
+class KeyedFollowerTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = MemoryLog()
+        self.client = self.log.client()
+        self.values: dict[str, bytes] = {}
+
+    def replace(self, records: tuple[KeyedRecord, ...]) -> None:
+        self.values = {r.key: r.value for r in records if r.value is not None}
+
+    def apply(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self.values.pop(record.key, None)
+        else:
+            self.values[record.key] = record.value
+
+    def test_a_listing_replaces_what_was_missed_when_changes_were_dropped(self) -> None:
+        follower = KeyedFollower(self.client, PLACE, self.replace, self.apply, wait_seconds=0.05)
+
+        async def main() -> None:
+            self.log.put_key(PLACE, "a", b"1")
+            self.log.put_key(PLACE, "b", b"1")
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(follower.run)
+                await until(lambda: set(self.values) == {"a", "b"})
+                self.client.faults.down = True
+                await anyio.sleep(0.1)
+                self.log.drop_key(PLACE, "a")
+                self.log.put_key(PLACE, "c", b"2")
+                self.log.drop_history(PLACE, 4)
+                self.log.put_key(PLACE, "d", b"3")
+                self.log.drop_history(PLACE, 5)
+                self.client.faults.down = False
+                await until(lambda: set(self.values) == {"b", "c", "d"})
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
--- /dev/null
+++ b/tests/routes/test_table.py
@@ -0,0 +1,51 @@
+"""Routes are found by host and longest prefix; configurations never go back."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import testtools
+
+from stagewalk.routes.route import BackEnd, CallerLimits, Route, RouteConfiguration, RouteKind
+from stagewalk.routes.table import RouteTable
+
+
+def route(name: str, prefix: str, *back_ends: BackEnd, host: str = "h.example") -> Route:
+    return Route(
+        name=name,
+        host=host,
+        path_prefix=prefix,
+        kind=RouteKind.REPEATABLE,
+        back_ends=back_ends or (BackEnd("s", 1.0),),
+        timeout_seconds=1.0,
+        target_seconds=0.2,
+        maximum_attempts=2,
+    )
+
+
+def configuration(version: int, *routes: Route) -> RouteConfiguration:
+    return RouteConfiguration(version, routes, (), CallerLimits())
+
+
+class RouteTableTests(testtools.TestCase):
+    def test_the_longest_prefix_wins_whatever_the_order(self) -> None:
+        table = RouteTable()
+        table.apply(configuration(1, route("short", "/a/"), route("long", "/a/b/")))
+        self.assertEqual("long", table.find("H.example", "/a/b/c").name)
+        self.assertEqual("short", table.find("h.example", "/a/c").name)
+        self.assertIsNone(table.find("h.example", "/b"))
+        self.assertIsNone(table.find("other.example", "/a/c"))
+
+    def test_an_older_configuration_never_comes_back(self) -> None:
+        table = RouteTable()
+        self.assertTrue(table.apply(configuration(7, route("new", "/n/"))))
+        self.assertFalse(table.apply(configuration(4, route("old", "/o/"))))
+        self.assertEqual(7, table.version)
+        self.assertIsNone(table.find("h.example", "/o/x"))
+
+    def test_shares_are_exact_over_any_run_of_requests(self) -> None:
+        table = RouteTable()
+        split = route("split", "/", BackEnd("a", 90.0), BackEnd("b", 10.0))
+        table.apply(configuration(1, split))
+        counts = Counter(table.choose_back_end(split).service for _ in range(100))
+        self.assertEqual({"a": 90, "b": 10}, dict(counts))
--- /dev/null
+++ b/tests/version_rollouts/test_core.py
@@ -0,0 +1,91 @@
+"""Engines are brought to named versions, few at a time and not all with each version."""
+
+from __future__ import annotations
+
+import testtools
+
+from stagewalk.version_rollouts.core import (
+    LOADS_AT_ONCE,
+    ORDER_DEADLINE_SECONDS,
+    OrderVersion,
+    VersionRollouts,
+)
+from stagewalk.workers.table import WorkerTable
+from tests.workers.support import announcement
+
+ENGINES = 4
+
+
+class VersionRolloutTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.workers = WorkerTable()
+        for number in range(ENGINES):
+            self.workers.announce(announcement(f"e{number}", versions={"m": 1}), 0.0)
+        self.rollouts = VersionRollouts(self.workers)
+
+    def carry_out(self, order: OrderVersion) -> None:
+        self.workers.worker(order.worker).versions[order.model] = order.version
+
+    def roll(self, start: float = 0.0) -> int:
+        """Carry orders out until none is left; return how many there were."""
+        count = 0
+        now = start
+        while orders := self.rollouts.decide(now):
+            self.assertLessEqual(len(orders), LOADS_AT_ONCE)
+            for order in orders:
+                self.rollouts.order_started(order, now)
+                self.carry_out(order)
+            count += len(orders)
+            now += 1.0
+        return count
+
+    def held(self) -> list[int]:
+        return sorted(worker.versions["m"] for worker in self.workers.all())
+
+    def test_without_a_known_lag_all_engines_get_the_newest(self) -> None:
+        self.rollouts.name_version("m", 2)
+        self.roll()
+        self.assertEqual([2, 2, 2, 2], self.held())
+
+    def test_with_a_lag_half_of_the_engines_change_with_each_version(self) -> None:
+        self.rollouts.name_version("m", 2)
+        self.rollouts.note_minimum("m", 1)
+        self.assertEqual(2, self.roll())
+        self.assertEqual([1, 1, 2, 2], self.held())
+        self.rollouts.name_version("m", 3)
+        self.rollouts.note_minimum("m", 2)
+        self.assertEqual(2, self.roll(10.0))
+        self.assertEqual([2, 2, 3, 3], self.held())
+
+    def test_an_old_batch_read_again_does_not_widen_the_lag(self) -> None:
+        self.rollouts.name_version("m", 9)
+        self.rollouts.note_minimum("m", 8)
+        self.rollouts.note_minimum("m", 1)
+        self.roll()
+        self.assertGreaterEqual(min(self.held()), 8)
+
+    def test_no_more_orders_while_engines_load(self) -> None:
+        self.rollouts.name_version("m", 2)
+        for order in self.rollouts.decide(0.0):
+            self.rollouts.order_started(order, 0.0)
+        self.assertEqual([], self.rollouts.decide(0.5))
+
+    def test_an_order_without_effect_is_given_again(self) -> None:
+        self.rollouts.name_version("m", 2)
+        first = self.rollouts.decide(0.0)
+        for order in first:
+            self.rollouts.order_started(order, 0.0)
+        self.assertEqual(first, self.rollouts.decide(ORDER_DEADLINE_SECONDS + 0.1))
+
+    def test_an_engine_that_goes_back_is_ordered_again(self) -> None:
+        self.rollouts.name_version("m", 2)
+        self.roll()
+        for held in (2, 1):
+            self.workers.announce(announcement("e0", versions={"m": held}), 5.0)
+        self.assertEqual([OrderVersion("e0", "m", 2)], self.rollouts.decide(5.0))
+
+    def test_an_older_name_changes_nothing(self) -> None:
+        self.rollouts.name_version("m", 3)
+        self.assertFalse(self.rollouts.name_version("m", 2))
+        self.assertEqual(3, self.rollouts.named("m"))
--- /dev/null
+++ b/tests/workers/support.py
@@ -0,0 +1,20 @@
+"""Workers for tests."""
+
+from __future__ import annotations
+
+from stagewalk.core.identities import Address
+from stagewalk.workers.worker import WorkerAnnouncement
+
+
+def announcement(
+    worker: str,
+    *,
+    service: str = "s",
+    zone: str = "z1",
+    slots: int = 4,
+    draining: bool = False,
+    versions: dict[str, int] | None = None,
+) -> WorkerAnnouncement:
+    return WorkerAnnouncement(
+        worker, service, Address("10.0.0.1", 80), zone, slots, draining, versions or {}
+    )
--- /dev/null
+++ b/tests/workers/test_table.py
@@ -0,0 +1,91 @@
+"""Workers that leave get no new work; ones that vanish in an outage are doubted first."""
+
+from __future__ import annotations
+
+import math
+
+import testtools
+
+from stagewalk.ports.workers import WorkerLoad
+from stagewalk.workers.selection import choose_worker
+from stagewalk.workers.table import DOUBT_SECONDS, WorkerTable
+from tests.workers.support import announcement
+
+CALM = -math.inf
+
+
+def names(table: WorkerTable) -> set[str]:
+    return {worker.announcement.worker for worker in table.usable("s")}
+
+
+class WorkerTableTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = WorkerTable()
+        for name in ("a", "b"):
+            self.table.announce(announcement(name), 0.0)
+
+    def test_a_draining_worker_gets_no_new_work(self) -> None:
+        self.table.announce(announcement("a", draining=True), 1.0)
+        self.assertEqual({"b"}, names(self.table))
+
+    def test_a_worker_whose_entry_is_gone_gets_no_new_work(self) -> None:
+        self.table.remove("a", 1.0, CALM)
+        self.assertEqual({"b"}, names(self.table))
+
+    def test_in_an_outage_vanished_workers_serve_on_only_if_no_other_is_left(self) -> None:
+        self.table.remove("a", 10.0, 9.0)
+        self.assertEqual({"b"}, names(self.table))
+        self.table.remove("b", 10.0, 9.0)
+        self.assertEqual({"a", "b"}, names(self.table))
+        self.table.expire(10.0 + DOUBT_SECONDS)
+        self.assertEqual(set(), names(self.table))
+
+    def test_a_draining_worker_that_vanishes_in_an_outage_is_gone(self) -> None:
+        self.table.announce(announcement("a", draining=True), 1.0)
+        self.table.remove("a", 10.0, 9.0)
+        self.table.remove("b", 10.0, 9.0)
+        self.assertEqual({"b"}, names(self.table))
+
+    def test_a_listing_takes_the_place_of_all_that_was_known(self) -> None:
+        self.table.replace([announcement("c")], 1.0, CALM)
+        self.assertEqual({"c"}, names(self.table))
+
+    def test_weights_may_go_back_as_the_list_says(self) -> None:
+        self.table.announce(announcement("a", versions={"m": 5}), 1.0)
+        self.table.announce(announcement("a", versions={"m": 4}), 2.0)
+        self.assertEqual(4, self.table.worker("a").versions["m"])
+
+
+class SelectionTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = WorkerTable()
+        self.table.announce(announcement("near", zone="z1"), 0.0)
+        self.table.announce(announcement("far", zone="z2"), 0.0)
+
+    def choose(self, now: float = 0.0, tried: tuple[str, ...] = ()) -> str:
+        chosen = choose_worker(self.table.usable("s"), now, "z1", tried)
+        return "" if chosen is None else chosen.announcement.worker
+
+    def test_the_nearer_one_of_two_equals(self) -> None:
+        self.assertEqual("near", self.choose())
+
+    def test_the_emptier_one_by_the_load_it_told(self) -> None:
+        self.table.worker("near").note_load(WorkerLoad(4, 2, 4), 0.0)
+        self.assertEqual("far", self.choose())
+
+    def test_an_old_load_counts_no_more(self) -> None:
+        self.table.worker("near").note_load(WorkerLoad(4, 2, 4), 0.0)
+        self.assertEqual("near", self.choose(now=60.0))
+
+    def test_one_that_failed_lately_comes_last_and_a_tried_one_never(self) -> None:
+        self.table.worker("near").note_failure(0.0)
+        self.assertEqual("far", self.choose())
+        self.assertEqual("near", self.choose(tried=("far",)))
+        self.assertEqual("", self.choose(tried=("far", "near")))
+
+    def test_a_slow_one_is_left_to_the_fast_one(self) -> None:
+        self.table.worker("near").note_success(0.2, 0.0)
+        self.table.worker("far").note_success(0.05, 0.0)
+        self.assertEqual("far", self.choose())
