Bound how far views lag: wait briefly where records come, since wake-ups get lost

A trial that logged each page a follower applied showed all nodes but one 1.9 s behind at the same moment, until their reads' wait of 2 s was over: a read that waits is not always woken by a record that closely follows another.

Change: reads wait 0.25 s for 6 s after a record, 1 s otherwise, 0.5 s for configuration and workers. The stand-in can sleep through records.

--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -43,6 +43,9 @@
 NODES = Partition("keyed.nodes", 0)
 WORKERS_PAUSE_SECONDS = 0.1
 EXPIRE_SECONDS = 0.25
+STALL_SECONDS = 0.2
+"""A loop that comes this much late was kept from running, or the machine was."""
+
 STEP_SECONDS = 0.1
 LEAVE_SECONDS = 3.5
 """How long callers may still be sent here after a stop was announced: three times what the
@@ -191,7 +194,12 @@
 
     async def _housekeep(self) -> None:
         while True:
-            await anyio.sleep(EXPIRE_SECONDS)
+            due = anyio.current_time() + EXPIRE_SECONDS
+            await anyio.sleep_until(due)
+            lag = anyio.current_time() - due
+            self._metrics.loop_lag.observe(lag)
+            if lag > STALL_SECONDS:
+                log_event("loop_stalled", "warning", seconds=lag)
             self._workers.expire(time.monotonic())
             self._nodes.set_serving(self._ready() and not self._stopping)
 
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -13,6 +13,7 @@
     generate_latest,
 )
 
+_LAG_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0)
 _LATENCY_BUCKETS = (0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
 _omit_creation_times: Callable[[], None] = disable_created_metrics
 
@@ -37,6 +38,13 @@
             registry=self._registry,
         )
 
+        self.loop_lag = Histogram(
+            "stagewalk_loop_lag_seconds",
+            "How late the process's event loop came back to a task that slept.",
+            buckets=_LAG_BUCKETS,
+            registry=self._registry,
+        )
+
     def request_ended(self, kind: str, outcome: str, began: float) -> None:
         """Count a request that began at a steady time."""
         self._requests.labels(kind, outcome).inc()
--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -43,7 +43,12 @@
         self._placement = placement
         self._table = NodeTable(NodeName(identity.node))
         self._follower = KeyedFollower(
-            log, partition, self._replace, self._apply, pause_seconds=READ_PAUSE_SECONDS
+            log,
+            partition,
+            self._replace,
+            self._apply,
+            pause_seconds=READ_PAUSE_SECONDS,
+            wait_seconds=1.0,
         )
         self._beat = 0
         self._view_at = 0.0
--- a/src/stagewalk/partitioned_log/follower.py
+++ b/src/stagewalk/partitioned_log/follower.py
@@ -22,8 +22,14 @@
 RETRY_SECONDS = 0.1
 SLOW_RETRY_SECONDS = 0.4
 QUICK_RETRIES = 5
-WAIT_SECONDS = 2.0
-"""How long a read waits for a first record."""
+ACTIVE_WAIT_SECONDS = 0.25
+IDLE_WAIT_SECONDS = 1.0
+"""How long a read waits for a first record. A log may fail to wake a waiting read, most of all
+for a record that closely follows another (seen to last until the wait was over); so the wait is
+the bound on how far a view may lag, and short where records have come lately."""
+
+ACTIVE_SECONDS = 6.0
+KEYED_WAIT_SECONDS = 0.5
 
 
 class PartitionFollower:
@@ -45,13 +51,14 @@
         self._apply = apply
         self._pause_seconds = pause_seconds
         self.next_offset = 0
+        self._last_record_at = time.monotonic()
         self.freshness = Freshness(str(partition))
 
     async def run(self) -> None:
         """Follow for ever."""
         failures = 0
         while True:
-            if await self._read(WAIT_SECONDS if self.freshness.ever_confirmed else 0.0):
+            if await self._read(self._wait_seconds()):
                 failures = 0
                 await anyio.sleep(self._pause_seconds)
             else:
@@ -66,6 +73,12 @@
             return True
         return False
 
+    def _wait_seconds(self) -> float:
+        if not self.freshness.ever_confirmed:
+            return 0.0
+        quiet = time.monotonic() - self._last_record_at
+        return ACTIVE_WAIT_SECONDS if quiet < ACTIVE_SECONDS else IDLE_WAIT_SECONDS
+
     async def _read(self, wait_seconds: float) -> bool:
         """Read once, and on to the end if there is more; return whether the log answered."""
         while True:
@@ -81,6 +94,8 @@
                 return True
 
     def _apply_page(self, page: RecordPage) -> None:
+        if page.records:
+            self._last_record_at = time.monotonic()
         for record in page.records:
             if record.offset == self.next_offset:
                 self.next_offset += 1
@@ -114,7 +129,7 @@
         apply: Callable[[KeyedRecord], None],
         *,
         pause_seconds: float = 0.0,
-        wait_seconds: float = WAIT_SECONDS,
+        wait_seconds: float = KEYED_WAIT_SECONDS,
     ) -> None:
         self._log = log
         self._partition = partition
--- a/src/stagewalk_standins/partitioned_log.py
+++ b/src/stagewalk_standins/partitioned_log.py
@@ -69,12 +69,15 @@
         So many of the next appends are done without an answer.
     delay_appends
         So many of the next appends get no answer and are done when `run_delayed` is called.
+    sleep_through
+        Reads that wait are not woken by a record.
     """
 
     down: bool = False
     silent: bool = False
     lose_answers: int = 0
     delay_appends: int = 0
+    sleep_through: bool = False
 
 
 class MemoryLog:
@@ -138,6 +141,8 @@
         self._log = log
         self.faults = LogFaults()
         self.calls = 0
+        self.waits: list[float] = []
+        """How long each read of records offered to wait, in seconds."""
 
     async def append(
         self, partition: Partition, payloads: Sequence[bytes], sequence: ProducerSequence
@@ -165,6 +170,9 @@
         if refused is not None:
             return Error(refused)
         kept = self._log.kept(partition)
+        self.waits.append(wait_seconds)
+        if self.faults.sleep_through and kept.end <= offset:
+            await anyio.sleep(wait_seconds)
         await _wait_for_record(kept, offset, wait_seconds)
         refused = await self._refusal()
         if refused is not None:
--- a/tests/partitioned_log/test_follower.py
+++ b/tests/partitioned_log/test_follower.py
@@ -13,6 +13,8 @@
 from stagewalk_standins.partitioned_log import MemoryLog
 
 PLACE = Partition("t", 0)
+LONGEST_LAG_SECONDS = 0.5
+"""Half of what a reader may be shown an older view after a position was read elsewhere."""
 
 
 async def until(condition) -> None:
@@ -69,6 +71,20 @@
 
         anyio.run(main)
 
+    def test_a_record_whose_wake_up_was_lost_is_read_when_the_short_wait_is_over(self) -> None:
+        async def main() -> None:
+            self.client.faults.sleep_through = True
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.follower.run)
+                await self.append(b"a")
+                await until(lambda: self.seen == [b"a"])
+                await self.append(b"b")
+                await until(lambda: self.seen == [b"a", b"b"])
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+        self.assertLessEqual(max(self.client.waits), LONGEST_LAG_SECONDS)
+
     def test_an_outage_marks_the_view_as_disturbed(self) -> None:
         async def main() -> None:
             await self.follower.catch_up(1.0)
