Let a node that is cut off from the log work through another one

Ruled out: taking a cut-off node out of the directory only, since callers keep answers and nodes can't tell a cut from an outage of the store for everyone.

Change: each node serves the log's calls to other nodes on its peer listener; a node whose own calls fail sends those that may be done twice through one, keeps to it while it works, and tries the straight way each second. Nodes are believed dead after 3.0 s instead of 3.5, announcing each 0.9 s.

--- a/src/stagewalk/directory/node_table.py
+++ b/src/stagewalk/directory/node_table.py
@@ -6,7 +6,7 @@
 
 from stagewalk.core.identities import NodeName
 
-ALIVE_SECONDS = 3.5
+ALIVE_SECONDS = 3.0
 """A node not heard of for this long, while the log answers, is believed dead."""
 
 STALE_VIEW_SECONDS = 2.0
@@ -24,6 +24,8 @@
         Grows with each start of the process.
     front
         Address callers connect to.
+    peer
+        Address other nodes connect to, empty if none.
     serving
         False once a planned stop has begun.
     beat
@@ -33,6 +35,7 @@
     node: str
     incarnation: int
     front: str
+    peer: str
     zone: str
     region: str
     serving: bool
--- a/src/stagewalk/gateway/app.py
+++ b/src/stagewalk/gateway/app.py
@@ -17,6 +17,7 @@
 from stagewalk.gateway.node_service import NodeService
 from stagewalk.gateway.replies import reply_empty, reply_error, reply_json
 from stagewalk.node.edge.body_budget import BodyBudget
+from stagewalk.node.lifespan import serve_lifespan
 from stagewalk.node.log_lines import log_event
 from stagewalk.ports.dialect import Dialect
 from stagewalk.routes.route import Route, RouteKind
@@ -80,7 +81,7 @@
     ) -> None:
         """Serve one ASGI connection."""
         if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
+            await serve_lifespan(receive, send)
         elif scope["type"] == "http":
             await self._serve_exchange(scope, receive, send)
         else:
@@ -191,13 +192,3 @@
     log_event("exchange_failed", "error", path=exchange.path, trace=trace)
     if not exchange.started:
         await reply_error(exchange, 500, "internal error")
-
-
-async def _serve_lifespan(receive: ASGIReceiveCallable, send: ASGISendCallable) -> None:
-    while True:
-        message = await receive()
-        if message["type"] == "lifespan.startup":
-            await send({"type": "lifespan.startup.complete"})
-        elif message["type"] == "lifespan.shutdown":
-            await send({"type": "lifespan.shutdown.complete"})
-            return
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -26,6 +26,8 @@
 from stagewalk.gateway.order_service import OrderService
 from stagewalk.gateway.settings import GatewaySettings
 from stagewalk.leases.log_lease import LogLease
+from stagewalk.log_relay.relayed_log import RelayedLog
+from stagewalk.log_relay.server import RelayApp
 from stagewalk.node.http_server import open_listener, serve_http
 from stagewalk.node.log_lines import configure_logs, log_event
 from stagewalk.partitioned_log.follower import KeyedFollower
@@ -90,7 +92,9 @@
 
     def __init__(self, settings: GatewaySettings, surroundings: Surroundings) -> None:
         self._settings = settings
-        log, limits = surroundings.log, settings.log_limits
+        self._straight = surroundings.log
+        log = RelayedLog(surroundings.log, self._peers)
+        limits = settings.log_limits
         self._dialect = surroundings.dialect
         self._identity = ProcessId(settings.name, time.time_ns() // 1_000_000)
         producer = f"{settings.name}-{uuid.uuid4().hex}"
@@ -99,7 +103,12 @@
         self._workers.on_change = _log_worker_change
         self._rollouts = VersionRollouts(self._workers)
         self._nodes = NodeService(
-            log, NODES, self._identity, str(settings.front), settings.placement
+            log=log,
+            partition=NODES,
+            identity=self._identity,
+            front=settings.front,
+            peer=settings.peers,
+            placement=settings.placement,
         )
         self.store = BatchStore(
             log, producer, limits.record_bytes, limits.call_bytes, limits.partitions
@@ -163,9 +172,16 @@
             async with anyio.create_task_group() as servers:
                 for listener in listeners:
                     servers.start_soon(serve_http, app, listener, self._exit)
+                if self._settings.peers is not None:
+                    relay = RelayApp(self._straight)
+                    peers = open_listener(self._settings.peers)
+                    servers.start_soon(serve_http, relay, peers, self._exit)
             self._log("gateway_stopped")
             tasks.cancel_scope.cancel()
 
+    def _peers(self) -> list[Address]:
+        return self._nodes.peers()
+
     def _addresses(self) -> list[Address]:
         settings = self._settings
         addresses = [settings.front, settings.readiness, settings.directory]
--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -7,7 +7,7 @@
 import anyio
 import anyio.abc
 
-from stagewalk.core.identities import NodeName, Placement
+from stagewalk.core.identities import Address, NodeName, Placement
 from stagewalk.directory.node_table import (
     NodeAnnouncement,
     NodeTable,
@@ -19,7 +19,7 @@
 from stagewalk.partitioned_log.follower import KeyedFollower
 from stagewalk.ports.partitioned_log import KeyedRecord, Partition, PartitionedLog
 
-ANNOUNCE_SECONDS = 1.0
+ANNOUNCE_SECONDS = 0.9
 READ_PAUSE_SECONDS = 0.4
 OUTAGE_SECONDS = 1.5
 """A view not confirmed for longer than this has missed announcements."""
@@ -30,16 +30,19 @@
 
     def __init__(
         self,
+        *,
         log: PartitionedLog,
         partition: Partition,
         identity: ProcessId,
-        front: str,
+        front: Address,
+        peer: Address | None,
         placement: Placement,
     ) -> None:
         self._log = log
         self._partition = partition
         self._identity = identity
-        self._front = front
+        self._front = str(front)
+        self._peer = "" if peer is None else str(peer)
         self._placement = placement
         self._table = NodeTable(NodeName(identity.node))
         self._follower = KeyedFollower(
@@ -87,6 +90,14 @@
         ]
         return [*others, self._own()] if self._serves else others
 
+    def peers(self) -> list[Address]:
+        """Return where other living nodes take relayed calls."""
+        return [
+            _address(node.peer)
+            for node in self._table.alive(self._view_at)
+            if node.peer and node.node != self._identity.node
+        ]
+
     def process_alive(self, process: str) -> bool:
         """Whether a process is believed to run; unknown while the view is too old to tell."""
         identity = parse_process_id(process)
@@ -101,6 +112,7 @@
             self._identity.node,
             self._identity.incarnation,
             self._front,
+            self._peer,
             self._placement.zone,
             self._placement.region,
             self._serves,
@@ -143,3 +155,8 @@
         announcement = None if record.value is None else decode_announcement(record.value)
         if announcement is not None:
             self._table.announce(announcement, time.monotonic())
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
--- a/src/stagewalk/gateway/settings.py
+++ b/src/stagewalk/gateway/settings.py
@@ -52,6 +52,8 @@
     ----------
     front, readiness, directory
         Where callers, readiness checks and askers for addresses connect.
+    peers
+        Where other nodes connect; None: they can't.
     metrics
         Where metrics are served besides.
     log
@@ -63,6 +65,7 @@
     front: Address
     readiness: Address
     directory: Address
+    peers: Address | None
     metrics: Address | None
     log: Address
     log_limits: LogLimits
@@ -74,6 +77,7 @@
     front: str
     readiness: str
     directory: str
+    peers: str | None = None
     metrics: str | None = None
 
 
@@ -120,6 +124,9 @@
     front = yield from parse_listen_address("listen.front", file.listen.front)
     readiness = yield from parse_listen_address("listen.readiness", file.listen.readiness)
     directory = yield from parse_listen_address("listen.directory", file.listen.directory)
+    peers = None
+    if file.listen.peers is not None:
+        peers = yield from parse_listen_address("listen.peers", file.listen.peers)
     metrics = None
     if file.listen.metrics is not None:
         metrics = yield from parse_listen_address("listen.metrics", file.listen.metrics)
@@ -130,6 +137,7 @@
         front=front,
         readiness=readiness,
         directory=directory,
+        peers=peers,
         metrics=metrics,
         log=log,
         log_limits=file.log.limits,
--- a/src/stagewalk/node/edge/app.py
+++ b/src/stagewalk/node/edge/app.py
@@ -16,6 +16,7 @@
 from stagewalk.node.edge.problems import render_problem
 from stagewalk.node.edge.rollouts import RolloutEndpoints
 from stagewalk.node.edge.schemas import invalid
+from stagewalk.node.lifespan import serve_lifespan
 from stagewalk.node.log_lines import log_event
 from stagewalk.node.open_calls import EDGE_PEER
 from stagewalk.settings.node_settings import Limits
@@ -56,7 +57,7 @@
     ) -> None:
         """Serve one ASGI connection."""
         if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
+            await serve_lifespan(receive, send)
         elif scope["type"] == "http":
             await self._serve_exchange(scope, receive, send)
         else:
@@ -111,13 +112,3 @@
         ErrorKind.OUTCOME_UNKNOWN, Step.DELIVERY, EDGE_PEER, "internal error", Ran.UNKNOWN
     )
     await exchange.fail(failure)
-
-
-async def _serve_lifespan(receive: ASGIReceiveCallable, send: ASGISendCallable) -> None:
-    while True:
-        message = await receive()
-        if message["type"] == "lifespan.startup":
-            await send({"type": "lifespan.startup.complete"})
-        elif message["type"] == "lifespan.shutdown":
-            await send({"type": "lifespan.shutdown.complete"})
-            return
--- /dev/null
+++ b/src/stagewalk/node/lifespan.py
@@ -0,0 +1,16 @@
+"""The lifespan protocol of ASGI, of which the applications here need nothing."""
+
+from __future__ import annotations
+
+from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable
+
+
+async def serve_lifespan(receive: ASGIReceiveCallable, send: ASGISendCallable) -> None:
+    """Agree to start and to stop."""
+    while True:
+        message = await receive()
+        if message["type"] == "lifespan.startup":
+            await send({"type": "lifespan.startup.complete"})
+        elif message["type"] == "lifespan.shutdown":
+            await send({"type": "lifespan.shutdown.complete"})
+            return
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -93,6 +93,7 @@
             front=front,
             readiness=front,
             directory=front,
+            peers=free_address(),
             metrics=None,
             log=front,
             log_limits=LogLimits(),
--- /dev/null
+++ b/tests/log_relay/test_path_choice.py
@@ -0,0 +1,39 @@
+"""The straight way is preferred, left while another one works, and tried again."""
+
+from __future__ import annotations
+
+import testtools
+
+from stagewalk.log_relay.path_choice import PROBE_SECONDS, PathChoice
+from stagewalk.ports.partitioned_log import LogFailure, LogFault
+
+CUT = LogFailure(LogFault.UNKNOWN, "no answer")
+
+
+class PathChoiceTests(testtools.TestCase):
+    def test_an_answer_of_the_log_settles_the_call(self) -> None:
+        choice = PathChoice()
+        self.assertTrue(choice.note_straight(None, 0.0))
+        self.assertTrue(choice.note_straight(LogFailure(LogFault.CONFLICT, ""), 0.0))
+        self.assertFalse(choice.relaying)
+
+    def test_another_way_that_works_is_kept_until_the_straight_one_does(self) -> None:
+        choice = PathChoice()
+        self.assertFalse(choice.note_straight(CUT, 1.0))
+        self.assertTrue(choice.straight_first(1.0))
+        choice.note_relay(True, 1.1)
+        self.assertTrue(choice.straight_first(1.2))
+        self.assertFalse(choice.straight_first(1.3))
+        choice.note_straight(CUT, 1.4)
+        self.assertTrue(choice.relaying)
+        self.assertTrue(choice.straight_first(1.3 + PROBE_SECONDS))
+        choice.note_straight(None, 2.5)
+        self.assertTrue(choice.straight_first(2.6))
+        self.assertFalse(choice.relaying)
+
+    def test_without_a_way_that_works_the_straight_one_is_tried(self) -> None:
+        choice = PathChoice()
+        choice.note_straight(CUT, 1.0)
+        choice.note_relay(False, 1.1)
+        self.assertTrue(choice.straight_first(1.2))
+        self.assertTrue(choice.straight_first(1.3))
