--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(VENV)/bin
 PROTO := $(wildcard src/stagewalk/wire/proto/stagewalk/wire/*.proto)
 
-.PHONY: setup demo test check soak proto format clean
+.PHONY: setup demo test check soak proto format clean platform-size
 
 setup: $(VENV)/.installed
 
@@ -30,5 +30,11 @@
 proto: setup
 	$(BIN)/python -m grpc_tools.protoc -Isrc/stagewalk/wire/proto --python_out=src --mypy_out=src $(PROTO)
 
+# Lines and bytes of the adapter for the users' platform, and the product's beside them.
+platform-size:
+	@for folder in platform src; do \
+	  find $$folder -name '*.py' ! -name '*_pb2.py' -print0 | xargs -0 cat | wc -lc | sed "s/^/$$folder: lines, bytes/"; \
+	done
+
 clean:
 	rm -rf $(VENV) out
--- /dev/null
+++ b/tests/platform_adapter/test_dialect.py
@@ -0,0 +1,126 @@
+"""Records and bodies of the platform become the product's types; bad ones become errors."""
+
+from __future__ import annotations
+
+import base64
+import json
+
+import testtools
+
+from stagewalk.batches.records import ItemFinished
+from stagewalk.core.identities import Address
+from stagewalk.ports.dialect import NamedVersion
+from stagewalk.ports.partitioned_log import KeyedRecord
+from stagewalk.routes.route import BackEnd, RouteKind
+from stagewalk_platform.dialect import PlatformDialect
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "ficu95.example",
+            "path_prefix": "/a/",
+            "type": "safe",
+            "timeout_ms": 1500,
+            "target_latency_ms": 191,
+            "priority": 2,
+            "backends": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
+            "max_attempts": 2,
+        },
+        {
+            "name": "r-2",
+            "host": "ficu95.example",
+            "path_prefix": "/b/",
+            "type": "rollout",
+            "timeout_ms": 10000,
+            "service": "s3",
+            "max_attempts": 3,
+            "max_wait_s": 40.0,
+            "due_ms": 7500,
+            "single_version": True,
+            "sticky": True,
+        },
+    ],
+    "services": [
+        {"name": "s3", "health_path": "/health", "max_connections": 170, "engine": {"slots": 16}},
+        {"name": "s1", "max_connections": 100, "protocol": "h1", "tls": False},
+    ],
+    "limits": {"max_header_bytes": 16384, "idle_timeout_ms": 15000},
+}
+
+
+def record(key: str, value: object) -> KeyedRecord:
+    return KeyedRecord(key, json.dumps(value).encode(), 3)
+
+
+class DialectTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.dialect = PlatformDialect()
+
+    def test_a_configuration_with_split_and_plain_routes(self) -> None:
+        decoded = self.dialect.operator_record(record("config", CONFIGURATION))
+        safe, batch = decoded.routes
+        self.assertEqual((BackEnd("s1", 90), BackEnd("s2", 10)), safe.back_ends)
+        self.assertEqual(RouteKind.REPEATABLE, safe.kind)
+        self.assertEqual(RouteKind.BATCH, batch.kind)
+        self.assertEqual((40.0, 7.5), (batch.give_up_seconds, batch.due_seconds))
+        self.assertTrue(batch.single_version)
+        self.assertEqual([True, False], [service.is_engine for service in decoded.services])
+        self.assertEqual(15.0, decoded.limits.idle_seconds)
+
+    def test_a_named_version(self) -> None:
+        decoded = self.dialect.operator_record(record("version/m", {"model": "m", "version": 8}))
+        self.assertEqual(NamedVersion("m", 8), decoded)
+
+    def test_what_cannot_be_read_is_none(self) -> None:
+        self.assertIsNone(self.dialect.operator_record(KeyedRecord("config", b"{", 1)))
+        self.assertIsNone(self.dialect.operator_record(record("other", {})))
+        self.assertIsNone(self.dialect.worker_announcement(record("i-1", {"service": "s"})))
+        self.assertIsNone(self.dialect.worker_announcement(KeyedRecord("i-1", None, 1)))
+
+    def test_a_workers_entry(self) -> None:
+        entry = {
+            "service": "s",
+            "address": "10.0.0.9:8080",
+            "zone": "z",
+            "slots": 16,
+            "state": "draining",
+            "models": [{"name": "m", "version": 3, "adapters": []}],
+        }
+        decoded = self.dialect.worker_announcement(record("i-1", entry))
+        self.assertEqual(Address("10.0.0.9", 8080), decoded.address)
+        self.assertTrue(decoded.draining)
+        self.assertEqual({"m": 3}, decoded.versions)
+
+    def submit(self, **changes: object):
+        item = {
+            "id": "x",
+            "path": "/b/1",
+            "headers": {"X-Model": "m", "X-Length-Hint": "232"},
+            "body": base64.b64encode(b"\x00\x01").decode(),
+            "group": "g1",
+            **changes,
+        }
+        body = {"step": 4, "model": "m", "min_version": 3, "desired_count": 2, "items": [item]}
+        return self.dialect.submission("b", "h", "/b/", json.dumps(body).encode())
+
+    def test_a_batch(self) -> None:
+        submission = self.submit().ok
+        header = submission.header
+        self.assertEqual((4, 3, 2), (header.step, header.minimum_version, header.wanted_groups))
+        item = submission.items[0]
+        self.assertEqual((b"\x00\x01", "m", 232), (item.body, item.model, item.expected_length))
+        self.assertIn(("X-Length-Hint", "232"), item.headers)
+
+    def test_a_bad_batch_is_an_error(self) -> None:
+        self.assertTrue(self.submit(body="no base64!").is_error())
+        self.assertTrue(self.submit(id=7).is_error())
+
+    def test_results_are_spelt_as_trainers_read_them(self) -> None:
+        results = [ItemFinished("b", "x", True, "t", (1, 2)), ItemFinished("b", "y", False, "", ())]
+        page = json.loads(self.dialect.results(5, 2, results))
+        self.assertEqual(["total", "next_token", "results"], list(page))
+        self.assertEqual(["succeeded", "errored"], [row["state"] for row in page["results"]])
+        self.assertEqual([1, 2], page["results"][0]["versions"])
--- /dev/null
+++ b/tests/platform_adapter/test_workers.py
@@ -0,0 +1,222 @@
+"""What a worker's answers prove: whole and its own, not run, or nothing."""
+
+from __future__ import annotations
+
+import json
+
+import testtools
+
+from stagewalk.ports.workers import (
+    AttemptFault,
+    OrderOutcome,
+    OutboundRequest,
+    StreamEvent,
+    StreamHead,
+    VersionOrder,
+    WorkerLoad,
+    WorkerTarget,
+)
+from stagewalk_platform.workers import PlatformWorkers
+from tests.platform_adapter.scripted_server import Scripted, ScriptedServer, chunked, play, respond
+
+SIGNED = {"x_request_id": "q1", "x_response_signature": "s", "x_instance_load": "3,1,8"}
+EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\nda", b"ta: b\n\n"]
+ORDER = VersionOrder("m", 2, "n#1", 41, 6)
+
+
+def request(**changes: object) -> OutboundRequest:
+    fields: dict[str, object] = {
+        "request_id": "q1",
+        "method": "POST",
+        "target": "/a/b?c=1",
+        "headers": (("host", "h.example"), ("x-deadline-ms", "99999"), ("accept", "*/*")),
+        "body": b"body",
+        "deadline_seconds": 1.5,
+    }
+    return OutboundRequest(**{**fields, **changes})
+
+
+def target(server: ScriptedServer) -> WorkerTarget:
+    return WorkerTarget("i-1", server.address)
+
+
+class SendTests(testtools.TestCase):
+    def send(self, *answers: Scripted, **changes: object):
+        outcome = []
+
+        async def scenario(server: ScriptedServer) -> None:
+            outcome.append(await PlatformWorkers().send(target(server), request(**changes)))
+            outcome.append(server)
+
+        play(list(answers), scenario)
+        return outcome
+
+    def fault(self, content: bytes, **kinds: bool) -> AttemptFault:
+        result, _ = self.send(Scripted(content, **kinds))
+        return result.error.fault
+
+    def test_a_whole_answer_with_what_goes_back(self) -> None:
+        result, server = self.send(Scripted(respond("200 OK", b"ok", **SIGNED)))
+        answer = result.ok
+        self.assertEqual((200, b"ok", True), (answer.status, answer.body, answer.genuine))
+        self.assertEqual(WorkerLoad(3, 1, 8), answer.load)
+        sent = server.requests[0].lower()
+        self.assertTrue(sent.startswith(b"post /a/b?c=1 http/1.1\r\n"))
+        for line in (b"x-request-id: q1", b"x-target-instance: i-1", b"x-deadline-ms: 1500"):
+            self.assertEqual(1, sent.count(line))
+        self.assertNotIn(b"99999", sent)
+        self.assertTrue(sent.endswith(b"body"))
+
+    def test_an_answer_to_another_request_is_not_taken(self) -> None:
+        other = {**SIGNED, "x_request_id": "q0"}
+        self.assertEqual(AttemptFault.MAY_HAVE_RUN, self.fault(respond("200 OK", b"ok", **other)))
+
+    def test_an_answer_that_names_no_request_is_not_taken(self) -> None:
+        self.assertEqual(AttemptFault.MAY_HAVE_RUN, self.fault(respond("200 OK", b"ok")))
+
+    def test_only_the_workers_word_proves_that_it_did_not_run(self) -> None:
+        said = {**SIGNED, "x_not_executed": "1"}
+        self.assertEqual(AttemptFault.NOT_RUN, self.fault(respond("503 Busy", **said)))
+        result, _ = self.send(Scripted(respond("503 Busy", **SIGNED)))
+        self.assertEqual(503, result.ok.status)
+
+    def test_another_worker_at_the_address(self) -> None:
+        content = respond("421 Misdirected", x_instance_id="i-2")
+        self.assertEqual(AttemptFault.WRONG_WORKER, self.fault(content))
+
+    def test_damaged_and_cut_answers_may_have_run(self) -> None:
+        cut = respond("200 OK", b"whole", **SIGNED)[:-2]
+        self.assertEqual(AttemptFault.MAY_HAVE_RUN, self.fault(cut, close=True))
+        self.assertEqual(AttemptFault.MAY_HAVE_RUN, self.fault(cut, reset=True))
+        self.assertEqual(AttemptFault.MAY_HAVE_RUN, self.fault(b"noise\r\n\r\n", close=True))
+        self.assertEqual(AttemptFault.MAY_HAVE_RUN, self.fault(b"", reset=True))
+
+    def test_an_unframed_answer_that_is_reset_is_not_whole(self) -> None:
+        content = respond("200 OK", b"part", framed=False, **SIGNED)
+        self.assertEqual(AttemptFault.MAY_HAVE_RUN, self.fault(content, reset=True))
+
+    def test_no_answer_in_time(self) -> None:
+        result, _ = self.send(Scripted(b"", after_seconds=0.5), deadline_seconds=0.05)
+        self.assertEqual(AttemptFault.MAY_HAVE_RUN, result.error.fault)
+
+    def test_nobody_there_means_that_nothing_was_sent(self) -> None:
+        async def scenario(server: ScriptedServer) -> None:
+            nobody = WorkerTarget("i-1", type(server.address)("127.0.0.1", 1))
+            result = await PlatformWorkers().send(nobody, request())
+            self.assertEqual(AttemptFault.NOT_SENT, result.error.fault)
+
+        play([], scenario)
+
+    def test_a_surplus_answer_is_never_taken_for_the_next_one(self) -> None:
+        async def scenario(server: ScriptedServer) -> None:
+            client = PlatformWorkers()
+            first = await client.send(target(server), request())
+            self.assertEqual(b"1", first.ok.body)
+            second = await client.send(target(server), request(request_id="q2"))
+            self.assertTrue(second.is_error() or second.ok.body == b"2")
+
+        doubled = respond("200 OK", b"1", **SIGNED) * 2
+        answer = respond("200 OK", b"2", **{**SIGNED, "x_request_id": "q2"})
+        play([Scripted(doubled), Scripted(answer)], scenario)
+
+    def test_what_runs_at_most_once_never_goes_over_a_kept_connection(self) -> None:
+        async def scenario(server: ScriptedServer) -> None:
+            client = PlatformWorkers()
+            for _ in range(3):
+                await client.send(target(server), request(repeatable=False))
+            self.assertEqual(3, server.connections)
+
+        play([Scripted(respond("200 OK", **SIGNED)) for _ in range(3)], scenario)
+
+
+class StreamTests(testtools.TestCase):
+    def stream(self, content: bytes, **kinds: bool):
+        parts: list[StreamHead | StreamEvent] = []
+        outcome = []
+
+        async def deliver(part: StreamHead | StreamEvent) -> None:
+            parts.append(part)
+
+        async def scenario(server: ScriptedServer) -> None:
+            client = PlatformWorkers()
+            result = await client.stream(target(server), request(resume_after=4), deliver)
+            outcome.append(result)
+            outcome.append(server.requests[0].lower())
+
+        play([Scripted(content, **kinds)], scenario)
+        return outcome[0], parts, outcome[1]
+
+    def test_a_whole_stream(self) -> None:
+        content = chunked(EVENTS, x_weight_versions="3", **SIGNED)
+        result, parts, sent = self.stream(content)
+        self.assertEqual(200, result.ok.status)
+        self.assertEqual((3,), parts[0].versions)
+        self.assertEqual([(1, "a"), (2, "b")], [(e.number, e.data) for e in parts[1:]])
+        self.assertIn(b"last-event-id: 4", sent)
+
+    def test_a_stream_cut_anywhere_is_not_whole(self) -> None:
+        for kinds in ({"close": True}, {"reset": True}):
+            content = chunked(EVENTS, whole=False, **SIGNED)
+            result, _, _ = self.stream(content, **kinds)
+            self.assertEqual(AttemptFault.MAY_HAVE_RUN, result.error.fault)
+
+    def test_a_stream_that_ends_within_an_event_is_not_whole(self) -> None:
+        result, parts, _ = self.stream(chunked(EVENTS[:2], **SIGNED))
+        self.assertEqual(AttemptFault.MAY_HAVE_RUN, result.error.fault)
+        self.assertEqual(2, len(parts))
+
+    def test_a_stream_without_a_framed_end_is_not_whole(self) -> None:
+        content = respond("200 OK", b"".join(EVENTS), framed=False, **SIGNED)
+        result, parts, _ = self.stream(content, close=True)
+        self.assertTrue(result.is_error())
+        self.assertEqual(3, len(parts))
+
+    def test_spoilt_bytes_end_the_stream(self) -> None:
+        result, _, _ = self.stream(chunked([b"\xfe\xff\n\n"], **SIGNED))
+        self.assertEqual(AttemptFault.MAY_HAVE_RUN, result.error.fault)
+
+
+class OrderTests(testtools.TestCase):
+    def order(self, content: bytes, **kinds: bool):
+        outcome = []
+
+        async def scenario(server: ScriptedServer) -> None:
+            outcome.append(await PlatformWorkers().order_version(target(server), ORDER))
+            outcome.append(server.requests[0])
+
+        play([Scripted(content, **kinds)], scenario)
+        return outcome
+
+    def test_outcomes(self) -> None:
+        for status, expected in (
+            ("202 Accepted", OrderOutcome.TAKEN),
+            ("200 OK", OrderOutcome.HELD_ALREADY),
+            ("409 Conflict", OrderOutcome.CONFLICT),
+            ("412 Precondition", OrderOutcome.FENCED),
+            ("421 Misdirected", OrderOutcome.REFUSED),
+        ):
+            self.assertEqual(expected, self.order(respond(status))[0])
+        self.assertEqual(OrderOutcome.UNKNOWN, self.order(b"", reset=True)[0])
+
+    def test_an_order_carries_fence_holder_and_the_count_it_relies_on(self) -> None:
+        sent = self.order(respond("202 Accepted"))[1]
+        body = json.loads(sent.split(b"\r\n\r\n", 1)[1])
+        self.assertEqual(("n#1", 41, 6), (body["holder"], body["fence"], body["expected"]))
+        self.assertIn(b"x-target-instance: i-1", sent.lower())
+
+    def test_a_report(self) -> None:
+        report = {
+            "stage": "both",
+            "models": [{"name": "m", "version": 2, "adapters": []}],
+            "busy": True,
+            "sequence": 5,
+            "num_waiting": 1,
+            "num_running": 12,
+        }
+
+        async def scenario(server: ScriptedServer) -> None:
+            result = await PlatformWorkers().report(target(server))
+            self.assertEqual({"m": 2}, result.ok.versions)
+            self.assertEqual((True, 5), (result.ok.ordering, result.ok.orders_taken))
+
+        play([Scripted(respond("200 OK", json.dumps(report).encode()))], scenario)
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -3,7 +3,7 @@
 # The first argument "checks-only" leaves the tests out.
 set -u
 BIN=${BIN:-.venv/bin}
-export PYTHONPATH=src PYTHONHASHSEED=0
+export PYTHONPATH=src:platform PYTHONHASHSEED=0
 passed=0
 failed=0
 
