Forward streams as they arrive, resume them within one answer where allowed

Cause: streaming routes were buffered whole and answered at their end.

Change: a stream forwarder passes head and events on, checks their order, goes on at another worker after the last event on resumable routes, and breaks the connection of a stream that can't be ended whole. Ruled out: one forwarder for both, since hedging and whole answers share nothing with events.

--- a/src/stagewalk/forwarding/forwarder.py
+++ b/src/stagewalk/forwarding/forwarder.py
@@ -69,10 +69,11 @@
             await self._attempt_until_settled(request, state, service, settled)
         now = time.monotonic()
         if settled.answer is not None:
-            self._log(request, state, f"answered_{settled.answer.status}")
+            outcome = f"answered_{settled.answer.status}"
+            log_request_end(request, state, self._routes.version, outcome)
             return Ok(settled.answer)
         ending = state.ending(now)
-        self._log(request, state, ending.value)
+        log_request_end(request, state, self._routes.version, ending.value)
         return Error(ending)
 
     async def _attempt_until_settled(
@@ -173,13 +174,17 @@
             attempts=state.spent,
         )
 
-    def _log(self, request: InboundRequest, state: ForwardedRequest, outcome: str) -> None:
-        log_event(
-            "request_ended",
-            request=request.request_id,
-            route=state.route.name,
-            configuration=self._routes.version,
-            outcome=outcome,
-            workers=",".join(state.tried),
-            attempts=state.spent,
-        )
+
+def log_request_end(
+    request: InboundRequest, state: ForwardedRequest, configuration: int, outcome: str
+) -> None:
+    """Log how a forwarded request ended and which workers it went to."""
+    log_event(
+        "request_ended",
+        request=request.request_id,
+        route=state.route.name,
+        configuration=configuration,
+        outcome=outcome,
+        workers=",".join(state.tried),
+        attempts=state.spent,
+    )
--- /dev/null
+++ b/src/stagewalk/forwarding/stream_forwarder.py
@@ -0,0 +1,163 @@
+"""Forwards streams of events as they arrive; where allowed, goes on at another worker."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+from expression import Error, Ok, Result
+
+from stagewalk.forwarding.forwarder import InboundRequest, log_request_end
+from stagewalk.forwarding.policy import Ending, ForwardedRequest
+from stagewalk.node.log_lines import log_event
+from stagewalk.ports.workers import (
+    AttemptFailure,
+    AttemptFault,
+    OutboundRequest,
+    StreamEnd,
+    StreamHead,
+    StreamPart,
+    WorkerClient,
+)
+from stagewalk.routes.route import Route
+from stagewalk.routes.table import RouteTable
+from stagewalk.workers.selection import choose_worker
+from stagewalk.workers.table import WorkerTable
+from stagewalk.workers.worker import Worker
+
+SUCCESS = 200
+StreamConsumer = Callable[[StreamPart], Awaitable[None]]
+
+
+class OutOfOrderError(Exception):
+    """A worker sent an event that does not follow the last one."""
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What the caller has got.
+
+    `last_event` is the number of the last event passed on, or the one the caller resumes after.
+    """
+
+    started: bool = False
+    last_event: int = 0
+
+
+class StreamForwarder:
+    """Forwards streams. The head the caller sees is that of the first worker that answered."""
+
+    def __init__(
+        self, client: WorkerClient, workers: WorkerTable, routes: RouteTable, zone: str
+    ) -> None:
+        self._client = client
+        self._workers = workers
+        self._routes = routes
+        self._zone = zone
+
+    async def forward(
+        self,
+        request: InboundRequest,
+        route: Route,
+        deadline_at: float,
+        resume_after: int,
+        consume: StreamConsumer,
+    ) -> Result[StreamEnd, Ending]:
+        """Pass a stream on; return how the worker ended it, or how it ended without.
+
+        After an error the caller's answer, if it has begun, must not look complete.
+        """
+        state = ForwardedRequest(route, deadline_at)
+        service = self._routes.choose_back_end(route).service
+        progress = _Progress(last_event=resume_after)
+        ended: StreamEnd | None = None
+        with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - time.monotonic())):
+            while ended is None:
+                now = time.monotonic()
+                usable = self._workers.usable(service)
+                worker = choose_worker(usable, now, self._zone, state.tried)
+                if worker is None or not state.may_try_again(now):
+                    break
+                ended = await self._attempt(request, state, worker, progress, consume)
+        if ended is not None:
+            log_request_end(request, state, self._routes.version, f"stream_{ended.status}")
+            return Ok(ended)
+        ending = state.ending(time.monotonic())
+        if progress.started and ending is Ending.NOT_RUN:
+            ending = Ending.UNKNOWN
+        log_request_end(request, state, self._routes.version, ending.value)
+        return Error(ending)
+
+    async def _attempt(
+        self,
+        request: InboundRequest,
+        state: ForwardedRequest,
+        worker: Worker,
+        progress: _Progress,
+        consume: StreamConsumer,
+    ) -> StreamEnd | None:
+        state.started(worker.announcement.worker)
+        worker.note_sent()
+
+        async def deliver(part: StreamPart) -> None:
+            await self._pass_on(part, worker, progress, consume)
+
+        now = time.monotonic()
+        outbound = OutboundRequest(
+            request_id=request.request_id,
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            deadline_seconds=state.worker_seconds(now),
+            repeatable=state.route.repeatable,
+            resume_after=progress.last_event or None,
+        )
+        try:
+            result = await self._client.stream(WorkerTable.target(worker), outbound, deliver)
+        except OutOfOrderError as error:
+            result = Error(AttemptFailure(AttemptFault.MAY_HAVE_RUN, str(error)))
+        finally:
+            worker.note_ended()
+        if result.is_ok():
+            state.under_way -= 1
+            return result.ok
+        self._failed(request, state, worker, result.error)
+        return None
+
+    async def _pass_on(
+        self, part: StreamPart, worker: Worker, progress: _Progress, consume: StreamConsumer
+    ) -> None:
+        if isinstance(part, StreamHead):
+            worker.note_load(part.load, time.monotonic())
+            if part.status == SUCCESS and not progress.started:
+                progress.started = True
+                await consume(part)
+            return
+        if part.number != progress.last_event + 1:
+            raise OutOfOrderError(f"event {part.number} after {progress.last_event}")
+        progress.last_event = part.number
+        await consume(part)
+
+    def _failed(
+        self,
+        request: InboundRequest,
+        state: ForwardedRequest,
+        worker: Worker,
+        failure: AttemptFailure,
+    ) -> None:
+        now = time.monotonic()
+        state.failed(failure)
+        worker.note_load(failure.load, now)
+        if failure.fault is not AttemptFault.NOT_RUN:
+            worker.note_failure(now)
+        log_event(
+            "stream_attempt_failed",
+            request=request.request_id,
+            worker=worker.announcement.worker,
+            fault=failure.fault,
+            detail=failure.detail,
+            attempts=state.spent,
+        )
--- a/src/stagewalk/gateway/app.py
+++ b/src/stagewalk/gateway/app.py
@@ -11,6 +11,7 @@
 
 from stagewalk.forwarding.forwarder import Forwarder, InboundRequest
 from stagewalk.forwarding.policy import COME_BACK_SECONDS, Ending
+from stagewalk.forwarding.stream_forwarder import StreamForwarder
 from stagewalk.gateway.batch_calls import BatchCalls
 from stagewalk.gateway.exchange import OpaqueExchange
 from stagewalk.gateway.metrics import GatewayMetrics
@@ -20,6 +21,7 @@
 from stagewalk.node.lifespan import serve_lifespan
 from stagewalk.node.log_lines import log_event
 from stagewalk.ports.dialect import Dialect
+from stagewalk.ports.workers import StreamHead, StreamPart
 from stagewalk.routes.route import Route, RouteKind
 from stagewalk.routes.table import RouteTable
 from stagewalk.settings.node_settings import Limits
@@ -43,6 +45,10 @@
 }
 
 
+class BrokenStreamError(Exception):
+    """A stream that has begun can't be ended whole: its connection must break."""
+
+
 class GatewayApp:
     """Application of all the gateway's listeners."""
 
@@ -51,6 +57,7 @@
         *,
         routes: RouteTable,
         forwarder: Forwarder,
+        streams: StreamForwarder,
         batches: BatchCalls,
         nodes: NodeService,
         dialect: Dialect,
@@ -61,6 +68,7 @@
     ) -> None:
         self._routes = routes
         self._forwarder = forwarder
+        self._streams = streams
         self._batches = batches
         self._nodes = nodes
         self._dialect = dialect
@@ -98,6 +106,8 @@
             exchange.on_disconnect(tasks.cancel_scope.cancel)
             try:
                 await self._serve(exchange)
+            except BrokenStreamError:
+                raise
             except Exception as error:
                 await _report_crash(exchange, error)
             finally:
@@ -134,6 +144,8 @@
             await reply_error(exchange, 404, "there is no such route")
         elif route.kind is RouteKind.BATCH:
             await self._batches.submit(exchange)
+        elif route.kind is RouteKind.STREAM:
+            await self._forward_stream(exchange, route)
         else:
             await self._forward(exchange, route)
 
@@ -143,13 +155,7 @@
         if body.is_error():
             await reply_error(exchange, 413, body.error.detail)
             return
-        request = InboundRequest(
-            request_id=exchange.header(self._spelling.request_id) or "",
-            method=exchange.method,
-            target=exchange.target,
-            headers=exchange.end_to_end_headers(),
-            body=body.ok,
-        )
+        request = self._inbound(exchange, body.ok)
         deadline_at = began + self._allowed_seconds(exchange, route)
         outcome = await self._forwarder.forward(request, route, deadline_at)
         if outcome.is_ok():
@@ -157,7 +163,53 @@
             self._metrics.request_ended(route.kind.value, str(answer.status), began)
             await exchange.relay(answer.status, answer.headers, answer.body)
             return
-        ending = outcome.error
+        await self._reply_unanswered(exchange, route, outcome.error, began)
+
+    async def _forward_stream(self, exchange: OpaqueExchange, route: Route) -> None:
+        began = time.monotonic()
+        body = await exchange.body()
+        if body.is_error():
+            await reply_error(exchange, 413, body.error.detail)
+            return
+
+        async def consume(part: StreamPart) -> None:
+            if isinstance(part, StreamHead):
+                await exchange.begin_stream(part.headers)
+            else:
+                await exchange.write(part.raw)
+
+        resumed = exchange.header(self._spelling.last_event) or ""
+        outcome = await self._streams.forward(
+            self._inbound(exchange, body.ok),
+            route,
+            began + self._allowed_seconds(exchange, route),
+            int(resumed) if resumed.isdecimal() else 0,
+            consume,
+        )
+        if outcome.is_error():
+            if exchange.started:
+                raise BrokenStreamError(route.name)
+            await self._reply_unanswered(exchange, route, outcome.error, began)
+            return
+        ended = outcome.ok
+        self._metrics.request_ended(route.kind.value, str(ended.status), began)
+        if exchange.started:
+            await exchange.write(b"", last=True)
+        else:
+            await exchange.relay(ended.status, ended.headers, ended.body)
+
+    def _inbound(self, exchange: OpaqueExchange, body: bytes) -> InboundRequest:
+        return InboundRequest(
+            request_id=exchange.header(self._spelling.request_id) or "",
+            method=exchange.method,
+            target=exchange.target,
+            headers=exchange.end_to_end_headers(),
+            body=body,
+        )
+
+    async def _reply_unanswered(
+        self, exchange: OpaqueExchange, route: Route, ending: Ending, began: float
+    ) -> None:
         self._metrics.request_ended(route.kind.value, ending.value, began)
         come_back = COME_BACK_SECONDS if ending is Ending.NOT_RUN else None
         await reply_error(exchange, UNANSWERED_STATUS[ending], UNANSWERED_DETAIL[ending], come_back)
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -16,6 +16,7 @@
 from stagewalk.batches.scheduler import BatchScheduler
 from stagewalk.core.identities import Address
 from stagewalk.forwarding.forwarder import Forwarder
+from stagewalk.forwarding.stream_forwarder import StreamForwarder
 from stagewalk.gateway.app import GatewayApp
 from stagewalk.gateway.batch_calls import BatchCalls
 from stagewalk.gateway.batch_runner import BatchRunner
@@ -145,6 +146,7 @@
             pause_seconds=WORKERS_PAUSE_SECONDS,
         )
         self._forwarder = Forwarder(surroundings.workers, self._workers, self._routes, zone)
+        self._streams = StreamForwarder(surroundings.workers, self._workers, self._routes, zone)
         self._metrics = GatewayMetrics()
         self._exit = anyio.Event()
         self._stopping = False
@@ -194,6 +196,7 @@
         return GatewayApp(
             routes=self._routes,
             forwarder=self._forwarder,
+            streams=self._streams,
             batches=BatchCalls(self.store, self._runner, self._dialect),
             nodes=self._nodes,
             dialect=self._dialect,
--- a/src/stagewalk/gateway/exchange.py
+++ b/src/stagewalk/gateway/exchange.py
@@ -11,6 +11,7 @@
 from stagewalk.ports.workers import HeaderList
 from stagewalk.settings.node_settings import Limits
 
+STREAM_STATUS = 200
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -67,6 +68,12 @@
         await self.begin(status, (*kept, ("content-length", str(len(body)))))
         await self.write(body, last=True)
 
+    async def begin_stream(self, headers: Iterable[tuple[str, str]]) -> None:
+        """Send the head of a stream, whose length nobody knows yet."""
+        await self.begin(
+            STREAM_STATUS, tuple(pair for pair in headers if pair[0].lower() not in HOP_HEADERS)
+        )
+
 
 def _target(scope: HTTPScope) -> str:
     path = scope["raw_path"].decode("latin-1")
--- a/src/stagewalk/ports/dialect.py
+++ b/src/stagewalk/ports/dialect.py
@@ -31,7 +31,7 @@
 
     Attributes
     ----------
-    request_id, deadline_milliseconds, wait_milliseconds
+    request_id, deadline_milliseconds, wait_milliseconds, last_event
         Lower-case names of headers.
     ready_path, resolve_path
         Paths of the readiness check and the directory.
@@ -44,6 +44,7 @@
     request_id: str = "stagewalk-request-id"
     deadline_milliseconds: str = "stagewalk-deadline-milliseconds"
     wait_milliseconds: str = "stagewalk-wait-milliseconds"
+    last_event: str = "last-event-id"
     ready_path: str = "/readyz"
     resolve_path: str = "/v1/resolve"
     batches_prefix: str = "/v1/batches/"
--- a/src/stagewalk/ports/workers.py
+++ b/src/stagewalk/ports/workers.py
@@ -127,9 +127,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamEnd:
-    """A stream ended whole, with the worker's status."""
+    """A stream ended whole; any status but 200 comes with a plain answer instead of events."""
 
     status: int
+    headers: HeaderList = ()
+    body: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/routes/route.py
+++ b/src/stagewalk/routes/route.py
@@ -67,8 +67,10 @@
 
     @property
     def repeatable(self) -> bool:
-        """Whether its requests may run more than once."""
-        return self.kind is RouteKind.REPEATABLE
+        """Whether its requests may run more than once: such a stream goes on where it broke."""
+        return self.kind is RouteKind.REPEATABLE or (
+            self.kind is RouteKind.STREAM and self.resumable
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -4,7 +4,7 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 import anyio.abc
@@ -41,6 +41,8 @@
 ROUTES = (
     route("ask", "/ask/", RouteKind.REPEATABLE, "app"),
     route("once", "/once/", RouteKind.ONCE, "app"),
+    route("stream", "/stream/", RouteKind.STREAM, "engines"),
+    replace(route("resume", "/resume/", RouteKind.STREAM, "engines"), resumable=True),
     route("run", "/run/", RouteKind.BATCH, "engines", attempts=3),
 )
 
