--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(VENV)/bin
 PROTO := $(wildcard src/stagewalk/wire/proto/stagewalk/wire/*.proto)
 
-.PHONY: setup demo test check soak proto format clean platform-size
+.PHONY: setup demo test check soak proto format clean platform-size platform-day
 
 setup: $(VENV)/.installed
 
@@ -30,6 +30,10 @@
 proto: setup
 	$(BIN)/python -m grpc_tools.protoc -Isrc/stagewalk/wire/proto --python_out=src --mypy_out=src $(PROTO)
 
+# A calm day on the users' bench: make platform-day BENCH=<program> SITE=<site file> [DAY=quiet-1]
+platform-day:
+	$(BENCH) run $(SITE) $(or $(DAY),quiet-1) --why "$(or $(WHY),a calm day)"
+
 # Lines and bytes of the adapter for the users' platform, and the product's beside them.
 platform-size:
 	@for folder in platform src; do \
