--- a/src/stagewalk/node/edge/app.py
+++ b/src/stagewalk/node/edge/app.py
@@ -13,12 +13,12 @@
 from stagewalk.node.edge.completions import CompletionEndpoints
 from stagewalk.node.edge.exchange import PROBLEM_CONTENT, Exchange
 from stagewalk.node.edge.operators import OperatorEndpoints
+from stagewalk.node.edge.peer_names import EDGE_PEER
 from stagewalk.node.edge.problems import render_problem
 from stagewalk.node.edge.rollouts import RolloutEndpoints
 from stagewalk.node.edge.schemas import invalid
 from stagewalk.node.lifespan import serve_lifespan
 from stagewalk.node.log_lines import log_event
-from stagewalk.node.open_calls import EDGE_PEER
 from stagewalk.settings.node_settings import Limits
 
 Endpoint = Callable[[Exchange], Awaitable[None]]
--- a/src/stagewalk/node/edge/call_desk.py
+++ b/src/stagewalk/node/edge/call_desk.py
@@ -13,9 +13,10 @@
 from stagewalk.core.identities import CallId
 from stagewalk.core.instructions import FailCall
 from stagewalk.node.edge.exchange import Exchange
+from stagewalk.node.edge.peer_names import EDGE_PEER
 from stagewalk.node.event_queue import EventQueue
 from stagewalk.node.metrics import NodeMetrics
-from stagewalk.node.open_calls import EDGE_PEER, AnswerPiece, LastAnswer, OpenCall, OpenCalls
+from stagewalk.node.open_calls import AnswerPiece, LastAnswer, OpenCall, OpenCalls
 
 ANSWER_GRACE_SECONDS = 5.0
 """How long after its deadline the core's answer to a call is still waited for."""
--- a/src/stagewalk/node/edge/exchange.py
+++ b/src/stagewalk/node/edge/exchange.py
@@ -12,8 +12,8 @@
 
 from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
 from stagewalk.node.edge.body_budget import BodyBudget
+from stagewalk.node.edge.peer_names import BUSY_RETRY_SECONDS, CALLER_PEER, EDGE_PEER
 from stagewalk.node.edge.problems import BODY_FIELD, problem_headers, problem_status, render_problem
-from stagewalk.node.open_calls import BUSY_RETRY_SECONDS, CALLER_PEER, EDGE_PEER
 from stagewalk.settings.node_settings import Limits
 
 JSON_CONTENT = "application/json"
--- a/src/stagewalk/node/edge/schemas.py
+++ b/src/stagewalk/node/edge/schemas.py
@@ -10,7 +10,7 @@
 
 from stagewalk.core.completions import VersionSpan
 from stagewalk.core.errors import ErrorKind, StagewalkError, Step
-from stagewalk.node.open_calls import CALLER_PEER
+from stagewalk.node.edge.peer_names import CALLER_PEER
 
 MAXIMUM_TOKENS = 1_000_000
 MAXIMUM_DEADLINE_SECONDS = 86_400.0
--- a/src/stagewalk/node/open_calls.py
+++ b/src/stagewalk/node/open_calls.py
@@ -12,6 +12,7 @@
 from stagewalk.core.errors import ErrorKind, StagewalkError, Step
 from stagewalk.core.identities import CallId
 from stagewalk.core.instructions import AcceptLot, DeliverSamples, FailCall, FinishCall, SendChunk
+from stagewalk.node.edge.peer_names import BUSY_RETRY_SECONDS, EDGE_PEER
 
 LastAnswer = FinishCall | FailCall | AcceptLot | DeliverSamples
 
@@ -23,11 +24,6 @@
     text: str
 
 
-EDGE_PEER = "edge"
-CALLER_PEER = "caller"
-BUSY_RETRY_SECONDS = 1.0
-
-
 class OpenCall:
     """One open call.
 
