Keep what items have made: told in the log now and then, used again when they come back

Change: an item tells its text after each 20 events at most once a second, and at the end of its batch; the fold keeps the most of each item's text beside the request it belongs to; a claimed or later batch goes on from there, and lists at once what is whole, if the weights still fit.

Ruled out: telling each event, four times the log's bytes for 1 s of work.

Tests: text kept, refused for another body, older weights, single versions.

--- /dev/null
+++ b/src/stagewalk/batches/attempt_watch.py
@@ -0,0 +1,100 @@
+"""Watches attempts under way: which to leave because their engine is silent or slow."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from stagewalk.batches.item_run import ItemRun
+from stagewalk.batches.ledger import Batch
+from stagewalk.batches.length_estimate import LengthEstimate
+from stagewalk.batches.placement import faster_engine, has_room_elsewhere
+from stagewalk.routes.route import Route
+from stagewalk.workers.table import WorkerTable
+from stagewalk.workers.worker import Worker
+
+SILENCE_SECONDS = 1.6
+"""A worker that brings no event of an item for this long is left."""
+
+IMPATIENT_SECONDS = 0.7
+IMPATIENT_PACES = 8.0
+"""With room at another worker it is left after this many times what an event takes there."""
+
+MOVE_PAUSE_SECONDS = 1.5
+"""An item that was moved stays where it is for this long."""
+
+URGENT_SHARE = 0.6
+"""An item is urgent that is expected to end after this part of the time its batch has."""
+
+FIRST_EVENT_SECONDS = 3.0
+"""The same before the first event, when the item may still wait for its place."""
+
+RouteOf = Callable[[str, str], Route | None]
+"""Finds the route in force for a host and a path."""
+
+
+class AttemptWatch:
+    """Judges attempts by what their engines have shown."""
+
+    def __init__(self, workers: WorkerTable, route_of: RouteOf, lengths: LengthEstimate) -> None:
+        self._workers = workers
+        self._route_of = route_of
+        self._lengths = lengths
+
+    def candidates(self, batch: Batch, item: ItemRun) -> list[Worker]:
+        """Return the workers that may run an item: serving, on weights that fit."""
+        route = self._route_of(batch.header.host, item.spec.path)
+        if route is None:
+            return []
+        workers = [w for b in route.back_ends for w in self._workers.usable(b.service)]
+        model = item.spec.model
+        oldest = batch.header.minimum_version
+        return [w for w in workers if w.versions.get(model, oldest) >= oldest]
+
+    def silent(self, batch: Batch, item: ItemRun, now: float) -> bool:
+        """Whether an attempt has brought nothing for too long; sooner if there is room elsewhere.
+
+        A worker is silent while it loads weights, which is no reason to leave it.
+        """
+        attempt = item.running
+        assert attempt is not None
+        worker = self._workers.worker(attempt.worker)
+        since = attempt.last_event_at
+        if worker is not None:
+            since = max(since, min(worker.loading_until.get(item.spec.model, since), now))
+        silence = now - since
+        if len(item.events) == attempt.events_before:
+            return silence > FIRST_EVENT_SECONDS
+        pace = None if worker is None else worker.recent_latency(now)
+        impatient = max(IMPATIENT_SECONDS, IMPATIENT_PACES * (pace or 0.0))
+        if silence <= min(impatient, SILENCE_SECONDS):
+            return False
+        candidates = self.candidates(batch, item)
+        return silence > SILENCE_SECONDS or has_room_elsewhere(
+            worker, candidates, item.spec.model, now
+        )
+
+    def faster_elsewhere(self, batch: Batch, item: ItemRun, now: float) -> bool:
+        """Whether an item would be done well before at another engine; asked now and then."""
+        assert item.running is not None
+        if now - item.moved_at < MOVE_PAUSE_SECONDS:
+            return False
+        current = self._workers.worker(item.running.worker)
+        if current is None:
+            return False
+        left = self._lengths.events_left(item)
+        faster = faster_engine(
+            current,
+            self.candidates(batch, item),
+            item.spec.model,
+            now,
+            left=left,
+            urgent=self._urgent(batch, item, left * (current.latency or 0.0), now),
+        )
+        return faster is not None
+
+    def _urgent(self, batch: Batch, item: ItemRun, seconds_left: float, now: float) -> bool:
+        """Whether an item may end near the time when its batch is due."""
+        route = self._route_of(batch.header.host, item.spec.path)
+        if route is None:
+            return False
+        return now - batch.seen_at + seconds_left > URGENT_SHARE * route.due_seconds
--- a/src/stagewalk/batches/item_run.py
+++ b/src/stagewalk/batches/item_run.py
@@ -4,8 +4,10 @@
 
 import math
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from stagewalk.batches.ledger import EVENT_SEPARATOR
 from stagewalk.batches.records import BatchItem, ItemFinished, ItemProgress
 
 PACE_GAPS = 3
@@ -48,6 +50,8 @@
         How often a worker ran it and said it failed.
     recording
         Whether its result is on its way to the log.
+    told
+        How many of its events the log holds.
     """
 
     spec: BatchItem
@@ -58,6 +62,7 @@
     run_failures: int = 0
     recording: bool = False
     last_worker: str = ""
+    told: int = 0
     moved_at: float = -math.inf
 
     @property
@@ -76,15 +81,20 @@
         self.events = []
         self.versions = []
 
-    def adopt(self, progress: ItemProgress) -> None:
-        """Go on from text that another process made."""
-        if len(progress.events) > len(self.events):
-            self.events = list(progress.events)
-            self.versions = sorted(progress.versions)
+    def adopt(self, events: Sequence[str], versions: Sequence[int]) -> None:
+        """Go on from text that was made before."""
+        self.events = list(events)
+        self.versions = sorted(versions)
+        self.told = len(self.events)
+
+    def tell(self, batch: str) -> ItemProgress:
+        """Return what has been made so far, to be told in the log."""
+        self.told = len(self.events)
+        return ItemProgress(batch, self.spec.item, tuple(self.events), tuple(self.versions))
 
     def result(self, batch: str) -> ItemFinished:
         """Return its succeeded result."""
-        text = "\n".join(self.events)
+        text = EVENT_SEPARATOR.join(self.events)
         return ItemFinished(batch, self.spec.item, True, text, tuple(self.versions))
 
     def failure(self, batch: str) -> ItemFinished:
--- a/src/stagewalk/batches/ledger.py
+++ b/src/stagewalk/batches/ledger.py
@@ -26,6 +26,8 @@
 """How long an ended batch is kept."""
 
 NOBODY = ""
+EVENT_SEPARATOR = "\n"
+"""Between the events of a text."""
 
 
 class LedgerChange(StrEnum):
@@ -37,6 +39,19 @@
     RUNNER = "runner"
 
 
+@dataclass(frozen=True, slots=True)
+class KeptText:
+    """Text of an item, whole or so far, from whichever batch had the most of it.
+
+    Items come back under the same id in a later batch if their group was not whole.
+    """
+
+    spec: BatchItem
+    events: tuple[str, ...]
+    versions: tuple[int, ...]
+    whole: bool
+
+
 @dataclass(slots=True)
 class Batch:
     """A batch as the records tell it.
@@ -61,7 +76,6 @@
     runner_since: float = 0.0
     results: list[ItemFinished] = field(default_factory=list)
     listed: set[str] = field(default_factory=set)
-    progress: dict[str, ItemProgress] = field(default_factory=dict)
     ended: bool = False
     ended_at: float = 0.0
 
@@ -81,7 +95,7 @@
         self._on_change = on_change
         self._batches: dict[str, Batch] = {}
         self._parts: dict[tuple[str, str], dict[int, BatchSubmitted]] = {}
-        self._finished: dict[str, ItemFinished] = {}
+        self._kept: dict[str, KeptText] = {}
 
     def get(self, batch: str) -> Batch | None:
         """Return a batch."""
@@ -91,9 +105,12 @@
         """Return the batches of which something is left to run."""
         return [batch for batch in self._batches.values() if batch.open]
 
-    def earlier_result(self, item: str) -> ItemFinished | None:
-        """Return a succeeded result of an item from whichever batch listed it last."""
-        return self._finished.get(item)
+    def kept_text(self, item: BatchItem) -> KeptText | None:
+        """Return what was made of the same item before, in this batch or an earlier one."""
+        kept = self._kept.get(item.item)
+        if kept is None or (kept.spec.path, kept.spec.body) != (item.path, item.body):
+            return None
+        return kept
 
     def apply(self, record: BatchRecord, now: float) -> None:
         """Fold one record in."""
@@ -117,7 +134,7 @@
             if batch.ended and now - batch.ended_at > FORGET_AFTER_SECONDS:
                 del self._batches[name]
                 for item in batch.items:
-                    self._finished.pop(item, None)
+                    self._kept.pop(item, None)
 
     def _submitted(self, record: BatchSubmitted, now: float) -> None:
         name = record.header.batch
@@ -142,18 +159,21 @@
             return
         batch.listed.add(record.item)
         batch.results.append(record)
-        batch.progress.pop(record.item, None)
         if record.succeeded:
-            self._finished[record.item] = record
+            events = tuple(record.text.split(EVENT_SEPARATOR))
+            spec = batch.items[record.item]
+            self._kept[record.item] = KeptText(spec, events, record.versions, whole=True)
         self._on_change(batch, LedgerChange.LISTED)
 
     def _item_progress(self, record: ItemProgress) -> None:
         batch = self._batches.get(record.batch)
         if batch is None or record.item in batch.listed or record.item not in batch.items:
             return
-        known = batch.progress.get(record.item)
-        if known is None or len(known.events) < len(record.events):
-            batch.progress[record.item] = record
+        known = self._kept.get(record.item)
+        if known is None or (not known.whole and len(known.events) < len(record.events)):
+            spec = batch.items[record.item]
+            kept = KeptText(spec, record.events, record.versions, whole=False)
+            self._kept[record.item] = kept
 
     def _ended(self, record: BatchEnded, now: float) -> None:
         batch = self._batches.get(record.batch)
--- a/src/stagewalk/batches/scheduler.py
+++ b/src/stagewalk/batches/scheduler.py
@@ -10,8 +10,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from stagewalk.batches.attempt_watch import AttemptWatch, RouteOf
 from stagewalk.batches.item_run import FAILURE_PAUSE_SECONDS, ItemRun, RunningAttempt
-from stagewalk.batches.ledger import Batch
+from stagewalk.batches.ledger import Batch, KeptText
 from stagewalk.batches.length_estimate import LengthEstimate
 from stagewalk.batches.messages import (
     AttemptBroken,
@@ -25,28 +26,15 @@
     StopItem,
     Tick,
 )
-from stagewalk.batches.placement import choose_engine, faster_engine, has_room_elsewhere
-from stagewalk.batches.records import ItemProgress
+from stagewalk.batches.placement import choose_engine
+from stagewalk.batches.records import BatchItem
 from stagewalk.ports.workers import AttemptFailure, AttemptFault
-from stagewalk.routes.route import Route
 from stagewalk.workers.table import WorkerTable
 from stagewalk.workers.worker import Worker
 
-SILENCE_SECONDS = 1.6
-"""A worker that brings no event of an item for this long is left."""
-
-IMPATIENT_SECONDS = 0.7
-IMPATIENT_PACES = 8.0
-"""With room at another worker it is left after this many times what an event takes there."""
-
-MOVE_PAUSE_SECONDS = 1.5
-"""An item that was moved stays where it is for this long."""
-
-URGENT_SHARE = 0.6
-"""An item is urgent that is expected to end after this part of the time its batch has."""
-
-FIRST_EVENT_SECONDS = 3.0
-"""The same before the first event, when the item may still wait for its place."""
+TELL_SECONDS = 1.0
+TELL_EVENTS = 20
+"""An item that has made this many events more than the log holds tells them."""
 
 REFUSAL_PAUSE_SECONDS = 0.25
 SUCCESS = 200
@@ -55,9 +43,6 @@
 
 RUN_FAILED = 500
 
-RouteOf = Callable[[str, str], Route | None]
-"""Finds the route in force for a host and a path."""
-
 
 @dataclass(slots=True)
 class _BatchRun:
@@ -75,7 +60,9 @@
         self._runs: dict[str, _BatchRun] = {}
         self._attempts: dict[int, tuple[_BatchRun, ItemRun]] = {}
         self._next_attempt = 1
+        self._told_at = 0.0
         self._lengths = LengthEstimate()
+        self._watch = AttemptWatch(workers, route_of, self._lengths)
 
     @property
     def batches(self) -> set[str]:
@@ -87,20 +74,28 @@
         """Return the number of attempts under way."""
         return len(self._attempts)
 
-    def open(self, batch: Batch, earlier: Callable[[str], ItemProgress | None]) -> None:
-        """Begin to run what is left of a batch; `earlier` finds text kept of an item."""
+    def open(
+        self, batch: Batch, kept_text: Callable[[BatchItem], KeptText | None]
+    ) -> list[SchedulerInstruction]:
+        """Begin to run what is left of a batch; `kept_text` finds what was made of an item."""
         if batch.header.batch in self._runs:
-            return
+            return []
         run = _BatchRun(batch)
+        self._runs[batch.header.batch] = run
+        instructions: list[SchedulerInstruction] = []
         for name, spec in batch.items.items():
             if name in batch.listed:
                 continue
             item = ItemRun(spec)
-            for progress in (batch.progress.get(name), earlier(name)):
-                if progress is not None and self._fits(batch, progress):
-                    item.adopt(progress)
             run.items[name] = item
-        self._runs[batch.header.batch] = run
+            kept = kept_text(spec)
+            if kept is None or not self._fits(batch, spec, kept):
+                continue
+            item.adopt(kept.events, kept.versions)
+            if kept.whole:
+                item.recording = True
+                instructions.append(RecordItem(item.result(batch.header.batch)))
+        return instructions
 
     def close(self, batch: str, reason: str) -> list[SchedulerInstruction]:
         """Stop running a batch."""
@@ -117,16 +112,13 @@
             return []
         return [self._stop(known, "listed")]
 
-    def progress(self) -> list[RecordItem]:
-        """Return what has been made of all unfinished items, for another process to go on."""
-        return [
-            RecordItem(
-                ItemProgress(run.batch.header.batch, name, tuple(item.events), tuple(item.versions))
-            )
-            for run in self._runs.values()
-            for name, item in run.items.items()
-            if item.events and not item.recording
-        ]
+    def progress(self, batch: str) -> list[SchedulerInstruction]:
+        """Return what has been made of a batch's unfinished items since that was last told."""
+        run = self._runs.get(batch)
+        if run is None:
+            return []
+        untold = [i for i in run.items.values() if len(i.events) > i.told and not i.recording]
+        return [RecordItem(item.tell(batch)) for item in untold]
 
     def handle(self, event: SchedulerEvent, now: float) -> list[SchedulerInstruction]:
         """Take an event and return what to do."""
@@ -238,38 +230,27 @@
     def _tick(self, now: float) -> list[SchedulerInstruction]:
         instructions: list[SchedulerInstruction] = []
         for run, item in list(self._attempts.values()):
-            if item.running is not None and self._silent(run, item, now):
+            if item.running is not None and self._watch.silent(run.batch, item, now):
                 worker = self._workers.worker(item.running.worker)
                 if worker is not None:
                     worker.note_failure(now)
                 instructions += self._leave(item, now, "silent")
         instructions += self._give_up(now)
+        instructions += self._tell_progress(now)
         instructions += self._move_from_slow(now)
         instructions += self._start_items(now)
         return instructions
 
-    def _silent(self, run: _BatchRun, item: ItemRun, now: float) -> bool:
-        """Whether an attempt has brought nothing for too long; sooner if there is room elsewhere.
-
-        A worker is silent while it loads weights, which is no reason to leave it.
-        """
-        attempt = item.running
-        assert attempt is not None
-        worker = self._workers.worker(attempt.worker)
-        since = attempt.last_event_at
-        if worker is not None:
-            since = max(since, min(worker.loading_until.get(item.spec.model, since), now))
-        silence = now - since
-        if len(item.events) == attempt.events_before:
-            return silence > FIRST_EVENT_SECONDS
-        pace = None if worker is None else worker.recent_latency(now)
-        impatient = max(IMPATIENT_SECONDS, IMPATIENT_PACES * (pace or 0.0))
-        if silence <= min(impatient, SILENCE_SECONDS):
-            return False
-        candidates = self._candidates(run, item)
-        return silence > SILENCE_SECONDS or has_room_elsewhere(
-            worker, candidates, item.spec.model, now
-        )
+    def _tell_progress(self, now: float) -> list[SchedulerInstruction]:
+        """Tell what long items have made now and then: whoever takes over goes on from there."""
+        if now - self._told_at < TELL_SECONDS:
+            return []
+        self._told_at = now
+        instructions: list[SchedulerInstruction] = []
+        for run, item in self._attempts.values():
+            if len(item.events) >= item.told + TELL_EVENTS:
+                instructions.append(RecordItem(item.tell(run.batch.header.batch)))
+        return instructions
 
     def _give_up(self, now: float) -> list[SchedulerInstruction]:
         instructions: list[SchedulerInstruction] = []
@@ -288,37 +269,14 @@
     def _move_from_slow(self, now: float) -> list[SchedulerInstruction]:
         instructions: list[SchedulerInstruction] = []
         for run, item in list(self._attempts.values()):
-            if item.running is None or now - item.moved_at < MOVE_PAUSE_SECONDS:
+            if item.running is None:
                 continue
-            if self._faster_elsewhere(run, item, now):
+            if self._watch.faster_elsewhere(run.batch, item, now):
                 instructions += self._leave(item, now, "faster elsewhere")
                 item.not_before = now
                 item.moved_at = now
         return instructions
 
-    def _faster_elsewhere(self, run: _BatchRun, item: ItemRun, now: float) -> bool:
-        assert item.running is not None
-        current = self._workers.worker(item.running.worker)
-        if current is None:
-            return False
-        left = self._lengths.events_left(item)
-        faster = faster_engine(
-            current,
-            self._candidates(run, item),
-            item.spec.model,
-            now,
-            left=left,
-            urgent=self._urgent(run, item, left * (current.latency or 0.0), now),
-        )
-        return faster is not None
-
-    def _urgent(self, run: _BatchRun, item: ItemRun, seconds_left: float, now: float) -> bool:
-        """Whether an item may end near the time when its batch is due."""
-        route = self._route_of(run.batch.header.host, item.spec.path)
-        if route is None:
-            return False
-        return now - run.batch.seen_at + seconds_left > URGENT_SHARE * route.due_seconds
-
     def _start_items(self, now: float) -> list[SchedulerInstruction]:
         instructions: list[SchedulerInstruction] = []
         waiting = [
@@ -341,7 +299,7 @@
             if other.running is not None and other.spec.group == item.spec.group
         }
         worker = choose_engine(
-            self._candidates(run, item),
+            self._watch.candidates(run.batch, item),
             item.spec.model,
             now,
             zone=self._zone,
@@ -360,16 +318,6 @@
         header = run.batch.header
         return StartItem(attempt, header.batch, header.host, item.spec, name, resume)
 
-    def _candidates(self, run: _BatchRun, item: ItemRun) -> list[Worker]:
-        """Return the workers that may run an item: serving, on weights that fit."""
-        route = self._route_of(run.batch.header.host, item.spec.path)
-        if route is None:
-            return []
-        workers = [w for b in route.back_ends for w in self._workers.usable(b.service)]
-        model = item.spec.model
-        oldest = run.batch.header.minimum_version
-        return [w for w in workers if w.versions.get(model, oldest) >= oldest]
-
     # How attempts end here.
 
     def _leave(self, item: ItemRun, now: float, reason: str) -> list[SchedulerInstruction]:
@@ -413,8 +361,12 @@
         if pace is not None:
             worker.note_success(pace, now)
 
-    def _fits(self, batch: Batch, progress: ItemProgress) -> bool:
-        return all(v >= batch.header.minimum_version for v in progress.versions)
+    def _fits(self, batch: Batch, spec: BatchItem, kept: KeptText) -> bool:
+        """Whether text that was made before may be used in a batch."""
+        if any(version < batch.header.minimum_version for version in kept.versions):
+            return False
+        route = self._route_of(batch.header.host, spec.path)
+        return len(kept.versions) <= 1 or route is None or not route.single_version
 
 
 def _start_order(run: _BatchRun, item: ItemRun) -> tuple[float, int, str]:
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -26,7 +26,6 @@
     BatchHeader,
     BatchReleased,
     ItemFinished,
-    ItemProgress,
 )
 from stagewalk.batches.scheduler import BatchScheduler
 from stagewalk.gateway.batch_store import BatchStore
@@ -105,9 +104,8 @@
     def hand_over(self) -> None:
         """Stop running: tell the log what was made so far and that others may go on."""
         self._stopping = True
-        for instruction in self._scheduler.progress():
-            self._carry_out([instruction])
         for batch in sorted(self._scheduler.batches):
+            self._carry_out(self._scheduler.progress(batch))
             self._carry_out(self._scheduler.close(batch, "stopping"))
             self._store.post(batch, BatchReleased(batch, str(self._identity)))
             log_event("batch_released", batch=batch, runner=str(self._identity))
@@ -123,6 +121,7 @@
             if name in self._scheduler.batches:
                 self._carry_out(self._scheduler.listed(name, batch.results[-1].item))
         elif change is LedgerChange.ENDED:
+            self._carry_out(self._scheduler.progress(name))
             self._carry_out(self._scheduler.close(name, "ended"))
         elif mine:
             self._open(batch)
@@ -141,13 +140,9 @@
             minimum_version=batch.header.minimum_version,
             epoch=batch.epoch,
         )
-        self._scheduler.open(batch, self._earlier_text)
+        self._carry_out(self._scheduler.open(batch, self._store.ledger.kept_text))
         self._handle(Tick())
 
-    def _earlier_text(self, item: str) -> ItemProgress | None:
-        """Return an item's text from an earlier batch, if it was whole there."""
-        return None
-
     # Taking over.
 
     async def _supervise(self) -> None:
--- a/tests/batches/test_ledger.py
+++ b/tests/batches/test_ledger.py
@@ -4,6 +4,7 @@
 
 import random
 
+import msgspec
 import testtools
 from hypothesis import given
 from hypothesis import strategies as st
@@ -75,12 +76,19 @@
         self.ledger.apply(BatchReleased("b", "n#1"), 1.0)
         self.assertEqual(NOBODY, self.batch.runner)
 
-    def test_the_longest_progress_is_kept_until_the_result(self) -> None:
+    def test_the_longest_text_is_kept_until_the_whole_one(self) -> None:
+        spec = self.batch.items["x"]
         self.ledger.apply(ItemProgress("b", "x", ("1", "2"), (1,)), 1.0)
         self.ledger.apply(ItemProgress("b", "x", ("1",), (1,)), 1.0)
-        self.assertEqual(("1", "2"), self.batch.progress["x"].events)
+        self.assertEqual(("1", "2"), self.ledger.kept_text(spec).events)
+        self.ledger.apply(finished("x", "a\nb\nc"), 1.0)
+        kept = self.ledger.kept_text(spec)
+        self.assertEqual((("a", "b", "c"), True), (kept.events, kept.whole))
+
+    def test_text_of_another_request_under_the_same_id_is_not_kept(self) -> None:
         self.ledger.apply(finished("x"), 1.0)
-        self.assertEqual({}, self.batch.progress)
+        other = msgspec.structs.replace(self.batch.items["x"], body=b"other")
+        self.assertIsNone(self.ledger.kept_text(other))
 
     def test_an_ended_batch_keeps_what_is_listed(self) -> None:
         self.ledger.apply(finished("x"), 1.0)
--- a/tests/batches/test_scheduler.py
+++ b/tests/batches/test_scheduler.py
@@ -48,7 +48,7 @@
 
     def open(self, *items: BatchItem, minimum: int = 1) -> None:
         batch = self.ledger.open(submitted(*items, minimum=minimum))
-        self.scheduler.open(batch, lambda _item: None)
+        self.take(self.scheduler.open(batch, self.ledger.ledger.kept_text))
         self.tick()
 
     def tick(self, seconds: float = 0.0) -> None:
@@ -224,15 +224,56 @@
         bench.open(item("x"))
         bench.head("x")
         bench.event("x", 1)
-        told = [instruction.record for instruction in bench.scheduler.progress()]
+        told = [instruction.record for instruction in bench.scheduler.progress("b")]
         self.assertEqual([ItemProgress("b", "x", ("d1",), (1,))], told)
+        self.assertEqual([], bench.scheduler.progress("b"))
         other = Bench()
         batch = other.ledger.open(submitted(item("x")))
         other.ledger.ledger.apply(told[0], 0.0)
-        other.scheduler.open(batch, lambda _item: None)
+        other.take(other.scheduler.open(batch, other.ledger.ledger.kept_text))
         other.tick()
         self.assertEqual(1, other.attempts["x"].resume_after)
 
+    def test_long_items_tell_what_they_made_now_and_then(self) -> None:
+        bench = Bench()
+        bench.open(item("x"))
+        bench.head("x")
+        for number in range(1, 46):
+            bench.now += 0.04
+            bench.event("x", number)
+            bench.tick()
+        told = [len(record.events) for record in bench.recorded]
+        self.assertEqual(sorted(set(told)), told)
+        self.assertGreaterEqual(len(told), 1)
+        self.assertLessEqual(len(told), 2)
+
+    def test_an_item_that_comes_back_whole_is_listed_without_running_again(self) -> None:
+        bench = Bench()
+        bench.ledger.open(submitted(item("x"), item("y"), batch="earlier"))
+        bench.ledger.ledger.apply(ItemFinished("earlier", "x", True, "a\nb", (1, 2)), 0.0)
+        bench.ledger.ledger.apply(ItemProgress("earlier", "y", ("c",), (1,)), 0.0)
+        bench.open(item("x"), item("y"))
+        self.assertEqual([ItemFinished("b", "x", True, "a\nb", (1, 2))], bench.recorded)
+        self.assertEqual(["y"], list(bench.attempts))
+        self.assertEqual(1, bench.attempts["y"].resume_after)
+
+    def test_text_on_weights_too_old_for_the_batch_is_made_anew(self) -> None:
+        bench = Bench()
+        for name in ENGINES:
+            bench.workers.announce(announcement(name, versions={"m": 2}), 0.0)
+        bench.ledger.open(submitted(item("x"), batch="earlier"))
+        bench.ledger.ledger.apply(ItemFinished("earlier", "x", True, "a", (1,)), 0.0)
+        bench.open(item("x"), minimum=2)
+        self.assertEqual([], bench.recorded)
+        self.assertIsNone(bench.attempts["x"].resume_after)
+
+    def test_text_of_several_versions_does_not_serve_a_single_version_route(self) -> None:
+        bench = Bench(single_version=True)
+        bench.ledger.open(submitted(item("x"), batch="earlier"))
+        bench.ledger.ledger.apply(ItemFinished("earlier", "x", True, "a\nb", (1, 2)), 0.0)
+        bench.open(item("x"))
+        self.assertEqual([], bench.recorded)
+
     def test_a_long_item_leaves_an_engine_that_turns_out_slow(self) -> None:
         bench = Bench(engines=("e1", "e2"))
         bench.open(item("x"), item("y"))
