One place for what a failed attempt changes, and for decoding settings

Cause: both forwarders noted failures with the same lines, and the gateway's settings repeated the node's decoding. Change: attempt_failures and settings.decoding; tests of the gateway's settings name each field.

--- /dev/null
+++ b/src/stagewalk/forwarding/attempt_failures.py
@@ -0,0 +1,30 @@
+"""What a failed attempt changes: the request's count, what is believed of the worker, the log."""
+
+from __future__ import annotations
+
+import time
+
+from stagewalk.forwarding.policy import ForwardedRequest
+from stagewalk.node.log_lines import log_event
+from stagewalk.ports.workers import AttemptFailure, AttemptFault
+from stagewalk.workers.worker import Worker
+
+
+def note_failed_attempt(
+    request_id: str, state: ForwardedRequest, worker: Worker, failure: AttemptFailure
+) -> None:
+    """Count a failed attempt; a worker that failed without refusing is avoided for a while."""
+    now = time.monotonic()
+    state.failed(failure)
+    worker.note_load(failure.load, now)
+    if failure.fault is not AttemptFault.NOT_RUN:
+        worker.note_failure(now)
+    log_event(
+        "attempt_failed",
+        request=request_id,
+        worker=worker.announcement.worker,
+        fault=failure.fault,
+        detail=failure.detail,
+        occupancy=worker.occupancy(now),
+        attempts=state.spent,
+    )
--- a/src/stagewalk/forwarding/forwarder.py
+++ b/src/stagewalk/forwarding/forwarder.py
@@ -9,6 +9,7 @@
 import anyio.abc
 from expression import Error, Ok, Result
 
+from stagewalk.forwarding.attempt_failures import note_failed_attempt
 from stagewalk.forwarding.policy import Ending, ForwardedRequest, is_success
 from stagewalk.node.log_lines import log_event
 from stagewalk.ports.workers import (
@@ -139,41 +140,19 @@
             worker.note_ended()
         now = time.monotonic()
         if result.is_error():
-            self._failed(request, state, worker, result.error)
+            note_failed_attempt(request.request_id, state, worker, result.error)
             return
         answer = result.ok
         worker.note_load(answer.load, now)
         if is_success(answer.status) and not answer.genuine:
             damaged = AttemptFailure(AttemptFault.MAY_HAVE_RUN, "an answer without signature")
-            self._failed(request, state, worker, damaged)
+            note_failed_attempt(request.request_id, state, worker, damaged)
             return
         worker.note_success(now - began, now)
         state.under_way -= 1
         if state.accepts(answer, now):
             settled.answer = answer
 
-    def _failed(
-        self,
-        request: InboundRequest,
-        state: ForwardedRequest,
-        worker: Worker,
-        failure: AttemptFailure,
-    ) -> None:
-        now = time.monotonic()
-        state.failed(failure)
-        worker.note_load(failure.load, now)
-        if failure.fault is not AttemptFault.NOT_RUN:
-            worker.note_failure(now)
-        log_event(
-            "attempt_failed",
-            request=request.request_id,
-            worker=worker.announcement.worker,
-            fault=failure.fault,
-            detail=failure.detail,
-            occupancy=worker.occupancy(now),
-            attempts=state.spent,
-        )
-
 
 def log_request_end(
     request: InboundRequest, state: ForwardedRequest, configuration: int, outcome: str
--- a/src/stagewalk/forwarding/stream_forwarder.py
+++ b/src/stagewalk/forwarding/stream_forwarder.py
@@ -9,9 +9,9 @@
 import anyio
 from expression import Error, Ok, Result
 
+from stagewalk.forwarding.attempt_failures import note_failed_attempt
 from stagewalk.forwarding.forwarder import InboundRequest, log_request_end
 from stagewalk.forwarding.policy import Ending, ForwardedRequest
-from stagewalk.node.log_lines import log_event
 from stagewalk.ports.workers import (
     AttemptFailure,
     AttemptFault,
@@ -124,7 +124,7 @@
         if result.is_ok():
             state.under_way -= 1
             return result.ok
-        self._failed(request, state, worker, result.error)
+        note_failed_attempt(request.request_id, state, worker, result.error)
         return None
 
     async def _pass_on(
@@ -140,24 +140,3 @@
             raise OutOfOrderError(f"event {part.number} after {progress.last_event}")
         progress.last_event = part.number
         await consume(part)
-
-    def _failed(
-        self,
-        request: InboundRequest,
-        state: ForwardedRequest,
-        worker: Worker,
-        failure: AttemptFailure,
-    ) -> None:
-        now = time.monotonic()
-        state.failed(failure)
-        worker.note_load(failure.load, now)
-        if failure.fault is not AttemptFault.NOT_RUN:
-            worker.note_failure(now)
-        log_event(
-            "stream_attempt_failed",
-            request=request.request_id,
-            worker=worker.announcement.worker,
-            fault=failure.fault,
-            detail=failure.detail,
-            attempts=state.spent,
-        )
--- a/src/stagewalk/gateway/settings.py
+++ b/src/stagewalk/gateway/settings.py
@@ -2,22 +2,19 @@
 
 from __future__ import annotations
 
-import re
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any
 
 import msgspec
-from expression import Error, Ok, Result, effect
+from expression import Result, effect
 
 from stagewalk.core.errors import StagewalkError
 from stagewalk.core.identities import Address, Placement
-from stagewalk.settings.addresses import parse_listen_address, settings_error
+from stagewalk.settings.addresses import parse_listen_address
+from stagewalk.settings.decoding import decode_table, read_table
 from stagewalk.settings.node_settings import LogLevel, Name, PositiveInteger
 
-_FIELD_PATH = re.compile(r" - at `\$\.?([^`]*)`$")
-_FIELD_NAME = re.compile(r"field `([^`]*)`")
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
 
 
@@ -98,25 +95,7 @@
 
 def load_gateway_settings(path: Path) -> Result[GatewaySettings, StagewalkError]:
     """Read and check settings; an error names the field."""
-    try:
-        table = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        return Error(settings_error("settings", f"can't read {path}: {error.strerror}"))
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        return Error(settings_error("settings", f"{path} is not TOML: {error}"))
-    return _decode(table).bind(_check)
-
-
-def _decode(table: dict[str, Any]) -> Result[_SettingsFile, StagewalkError]:
-    try:
-        return Ok(msgspec.convert(table, _SettingsFile))
-    except msgspec.ValidationError as error:
-        message = str(error)
-        path = _FIELD_PATH.search(message)
-        name = _FIELD_NAME.search(message)
-        parts = (path.group(1) if path else "", name.group(1) if name else "")
-        field = ".".join(part for part in parts if part)
-        return Error(settings_error(field, _FIELD_PATH.sub("", message)))
+    return read_table(path).bind(lambda table: decode_table(table, _SettingsFile)).bind(_check)
 
 
 @effect.result[GatewaySettings, StagewalkError]()
--- a/src/stagewalk/settings/node_settings.py
+++ b/src/stagewalk/settings/node_settings.py
@@ -2,27 +2,23 @@
 
 from __future__ import annotations
 
-import re
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
 import msgspec
-from expression import Error, Ok, Result, effect
+from expression import Ok, Result, effect
 
 from stagewalk.core.errors import StagewalkError
 from stagewalk.core.identities import Address
-from stagewalk.settings.addresses import parse_listen_address, parse_service_url, settings_error
+from stagewalk.settings.addresses import parse_listen_address, parse_service_url
+from stagewalk.settings.decoding import decode_table, read_table
 
 PositiveInteger = Annotated[int, msgspec.Meta(ge=1)]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=100)]
 LogLevel = Literal["debug", "info", "warning", "error"]
 
-_FIELD_PATH = re.compile(r" - at `\$\.?([^`]*)`$")
-_FIELD_NAME = re.compile(r"field `([^`]*)`")
-
 
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Limits against callers that ask too much.
@@ -122,18 +118,15 @@
     overrides
         Values of flags by dotted field path, such as `platform.log`; `None` leaves a field alone.
     """
-    return _read_table(path).bind(lambda table: _decode(_override(table, overrides))).bind(_check)
+    return (
+        _read_table(path)
+        .bind(lambda table: decode_table(_override(table, overrides), _SettingsFile))
+        .bind(_check)
+    )
 
 
 def _read_table(path: Path | None) -> Result[dict[str, Any], StagewalkError]:
-    if path is None:
-        return Ok({})
-    try:
-        return Ok(tomllib.loads(path.read_text(encoding="utf-8")))
-    except OSError as error:
-        return Error(settings_error("settings", f"can't read {path}: {error.strerror}"))
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        return Error(settings_error("settings", f"{path} is not TOML: {error}"))
+    return Ok({}) if path is None else read_table(path)
 
 
 def _override(table: dict[str, Any], overrides: Mapping[str, str | None]) -> dict[str, Any]:
@@ -151,20 +144,6 @@
     return table
 
 
-def _decode(table: dict[str, Any]) -> Result[_SettingsFile, StagewalkError]:
-    try:
-        return Ok(msgspec.convert(table, _SettingsFile))
-    except msgspec.ValidationError as error:
-        return Error(settings_error(_field_of(str(error)), _FIELD_PATH.sub("", str(error))))
-
-
-def _field_of(message: str) -> str:
-    path = _FIELD_PATH.search(message)
-    name = _FIELD_NAME.search(message)
-    parts = (path.group(1) if path else "", name.group(1) if name else "")
-    return ".".join(part for part in parts if part)
-
-
 @effect.result[NodeSettings, StagewalkError]()
 def _check(file: _SettingsFile) -> Any:
     listen = yield from parse_listen_address("listen", file.listen)
--- /dev/null
+++ b/tests/gateway/test_settings.py
@@ -0,0 +1,53 @@
+"""Settings of a gateway are checked whole; an error names its field."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+import testtools
+
+from stagewalk.gateway.settings import load_gateway_settings
+
+GOOD = """
+name = "n1"
+region = "r1"
+zone = "z1"
+[listen]
+front = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+directory = "10.0.0.1:82"
+peers = "10.0.0.1:83"
+[log]
+address = "10.0.0.9:90"
+[timing]
+lease_quiet = 3000e-3
+"""
+
+
+class SettingsTests(testtools.TestCase):
+    def load(self, text: str):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.toml"
+            path.write_text(text)
+            return load_gateway_settings(path)
+
+    def test_good_settings(self) -> None:
+        settings = self.load(GOOD).ok
+        self.assertEqual(("10.0.0.1:83", 3.0), (str(settings.peers), settings.timing.lease_quiet))
+        self.assertIsNone(settings.metrics)
+
+    def test_errors_name_the_field(self) -> None:
+        for old, new, field in (
+            ('name = "n1"', "", "name"),
+            ('front = "10.0.0.1:80"', 'front = "host:80"', "listen.front"),
+            ("lease_quiet = 3000e-3", "lease_quiet = -1", "timing.lease_quiet"),
+            ("[timing]", "[timing]\nunknown = 1", "timing.unknown"),
+            ('address = "10.0.0.9:90"', "address = 7", "log.address"),
+        ):
+            error = self.load(GOOD.replace(old, new)).error
+            self.assertEqual(field, error.field)
+
+    def test_a_file_that_is_missing_or_no_toml(self) -> None:
+        self.assertTrue(load_gateway_settings(Path("/nowhere/x.toml")).is_error())
+        self.assertTrue(self.load("= 1").is_error())
