Name only versions under which an event was made

An attempt's head said 4, and the attempt ended before its first event, or its weights changed before it.

Ruled out: a wrong fold or a late order; the engine's own log of events shows no event under 4.

Change: the head's version is the attempt's, and is named with the first event made under it. Test: a_version_that_made_no_event_is_not_named (red before).

--- a/src/stagewalk/batches/item_run.py
+++ b/src/stagewalk/batches/item_run.py
@@ -25,6 +25,8 @@
     last_event_at: float
     events_before: int
     """Events held already when it began."""
+    version: int | None = None
+    """Weight version that makes the next event."""
     gaps: deque[float] = field(default_factory=lambda: deque(maxlen=PACE_GAPS))
 
     def pace(self, gap: float) -> float | None:
@@ -70,9 +72,12 @@
         """Whether it needs an attempt."""
         return self.running is None and not self.recording
 
-    def note_version(self, version: int) -> None:
-        """Take a version under which what follows is made."""
-        if version not in self.versions:
+    def take_event(self, data: str) -> None:
+        """Take the next event, made under the version its attempt is at."""
+        assert self.running is not None
+        self.events.append(data)
+        version = self.running.version
+        if version is not None and version not in self.versions:
             self.versions.append(version)
             self.versions.sort()
 
--- a/src/stagewalk/batches/scheduler.py
+++ b/src/stagewalk/batches/scheduler.py
@@ -148,7 +148,11 @@
         if event.head.status != SUCCESS:
             return []
         item.running.last_event_at = now
-        return self._take_versions(run, item, event.head.versions, now)
+        for version in event.head.versions:
+            refused = self._take_version(run, item, version, now)
+            if refused:
+                return refused
+        return []
 
     def _event(self, event: AttemptEvent, now: float) -> list[SchedulerInstruction]:
         known = self._attempts.get(event.attempt)
@@ -159,32 +163,35 @@
         if event.event.number != len(item.events) + 1:
             return self._leave(item, now, "event out of order")
         if event.event.version is not None:
-            refused = self._take_versions(run, item, (event.event.version,), now)
+            refused = self._take_version(run, item, event.event.version, now)
             if refused:
                 return refused
-        item.events.append(event.event.data)
+        item.take_event(event.event.data)
         self._note_pace(item.running, len(item.events), now)
         item.running.last_event_at = now
         return []
 
-    def _take_versions(
-        self, run: _BatchRun, item: ItemRun, versions: tuple[int, ...], now: float
+    def _take_version(
+        self, run: _BatchRun, item: ItemRun, version: int, now: float
     ) -> list[SchedulerInstruction]:
-        """Note what makes the events that follow; leave a worker whose weights don't fit."""
+        """Note what makes the events that follow; leave a worker whose weights don't fit.
+
+        A version counts only once an event was made under it: weights may change, or the
+        attempt may break, before the first one.
+        """
         assert item.running is not None
         header = run.batch.header
         worker = self._workers.worker(item.running.worker)
-        if worker is not None and versions:
-            worker.versions[item.spec.model] = versions[-1]
-        if any(version < header.minimum_version for version in versions):
+        if worker is not None:
+            worker.versions[item.spec.model] = version
+        if version < header.minimum_version:
             return self._leave(item, now, "weights too old")
         route = self._route_of(header.host, item.spec.path)
-        mixed = len({*versions, *item.versions}) > 1
+        mixed = len({version, *item.versions}) > 1
         if mixed and route is not None and route.single_version:
             item.restart()
             return self._leave(item, now, "weights changed")
-        for version in versions:
-            item.note_version(version)
+        item.running.version = version
         return []
 
     def _ended(self, event: AttemptEnded, now: float) -> list[SchedulerInstruction]:
--- a/tests/batches/test_scheduler.py
+++ b/tests/batches/test_scheduler.py
@@ -274,6 +274,21 @@
         bench.open(item("x"))
         self.assertEqual([], bench.recorded)
 
+    def test_a_version_that_made_no_event_is_not_named(self) -> None:
+        bench = Bench()
+        bench.open(item("x"))
+        bench.head("x", 3)
+        bench.event("x", 1)
+        bench.break_off("x")
+        bench.tick(0.2)
+        bench.head("x", 4)
+        bench.break_off("x")
+        bench.tick(0.2)
+        bench.head("x", 4)
+        bench.event("x", 2, version=5)
+        bench.end("x")
+        self.assertEqual((3, 5), bench.recorded[0].versions)
+
     def test_a_long_item_leaves_an_engine_that_turns_out_slow(self) -> None:
         bench = Bench(engines=("e1", "e2"))
         bench.open(item("x"), item("y"))
