Keep results larger than a record, read settings again on SIGHUP

Cause, found by reading: a result over the log's record size was rejected, and its item stayed as being recorded for ever; SIGHUP was only logged.

Change: large results are split in one append and listed at their last part; texts so far that are too large are left out. Settings are read again; timing is in force at once, other fields are named as waiting for a restart.

Tests: split results (whole, and two interleaved), reload good and bad.

--- a/src/stagewalk/batches/ledger.py
+++ b/src/stagewalk/batches/ledger.py
@@ -19,6 +19,7 @@
     BatchReleased,
     BatchSubmitted,
     ItemFinished,
+    ItemFinishedPart,
     ItemProgress,
 )
 
@@ -95,6 +96,7 @@
         self._on_change = on_change
         self._batches: dict[str, Batch] = {}
         self._parts: dict[tuple[str, str], dict[int, BatchSubmitted]] = {}
+        self._result_parts: dict[tuple[str, str, str], dict[int, str]] = {}
         self._kept: dict[str, KeptText] = {}
 
     def get(self, batch: str) -> Batch | None:
@@ -119,6 +121,8 @@
                 self._submitted(record, now)
             case ItemFinished():
                 self._item_finished(record)
+            case ItemFinishedPart():
+                self._item_finished_part(record)
             case ItemProgress():
                 self._item_progress(record)
             case BatchEnded():
@@ -165,6 +169,19 @@
             self._kept[record.item] = KeptText(spec, events, record.versions, whole=True)
         self._on_change(batch, LedgerChange.LISTED)
 
+    def _item_finished_part(self, record: ItemFinishedPart) -> None:
+        """Keep a part until all of its result are there."""
+        batch = self._batches.get(record.batch)
+        if batch is None or record.item in batch.listed:
+            return
+        parts = self._result_parts.setdefault((record.batch, record.item, record.result), {})
+        parts[record.part] = record.text
+        if len(parts) < record.parts:
+            return
+        del self._result_parts[(record.batch, record.item, record.result)]
+        text = "".join(parts[number] for number in sorted(parts))
+        self._item_finished(ItemFinished(record.batch, record.item, True, text, record.versions))
+
     def _item_progress(self, record: ItemProgress) -> None:
         batch = self._batches.get(record.batch)
         if batch is None or record.item in batch.listed or record.item not in batch.items:
--- a/src/stagewalk/batches/records.py
+++ b/src/stagewalk/batches/records.py
@@ -78,6 +78,21 @@
     versions: tuple[int, ...]
 
 
+class ItemFinishedPart(msgspec.Struct, frozen=True, array_like=True, tag="finished_part"):
+    """A part of a result that is larger than the log's records.
+
+    The result stands at the place of its last part; `result` tells parts of several apart.
+    """
+
+    batch: str
+    item: str
+    result: str
+    part: int
+    parts: int
+    text: str
+    versions: tuple[int, ...]
+
+
 class ItemProgress(msgspec.Struct, frozen=True, array_like=True, tag="progress"):
     """Text made so far, for whoever runs the item next."""
 
@@ -109,7 +124,13 @@
 
 
 BatchRecord = (
-    BatchSubmitted | ItemFinished | ItemProgress | BatchEnded | BatchClaimed | BatchReleased
+    BatchSubmitted
+    | ItemFinished
+    | ItemFinishedPart
+    | ItemProgress
+    | BatchEnded
+    | BatchClaimed
+    | BatchReleased
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -131,6 +152,24 @@
         return None
 
 
+def split_result(record: ItemFinished, result: str, record_bytes: int) -> list[bytes]:
+    """Return a result's records, none larger than the log takes."""
+    whole = encode_record(record)
+    if len(whole) <= record_bytes:
+        return [whole]
+    # A character takes four bytes at most.
+    length = (record_bytes - RECORD_HEADROOM_BYTES) // 4
+    texts = [record.text[start : start + length] for start in range(0, len(record.text), length)]
+    return [
+        encode_record(
+            ItemFinishedPart(
+                record.batch, record.item, result, number, len(texts), text, record.versions
+            )
+        )
+        for number, text in enumerate(texts)
+    ]
+
+
 def split_submission(
     header: BatchHeader,
     items: Sequence[BatchItem],
--- a/src/stagewalk/gateway/batch_store.py
+++ b/src/stagewalk/gateway/batch_store.py
@@ -15,8 +15,10 @@
 from stagewalk.batches.records import (
     BatchEnded,
     BatchRecord,
+    ItemFinished,
     decode_record,
     encode_record,
+    split_result,
     split_submission,
 )
 from stagewalk.node.log_lines import log_event
@@ -90,8 +92,18 @@
         return await self._appender(batch).append([payload], timeout_seconds)
 
     def post(self, batch: str, record: BatchRecord) -> None:
-        """Append a record without waiting for it."""
-        self._appender(batch).post([encode_record(record)])
+        """Append a record without waiting for it.
+
+        A large result is split; a text so far that is too large is left out, it only saves time.
+        """
+        if isinstance(record, ItemFinished):
+            payloads = split_result(record, uuid.uuid4().hex, self._record_bytes)
+        else:
+            payloads = [encode_record(record)]
+        if all(len(payload) <= self._record_bytes for payload in payloads):
+            self._appender(batch).post(payloads)
+        else:
+            log_event("record_too_large", batch=batch, record=type(record).__name__)
 
     def appends_stalled(self, batch: str) -> float | None:
         """Return since when the batch's partition takes no appends, None if it does."""
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import dataclasses
 import gc
 import signal
 import sys
 import time
 import traceback
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
 import anyio.abc
+from expression import Result
 
 from stagewalk.batches.scheduler import BatchScheduler
+from stagewalk.core.errors import StagewalkError
 from stagewalk.core.identities import Address
 from stagewalk.forwarding.forwarder import Forwarder
 from stagewalk.forwarding.stream_forwarder import StreamForwarder
@@ -71,13 +75,19 @@
     dialect: Dialect
 
 
-def run_gateway(settings: GatewaySettings, surroundings: Surroundings) -> int:
+SettingsLoader = Callable[[], Result[GatewaySettings, StagewalkError]]
+"""Reads the settings again."""
+
+
+def run_gateway(
+    settings: GatewaySettings, surroundings: Surroundings, load_again: SettingsLoader
+) -> int:
     """Run a gateway until it is asked to stop; return the process's exit code."""
     undo_logs = configure_logs(settings.log_level, sys.stdout.write)
     gc.collect()
     gc.freeze()
     try:
-        anyio.run(Gateway(settings, surroundings).run_until_signal, backend="asyncio")
+        anyio.run(Gateway(settings, surroundings, load_again).run_until_signal, backend="asyncio")
     except Exception as error:
         trace = "".join(traceback.format_exception(error))
         log_event("gateway_failed", "error", node=settings.name, trace=trace)
@@ -91,8 +101,14 @@
 class Gateway:
     """One gateway process."""
 
-    def __init__(self, settings: GatewaySettings, surroundings: Surroundings) -> None:
-        self._settings = settings
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        surroundings: Surroundings,
+        load_again: SettingsLoader | None = None,
+    ) -> None:
+        self.settings = settings
+        self._load_again = load_again
         self._straight = surroundings.log
         log = RelayedLog(surroundings.log, self._peers)
         limits = settings.log_limits
@@ -176,9 +192,9 @@
             async with anyio.create_task_group() as servers:
                 for listener in listeners:
                     servers.start_soon(serve_http, app, listener, self._exit)
-                if self._settings.peers is not None:
+                if self.settings.peers is not None:
                     relay = RelayApp(self._straight)
-                    peers = open_listener(self._settings.peers)
+                    peers = open_listener(self.settings.peers)
                     servers.start_soon(serve_http, relay, peers, self._exit)
             self._log("gateway_stopped")
             tasks.cancel_scope.cancel()
@@ -187,7 +203,7 @@
         return self._nodes.peers()
 
     def _addresses(self) -> list[Address]:
-        settings = self._settings
+        settings = self.settings
         addresses = [settings.front, settings.readiness, settings.directory]
         if settings.metrics is not None:
             addresses.append(settings.metrics)
@@ -271,10 +287,36 @@
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    self._log("settings_changed")
+                    self.reload()
                 elif not self._stopping:
                     await self.stop()
 
+    def reload(self) -> None:
+        """Read the settings again: timing changes at once, anything else with the next start.
+
+        Settings that can't be read leave those in force as they are.
+        """
+        if self._load_again is None:
+            return
+        loaded = self._load_again()
+        if loaded.is_error():
+            log_event("settings_refused", "warning", error=str(loaded.error))
+            return
+        before, after = self.settings, loaded.ok
+        self._orders.set_quiet(after.timing.lease_quiet)
+        self.settings = dataclasses.replace(before, timing=after.timing)
+        waiting = [
+            field.name
+            for field in dataclasses.fields(after)
+            if field.name != "timing" and getattr(before, field.name) != getattr(after, field.name)
+        ]
+        log_event(
+            "settings_read",
+            node=self._identity.node,
+            timing_changed=before.timing != after.timing,
+            waiting_for_restart=",".join(waiting),
+        )
+
     async def stop(self) -> None:
         """Tell callers and nodes, hand work over, and end once nobody is sent here any more."""
         began = anyio.current_time()
@@ -284,7 +326,7 @@
         self._orders.stop()
         self._runner.hand_over()
         await anyio.sleep_until(began + LEAVE_SECONDS)
-        latest = began + self._settings.timing.stop_grace - EXIT_RESERVE_SECONDS
+        latest = began + self.settings.timing.stop_grace - EXIT_RESERVE_SECONDS
         while not self.store.idle and anyio.current_time() < latest:
             await anyio.sleep(STEP_SECONDS)
         self._exit.set()
@@ -294,7 +336,7 @@
             event,
             node=self._identity.node,
             incarnation=self._identity.incarnation,
-            front=str(self._settings.front),
+            front=str(self.settings.front),
             configuration=self._routes.version,
         )
 
--- a/src/stagewalk/gateway/order_service.py
+++ b/src/stagewalk/gateway/order_service.py
@@ -67,6 +67,10 @@
         tasks.start_soon(self._appender.run)
         tasks.start_soon(self._run)
 
+    def set_quiet(self, seconds: float) -> None:
+        """Change how long nobody orders between two holders."""
+        self._lease.set_quiet(seconds)
+
     def stop(self) -> None:
         """Give the lease up and seek it no more."""
         self._stopping = True
--- a/src/stagewalk/leases/log_lease.py
+++ b/src/stagewalk/leases/log_lease.py
@@ -134,6 +134,10 @@
         """Return the fence of the holder."""
         return self._fence
 
+    def set_quiet(self, seconds: float) -> None:
+        """Change how long nobody may act between two holders, from the next one on."""
+        self._quiet = seconds
+
     def may_act(self, now: float) -> bool:
         """Whether this process may act as the holder at this moment."""
         holds = self._holder == self._own and not self._released
--- a/tests/batches/test_ledger.py
+++ b/tests/batches/test_ledger.py
@@ -19,6 +19,7 @@
     ItemProgress,
     decode_record,
     encode_record,
+    split_result,
     split_submission,
 )
 from tests.batches.support import RecordingLedger, header, item, submitted
@@ -63,6 +64,23 @@
             self.ledger.apply(decode_record(payload), 0.0)
         self.assertEqual(50, len(self.ledger.get("p").items))
 
+    def test_a_result_larger_than_a_record_is_listed_whole_at_its_last_part(self) -> None:
+        large = finished("x", "ä" * 9_000 + "\n" + "z" * 9_000)
+        payloads = split_result(large, "r1", 8_000)
+        self.assertGreater(len(payloads), 2)
+        self.assertLessEqual(max(map(len, payloads)), 8_000)
+        for payload in payloads:
+            self.assertEqual([], self.batch.results)
+            self.ledger.apply(decode_record(payload), 1.0)
+        self.assertEqual([large], self.batch.results)
+
+    def test_parts_of_two_results_of_one_item_are_never_joined(self) -> None:
+        one = split_result(finished("x", "a" * 20_000), "r1", 8_000)
+        other = split_result(finished("x", "b" * 20_000), "r2", 8_000)
+        for payload in (one[0], *other[:-1], *one[1:], other[-1]):
+            self.ledger.apply(decode_record(payload), 1.0)
+        self.assertEqual(["a" * 20_000], [result.text for result in self.batch.results])
+
     def test_only_the_next_claim_counts(self) -> None:
         self.ledger.apply(BatchClaimed("b", "second#1", 1), 1.0)
         self.ledger.apply(BatchClaimed("b", "third#1", 1), 1.0)
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -47,6 +47,23 @@
 )
 
 
+def gateway_settings(name: str) -> GatewaySettings:
+    front = free_address()
+    return GatewaySettings(
+        name=name,
+        placement=Placement("r1", "z1"),
+        front=front,
+        readiness=front,
+        directory=front,
+        peers=free_address(),
+        metrics=None,
+        log=front,
+        log_limits=LogLimits(),
+        timing=Timing(lease_quiet=0.2),
+        log_level="error",
+    )
+
+
 @dataclass
 class Running:
     """One gateway and how tests reach it."""
@@ -88,23 +105,10 @@
         self.log.put_key(self.dialect.operators, "version/m", value)
 
     async def start(self, name: str, *, ready: bool = True) -> Running:
-        front = free_address()
-        settings = GatewaySettings(
-            name=name,
-            placement=Placement("r1", "z1"),
-            front=front,
-            readiness=front,
-            directory=front,
-            peers=free_address(),
-            metrics=None,
-            log=front,
-            log_limits=LogLimits(),
-            timing=Timing(lease_quiet=0.2),
-            log_level="error",
-        )
+        settings = gateway_settings(name)
         log = self.log.client()
         gateway = Gateway(settings, Surroundings(log, self.workers, self.dialect))
-        running = Running(gateway, log, f"http://{front}", str(front))
+        running = Running(gateway, log, f"http://{settings.front}", str(settings.front))
         self._tasks.start_soon(self._run, running)
         if ready:
             await until(lambda: self.ready(running))
--- /dev/null
+++ b/tests/gateway/test_reload.py
@@ -0,0 +1,36 @@
+"""Settings read again: timing is in force, bad ones change nothing."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import testtools
+from expression import Error, Ok
+
+from stagewalk.gateway.daemon import Gateway, Surroundings
+from stagewalk.gateway.settings import Timing
+from stagewalk.settings.addresses import settings_error
+from stagewalk_standins.memory_workers import MemoryWorkers
+from stagewalk_standins.partitioned_log import MemoryLog
+from stagewalk_standins.plain_dialect import PlainDialect
+from tests.gateway.support import gateway_settings
+
+
+class ReloadTests(testtools.TestCase):
+    def gateway(self, loaded) -> Gateway:
+        surroundings = Surroundings(MemoryLog().client(), MemoryWorkers(), PlainDialect())
+        return Gateway(gateway_settings("n1"), surroundings, lambda: loaded)
+
+    def test_timing_is_in_force_and_the_rest_waits(self) -> None:
+        changed = dataclasses.replace(
+            gateway_settings("n1"), timing=Timing(lease_quiet=9.0), name="other"
+        )
+        gateway = self.gateway(Ok(changed))
+        gateway.reload()
+        self.assertEqual((9.0, "n1"), (gateway.settings.timing.lease_quiet, gateway.settings.name))
+
+    def test_settings_that_cannot_be_read_change_nothing(self) -> None:
+        gateway = self.gateway(Error(settings_error("name", "bad")))
+        before = gateway.settings
+        gateway.reload()
+        self.assertEqual(before, gateway.settings)
