Split routes without bias over many nodes, step down when fenced, load engines by share

(1) Every node began a split route's cycle at its largest part; with two requests each of 300 nodes a part of 10% got none of 600. (2) A holder whose order was refused for a higher fence went on renewing and ordering under its own. (3) Two engines at a time change version whatever their number: 23 engines with three models need 33 loads of 0.9 s each 4.5 s, which two at a time can't do.

Ruled out: drawing each request's part at random (shares of a run are exact now, and bounds on shares are tight); starting credits drawn up to a part's weight (measured off by 0.06 to 0.1 for 90/10 over 5 requests a node).

Change: a node begins at a turn of the cycle hashed from its name and the route's; FENCED releases the lease locally, so it is won anew under a higher fence after reading the log; two engines, or 0.4 of them, load at once (unchanged for 5 and 6 engines).

--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -115,7 +115,7 @@
         self._dialect = surroundings.dialect
         self._identity = ProcessId(settings.name, time.time_ns() // 1_000_000)
         producer = f"{settings.name}-{uuid.uuid4().hex}"
-        self._routes = RouteTable()
+        self._routes = RouteTable(settings.name)
         self._workers = WorkerTable()
         self._workers.on_change = _log_worker_change
         self._rollouts = VersionRollouts(self._workers)
--- a/src/stagewalk/gateway/order_service.py
+++ b/src/stagewalk/gateway/order_service.py
@@ -133,22 +133,25 @@
             log_event("lease_held", holder=self._lease.holder, fence=self._lease.fence)
 
     async def _send(self, order: OrderVersion) -> None:
-        outcome = await self._order(order)
+        fence = self._lease.fence
+        outcome = await self._order(order, fence)
         now = time.monotonic()
         log_event(
             "version_order",
             worker=order.worker,
             model=order.model,
             version=order.version,
-            fence=self._lease.fence,
+            fence=fence,
             outcome=outcome,
         )
+        if outcome is OrderOutcome.FENCED:
+            self._lease.overtaken(fence)
         if outcome is OrderOutcome.HELD_ALREADY:
             self._note_version(order)
         elif outcome is not OrderOutcome.TAKEN:
             self._rollouts.order_failed(order.worker, now)
 
-    async def _order(self, order: OrderVersion) -> OrderOutcome:
+    async def _order(self, order: OrderVersion, fence: int) -> OrderOutcome:
         worker = self._workers.worker(order.worker)
         if worker is None:
             return OrderOutcome.REFUSED
@@ -161,7 +164,7 @@
             return OrderOutcome.CONFLICT
         if report.ok.versions.get(order.model, 0) >= order.version:
             return OrderOutcome.HELD_ALREADY
-        if not self._lease.may_act(time.monotonic()):
+        if fence != self._lease.fence or not self._lease.may_act(time.monotonic()):
             return OrderOutcome.REFUSED
         announced = DutyRecord(order.worker, order.model, order.version)
         self._appender.post([announced.encode()])
@@ -171,7 +174,7 @@
                 order.model,
                 order.version,
                 str(self._identity),
-                self._lease.fence,
+                fence,
                 report.ok.orders_taken,
             ),
         )
--- a/src/stagewalk/leases/log_lease.py
+++ b/src/stagewalk/leases/log_lease.py
@@ -172,6 +172,16 @@
         if fence == self._fence and self._holder == self._own:
             self._valid_until = max(self._valid_until, sent_at + LEASE_SECONDS)
 
+    def overtaken(self, fence: int) -> None:
+        """Note that someone obeyed a higher fence: this process acts no more under this one.
+
+        The log told that holder's win after this process read it last, so it reads again and,
+        if the lease is free then, wins it anew under a fence that is higher still.
+        """
+        if fence == self._fence and self._holder == self._own:
+            self._released = True
+            self._valid_until = -math.inf
+
     def release(self) -> Renew | None:
         """Give the lease up; return the record that says so, None if it isn't held."""
         if self._holder != self._own or self._released:
--- a/src/stagewalk/routes/table.py
+++ b/src/stagewalk/routes/table.py
@@ -2,23 +2,41 @@
 
 from __future__ import annotations
 
+import xxhash
+
 from stagewalk.routes.route import BackEnd, Route, RouteConfiguration, Service
 
+MOST_TURNS_SKIPPED = 211
+"""A node begins at one of so many turns of a split route's cycle."""
+
 
 class RouteTable:
-    """Holds the newest configuration; an older one never comes back."""
+    """Holds the newest configuration; an older one never comes back.
 
-    def __init__(self) -> None:
-        self.configuration: RouteConfiguration | None = None
+    Parameters
+    ----------
+    node
+        Name of this node: each node begins a route's shares at another place of their cycle.
+    """
+
+    def __init__(self, node: str = "") -> None:
+        self._node = node
+        self._configuration: RouteConfiguration | None = None
         self._by_host: dict[str, list[Route]] = {}
         self._services: dict[str, Service] = {}
-        self._credits: dict[tuple[str, str], float] = {}
+        self._credits: dict[str, dict[str, float]] = {}
+        """By route and service."""
+
+    @property
+    def configuration(self) -> RouteConfiguration | None:
+        """Return the configuration in force, None before the first one."""
+        return self._configuration
 
     def apply(self, configuration: RouteConfiguration) -> bool:
         """Put a configuration in force unless it is older; return whether it was taken."""
-        if self.configuration is not None and configuration.version <= self.configuration.version:
+        if configuration.version <= self.version:
             return False
-        self.configuration = configuration
+        self._configuration = configuration
         self._services = {service.name: service for service in configuration.services}
         by_host: dict[str, list[Route]] = {}
         for route in configuration.routes:
@@ -31,7 +49,7 @@
     @property
     def version(self) -> int:
         """Return the version in force, 0 before the first one."""
-        return 0 if self.configuration is None else self.configuration.version
+        return 0 if self._configuration is None else self._configuration.version
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request: of its host, the longest prefix that begins its path."""
@@ -47,14 +65,28 @@
     def choose_back_end(self, route: Route) -> BackEnd:
         """Return the back end whose turn it is: shares are exact over any run of requests.
 
-        Each turn every back end earns its weight, and the richest one pays for all.
+        Many nodes get few requests each. If all began alike, each would send its first ones to
+        the largest part, and the shares over all nodes would be off by as much; so each node
+        begins at another turn of the cycle.
         """
         if len(route.back_ends) == 1:
             return route.back_ends[0]
-        total = sum(back_end.weight for back_end in route.back_ends)
-        for back_end in route.back_ends:
-            key = (route.name, back_end.service)
-            self._credits[key] = self._credits.get(key, 0.0) + back_end.weight
-        chosen = max(route.back_ends, key=lambda b: self._credits[(route.name, b.service)])
-        self._credits[(route.name, chosen.service)] -= total
-        return chosen
+        credits = self._credits.get(route.name)
+        if credits is None:
+            credits = self._credits[route.name] = {}
+            for _ in range(self._first_turn(route)):
+                _take_turn(route, credits)
+        return _take_turn(route, credits)
+
+    def _first_turn(self, route: Route) -> int:
+        seed = f"{self._node}/{route.name}".encode()
+        return xxhash.xxh64_intdigest(seed) % MOST_TURNS_SKIPPED
+
+
+def _take_turn(route: Route, credits: dict[str, float]) -> BackEnd:
+    """Let every back end earn its weight, and the richest one pay for all."""
+    for back_end in route.back_ends:
+        credits[back_end.service] = credits.get(back_end.service, 0.0) + back_end.weight
+    chosen = max(route.back_ends, key=lambda back_end: credits[back_end.service])
+    credits[chosen.service] -= sum(back_end.weight for back_end in route.back_ends)
+    return chosen
--- a/src/stagewalk/version_rollouts/core.py
+++ b/src/stagewalk/version_rollouts/core.py
@@ -14,8 +14,10 @@
 from stagewalk.workers.table import WorkerTable
 from stagewalk.workers.worker import Worker
 
-LOADS_AT_ONCE = 2
-"""How many engines load at the same time."""
+LEAST_LOADS_AT_ONCE = 2
+LOADING_SHARE = 0.4
+"""So many engines, and this share of them where there are many, load at the same time: the
+others serve meanwhile, and each load is still at full speed."""
 
 LOAD_SECONDS = 0.9
 ORDER_DEADLINE_SECONDS = 3.0
@@ -98,7 +100,7 @@
     def decide(self, now: float) -> list[OrderVersion]:
         """Return the orders to send now."""
         self._settle(now)
-        room = LOADS_AT_ONCE - len(self._pending)
+        room = self._loads_at_once() - len(self._pending)
         if room <= 0:
             return []
         wanted = sorted(self._wanted(now), key=lambda pair: pair[0])
@@ -110,6 +112,10 @@
                 chosen.add(order.worker)
         return orders
 
+    def _loads_at_once(self) -> int:
+        engines = sum(1 for worker in self._workers.all() if worker.versions)
+        return max(LEAST_LOADS_AT_ONCE, int(LOADING_SHARE * engines))
+
     def _settle(self, now: float) -> None:
         """Forget orders whose effect is seen, or that took too long."""
         for name, pending in list(self._pending.items()):
--- a/tests/leases/test_log_lease.py
+++ b/tests/leases/test_log_lease.py
@@ -148,3 +148,26 @@
         self.assertFalse(next_lease.may_act(1.2))
         next_lease.renewal_taken(3.9, 2)
         self.assertTrue(next_lease.may_act(4.2))
+
+    def test_a_holder_whose_fence_was_overtaken_acts_no_more_under_it(self) -> None:
+        lease = LogLease("a#1", QUIET, 0.0)
+        lease.apply(0, lease.decide(0.0, current=True).record, 0.0)
+        lease.renewal_taken(0.0, 0)
+        self.assertTrue(lease.may_act(0.1))
+        lease.overtaken(fence=0)
+        self.assertFalse(lease.may_act(0.1))
+        lease.renewal_taken(0.1, 0)
+        self.assertFalse(lease.may_act(0.2))
+        step = lease.decide(0.2, current=True)
+        self.assertIsInstance(step, Acquire)
+        lease.apply(1, step.record, 0.2)
+        lease.renewal_taken(0.2, 1)
+        self.assertEqual(1, lease.fence)
+        self.assertTrue(lease.may_act(0.3))
+
+    def test_news_of_an_overtaken_fence_that_is_not_the_one_held_changes_nothing(self) -> None:
+        lease = LogLease("a#1", QUIET, 0.0)
+        lease.apply(5, lease.decide(0.0, current=True).record, 0.0)
+        lease.renewal_taken(0.0, 5)
+        lease.overtaken(fence=3)
+        self.assertTrue(lease.may_act(0.1))
--- a/tests/routes/test_table.py
+++ b/tests/routes/test_table.py
@@ -49,3 +49,21 @@
         table.apply(configuration(1, split))
         counts = Counter(table.choose_back_end(split).service for _ in range(100))
         self.assertEqual({"a": 90, "b": 10}, dict(counts))
+
+    def test_shares_over_many_nodes_hold_from_their_first_requests_on(self) -> None:
+        split = route("split", "/", BackEnd("a", 90.0), BackEnd("b", 10.0))
+        counts: Counter[str] = Counter()
+        for node in range(300):
+            table = RouteTable(f"node-{node}")
+            table.apply(configuration(1, split))
+            counts.update(table.choose_back_end(split).service for _ in range(2))
+        self.assertAlmostEqual(0.1, counts["b"] / 600, delta=0.04)
+
+    def test_shares_follow_weights_that_change(self) -> None:
+        table = RouteTable("node")
+        before = route("split", "/", BackEnd("a", 90.0), BackEnd("b", 10.0))
+        after = route("split", "/", BackEnd("a", 20.0), BackEnd("b", 80.0))
+        for _ in range(57):
+            table.choose_back_end(before)
+        counts = Counter(table.choose_back_end(after).service for _ in range(100))
+        self.assertAlmostEqual(20, counts["a"], delta=2)
--- a/tests/version_rollouts/test_core.py
+++ b/tests/version_rollouts/test_core.py
@@ -5,7 +5,7 @@
 import testtools
 
 from stagewalk.version_rollouts.core import (
-    LOADS_AT_ONCE,
+    LEAST_LOADS_AT_ONCE,
     ORDER_DEADLINE_SECONDS,
     OrderVersion,
     VersionRollouts,
@@ -32,7 +32,7 @@
         count = 0
         now = start
         while orders := self.rollouts.decide(now):
-            self.assertLessEqual(len(orders), LOADS_AT_ONCE)
+            self.assertLessEqual(len(orders), LEAST_LOADS_AT_ONCE)
             for order in orders:
                 self.rollouts.order_started(order, now)
                 self.carry_out(order)
@@ -89,3 +89,9 @@
         self.rollouts.name_version("m", 3)
         self.assertFalse(self.rollouts.name_version("m", 2))
         self.assertEqual(3, self.rollouts.named("m"))
+
+    def test_many_engines_load_at_once_where_there_are_many(self) -> None:
+        for number in range(ENGINES, 23):
+            self.workers.announce(announcement(f"e{number}", versions={"m": 1}), 0.0)
+        self.rollouts.name_version("m", 2)
+        self.assertEqual(9, len(self.rollouts.decide(0.0)))
