Explain an id from the logs of many nodes; bound log lines by kind and never block on them

Cause: the on-call engineer has logs and metrics only; finding a request's story took greps over all nodes by hand, lines were written straight to standard output (a reader that stands still stops the process) and nothing bounded them.

Ruled out: making standard output non-blocking (the open file is shared with others); a thread that writes (a kill would lose its queue, and threads take turns on one core); sampling requests (a failing one may be left out).

Change: logs.budget (pure token buckets by kind, failures apart and first), logs.writer (asks the descriptor before each write of at most PIPE_BUF, lines of one loop turn together), the node's name in each line, the evidence a worker was chosen by and its age in request_ended, failures at level warning; `stagewalk explain ID LOG...` on pure explain.story. node.log_lines moves to logs.

--- /dev/null
+++ b/src/stagewalk/cli/explain.py
@@ -0,0 +1,70 @@
+"""`stagewalk explain`: tell from logs what became of a request, a batch or an item."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from datetime import UTC, datetime
+from pathlib import Path
+
+from stagewalk.explain.log_line import LogLine, parse_lines
+from stagewalk.explain.story import Story, find_story
+
+EXIT_TOLD = 0
+EXIT_UNKNOWN_ID = 1
+EXIT_BAD_ARGUMENTS = 2
+STANDARD_INPUT = "-"
+
+
+def add_flags(parser: argparse.ArgumentParser) -> None:
+    """Define the subcommand's flags."""
+    parser.add_argument("id", help="a request's, batch's or item's id")
+    parser.add_argument(
+        "logs", nargs="*", default=[STANDARD_INPUT], help="logs of nodes, - for standard input"
+    )
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Print the story and return the exit code (1: no line names the id)."""
+    lines: list[LogLine] = []
+    for name in arguments.logs:
+        try:
+            text = sys.stdin.read() if name == STANDARD_INPUT else Path(name).read_text()
+        except (OSError, UnicodeDecodeError) as error:
+            print(f"{name}: {error}", file=sys.stderr)
+            return EXIT_BAD_ARGUMENTS
+        lines += parse_lines(text.splitlines(), source=Path(name).stem)
+    story = find_story(arguments.id, lines)
+    if story is None:
+        nodes = ", ".join(sorted({line.node for line in lines})) or "none"
+        print(f"no line names {arguments.id}; nodes in the logs: {nodes}", file=sys.stderr)
+        return EXIT_UNKNOWN_ID
+    print("\n".join(render_story(story)))
+    return EXIT_TOLD
+
+
+def render_story(story: Story) -> list[str]:
+    """Return a story as lines of text: its lines in time order, then what follows from them."""
+    began = story.own[0].at
+    own = set(map(id, story.own))
+    text = [f"{story.kind.value} {story.identity}, from {_moment(began)}"]
+    for line in story.lines:
+        mark = "!" if line.failure else " "
+        place = line.node if id(line) in own else f"({line.node})"
+        text.append(f"{mark} {line.at - began:+8.3f} s  {place}  {line.describe()}")
+    first = story.first_failure
+    text.append("")
+    text.append(
+        "nothing went wrong in these logs"
+        if first is None
+        else f"first failure: {first.at - began:+.3f} s at {first.node}: {first.describe()}"
+    )
+    ending = story.ending
+    if ending is not None:
+        text.append(f"ended: {ending.at - began:+.3f} s at {ending.node}: {ending.describe()}")
+    text += [f"unknown: {sentence}" for sentence in story.unknown]
+    return text
+
+
+def _moment(at: float) -> str:
+    return datetime.fromtimestamp(at, UTC).isoformat(timespec="milliseconds")
--- a/src/stagewalk/cli/main.py
+++ b/src/stagewalk/cli/main.py
@@ -19,6 +19,7 @@
     "config": "validate, publish and inspect published configuration",
     "sim": "simulate nodes, engines and faults on a virtual clock",
     "bench": "put load on running processes and measure them",
+    "explain": "tell from logs what became of a request, a batch or an item",
     "report": "draw tables and plots from results",
 }
 
--- /dev/null
+++ b/src/stagewalk/explain/story.py
@@ -0,0 +1,201 @@
+"""Finds one request's, batch's or item's lines among those of many nodes, and what went wrong.
+
+Pure. A story holds the lines that name the id, the attempts made for it, and what its nodes and
+workers went through meanwhile; the first failure among them is where to look.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from stagewalk.explain.log_line import LogLine
+
+SURROUNDING_SECONDS = 2.0
+"""How long before and after the id's own lines what happened around counts."""
+
+NODE_EVENTS = frozenset(
+    {
+        "gateway_started",
+        "stop_requested",
+        "gateway_stopped",
+        "gateway_failed",
+        "loop_stalled",
+        "dependency_lost",
+        "dependency_regained",
+        "appends_stalled",
+        "appends_resumed",
+        "log_relayed",
+        "log_history_dropped",
+        "log_lines_dropped",
+    }
+)
+"""What a node goes through that touches all it does."""
+
+WORKER_EVENTS = frozenset({"worker_changed", "version_order"})
+SYSTEM_EVENTS = frozenset({"lease_held", "version_named"})
+"""What concerns every batch."""
+
+_IDENTIFYING_FIELDS = ("request", "batch", "item")
+
+
+class Kind(StrEnum):
+    """What an id names."""
+
+    REQUEST = "request"
+    BATCH = "batch"
+    ITEM = "item"
+
+
+@dataclass(frozen=True, slots=True)
+class Story:
+    """What the logs tell of an id.
+
+    Attributes
+    ----------
+    own
+        The lines that name it, or an attempt made for it, in time order.
+    around
+        What its nodes and workers went through meanwhile, in time order.
+    unknown
+        What the logs at hand leave open, one sentence each.
+    """
+
+    identity: str
+    kind: Kind
+    own: tuple[LogLine, ...]
+    around: tuple[LogLine, ...]
+    unknown: tuple[str, ...]
+
+    @property
+    def lines(self) -> list[LogLine]:
+        """Return all lines in time order."""
+        return sorted([*self.own, *self.around], key=lambda line: line.at)
+
+    @property
+    def first_failure(self) -> LogLine | None:
+        """Return the first thing that went wrong with it, or around it if nothing did."""
+        failures = [line for line in self.own if line.failure]
+        around = [line for line in self.around if line.failure]
+        return min(failures or around, key=lambda line: line.at, default=None)
+
+    @property
+    def ending(self) -> LogLine | None:
+        """Return the line that tells how it ended, None if none does."""
+        endings = {
+            Kind.REQUEST: ("request_ended",),
+            Kind.BATCH: ("batch_ended", "batch_refused"),
+            Kind.ITEM: ("item_finished",),
+        }[self.kind]
+        ended = [line for line in self.own if line.event in endings]
+        return ended[-1] if ended else None
+
+
+@dataclass(slots=True)
+class _Gathered:
+    own: list[LogLine] = field(default_factory=list)
+    nodes: set[str] = field(default_factory=set)
+    workers: set[str] = field(default_factory=set)
+
+    def take(self, line: LogLine) -> None:
+        self.own.append(line)
+        self.nodes.add(line.node)
+        named = f"{line.get('worker')},{line.get('workers')}".split(",")
+        self.workers.update(worker for worker in named if worker)
+
+
+def find_story(identity: str, lines: Iterable[LogLine]) -> Story | None:
+    """Return the story of an id, None if no line names it."""
+    ordered = sorted(lines, key=lambda line: line.at)
+    kind = _kind_of(identity, ordered)
+    if kind is None:
+        return None
+    gathered = _gather(identity, kind, ordered)
+    own = sorted(gathered.own, key=lambda line: line.at)
+    around = _around(gathered, own, ordered)
+    return Story(identity, kind, tuple(own), tuple(around), tuple(_unknown(own, kind, ordered)))
+
+
+def _kind_of(identity: str, lines: Sequence[LogLine]) -> Kind | None:
+    """Return what an id names. A batch is submitted as a request: it counts as a batch."""
+    named = {
+        field_name
+        for line in lines
+        for field_name in _IDENTIFYING_FIELDS
+        if line.get(field_name) == identity
+    }
+    return next((kind for kind in (Kind.ITEM, Kind.BATCH, Kind.REQUEST) if kind in named), None)
+
+
+def _gather(identity: str, kind: Kind, lines: Sequence[LogLine]) -> _Gathered:
+    gathered = _Gathered()
+    attempts: set[tuple[str, str]] = set()
+    batches: set[str] = set()
+    for line in lines:
+        named = line.get(kind.value) == identity
+        attempt = (line.node, line.get("attempt"))
+        if named and line.event == "item_started":
+            attempts.add(attempt)
+            batches.add(line.get("batch"))
+        if named or (not line.get("item") and attempt in attempts):
+            gathered.take(line)
+    if kind is Kind.ITEM:
+        for line in lines:
+            if line.get("batch") in batches and not line.get("item"):
+                gathered.take(line)
+    return gathered
+
+
+def _around(gathered: _Gathered, own: Sequence[LogLine], lines: Sequence[LogLine]) -> list[LogLine]:
+    since = own[0].at - SURROUNDING_SECONDS
+    until = own[-1].at + SURROUNDING_SECONDS
+    mine = set(map(id, own))
+    return [
+        line
+        for line in lines
+        if since <= line.at <= until and id(line) not in mine and _concerns(line, gathered)
+    ]
+
+
+def _concerns(line: LogLine, gathered: _Gathered) -> bool:
+    if line.event in WORKER_EVENTS:
+        return line.get("worker") in gathered.workers and line.node in gathered.nodes
+    if line.event in SYSTEM_EVENTS:
+        return line.node in gathered.nodes
+    return line.event in NODE_EVENTS and line.node in gathered.nodes
+
+
+def _unknown(own: Sequence[LogLine], kind: Kind, lines: Sequence[LogLine]) -> list[str]:
+    """Return what can't be told: runners whose logs are missing, dropped lines, no ending."""
+    logged = {line.node for line in lines}
+    runners = {line.get(name) for line in own for name in ("runner", "from_runner")}
+    missing = {_node_of(runner) for runner in runners if runner} - logged
+    sentences = [f"no log of node {node} was given, which ran the batch" for node in missing]
+    dropped = [line for line in lines if line.event == "log_lines_dropped"]
+    sentences += [
+        f"node {line.node} dropped {line.get('count')} lines of {line.get('kind')}"
+        for line in dropped
+        if line.node in {mine.node for mine in own}
+    ]
+    endings = {"request_ended", "item_finished", "batch_ended", "batch_refused"}
+    if not any(line.event in endings for line in own):
+        sentences.append(_without_ending(own[-1], kind, lines))
+    return sorted(sentences)
+
+
+def _without_ending(last: LogLine, kind: Kind, lines: Sequence[LogLine]) -> str:
+    restarted = [
+        line
+        for line in lines
+        if line.event == "gateway_started" and line.node == last.node and line.at > last.at
+    ]
+    opening = f"no line tells how the {kind} ended"
+    if restarted:
+        seconds = restarted[0].at - last.at
+        return f"{opening}: node {last.node} started anew {seconds:.1f} s after its last line"
+    return f"{opening}: it was under way at node {last.node}, or that node's log ends early"
+
+
+def _node_of(process: str) -> str:
+    return process.rpartition("#")[0] or process
--- a/src/stagewalk/forwarding/attempt_failures.py
+++ b/src/stagewalk/forwarding/attempt_failures.py
@@ -5,7 +5,7 @@
 import time
 
 from stagewalk.forwarding.policy import ForwardedRequest
-from stagewalk.node.log_lines import log_event
+from stagewalk.logs.lines import log_event
 from stagewalk.ports.workers import AttemptFailure, AttemptFault
 from stagewalk.workers.worker import Worker
 
@@ -21,6 +21,7 @@
         worker.note_failure(now)
     log_event(
         "attempt_failed",
+        "warning",
         request=request_id,
         worker=worker.announcement.worker,
         fault=failure.fault,
--- a/src/stagewalk/forwarding/forwarder.py
+++ b/src/stagewalk/forwarding/forwarder.py
@@ -10,8 +10,8 @@
 from expression import Error, Ok, Result
 
 from stagewalk.forwarding.attempt_failures import note_failed_attempt
-from stagewalk.forwarding.policy import Ending, ForwardedRequest, is_success
-from stagewalk.node.log_lines import log_event
+from stagewalk.forwarding.policy import Ending, ForwardedRequest, evidence_of, is_success
+from stagewalk.logs.lines import log_event
 from stagewalk.ports.workers import (
     AttemptFailure,
     AttemptFault,
@@ -26,6 +26,8 @@
 from stagewalk.workers.table import WorkerTable
 from stagewalk.workers.worker import Worker
 
+GOOD_OUTCOMES = frozenset({"answered_200", "stream_200"})
+
 
 @dataclass(frozen=True, slots=True)
 class InboundRequest:
@@ -63,7 +65,7 @@
 
         Cancelling this call closes the connections of all its attempts.
         """
-        state = ForwardedRequest(route, deadline_at)
+        state = ForwardedRequest(route, deadline_at, time.monotonic())
         service = self._routes.choose_back_end(route).service
         settled = _Settled()
         with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - time.monotonic())):
@@ -118,7 +120,8 @@
 
     @staticmethod
     def _start(state: ForwardedRequest, worker: Worker) -> None:
-        state.started(worker.announcement.worker)
+        now = time.monotonic()
+        state.started(worker.announcement.worker, evidence_of(worker, now))
         worker.note_sent()
 
     async def _attempt(
@@ -157,13 +160,18 @@
 def log_request_end(
     request: InboundRequest, state: ForwardedRequest, configuration: int, outcome: str
 ) -> None:
-    """Log how a forwarded request ended and which workers it went to."""
+    """Log how a forwarded request ended, which workers it went to and what chose them."""
+    good = outcome in GOOD_OUTCOMES
     log_event(
         "request_ended",
+        "info" if good else "warning",
         request=request.request_id,
         route=state.route.name,
         configuration=configuration,
         outcome=outcome,
         workers=",".join(state.tried),
+        occupancies=",".join(format(e.occupancy, ".2f") for e in state.evidence),
+        load_ages=",".join(format(e.load_age, ".2f") for e in state.evidence),
         attempts=state.spent,
+        seconds=time.monotonic() - state.began_at,
     )
--- a/src/stagewalk/forwarding/policy.py
+++ b/src/stagewalk/forwarding/policy.py
@@ -11,6 +11,7 @@
 
 from stagewalk.ports.workers import AttemptFailure, AttemptFault, WorkerAnswer
 from stagewalk.routes.route import Route
+from stagewalk.workers.worker import Worker
 
 SERVER_ERROR = 500
 SUCCESS_FROM = 200
@@ -41,6 +42,22 @@
     """A worker may have run it, and its time is over."""
 
 
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What a worker was chosen by: its occupancy, and the age in seconds of the load it told.
+
+    The age is infinite where only this node's own count was known.
+    """
+
+    occupancy: float
+    load_age: float
+
+
+def evidence_of(worker: Worker, now: float) -> Evidence:
+    """Return what speaks for or against a worker now."""
+    return Evidence(worker.occupancy(now), now - worker.load_at)
+
+
 @dataclass(slots=True)
 class ForwardedRequest:
     """Counts a request's attempts. Times are of the steady clock.
@@ -49,8 +66,12 @@
     ----------
     deadline_at
         When the caller, or the route, stops waiting.
+    began_at
+        When the request was taken in.
     tried
         Workers it was sent to, or tried to be.
+    evidence
+        What each of them was chosen by, in the same order.
     spent
         Attempts that count against the route's limit: a worker that said it did not run the
         request counts too, one that was never reached doesn't.
@@ -58,15 +79,18 @@
 
     route: Route
     deadline_at: float
+    began_at: float
     tried: list[str] = field(default_factory=list)
+    evidence: list[Evidence] = field(default_factory=list)
     spent: int = 0
     under_way: int = 0
     may_have_run: bool = False
     last_failure: AttemptFailure | None = None
 
-    def started(self, worker: str) -> None:
-        """Note that an attempt began."""
+    def started(self, worker: str, evidence: Evidence) -> None:
+        """Note that an attempt began at a worker that was chosen by some evidence."""
         self.tried.append(worker)
+        self.evidence.append(evidence)
         self.spent += 1
         self.under_way += 1
 
--- a/src/stagewalk/forwarding/stream_forwarder.py
+++ b/src/stagewalk/forwarding/stream_forwarder.py
@@ -11,7 +11,7 @@
 
 from stagewalk.forwarding.attempt_failures import note_failed_attempt
 from stagewalk.forwarding.forwarder import InboundRequest, log_request_end
-from stagewalk.forwarding.policy import Ending, ForwardedRequest
+from stagewalk.forwarding.policy import Ending, ForwardedRequest, evidence_of
 from stagewalk.ports.workers import (
     AttemptFailure,
     AttemptFault,
@@ -69,7 +69,7 @@
 
         After an error the caller's answer, if it has begun, must not look complete.
         """
-        state = ForwardedRequest(route, deadline_at)
+        state = ForwardedRequest(route, deadline_at, time.monotonic())
         service = self._routes.choose_back_end(route).service
         progress = _Progress(last_event=resume_after)
         ended: StreamEnd | None = None
@@ -98,7 +98,7 @@
         progress: _Progress,
         consume: StreamConsumer,
     ) -> StreamEnd | None:
-        state.started(worker.announcement.worker)
+        state.started(worker.announcement.worker, evidence_of(worker, time.monotonic()))
         worker.note_sent()
 
         async def deliver(part: StreamPart) -> None:
--- a/src/stagewalk/gateway/app.py
+++ b/src/stagewalk/gateway/app.py
@@ -17,9 +17,9 @@
 from stagewalk.gateway.metrics import GatewayMetrics
 from stagewalk.gateway.node_service import NodeService
 from stagewalk.gateway.replies import reply_empty, reply_error, reply_json
+from stagewalk.logs.lines import log_event
 from stagewalk.node.edge.body_budget import BodyBudget
 from stagewalk.node.lifespan import serve_lifespan
-from stagewalk.node.log_lines import log_event
 from stagewalk.ports.dialect import Dialect
 from stagewalk.ports.workers import StreamHead, StreamPart
 from stagewalk.routes.route import Route, RouteKind
--- a/src/stagewalk/gateway/batch_calls.py
+++ b/src/stagewalk/gateway/batch_calls.py
@@ -11,7 +11,7 @@
 from stagewalk.gateway.batch_store import BatchStore
 from stagewalk.gateway.exchange import OpaqueExchange
 from stagewalk.gateway.replies import reply_empty, reply_error, reply_json
-from stagewalk.node.log_lines import log_event
+from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.appender import AppendOutcome
 from stagewalk.ports.dialect import Dialect
 
@@ -58,7 +58,7 @@
             return
         stalled_since = self._store.appends_stalled(batch)
         if stalled_since is not None and time.monotonic() - stalled_since > STALLED_SECONDS:
-            log_event("batch_refused", batch=batch, cause="log takes no appends")
+            log_event("batch_refused", "warning", batch=batch, cause="log takes no appends")
             await reply_error(exchange, 503, "the log takes no appends", COME_BACK_SECONDS)
             return
         outcome = await self._store.submit(
@@ -66,6 +66,7 @@
         )
         log_event(
             "batch_submitted",
+            "info" if outcome.is_ok() else "warning",
             batch=batch,
             step=submission.ok.header.step,
             items=len(submission.ok.items),
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -31,7 +31,7 @@
 from stagewalk.gateway.batch_store import BatchStore
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.node_service import NodeService
-from stagewalk.node.log_lines import log_event
+from stagewalk.logs.lines import log_event
 from stagewalk.ports.workers import (
     AttemptFailure,
     AttemptFault,
@@ -271,6 +271,7 @@
         failure = result.error
         log_event(
             "item_attempt_failed",
+            "warning",
             item=start.item.item,
             attempt=start.attempt,
             worker=start.worker,
--- a/src/stagewalk/gateway/batch_store.py
+++ b/src/stagewalk/gateway/batch_store.py
@@ -21,7 +21,7 @@
     split_result,
     split_submission,
 )
-from stagewalk.node.log_lines import log_event
+from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.appender import AppendOutcome, PartitionAppender
 from stagewalk.partitioned_log.follower import PartitionFollower
 from stagewalk.ports.dialect import Submission
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import gc
 import signal
@@ -33,8 +34,10 @@
 from stagewalk.leases.log_lease import LogLease, new_holder
 from stagewalk.log_relay.relayed_log import RelayedLog
 from stagewalk.log_relay.server import RelayApp
+from stagewalk.logs.budget import LogBudget
+from stagewalk.logs.lines import configure_logs, log_event
+from stagewalk.logs.writer import LineWriter
 from stagewalk.node.http_server import open_listener, serve_http
-from stagewalk.node.log_lines import configure_logs, log_event
 from stagewalk.partitioned_log.follower import KeyedFollower
 from stagewalk.ports.dialect import Dialect, NamedVersion
 from stagewalk.ports.partitioned_log import KeyedRecord, Partition, PartitionedLog
@@ -83,21 +86,32 @@
     settings: GatewaySettings, surroundings: Surroundings, load_again: SettingsLoader
 ) -> int:
     """Run a gateway until it is asked to stop; return the process's exit code."""
-    undo_logs = configure_logs(settings.log_level, sys.stdout.write)
+    budget = LogBudget()
+    writer = LineWriter(sys.stdout.fileno(), _soon)
+    undo_logs = configure_logs(settings.log_level, writer.write, node=settings.name, budget=budget)
     gc.collect()
     gc.freeze()
     try:
-        anyio.run(Gateway(settings, surroundings, load_again).run_until_signal, backend="asyncio")
+        gateway = Gateway(settings, surroundings, load_again, budget)
+        anyio.run(gateway.run_until_signal, backend="asyncio")
     except Exception as error:
         trace = "".join(traceback.format_exception(error))
-        log_event("gateway_failed", "error", node=settings.name, trace=trace)
+        log_event("gateway_failed", "error", trace=trace)
         return EXIT_FAILED
     finally:
         undo_logs()
-        sys.stdout.flush()
+        writer.flush()
     return EXIT_CLEAN
 
 
+def _soon(call: Callable[[], None]) -> None:
+    """Have a call made in the next turn of the event loop, at once where none runs."""
+    try:
+        asyncio.get_running_loop().call_soon(call)
+    except RuntimeError:
+        call()
+
+
 class Gateway:
     """One gateway process."""
 
@@ -106,8 +120,10 @@
         settings: GatewaySettings,
         surroundings: Surroundings,
         load_again: SettingsLoader | None = None,
+        log_budget: LogBudget | None = None,
     ) -> None:
         self.settings = settings
+        self._log_budget = log_budget or LogBudget()
         self._load_again = load_again
         self._straight = surroundings.log
         log = RelayedLog(surroundings.log, self._peers)
@@ -238,6 +254,8 @@
             if lag > STALL_SECONDS:
                 log_event("loop_stalled", "warning", seconds=lag)
             self._workers.expire(time.monotonic())
+            for kind, count in self._log_budget.take_dropped().items():
+                log_event("log_lines_dropped", "warning", kind=kind, count=count)
             self._nodes.set_serving(self._ready() and not self._stopping)
 
     # What operators, trainers and workers publish.
@@ -312,7 +330,6 @@
         ]
         log_event(
             "settings_read",
-            node=self._identity.node,
             timing_changed=before.timing != after.timing,
             waiting_for_restart=",".join(waiting),
         )
@@ -334,7 +351,6 @@
     def _log(self, event: str) -> None:
         log_event(
             event,
-            node=self._identity.node,
             incarnation=self._identity.incarnation,
             front=str(self.settings.front),
             configuration=self._routes.version,
--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -15,7 +15,7 @@
     directory_order,
 )
 from stagewalk.gateway.identity import ProcessId, parse_process_id
-from stagewalk.node.log_lines import log_event
+from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.follower import KeyedFollower
 from stagewalk.ports.partitioned_log import KeyedRecord, Partition, PartitionedLog
 
--- a/src/stagewalk/gateway/order_service.py
+++ b/src/stagewalk/gateway/order_service.py
@@ -16,7 +16,7 @@
     Renew,
     decode_lease_record,
 )
-from stagewalk.node.log_lines import log_event
+from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.appender import PartitionAppender
 from stagewalk.partitioned_log.follower import PartitionFollower
 from stagewalk.ports.partitioned_log import Partition, PartitionedLog, PartitionRecord
--- a/src/stagewalk/log_relay/relayed_log.py
+++ b/src/stagewalk/log_relay/relayed_log.py
@@ -26,7 +26,7 @@
     encode_message,
 )
 from stagewalk.log_relay.path_choice import PathChoice
-from stagewalk.node.log_lines import log_event
+from stagewalk.logs.lines import log_event
 from stagewalk.ports.partitioned_log import (
     KeyedPage,
     LogFailure,
--- /dev/null
+++ b/src/stagewalk/logs/budget.py
@@ -0,0 +1,90 @@
+"""How many lines may be written: a pure token bucket for each kind of event.
+
+A decision on a request that fails is never dropped before one on a request that goes well: lines
+of level `warning` and above have a budget of their own, and when that is spent they take what is
+left of the ordinary one.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+LINES_PER_SECOND = 40.0
+"""Ordinary lines of one kind of event, in the long run."""
+
+BURST_LINES = 400.0
+"""Ordinary lines of one kind at once: a batch of some hundred items opens in one moment."""
+
+FAILURE_LINES_PER_SECOND = 100.0
+FAILURE_BURST_LINES = 1_000.0
+"""The same for lines that tell of failures."""
+
+MOST_KINDS = 256
+"""Kinds of events counted apart; any further ones share a budget."""
+
+OTHER_KINDS = "other"
+
+
+@dataclass(slots=True)
+class _Bucket:
+    per_second: float
+    most: float
+    level: float
+    filled_at: float
+
+    def take(self, now: float) -> bool:
+        """Take one token if there is one."""
+        gained = max(0.0, now - self.filled_at) * self.per_second
+        self.level = min(self.most, self.level + gained)
+        self.filled_at = now
+        if self.level < 1.0:
+            return False
+        self.level -= 1.0
+        return True
+
+
+class LogBudget:
+    """Decides which lines are written. Times are of the steady clock, in seconds."""
+
+    def __init__(self) -> None:
+        self._ordinary: dict[str, _Bucket] = {}
+        self._failures: dict[str, _Bucket] = {}
+        self._dropped: Counter[str] = Counter()
+
+    def allows(self, event: str, failure: bool, now: float) -> bool:
+        """Whether a line may be written now; one that may not is counted."""
+        kind = event
+        if event not in self._ordinary and len(self._ordinary) >= MOST_KINDS:
+            kind = OTHER_KINDS
+        if failure and self._failure_bucket(kind, now).take(now):
+            return True
+        if self._ordinary_bucket(kind, now).take(now):
+            return True
+        self._dropped[kind] += 1
+        return False
+
+    def note_lost(self, event: str) -> None:
+        """Count a line that was allowed but found no room at the writer."""
+        self._dropped[event] += 1
+
+    def take_dropped(self) -> dict[str, int]:
+        """Return how many lines of each kind were dropped since this was last asked."""
+        dropped = dict(self._dropped)
+        self._dropped.clear()
+        return dropped
+
+    def _ordinary_bucket(self, kind: str, now: float) -> _Bucket:
+        bucket = self._ordinary.get(kind)
+        if bucket is None:
+            bucket = _Bucket(LINES_PER_SECOND, BURST_LINES, BURST_LINES, now)
+            self._ordinary[kind] = bucket
+        return bucket
+
+    def _failure_bucket(self, kind: str, now: float) -> _Bucket:
+        bucket = self._failures.get(kind)
+        if bucket is None:
+            most = FAILURE_BURST_LINES
+            bucket = _Bucket(FAILURE_LINES_PER_SECOND, most, most, now)
+            self._failures[kind] = bucket
+        return bucket
--- a/src/stagewalk/node/log_lines.py
+++ b/src/stagewalk/logs/lines.py
@@ -1,4 +1,4 @@
-"""Logs: one line of key=value pairs for each event, on standard error.
+"""Logs: one line of key=value pairs for each event.
 
 Events are `eliot` messages; this module is their only destination. Messages of libraries that
 use the standard `logging` module are turned into events too, so that every line has one form.
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import logging
+import re
 import sys
+import time
 from collections.abc import Callable, Mapping
 from datetime import UTC, datetime
 from typing import Any
@@ -15,6 +17,8 @@
 import eliot
 import msgspec
 
+from stagewalk.logs.budget import LogBudget
+
 LogValue = str | int | float | bool | None
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
@@ -23,14 +27,36 @@
 MAXIMUM_LIBRARY_MESSAGES = 256
 
 _OMITTED = frozenset({"task_uuid", "task_level", "timestamp", "message_type", "level"})
-_SAFE_PUNCTUATION = frozenset("._:/-+@,%[]{}()*;~^<>!?&|#$")
+_PLAIN_VALUE = re.compile(r"[A-Za-z0-9._:/\-+@,%\[\]{}()*;~^<>!?&|#$]+")
+"""A value that needs no quotes."""
 
 
 def configure_logs(
-    minimum_level: str, write: Callable[[str], object] = sys.stderr.write
+    minimum_level: str,
+    write: Callable[[str], object] = sys.stderr.write,
+    *,
+    node: str = "",
+    budget: LogBudget | None = None,
 ) -> Callable[[], None]:
-    """Send events of at least a level to `write`, one line each; return what undoes it."""
-    destination = _LineDestination(LEVELS[minimum_level], write)
+    """Send events of at least a level to `write`, one line each.
+
+    Parameters
+    ----------
+    minimum_level
+        One of `LEVELS`.
+    write
+        Takes a line; one that returns False had no room for it.
+    node
+        Named in each line, so that the logs of several nodes can be read together.
+    budget
+        Bounds the lines; without one all are written.
+
+    Returns
+    -------
+    Callable
+        Undoes it.
+    """
+    destination = _LineDestination(LEVELS[minimum_level], write, node, budget)
     handler = _LibraryHandler()
     eliot.add_destinations(destination)
     logging.getLogger().addHandler(handler)
@@ -48,14 +74,16 @@
     eliot.log_message(message_type=event, level=level, **fields)
 
 
-def format_line(message: Mapping[str, Any]) -> str:
-    """Return an `eliot` message as one line: time, level and event first, then its fields."""
-    time = datetime.fromtimestamp(float(message["timestamp"]), UTC)
+def format_line(message: Mapping[str, Any], node: str = "") -> str:
+    """Return an `eliot` message as one line: time, level, event and node first, then its fields."""
+    moment = datetime.fromtimestamp(float(message["timestamp"]), UTC)
     parts = [
-        f"time={time.isoformat(timespec='milliseconds').replace('+00:00', 'Z')}",
+        f"time={moment.isoformat(timespec='milliseconds').replace('+00:00', 'Z')}",
         f"level={message.get('level', 'info')}",
         f"event={_format_value(message.get('message_type', 'message'))}",
     ]
+    if node:
+        parts.append(f"node={_format_value(node)}")
     parts.extend(
         f"{_format_key(key)}={_format_value(value)}"
         for key, value in message.items()
@@ -74,23 +102,34 @@
     if isinstance(value, float):
         return format(value, ".6g")
     text = str(value)
-    if text and all(map(_is_plain, text)):
-        return text
-    return msgspec.json.encode(text).decode()
-
-
-def _is_plain(letter: str) -> bool:
-    return (letter.isascii() and letter.isalnum()) or letter in _SAFE_PUNCTUATION
+    return text if _PLAIN_VALUE.fullmatch(text) else msgspec.json.encode(text).decode()
 
 
 class _LineDestination:
-    def __init__(self, minimum: int, write: Callable[[str], object]) -> None:
+    def __init__(
+        self,
+        minimum: int,
+        write: Callable[[str], object],
+        node: str,
+        budget: LogBudget | None,
+    ) -> None:
         self._minimum = minimum
         self._write = write
+        self._node = node
+        self._budget = budget
 
     def __call__(self, message: Mapping[str, Any]) -> None:
-        if LEVELS.get(message.get("level", "info"), LEVELS["error"]) >= self._minimum:
-            self._write(format_line(message) + "\n")
+        level = LEVELS.get(message.get("level", "info"), LEVELS["error"])
+        if level < self._minimum:
+            return
+        event = str(message.get("message_type", "message"))
+        budget = self._budget
+        failure = level >= LEVELS["warning"]
+        if budget is not None and not budget.allows(event, failure, time.monotonic()):
+            return
+        taken = self._write(format_line(message, self._node) + "\n")
+        if budget is not None and taken is False:
+            budget.note_lost(event)
 
 
 class _LibraryHandler(logging.Handler):
--- a/src/stagewalk/node/core_runner.py
+++ b/src/stagewalk/node/core_runner.py
@@ -11,8 +11,8 @@
 
 from stagewalk.core.events import TICK_INTERVAL_SECONDS, Event, Tick
 from stagewalk.core.instructions import Instruction
+from stagewalk.logs.lines import log_event
 from stagewalk.node.event_queue import EventQueue
-from stagewalk.node.log_lines import log_event
 from stagewalk.node.metrics import NodeMetrics
 from stagewalk.node.node_core import NodeStatus
 
--- a/src/stagewalk/node/daemon.py
+++ b/src/stagewalk/node/daemon.py
@@ -25,6 +25,7 @@
 from stagewalk.core.events import StopRequested
 from stagewalk.core.identities import Incarnation, NodeName, Placement
 from stagewalk.core.instructions import Instruction
+from stagewalk.logs.lines import configure_logs, log_event
 from stagewalk.node.core_runner import Core, CoreRunner
 from stagewalk.node.edge.app import EdgeApp
 from stagewalk.node.edge.call_desk import CallDesk
@@ -35,7 +36,6 @@
 from stagewalk.node.event_queue import EventQueue
 from stagewalk.node.http_server import open_listener, serve_http
 from stagewalk.node.instruction_runner import InstructionRunner
-from stagewalk.node.log_lines import configure_logs, log_event
 from stagewalk.node.metrics import NodeMetrics
 from stagewalk.node.node_core import NodeCore, NodeIdentity
 from stagewalk.node.open_calls import OpenCalls
--- a/src/stagewalk/node/edge/app.py
+++ b/src/stagewalk/node/edge/app.py
@@ -9,6 +9,7 @@
 from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, HTTPScope, Scope
 
 from stagewalk.core.errors import ErrorKind, Ran, StagewalkError, Step
+from stagewalk.logs.lines import log_event
 from stagewalk.node.edge.body_budget import BodyBudget
 from stagewalk.node.edge.completions import CompletionEndpoints
 from stagewalk.node.edge.exchange import PROBLEM_CONTENT, Exchange
@@ -18,7 +19,6 @@
 from stagewalk.node.edge.rollouts import RolloutEndpoints
 from stagewalk.node.edge.schemas import invalid
 from stagewalk.node.lifespan import serve_lifespan
-from stagewalk.node.log_lines import log_event
 from stagewalk.settings.node_settings import Limits
 
 Endpoint = Callable[[Exchange], Awaitable[None]]
--- a/src/stagewalk/node/instruction_runner.py
+++ b/src/stagewalk/node/instruction_runner.py
@@ -25,8 +25,8 @@
     SendPeerMessage,
     StartAttempt,
 )
+from stagewalk.logs.lines import LEVELS, log_event
 from stagewalk.node.engine_tasks import EngineTasks
-from stagewalk.node.log_lines import LEVELS, log_event
 from stagewalk.node.open_calls import OpenCalls
 from stagewalk.node.peer_transport import PeerTransport
 from stagewalk.node.platform_tasks import PlatformTasks
--- a/src/stagewalk/node/platform_tasks.py
+++ b/src/stagewalk/node/platform_tasks.py
@@ -26,8 +26,8 @@
     ScoreSample,
 )
 from stagewalk.core.platform import MachineKind
+from stagewalk.logs.lines import log_event
 from stagewalk.node.event_queue import EventQueue
-from stagewalk.node.log_lines import log_event
 from stagewalk.node.metrics import NodeMetrics
 from stagewalk.node.peer_transport import PeerTransport
 from stagewalk.ports.platform_services import LogService, MachineList, Scorer, WeightStore
--- a/src/stagewalk/partitioned_log/appender.py
+++ b/src/stagewalk/partitioned_log/appender.py
@@ -16,7 +16,7 @@
 import anyio
 from expression import Error, Ok, Result
 
-from stagewalk.node.log_lines import log_event
+from stagewalk.logs.lines import log_event
 from stagewalk.ports.partitioned_log import (
     LogFault,
     Partition,
--- a/src/stagewalk/partitioned_log/follower.py
+++ b/src/stagewalk/partitioned_log/follower.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from stagewalk.node.log_lines import log_event
+from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.freshness import Freshness
 from stagewalk.ports.partitioned_log import (
     KeyedRecord,
--- a/src/stagewalk/partitioned_log/freshness.py
+++ b/src/stagewalk/partitioned_log/freshness.py
@@ -5,7 +5,7 @@
 import math
 import time
 
-from stagewalk.node.log_lines import log_event
+from stagewalk.logs.lines import log_event
 
 LOST_AFTER_FAILURES = 3
 OUTAGE_GAP_SECONDS = 3.0
--- /dev/null
+++ b/tests/explain/test_story.py
@@ -0,0 +1,150 @@
+"""A story holds what concerns an id, names the first failure and says what is unknown."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import tempfile
+from pathlib import Path
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from stagewalk.cli.explain import render_story
+from stagewalk.cli.main import run
+from stagewalk.explain.log_line import parse_line, parse_lines
+from stagewalk.explain.story import Kind, Story, find_story
+from stagewalk.logs.lines import format_line
+
+
+def line(second: float, node: str, event: str, level: str = "info", **fields: str) -> str:
+    message = {"timestamp": second, "level": level, "message_type": event, **fields}
+    return format_line(message, node)
+
+
+def story(identity: str, *lines: str) -> Story:
+    found = find_story(identity, parse_lines(lines, "file"))
+    assert found is not None
+    return found
+
+
+REFUSED = (
+    line(9.0, "n1", "worker_changed", worker="w1", change="draining"),
+    line(9.5, "n2", "worker_changed", worker="w1", change="draining"),
+    line(10.0, "n1", "attempt_failed", "warning", request="r1", worker="w1", fault="not_run"),
+    line(10.1, "n1", "request_ended", "warning", request="r1", workers="w1,w2", outcome="not_run"),
+    line(10.1, "n1", "request_ended", request="r2", workers="w1", outcome="answered_200"),
+    line(50.0, "n1", "worker_changed", worker="w2", change="gone"),
+)
+ITEM = (
+    line(1.0, "n1", "batch_opened", batch="b1", epoch="0"),
+    line(1.1, "n1", "item_started", item="i1", batch="b1", attempt="7", worker="w1"),
+    line(1.1, "n2", "item_started", item="i9", batch="b9", attempt="7", worker="w1"),
+    line(2.0, "n2", "item_stopped", attempt="7", reason="ended"),
+    line(3.0, "n1", "loop_stalled", "warning", seconds="1.2"),
+    line(3.1, "n1", "item_stopped", attempt="7", reason="silent"),
+    line(4.0, "n3", "batch_claimed", batch="b1", from_runner="n4#17", epoch="1"),
+    line(5.0, "n3", "item_started", item="i1", batch="b1", attempt="2", worker="w2"),
+    line(6.0, "n3", "item_finished", item="i1", batch="b1", succeeded="true"),
+)
+
+
+class LogLineTests(testtools.TestCase):
+    @given(st.text(max_size=30), st.floats(0, 2e9))
+    def test_what_is_written_can_be_read(self, value: str, at: float) -> None:
+        text = line(at, "n1", "event", "warning", detail=value)
+        parsed = parse_line("  12.5 n1 | " + text, "file")
+        assert parsed is not None
+        self.assertEqual((value, "n1", "event"), (parsed.get("detail"), parsed.node, parsed.event))
+        self.assertTrue(parsed.failure)
+        self.assertAlmostEqual(at, parsed.at, places=2)
+
+    def test_other_text_is_passed_over(self) -> None:
+        for text in ("", "Traceback (most recent call last):", "time=soon event=x", "time=", "x=1"):
+            self.assertIsNone(parse_line(text, "file"))
+
+    def test_a_line_without_a_node_is_of_its_file(self) -> None:
+        parsed = parse_line(line(1.0, "", "event"), "edge-1")
+        assert parsed is not None
+        self.assertEqual("edge-1", parsed.node)
+
+
+class StoryTests(testtools.TestCase):
+    def test_a_refused_request_with_its_attempts_and_what_its_worker_went_through(self) -> None:
+        found = story("r1", *REFUSED)
+        self.assertEqual(Kind.REQUEST, found.kind)
+        self.assertEqual(["attempt_failed", "request_ended"], [x.event for x in found.own])
+        self.assertEqual([("n1", "worker_changed")], [(x.node, x.event) for x in found.around])
+        assert found.first_failure is not None and found.ending is not None
+        self.assertEqual("attempt_failed", found.first_failure.event)
+        self.assertEqual("not_run", found.ending.get("outcome"))
+        self.assertEqual((), found.unknown)
+
+    def test_a_request_that_went_well_has_no_failure(self) -> None:
+        self.assertIsNone(story("r2", *REFUSED).first_failure)
+
+    def test_an_item_over_two_nodes_with_its_own_attempts_only(self) -> None:
+        found = story("i1", *ITEM)
+        self.assertEqual(Kind.ITEM, found.kind)
+        stopped = [x for x in found.own if x.event == "item_stopped"]
+        self.assertEqual(["silent"], [x.get("reason") for x in stopped])
+        events = [x.event for x in found.own]
+        self.assertEqual(("batch_opened", "item_finished"), (events[0], events[-1]))
+        self.assertIn("batch_claimed", events)
+        assert found.first_failure is not None
+        self.assertEqual("loop_stalled", found.first_failure.event)
+
+    def test_a_node_whose_log_is_missing_is_named(self) -> None:
+        self.assertEqual(
+            ("no log of node n4 was given, which ran the batch",), story("i1", *ITEM).unknown
+        )
+
+    def test_a_story_without_an_end_says_what_the_logs_leave_open(self) -> None:
+        started = line(1.0, "n1", "attempt_failed", "warning", request="r1", worker="w1")
+        (sentence,) = story("r1", started).unknown
+        self.assertIn("no line tells how the request ended", sentence)
+        again = line(3.5, "n1", "gateway_started")
+        (sentence,) = story("r1", started, again).unknown
+        self.assertIn("node n1 started anew 2.5 s after", sentence)
+
+    def test_dropped_lines_are_said(self) -> None:
+        dropped = line(10.2, "n1", "log_lines_dropped", "warning", kind="attempt_failed", count="9")
+        self.assertEqual(
+            ("node n1 dropped 9 lines of attempt_failed",), story("r1", *REFUSED, dropped).unknown
+        )
+
+    def test_an_id_that_no_line_names_has_no_story(self) -> None:
+        self.assertIsNone(find_story("r7", parse_lines(REFUSED, "file")))
+
+
+class ExplainCommandTests(testtools.TestCase):
+    def explain(self, *words: str) -> tuple[int, str]:
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
+            code = run(["explain", *words])
+        return code, output.getvalue()
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "n1.log"
+        self.path.write_text("\n".join(["some other text", *REFUSED]))
+
+    def test_the_story_is_printed_with_the_first_failure(self) -> None:
+        code, output = self.explain("r1", str(self.path))
+        self.assertEqual(0, code)
+        self.assertIn("first failure: +0.000 s at n1: attempt_failed", output)
+        self.assertIn("ended: +0.100 s at n1: request_ended", output)
+
+    def test_an_unknown_id_and_a_missing_file_are_errors(self) -> None:
+        code, output = self.explain("r7", str(self.path))
+        self.assertEqual((1, "no line names r7; nodes in the logs: n1, n2\n"), (code, output))
+        code, output = self.explain("r1", "/nowhere/n.log")
+        self.assertEqual(2, code)
+        self.assertIn("/nowhere/n.log", output)
+
+    def test_lines_of_others_stand_in_brackets(self) -> None:
+        text = "\n".join(render_story(story("r1", *REFUSED)))
+        self.assertIn("(n1)  worker_changed", text)
--- a/tests/forwarding/test_policy.py
+++ b/tests/forwarding/test_policy.py
@@ -4,14 +4,16 @@
 
 import testtools
 
-from stagewalk.forwarding.policy import Ending, ForwardedRequest
+from stagewalk.forwarding.policy import Ending, Evidence, ForwardedRequest
 from stagewalk.ports.workers import AttemptFailure, AttemptFault, WorkerAnswer
 from stagewalk.routes.route import BackEnd, Route, RouteKind
 
+EVIDENCE = Evidence(occupancy=0.25, load_age=0.1)
+
 
 def request(kind: RouteKind = RouteKind.REPEATABLE, attempts: int = 2) -> ForwardedRequest:
     route = Route("r", "h", "/", kind, (BackEnd("s", 1.0),), 1.0, 0.2, attempts)
-    return ForwardedRequest(route, deadline_at=1.0)
+    return ForwardedRequest(route, deadline_at=1.0, began_at=0.0)
 
 
 def failure(fault: AttemptFault) -> AttemptFailure:
@@ -20,7 +22,7 @@
 
 class PolicyTests(testtools.TestCase):
     def after(self, state: ForwardedRequest, fault: AttemptFault) -> ForwardedRequest:
-        state.started("w")
+        state.started("w", EVIDENCE)
         state.failed(failure(fault))
         return state
 
@@ -50,16 +52,16 @@
 
     def test_a_request_under_way_at_its_deadline_may_have_run(self) -> None:
         state = request()
-        state.started("w")
+        state.started("w", EVIDENCE)
         self.assertEqual(Ending.OUT_OF_TIME, state.ending(1.0))
 
     def test_a_workers_own_failure_is_final_once_no_attempt_is_left(self) -> None:
         answer = WorkerAnswer(500, (), b"", genuine=True, load=None, leaving=False)
         state = request(attempts=1)
-        state.started("w")
+        state.started("w", EVIDENCE)
         self.assertTrue(state.accepts(answer, 0.1))
         other = request(attempts=2)
-        other.started("w")
+        other.started("w", EVIDENCE)
         self.assertFalse(other.accepts(answer, 0.1))
 
     def test_the_time_a_worker_gets_is_what_is_left(self) -> None:
--- a/tests/node/test_log_lines.py
+++ b/tests/logs/test_lines.py
@@ -9,7 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from stagewalk.node.log_lines import configure_logs, format_line, log_event
+from stagewalk.logs.budget import BURST_LINES, LogBudget
+from stagewalk.logs.lines import configure_logs, format_line, log_event
 
 
 class LogLinesTest(testtools.TestCase):
@@ -51,3 +52,21 @@
             logging.getLogger("some.library").error("broken %s", "pipe")
         self.assertEqual(1, len(lines))
         self.assertIn('event=library_message logger=some.library detail="broken pipe"', lines[0])
+
+    def test_the_node_is_named_in_each_line_and_the_budget_holds(self) -> None:
+        lines: list[str] = []
+        budget = LogBudget()
+        self.addCleanup(configure_logs("info", lines.append, node="n-1", budget=budget))
+        lines.clear()
+        for _ in range(int(BURST_LINES) + 7):
+            log_event("often")
+        log_event("request_ended", "warning", request="r1")
+        self.assertIn("event=request_ended node=n-1 request=r1", lines[-1])
+        self.assertEqual({"often": 7}, budget.take_dropped())
+
+    def test_a_line_without_room_is_counted(self) -> None:
+        budget = LogBudget()
+        self.addCleanup(configure_logs("info", lambda _line: False, budget=budget))
+        budget.take_dropped()
+        log_event("unheard")
+        self.assertEqual({"unheard": 1}, budget.take_dropped())
--- /dev/null
+++ b/tests/logs/test_writer.py
@@ -0,0 +1,73 @@
+"""Lines wait for a reader that is slow; the process never does."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+
+import testtools
+
+from stagewalk.logs.writer import MOST_WAITING_BYTES, WRITE_BYTES, LineWriter
+
+
+class LineWriterTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.reader, self.descriptor = os.pipe()
+        self.addCleanup(os.close, self.reader)
+
+    def close_writer(self) -> None:
+        os.close(self.descriptor)
+
+    def read_all(self) -> str:
+        os.close(self.descriptor)
+        parts = []
+        while part := os.read(self.reader, 1 << 16):
+            parts.append(part)
+        return b"".join(parts).decode()
+
+    def test_lines_come_in_order_and_whole(self) -> None:
+        writer = LineWriter(self.descriptor)
+        lines = [f"line {number} {'x' * (number * 37 % 900)}\n" for number in range(60)]
+        for line in lines:
+            self.assertTrue(writer.write(line))
+        self.assertEqual("".join(lines), self.read_all())
+
+    def test_lines_of_one_turn_are_written_together(self) -> None:
+        turns: list[Callable[[], None]] = []
+        writer = LineWriter(self.descriptor, turns.append)
+        for number in range(5):
+            writer.write(f"{number}\n")
+        self.assertEqual(1, len(turns))
+        turns[0]()
+        self.assertEqual(0, writer.waiting_bytes)
+        writer.write("5\n")
+        self.assertEqual(2, len(turns))
+        turns[1]()
+        self.assertEqual("0\n1\n2\n3\n4\n5\n", self.read_all())
+
+    def test_a_reader_that_stands_still_holds_nobody_up(self) -> None:
+        self.addCleanup(self.close_writer)
+        writer = LineWriter(self.descriptor)
+        line = "x" * 999 + "\n"
+        taken = sum(writer.write(line) for _ in range(3_000))
+        self.assertLess(taken, 3_000)
+        self.assertLessEqual(writer.waiting_bytes, MOST_WAITING_BYTES)
+        os.read(self.reader, 1 << 20)
+        self.assertTrue(writer.write(line))
+
+    def test_a_line_longer_than_a_pipe_takes_at_once_comes_whole(self) -> None:
+        writer = LineWriter(self.descriptor)
+        line = "y" * (3 * WRITE_BYTES + 17) + "\n"
+        writer.write(line)
+        self.assertEqual(0, writer.waiting_bytes)
+        self.assertEqual(line, self.read_all())
+
+    def test_without_a_reader_lines_are_thrown_away(self) -> None:
+        reader, descriptor = os.pipe()
+        self.addCleanup(self.close_writer)
+        self.addCleanup(os.close, descriptor)
+        os.close(reader)
+        writer = LineWriter(descriptor)
+        self.assertTrue(writer.write("nobody\n"))
+        self.assertEqual(0, writer.waiting_bytes)
