--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(VENV)/bin
 PROTO := $(wildcard src/stagewalk/wire/proto/stagewalk/wire/*.proto)
 
-.PHONY: setup demo test check soak proto format clean platform-size platform-day
+.PHONY: setup demo test check soak gateway-soak proto format clean platform-size platform-day
 
 setup: $(VENV)/.installed
 
@@ -24,6 +24,10 @@
 soak: setup
 	$(BIN)/stagewalk sim sweep --deployment=both --seeds=200 --duration_seconds=600 --faults=storm
 
+# Real gateway processes under random faults: make gateway-soak [SOAK_SECONDS=60] [SEEDS=1,2]
+gateway-soak: setup
+	PYTHONPATH=src:platform:. $(BIN)/python -m tests.soak --seconds=$(or $(SOAK_SECONDS),60) --seeds=$(or $(SEEDS),)
+
 format: setup
 	$(BIN)/ruff format . && $(BIN)/ruff check --fix .
 
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -348,6 +348,7 @@
 
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            self.reload()
             async for number in signals:
                 if number == signal.SIGHUP:
                     self.reload()
@@ -357,7 +358,8 @@
     def reload(self) -> None:
         """Read the settings again: timing changes at once, anything else with the next start.
 
-        Settings that can't be read leave those in force as they are.
+        Settings that can't be read leave those in force as they are. Done on a signal, and once
+        when signals are listened to, since one that came before went unheard.
         """
         if self._load_again is None:
             return
--- a/src/stagewalk_standins/forwarder.py
+++ b/src/stagewalk_standins/forwarder.py
@@ -75,6 +75,10 @@
         application.route("GET", "/control/links/{name}", self._get)
         return application
 
+    def link(self, name: str) -> LinkState:
+        """Return a link, whose faults may be set in this process too; raises `KeyError`."""
+        return self._states[name]
+
     async def run(self) -> None:
         """Open all fronts and carry what comes until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -19,9 +19,9 @@
   # Tests of real processes mostly wait, so they run beside the others.
   mkdir -p out
   rm -f out/counts-*
-  "$BIN/python" -m tests.runner --folders=process --counts=out/counts-process >out/process.log 2>&1 &
+  "$BIN/python" -m tests.runner --folders=process,soak --counts=out/counts-process >out/process.log 2>&1 &
   processes=$!
-  "$BIN/python" -m tests.runner --without=process --counts=out/counts-others
+  "$BIN/python" -m tests.runner --without=process,soak --counts=out/counts-others
   wait "$processes"
   cat out/process.log
   for counts in out/counts-process out/counts-others; do
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak: real gateway processes, faults from outside, promises checked."""
--- /dev/null
+++ b/tests/soak/store.py
@@ -0,0 +1,120 @@
+"""The platform's store over HTTP, as its protocol says, on the log that stands in for it."""
+
+from __future__ import annotations
+
+import base64
+import random
+import struct
+
+import anyio
+
+from stagewalk.ports.partitioned_log import (
+    LogFailure,
+    LogFault,
+    Partition,
+    ProducerSequence,
+)
+from stagewalk_standins.partitioned_log import MemoryLog
+from tests.soak.asgi import Call, LostAnswer, Reply, Send
+
+KEYED = "keyed."
+_STATUS = {
+    LogFault.REFUSED: 503,
+    LogFault.CONFLICT: 412,
+    LogFault.OUT_OF_SEQUENCE: 409,
+    LogFault.DROPPED: 410,
+}
+
+
+class StoreServer:
+    """Faults concern all callers; a single gateway is cut off by its link instead."""
+
+    def __init__(self, log: MemoryLog, chooser: random.Random) -> None:
+        self._log = log
+        self._client = log.client()
+        self._chooser = chooser
+        self.down = False
+        self.lost_share = 0.0
+        self.delay_seconds = 0.0
+
+    async def handle(self, call: Call, _send: Send) -> Reply:
+        await anyio.sleep(self.delay_seconds)
+        if self.down:
+            return Reply.json({"error": "down"}, 503)
+        partition = Partition(call.query.get("topic", ""), int(call.query.get("part", "0")))
+        match call.path:
+            case "/-/log-append":
+                return await self._append(partition, call)
+            case "/-/log-read":
+                return await self._read(partition, call)
+            case "/-/log-newest":
+                return await self._newest(partition)
+        return Reply(404)
+
+    async def _append(self, partition: Partition, call: Call) -> Reply:
+        payloads = _records(call.body)
+        if partition.topic.startswith(KEYED):
+            for payload in payloads:
+                key = payload[1 : 1 + payload[0]].decode()
+                result = await self._client.append_keyed(
+                    partition, key, payload[1 + payload[0] :] or b""
+                )
+        elif "at" in call.query:
+            (payload,) = payloads
+            result = await self._client.append_at(partition, payload, int(call.query["at"]))
+        else:
+            sequence = ProducerSequence(
+                call.query["producer"], int(call.query["epoch"]), int(call.query["sequence"])
+            )
+            result = await self._client.append(partition, payloads, sequence)
+        if self._chooser.random() < self.lost_share:
+            raise LostAnswer
+        if result.is_error():
+            return _failure(result.error)
+        return Reply.json({"offset": result.ok, "end": result.ok + len(payloads)})
+
+    async def _read(self, partition: Partition, call: Call) -> Reply:
+        offset = int(call.query["from"])
+        wait = int(call.query.get("wait_ms", "0")) / 1000.0
+        if partition.topic.startswith(KEYED):
+            keyed = await self._client.read_keyed(partition, offset, wait)
+            if keyed.is_error():
+                return _failure(keyed.error)
+            payloads = [
+                bytes([len(r.key)]) + r.key.encode() + (r.value or b"") for r in keyed.ok.records
+            ]
+            end = keyed.ok.next_offset
+        else:
+            page = await self._client.read(partition, offset, wait)
+            if page.is_error():
+                return _failure(page.error)
+            payloads = [record.payload for record in page.ok.records]
+            end = page.ok.end
+        if self.down:
+            return Reply.json({"error": "down"}, 503)
+        content = b"".join(struct.pack(">I", len(p)) + p for p in payloads)
+        return Reply(200, struct.pack(">QQ", end, 0) + content)
+
+    async def _newest(self, partition: Partition) -> Reply:
+        page = await self._client.newest(partition)
+        if page.is_error():
+            return _failure(page.error)
+        items = [
+            {"key": r.key, "value": base64.b64encode(r.value or b"").decode(), "offset": r.offset}
+            for r in page.ok.records
+        ]
+        return Reply.json({"items": items, "more": False, "end": page.ok.next_offset})
+
+
+def _records(content: bytes) -> list[bytes]:
+    records = []
+    while content:
+        (length,) = struct.unpack_from(">I", content)
+        records.append(content[4 : 4 + length])
+        content = content[4 + length :]
+    return records
+
+
+def _failure(failure: LogFailure) -> Reply:
+    body = {"end": 0, "first": failure.first_offset, "why": failure.detail}
+    return Reply.json(body, _STATUS.get(failure.fault, 500))
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,76 @@
+"""A short soak on a fixed seed, and what earlier soaks found."""
+
+from __future__ import annotations
+
+import os
+import signal
+import tempfile
+from pathlib import Path
+
+import anyio
+import anyio.to_thread
+import testtools
+from testtools.content import text_content
+
+from tests.soak.run import soak
+from tests.soak.world import GatewayProcess, World
+
+SECONDS = 10.0
+SEED = 11
+MOST_SECONDS = 90.0
+"""Far above what a test takes: only a hanging one is cut off."""
+
+
+class SoakTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.directory = Path(folder.name)
+
+    def test_every_promise_holds_while_gateways_links_store_and_workers_fail(self) -> None:
+        async def scenario() -> None:
+            with anyio.fail_after(MOST_SECONDS):
+                report = await soak(SEED, SECONDS, self.directory, gateways=3)
+            self.addDetail("report", text_content("\n".join(report.lines())))
+            self.assertEqual([], report.checker.violations)
+            self.assertGreater(report.steps, 0)
+            for promise in ("the whole text", "a position never changes", "at most once"):
+                self.assertGreater(report.checker.checked[promise], 0)
+
+        anyio.run(scenario)
+
+    def test_a_signal_to_reread_settings_while_starting_ends_nothing(self) -> None:
+        """Found by seed 3: the signal came before its handler, and ended the process."""
+
+        async def scenario() -> None:
+            world = World(self.directory, SEED, gateways=1)
+            (gateway,) = world.gateways
+            settings = gateway.settings.read_text()
+            gateway.settings.unlink()
+            os.mkfifo(gateway.settings)
+            async with anyio.create_task_group() as servers:
+                try:
+                    with anyio.fail_after(MOST_SECONDS):
+                        world.serve(servers)
+                        world.start_gateway(gateway)
+                        await anyio.to_thread.run_sync(_signal_while_reading, gateway, settings)
+                        await world.wait_ready(gateway)
+                    assert gateway.process is not None
+                    self.assertIsNone(gateway.process.poll())
+                finally:
+                    with anyio.CancelScope(shield=True):
+                        await world.close()
+                    servers.cancel_scope.cancel()
+
+        anyio.run(scenario)
+
+
+def _signal_while_reading(gateway: GatewayProcess, settings: str) -> None:
+    """Send SIGHUP while the process waits for its settings, then let it have them."""
+    path = gateway.settings
+    with path.open("w") as pipe:
+        gateway.signal(signal.SIGHUP)
+        path.unlink()
+        path.write_text(settings)
+        pipe.write(settings)
--- /dev/null
+++ b/tests/soak/workers.py
@@ -0,0 +1,180 @@
+"""Engines and plain workers over HTTP, and the truth of what they ran."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+import anyio
+import msgspec
+
+from stagewalk.core.identities import Address
+from stagewalk.ports.partitioned_log import Partition
+from stagewalk_standins.partitioned_log import MemoryLog
+from tests.soak.asgi import Call, Reply, Send, start_answer
+
+ANNOUNCEMENTS = Partition("keyed.servers", 0)
+HEARTBEAT_SECONDS = 1.0
+SLOTS = 8
+EVENT_SECONDS = 0.02
+ANSWER_SECONDS = 0.02
+LOAD_SECONDS = 0.3
+REFUSED_SHARE = 0.03
+FEWEST_EVENTS, MOST_EVENTS = 3, 24
+
+
+def answer_to(request: str, body: bytes) -> bytes:
+    """Return the only right answer to a request."""
+    return hashlib.sha256(request.encode() + body).hexdigest().encode()
+
+
+def events_of(item: str) -> int:
+    """Return how many events the only right text of an item has."""
+    return FEWEST_EVENTS + int(hashlib.sha256(item.encode()).hexdigest(), 16) % MOST_EVENTS
+
+
+def text_of(item: str) -> str:
+    """Return the only right text of an item."""
+    return "\n".join(f"{item}-{n}" for n in range(1, events_of(item) + 1))
+
+
+@dataclass
+class Truth:
+    """What workers have run, for the checker."""
+
+    runs: Counter[str] = field(default_factory=Counter)
+    made: dict[str, dict[int, set[int]]] = field(
+        default_factory=lambda: defaultdict(lambda: defaultdict(set))
+    )
+    """By item and event number, the weight versions that made it."""
+    fences: dict[str, list[tuple[int, str]]] = field(default_factory=lambda: defaultdict(list))
+    """By worker, fence and holder of the orders it took."""
+
+
+class WorkerServer:
+    """One worker: an engine if it holds a version."""
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        address: Address,
+        truth: Truth,
+        chooser: random.Random,
+        version: int | None,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.address = address
+        self._version = version
+        self._ordered: tuple[int, float] | None = None
+        """A version that is being loaded, and when it will be there."""
+        self.slow = 1.0
+        self.draining = False
+        self._truth = truth
+        self._chooser = chooser
+        self._running = 0
+        self._orders = 0
+        self._fence = -1
+        self._beat = 0
+
+    @property
+    def version(self) -> int | None:
+        if self._ordered is not None and anyio.current_time() >= self._ordered[1]:
+            self._version, self._ordered = self._ordered[0], None
+        return self._version
+
+    @property
+    def _loading(self) -> bool:
+        return self.version is not None and self._ordered is not None
+
+    def announce(self, log: MemoryLog) -> None:
+        """Write this worker's entry."""
+        self._beat += 1
+        entry = {
+            "service": self.service,
+            "address": str(self.address),
+            "zone": "z1",
+            "version": "1",
+            "slots": SLOTS,
+            "state": "draining" if self.draining else "ready",
+            "sequence": self._beat,
+            "models": [] if self.version is None else [{"name": "m", "version": self.version}],
+        }
+        log.put_key(ANNOUNCEMENTS, self.name, msgspec.json.encode(entry))
+
+    async def handle(self, call: Call, send: Send) -> Reply | None:
+        if call.headers.get("x-target-instance", self.name) != self.name:
+            return Reply(421, headers=self._headers(call))
+        if call.path == "/-/report":
+            return self._report()
+        if call.path == "/-/order":
+            return self._order(msgspec.json.decode(call.body))
+        full = self._running >= 4 * SLOTS or self._loading
+        if full or self._chooser.random() < REFUSED_SHARE:
+            return Reply(503, headers=(*self._headers(call), ("x-not-executed", "1")))
+        self._running += 1
+        try:
+            return await self._run(call, send)
+        finally:
+            self._running -= 1
+
+    async def _run(self, call: Call, send: Send) -> Reply | None:
+        request = call.headers["x-request-id"]
+        self._truth.runs[request] += 1
+        if self.version is not None:
+            await self._stream(request, call, send)
+            return None
+        await anyio.sleep(ANSWER_SECONDS * self.slow)
+        return Reply(200, answer_to(request, call.body), self._headers(call))
+
+    async def _stream(self, item: str, call: Call, send: Send) -> None:
+        version = self.version
+        assert version is not None
+        headers = (*self._headers(call), ("x-weight-versions", str(version)))
+        await start_answer(send, 200, (*headers, ("content-type", "text/event-stream")))
+        for number in range(int(call.headers.get("last-event-id", "0")) + 1, events_of(item) + 1):
+            await anyio.sleep(EVENT_SECONDS * self.slow)
+            changed = ""
+            if self.version != version:
+                version = self.version
+                changed = f"x-weight-versions: {version}\n"
+            self._truth.made[item][number].add(version)
+            event = f"{changed}id: {number}\ndata: {item}-{number}\n\n".encode()
+            await send({"type": "http.response.body", "body": event, "more_body": True})
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    def _order(self, order: dict) -> Reply:
+        if order["fence"] < self._fence:
+            return Reply(412)
+        if order.get("expected", self._orders) != self._orders or self._loading:
+            return Reply(409)
+        self._fence = order["fence"]
+        self._orders += 1
+        self._truth.fences[self.name].append((order["fence"], order["holder"]))
+        self._ordered = order["version"], anyio.current_time() + LOAD_SECONDS
+        return Reply(202)
+
+    def _report(self) -> Reply:
+        return Reply.json(
+            {
+                "stage": "both",
+                "models": [{"name": "m", "version": self.version or 0, "adapters": []}],
+                "busy": self._loading,
+                "sequence": self._orders,
+                "num_waiting": 0,
+                "num_running": self._running,
+                "kv_used": 0,
+                "kv_total": 1,
+                "handles": 0,
+            }
+        )
+
+    def _headers(self, call: Call) -> tuple[tuple[str, str], ...]:
+        return (
+            ("x-request-id", call.headers.get("x-request-id", "")),
+            ("x-response-signature", f"sig-{self.name}"),
+            ("x-instance-load", f"{self._running},0,{SLOTS}"),
+        )
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,242 @@
+"""All processes and servers of a soak: store and workers in this one, gateways in their own."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+import anyio.abc
+import httpx
+import msgspec
+
+from stagewalk.core.identities import Address
+from stagewalk.ports.partitioned_log import Partition
+from stagewalk_standins.forwarder import Forwarder, ForwarderLinks, StreamLink
+from stagewalk_standins.forwarder_faults import LinkFaults
+from stagewalk_standins.partitioned_log import MemoryLog
+from tests.node.running_node import free_address
+from tests.soak.asgi import application, serve
+from tests.soak.checker import Checker
+from tests.soak.store import StoreServer
+from tests.soak.workers import HEARTBEAT_SECONDS, Truth, WorkerServer
+
+ROOT = Path(__file__).resolve().parents[2]
+HOST = "h.example"
+OPERATORS = Partition("keyed.op", 0)
+START_SECONDS = 30.0
+STOP_SECONDS = 15.0
+SUPERVISE_SECONDS = 0.5
+
+SETTINGS = """
+name = "{name}"
+region = "r1"
+zone = "z1"
+[listen]
+front = "{front}"
+readiness = "{front}"
+directory = "{front}"
+peers = "{peers}"
+[log]
+address = "{store}"
+[timing]
+lease_quiet = 1.0
+stop_grace = 8.0
+"""
+
+
+@dataclass
+class GatewayProcess:
+    """One gateway, and its own way to the store."""
+
+    name: str
+    front: Address
+    settings: Path
+    link: str
+    process: subprocess.Popen[bytes] | None = None
+    frozen: bool = False
+    exits: list[int] = field(default_factory=list)
+
+    @property
+    def sound(self) -> bool:
+        return self.process is not None and self.process.poll() is None and not self.frozen
+
+    def start(self, log: Path) -> None:
+        environment = {"PATH": os.environ["PATH"], "STAGEWALK_BOOT": str(self.settings)}
+        with log.open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "platform/start.py"],
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.process is not None:
+            self.process.send_signal(number)
+
+    def reap(self) -> int | None:
+        """Wait for the end of a process that was asked or made to end."""
+        if self.process is None:
+            return None
+        try:
+            code = self.process.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            code = self.process.wait()
+        self.process = None
+        self.exits.append(code)
+        return code
+
+
+class World:
+    def __init__(self, directory: Path, seed: int, gateways: int) -> None:
+        self.chooser = random.Random(seed)
+        self.directory = directory
+        self.log = MemoryLog()
+        self.truth = Truth()
+        self.checker = Checker(self.truth)
+        self.version = 1
+        self.configuration = 0
+        self.store = StoreServer(self.log, self.chooser)
+        self._store_address = free_address()
+        self._stop = anyio.Event()
+        self.workers = [self._worker(f"engine-{n}", "engines", 1) for n in range(3)]
+        self.workers += [self._worker(f"app-{n}", "app", None) for n in range(2)]
+        self.gateways = [self._gateway(f"gateway-{n}") for n in range(gateways)]
+        links = [
+            StreamLink(g.link, str(self._links[g.link]), str(self._store_address))
+            for g in self.gateways
+        ]
+        links += [
+            StreamLink(w.name, str(w.address), str(self._targets[w.name])) for w in self.workers
+        ]
+        self.forwarder = Forwarder(ForwarderLinks(tuple(links)), seed)
+        self.client = httpx.AsyncClient(
+            trust_env=False, timeout=6.0, limits=httpx.Limits(max_keepalive_connections=0)
+        )
+
+    def _worker(self, name: str, service: str, version: int | None) -> WorkerServer:
+        # The address that is announced is the link's; the worker listens behind it.
+        self._targets = getattr(self, "_targets", {})
+        self._targets[name] = free_address()
+        return WorkerServer(name, service, free_address(), self.truth, self.chooser, version)
+
+    def _gateway(self, name: str) -> GatewayProcess:
+        self._links: dict[str, Address] = getattr(self, "_links", {})
+        link, front = f"store-{name}", free_address()
+        self._links[link] = free_address()
+        settings = self.directory / f"{name}.toml"
+        settings.write_text(
+            SETTINGS.format(name=name, front=front, peers=free_address(), store=self._links[link])
+        )
+        return GatewayProcess(name, front, settings, link)
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start everything and wait until all gateways are ready."""
+        self.serve(tasks)
+        tasks.start_soon(self._supervise)
+        for gateway in self.gateways:
+            self.start_gateway(gateway)
+        with anyio.fail_after(START_SECONDS):
+            for gateway in self.gateways:
+                await self.wait_ready(gateway)
+
+    def serve(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start what gateways need."""
+        self.publish()
+        tasks.start_soon(serve, application(self.store.handle), self._store_address, self._stop)
+        for worker in self.workers:
+            target = self._targets[worker.name]
+            tasks.start_soon(serve, application(worker.handle), target, self._stop)
+        tasks.start_soon(self.forwarder.run)
+        tasks.start_soon(self._heartbeats)
+
+    def start_gateway(self, gateway: GatewayProcess) -> None:
+        gateway.start(self.directory / f"{gateway.name}.log")
+
+    async def wait_ready(self, gateway: GatewayProcess) -> None:
+        while True:
+            try:
+                answer = await self.client.get(f"http://{gateway.front}/-/ready")
+                if answer.status_code == httpx.codes.OK:
+                    return
+            except httpx.HTTPError:
+                pass
+            await anyio.sleep(0.1)
+
+    async def close(self) -> None:
+        """End what still runs, each process by its own id."""
+        self._stop.set()
+        for gateway in self.gateways:
+            if gateway.process is not None:
+                gateway.process.kill()
+                gateway.reap()
+        await self.client.aclose()
+
+    def set_link(self, name: str, faults: LinkFaults) -> None:
+        self.forwarder.link(name).set(faults)
+
+    async def _heartbeats(self) -> None:
+        while True:
+            for worker in self.workers:
+                worker.announce(self.log)
+            await anyio.sleep(HEARTBEAT_SECONDS)
+
+    async def _supervise(self) -> None:
+        """Start a gateway again that ended by itself, as the platform would; it never should."""
+        while True:
+            for gateway in self.gateways:
+                code = None if gateway.process is None else gateway.process.poll()
+                if code is not None and not gateway.frozen:
+                    detail = f"{gateway.name}: exit code {code}"
+                    self.checker.expect("no gateway ends by itself", False, detail)
+                    gateway.reap()
+                    self.start_gateway(gateway)
+            await anyio.sleep(SUPERVISE_SECONDS)
+
+    def name_version(self) -> None:
+        self.version += 1
+        value = msgspec.json.encode({"model": "m", "version": self.version})
+        self.log.put_key(OPERATORS, "version/m", value)
+
+    def publish(self) -> None:
+        """Publish the next configuration: it has one route more than the one before."""
+        self.configuration += 1
+        routes = [
+            _route("ask", "/ask/", "safe", "app"),
+            _route("once", "/once/", "unsafe", "app"),
+            _route("run", "/run/", "rollout", "engines"),
+            *(
+                _route(f"new-{n}", f"/new-{n}/", "safe", "app")
+                for n in range(2, self.configuration + 1)
+            ),
+        ]
+        services = [
+            {"name": "engines", "max_connections": 200, "engine": {"slots": 8}},
+            {"name": "app", "max_connections": 200},
+        ]
+        value = {"version": self.configuration, "routes": routes, "services": services}
+        self.log.put_key(OPERATORS, "config", msgspec.json.encode(value))
+
+
+def _route(name: str, prefix: str, kind: str, service: str) -> dict:
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "type": kind,
+        "timeout_ms": 3_000,
+        "target_latency_ms": 200,
+        "service": service,
+        "max_attempts": 2,
+        "max_wait_s": 120.0,
+        "due_ms": 7_500,
+    }
