--- /dev/null
+++ b/src/stagewalk/adapters/connection_pools.py
@@ -0,0 +1,82 @@
+"""Kept connections to many peers: a pool for each.
+
+A pool of `httpx` looks at every idle connection it has for each request, with a system call
+each. One pool for all peers would make a request dearer the more peers there are.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import anyio
+import httpx
+
+from stagewalk.adapters.http_calls import open_transport
+
+
+@dataclass(slots=True)
+class _Pool:
+    transport: httpx.AsyncHTTPTransport
+    users: int = 0
+
+
+class ConnectionPools:
+    """Pools by peer; those unused longest are closed when there are too many.
+
+    Parameters
+    ----------
+    maximum_pools
+        Peers whose connections are kept; pools in use stay, however many.
+    maximum_connections, maximum_idle
+        Of one peer.
+    keepalive_seconds
+        How long an idle connection is kept.
+    """
+
+    def __init__(
+        self,
+        maximum_pools: int,
+        maximum_connections: int,
+        maximum_idle: int,
+        keepalive_seconds: float,
+    ) -> None:
+        self._maximum_pools = maximum_pools
+        self._maximum_connections = maximum_connections
+        self._maximum_idle = maximum_idle
+        self._keepalive_seconds = keepalive_seconds
+        self._pools: OrderedDict[str, _Pool] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._pools)
+
+    @asynccontextmanager
+    async def use(self, peer: str) -> AsyncIterator[httpx.AsyncHTTPTransport]:
+        """Give the pool of a peer for one request."""
+        pool = self._pools.get(peer)
+        if pool is None:
+            pool = _Pool(
+                open_transport(
+                    self._maximum_connections, self._maximum_idle, self._keepalive_seconds
+                )
+            )
+            self._pools[peer] = pool
+        self._pools.move_to_end(peer)
+        pool.users += 1
+        try:
+            yield pool.transport
+        finally:
+            pool.users -= 1
+            await self._close_surplus()
+
+    async def _close_surplus(self) -> None:
+        surplus = len(self._pools) - self._maximum_pools
+        if surplus <= 0:
+            return
+        unused = [peer for peer, pool in self._pools.items() if pool.users == 0]
+        closed = [self._pools.pop(peer) for peer in unused[:surplus]]
+        with anyio.CancelScope(shield=True):
+            for pool in closed:
+                await pool.transport.aclose()
--- a/src/stagewalk/peer_calls/client.py
+++ b/src/stagewalk/peer_calls/client.py
@@ -5,22 +5,25 @@
 import anyio
 import httpx
 
-from stagewalk.adapters.http_calls import describe, open_transport, process_url
+from stagewalk.adapters.connection_pools import ConnectionPools
+from stagewalk.adapters.http_calls import describe, process_url
 from stagewalk.core.identities import Address
 from stagewalk.logs.lines import log_event
 
 CONNECT_SECONDS = 0.3
 """A node that takes no connection within this time is gone or cut off."""
 
-MAXIMUM_CONNECTIONS = 64
-MAXIMUM_IDLE = 16
+MAXIMUM_POOLS = 32
+PEER_CONNECTIONS = 16
+PEER_IDLE = 4
+KEEPALIVE_SECONDS = 10.0
 
 
 class PeerClient:
     """HTTP client of other nodes' listeners for peers."""
 
     def __init__(self) -> None:
-        self._transport = open_transport(MAXIMUM_CONNECTIONS, MAXIMUM_IDLE)
+        self._pools = ConnectionPools(MAXIMUM_POOLS, PEER_CONNECTIONS, PEER_IDLE, KEEPALIVE_SECONDS)
 
     async def call(
         self, peer: Address, path: str, content: bytes, answer_seconds: float
@@ -45,8 +48,9 @@
         )
         try:
             with anyio.fail_after(answer_seconds + CONNECT_SECONDS):
-                response = await self._transport.handle_async_request(request)
-                await response.aread()
+                async with self._pools.use(str(peer)) as transport:
+                    response = await transport.handle_async_request(request)
+                    await response.aread()
         except (httpx.HTTPError, TimeoutError) as error:
             log_event("peer_call_failed", "debug", peer=str(peer), detail=describe(error))
             return None
