Enforce the published limits of heads and bodies

Change: each request is held against the configuration in force: 431 for a larger head, 413 for a larger body. Ruled out: closing connections by the published idle time (the server's is fixed at its start; it is longer, so callers are the ones who close).

--- a/src/stagewalk/gateway/app.py
+++ b/src/stagewalk/gateway/app.py
@@ -22,7 +22,7 @@
 from stagewalk.node.lifespan import serve_lifespan
 from stagewalk.ports.dialect import Dialect
 from stagewalk.ports.workers import StreamHead, StreamPart
-from stagewalk.routes.route import Route, RouteKind
+from stagewalk.routes.route import CallerLimits, Route, RouteKind
 from stagewalk.routes.table import RouteTable
 from stagewalk.settings.node_settings import Limits
 
@@ -61,7 +61,7 @@
         batches: BatchCalls,
         nodes: NodeService,
         dialect: Dialect,
-        limits: Limits,
+        buffered_body_bytes: int,
         metrics: GatewayMetrics,
         ready: Callable[[], bool],
         stopping: Callable[[], bool],
@@ -73,8 +73,8 @@
         self._nodes = nodes
         self._dialect = dialect
         self._spelling = dialect.callers
-        self._limits = limits
-        self._budget = BodyBudget(limits.buffered_body_bytes)
+        self._buffered_body_bytes = buffered_body_bytes
+        self._budget = BodyBudget(buffered_body_bytes)
         self._metrics = metrics
         self._ready = ready
         self._stopping = stopping
@@ -98,14 +98,19 @@
     async def _serve_exchange(
         self, scope: HTTPScope, receive: ASGIReceiveCallable, send: ASGISendCallable
     ) -> None:
-        exchange = OpaqueExchange(
-            scope, receive, send, self._limits, self._budget, last=self._stopping
+        published = self._published_limits()
+        limits = Limits(
+            body_bytes=published.body_bytes, buffered_body_bytes=self._buffered_body_bytes
         )
+        exchange = OpaqueExchange(scope, receive, send, limits, self._budget, last=self._stopping)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(exchange.watch)
             exchange.on_disconnect(tasks.cancel_scope.cancel)
             try:
-                await self._serve(exchange)
+                if exchange.head_bytes > published.header_bytes:
+                    await reply_error(exchange, 431, "the head is larger than is published")
+                else:
+                    await self._serve(exchange)
             except BrokenStreamError:
                 raise
             except Exception as error:
@@ -114,6 +119,11 @@
                 exchange.release_body()
             tasks.cancel_scope.cancel()
 
+    def _published_limits(self) -> CallerLimits:
+        """Return what callers may send now: as published, or the defaults before that."""
+        configuration = self._routes.configuration
+        return CallerLimits() if configuration is None else configuration.limits
+
     async def _serve(self, exchange: OpaqueExchange) -> None:
         fixed = self._fixed.get(exchange.path)
         if fixed is not None:
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -47,9 +47,7 @@
 from stagewalk.ports.dialect import Dialect, NamedVersion
 from stagewalk.ports.partitioned_log import KeyedRecord, Partition, PartitionedLog
 from stagewalk.ports.workers import WorkerClient
-from stagewalk.routes.route import CallerLimits
 from stagewalk.routes.table import RouteTable
-from stagewalk.settings.node_settings import Limits
 from stagewalk.version_rollouts.core import VersionRollouts
 from stagewalk.workers.table import WorkerTable
 
@@ -251,7 +249,6 @@
         return list(dict.fromkeys(addresses))
 
     def _build_app(self) -> GatewayApp:
-        limits = CallerLimits()
         return GatewayApp(
             routes=self._routes,
             forwarder=self._forwarder,
@@ -259,7 +256,7 @@
             batches=BatchCalls(self.store, self._runner, self._ledger_calls, self._dialect),
             nodes=self._nodes,
             dialect=self._dialect,
-            limits=Limits(body_bytes=limits.body_bytes, buffered_body_bytes=BUFFERED_BODY_BYTES),
+            buffered_body_bytes=BUFFERED_BODY_BYTES,
             metrics=self._metrics,
             ready=self._ready,
             stopping=lambda: self._stopping,
--- a/src/stagewalk/gateway/exchange.py
+++ b/src/stagewalk/gateway/exchange.py
@@ -12,6 +12,9 @@
 from stagewalk.settings.node_settings import Limits
 
 STREAM_STATUS = 200
+LINE_BYTES = 4
+"""What a header's line takes beside its name and value."""
+
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -49,6 +52,12 @@
             (name.decode("latin-1"), value.decode("latin-1")) for name, value in scope["headers"]
         )
 
+    @property
+    def head_bytes(self) -> int:
+        """Return the size of the request's head: its target and its headers."""
+        headers = sum(len(name) + len(value) + LINE_BYTES for name, value in self.header_list)
+        return len(self.target) + headers
+
     @property
     def host(self) -> str:
         """Return the host the caller named, without a port."""
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -94,9 +94,14 @@
         entry = announcement(name, service=service, versions=versions)
         self.log.put_key(self.dialect.workers, name, msgspec.json.encode(entry))
 
-    def publish(self, version: int, routes: tuple[Route, ...] = ROUTES) -> None:
+    def publish(
+        self,
+        version: int,
+        routes: tuple[Route, ...] = ROUTES,
+        limits: CallerLimits | None = None,
+    ) -> None:
         services = (Service("app", 100, False), Service("engines", 100, True))
-        configuration = RouteConfiguration(version, routes, services, CallerLimits())
+        configuration = RouteConfiguration(version, routes, services, limits or CallerLimits())
         value = msgspec.json.encode(configuration)
         self.log.put_key(self.dialect.operators, "configuration", value)
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -6,7 +6,7 @@
 import testtools
 
 from stagewalk.ports.workers import AttemptFault
-from stagewalk.routes.route import RouteKind
+from stagewalk.routes.route import CallerLimits, RouteKind
 from tests.gateway.support import ROUTES, Site, route, run, until
 
 
@@ -43,6 +43,24 @@
 
         run(scenario)
 
+    def test_published_limits_of_head_and_body_hold_as_soon_as_they_are_in_force(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            answer = await site.call(node, "POST", "/ask/x", b"b" * 5_000, filler="h" * 5_000)
+            self.assertEqual(200, answer.status_code)
+            site.publish(2, limits=CallerLimits(header_bytes=2_000, body_bytes=1_000))
+
+            async def in_force() -> bool:
+                return (await site.call(node, "POST", "/ask/x", b"b" * 1_001)).status_code == 413
+
+            await until(in_force)
+            answer = await site.call(node, "POST", "/ask/x", filler="h" * 2_000)
+            self.assertEqual(431, answer.status_code)
+            answer = await site.call(node, "POST", "/ask/x", b"b" * 1_000, filler="h" * 1_000)
+            self.assertEqual(200, answer.status_code)
+
+        run(scenario)
+
     def test_what_no_worker_ran_is_refused_at_once_with_when_to_come_back(self) -> None:
         async def scenario(site: Site) -> None:
             node = await site.start("n1")
