Change a share of the engines by the number of models with each version

Ruled out: engines of their own for each model (a step's load comes in bursts; shared engines take the bursts of each).

Change: with more than two models a share of one in so many changes with each version and as many keep the one before; an engine too old for one model serves the others. Up to two models nothing changes.

Before/after: 24 engines, three models, six versions: 8 loads a version and model (12 before), at least 16 engines usable for a step (tests).

--- a/src/stagewalk/version_rollouts/core.py
+++ b/src/stagewalk/version_rollouts/core.py
@@ -19,6 +19,9 @@
 """So many engines, and this share of them where there are many, load at the same time: the
 others serve meanwhile, and each load is still at full speed."""
 
+LEAST_SHARES = 2
+"""With each version one engine in so many changes, or one in as many as there are models."""
+
 LOAD_SECONDS = 0.9
 ORDER_DEADLINE_SECONDS = 3.0
 """An order whose effect isn't seen after this time is looked into again."""
@@ -144,15 +147,35 @@
         return wanted
 
     def _due(self, engines: list[Worker], model: str, version: int) -> list[Worker]:
-        """Return the engines to change: all that are too old, and half of them in all."""
-        behind = [worker for worker in engines if worker.versions[model] < version]
-        oldest_useful = version - self._lag.get(model, 0)
-        must = [worker for worker in behind if worker.versions[model] < oldest_useful]
-        newest = len(engines) - len(behind)
-        share = len(engines) // 2
-        missing = share - newest - len(must)
-        may = sorted(
-            (worker for worker in behind if worker not in must),
-            key=lambda worker: (worker.versions[model], worker.announcement.worker),
+        """Return the engines to change, the least loaded of the oldest first.
+
+        A share of them changes with each version, and as many again still hold the one before:
+        steps that allow it run on both. With one or two models on the engines that is all of
+        them; with more, an engine that is too old for one model serves the others meanwhile.
+        """
+        share = len(engines) // max(LEAST_SHARES, len(self._named))
+        lag = self._lag.get(model, 0)
+        behind = [engine for engine in engines if not self._newest(engine, model, version)]
+        too_old = [engine for engine in behind if engine.versions[model] < version - lag]
+        needed = len(engines)
+        if lag > 0 and len(self._named) > LEAST_SHARES:
+            needed = min(needed, (lag + 1) * share)
+        usable = len(engines) - len(too_old)
+        must = max(0, needed - usable)
+        wanted = max(must, share - (len(engines) - len(behind)))
+        oldest_first = sorted(
+            behind,
+            key=lambda engine: (
+                engine.versions[model],
+                engine.in_flight,
+                engine.announcement.worker,
+            ),
         )
-        return must + may[: max(0, missing)]
+        return oldest_first[:wanted]
+
+    def _newest(self, engine: Worker, model: str, version: int) -> bool:
+        """Whether an engine holds a version, or is being brought to it."""
+        pending = self._pending.get(engine.announcement.worker)
+        if pending is not None and (pending.model, pending.version) == (model, version):
+            return True
+        return engine.versions[model] >= version
