--- a/src/stagewalk/routes/table.py
+++ b/src/stagewalk/routes/table.py
@@ -22,7 +22,8 @@
     def __init__(self, node: str = "") -> None:
         self._node = node
         self._configuration: RouteConfiguration | None = None
-        self._by_host: dict[str, list[Route]] = {}
+        self._by_host: dict[str, dict[str, Route]] = {}
+        """By host and prefix."""
         self._services: dict[str, Service] = {}
         self._credits: dict[str, dict[str, float]] = {}
         """By route and service."""
@@ -38,11 +39,9 @@
             return False
         self._configuration = configuration
         self._services = {service.name: service for service in configuration.services}
-        by_host: dict[str, list[Route]] = {}
+        by_host: dict[str, dict[str, Route]] = {}
         for route in configuration.routes:
-            by_host.setdefault(route.host.lower(), []).append(route)
-        for routes in by_host.values():
-            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+            by_host.setdefault(route.host.lower(), {}).setdefault(route.path_prefix, route)
         self._by_host = by_host
         return True
 
@@ -52,9 +51,16 @@
         return 0 if self._configuration is None else self._configuration.version
 
     def find(self, host: str, path: str) -> Route | None:
-        """Return the route of a request: of its host, the longest prefix that begins its path."""
-        for route in self._by_host.get(host.lower(), ()):
-            if path.startswith(route.path_prefix):
+        """Return the route of a request: of its host, the longest prefix that begins its path.
+
+        Prefixes end with a slash, so only what ends at a slash of the path is looked up: the
+        time depends on the path's depth, not on how many routes there are.
+        """
+        routes = self._by_host.get(host.lower(), {})
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
                 return route
         return None
 
--- a/tests/routes/test_table.py
+++ b/tests/routes/test_table.py
@@ -5,6 +5,8 @@
 from collections import Counter
 
 import testtools
+from hypothesis import given
+from hypothesis import strategies as st
 
 from stagewalk.routes.route import BackEnd, CallerLimits, Route, RouteConfiguration, RouteKind
 from stagewalk.routes.table import RouteTable
@@ -36,6 +38,23 @@
         self.assertIsNone(table.find("h.example", "/b"))
         self.assertIsNone(table.find("other.example", "/a/c"))
 
+    def test_a_path_that_is_a_prefix_itself_and_the_root_are_found(self) -> None:
+        table = RouteTable()
+        table.apply(configuration(1, route("root", "/"), route("a", "/a/")))
+        found = [table.find("h.example", path).name for path in ("/a/", "/a", "/", "/b/c/d", "//")]
+        self.assertEqual(["a", "root", "root", "root", "root"], found)
+        self.assertIsNone(table.find("h.example", "a/"))
+
+    @given(st.lists(st.text("ab/", max_size=6), max_size=8), st.text("ab/", max_size=8))
+    def test_the_same_is_found_as_by_trying_every_prefix(self, parts, rest) -> None:
+        prefixes = {f"/{part}/".replace("//", "/") for part in parts}
+        table = RouteTable()
+        table.apply(configuration(1, *(route(prefix, prefix) for prefix in sorted(prefixes))))
+        path = f"/{rest}"
+        fitting = [prefix for prefix in prefixes if path.startswith(prefix)]
+        found = table.find("h.example", path)
+        self.assertEqual(max(fitting, key=len, default=None), found and found.name)
+
     def test_an_older_configuration_never_comes_back(self) -> None:
         table = RouteTable()
         self.assertTrue(table.apply(configuration(7, route("new", "/n/"))))
