--- a/src/stagewalk/gateway/ledger_calls.py
+++ b/src/stagewalk/gateway/ledger_calls.py
@@ -30,8 +30,9 @@
 class LedgerCalls:
     """Answers calls about batches on any node.
 
-    A node without a replica asks one, another one if that fails, and in the end reads the log
-    itself; so what a replica answers is never needed, only cheaper.
+    A node without a replica asks one, and another one if that fails. Only where none answers at
+    all does it read the log itself: replicas that are not sure are reading it already, and were
+    every node to read it beside them, after a restart of all, none would come to its end.
     """
 
     def __init__(
@@ -53,10 +54,12 @@
         """Return the answer to a call."""
         if self._following():
             return await self._local.carry_out(call)
+        unsure: LedgerAnswer | None = None
         for replica in self._nearest()[:REPLICAS_TRIED]:
             answer = await self._ask(replica, call)
             if answer is not None and not answer.unsure:
                 return answer
+            unsure = answer or unsure
             self._avoid_until[replica.node] = time.monotonic() + AVOID_SECONDS
             log_event(
                 "ledger_call_failed",
@@ -66,7 +69,7 @@
                 call=type(call).__name__,
                 status=0 if answer is None else answer.status,
             )
-        return await self._local.carry_out(call)
+        return unsure or await self._local.carry_out(call)
 
     def _nearest(self) -> list[NodeAnnouncement]:
         """Return the replicas in the order to ask them: sound ones, then those of this zone."""
--- /dev/null
+++ b/tests/gateway/test_ledger_calls.py
@@ -0,0 +1,89 @@
+"""Whom a node without a replica asks, and when it reads the log itself."""
+
+from __future__ import annotations
+
+import anyio
+import testtools
+
+from stagewalk.core.identities import Address
+from stagewalk.directory.node_table import NodeAnnouncement
+from stagewalk.gateway.ledger_calls import LedgerCalls
+from stagewalk.gateway.ledger_messages import (
+    LedgerAnswer,
+    ResultsCall,
+    encode_message,
+    refusal,
+)
+
+CALL = ResultsCall("b1", 0, 0.0)
+KNOWN = LedgerAnswer(200, b"{}")
+UNSURE = refusal(503, "the view is too old", 0.25)
+
+
+def replica(number: int) -> NodeAnnouncement:
+    address = f"10.0.0.{number}:1"
+    return NodeAnnouncement(f"n{number}", 1, address, address, "z", "r", True, 1, True)
+
+
+class ScriptedClient:
+    """Answers calls in turn; None is no answer."""
+
+    def __init__(self, *answers: LedgerAnswer | None) -> None:
+        self.answers = list(answers)
+        self.asked: list[Address] = []
+
+    async def call(
+        self, peer: Address, path: str, content: bytes, answer_seconds: float
+    ) -> bytes | None:
+        self.asked.append(peer)
+        answer = self.answers.pop(0)
+        return None if answer is None else encode_message(answer)
+
+
+class LocalReads:
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def carry_out(self, call: ResultsCall) -> LedgerAnswer:
+        self.calls += 1
+        return KNOWN
+
+
+class LedgerCallTests(testtools.TestCase):
+    def call(
+        self, *answers: LedgerAnswer | None, replicas: int = 3, following: bool = False
+    ) -> LedgerAnswer:
+        self.client, self.local = ScriptedClient(*answers), LocalReads()
+        calls = LedgerCalls(
+            self.local,
+            self.client,
+            "z",
+            lambda: [replica(n) for n in range(replicas)],
+            lambda: following,
+        )
+        return anyio.run(calls.call, CALL)
+
+    def test_a_node_that_holds_a_replica_asks_nobody(self) -> None:
+        self.assertEqual(KNOWN, self.call(following=True))
+        self.assertEqual([], self.client.asked)
+
+    def test_a_second_replica_is_asked_if_the_first_one_does_not_answer_or_is_not_sure(
+        self,
+    ) -> None:
+        for first in (None, UNSURE):
+            self.assertEqual(KNOWN, self.call(first, KNOWN))
+            self.assertEqual(2, len(set(self.client.asked)))
+            self.assertEqual(0, self.local.calls)
+
+    def test_replicas_that_are_not_sure_yet_are_waited_for_and_the_log_is_left_to_them(
+        self,
+    ) -> None:
+        for answers in ((UNSURE, UNSURE), (UNSURE, None), (None, UNSURE)):
+            self.assertEqual(UNSURE, self.call(*answers))
+            self.assertEqual(0, self.local.calls)
+
+    def test_where_no_replica_answers_or_none_is_known_the_log_is_read(self) -> None:
+        self.assertEqual(KNOWN, self.call(None, None))
+        self.assertEqual(1, self.local.calls)
+        self.assertEqual(KNOWN, self.call(replicas=0))
+        self.assertEqual(1, self.local.calls)
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -67,6 +67,7 @@
         )
         self.assertEqual((842, 842), (result.ok.next_offset, result.ok.end))
         self.assertIn(b"wait_ms=2000", requests[0])
+        self.assertIn(b"max_kb=256", requests[0])
 
     def test_a_record_cut_short_is_no_page(self) -> None:
         spoilt = respond("200 OK", struct.pack(">QQI", 1, 0, 9) + b"abc")
