Metrics of state, calls of the log and events; leave an engine that vanished before its first event

Cause: the metrics address told forwarded requests and loop lag only.

Change: partitioned_log.measured_log counts and times each call by operation and outcome; gauges (replica, lease, what runs, ages of views) are read when asked for; every log event counts, dropped lines too; the process's own metrics. An attempt without an event at an engine that is no longer listed is left after 0.7 s, one that has brought events as before (such engines may serve on).

Ruled out: leaving every attempt at a vanished engine (entries also vanish of workers that serve on).

--- a/src/stagewalk/batches/attempt_watch.py
+++ b/src/stagewalk/batches/attempt_watch.py
@@ -63,7 +63,9 @@
             since = max(since, min(worker.loading_until.get(item.spec.model, since), now))
         silence = now - since
         if len(item.events) == attempt.events_before:
-            return silence > FIRST_EVENT_SECONDS
+            # An engine that is listed no more, and brought nothing yet, is not worth the wait.
+            patience = IMPATIENT_SECONDS if worker is None else FIRST_EVENT_SECONDS
+            return silence > patience
         pace = None if worker is None else worker.recent_latency(now)
         impatient = max(IMPATIENT_SECONDS, IMPATIENT_PACES * (pace or 0.0))
         if silence <= min(impatient, SILENCE_SECONDS):
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -106,6 +106,16 @@
         """Whether batches are run here."""
         return bool(self._scheduler.batches)
 
+    @property
+    def running_batches(self) -> int:
+        """Return how many batches are run here."""
+        return len(self._scheduler.batches)
+
+    @property
+    def running_attempts(self) -> int:
+        """Return how many attempts at items are under way."""
+        return self._scheduler.running
+
     def hand_over(self) -> None:
         """Stop running: tell the log what was made so far and that others may go on."""
         self._stopping = True
--- a/src/stagewalk/gateway/batch_store.py
+++ b/src/stagewalk/gateway/batch_store.py
@@ -24,6 +24,7 @@
 from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.appender import AppendOutcome, PartitionAppender
 from stagewalk.partitioned_log.follower import PartitionFollower
+from stagewalk.partitioned_log.freshness import Freshness
 from stagewalk.ports.dialect import Submission
 from stagewalk.ports.partitioned_log import Partition, PartitionedLog, PartitionRecord
 
@@ -78,6 +79,11 @@
             else:
                 follower.pause()
 
+    @property
+    def freshness(self) -> list[Freshness]:
+        """Return how current the view of each partition is."""
+        return [follower.freshness for follower in self._followers]
+
     @property
     def idle(self) -> bool:
         """Whether nothing waits to be appended."""
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -30,7 +30,7 @@
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.ledger_calls import LEDGER_PATH, LedgerCalls
 from stagewalk.gateway.ledger_reads import LedgerReads
-from stagewalk.gateway.metrics import GatewayMetrics
+from stagewalk.gateway.metrics import GatewayMetrics, GatewayState
 from stagewalk.gateway.node_service import NodeService
 from stagewalk.gateway.order_service import OrderService
 from stagewalk.gateway.settings import GatewaySettings
@@ -42,6 +42,7 @@
 from stagewalk.logs.writer import LineWriter
 from stagewalk.node.http_server import open_listener, serve_http
 from stagewalk.partitioned_log.follower import KEYED_WAIT_SECONDS, KeyedFollower
+from stagewalk.partitioned_log.measured_log import MeasuredLog
 from stagewalk.peer_calls.client import PeerClient
 from stagewalk.peer_calls.server import PeerApp
 from stagewalk.ports.dialect import Dialect, NamedVersion
@@ -134,9 +135,10 @@
         self.settings = settings
         self._log_budget = log_budget or LogBudget()
         self._load_again = load_again
-        self._straight = surroundings.log
+        self._metrics = GatewayMetrics(self._state, self._log_budget)
+        self._straight = MeasuredLog(surroundings.log, self._metrics.log_called)
         peer_client = PeerClient()
-        log = RelayedLog(surroundings.log, self._peers, peer_client)
+        log = RelayedLog(self._straight, self._peers, peer_client)
         limits = settings.log_limits
         self._dialect = surroundings.dialect
         self._identity = ProcessId(settings.name, time.time_ns() // 1_000_000)
@@ -202,7 +204,6 @@
         )
         self._forwarder = Forwarder(surroundings.workers, self._workers, self._routes, zone)
         self._streams = StreamForwarder(surroundings.workers, self._workers, self._routes, zone)
-        self._metrics = GatewayMetrics()
         self._exit = anyio.Event()
         self._stopping = False
 
@@ -265,6 +266,25 @@
             stopping=lambda: self._stopping,
         )
 
+    def _state(self) -> GatewayState:
+        """Return what the gauges show."""
+        now = time.monotonic()
+        followers = (
+            self._operators_follower.freshness,
+            self._workers_follower.freshness,
+            *self.store.freshness,
+        )
+        return GatewayState(
+            configuration=self._routes.version,
+            serving_nodes=len(self._nodes.serving()),
+            workers=len(self._workers.all()),
+            holds_replica=self.store.following,
+            holds_lease=self._orders.holds_lease,
+            running_batches=self._runner.running_batches,
+            running_attempts=self._runner.running_attempts,
+            view_ages={freshness.name: freshness.age(now) for freshness in followers},
+        )
+
     def _ready(self) -> bool:
         """Whether routes, workers and the other nodes are known."""
         known = self._routes.configuration is not None and self._nodes.known
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -3,27 +3,101 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from prometheus_client import (
     CollectorRegistry,
     Counter,
     Histogram,
+    ProcessCollector,
     disable_created_metrics,
     generate_latest,
 )
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from stagewalk.logs.budget import LogBudget
 
 _LAG_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0)
+_CALL_BUCKETS = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0)
 _LATENCY_BUCKETS = (0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
 _omit_creation_times: Callable[[], None] = disable_created_metrics
 
 
+@dataclass(frozen=True, slots=True)
+class GatewayState:
+    """What a gateway is at this moment, for its gauges.
+
+    Attributes
+    ----------
+    view_ages
+        By followed partition, seconds since its view was complete.
+    """
+
+    configuration: int
+    serving_nodes: int
+    workers: int
+    holds_replica: bool
+    holds_lease: bool
+    running_batches: int
+    running_attempts: int
+    view_ages: dict[str, float]
+
+
+class _StateCollector(Collector):
+    """Reads gauges and events when they are asked for: nothing is kept up to date meanwhile."""
+
+    def __init__(self, state: Callable[[], GatewayState], budget: LogBudget) -> None:
+        self._state = state
+        self._budget = budget
+
+    def describe(self) -> Iterable[Metric]:
+        """Return nothing: names are known once they are collected."""
+        return ()
+
+    def collect(self) -> Iterable[Metric]:
+        """Return all gauges, and the events counted by the logs' budget."""
+        state = self._state()
+        for name, text, value in (
+            ("configuration_version", "Configuration in force.", state.configuration),
+            ("serving_nodes", "Nodes known to serve.", state.serving_nodes),
+            ("workers", "Workers listed.", state.workers),
+            ("ledger_replica", "1 while this node follows the batches.", state.holds_replica),
+            ("orders_lease", "1 while this node holds the lease on orders.", state.holds_lease),
+            ("running_batches", "Batches run here.", state.running_batches),
+            ("running_attempts", "Attempts at items under way.", state.running_attempts),
+        ):
+            yield GaugeMetricFamily(f"stagewalk_{name}", text, value=float(value))
+        ages = GaugeMetricFamily(
+            "stagewalk_view_age_seconds", "Age of a partition's view.", labels=["partition"]
+        )
+        for partition, age in sorted(state.view_ages.items()):
+            ages.add_metric([partition], age)
+        yield ages
+        events = CounterMetricFamily(
+            "stagewalk_events", "Log events, dropped ones too.", labels=["event", "failure"]
+        )
+        for (event, failure), count in sorted(self._budget.told.items()):
+            events.add_metric([event, str(failure).lower()], count)
+        yield events
+
+
 class GatewayMetrics:
     """Counters and histograms of one gateway."""
 
-    def __init__(self) -> None:
+    def __init__(self, state: Callable[[], GatewayState], budget: LogBudget) -> None:
         _omit_creation_times()
         self._registry = CollectorRegistry()
+        ProcessCollector(registry=self._registry)
+        self._registry.register(_StateCollector(state, budget))
+        self._log_calls = Histogram(
+            "stagewalk_log_call_seconds",
+            "Calls of the log, by operation and outcome, without the time a read offers to wait.",
+            ["operation", "outcome"],
+            buckets=_CALL_BUCKETS,
+            registry=self._registry,
+        )
         self._requests = Counter(
             "stagewalk_forwarded_requests",
             "Forwarded requests, by route kind and outcome (a status, or how it ended without).",
@@ -45,6 +119,10 @@
             registry=self._registry,
         )
 
+    def log_called(self, operation: str, outcome: str, seconds: float) -> None:
+        """Count a call of the log."""
+        self._log_calls.labels(operation, outcome).observe(seconds)
+
     def request_ended(self, kind: str, outcome: str, began: float) -> None:
         """Count a request that began at a steady time."""
         self._requests.labels(kind, outcome).inc()
--- a/src/stagewalk/logs/budget.py
+++ b/src/stagewalk/logs/budget.py
@@ -51,12 +51,22 @@
         self._ordinary: dict[str, _Bucket] = {}
         self._failures: dict[str, _Bucket] = {}
         self._dropped: Counter[str] = Counter()
+        self._told: Counter[tuple[str, bool]] = Counter()
+
+    @property
+    def told(self) -> dict[tuple[str, bool], int]:
+        """Return how many events there were by kind and whether they tell of a failure.
+
+        Those whose lines were dropped count too.
+        """
+        return dict(self._told)
 
     def allows(self, event: str, failure: bool, now: float) -> bool:
         """Whether a line may be written now; one that may not is counted."""
         kind = event
         if event not in self._ordinary and len(self._ordinary) >= MOST_KINDS:
             kind = OTHER_KINDS
+        self._told[(kind, failure)] += 1
         if failure and self._failure_bucket(kind, now).take(now):
             return True
         if self._ordinary_bucket(kind, now).take(now):
--- a/src/stagewalk/partitioned_log/freshness.py
+++ b/src/stagewalk/partitioned_log/freshness.py
@@ -29,6 +29,11 @@
         self.confirmed_at = -math.inf
         self.disturbed_at = -math.inf
 
+    @property
+    def name(self) -> str:
+        """Return what it is the view of."""
+        return self._name
+
     @property
     def ever_confirmed(self) -> bool:
         """Whether the view was ever complete."""
--- /dev/null
+++ b/src/stagewalk/partitioned_log/measured_log.py
@@ -0,0 +1,83 @@
+"""The log with each call counted and timed."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
+
+from expression import Result
+
+from stagewalk.ports.partitioned_log import (
+    KeyedPage,
+    LogFailure,
+    Partition,
+    PartitionedLog,
+    ProducerSequence,
+    RecordPage,
+)
+
+Value = TypeVar("Value")
+
+ANSWERED = "answered"
+
+CallObserver = Callable[[str, str, float], None]
+"""Takes a call's operation, its outcome (`ANSWERED` or a fault) and its seconds."""
+
+
+class MeasuredLog:
+    """Passes calls on; the time of a read leaves out how long it offered to wait."""
+
+    def __init__(self, log: PartitionedLog, observe: CallObserver) -> None:
+        self._log = log
+        self._observe = observe
+
+    async def append(
+        self, partition: Partition, payloads: Sequence[bytes], sequence: ProducerSequence
+    ) -> Result[int, LogFailure]:
+        """Append all records or none, once."""
+        return await self._timed("append", self._log.append(partition, payloads, sequence))
+
+    async def append_at(
+        self, partition: Partition, payload: bytes, end: int
+    ) -> Result[int, LogFailure]:
+        """Append if the partition ends at `end`."""
+        return await self._timed("append_at", self._log.append_at(partition, payload, end))
+
+    async def append_keyed(
+        self, partition: Partition, key: str, value: bytes
+    ) -> Result[int, LogFailure]:
+        """Set a key."""
+        return await self._timed("append_keyed", self._log.append_keyed(partition, key, value))
+
+    async def read(
+        self, partition: Partition, offset: int, wait_seconds: float
+    ) -> Result[RecordPage, LogFailure]:
+        """Read from an offset on."""
+        return await self._timed(
+            "read", self._log.read(partition, offset, wait_seconds), wait_seconds
+        )
+
+    async def read_keyed(
+        self, partition: Partition, offset: int, wait_seconds: float
+    ) -> Result[KeyedPage, LogFailure]:
+        """Read changes of a compacted topic."""
+        return await self._timed(
+            "read_keyed", self._log.read_keyed(partition, offset, wait_seconds), wait_seconds
+        )
+
+    async def newest(self, partition: Partition) -> Result[KeyedPage, LogFailure]:
+        """Read the newest record of each key."""
+        return await self._timed("newest", self._log.newest(partition))
+
+    async def _timed(
+        self,
+        operation: str,
+        call: Awaitable[Result[Value, LogFailure]],
+        wait_seconds: float = 0.0,
+    ) -> Result[Value, LogFailure]:
+        began = time.monotonic()
+        result = await call
+        outcome = ANSWERED if result.is_ok() else result.error.fault.value
+        self._observe(operation, outcome, max(0.0, time.monotonic() - began - wait_seconds))
+        return result
--- a/tests/batches/test_scheduler.py
+++ b/tests/batches/test_scheduler.py
@@ -341,3 +341,15 @@
             bench.event(tried, number)
         bench.tick(0.1)
         self.assertEqual({"x", "y", "z"}, set(bench.attempts))
+
+    def test_an_engine_that_vanished_before_its_first_event_is_left_soon(self) -> None:
+        bench = Bench(engines=("e1", "e2"))
+        bench.open(item("x"))
+        first = bench.attempts["x"]
+        bench.workers.remove(first.worker, bench.now, -100.0)
+        bench.tick(0.5)
+        self.assertEqual({}, bench.stopped)
+        bench.tick(0.4)
+        self.assertEqual("silent", bench.stopped[first.attempt])
+        bench.tick(0.2)
+        self.assertNotEqual(first.worker, bench.attempts["x"].worker)
--- /dev/null
+++ b/tests/gateway/test_metrics.py
@@ -0,0 +1,52 @@
+"""Metrics of a whole gateway: events, calls of the log, what it is at the moment."""
+
+from __future__ import annotations
+
+import testtools
+from prometheus_client.parser import text_string_to_metric_families
+
+from tests.gateway.support import Running, Site, run
+
+
+async def samples(
+    site: Site, node: Running
+) -> dict[tuple[str, tuple[tuple[str, str], ...]], float]:
+    text = (await site.call(node, "GET", "/metrics")).text
+    return {
+        (sample.name, tuple(sorted(sample.labels.items()))): sample.value
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+    }
+
+
+class MetricsTests(testtools.TestCase):
+    def test_a_gateway_tells_its_state_its_calls_and_its_requests(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            await site.submit(node, "b1", "x", "y")
+            await site.until_listed(node, "b1", 2)
+            await site.call(node, "GET", "/ask/x", stagewalk_request_id="q1")
+            seen = await samples(site, node)
+            self.assertEqual(1.0, seen["stagewalk_configuration_version", ()])
+            self.assertEqual(4.0, seen["stagewalk_workers", ()])
+            self.assertEqual(1.0, seen["stagewalk_ledger_replica", ()])
+            self.assertEqual(0.0, seen["stagewalk_running_attempts", ()])
+            self.assertLess(seen["stagewalk_view_age_seconds", (("partition", "batches/0"),)], 60.0)
+            self.assertGreater(seen["process_open_fds", ()], 0.0)
+            appended = (("operation", "append"), ("outcome", "answered"))
+            self.assertGreaterEqual(seen["stagewalk_log_call_seconds_count", appended], 2.0)
+            answered = (("kind", "repeatable"), ("outcome", "200"))
+            self.assertEqual(1.0, seen["stagewalk_forwarded_requests_total", answered])
+
+        run(scenario)
+
+    def test_a_log_that_refuses_is_seen_in_the_calls(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            node.log.faults.down = True
+            await site.submit(node, "b1", "x")
+            seen = await samples(site, node)
+            refused = (("operation", "append"), ("outcome", "refused"))
+            self.assertGreaterEqual(seen["stagewalk_log_call_seconds_count", refused], 1.0)
+
+        run(scenario)
--- a/tests/logs/test_budget.py
+++ b/tests/logs/test_budget.py
@@ -54,3 +54,9 @@
             written(budget, f"kind-{number}", 1, 0.0)
         expected = 9 * MOST_KINDS - int(BURST_LINES)
         self.assertEqual({"other": expected}, budget.take_dropped())
+
+    def test_events_are_counted_whether_their_lines_are_written_or_not(self) -> None:
+        budget = LogBudget()
+        written(budget, "a", 10_000, 0.0)
+        written(budget, "a", 3, 0.0, failure=True)
+        self.assertEqual({("a", False): 10_000, ("a", True): 3}, budget.told)
