--- a/src/stagewalk/batches/item_run.py
+++ b/src/stagewalk/batches/item_run.py
@@ -54,6 +54,12 @@
         Whether its result is on its way to the log.
     told
         How many of its events the log holds.
+    scoring_since
+        When its text was whole and its score was first asked for; None before that.
+    score_failures
+        How often the service that scores said that it failed.
+    told_score_failures
+        What of that the log holds; None while the log does not hold the whole text.
     """
 
     spec: BatchItem
@@ -66,11 +72,26 @@
     last_worker: str = ""
     told: int = 0
     moved_at: float = -math.inf
+    scoring_since: float | None = None
+    score_failures: int = 0
+    told_score_failures: int | None = None
 
     @property
     def waiting(self) -> bool:
         """Whether it needs an attempt."""
-        return self.running is None and not self.recording
+        return self.running is None and not self.recording and not self.scoring
+
+    @property
+    def scoring(self) -> bool:
+        """Whether its text is whole and its score is awaited."""
+        return self.scoring_since is not None and not self.recording
+
+    @property
+    def untold(self) -> bool:
+        """Whether the log lacks something that whoever takes over could go on from."""
+        if self.scoring:
+            return self.told_score_failures != self.score_failures
+        return len(self.events) > self.told
 
     def take_event(self, data: str) -> None:
         """Take the next event, made under the version its attempt is at."""
@@ -95,12 +116,21 @@
     def tell(self, batch: str) -> ItemProgress:
         """Return what has been made so far, to be told in the log."""
         self.told = len(self.events)
-        return ItemProgress(batch, self.spec.item, tuple(self.events), tuple(self.versions))
-
-    def result(self, batch: str) -> ItemFinished:
-        """Return its succeeded result."""
+        if self.scoring:
+            self.told_score_failures = self.score_failures
+        return ItemProgress(
+            batch,
+            self.spec.item,
+            tuple(self.events),
+            tuple(self.versions),
+            self.scoring,
+            self.score_failures,
+        )
+
+    def result(self, batch: str, score: str = "") -> ItemFinished:
+        """Return its succeeded result: text and score are one record."""
         text = EVENT_SEPARATOR.join(self.events)
-        return ItemFinished(batch, self.spec.item, True, text, tuple(self.versions))
+        return ItemFinished(batch, self.spec.item, True, text, tuple(self.versions), score)
 
     def failure(self, batch: str) -> ItemFinished:
         """Return the result of an item that was given up."""
--- /dev/null
+++ b/src/stagewalk/batches/item_scores.py
@@ -0,0 +1,95 @@
+"""Has items scored whose text is whole; their text and score become one result."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from stagewalk.batches.attempt_watch import RouteOf
+from stagewalk.batches.batch_run import BatchRun
+from stagewalk.batches.item_run import ItemRun
+from stagewalk.batches.messages import RecordItem, SchedulerInstruction
+from stagewalk.scoring.core import ScoreCalls, ScoreOutcome
+from stagewalk.scoring.messages import ScoreAnswered, ScoreBroken, StopScore
+
+TELL_UNSCORED_SECONDS = 0.3
+"""A whole text that waits longer than this for its score is told to the log: whoever takes over
+needs only the score. Most scores come sooner, and then text and score are told once."""
+
+
+class ItemScores:
+    """The scores that a scheduler's items wait for.
+
+    Parameters
+    ----------
+    calls
+        Decides the attempts.
+    runs
+        The batches being run, by name.
+    route_of
+        Finds the route of an item.
+    """
+
+    def __init__(self, calls: ScoreCalls, runs: Mapping[str, BatchRun], route_of: RouteOf) -> None:
+        self._calls = calls
+        self._runs = runs
+        self._route_of = route_of
+
+    @property
+    def pending(self) -> int:
+        """Return the number of items that wait for their score."""
+        return self._calls.pending
+
+    def text_whole(
+        self, run: BatchRun, item: ItemRun, now: float, score: str = ""
+    ) -> list[SchedulerInstruction]:
+        """Record an item whose text is whole, or have it scored first.
+
+        Parameters
+        ----------
+        score
+            The score, if it is known already.
+        """
+        call = item.spec.score_call
+        if call is None or score:
+            return [run.finish(item, score)]
+        route = self._route_of(run.batch.header.host, item.spec.path)
+        attempts = 1 if route is None else route.maximum_attempts
+        item.scoring_since = now
+        self._calls.begin(run.name, item.spec.item, call, attempts, item.score_failures)
+        return self.due(now)
+
+    def drop(self, batch: str, item: str, reason: str) -> list[StopScore]:
+        """Wait for an item's score no more."""
+        return self._calls.drop(batch, item, reason)
+
+    def due(self, now: float) -> list[SchedulerInstruction]:
+        """Return the calls to make now."""
+        return [*self._calls.due(now)]
+
+    def take(self, event: ScoreAnswered | ScoreBroken, now: float) -> list[SchedulerInstruction]:
+        """Take what became of an attempt at a call."""
+        if isinstance(event, ScoreBroken):
+            self._calls.broken(event, now)
+            return self.due(now)
+        result, stops = self._calls.answered(event, now)
+        instructions: list[SchedulerInstruction] = [*stops]
+        run = None if result is None else self._runs.get(result.batch)
+        item = None if run is None or result is None else run.items.get(result.item)
+        if result is not None and run is not None and item is not None:
+            item.score_failures = result.failures
+            if result.outcome is ScoreOutcome.SCORED:
+                instructions.append(run.finish(item, result.score))
+            elif result.outcome is ScoreOutcome.FAILED:
+                instructions.append(run.fail(item))
+        return [*instructions, *self.due(now)]
+
+    def tell_late(self, now: float) -> list[RecordItem]:
+        """Tell the log of whole texts that wait long for their score."""
+        if not self.pending:
+            return []
+        return [
+            run.tell(item)
+            for run in self._runs.values()
+            for item in run.untold
+            if item.scoring_since is not None and now - item.scoring_since > TELL_UNSCORED_SECONDS
+        ]
--- a/src/stagewalk/batches/ledger.py
+++ b/src/stagewalk/batches/ledger.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 from stagewalk.batches.records import (
@@ -45,12 +45,23 @@
     """Text of an item, whole or so far, from whichever batch had the most of it.
 
     Items come back under the same id in a later batch if their group was not whole.
+
+    Attributes
+    ----------
+    whole
+        Whether it is the whole text; its score may still be missing.
+    score
+        The score of the whole text, empty if there is none.
+    score_failures
+        How often the service that scores said that it failed.
     """
 
     spec: BatchItem
     events: tuple[str, ...]
     versions: tuple[int, ...]
     whole: bool
+    score: str = ""
+    score_failures: int = 0
 
 
 @dataclass(slots=True)
@@ -108,10 +119,15 @@
         return [batch for batch in self._batches.values() if batch.open]
 
     def kept_text(self, item: BatchItem) -> KeptText | None:
-        """Return what was made of the same item before, in this batch or an earlier one."""
+        """Return what was made of the same item before, in this batch or an earlier one.
+
+        A score belongs to one call: an item that comes back with another one is scored anew.
+        """
         kept = self._kept.get(item.item)
         if kept is None or (kept.spec.path, kept.spec.body) != (item.path, item.body):
             return None
+        if kept.spec.score_call != item.score_call:
+            return replace(kept, score="", score_failures=0)
         return kept
 
     def apply(self, record: BatchRecord, now: float) -> None:
@@ -161,12 +177,16 @@
             return
         if record.succeeded and any(v < batch.header.minimum_version for v in record.versions):
             return
+        spec = batch.items[record.item]
+        if record.succeeded and spec.score_call is not None and not record.score:
+            return
         batch.listed.add(record.item)
         batch.results.append(record)
         if record.succeeded:
             events = tuple(record.text.split(EVENT_SEPARATOR))
-            spec = batch.items[record.item]
-            self._kept[record.item] = KeptText(spec, events, record.versions, whole=True)
+            self._kept[record.item] = KeptText(
+                spec, events, record.versions, whole=True, score=record.score
+            )
         self._on_change(batch, LedgerChange.LISTED)
 
     def _item_finished_part(self, record: ItemFinishedPart) -> None:
@@ -180,17 +200,23 @@
             return
         del self._result_parts[(record.batch, record.item, record.result)]
         text = "".join(parts[number] for number in sorted(parts))
-        self._item_finished(ItemFinished(record.batch, record.item, True, text, record.versions))
+        self._item_finished(
+            ItemFinished(record.batch, record.item, True, text, record.versions, record.score)
+        )
 
     def _item_progress(self, record: ItemProgress) -> None:
         batch = self._batches.get(record.batch)
         if batch is None or record.item in batch.listed or record.item not in batch.items:
             return
         known = self._kept.get(record.item)
-        if known is None or (not known.whole and len(known.events) < len(record.events)):
-            spec = batch.items[record.item]
-            kept = KeptText(spec, record.events, record.versions, whole=False)
-            self._kept[record.item] = kept
+        if known is None or _tells_more(record, known):
+            self._kept[record.item] = KeptText(
+                batch.items[record.item],
+                record.events,
+                record.versions,
+                whole=record.whole,
+                score_failures=record.score_failures,
+            )
 
     def _ended(self, record: BatchEnded, now: float) -> None:
         batch = self._batches.get(record.batch)
@@ -216,3 +242,11 @@
         batch.runner = runner
         batch.runner_since = now
         self._on_change(batch, LedgerChange.RUNNER)
+
+
+def _tells_more(record: ItemProgress, known: KeptText) -> bool:
+    """Whether progress holds more than what is kept: more text, or more tries at its score."""
+    if known.whole:
+        same_text = record.whole and record.events == known.events
+        return same_text and not known.score and record.score_failures > known.score_failures
+    return record.whole or len(known.events) < len(record.events)
--- a/src/stagewalk/batches/messages.py
+++ b/src/stagewalk/batches/messages.py
@@ -6,6 +6,7 @@
 
 from stagewalk.batches.records import BatchItem, ItemFinished, ItemProgress
 from stagewalk.ports.workers import AttemptFailure, StreamEvent, StreamHead
+from stagewalk.scoring.messages import ScoreEvent, ScoreInstruction
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +46,7 @@
     """Time has passed, or something else has changed that may let items start."""
 
 
-SchedulerEvent = AttemptHead | AttemptEvent | AttemptEnded | AttemptBroken | Tick
+SchedulerEvent = AttemptHead | AttemptEvent | AttemptEnded | AttemptBroken | ScoreEvent | Tick
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,4 +76,4 @@
     record: ItemFinished | ItemProgress
 
 
-SchedulerInstruction = StartItem | StopItem | RecordItem
+SchedulerInstruction = StartItem | StopItem | RecordItem | ScoreInstruction
--- a/src/stagewalk/batches/records.py
+++ b/src/stagewalk/batches/records.py
@@ -12,6 +12,21 @@
 ItemHeaders = tuple[tuple[str, str], ...]
 
 
+class ScoreCall(msgspec.Struct, frozen=True, array_like=True):
+    """The request that has a sample scored: a `POST` by the route of its host and path.
+
+    Attributes
+    ----------
+    call
+        Its own id, under which the service that scores sees it.
+    """
+
+    call: str
+    host: str
+    path: str
+    body: bytes
+
+
 class BatchItem(msgspec.Struct, frozen=True, array_like=True):
     """One request of a batch.
 
@@ -21,6 +36,8 @@
         Items of one group are worth something only together; they share their prompt.
     expected_length
         The caller's guess of how much it will generate, in tokens; 0 if none.
+    score_call
+        What scores its text once that is whole; None: its text is all of its result.
     """
 
     item: str
@@ -30,6 +47,7 @@
     group: str
     model: str
     expected_length: int
+    score_call: ScoreCall | None = None
 
 
 class BatchHeader(msgspec.Struct, frozen=True, array_like=True):
@@ -69,13 +87,20 @@
 
 
 class ItemFinished(msgspec.Struct, frozen=True, array_like=True, tag="finished"):
-    """A result. The first one of an item in the log is the result; its place is its position."""
+    """A result. The first one of an item in the log is the result; its place is its position.
+
+    Attributes
+    ----------
+    score
+        What the service that scored the text signed; empty if the item asks for no score.
+    """
 
     batch: str
     item: str
     succeeded: bool
     text: str
     versions: tuple[int, ...]
+    score: str = ""
 
 
 class ItemFinishedPart(msgspec.Struct, frozen=True, array_like=True, tag="finished_part"):
@@ -91,15 +116,26 @@
     parts: int
     text: str
     versions: tuple[int, ...]
+    score: str = ""
 
 
 class ItemProgress(msgspec.Struct, frozen=True, array_like=True, tag="progress"):
-    """Text made so far, for whoever runs the item next."""
+    """Text made so far, for whoever runs the item next.
+
+    Attributes
+    ----------
+    whole
+        Whether the text is whole and only its score is missing.
+    score_failures
+        How often the service that scores said that it failed.
+    """
 
     batch: str
     item: str
     events: tuple[str, ...]
     versions: tuple[int, ...]
+    whole: bool = False
+    score_failures: int = 0
 
 
 class BatchEnded(msgspec.Struct, frozen=True, array_like=True, tag="ended"):
@@ -163,7 +199,14 @@
     return [
         encode_record(
             ItemFinishedPart(
-                record.batch, record.item, result, number, len(texts), text, record.versions
+                record.batch,
+                record.item,
+                result,
+                number,
+                len(texts),
+                text,
+                record.versions,
+                record.score,
             )
         )
         for number, text in enumerate(texts)
--- a/src/stagewalk/batches/scheduler.py
+++ b/src/stagewalk/batches/scheduler.py
@@ -7,11 +7,14 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from stagewalk.batches.attempt_watch import AttemptWatch, RouteOf
+from stagewalk.batches.batch_run import BatchRun
+from stagewalk.batches.evidence import note_pace, note_refusal
 from stagewalk.batches.item_run import FAILURE_PAUSE_SECONDS, ItemRun, RunningAttempt
+from stagewalk.batches.item_scores import ItemScores
 from stagewalk.batches.ledger import Batch, KeptText
 from stagewalk.batches.length_estimate import LengthEstimate
 from stagewalk.batches.messages import (
@@ -19,7 +22,6 @@
     AttemptEnded,
     AttemptEvent,
     AttemptHead,
-    RecordItem,
     SchedulerEvent,
     SchedulerInstruction,
     StartItem,
@@ -28,15 +30,14 @@
 )
 from stagewalk.batches.placement import choose_engine
 from stagewalk.batches.records import BatchItem
-from stagewalk.ports.workers import AttemptFailure, AttemptFault
+from stagewalk.scoring.core import ScoreCalls, ServiceOf
+from stagewalk.scoring.messages import ScoreAnswered, ScoreBroken
 from stagewalk.workers.table import WorkerTable
-from stagewalk.workers.worker import Worker
 
 TELL_SECONDS = 1.0
 TELL_EVENTS = 20
 """An item that has made this many events more than the log holds tells them."""
 
-REFUSAL_PAUSE_SECONDS = 0.25
 SUCCESS = 200
 IMPOSSIBLE = 422
 """The worker says that the item can never be done."""
@@ -44,22 +45,20 @@
 RUN_FAILED = 500
 
 
-@dataclass(slots=True)
-class _BatchRun:
-    batch: Batch
-    items: dict[str, ItemRun] = field(default_factory=dict)
-
-
 class BatchScheduler:
     """Runs the batches that were given to it."""
 
-    def __init__(self, workers: WorkerTable, route_of: RouteOf, zone: str) -> None:
+    def __init__(
+        self, workers: WorkerTable, route_of: RouteOf, service_of: ServiceOf, zone: str
+    ) -> None:
         self._workers = workers
         self._route_of = route_of
         self._zone = zone
-        self._runs: dict[str, _BatchRun] = {}
-        self._attempts: dict[int, tuple[_BatchRun, ItemRun]] = {}
-        self._next_attempt = 1
+        self._runs: dict[str, BatchRun] = {}
+        self._attempts: dict[int, tuple[BatchRun, ItemRun]] = {}
+        self._numbers = itertools.count(1)
+        calls = ScoreCalls(workers, route_of, service_of, zone, self._numbers)
+        self._scores = ItemScores(calls, self._runs, route_of)
         self._told_at = 0.0
         self._lengths = LengthEstimate()
         self._watch = AttemptWatch(workers, route_of, self._lengths)
@@ -74,13 +73,18 @@
         """Return the number of attempts under way."""
         return len(self._attempts)
 
+    @property
+    def scoring(self) -> int:
+        """Return the number of items whose text is whole and whose score is awaited."""
+        return self._scores.pending
+
     def open(
-        self, batch: Batch, kept_text: Callable[[BatchItem], KeptText | None]
+        self, batch: Batch, kept_text: Callable[[BatchItem], KeptText | None], now: float
     ) -> list[SchedulerInstruction]:
         """Begin to run what is left of a batch; `kept_text` finds what was made of an item."""
         if batch.header.batch in self._runs:
             return []
-        run = _BatchRun(batch)
+        run = BatchRun(batch)
         self._runs[batch.header.batch] = run
         instructions: list[SchedulerInstruction] = []
         for name, spec in batch.items.items():
@@ -93,8 +97,8 @@
                 continue
             item.adopt(kept.events, kept.versions)
             if kept.whole:
-                item.recording = True
-                instructions.append(RecordItem(item.result(batch.header.batch)))
+                item.score_failures = kept.score_failures
+                instructions += self._scores.text_whole(run, item, now, kept.score)
         return instructions
 
     def close(self, batch: str, reason: str) -> list[SchedulerInstruction]:
@@ -102,23 +106,30 @@
         run = self._runs.pop(batch, None)
         if run is None:
             return []
-        return [self._stop(item, reason) for item in run.items.values() if item.running]
+        stops: list[SchedulerInstruction] = []
+        for item in run.items.values():
+            stops += self._scores.drop(batch, item.spec.item, reason)
+            if item.running:
+                stops.append(self._stop(item, reason))
+        return stops
 
     def listed(self, batch: str, item: str) -> list[SchedulerInstruction]:
         """Take the news that an item has its result, whoever made it."""
         run = self._runs.get(batch)
         known = None if run is None else run.items.pop(item, None)
-        if known is None or known.running is None:
+        if known is None:
             return []
-        return [self._stop(known, "listed")]
+        stops: list[SchedulerInstruction] = [*self._scores.drop(batch, item, "listed")]
+        if known.running is not None:
+            stops.append(self._stop(known, "listed"))
+        return stops
 
     def progress(self, batch: str) -> list[SchedulerInstruction]:
         """Return what has been made of a batch's unfinished items since that was last told."""
         run = self._runs.get(batch)
         if run is None:
             return []
-        untold = [i for i in run.items.values() if len(i.events) > i.told and not i.recording]
-        return [RecordItem(item.tell(batch)) for item in untold]
+        return [run.tell(item) for item in run.untold]
 
     def handle(self, event: SchedulerEvent, now: float) -> list[SchedulerInstruction]:
         """Take an event and return what to do."""
@@ -131,6 +142,8 @@
                 return self._ended(event, now)
             case AttemptBroken():
                 return self._broken(event, now)
+            case ScoreAnswered() | ScoreBroken():
+                return self._scores.take(event, now)
             case Tick():
                 return self._tick(now)
 
@@ -167,12 +180,14 @@
             if refused:
                 return refused
         item.take_event(event.event.data)
-        self._note_pace(item.running, len(item.events), now)
+        worker = self._workers.worker(item.running.worker)
+        if worker is not None:
+            note_pace(worker, item.running, len(item.events), now)
         item.running.last_event_at = now
         return []
 
     def _take_version(
-        self, run: _BatchRun, item: ItemRun, version: int, now: float
+        self, run: BatchRun, item: ItemRun, version: int, now: float
     ) -> list[SchedulerInstruction]:
         """Note what makes the events that follow; leave a worker whose weights don't fit.
 
@@ -200,20 +215,16 @@
             return []
         run, item = known
         attempt = self._finish_attempt(item)
-        batch = run.batch.header.batch
         if event.status == SUCCESS and item.events:
-            item.recording = True
             self._lengths.learn(item)
-            return [RecordItem(item.result(batch))]
+            return self._scores.text_whole(run, item, now)
         if event.status == IMPOSSIBLE:
-            item.recording = True
-            return [RecordItem(item.failure(batch))]
+            return [run.fail(item)]
         if event.status == RUN_FAILED:
             item.run_failures += 1
             route = self._route_of(run.batch.header.host, item.spec.path)
             if route is not None and item.run_failures >= route.maximum_attempts:
-                item.recording = True
-                return [RecordItem(item.failure(batch))]
+                return [run.fail(item)]
         item.not_before = now + FAILURE_PAUSE_SECONDS
         item.last_worker = attempt.worker
         return self._start_items(now)
@@ -226,8 +237,7 @@
         attempt = self._finish_attempt(item)
         worker = self._workers.worker(attempt.worker)
         if worker is not None:
-            worker.note_load(event.failure.load, now)
-            self._note_refusal(worker, item, event.failure, now)
+            note_refusal(worker, item.spec.model, event.failure, now)
         item.not_before = now + FAILURE_PAUSE_SECONDS
         item.last_worker = attempt.worker
         return self._start_items(now)
@@ -246,17 +256,22 @@
         instructions += self._tell_progress(now)
         instructions += self._move_from_slow(now)
         instructions += self._start_items(now)
+        instructions += self._scores.due(now)
         return instructions
 
     def _tell_progress(self, now: float) -> list[SchedulerInstruction]:
-        """Tell what long items have made now and then: whoever takes over goes on from there."""
+        """Tell now and then what long items have made, and which texts wait long for a score.
+
+        Whoever takes over goes on from there.
+        """
         if now - self._told_at < TELL_SECONDS:
             return []
         self._told_at = now
         instructions: list[SchedulerInstruction] = []
         for run, item in self._attempts.values():
             if len(item.events) >= item.told + TELL_EVENTS:
-                instructions.append(RecordItem(item.tell(run.batch.header.batch)))
+                instructions.append(run.tell(item))
+        instructions += self._scores.tell_late(now)
         return instructions
 
     def _give_up(self, now: float) -> list[SchedulerInstruction]:
@@ -269,8 +284,8 @@
                 if now - run.batch.seen_at > route.give_up_seconds:
                     if item.running is not None:
                         instructions.append(self._stop(item, "given up"))
-                    item.recording = True
-                    instructions.append(RecordItem(item.failure(run.batch.header.batch)))
+                    instructions += self._scores.drop(run.name, item.spec.item, "given up")
+                    instructions.append(run.fail(item))
         return instructions
 
     def _move_from_slow(self, now: float) -> list[SchedulerInstruction]:
@@ -299,7 +314,7 @@
                 instructions.append(start)
         return instructions
 
-    def _start(self, run: _BatchRun, item: ItemRun, now: float) -> StartItem | None:
+    def _start(self, run: BatchRun, item: ItemRun, now: float) -> StartItem | None:
         siblings = {
             other.running.worker
             for other in run.items.values()
@@ -315,8 +330,7 @@
         )
         if worker is None:
             return None
-        attempt = self._next_attempt
-        self._next_attempt += 1
+        attempt = next(self._numbers)
         name = worker.announcement.worker
         item.running = RunningAttempt(attempt, name, now, now, len(item.events))
         self._attempts[attempt] = (run, item)
@@ -351,23 +365,6 @@
             worker.note_ended()
         return attempt
 
-    @staticmethod
-    def _note_refusal(worker: Worker, item: ItemRun, failure: AttemptFailure, now: float) -> None:
-        """Avoid an engine that failed; one that refuses with places free loads weights."""
-        if failure.fault is not AttemptFault.NOT_RUN:
-            worker.note_failure(now)
-        elif failure.load is None or failure.load.running < failure.load.slots:
-            worker.loading_until[item.spec.model] = now + REFUSAL_PAUSE_SECONDS
-
-    def _note_pace(self, attempt: RunningAttempt, events: int, now: float) -> None:
-        """Learn a worker's time per event; the first one comes with the head and tells none."""
-        worker = self._workers.worker(attempt.worker)
-        if worker is None or events <= attempt.events_before + 1:
-            return
-        pace = attempt.pace(now - attempt.last_event_at)
-        if pace is not None:
-            worker.note_success(pace, now)
-
     def _fits(self, batch: Batch, spec: BatchItem, kept: KeptText) -> bool:
         """Whether text that was made before may be used in a batch."""
         if any(version < batch.header.minimum_version for version in kept.versions):
@@ -376,6 +373,6 @@
         return len(kept.versions) <= 1 or route is None or not route.single_version
 
 
-def _start_order(run: _BatchRun, item: ItemRun) -> tuple[float, int, str]:
+def _start_order(run: BatchRun, item: ItemRun) -> tuple[float, int, str]:
     """Older batches first, within one the items expected to run longest."""
     return run.batch.seen_at, -item.spec.expected_length, item.spec.group
--- a/src/stagewalk/forwarding/policy.py
+++ b/src/stagewalk/forwarding/policy.py
@@ -115,10 +115,7 @@
 
     def hedge_after(self, usual_latency: float | None) -> float:
         """Return after how many seconds without an answer to try a second worker."""
-        latest = HEDGE_TARGET_SHARE * self.route.target_seconds
-        if usual_latency is None:
-            return latest
-        return min(latest, max(HEDGE_MINIMUM_SECONDS, HEDGE_LATENCIES * usual_latency))
+        return hedge_delay(self.route, usual_latency)
 
     def accepts(self, answer: WorkerAnswer, now: float) -> bool:
         """Whether an answer is final; a worker's own failure may be worth another worker."""
@@ -139,6 +136,14 @@
         return Ending.OUT_OF_TIME if over else Ending.UNKNOWN
 
 
+def hedge_delay(route: Route, usual_latency: float | None) -> float:
+    """Return after how many seconds a worker is late that usually takes so many."""
+    latest = HEDGE_TARGET_SHARE * route.target_seconds
+    if usual_latency is None:
+        return latest
+    return min(latest, max(HEDGE_MINIMUM_SECONDS, HEDGE_LATENCIES * usual_latency))
+
+
 def is_success(status: int) -> bool:
     """Whether a status is of the 2xx kind."""
     return SUCCESS_FROM <= status < SUCCESS_BELOW
--- a/src/stagewalk/gateway/batch_calls.py
+++ b/src/stagewalk/gateway/batch_calls.py
@@ -15,6 +15,8 @@
 from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.appender import AppendOutcome
 from stagewalk.ports.dialect import Dialect
+from stagewalk.scoring.core import RouteOf
+from stagewalk.scoring.submission import find_unroutable_score
 
 SUBMIT_SECONDS = 3.0
 """How long a submission may wait for the log."""
@@ -32,12 +34,14 @@
         runner: BatchRunner,
         ledger: LedgerCalls,
         dialect: Dialect,
+        route_of: RouteOf,
     ) -> None:
         self._store = store
         self._runner = runner
         self._ledger = ledger
         self._dialect = dialect
         self._spelling = dialect.callers
+        self._route_of = route_of
 
     async def submit(self, exchange: OpaqueExchange) -> None:
         """Take a batch: accepted only once it is in the log."""
@@ -53,6 +57,13 @@
         if submission.is_error():
             await reply_error(exchange, 400, str(submission.error))
             return
+        unroutable = find_unroutable_score(submission.ok.items, self._route_of)
+        if unroutable is not None:
+            # A configuration that is not here yet may have the route: nothing is taken, nothing
+            # runs, and the trainer may come back.
+            log_event("batch_refused", "warning", batch=batch, cause=str(unroutable))
+            await reply_error(exchange, 503, str(unroutable), COME_BACK_SECONDS)
+            return
         stalled_since = self._store.appends_stalled(batch)
         if stalled_since is not None and time.monotonic() - stalled_since > STALLED_SECONDS:
             log_event("batch_refused", "warning", batch=batch, cause="log takes no appends")
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -31,6 +31,7 @@
 from stagewalk.gateway.batch_store import BatchStore
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.node_service import NodeService
+from stagewalk.gateway.score_sender import ScoreSender
 from stagewalk.logs.lines import log_event
 from stagewalk.ports.workers import (
     AttemptFailure,
@@ -40,6 +41,7 @@
     StreamPart,
     WorkerClient,
 )
+from stagewalk.scoring.messages import SendScore, StopScore
 from stagewalk.version_rollouts.core import VersionRollouts
 from stagewalk.workers.table import WorkerTable
 
@@ -77,6 +79,7 @@
         self._rollouts = rollouts
         self._tasks: anyio.abc.TaskGroup | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
+        self._scores = ScoreSender(client, workers, self._handle)
         self._orphaned_since: dict[str, float] = {}
         self._claimed_at: dict[str, float] = {}
         self._stopping = False
@@ -84,6 +87,7 @@
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start running."""
         self._tasks = tasks
+        self._scores.start(tasks)
         self._store.on_change = self._ledger_changed
         tasks.start_soon(self._tick)
         tasks.start_soon(self._supervise)
@@ -116,6 +120,11 @@
         """Return how many attempts at items are under way."""
         return self._scheduler.running
 
+    @property
+    def awaited_scores(self) -> int:
+        """Return how many items run here have their text but not their score."""
+        return self._scheduler.scoring
+
     def hand_over(self) -> None:
         """Stop running: tell the log what was made so far and that others may go on."""
         self._stopping = True
@@ -155,7 +164,8 @@
             minimum_version=batch.header.minimum_version,
             epoch=batch.epoch,
         )
-        self._carry_out(self._scheduler.open(batch, self._store.ledger.kept_text))
+        kept_text = self._store.ledger.kept_text
+        self._carry_out(self._scheduler.open(batch, kept_text, time.monotonic()))
         self._handle(Tick())
 
     # Taking over.
@@ -219,6 +229,10 @@
                     self._stop_item(instruction)
                 case RecordItem():
                     self._record(instruction)
+                case SendScore():
+                    self._scores.send(instruction)
+                case StopScore():
+                    self._scores.stop(instruction)
 
     def _record(self, instruction: RecordItem) -> None:
         record = instruction.record
@@ -231,6 +245,7 @@
                 succeeded=record.succeeded,
                 versions=",".join(map(str, record.versions)),
                 characters=len(record.text),
+                score=record.score,
             )
 
     def _start_item(self, start: StartItem) -> None:
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -164,7 +164,12 @@
         self._runner = BatchRunner(
             identity=self._identity,
             store=self.store,
-            scheduler=BatchScheduler(self._workers, self._routes.find, zone),
+            scheduler=BatchScheduler(
+                self._workers,
+                self._routes.find,
+                lambda route: self._routes.choose_back_end(route).service,
+                zone,
+            ),
             client=surroundings.workers,
             workers=self._workers,
             nodes=self._nodes,
@@ -257,7 +262,9 @@
             routes=self._routes,
             forwarder=self._forwarder,
             streams=self._streams,
-            batches=BatchCalls(self.store, self._runner, self._ledger_calls, self._dialect),
+            batches=BatchCalls(
+                self.store, self._runner, self._ledger_calls, self._dialect, self._routes.find
+            ),
             nodes=self._nodes,
             dialect=self._dialect,
             buffered_body_bytes=BUFFERED_BODY_BYTES,
@@ -282,6 +289,7 @@
             holds_lease=self._orders.holds_lease,
             running_batches=self._runner.running_batches,
             running_attempts=self._runner.running_attempts,
+            awaited_scores=self._runner.awaited_scores,
             view_ages={freshness.name: freshness.age(now) for freshness in followers},
         )
 
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -42,6 +42,7 @@
     holds_lease: bool
     running_batches: int
     running_attempts: int
+    awaited_scores: int
     view_ages: dict[str, float]
 
 
@@ -67,6 +68,7 @@
             ("orders_lease", "1 while this node holds the lease on orders.", state.holds_lease),
             ("running_batches", "Batches run here.", state.running_batches),
             ("running_attempts", "Attempts at items under way.", state.running_attempts),
+            ("awaited_scores", "Items whose text is whole, not scored.", state.awaited_scores),
         ):
             yield GaugeMetricFamily(f"stagewalk_{name}", text, value=float(value))
         ages = GaugeMetricFamily(
--- /dev/null
+++ b/src/stagewalk/gateway/score_sender.py
@@ -0,0 +1,113 @@
+"""Sends score calls to the workers that score, and tells the scheduler what became of them."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+
+from stagewalk.logs.lines import log_event
+from stagewalk.ports.workers import (
+    AttemptFailure,
+    AttemptFault,
+    OutboundRequest,
+    WorkerClient,
+)
+from stagewalk.scoring.messages import (
+    ScoreAnswered,
+    ScoreBroken,
+    ScoreEvent,
+    SendScore,
+    StopScore,
+)
+from stagewalk.workers.table import WorkerTable
+
+SCORE_METHOD = "POST"
+HOST_HEADER = "host"
+SUCCESS = 200
+
+EventSink = Callable[[ScoreEvent], None]
+
+
+class ScoreSender:
+    """Carries out what the score calls decide.
+
+    Parameters
+    ----------
+    tell
+        Takes what became of an attempt.
+    """
+
+    def __init__(self, client: WorkerClient, workers: WorkerTable, tell: EventSink) -> None:
+        self._client = client
+        self._workers = workers
+        self._tell = tell
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._scopes: dict[int, anyio.CancelScope] = {}
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Have attempts run in a task group from now on."""
+        self._tasks = tasks
+
+    def send(self, send: SendScore) -> None:
+        """Begin an attempt."""
+        assert self._tasks is not None
+        scope = anyio.CancelScope()
+        self._scopes[send.attempt] = scope
+        self._tasks.start_soon(self._run, send, scope)
+
+    def stop(self, stop: StopScore) -> None:
+        """Break an attempt off."""
+        scope = self._scopes.pop(stop.attempt, None)
+        if scope is not None:
+            scope.cancel()
+
+    async def _run(self, send: SendScore, scope: anyio.CancelScope) -> None:
+        began = time.monotonic()
+        with scope:
+            event = await self._attempt(send)
+        if not scope.cancelled_caught:
+            self._scopes.pop(send.attempt, None)
+            _log_outcome(send, event, time.monotonic() - began)
+            self._tell(event)
+
+    async def _attempt(self, send: SendScore) -> ScoreEvent:
+        worker = self._workers.worker(send.worker)
+        if worker is None:
+            gone = AttemptFailure(AttemptFault.NOT_SENT, "the worker is gone")
+            return ScoreBroken(send.attempt, gone)
+        request = OutboundRequest(
+            request_id=send.call.call,
+            method=SCORE_METHOD,
+            target=send.call.path,
+            headers=((HOST_HEADER, send.call.host),),
+            body=send.call.body,
+            deadline_seconds=send.deadline_seconds,
+        )
+        result = await self._client.send(WorkerTable.target(worker), request)
+        if result.is_ok():
+            return ScoreAnswered(send.attempt, result.ok)
+        return ScoreBroken(send.attempt, result.error)
+
+
+def _log_outcome(send: SendScore, event: ScoreEvent, seconds: float) -> None:
+    if isinstance(event, ScoreAnswered):
+        good = event.answer.status == SUCCESS
+        outcome, detail = f"answered_{event.answer.status}", ""
+    else:
+        good = False
+        outcome, detail = event.failure.fault.value, event.failure.detail
+    log_event(
+        "score_call_ended",
+        "info" if good else "warning",
+        item=send.item,
+        batch=send.batch,
+        call=send.call.call,
+        attempt=send.attempt,
+        worker=send.worker,
+        outcome=outcome,
+        detail=detail,
+        seconds=seconds,
+    )
--- a/src/stagewalk/ports/workers.py
+++ b/src/stagewalk/ports/workers.py
@@ -80,16 +80,27 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerAnswer:
-    """A worker's whole answer, checked to belong to the request."""
+    """A worker's whole answer, checked to belong to the request.
+
+    Attributes
+    ----------
+    signature
+        The worker's signature of what it answers, empty if the answer carries none.
+    leaving
+        Whether the worker closes the connection.
+    """
 
     status: int
     headers: HeaderList
     body: bytes
-    genuine: bool
-    """Whether it carries the worker's signature."""
+    signature: str
     load: WorkerLoad | None
     leaving: bool
-    """Whether the worker closes the connection."""
+
+    @property
+    def genuine(self) -> bool:
+        """Whether it carries the worker's signature."""
+        return bool(self.signature)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/stagewalk/scoring/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of services that score samples: when, where, how often and with which deadline."""
--- /dev/null
+++ b/src/stagewalk/scoring/core.py
@@ -0,0 +1,266 @@
+"""Decides the attempts of score calls: a pure state machine.
+
+A call may be repeated, so it goes to another worker at once where one fails, and beside one that
+is late. What a worker itself answers with 500 counts: after so many the sample has no score.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from stagewalk.batches.records import ScoreCall
+from stagewalk.forwarding.policy import SERVER_ERROR, hedge_delay, is_success
+from stagewalk.ports.workers import AttemptFault
+from stagewalk.routes.route import Route
+from stagewalk.scoring.messages import ScoreAnswered, ScoreBroken, SendScore, StopScore
+from stagewalk.workers.selection import choose_worker
+from stagewalk.workers.table import WorkerTable
+from stagewalk.workers.worker import Worker
+
+LONGEST_ATTEMPT_SECONDS = 1.5
+"""What a worker may take: little of the time a step has, so that another attempt still counts."""
+
+MOST_AT_ONCE = 3
+"""Attempts at one call under way together: each next one is begun beside a late one."""
+
+FAILURE_PAUSE_SECONDS = 0.05
+LONGEST_PAUSE_SECONDS = 0.8
+"""How long a call waits after a failed attempt; twice as long after each further one."""
+
+
+class ScoreOutcome(StrEnum):
+    """What an answer means for its sample."""
+
+    SCORED = "scored"
+    FAILED = "failed"
+    """It failed as often as its route allows: the sample has no score."""
+    PENDING = "pending"
+
+
+@dataclass(frozen=True, slots=True)
+class ScoreResult:
+    """What became of a sample's score call with an answer.
+
+    Attributes
+    ----------
+    batch, item
+        The sample.
+    score
+        What the service signed, empty unless the outcome is `SCORED`.
+    failures
+        Answers so far in which a worker said that it failed.
+    """
+
+    batch: str
+    item: str
+    outcome: ScoreOutcome
+    score: str
+    failures: int
+
+
+@dataclass(slots=True)
+class _Attempt:
+    worker: Worker
+    began_at: float
+    late_after: float
+    """When another one is begun beside it."""
+
+
+@dataclass(slots=True)
+class _PendingCall:
+    """A call without its score. Times are of the steady clock."""
+
+    batch: str
+    item: str
+    call: ScoreCall
+    batch_attempts: int
+    failures: int
+    under_way: dict[int, _Attempt] = field(default_factory=dict)
+    tried: list[str] = field(default_factory=list)
+    """Workers of this round: none is asked again before all were."""
+    fruitless: int = 0
+    """Attempts in a row that ended without any answer that counts."""
+    not_before: float = -math.inf
+
+    def allowed_failures(self, route: Route) -> int:
+        """Return how many answers that say it failed leave the sample without a score."""
+        return max(self.batch_attempts, route.maximum_attempts)
+
+
+RouteOf = Callable[[str, str], Route | None]
+"""Finds the route in force for a host and a path."""
+
+ServiceOf = Callable[[Route], str]
+"""Chooses the service whose turn it is on a route."""
+
+
+class ScoreCalls:
+    """The score calls of samples whose text is whole.
+
+    Parameters
+    ----------
+    workers
+        Workers of all services.
+    route_of, service_of
+        Which route a call takes, and which of its services.
+    zone
+        This node's zone: near workers are preferred.
+    numbers
+        Numbers of attempts, shared with whoever else starts attempts.
+    """
+
+    def __init__(
+        self,
+        workers: WorkerTable,
+        route_of: RouteOf,
+        service_of: ServiceOf,
+        zone: str,
+        numbers: Iterator[int],
+    ) -> None:
+        self._workers = workers
+        self._route_of = route_of
+        self._service_of = service_of
+        self._zone = zone
+        self._numbers = numbers
+        self._calls: dict[tuple[str, str], _PendingCall] = {}
+        self._attempts: dict[int, _PendingCall] = {}
+
+    @property
+    def pending(self) -> int:
+        """Return the number of samples that wait for their score."""
+        return len(self._calls)
+
+    def begin(
+        self, batch: str, item: str, call: ScoreCall, batch_attempts: int, failures: int = 0
+    ) -> None:
+        """Begin to call for a sample's score; its text must be whole.
+
+        Parameters
+        ----------
+        batch_attempts
+            Failures that the batch's own route allows; the call's route may allow more.
+        failures
+            Answers that said so before, at whoever ran the item until now.
+        """
+        pending = _PendingCall(batch, item, call, batch_attempts, failures)
+        self._calls.setdefault((batch, item), pending)
+
+    def drop(self, batch: str, item: str, reason: str) -> list[StopScore]:
+        """Call for a sample's score no more."""
+        pending = self._calls.pop((batch, item), None)
+        return [] if pending is None else self._stop_attempts(pending, reason)
+
+    def due(self, now: float) -> list[SendScore]:
+        """Return the attempts to begin now."""
+        sends = [self._next_attempt(pending, now) for pending in self._calls.values()]
+        return [send for send in sends if send is not None]
+
+    def answered(
+        self, event: ScoreAnswered, now: float
+    ) -> tuple[ScoreResult | None, list[StopScore]]:
+        """Take an answer; return what it means, and the attempts it makes needless."""
+        pending = self._attempts.pop(event.attempt, None)
+        if pending is None:
+            return None, []
+        attempt = pending.under_way.pop(event.attempt)
+        attempt.worker.note_ended()
+        attempt.worker.note_load(event.answer.load, now)
+        status = event.answer.status
+        if is_success(status) and event.answer.signature:
+            attempt.worker.note_success(now - attempt.began_at, now)
+            return self._settle(pending, ScoreOutcome.SCORED, event.answer.signature, "scored")
+        if status != SERVER_ERROR:
+            # Not what a service that scores says: it neither scored nor failed the sample.
+            attempt.worker.note_failure(now)
+            self._pause(pending, now)
+            return self._result(pending, ScoreOutcome.PENDING), []
+        attempt.worker.note_success(now - attempt.began_at, now)
+        pending.failures += 1
+        route = self._route_of(pending.call.host, pending.call.path)
+        if route is not None and pending.failures >= pending.allowed_failures(route):
+            return self._settle(pending, ScoreOutcome.FAILED, "", "failed too often")
+        self._pause(pending, now)
+        return self._result(pending, ScoreOutcome.PENDING), []
+
+    def broken(self, event: ScoreBroken, now: float) -> None:
+        """Take the end of an attempt that brought no whole answer."""
+        pending = self._attempts.pop(event.attempt, None)
+        if pending is None:
+            return
+        attempt = pending.under_way.pop(event.attempt)
+        attempt.worker.note_ended()
+        attempt.worker.note_load(event.failure.load, now)
+        if event.failure.fault is not AttemptFault.NOT_RUN:
+            attempt.worker.note_failure(now)
+        self._pause(pending, now)
+
+    def _settle(
+        self, pending: _PendingCall, outcome: ScoreOutcome, score: str, reason: str
+    ) -> tuple[ScoreResult, list[StopScore]]:
+        del self._calls[(pending.batch, pending.item)]
+        return self._result(pending, outcome, score), self._stop_attempts(pending, reason)
+
+    @staticmethod
+    def _result(pending: _PendingCall, outcome: ScoreOutcome, score: str = "") -> ScoreResult:
+        return ScoreResult(pending.batch, pending.item, outcome, score, pending.failures)
+
+    @staticmethod
+    def _pause(pending: _PendingCall, now: float) -> None:
+        """Wait a little before the next attempt if no other is under way, longer each time."""
+        pending.fruitless += 1
+        doubled = FAILURE_PAUSE_SECONDS * 2 ** min(pending.fruitless - 1, 8)
+        pending.not_before = now + min(LONGEST_PAUSE_SECONDS, doubled)
+
+    def _stop_attempts(self, pending: _PendingCall, reason: str) -> list[StopScore]:
+        for number, attempt in pending.under_way.items():
+            del self._attempts[number]
+            attempt.worker.note_ended()
+        return [StopScore(number, reason) for number in pending.under_way]
+
+    def _next_attempt(self, pending: _PendingCall, now: float) -> SendScore | None:
+        route = self._route_of(pending.call.host, pending.call.path)
+        if route is None or not self._may_begin(pending, route, now):
+            return None
+        worker = self._choose(pending, route, now)
+        if worker is None:
+            return None
+        number = next(self._numbers)
+        late_after = now + hedge_delay(route, worker.recent_latency(now))
+        pending.under_way[number] = _Attempt(worker, now, late_after)
+        pending.tried.append(worker.announcement.worker)
+        self._attempts[number] = pending
+        worker.note_sent()
+        return SendScore(
+            number,
+            pending.batch,
+            pending.item,
+            pending.call,
+            worker.announcement.worker,
+            min(LONGEST_ATTEMPT_SECONDS, route.timeout_seconds),
+        )
+
+    @staticmethod
+    def _may_begin(pending: _PendingCall, route: Route, now: float) -> bool:
+        """Whether an attempt may begin: the first one, or one beside others that are late.
+
+        No more are under way than may all fail.
+        """
+        under_way = pending.under_way.values()
+        room = min(MOST_AT_ONCE, pending.allowed_failures(route) - pending.failures)
+        if len(under_way) >= room:
+            return False
+        if not under_way:
+            return now >= pending.not_before
+        return all(now >= attempt.late_after for attempt in under_way)
+
+    def _choose(self, pending: _PendingCall, route: Route, now: float) -> Worker | None:
+        """Return the worker for the next attempt, of those not tried in this round."""
+        usable = self._workers.usable(self._service_of(route))
+        chosen = choose_worker(usable, now, self._zone, pending.tried)
+        if chosen is None and not pending.under_way:
+            pending.tried.clear()
+            chosen = choose_worker(usable, now, self._zone)
+        return chosen
--- /dev/null
+++ b/src/stagewalk/scoring/messages.py
@@ -0,0 +1,48 @@
+"""What the score calls are told, and what they tell the shell to do."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from stagewalk.batches.records import ScoreCall
+from stagewalk.ports.workers import AttemptFailure, WorkerAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class ScoreAnswered:
+    """A worker answered an attempt at a score call, whatever it said."""
+
+    attempt: int
+    answer: WorkerAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class ScoreBroken:
+    """An attempt at a score call ended without a whole answer."""
+
+    attempt: int
+    failure: AttemptFailure
+
+
+@dataclass(frozen=True, slots=True)
+class SendScore:
+    """Send a score call to a worker, which may work on it for so many seconds."""
+
+    attempt: int
+    batch: str
+    item: str
+    call: ScoreCall
+    worker: str
+    deadline_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class StopScore:
+    """Close the connection of an attempt at a score call."""
+
+    attempt: int
+    reason: str
+
+
+ScoreEvent = ScoreAnswered | ScoreBroken
+ScoreInstruction = SendScore | StopScore
--- /dev/null
+++ b/src/stagewalk/scoring/submission.py
@@ -0,0 +1,33 @@
+"""Checks of the score calls that come with a batch, before any of it is taken."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from stagewalk.batches.records import BatchItem
+from stagewalk.core.errors import ErrorKind, StagewalkError, Step
+from stagewalk.routes.route import RouteKind
+from stagewalk.scoring.core import RouteOf
+
+
+def find_unroutable_score(items: Sequence[BatchItem], route_of: RouteOf) -> StagewalkError | None:
+    """Return the error of the first score call that no route in force takes, None if all have one.
+
+    A call may be sent more than once, so only a route whose requests may be repeated takes it.
+    """
+    checked: set[tuple[str, str]] = set()
+    for number, item in enumerate(items):
+        call = item.score_call
+        if call is None or (call.host, call.path) in checked:
+            continue
+        checked.add((call.host, call.path))
+        route = route_of(call.host, call.path)
+        if route is None or route.kind is not RouteKind.REPEATABLE:
+            return StagewalkError(
+                ErrorKind.INVALID_REQUEST,
+                Step.VALIDATION,
+                "caller",
+                f"no route in force takes {call.host}{call.path}",
+                field=f"items[{number}].score_call.path",
+            )
+    return None
--- a/src/stagewalk_standins/memory_workers.py
+++ b/src/stagewalk_standins/memory_workers.py
@@ -39,12 +39,15 @@
         How long an event takes.
     faults
         Faults of the next requests, one each.
+    statuses
+        Statuses of the next answers, one each.
     """
 
     events: int = 3
     event_seconds: float = 0.01
     answer_seconds: float = 0.0
     faults: list[AttemptFault] = field(default_factory=list)
+    statuses: list[int] = field(default_factory=list)
     versions: dict[str, int] = field(default_factory=dict)
     orders: list[VersionOrder] = field(default_factory=list)
     running: int = 0
@@ -85,7 +88,9 @@
             return Error(AttemptFailure(worker.faults.pop(0), "scripted", worker.load))
         headers = (("x-worker", target.worker),)
         body = request.target.encode() + b" " + request.body
-        return Ok(WorkerAnswer(SUCCESS, headers, body, True, worker.load, False))
+        status = worker.statuses.pop(0) if worker.statuses else SUCCESS
+        signature = f"{target.worker}/{request.request_id}"
+        return Ok(WorkerAnswer(status, headers, body, signature, worker.load, False))
 
     async def stream(
         self, target: WorkerTarget, request: OutboundRequest, deliver: StreamSink
--- a/tests/batches/support.py
+++ b/tests/batches/support.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from stagewalk.batches.ledger import Batch, BatchLedger, LedgerChange
-from stagewalk.batches.records import BatchHeader, BatchItem, BatchSubmitted
+from stagewalk.batches.records import BatchHeader, BatchItem, BatchSubmitted, ScoreCall
 from stagewalk.routes.route import BackEnd, Route, RouteKind
 
 
@@ -52,3 +54,9 @@
         batch = self.ledger.get(record.header.batch)
         assert batch is not None
         return batch
+
+
+def scored_item(name: str, call: str = "") -> BatchItem:
+    """Return an item that asks for a score."""
+    score_call = ScoreCall(call or f"{name}-score", "h.example", f"/score/{name}", b"score me")
+    return msgspec.structs.replace(item(name), score_call=score_call)
--- a/tests/batches/test_ledger.py
+++ b/tests/batches/test_ledger.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from stagewalk.batches.ledger import NOBODY, BatchLedger, LedgerChange
+from stagewalk.batches.ledger import NOBODY, BatchLedger, KeptText, LedgerChange
 from stagewalk.batches.records import (
     BatchClaimed,
     BatchEnded,
@@ -22,7 +22,7 @@
     split_result,
     split_submission,
 )
-from tests.batches.support import RecordingLedger, header, item, submitted
+from tests.batches.support import RecordingLedger, header, item, scored_item, submitted
 
 
 def finished(name: str, text: str = "t", versions: tuple[int, ...] = (1,)) -> ItemFinished:
@@ -143,3 +143,44 @@
         self.assertEqual(shown, folds[1].get("b").results)
         self.assertEqual(folds[0].get("b").runner, folds[1].get("b").runner)
         self.assertEqual(len(shown), len({result.item for result in shown}))
+
+
+class ScoredLedgerTests(testtools.TestCase):
+    """Text and score are one result; what is kept of either serves whoever takes over."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.recording = RecordingLedger()
+        self.ledger = self.recording.ledger
+        self.batch = self.recording.open(submitted(scored_item("x")))
+
+    def kept(self, call: str = "x-score") -> KeptText:
+        kept = self.ledger.kept_text(scored_item("x", call))
+        assert kept is not None
+        return kept
+
+    def test_a_text_without_its_score_is_no_result(self) -> None:
+        self.ledger.apply(ItemFinished("b", "x", True, "1\n2", (1,)), 1.0)
+        self.assertEqual([], self.batch.results)
+        self.ledger.apply(ItemFinished("b", "x", True, "1\n2", (1,), "sig"), 1.0)
+        self.assertEqual(["sig"], [result.score for result in self.batch.results])
+
+    def test_a_large_result_keeps_its_score(self) -> None:
+        finished = ItemFinished("b", "x", True, "1" * 20_000, (1,), "sig")
+        for payload in split_result(finished, "r", 8_192):
+            self.ledger.apply(decode_record(payload), 1.0)
+        self.assertEqual([finished], self.batch.results)
+
+    def test_a_whole_text_is_kept_with_what_its_score_has_cost(self) -> None:
+        self.ledger.apply(ItemProgress("b", "x", ("1", "2"), (1,)), 1.0)
+        self.ledger.apply(ItemProgress("b", "x", ("1", "2"), (1,), True, 1), 1.0)
+        self.ledger.apply(ItemProgress("b", "x", ("1",), (1,)), 1.0)
+        self.ledger.apply(ItemProgress("b", "x", ("1", "2"), (1,), True, 2), 1.0)
+        self.ledger.apply(ItemProgress("b", "x", ("1", "2"), (1,), True, 1), 1.0)
+        self.assertEqual((True, "", 2), (self.kept().whole, self.kept().score, 2))
+        self.assertEqual(2, self.kept().score_failures)
+
+    def test_a_score_belongs_to_its_call_alone(self) -> None:
+        self.ledger.apply(ItemFinished("b", "x", True, "1\n2", (1,), "sig"), 1.0)
+        self.assertEqual("sig", self.kept().score)
+        self.assertEqual(("", True), (self.kept("other").score, self.kept("other").whole))
--- a/tests/platform_adapter/test_dialect.py
+++ b/tests/platform_adapter/test_dialect.py
@@ -7,7 +7,7 @@
 
 import testtools
 
-from stagewalk.batches.records import ItemFinished
+from stagewalk.batches.records import ItemFinished, ScoreCall
 from stagewalk.core.identities import Address
 from stagewalk.ports.dialect import NamedVersion
 from stagewalk.ports.partitioned_log import KeyedRecord
@@ -118,6 +118,31 @@
         self.assertTrue(self.submit(body="no base64!").is_error())
         self.assertTrue(self.submit(id=7).is_error())
 
+    def test_an_items_scorer_is_its_score_call(self) -> None:
+        scorer = {"id": "c1", "host": "h", "path": "/s/1", "body": base64.b64encode(b"r").decode()}
+        self.assertIsNone(self.submit().ok.items[0].score_call)
+        item = self.submit(scorer=scorer).ok.items[0]
+        self.assertEqual(ScoreCall("c1", "h", "/s/1", b"r"), item.score_call)
+
+    def test_a_bad_scorer_is_an_error_that_names_the_field(self) -> None:
+        good = {"id": "c1", "host": "h", "path": "/s/1", "body": ""}
+        faults = {"id": "", "host": "", "path": "s/1", "body": "no base64!"}
+        for field, bad in faults.items():
+            error = self.submit(scorer={**good, field: bad}).error
+            self.assertIn(f"scorer.{field}", str(error))
+        missing = {name: value for name, value in good.items() if name != "host"}
+        self.assertIn("host", str(self.submit(scorer=missing).error))
+        self.assertIn("items[0].body", str(self.submit(body="no base64!").error))
+
+    def test_a_score_stands_with_its_result_and_only_there(self) -> None:
+        results = [
+            ItemFinished("b", "x", True, "t", (1,), "sig"),
+            ItemFinished("b", "y", 1, "", ()),
+        ]
+        page = json.loads(self.dialect.results(5, 2, results))
+        self.assertEqual("sig", page["results"][0]["score"])
+        self.assertNotIn("score", page["results"][1])
+
     def test_results_are_spelt_as_trainers_read_them(self) -> None:
         results = [ItemFinished("b", "x", True, "t", (1, 2)), ItemFinished("b", "y", False, "", ())]
         page = json.loads(self.dialect.results(5, 2, results))
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from tests.soak.checker import BatchSeen
+from tests.soak.scorers import score_call_of
 from tests.soak.world import HOST, GatewayProcess, World
 
 ACCEPTED = 202
@@ -80,6 +81,12 @@
                 "headers": {"X-Model": "m"},
                 "body": base64.b64encode(item.encode()).decode(),
                 "group": f"g{n // GROUP_ITEMS}",
+                "scorer": {
+                    "id": score_call_of(item),
+                    "host": HOST,
+                    "path": f"/score/{item}",
+                    "body": base64.b64encode(b"score " + item.encode()).decode(),
+                },
             }
             for n, item in enumerate(seen.items)
         ]
