A restarted runner goes on at once; take steps and recoveries apart from logs

Supervision looked four times a second. Change: batches/takeover.py (pure): a batch of an earlier process of this machine is claimed at once; others leave it to a restarted runner for 0.6 s, then go in turn 0.3 s apart; looked at every 0.1 s. batch_ended tells the view's age: its 'listed' is of a view that may still be read (the end itself needs no complete view, and results are shown only from a view brought up to date). stagewalk steps: each step by its last items, and the time from all processes back to the first item.

--- /dev/null
+++ b/src/stagewalk/batches/takeover.py
@@ -0,0 +1,116 @@
+"""Decides which batches this node takes over, and when. Pure.
+
+Anyone may claim a batch whose runner is gone: the log takes one claim, and a second run of an item
+harms nothing. So who is likely to go on soonest claims first, and the others wait in turn.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+
+import xxhash
+
+RANK_SECONDS = 0.3
+"""How much longer each next node waits before it claims: a claim is read back sooner."""
+
+RETURNED_SECONDS = 0.6
+"""How long others leave a batch to the restarted process of its runner's machine."""
+
+CLAIM_REPEAT_SECONDS = 2.0
+MAXIMUM_VIEW_AGE_SECONDS = 3.0
+
+
+class RunnerState(IntEnum):
+    """What is believed of the process that is to run a batch."""
+
+    RUNS = 0
+    MINE_BEFORE = 1
+    """An earlier process of this machine: it is certainly gone."""
+    RETURNED = 2
+    """Its machine runs a newer process, which claims the batch itself if it can."""
+    GONE = 3
+
+
+@dataclass(frozen=True, slots=True)
+class OpenBatch:
+    """A batch of which something is left to run.
+
+    Attributes
+    ----------
+    view_age
+        How long ago the view of it was complete, in seconds.
+    """
+
+    name: str
+    runner: str
+    view_age: float
+
+
+class Takeovers:
+    """Keeps since when batches are seen without a runner.
+
+    Parameters
+    ----------
+    node
+        This node.
+    state_of
+        Judges the process that is to run a batch.
+    """
+
+    def __init__(self, node: str, state_of: Callable[[str], RunnerState]) -> None:
+        self._node = node
+        self._state_of = state_of
+        self._orphaned_since: dict[str, float] = {}
+        self._claimed_at: dict[str, float] = {}
+
+    def decide(
+        self, batches: Iterable[OpenBatch], replicas: Sequence[str], now: float
+    ) -> list[str]:
+        """Return the batches to claim now.
+
+        Parameters
+        ----------
+        batches
+            The open ones.
+        replicas
+            Nodes that may run batches.
+        """
+        claims: list[str] = []
+        orphans: set[str] = set()
+        for batch in batches:
+            if batch.view_age > MAXIMUM_VIEW_AGE_SECONDS:
+                continue
+            state = self._state_of(batch.runner)
+            if state is RunnerState.RUNS:
+                continue
+            orphans.add(batch.name)
+            since = self._orphaned_since.setdefault(batch.name, now)
+            due = since + self._patience(batch.name, state, replicas)
+            if now >= due and self._may_claim(batch.name, now):
+                self._claimed_at[batch.name] = now
+                claims.append(batch.name)
+        self._forget_all_but(orphans)
+        return claims
+
+    def _patience(self, batch: str, state: RunnerState, replicas: Sequence[str]) -> float:
+        if state is RunnerState.MINE_BEFORE:
+            return 0.0
+        ranked = sorted(replicas, key=lambda node: affinity(batch, node))
+        rank = ranked.index(self._node) if self._node in ranked else len(ranked)
+        returned = RETURNED_SECONDS if state is RunnerState.RETURNED else 0.0
+        return returned + rank * RANK_SECONDS
+
+    def _may_claim(self, batch: str, now: float) -> bool:
+        return now - self._claimed_at.get(batch, -CLAIM_REPEAT_SECONDS) >= CLAIM_REPEAT_SECONDS
+
+    def _forget_all_but(self, orphans: set[str]) -> None:
+        for known in (self._orphaned_since, self._claimed_at):
+            for name in set(known) - orphans:
+                del known[name]
+
+
+def affinity(work: str, node: str) -> int:
+    """Return a node's place for a piece of work: the smallest one gets it."""
+    return xxhash.xxh64_intdigest(f"{work}/{node}".encode())
--- a/src/stagewalk/cli/main.py
+++ b/src/stagewalk/cli/main.py
@@ -20,6 +20,7 @@
     "sim": "simulate nodes, engines and faults on a virtual clock",
     "bench": "put load on running processes and measure them",
     "explain": "tell from logs what became of a request, a batch or an item",
+    "steps": "take steps of trainers and recoveries apart, from logs",
     "report": "draw tables and plots from results",
 }
 
--- /dev/null
+++ b/src/stagewalk/cli/steps.py
@@ -0,0 +1,70 @@
+"""`stagewalk steps`: take trainers' steps and recoveries apart, from the logs of all nodes."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+from stagewalk.explain.log_line import LogLine, parse_lines
+from stagewalk.explain.steps import StepAccount, account_steps, find_recoveries
+
+EXIT_TOLD = 0
+EXIT_BAD_ARGUMENTS = 2
+STANDARD_INPUT = "-"
+LAST_ITEMS = 5
+
+
+def add_flags(parser: argparse.ArgumentParser) -> None:
+    """Define the subcommand's flags."""
+    parser.add_argument(
+        "logs", nargs="*", default=[STANDARD_INPUT], help="logs of nodes, - for standard input"
+    )
+    parser.add_argument(
+        "--last", type=int, default=LAST_ITEMS, help="how many of a step's last items to show"
+    )
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Print the accounts and return the exit code."""
+    lines: list[LogLine] = []
+    for name in arguments.logs:
+        try:
+            text = sys.stdin.read() if name == STANDARD_INPUT else Path(name).read_text()
+        except (OSError, UnicodeDecodeError) as error:
+            print(f"{name}: {error}", file=sys.stderr)
+            return EXIT_BAD_ARGUMENTS
+        lines += parse_lines(text.splitlines(), source=Path(name).stem)
+    began = min((line.at for line in lines), default=0.0)
+    for account in account_steps(lines):
+        print("\n".join(render_step(account, began, arguments.last)))
+    for recovery in find_recoveries(lines):
+        print(
+            f"all back at {recovery.at - began:.3f} s ({recovery.nodes} nodes), "
+            f"first item {recovery.first_item:+.3f} s"
+        )
+    return EXIT_TOLD
+
+
+def render_step(account: StepAccount, began: float, last: int) -> list[str]:
+    """Return a step's account as lines of text.
+
+    Parameters
+    ----------
+    began
+        Moment that times are counted from, in seconds since 1970.
+    last
+        How many of its last items to show.
+    """
+    text = [
+        f"step {account.step} batch {account.batch} at {account.submitted_at - began:.2f} s: "
+        f"{account.listed} of {account.items} finished, opened {account.opened:+.2f}, "
+        f"runners {account.runners}, ended {account.ended:+.2f}"
+    ]
+    for path in account.last(last):
+        cuts = "; ".join(path.cuts) or "no cut"
+        text.append(
+            f"    {path.item}: begun {path.first_start:+.2f}, done {path.finished:+.2f}, "
+            f"score {path.scoring:.2f}, attempts {path.attempts}: {cuts}"
+        )
+    return text
--- /dev/null
+++ b/src/stagewalk/explain/steps.py
@@ -0,0 +1,194 @@
+"""Takes trainers' steps and recoveries apart from the logs of all nodes. Pure.
+
+A step's time is what its last groups took. For each batch the account tells when it was handed in,
+opened and ended, how long its last results took in each part of their way, and what cut them.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from stagewalk.explain.log_line import LogLine
+
+TOGETHER_SECONDS = 1.5
+"""Starts of processes this close belong to one return."""
+
+MOST_NODES_SHARE = 0.8
+"""A return counts as one of all processes if so large a share of all nodes started."""
+
+
+@dataclass(frozen=True, slots=True)
+class ItemPath:
+    """How one item of a batch came to its result. Times are seconds since the batch came.
+
+    Attributes
+    ----------
+    first_start, finished
+        Of the first attempt, and of the result.
+    attempts
+        Attempts begun.
+    cuts
+        Why attempts were stopped or broke off, in order.
+    scoring
+        From the end of the last attempt's text to the result, in seconds.
+    """
+
+    item: str
+    first_start: float
+    finished: float
+    attempts: int
+    cuts: tuple[str, ...]
+    scoring: float
+
+
+@dataclass(frozen=True, slots=True)
+class StepAccount:
+    """One batch. Times are seconds since it was handed in."""
+
+    batch: str
+    step: int
+    submitted_at: float
+    items: int
+    opened: float
+    runners: int
+    listed: int
+    ended: float
+    paths: tuple[ItemPath, ...]
+
+    def last(self, count: int) -> list[ItemPath]:
+        """Return the items that finished last, the very last first."""
+        return sorted(self.paths, key=lambda path: -path.finished)[:count]
+
+
+@dataclass(frozen=True, slots=True)
+class Recovery:
+    """The return of all processes.
+
+    Attributes
+    ----------
+    at
+        When the last one of them had started, seconds since 1970.
+    nodes
+        How many started.
+    first_item
+        From then to the first item begun, in seconds; negative if one began before the last
+        process was back, infinite if none did.
+    """
+
+    at: float
+    nodes: int
+    first_item: float
+
+
+@dataclass(slots=True)
+class _Gathered:
+    submitted: LogLine
+    opened: list[float] = field(default_factory=list)
+    runners: set[str] = field(default_factory=set)
+    ended: float = math.inf
+    starts: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    finished: dict[str, float] = field(default_factory=dict)
+    cuts: dict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
+    scored_from: dict[str, float] = field(default_factory=dict)
+
+
+def account_steps(lines: Iterable[LogLine]) -> list[StepAccount]:
+    """Return the account of each batch in the logs, in the order they were handed in."""
+    ordered = sorted(lines, key=lambda line: line.at)
+    gathered: dict[str, _Gathered] = {}
+    attempts: dict[tuple[str, str], tuple[str, str]] = {}
+    for line in ordered:
+        if line.event == "batch_submitted" and line.get("batch") not in gathered:
+            gathered[line.get("batch")] = _Gathered(line)
+        if line.event == "item_started":
+            attempts[(line.node, line.get("attempt"))] = line.get("batch"), line.get("item")
+        _take(line, gathered, attempts)
+    return [_account(batch, step) for batch, step in gathered.items()]
+
+
+def find_recoveries(lines: Iterable[LogLine]) -> list[Recovery]:
+    """Return the moments at which (nearly) all processes had come back, but for the first one."""
+    ordered = sorted(lines, key=lambda line: line.at)
+    starts = [line for line in ordered if line.event == "gateway_started"]
+    items = [line.at for line in ordered if line.event == "item_started"]
+    nodes = {line.node for line in starts}
+    returns = [
+        group
+        for group in _together(starts)
+        if len({line.node for line in group}) >= MOST_NODES_SHARE * len(nodes)
+    ]
+    return [_recovery(group, items) for group in returns[1:]]
+
+
+def _together(starts: Sequence[LogLine]) -> list[list[LogLine]]:
+    groups: list[list[LogLine]] = []
+    for line in starts:
+        if groups and line.at - groups[-1][0].at < TOGETHER_SECONDS:
+            groups[-1].append(line)
+        else:
+            groups.append([line])
+    return groups
+
+
+def _recovery(group: Sequence[LogLine], items: Sequence[float]) -> Recovery:
+    at = group[-1].at
+    first = min((item for item in items if item >= group[0].at), default=math.inf)
+    return Recovery(at, len({line.node for line in group}), first - at)
+
+
+def _take(
+    line: LogLine,
+    gathered: dict[str, _Gathered],
+    attempts: dict[tuple[str, str], tuple[str, str]],
+) -> None:
+    batch, item = line.get("batch"), line.get("item")
+    if line.event in {"item_stopped", "item_attempt_failed"}:
+        batch, item = attempts.get((line.node, line.get("attempt")), (batch, item))
+    step = gathered.get(batch)
+    if step is None:
+        return
+    match line.event:
+        case "batch_opened":
+            step.opened.append(line.at)
+            step.runners.add(line.node)
+        case "batch_ended":
+            step.ended = min(step.ended, line.at)
+        case "item_started":
+            step.starts[item].append(line.at)
+        case "item_stopped":
+            step.cuts[item].append(line.get("reason"))
+        case "item_attempt_failed":
+            step.cuts[item].append(f"{line.get('fault')} ({line.get('detail')})")
+        case "text_whole":
+            step.scored_from[item] = line.at
+        case "item_finished":
+            step.finished.setdefault(item, line.at)
+
+
+def _account(batch: str, step: _Gathered) -> StepAccount:
+    began = step.submitted.at
+    paths = [
+        ItemPath(
+            item,
+            min(step.starts[item], default=at) - began,
+            at - began,
+            len(step.starts[item]),
+            tuple(step.cuts[item]),
+            at - step.scored_from.get(item, at),
+        )
+        for item, at in step.finished.items()
+    ]
+    return StepAccount(
+        batch,
+        int(step.submitted.get("step") or 0),
+        began,
+        int(step.submitted.get("items") or 0),
+        min(step.opened, default=math.inf) - began,
+        len(step.runners),
+        len(step.finished),
+        step.ended - began,
+        tuple(paths),
+    )
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -6,7 +6,6 @@
 
 import anyio
 import anyio.abc
-import xxhash
 
 from stagewalk.batches.ledger import NOBODY, Batch, LedgerChange
 from stagewalk.batches.messages import (
@@ -28,6 +27,7 @@
     ItemFinished,
 )
 from stagewalk.batches.scheduler import BatchScheduler
+from stagewalk.batches.takeover import OpenBatch, Takeovers, affinity
 from stagewalk.gateway.batch_store import BatchStore
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.node_service import NodeService
@@ -46,12 +46,8 @@
 from stagewalk.workers.table import WorkerTable
 
 TICK_SECONDS = 0.05
-SUPERVISE_SECONDS = 0.25
-RANK_SECONDS = 1.0
-"""How much longer each next node waits before it takes over an orphaned batch."""
-
-CLAIM_REPEAT_SECONDS = 2.0
-MAXIMUM_VIEW_AGE_SECONDS = 3.0
+SUPERVISE_SECONDS = 0.1
+SUCCESS = 200
 ITEM_METHOD = "POST"
 HOST_HEADER = "host"
 
@@ -80,8 +76,7 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
         self._scores = ScoreSender(client, workers, self._handle)
-        self._orphaned_since: dict[str, float] = {}
-        self._claimed_at: dict[str, float] = {}
+        self._takeovers = Takeovers(identity.node, nodes.runner_state)
         self._stopping = False
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -102,7 +97,7 @@
         if not nodes:
             return NOBODY if self._stopping else str(self._identity)
         trainer = f"{header.host}/{header.model}"
-        chosen = min(nodes, key=lambda node: _affinity(trainer, node.node))
+        chosen = min(nodes, key=lambda node: affinity(trainer, node.node))
         return str(ProcessId(chosen.node, chosen.incarnation))
 
     @property
@@ -179,35 +174,22 @@
                 self._store.ledger.forget(time.monotonic())
 
     def _claim_orphans(self, now: float) -> None:
-        orphans: set[str] = set()
-        for batch in self._store.ledger.open_batches():
-            name = batch.header.batch
-            if self._store.view_age(name, now) > MAXIMUM_VIEW_AGE_SECONDS:
-                continue
-            if self._nodes.may_run_batches(batch.runner):
-                continue
-            orphans.add(name)
-            since = self._orphaned_since.setdefault(name, now)
-            if now - since >= self._rank(name) * RANK_SECONDS:
-                self._claim(batch, now)
-        for name in set(self._orphaned_since) - orphans:
-            del self._orphaned_since[name]
-
-    def _claim(self, batch: Batch, now: float) -> None:
-        name = batch.header.batch
-        if now - self._claimed_at.get(name, 0.0) < CLAIM_REPEAT_SECONDS:
-            return
-        self._claimed_at[name] = now
-        log_event("batch_claimed", batch=name, from_runner=batch.runner, epoch=batch.epoch + 1)
-        self._store.post(name, BatchClaimed(name, str(self._identity), batch.epoch + 1))
+        batches = {b.header.batch: b for b in self._store.ledger.open_batches()}
+        seen = [OpenBatch(n, b.runner, self._store.view_age(n, now)) for n, b in batches.items()]
+        replicas = [node.node for node in self._nodes.replicas()]
+        for name in self._takeovers.decide(seen, replicas, now):
+            self._claim(batches[name])
 
-    def _rank(self, batch: str) -> int:
-        """Return this node's place among those that may take a batch over."""
-        names = sorted(
-            (node.node for node in self._nodes.replicas()),
-            key=lambda node: _affinity(batch, node),
+    def _claim(self, batch: Batch) -> None:
+        name = batch.header.batch
+        log_event(
+            "batch_claimed",
+            batch=name,
+            from_runner=batch.runner,
+            runner_state=self._nodes.runner_state(batch.runner).name.lower(),
+            epoch=batch.epoch + 1,
         )
-        return names.index(self._identity.node) if self._identity.node in names else len(names)
+        self._store.post(name, BatchClaimed(name, str(self._identity), batch.epoch + 1))
 
     # Attempts.
 
@@ -298,6 +280,14 @@
 
         result = await self._client.stream(WorkerTable.target(worker), request, deliver)
         if result.is_ok():
+            log_event(
+                "text_whole" if result.ok.status == SUCCESS else "item_attempt_refused",
+                item=start.item.item,
+                batch=start.batch,
+                attempt=start.attempt,
+                worker=start.worker,
+                status=result.ok.status,
+            )
             return AttemptEnded(start.attempt, result.ok.status)
         failure = result.error
         log_event(
@@ -310,8 +300,3 @@
             detail=failure.detail,
         )
         return AttemptBroken(start.attempt, failure)
-
-
-def _affinity(work: str, node: str) -> int:
-    """Return a node's place for a piece of work: the smallest one gets it."""
-    return xxhash.xxh64_intdigest(f"{work}/{node}".encode())
--- a/src/stagewalk/gateway/ledger_reads.py
+++ b/src/stagewalk/gateway/ledger_reads.py
@@ -99,7 +99,11 @@
                 status = 503 if outcome.error is AppendOutcome.NOT_APPENDED else 504
                 return refusal(status, "the log did not answer", COME_BACK_SECONDS)
             log_event(
-                "batch_ended", batch=call.batch, listed=len(batch.listed), of=len(batch.items)
+                "batch_ended",
+                batch=call.batch,
+                listed=len(batch.listed),
+                of=len(batch.items),
+                view_age=self._store.view_age(call.batch, time.monotonic()),
             )
         return LedgerAnswer(200, b"{}")
 
--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -7,6 +7,7 @@
 import anyio
 import anyio.abc
 
+from stagewalk.batches.takeover import RunnerState
 from stagewalk.core.identities import Address, NodeName, Placement
 from stagewalk.directory.ledger_replicas import wants_replica
 from stagewalk.directory.node_table import (
@@ -131,19 +132,26 @@
         ]
         return [address for node in others if (address := node.peer_address) is not None]
 
-    def may_run_batches(self, process: str) -> bool:
-        """Whether a process is believed to run and to follow the batches.
+    def runner_state(self, process: str) -> RunnerState:
+        """Return what is believed of a process that is to run a batch.
 
-        Judged as of when the view was last complete.
+        Judged as of when the view was last complete. One that follows the batches no more
+        doesn't run them.
         """
         identity = parse_process_id(process)
         if identity is None:
-            return False
+            return RunnerState.GONE
         if identity == self._identity:
-            return True
+            return RunnerState.RUNS
+        if identity.node == self._identity.node:
+            return RunnerState.MINE_BEFORE
         known = self._table.known(identity.node)
-        alive = self._table.process_alive(identity.node, identity.incarnation, self._view_at)
-        return alive and known is not None and known.ledger_replica
+        if known is None or not known.ledger_replica:
+            return RunnerState.GONE
+        if self._table.process_alive(known.node, identity.incarnation, self._view_at):
+            return RunnerState.RUNS
+        returned = self._table.process_alive(known.node, known.incarnation, self._view_at)
+        return RunnerState.RETURNED if returned else RunnerState.GONE
 
     def _own(self) -> NodeAnnouncement:
         return NodeAnnouncement(
