Runners are asked before they get a batch, watched while they run it, and go on first after a restart

Ruled out: fewer partitions or smaller pages (the bytes are the same); claiming without the batch's records. Change: an outage forgives only who was alive before it, and a listing tells who stopped announcing itself many rounds ago. The node that takes a batch in asks the node that is to run it, then tells it where the batch is. Two nodes that would take over ask a runner every 0.4 s: two failures over 0.35 s and it is gone. Nodes announce where the batches they run begin; a restarted process reads those first and goes on at once, the others leave the log to it for 0.25 s.

--- a/src/stagewalk/batches/takeover.py
+++ b/src/stagewalk/batches/takeover.py
@@ -94,13 +94,20 @@
         self._forget_all_but(orphans)
         return claims
 
+    def place(self, batch: str, runner: str, replicas: Sequence[str]) -> int:
+        """Return this node's place among those that would take a batch over, its runner aside."""
+        others = [node for node in replicas if not runner.startswith(f"{node}#")]
+        return self._rank(batch, others)
+
     def _patience(self, batch: str, state: RunnerState, replicas: Sequence[str]) -> float:
         if state is RunnerState.MINE_BEFORE:
             return 0.0
-        ranked = sorted(replicas, key=lambda node: affinity(batch, node))
-        rank = ranked.index(self._node) if self._node in ranked else len(ranked)
         returned = RETURNED_SECONDS if state is RunnerState.RETURNED else 0.0
-        return returned + rank * RANK_SECONDS
+        return returned + self._rank(batch, replicas) * RANK_SECONDS
+
+    def _rank(self, batch: str, replicas: Sequence[str]) -> int:
+        ranked = sorted(replicas, key=lambda node: affinity(batch, node))
+        return ranked.index(self._node) if self._node in ranked else len(ranked)
 
     def _may_claim(self, batch: str, now: float) -> bool:
         return now - self._claimed_at.get(batch, -CLAIM_REPEAT_SECONDS) >= CLAIM_REPEAT_SECONDS
--- a/src/stagewalk/directory/node_table.py
+++ b/src/stagewalk/directory/node_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import msgspec
 
 from stagewalk.core.identities import Address, NodeName
@@ -12,7 +14,15 @@
 STALE_VIEW_SECONDS = 2.0
 """With a view older than this nothing new is concluded."""
 
-RESTART_GRACE_SECONDS = 3.5
+STALE_ROUNDS = 8
+"""A node that did not announce itself while the others did so this often is believed dead."""
+
+
+class BatchPlace(msgspec.Struct, frozen=True, array_like=True):
+    """Where a batch's records begin: its partition's number, and the offset of the first one."""
+
+    partition: int
+    offset: int
 
 
 class NodeAnnouncement(msgspec.Struct, frozen=True, array_like=True):
@@ -34,6 +44,8 @@
         Whether it follows all batches: it may run them, and answers calls about them.
     capacity
         How fast its processor is, in cores of the usual speed.
+    runs
+        Where the records of the batches it runs begin: after a restart they are read first.
     """
 
     node: str
@@ -46,6 +58,7 @@
     beat: int
     ledger_replica: bool = False
     capacity: float = 1.0
+    runs: tuple[BatchPlace, ...] = ()
 
     @property
     def peer_address(self) -> Address | None:
@@ -82,10 +95,23 @@
         self._nodes[announcement.node] = announcement
         self._heard_at[announcement.node] = now
 
-    def forgive(self, now: float) -> None:
-        """Count every node as just heard: during an outage none could announce itself."""
-        for node in self._heard_at:
-            self._heard_at[node] = now
+    def announced(self, listing: Mapping[int, NodeAnnouncement], now: float) -> None:
+        """Take a listing of the newest announcements, by their offsets.
+
+        Every living node announces itself again and again, so one whose announcement lies many
+        rounds back was gone long before.
+        """
+        oldest = max(listing, default=0) - STALE_ROUNDS * len(listing)
+        for offset, announcement in listing.items():
+            self.announce(announcement, now if offset >= oldest else now - ALIVE_SECONDS)
+
+    def forgive(self, now: float, view_at: float) -> None:
+        """Count every node as just heard that was alive when the view was last complete.
+
+        During an outage none could announce itself; one that was gone before is still gone.
+        """
+        for node in self.alive(view_at):
+            self._heard_at[node.node] = now
 
     def alive(self, view_at: float) -> list[NodeAnnouncement]:
         """Return the nodes heard of lately, as of when the view was last complete."""
--- a/src/stagewalk/gateway/batch_calls.py
+++ b/src/stagewalk/gateway/batch_calls.py
@@ -5,13 +5,13 @@
 import time
 
 from stagewalk.forwarding.policy import COME_BACK_SECONDS
-from stagewalk.gateway.batch_runner import BatchRunner
 from stagewalk.gateway.batch_store import BatchStore
 from stagewalk.gateway.exchange import OpaqueExchange
 from stagewalk.gateway.ledger_calls import LedgerCalls
 from stagewalk.gateway.ledger_messages import EndCall, ItemCall, LedgerCall, ResultsCall
 from stagewalk.gateway.ledger_reads import LONGEST_WAIT_SECONDS
 from stagewalk.gateway.replies import RETRY_AFTER_HEADER, reply_empty, reply_error
+from stagewalk.gateway.runner_choice import RunnerChoice
 from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.appender import AppendOutcome
 from stagewalk.ports.dialect import Dialect
@@ -31,13 +31,13 @@
     def __init__(
         self,
         store: BatchStore,
-        runner: BatchRunner,
+        runners: RunnerChoice,
         ledger: LedgerCalls,
         dialect: Dialect,
         route_of: RouteOf,
     ) -> None:
         self._store = store
-        self._runner = runner
+        self._runners = runners
         self._ledger = ledger
         self._dialect = dialect
         self._spelling = dialect.callers
@@ -69,18 +69,19 @@
             log_event("batch_refused", "warning", batch=batch, cause="log takes no appends")
             await reply_error(exchange, 503, "the log takes no appends", COME_BACK_SECONDS)
             return
-        outcome = await self._store.submit(
-            submission.ok, self._runner.runner_for(submission.ok.header), SUBMIT_SECONDS
-        )
+        runner = await self._runners.choose(submission.ok.header)
+        outcome = await self._store.submit(submission.ok, runner, SUBMIT_SECONDS)
         log_event(
             "batch_submitted",
             "info" if outcome.is_ok() else "warning",
             batch=batch,
             step=submission.ok.header.step,
             items=len(submission.ok.items),
+            runner=runner,
             outcome="appended" if outcome.is_ok() else outcome.error.value,
         )
         if outcome.is_ok():
+            self._runners.tell(runner, batch, outcome.ok)
             await reply_empty(exchange, 202)
         elif outcome.error is AppendOutcome.NOT_APPENDED:
             await reply_error(exchange, 503, "the log takes no appends", COME_BACK_SECONDS)
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
 
-from stagewalk.batches.ledger import NOBODY, Batch, LedgerChange
+from stagewalk.batches.ledger import Batch, BatchLedger, KeptText, LedgerChange
 from stagewalk.batches.messages import (
     AttemptBroken,
     AttemptEnded,
@@ -21,13 +22,12 @@
     Tick,
 )
 from stagewalk.batches.records import (
-    BatchClaimed,
-    BatchHeader,
+    BatchItem,
     BatchReleased,
     ItemFinished,
 )
 from stagewalk.batches.scheduler import BatchScheduler
-from stagewalk.batches.takeover import OpenBatch, Takeovers, affinity
+from stagewalk.directory.node_table import BatchPlace
 from stagewalk.gateway.batch_store import BatchStore
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.node_service import NodeService
@@ -46,8 +46,8 @@
 from stagewalk.workers.table import WorkerTable
 
 TICK_SECONDS = 0.05
-SUPERVISE_SECONDS = 0.1
 SUCCESS = 200
+KeptTextOf = Callable[[BatchItem], KeptText | None]
 ITEM_METHOD = "POST"
 HOST_HEADER = "host"
 
@@ -76,7 +76,9 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
         self._scores = ScoreSender(client, workers, self._handle)
-        self._takeovers = Takeovers(identity.node, nodes.runner_state)
+        self._places: dict[str, BatchPlace] = {}
+        self._ahead: dict[str, int] = {}
+        """By batch that was begun before this node's view told of it, the epoch it is run under."""
         self._stopping = False
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -85,20 +87,15 @@
         self._scores.start(tasks)
         self._store.on_change = self._ledger_changed
         tasks.start_soon(self._tick)
-        tasks.start_soon(self._supervise)
 
-    def runner_for(self, header: BatchHeader) -> str:
-        """Return who is to run a batch that is submitted here now.
+    @property
+    def stopping(self) -> bool:
+        """Whether this process takes no more batches."""
+        return self._stopping
 
-        All batches of one trainer go to the same node while it lives: it has connections to the
-        engines open already, and sees all of the trainer's load.
-        """
-        nodes = self._nodes.replicas()
-        if not nodes:
-            return NOBODY if self._stopping else str(self._identity)
-        trainer = f"{header.host}/{header.model}"
-        chosen = min(nodes, key=lambda node: affinity(trainer, node.node))
-        return str(ProcessId(chosen.node, chosen.incarnation))
+    def runs(self, batch: str) -> bool:
+        """Whether a batch is run here."""
+        return batch in self._scheduler.batches
 
     @property
     def busy(self) -> bool:
@@ -125,7 +122,7 @@
         self._stopping = True
         for batch in sorted(self._scheduler.batches):
             self._carry_out(self._scheduler.progress(batch))
-            self._carry_out(self._scheduler.close(batch, "stopping"))
+            self._close(batch, "stopping")
             self._store.post(batch, BatchReleased(batch, str(self._identity)))
             log_event("batch_released", batch=batch, runner=str(self._identity))
 
@@ -141,55 +138,65 @@
                 self._carry_out(self._scheduler.listed(name, batch.results[-1].item))
         elif change is LedgerChange.ENDED:
             self._carry_out(self._scheduler.progress(name))
-            self._carry_out(self._scheduler.close(name, "ended"))
+            self._close(name, "ended")
+        elif batch.epoch < self._ahead.get(name, 0):
+            return
         elif mine:
+            self._ahead.pop(name, None)
             self._open(batch)
         elif name in self._scheduler.batches:
             log_event("batch_taken_over", batch=name, runner=batch.runner, epoch=batch.epoch)
-            self._carry_out(self._scheduler.close(name, "taken over"))
+            self._close(name, "taken over")
 
     def _open(self, batch: Batch) -> None:
-        if not batch.open:
+        place = self._store.place_of(batch.header.batch)
+        self._begin(batch, self._store.ledger.kept_text, place)
+
+    def begin_ahead(self, batch: Batch, ledger: BatchLedger, place: BatchPlace, epoch: int) -> None:
+        """Run a batch that this node's view does not tell of yet.
+
+        Parameters
+        ----------
+        batch, ledger
+            The batch as another view tells it, and that view.
+        place
+            Where its records begin.
+        epoch
+            The epoch of this process's claim to it, 0 if it was given the batch.
+        """
+        if batch.header.batch not in self._scheduler.batches and not self._stopping:
+            self._ahead[batch.header.batch] = epoch
+            self._begin(batch, ledger.kept_text, place)
+
+    def _begin(self, batch: Batch, kept_text: KeptTextOf, place: BatchPlace | None) -> None:
+        name = batch.header.batch
+        if not batch.open or name in self._scheduler.batches:
             return
         log_event(
             "batch_opened",
-            batch=batch.header.batch,
+            batch=name,
             step=batch.header.step,
             items=len(batch.items) - len(batch.listed),
             minimum_version=batch.header.minimum_version,
             epoch=batch.epoch,
+            ahead=name in self._ahead,
         )
-        kept_text = self._store.ledger.kept_text
+        if place is not None:
+            self._places[name] = place
         self._carry_out(self._scheduler.open(batch, kept_text, time.monotonic()))
         self._handle(Tick())
-
-    # Taking over.
-
-    async def _supervise(self) -> None:
-        while True:
-            await anyio.sleep(SUPERVISE_SECONDS)
-            if not self._stopping:
-                if self._store.following:
-                    self._claim_orphans(time.monotonic())
-                self._store.ledger.forget(time.monotonic())
-
-    def _claim_orphans(self, now: float) -> None:
-        batches = {b.header.batch: b for b in self._store.ledger.open_batches()}
-        seen = [OpenBatch(n, b.runner, self._store.view_age(n, now)) for n, b in batches.items()]
-        replicas = [node.node for node in self._nodes.replicas()]
-        for name in self._takeovers.decide(seen, replicas, now):
-            self._claim(batches[name])
-
-    def _claim(self, batch: Batch) -> None:
-        name = batch.header.batch
-        log_event(
-            "batch_claimed",
-            batch=name,
-            from_runner=batch.runner,
-            runner_state=self._nodes.runner_state(batch.runner).name.lower(),
-            epoch=batch.epoch + 1,
-        )
-        self._store.post(name, BatchClaimed(name, str(self._identity), batch.epoch + 1))
+        self._tell_places()
+
+    def _close(self, batch: str, reason: str) -> None:
+        self._carry_out(self._scheduler.close(batch, reason))
+        self._ahead.pop(batch, None)
+        if self._places.pop(batch, None) is not None:
+            self._tell_places()
+
+    def _tell_places(self) -> None:
+        """Let others, and this machine's next process, know where to read of what runs here."""
+        places = sorted(self._places.values(), key=lambda place: (place.partition, place.offset))
+        self._nodes.set_runs(tuple(places))
 
     # Attempts.
 
--- a/src/stagewalk/gateway/batch_store.py
+++ b/src/stagewalk/gateway/batch_store.py
@@ -5,6 +5,7 @@
 import time
 import uuid
 from collections.abc import Callable
+from functools import partial
 
 import anyio
 import anyio.abc
@@ -15,12 +16,15 @@
 from stagewalk.batches.records import (
     BatchEnded,
     BatchRecord,
+    BatchSubmitted,
     ItemFinished,
     decode_record,
     encode_record,
     split_result,
     split_submission,
 )
+from stagewalk.directory.node_table import BatchPlace
+from stagewalk.gateway.early_start import PartialLedger
 from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.appender import AppendOutcome, PartitionAppender
 from stagewalk.partitioned_log.follower import PartitionFollower
@@ -31,6 +35,7 @@
 TOPIC = "batches"
 PARTITIONS = 6
 CATCH_UP_SECONDS = 0.8
+FOLLOWED_SECONDS = 1.5
 READ_PAUSE_SECONDS = 0.05
 """How long records gather between two reads of a partition."""
 
@@ -51,8 +56,11 @@
         self.on_change: Callable[[Batch, LedgerChange], None] = lambda _batch, _change: None
         self._news: dict[str, anyio.Event] = {}
         numbers = [Partition(TOPIC, n) for n in range(min(PARTITIONS, partitions))]
+        self._log = log
+        self._places: dict[str, BatchPlace] = {}
         self._followers = [
-            PartitionFollower(log, p, self._apply, READ_PAUSE_SECONDS) for p in numbers
+            PartitionFollower(log, p, partial(self._apply, p.number), READ_PAUSE_SECONDS)
+            for p in numbers
         ]
         self._following = True
         self.set_following(False)
@@ -126,6 +134,22 @@
         else:
             log_event("record_too_large", batch=batch, record=type(record).__name__)
 
+    def place_of(self, batch: str) -> BatchPlace | None:
+        """Return where a batch's records begin, None if its first one was not read yet."""
+        return self._places.get(batch)
+
+    def partition_of(self, batch: str) -> int:
+        """Return the number of a batch's partition."""
+        return _partition_of(batch, len(self._followers))
+
+    def read_from(self, place: BatchPlace) -> PartialLedger:
+        """Return a ledger of the batches of a partition that begin at a place or later."""
+        return PartialLedger(self._log, Partition(TOPIC, place.partition), place.offset)
+
+    def followed(self, batch: str, now: float) -> bool:
+        """Whether the view of a batch's partition is followed and was complete just now."""
+        return self._following and self.view_age(batch, now) < FOLLOWED_SECONDS
+
     def appends_stalled(self, batch: str) -> float | None:
         """Return since when the batch's partition takes no appends, None if it does."""
         return self._appender(batch).struggling_since
@@ -142,11 +166,14 @@
     def _appender(self, batch: str) -> PartitionAppender:
         return self._appenders[_partition_of(batch, len(self._appenders))]
 
-    def _apply(self, record: PartitionRecord) -> None:
+    def _apply(self, partition: int, record: PartitionRecord) -> None:
         decoded = decode_record(record.payload)
         if decoded is None:
             log_event("record_unreadable", "warning", topic=TOPIC, offset=record.offset)
             return
+        if isinstance(decoded, BatchSubmitted):
+            place = BatchPlace(partition, record.offset)
+            self._places.setdefault(decoded.header.batch, place)
         self.ledger.apply(decoded, time.monotonic())
 
     def _changed(self, batch: Batch, change: LedgerChange) -> None:
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -33,7 +33,11 @@
 from stagewalk.gateway.metrics import GatewayMetrics, GatewayState
 from stagewalk.gateway.node_service import NodeService
 from stagewalk.gateway.order_service import OrderService
+from stagewalk.gateway.runner_calls import RUNNER_PATH
+from stagewalk.gateway.runner_choice import RunnerChoice
+from stagewalk.gateway.runner_probes import RunnerProbes
 from stagewalk.gateway.settings import GatewaySettings
+from stagewalk.gateway.takeover_service import TakeoverService
 from stagewalk.leases.log_lease import LogLease, new_holder
 from stagewalk.log_relay.relayed_log import RELAY_PATH, RelayedLog
 from stagewalk.log_relay.server import LogRelay
@@ -63,6 +67,9 @@
 """The same for how long a read waits for a configuration: the bound on how far a node lags."""
 
 EXPIRE_SECONDS = 0.25
+RESUME_SECONDS = 0.25
+"""How long a node that starts leaves the log to those that go on with batches they ran before."""
+
 STALL_SECONDS = 0.2
 """A loop that comes this much late was kept from running, or the machine was."""
 
@@ -175,6 +182,14 @@
             nodes=self._nodes,
             rollouts=self._rollouts,
         )
+        self._runners = RunnerChoice(
+            self._identity, self._nodes, self.store, self._runner, peer_client
+        )
+        self._takeovers = TakeoverService(self._identity, self.store, self._runner, self._nodes)
+        self._probes = RunnerProbes(
+            self._runners.calls, self._nodes.liveness, self._takeovers.probe_targets
+        )
+        self._follow_from = 0.0
         patience = PATIENCE_SECONDS * (uuid.uuid4().int % PATIENCE_STEPS)
         self._orders = OrderService(
             log=log,
@@ -229,6 +244,10 @@
             self._nodes.start(tasks)
             self.store.start(tasks)
             self._runner.start(tasks)
+            self._runners.start(tasks)
+            tasks.start_soon(self._takeovers.run)
+            tasks.start_soon(self._resume)
+            tasks.start_soon(self._probes.run)
             self._orders.start(tasks)
             tasks.start_soon(self._housekeep)
             self._log("gateway_started")
@@ -240,6 +259,7 @@
                         {
                             RELAY_PATH: LogRelay(self._straight).handle,
                             LEDGER_PATH: self._ledger_reads.handle,
+                            RUNNER_PATH: self._runners.calls.handle,
                         }
                     )
                     peers = open_listener(self.settings.peers)
@@ -263,7 +283,7 @@
             forwarder=self._forwarder,
             streams=self._streams,
             batches=BatchCalls(
-                self.store, self._runner, self._ledger_calls, self._dialect, self._routes.find
+                self.store, self._runners, self._ledger_calls, self._dialect, self._routes.find
             ),
             nodes=self._nodes,
             dialect=self._dialect,
@@ -298,8 +318,15 @@
         known = self._routes.configuration is not None and self._nodes.known
         return known and self._workers_follower.freshness.ever_confirmed
 
+    async def _resume(self) -> None:
+        await self._nodes.wait_until_known()
+        await self._takeovers.resume_own()
+
     async def _housekeep(self) -> None:
         await self._nodes.wait_until_known()
+        if self._nodes.anyone_ran:
+            # Those who ran batches go on first: the whole log is read by all nodes at once.
+            self._follow_from = time.monotonic() + RESUME_SECONDS
         self._update_role(time.monotonic())
         while True:
             due = anyio.current_time() + EXPIRE_SECONDS
@@ -323,7 +350,7 @@
                 "replica_role", holds=self._role.announced, serving=len(self._nodes.serving())
             )
             self._nodes.set_replica(self._role.announced)
-        following = self._role.following(now)
+        following = self._role.following(now) and now >= self._follow_from
         if following != self.store.following:
             self.store.set_following(following)
             self._orders.set_following(following)
--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -7,10 +7,12 @@
 import anyio
 import anyio.abc
 
+from stagewalk.batches.runner_liveness import RunnerLiveness
 from stagewalk.batches.takeover import RunnerState
 from stagewalk.core.identities import Address, NodeName, Placement
 from stagewalk.directory.ledger_replicas import wants_replica
 from stagewalk.directory.node_table import (
+    BatchPlace,
     NodeAnnouncement,
     NodeTable,
     decode_announcement,
@@ -66,6 +68,12 @@
         self._wake = anyio.Event()
         self._serves = False
         self._replica = False
+        self._runs: tuple[BatchPlace, ...] = ()
+        self._liveness = RunnerLiveness()
+        self.runs_before: tuple[BatchPlace, ...] = ()
+        """Where the batches begin that this machine's earlier process ran."""
+        self.anyone_ran = False
+        """Whether any node ran batches when the nodes were first listed."""
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start announcing and following."""
@@ -95,6 +103,23 @@
             self._replica = replica
             self._wake.set()
 
+    def set_runs(self, runs: tuple[BatchPlace, ...]) -> None:
+        """Say from now on where the batches begin that this process runs."""
+        if runs != self._runs:
+            self._runs = runs
+            self._wake.set()
+
+    @property
+    def liveness(self) -> RunnerLiveness:
+        """Return what direct questions tell of runners."""
+        return self._liveness
+
+    def peer_of(self, process: str) -> Address | None:
+        """Return where the machine of a process takes calls of other nodes, None if unknown."""
+        identity = parse_process_id(process)
+        known = None if identity is None else self._table.known(identity.node)
+        return None if known is None else known.peer_address
+
     def wants_replica(self) -> bool:
         """Whether this node should hold a replica, as far as it knows the others.
 
@@ -148,6 +173,11 @@
         known = self._table.known(identity.node)
         if known is None or not known.ledger_replica:
             return RunnerState.GONE
+        now = time.monotonic()
+        if self._liveness.gone(process, now):
+            return RunnerState.GONE
+        if self._liveness.replaced(process, now):
+            return RunnerState.RETURNED
         if self._table.process_alive(known.node, identity.incarnation, self._view_at):
             return RunnerState.RUNS
         returned = self._table.process_alive(known.node, known.incarnation, self._view_at)
@@ -165,6 +195,7 @@
             self._beat,
             self._replica,
             self._capacity,
+            self._runs,
         )
 
     async def _announce(self) -> None:
@@ -177,7 +208,8 @@
             if answer.is_error():
                 log_event("announcement_failed", "debug", fault=answer.error.fault)
             self._wake = anyio.Event()
-            if (own.serving, own.ledger_replica) == (self._serves, self._replica):
+            told = (own.serving, own.ledger_replica, own.runs)
+            if told == (self._serves, self._replica, self._runs):
                 with anyio.move_on_after(ANNOUNCE_SECONDS):
                     await self._wake.wait()
 
@@ -186,17 +218,25 @@
         while True:
             confirmed = self._follower.freshness.confirmed_at
             if confirmed - self._view_at > OUTAGE_SECONDS:
-                self._table.forgive(confirmed)
+                self._table.forgive(confirmed, self._view_at)
             self._view_at = max(self._view_at, confirmed)
             await anyio.sleep(READ_PAUSE_SECONDS / 2)
 
     def _replace(self, records: tuple[KeyedRecord, ...]) -> None:
-        for record in records:
-            self._apply(record)
+        listing = {
+            record.offset: announcement
+            for record in records
+            if record.value is not None
+            and (announcement := decode_announcement(record.value)) is not None
+        }
+        self._table.announced(listing, time.monotonic())
         previous = self._table.known(self._identity.node)
         if not self.known and previous is not None:
+            self.runs_before = previous.runs
             later = previous.incarnation + 1
             self._identity.incarnation = max(self._identity.incarnation, later)
+        if not self.known:
+            self.anyone_ran = any(announcement.runs for announcement in listing.values())
         self._listed.set()
 
     def _apply(self, record: KeyedRecord) -> None:
--- /dev/null
+++ b/src/stagewalk/gateway/runner_calls.py
@@ -0,0 +1,64 @@
+"""Asks other nodes whether they run batches, and tells them of batches that are theirs."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+from stagewalk.core.identities import Address
+from stagewalk.gateway.runner_messages import (
+    AskRunner,
+    RunBatch,
+    RunnerAnswer,
+    RunnerCall,
+    decode_answer,
+    decode_call,
+    encode_message,
+)
+from stagewalk.peer_calls.client import PeerClient
+
+RUNNER_PATH = "/runner"
+ANSWER_SECONDS = 0.3
+"""A process that takes longer than this to say who it is runs no batch well."""
+
+
+class RunnerCalls:
+    """Client and handler of calls about runners.
+
+    Parameters
+    ----------
+    describe
+        Tells of this process.
+    take
+        Takes a batch that this process is to run.
+    """
+
+    def __init__(
+        self,
+        client: PeerClient,
+        describe: Callable[[], RunnerAnswer],
+        take: Callable[[RunBatch], Awaitable[None]],
+    ) -> None:
+        self._client = client
+        self._describe = describe
+        self._take = take
+
+    async def ask(self, peer: Address) -> RunnerAnswer | None:
+        """Ask a node about itself; None if no answer came."""
+        return await self._call(peer, AskRunner())
+
+    async def tell(self, peer: Address, run: RunBatch) -> bool:
+        """Tell a node of a batch it is to run; return whether it heard."""
+        return await self._call(peer, run) is not None
+
+    async def handle(self, content: bytes) -> bytes | None:
+        """Answer another node's call; None if the bytes spell none."""
+        call = decode_call(content)
+        if call is None:
+            return None
+        if isinstance(call, RunBatch):
+            await self._take(call)
+        return encode_message(self._describe())
+
+    async def _call(self, peer: Address, call: RunnerCall) -> RunnerAnswer | None:
+        content = await self._client.call(peer, RUNNER_PATH, encode_message(call), ANSWER_SECONDS)
+        return None if content is None else decode_answer(content)
--- /dev/null
+++ b/src/stagewalk/gateway/runner_choice.py
@@ -0,0 +1,109 @@
+"""Chooses who runs a batch that is handed in here, and makes sure that it knows.
+
+A node that the list of nodes still names may be gone; so it is asked first, and told where the
+batch is once that is in the log.
+"""
+
+from __future__ import annotations
+
+import time
+
+import anyio.abc
+
+from stagewalk.batches.ledger import NOBODY
+from stagewalk.batches.records import BatchHeader
+from stagewalk.batches.takeover import affinity
+from stagewalk.core.identities import Address
+from stagewalk.directory.node_table import BatchPlace, NodeAnnouncement
+from stagewalk.gateway.batch_runner import BatchRunner
+from stagewalk.gateway.batch_store import BatchStore
+from stagewalk.gateway.identity import ProcessId, parse_process_id
+from stagewalk.gateway.node_service import NodeService
+from stagewalk.gateway.runner_calls import RunnerCalls
+from stagewalk.gateway.runner_messages import RunBatch, RunnerAnswer
+from stagewalk.logs.lines import log_event
+from stagewalk.peer_calls.client import PeerClient
+
+NODES_ASKED = 2
+
+
+class RunnerChoice:
+    """Asks nodes to run batches, and is asked."""
+
+    def __init__(
+        self,
+        identity: ProcessId,
+        nodes: NodeService,
+        store: BatchStore,
+        runner: BatchRunner,
+        client: PeerClient,
+    ) -> None:
+        self._identity = identity
+        self._nodes = nodes
+        self._store = store
+        self._runner = runner
+        self.calls = RunnerCalls(client, self._describe, self._take)
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Have calls made in a task group from now on."""
+        self._tasks = tasks
+
+    async def choose(self, header: BatchHeader) -> str:
+        """Return the process that is to run a batch which is handed in here now.
+
+        All batches of one trainer go to the same node while it lives: it has connections to the
+        engines open already, and sees all of the trainer's load.
+        """
+        trainer = f"{header.host}/{header.model}"
+        ranked = sorted(self._nodes.replicas(), key=lambda node: affinity(trainer, node.node))
+        for node in ranked[:NODES_ASKED]:
+            process = await self._willing_process(node)
+            if process is not None:
+                return process
+        return NOBODY if self._runner.stopping else str(self._identity)
+
+    def tell(self, process: str, batch: str, offset: int) -> None:
+        """Tell the process that is to run a batch where its records begin."""
+        assert self._tasks is not None
+        run = RunBatch(batch, self._store.partition_of(batch), offset)
+        peer = self._nodes.peer_of(process)
+        if process == str(self._identity):
+            self._tasks.start_soon(self._take, run)
+        elif peer is not None:
+            self._tasks.start_soon(self._tell, peer, run)
+
+    async def _tell(self, peer: Address, run: RunBatch) -> None:
+        if not await self.calls.tell(peer, run):
+            log_event("runner_not_told", "warning", batch=run.batch, peer=str(peer))
+
+    async def _willing_process(self, node: NodeAnnouncement) -> str | None:
+        if node.node == self._identity.node:
+            return None if self._runner.stopping else str(self._identity)
+        if node.peer_address is None:
+            return str(ProcessId(node.node, node.incarnation))
+        answer = await self.calls.ask(node.peer_address)
+        if answer is None or not answer.willing:
+            log_event(
+                "runner_not_willing", "warning", runner=node.node, answered=answer is not None
+            )
+            return None
+        identity = parse_process_id(answer.process)
+        return answer.process if identity is not None and identity.node == node.node else None
+
+    def _describe(self) -> RunnerAnswer:
+        willing = not self._runner.stopping and self._nodes.known
+        return RunnerAnswer(str(self._identity), willing)
+
+    async def _take(self, run: RunBatch) -> None:
+        """Read of a batch that this process is to run, without waiting for the log to wake it."""
+        if self._store.followed(run.batch, time.monotonic()):
+            await self._store.catch_up(run.batch)
+            return
+        place = BatchPlace(run.partition, run.offset)
+        partial = self._store.read_from(place)
+        if not await partial.read():
+            return
+        batch = partial.ledger.get(run.batch)
+        if batch is not None and batch.runner == str(self._identity):
+            self._runner.begin_ahead(batch, partial.ledger, place, batch.epoch)
--- /dev/null
+++ b/src/stagewalk/gateway/runner_messages.py
@@ -0,0 +1,60 @@
+"""Calls between nodes about who runs batches."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class AskRunner(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
+    """Ask a node which process it is, and whether that would run a batch."""
+
+
+class RunBatch(msgspec.Struct, frozen=True, array_like=True, tag="run"):
+    """Tell a node that a batch it is to run is in the log, and where.
+
+    Attributes
+    ----------
+    partition
+        Number of the partition.
+    offset
+        Of the batch's first record.
+    """
+
+    batch: str
+    partition: int
+    offset: int
+
+
+RunnerCall = AskRunner | RunBatch
+
+
+class RunnerAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Which process answers, and whether it runs batches that are given to it."""
+
+    process: str
+    willing: bool
+
+
+_CALLS: msgspec.msgpack.Decoder[RunnerCall] = msgspec.msgpack.Decoder(RunnerCall)
+_ANSWERS = msgspec.msgpack.Decoder(RunnerAnswer)
+
+
+def encode_message(message: RunnerCall | RunnerAnswer) -> bytes:
+    """Return a message's bytes."""
+    return msgspec.msgpack.encode(message)
+
+
+def decode_call(content: bytes) -> RunnerCall | None:
+    """Return the call that bytes spell, None if they spell none."""
+    try:
+        return _CALLS.decode(content)
+    except msgspec.DecodeError:
+        return None
+
+
+def decode_answer(content: bytes) -> RunnerAnswer | None:
+    """Return the answer that bytes spell, None if they spell none."""
+    try:
+        return _ANSWERS.decode(content)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/src/stagewalk/gateway/runner_probes.py
@@ -0,0 +1,57 @@
+"""Asks the runners of open batches whether they still run, where this node would take over."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+
+from stagewalk.batches.runner_liveness import RunnerLiveness
+from stagewalk.core.identities import Address
+from stagewalk.gateway.runner_calls import RunnerCalls
+from stagewalk.logs.lines import log_event
+
+PROBE_SECONDS = 0.4
+
+
+class RunnerProbes:
+    """Asks again and again.
+
+    Parameters
+    ----------
+    targets
+        Tells the processes to ask now, and where each one's machine listens.
+    """
+
+    def __init__(
+        self,
+        calls: RunnerCalls,
+        liveness: RunnerLiveness,
+        targets: Callable[[], dict[str, Address]],
+    ) -> None:
+        self._calls = calls
+        self._liveness = liveness
+        self._targets = targets
+
+    async def run(self) -> None:
+        """Ask for ever."""
+        while True:
+            await anyio.sleep(PROBE_SECONDS)
+            targets = self._targets()
+            self._liveness.keep_only(set(targets))
+            async with anyio.create_task_group() as tasks:
+                for process, peer in targets.items():
+                    tasks.start_soon(self._probe, process, peer)
+
+    async def _probe(self, process: str, peer: Address) -> None:
+        answer = await self._calls.ask(peer)
+        now = time.monotonic()
+        if answer is not None:
+            self._liveness.note_answer(process, answer.process, now)
+            return
+        before = self._liveness.gone(process, now)
+        self._liveness.note_failure(process, now)
+        if self._liveness.gone(process, now) and not before:
+            log_event("runner_silent", "warning", runner=process, peer=str(peer))
--- /dev/null
+++ b/src/stagewalk/gateway/takeover_service.py
@@ -0,0 +1,108 @@
+"""Takes batches over whose runner is gone, and goes on with those this machine ran before."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import anyio.abc
+
+from stagewalk.batches.ledger import Batch
+from stagewalk.batches.records import BatchClaimed
+from stagewalk.batches.takeover import OpenBatch, RunnerState, Takeovers
+from stagewalk.core.identities import Address
+from stagewalk.directory.node_table import BatchPlace
+from stagewalk.gateway.batch_runner import BatchRunner
+from stagewalk.gateway.batch_store import BatchStore
+from stagewalk.gateway.identity import ProcessId
+from stagewalk.gateway.node_service import NodeService
+from stagewalk.logs.lines import log_event
+
+SUPERVISE_SECONDS = 0.1
+READ_ATTEMPTS = 10
+READ_RETRY_SECONDS = 0.1
+"""How often a log that refuses is asked for a batch that was run here; then its view must do."""
+
+PROBERS = 2
+"""So many of the nodes that would take a batch over first ask its runner whether it still runs."""
+
+
+class TakeoverService:
+    """Looks after the open batches of all runners."""
+
+    def __init__(
+        self, identity: ProcessId, store: BatchStore, runner: BatchRunner, nodes: NodeService
+    ) -> None:
+        self._identity = identity
+        self._store = store
+        self._runner = runner
+        self._nodes = nodes
+        self._takeovers = Takeovers(identity.node, nodes.runner_state)
+
+    async def run(self) -> None:
+        """Take over what is without a runner, for ever."""
+        while True:
+            await anyio.sleep(SUPERVISE_SECONDS)
+            now = time.monotonic()
+            if not self._runner.stopping and self._store.following:
+                self._claim_orphans(now)
+            self._store.ledger.forget(now)
+
+    async def resume_own(self) -> None:
+        """Go on with the batches of this machine's last process, before the whole log is read."""
+        async with anyio.create_task_group() as tasks:
+            for place in self._nodes.runs_before:
+                tasks.start_soon(self._resume_from, place)
+
+    def probe_targets(self) -> dict[str, Address]:
+        """Return the runners that this node should ask whether they still run."""
+        targets: dict[str, Address] = {}
+        if self._runner.stopping or not self._store.following:
+            return targets
+        replicas = self._replicas()
+        for batch in self._store.ledger.open_batches():
+            peer = self._nodes.peer_of(batch.runner)
+            state = self._nodes.runner_state(batch.runner)
+            place = self._takeovers.place(batch.header.batch, batch.runner, replicas)
+            own = batch.runner == str(self._identity) or state is RunnerState.MINE_BEFORE
+            if peer is not None and not own and place < PROBERS:
+                targets[batch.runner] = peer
+        return targets
+
+    async def _resume_from(self, place: BatchPlace) -> None:
+        partial = self._store.read_from(place)
+        for _ in range(READ_ATTEMPTS):
+            if await partial.read():
+                break
+            await anyio.sleep(READ_RETRY_SECONDS)
+        else:
+            return
+        for batch in partial.open_batches():
+            if self._nodes.runner_state(batch.runner) is RunnerState.MINE_BEFORE:
+                epoch = batch.epoch + 1
+                self._claim(batch, RunnerState.MINE_BEFORE)
+                self._runner.begin_ahead(batch, partial.ledger, place, epoch)
+
+    def _replicas(self) -> list[str]:
+        return [node.node for node in self._nodes.replicas()]
+
+    def _claim_orphans(self, now: float) -> None:
+        batches = {b.header.batch: b for b in self._store.ledger.open_batches()}
+        seen = [
+            OpenBatch(name, batch.runner, self._store.view_age(name, now))
+            for name, batch in batches.items()
+            if not self._runner.runs(name)
+        ]
+        for name in self._takeovers.decide(seen, self._replicas(), now):
+            self._claim(batches[name], self._nodes.runner_state(batches[name].runner))
+
+    def _claim(self, batch: Batch, state: RunnerState) -> None:
+        name = batch.header.batch
+        log_event(
+            "batch_claimed",
+            batch=name,
+            from_runner=batch.runner,
+            runner_state=state.name.lower(),
+            epoch=batch.epoch + 1,
+        )
+        self._store.post(name, BatchClaimed(name, str(self._identity), batch.epoch + 1))
--- /dev/null
+++ b/tests/batches/test_runner_liveness.py
@@ -0,0 +1,53 @@
+"""A runner that stops answering is gone soon; one answer, or old evidence, says nothing of it."""
+
+from __future__ import annotations
+
+import testtools
+
+from stagewalk.batches.runner_liveness import (
+    EVIDENCE_SECONDS,
+    LEAST_SPAN_SECONDS,
+    RunnerLiveness,
+)
+
+
+class LivenessTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.liveness = RunnerLiveness()
+
+    def test_an_unknown_process_is_not_gone(self) -> None:
+        self.assertFalse(self.liveness.gone("n#1", 0.0) or self.liveness.replaced("n#1", 0.0))
+
+    def test_one_failure_or_several_at_once_are_not_enough(self) -> None:
+        for _ in range(3):
+            self.liveness.note_failure("n#1", 5.0)
+        self.assertFalse(self.liveness.gone("n#1", 5.0))
+
+    def test_failures_in_a_row_over_some_time_are(self) -> None:
+        self.liveness.note_failure("n#1", 5.0)
+        self.liveness.note_failure("n#1", 5.1 + LEAST_SPAN_SECONDS)
+        self.assertTrue(self.liveness.gone("n#1", 5.1 + LEAST_SPAN_SECONDS))
+
+    def test_an_answer_between_them_begins_anew(self) -> None:
+        self.liveness.note_failure("n#1", 5.0)
+        self.liveness.note_answer("n#1", "n#1", 5.2)
+        self.liveness.note_failure("n#1", 5.5)
+        self.assertFalse(self.liveness.gone("n#1", 5.5))
+
+    def test_old_failures_tell_nothing(self) -> None:
+        self.liveness.note_failure("n#1", 5.0)
+        late = 5.1 + EVIDENCE_SECONDS
+        self.liveness.note_failure("n#1", late)
+        self.assertFalse(self.liveness.gone("n#1", late))
+        self.liveness.note_failure("n#1", late + 1.0)
+        self.assertTrue(self.liveness.gone("n#1", late + 1.0))
+        self.assertFalse(self.liveness.gone("n#1", late + 1.1 + EVIDENCE_SECONDS))
+
+    def test_another_process_in_its_place_is_told_apart(self) -> None:
+        self.liveness.note_answer("n#1", "n#2", 5.0)
+        self.assertTrue(self.liveness.replaced("n#1", 5.1))
+        self.liveness.note_answer("n#1", "n#1", 5.2)
+        self.assertFalse(self.liveness.replaced("n#1", 5.3))
+        self.liveness.keep_only(set())
+        self.assertFalse(self.liveness.gone("n#1", 5.3))
--- a/tests/directory/test_node_table.py
+++ b/tests/directory/test_node_table.py
@@ -36,9 +36,24 @@
         self.assertEqual([], self.alive(ALIVE_SECONDS + 0.1))
 
     def test_an_outage_kills_nobody(self) -> None:
-        self.table.forgive(60.0)
+        self.table.forgive(60.0, view_at=1.0)
         self.assertEqual(["a"], self.alive(61.0))
 
+    def test_an_outage_brings_nobody_back_who_was_gone_before(self) -> None:
+        """Found on trouble-3: a batch was given to a node that was removed 23 s earlier."""
+        self.table.announce(node("b"), 10.0)
+        self.table.forgive(60.0, view_at=10.5)
+        self.assertEqual(["b"], self.alive(60.1))
+
+    def test_a_listing_tells_who_was_gone_long_before(self) -> None:
+        listing = {2: node("gone"), 95: node("b"), 98: node("c"), 99: node("d")}
+        self.table.announced(listing, 50.0)
+        self.assertEqual(["b", "c", "d"], sorted(self.alive(50.1)))
+
+    def test_after_a_quiet_start_of_all_everyone_is_alive(self) -> None:
+        self.table.announced({n: node(f"n{n}") for n in range(30)}, 50.0)
+        self.assertEqual(30, len(self.alive(50.1)))
+
     def test_a_restart_ends_the_process_before(self) -> None:
         self.table.announce(node("a", incarnation=2), 1.0)
         self.assertFalse(self.table.process_alive("a", 1, 1.0))
