Workers that said they leave stay gone; lapsed entries are doubted for two seconds after an outage

The table doubted for 3 s from whenever it saw the entry go, and an entry of before that was written late made a draining worker usable again (both tests fail on the code before). Change: doubt ends 2.2 s after the last trouble with the list; who said that it leaves is remembered.

--- a/src/stagewalk/workers/table.py
+++ b/src/stagewalk/workers/table.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from stagewalk.ports.workers import WorkerTarget
 from stagewalk.workers.worker import Worker, WorkerAnnouncement
 
-OUTAGE_MEMORY_SECONDS = 3.0
-"""How long after trouble with the list a missing entry is doubted rather than believed."""
+DOUBT_SECONDS = 2.2
+"""How long after trouble with the list a missing entry is doubted rather than believed: entries
+that lapsed meanwhile are back about two seconds after its end, if their workers live."""
 
-DOUBT_SECONDS = 3.0
-"""How long a doubted worker may still be used if its service has no other."""
+LEFT_MEMORY_SECONDS = 300.0
+"""How long it is remembered which workers said that they leave."""
 
 
 class WorkerTable:
@@ -20,12 +22,16 @@
     Entries also vanish while the list's store is down, of workers that serve on. So a worker
     whose entry vanished around an outage stays usable for a moment, as a last resort, until
     its next heartbeat would have brought it back.
+
+    A worker that said it leaves never takes that back: an entry of before, written late, changes
+    nothing. Each start of a worker has an identity of its own.
     """
 
     def __init__(self) -> None:
         self._workers: dict[str, Worker] = {}
         self._doubted_until: dict[str, float] = {}
         self._by_service: dict[str, list[Worker]] = {}
+        self._left_at: dict[str, float] = {}
         self.on_change: Callable[[str, str], None] = lambda _worker, _change: None
         """Told of each change of belief: the worker and a word for the change."""
 
@@ -42,6 +48,10 @@
 
     def announce(self, announcement: WorkerAnnouncement, now: float) -> None:
         """Take a worker's entry."""
+        if announcement.draining:
+            self._left_at[announcement.worker] = now
+        elif announcement.worker in self._left_at:
+            announcement = replace(announcement, draining=True)
         known = self._workers.get(announcement.worker)
         self._doubted_until.pop(announcement.worker, None)
         if known is None:
@@ -62,15 +72,18 @@
         known = self._workers.get(worker)
         if known is None:
             return
-        doubtful = now - disturbed_at < OUTAGE_MEMORY_SECONDS
-        if doubtful and not known.announcement.draining:
-            self._doubted_until.setdefault(worker, now + DOUBT_SECONDS)
+        believed_at = disturbed_at + DOUBT_SECONDS
+        if now < believed_at and not known.announcement.draining:
+            self._doubted_until.setdefault(worker, believed_at)
             self.on_change(worker, "doubted")
             return
         self._drop(worker)
 
     def expire(self, now: float) -> None:
-        """Drop doubted workers that did not come back."""
+        """Drop doubted workers that did not come back; forget who left long ago."""
+        for worker, left_at in list(self._left_at.items()):
+            if now - left_at > LEFT_MEMORY_SECONDS:
+                del self._left_at[worker]
         for worker, until in list(self._doubted_until.items()):
             if now >= until:
                 self._drop(worker)
--- a/tests/workers/test_table.py
+++ b/tests/workers/test_table.py
@@ -47,6 +47,27 @@
         self.table.remove("b", 10.0, 9.0)
         self.assertEqual({"b"}, names(self.table))
 
+    def test_an_entry_still_missing_two_seconds_after_an_outage_is_gone(self) -> None:
+        for name in ("a", "b"):
+            self.table.remove(name, 10.0, 9.9)
+        self.table.expire(9.9 + 1.9)
+        self.assertEqual({"a", "b"}, names(self.table))
+        self.table.announce(announcement("b"), 11.8)
+        self.table.expire(9.9 + DOUBT_SECONDS)
+        self.assertEqual({"b"}, names(self.table))
+        self.table.remove("b", 9.9 + DOUBT_SECONDS, 9.9)
+        self.assertEqual(set(), names(self.table))
+
+    def test_a_worker_that_said_it_leaves_is_gone_for_good_whatever_comes_late(self) -> None:
+        self.table.announce(announcement("a", draining=True), 1.0)
+        self.table.announce(announcement("a"), 1.2)
+        self.assertEqual({"b"}, names(self.table))
+        self.table.remove("a", 2.0, CALM)
+        self.table.announce(announcement("a"), 2.5)
+        self.assertEqual({"b"}, names(self.table))
+        self.table.replace([announcement("a"), announcement("b")], 3.0, 3.0)
+        self.assertEqual({"b"}, names(self.table))
+
     def test_a_listing_takes_the_place_of_all_that_was_known(self) -> None:
         self.table.replace([announcement("c")], 1.0, CALM)
         self.assertEqual({"c"}, names(self.table))
