--- a/src/stagewalk/directory/node_table.py
+++ b/src/stagewalk/directory/node_table.py
@@ -18,13 +18,6 @@
 """A node that did not announce itself while the others did so this often is believed dead."""
 
 
-class BatchPlace(msgspec.Struct, frozen=True, array_like=True):
-    """Where a batch's records begin: its partition's number, and the offset of the first one."""
-
-    partition: int
-    offset: int
-
-
 class NodeAnnouncement(msgspec.Struct, frozen=True, array_like=True):
     """What a node says of itself, again and again.
 
@@ -44,8 +37,6 @@
         Whether it follows all batches: it may run them, and answers calls about them.
     capacity
         How fast its processor is, in cores of the usual speed.
-    runs
-        Where the records of the batches it runs begin: after a restart they are read first.
     """
 
     node: str
@@ -58,7 +49,6 @@
     beat: int
     ledger_replica: bool = False
     capacity: float = 1.0
-    runs: tuple[BatchPlace, ...] = ()
 
     @property
     def peer_address(self) -> Address | None:
--- a/src/stagewalk/gateway/batch_calls.py
+++ b/src/stagewalk/gateway/batch_calls.py
@@ -81,7 +81,7 @@
             outcome="appended" if outcome.is_ok() else outcome.error.value,
         )
         if outcome.is_ok():
-            self._runners.tell(runner, batch, outcome.ok)
+            await self._runners.tell(runner, batch, outcome.ok)
             await reply_empty(exchange, 202)
         elif outcome.error is AppendOutcome.NOT_APPENDED:
             await reply_error(exchange, 503, "the log takes no appends", COME_BACK_SECONDS)
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -27,10 +27,10 @@
     ItemFinished,
 )
 from stagewalk.batches.scheduler import BatchScheduler
-from stagewalk.directory.node_table import BatchPlace
 from stagewalk.gateway.batch_store import BatchStore
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.node_service import NodeService
+from stagewalk.gateway.open_batches import OpenBatches
 from stagewalk.gateway.score_sender import ScoreSender
 from stagewalk.logs.lines import log_event
 from stagewalk.ports.workers import (
@@ -47,6 +47,7 @@
 
 TICK_SECONDS = 0.05
 SUCCESS = 200
+ENDED = "ended"
 KeptTextOf = Callable[[BatchItem], KeptText | None]
 ITEM_METHOD = "POST"
 HOST_HEADER = "host"
@@ -65,6 +66,7 @@
         workers: WorkerTable,
         nodes: NodeService,
         rollouts: VersionRollouts,
+        open_batches: OpenBatches,
     ) -> None:
         self._identity = identity
         self._store = store
@@ -73,10 +75,10 @@
         self._workers = workers
         self._nodes = nodes
         self._rollouts = rollouts
+        self._open_batches = open_batches
         self._tasks: anyio.abc.TaskGroup | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
         self._scores = ScoreSender(client, workers, self._handle)
-        self._places: dict[str, BatchPlace] = {}
         self._ahead: dict[str, int] = {}
         """By batch that was begun before this node's view told of it, the epoch it is run under."""
         self._stopping = False
@@ -138,7 +140,7 @@
                 self._carry_out(self._scheduler.listed(name, batch.results[-1].item))
         elif change is LedgerChange.ENDED:
             self._carry_out(self._scheduler.progress(name))
-            self._close(name, "ended")
+            self._close(name, ENDED)
         elif batch.epoch < self._ahead.get(name, 0):
             return
         elif mine:
@@ -149,26 +151,23 @@
             self._close(name, "taken over")
 
     def _open(self, batch: Batch) -> None:
-        place = self._store.place_of(batch.header.batch)
-        self._begin(batch, self._store.ledger.kept_text, place)
+        self._begin(batch, self._store.ledger.kept_text)
 
-    def begin_ahead(self, batch: Batch, ledger: BatchLedger, place: BatchPlace, epoch: int) -> None:
+    def begin_ahead(self, batch: Batch, ledger: BatchLedger, epoch: int) -> None:
         """Run a batch that this node's view does not tell of yet.
 
         Parameters
         ----------
         batch, ledger
             The batch as another view tells it, and that view.
-        place
-            Where its records begin.
         epoch
             The epoch of this process's claim to it, 0 if it was given the batch.
         """
         if batch.header.batch not in self._scheduler.batches and not self._stopping:
             self._ahead[batch.header.batch] = epoch
-            self._begin(batch, ledger.kept_text, place)
+            self._begin(batch, ledger.kept_text)
 
-    def _begin(self, batch: Batch, kept_text: KeptTextOf, place: BatchPlace | None) -> None:
+    def _begin(self, batch: Batch, kept_text: KeptTextOf) -> None:
         name = batch.header.batch
         if not batch.open or name in self._scheduler.batches:
             return
@@ -181,22 +180,14 @@
             epoch=batch.epoch,
             ahead=name in self._ahead,
         )
-        if place is not None:
-            self._places[name] = place
         self._carry_out(self._scheduler.open(batch, kept_text, time.monotonic()))
         self._handle(Tick())
-        self._tell_places()
 
     def _close(self, batch: str, reason: str) -> None:
+        if reason == ENDED and self.runs(batch) and self._tasks is not None:
+            self._tasks.start_soon(self._open_batches.drop, batch)
         self._carry_out(self._scheduler.close(batch, reason))
         self._ahead.pop(batch, None)
-        if self._places.pop(batch, None) is not None:
-            self._tell_places()
-
-    def _tell_places(self) -> None:
-        """Let others, and this machine's next process, know where to read of what runs here."""
-        places = sorted(self._places.values(), key=lambda place: (place.partition, place.offset))
-        self._nodes.set_runs(tuple(places))
 
     # Attempts.
 
--- a/src/stagewalk/gateway/batch_store.py
+++ b/src/stagewalk/gateway/batch_store.py
@@ -5,7 +5,6 @@
 import time
 import uuid
 from collections.abc import Callable
-from functools import partial
 
 import anyio
 import anyio.abc
@@ -16,15 +15,14 @@
 from stagewalk.batches.records import (
     BatchEnded,
     BatchRecord,
-    BatchSubmitted,
     ItemFinished,
     decode_record,
     encode_record,
     split_result,
     split_submission,
 )
-from stagewalk.directory.node_table import BatchPlace
 from stagewalk.gateway.early_start import PartialLedger
+from stagewalk.gateway.open_batches import BatchPlace
 from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.appender import AppendOutcome, PartitionAppender
 from stagewalk.partitioned_log.follower import PartitionFollower
@@ -57,10 +55,8 @@
         self._news: dict[str, anyio.Event] = {}
         numbers = [Partition(TOPIC, n) for n in range(min(PARTITIONS, partitions))]
         self._log = log
-        self._places: dict[str, BatchPlace] = {}
         self._followers = [
-            PartitionFollower(log, p, partial(self._apply, p.number), READ_PAUSE_SECONDS)
-            for p in numbers
+            PartitionFollower(log, p, self._apply, READ_PAUSE_SECONDS) for p in numbers
         ]
         self._following = True
         self.set_following(False)
@@ -134,13 +130,9 @@
         else:
             log_event("record_too_large", batch=batch, record=type(record).__name__)
 
-    def place_of(self, batch: str) -> BatchPlace | None:
-        """Return where a batch's records begin, None if its first one was not read yet."""
-        return self._places.get(batch)
-
-    def partition_of(self, batch: str) -> int:
-        """Return the number of a batch's partition."""
-        return _partition_of(batch, len(self._followers))
+    def place(self, batch: str, offset: int, runner: str) -> BatchPlace:
+        """Return the place of a batch whose records begin at an offset."""
+        return BatchPlace(_partition_of(batch, len(self._followers)), offset, runner)
 
     def read_from(self, place: BatchPlace) -> PartialLedger:
         """Return a ledger of the batches of a partition that begin at a place or later."""
@@ -166,14 +158,11 @@
     def _appender(self, batch: str) -> PartitionAppender:
         return self._appenders[_partition_of(batch, len(self._appenders))]
 
-    def _apply(self, partition: int, record: PartitionRecord) -> None:
+    def _apply(self, record: PartitionRecord) -> None:
         decoded = decode_record(record.payload)
         if decoded is None:
             log_event("record_unreadable", "warning", topic=TOPIC, offset=record.offset)
             return
-        if isinstance(decoded, BatchSubmitted):
-            place = BatchPlace(partition, record.offset)
-            self._places.setdefault(decoded.header.batch, place)
         self.ledger.apply(decoded, time.monotonic())
 
     def _changed(self, batch: Batch, change: LedgerChange) -> None:
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -32,6 +32,7 @@
 from stagewalk.gateway.ledger_reads import LedgerReads
 from stagewalk.gateway.metrics import GatewayMetrics, GatewayState
 from stagewalk.gateway.node_service import NodeService
+from stagewalk.gateway.open_batches import OpenBatches
 from stagewalk.gateway.order_service import OrderService
 from stagewalk.gateway.runner_calls import RUNNER_PATH
 from stagewalk.gateway.runner_choice import RunnerChoice
@@ -168,6 +169,7 @@
             log, producer, limits.record_bytes, limits.call_bytes, limits.partitions
         )
         zone = settings.placement.zone
+        open_batches = OpenBatches(log)
         self._runner = BatchRunner(
             identity=self._identity,
             store=self.store,
@@ -181,11 +183,23 @@
             workers=self._workers,
             nodes=self._nodes,
             rollouts=self._rollouts,
+            open_batches=open_batches,
         )
         self._runners = RunnerChoice(
-            self._identity, self._nodes, self.store, self._runner, peer_client
+            identity=self._identity,
+            nodes=self._nodes,
+            store=self.store,
+            runner=self._runner,
+            client=peer_client,
+            open_batches=open_batches,
+        )
+        self._takeovers = TakeoverService(
+            identity=self._identity,
+            store=self.store,
+            runner=self._runner,
+            nodes=self._nodes,
+            open_batches=open_batches,
         )
-        self._takeovers = TakeoverService(self._identity, self.store, self._runner, self._nodes)
         self._probes = RunnerProbes(
             self._runners.calls, self._nodes.liveness, self._takeovers.probe_targets
         )
@@ -245,8 +259,7 @@
             self.store.start(tasks)
             self._runner.start(tasks)
             self._runners.start(tasks)
-            tasks.start_soon(self._takeovers.run)
-            tasks.start_soon(self._resume)
+            self._takeovers.start(tasks)
             tasks.start_soon(self._probes.run)
             self._orders.start(tasks)
             tasks.start_soon(self._housekeep)
@@ -318,13 +331,9 @@
         known = self._routes.configuration is not None and self._nodes.known
         return known and self._workers_follower.freshness.ever_confirmed
 
-    async def _resume(self) -> None:
-        await self._nodes.wait_until_known()
-        await self._takeovers.resume_own()
-
     async def _housekeep(self) -> None:
         await self._nodes.wait_until_known()
-        if self._nodes.anyone_ran:
+        if await self._takeovers.resume_own():
             # Those who ran batches go on first: the whole log is read by all nodes at once.
             self._follow_from = time.monotonic() + RESUME_SECONDS
         self._update_role(time.monotonic())
--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -12,7 +12,6 @@
 from stagewalk.core.identities import Address, NodeName, Placement
 from stagewalk.directory.ledger_replicas import wants_replica
 from stagewalk.directory.node_table import (
-    BatchPlace,
     NodeAnnouncement,
     NodeTable,
     decode_announcement,
@@ -68,12 +67,7 @@
         self._wake = anyio.Event()
         self._serves = False
         self._replica = False
-        self._runs: tuple[BatchPlace, ...] = ()
         self._liveness = RunnerLiveness()
-        self.runs_before: tuple[BatchPlace, ...] = ()
-        """Where the batches begin that this machine's earlier process ran."""
-        self.anyone_ran = False
-        """Whether any node ran batches when the nodes were first listed."""
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start announcing and following."""
@@ -103,12 +97,6 @@
             self._replica = replica
             self._wake.set()
 
-    def set_runs(self, runs: tuple[BatchPlace, ...]) -> None:
-        """Say from now on where the batches begin that this process runs."""
-        if runs != self._runs:
-            self._runs = runs
-            self._wake.set()
-
     @property
     def liveness(self) -> RunnerLiveness:
         """Return what direct questions tell of runners."""
@@ -195,7 +183,6 @@
             self._beat,
             self._replica,
             self._capacity,
-            self._runs,
         )
 
     async def _announce(self) -> None:
@@ -208,8 +195,7 @@
             if answer.is_error():
                 log_event("announcement_failed", "debug", fault=answer.error.fault)
             self._wake = anyio.Event()
-            told = (own.serving, own.ledger_replica, own.runs)
-            if told == (self._serves, self._replica, self._runs):
+            if (own.serving, own.ledger_replica) == (self._serves, self._replica):
                 with anyio.move_on_after(ANNOUNCE_SECONDS):
                     await self._wake.wait()
 
@@ -232,11 +218,8 @@
         self._table.announced(listing, time.monotonic())
         previous = self._table.known(self._identity.node)
         if not self.known and previous is not None:
-            self.runs_before = previous.runs
             later = previous.incarnation + 1
             self._identity.incarnation = max(self._identity.incarnation, later)
-        if not self.known:
-            self.anyone_ran = any(announcement.runs for announcement in listing.values())
         self._listed.set()
 
     def _apply(self, record: KeyedRecord) -> None:
--- a/src/stagewalk/gateway/runner_choice.py
+++ b/src/stagewalk/gateway/runner_choice.py
@@ -14,11 +14,12 @@
 from stagewalk.batches.records import BatchHeader
 from stagewalk.batches.takeover import affinity
 from stagewalk.core.identities import Address
-from stagewalk.directory.node_table import BatchPlace, NodeAnnouncement
+from stagewalk.directory.node_table import NodeAnnouncement
 from stagewalk.gateway.batch_runner import BatchRunner
 from stagewalk.gateway.batch_store import BatchStore
 from stagewalk.gateway.identity import ProcessId, parse_process_id
 from stagewalk.gateway.node_service import NodeService
+from stagewalk.gateway.open_batches import BatchPlace, OpenBatches
 from stagewalk.gateway.runner_calls import RunnerCalls
 from stagewalk.gateway.runner_messages import RunBatch, RunnerAnswer
 from stagewalk.logs.lines import log_event
@@ -32,16 +33,19 @@
 
     def __init__(
         self,
+        *,
         identity: ProcessId,
         nodes: NodeService,
         store: BatchStore,
         runner: BatchRunner,
         client: PeerClient,
+        open_batches: OpenBatches,
     ) -> None:
         self._identity = identity
         self._nodes = nodes
         self._store = store
         self._runner = runner
+        self._open_batches = open_batches
         self.calls = RunnerCalls(client, self._describe, self._take)
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -63,15 +67,17 @@
                 return process
         return NOBODY if self._runner.stopping else str(self._identity)
 
-    def tell(self, process: str, batch: str, offset: int) -> None:
-        """Tell the process that is to run a batch where its records begin."""
+    async def tell(self, process: str, batch: str, offset: int) -> None:
+        """Tell the process that is to run a batch where its records begin, and note that."""
         assert self._tasks is not None
-        run = RunBatch(batch, self._store.partition_of(batch), offset)
+        place = self._store.place(batch, offset, process)
+        run = RunBatch(batch, place.partition, offset)
         peer = self._nodes.peer_of(process)
         if process == str(self._identity):
             self._tasks.start_soon(self._take, run)
         elif peer is not None:
             self._tasks.start_soon(self._tell, peer, run)
+        await self._open_batches.note(batch, place)
 
     async def _tell(self, peer: Address, run: RunBatch) -> None:
         if not await self.calls.tell(peer, run):
@@ -100,10 +106,10 @@
         if self._store.followed(run.batch, time.monotonic()):
             await self._store.catch_up(run.batch)
             return
-        place = BatchPlace(run.partition, run.offset)
+        place = BatchPlace(run.partition, run.offset, str(self._identity))
         partial = self._store.read_from(place)
         if not await partial.read():
             return
         batch = partial.ledger.get(run.batch)
         if batch is not None and batch.runner == str(self._identity):
-            self._runner.begin_ahead(batch, partial.ledger, place, batch.epoch)
+            self._runner.begin_ahead(batch, partial.ledger, batch.epoch)
--- a/src/stagewalk/gateway/takeover_service.py
+++ b/src/stagewalk/gateway/takeover_service.py
@@ -11,11 +11,11 @@
 from stagewalk.batches.records import BatchClaimed
 from stagewalk.batches.takeover import OpenBatch, RunnerState, Takeovers
 from stagewalk.core.identities import Address
-from stagewalk.directory.node_table import BatchPlace
 from stagewalk.gateway.batch_runner import BatchRunner
 from stagewalk.gateway.batch_store import BatchStore
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.node_service import NodeService
+from stagewalk.gateway.open_batches import BatchPlace, OpenBatches
 from stagewalk.logs.lines import log_event
 
 SUPERVISE_SECONDS = 0.1
@@ -31,15 +31,28 @@
     """Looks after the open batches of all runners."""
 
     def __init__(
-        self, identity: ProcessId, store: BatchStore, runner: BatchRunner, nodes: NodeService
+        self,
+        *,
+        identity: ProcessId,
+        store: BatchStore,
+        runner: BatchRunner,
+        nodes: NodeService,
+        open_batches: OpenBatches,
     ) -> None:
         self._identity = identity
         self._store = store
         self._runner = runner
         self._nodes = nodes
+        self._open_batches = open_batches
+        self._tasks: anyio.abc.TaskGroup | None = None
         self._takeovers = Takeovers(identity.node, nodes.runner_state)
 
-    async def run(self) -> None:
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start looking after batches."""
+        self._tasks = tasks
+        tasks.start_soon(self._supervise)
+
+    async def _supervise(self) -> None:
         """Take over what is without a runner, for ever."""
         while True:
             await anyio.sleep(SUPERVISE_SECONDS)
@@ -48,11 +61,20 @@
                 self._claim_orphans(now)
             self._store.ledger.forget(now)
 
-    async def resume_own(self) -> None:
-        """Go on with the batches of this machine's last process, before the whole log is read."""
-        async with anyio.create_task_group() as tasks:
-            for place in self._nodes.runs_before:
-                tasks.start_soon(self._resume_from, place)
+    async def resume_own(self) -> bool:
+        """Go on with the batches of this machine's last process, before the whole log is read.
+
+        Returns
+        -------
+        bool
+            Whether any batch was open anywhere.
+        """
+        assert self._tasks is not None
+        places = await self._open_batches.list()
+        for place in places.values():
+            if self._nodes.runner_state(place.runner) is RunnerState.MINE_BEFORE:
+                self._tasks.start_soon(self._resume_from, place)
+        return bool(places)
 
     def probe_targets(self) -> dict[str, Address]:
         """Return the runners that this node should ask whether they still run."""
@@ -80,8 +102,8 @@
         for batch in partial.open_batches():
             if self._nodes.runner_state(batch.runner) is RunnerState.MINE_BEFORE:
                 epoch = batch.epoch + 1
-                self._claim(batch, RunnerState.MINE_BEFORE)
-                self._runner.begin_ahead(batch, partial.ledger, place, epoch)
+                self._claim(batch, RunnerState.MINE_BEFORE, place)
+                self._runner.begin_ahead(batch, partial.ledger, epoch)
 
     def _replicas(self) -> list[str]:
         return [node.node for node in self._nodes.replicas()]
@@ -96,7 +118,7 @@
         for name in self._takeovers.decide(seen, self._replicas(), now):
             self._claim(batches[name], self._nodes.runner_state(batches[name].runner))
 
-    def _claim(self, batch: Batch, state: RunnerState) -> None:
+    def _claim(self, batch: Batch, state: RunnerState, place: BatchPlace | None = None) -> None:
         name = batch.header.batch
         log_event(
             "batch_claimed",
@@ -106,3 +128,6 @@
             epoch=batch.epoch + 1,
         )
         self._store.post(name, BatchClaimed(name, str(self._identity), batch.epoch + 1))
+        if place is not None and self._tasks is not None:
+            noted = self._store.place(name, place.offset, str(self._identity))
+            self._tasks.start_soon(self._open_batches.note, name, noted)
--- a/tests/gateway/test_takeover.py
+++ b/tests/gateway/test_takeover.py
@@ -7,6 +7,7 @@
 import anyio
 import testtools
 
+from stagewalk.gateway.open_batches import OpenBatches
 from tests.gateway.support import Running, Site, run, until
 
 NEVER = 1_000.0
@@ -75,11 +76,10 @@
             await site.submit(nodes["n1"], "b1", "x")
             runner = await runner_of(site, nodes, "b1")
 
-            async def announced() -> bool:
-                other = nodes["n2" if runner == "n1" else "n1"]
-                return bool(other.gateway._nodes._table.known(runner).runs)
+            async def noted() -> bool:
+                return "b1" in await OpenBatches(nodes["n1"].log).list()
 
-            await until(announced)
+            await until(noted)
             for node in nodes.values():
                 node.scope.cancel()
             make_slow(site, seconds=0.01)
