--- a/src/stagewalk/directory/ledger_replicas.py
+++ b/src/stagewalk/directory/ledger_replicas.py
@@ -2,7 +2,7 @@
 
 Each replica reads all batches, so what that costs must grow with the batches, not with the
 nodes: a bounded number of nodes does it, and the others pass calls about batches on to them.
-Small deployments have a replica on every node. Nobody has to agree on who holds one: a node
+Nobody has to agree on who holds one: a node
 decides for itself from the nodes it knows, tells the others, and whoever finds a batch without
 a living replica to run it may take it over.
 """
@@ -10,14 +10,20 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Sequence
 
 import xxhash
 
 from stagewalk.directory.node_table import NodeAnnouncement
 
-LEDGER_REPLICAS = 12
-"""Enough that some are left when several fail at once, and that several trainers' steps spread."""
+LEDGER_REPLICAS = 6
+"""Enough that some are left when several fail at once, and that several trainers' steps spread; few
+enough that after a restart of all, the log's reads are soon done and results are shown again."""
+
+FAST_SHARE = 0.5
+"""A node with less than this part of the fastest one's capacity holds a replica only if there are
+not enough others."""
 
 LINGER_SECONDS = 6.0
 """How long a node goes on following after it told that it holds no replica any more: batches
@@ -27,14 +33,22 @@
 def rank_for_replicas(nodes: Sequence[NodeAnnouncement]) -> list[NodeAnnouncement]:
     """Return nodes in the order in which they should hold replicas.
 
-    Faster ones first, since replicas run the batches; among equals by a hash of the name, so
-    that a node that comes or goes changes the place of few.
+    Fast ones first, since replicas run the batches; of these each zone's first one before any
+    second one, so that callers find a replica in their zone and the loss of a zone leaves some;
+    among equals by a hash of the name, so that a node that comes or goes changes the place of few.
     """
+    fastest = max((node.capacity for node in nodes), default=0.0)
 
     def place(node: NodeAnnouncement) -> tuple[float, int]:
         return -round(node.capacity, 1), xxhash.xxh64_intdigest(f"replica/{node.node}".encode())
 
-    return sorted(nodes, key=place)
+    turns: Counter[str] = Counter()
+    ranked: list[tuple[bool, int, int, NodeAnnouncement]] = []
+    for index, node in enumerate(sorted(nodes, key=place)):
+        slow = node.capacity < FAST_SHARE * fastest
+        ranked.append((slow, turns[node.zone], index, node))
+        turns[node.zone] += 1
+    return [node for *_, node in sorted(ranked, key=lambda entry: entry[:3])]
 
 
 def wants_replica(node: str, serving: Sequence[NodeAnnouncement]) -> bool:
--- a/tests/directory/test_ledger_replicas.py
+++ b/tests/directory/test_ledger_replicas.py
@@ -14,9 +14,11 @@
 from stagewalk.directory.node_table import NodeAnnouncement
 
 
-def node(number: int, capacity: float = 1.0) -> NodeAnnouncement:
+def node(number: int, capacity: float = 1.0, zone: str = "z") -> NodeAnnouncement:
     address = f"10.0.0.{number}:1"
-    return NodeAnnouncement(f"n{number}", 1, address, address, "z", "r", True, 1, capacity=capacity)
+    return NodeAnnouncement(
+        f"n{number}", 1, address, address, zone, "r", True, 1, capacity=capacity
+    )
 
 
 def holders(nodes: list[NodeAnnouncement]) -> set[str]:
@@ -47,6 +49,17 @@
             self.assertEqual(LEDGER_REPLICAS, len(after))
         self.assertLessEqual(len(before - holders([*nodes, node(77)])), 1)
 
+    def test_every_zone_has_one_before_any_has_more_than_its_part(self) -> None:
+        nodes = [node(n, zone=f"z{n % 4}") for n in range(13)]
+        zones = sorted(n.zone for n in nodes if n.node in holders(nodes))
+        self.assertEqual(4, len(set(zones)))
+        self.assertLessEqual(max(map(zones.count, zones)), -(-LEDGER_REPLICAS // 4))
+
+    def test_a_zone_of_slow_nodes_only_holds_none_while_fast_ones_are_enough(self) -> None:
+        fast = [node(n, capacity=2.15, zone="z1") for n in range(10)]
+        slow = [node(100 + n, capacity=0.5, zone="z2") for n in range(10)]
+        self.assertTrue(all(int(name[1:]) < 100 for name in holders(fast + slow)))
+
     def test_every_node_ranks_the_same(self) -> None:
         nodes = [node(n) for n in range(30)]
         self.assertEqual(rank_for_replicas(nodes), rank_for_replicas(nodes[::-1]))
