--- a/src/stagewalk/batches/length_estimate.py
+++ b/src/stagewalk/batches/length_estimate.py
@@ -33,8 +33,9 @@
 
     def events_left(self, item: ItemRun) -> float:
         """Return the number of events expected to come."""
-        tail = LONG_TAIL_SHARE * len(item.events)
+        made = len(item.events)
+        tail = max(LONG_TAIL_SHARE * made, item.least_length - made)
         if self._guessed <= 0.0:
             return tail
         guess = item.spec.expected_length * self._events / self._guessed
-        return max(tail, guess - len(item.events))
+        return max(tail, guess - made)
