--- a/src/stagewalk/batches/placement.py
+++ b/src/stagewalk/batches/placement.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Collection, Sequence
 
+from stagewalk.core.policy import ALL_ON, Policy
 from stagewalk.workers.selection import ZONE_PENALTY, fastest_latency, slowness
 from stagewalk.workers.worker import Worker
 
@@ -44,19 +45,20 @@
     siblings: Collection[str],
     avoid: str,
     events_left: float = 0.0,
+    policy: Policy = ALL_ON,
 ) -> Worker | None:
     """Return the engine with room that is expected to finish an item first.
 
     An engine that failed lately has room because nothing runs there: it is asked again only
     once it may be sound, or if no other is listed.
     """
-    sound = [engine for engine in engines if not engine.suspect(now)]
+    sound = [engine for engine in engines if not (policy.suspicion and engine.suspect(now))]
     free = [
         engine
         for engine in sound or engines
         if engine.occupancy(now) < FULL_OCCUPANCY
         and not engine.loading(model, now)
-        and not engine.on_trial
+        and not (policy.suspicion and engine.on_trial)
     ]
     if not free:
         return None
@@ -66,12 +68,13 @@
 
     def cost(engine: Worker) -> float:
         name = engine.announcement.worker
-        shared = SIBLING_BONUS if name in siblings else 0.0
-        distance = 0.0 if engine.announcement.zone == zone else ZONE_PENALTY
+        shared = SIBLING_BONUS if policy.siblings and name in siblings else 0.0
+        far = policy.zone_preference and engine.announcement.zone != zone
+        distance = ZONE_PENALTY if far else 0.0
         failed_here = 0.5 if name == avoid else 0.0
-        pace = PACE_WEIGHT * slowness(engine, fastest, now)
+        pace = PACE_WEIGHT * slowness(engine, fastest, now) if policy.pace else 0.0
         behind = engine.versions.get(model, 0) < newest
-        reload = RELOAD_COST * exposed if behind else 0.0
+        reload = RELOAD_COST * exposed if policy.avoid_reload and behind else 0.0
         return engine.occupancy(now) + distance + failed_here + pace + reload - shared
 
     return min(free, key=cost)
--- a/src/stagewalk/batches/scheduler.py
+++ b/src/stagewalk/batches/scheduler.py
@@ -30,6 +30,7 @@
 )
 from stagewalk.batches.placement import choose_engine
 from stagewalk.batches.records import BatchItem
+from stagewalk.core.policy import ALL_ON, Policy
 from stagewalk.scoring.core import ScoreCalls, ServiceOf
 from stagewalk.scoring.messages import ScoreAnswered, ScoreBroken
 from stagewalk.workers.table import WorkerTable
@@ -49,15 +50,23 @@
     """Runs the batches that were given to it."""
 
     def __init__(
-        self, workers: WorkerTable, route_of: RouteOf, service_of: ServiceOf, zone: str
+        self,
+        workers: WorkerTable,
+        route_of: RouteOf,
+        service_of: ServiceOf,
+        zone: str,
+        policy: Policy = ALL_ON,
     ) -> None:
+        self._policy = policy
         self._workers = workers
         self._route_of = route_of
         self._zone = zone
         self._runs: dict[str, BatchRun] = {}
         self._attempts: dict[int, tuple[BatchRun, ItemRun]] = {}
         self._numbers = itertools.count(1)
-        calls = ScoreCalls(workers, route_of, service_of, zone, self._numbers)
+        calls = ScoreCalls(
+            workers, route_of, service_of, zone=zone, numbers=self._numbers, policy=policy
+        )
         self._scores = ItemScores(calls, self._runs, route_of)
         self._told_at = 0.0
         self._lengths = LengthEstimate()
@@ -96,7 +105,7 @@
             if kept is None:
                 continue
             item.least_length = len(kept.events)
-            if not self._fits(batch, spec, kept):
+            if not self._policy.kept_text or not self._fits(batch, spec, kept):
                 continue
             item.adopt(kept.events, kept.versions)
             if kept.whole:
@@ -293,6 +302,8 @@
 
     def _move_from_slow(self, now: float) -> list[SchedulerInstruction]:
         instructions: list[SchedulerInstruction] = []
+        if not self._policy.moves:
+            return instructions
         for run, item in list(self._attempts.values()):
             if item.running is None:
                 continue
@@ -331,6 +342,7 @@
             siblings=siblings,
             avoid=item.last_worker,
             events_left=self._lengths.events_left(item),
+            policy=self._policy,
         )
         if worker is None:
             return None
--- /dev/null
+++ b/src/stagewalk/core/policy.py
@@ -0,0 +1,56 @@
+"""Which mechanisms of decision are in use. All are, unless a setting says otherwise."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """One switch for each mechanism that can be done without; no promise hangs on any of them.
+
+    Attributes
+    ----------
+    kept_text
+        Go on from text of an item that was made in an earlier batch or by another runner.
+    moves
+        Move an item to an engine at which it will be done well before.
+    siblings
+        Prefer an engine that holds the prompt of an item's group.
+    zone_preference
+        Prefer engines of the node's own zone.
+    suspicion
+        Avoid engines that failed lately.
+    pace
+        Prefer engines that are faster by what was seen of them.
+    avoid_reload
+        Keep long items off engines that will load weights soon.
+    half_change
+        Change half of the engines with each version while batches allow the one before.
+    score_hedges
+        Ask another scorer beside a late one.
+    ask_runner
+        Ask a node before it is given a batch, and tell it of the batch.
+    probe_runners
+        Ask runners whether they still run.
+    resume_first
+        Go on with own batches before the whole log is read.
+    few_replicas
+        Hold replicas of the batch ledger on six nodes, not on twelve.
+    """
+
+    kept_text: bool = True
+    moves: bool = True
+    siblings: bool = True
+    zone_preference: bool = True
+    suspicion: bool = True
+    pace: bool = True
+    avoid_reload: bool = True
+    half_change: bool = True
+    score_hedges: bool = True
+    ask_runner: bool = True
+    probe_runners: bool = True
+    resume_first: bool = True
+    few_replicas: bool = True
+
+
+ALL_ON = Policy()
--- a/src/stagewalk/directory/ledger_replicas.py
+++ b/src/stagewalk/directory/ledger_replicas.py
@@ -15,8 +15,10 @@
 
 import xxhash
 
+from stagewalk.core.policy import ALL_ON, Policy
 from stagewalk.directory.node_table import NodeAnnouncement
 
+MOST_REPLICAS = 12
 LEDGER_REPLICAS = 6
 """Enough that some are left when several fail at once, and that several trainers' steps spread; few
 enough that after a restart of all, the log's reads are soon done and results are shown again."""
@@ -51,9 +53,10 @@
     return [node for *_, node in sorted(ranked, key=lambda entry: entry[:3])]
 
 
-def wants_replica(node: str, serving: Sequence[NodeAnnouncement]) -> bool:
+def wants_replica(node: str, serving: Sequence[NodeAnnouncement], policy: Policy = ALL_ON) -> bool:
     """Whether a node should hold a replica, given the nodes that serve, itself among them."""
-    chosen = rank_for_replicas(serving)[:LEDGER_REPLICAS]
+    count = LEDGER_REPLICAS if policy.few_replicas else MOST_REPLICAS
+    chosen = rank_for_replicas(serving)[:count]
     return any(candidate.node == node for candidate in chosen)
 
 
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -154,7 +154,8 @@
         self._routes = RouteTable(settings.name)
         self._workers = WorkerTable()
         self._workers.on_change = _log_worker_change
-        self._rollouts = VersionRollouts(self._workers)
+        policy = settings.policy
+        self._rollouts = VersionRollouts(self._workers, policy)
         self._nodes = NodeService(
             log=log,
             partition=NODES,
@@ -163,6 +164,7 @@
             peer=settings.peers,
             placement=settings.placement,
             capacity=settings.processor.capacity,
+            policy=policy,
         )
         self._role = ReplicaRole()
         self.store = BatchStore(
@@ -178,6 +180,7 @@
                 self._routes.find,
                 lambda route: self._routes.choose_back_end(route).service,
                 zone,
+                policy,
             ),
             client=surroundings.workers,
             workers=self._workers,
@@ -192,6 +195,7 @@
             runner=self._runner,
             client=peer_client,
             open_batches=open_batches,
+            policy=policy,
         )
         self._takeovers = TakeoverService(
             identity=self._identity,
@@ -199,6 +203,7 @@
             runner=self._runner,
             nodes=self._nodes,
             open_batches=open_batches,
+            policy=policy,
         )
         self._probes = RunnerProbes(
             self._runners.calls, self._nodes.liveness, self._takeovers.probe_targets
--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -10,6 +10,7 @@
 from stagewalk.batches.runner_liveness import RunnerLiveness
 from stagewalk.batches.takeover import RunnerState
 from stagewalk.core.identities import Address, NodeName, Placement
+from stagewalk.core.policy import Policy
 from stagewalk.directory.ledger_replicas import wants_replica
 from stagewalk.directory.node_table import (
     NodeAnnouncement,
@@ -44,6 +45,7 @@
         peer: Address | None,
         placement: Placement,
         capacity: float,
+        policy: Policy,
     ) -> None:
         self._log = log
         self._partition = partition
@@ -52,6 +54,7 @@
         self._peer = "" if peer is None else str(peer)
         self._placement = placement
         self._capacity = capacity
+        self._policy = policy
         self._table = NodeTable(NodeName(identity.node))
         self._follower = KeyedFollower(
             log,
@@ -114,7 +117,9 @@
         It counts itself although it may not serve yet: it must follow before it does.
         """
         others = [node for node in self.serving() if node.node != self._identity.node]
-        return self.known and wants_replica(self._identity.node, [*others, self._own()])
+        return self.known and wants_replica(
+            self._identity.node, [*others, self._own()], self._policy
+        )
 
     async def wait_until_known(self) -> None:
         """Wait until the other nodes have been listed once."""
--- a/src/stagewalk/gateway/runner_choice.py
+++ b/src/stagewalk/gateway/runner_choice.py
@@ -14,6 +14,7 @@
 from stagewalk.batches.records import BatchHeader
 from stagewalk.batches.takeover import affinity
 from stagewalk.core.identities import Address
+from stagewalk.core.policy import Policy
 from stagewalk.directory.node_table import NodeAnnouncement
 from stagewalk.gateway.batch_runner import BatchRunner
 from stagewalk.gateway.batch_store import BatchStore
@@ -40,12 +41,14 @@
         runner: BatchRunner,
         client: PeerClient,
         open_batches: OpenBatches,
+        policy: Policy,
     ) -> None:
         self._identity = identity
         self._nodes = nodes
         self._store = store
         self._runner = runner
         self._open_batches = open_batches
+        self._policy = policy
         self.calls = RunnerCalls(client, self._describe, self._take)
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -75,7 +78,7 @@
         peer = self._nodes.peer_of(process)
         if process == str(self._identity):
             self._tasks.start_soon(self._take, run)
-        elif peer is not None:
+        elif peer is not None and self._policy.ask_runner:
             self._tasks.start_soon(self._tell, peer, run)
         await self._open_batches.note(batch, place)
 
@@ -86,7 +89,7 @@
     async def _willing_process(self, node: NodeAnnouncement) -> str | None:
         if node.node == self._identity.node:
             return None if self._runner.stopping else str(self._identity)
-        if node.peer_address is None:
+        if node.peer_address is None or not self._policy.ask_runner:
             return str(ProcessId(node.node, node.incarnation))
         answer = await self.calls.ask(node.peer_address)
         if answer is None or not answer.willing:
--- a/src/stagewalk/gateway/settings.py
+++ b/src/stagewalk/gateway/settings.py
@@ -11,6 +11,7 @@
 
 from stagewalk.core.errors import StagewalkError
 from stagewalk.core.identities import Address, Placement
+from stagewalk.core.policy import ALL_ON, Policy
 from stagewalk.settings.addresses import parse_listen_address
 from stagewalk.settings.decoding import decode_table, read_table
 from stagewalk.settings.node_settings import LogLevel, Name, PositiveInteger
@@ -72,6 +73,8 @@
         Where metrics are served besides.
     log
         The platform's partitioned log.
+    policy
+        Which mechanisms of decision are in use.
     """
 
     name: str
@@ -86,6 +89,7 @@
     timing: Timing
     log_level: LogLevel
     processor: Processor = DEFAULT_PROCESSOR
+    policy: Policy = ALL_ON
 
 
 class _ListenSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -110,6 +114,7 @@
     timing: Timing = Timing()
     log_level: LogLevel = "info"
     processor: Processor = Processor()
+    policy: Policy = ALL_ON
 
 
 def load_gateway_settings(path: Path) -> Result[GatewaySettings, StagewalkError]:
@@ -142,4 +147,5 @@
         timing=file.timing,
         log_level=file.log_level,
         processor=file.processor,
+        policy=file.policy,
     )
--- a/src/stagewalk/gateway/takeover_service.py
+++ b/src/stagewalk/gateway/takeover_service.py
@@ -11,6 +11,7 @@
 from stagewalk.batches.records import BatchClaimed
 from stagewalk.batches.takeover import OpenBatch, RunnerState, Takeovers
 from stagewalk.core.identities import Address
+from stagewalk.core.policy import Policy
 from stagewalk.gateway.batch_runner import BatchRunner
 from stagewalk.gateway.batch_store import BatchStore
 from stagewalk.gateway.identity import ProcessId
@@ -38,12 +39,14 @@
         runner: BatchRunner,
         nodes: NodeService,
         open_batches: OpenBatches,
+        policy: Policy,
     ) -> None:
         self._identity = identity
         self._store = store
         self._runner = runner
         self._nodes = nodes
         self._open_batches = open_batches
+        self._policy = policy
         self._tasks: anyio.abc.TaskGroup | None = None
         self._takeovers = Takeovers(identity.node, nodes.runner_state)
 
@@ -70,6 +73,8 @@
             Whether any batch was open anywhere.
         """
         assert self._tasks is not None
+        if not self._policy.resume_first:
+            return False
         places = await self._open_batches.list()
         for place in places.values():
             if self._nodes.runner_state(place.runner) is RunnerState.MINE_BEFORE:
@@ -79,7 +84,8 @@
     def probe_targets(self) -> dict[str, Address]:
         """Return the runners that this node should ask whether they still run."""
         targets: dict[str, Address] = {}
-        if self._runner.stopping or not self._store.following:
+        asks = self._policy.probe_runners and self._store.following
+        if self._runner.stopping or not asks:
             return targets
         replicas = self._replicas()
         for batch in self._store.ledger.open_batches():
--- a/src/stagewalk/scoring/core.py
+++ b/src/stagewalk/scoring/core.py
@@ -12,6 +12,7 @@
 from enum import StrEnum
 
 from stagewalk.batches.records import ScoreCall
+from stagewalk.core.policy import ALL_ON, Policy
 from stagewalk.forwarding.policy import SERVER_ERROR, hedge_delay, is_success
 from stagewalk.ports.workers import AttemptFault
 from stagewalk.routes.route import Route
@@ -110,6 +111,8 @@
         This node's zone: near workers are preferred.
     numbers
         Numbers of attempts, shared with whoever else starts attempts.
+    policy
+        Which mechanisms of decision are in use.
     """
 
     def __init__(
@@ -117,14 +120,17 @@
         workers: WorkerTable,
         route_of: RouteOf,
         service_of: ServiceOf,
+        *,
         zone: str,
         numbers: Iterator[int],
+        policy: Policy = ALL_ON,
     ) -> None:
         self._workers = workers
         self._route_of = route_of
         self._service_of = service_of
         self._zone = zone
         self._numbers = numbers
+        self._most_at_once = MOST_AT_ONCE if policy.score_hedges else 1
         self._calls: dict[tuple[str, str], _PendingCall] = {}
         self._attempts: dict[int, _PendingCall] = {}
 
@@ -242,14 +248,13 @@
             min(LONGEST_ATTEMPT_SECONDS, route.timeout_seconds),
         )
 
-    @staticmethod
-    def _may_begin(pending: _PendingCall, route: Route, now: float) -> bool:
+    def _may_begin(self, pending: _PendingCall, route: Route, now: float) -> bool:
         """Whether an attempt may begin: the first one, or one beside others that are late.
 
         No more are under way than may all fail.
         """
         under_way = pending.under_way.values()
-        room = min(MOST_AT_ONCE, pending.allowed_failures(route) - pending.failures)
+        room = min(self._most_at_once, pending.allowed_failures(route) - pending.failures)
         if len(under_way) >= room:
             return False
         if not under_way:
--- a/src/stagewalk/version_rollouts/core.py
+++ b/src/stagewalk/version_rollouts/core.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from stagewalk.core.policy import ALL_ON, Policy
 from stagewalk.workers.table import WorkerTable
 from stagewalk.workers.worker import Worker
 
@@ -48,8 +49,9 @@
 class VersionRollouts:
     """Keeps the newest named version of each model and the orders under way."""
 
-    def __init__(self, workers: WorkerTable) -> None:
+    def __init__(self, workers: WorkerTable, policy: Policy = ALL_ON) -> None:
         self._workers = workers
+        self._policy = policy
         self._named: dict[str, int] = {}
         self._lag: dict[str, int] = {}
         self._minimum: dict[str, int] = {}
@@ -153,7 +155,9 @@
         steps that allow it run on both. With one or two models on the engines that is all of
         them; with more, an engine that is too old for one model serves the others meanwhile.
         """
-        share = len(engines) // max(LEAST_SHARES, len(self._named))
+        share = len(engines)
+        if self._policy.half_change:
+            share //= max(LEAST_SHARES, len(self._named))
         lag = self._lag.get(model, 0)
         behind = [engine for engine in engines if not self._newest(engine, model, version)]
         too_old = [engine for engine in behind if engine.versions[model] < version - lag]
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -7,6 +7,7 @@
 
 import testtools
 
+from stagewalk.core.policy import Policy
 from stagewalk.gateway.settings import load_gateway_settings
 
 GOOD = """
@@ -37,12 +38,19 @@
         self.assertEqual(("10.0.0.1:83", 3.0), (str(settings.peers), settings.timing.lease_quiet))
         self.assertIsNone(settings.metrics)
 
+    def test_every_mechanism_is_on_unless_it_is_switched_off(self) -> None:
+        self.assertEqual(Policy(), self.load(GOOD).ok.policy)
+        switched = self.load(GOOD + "[policy]\nmoves = false\n").ok.policy
+        self.assertEqual(Policy(moves=False), switched)
+
     def test_errors_name_the_field(self) -> None:
         for old, new, field in (
             ('name = "n1"', "", "name"),
             ('front = "10.0.0.1:80"', 'front = "host:80"', "listen.front"),
             ("lease_quiet = 3000e-3", "lease_quiet = -1", "timing.lease_quiet"),
             ("[timing]", "[timing]\nunknown = 1", "timing.unknown"),
+            ("[timing]", "[policy]\nmoves = 1\n[timing]", "policy.moves"),
+            ("[timing]", "[policy]\nluck = true\n[timing]", "policy.luck"),
             ('address = "10.0.0.9:90"', "address = 7", "log.address"),
         ):
             error = self.load(GOOD.replace(old, new)).error
--- a/tests/scoring/test_core.py
+++ b/tests/scoring/test_core.py
@@ -53,8 +53,8 @@
             self.workers,
             lambda _host, _path: self.route,
             lambda _route: "scorers",
-            "z1",
-            itertools.count(1),
+            zone="z1",
+            numbers=itertools.count(1),
         )
         self.sent: list[SendScore] = []
         self.results: list[ScoreResult] = []
