--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -34,6 +34,7 @@
 from stagewalk.gateway.node_service import NodeService
 from stagewalk.gateway.open_batches import OpenBatches
 from stagewalk.gateway.order_service import OrderService
+from stagewalk.gateway.published_records import PublishedRecords
 from stagewalk.gateway.runner_calls import RUNNER_PATH
 from stagewalk.gateway.runner_choice import RunnerChoice
 from stagewalk.gateway.runner_probes import RunnerProbes
@@ -46,12 +47,11 @@
 from stagewalk.logs.lines import configure_logs, log_event
 from stagewalk.logs.writer import LineWriter
 from stagewalk.node.http_server import open_listener, serve_http
-from stagewalk.partitioned_log.follower import KEYED_WAIT_SECONDS, KeyedFollower
 from stagewalk.partitioned_log.measured_log import MeasuredLog
 from stagewalk.peer_calls.client import PeerClient
 from stagewalk.peer_calls.server import PeerApp
-from stagewalk.ports.dialect import Dialect, NamedVersion
-from stagewalk.ports.partitioned_log import KeyedRecord, Partition, PartitionedLog
+from stagewalk.ports.dialect import Dialect
+from stagewalk.ports.partitioned_log import Partition, PartitionedLog
 from stagewalk.ports.workers import WorkerClient
 from stagewalk.routes.table import RouteTable
 from stagewalk.version_rollouts.core import VersionRollouts
@@ -60,13 +60,6 @@
 EXIT_CLEAN = 0
 EXIT_FAILED = 1
 NODES = Partition("keyed.nodes", 0)
-WORKERS_PAUSE_SECONDS = 0.1
-IDLE_WORKERS_PAUSE_SECONDS = 0.5
-"""How long workers' entries gather between two reads; longer where no batches are run."""
-
-IDLE_CONFIGURATION_WAIT_SECONDS = 1.0
-"""The same for how long a read waits for a configuration: the bound on how far a node lags."""
-
 EXPIRE_SECONDS = 0.25
 RESUME_SECONDS = 0.25
 """How long a node that starts leaves the log to those that go on with batches they ran before."""
@@ -153,7 +146,6 @@
         producer = f"{settings.name}-{uuid.uuid4().hex}"
         self._routes = RouteTable(settings.name)
         self._workers = WorkerTable()
-        self._workers.on_change = _log_worker_change
         policy = settings.policy
         self._rollouts = VersionRollouts(self._workers, policy)
         self._nodes = NodeService(
@@ -231,15 +223,8 @@
             self._nodes.replicas,
             lambda: self.store.following,
         )
-        self._operators_follower = KeyedFollower(
-            log, self._dialect.operators, self._replace_published, self._apply_published
-        )
-        self._workers_follower = KeyedFollower(
-            log,
-            self._dialect.workers,
-            self._replace_workers,
-            self._apply_worker,
-            pause_seconds=WORKERS_PAUSE_SECONDS,
+        self._published = PublishedRecords(
+            log, self._dialect, self._routes, self._workers, self._rollouts
         )
         self._forwarder = Forwarder(surroundings.workers, self._workers, self._routes, zone)
         self._streams = StreamForwarder(surroundings.workers, self._workers, self._routes, zone)
@@ -258,8 +243,7 @@
         listeners = [open_listener(address) for address in self._addresses()]
         app = self._build_app()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._operators_follower.run)
-            tasks.start_soon(self._workers_follower.run)
+            self._published.start(tasks)
             self._nodes.start(tasks)
             self.store.start(tasks)
             self._runner.start(tasks)
@@ -315,8 +299,7 @@
         """Return what the gauges show."""
         now = time.monotonic()
         followers = (
-            self._operators_follower.freshness,
-            self._workers_follower.freshness,
+            *self._published.freshness,
             *self.store.freshness,
         )
         return GatewayState(
@@ -334,7 +317,7 @@
     def _ready(self) -> bool:
         """Whether routes, workers and the other nodes are known."""
         known = self._routes.configuration is not None and self._nodes.known
-        return known and self._workers_follower.freshness.ever_confirmed
+        return known and self._published.workers_known
 
     async def _housekeep(self) -> None:
         await self._nodes.wait_until_known()
@@ -369,53 +352,7 @@
             self.store.set_following(following)
             self._orders.set_following(following)
             self._nodes.set_following(following)
-            self._workers_follower.pause_seconds = (
-                WORKERS_PAUSE_SECONDS if following else IDLE_WORKERS_PAUSE_SECONDS
-            )
-            self._operators_follower.wait_seconds = (
-                KEYED_WAIT_SECONDS if following else IDLE_CONFIGURATION_WAIT_SECONDS
-            )
-
-    # What operators, trainers and workers publish.
-
-    def _replace_published(self, records: tuple[KeyedRecord, ...]) -> None:
-        for record in records:
-            self._apply_published(record)
-
-    def _apply_published(self, record: KeyedRecord) -> None:
-        published = self._dialect.operator_record(record)
-        if published is None:
-            log_event("published_unreadable", "warning", key=record.key, offset=record.offset)
-        elif isinstance(published, NamedVersion):
-            if self._rollouts.name_version(published.model, published.version):
-                log_event("version_named", model=published.model, version=published.version)
-        elif self._routes.apply(published):
-            log_event(
-                "configuration_in_force",
-                version=published.version,
-                offset=record.offset,
-                routes=len(published.routes),
-            )
-
-    def _replace_workers(self, records: tuple[KeyedRecord, ...]) -> None:
-        announcements = [
-            announcement
-            for record in records
-            if (announcement := self._dialect.worker_announcement(record)) is not None
-        ]
-        self._workers.replace(announcements, time.monotonic(), self._disturbed_at())
-
-    def _apply_worker(self, record: KeyedRecord) -> None:
-        now = time.monotonic()
-        if record.value is None:
-            self._workers.remove(record.key, now, self._disturbed_at())
-            return
-        announcement = self._dialect.worker_announcement(record)
-        if announcement is not None:
-            self._workers.announce(announcement, now)
-
-    def _disturbed_at(self) -> float:
-        return self._workers_follower.freshness.disturbed_at
+            self._published.set_following(following)
 
     # Stopping.
 
@@ -475,7 +412,3 @@
             front=str(self.settings.front),
             configuration=self._routes.version,
         )
-
-
-def _log_worker_change(worker: str, change: str) -> None:
-    log_event("worker_changed", worker=worker, change=change)
--- /dev/null
+++ b/src/stagewalk/gateway/published_records.py
@@ -0,0 +1,118 @@
+"""Follows what operators, trainers and workers publish, and puts it in force here."""
+
+from __future__ import annotations
+
+import time
+
+import anyio.abc
+
+from stagewalk.logs.lines import log_event
+from stagewalk.partitioned_log.follower import KEYED_WAIT_SECONDS, KeyedFollower
+from stagewalk.partitioned_log.freshness import Freshness
+from stagewalk.ports.dialect import Dialect, NamedVersion
+from stagewalk.ports.partitioned_log import KeyedRecord, PartitionedLog
+from stagewalk.routes.table import RouteTable
+from stagewalk.version_rollouts.core import VersionRollouts
+from stagewalk.workers.table import WorkerTable
+
+WORKERS_PAUSE_SECONDS = 0.1
+IDLE_WORKERS_PAUSE_SECONDS = 0.5
+"""How long workers' entries gather between two reads; longer where no batches are run."""
+
+IDLE_CONFIGURATION_WAIT_SECONDS = 1.0
+"""The same for how long a read waits for a configuration: the bound on how far a node lags."""
+
+
+class PublishedRecords:
+    """Keeps routes, workers and named versions as the newest records tell them."""
+
+    def __init__(
+        self,
+        log: PartitionedLog,
+        dialect: Dialect,
+        routes: RouteTable,
+        workers: WorkerTable,
+        rollouts: VersionRollouts,
+    ) -> None:
+        self._dialect = dialect
+        self._routes = routes
+        self._workers = workers
+        self._workers.on_change = _log_worker_change
+        self._rollouts = rollouts
+        self._operators_follower = KeyedFollower(
+            log, dialect.operators, self._replace_published, self._apply_published
+        )
+        self._workers_follower = KeyedFollower(
+            log,
+            dialect.workers,
+            self._replace_workers,
+            self._apply_worker,
+            pause_seconds=WORKERS_PAUSE_SECONDS,
+        )
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start following."""
+        tasks.start_soon(self._operators_follower.run)
+        tasks.start_soon(self._workers_follower.run)
+
+    @property
+    def freshness(self) -> tuple[Freshness, Freshness]:
+        """Return how current the views of operators' records and of workers are."""
+        return self._operators_follower.freshness, self._workers_follower.freshness
+
+    @property
+    def workers_known(self) -> bool:
+        """Whether the workers were listed once."""
+        return self._workers_follower.freshness.ever_confirmed
+
+    def set_following(self, following: bool) -> None:
+        """Read as often as one needs who runs batches, or less often."""
+        self._workers_follower.pause_seconds = (
+            WORKERS_PAUSE_SECONDS if following else IDLE_WORKERS_PAUSE_SECONDS
+        )
+        self._operators_follower.wait_seconds = (
+            KEYED_WAIT_SECONDS if following else IDLE_CONFIGURATION_WAIT_SECONDS
+        )
+
+    def _replace_published(self, records: tuple[KeyedRecord, ...]) -> None:
+        for record in records:
+            self._apply_published(record)
+
+    def _apply_published(self, record: KeyedRecord) -> None:
+        published = self._dialect.operator_record(record)
+        if published is None:
+            log_event("published_unreadable", "warning", key=record.key, offset=record.offset)
+        elif isinstance(published, NamedVersion):
+            if self._rollouts.name_version(published.model, published.version):
+                log_event("version_named", model=published.model, version=published.version)
+        elif self._routes.apply(published):
+            log_event(
+                "configuration_in_force",
+                version=published.version,
+                offset=record.offset,
+                routes=len(published.routes),
+            )
+
+    def _replace_workers(self, records: tuple[KeyedRecord, ...]) -> None:
+        announcements = [
+            announcement
+            for record in records
+            if (announcement := self._dialect.worker_announcement(record)) is not None
+        ]
+        self._workers.replace(announcements, time.monotonic(), self._disturbed_at())
+
+    def _apply_worker(self, record: KeyedRecord) -> None:
+        now = time.monotonic()
+        if record.value is None:
+            self._workers.remove(record.key, now, self._disturbed_at())
+            return
+        announcement = self._dialect.worker_announcement(record)
+        if announcement is not None:
+            self._workers.announce(announcement, now)
+
+    def _disturbed_at(self) -> float:
+        return self._workers_follower.freshness.disturbed_at
+
+
+def _log_worker_change(worker: str, change: str) -> None:
+    log_event("worker_changed", worker=worker, change=change)
