--- a/src/stagewalk/batches/item_run.py
+++ b/src/stagewalk/batches/item_run.py
@@ -54,8 +54,6 @@
         Whether its result is on its way to the log.
     told
         How many of its events the log holds.
-    least_length
-        Events that were made of it before, usable or not: it has at least so many.
     scoring_since
         When its text was whole and its score was first asked for; None before that.
     score_failures
@@ -74,7 +72,6 @@
     last_worker: str = ""
     told: int = 0
     moved_at: float = -math.inf
-    least_length: int = 0
     scoring_since: float | None = None
     score_failures: int = 0
     told_score_failures: int | None = None
--- a/src/stagewalk/batches/length_estimate.py
+++ b/src/stagewalk/batches/length_estimate.py
@@ -33,9 +33,8 @@
 
     def events_left(self, item: ItemRun) -> float:
         """Return the number of events expected to come."""
-        made = len(item.events)
-        tail = max(LONG_TAIL_SHARE * made, item.least_length - made)
+        tail = LONG_TAIL_SHARE * len(item.events)
         if self._guessed <= 0.0:
             return tail
         guess = item.spec.expected_length * self._events / self._guessed
-        return max(tail, guess - made)
+        return max(tail, guess - len(item.events))
--- a/src/stagewalk/batches/placement.py
+++ b/src/stagewalk/batches/placement.py
@@ -19,13 +19,6 @@
 """What it costs, in parts of a full engine, to take twice as long for an event: a batch of
 requests slows an engine little, so a slow engine is worth using only once others are full."""
 
-RELOAD_COST = 0.5
-"""What it costs, in parts of a full engine, that an engine behind the newest weights will load
-them while a long item runs there: the item stands still meanwhile."""
-
-RELOAD_EVERY_SECONDS = 4.0
-"""An item expected to run for this long or longer is taken to meet the next load."""
-
 MOVE_SECONDS = 0.15
 """What going on at another engine takes."""
 
@@ -44,7 +37,6 @@
     zone: str,
     siblings: Collection[str],
     avoid: str,
-    events_left: float = 0.0,
     policy: Policy = ALL_ON,
 ) -> Worker | None:
     """Return the engine with room that is expected to finish an item first.
@@ -63,8 +55,6 @@
     if not free:
         return None
     fastest = fastest_latency(free, now)
-    newest = max(engine.versions.get(model, 0) for engine in engines)
-    exposed = min(1.0, events_left * fastest / RELOAD_EVERY_SECONDS)
 
     def cost(engine: Worker) -> float:
         name = engine.announcement.worker
@@ -73,9 +63,7 @@
         distance = ZONE_PENALTY if far else 0.0
         failed_here = 0.5 if name == avoid else 0.0
         pace = PACE_WEIGHT * slowness(engine, fastest, now) if policy.pace else 0.0
-        behind = engine.versions.get(model, 0) < newest
-        reload = RELOAD_COST * exposed if policy.avoid_reload and behind else 0.0
-        return engine.occupancy(now) + distance + failed_here + pace + reload - shared
+        return engine.occupancy(now) + distance + failed_here + pace - shared
 
     return min(free, key=cost)
 
--- a/src/stagewalk/batches/scheduler.py
+++ b/src/stagewalk/batches/scheduler.py
@@ -102,10 +102,7 @@
             item = ItemRun(spec)
             run.items[name] = item
             kept = kept_text(spec)
-            if kept is None:
-                continue
-            item.least_length = len(kept.events)
-            if not self._policy.kept_text or not self._fits(batch, spec, kept):
+            if kept is None or not self._policy.kept_text or not self._fits(batch, spec, kept):
                 continue
             item.adopt(kept.events, kept.versions)
             if kept.whole:
@@ -341,7 +338,6 @@
             zone=self._zone,
             siblings=siblings,
             avoid=item.last_worker,
-            events_left=self._lengths.events_left(item),
             policy=self._policy,
         )
         if worker is None:
@@ -389,7 +385,6 @@
         return len(kept.versions) <= 1 or route is None or not route.single_version
 
 
-def _start_order(run: BatchRun, item: ItemRun) -> tuple[float, int, int, str]:
-    """Older batches first; within one what is known to be long, then what is guessed to be."""
-    guess = item.spec.expected_length
-    return run.batch.seen_at, -item.least_length, -guess, item.spec.group
+def _start_order(run: BatchRun, item: ItemRun) -> tuple[float, int, str]:
+    """Older batches first, within one the items expected to run longest."""
+    return run.batch.seen_at, -item.spec.expected_length, item.spec.group
--- a/src/stagewalk/core/policy.py
+++ b/src/stagewalk/core/policy.py
@@ -22,8 +22,6 @@
         Avoid engines that failed lately.
     pace
         Prefer engines that are faster by what was seen of them.
-    avoid_reload
-        Keep long items off engines that will load weights soon.
     half_change
         Change half of the engines with each version while batches allow the one before.
     score_hedges
@@ -44,7 +42,6 @@
     zone_preference: bool = True
     suspicion: bool = True
     pace: bool = True
-    avoid_reload: bool = True
     half_change: bool = True
     score_hedges: bool = True
     ask_runner: bool = True
