--- a/tests/explain/test_story.py
+++ b/tests/explain/test_story.py
@@ -81,6 +81,34 @@
         self.assertEqual("not_run", found.ending.get("outcome"))
         self.assertEqual((), found.unknown)
 
+    def test_an_item_is_followed_through_its_score_call_to_the_node_that_took_over(self) -> None:
+        scored = (
+            *ITEM[:2],
+            line(2.0, "n1", "text_whole", item="i1", batch="b1", attempt="7", worker="w1"),
+            line(
+                2.5,
+                "n1",
+                "score_call_ended",
+                "warning",
+                item="i1",
+                batch="b1",
+                call="c1",
+                worker="s1",
+                outcome="answered_500",
+            ),
+            line(2.6, "n1", "worker_changed", worker="s1", change="draining"),
+            ITEM[6],
+            line(5.0, "n3", "score_call_ended", item="i1", batch="b1", call="c1", worker="s2"),
+            ITEM[8],
+        )
+        found = story("i1", *scored)
+        events = [x.event for x in found.own]
+        self.assertEqual(2, events.count("score_call_ended"))
+        self.assertLess(events.index("text_whole"), events.index("item_finished"))
+        assert found.first_failure is not None
+        self.assertEqual("answered_500", found.first_failure.get("outcome"))
+        self.assertIn(("n1", "worker_changed"), [(x.node, x.event) for x in found.around])
+
     def test_what_every_node_tells_stands_once(self) -> None:
         named = [line(3.0, node, "version_named", model="m", version="4") for node in ("n1", "n3")]
         self.assertEqual(
