--- a/src/stagewalk/gateway/ledger_reads.py
+++ b/src/stagewalk/gateway/ledger_reads.py
@@ -31,6 +31,10 @@
 MAXIMUM_UNFOLLOWED_AGE_SECONDS = 0.3
 """The same for a view that is only read when asked for: nothing bounds how far it lags."""
 
+MAXIMUM_PASSED_ON_AGE_SECONDS = 0.6
+"""The same for a call that another node passed on. That node answers for it as if it had read the
+log just now, while this one may be cut off: what was shown elsewhere a second ago must be here."""
+
 OPAQUE_CONTENT = "application/octet-stream"
 
 
@@ -44,30 +48,43 @@
     async def handle(self, content: bytes) -> bytes | None:
         """Carry out a call that another node passed on; None if the bytes spell none."""
         call = decode_call(content)
-        return None if call is None else encode_message(await self.carry_out(call))
-
-    async def carry_out(self, call: LedgerCall) -> LedgerAnswer:
-        """Carry a call out."""
+        if call is None:
+            return None
+        return encode_message(await self.carry_out(call, MAXIMUM_PASSED_ON_AGE_SECONDS))
+
+    async def carry_out(
+        self, call: LedgerCall, oldest_seconds: float = MAXIMUM_VIEW_AGE_SECONDS
+    ) -> LedgerAnswer:
+        """Carry a call out.
+
+        Parameters
+        ----------
+        oldest_seconds
+            A followed view that is older is brought up to date before results are shown from it.
+        """
         match call:
             case ResultsCall():
-                return await self._results(call)
+                return await self._results(call, oldest_seconds)
             case ItemCall():
                 return await self._item(call)
             case EndCall():
                 return await self._end(call)
 
-    async def _results(self, call: ResultsCall) -> LedgerAnswer:
+    async def _results(self, call: ResultsCall, oldest_seconds: float) -> LedgerAnswer:
         """Show a batch's results from a position on."""
         batch = await self._find(call.batch)
         if isinstance(batch, LedgerAnswer):
             return batch
-        if not await self._shows(batch, call.position):
+        if not await self._shows(batch, call.position, oldest_seconds):
             return refusal(503, "the view is too old", COME_BACK_SECONDS)
         complete = len(batch.listed) == len(batch.items)
         if call.position == len(batch.results) and not complete and call.wait_seconds > 0.0:
             wait = min(LONGEST_WAIT_SECONDS, call.wait_seconds)
             await self._store.wait_for_news(call.batch, wait)
         page = _page(batch, call.position)
+        if not page and self._stale(call.batch, oldest_seconds):
+            # The view grew old while news was waited for: there may be results by now.
+            return refusal(503, "the view is too old", COME_BACK_SECONDS)
         log_event(
             "results_shown",
             batch=call.batch,
@@ -120,17 +137,17 @@
             return refusal(404, "there is no such batch")
         return refusal(503, "the view is too old", COME_BACK_SECONDS)
 
-    async def _shows(self, batch: Batch, position: int) -> bool:
+    async def _shows(self, batch: Batch, position: int, oldest_seconds: float) -> bool:
         """Whether the view is known to hold all that anyone was shown, up to a position."""
         name = batch.header.batch
-        if position <= len(batch.results) and not self._stale(name):
+        if position <= len(batch.results) and not self._stale(name, oldest_seconds):
             return True
         return await self._store.catch_up(name) and position <= len(batch.results)
 
-    def _stale(self, name: str) -> bool:
+    def _stale(self, name: str, oldest_seconds: float) -> bool:
         age = self._store.view_age(name, time.monotonic())
         if self._store.following:
-            return age > MAXIMUM_VIEW_AGE_SECONDS
+            return age > oldest_seconds
         return age > MAXIMUM_UNFOLLOWED_AGE_SECONDS
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -112,7 +112,7 @@
         await self._fail_link(self._chooser.choice(self._world.gateways).link)
 
     async def _worker_link(self) -> None:
-        await self._fail_link(self._chooser.choice(self._world.workers).name)
+        await self._fail_link(self._chooser.choice(self._world.workers).link)
 
     async def _fail_link(self, name: str) -> None:
         self._world.set_link(name, self._chooser.choice(LINK_FAULTS))
@@ -142,9 +142,11 @@
 
     async def _worker_draining(self) -> None:
         worker = self._chooser.choice(self._world.workers)
+        if worker.draining:
+            return
         worker.draining = True
         await self._last()
-        worker.draining = False
+        worker.start_anew(self._world.log)
 
     async def _configuration(self) -> None:
         self._world.publish()
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -65,7 +65,10 @@
         chooser: random.Random,
         version: int | None,
     ) -> None:
+        self.link = name
         self.name = name
+        """Identity of this start."""
+        self._starts = 1
         self.service = service
         self.address = address
         self._version = version
@@ -80,6 +83,15 @@
         self._fence = -1
         self._beat = 0
 
+    def start_anew(self, log: MemoryLog) -> None:
+        """End and start again: who said that it leaves comes back only under a new identity."""
+        log.put_key(ANNOUNCEMENTS, self.name, None)
+        self._starts += 1
+        self.name = f"{self.link}.{self._starts}"
+        self.draining = False
+        self._orders, self._fence, self._ordered = 0, -1, None
+        self.announce(log)
+
     @property
     def version(self) -> int | None:
         if self._ordered is not None and anyio.current_time() >= self._ordered[1]:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -129,7 +129,7 @@
             for g in self.gateways
         ]
         links += [
-            StreamLink(w.name, str(w.address), str(self._targets[w.name])) for w in self.workers
+            StreamLink(w.link, str(w.address), str(self._targets[w.link])) for w in self.workers
         ]
         self.forwarder = Forwarder(ForwarderLinks(tuple(links)), seed)
         self.client = httpx.AsyncClient(
@@ -173,7 +173,7 @@
         self.publish()
         tasks.start_soon(serve, application(self.store.handle), self._store_address, self._stop)
         for worker in self.workers:
-            target = self._targets[worker.name]
+            target = self._targets[worker.link]
             tasks.start_soon(serve, application(worker.handle), target, self._stop)
         tasks.start_soon(self.forwarder.run)
         tasks.start_soon(self._heartbeats)
