A view is as old as the log's answer may be, not as old as its reading

A replica that was frozen finds an answer of the log in its socket, given before it froze, and counted its view as complete at the moment it read it: with that a view of seconds ago passed as fresh. Ruled out: a read that is not woken (at most 0.25 s where records came lately); the fold (the same on all nodes). Change: an answer with records counts as given when the read began, one without when its wait was over.

--- a/src/stagewalk/partitioned_log/follower.py
+++ b/src/stagewalk/partitioned_log/follower.py
@@ -102,7 +102,7 @@
             page = answer.ok
             self._apply_page(page)
             if page.next_offset >= page.end:
-                self.freshness.confirm(began if wait_seconds == 0.0 else time.monotonic())
+                self.freshness.confirm(_answered_after(began, wait_seconds, page))
                 return True
 
     def _apply_page(self, page: RecordPage) -> None:
@@ -126,6 +126,16 @@
         self.freshness.fail(failure.detail)
 
 
+def _answered_after(began: float, wait_seconds: float, page: RecordPage) -> float:
+    """Return a time after which the log certainly gave an answer.
+
+    It may have lain here unread for long, as the process may have been paused meanwhile: only one
+    without records says that the log had let the read wait to its end.
+    """
+    waited = 0.0 if page.records else wait_seconds
+    return min(time.monotonic(), began + waited)
+
+
 class KeyedFollower:
     """Applies the newest record of each key of a compacted partition, then its changes.
 
--- a/tests/partitioned_log/test_follower.py
+++ b/tests/partitioned_log/test_follower.py
@@ -7,10 +7,17 @@
 
 import anyio
 import testtools
+from expression import Result
 
 from stagewalk.partitioned_log.follower import KeyedFollower, PartitionFollower
-from stagewalk.ports.partitioned_log import KeyedRecord, Partition, PartitionRecord
-from stagewalk_standins.partitioned_log import MemoryLog
+from stagewalk.ports.partitioned_log import (
+    KeyedRecord,
+    LogFailure,
+    Partition,
+    PartitionRecord,
+    RecordPage,
+)
+from stagewalk_standins.partitioned_log import MemoryLog, MemoryLogClient
 
 PLACE = Partition("t", 0)
 LONGEST_LAG_SECONDS = 0.5
@@ -85,6 +92,29 @@
         anyio.run(main)
         self.assertLessEqual(max(self.client.waits), LONGEST_LAG_SECONDS)
 
+    def test_an_answer_that_lay_unread_while_the_process_was_paused_is_not_fresh(self) -> None:
+        """Found on khareeta hunt-3fd7-11: a thawed replica answered from before it was frozen."""
+        paused = 0.4
+
+        class PausedClient(MemoryLogClient):
+            async def read(
+                self, partition: Partition, offset: int, wait_seconds: float
+            ) -> Result[RecordPage, LogFailure]:
+                answer = await super().read(partition, offset, wait_seconds)
+                await anyio.sleep(paused)
+                return answer
+
+        async def main() -> float:
+            follower = PartitionFollower(PausedClient(self.log), PLACE, self.note)
+            await self.append(b"1")
+            await follower._read(0.0)
+            await self.append(b"2")
+            await follower._read(5.0)
+            return follower.freshness.age(time.monotonic())
+
+        self.assertGreaterEqual(anyio.run(main), paused)
+        self.assertEqual([b"1", b"2"], self.seen)
+
     def test_an_outage_marks_the_view_as_disturbed(self) -> None:
         async def main() -> None:
             await self.follower.catch_up(1.0)
