--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -345,7 +345,8 @@
             return
         before = self._table.known(announcement.node)
         self._table.announce(announcement, time.monotonic())
-        if before is not None and before.front != announcement.front:
+        taken = self._table.known(announcement.node) is announcement
+        if taken and before is not None and before.front != announcement.front:
             log_event(
                 "node_replaced",
                 other=announcement.node,
--- a/src/stagewalk/gateway/published_records.py
+++ b/src/stagewalk/gateway/published_records.py
@@ -10,6 +10,7 @@
     LISTED_PACE,
     OLDEST_VIEW_SECONDS,
     REFRESH_SECONDS,
+    RESTING_PACE,
     ReadPace,
 )
 from stagewalk.logs.lines import log_event
@@ -36,7 +37,9 @@
         self._dialect = dialect
         self._routes = routes
         self._workers = workers
-        self._workers.on_change = _log_worker_change
+        self._workers.on_change = self._log_worker_change
+        self._pace = LISTED_PACE
+        self._listing = False
         self._rollouts = rollouts
         self._operators_follower = KeyedFollower(
             log,
@@ -70,6 +73,7 @@
 
     def set_pace(self, pace: ReadPace) -> None:
         """Read as often as a pace says from now on."""
+        self._pace = pace
         self._workers_follower.pause_seconds = pace.workers_pause
         self._operators_follower.wait_seconds = pace.configuration_wait
 
@@ -102,7 +106,10 @@
             for record in records
             if (announcement := self._dialect.worker_announcement(record)) is not None
         ]
+        self._listing = True
         self._workers.replace(announcements, time.monotonic(), self._disturbed_at())
+        self._listing = False
+        log_event("workers_listed", count=len(announcements))
 
     def _apply_worker(self, record: KeyedRecord) -> None:
         now = time.monotonic()
@@ -116,6 +123,11 @@
     def _disturbed_at(self) -> float:
         return self._workers_follower.freshness.disturbed_at
 
+    def _log_worker_change(self, worker: str, change: str) -> None:
+        """Log a change of belief, where requests may hang on it.
 
-def _log_worker_change(worker: str, change: str) -> None:
-    log_event("worker_changed", worker=worker, change=change)
+        Were each resting node to tell of each worker, that would be most of all lines: what such
+        a node reads once callers come, and whole lists, are told in one line.
+        """
+        unused = self._listing or self._pace is RESTING_PACE
+        log_event("worker_changed", "debug" if unused else "info", worker=worker, change=change)
--- a/tests/directory/test_node_table.py
+++ b/tests/directory/test_node_table.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import msgspec
 import testtools
+from msgspec.structs import replace
 
 from stagewalk.core.identities import NodeName
 from stagewalk.directory.caller_subset import directory_order
 from stagewalk.directory.node_table import (
     ALIVE_SECONDS,
+    MISSED_RENEWALS,
     NodeAnnouncement,
     NodeTable,
     decode_announcement,
@@ -72,3 +75,18 @@
     def test_announcements_survive_their_encoding(self) -> None:
         self.assertEqual(node("a"), decode_announcement(node("a").encode()))
         self.assertIsNone(decode_announcement(b"nonsense"))
+
+    def test_announcements_of_other_versions_are_read(self) -> None:
+        fields = msgspec.msgpack.decode(node("a").encode())
+        later = msgspec.msgpack.encode([*fields, "a field of later"])
+        self.assertEqual(node("a"), decode_announcement(later))
+        before = decode_announcement(msgspec.msgpack.encode(fields[:10]))
+        self.assertEqual((True, False), (before.listed, before.stopping))
+
+    def test_nobody_can_ask_to_be_believed_alive_for_ever(self) -> None:
+        self.assertIsNone(decode_announcement(replace(node("a"), renewal_seconds=1e9).encode()))
+
+    def test_a_node_that_renews_seldom_is_given_as_long(self) -> None:
+        self.table.announce(replace(node("b"), renewal_seconds=8.0), 0.0)
+        self.assertEqual(["b"], self.alive(ALIVE_SECONDS + 0.1))
+        self.assertEqual([], self.alive(MISSED_RENEWALS * 8.0 + 0.1))
--- /dev/null
+++ b/tests/gateway/test_node_service.py
@@ -0,0 +1,177 @@
+"""A node's view of the others: roles, rests, and announcements that are wrong or doubled."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from unittest import mock
+
+import anyio
+import msgspec
+import testtools
+
+from stagewalk.core.identities import Address, Placement
+from stagewalk.core.policy import ALL_ON
+from stagewalk.directory.node_table import NodeAnnouncement, decode_announcement
+from stagewalk.directory.renewals import RENEWAL_SECONDS
+from stagewalk.gateway.identity import ProcessId
+from stagewalk.gateway.node_service import NodeService
+from stagewalk.ports.partitioned_log import Partition
+from stagewalk_standins.partitioned_log import MemoryLog
+from tests.gateway.support import until
+
+NODES = Partition("keyed.nodes", 0)
+ZONES = 4
+
+
+def other(number: int, incarnation: int = 1, address: str = "") -> NodeAnnouncement:
+    front = address or f"10.0.0.{number}:1"
+    return NodeAnnouncement(
+        f"other-{number}",
+        incarnation,
+        front,
+        front,
+        f"z{number % ZONES}",
+        "r1",
+        True,
+        1,
+        ledger_replica=number < 6,
+        capacity=2.0,
+        listed=number < 4 * ZONES,
+    )
+
+
+def put(log: MemoryLog, announcement: NodeAnnouncement) -> None:
+    log.put_key(NODES, announcement.node, announcement.encode())
+
+
+def service(log: MemoryLog, incarnation: int = 7) -> NodeService:
+    return NodeService(
+        log=log.client(),
+        partition=NODES,
+        identity=ProcessId("own", incarnation),
+        front=Address("10.0.1.1", 1),
+        peer=Address("10.0.1.1", 2),
+        placement=Placement("r1", "z1"),
+        capacity=0.5,
+        policy=ALL_ON,
+    )
+
+
+def run(nodes: NodeService, scenario: Callable[[], Awaitable[None]]) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            nodes.start(tasks)
+            await nodes.settle()
+            await scenario()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+class NodeServiceTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = MemoryLog()
+        self.events: list[tuple[str, dict[str, object]]] = []
+        patched = mock.patch(
+            "stagewalk.gateway.node_service.log_event",
+            lambda event, _level="info", **fields: self.events.append((event, fields)),
+        )
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    def announced(self) -> NodeAnnouncement | None:
+        record = self.log.kept(NODES).newest.get("own")
+        return None if record is None else decode_announcement(record.value)
+
+    def logged(self, event: str) -> list[dict[str, object]]:
+        return [fields for name, fields in self.events if name == event]
+
+    def test_on_a_large_site_a_slow_node_has_no_role_and_renews_seldom(self) -> None:
+        for number in range(194):
+            put(self.log, other(number))
+        nodes = service(self.log)
+
+        async def scenario() -> None:
+            roles = nodes.wanted_roles()
+            self.assertFalse(roles.replica or roles.listed)
+            nodes.set_serving(True)
+
+            async def told() -> bool:
+                own = self.announced()
+                return own is not None and own.serving
+
+            await until(told)
+            self.assertGreater(self.announced().renewal_seconds, 9.0)
+
+        run(nodes, scenario)
+
+    def test_a_role_is_told_at_once_and_renewed_often(self) -> None:
+        for number in range(194):
+            put(self.log, other(number))
+        nodes = service(self.log)
+
+        async def scenario() -> None:
+            nodes.wanted_roles()
+            nodes.set_listed(True)
+
+            async def told() -> bool:
+                own = self.announced()
+                return own is not None and own.listed
+
+            await until(told)
+            self.assertEqual(RENEWAL_SECONDS, self.announced().renewal_seconds)
+
+        run(nodes, scenario)
+
+    def test_an_unreadable_announcement_is_logged_and_costs_nothing_else(self) -> None:
+        put(self.log, other(1))
+        self.log.put_key(NODES, "other-9", b"\xc1 nonsense")
+        nodes = service(self.log)
+
+        async def scenario() -> None:
+            self.log.put_key(NODES, "other-8", msgspec.msgpack.encode(["other-8", "no number"]))
+            put(self.log, other(2))
+
+            async def known() -> bool:
+                return {n.node for n in nodes.serving()} == {"other-1", "other-2"}
+
+            await until(known)
+
+        run(nodes, scenario)
+        unreadable = [fields["other"] for fields in self.logged("announcement_unreadable")]
+        self.assertEqual(["other-9", "other-8"], unreadable)
+
+    def test_a_replaced_machine_is_known_by_its_new_address_and_the_old_one_changes_nothing(
+        self,
+    ) -> None:
+        put(self.log, other(1, incarnation=5, address="10.0.0.1:1"))
+        nodes = service(self.log)
+
+        async def scenario() -> None:
+            put(self.log, other(1, incarnation=6, address="10.0.0.99:1"))
+            put(self.log, other(1, incarnation=5, address="10.0.0.1:1"))
+
+            async def replaced() -> bool:
+                return [n.front for n in nodes.serving()] == ["10.0.0.99:1"]
+
+            await until(replaced)
+
+        run(nodes, scenario)
+        told = [fields["address"] for fields in self.logged("node_replaced")]
+        self.assertEqual(["10.0.0.99:1"], told)
+
+    def test_a_start_of_this_name_that_is_listed_is_followed_by_a_later_one(self) -> None:
+        """The clock may stand before the predecessor's: its announcements would hide this one."""
+        put(self.log, NodeAnnouncement("own", 900, "10.0.9.9:1", "", "z1", "r1", True, 5))
+        nodes = service(self.log, incarnation=7)
+
+        async def scenario() -> None:
+            async def told() -> bool:
+                own = self.announced()
+                return own is not None and own.front == "10.0.1.1:1"
+
+            await until(told)
+
+        run(nodes, scenario)
+        self.assertEqual(901, self.announced().incarnation)
