A stop ends within its grace while the log takes nothing; requests go where a connection is kept

Change: listeners close when callers have left, appending goes on beside them until 0.5 s before the end.

Change: a worker without a kept connection costs as much as 0.2 of a full one ([policy] warm_connections). Not measured yet.

Change: a resting node goes on resting, its views are read again when a request finds them too old.

--- a/src/stagewalk/directory/read_pace.py
+++ b/src/stagewalk/directory/read_pace.py
@@ -32,8 +32,8 @@
 """Of a node that follows the batches: it runs them, orders engines, and takes batches over."""
 
 LISTED_PACE = ReadPace(0.8, 0.5, 1.0, 0.25)
-"""Of a node that callers are sent to, or came to lately: it stops using a worker that leaves within
-a second, half of the shortest bound on that (2 s)."""
+"""Of a node that callers are sent to: it stops using a worker that leaves within a second, half of
+the shortest bound on that (2 s)."""
 
 RESTING_PACE = ReadPace(1.6, 1.6, 1.0, 0.5)
 """Of any other node, which reads once more before it serves a request: as seldom as a gap in the
@@ -47,12 +47,8 @@
 """How long a request waits for that: twenty times what the log takes to answer. Without an answer
 it is served from the view there is, as during any outage."""
 
-AWAKE_SECONDS = 5.0
-"""How long after a request a resting node goes on reading as a listed one: callers that found it
-keep its address for as long."""
 
-
-def read_pace(following: bool, listed: bool, idle_seconds: float) -> ReadPace:
+def read_pace(following: bool, listed: bool) -> ReadPace:
     """Return the pace of a node.
 
     Parameters
@@ -61,11 +57,7 @@
         Whether it follows the batches.
     listed
         Whether callers are sent to it.
-    idle_seconds
-        How long ago a caller's request last came.
     """
     if following:
         return REPLICA_PACE
-    if listed or idle_seconds < AWAKE_SECONDS:
-        return LISTED_PACE
-    return RESTING_PACE
+    return LISTED_PACE if listed else RESTING_PACE
--- a/src/stagewalk/forwarding/forwarder.py
+++ b/src/stagewalk/forwarding/forwarder.py
@@ -9,6 +9,7 @@
 import anyio.abc
 from expression import Error, Ok, Result
 
+from stagewalk.core.policy import ALL_ON, Policy
 from stagewalk.forwarding.attempt_failures import note_failed_attempt
 from stagewalk.forwarding.policy import Ending, ForwardedRequest, evidence_of, is_success
 from stagewalk.logs.lines import log_event
@@ -51,12 +52,18 @@
     """Forwards whole requests to workers of their route's services."""
 
     def __init__(
-        self, client: WorkerClient, workers: WorkerTable, routes: RouteTable, zone: str
+        self,
+        client: WorkerClient,
+        workers: WorkerTable,
+        routes: RouteTable,
+        zone: str,
+        policy: Policy = ALL_ON,
     ) -> None:
         self._client = client
         self._workers = workers
         self._routes = routes
         self._zone = zone
+        self._policy = policy
 
     async def forward(
         self, request: InboundRequest, route: Route, deadline_at: float
@@ -116,7 +123,15 @@
 
     def _choose(self, service: str, state: ForwardedRequest) -> Worker | None:
         usable = self._workers.usable(service)
-        return choose_worker(usable, time.monotonic(), self._zone, state.tried)
+        # Only repeatable requests may go over a kept connection.
+        repeatable = state.route.kind is RouteKind.REPEATABLE
+        return choose_worker(
+            usable,
+            time.monotonic(),
+            self._zone,
+            state.tried,
+            prefer_warm=repeatable and self._policy.warm_connections,
+        )
 
     @staticmethod
     def _start(state: ForwardedRequest, worker: Worker) -> None:
@@ -147,6 +162,7 @@
             return
         answer = result.ok
         worker.note_load(answer.load, now)
+        worker.note_connection(outbound.repeatable and not answer.leaving, now)
         if is_success(answer.status) and not answer.genuine:
             damaged = AttemptFailure(AttemptFault.MAY_HAVE_RUN, "an answer without signature")
             note_failed_attempt(request.request_id, state, worker, damaged)
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import gc
+import math
 import signal
 import sys
 import time
@@ -72,8 +73,8 @@
 """How long callers may still be sent here after a stop was announced: three times what the
 directory's answers live, and the time the news takes."""
 
-EXIT_RESERVE_SECONDS = 1.0
-"""Left of the grace for the last answers to be written."""
+EXIT_RESERVE_SECONDS = 0.5
+"""Left of the grace for the process to end, once it waits no longer for the log."""
 
 BUFFERED_BODY_BYTES = 96 * 1024 * 1024
 PATIENCE_STEPS = 8
@@ -230,10 +231,11 @@
         self._published = PublishedRecords(
             log, self._dialect, self._routes, self._workers, self._rollouts
         )
-        self._forwarder = Forwarder(surroundings.workers, self._workers, self._routes, zone)
+        self._forwarder = Forwarder(surroundings.workers, self._workers, self._routes, zone, policy)
         self._streams = StreamForwarder(surroundings.workers, self._workers, self._routes, zone)
         self._exit = anyio.Event()
         self._stopping = False
+        self._stop_by = math.inf
 
     async def run_until_signal(self) -> None:
         """Serve until the process is asked to stop, and stop in order."""
@@ -270,9 +272,16 @@
                     )
                     peers = open_listener(self.settings.peers)
                     servers.start_soon(serve_http, app_for_peers, peers, self._exit)
+            await self._finish_appends()
             self._log("gateway_stopped")
             tasks.cancel_scope.cancel()
 
+    async def _finish_appends(self) -> None:
+        """Wait until the log has taken what was to be kept, as long as the grace of a stop lets."""
+        with anyio.move_on_at(self._stop_by):
+            while not self.store.idle:
+                await anyio.sleep(STEP_SECONDS)
+
     def _peers(self) -> list[Address]:
         return self._nodes.peers()
 
@@ -365,7 +374,7 @@
         if following != self.store.following:
             self.store.set_following(following)
             self._orders.set_following(following)
-        self._set_pace(read_pace(following, self._nodes.listed, self._nodes.idle_seconds(now)))
+        self._set_pace(read_pace(following, self._nodes.listed))
 
     def _set_pace(self, pace: ReadPace) -> None:
         if pace != self._pace:
@@ -418,10 +427,10 @@
         self._nodes.set_stopping()
         self._orders.stop()
         self._runner.hand_over()
+        self._stop_by = began + self.settings.timing.stop_grace - EXIT_RESERVE_SECONDS
         await anyio.sleep_until(began + LEAVE_SECONDS)
-        latest = began + self.settings.timing.stop_grace - EXIT_RESERVE_SECONDS
-        while not self.store.idle and anyio.current_time() < latest:
-            await anyio.sleep(STEP_SECONDS)
+        # The listeners need up to four seconds to answer what is under way, so they don't wait for
+        # a log that takes nothing; appending goes on beside them.
         self._exit.set()
 
     def _log(self, event: str) -> None:
--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -103,7 +103,6 @@
         self._calls = 0
         self._calls_counted_at = time.monotonic()
         self._calls_per_second = 0.0
-        self._last_call_at = time.monotonic()
         self._liveness = RunnerLiveness()
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -126,14 +125,9 @@
         """Whether callers are sent to this node."""
         return self._listed
 
-    def idle_seconds(self, now: float) -> float:
-        """Return how long ago a caller's request last came."""
-        return now - self._last_call_at
-
     def note_call(self) -> None:
         """Count a caller's request."""
         self._calls += 1
-        self._last_call_at = time.monotonic()
 
     async def refresh(self) -> None:
         """Read announcements once more if the view of them is too old to name nodes to a caller."""
--- a/src/stagewalk/workers/selection.py
+++ b/src/stagewalk/workers/selection.py
@@ -9,17 +9,26 @@
 ZONE_PENALTY = 0.05
 """What a worker of another zone costs, in parts of a full worker."""
 
+COLD_PENALTY = 0.2
+"""What a worker costs to which a new connection must be opened, likewise: one more request at a
+worker of six slots is no reason to open one, two are."""
+
 SLOWNESS_WEIGHT = 0.5
 SLOWNESS_LIMIT = 3.0
 
 
 def choose_worker(
-    workers: Iterable[Worker], now: float, zone: str, tried: Collection[str] = ()
+    workers: Iterable[Worker],
+    now: float,
+    zone: str,
+    tried: Collection[str] = (),
+    *,
+    prefer_warm: bool = False,
 ) -> Worker | None:
     """Return the worker expected to answer first, none that was tried already.
 
     Workers that failed lately come last; among the others the emptier, the faster and the
-    nearer one wins.
+    nearer one wins, and with `prefer_warm` one to which a connection is kept.
     """
     candidates = [w for w in workers if w.announcement.worker not in tried]
     if not candidates:
@@ -28,9 +37,9 @@
 
     def cost(worker: Worker) -> tuple[bool, float]:
         distance = 0.0 if worker.announcement.zone == zone else ZONE_PENALTY
-        return worker.suspect(now), worker.occupancy(now) + distance + slowness(
-            worker, fastest, now
-        ) * SLOWNESS_WEIGHT
+        cold = COLD_PENALTY if prefer_warm and not worker.warm(now) else 0.0
+        late = slowness(worker, fastest, now) * SLOWNESS_WEIGHT
+        return worker.suspect(now), worker.occupancy(now) + distance + cold + late
 
     return min(candidates, key=cost)
 
--- a/src/stagewalk/workers/worker.py
+++ b/src/stagewalk/workers/worker.py
@@ -18,6 +18,10 @@
 LOAD_VALID_SECONDS = 1.5
 """A load told with an answer counts for this long."""
 
+WARM_SECONDS = 8.0
+"""How long after an answer its connection is expected to be kept: workers close those that idle for
+ten seconds, and clients of them a little earlier (8.5 s)."""
+
 SUSPECT_SECONDS = (0.5, 1.0, 2.0, 4.0)
 """How long a worker is avoided after one, two, ... failures in a row."""
 
@@ -60,6 +64,9 @@
     latency_at: float = -math.inf
     versions: dict[str, int] = field(default_factory=dict)
     """Version by model: the newest evidence of the list, reports and answers."""
+    warm_until: float = -math.inf
+    kept_connections: int = 0
+    """Most requests at a time that it had while its connections were kept."""
     loading_until: dict[str, float] = field(default_factory=dict)
     """By model, until when it is expected to refuse requests while it loads weights."""
 
@@ -72,6 +79,18 @@
         """Whether it failed last, and a request that may show it sound again is under way."""
         return self.failures > 0 and self.in_flight > 0
 
+    def warm(self, now: float) -> bool:
+        """Whether a repeatable request needs no new connection to it, as far as that is known."""
+        return now < self.warm_until and self.in_flight < self.kept_connections
+
+    def note_connection(self, kept: bool, now: float) -> None:
+        """Take whether the connection of an answer that ended is kept."""
+        if now >= self.warm_until:
+            self.kept_connections = 0
+        if kept:
+            self.kept_connections = max(self.kept_connections, self.in_flight + 1)
+            self.warm_until = now + WARM_SECONDS
+
     def loading(self, model: str, now: float) -> bool:
         """Whether it is expected to refuse a model's requests while it loads weights."""
         return now < self.loading_until.get(model, -math.inf)
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -74,6 +74,7 @@
     url: str
     address: str
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    ended: anyio.Event = field(default_factory=anyio.Event)
 
 
 class Site:
@@ -123,6 +124,7 @@
     async def _run(self, running: Running) -> None:
         with running.scope:
             await running.gateway.run()
+        running.ended.set()
 
     async def ready(self, running: Running) -> bool:
         return (await self.call(running, "GET", "/readyz")).status_code == httpx.codes.OK
--- a/tests/workers/test_table.py
+++ b/tests/workers/test_table.py
@@ -9,6 +9,7 @@
 from stagewalk.ports.workers import WorkerLoad
 from stagewalk.workers.selection import choose_worker
 from stagewalk.workers.table import DOUBT_SECONDS, WorkerTable
+from stagewalk.workers.worker import WARM_SECONDS, Worker
 from tests.workers.support import announcement
 
 CALM = -math.inf
@@ -110,3 +111,36 @@
         self.table.worker("near").note_success(0.2, 0.0)
         self.table.worker("far").note_success(0.05, 0.0)
         self.assertEqual("far", self.choose())
+
+    def test_a_kept_connection_outweighs_the_way_but_not_a_load(self) -> None:
+        far = self.table.worker("far")
+        self.warm_up(far)
+        usable = self.table.usable("s")
+        self.assertIs(far, choose_worker(usable, 0.1, "z1", prefer_warm=True))
+        self.assertEqual("near", self.choose(0.1))
+        far.note_load(WorkerLoad(2, 0, 4), 0.1)
+        self.assertEqual(
+            "near", choose_worker(usable, 0.1, "z1", prefer_warm=True).announcement.worker
+        )
+
+    def test_connections_that_are_in_use_are_not_counted_on(self) -> None:
+        far = self.table.worker("far")
+        self.warm_up(far)
+        far.note_sent()
+        self.assertFalse(far.warm(0.1))
+
+    def test_a_connection_is_kept_for_a_while_only(self) -> None:
+        far = self.table.worker("far")
+        self.warm_up(far)
+        self.assertTrue(far.warm(WARM_SECONDS - 0.1))
+        self.assertFalse(far.warm(WARM_SECONDS))
+
+    def test_a_worker_that_closes_its_connection_is_cold(self) -> None:
+        near = self.table.worker("near")
+        near.note_connection(False, 0.0)
+        self.assertFalse(near.warm(0.1))
+
+    def warm_up(self, worker: Worker) -> None:
+        worker.note_sent()
+        worker.note_ended()
+        worker.note_connection(True, 0.0)
