The first view of the nodes forgives nobody: one that was gone before this start is not alive

Cause: a process's first view of the nodes looked like the end of an outage that began at time zero, so every node of the listing was counted as just heard, those that the listing itself shows to be long gone too. For 3 s (now up to 2.5 renewals) a start believed removed machines alive, named them to callers and asked them to run batches.

Ruled out: the listing's own test for nodes of long ago, which works (`test_a_listing_tells_who_was_gone`) but for the instant between the log's answer and its arrival, closed as well.

Change: no forgiving before there was a view.

--- a/src/stagewalk/directory/node_table.py
+++ b/src/stagewalk/directory/node_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from typing import Annotated
 
@@ -123,8 +124,7 @@
         """
         oldest = max(listing, default=0) - STALE_ROUNDS * len(listing)
         for offset, announcement in listing.items():
-            heard_at = now if offset >= oldest else now - announcement.alive_seconds
-            self.announce(announcement, heard_at)
+            self.announce(announcement, now if offset >= oldest else -math.inf)
 
     def forgive(self, now: float, view_at: float) -> None:
         """Count every node as just heard that was alive when the view was last complete.
--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -88,7 +88,7 @@
         )
         self._follower.freshness.on_confirm = self._view_confirmed
         self._beat = 0
-        self._view_at = 0.0
+        self._view_at = -math.inf
         self._known = anyio.Event()
         self._settled = anyio.Event()
         self._alone = False
@@ -312,7 +312,7 @@
     def _view_confirmed(self, confirmed_at: float) -> None:
         """Move the view's time on; after an outage, restart every living node's failure timeout."""
         longest = self._follower.pause_seconds + READ_WAIT_SECONDS + OUTAGE_SECONDS
-        if confirmed_at - self._view_at > longest:
+        if -math.inf < self._view_at < confirmed_at - longest:
             self._table.forgive(confirmed_at, self._view_at)
         self._view_at = max(self._view_at, confirmed_at)
 
--- a/tests/gateway/test_node_service.py
+++ b/tests/gateway/test_node_service.py
@@ -124,6 +124,18 @@
 
         run(nodes, scenario)
 
+    def test_a_node_that_was_gone_long_before_this_start_is_not_believed_alive(self) -> None:
+        """The first view is no end of an outage: it forgives nobody."""
+        put(self.log, other(1))
+        for beat in range(40):
+            put(self.log, msgspec.structs.replace(other(2), beat=beat))
+        nodes = service(self.log)
+
+        async def scenario() -> None:
+            self.assertEqual(["other-2"], [n.node for n in nodes.serving()])
+
+        run(nodes, scenario)
+
     def test_an_unreadable_announcement_is_logged_and_costs_nothing_else(self) -> None:
         put(self.log, other(1))
         self.log.put_key(NODES, "other-9", b"\xc1 nonsense")
