Trainers' batches on different nodes; a node without batches no longer wakes 20 times a second

Cause: the runner of a trainer's batches is the first replica by a hash, so of four trainers on six replicas two or more share a node in 72 of 100 cases (reckoned), while others rest. And the scheduler's clock of 0.05 s ran on every node, though only a runner has something for it: most of the wake-ups that were left of an idle node.

Ruled out: spreading by a second hash (it moves collisions about), and announcing load (old by 0.9 s when it is read; the runner is asked anyway).

Change: a node that is asked to run a batch says how many items of other trainers it has under way; where that is not none, the next one is asked as well and the less busy one taken ([policy] spread_trainers). The scheduler's clock sleeps while there are no batches.

--- a/src/stagewalk/batches/records.py
+++ b/src/stagewalk/batches/records.py
@@ -71,6 +71,11 @@
     minimum_version: int
     wanted_groups: int
 
+    @property
+    def trainer(self) -> str:
+        """Return what tells its trainer's batches from those of others."""
+        return f"{self.host}/{self.model}"
+
 
 class BatchSubmitted(msgspec.Struct, frozen=True, array_like=True, tag="submitted"):
     """A part of a submission: the batch exists once all parts of one submission are there.
--- a/src/stagewalk/batches/scheduler.py
+++ b/src/stagewalk/batches/scheduler.py
@@ -82,6 +82,10 @@
         """Return the number of attempts under way."""
         return len(self._attempts)
 
+    def running_of_others(self, trainer: str) -> int:
+        """Return the number of attempts under way at items of other trainers."""
+        return sum(run.batch.header.trainer != trainer for run, _ in self._attempts.values())
+
     @property
     def scoring(self) -> int:
         """Return the number of items whose text is whole and whose score is awaited."""
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -82,6 +82,7 @@
         self._ahead: dict[str, int] = {}
         """By batch that was begun before this node's view told of it, the epoch it is run under."""
         self._stopping = False
+        self._begun = anyio.Event()
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start running."""
@@ -114,6 +115,10 @@
         """Return how many attempts at items are under way."""
         return self._scheduler.running
 
+    def items_of_others(self, trainer: str) -> int:
+        """Return how many attempts are under way at items of other trainers."""
+        return self._scheduler.running_of_others(trainer)
+
     @property
     def awaited_scores(self) -> int:
         """Return how many items run here have their text but not their score."""
@@ -181,6 +186,7 @@
             ahead=name in self._ahead,
         )
         self._carry_out(self._scheduler.open(batch, kept_text, time.monotonic()))
+        self._begun.set()
         self._handle(Tick())
 
     def _close(self, batch: str, reason: str) -> None:
@@ -192,10 +198,13 @@
     # Attempts.
 
     async def _tick(self) -> None:
+        """Let time pass for the scheduler while there are batches; sleep while there are none."""
         while True:
+            if not self._scheduler.batches:
+                self._begun = anyio.Event()
+                await self._begun.wait()
             await anyio.sleep(TICK_SECONDS)
-            if self._scheduler.batches:
-                self._handle(Tick())
+            self._handle(Tick())
 
     def _handle(self, event: SchedulerEvent) -> None:
         self._carry_out(self._scheduler.handle(event, time.monotonic()))
--- a/src/stagewalk/gateway/runner_calls.py
+++ b/src/stagewalk/gateway/runner_calls.py
@@ -27,7 +27,7 @@
     Parameters
     ----------
     describe
-        Tells of this process.
+        Tells of this process, and how busy it is for others than a trainer.
     take
         Takes a batch that this process is to run.
     """
@@ -35,16 +35,16 @@
     def __init__(
         self,
         client: PeerClient,
-        describe: Callable[[], RunnerAnswer],
+        describe: Callable[[str], RunnerAnswer],
         take: Callable[[RunBatch], Awaitable[None]],
     ) -> None:
         self._client = client
         self._describe = describe
         self._take = take
 
-    async def ask(self, peer: Address) -> RunnerAnswer | None:
+    async def ask(self, peer: Address, trainer: str = "") -> RunnerAnswer | None:
         """Ask a node about itself; None if no answer came."""
-        return await self._call(peer, AskRunner())
+        return await self._call(peer, AskRunner(trainer))
 
     async def tell(self, peer: Address, run: RunBatch) -> bool:
         """Tell a node of a batch it is to run; return whether it heard."""
@@ -55,9 +55,10 @@
         call = decode_call(content)
         if call is None:
             return None
-        if isinstance(call, RunBatch):
-            await self._take(call)
-        return encode_message(self._describe())
+        if isinstance(call, AskRunner):
+            return encode_message(self._describe(call.trainer))
+        await self._take(call)
+        return encode_message(self._describe(""))
 
     async def _call(self, peer: Address, call: RunnerCall) -> RunnerAnswer | None:
         content = await self._client.call(peer, RUNNER_PATH, encode_message(call), ANSWER_SECONDS)
--- a/src/stagewalk/gateway/runner_choice.py
+++ b/src/stagewalk/gateway/runner_choice.py
@@ -60,14 +60,21 @@
         """Return the process that is to run a batch which is handed in here now.
 
         All batches of one trainer go to the same node while it lives: it has connections to the
-        engines open already, and sees all of the trainer's load.
+        engines open already, and sees all of the trainer's load. Where that node runs items of
+        other trainers, the next one is asked as well, and the less busy of the two is taken.
         """
-        trainer = f"{header.host}/{header.model}"
+        trainer = header.trainer
         ranked = sorted(self._nodes.replicas(), key=lambda node: affinity(trainer, node.node))
+        answers: list[RunnerAnswer] = []
         for node in ranked[:NODES_ASKED]:
-            process = await self._willing_process(node)
-            if process is not None:
-                return process
+            answer = await self._ask(node, trainer)
+            if answer is None:
+                continue
+            answers.append(answer)
+            if answer.other_items == 0 or not self._policy.spread_trainers:
+                break
+        if answers:
+            return min(answers, key=lambda answer: answer.other_items).process
         return NOBODY if self._runner.stopping else str(self._identity)
 
     async def tell(self, process: str, batch: str, offset: int) -> None:
@@ -86,23 +93,24 @@
         if not await self.calls.tell(peer, run):
             log_event("runner_not_told", "warning", batch=run.batch, peer=str(peer))
 
-    async def _willing_process(self, node: NodeAnnouncement) -> str | None:
+    async def _ask(self, node: NodeAnnouncement, trainer: str) -> RunnerAnswer | None:
+        """Return a node's answer if it is willing to run a trainer's batch."""
         if node.node == self._identity.node:
-            return None if self._runner.stopping else str(self._identity)
+            return None if self._runner.stopping else self._describe(trainer)
         if node.peer_address is None or not self._policy.ask_runner:
-            return str(ProcessId(node.node, node.incarnation))
-        answer = await self.calls.ask(node.peer_address)
+            return RunnerAnswer(str(ProcessId(node.node, node.incarnation)), willing=True)
+        answer = await self.calls.ask(node.peer_address, trainer)
         if answer is None or not answer.willing:
             log_event(
                 "runner_not_willing", "warning", runner=node.node, answered=answer is not None
             )
             return None
         identity = parse_process_id(answer.process)
-        return answer.process if identity is not None and identity.node == node.node else None
+        return answer if identity is not None and identity.node == node.node else None
 
-    def _describe(self) -> RunnerAnswer:
+    def _describe(self, trainer: str) -> RunnerAnswer:
         willing = not self._runner.stopping and self._nodes.known
-        return RunnerAnswer(str(self._identity), willing)
+        return RunnerAnswer(str(self._identity), willing, self._runner.items_of_others(trainer))
 
     async def _take(self, run: RunBatch) -> None:
         """Read of a batch that this process is to run, without waiting for the log to wake it."""
--- a/src/stagewalk/gateway/runner_messages.py
+++ b/src/stagewalk/gateway/runner_messages.py
@@ -6,7 +6,15 @@
 
 
 class AskRunner(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
-    """Ask a node which process it is, and whether that would run a batch."""
+    """Ask a node which process it is, and whether that would run a batch.
+
+    Attributes
+    ----------
+    trainer
+        Whose batch it would be; empty if it is only asked whether it runs.
+    """
+
+    trainer: str = ""
 
 
 class RunBatch(msgspec.Struct, frozen=True, array_like=True, tag="run"):
@@ -29,10 +37,17 @@
 
 
 class RunnerAnswer(msgspec.Struct, frozen=True, array_like=True):
-    """Which process answers, and whether it runs batches that are given to it."""
+    """Which process answers, and whether it runs batches that are given to it.
+
+    Attributes
+    ----------
+    other_items
+        Attempts at items of other trainers that it has under way.
+    """
 
     process: str
     willing: bool
+    other_items: int = 0
 
 
 _CALLS: msgspec.msgpack.Decoder[RunnerCall] = msgspec.msgpack.Decoder(RunnerCall)
