--- /dev/null
+++ b/src/stagewalk/directory/call_rate.py
@@ -0,0 +1,35 @@
+"""How many requests callers send to this node. Pure."""
+
+from __future__ import annotations
+
+SMOOTHING = 0.5
+"""Weight of the newest interval: after three announcements of a listed node, 2.7 s, an eighth of
+what was before is left."""
+
+
+class CallRate:
+    """Requests a second, smoothed over the intervals between announcements.
+
+    Parameters
+    ----------
+    now
+        Steady time from which requests are counted, in seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._counted_at = now
+        self._calls = 0
+        self._per_second = 0.0
+
+    def note(self) -> None:
+        """Count a request."""
+        self._calls += 1
+
+    def take(self, now: float) -> float:
+        """End an interval and return the rate."""
+        seconds = now - self._counted_at
+        if seconds > 0.0:
+            rate = self._calls / seconds
+            self._per_second += SMOOTHING * (rate - self._per_second)
+            self._calls, self._counted_at = 0, now
+        return self._per_second
--- a/src/stagewalk/directory/node_table.py
+++ b/src/stagewalk/directory/node_table.py
@@ -39,7 +39,7 @@
     peer
         Address other nodes connect to, empty if none.
     serving
-        False once a planned stop has begun.
+        Whether callers may be sent to it: not before it is ready, nor once it stops.
     beat
         Grows with each announcement.
     ledger_replica
@@ -126,8 +126,8 @@
         for offset, announcement in listing.items():
             self.announce(announcement, now if offset >= oldest else -math.inf)
 
-    def forgive(self, now: float, view_at: float) -> None:
-        """Count every node as just heard that was alive when the view was last complete.
+    def restart_timeouts(self, now: float, view_at: float) -> None:
+        """Restart the failure timeout of each node that was alive when the view was last complete.
 
         During an outage none could announce itself; one that was gone before is still gone.
         """
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -21,8 +21,6 @@
 from stagewalk.batches.scheduler import BatchScheduler
 from stagewalk.core.errors import StagewalkError
 from stagewalk.core.identities import Address
-from stagewalk.directory.ledger_replicas import ReplicaRole
-from stagewalk.directory.read_pace import LISTED_PACE, ReadPace, read_pace
 from stagewalk.forwarding.forwarder import Forwarder
 from stagewalk.forwarding.stream_forwarder import StreamForwarder
 from stagewalk.gateway.app import GatewayApp
@@ -37,6 +35,7 @@
 from stagewalk.gateway.open_batches import OpenBatches
 from stagewalk.gateway.order_service import OrderService
 from stagewalk.gateway.published_records import PublishedRecords
+from stagewalk.gateway.role_keeper import RoleKeeper
 from stagewalk.gateway.runner_calls import RUNNER_PATH
 from stagewalk.gateway.runner_choice import RunnerChoice
 from stagewalk.gateway.runner_probes import RunnerProbes
@@ -159,7 +158,6 @@
             capacity=settings.processor.capacity,
             policy=policy,
         )
-        self._role = ReplicaRole()
         self.store = BatchStore(
             log, producer, limits.record_bytes, limits.call_bytes, limits.partitions
         )
@@ -204,8 +202,6 @@
             self._takeovers.probe_targets,
             self.store.wait_until_following,
         )
-        self._follow_from = 0.0
-        self._pace = LISTED_PACE
         patience = PATIENCE_SECONDS * (uuid.uuid4().int % PATIENCE_STEPS)
         self._orders = OrderService(
             log=log,
@@ -231,6 +227,9 @@
         self._published = PublishedRecords(
             log, self._dialect, self._routes, self._workers, self._rollouts
         )
+        self._roles = RoleKeeper(
+            self._nodes, self.store, self._runner, self._orders, self._published
+        )
         self._forwarder = Forwarder(surroundings.workers, self._workers, self._routes, zone, policy)
         self._streams = StreamForwarder(surroundings.workers, self._workers, self._routes, zone)
         self._exit = anyio.Event()
@@ -344,12 +343,12 @@
         await self._nodes.wait_until_known()
         if await self._takeovers.resume_own():
             # Those who ran batches go on first: the whole log is read by all nodes at once.
-            self._follow_from = time.monotonic() + RESUME_SECONDS
+            self._roles.follow_from(time.monotonic() + RESUME_SECONDS)
         await self._nodes.settle()
         while True:
             self._nodes.set_serving(self._ready() and not self._stopping)
-            self._update_role(time.monotonic())
-            due = anyio.current_time() + self._pace.housekeeping
+            self._roles.update(self._stopping, time.monotonic())
+            due = anyio.current_time() + self._roles.pace.housekeeping
             await anyio.sleep_until(due)
             lag = anyio.current_time() - due
             self._metrics.loop_lag.observe(lag)
@@ -359,29 +358,6 @@
             for kind, count in self._log_budget.take_dropped().items():
                 log_event("log_lines_dropped", "warning", kind=kind, count=count)
 
-    def _update_role(self, now: float) -> None:
-        """Take roles or give them up, as the nodes known now suggest."""
-        roles = self._nodes.wanted_roles()
-        self._nodes.set_listed(roles.listed and not self._stopping)
-        busy = self._runner.busy or self._orders.holds_lease
-        wanted = roles.replica and not self._stopping
-        if self._role.update(wanted, busy, now):
-            log_event(
-                "replica_role", holds=self._role.announced, serving=len(self._nodes.serving())
-            )
-            self._nodes.set_replica(self._role.announced)
-        following = self._role.following(now) and now >= self._follow_from
-        if following != self.store.following:
-            self.store.set_following(following)
-            self._orders.set_following(following)
-        self._set_pace(read_pace(following, self._nodes.listed))
-
-    def _set_pace(self, pace: ReadPace) -> None:
-        if pace != self._pace:
-            self._pace = pace
-            self._nodes.set_pause(pace.nodes_pause)
-            self._published.set_pace(pace)
-
     # Stopping.
 
     async def _watch_signals(self) -> None:
--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -13,6 +13,7 @@
 from stagewalk.batches.takeover import RunnerState
 from stagewalk.core.identities import Address, NodeName, Placement
 from stagewalk.core.policy import Policy
+from stagewalk.directory.call_rate import CallRate
 from stagewalk.directory.caller_subset import directory_order, wants_callers
 from stagewalk.directory.ledger_replicas import wants_replica
 from stagewalk.directory.node_table import NodeAnnouncement, NodeTable, decode_announcement
@@ -34,9 +35,6 @@
 themselves: when all start at once, each would see itself alone and take every role. Machines of one
 strength were seen to start within 0.3 s of each other."""
 
-CALLS_SMOOTHING = 0.5
-"""Weight of the newest interval in the rate of calls, one announcement each."""
-
 
 @dataclass(frozen=True, slots=True)
 class Roles:
@@ -100,8 +98,7 @@
         self._roles = Roles(replica=False, listed=False)
         self._roles_as_of = -math.inf
         self._living = 1
-        self._calls = 0
-        self._calls_counted_at = time.monotonic()
+        self._calls = CallRate(time.monotonic())
         self._calls_per_second = 0.0
         self._liveness = RunnerLiveness()
 
@@ -127,7 +124,7 @@
 
     def note_call(self) -> None:
         """Count a caller's request."""
-        self._calls += 1
+        self._calls.note()
 
     async def refresh(self) -> None:
         """Read announcements once more if the view of them is too old to name nodes to a caller."""
@@ -284,20 +281,11 @@
             round(self._calls_per_second, 1),
         )
 
-    def _count_calls(self) -> None:
-        """Take the calls since the last announcement into their rate."""
-        now = time.monotonic()
-        seconds = now - self._calls_counted_at
-        if seconds > 0.0:
-            rate = self._calls / seconds
-            self._calls_per_second += CALLS_SMOOTHING * (rate - self._calls_per_second)
-        self._calls, self._calls_counted_at = 0, now
-
     async def _announce(self) -> None:
         await self._known.wait()
         while True:
             self._beat += 1
-            self._count_calls()
+            self._calls_per_second = self._calls.take(time.monotonic())
             own = self._own()
             self._table.announce(own, time.monotonic())
             answer = await self._log.append_keyed(self._partition, own.node, own.encode())
@@ -313,7 +301,7 @@
         """Move the view's time on; after an outage, restart every living node's failure timeout."""
         longest = self._follower.pause_seconds + READ_WAIT_SECONDS + OUTAGE_SECONDS
         if -math.inf < self._view_at < confirmed_at - longest:
-            self._table.forgive(confirmed_at, self._view_at)
+            self._table.restart_timeouts(confirmed_at, self._view_at)
         self._view_at = max(self._view_at, confirmed_at)
 
     def _replace(self, records: tuple[KeyedRecord, ...]) -> None:
--- /dev/null
+++ b/src/stagewalk/gateway/role_keeper.py
@@ -0,0 +1,65 @@
+"""Gives this node its roles, and has it read as often as they need."""
+
+from __future__ import annotations
+
+import math
+
+from stagewalk.directory.ledger_replicas import ReplicaRole
+from stagewalk.directory.read_pace import LISTED_PACE, ReadPace, read_pace
+from stagewalk.gateway.batch_runner import BatchRunner
+from stagewalk.gateway.batch_store import BatchStore
+from stagewalk.gateway.node_service import NodeService
+from stagewalk.gateway.order_service import OrderService
+from stagewalk.gateway.published_records import PublishedRecords
+from stagewalk.logs.lines import log_event
+
+
+class RoleKeeper:
+    """Takes roles or gives them up, as the nodes known now suggest."""
+
+    def __init__(
+        self,
+        nodes: NodeService,
+        store: BatchStore,
+        runner: BatchRunner,
+        orders: OrderService,
+        published: PublishedRecords,
+    ) -> None:
+        self._nodes = nodes
+        self._store = store
+        self._runner = runner
+        self._orders = orders
+        self._published = published
+        self._replica = ReplicaRole()
+        self._follow_from = -math.inf
+        self._pace = LISTED_PACE
+
+    @property
+    def pace(self) -> ReadPace:
+        """Return how often this node reads now."""
+        return self._pace
+
+    def follow_from(self, at: float) -> None:
+        """Leave the batches to others until a steady time."""
+        self._follow_from = at
+
+    def update(self, stopping: bool, now: float) -> None:
+        """Compare the roles this node has with those it should have."""
+        roles = self._nodes.wanted_roles()
+        self._nodes.set_listed(roles.listed and not stopping)
+        busy = self._runner.busy or self._orders.holds_lease
+        if self._replica.update(roles.replica and not stopping, busy, now):
+            serving = len(self._nodes.serving())
+            log_event("replica_role", holds=self._replica.announced, serving=serving)
+            self._nodes.set_replica(self._replica.announced)
+        following = self._replica.following(now) and now >= self._follow_from
+        if following != self._store.following:
+            self._store.set_following(following)
+            self._orders.set_following(following)
+        self._set_pace(read_pace(following, self._nodes.listed))
+
+    def _set_pace(self, pace: ReadPace) -> None:
+        if pace != self._pace:
+            self._pace = pace
+            self._nodes.set_pause(pace.nodes_pause)
+            self._published.set_pace(pace)
--- a/tests/directory/test_node_table.py
+++ b/tests/directory/test_node_table.py
@@ -39,13 +39,13 @@
         self.assertEqual([], self.alive(ALIVE_SECONDS + 0.1))
 
     def test_an_outage_kills_nobody(self) -> None:
-        self.table.forgive(60.0, view_at=1.0)
+        self.table.restart_timeouts(60.0, view_at=1.0)
         self.assertEqual(["a"], self.alive(61.0))
 
     def test_an_outage_brings_nobody_back_who_was_gone_before(self) -> None:
         """Found on trouble-3: a batch was given to a node that was removed 23 s earlier."""
         self.table.announce(node("b"), 10.0)
-        self.table.forgive(60.0, view_at=10.5)
+        self.table.restart_timeouts(60.0, view_at=10.5)
         self.assertEqual(["b"], self.alive(60.1))
 
     def test_a_listing_tells_who_was_gone_long_before(self) -> None:
--- a/tests/gateway/test_node_service.py
+++ b/tests/gateway/test_node_service.py
@@ -125,7 +125,7 @@
         run(nodes, scenario)
 
     def test_a_node_that_was_gone_long_before_this_start_is_not_believed_alive(self) -> None:
-        """The first view is no end of an outage: it forgives nobody."""
+        """The first view is no end of an outage: it restarts no timeouts."""
         put(self.log, other(1))
         for beat in range(40):
             put(self.log, msgspec.structs.replace(other(2), beat=beat))
