An announcement that was refused is made again soon; a refused look-up leaves a line

Cause 1, found by reading: a node waits its whole renewal after an announcement that the log refused, which is 10 s on a resting node of 195 and 21 s of 420. Test: fails before.

Change: `lookup_refused` with what the node knows.

Ruled out: a shorter renewal for all, which is what grows.

--- a/src/stagewalk/gateway/app.py
+++ b/src/stagewalk/gateway/app.py
@@ -246,6 +246,8 @@
         await self._nodes.refresh()
         addresses = self._nodes.serving_nodes(region, zone, MOST_ADDRESSES)
         if not addresses:
+            known = self._nodes.known
+            log_event("lookup_refused", "warning", region=region, zone=zone, nodes_known=known)
             await reply_error(exchange, 503, "no node is known to serve")
             return
         await reply_json(exchange, self._dialect.addresses(addresses, SECONDS_TO_LIVE))
--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -18,7 +18,7 @@
 from stagewalk.directory.ledger_replicas import wants_replica
 from stagewalk.directory.node_table import NodeAnnouncement, NodeTable, decode_announcement
 from stagewalk.directory.read_pace import LISTED_PACE, OLDEST_VIEW_SECONDS, REFRESH_SECONDS
-from stagewalk.directory.renewals import renewal_seconds
+from stagewalk.directory.renewals import RENEWAL_SECONDS, renewal_seconds
 from stagewalk.gateway.identity import ProcessId, parse_process_id
 from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.follower import KeyedFollower
@@ -289,12 +289,14 @@
             own = self._own()
             self._table.announce(own, time.monotonic())
             answer = await self._log.append_keyed(self._partition, own.node, own.encode())
+            wait_seconds = own.renewal_seconds
             if answer.is_error():
                 log_event("announcement_failed", "debug", fault=answer.error.fault)
+                wait_seconds = RENEWAL_SECONDS
             self._wake = anyio.Event()
             told = (own.serving, own.ledger_replica, own.listed)
             if told == (self._serves, self._replica, self._listed):
-                with anyio.move_on_after(own.renewal_seconds):
+                with anyio.move_on_after(wait_seconds):
                     await self._wake.wait()
 
     def _view_confirmed(self, confirmed_at: float) -> None:
--- a/tests/gateway/test_node_service.py
+++ b/tests/gateway/test_node_service.py
@@ -16,7 +16,7 @@
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.node_service import NodeService
 from stagewalk.ports.partitioned_log import Partition
-from stagewalk_standins.partitioned_log import MemoryLog
+from stagewalk_standins.partitioned_log import MemoryLog, MemoryLogClient
 from tests.gateway.support import until
 
 NODES = Partition("keyed.nodes", 0)
@@ -44,9 +44,11 @@
     log.put_key(NODES, announcement.node, announcement.encode())
 
 
-def service(log: MemoryLog, incarnation: int = 7) -> NodeService:
+def service(
+    log: MemoryLog, incarnation: int = 7, client: MemoryLogClient | None = None
+) -> NodeService:
     return NodeService(
-        log=log.client(),
+        log=client or log.client(),
         partition=NODES,
         identity=ProcessId("own", incarnation),
         front=Address("10.0.1.1", 1),
@@ -106,6 +108,29 @@
 
         run(nodes, scenario)
 
+    def test_an_announcement_that_the_log_refused_is_made_again_soon(self) -> None:
+        """A resting node renews so seldom that the others would not know it for half a minute."""
+        for number in range(194):
+            put(self.log, other(number))
+        client = self.log.client()
+        nodes = service(self.log, client=client)
+
+        async def scenario() -> None:
+            client.faults.down = True
+            nodes.wanted_roles()
+            nodes.set_serving(True)
+            await anyio.sleep(0.2)
+            client.faults.down = False
+
+            async def told() -> bool:
+                own = self.announced()
+                return own is not None and own.serving
+
+            with anyio.fail_after(3 * RENEWAL_SECONDS):
+                await until(told)
+
+        run(nodes, scenario)
+
     def test_a_role_is_told_at_once_and_renewed_often(self) -> None:
         for number in range(194):
             put(self.log, other(number))
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import anyio
 import testtools
 
@@ -161,6 +163,26 @@
 
         run(scenario)
 
+    def test_a_look_up_that_is_refused_leaves_a_line(self) -> None:
+        events: list[str] = []
+
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1", ready=False)
+            node.log.faults.down = True
+
+            async def refused() -> bool:
+                answer = await site.call(node, "GET", "/v1/resolve?region=r1&zone=z1")
+                return answer.status_code == 503
+
+            await until(refused)
+
+        def note(event: str, _level: str = "info", **_fields: object) -> None:
+            events.append(event)
+
+        with mock.patch("stagewalk.gateway.app.log_event", note):
+            run(scenario)
+        self.assertIn("lookup_refused", events)
+
 
 class VersionTests(testtools.TestCase):
     def test_one_holder_brings_named_versions_to_all_engines(self) -> None:
