--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -76,12 +76,14 @@
 """Left of the grace for the process to end, once it waits no longer for the log."""
 
 BUFFERED_BODY_BYTES = 96 * 1024 * 1024
-PATIENCE_STEPS = 8
-PATIENCE_SECONDS = 0.15
+JITTER_STEPS = 8
+JITTER_SECONDS = 0.15
+"""A process waits up to so many steps longer than the lease asks before it competes for it, so
+that replicas seldom append at once; a step is far longer than an append (some 10 ms)."""
 
 
 @dataclass(frozen=True, slots=True)
-class Surroundings:
+class Dependencies:
     """Everything outside the product, behind its ports."""
 
     log: PartitionedLog
@@ -94,7 +96,7 @@
 
 
 def run_gateway(
-    settings: GatewaySettings, surroundings: Surroundings, load_again: SettingsLoader
+    settings: GatewaySettings, dependencies: Dependencies, load_again: SettingsLoader
 ) -> int:
     """Run a gateway until it is asked to stop; return the process's exit code."""
     budget = LogBudget()
@@ -103,7 +105,7 @@
     gc.freeze()
     gc.enable()
     try:
-        gateway = Gateway(settings, surroundings, load_again, budget)
+        gateway = Gateway(settings, dependencies, load_again, budget)
         anyio.run(gateway.run_until_signal, backend="asyncio")
     except Exception as error:
         trace = "".join(traceback.format_exception(error))
@@ -129,7 +131,7 @@
     def __init__(
         self,
         settings: GatewaySettings,
-        surroundings: Surroundings,
+        dependencies: Dependencies,
         load_again: SettingsLoader | None = None,
         log_budget: LogBudget | None = None,
     ) -> None:
@@ -137,11 +139,11 @@
         self._log_budget = log_budget or LogBudget()
         self._load_again = load_again
         self._metrics = GatewayMetrics(self._state, self._log_budget)
-        self._straight = MeasuredLog(surroundings.log, self._metrics.log_called)
+        self._straight = MeasuredLog(dependencies.log, self._metrics.log_called)
         peer_client = PeerClient()
         log = RelayedLog(self._straight, self._peers, peer_client)
         limits = settings.log_limits
-        self._dialect = surroundings.dialect
+        self._dialect = dependencies.dialect
         self._identity = ProcessId(settings.name, time.time_ns() // 1_000_000)
         producer = f"{settings.name}-{uuid.uuid4().hex}"
         self._routes = RouteTable(settings.name)
@@ -173,7 +175,7 @@
                 zone,
                 policy,
             ),
-            client=surroundings.workers,
+            client=dependencies.workers,
             workers=self._workers,
             nodes=self._nodes,
             rollouts=self._rollouts,
@@ -202,16 +204,16 @@
             self._takeovers.probe_targets,
             self.store.wait_until_following,
         )
-        patience = PATIENCE_SECONDS * (uuid.uuid4().int % PATIENCE_STEPS)
+        acquire_jitter = JITTER_SECONDS * (uuid.uuid4().int % JITTER_STEPS)
         self._orders = OrderService(
             log=log,
             identity=self._identity,
             lease=LogLease(
-                new_holder(settings.name, producer), settings.timing.lease_quiet, patience
+                new_holder(settings.name, producer), settings.timing.lease_quiet, acquire_jitter
             ),
             rollouts=self._rollouts,
             workers=self._workers,
-            client=surroundings.workers,
+            client=dependencies.workers,
             producer=producer,
             call_bytes=limits.call_bytes,
             wait_until_active=self.store.wait_until_following,
@@ -230,8 +232,8 @@
         self._roles = RoleKeeper(
             self._nodes, self.store, self._runner, self._orders, self._published
         )
-        self._forwarder = Forwarder(surroundings.workers, self._workers, self._routes, zone, policy)
-        self._streams = StreamForwarder(surroundings.workers, self._workers, self._routes, zone)
+        self._forwarder = Forwarder(dependencies.workers, self._workers, self._routes, zone, policy)
+        self._streams = StreamForwarder(dependencies.workers, self._workers, self._routes, zone)
         self._exit = anyio.Event()
         self._stopping = False
         self._stop_by = math.inf
--- a/src/stagewalk/gateway/order_service.py
+++ b/src/stagewalk/gateway/order_service.py
@@ -124,7 +124,7 @@
         sent_at = time.monotonic()
         answer = await self._log.append_at(self._partition, step.record.encode(), step.end)
         log_event(
-            "lease_sought",
+            "lease_acquire",
             end=step.end,
             outcome="won" if answer.is_ok() else answer.error.fault.value,
         )
--- a/src/stagewalk/gateway/runner_choice.py
+++ b/src/stagewalk/gateway/runner_choice.py
@@ -91,7 +91,7 @@
 
     async def _tell(self, peer: Address, run: RunBatch) -> None:
         if not await self.calls.tell(peer, run):
-            log_event("runner_not_told", "warning", batch=run.batch, peer=str(peer))
+            log_event("runner_notify_failed", "warning", batch=run.batch, peer=str(peer))
 
     async def _ask(self, node: NodeAnnouncement, trainer: str) -> RunnerAnswer | None:
         """Return a node's answer if it is willing to run a trainer's batch."""
@@ -101,9 +101,7 @@
             return RunnerAnswer(str(ProcessId(node.node, node.incarnation)), willing=True)
         answer = await self.calls.ask(node.peer_address, trainer)
         if answer is None or not answer.willing:
-            log_event(
-                "runner_not_willing", "warning", runner=node.node, answered=answer is not None
-            )
+            log_event("runner_declined", "warning", runner=node.node, answered=answer is not None)
             return None
         identity = parse_process_id(answer.process)
         return answer if identity is not None and identity.node == node.node else None
--- a/src/stagewalk/leases/log_lease.py
+++ b/src/stagewalk/leases/log_lease.py
@@ -106,14 +106,14 @@
         Identity of this start of the process, see `new_holder`.
     quiet_seconds
         How long nobody may act between two holders.
-    patience_seconds
+    jitter_seconds
         How much longer than the others this process waits: it keeps all from trying at once.
     """
 
-    def __init__(self, holder: str, quiet_seconds: float, patience_seconds: float) -> None:
+    def __init__(self, holder: str, quiet_seconds: float, jitter_seconds: float) -> None:
         self._own = holder
         self._quiet = quiet_seconds
-        self._patience = patience_seconds
+        self._acquire_jitter = jitter_seconds
         self._end = 0
         self._holder = ""
         self._fence = NO_FENCE
@@ -212,4 +212,4 @@
         if self._holder == "" or machine_of(self._holder) == machine_of(self._own):
             return -math.inf
         expires = 0.0 if self._released else LEASE_SECONDS + EXPIRY_MARGIN_SECONDS
-        return self._heard_at + expires + self._patience
+        return self._heard_at + expires + self._acquire_jitter
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -13,7 +13,7 @@
 
 from stagewalk.batches.records import BatchItem, ScoreCall
 from stagewalk.core.identities import Placement
-from stagewalk.gateway.daemon import Gateway, Surroundings
+from stagewalk.gateway.daemon import Dependencies, Gateway
 from stagewalk.gateway.settings import GatewaySettings, LogLimits, Timing
 from stagewalk.ports.dialect import NamedVersion
 from stagewalk.routes.route import (
@@ -114,7 +114,7 @@
     async def start(self, name: str, *, ready: bool = True) -> Running:
         settings = gateway_settings(name)
         log = self.log.client()
-        gateway = Gateway(settings, Surroundings(log, self.workers, self.dialect))
+        gateway = Gateway(settings, Dependencies(log, self.workers, self.dialect))
         running = Running(gateway, log, f"http://{settings.front}", str(settings.front))
         self._tasks.start_soon(self._run, running)
         if ready:
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -7,7 +7,7 @@
 import testtools
 from expression import Error, Ok
 
-from stagewalk.gateway.daemon import Gateway, Surroundings
+from stagewalk.gateway.daemon import Dependencies, Gateway
 from stagewalk.gateway.settings import Timing
 from stagewalk.settings.addresses import settings_error
 from stagewalk_standins.memory_workers import MemoryWorkers
@@ -18,8 +18,8 @@
 
 class ReloadTests(testtools.TestCase):
     def gateway(self, loaded) -> Gateway:
-        surroundings = Surroundings(MemoryLog().client(), MemoryWorkers(), PlainDialect())
-        return Gateway(gateway_settings("n1"), surroundings, lambda: loaded)
+        dependencies = Dependencies(MemoryLog().client(), MemoryWorkers(), PlainDialect())
+        return Gateway(gateway_settings("n1"), dependencies, lambda: loaded)
 
     def test_timing_is_in_force_and_the_rest_waits(self) -> None:
         changed = dataclasses.replace(
