Tenants: callers are known by their keys, workers are told whose request it is

Cause: nothing read the published tenants.

Change: tenants/ (a table from key to tenant), gateway.caller_gate (who calls, by which route; turned away only by a view of the last 0.25 s, 503 where none is to be had), the tenant on forwarded requests, items and score calls in place of what the caller sent, the tenant's priority told to workers, a batch read, resent and ended by its tenant's keys only. No key in logs or errors.

--- a/src/stagewalk/batches/item_scores.py
+++ b/src/stagewalk/batches/item_scores.py
@@ -55,7 +55,14 @@
         route = self._route_of(run.batch.header.host, item.spec.path)
         attempts = 1 if route is None else route.maximum_attempts
         item.scoring_since = now
-        self._calls.begin(run.name, item.spec.item, call, attempts, item.score_failures)
+        self._calls.begin(
+            run.name,
+            item.spec.item,
+            call,
+            attempts,
+            item.score_failures,
+            tenant=run.batch.header.tenant,
+        )
         return self.due(now)
 
     def drop(self, batch: str, item: str, reason: str) -> list[StopScore]:
--- a/src/stagewalk/batches/messages.py
+++ b/src/stagewalk/batches/messages.py
@@ -51,7 +51,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StartItem:
-    """Send an item to a worker; with `resume_after`, from the event after that one."""
+    """Send an item to a worker; with `resume_after`, from the event after that one.
+
+    `tenant` is whose batch it belongs to, see `BatchHeader`.
+    """
 
     attempt: int
     batch: str
@@ -59,6 +62,7 @@
     item: BatchItem
     worker: str
     resume_after: int | None
+    tenant: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/batches/records.py
+++ b/src/stagewalk/batches/records.py
@@ -61,6 +61,9 @@
         Oldest weight version that may make any of its results.
     wanted_groups
         Number of whole groups its trainer waits for.
+    tenant
+        Whose batch it is, `ANONYMOUS` if nobody's; None: no tenants were in force. It stays so
+        whatever becomes of the key that it came with.
     """
 
     batch: str
@@ -70,12 +73,17 @@
     model: str
     minimum_version: int
     wanted_groups: int
+    tenant: str | None = None
 
     @property
     def trainer(self) -> str:
         """Return what tells its trainer's batches from those of others."""
         return f"{self.host}/{self.model}"
 
+    def belongs_to(self, tenant: str | None) -> bool:
+        """Whether a tenant may read and end it; anyone may while no tenants are in force."""
+        return not self.tenant or tenant is None or tenant == self.tenant
+
 
 class BatchSubmitted(msgspec.Struct, frozen=True, array_like=True, tag="submitted"):
     """A part of a submission: the batch exists once all parts of one submission are there.
--- a/src/stagewalk/batches/scheduler.py
+++ b/src/stagewalk/batches/scheduler.py
@@ -353,7 +353,7 @@
         worker.note_sent()
         resume = len(item.events) or None
         header = run.batch.header
-        return StartItem(attempt, header.batch, header.host, item.spec, name, resume)
+        return StartItem(attempt, header.batch, header.host, item.spec, name, resume, header.tenant)
 
     # How attempts end here.
 
--- a/src/stagewalk/forwarding/forwarder.py
+++ b/src/stagewalk/forwarding/forwarder.py
@@ -32,13 +32,21 @@
 
 @dataclass(frozen=True, slots=True)
 class InboundRequest:
-    """A caller's request, whole."""
+    """A caller's request, whole.
+
+    Attributes
+    ----------
+    tenant, priority
+        As in `OutboundRequest`.
+    """
 
     request_id: str
     method: str
     target: str
     headers: HeaderList
     body: bytes
+    tenant: str | None = None
+    priority: int | None = None
 
 
 @dataclass(slots=True)
@@ -151,6 +159,8 @@
             body=request.body,
             deadline_seconds=state.worker_seconds(began),
             repeatable=state.route.kind is RouteKind.REPEATABLE,
+            tenant=request.tenant,
+            priority=request.priority,
         )
         try:
             result = await self._client.send(WorkerTable.target(worker), outbound)
--- a/src/stagewalk/forwarding/stream_forwarder.py
+++ b/src/stagewalk/forwarding/stream_forwarder.py
@@ -114,6 +114,8 @@
             deadline_seconds=state.worker_seconds(now),
             repeatable=state.route.repeatable,
             resume_after=progress.last_event or None,
+            tenant=request.tenant,
+            priority=request.priority,
         )
         try:
             result = await self._client.stream(WorkerTable.target(worker), outbound, deliver)
--- a/src/stagewalk/gateway/app.py
+++ b/src/stagewalk/gateway/app.py
@@ -13,6 +13,7 @@
 from stagewalk.forwarding.policy import COME_BACK_SECONDS, Ending
 from stagewalk.forwarding.stream_forwarder import StreamForwarder
 from stagewalk.gateway.batch_calls import BatchCalls
+from stagewalk.gateway.caller_gate import Caller, CallerGate
 from stagewalk.gateway.exchange import OpaqueExchange
 from stagewalk.gateway.metrics import GatewayMetrics
 from stagewalk.gateway.node_service import NodeService
@@ -66,6 +67,7 @@
         ready: Callable[[], bool],
         stopping: Callable[[], bool],
         refresh: Callable[[], Awaitable[None]],
+        gate: CallerGate,
     ) -> None:
         self._routes = routes
         self._forwarder = forwarder
@@ -74,12 +76,14 @@
         self._nodes = nodes
         self._dialect = dialect
         self._spelling = dialect.callers
+        self._batch_prefixes = (self._spelling.batches_prefix, self._spelling.items_prefix)
         self._buffered_body_bytes = buffered_body_bytes
         self._budget = BodyBudget(buffered_body_bytes)
         self._metrics = metrics
         self._ready = ready
         self._stopping = stopping
         self._refresh = refresh
+        self._gate = gate
         self._fixed: dict[str, Endpoint] = {
             dialect.callers.ready_path: self._readiness,
             dialect.callers.resolve_path: self._resolve,
@@ -132,44 +136,43 @@
             await fixed(exchange)
             return
         await self._refresh()
-        if exchange.path.startswith(self._spelling.batches_prefix):
-            await self._serve_batch(
-                exchange, exchange.path.removeprefix(self._spelling.batches_prefix)
-            )
-        elif exchange.path.startswith(self._spelling.items_prefix):
-            await self._batches.item(
-                exchange, exchange.path.removeprefix(self._spelling.items_prefix)
-            )
+        if self._routes.configuration is None:
+            await reply_error(exchange, 503, "no configuration is known yet", COME_BACK_SECONDS)
+        elif exchange.path.startswith(self._batch_prefixes):
+            caller = await self._gate.admit_to_batches(exchange)
+            if caller is not None:
+                await self._serve_batch(exchange, caller)
         else:
-            await self._serve_route(exchange)
+            admitted = await self._gate.admit_to_route(exchange)
+            if admitted is not None:
+                await self._serve_route(exchange, *admitted)
 
-    async def _serve_batch(self, exchange: OpaqueExchange, name: str) -> None:
-        if exchange.method == "DELETE":
-            await self._batches.end(exchange, name)
+    async def _serve_batch(self, exchange: OpaqueExchange, caller: Caller) -> None:
+        path = exchange.path
+        batches = self._spelling.batches_prefix
+        if not path.startswith(batches):
+            item_of = path.removeprefix(self._spelling.items_prefix)
+            await self._batches.item(exchange, item_of, caller)
+        elif exchange.method == "DELETE":
+            await self._batches.end(exchange, path.removeprefix(batches), caller)
         else:
-            await self._batches.results(exchange, name)
+            await self._batches.results(exchange, path.removeprefix(batches), caller)
 
-    async def _serve_route(self, exchange: OpaqueExchange) -> None:
-        if self._routes.configuration is None:
-            await reply_error(exchange, 503, "no configuration is known yet", COME_BACK_SECONDS)
-            return
-        route = self._routes.find(exchange.host, exchange.path)
-        if route is None:
-            await reply_error(exchange, 404, "there is no such route")
-        elif route.kind is RouteKind.BATCH:
-            await self._batches.submit(exchange)
+    async def _serve_route(self, exchange: OpaqueExchange, caller: Caller, route: Route) -> None:
+        if route.kind is RouteKind.BATCH:
+            await self._batches.submit(exchange, caller)
         elif route.kind is RouteKind.STREAM:
-            await self._forward_stream(exchange, route)
+            await self._forward_stream(exchange, caller, route)
         else:
-            await self._forward(exchange, route)
+            await self._forward(exchange, caller, route)
 
-    async def _forward(self, exchange: OpaqueExchange, route: Route) -> None:
+    async def _forward(self, exchange: OpaqueExchange, caller: Caller, route: Route) -> None:
         began = time.monotonic()
         body = await exchange.body()
         if body.is_error():
             await reply_error(exchange, 413, body.error.detail)
             return
-        request = self._inbound(exchange, body.ok)
+        request = self._inbound(exchange, caller, body.ok)
         deadline_at = began + self._allowed_seconds(exchange, route)
         outcome = await self._forwarder.forward(request, route, deadline_at)
         if outcome.is_ok():
@@ -179,7 +182,7 @@
             return
         await self._reply_unanswered(exchange, route, outcome.error, began)
 
-    async def _forward_stream(self, exchange: OpaqueExchange, route: Route) -> None:
+    async def _forward_stream(self, exchange: OpaqueExchange, caller: Caller, route: Route) -> None:
         began = time.monotonic()
         body = await exchange.body()
         if body.is_error():
@@ -194,7 +197,7 @@
 
         resumed = exchange.header(self._spelling.last_event) or ""
         outcome = await self._streams.forward(
-            self._inbound(exchange, body.ok),
+            self._inbound(exchange, caller, body.ok),
             route,
             began + self._allowed_seconds(exchange, route),
             int(resumed) if resumed.isdecimal() else 0,
@@ -212,13 +215,15 @@
         else:
             await exchange.relay(ended.status, ended.headers, ended.body)
 
-    def _inbound(self, exchange: OpaqueExchange, body: bytes) -> InboundRequest:
+    def _inbound(self, exchange: OpaqueExchange, caller: Caller, body: bytes) -> InboundRequest:
         return InboundRequest(
             request_id=exchange.header(self._spelling.request_id) or "",
             method=exchange.method,
             target=exchange.target,
             headers=exchange.end_to_end_headers(),
             body=body,
+            tenant=caller.tenant,
+            priority=self._routes.priority_of(caller.tenant),
         )
 
     async def _reply_unanswered(
--- a/src/stagewalk/gateway/batch_calls.py
+++ b/src/stagewalk/gateway/batch_calls.py
@@ -4,8 +4,11 @@
 
 import time
 
+import msgspec
+
 from stagewalk.forwarding.policy import COME_BACK_SECONDS
 from stagewalk.gateway.batch_store import BatchStore
+from stagewalk.gateway.caller_gate import Caller
 from stagewalk.gateway.exchange import OpaqueExchange
 from stagewalk.gateway.ledger_calls import LedgerCalls
 from stagewalk.gateway.ledger_messages import EndCall, ItemCall, LedgerCall, ResultsCall
@@ -14,7 +17,7 @@
 from stagewalk.gateway.runner_choice import RunnerChoice
 from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.appender import AppendOutcome
-from stagewalk.ports.dialect import Dialect
+from stagewalk.ports.dialect import Dialect, Submission
 from stagewalk.scoring.core import RouteOf
 from stagewalk.scoring.submission import find_unroutable_score
 
@@ -43,15 +46,16 @@
         self._spelling = dialect.callers
         self._route_of = route_of
 
-    async def submit(self, exchange: OpaqueExchange) -> None:
+    async def submit(self, exchange: OpaqueExchange, caller: Caller) -> None:
         """Take a batch: accepted only once it is in the log."""
         batch = exchange.header(self._spelling.request_id) or ""
         body = await exchange.body()
         if body.is_error():
             await reply_error(exchange, 413, body.error.detail)
             return
-        if self._store.ledger.get(batch) is not None:
-            await reply_empty(exchange, 202)
+        known = self._store.ledger.get(batch)
+        if known is not None:
+            await self._reply_known(exchange, known.header.belongs_to(caller.tenant))
             return
         submission = self._dialect.submission(batch, exchange.host, exchange.path, body.ok)
         if submission.is_error():
@@ -69,14 +73,17 @@
             log_event("batch_refused", "warning", batch=batch, cause="log takes no appends")
             await reply_error(exchange, 503, "the log takes no appends", COME_BACK_SECONDS)
             return
-        runner = await self._runners.choose(submission.ok.header)
-        outcome = await self._store.submit(submission.ok, runner, SUBMIT_SECONDS)
+        header = msgspec.structs.replace(submission.ok.header, tenant=caller.tenant)
+        runner = await self._runners.choose(header)
+        taken = Submission(header, submission.ok.items)
+        outcome = await self._store.submit(taken, runner, SUBMIT_SECONDS)
         log_event(
             "batch_submitted",
             "info" if outcome.is_ok() else "warning",
             batch=batch,
-            step=submission.ok.header.step,
-            items=len(submission.ok.items),
+            step=header.step,
+            tenant=header.tenant,
+            items=len(taken.items),
             runner=runner,
             outcome="appended" if outcome.is_ok() else outcome.error.value,
         )
@@ -88,20 +95,29 @@
         else:
             await reply_error(exchange, 504, "the log did not answer")
 
-    async def results(self, exchange: OpaqueExchange, name: str) -> None:
+    async def results(self, exchange: OpaqueExchange, name: str, caller: Caller) -> None:
         """Show a batch's results from a position on."""
         position = _number(exchange.query.get(self._spelling.position_parameter, "0"))
         wait = _number(exchange.header(self._spelling.wait_milliseconds) or "0") / 1000.0
-        await self._reply(exchange, ResultsCall(name, position, min(LONGEST_WAIT_SECONDS, wait)))
+        wait = min(LONGEST_WAIT_SECONDS, wait)
+        await self._reply(exchange, ResultsCall(name, position, wait, caller.tenant))
 
-    async def item(self, exchange: OpaqueExchange, name: str) -> None:
+    async def item(self, exchange: OpaqueExchange, name: str, caller: Caller) -> None:
         """Show the body of an item."""
         item = exchange.query.get(self._spelling.item_parameter, "")
-        await self._reply(exchange, ItemCall(name, item))
+        await self._reply(exchange, ItemCall(name, item, caller.tenant))
 
-    async def end(self, exchange: OpaqueExchange, name: str) -> None:
+    async def end(self, exchange: OpaqueExchange, name: str, caller: Caller) -> None:
         """End a batch: nobody waits for the rest."""
-        await self._reply(exchange, EndCall(name))
+        await self._reply(exchange, EndCall(name, caller.tenant))
+
+    @staticmethod
+    async def _reply_known(exchange: OpaqueExchange, own: bool) -> None:
+        """Answer a batch that is here already: taken, unless it is another tenant's."""
+        if own:
+            await reply_empty(exchange, 202)
+        else:
+            await reply_error(exchange, 409, "another tenant's batch has this id")
 
     async def _reply(self, exchange: OpaqueExchange, call: LedgerCall) -> None:
         answer = await self._ledger.call(call)
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -27,6 +27,7 @@
 from stagewalk.gateway.batch_calls import BatchCalls
 from stagewalk.gateway.batch_runner import BatchRunner
 from stagewalk.gateway.batch_store import BatchStore
+from stagewalk.gateway.caller_gate import CallerGate
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.ledger_calls import LEDGER_PATH, LedgerCalls
 from stagewalk.gateway.ledger_reads import LedgerReads
@@ -180,6 +181,7 @@
             nodes=self._nodes,
             rollouts=self._rollouts,
             open_batches=open_batches,
+            priority_of=self._routes.priority_of,
         )
         self._runners = RunnerChoice(
             identity=self._identity,
@@ -308,6 +310,11 @@
             ready=self._ready,
             stopping=lambda: self._stopping,
             refresh=self._refresh_views,
+            gate=CallerGate(
+                self._routes,
+                self._published.renew_configuration,
+                self._dialect.callers.request_id,
+            ),
         )
 
     async def _refresh_views(self) -> None:
--- a/src/stagewalk/gateway/ledger_messages.py
+++ b/src/stagewalk/gateway/ledger_messages.py
@@ -6,11 +6,15 @@
 
 
 class ResultsCall(msgspec.Struct, frozen=True, array_like=True, tag="results"):
-    """Read a batch's results from a position on, waiting so many seconds for a first one."""
+    """Read a batch's results from a position on, waiting so many seconds for a first one.
+
+    In this and the other calls, `tenant` is who asks; None: no tenants are in force.
+    """
 
     batch: str
     position: int
     wait_seconds: float
+    tenant: str | None = None
 
 
 class ItemCall(msgspec.Struct, frozen=True, array_like=True, tag="item"):
@@ -18,12 +22,14 @@
 
     batch: str
     item: str
+    tenant: str | None = None
 
 
 class EndCall(msgspec.Struct, frozen=True, array_like=True, tag="end"):
     """End a batch."""
 
     batch: str
+    tenant: str | None = None
 
 
 LedgerCall = ResultsCall | ItemCall | EndCall
--- a/src/stagewalk/gateway/ledger_reads.py
+++ b/src/stagewalk/gateway/ledger_reads.py
@@ -72,7 +72,7 @@
 
     async def _results(self, call: ResultsCall, oldest_seconds: float) -> LedgerAnswer:
         """Show a batch's results from a position on."""
-        batch = await self._find(call.batch)
+        batch = await self._find(call)
         if isinstance(batch, LedgerAnswer):
             return batch
         if not await self._shows(batch, call.position, oldest_seconds):
@@ -97,7 +97,7 @@
         return LedgerAnswer(200, self._dialect.results(len(batch.items), next_position, page))
 
     async def _item(self, call: ItemCall) -> LedgerAnswer:
-        batch = await self._find(call.batch)
+        batch = await self._find(call)
         if isinstance(batch, LedgerAnswer):
             return batch
         spec = batch.items.get(call.item)
@@ -107,7 +107,7 @@
 
     async def _end(self, call: EndCall) -> LedgerAnswer:
         """End a batch: nobody waits for the rest."""
-        batch = await self._find(call.batch)
+        batch = await self._find(call)
         if isinstance(batch, LedgerAnswer):
             return batch
         if not batch.ended:
@@ -124,8 +124,15 @@
             )
         return LedgerAnswer(200, b"{}")
 
-    async def _find(self, name: str) -> Batch | LedgerAnswer:
-        """Return a batch, or the answer if there is none, or it can't be told."""
+    async def _find(self, call: LedgerCall) -> Batch | LedgerAnswer:
+        """Return a call's batch, or the answer if there is none for its tenant, or nobody can tell."""
+        found = await self._look_up(call.batch)
+        if isinstance(found, Batch) and not found.header.belongs_to(call.tenant):
+            log_event("batch_denied", "warning", batch=call.batch, tenant=call.tenant)
+            return refusal(404, "there is no such batch")
+        return found
+
+    async def _look_up(self, name: str) -> Batch | LedgerAnswer:
         batch = self._store.ledger.get(name)
         if batch is not None:
             return batch
--- a/src/stagewalk/gateway/published_records.py
+++ b/src/stagewalk/gateway/published_records.py
@@ -22,6 +22,14 @@
 from stagewalk.version_rollouts.core import VersionRollouts
 from stagewalk.workers.table import WorkerTable
 
+DENIAL_VIEW_SECONDS = 0.25
+"""Callers are turned away by a view at most so old: a twelfth of the time in which a configuration
+must be in force (3 s), and a storm of wrong keys costs four reads a second."""
+
+DENIAL_WAIT_SECONDS = 0.7
+"""How long they wait for that: time for a read through another node where the log is silent, and
+well below the 1.5 s that callers of short requests wait."""
+
 
 class PublishedRecords:
     """Keeps routes, workers and named versions as the newest records tell them."""
@@ -81,6 +89,10 @@
         """Read workers' entries once more if the view of them is too old to forward a request."""
         await self._workers_follower.refresh(OLDEST_VIEW_SECONDS, REFRESH_SECONDS)
 
+    async def renew_configuration(self) -> bool:
+        """Return whether the view of what operators publish is current; read if it isn't."""
+        return await self._operators_follower.renew(DENIAL_VIEW_SECONDS, DENIAL_WAIT_SECONDS)
+
     def _replace_published(self, records: tuple[KeyedRecord, ...]) -> None:
         for record in records:
             self._apply_published(record)
--- a/src/stagewalk/gateway/replies.py
+++ b/src/stagewalk/gateway/replies.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import msgspec
 
 from stagewalk.gateway.exchange import OpaqueExchange
@@ -21,10 +23,14 @@
 
 
 async def reply_error(
-    exchange: OpaqueExchange, status: int, detail: str, come_back_seconds: float | None = None
+    exchange: OpaqueExchange,
+    status: int,
+    detail: str,
+    come_back_seconds: float | None = None,
+    headers: Iterable[tuple[str, str]] = (),
 ) -> None:
     """Answer with an error, and when to come back if that may help."""
-    headers = []
+    headers = list(headers)
     if come_back_seconds is not None:
         headers.append((RETRY_AFTER_HEADER, f"{come_back_seconds:g}"))
     content = msgspec.json.encode({"error": detail})
--- a/src/stagewalk/gateway/score_sender.py
+++ b/src/stagewalk/gateway/score_sender.py
@@ -85,6 +85,7 @@
             headers=((HOST_HEADER, send.call.host),),
             body=send.call.body,
             deadline_seconds=send.deadline_seconds,
+            tenant=send.tenant,
         )
         result = await self._client.send(WorkerTable.target(worker), request)
         if result.is_ok():
--- a/src/stagewalk/partitioned_log/follower.py
+++ b/src/stagewalk/partitioned_log/follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 
@@ -168,6 +169,8 @@
         self.wait_seconds = wait_seconds
         self._next_offset: int | None = None
         self._read_now: anyio.Event | None = None
+        self._asked_at = -math.inf
+        """When the last read was sent that brought the view up to date."""
         self.freshness = Freshness(str(partition))
 
     async def run(self) -> None:
@@ -194,14 +197,40 @@
             if self._read_now is not None:
                 await self._read_now.wait()
                 return
-            self._read_now = anyio.Event()
-            try:
-                await self._step(0.0)
-            finally:
-                self._read_now.set()
-                self._read_now = None
+            await self._read_at_once()
+
+    async def renew(self, oldest_seconds: float, timeout_seconds: float) -> bool:
+        """Return whether the view holds all that the log held so many seconds ago; read if needed.
+
+        Stricter than `refresh`: a read counts from when it was sent, since its answer may have lain
+        here unread while the process was paused, and it is tried also while the log fails. Callers
+        that come together share one read.
+        """
+        sent_after = time.monotonic() - oldest_seconds
+        with anyio.move_on_after(timeout_seconds):
+            while self._asked_at < sent_after:
+                if self._read_now is not None:
+                    await self._read_now.wait()
+                elif not await self._read_at_once():
+                    break
+        return self._asked_at >= sent_after
+
+    async def _read_at_once(self) -> bool:
+        self._read_now = anyio.Event()
+        try:
+            return await self._step(0.0)
+        finally:
+            self._read_now.set()
+            self._read_now = None
 
     async def _step(self, wait_seconds: float) -> bool:
+        began = time.monotonic()
+        if await self._read(wait_seconds):
+            self._asked_at = max(self._asked_at, began)
+            return True
+        return False
+
+    async def _read(self, wait_seconds: float) -> bool:
         if self._next_offset is None:
             return await self._list()
         answer = await self._log.read_keyed(self._partition, self._next_offset, wait_seconds)
--- a/src/stagewalk/ports/workers.py
+++ b/src/stagewalk/ports/workers.py
@@ -65,6 +65,12 @@
         The last event already held, for a stream that goes on.
     expected_version
         Weight version the worker must hold to run it.
+    tenant
+        Whose request it is, `ANONYMOUS` if nobody's. The worker is told so in place of whatever the
+        caller said, and does not see the caller's key. None: no tenants are in force, and the
+        caller's headers stay as they are.
+    priority
+        0 is the most urgent; None: the worker's default.
     """
 
     request_id: str
@@ -76,6 +82,8 @@
     repeatable: bool = True
     resume_after: int | None = None
     expected_version: int | None = None
+    tenant: str | None = None
+    priority: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/routes/route.py
+++ b/src/stagewalk/routes/route.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from stagewalk.tenants.tenant import Tenant
+
 
 class RouteKind(StrEnum):
     """What may be done with a route's requests."""
@@ -49,6 +51,8 @@
         How long after its submission all results of a batch are due.
     single_version
         Whether one weight version must make a whole result.
+    public
+        Whether it serves calls without a key where others need one.
     """
 
     name: str
@@ -64,6 +68,7 @@
     give_up_seconds: float = 60.0
     due_seconds: float = 60.0
     single_version: bool = False
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -98,9 +103,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteConfiguration:
-    """One published configuration, whole."""
+    """One published configuration, whole.
+
+    Attributes
+    ----------
+    tenants
+        Who may call; None: calls need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: CallerLimits
+    tenants: tuple[Tenant, ...] | None = None
--- a/src/stagewalk/routes/table.py
+++ b/src/stagewalk/routes/table.py
@@ -4,7 +4,8 @@
 
 import xxhash
 
-from stagewalk.routes.route import BackEnd, Route, RouteConfiguration, Service
+from stagewalk.routes.route import BackEnd, Route, RouteConfiguration, RouteKind, Service
+from stagewalk.tenants.key_table import KeyTable
 
 MOST_TURNS_SKIPPED = 211
 """A node begins at one of so many turns of a split route's cycle."""
@@ -27,6 +28,8 @@
         self._services: dict[str, Service] = {}
         self._credits: dict[str, dict[str, float]] = {}
         """By route and service."""
+        self.keys = KeyTable()
+        """Keys of the tenants in force."""
 
     @property
     def configuration(self) -> RouteConfiguration | None:
@@ -43,6 +46,7 @@
         for route in configuration.routes:
             by_host.setdefault(route.host.lower(), {}).setdefault(route.path_prefix, route)
         self._by_host = by_host
+        self.keys.replace(configuration.tenants)
         return True
 
     @property
@@ -64,6 +68,16 @@
                 return route
         return None
 
+    def takes_public_batches(self, host: str) -> bool:
+        """Whether a host has a route on which batches are handed in without a key."""
+        routes = self._by_host.get(host.lower(), {}).values()
+        return any(route.public and route.kind is RouteKind.BATCH for route in routes)
+
+    def priority_of(self, tenant: str | None) -> int | None:
+        """Return the priority that a tenant's requests have in place of their route's, if any."""
+        known = None if tenant is None else self.keys.named(tenant)
+        return None if known is None else known.priority
+
     def service(self, name: str) -> Service | None:
         """Return a service of the configuration in force."""
         return self._services.get(name)
--- a/src/stagewalk/scoring/core.py
+++ b/src/stagewalk/scoring/core.py
@@ -79,6 +79,7 @@
     call: ScoreCall
     batch_attempts: int
     failures: int
+    tenant: str | None = None
     under_way: dict[int, _Attempt] = field(default_factory=dict)
     tried: list[str] = field(default_factory=list)
     """Workers of this round: none is asked again before all were."""
@@ -140,7 +141,14 @@
         return len(self._calls)
 
     def begin(
-        self, batch: str, item: str, call: ScoreCall, batch_attempts: int, failures: int = 0
+        self,
+        batch: str,
+        item: str,
+        call: ScoreCall,
+        batch_attempts: int,
+        failures: int = 0,
+        *,
+        tenant: str | None = None,
     ) -> None:
         """Begin to call for a sample's score; its text must be whole.
 
@@ -150,8 +158,10 @@
             Failures that the batch's own route allows; the call's route may allow more.
         failures
             Answers that said so before, at whoever ran the item until now.
+        tenant
+            Whose batch it is.
         """
-        pending = _PendingCall(batch, item, call, batch_attempts, failures)
+        pending = _PendingCall(batch, item, call, batch_attempts, failures, tenant)
         self._calls.setdefault((batch, item), pending)
 
     def drop(self, batch: str, item: str, reason: str) -> list[StopScore]:
@@ -246,6 +256,7 @@
             pending.call,
             worker.announcement.worker,
             min(LONGEST_ATTEMPT_SECONDS, route.timeout_seconds),
+            pending.tenant,
         )
 
     def _may_begin(self, pending: _PendingCall, route: Route, now: float) -> bool:
--- a/src/stagewalk/scoring/messages.py
+++ b/src/stagewalk/scoring/messages.py
@@ -26,7 +26,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SendScore:
-    """Send a score call to a worker, which may work on it for so many seconds."""
+    """Send a score call to a worker, which may work on it for so many seconds.
+
+    `tenant` is whose batch the sample belongs to, see `BatchHeader`.
+    """
 
     attempt: int
     batch: str
@@ -34,6 +37,7 @@
     call: ScoreCall
     worker: str
     deadline_seconds: float
+    tenant: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk_standins/memory_workers.py
+++ b/src/stagewalk_standins/memory_workers.py
@@ -66,6 +66,8 @@
         self.workers: dict[str, MemoryWorker] = {}
         self.arrivals: Counter[str] = Counter()
         """Requests that reached a worker, by request."""
+        self.tenants: dict[str, str | None] = {}
+        """Whose request a worker was last told it is, by request."""
         self.cancelled = 0
 
     async def send(
@@ -76,6 +78,7 @@
         if worker.faults and worker.faults[0] is AttemptFault.NOT_SENT:
             return Error(AttemptFailure(worker.faults.pop(0), "scripted"))
         self.arrivals[request.request_id] += 1
+        self.tenants[request.request_id] = request.tenant
         worker.running += 1
         try:
             await anyio.sleep(worker.answer_seconds)
@@ -98,6 +101,7 @@
         """Make an item's events; a scripted fault strikes after the first of them."""
         worker = self.workers[target.worker]
         self.arrivals[request.request_id] += 1
+        self.tenants[request.request_id] = request.tenant
         fault = worker.faults.pop(0) if worker.faults else None
         if fault is not None and fault.proves_not_run:
             return Error(AttemptFailure(fault, "scripted", worker.load))
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -24,6 +24,7 @@
     RouteKind,
     Service,
 )
+from stagewalk.tenants.tenant import Tenant
 from stagewalk_standins.memory_workers import MemoryWorker, MemoryWorkers
 from stagewalk_standins.partitioned_log import MemoryLog, MemoryLogClient
 from stagewalk_standins.plain_dialect import PlainDialect, SubmittedBatch
@@ -101,9 +102,12 @@
         version: int,
         routes: tuple[Route, ...] = ROUTES,
         limits: CallerLimits | None = None,
+        tenants: tuple[Tenant, ...] | None = None,
     ) -> None:
         services = (Service("app", 100, False), Service("engines", 100, True))
-        configuration = RouteConfiguration(version, routes, services, limits or CallerLimits())
+        configuration = RouteConfiguration(
+            version, routes, services, limits or CallerLimits(), tenants
+        )
         value = msgspec.json.encode(configuration)
         self.log.put_key(self.dialect.operators, "configuration", value)
 
@@ -148,6 +152,7 @@
         *items: str,
         minimum: int = 0,
         scored_by: str | None = None,
+        key: str | None = None,
     ) -> httpx.Response:
         """Hand a batch in; with `scored_by`, the path that scores, each item asks for a score."""
         specs = tuple(
@@ -165,20 +170,29 @@
         )
         body = SubmittedBatch(items=specs, model="m", minimum_version=minimum)
         content = msgspec.json.encode(body)
-        headers = {"stagewalk_request_id": batch}
+        headers = {"stagewalk_request_id": batch, **key_headers(key)}
         return await self.call(running, "POST", "/run/batch", content, **headers)
 
-    async def results(self, running: Running, batch: str, position: int = 0) -> list[str]:
-        answer = await self.call(running, "GET", f"/v1/batches/{batch}?from_position={position}")
+    async def results(
+        self, running: Running, batch: str, position: int = 0, key: str | None = None
+    ) -> list[str]:
+        path = f"/v1/batches/{batch}?from_position={position}"
+        answer = await self.call(running, "GET", path, **key_headers(key))
         answer.raise_for_status()
         return [result[2] for result in answer.json()["results"]]
 
-    async def until_listed(self, running: Running, batch: str, count: int) -> list[str]:
+    async def until_listed(
+        self, running: Running, batch: str, count: int, key: str | None = None
+    ) -> list[str]:
         async def listed() -> bool:
-            return len(await self.results(running, batch)) >= count
+            return len(await self.results(running, batch, key=key)) >= count
 
         await until(listed)
-        return await self.results(running, batch)
+        return await self.results(running, batch, key=key)
+
+
+def key_headers(key: str | None) -> dict[str, str]:
+    return {} if key is None else {"authorization": f"Bearer {key}"}
 
 
 async def until(condition: Callable[[], Awaitable[bool]]) -> None:
--- a/tests/platform_adapter/test_dialect.py
+++ b/tests/platform_adapter/test_dialect.py
@@ -12,6 +12,7 @@
 from stagewalk.ports.dialect import NamedVersion
 from stagewalk.ports.partitioned_log import KeyedRecord
 from stagewalk.routes.route import BackEnd, RouteKind
+from stagewalk.tenants.tenant import Tenant
 from stagewalk_platform.dialect import PlatformDialect
 
 CONFIGURATION = {
@@ -70,6 +71,16 @@
         self.assertEqual([True, False], [service.is_engine for service in decoded.services])
         self.assertEqual(15.0, decoded.limits.idle_seconds)
 
+    def test_tenants_with_their_keys_and_public_routes(self) -> None:
+        tenants = [{"name": "huka270", "api_keys": ["k1", "k2"], "priority": 1}, {"name": "empty"}]
+        routes = [{**CONFIGURATION["routes"][0], "public": True}, CONFIGURATION["routes"][1]]
+        published = {**CONFIGURATION, "routes": routes, "tenants": tenants}
+        decoded = self.dialect.operator_record(record("config", published))
+        self.assertEqual((Tenant("huka270", ("k1", "k2"), 1), Tenant("empty", ())), decoded.tenants)
+        self.assertEqual([True, False], [route.public for route in decoded.routes])
+        without = self.dialect.operator_record(record("config", CONFIGURATION))
+        self.assertIsNone(without.tenants)
+
     def test_a_named_version(self) -> None:
         decoded = self.dialect.operator_record(record("version/m", {"model": "m", "version": 8}))
         self.assertEqual(NamedVersion("m", 8), decoded)
--- a/tests/platform_adapter/test_workers.py
+++ b/tests/platform_adapter/test_workers.py
@@ -67,6 +67,27 @@
         self.assertNotIn(b"99999", sent)
         self.assertTrue(sent.endswith(b"body"))
 
+    def test_a_worker_sees_the_tenant_that_the_system_names_and_no_key(self) -> None:
+        sent = (("Authorization", "Bearer key-1"), ("X-Tenant", "forged"), ("accept", "*/*"))
+        for tenant, told in (("huka270", b"x-tenant: huka270"), ("", b"")):
+            _, server = self.send(
+                Scripted(respond("200 OK", b"ok", **SIGNED)),
+                headers=sent,
+                tenant=tenant,
+                priority=2,
+            )
+            head = server.requests[0].lower()
+            self.assertIn(told, head)
+            self.assertIn(b"x-request-priority: 2", head)
+            for hidden in (b"key-1", b"forged"):
+                self.assertNotIn(hidden, head)
+
+    def test_without_tenants_a_worker_gets_the_callers_headers(self) -> None:
+        sent = (("Authorization", "Basic own"), ("x-tenant", "own"))
+        _, server = self.send(Scripted(respond("200 OK", b"ok", **SIGNED)), headers=sent)
+        self.assertIn(b"authorization: basic own", server.requests[0].lower())
+        self.assertIn(b"x-tenant: own", server.requests[0].lower())
+
     def test_an_answer_to_another_request_is_not_taken(self) -> None:
         other = {**SIGNED, "x_request_id": "q0"}
         self.assertEqual(AttemptFault.MAY_HAVE_RUN, self.fault(respond("200 OK", b"ok", **other)))
--- /dev/null
+++ b/tests/tenants/test_key_table.py
@@ -0,0 +1,47 @@
+"""Keys lead to their tenants, and come into no representation."""
+
+from __future__ import annotations
+
+import testtools
+
+from stagewalk.tenants.key_table import KeyTable
+from stagewalk.tenants.tenant import Tenant
+
+A = Tenant("a", ("key-1", "key-2"), 1)
+B = Tenant("b", ("key-3",))
+
+
+class KeyTableTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.keys = KeyTable()
+
+    def test_nothing_is_asked_for_before_operators_publish_tenants(self) -> None:
+        self.assertFalse(self.keys.enforced)
+        self.keys.replace(())
+        self.assertTrue(self.keys.enforced)
+        self.keys.replace(None)
+        self.assertFalse(self.keys.enforced)
+
+    def test_each_key_of_a_tenant_leads_to_it(self) -> None:
+        self.keys.replace((A, B))
+        self.assertEqual([A, A, B], [self.keys.find(f"Bearer key-{n}") for n in (1, 2, 3)])
+        self.assertEqual(A, self.keys.find("bearer  key-1 "))
+
+    def test_what_is_no_known_key_leads_nowhere(self) -> None:
+        self.keys.replace((A, B))
+        for header in (None, "", "Bearer", "Bearer ", "Bearer key-9", "Basic key-1", "key-1"):
+            self.assertIsNone(self.keys.find(header), header)
+
+    def test_a_key_is_taken_away_given_back_and_moved(self) -> None:
+        self.keys.replace((A, B))
+        self.keys.replace((Tenant("a", ("key-2",)), B))
+        self.assertIsNone(self.keys.find("Bearer key-1"))
+        self.keys.replace((A, B))
+        self.assertEqual("a", self.keys.find("Bearer key-1").name)
+        self.keys.replace((Tenant("a", ()), Tenant("b", ("key-1", "key-3"))))
+        self.assertEqual("b", self.keys.find("Bearer key-1").name)
+        self.assertIsNone(self.keys.find("Bearer key-2"))
+
+    def test_a_key_is_in_no_representation(self) -> None:
+        self.assertNotIn("key-", repr((A, B)))
