--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -142,7 +142,7 @@
         self._metrics = GatewayMetrics(self._state, self._log_budget)
         self._straight = MeasuredLog(dependencies.log, self._metrics.log_called)
         peer_client = PeerClient()
-        log = RelayedLog(self._straight, self._peers, peer_client)
+        log = self._log_view = RelayedLog(self._straight, self._peers, peer_client)
         limits = settings.log_limits
         self._dialect = dependencies.dialect
         self._identity = ProcessId(settings.name, time.time_ns() // 1_000_000)
@@ -268,7 +268,9 @@
                 if self.settings.peers is not None:
                     app_for_peers = PeerApp(
                         {
-                            RELAY_PATH: LogRelay(self._straight).handle,
+                            RELAY_PATH: LogRelay(
+                                self._straight, lambda: self._log_view.cut_off
+                            ).handle,
                             LEDGER_PATH: self._ledger_reads.handle,
                             RUNNER_PATH: self._runners.calls.handle,
                         }
--- a/src/stagewalk/log_relay/path_choice.py
+++ b/src/stagewalk/log_relay/path_choice.py
@@ -23,6 +23,11 @@
         self._relay_worked_at = -math.inf
         self._probed_at = -math.inf
 
+    @property
+    def straight_fails(self) -> bool:
+        """Whether the straight way did not work when it was last tried."""
+        return self._straight_failed_at > -math.inf
+
     @property
     def relaying(self) -> bool:
         """Whether another node's way works and the straight one doesn't."""
--- a/src/stagewalk/log_relay/relayed_log.py
+++ b/src/stagewalk/log_relay/relayed_log.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeVar
 
+import anyio
 from expression import Error, Ok, Result
 
 from stagewalk.core.identities import Address
@@ -23,6 +24,7 @@
     encode_message,
 )
 from stagewalk.log_relay.path_choice import PathChoice
+from stagewalk.log_relay.server import CUT_OFF
 from stagewalk.logs.lines import log_event
 from stagewalk.peer_calls.client import PeerClient
 from stagewalk.ports.partitioned_log import (
@@ -41,6 +43,16 @@
 ANSWER_SECONDS = 1.5
 """How long another node may take beyond the time a read offers to wait."""
 
+SILENCE_SECONDS = 0.4
+"""A call that the log has not answered so long after it should have goes through another node as
+well: a hundred times what the log takes, and well below the time-out of a call (1.2 s), after which
+a node would learn of a configuration too late."""
+
+PEERS_ASKED = 3
+"""Nodes asked in a row that say at once that they are cut off too."""
+
+_NO_ANSWER = LogFailure(LogFault.UNKNOWN, "no answer yet")
+
 Peers = Callable[[], list[Address]]
 """Returns where other nodes take relayed calls."""
 
@@ -50,6 +62,7 @@
 
     Only calls that may be done twice are sent a second way: appends carry their sequence, keyed
     ones set the same value. An `append_at` without an answer is left to its caller, who reads.
+    While another node's way works, the straight one is tried beside it now and then.
     """
 
     def __init__(self, straight: PartitionedLog, peers: Peers, client: PeerClient) -> None:
@@ -125,27 +138,62 @@
         pick: Callable[[LogAnswer], Value | None],
         wait_seconds: float = 0.0,
     ) -> Result[Value, LogFailure]:
-        relayed: Result[Value, LogFailure] | None = None
+        relaying = self._choice.relaying
         if not self._choice.straight_first(time.monotonic()):
             relayed = await self._relay(call, pick, wait_seconds)
             if relayed.is_ok():
                 return relayed
-        answer = await straight()
-        failure = answer.error if answer.is_error() else None
-        if self._choice.note_straight(failure, time.monotonic()) or relayed is not None:
+            answer = await straight()
+            self._choice.note_straight(_error_of(answer), time.monotonic())
             return answer
-        relayed = await self._relay(call, pick, wait_seconds)
-        return relayed if relayed.is_ok() else answer
+        relay_after = 0.0 if relaying else wait_seconds + SILENCE_SECONDS
+        return await self._race(
+            straight, lambda: self._relay(call, pick, wait_seconds), relay_after
+        )
+
+    async def _race(
+        self,
+        straight: Callable[[], Awaitable[Result[Value, LogFailure]]],
+        relay: Callable[[], Awaitable[Result[Value, LogFailure]]],
+        relay_after: float,
+    ) -> Result[Value, LogFailure]:
+        """Call straight, and through another node once that failed or was silent for a time.
+
+        The first success counts; without any, the straight way's failure.
+        """
+        answers: list[Result[Value, LogFailure]] = []
+        failed = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+
+            async def go_straight() -> None:
+                answer = await straight()
+                answers.insert(0, answer)
+                if self._choice.note_straight(_error_of(answer), time.monotonic()):
+                    tasks.cancel_scope.cancel()
+                failed.set()
+
+            async def go_around() -> None:
+                with anyio.move_on_after(relay_after):
+                    await failed.wait()
+                if not failed.is_set():
+                    self._choice.note_straight(_NO_ANSWER, time.monotonic())
+                answer = await relay()
+                if answer.is_ok():
+                    answers.insert(0, answer)
+                    tasks.cancel_scope.cancel()
+
+            tasks.start_soon(go_straight)
+            tasks.start_soon(go_around)
+        return answers[0]
 
     async def _relay(
         self, call: LogCall, pick: Callable[[LogAnswer], Value | None], wait_seconds: float
     ) -> Result[Value, LogFailure]:
         """Send a call through another node, always the same one while it answers."""
-        peer = self._peer or self._choose_peer()
+        before = self._choice.relaying
+        peer, answer = await self._ask_around(call, wait_seconds + ANSWER_SECONDS)
         if peer is None:
             return Error(LogFailure(LogFault.UNKNOWN, "no other node is known"))
-        before = self._choice.relaying
-        answer = await self._send(peer, call, wait_seconds + ANSWER_SECONDS)
         failure = _failure_of(answer)
         worked = answer is not None and (failure is None or failure.fault not in _UNSETTLED)
         self._choice.note_relay(worked, time.monotonic())
@@ -159,9 +207,28 @@
             return Error(LogFailure(LogFault.UNKNOWN, f"a wrong answer through {peer}"))
         return Ok(value)
 
-    def _choose_peer(self) -> Address | None:
-        peers = self._peers()
-        return random.choice(peers) if peers else None
+    async def _ask_around(
+        self, call: LogCall, seconds: float
+    ) -> tuple[Address | None, LogAnswer | None]:
+        """Return the node that was asked last and its answer, of a few that may be cut off too."""
+        peer: Address | None = None
+        answer: LogAnswer | None = None
+        for candidate in self._candidates():
+            peer = candidate
+            answer = await self._send(peer, call, seconds)
+            if _failure_of(answer) != CUT_OFF:
+                break
+        return peer, answer
+
+    def _candidates(self) -> list[Address]:
+        peers = [peer for peer in self._peers() if peer != self._peer]
+        others = random.sample(peers, min(len(peers), PEERS_ASKED))
+        return others if self._peer is None else [self._peer, *others]
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether the straight way to the log did not work when it was last tried."""
+        return self._choice.straight_fails
 
     async def _send(self, peer: Address, call: LogCall, seconds: float) -> LogAnswer | None:
         content = await self._client.call(peer, RELAY_PATH, encode_message(call), seconds)
@@ -171,5 +238,9 @@
 _UNSETTLED = frozenset({LogFault.REFUSED, LogFault.UNKNOWN})
 
 
+def _error_of(answer: Result[Value, LogFailure]) -> LogFailure | None:
+    return answer.error if answer.is_error() else None
+
+
 def _failure_of(answer: LogAnswer | None) -> LogFailure | None:
     return None if answer is None else answer.failure
--- a/src/stagewalk/log_relay/server.py
+++ b/src/stagewalk/log_relay/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from expression import Result
 
 from stagewalk.log_relay.messages import (
@@ -16,19 +18,33 @@
     decode_call,
     encode_message,
 )
-from stagewalk.ports.partitioned_log import LogFailure, PartitionedLog
+from stagewalk.ports.partitioned_log import LogFailure, LogFault, PartitionedLog
+
+CUT_OFF = LogFailure(LogFault.REFUSED, "the asked node does not reach the log either")
 
 
 class LogRelay:
-    """Handler of relayed calls."""
+    """Handler of relayed calls.
+
+    Parameters
+    ----------
+    cut_off
+        Whether this node's own calls of the log fail: then it says so at once, and the caller asks
+        another node.
+    """
 
-    def __init__(self, straight: PartitionedLog) -> None:
+    def __init__(self, straight: PartitionedLog, cut_off: Callable[[], bool]) -> None:
         self._straight = straight
+        self._cut_off = cut_off
 
     async def handle(self, content: bytes) -> bytes | None:
         """Carry a call out; None if the bytes spell none."""
         call = decode_call(content)
-        return None if call is None else encode_message(await self._carry_out(call))
+        if call is None:
+            return None
+        if self._cut_off():
+            return encode_message(LogAnswer(failure=CUT_OFF))
+        return encode_message(await self._carry_out(call))
 
     async def _carry_out(self, call: LogCall) -> LogAnswer:
         log = self._straight
