Reads of a step's last results wait until its trainer can go on

Cause: a trainer reads twice a second and goes on only once its groups are whole.

Ruled out: holding every read (whoever looks at a step from its start is answered at once, and so is a trainer early in a step); holding beyond the time that a step is due, since groups count as they are read.

Change: with three quarters of a step there, a read that asks for no more than its last results is held within the wait it offers until the wanted groups are whole or the step is due; policy.hold_results.

--- a/src/stagewalk/batches/ledger.py
+++ b/src/stagewalk/batches/ledger.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
@@ -90,6 +91,26 @@
     listed: set[str] = field(default_factory=set)
     ended: bool = False
     ended_at: float = 0.0
+    whole_groups: int = 0
+    """Groups whose items all have a result."""
+    _missing: Counter[str] = field(default_factory=Counter)
+    """By group, items without a result."""
+
+    def __post_init__(self) -> None:
+        self._missing.update(item.group for item in self.items.values())
+
+    def list_result(self, result: ItemFinished) -> None:
+        """Append an item's result."""
+        self.listed.add(result.item)
+        self.results.append(result)
+        group = self.items[result.item].group
+        self._missing[group] -= 1
+        self.whole_groups += self._missing[group] == 0
+
+    @property
+    def satisfied(self) -> bool:
+        """Whether its trainer has all that it waits for."""
+        return not self.open or 0 < self.header.wanted_groups <= self.whole_groups
 
     @property
     def open(self) -> bool:
@@ -180,8 +201,7 @@
         spec = batch.items[record.item]
         if record.succeeded and spec.score_call is not None and not record.score:
             return
-        batch.listed.add(record.item)
-        batch.results.append(record)
+        batch.list_result(record)
         if record.succeeded:
             events = tuple(record.text.split(EVENT_SEPARATOR))
             self._kept[record.item] = KeptText(
--- a/src/stagewalk/core/policy.py
+++ b/src/stagewalk/core/policy.py
@@ -34,6 +34,8 @@
         Go on with own batches before the whole log is read.
     few_replicas
         Hold replicas of the batch ledger on six nodes, not on twelve.
+    hold_results
+        Near the end of a step, hold a trainer's read until all that it waits for is there.
     spread_trainers
         Run batches of different trainers on different nodes.
     warm_connections
@@ -52,6 +54,7 @@
     probe_runners: bool = True
     resume_first: bool = True
     few_replicas: bool = True
+    hold_results: bool = True
     spread_trainers: bool = True
     warm_connections: bool = True
 
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -18,6 +18,7 @@
 import anyio.abc
 from expression import Result
 
+from stagewalk.batches.ledger import Batch
 from stagewalk.batches.scheduler import BatchScheduler
 from stagewalk.core.errors import StagewalkError
 from stagewalk.core.identities import Address
@@ -203,7 +204,9 @@
             self._takeovers.probe_targets,
             self.store.wait_until_following,
         )
-        self._ledger_reads = LedgerReads(self.store, self._dialect)
+        self._ledger_reads = LedgerReads(
+            self.store, self._dialect, self._due_seconds, hold_results=policy.hold_results
+        )
         self._ledger_calls = LedgerCalls(
             self._ledger_reads,
             peer_client,
@@ -287,6 +290,11 @@
             while not (self.store.idle and self._duties.idle):
                 await anyio.sleep(STEP_SECONDS)
 
+    def _due_seconds(self, batch: Batch) -> float:
+        """Return how long after its submission a batch's results are due."""
+        route = self._routes.find(batch.header.host, batch.header.path)
+        return math.inf if route is None else route.due_seconds
+
     def _peers(self) -> list[Address]:
         return self._nodes.peers()
 
--- a/src/stagewalk/gateway/ledger_reads.py
+++ b/src/stagewalk/gateway/ledger_reads.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import time
+from collections.abc import Callable
 
 from stagewalk.batches.ledger import Batch
 from stagewalk.batches.records import ItemFinished
@@ -35,15 +37,37 @@
 """The same for a call that another node passed on. That node answers for it as if it had read the
 log just now, while this one may be cut off: what was shown elsewhere a second ago must be here."""
 
+NEARLY_DONE_SHARE = 0.75
+TAIL_SHARE = 0.15
+"""A read is held that asks for no more than the last results of a step of which this share is
+there: others, of whoever looks at a step from its start, are answered at once."""
+
 OPAQUE_CONTENT = "application/octet-stream"
 
 
 class LedgerReads:
-    """Handler of calls about batches, whoever passed them on."""
-
-    def __init__(self, store: BatchStore, dialect: Dialect) -> None:
+    """Serves batch calls, local or relayed.
+
+    Parameters
+    ----------
+    due_seconds
+        Tells how long after its submission a batch's results are due.
+    hold_results
+        Whether reads near the end of a step wait until all is there that its trainer waits for.
+    """
+
+    def __init__(
+        self,
+        store: BatchStore,
+        dialect: Dialect,
+        due_seconds: Callable[[Batch], float] = lambda _batch: math.inf,
+        *,
+        hold_results: bool = False,
+    ) -> None:
         self._store = store
         self._dialect = dialect
+        self._due_seconds = due_seconds
+        self._hold_results = hold_results
 
     async def handle(self, content: bytes) -> bytes | None:
         """Carry out a call that another node passed on; None if the bytes spell none."""
@@ -77,10 +101,7 @@
             return batch
         if not await self._shows(batch, call.position, oldest_seconds):
             return refusal(503, "the view is too old", COME_BACK_SECONDS)
-        complete = len(batch.listed) == len(batch.items)
-        if call.position == len(batch.results) and not complete and call.wait_seconds > 0.0:
-            wait = min(LONGEST_WAIT_SECONDS, call.wait_seconds)
-            await self._store.wait_for_news(call.batch, wait)
+        await self._wait_for_results(batch, call)
         page = _page(batch, call.position)
         if not page and self._stale(call.batch, oldest_seconds):
             # The view grew old while news was waited for: there may be results by now.
@@ -96,6 +117,25 @@
         next_position = call.position + len(page)
         return LedgerAnswer(200, self._dialect.results(len(batch.items), next_position, page))
 
+    async def _wait_for_results(self, batch: Batch, call: ResultsCall) -> None:
+        """Wait for a first result, or for the last ones of a step, as long as the caller offers."""
+        until = time.monotonic() + min(LONGEST_WAIT_SECONDS, call.wait_seconds)
+        due_at = batch.seen_at + self._due_seconds(batch)
+        while self._worth_waiting(batch, call.position):
+            none_yet = call.position >= len(batch.results)
+            # Groups count as they are read: what is there is shown when the step is due.
+            left = (until if none_yet else min(until, due_at)) - time.monotonic()
+            if left <= 0.0:
+                return
+            await self._store.wait_for_news(call.batch, left)
+
+    def _worth_waiting(self, batch: Batch, position: int) -> bool:
+        if batch.ended or len(batch.listed) == len(batch.items):
+            return False
+        if position >= len(batch.results):
+            return True
+        return self._hold_results and _holds_last(batch, position)
+
     async def _item(self, call: ItemCall) -> LedgerAnswer:
         batch = await self._find(call)
         if isinstance(batch, LedgerAnswer):
@@ -158,6 +198,19 @@
         return age > MAXIMUM_UNFOLLOWED_AGE_SECONDS
 
 
+def _holds_last(batch: Batch, position: int) -> bool:
+    """Whether a read waits for the last results of a step although some are there.
+
+    A trainer reads about twice a second, and can go on only once its groups are whole. Were it
+    answered each time one more result is there, it would be between two reads when the last one
+    comes.
+    """
+    items = len(batch.items)
+    nearly_done = len(batch.listed) >= NEARLY_DONE_SHARE * items
+    few_new = len(batch.results) - position <= TAIL_SHARE * items
+    return nearly_done and few_new and not batch.satisfied
+
+
 def _page(batch: Batch, position: int) -> list[ItemFinished]:
     page: list[ItemFinished] = []
     size = 0
--- a/tests/gateway/test_ledger_reads.py
+++ b/tests/gateway/test_ledger_reads.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Awaitable, Callable
+
 import anyio
+import msgspec
 import testtools
 
 from stagewalk.batches.ledger import BatchLedger
@@ -17,6 +21,11 @@
 from stagewalk_standins.plain_dialect import PlainDialect
 from tests.batches.support import item, submitted
 
+GROUPS = 5
+ITEMS_OF_A_GROUP = 8
+WANTED = 4
+DUE = 7.5
+
 
 class CutOffStore:
     """A replica's view that is some time old and can't be brought up to date."""
@@ -61,3 +70,94 @@
     def test_one_that_is_cut_off_while_it_waits_for_news_is_unsure(self) -> None:
         store = CutOffStore(0.2, ages_while_waiting=1.0)
         self.assertTrue(passed_on(store, ResultsCall("b", 1, 1.0)).unsure)
+
+
+class GrowingStore:
+    """A replica's view of a step whose items get their results one after the other."""
+
+    following = True
+
+    def __init__(self, groups: int, items: int) -> None:
+        self.ledger = BatchLedger(lambda _batch, _change: None)
+        self._names = [f"{group}-{n}" for group in range(groups) for n in range(items)]
+        record = submitted(*(item(name) for name in self._names))
+        specs = tuple(msgspec.structs.replace(spec, group=spec.item[0]) for spec in record.items)
+        header = msgspec.structs.replace(record.header, wanted_groups=WANTED)
+        self.ledger.apply(
+            msgspec.structs.replace(record, items=specs, header=header), time.monotonic()
+        )
+        self.batch = self.ledger.get("b")
+        self._news = anyio.Event()
+
+    def finish(self, count: int) -> None:
+        done = len(self.batch.results)
+        for name in self._names[done : done + count]:
+            self.ledger.apply(ItemFinished("b", name, True, "t", (1,)), 0.0)
+        self._news.set()
+        self._news = anyio.Event()
+
+    async def finish_later(self, count: int, seconds: float) -> None:
+        await anyio.sleep(seconds)
+        self.finish(count)
+
+    def view_age(self, _batch: str, _now: float) -> float:
+        return 0.0
+
+    async def catch_up(self, _batch: str) -> bool:
+        return True
+
+    async def wait_for_news(self, _batch: str, seconds: float) -> None:
+        with anyio.move_on_after(seconds):
+            await self._news.wait()
+
+
+def answer_items(answer: LedgerAnswer) -> list[object]:
+    return msgspec.json.decode(answer.content)["results"]
+
+
+class HeldReadTests(testtools.TestCase):
+    """Reads of a step's last results wait until its trainer can go on."""
+
+    def play(self, scenario: Callable[[LedgerReads, GrowingStore], Awaitable[None]]) -> None:
+        async def main() -> None:
+            store = GrowingStore(GROUPS, ITEMS_OF_A_GROUP)
+            reads = LedgerReads(store, PlainDialect(), lambda _batch: DUE, hold_results=True)
+            await scenario(reads, store)
+
+        anyio.run(main)
+
+    def test_a_read_near_the_end_waits_for_the_groups_that_are_wanted(self) -> None:
+        async def scenario(reads: LedgerReads, store: GrowingStore) -> None:
+            store.finish(30)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(store.finish_later, 1, 0.1)
+                tasks.start_soon(store.finish_later, 1, 0.3)
+                answer = await reads.carry_out(ResultsCall("b", 29, 1.0))
+            # Four groups are whole with the 32nd result.
+            self.assertEqual(3, len(answer_items(answer)))
+
+        self.play(scenario)
+
+    def test_a_read_from_the_start_or_early_in_a_step_is_answered_at_once(self) -> None:
+        async def scenario(reads: LedgerReads, store: GrowingStore) -> None:
+            for done, position in ((10, 9), (31, 0)):
+                store.finish(done - len(store.batch.results))
+                with anyio.fail_after(0.1):
+                    answer = await reads.carry_out(ResultsCall("b", position, 1.0))
+                self.assertEqual(done - position, len(answer_items(answer)))
+
+        self.play(scenario)
+
+    def test_what_is_there_is_shown_when_the_offered_time_is_over_and_when_the_step_is_due(
+        self,
+    ) -> None:
+        async def scenario(reads: LedgerReads, store: GrowingStore) -> None:
+            store.finish(31)
+            for wait, longest in ((0.2, 0.4), (1.0, 0.4)):
+                store.batch.seen_at = time.monotonic() - (DUE - 0.2 if wait == 1.0 else 0.0)
+                began = time.monotonic()
+                answer = await reads.carry_out(ResultsCall("b", 30, wait))
+                self.assertEqual(1, len(answer_items(answer)))
+                self.assertLess(time.monotonic() - began, longest)
+
+        self.play(scenario)
