With several models each has engines of its own for its versions

Cause: every engine was brought to the versions of all models in turn.

Ruled out: counting ordinary engines only for a model's share, since then those ordered besides soon serve nobody; sets kept in memory by the holder, which its successor would not know.

Change: version_rollouts.engine_sets assigns engines to models in sets of equal size, by which version is the least behind, so that a successor finds the same sets; half of a set changes with each version. Engines serve other models as before while what they hold fits. policy.engine_sets. Two tests of the shared rotation now switch it on by name; the sets have tests of their own.

--- a/src/stagewalk/core/policy.py
+++ b/src/stagewalk/core/policy.py
@@ -24,6 +24,8 @@
         Prefer engines that are faster by what was seen of them.
     half_change
         Change half of the engines with each version while batches allow the one before.
+    engine_sets
+        With several models, bring each to new versions on a set of engines of its own.
     score_hedges
         Ask another scorer beside a late one.
     ask_runner
@@ -49,6 +51,7 @@
     suspicion: bool = True
     pace: bool = True
     half_change: bool = True
+    engine_sets: bool = True
     score_hedges: bool = True
     ask_runner: bool = True
     probe_runners: bool = True
--- a/src/stagewalk/version_rollouts/core.py
+++ b/src/stagewalk/version_rollouts/core.py
@@ -1,6 +1,7 @@
 """Decides which engine is ordered to which version, and when. Pure.
 
-Engines load fastest few at a time, and each load costs. A step that names the version before
+Engines load fastest few at a time, and each load costs. With several models each has a set of
+engines of its own (`engine_sets`). A step that names the version before
 as good enough can run on engines that hold either; so an engine that is one version behind is
 left alone while others are further behind, and half of the engines change with each version.
 """
@@ -12,6 +13,7 @@
 from dataclasses import dataclass
 
 from stagewalk.core.policy import ALL_ON, Policy
+from stagewalk.version_rollouts.engine_sets import assign_engines
 from stagewalk.workers.table import WorkerTable
 from stagewalk.workers.worker import Worker
 
@@ -133,12 +135,16 @@
 
     def _wanted(self, now: float) -> list[tuple[tuple[int, float, str], OrderVersion]]:
         wanted: list[tuple[tuple[int, float, str], OrderVersion]] = []
+        models = self._named.keys() | self._minimum.keys()
+        sets = assign_engines(self._workers.all(), {m: self._named.get(m, 1) for m in models})
         for model, version in self._named.items():
             engines = [
                 worker
                 for worker in self._workers.all()
                 if model in worker.versions and not worker.announcement.draining
             ]
+            if self._policy.engine_sets and len(models) > 1:
+                engines = [e for e in engines if sets.get(e.announcement.worker) == model]
             for worker in self._due(engines, model, version):
                 name = worker.announcement.worker
                 if name in self._pending or self._not_before.get(name, -math.inf) > now:
@@ -159,10 +165,13 @@
         if self._policy.half_change:
             share //= max(LEAST_SHARES, len(self._named))
         lag = self._lag.get(model, 0)
+        own_set = self._policy.engine_sets and len(self._named.keys() | self._minimum.keys()) > 1
+        if own_set and self._policy.half_change:
+            share = -(-len(engines) // (lag + 1))
         behind = [engine for engine in engines if not self._newest(engine, model, version)]
         too_old = [engine for engine in behind if engine.versions[model] < version - lag]
         needed = len(engines)
-        if lag > 0 and len(self._named) > LEAST_SHARES:
+        if lag > 0 and len(self._named) > LEAST_SHARES and not own_set:
             needed = min(needed, (lag + 1) * share)
         usable = len(engines) - len(too_old)
         must = max(0, needed - usable)
--- a/tests/version_rollouts/test_core.py
+++ b/tests/version_rollouts/test_core.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from stagewalk.core.policy import Policy
 from stagewalk.version_rollouts.core import (
     LEAST_LOADS_AT_ONCE,
     LOADING_SHARE,
@@ -103,6 +104,7 @@
     def test_with_many_models_each_changes_its_share_and_keeps_as_many_at_the_one_before(
         self,
     ) -> None:
+        self.rollouts = VersionRollouts(self.workers, Policy(engine_sets=False))
         models = ("m", "n", "o")
         names = [f"e{number}" for number in range(24)]
         for name in names:
@@ -120,6 +122,7 @@
         self.assertLessEqual(loads, 6 * 3 * 8)
 
     def test_with_many_models_lost_ground_is_made_up_for(self) -> None:
+        self.rollouts = VersionRollouts(self.workers, Policy(engine_sets=False))
         models = ("m", "n", "o")
         for number in range(24):
             entry = announcement(f"e{number}", versions=dict.fromkeys(models, 1))
--- /dev/null
+++ b/tests/version_rollouts/test_engine_sets.py
@@ -0,0 +1,79 @@
+"""With several models each has engines of its own: fewer loads, and none without engines."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import testtools
+
+from stagewalk.core.policy import Policy
+from stagewalk.version_rollouts.core import VersionRollouts
+from stagewalk.version_rollouts.engine_sets import assign_engines
+from stagewalk.workers.table import WorkerTable
+from tests.workers.support import announcement
+
+MODELS = ("m", "n", "o")
+SETS = Policy()
+
+
+class EngineSetTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.workers = WorkerTable()
+        for number in range(23):
+            self.add(f"e{number}", 1)
+
+    def add(self, name: str, version: int) -> None:
+        entry = announcement(name, versions=dict.fromkeys(MODELS, version))
+        self.workers.announce(entry, 0.0)
+
+    def play(self, policy: Policy, versions: range) -> int:
+        """Bring all models from version to version; return how many loads that took."""
+        rollouts = VersionRollouts(self.workers, policy)
+        loads = 0
+        for version in versions:
+            for model in MODELS:
+                rollouts.name_version(model, version)
+                rollouts.note_minimum(model, version - 1)
+            now = 10.0 * version
+            while orders := rollouts.decide(now):
+                for order in orders:
+                    rollouts.order_started(order, now)
+                    self.workers.worker(order.worker).versions[order.model] = order.version
+                    loads += 1
+                now += 1.0
+            for model in MODELS:
+                self.assertGreaterEqual(self.usable(model, version - 1), 7, (model, version))
+        return loads
+
+    def usable(self, model: str, oldest: int) -> int:
+        return sum(w.versions[model] >= oldest for w in self.workers.all())
+
+    def test_sets_are_of_equal_size_and_found_again_by_whoever_decides_next(self) -> None:
+        self.play(SETS, range(2, 8))
+        named = dict.fromkeys(MODELS, 7)
+        sets = assign_engines(self.workers.all(), named)
+        self.assertEqual([7, 8, 8], sorted(Counter(sets.values()).values()))
+        for name, model in sets.items():
+            held = self.workers.worker(name).versions
+            self.assertEqual(max(held.values()), held[model])
+
+    def test_an_engine_that_goes_or_comes_moves_few_others(self) -> None:
+        self.play(SETS, range(2, 8))
+        named = dict.fromkeys(MODELS, 7)
+        before = assign_engines(self.workers.all(), named)
+        self.workers.remove("e3", 100.0, 0.0)
+        self.add("e30", 7)
+        after = assign_engines(self.workers.all(), named)
+        moved = [name for name in before if name in after and before[name] != after[name]]
+        self.assertLessEqual(len(moved), 1)
+
+    def test_loads_are_half_as_many_as_with_all_engines_at_all_versions(self) -> None:
+        together = self.play(Policy(engine_sets=False), range(2, 10))
+        apart = self.play(SETS, range(10, 18))
+        self.assertLess(apart, 0.65 * together)
+
+    def test_one_model_has_all_engines(self) -> None:
+        sets = assign_engines(self.workers.all(), {"m": 1})
+        self.assertEqual({"m"}, set(sets.values()))
+        self.assertEqual({}, assign_engines(self.workers.all(), {}))
