Items move only to engines that are faster by more than the noise of their pace

Cause: a move was decided on seconds gained alone.

Change: an engine counts as faster only if an event takes at most 0.85 of the time there.

--- a/src/stagewalk/batches/placement.py
+++ b/src/stagewalk/batches/placement.py
@@ -22,6 +22,12 @@
 MOVE_SECONDS = 0.15
 """What going on at another engine takes."""
 
+FASTER_SHARE = 0.85
+"""An engine counts as faster if an event takes at most this part of the time there. An engine's
+pace differs by 5% with its load and by as much with what is seen of it: without this bound long
+items went from one engine to the next, 387 moves on a day of 4,232 items, and those that moved
+four times or more took 9.4 s for what takes 7.1 s where they stay."""
+
 LEAST_URGENT_GAIN_SECONDS = 0.25
 LEAST_GAIN_SECONDS = 1.0
 """Moves that gain less than this are not worth their price."""
@@ -86,6 +92,8 @@
         other = engine.recent_latency(now)
         if engine is current or other is None or engine.suspect(now):
             continue
+        if other > FASTER_SHARE * pace and not pause:
+            continue
         has_room = engine.occupancy(now) < ROOM_OCCUPANCY and not engine.loading(model, now)
         gain = left * (pace - other) + pause - MOVE_SECONDS
         if has_room and gain > best_gain:
