--- a/src/stagewalk/autoscaling/demand.py
+++ b/src/stagewalk/autoscaling/demand.py
@@ -4,9 +4,10 @@
 
 from collections import deque
 
-HOLD_SECONDS = 30.0
-"""A peak counts for so long: trainers ask for a step every few seconds, and a worker that is given
-back too early takes its time to boot again."""
+HOLD_SECONDS = 120.0
+"""A peak counts for so long: a worker that is given back is missed for its time to boot when the
+load is back, as after a minute in which trainers fell behind. Two minutes of one that isn't
+needed cost less than a step that is late."""
 
 
 class Demand:
--- a/tests/autoscaling/test_core.py
+++ b/tests/autoscaling/test_core.py
@@ -138,5 +138,5 @@
         self.assertEqual(9, demand.peak)
         demand.note(2, 1.0 + HOLD_SECONDS + 0.1)
         self.assertEqual(4, demand.peak)
-        demand.note(1, 100.0)
+        demand.note(1, 4.0 * HOLD_SECONDS)
         self.assertEqual(1, demand.peak)
