Sets of engines are as large as their models' part of the open items

Change: ModelDemand averages open items by model over 20 s; SetSizes gives each model its part, half of an equal one at least, with inertia of 1.5 engines.

--- a/src/stagewalk/gateway/duty_services.py
+++ b/src/stagewalk/gateway/duty_services.py
@@ -67,6 +67,7 @@
             rollouts=rollouts,
             workers=workers,
             client=engines,
+            open_batches=store.ledger.open_batches,
         )
         self._usage: UsageService | None = None
         self._autoscale: AutoscaleService | None = None
--- a/src/stagewalk/gateway/order_service.py
+++ b/src/stagewalk/gateway/order_service.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
 
+from stagewalk.batches.ledger import Batch
 from stagewalk.gateway.duty_lease import DutyLease
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.leases.log_lease import DutyRecord
@@ -29,7 +32,9 @@
         rollouts: VersionRollouts,
         workers: WorkerTable,
         client: WorkerClient,
+        open_batches: Callable[[], list[Batch]],
     ) -> None:
+        self._open_batches = open_batches
         self._identity = identity
         self._duties = duties
         self._rollouts = rollouts
@@ -49,10 +54,18 @@
             await anyio.sleep(STEP_SECONDS)
             await self._duties.wait_until_active()
             if self._duties.may_act():
+                self._rollouts.note_open_items(self._open_items(), time.monotonic())
                 for order in self._rollouts.decide(time.monotonic()):
                     self._rollouts.order_started(order, time.monotonic())
                     self._tasks.start_soon(self._send, order)
 
+    def _open_items(self) -> Counter[str]:
+        """Return by model how many items run or wait to."""
+        counts: Counter[str] = Counter()
+        for batch in self._open_batches():
+            counts[batch.header.model] += len(batch.items) - len(batch.listed)
+        return counts
+
     def _order_announced(self, record: DutyRecord) -> None:
         self._rollouts.expect_load(record.subject, record.detail, record.number, time.monotonic())
 
--- a/src/stagewalk/version_rollouts/core.py
+++ b/src/stagewalk/version_rollouts/core.py
@@ -9,11 +9,16 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from stagewalk.core.policy import ALL_ON, Policy
-from stagewalk.version_rollouts.engine_sets import assign_engines
+from stagewalk.version_rollouts.engine_sets import (
+    ModelDemand,
+    SetSizes,
+    assign_engines,
+    engines_of,
+)
 from stagewalk.workers.table import WorkerTable
 from stagewalk.workers.worker import Worker
 
@@ -59,6 +64,8 @@
         self._minimum: dict[str, int] = {}
         self._pending: dict[str, _Pending] = {}
         self._not_before: dict[str, float] = {}
+        self._demand = ModelDemand()
+        self._set_sizes = SetSizes()
         self.on_named: Callable[[str, int], None] = lambda _model, _version: None
 
     def name_version(self, model: str, version: int) -> bool:
@@ -84,6 +91,10 @@
         self._minimum[model] = minimum_version
         self._lag[model] = max(0, self._named.get(model, 1) - minimum_version)
 
+    def note_open_items(self, open_items: Mapping[str, int], now: float) -> None:
+        """Take how many items of each model run or wait to."""
+        self._demand.note(open_items, now)
+
     def pending(self, worker: str) -> bool:
         """Whether an engine has an order under way."""
         return worker in self._pending
@@ -135,8 +146,8 @@
 
     def _wanted(self, now: float) -> list[tuple[tuple[int, float, str], OrderVersion]]:
         wanted: list[tuple[tuple[int, float, str], OrderVersion]] = []
-        models = self._named.keys() | self._minimum.keys()
-        sets = assign_engines(self._workers.all(), {m: self._named.get(m, 1) for m in models})
+        models = self._models()
+        sets = self._sets(models)
         for model, version in self._named.items():
             engines = [
                 worker
@@ -154,6 +165,16 @@
                 wanted.append((key, OrderVersion(name, model, version)))
         return wanted
 
+    def _models(self) -> list[str]:
+        """Return the models that are trained."""
+        return sorted(self._named.keys() | self._minimum.keys())
+
+    def _sets(self, models: list[str]) -> dict[str, str]:
+        """Return the model of each engine, as the demand is now."""
+        engines = engines_of(self._workers.all(), models)
+        sizes = self._set_sizes.update(len(engines), self._demand.shares(models))
+        return assign_engines(engines, {m: self._named.get(m, 1) for m in models}, sizes)
+
     def _due(self, engines: list[Worker], model: str, version: int) -> list[Worker]:
         """Return the engines to change, the least loaded of the oldest first.
 
@@ -165,7 +186,7 @@
         if self._policy.half_change:
             share //= max(LEAST_SHARES, len(self._named))
         lag = self._lag.get(model, 0)
-        own_set = self._policy.engine_sets and len(self._named.keys() | self._minimum.keys()) > 1
+        own_set = self._policy.engine_sets and len(self._models()) > 1
         if own_set and self._policy.half_change:
             share = -(-len(engines) // (lag + 1))
         behind = [engine for engine in engines if not self._newest(engine, model, version)]
--- a/src/stagewalk/version_rollouts/engine_sets.py
+++ b/src/stagewalk/version_rollouts/engine_sets.py
@@ -2,10 +2,12 @@
 
 Each engine holds all models, but a load brings one of them to a version. Were all engines brought
 to all versions, loads would grow with models times engines. So each model has a set of engines of
-its own; the others serve it as long as what they hold fits."""
+its own, as large as its part of the open items; the others serve it as long as what they hold
+fits."""
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Mapping, Sequence
 
@@ -13,36 +15,99 @@
 
 from stagewalk.workers.worker import Worker
 
+DEMAND_SECONDS = 20.0
+"""Demand is averaged over some steps of a trainer, which come every 4 s."""
 
-def assign_engines(engines: Sequence[Worker], named: Mapping[str, int]) -> dict[str, str]:
+LEAST_SHARE = 0.5
+"""No model gets fewer engines than this part of what it would get if all were alike."""
+
+RESIZE_ENGINES = 1.5
+"""A set that is off by less keeps its size: each engine that changes sets takes a load."""
+
+
+class ModelDemand:
+    """Open items by model, smoothed over time."""
+
+    def __init__(self) -> None:
+        self._open: dict[str, float] = {}
+        self._at = -math.inf
+
+    def note(self, open_items: Mapping[str, int], now: float) -> None:
+        """Take how many items of each model run or wait to."""
+        kept = math.exp(-(now - self._at) / DEMAND_SECONDS) if self._open else 0.0
+        self._at = now
+        for model in self._open.keys() | open_items.keys():
+            before = self._open.get(model, 0.0)
+            self._open[model] = kept * before + (1.0 - kept) * open_items.get(model, 0)
+
+    def shares(self, models: Sequence[str]) -> dict[str, float]:
+        """Return each model's part of the open items; equal parts while nothing is known."""
+        total = sum(self._open.get(model, 0.0) for model in models)
+        alike = 1.0 / max(1, len(models))
+        if total <= 0.0:
+            return dict.fromkeys(models, alike)
+        least = LEAST_SHARE * alike
+        raw = {model: max(least, self._open.get(model, 0.0) / total) for model in models}
+        whole = sum(raw.values())
+        return {model: share / whole for model, share in raw.items()}
+
+
+class SetSizes:
+    """How many engines each set has; sizes follow the shares with some inertia."""
+
+    def __init__(self) -> None:
+        self._sizes: dict[str, int] = {}
+
+    def update(self, engines: int, shares: Mapping[str, float]) -> dict[str, int]:
+        """Return the sizes for so many engines."""
+        quotas = {model: engines * share for model, share in shares.items()}
+        same = self._sizes.keys() == quotas.keys() and sum(self._sizes.values()) == engines
+        if same and all(abs(quotas[m] - size) < RESIZE_ENGINES for m, size in self._sizes.items()):
+            return self._sizes
+        sizes = {model: int(quota) for model, quota in quotas.items()}
+        by_rest = sorted(quotas, key=lambda model: (sizes[model] - quotas[model], model))
+        for model in by_rest[: engines - sum(sizes.values())]:
+            sizes[model] += 1
+        self._sizes = sizes
+        return sizes
+
+
+def engines_of(workers: Sequence[Worker], models: Sequence[str]) -> list[Worker]:
+    """Return the workers that serve and hold one of the models."""
+    return [
+        worker
+        for worker in workers
+        if not worker.announcement.draining and any(model in worker.versions for model in models)
+    ]
+
+
+def assign_engines(
+    engines: Sequence[Worker], named: Mapping[str, int], sizes: Mapping[str, int]
+) -> dict[str, str]:
     """Return the model of each engine that is to be kept at that model's versions.
 
-    Sets are of equal size, give or take one. An engine belongs to the model of which its version is
-    the least behind, so who decides next finds the same sets, and engines that come or go move few.
+    An engine belongs to the model of which its version is the least behind, so who decides next
+    finds the same sets, and engines that come or go move few.
 
     Parameters
     ----------
     named
         By model, the newest named version.
+    sizes
+        By model, how many engines its set has.
     """
-    serving = [
-        engine
-        for engine in engines
-        if not engine.announcement.draining and any(model in engine.versions for model in named)
-    ]
-    most = -(-len(serving) // max(1, len(named)))
     pairs = sorted(
         (version - engine.versions[model], _tie(engine, model), engine.announcement.worker, model)
-        for engine in serving
+        for engine in engines
         for model, version in named.items()
         if model in engine.versions
     )
-    sizes: Counter[str] = Counter()
+    taken: Counter[str] = Counter()
     assigned: dict[str, str] = {}
     for _behind, _order, engine, model in pairs:
-        if engine not in assigned and sizes[model] < most:
+        if engine not in assigned and taken[model] < sizes[model]:
             assigned[engine] = model
-            sizes[model] += 1
+            taken[model] += 1
     return assigned
 
 
--- a/tests/version_rollouts/test_engine_sets.py
+++ b/tests/version_rollouts/test_engine_sets.py
@@ -8,7 +8,12 @@
 
 from stagewalk.core.policy import Policy
 from stagewalk.version_rollouts.core import VersionRollouts
-from stagewalk.version_rollouts.engine_sets import assign_engines
+from stagewalk.version_rollouts.engine_sets import (
+    ModelDemand,
+    SetSizes,
+    assign_engines,
+    engines_of,
+)
 from stagewalk.workers.table import WorkerTable
 from tests.workers.support import announcement
 
@@ -52,7 +57,7 @@
     def test_sets_are_of_equal_size_and_found_again_by_whoever_decides_next(self) -> None:
         self.play(SETS, range(2, 8))
         named = dict.fromkeys(MODELS, 7)
-        sets = assign_engines(self.workers.all(), named)
+        sets = self.assign(named)
         self.assertEqual([7, 8, 8], sorted(Counter(sets.values()).values()))
         for name, model in sets.items():
             held = self.workers.worker(name).versions
@@ -61,10 +66,10 @@
     def test_an_engine_that_goes_or_comes_moves_few_others(self) -> None:
         self.play(SETS, range(2, 8))
         named = dict.fromkeys(MODELS, 7)
-        before = assign_engines(self.workers.all(), named)
+        before = self.assign(named)
         self.workers.remove("e3", 100.0, 0.0)
         self.add("e30", 7)
-        after = assign_engines(self.workers.all(), named)
+        after = self.assign(named)
         moved = [name for name in before if name in after and before[name] != after[name]]
         self.assertLessEqual(len(moved), 1)
 
@@ -74,6 +79,30 @@
         self.assertLess(apart, 0.65 * together)
 
     def test_one_model_has_all_engines(self) -> None:
-        sets = assign_engines(self.workers.all(), {"m": 1})
-        self.assertEqual({"m"}, set(sets.values()))
-        self.assertEqual({}, assign_engines(self.workers.all(), {}))
+        self.assertEqual({"m"}, set(self.assign({"m": 1}).values()))
+        self.assertEqual({}, self.assign({}))
+
+    def test_sets_are_as_large_as_their_models_part_of_the_open_items(self) -> None:
+        rollouts = VersionRollouts(self.workers, SETS)
+        for model in MODELS:
+            rollouts.name_version(model, 2)
+            rollouts.note_minimum(model, 1)
+        for step in range(100):
+            rollouts.note_open_items({"m": 10, "n": 40, "o": 50}, float(step))
+        sizes = Counter(rollouts._sets(list(MODELS)).values())
+        self.assertEqual([3, 9, 11], [sizes[model] for model in MODELS])
+        rollouts.note_open_items({"m": 14, "n": 40, "o": 46}, 103.0)
+        self.assertEqual(sizes, Counter(rollouts._sets(list(MODELS)).values()))
+
+    def test_a_model_without_open_items_keeps_half_of_an_equal_part(self) -> None:
+        demand = ModelDemand()
+        demand.note({"m": 0, "n": 90}, 0.0)
+        shares = demand.shares(["m", "n"])
+        self.assertAlmostEqual(0.2, shares["m"])
+        self.assertEqual({"m": 0.5, "n": 0.5}, ModelDemand().shares(["m", "n"]))
+
+    def assign(self, named: dict[str, int]) -> dict[str, str]:
+        models = list(named)
+        engines = engines_of(self.workers.all(), models)
+        sizes = SetSizes().update(len(engines), ModelDemand().shares(models))
+        return assign_engines(engines, named, sizes)
