Ordinary workers take the place of spot ones that were taken away; a new holder gives nothing back

Change: after workers of a service were taken away, ordinary ones are ordered for ten minutes; what was ordered of either kind is kept while it is needed; nothing is given back before a holder has watched the demand for the two minutes that a peak counts.

--- a/src/stagewalk/autoscaling/core.py
+++ b/src/stagewalk/autoscaling/core.py
@@ -13,7 +13,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-from stagewalk.autoscaling.demand import Demand
+from stagewalk.autoscaling.demand import HOLD_SECONDS, Demand
 from stagewalk.ports.duties import DutyOutcome, WorkerGroup, WorkerOrder
 from stagewalk.routes.route import Scaling, Service
 from stagewalk.workers.worker import Worker
@@ -29,6 +29,10 @@
 NONE_LEFT_SECONDS = 3.0
 """A zone that has none to give is asked again after this time; meanwhile others are asked."""
 
+RECLAIM_MEMORY_SECONDS = 600.0
+"""After workers were taken away, ordinary ones are ordered in their place for so long: where that
+happens it happens again, a whole zone at a time, and for some seconds there are none to be had."""
+
 RETRY_SECONDS = 1.0
 """The same after any other failure."""
 
@@ -72,6 +76,10 @@
     policy: ScalingPolicy
     _groups: dict[WorkerGroup, _Group] = field(default_factory=dict)
     _demands: dict[str, Demand] = field(default_factory=dict)
+    _watched_since: dict[str, float] = field(default_factory=dict)
+    """By service, since when this process has watched its demand."""
+    _reclaimed_at: dict[str, float] = field(default_factory=dict)
+    """By service, when workers of the cheaper kind were last being taken away."""
 
     def planned(self, order: WorkerOrder) -> None:
         """Take an order that a holder of the lease wrote down, this one or one before it."""
@@ -105,6 +113,7 @@
             if service.scaling is None:
                 continue
             own = [w for w in workers if w.announcement.service == service.name]
+            self._watched_since.setdefault(service.name, now)
             demand = self._demands.setdefault(service.name, Demand())
             demand.note(open_items.get(service.name, 0), now)
             self._count(service.name, service.scaling, own, now)
@@ -137,8 +146,11 @@
                 group = self._group(WorkerGroup(service, zone, spot))
                 if counts[(zone, spot)] != group.present:
                     group.present, group.since = counts[(zone, spot)], now
-                if not spot and group.present > 0 and now - group.since >= SETTLE_SECONDS:
-                    group.found = max(group.found or 0, group.present)
+                settled = group.present > 0 and now - group.since >= SETTLE_SECONDS
+                if not spot and settled and group.present > (group.ordered or 0):
+                    group.found = group.present
+        if any(w.announcement.spot and w.announcement.draining for w in workers):
+            self._reclaimed_at[service] = now
 
     def _orders(
         self, service: str, scaling: Scaling, workers: Sequence[Worker], peak: int, now: float
@@ -157,55 +169,76 @@
         }
         if all(count is None for count in found.values()):
             return {}
-        wanted = {
-            WorkerGroup(service, zone, False): count
-            for zone, count in found.items()
-            if count is not None
-        }
+        base = {zone: count or 0 for zone, count in found.items()}
         slots = max((w.announcement.slots for w in workers), default=1)
         needed = math.ceil(peak * self.policy.places_per_item / max(1, slots))
-        missing = max(0, needed - sum(wanted.values()))
-        spot = self.policy.spot and scaling.spot_price is not None
-        may_grow = {WorkerGroup(service, zone, spot): count or 0 for zone, count in found.items()}
-        for group, count in self._spread(may_grow, scaling, missing, now).items():
-            wanted[group] = wanted.get(group, 0) + count
-        return wanted
-
-    def _spread(
-        self, groups: Mapping[WorkerGroup, int], scaling: Scaling, missing: int, now: float
+        extra = self._extra(service, scaling, base, max(0, needed - sum(base.values())), now)
+        return {
+            group: count + (0 if group.spot else base[group.zone])
+            for group, count in extra.items()
+            if group.spot or found[group.zone] is not None
+        }
+
+    def _extra(
+        self, service: str, scaling: Scaling, base: Mapping[str, int], missing: int, now: float
     ) -> dict[WorkerGroup, int]:
-        """Return how many more workers each group should have: evenly, cheap zones first.
+        """Return how many workers beyond those found each group should have.
 
-        Parameters
-        ----------
-        groups
-            By group that may be ordered from, workers that its zone has anyway.
-        """
+        What was ordered is kept while it is needed, whichever kind it is; what is missing besides
+        is of one kind, spread evenly, cheap zones first."""
+        zones = sorted(scaling.zone_prices, key=lambda zone: scaling.zone_prices[zone])
+        spot = self._uses_spot(service, scaling, now)
         extra: dict[WorkerGroup, int] = {}
-        for group, has in groups.items():
-            # What was ordered is kept while the peak holds: no worker is given back to be
-            # ordered again elsewhere.
-            ordered = (self._group(group).ordered or 0) - (0 if group.spot else has)
-            extra[group] = max(0, min(ordered, missing))
+        for group in (WorkerGroup(service, zone, kind) for kind in (False, True) for zone in zones):
+            known = self._group(group)
+            kept = known.ordered or 0
+            if group.spot and not spot:
+                # Those that were taken away don't come back.
+                kept = min(kept, known.present)
+            beyond = kept if group.spot else kept - base[group.zone]
+            extra[group] = max(0, min(beyond, missing))
             missing -= extra[group]
-        by_price = sorted(groups, key=lambda group: scaling.zone_prices[group.zone])
         while missing > 0:
-            can_have_more = [
+            open_groups = [
                 group
-                for group in by_price
-                if groups[group] + extra[group] < scaling.most
+                for group in (WorkerGroup(service, zone, spot) for zone in zones)
+                if self._has_room(group, scaling, base, extra)
                 and now >= self._group(group).not_before
             ]
-            if not can_have_more:
+            if not open_groups:
                 break
-            extra[min(can_have_more, key=lambda group: extra[group])] += 1
+            extra[min(open_groups, key=lambda group: extra[group])] += 1
             missing -= 1
         return extra
 
+    @staticmethod
+    def _has_room(
+        group: WorkerGroup,
+        scaling: Scaling,
+        base: Mapping[str, int],
+        extra: Mapping[WorkerGroup, int],
+    ) -> bool:
+        """Whether a group's zone may hold one more worker of any kind."""
+        both = (WorkerGroup(group.service, group.zone, spot) for spot in (False, True))
+        return base[group.zone] + sum(extra[kind] for kind in both) < scaling.most
+
+    def _uses_spot(self, service: str, scaling: Scaling, now: float) -> bool:
+        """Whether more workers are of the cheaper kind: none was taken away lately."""
+        calm = now - self._reclaimed_at.get(service, -math.inf) > RECLAIM_MEMORY_SECONDS
+        return self.policy.spot and scaling.spot_price is not None and calm
+
+    def _knows_demand(self, group: WorkerGroup, now: float) -> bool:
+        """Whether the demand was watched long enough to give workers back.
+
+        A new holder of the lease has seen no peak yet.
+        """
+        return now - self._watched_since[group.service] >= HOLD_SECONDS
+
     def _due(self, order: WorkerOrder, scaling: Scaling, now: float) -> bool:
         """Whether an order is to be sent: it is new, or what it asked for did not come."""
         group = self._group(order.group)
-        if now < group.not_before:
+        gives_back = order.count < (group.ordered or 0)
+        if now < group.not_before or (gives_back and not self._knows_demand(order.group, now)):
             return False
         if order.count != group.ordered and (order.count > 0 or group.ordered):
             return True
--- a/tests/autoscaling/test_core.py
+++ b/tests/autoscaling/test_core.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import testtools
 
 from stagewalk.autoscaling.core import (
@@ -96,6 +98,44 @@
         self.assertEqual([], self.decide(scaler, listed, 48, waited - 0.1))
         self.assertEqual([WorkerOrder(SPOT["z2"], 1)], self.decide(scaler, listed, 48, waited))
 
+    def test_once_spot_workers_were_taken_away_ordinary_ones_take_their_place(self) -> None:
+        scaler = self.scaler()
+        listed = workers(z1=2, z2=2, z3=1)
+        self.take(scaler, self.decide(scaler, listed, 5 * 8 + 24, 10.0), 10.0)
+        spot = [self.spot("z1"), self.spot("z2"), self.spot("z3")]
+        self.assertEqual([], self.decide(scaler, listed + spot, 5 * 8 + 24, 15.0))
+        spot[1] = self.spot("z2", draining=True)
+        orders = self.decide(scaler, listed + spot, 5 * 8 + 24, 16.0)
+        self.assertEqual({REGULAR["z2"]: 3}, self.take(scaler, orders, 16.0))
+        grown = workers(z1=2, z2=3, z3=1)
+        self.assertEqual([], self.decide(scaler, grown + spot, 5 * 8 + 24, 40.0))
+        orders = self.decide(scaler, grown, 0, 40.0 + 2.0 * HOLD_SECONDS)
+        self.assertEqual(2, self.take(scaler, orders, 300.0)[REGULAR["z2"]])
+
+    def test_a_new_holder_gives_nothing_back_before_it_has_seen_the_demand(self) -> None:
+        scaler = Autoscaler(ScalingPolicy(True, 1.0, True))
+        for zone, counts in (("z1", (2, 4)), ("z2", (2, 4)), ("z3", (1, 1))):
+            for count in counts:
+                scaler.planned(WorkerOrder(REGULAR[zone], count))
+        listed = workers(z1=4, z2=4, z3=1)
+        for now in (0.0, SETTLE_SECONDS, HOLD_SECONDS - 1.0):
+            self.assertEqual([], self.decide(scaler, listed, 0, now))
+        orders = self.decide(scaler, listed, 0, HOLD_SECONDS)
+        self.assertEqual([WorkerOrder(REGULAR["z1"], 2), WorkerOrder(REGULAR["z2"], 2)], orders)
+
+    def test_ordinary_workers_are_kept_beside_new_spot_ones(self) -> None:
+        scaler = Autoscaler(ScalingPolicy(True, 1.0, True))
+        for count in (2, 4):
+            scaler.planned(WorkerOrder(REGULAR["z1"], count))
+        listed = workers(z1=4)
+        self.decide(scaler, listed, 0, 0.0)
+        orders = self.decide(scaler, listed, 4 * 8 + 16, SETTLE_SECONDS)
+        self.assertEqual({SPOT["z1"]: 1, SPOT["z2"]: 1}, self.take(scaler, orders, 5.0))
+
+    def spot(self, zone: str, draining: bool = False) -> Worker:
+        entry = announcement(f"spot-{zone}", zone=zone, slots=8, draining=draining)
+        return Worker(replace(entry, spot=True), 0.0)
+
     def test_workers_that_are_lost_are_restored_and_those_that_drain_count_as_lost(self) -> None:
         scaler = self.scaler(places=0.0)
         listed = workers(z1=2, z2=2, z3=1)
