--- a/src/stagewalk/explain/story.py
+++ b/src/stagewalk/explain/story.py
@@ -29,6 +29,8 @@
         "log_relayed",
         "log_history_dropped",
         "log_lines_dropped",
+        "plan_void",
+        "lease_released",
     }
 )
 """What a node goes through that touches all it does."""
@@ -37,7 +39,7 @@
 SYSTEM_EVENTS = frozenset({"lease_held", "version_named"})
 """What concerns every batch. Every node tells it; the first one's line is enough."""
 
-_IDENTIFYING_FIELDS = ("request", "batch", "item")
+_IDENTIFYING_FIELDS = ("request", "batch", "item", "window")
 
 
 class Kind(StrEnum):
@@ -46,6 +48,17 @@
     REQUEST = "request"
     BATCH = "batch"
     ITEM = "item"
+    WINDOW = "window"
+    """A window of time that usage is reported for."""
+
+
+_ENDINGS: dict[Kind, tuple[str, ...]] = {
+    Kind.REQUEST: ("request_ended", "caller_denied"),
+    Kind.BATCH: ("batch_ended", "batch_refused"),
+    Kind.ITEM: ("item_finished",),
+    Kind.WINDOW: ("usage_reported",),
+}
+"""Events that tell how what an id names ended."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,12 +96,7 @@
     @property
     def ending(self) -> LogLine | None:
         """Return the line that tells how it ended, None if none does."""
-        endings = {
-            Kind.REQUEST: ("request_ended",),
-            Kind.BATCH: ("batch_ended", "batch_refused"),
-            Kind.ITEM: ("item_finished",),
-        }[self.kind]
-        ended = [line for line in self.own if line.event in endings]
+        ended = [line for line in self.own if line.event in _ENDINGS[self.kind]]
         return ended[-1] if ended else None
 
 
@@ -125,7 +133,8 @@
         for field_name in _IDENTIFYING_FIELDS
         if line.get(field_name) == identity
     }
-    return next((kind for kind in (Kind.ITEM, Kind.BATCH, Kind.REQUEST) if kind in named), None)
+    kinds = (Kind.ITEM, Kind.BATCH, Kind.REQUEST, Kind.WINDOW)
+    return next((kind for kind in kinds if kind in named), None)
 
 
 def _gather(identity: str, kind: Kind, lines: Sequence[LogLine]) -> _Gathered:
@@ -184,7 +193,7 @@
         for line in dropped
         if line.node in {mine.node for mine in own}
     ]
-    endings = {"request_ended", "item_finished", "batch_ended", "batch_refused"}
+    endings = {event for events in _ENDINGS.values() for event in events}
     if not any(line.event in endings for line in own):
         sentences.append(_without_ending(own[-1], kind, lines))
     return sorted(sentences)
--- a/tests/explain/test_story.py
+++ b/tests/explain/test_story.py
@@ -50,6 +50,19 @@
 )
 
 
+DENIED = (
+    line(9.0, "n1", "dependency_lost", "warning", dependency="operators/0"),
+    line(10.0, "n1", "caller_denied", "warning", request="r3", status="503", view_current="false"),
+)
+WINDOW = (
+    line(20.0, "n1", "usage_written", window="77", requests="5", fence="3", stands="true"),
+    line(20.1, "n1", "usage_reported", "warning", window="77", fence="3", outcome="unknown"),
+    line(21.0, "n1", "stop_requested", incarnation="1"),
+    line(22.0, "n2", "usage_reported", window="77", requests="5", fence="9", outcome="done"),
+    line(22.0, "n2", "usage_reported", window="78", requests="2", fence="9", outcome="done"),
+)
+
+
 class LogLineTests(testtools.TestCase):
     @given(st.text(max_size=30), st.floats(0, 2e9))
     def test_what_is_written_can_be_read(self, value: str, at: float) -> None:
@@ -183,3 +196,19 @@
     def test_lines_of_others_stand_in_brackets(self) -> None:
         text = "\n".join(render_story(story("r1", *REFUSED)))
         self.assertIn("(n1)  worker_changed", text)
+
+
+class DutyStoryTests(testtools.TestCase):
+    def test_a_caller_that_was_turned_away_and_why_the_view_was_old(self) -> None:
+        found = story("r3", *DENIED)
+        self.assertEqual(Kind.REQUEST, found.kind)
+        self.assertEqual("caller_denied", found.ending.event)
+        self.assertIn("dependency_lost", [line.event for line in found.around])
+        self.assertEqual((), found.unknown)
+
+    def test_a_window_of_usage_over_its_holders(self) -> None:
+        found = story("77", *WINDOW)
+        self.assertEqual(Kind.WINDOW, found.kind)
+        self.assertEqual(["n1", "n1", "n2"], [line.node for line in found.own])
+        self.assertEqual("done", found.ending.get("outcome"))
+        self.assertEqual("unknown", found.first_failure.get("outcome"))
