After a restart of all nodes open batches are shown before the whole log is read

Change: EarlyViews reads the partition of an open batch from the least place noted there, with a margin in which a second submission would show; results, bodies and ends of open batches are answered from it until the partition has been read to its end. Where all nodes start at once, replicas leave the log to that for 3 s; the lease on duties is followed at once. A batch with records before its submission in what was read is not answered from it (test), since its positions would differ.

--- a/src/stagewalk/gateway/batch_store.py
+++ b/src/stagewalk/gateway/batch_store.py
@@ -102,6 +102,10 @@
         """Whether nothing waits to be appended."""
         return all(appender.idle for appender in self._appenders)
 
+    def read_whole(self, batch: str) -> bool:
+        """Whether a batch's partition was read to its end since this process started."""
+        return self._follower(batch).freshness.ever_confirmed
+
     def view_age(self, batch: str, now: float) -> float:
         """Return how old the view of a batch's partition is, in seconds."""
         return self._follower(batch).freshness.age(now)
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -27,9 +27,10 @@
 from stagewalk.gateway.app import GatewayApp
 from stagewalk.gateway.batch_calls import BatchCalls
 from stagewalk.gateway.batch_runner import BatchRunner
-from stagewalk.gateway.batch_store import BatchStore
+from stagewalk.gateway.batch_store import TOPIC, BatchStore
 from stagewalk.gateway.caller_gate import CallerGate
 from stagewalk.gateway.duty_services import DutyServices
+from stagewalk.gateway.early_start import EarlyViews
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.ledger_calls import LEDGER_PATH, LedgerCalls
 from stagewalk.gateway.ledger_reads import LedgerReads
@@ -66,6 +67,11 @@
 RESUME_SECONDS = 0.25
 """How long a node that starts leaves the log to those that go on with batches they ran before."""
 
+RESTART_SECONDS = 3.0
+"""The same where all nodes start at once. The log's reads are shared: six replicas took 7 s to read
+all of it, and until then no results were shown to trainers; open batches alone are read in 1.5
+s."""
+
 STALL_SECONDS = 0.2
 """A loop that comes this much late was kept from running, or the machine was."""
 
@@ -205,7 +211,12 @@
             self.store.wait_until_following,
         )
         self._ledger_reads = LedgerReads(
-            self.store, self._dialect, self._due_seconds, hold_results=policy.hold_results
+            self.store,
+            self._dialect,
+            self._due_seconds,
+            hold_results=policy.hold_results,
+            early=EarlyViews(log, TOPIC, open_batches),
+            starting=lambda: self._roles.starting,
         )
         self._ledger_calls = LedgerCalls(
             self._ledger_reads,
@@ -362,7 +373,9 @@
         await self._nodes.wait_until_known()
         if await self._takeovers.resume_own():
             # Those who ran batches go on first: the whole log is read by all nodes at once.
-            self._roles.follow_from(time.monotonic() + RESUME_SECONDS)
+            alone = self._nodes.alone
+            wait_seconds = RESTART_SECONDS if alone else RESUME_SECONDS
+            self._roles.follow_from(time.monotonic() + wait_seconds)
         await self._nodes.settle()
         while True:
             self._nodes.set_serving(self._ready() and not self._stopping)
--- a/src/stagewalk/gateway/duty_lease.py
+++ b/src/stagewalk/gateway/duty_lease.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -47,7 +47,6 @@
         lease: LogLease,
         producer: str,
         call_bytes: int,
-        wait_until_active: Callable[[], Awaitable[None]],
     ) -> None:
         partition = Partition(TOPIC, DUTIES_PARTITION)
         self._log = log
@@ -55,7 +54,7 @@
         self._lease = lease
         self._follower = PartitionFollower(log, partition, self._apply, pause_seconds=0.02)
         self._appender = PartitionAppender(log, partition, producer, call_bytes)
-        self._wait_until_active = wait_until_active
+        self._followed = anyio.Event()
         self._plan_listeners: dict[str, PlanListener] = {}
         self.on_order: Callable[[DutyRecord], None] = lambda _record: None
         """Told of each order that a holder announced."""
@@ -102,8 +101,15 @@
         """Follow the lease's records from now on, or no more."""
         if following:
             self._follower.resume()
+            self._followed.set()
         else:
             self._follower.pause()
+            self._followed = anyio.Event()
+
+    @property
+    def following(self) -> bool:
+        """Whether the lease's records are followed."""
+        return self._followed.is_set()
 
     def set_quiet(self, seconds: float) -> None:
         """Change how long nobody acts between two holders."""
@@ -123,7 +129,7 @@
 
     async def wait_until_active(self) -> None:
         """Wait until this process follows the records of the lease."""
-        await self._wait_until_active()
+        await self._followed.wait()
 
     async def write(self, subject: str, content: bytes, fence: int) -> bool:
         """Write a plan down under a fence; return whether it stands.
@@ -142,7 +148,7 @@
     async def _run(self) -> None:
         while not self._stopping:
             await anyio.sleep(STEP_SECONDS)
-            await self._wait_until_active()
+            await self._followed.wait()
             if not self._stopping:
                 await self._keep(time.monotonic())
 
--- a/src/stagewalk/gateway/duty_services.py
+++ b/src/stagewalk/gateway/duty_services.py
@@ -59,7 +59,6 @@
             ),
             producer=producer,
             call_bytes=call_bytes,
-            wait_until_active=store.wait_until_following,
         )
         self._orders = OrderService(
             identity=identity,
--- a/src/stagewalk/gateway/early_start.py
+++ b/src/stagewalk/gateway/early_start.py
@@ -1,17 +1,28 @@
-"""Finds batches to run before the whole log is read: from where each one's records begin.
+"""Finds open batches before the whole log is read: from where each one's records begin.
 
-After a restart of all nodes, everyone reads the whole log at once, which takes seconds. The runner
-of an open batch needs only that batch's records.
+After a restart of all nodes, everyone reads the whole log at once, which takes seconds. An open
+batch needs only that batch's records.
 """
 
 from __future__ import annotations
 
 import time
+from collections.abc import Mapping
+
+import anyio
 
 from stagewalk.batches.ledger import Batch, BatchLedger
-from stagewalk.batches.records import decode_record
+from stagewalk.batches.records import BatchSubmitted, decode_record
+from stagewalk.gateway.open_batches import BatchPlace, OpenBatches
 from stagewalk.ports.partitioned_log import Partition, PartitionedLog
 
+MARGIN_RECORDS = 100
+"""So many records before the noted place of a batch are read as well: were it handed in twice, the
+records of its first run would stand there, some 25 a second in each partition."""
+
+LIST_SECONDS = 0.3
+"""How often the places of open batches are listed again for a batch that is not among them."""
+
 
 class PartialLedger:
     """The batches of a partition whose records begin at an offset or later."""
@@ -20,24 +31,82 @@
         self._log = log
         self._partition = partition
         self._next_offset = offset
+        self._began_before: set[str] = set()
+        """Batches with records of which the submission was not seen: it lies further back."""
+        self._reading = anyio.Lock()
+        self.first_offset = offset
         self.ledger = BatchLedger(lambda _batch, _change: None)
 
     async def read(self) -> bool:
         """Read to the partition's end; return whether the log answered."""
-        while True:
-            answer = await self._log.read(self._partition, self._next_offset, 0.0)
-            if answer.is_error():
-                return False
-            page = answer.ok
-            now = time.monotonic()
-            for record in page.records:
-                decoded = decode_record(record.payload)
-                if decoded is not None and record.offset >= self._next_offset:
-                    self.ledger.apply(decoded, now)
-            self._next_offset = max(self._next_offset, page.next_offset)
-            if page.next_offset >= page.end:
-                return True
+        async with self._reading:
+            while True:
+                answer = await self._log.read(self._partition, self._next_offset, 0.0)
+                if answer.is_error():
+                    return False
+                page = answer.ok
+                for record in page.records:
+                    if record.offset >= self._next_offset:
+                        self._apply(record.payload)
+                self._next_offset = max(self._next_offset, page.next_offset)
+                if page.next_offset >= page.end:
+                    return True
+
+    def _apply(self, payload: bytes) -> None:
+        decoded = decode_record(payload)
+        if decoded is None:
+            return
+        if not isinstance(decoded, BatchSubmitted) and self.ledger.get(decoded.batch) is None:
+            self._began_before.add(decoded.batch)
+        self.ledger.apply(decoded, time.monotonic())
+
+    def whole(self, name: str) -> Batch | None:
+        """Return a batch of which all records were read, None if there is none."""
+        return None if name in self._began_before else self.ledger.get(name)
 
     def open_batches(self) -> list[Batch]:
         """Return the batches found of which something is left to run."""
         return self.ledger.open_batches()
+
+
+class EarlyViews:
+    """Open batches as of now, for as long as the whole log has not been read.
+
+    Parameters
+    ----------
+    topic
+        Where batches are kept.
+    """
+
+    def __init__(self, log: PartitionedLog, topic: str, open_batches: OpenBatches) -> None:
+        self._log = log
+        self._topic = topic
+        self._open_batches = open_batches
+        self._places: Mapping[str, BatchPlace] = {}
+        self._listed_at = float("-inf")
+        self._partials: dict[int, PartialLedger] = {}
+
+    async def find(self, name: str) -> Batch | None:
+        """Return an open batch with all its results so far; None if it can't be told."""
+        place = await self._place(name)
+        if place is None:
+            return None
+        partial = self._partial(place)
+        return partial.whole(name) if await partial.read() else None
+
+    async def _place(self, name: str) -> BatchPlace | None:
+        now = time.monotonic()
+        if name not in self._places and now - self._listed_at > LIST_SECONDS:
+            self._listed_at = now
+            self._places = await self._open_batches.list()
+        return self._places.get(name)
+
+    def _partial(self, place: BatchPlace) -> PartialLedger:
+        known = self._partials.get(place.partition)
+        if known is not None and known.first_offset <= place.offset:
+            return known
+        offsets = [p.offset for p in self._places.values() if p.partition == place.partition]
+        first = max(0, min([place.offset, *offsets]) - MARGIN_RECORDS)
+        partial = PartialLedger(self._log, Partition(self._topic, place.partition), first)
+        self._partials[place.partition] = partial
+        return partial
--- a/src/stagewalk/gateway/ledger_reads.py
+++ b/src/stagewalk/gateway/ledger_reads.py
@@ -6,10 +6,13 @@
 import time
 from collections.abc import Callable
 
+import anyio
+
 from stagewalk.batches.ledger import Batch
 from stagewalk.batches.records import ItemFinished
 from stagewalk.forwarding.policy import COME_BACK_SECONDS
 from stagewalk.gateway.batch_store import BatchStore
+from stagewalk.gateway.early_start import EarlyViews
 from stagewalk.gateway.ledger_messages import (
     EndCall,
     ItemCall,
@@ -42,6 +45,9 @@
 """A read is held that asks for no more than the last results of a step of which this share is
 there: others, of whoever looks at a step from its start, are answered at once."""
 
+EARLY_READ_SECONDS = 0.15
+"""How often the log is asked for news of a batch before it has been read whole."""
+
 OPAQUE_CONTENT = "application/octet-stream"
 
 
@@ -54,6 +60,10 @@
         Tells how long after its submission a batch's results are due.
     hold_results
         Whether reads near the end of a step wait until all is there that its trainer waits for.
+    early
+        Finds open batches while the log has not been read to its end; None: nothing does.
+    starting
+        Whether the log is left to those that look for open batches: it isn't read whole on demand.
     """
 
     def __init__(
@@ -63,7 +73,11 @@
         due_seconds: Callable[[Batch], float] = lambda _batch: math.inf,
         *,
         hold_results: bool = False,
+        early: EarlyViews | None = None,
+        starting: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._early = early
+        self._starting = starting
         self._store = store
         self._dialect = dialect
         self._due_seconds = due_seconds
@@ -96,6 +110,9 @@
 
     async def _results(self, call: ResultsCall, oldest_seconds: float) -> LedgerAnswer:
         """Show a batch's results from a position on."""
+        early = await self._find_early(call.batch)
+        if early is not None:
+            return await self._early_results(early, call)
         batch = await self._find(call)
         if isinstance(batch, LedgerAnswer):
             return batch
@@ -117,6 +134,34 @@
         next_position = call.position + len(page)
         return LedgerAnswer(200, self._dialect.results(len(batch.items), next_position, page))
 
+    async def _find_early(self, name: str) -> Batch | None:
+        """Return an open batch while the log has not been read to its end."""
+        if self._early is None or self._store.read_whole(name):
+            return None
+        return await self._early.find(name)
+
+    async def _early_results(self, batch: Batch, call: ResultsCall) -> LedgerAnswer:
+        """Show results of an open batch before the whole log is read."""
+        if not batch.header.belongs_to(call.tenant):
+            return self._deny(call)
+        until = time.monotonic() + min(LONGEST_WAIT_SECONDS, call.wait_seconds)
+        while call.position >= len(batch.results) and batch.open and time.monotonic() < until:
+            await anyio.sleep(EARLY_READ_SECONDS)
+            batch = await self._find_early(call.batch) or batch
+        if call.position > len(batch.results):
+            return refusal(503, "the view is too old", COME_BACK_SECONDS)
+        page = _page(batch, call.position)
+        log_event(
+            "results_shown",
+            batch=call.batch,
+            position=call.position,
+            count=len(page),
+            known=len(batch.results),
+            view_age=0.0,
+        )
+        next_position = call.position + len(page)
+        return LedgerAnswer(200, self._dialect.results(len(batch.items), next_position, page))
+
     async def _wait_for_results(self, batch: Batch, call: ResultsCall) -> None:
         """Wait for a first result, or for the last ones of a step, as long as the caller offers."""
         until = time.monotonic() + min(LONGEST_WAIT_SECONDS, call.wait_seconds)
@@ -168,14 +213,20 @@
         """Return a call's batch, or the answer if its tenant has none or that can't be told."""
         found = await self._look_up(call.batch)
         if isinstance(found, Batch) and not found.header.belongs_to(call.tenant):
-            log_event("batch_denied", "warning", batch=call.batch, tenant=call.tenant)
-            return refusal(404, "there is no such batch")
+            return self._deny(call)
         return found
 
+    @staticmethod
+    def _deny(call: LedgerCall) -> LedgerAnswer:
+        log_event("batch_denied", "warning", batch=call.batch, tenant=call.tenant)
+        return refusal(404, "there is no such batch")
+
     async def _look_up(self, name: str) -> Batch | LedgerAnswer:
-        batch = self._store.ledger.get(name)
+        batch = self._store.ledger.get(name) or await self._find_early(name)
         if batch is not None:
             return batch
+        if self._starting():
+            return refusal(503, "the log is being read", COME_BACK_SECONDS)
         current = await self._store.catch_up(name)
         batch = self._store.ledger.get(name)
         if batch is not None:
--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -117,6 +117,11 @@
         """Whether the other nodes have had time to announce themselves."""
         return self._settled.is_set()
 
+    @property
+    def alone(self) -> bool:
+        """Whether no replica of the ledger was alive anywhere when this process started."""
+        return self._alone
+
     @property
     def listed(self) -> bool:
         """Whether callers are sent to this node."""
--- a/src/stagewalk/gateway/role_keeper.py
+++ b/src/stagewalk/gateway/role_keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import time
 
 from stagewalk.directory.ledger_replicas import ReplicaRole
 from stagewalk.directory.read_pace import LISTED_PACE, ReadPace, read_pace
@@ -43,6 +44,11 @@
         """Leave the batches to others until a steady time."""
         self._follow_from = at
 
+    @property
+    def starting(self) -> bool:
+        """Whether the log is left to those that look for open batches."""
+        return time.monotonic() < self._follow_from
+
     def update(self, stopping: bool, now: float) -> None:
         """Compare the roles this node has with those it should have."""
         roles = self._nodes.wanted_roles()
@@ -52,10 +58,12 @@
             serving = len(self._nodes.serving())
             log_event("replica_role", holds=self._replica.announced, serving=serving)
             self._nodes.set_replica(self._replica.announced)
-        following = self._replica.following(now) and now >= self._follow_from
+        attentive = self._replica.following(now)
+        if attentive != self._duties.following:
+            self._duties.set_following(attentive)
+        following = attentive and now >= self._follow_from
         if following != self._store.following:
             self._store.set_following(following)
-            self._duties.set_following(following)
         self._set_pace(read_pace(following, self._nodes.listed))
 
     def _set_pace(self, pace: ReadPace) -> None:
--- /dev/null
+++ b/tests/gateway/test_early_views.py
@@ -0,0 +1,141 @@
+"""Open batches are shown as they are before the whole log is read."""
+
+from __future__ import annotations
+
+import anyio
+import msgspec
+import testtools
+from expression import Ok
+
+from stagewalk.batches.records import (
+    BatchEnded,
+    BatchRecord,
+    ItemFinished,
+    encode_record,
+)
+from stagewalk.gateway.early_start import MARGIN_RECORDS, EarlyViews
+from stagewalk.gateway.ledger_messages import EndCall, ItemCall, ResultsCall
+from stagewalk.gateway.ledger_reads import LedgerReads
+from stagewalk.gateway.open_batches import BatchPlace, OpenBatches
+from stagewalk.ports.partitioned_log import Partition, ProducerSequence
+from stagewalk_standins.partitioned_log import MemoryLog
+from stagewalk_standins.plain_dialect import PlainDialect
+from tests.batches.support import item, submitted
+
+TOPIC = "batches"
+PLACE = Partition(TOPIC, 0)
+
+
+def finished(batch: str, name: str) -> ItemFinished:
+    return ItemFinished(batch, name, True, "t", (1,))
+
+
+class UnreadStore:
+    """A store that has read nothing yet, and must not read everything on demand."""
+
+    following = False
+
+    def __init__(self) -> None:
+        self.ended: list[str] = []
+
+        class _Empty:
+            @staticmethod
+            def get(_name: str) -> None:
+                return None
+
+        self.ledger = _Empty()
+
+    def read_whole(self, _batch: str) -> bool:
+        return False
+
+    def view_age(self, _batch: str, _now: float) -> float:
+        return float("inf")
+
+    async def end(self, batch: str, _seconds: float):
+        self.ended.append(batch)
+
+        return Ok(1)
+
+
+class EarlyViewTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = MemoryLog()
+        self.client = self.log.client()
+        self.places = OpenBatches(self.client)
+        self.early = EarlyViews(self.client, TOPIC, self.places)
+        self.store = UnreadStore()
+        self.reads = LedgerReads(
+            self.store, PlainDialect(), early=self.early, starting=lambda: True
+        )
+
+    async def append(self, *records: BatchRecord) -> int:
+        sequence = ProducerSequence(f"p{self.client.calls}", 1, 1)
+        payloads = [encode_record(record) for record in records]
+        return (await self.client.append(PLACE, payloads, sequence)).ok
+
+    async def note(self, batch: str, offset: int) -> None:
+        await self.places.note(batch, BatchPlace(0, offset, "n#1"))
+
+    async def old_batches(self, count: int) -> None:
+        for number in range(count):
+            name = f"old{number}"
+            await self.append(submitted(item("x"), batch=name), BatchEnded(name))
+
+    def test_results_of_an_open_batch_come_from_its_own_records(self) -> None:
+        async def scenario() -> None:
+            await self.old_batches(MARGIN_RECORDS)
+            offset = await self.append(submitted(item("x"), item("y"), batch="b"))
+            await self.note("b", offset)
+            await self.append(finished("b", "y"))
+            answer = await self.reads.carry_out(ResultsCall("b", 0, 0.0))
+            self.assertEqual(200, answer.status)
+            rows = msgspec.json.decode(answer.content)["results"]
+            self.assertEqual(["y"], [row[2] for row in rows])
+            self.assertLess(self.client.calls, MARGIN_RECORDS + 12)
+            self.assertEqual(200, (await self.reads.carry_out(ItemCall("b", "x"))).status)
+            self.assertEqual(200, (await self.reads.carry_out(EndCall("b"))).status)
+            self.assertEqual(["b"], self.store.ended)
+
+        anyio.run(scenario)
+
+    def test_a_read_waits_for_a_first_result(self) -> None:
+        async def scenario() -> None:
+            await self.note("b", await self.append(submitted(item("x"), batch="b")))
+
+            async def finish() -> None:
+                await anyio.sleep(0.2)
+                await self.append(finished("b", "x"))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(finish)
+                answer = await self.reads.carry_out(ResultsCall("b", 0, 1.0))
+            self.assertEqual(1, len(msgspec.json.decode(answer.content)["results"]))
+
+        anyio.run(scenario)
+
+    def test_a_batch_handed_in_twice_is_not_told_from_its_second_submission(self) -> None:
+        """Its results would stand at other positions than were shown before."""
+
+        async def scenario() -> None:
+            first = submitted(item("x"), item("y"), batch="b")
+            await self.append(first)
+            await self.old_batches(1)
+            await self.append(finished("b", "x"))
+            await self.old_batches(MARGIN_RECORDS // 2 - 1)
+            await self.note("b", await self.append(first))
+            await self.append(finished("b", "y"))
+            self.assertIsNone(await self.early.find("b"))
+            answer = await self.reads.carry_out(ResultsCall("b", 0, 0.0))
+            self.assertEqual(503, answer.status)
+
+        anyio.run(scenario)
+
+    def test_what_is_not_open_is_left_until_the_log_is_read(self) -> None:
+        async def scenario() -> None:
+            await self.append(submitted(item("x"), batch="old"), BatchEnded("old"))
+            answer = await self.reads.carry_out(ResultsCall("old", 0, 0.0))
+            self.assertEqual(503, answer.status)
+            self.assertIsNotNone(answer.come_back_seconds)
+
+        anyio.run(scenario)
