--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -67,10 +67,10 @@
 RESUME_SECONDS = 0.25
 """How long a node that starts leaves the log to those that go on with batches they ran before."""
 
-RESTART_SECONDS = 3.0
+RESTART_SECONDS = 5.0
 """The same where all nodes start at once. The log's reads are shared: six replicas took 7 s to read
-all of it, and until then no results were shown to trainers; open batches alone are read in 1.5
-s."""
+all of it, and until then no results were shown to trainers. Open batches alone take some 2 s, and
+those who look for them have the reads to themselves meanwhile."""
 
 STALL_SECONDS = 0.2
 """A loop that comes this much late was kept from running, or the machine was."""
--- a/src/stagewalk/gateway/early_start.py
+++ b/src/stagewalk/gateway/early_start.py
@@ -105,8 +105,8 @@
         known = self._partials.get(place.partition)
         if known is not None and known.first_offset <= place.offset:
             return known
-        offsets = [p.offset for p in self._places.values() if p.partition == place.partition]
-        first = max(0, min([place.offset, *offsets]) - MARGIN_RECORDS)
+        # Not from the oldest place of all: batches that ended while nobody ran them stay noted.
+        first = max(0, place.offset - MARGIN_RECORDS)
         partial = PartialLedger(self._log, Partition(self._topic, place.partition), first)
         self._partials[place.partition] = partial
         return partial
