Engines are shared out among the models they hold

Cause (found by reading): sizes of sets were reckoned over all engines, though those of one service may hold other models than those of another: engines could be left without a model, never loaded, and in the end useless. Change: sets are made for each group of engines that hold the same models; a test with two groups.

--- a/src/stagewalk/version_rollouts/core.py
+++ b/src/stagewalk/version_rollouts/core.py
@@ -17,7 +17,7 @@
     ModelDemand,
     SetSizes,
     assign_engines,
-    engines_of,
+    engines_by_models,
 )
 from stagewalk.workers.table import WorkerTable
 from stagewalk.workers.worker import Worker
@@ -65,7 +65,8 @@
         self._pending: dict[str, _Pending] = {}
         self._not_before: dict[str, float] = {}
         self._demand = ModelDemand()
-        self._set_sizes = SetSizes()
+        self._set_sizes: dict[tuple[str, ...], SetSizes] = {}
+        """By the models that engines hold."""
         self.on_named: Callable[[str, int], None] = lambda _model, _version: None
 
     def name_version(self, model: str, version: int) -> bool:
@@ -171,9 +172,13 @@
 
     def _sets(self, models: list[str]) -> dict[str, str]:
         """Return the model of each engine, as the demand is now."""
-        engines = engines_of(self._workers.all(), models)
-        sizes = self._set_sizes.update(len(engines), self._demand.shares(models))
-        return assign_engines(engines, {m: self._named.get(m, 1) for m in models}, sizes)
+        sets: dict[str, str] = {}
+        for held, engines in engines_by_models(self._workers.all(), models).items():
+            shares = self._demand.shares(held)
+            sizes = self._set_sizes.setdefault(held, SetSizes()).update(len(engines), shares)
+            named = {model: self._named.get(model, 1) for model in held}
+            sets.update(assign_engines(engines, named, sizes))
+        return sets
 
     def _due(self, engines: list[Worker], model: str, version: int) -> list[Worker]:
         """Return the engines to change, the least loaded of the oldest first.
--- a/src/stagewalk/version_rollouts/engine_sets.py
+++ b/src/stagewalk/version_rollouts/engine_sets.py
@@ -72,13 +72,16 @@
         return sizes
 
 
-def engines_of(workers: Sequence[Worker], models: Sequence[str]) -> list[Worker]:
-    """Return the workers that serve and hold one of the models."""
-    return [
-        worker
-        for worker in workers
-        if not worker.announcement.draining and any(model in worker.versions for model in models)
-    ]
+def engines_by_models(
+    workers: Sequence[Worker], models: Sequence[str]
+) -> dict[tuple[str, ...], list[Worker]]:
+    """Return the workers that serve, by which of the models they hold."""
+    groups: dict[tuple[str, ...], list[Worker]] = {}
+    for worker in workers:
+        held = tuple(model for model in models if model in worker.versions)
+        if held and not worker.announcement.draining:
+            groups.setdefault(held, []).append(worker)
+    return groups
 
 
 def assign_engines(
--- a/tests/version_rollouts/test_engine_sets.py
+++ b/tests/version_rollouts/test_engine_sets.py
@@ -12,7 +12,7 @@
     ModelDemand,
     SetSizes,
     assign_engines,
-    engines_of,
+    engines_by_models,
 )
 from stagewalk.workers.table import WorkerTable
 from tests.workers.support import announcement
@@ -94,6 +94,18 @@
         rollouts.note_open_items({"m": 14, "n": 40, "o": 46}, 103.0)
         self.assertEqual(sizes, Counter(rollouts._sets(list(MODELS)).values()))
 
+    def test_engines_that_hold_other_models_are_shared_out_among_those(self) -> None:
+        for number in range(4):
+            self.workers.announce(announcement(f"other{number}", versions={"p": 1}), 0.0)
+        rollouts = VersionRollouts(self.workers, SETS)
+        for model in (*MODELS, "p"):
+            rollouts.name_version(model, 2)
+            rollouts.note_minimum(model, 1)
+        rollouts.note_open_items({"m": 90, "n": 90, "o": 90, "p": 1}, 0.0)
+        sets = rollouts._sets([*MODELS, "p"])
+        self.assertEqual(27, len(sets))
+        self.assertEqual({"p"}, {sets[f"other{n}"] for n in range(4)})
+
     def test_a_model_without_open_items_keeps_half_of_an_equal_part(self) -> None:
         demand = ModelDemand()
         demand.note({"m": 0, "n": 90}, 0.0)
@@ -103,6 +115,6 @@
 
     def assign(self, named: dict[str, int]) -> dict[str, str]:
         models = list(named)
-        engines = engines_of(self.workers.all(), models)
+        engines = engines_by_models(self.workers.all(), models).get(tuple(models), [])
         sizes = SetSizes().update(len(engines), ModelDemand().shares(models))
         return assign_engines(engines, named, sizes)
