--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -1,26 +1,18 @@
-"""The gateway daemon: wires cores, ports and listeners together, and stops in order."""
+"""The gateway: wires cores, ports and listeners together, and stops in order."""
 
 from __future__ import annotations
 
-import asyncio
-import dataclasses
-import gc
 import math
 import signal
-import sys
 import time
-import traceback
 import uuid
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
 import anyio.abc
-from expression import Result
 
 from stagewalk.batches.ledger import Batch
 from stagewalk.batches.scheduler import BatchScheduler
-from stagewalk.core.errors import StagewalkError
 from stagewalk.core.identities import Address
 from stagewalk.forwarding.forwarder import Forwarder
 from stagewalk.forwarding.stream_forwarder import StreamForwarder
@@ -43,12 +35,12 @@
 from stagewalk.gateway.runner_choice import RunnerChoice
 from stagewalk.gateway.runner_probes import RunnerProbes
 from stagewalk.gateway.settings import GatewaySettings
+from stagewalk.gateway.settings_reload import SettingsLoader, reload_settings
 from stagewalk.gateway.takeover_service import TakeoverService
 from stagewalk.log_relay.relayed_log import RELAY_PATH, RelayedLog
 from stagewalk.log_relay.server import LogRelay
 from stagewalk.logs.budget import LogBudget
-from stagewalk.logs.lines import configure_logs, log_event
-from stagewalk.logs.writer import LineWriter
+from stagewalk.logs.lines import log_event
 from stagewalk.node.http_server import open_listener, serve_http
 from stagewalk.partitioned_log.measured_log import MeasuredLog
 from stagewalk.peer_calls.client import PeerClient
@@ -61,8 +53,6 @@
 from stagewalk.version_rollouts.core import VersionRollouts
 from stagewalk.workers.table import WorkerTable
 
-EXIT_CLEAN = 0
-EXIT_FAILED = 1
 NODES = Partition("keyed.nodes", 0)
 RESUME_SECONDS = 0.25
 """How long a node that starts leaves the log to those that go on with batches they ran before."""
@@ -97,40 +87,6 @@
     """None: the platform has no duties but those at the workers."""
 
 
-SettingsLoader = Callable[[], Result[GatewaySettings, StagewalkError]]
-"""Reads the settings again."""
-
-
-def run_gateway(
-    settings: GatewaySettings, dependencies: Dependencies, load_again: SettingsLoader
-) -> int:
-    """Run a gateway until it is asked to stop; return the process's exit code."""
-    budget = LogBudget()
-    writer = LineWriter(sys.stdout.fileno(), _soon)
-    undo_logs = configure_logs(settings.log_level, writer.write, node=settings.name, budget=budget)
-    gc.freeze()
-    gc.enable()
-    try:
-        gateway = Gateway(settings, dependencies, load_again, budget)
-        anyio.run(gateway.run_until_signal, backend="asyncio")
-    except Exception as error:
-        trace = "".join(traceback.format_exception(error))
-        log_event("gateway_failed", "error", trace=trace)
-        return EXIT_FAILED
-    finally:
-        undo_logs()
-        writer.flush()
-    return EXIT_CLEAN
-
-
-def _soon(call: Callable[[], None]) -> None:
-    """Have a call made in the next turn of the event loop, at once where none runs."""
-    try:
-        asyncio.get_running_loop().call_soon(call)
-    except RuntimeError:
-        call()
-
-
 class Gateway:
     """One gateway process."""
 
@@ -410,23 +366,8 @@
         """
         if self._load_again is None:
             return
-        loaded = self._load_again()
-        if loaded.is_error():
-            log_event("settings_refused", "warning", error=str(loaded.error))
-            return
-        before, after = self.settings, loaded.ok
-        self._duties.lease.set_quiet(after.timing.lease_quiet)
-        self.settings = dataclasses.replace(before, timing=after.timing)
-        waiting = [
-            field.name
-            for field in dataclasses.fields(after)
-            if field.name != "timing" and getattr(before, field.name) != getattr(after, field.name)
-        ]
-        log_event(
-            "settings_read",
-            timing_changed=before.timing != after.timing,
-            waiting_for_restart=",".join(waiting),
-        )
+        self.settings = reload_settings(self.settings, self._load_again())
+        self._duties.lease.set_quiet(self.settings.timing.lease_quiet)
 
     async def stop(self) -> None:
         """Tell callers and nodes, hand work over, and end once nobody is sent here any more."""
--- /dev/null
+++ b/src/stagewalk/gateway/process.py
@@ -0,0 +1,51 @@
+"""Runs a gateway as a process: logs, garbage collection, exit code."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+import traceback
+from collections.abc import Callable
+
+import anyio
+
+from stagewalk.gateway.daemon import Dependencies, Gateway
+from stagewalk.gateway.settings import GatewaySettings
+from stagewalk.gateway.settings_reload import SettingsLoader
+from stagewalk.logs.budget import LogBudget
+from stagewalk.logs.lines import configure_logs, log_event
+from stagewalk.logs.writer import LineWriter
+
+EXIT_CLEAN = 0
+EXIT_FAILED = 1
+
+
+def run_gateway(
+    settings: GatewaySettings, dependencies: Dependencies, load_again: SettingsLoader
+) -> int:
+    """Run a gateway until it is asked to stop; return the process's exit code."""
+    budget = LogBudget()
+    writer = LineWriter(sys.stdout.fileno(), _soon)
+    undo_logs = configure_logs(settings.log_level, writer.write, node=settings.name, budget=budget)
+    gc.freeze()
+    gc.enable()
+    try:
+        gateway = Gateway(settings, dependencies, load_again, budget)
+        anyio.run(gateway.run_until_signal, backend="asyncio")
+    except Exception as error:
+        trace = "".join(traceback.format_exception(error))
+        log_event("gateway_failed", "error", trace=trace)
+        return EXIT_FAILED
+    finally:
+        undo_logs()
+        writer.flush()
+    return EXIT_CLEAN
+
+
+def _soon(call: Callable[[], None]) -> None:
+    """Have a call made in the next turn of the event loop, at once where none runs."""
+    try:
+        asyncio.get_running_loop().call_soon(call)
+    except RuntimeError:
+        call()
--- /dev/null
+++ b/src/stagewalk/gateway/settings_reload.py
@@ -0,0 +1,39 @@
+"""Settings read again while a gateway runs."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+from expression import Result
+
+from stagewalk.core.errors import StagewalkError
+from stagewalk.gateway.settings import GatewaySettings
+from stagewalk.logs.lines import log_event
+
+SettingsLoader = Callable[[], Result[GatewaySettings, StagewalkError]]
+"""Reads the settings again."""
+
+
+def reload_settings(
+    before: GatewaySettings, loaded: Result[GatewaySettings, StagewalkError]
+) -> GatewaySettings:
+    """Return the settings in force from now on: timing changes, anything else at the next start.
+
+    Settings that can't be read leave those in force as they are.
+    """
+    if loaded.is_error():
+        log_event("settings_refused", "warning", error=str(loaded.error))
+        return before
+    after = loaded.ok
+    waiting = [
+        field.name
+        for field in dataclasses.fields(after)
+        if field.name != "timing" and getattr(before, field.name) != getattr(after, field.name)
+    ]
+    log_event(
+        "settings_read",
+        timing_changed=before.timing != after.timing,
+        waiting_for_restart=",".join(waiting),
+    )
+    return dataclasses.replace(before, timing=after.timing)
