The soak gives no address twice

Ruled out: another test's listener (a loopback number of the soak's own); load, since it is a matter of chance, some 0.7% for 20 addresses. Change: ports that were given are remembered; a test that asks for 1,000 fails without that.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,7 +13,7 @@
 from testtools.content import text_content
 
 from tests.soak.run import soak
-from tests.soak.world import GatewayProcess, World
+from tests.soak.world import GatewayProcess, World, own_address
 
 SECONDS = 10.0
 SEED = 11
@@ -79,3 +79,9 @@
         path.unlink()
         path.write_text(settings)
         pipe.write(settings)
+
+
+class AddressTests(testtools.TestCase):
+    def test_no_address_is_given_twice(self) -> None:
+        addresses = [own_address() for _ in range(1_000)]
+        self.assertEqual(len(addresses), len(set(addresses)))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -52,13 +52,21 @@
 """
 
 
+_given_ports: set[int] = set()
+
+
 def own_address() -> Address:
-    """Return a free address at a loopback number that only the soak uses.
+    """Return a free address at a loopback number that only the soak uses, another one each time.
 
-    Other tests run beside it, and their callers go on asking at ports whose servers have ended.
+    Other tests run beside it, and their callers go on asking at ports whose servers have ended. The
+    system gives a port out again that nobody listens at yet.
     """
-    with socket.create_server((SOAK_HOST, 0)) as probe:
-        return Address(SOAK_HOST, probe.getsockname()[1])
+    while True:
+        with socket.create_server((SOAK_HOST, 0)) as probe:
+            port = probe.getsockname()[1]
+        if port not in _given_ports:
+            _given_ports.add(port)
+            return Address(SOAK_HOST, port)
 
 
 @dataclass
