--- a/src/stagewalk/autoscaling/core.py
+++ b/src/stagewalk/autoscaling/core.py
@@ -34,7 +34,7 @@
 happens it happens again, a whole zone at a time, and for some seconds there are none to be had."""
 
 RETRY_SECONDS = 1.0
-"""The same after any other failure."""
+"""A zone is asked again so long after any other failure."""
 
 
 @dataclass(frozen=True, slots=True)
