Logs and a metric tell from which view of the log a batch is run

Cause: of two hypotheses for items that ran after their batch's end, a run begun from the middle of the log and a run whose view lags, today's lines fit both: none names the offset a run was read from, nor how old the view was, and nothing is logged when a runner learns of an end. Change: batch_submitted names its offset; batch_assigned (a node is told to run a batch) says whether it follows the log; batch_opened names the offset read from and the view's age; item_started the age at each start; batch_closed that the runner learnt of an end, and from how old a view. Histogram stagewalk_item_view_age_seconds. A partial view keeps when it was last complete. No logic changes. Ruled out: nothing yet. Before and after: 263 tests of gateway, batches, explain, logs and the platform's adapter pass.

--- a/src/stagewalk/gateway/batch_calls.py
+++ b/src/stagewalk/gateway/batch_calls.py
@@ -85,6 +85,7 @@
             tenant=header.tenant,
             items=len(taken.items),
             runner=runner,
+            offset=outcome.ok if outcome.is_ok() else -1,
             outcome="appended" if outcome.is_ok() else outcome.error.value,
         )
         if outcome.is_ok():
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 
 import anyio
 import anyio.abc
 
-from stagewalk.batches.ledger import Batch, BatchLedger, KeptText, LedgerChange
+from stagewalk.batches.ledger import Batch, KeptText, LedgerChange
 from stagewalk.batches.messages import (
     AttemptBroken,
     AttemptEnded,
@@ -28,6 +29,7 @@
 )
 from stagewalk.batches.scheduler import BatchScheduler
 from stagewalk.gateway.batch_store import BatchStore
+from stagewalk.gateway.early_start import PartialLedger
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.node_service import NodeService
 from stagewalk.gateway.open_batches import OpenBatches
@@ -67,6 +69,7 @@
         nodes: NodeService,
         rollouts: VersionRollouts,
         open_batches: OpenBatches,
+        on_item_started: Callable[[float], None] = lambda _view_age: None,
     ) -> None:
         self._identity = identity
         self._store = store
@@ -76,11 +79,14 @@
         self._nodes = nodes
         self._rollouts = rollouts
         self._open_batches = open_batches
+        self._on_item_started = on_item_started
         self._tasks: anyio.abc.TaskGroup | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
         self._scores = ScoreSender(client, workers, self._handle)
         self._ahead: dict[str, int] = {}
         """By batch that was begun before this node's view told of it, the epoch it is run under."""
+        self._partials: dict[str, PartialLedger] = {}
+        """By batch that was begun ahead, the view that told of it."""
         self._stopping = False
         self._begun = anyio.Event()
 
@@ -158,24 +164,26 @@
     def _open(self, batch: Batch) -> None:
         self._begin(batch, self._store.ledger.kept_text)
 
-    def begin_ahead(self, batch: Batch, ledger: BatchLedger, epoch: int) -> None:
+    def begin_ahead(self, batch: Batch, partial: PartialLedger, epoch: int) -> None:
         """Run a batch that this node's view does not tell of yet.
 
         Parameters
         ----------
-        batch, ledger
+        batch, partial
             The batch as another view tells it, and that view.
         epoch
             The epoch of this process's claim to it, 0 if it was given the batch.
         """
         if batch.header.batch not in self._scheduler.batches and not self._stopping:
             self._ahead[batch.header.batch] = epoch
-            self._begin(batch, ledger.kept_text)
+            self._partials[batch.header.batch] = partial
+            self._begin(batch, partial.ledger.kept_text)
 
     def _begin(self, batch: Batch, kept_text: KeptTextOf) -> None:
         name = batch.header.batch
         if not batch.open or name in self._scheduler.batches:
             return
+        partial = self._partials.get(name)
         log_event(
             "batch_opened",
             batch=name,
@@ -184,6 +192,8 @@
             minimum_version=batch.header.minimum_version,
             epoch=batch.epoch,
             ahead=name in self._ahead,
+            read_from=0 if partial is None else partial.first_offset,
+            view_age=self._view_age(name),
         )
         self._carry_out(self._scheduler.open(batch, kept_text, time.monotonic()))
         self._begun.set()
@@ -192,8 +202,18 @@
     def _close(self, batch: str, reason: str) -> None:
         if reason == ENDED and self.runs(batch) and self._tasks is not None:
             self._tasks.start_soon(self._open_batches.drop, batch)
+        if self.runs(batch):
+            log_event("batch_closed", batch=batch, reason=reason, view_age=self._view_age(batch))
         self._carry_out(self._scheduler.close(batch, reason))
         self._ahead.pop(batch, None)
+        self._partials.pop(batch, None)
+
+    def _view_age(self, batch: str) -> float:
+        """Return how long ago the view was complete that tells whether a batch has ended."""
+        now = time.monotonic()
+        partial = self._partials.get(batch)
+        ahead = math.inf if partial is None else now - partial.confirmed_at
+        return min(ahead, self._store.view_age(batch, now))
 
     # Attempts.
 
@@ -242,6 +262,8 @@
         scope = anyio.CancelScope()
         self._scopes[start.attempt] = scope
         self._tasks.start_soon(self._run_item, start, scope)
+        view_age = self._view_age(start.batch)
+        self._on_item_started(view_age)
         log_event(
             "item_started",
             item=start.item.item,
@@ -249,6 +271,7 @@
             attempt=start.attempt,
             worker=start.worker,
             resume_after=start.resume_after or 0,
+            view_age=view_age,
         )
 
     def _stop_item(self, stop: StopItem) -> None:
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -142,6 +142,7 @@
             nodes=self._nodes,
             rollouts=self._rollouts,
             open_batches=open_batches,
+            on_item_started=self._metrics.item_view_age.observe,
         )
         self._runners = RunnerChoice(
             identity=self._identity,
--- a/src/stagewalk/gateway/early_start.py
+++ b/src/stagewalk/gateway/early_start.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Mapping
 
@@ -35,12 +36,15 @@
         """Batches with records of which the submission was not seen: it lies further back."""
         self._reading = anyio.Lock()
         self.first_offset = offset
+        self.confirmed_at = -math.inf
+        """When it was last known to hold all records up to the partition's end (steady clock)."""
         self.ledger = BatchLedger(lambda _batch, _change: None)
 
     async def read(self) -> bool:
         """Read to the partition's end; return whether the log answered."""
         async with self._reading:
             while True:
+                asked_at = time.monotonic()
                 answer = await self._log.read(self._partition, self._next_offset, 0.0)
                 if answer.is_error():
                     return False
@@ -50,6 +54,7 @@
                         self._apply(record.payload)
                 self._next_offset = max(self._next_offset, page.next_offset)
                 if page.next_offset >= page.end:
+                    self.confirmed_at = asked_at
                     return True
 
     def _apply(self, payload: bytes) -> None:
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -21,6 +21,7 @@
 
 _LAG_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0)
 _CALL_BUCKETS = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0)
+_VIEW_AGE_BUCKETS = (0.1, 0.3, 0.6, 1.0, 1.5, 2.0, 3.0, 6.0)
 _LATENCY_BUCKETS = (0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
 _omit_creation_times: Callable[[], None] = disable_created_metrics
 
@@ -123,6 +124,13 @@
             registry=self._registry,
         )
 
+        self.item_view_age = Histogram(
+            "stagewalk_item_view_age_seconds",
+            "Age of the view by which a batch was open, as its items were started.",
+            buckets=_VIEW_AGE_BUCKETS,
+            registry=self._registry,
+        )
+
     def log_called(self, operation: str, outcome: str, seconds: float) -> None:
         """Count a call of the log."""
         self._log_calls.labels(operation, outcome).observe(seconds)
--- a/src/stagewalk/gateway/runner_choice.py
+++ b/src/stagewalk/gateway/runner_choice.py
@@ -112,13 +112,23 @@
 
     async def _take(self, run: RunBatch) -> None:
         """Read of a batch that this process is to run, without waiting for the log to wake it."""
-        if self._store.followed(run.batch, time.monotonic()):
+        now = time.monotonic()
+        followed = self._store.followed(run.batch, now)
+        log_event(
+            "batch_assigned",
+            batch=run.batch,
+            offset=run.offset,
+            followed=followed,
+            view_age=self._store.view_age(run.batch, now),
+        )
+        if followed:
             await self._store.catch_up(run.batch)
             return
         place = BatchPlace(run.partition, run.offset, str(self._identity))
         partial = self._store.read_from(place)
         if not await partial.read():
+            log_event("partial_read_failed", "warning", batch=run.batch, offset=run.offset)
             return
         batch = partial.ledger.get(run.batch)
         if batch is not None and batch.runner == str(self._identity):
-            self._runner.begin_ahead(batch, partial.ledger, batch.epoch)
+            self._runner.begin_ahead(batch, partial, batch.epoch)
--- a/src/stagewalk/gateway/takeover_service.py
+++ b/src/stagewalk/gateway/takeover_service.py
@@ -112,7 +112,7 @@
             if self._nodes.runner_state(batch.runner) is RunnerState.MINE_BEFORE:
                 epoch = batch.epoch + 1
                 self._claim(batch, RunnerState.MINE_BEFORE, place)
-                self._runner.begin_ahead(batch, partial.ledger, epoch)
+                self._runner.begin_ahead(batch, partial, epoch)
 
     def _replicas(self) -> list[str]:
         return [node.node for node in self._nodes.replicas()]
