Soak of ended batches: trainers that end early, faults in series, arrivals after the bound

Cause looked for: workers got items from nodes in touch later than 3 s after the end of their batch was acknowledged. The soak never ended a batch early, never handed one in again after its end, and had four gateways, all of which hold a replica.

Change: a kind of soak (--kind ended) in which trainers end batches at once, after a part or at a deadline, inspectors hand recent ones in again, and kills, stops, freezes and store faults come in series; workers' arrivals are judged against the trainers' first 200 to an end, and the sending gateway is found by its end of the connection.

--- a/tests/soak/asgi.py
+++ b/tests/soak/asgi.py
@@ -21,6 +21,8 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    ports: tuple[int, int]
+    """Of the connection: at the server and at the client."""
 
 
 class LostAnswer(Exception):
@@ -64,7 +66,8 @@
             break
     headers = {name.decode().lower(): value.decode() for name, value in scope["headers"]}
     query = dict(parse_qsl(scope["query_string"].decode()))
-    return Call(scope["method"], scope["path"], query, headers, bytes(body))
+    ports = scope["server"][1], scope["client"][1]
+    return Call(scope["method"], scope["path"], query, headers, bytes(body), ports)
 
 
 async def start_answer(send: Send, status: int, headers: tuple[tuple[str, str], ...]) -> None:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -74,25 +74,7 @@
             self._world.name_version()
 
     async def _submit(self, batch: str, seen: BatchSeen) -> None:
-        items = [
-            {
-                "id": item,
-                "path": f"/run/{item}",
-                "headers": {"X-Model": "m"},
-                "body": base64.b64encode(item.encode()).decode(),
-                "group": f"g{n // GROUP_ITEMS}",
-                "scorer": {
-                    "id": score_call_of(item),
-                    "host": HOST,
-                    "path": f"/score/{item}",
-                    "body": base64.b64encode(b"score " + item.encode()).decode(),
-                },
-            }
-            for n, item in enumerate(seen.items)
-        ]
-        content = msgspec.json.encode(
-            {"step": 0, "model": "m", "min_version": seen.minimum_version, "items": items}
-        )
+        content = submission_of(seen.items, seen.minimum_version)
         headers = {"host": HOST, "x-request-id": batch}
         with anyio.move_on_after(STEP_SECONDS):
             while not seen.accepted:
@@ -137,3 +119,26 @@
             return await self._world.client.request(method, url, content=content, headers=headers)
         except httpx.HTTPError:
             return None
+
+
+def submission_of(items: tuple[str, ...], minimum_version: int) -> bytes:
+    """Return the body that hands in a batch of these items."""
+    described = [
+        {
+            "id": item,
+            "path": f"/run/{item}",
+            "headers": {"X-Model": "m"},
+            "body": base64.b64encode(item.encode()).decode(),
+            "group": f"g{n // GROUP_ITEMS}",
+            "scorer": {
+                "id": score_call_of(item),
+                "host": HOST,
+                "path": f"/score/{item}",
+                "body": base64.b64encode(b"score " + item.encode()).decode(),
+            },
+        }
+        for n, item in enumerate(items)
+    ]
+    return msgspec.json.encode(
+        {"step": 0, "model": "m", "min_version": minimum_version, "items": described}
+    )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -59,6 +59,10 @@
                 with anyio.move_on_after(self._chooser.uniform(0.2, LONGEST_PAUSE_SECONDS)):
                     await self.stop.wait()
 
+    def inject(self, kind: str) -> Callable[[], Awaitable[None]]:
+        """Return what injects one kind of fault and lifts it again."""
+        return self._kinds[kind]
+
     async def _last(self) -> None:
         await anyio.sleep(self._chooser.uniform(0.5, LONGEST_FAULT_SECONDS))
 
@@ -69,16 +73,20 @@
     async def _kill(self) -> None:
         gateway = self._sound_gateway()
         if gateway is not None:
-            await self._kill_these([gateway])
+            await self.kill_these([gateway], self._last)
 
     async def _kill_all(self) -> None:
-        await self._kill_these([g for g in self._world.gateways if g.sound])
+        await self.kill_these([g for g in self._world.gateways if g.sound], self._last)
 
-    async def _kill_these(self, gateways: list[GatewayProcess]) -> None:
+    async def kill_these(
+        self, gateways: list[GatewayProcess], last: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Kill gateways together and start them again once `last` returns."""
         for gateway in gateways:
             gateway.signal(signal.SIGKILL)
+        for gateway in gateways:
             gateway.reap()
-        await self._last()
+        await last()
         for gateway in gateways:
             self._world.start_gateway(gateway)
 
@@ -94,8 +102,11 @@
 
     async def _stop_in_order(self) -> None:
         gateway = self._sound_gateway()
-        if gateway is None:
-            return
+        if gateway is not None:
+            await self.stop_in_order(gateway)
+
+    async def stop_in_order(self, gateway: GatewayProcess) -> None:
+        """Ask a gateway to stop, wait until it has and start it again."""
         gateway.frozen = True
         gateway.signal(signal.SIGTERM)
         code = await anyio.to_thread.run_sync(gateway.reap)
@@ -112,7 +123,7 @@
         await self._fail_link(self._chooser.choice(self._world.gateways).link)
 
     async def _worker_link(self) -> None:
-        await self._fail_link(self._chooser.choice(self._world.workers).link)
+        await self._fail_link(self._chooser.choice(self._world.linked_workers).link)
 
     async def _fail_link(self, name: str) -> None:
         self._world.set_link(name, self._chooser.choice(LINK_FAULTS))
@@ -120,25 +131,25 @@
         self._world.set_link(name, LinkFaults())
 
     async def _store_down(self) -> None:
-        self._world.store.down = True
+        self._world.set_store(down=True)
         await self._last()
-        self._world.store.down = False
+        self._world.set_store(down=False)
 
     async def _store_lost(self) -> None:
-        self._world.store.lost_share = 0.3
+        self._world.set_store(lost_share=0.3)
         await self._last()
-        self._world.store.lost_share = 0.0
+        self._world.set_store(lost_share=0.0)
 
     async def _store_slow(self) -> None:
-        self._world.store.delay_seconds = 0.15
+        self._world.set_store(delay_seconds=0.15)
         await self._last()
-        self._world.store.delay_seconds = 0.0
+        self._world.set_store(delay_seconds=0.0)
 
     async def _worker_slow(self) -> None:
         worker = self._chooser.choice(self._world.workers)
         worker.slow = 5.0
         await self._last()
-        worker.slow = 1.0
+        worker.slow = worker.usual_slow
 
     async def _worker_draining(self) -> None:
         worker = self._chooser.choice(self._world.workers)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,15 +4,20 @@
 
 import logging
 from dataclasses import dataclass
+from enum import StrEnum
 from pathlib import Path
 
 import anyio
+import anyio.abc
 import httpx
 
 from stagewalk.logs.lines import log_event
 from tests.soak.callers import READ_SECONDS, Callers
 from tests.soak.checker import Checker
+from tests.soak.ended import PROMISE, EndedBatches
+from tests.soak.ending import EndingCallers
 from tests.soak.faults import Faults
+from tests.soak.series import FaultSeries
 from tests.soak.world import HOST, World
 
 CALM_SECONDS = 40.0
@@ -20,6 +25,27 @@
 
 REQUESTERS = ("ask", "ask", "once")
 GATEWAYS = 4
+ENDING_GATEWAYS = 10
+"""More than hold a replica of the batches, so that roles move when gateways fall."""
+
+ENDING_TRAINERS = 4
+INSPECTORS = 4
+SLOW_ENGINES = 4.0
+"""Batches run for seconds, so that a run that doesn't hear of its batch's end is seen."""
+
+WATCHED_SECONDS = 6.0
+"""How long workers are watched once the last end was acknowledged."""
+
+TICK_SECONDS = 0.02
+
+
+class Kind(StrEnum):
+    """What a soak is about."""
+
+    ALL = "all"
+    """Every promise, at few gateways."""
+    ENDED = "ended"
+    """Batches that are ended early and handed in again, at many gateways."""
 
 
 @dataclass(frozen=True)
@@ -28,6 +54,9 @@
     checker: Checker
     injected: dict[str, int]
     steps: int
+    ended: EndedBatches
+    longest_stall_seconds: float
+    """Of this process, which runs store and workers and tells the time for them."""
 
     def lines(self) -> list[str]:
         """Return the report as text."""
@@ -37,20 +66,30 @@
         text += [
             f"  checked {n} x {promise}" for promise, n in sorted(self.checker.checked.items())
         ]
+        text += [f"  {count} {kind}" for kind, count in self.ended.counts().items()]
+        text.append(f"  the soak itself stalled for {self.longest_stall_seconds:.2f} s at most")
         text += [f"  VIOLATED {violation}" for violation in self.checker.violations]
         return text
 
 
-async def soak(seed: int, seconds: float, directory: Path, gateways: int = GATEWAYS) -> SoakReport:
+async def soak(
+    seed: int, seconds: float, directory: Path, gateways: int = GATEWAYS, kind: Kind = Kind.ALL
+) -> SoakReport:
     """Run one soak; logs of the gateways are left in the directory."""
     # Peers that die by design make asyncio warn for each byte it can't write.
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
-    world = World(directory, seed, gateways)
-    callers, faults = Callers(world, seed), Faults(world, seed)
+    ending = kind is Kind.ENDED
+    world = World(directory, seed, gateways, SLOW_ENGINES if ending else 1.0)
+    callers, stalls = Callers(world, seed), Stalls()
+    faults: Faults | FaultSeries = FaultSeries(world, seed) if ending else Faults(world, seed)
     async with anyio.create_task_group() as servers:
         try:
+            servers.start_soon(stalls.watch)
             await world.start(servers)
             async with anyio.create_task_group() as tasks:
+                endings = EndingCallers(world, seed)
+                if ending:
+                    _start_endings(endings, tasks)
                 for route in REQUESTERS:
                     tasks.start_soon(callers.request, route)
                 tasks.start_soon(callers.train)
@@ -60,13 +99,48 @@
                     faults.stop.set()
                 log_event("soak_calm", "debug", seed=seed)
                 callers.stop.set()
+                endings.stop.set()
             await _calm(world, callers)
+            if ending:
+                await anyio.sleep(WATCHED_SECONDS)
+            _check_ended(world)
             world.checker.check_at_the_end()
         finally:
             with anyio.CancelScope(shield=True):
                 await world.close()
             servers.cancel_scope.cancel()
-    return SoakReport(seed, world.checker, dict(faults.injected), callers.steps)
+    return SoakReport(
+        seed, world.checker, dict(faults.injected), callers.steps, world.ended, stalls.longest
+    )
+
+
+class Stalls:
+    """Watches how late this process comes to what it should do."""
+
+    def __init__(self) -> None:
+        self.longest = 0.0
+
+    async def watch(self) -> None:
+        while True:
+            due = anyio.current_time() + TICK_SECONDS
+            await anyio.sleep_until(due)
+            self.longest = max(self.longest, anyio.current_time() - due)
+
+
+def _start_endings(endings: EndingCallers, tasks: anyio.abc.TaskGroup) -> None:
+    for number in range(ENDING_TRAINERS):
+        tasks.start_soon(endings.train, number)
+    for number in range(INSPECTORS):
+        tasks.start_soon(endings.inspect, number)
+
+
+def _check_ended(world: World) -> None:
+    """Put each ended batch to the checker, and each sender that broke its promise."""
+    broken = {arrival.batch for arrival in world.ended.violations}
+    for batch in world.ended.acknowledged.keys() - broken:
+        world.checker.expect(PROMISE, True, batch)
+    for line in world.ended.summary():
+        world.checker.expect(PROMISE, False, line)
 
 
 async def _calm(world: World, callers: Callers) -> None:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -37,6 +37,11 @@
         self.lost_share = 0.0
         self.delay_seconds = 0.0
 
+    @property
+    def troubled(self) -> bool:
+        """Whether any fault concerns all callers now."""
+        return self.down or self.lost_share > 0.0 or self.delay_seconds > 0.0
+
     async def handle(self, call: Call, _send: Send) -> Reply:
         await anyio.sleep(self.delay_seconds)
         if self.down:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,11 +12,17 @@
 import testtools
 from testtools.content import text_content
 
-from tests.soak.run import soak
+from tests.soak.ended import PROMISE
+from tests.soak.run import Kind, soak
 from tests.soak.world import GatewayProcess, World, own_address
 
 SECONDS = 10.0
 SEED = 11
+ENDED_SECONDS = 20.0
+ENDED_SEED = 1
+ENDED_GATEWAYS = 8
+"""More than hold a replica of the batches."""
+
 MOST_SECONDS = 180.0
 """Far above what a test takes: only a hanging one is cut off."""
 
@@ -45,6 +51,21 @@
 
         anyio.run(scenario)
 
+    def test_nothing_of_an_ended_batch_reaches_a_worker_after_its_bound(self) -> None:
+        """Batches end early and are handed in again while gateways and the store fail in series."""
+
+        async def scenario() -> None:
+            with anyio.fail_after(MOST_SECONDS):
+                report = await soak(
+                    ENDED_SEED, ENDED_SECONDS, self.directory, ENDED_GATEWAYS, Kind.ENDED
+                )
+            self.addDetail("report", text_content("\n".join(report.lines())))
+            self.assertEqual([], report.checker.violations)
+            self.assertGreater(report.checker.checked[PROMISE], 0)
+            self.assertGreater(len(report.ended.resubmitted), 0)
+
+        anyio.run(scenario)
+
     def test_a_signal_to_reread_settings_while_starting_ends_nothing(self) -> None:
         """Found by seed 3: the signal came before its handler, and ended the process."""
 
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -5,6 +5,7 @@
 import hashlib
 import random
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -51,6 +52,8 @@
     """By item and event number, the weight versions that made it."""
     fences: dict[str, list[tuple[int, str]]] = field(default_factory=lambda: defaultdict(list))
     """By worker, fence and holder of the orders it took."""
+    on_run: Callable[[str, str, int, int], None] | None = None
+    """Told of each run as it begins: request, worker and both ports of the connection."""
 
 
 class WorkerServer:
@@ -74,6 +77,7 @@
         self._version = version
         self._ordered: tuple[int, float] | None = None
         """A version that is being loaded, and when it will be there."""
+        self.usual_slow = 1.0
         self.slow = 1.0
         self.draining = False
         self._truth = truth
@@ -136,6 +140,8 @@
     async def _run(self, call: Call, send: Send) -> Reply | None:
         request = call.headers["x-request-id"]
         self._truth.runs[request] += 1
+        if self._truth.on_run is not None:
+            self._truth.on_run(request, self.name, *call.ports)
         if self.version is not None:
             await self._stream(request, call, send)
             return None
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -23,8 +23,11 @@
 from stagewalk_standins.partitioned_log import MemoryLog
 from tests.soak.asgi import application, serve
 from tests.soak.checker import Checker
+from tests.soak.ended import EndedBatches
 from tests.soak.scorers import SCORE_ATTEMPTS, ScorerServer, ScoreTruth
+from tests.soak.senders import process_at_port
 from tests.soak.store import StoreServer
+from tests.soak.touch import STORE, TouchRecord
 from tests.soak.workers import HEARTBEAT_SECONDS, Truth, WorkerServer
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -52,21 +55,38 @@
 """
 
 
-_given_ports: set[int] = set()
+class Addresses:
+    """Gives out free addresses at a loopback number that only the soak uses."""
+
+    def __init__(self) -> None:
+        self.host = SOAK_HOST
+        self._given: set[int] = set()
+
+    def give(self) -> Address:
+        """Return another address each time.
+
+        Other tests run beside it, and their callers go on asking at ports whose servers have ended.
+        The system gives a port out again that nobody listens at yet.
+        """
+        while True:
+            with socket.create_server((self.host, 0)) as probe:
+                port = probe.getsockname()[1]
+            if port not in self._given:
+                self._given.add(port)
+                return Address(self.host, port)
+
+
+_ADDRESSES = Addresses()
 
 
 def own_address() -> Address:
-    """Return a free address at a loopback number that only the soak uses, another one each time.
+    """Return a free address at this process's loopback number."""
+    return _ADDRESSES.give()
 
-    Other tests run beside it, and their callers go on asking at ports whose servers have ended. The
-    system gives a port out again that nobody listens at yet.
-    """
-    while True:
-        with socket.create_server((SOAK_HOST, 0)) as probe:
-            port = probe.getsockname()[1]
-        if port not in _given_ports:
-            _given_ports.add(port)
-            return Address(SOAK_HOST, port)
+
+def use_loopback_number(process: int) -> None:
+    """Let this process have a loopback number of its own, away from other soaks'."""
+    _ADDRESSES.host = f"127.1.{process // 250 % 250 + 1}.{process % 250 + 1}"
 
 
 @dataclass
@@ -77,6 +97,7 @@
     front: Address
     settings: Path
     link: str
+    touch: TouchRecord
     process: subprocess.Popen[bytes] | None = None
     frozen: bool = False
     exits: list[int] = field(default_factory=list)
@@ -86,6 +107,7 @@
         return self.process is not None and self.process.poll() is None and not self.frozen
 
     def start(self, log: Path) -> None:
+        self.touch.note(self.name)
         environment = {"PATH": os.environ["PATH"], "STAGEWALK_BOOT": str(self.settings)}
         with log.open("ab") as output:
             self.process = subprocess.Popen(
@@ -98,8 +120,13 @@
             )
 
     def signal(self, number: signal.Signals) -> None:
-        if self.process is not None:
-            self.process.send_signal(number)
+        if self.process is None:
+            return
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self.touch.set(self.name, "frozen", number == signal.SIGSTOP)
+        elif number != signal.SIGHUP:
+            self.touch.note(self.name)
+        self.process.send_signal(number)
 
     def reap(self) -> int | None:
         """Wait for the end of a process that was asked or made to end."""
@@ -110,19 +137,35 @@
         except subprocess.TimeoutExpired:
             self.process.kill()
             code = self.process.wait()
+        self.touch.note(self.name)
         self.process = None
         self.exits.append(code)
         return code
 
 
 class World:
-    def __init__(self, directory: Path, seed: int, gateways: int) -> None:
+    """Everything a soak runs.
+
+    Parameters
+    ----------
+    slow_engines
+        How many times longer than usual an engine takes for an event. Engines that aren't of the
+        usual pace are called without a link between, so that the caller can be told.
+    """
+
+    def __init__(
+        self, directory: Path, seed: int, gateways: int, slow_engines: float = 1.0
+    ) -> None:
         self.chooser = random.Random(seed)
         self.directory = directory
         self.log = MemoryLog()
         self.truth = Truth()
         self.scores = ScoreTruth()
         self.checker = Checker(self.truth, self.scores)
+        self.touch = TouchRecord()
+        self.ended = EndedBatches(self._sender_of, self.touch.in_touch)
+        self.truth.on_run = self.ended.arrived
+        self._slow_engines = slow_engines
         self.version = 1
         self.configuration = 0
         self.store = StoreServer(self.log, self.chooser)
@@ -137,7 +180,8 @@
             for g in self.gateways
         ]
         links += [
-            StreamLink(w.link, str(w.address), str(self._targets[w.link])) for w in self.workers
+            StreamLink(w.link, str(w.address), str(self._targets[w.link]))
+            for w in self.linked_workers
         ]
         self.forwarder = Forwarder(ForwarderLinks(tuple(links)), seed)
         self.client = httpx.AsyncClient(
@@ -148,7 +192,12 @@
         # The address that is announced is the link's; the worker listens behind it.
         self._targets = getattr(self, "_targets", {})
         self._targets[name] = own_address()
-        return WorkerServer(name, service, own_address(), self.truth, self.chooser, version)
+        direct = version is not None and self._slow_engines != 1.0
+        address = self._targets[name] if direct else own_address()
+        worker = WorkerServer(name, service, address, self.truth, self.chooser, version)
+        if version is not None:
+            worker.slow = worker.usual_slow = self._slow_engines
+        return worker
 
     def _scorer(self, name: str) -> ScorerServer:
         self._targets[name] = own_address()
@@ -164,7 +213,17 @@
         settings.write_text(
             SETTINGS.format(name=name, front=front, peers=own_address(), store=self._links[link])
         )
-        return GatewayProcess(name, front, settings, link)
+        return GatewayProcess(name, front, settings, link, self.touch)
+
+    @property
+    def linked_workers(self) -> list[WorkerServer]:
+        """Workers behind a link that can fail."""
+        return [w for w in self.workers if w.address != self._targets[w.link]]
+
+    def _sender_of(self, own_port: int, peer_port: int) -> str | None:
+        running = {g.process.pid: g.name for g in self.gateways if g.process is not None}
+        process = process_at_port(own_port, peer_port, running)
+        return None if process is None else running[process]
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start everything and wait until all gateways are ready."""
@@ -209,8 +268,25 @@
         await self.client.aclose()
 
     def set_link(self, name: str, faults: LinkFaults) -> None:
+        for gateway in self.gateways:
+            if gateway.link == name:
+                self.touch.set(gateway.name, "link", faults != LinkFaults())
         self.forwarder.link(name).set(faults)
 
+    def set_store(
+        self,
+        *,
+        down: bool | None = None,
+        lost_share: float | None = None,
+        delay_seconds: float | None = None,
+    ) -> None:
+        """Change the store's faults; those not given stay as they are."""
+        store = self.store
+        store.down = store.down if down is None else down
+        store.lost_share = store.lost_share if lost_share is None else lost_share
+        store.delay_seconds = store.delay_seconds if delay_seconds is None else delay_seconds
+        self.touch.set(STORE, "faults", store.troubled)
+
     async def _heartbeats(self) -> None:
         while True:
             for worker in self.workers:
