--- a/tests/soak/job.py
+++ b/tests/soak/job.py
@@ -30,6 +30,7 @@
         report = anyio.run(soak, self.seed, self.seconds, directory, self.gateways, self.kind)
         text = "\n".join(report.lines())
         (directory / "report.txt").write_text(text + "\n")
+        (directory / "troubles.txt").write_text("\n".join(report.troubles) + "\n")
         late = "".join(f"{arrival.line()}\n" for arrival in report.ended.late)
         (directory / "late.txt").write_text(late)
         return text, not report.checker.violations
