--- a/Makefile
+++ b/Makefile
@@ -24,9 +24,11 @@
 soak: setup
 	$(BIN)/stagewalk sim sweep --deployment=both --seeds=200 --duration_seconds=600 --faults=storm
 
-# Real gateway processes under random faults: make gateway-soak [SOAK_SECONDS=60] [SEEDS=1,2]
+# Real gateway processes under random faults:
+# make gateway-soak [KIND=ended] [SOAK_SECONDS=60] [SEEDS=1,2] [GATEWAYS=10] [JOBS=1]
 gateway-soak: setup
-	PYTHONPATH=src:platform:. $(BIN)/python -m tests.soak --seconds=$(or $(SOAK_SECONDS),60) --seeds=$(or $(SEEDS),)
+	PYTHONPATH=src:platform:. $(BIN)/python -m tests.soak --kind=$(or $(KIND),all) \
+	  --gateways=$(or $(GATEWAYS),0) --jobs=$(or $(JOBS),1) --seconds=$(or $(SOAK_SECONDS),60) --seeds=$(or $(SEEDS),)
 
 format: setup
 	$(BIN)/ruff format . && $(BIN)/ruff check --fix .
--- a/tests/soak/ended.py
+++ b/tests/soak/ended.py
@@ -17,8 +17,8 @@
 BOUND_SECONDS = 3.0
 """After its end was acknowledged nothing of a batch may reach a worker later than this."""
 
-TRACE_SECONDS = 0.06
-"""A fraction of the shortest item's time."""
+TRACE_SECONDS = 0.01
+"""Between two looks for arrivals: a sender that hears of the end at last closes its connections."""
 
 PROMISE = "nothing of an ended batch reaches a worker after its bound"
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,7 +4,9 @@
 
 import os
 import signal
+import socket
 import tempfile
+import time
 from pathlib import Path
 
 import anyio
@@ -12,9 +14,11 @@
 import testtools
 from testtools.content import text_content
 
-from tests.soak.ended import PROMISE
+from tests.soak.ended import BOUND_SECONDS, PROMISE, EndedBatches
 from tests.soak.run import Kind, soak
-from tests.soak.world import GatewayProcess, World, own_address
+from tests.soak.senders import Connection, processes_at
+from tests.soak.touch import SETTLED_SECONDS, STORE, TouchRecord
+from tests.soak.world import SOAK_HOST, GatewayProcess, World, own_address
 
 SECONDS = 10.0
 SEED = 11
@@ -106,3 +110,53 @@
     def test_no_address_is_given_twice(self) -> None:
         addresses = [own_address() for _ in range(1_000)]
         self.assertEqual(len(addresses), len(set(addresses)))
+
+
+class SenderTests(testtools.TestCase):
+    def test_the_process_at_the_other_end_is_found(self) -> None:
+        with (
+            socket.create_server((SOAK_HOST, 0)) as server,
+            socket.create_connection(server.getsockname()) as client,
+        ):
+            connection = Connection(server.getsockname()[1], client.getsockname()[1])
+            other_way = Connection(client.getsockname()[1], 1)
+            found = processes_at([connection, other_way], [os.getpid()])
+        self.assertEqual({connection: os.getpid()}, found)
+
+
+class TouchTests(testtools.TestCase):
+    def test_who_just_started_or_has_trouble_is_not_in_touch(self) -> None:
+        touch = TouchRecord()
+        self.assertTrue(touch.in_touch("a"))
+        touch.note("b", "started")
+        touch.set("c", "frozen", True)
+        self.assertEqual([True, False, False], [touch.in_touch(name) for name in "abc"])
+        later = time.monotonic() + SETTLED_SECONDS
+        self.assertEqual([True, False], [touch.settled(name, later) for name in "bc"])
+
+    def test_nobody_is_in_touch_while_the_store_has_trouble(self) -> None:
+        touch = TouchRecord()
+        touch.set(STORE, "faults", True)
+        self.assertFalse(touch.in_touch("a"))
+
+
+class EndedBatchesTests(testtools.TestCase):
+    def test_an_item_is_late_only_after_the_bound(self) -> None:
+        async def scenario() -> EndedBatches:
+            ended = EndedBatches(
+                TouchRecord(), lambda: ["a"], lambda connections: dict.fromkeys(connections, "a")
+            )
+            ended.handed_in("b", ("b-1", "b-2"))
+            ended.arrived("b-1", "w", 1, 2)
+            ended.acknowledge("b")
+            ended.arrived("b-1", "w", 1, 2)
+            ended.acknowledged["b"] -= BOUND_SECONDS
+            ended.acknowledge("b")
+            ended.arrived("b-2", "w", 1, 2)
+            with anyio.move_on_after(0.5):
+                await ended.trace()
+            return ended
+
+        ended = anyio.run(scenario)
+        self.assertEqual(1, ended.in_time)
+        self.assertEqual(["b-2"], [arrival.item for arrival in ended.violations])
