Items start only from a view that would show their batch's end in time

Root cause: a partial or stale view of the log was taken for a whole one, so that not having seen an end counted as there being none. Two ways led there. (1) The beginning is missing: a batch handed in again was noted and told at its second submission; a runner without a current view read from there, behind the end, and ran all of it. (2) The newest part is missing: a run begun ahead of the node's view, or whose log had gone silent, went on starting items for as long as that view stood still.

A noted place never lies behind an end: an end is marked in the topic of places before it is appended; who submits looks for a mark or an earlier place after its own append, and a node without a current view before it. A listing that fails is an error, not an empty list. A resumed process takes only the batch whose place it read. A batch begun ahead is read on by itself until the node's own view is current and knows it; the end that was folded in before the run began is asked of the own view. A test of an acceptance that may have landed now waits until the node is current before the log falls silent: without a current view nothing is sent any more, and the refusal is true; a test of its own says so, and that nothing is appended.

--- a/src/stagewalk/batches/evidence.py
+++ b/src/stagewalk/batches/evidence.py
@@ -11,6 +11,8 @@
 
 def note_refusal(engine: Worker, model: str, failure: AttemptFailure, now: float) -> None:
     """Avoid an engine that failed; one that refuses with places free loads weights."""
+    if failure.fault is AttemptFault.WITHHELD:
+        return
     engine.note_load(failure.load, now)
     if failure.fault is not AttemptFault.NOT_RUN:
         engine.note_failure(now)
--- a/src/stagewalk/batches/ledger.py
+++ b/src/stagewalk/batches/ledger.py
@@ -169,13 +169,17 @@
             case BatchReleased():
                 self._released(record, now)
 
-    def forget(self, now: float) -> None:
-        """Drop batches that ended long ago."""
-        for name, batch in list(self._batches.items()):
-            if batch.ended and now - batch.ended_at > FORGET_AFTER_SECONDS:
-                del self._batches[name]
-                for item in batch.items:
-                    self._kept.pop(item, None)
+    def forget(self, now: float) -> list[str]:
+        """Drop batches that ended long ago, and return their names."""
+        forgotten = [
+            name
+            for name, batch in self._batches.items()
+            if batch.ended and now - batch.ended_at > FORGET_AFTER_SECONDS
+        ]
+        for name in forgotten:
+            for item in self._batches.pop(name).items:
+                self._kept.pop(item, None)
+        return forgotten
 
     def _submitted(self, record: BatchSubmitted, now: float) -> None:
         name = record.header.batch
--- a/src/stagewalk/batches/records.py
+++ b/src/stagewalk/batches/records.py
@@ -82,7 +82,12 @@
 
     def belongs_to(self, tenant: str | None) -> bool:
         """Whether a tenant may read and end it; anyone may while no tenants are in force."""
-        return not self.tenant or tenant is None or tenant == self.tenant
+        return owns_batch(self.tenant, tenant)
+
+
+def owns_batch(owner: str | None, tenant: str | None) -> bool:
+    """Whether a tenant may read and end the batch of another; None: no tenants are in force."""
+    return not owner or tenant is None or tenant == owner
 
 
 class BatchSubmitted(msgspec.Struct, frozen=True, array_like=True, tag="submitted"):
--- a/src/stagewalk/batches/scheduler.py
+++ b/src/stagewalk/batches/scheduler.py
@@ -31,7 +31,7 @@
 from stagewalk.batches.placement import choose_engine
 from stagewalk.batches.records import BatchItem
 from stagewalk.core.policy import ALL_ON, Policy
-from stagewalk.scoring.core import ScoreCalls, ServiceOf
+from stagewalk.scoring.core import MayStart, ScoreCalls, ServiceOf
 from stagewalk.scoring.messages import ScoreAnswered, ScoreBroken
 from stagewalk.workers.table import WorkerTable
 
@@ -52,7 +52,14 @@
 
 
 class BatchScheduler:
-    """Runs the batches that were given to it."""
+    """Runs the batches that were given to it.
+
+    Parameters
+    ----------
+    may_start
+        Tells whether a batch is known to be open from a view that is recent enough at a time:
+        nothing of it is sent to a worker otherwise. What is under way goes on.
+    """
 
     def __init__(
         self,
@@ -61,8 +68,11 @@
         service_of: ServiceOf,
         zone: str,
         policy: Policy = ALL_ON,
+        *,
+        may_start: MayStart = lambda _batch, _now: True,
     ) -> None:
         self._policy = policy
+        self._may_start = may_start
         self._workers = workers
         self._route_of = route_of
         self._zone = zone
@@ -70,7 +80,13 @@
         self._attempts: dict[int, tuple[BatchRun, ItemRun]] = {}
         self._numbers = itertools.count(1)
         calls = ScoreCalls(
-            workers, route_of, service_of, zone=zone, numbers=self._numbers, policy=policy
+            workers,
+            route_of,
+            service_of,
+            zone=zone,
+            numbers=self._numbers,
+            policy=policy,
+            may_start=may_start,
         )
         self._scores = ItemScores(calls, self._runs, route_of)
         self._told_at = 0.0
@@ -312,7 +328,7 @@
         if not self._policy.moves:
             return instructions
         for run, item in list(self._attempts.values()):
-            if item.running is None:
+            if item.running is None or not self._may_start(run.name, now):
                 continue
             if self._watch.faster_elsewhere(run.batch, item, now):
                 instructions += self._leave(item, now, "faster elsewhere")
@@ -325,6 +341,7 @@
         waiting = [
             (run, item)
             for run in self._runs.values()
+            if self._may_start(run.name, now)
             for item in run.items.values()
             if item.waiting and item.not_before <= now
         ]
--- /dev/null
+++ b/src/stagewalk/batches/view_lease.py
@@ -0,0 +1,25 @@
+"""Until when a view that shows a batch as open allows its items to start. Pure.
+
+An end is a promise in time: some seconds after it was acknowledged, nothing of the batch reaches a
+worker. A node that doesn't hear of ends, since its log is silent or its view is still being read,
+can't know whether a batch has ended; so the view is a lease, which each reading renews.
+"""
+
+from __future__ import annotations
+
+from stagewalk.ports.workers import SEND_SECONDS
+
+LAG_SECONDS = 0.3
+"""Left for the process itself between the decision to start an item and its sending: a hundred
+items of a batch that start together take some 0.2 s."""
+
+
+def longest_view_age(batch_end_seconds: float) -> float:
+    """Return how old a view may be from which an item is started.
+
+    Parameters
+    ----------
+    batch_end_seconds
+        How long after a batch's end was acknowledged its items may still reach workers.
+    """
+    return max(0.0, batch_end_seconds - SEND_SECONDS - LAG_SECONDS)
--- a/src/stagewalk/gateway/batch_calls.py
+++ b/src/stagewalk/gateway/batch_calls.py
@@ -53,9 +53,7 @@
         if body.is_error():
             await reply_error(exchange, 413, body.error.detail)
             return
-        known = self._store.ledger.get(batch)
-        if known is not None:
-            await self._reply_known(exchange, known.header.belongs_to(caller.tenant))
+        if await self._replied_known(exchange, batch, caller):
             return
         submission = self._dialect.submission(batch, exchange.host, exchange.path, body.ok)
         if submission.is_error():
@@ -89,7 +87,7 @@
             outcome="appended" if outcome.is_ok() else outcome.error.value,
         )
         if outcome.is_ok():
-            await self._runners.tell(runner, batch, outcome.ok)
+            await self._runners.tell(runner, header, outcome.ok)
             await reply_empty(exchange, 202)
         elif outcome.error is AppendOutcome.NOT_APPENDED:
             await reply_error(exchange, 503, "the log takes no appends", COME_BACK_SECONDS)
@@ -112,6 +110,28 @@
         """End a batch: nobody waits for the rest."""
         await self._reply(exchange, EndCall(name, caller.tenant))
 
+    async def _replied_known(self, exchange: OpaqueExchange, batch: str, caller: Caller) -> bool:
+        """Answer a batch that was handed in before, if it was; return whether it is answered.
+
+        A node whose own view isn't current looks up whether another node took it: it may even have
+        ended since.
+        """
+        known = self._store.ledger.get(batch)
+        if known is not None:
+            await self._reply_known(exchange, known.header.belongs_to(caller.tenant))
+            return True
+        if self._store.followed(batch, time.monotonic()):
+            return False
+        place = await self._runners.known_place(batch)
+        if place.is_error():
+            log_event("batch_refused", "warning", batch=batch, cause="log does not answer")
+            await reply_error(exchange, 503, "the log does not answer", COME_BACK_SECONDS)
+            return True
+        if place.ok is None:
+            return False
+        await self._reply_known(exchange, place.ok.belongs_to(caller.tenant))
+        return True
+
     @staticmethod
     async def _reply_known(exchange: OpaqueExchange, own: bool) -> None:
         """Answer a batch that is here already: taken, unless it is another tenant's."""
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import time
 from collections.abc import Callable
 
@@ -32,7 +31,7 @@
 from stagewalk.gateway.early_start import PartialLedger
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.node_service import NodeService
-from stagewalk.gateway.open_batches import OpenBatches
+from stagewalk.gateway.run_views import RunViews
 from stagewalk.gateway.score_sender import ScoreSender
 from stagewalk.logs.lines import log_event
 from stagewalk.ports.workers import (
@@ -68,7 +67,7 @@
         workers: WorkerTable,
         nodes: NodeService,
         rollouts: VersionRollouts,
-        open_batches: OpenBatches,
+        views: RunViews,
         on_item_started: Callable[[float], None] = lambda _view_age: None,
     ) -> None:
         self._identity = identity
@@ -78,15 +77,11 @@
         self._workers = workers
         self._nodes = nodes
         self._rollouts = rollouts
-        self._open_batches = open_batches
+        self._views = views
         self._on_item_started = on_item_started
         self._tasks: anyio.abc.TaskGroup | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
         self._scores = ScoreSender(client, workers, self._handle)
-        self._ahead: dict[str, int] = {}
-        """By batch that was begun before this node's view told of it, the epoch it is run under."""
-        self._partials: dict[str, PartialLedger] = {}
-        """By batch that was begun ahead, the view that told of it."""
         self._stopping = False
         self._begun = anyio.Event()
 
@@ -147,17 +142,39 @@
         if change is LedgerChange.OPENED:
             self._rollouts.note_minimum(batch.header.model, batch.header.minimum_version)
         if change is LedgerChange.LISTED:
-            if name in self._scheduler.batches:
-                self._carry_out(self._scheduler.listed(name, batch.results[-1].item))
+            self._carry_out(self._scheduler.listed(name, batch.results[-1].item))
         elif change is LedgerChange.ENDED:
-            self._carry_out(self._scheduler.progress(name))
-            self._close(name, ENDED)
-        elif batch.epoch < self._ahead.get(name, 0):
+            self._end(name)
+        elif batch.epoch < (self._views.ahead_epoch(name) or 0):
             return
         elif mine:
-            self._ahead.pop(name, None)
             self._open(batch)
-        elif name in self._scheduler.batches:
+        else:
+            self._yield(batch)
+
+    def ahead_changed(self, batch: Batch, change: LedgerChange) -> None:
+        """Take what a partial view tells of a batch that was begun ahead of this node's view."""
+        name = batch.header.batch
+        epoch = self._views.ahead_epoch(name)
+        if epoch is None:
+            return
+        match change:
+            case LedgerChange.LISTED:
+                self._carry_out(self._scheduler.listed(name, batch.results[-1].item))
+            case LedgerChange.ENDED:
+                self._end(name)
+            case LedgerChange.RUNNER:
+                if batch.epoch >= epoch and batch.runner != str(self._identity):
+                    self._yield(batch)
+
+    def _end(self, batch: str) -> None:
+        self._carry_out(self._scheduler.progress(batch))
+        self._close(batch, ENDED)
+
+    def _yield(self, batch: Batch) -> None:
+        """Leave a batch to the process that took it over."""
+        name = batch.header.batch
+        if self.runs(name):
             log_event("batch_taken_over", batch=name, runner=batch.runner, epoch=batch.epoch)
             self._close(name, "taken over")
 
@@ -174,16 +191,29 @@
         epoch
             The epoch of this process's claim to it, 0 if it was given the batch.
         """
-        if batch.header.batch not in self._scheduler.batches and not self._stopping:
-            self._ahead[batch.header.batch] = epoch
-            self._partials[batch.header.batch] = partial
-            self._begin(batch, partial.ledger.kept_text)
+        name = batch.header.batch
+        if not batch.open or self.runs(name) or self._stopping or self._left(name, epoch):
+            return
+        assert self._tasks is not None
+        self._views.begin_ahead(name, partial, epoch)
+        self._begin(batch, partial.ledger.kept_text)
+        self._tasks.start_soon(self._views.follow, name)
+
+    def _left(self, name: str, epoch: int) -> bool:
+        """Whether this node's own view tells that a batch isn't this process's to run.
+
+        It may be ahead of the partial view: what changed before the run begins is told to nobody.
+        """
+        known = self._store.ledger.get(name)
+        if known is None:
+            return False
+        taken_over = known.epoch >= epoch and known.runner != str(self._identity)
+        return not known.open or taken_over
 
     def _begin(self, batch: Batch, kept_text: KeptTextOf) -> None:
         name = batch.header.batch
         if not batch.open or name in self._scheduler.batches:
             return
-        partial = self._partials.get(name)
         log_event(
             "batch_opened",
             batch=name,
@@ -191,29 +221,20 @@
             items=len(batch.items) - len(batch.listed),
             minimum_version=batch.header.minimum_version,
             epoch=batch.epoch,
-            ahead=name in self._ahead,
-            read_from=0 if partial is None else partial.first_offset,
-            view_age=self._view_age(name),
+            ahead=self._views.ahead_epoch(name) is not None,
+            read_from=self._views.read_from(name),
+            view_age=self._views.age(name, time.monotonic()),
         )
         self._carry_out(self._scheduler.open(batch, kept_text, time.monotonic()))
         self._begun.set()
         self._handle(Tick())
 
     def _close(self, batch: str, reason: str) -> None:
-        if reason == ENDED and self.runs(batch) and self._tasks is not None:
-            self._tasks.start_soon(self._open_batches.drop, batch)
         if self.runs(batch):
-            log_event("batch_closed", batch=batch, reason=reason, view_age=self._view_age(batch))
+            view_age = self._views.age(batch, time.monotonic())
+            log_event("batch_closed", batch=batch, reason=reason, view_age=view_age)
         self._carry_out(self._scheduler.close(batch, reason))
-        self._ahead.pop(batch, None)
-        self._partials.pop(batch, None)
-
-    def _view_age(self, batch: str) -> float:
-        """Return how long ago the view was complete that tells whether a batch has ended."""
-        now = time.monotonic()
-        partial = self._partials.get(batch)
-        ahead = math.inf if partial is None else now - partial.confirmed_at
-        return min(ahead, self._store.view_age(batch, now))
+        self._views.drop(batch)
 
     # Attempts.
 
@@ -225,6 +246,7 @@
                 await self._begun.wait()
             await anyio.sleep(TICK_SECONDS)
             self._handle(Tick())
+            self._views.log_changes(self._scheduler.batches, time.monotonic())
 
     def _handle(self, event: SchedulerEvent) -> None:
         self._carry_out(self._scheduler.handle(event, time.monotonic()))
@@ -262,7 +284,7 @@
         scope = anyio.CancelScope()
         self._scopes[start.attempt] = scope
         self._tasks.start_soon(self._run_item, start, scope)
-        view_age = self._view_age(start.batch)
+        view_age = self._views.age(start.batch, time.monotonic())
         self._on_item_started(view_age)
         log_event(
             "item_started",
@@ -292,6 +314,10 @@
         if worker is None:
             gone = AttemptFailure(AttemptFault.NOT_SENT, "the worker is gone")
             return AttemptBroken(start.attempt, gone)
+        if not self._views.may_start(start.batch, time.monotonic()):
+            # Decided in time, but this task came to its turn late: the loop was busy or stopped.
+            withheld = AttemptFailure(AttemptFault.WITHHELD, "the view of the log is too old")
+            return AttemptBroken(start.attempt, withheld)
         request = OutboundRequest(
             request_id=start.item.item,
             method=ITEM_METHOD,
--- a/src/stagewalk/gateway/batch_store.py
+++ b/src/stagewalk/gateway/batch_store.py
@@ -11,7 +11,7 @@
 import xxhash
 from expression import Result
 
-from stagewalk.batches.ledger import Batch, BatchLedger, LedgerChange
+from stagewalk.batches.ledger import Batch, BatchLedger, ChangeListener, LedgerChange
 from stagewalk.batches.records import (
     BatchEnded,
     BatchRecord,
@@ -143,13 +143,13 @@
         else:
             log_event("record_too_large", batch=batch, record=type(record).__name__)
 
-    def place(self, batch: str, offset: int, runner: str) -> BatchPlace:
-        """Return the place of a batch whose records begin at an offset."""
-        return BatchPlace(_partition_of(batch, len(self._followers)), offset, runner)
+    def partition(self, batch: str) -> int:
+        """Return the number of a batch's partition."""
+        return _partition_of(batch, len(self._followers))
 
-    def read_from(self, place: BatchPlace) -> PartialLedger:
+    def read_from(self, place: BatchPlace, on_change: ChangeListener) -> PartialLedger:
         """Return a ledger of the batches of a partition that begin at a place or later."""
-        return PartialLedger(self._log, Partition(TOPIC, place.partition), place.offset)
+        return PartialLedger(self._log, Partition(TOPIC, place.partition), place.offset, on_change)
 
     def followed(self, batch: str, now: float) -> bool:
         """Whether the view of a batch's partition is followed and was complete just now."""
@@ -166,10 +166,10 @@
             await event.wait()
 
     def _follower(self, batch: str) -> PartitionFollower:
-        return self._followers[_partition_of(batch, len(self._followers))]
+        return self._followers[self.partition(batch)]
 
     def _appender(self, batch: str) -> PartitionAppender:
-        return self._appenders[_partition_of(batch, len(self._appenders))]
+        return self._appenders[self.partition(batch)]
 
     def _apply(self, record: PartitionRecord) -> None:
         decoded = decode_record(record.payload)
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -31,6 +31,7 @@
 from stagewalk.gateway.open_batches import OpenBatches
 from stagewalk.gateway.published_records import PublishedRecords
 from stagewalk.gateway.role_keeper import RoleKeeper
+from stagewalk.gateway.run_views import RunViews
 from stagewalk.gateway.runner_calls import RUNNER_PATH
 from stagewalk.gateway.runner_choice import RunnerChoice
 from stagewalk.gateway.runner_probes import RunnerProbes
@@ -127,6 +128,7 @@
         )
         zone = settings.placement.zone
         open_batches = OpenBatches(log)
+        run_views = RunViews(self.store, lambda: self.settings.timing.batch_end)
         self._runner = BatchRunner(
             identity=self._identity,
             store=self.store,
@@ -136,12 +138,13 @@
                 lambda route: self._routes.choose_back_end(route).service,
                 zone,
                 policy,
+                may_start=run_views.may_start,
             ),
             client=dependencies.workers,
             workers=self._workers,
             nodes=self._nodes,
             rollouts=self._rollouts,
-            open_batches=open_batches,
+            views=run_views,
             on_item_started=self._metrics.item_view_age.observe,
         )
         self._runners = RunnerChoice(
@@ -170,6 +173,7 @@
         self._ledger_reads = LedgerReads(
             self.store,
             self._dialect,
+            open_batches,
             self._due_seconds,
             hold_results=policy.hold_results,
             early=EarlyViews(log, TOPIC, open_batches),
--- a/src/stagewalk/gateway/early_start.py
+++ b/src/stagewalk/gateway/early_start.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from stagewalk.batches.ledger import Batch, BatchLedger
+from stagewalk.batches.ledger import Batch, BatchLedger, ChangeListener
 from stagewalk.batches.records import BatchSubmitted, decode_record
 from stagewalk.gateway.open_batches import BatchPlace, OpenBatches
 from stagewalk.ports.partitioned_log import Partition, PartitionedLog
@@ -26,9 +26,21 @@
 
 
 class PartialLedger:
-    """The batches of a partition whose records begin at an offset or later."""
+    """The batches of a partition whose records begin at an offset or later.
 
-    def __init__(self, log: PartitionedLog, partition: Partition, offset: int) -> None:
+    Parameters
+    ----------
+    on_change
+        Told of what each record changes, see `BatchLedger`.
+    """
+
+    def __init__(
+        self,
+        log: PartitionedLog,
+        partition: Partition,
+        offset: int,
+        on_change: ChangeListener = lambda _batch, _change: None,
+    ) -> None:
         self._log = log
         self._partition = partition
         self._next_offset = offset
@@ -38,7 +50,7 @@
         self.first_offset = offset
         self.confirmed_at = -math.inf
         """When it was last known to hold all records up to the partition's end (steady clock)."""
-        self.ledger = BatchLedger(lambda _batch, _change: None)
+        self.ledger = BatchLedger(on_change)
 
     async def read(self) -> bool:
         """Read to the partition's end; return whether the log answered."""
@@ -69,10 +81,6 @@
         """Return a batch of which all records were read, None if there is none."""
         return None if name in self._began_before else self.ledger.get(name)
 
-    def open_batches(self) -> list[Batch]:
-        """Return the batches found of which something is left to run."""
-        return self.ledger.open_batches()
-
 
 class EarlyViews:
     """Open batches as of now, for as long as the whole log has not been read.
@@ -94,7 +102,7 @@
     async def find(self, name: str) -> Batch | None:
         """Return an open batch with all its results so far; None if it can't be told."""
         place = await self._place(name)
-        if place is None:
+        if place is None or place.ended:
             return None
         partial = self._partial(place)
         return partial.whole(name) if await partial.read() else None
@@ -103,14 +111,15 @@
         now = time.monotonic()
         if name not in self._places and now - self._listed_at > LIST_SECONDS:
             self._listed_at = now
-            self._places = await self._open_batches.list()
+            listed = await self._open_batches.list()
+            self._places = listed.default_value(self._places)
         return self._places.get(name)
 
     def _partial(self, place: BatchPlace) -> PartialLedger:
         known = self._partials.get(place.partition)
         if known is not None and known.first_offset <= place.offset:
             return known
-        # Not from the oldest place of all: batches that ended while nobody ran them stay noted.
+        # Not from the oldest place of all: batches that ended stay noted for minutes.
         first = max(0, place.offset - MARGIN_RECORDS)
         partial = PartialLedger(self._log, Partition(self._topic, place.partition), first)
         self._partials[place.partition] = partial
--- a/src/stagewalk/gateway/ledger_reads.py
+++ b/src/stagewalk/gateway/ledger_reads.py
@@ -23,6 +23,7 @@
     encode_message,
     refusal,
 )
+from stagewalk.gateway.open_batches import OpenBatches
 from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.appender import AppendOutcome
 from stagewalk.ports.dialect import Dialect
@@ -60,6 +61,8 @@
         Tells how long after its submission a batch's results are due.
     hold_results
         Whether reads near the end of a step wait until all is there that its trainer waits for.
+    open_batches
+        Notes that batches end.
     early
         Finds open batches while the log has not been read to its end; None: nothing does.
     starting
@@ -70,6 +73,7 @@
         self,
         store: BatchStore,
         dialect: Dialect,
+        open_batches: OpenBatches,
         due_seconds: Callable[[Batch], float] = lambda _batch: math.inf,
         *,
         hold_results: bool = False,
@@ -80,6 +84,7 @@
         self._starting = starting
         self._store = store
         self._dialect = dialect
+        self._open_batches = open_batches
         self._due_seconds = due_seconds
         self._hold_results = hold_results
 
@@ -196,7 +201,13 @@
         if isinstance(batch, LedgerAnswer):
             return batch
         if not batch.ended:
-            outcome = await self._store.end(call.batch, END_SECONDS)
+            # Marked first: whoever hands the batch in again must not find it open after its end.
+            began = time.monotonic()
+            partition, tenant = self._store.partition(call.batch), batch.header.tenant
+            if not await self._open_batches.mark_ended(call.batch, partition, tenant, END_SECONDS):
+                return refusal(503, "the log did not answer", COME_BACK_SECONDS)
+            left = max(0.0, END_SECONDS - (time.monotonic() - began))
+            outcome = await self._store.end(call.batch, left)
             if outcome.is_error():
                 status = 503 if outcome.error is AppendOutcome.NOT_APPENDED else 504
                 return refusal(status, "the log did not answer", COME_BACK_SECONDS)
--- a/src/stagewalk/gateway/open_batches.py
+++ b/src/stagewalk/gateway/open_batches.py
@@ -1,21 +1,27 @@
-"""Where the records of each open batch begin, in a small topic of its own.
+"""Where the records of each batch begin, and whether it has ended, in a small topic of its own.
 
 A process that starts lists it first: what it ran before goes on without the whole log being read.
-It gives speed only. The batches themselves, and who runs them, are told by their own records.
+Whoever has not read the whole log also learns here that a batch was handed in, or ended, before.
 """
 
 from __future__ import annotations
 
+import time
+
 import anyio
 import msgspec
+from expression import Error, Ok, Result
 
+from stagewalk.batches.ledger import NOBODY
+from stagewalk.batches.records import owns_batch
 from stagewalk.logs.lines import log_event
-from stagewalk.ports.partitioned_log import Partition, PartitionedLog
+from stagewalk.ports.partitioned_log import LogFailure, Partition, PartitionedLog
 
 OPEN_BATCHES = Partition("keyed.batches", 0)
 NOTE_SECONDS = 0.2
 """How long whoever notes a batch waits for the log: a note that is late is worth less."""
 
+MARK_RETRY_SECONDS = 0.1
 DROPPED = b""
 
 
@@ -27,16 +33,33 @@
     partition
         Number of its partition.
     offset
-        Of its first record.
+        Of its first record; no end of the batch lies before it, unless `ended` says so.
+    ended
+        Whether the batch's end was asked for: its place tells nothing then.
+    tenant
+        Whose batch it is, see `BatchHeader`.
     """
 
     partition: int
     offset: int
     runner: str
+    ended: bool = False
+    tenant: str | None = None
+
+    def belongs_to(self, tenant: str | None) -> bool:
+        """Whether a tenant may read and end the batch."""
+        return owns_batch(self.tenant, tenant)
 
 
 class OpenBatches:
-    """Notes and lists the places of open batches."""
+    """Notes and lists the places of batches.
+
+    A view that begins at a noted place must show the batch's end, or the batch would be run again
+    after it. So places are noted in an order that proves that no end lies before them: a batch is
+    marked as ended before its end is appended, and whoever submits it looks for the mark after its
+    own submission was appended. Without a mark by then, the end comes after that submission. A note
+    that lands late may replace a mark, but its place lies before the end.
+    """
 
     def __init__(self, log: PartitionedLog) -> None:
         self._log = log
@@ -45,18 +68,39 @@
         """Note where a batch is and who runs it."""
         await self._put(batch, msgspec.msgpack.encode(place))
 
+    async def mark_ended(
+        self, batch: str, partition: int, tenant: str | None, timeout_seconds: float
+    ) -> bool:
+        """Note that a batch's end is about to be appended; return whether that is certain."""
+        value = msgspec.msgpack.encode(BatchPlace(partition, 0, NOBODY, True, tenant))
+        until = time.monotonic() + timeout_seconds
+        with anyio.move_on_after(timeout_seconds):
+            while True:
+                answer = await self._log.append_keyed(OPEN_BATCHES, batch, value)
+                if answer.is_ok():
+                    return True
+                if time.monotonic() + MARK_RETRY_SECONDS >= until:
+                    break
+                await anyio.sleep(MARK_RETRY_SECONDS)
+        log_event("batch_end_not_marked", "warning", batch=batch, waited_seconds=timeout_seconds)
+        return False
+
     async def drop(self, batch: str) -> None:
-        """Forget a batch that has ended."""
+        """Forget a batch that ended long ago."""
         await self._put(batch, DROPPED)
 
-    async def list(self) -> dict[str, BatchPlace]:
-        """Return the places of all batches noted, none if the log does not answer."""
+    async def find(self, batch: str) -> Result[BatchPlace | None, LogFailure]:
+        """Return the place of a batch, None if none is noted."""
+        return (await self.list()).map(lambda places: places.get(batch))
+
+    async def list(self) -> Result[dict[str, BatchPlace], LogFailure]:
+        """Return the places of all batches noted."""
         listing = await self._log.newest(OPEN_BATCHES)
         if listing.is_error():
             log_event("open_batches_unknown", "warning", detail=listing.error.detail)
-            return {}
+            return Error(listing.error)
         places = {r.key: _decode(r.value) for r in listing.ok.records if r.value}
-        return {batch: place for batch, place in places.items() if place is not None}
+        return Ok({batch: place for batch, place in places.items() if place is not None})
 
     async def _put(self, batch: str, value: bytes) -> None:
         with anyio.move_on_after(NOTE_SECONDS):
--- /dev/null
+++ b/src/stagewalk/gateway/run_views.py
@@ -0,0 +1,95 @@
+"""The views of the log by which the batches that are run here are known to be open."""
+
+from __future__ import annotations
+
+import math
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import anyio
+
+from stagewalk.batches.view_lease import longest_view_age
+from stagewalk.gateway.batch_store import BatchStore
+from stagewalk.gateway.early_start import PartialLedger
+from stagewalk.logs.lines import log_event
+
+FOLLOW_SECONDS = 0.25
+"""How often the partition of a batch is read that was begun ahead of this node's view, as often as
+a follower reads where records come."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Ahead:
+    partial: PartialLedger
+    epoch: int
+
+
+class RunViews:
+    """Tells how old the news of each batch is, and whether its items may start.
+
+    Parameters
+    ----------
+    batch_end_seconds
+        Tells how long after a batch's end was acknowledged its items may still reach workers.
+    """
+
+    def __init__(self, store: BatchStore, batch_end_seconds: Callable[[], float]) -> None:
+        self._store = store
+        self._batch_end_seconds = batch_end_seconds
+        self._ahead: dict[str, _Ahead] = {}
+        self._suspended_at: dict[str, float] = {}
+
+    def begin_ahead(self, batch: str, partial: PartialLedger, epoch: int) -> None:
+        """Note that a batch is run that a partial view told of, and under which epoch."""
+        self._ahead[batch] = _Ahead(partial, epoch)
+
+    def drop(self, batch: str) -> None:
+        """Forget a batch that is run here no more."""
+        self._ahead.pop(batch, None)
+        self._suspended_at.pop(batch, None)
+
+    def ahead_epoch(self, batch: str) -> int | None:
+        """Return the epoch of a batch that was begun ahead of this node's view; None if not so."""
+        ahead = self._ahead.get(batch)
+        return None if ahead is None else ahead.epoch
+
+    def read_from(self, batch: str) -> int:
+        """Return the offset from which the view was read that told of a batch."""
+        ahead = self._ahead.get(batch)
+        return 0 if ahead is None else ahead.partial.first_offset
+
+    def age(self, batch: str, now: float) -> float:
+        """Return how long ago a view was complete that would show a batch's end, in seconds."""
+        own = math.inf
+        if self._store.ledger.get(batch) is not None:
+            own = self._store.view_age(batch, now)
+        ahead = self._ahead.get(batch)
+        return own if ahead is None else min(own, now - ahead.partial.confirmed_at)
+
+    def may_start(self, batch: str, now: float) -> bool:
+        """Whether items of a batch may be sent to workers now."""
+        return self.age(batch, now) <= longest_view_age(self._batch_end_seconds())
+
+    async def follow(self, batch: str) -> None:
+        """Keep the partial view of a batch current, until this node's own view takes over."""
+        ahead = self._ahead.get(batch)
+        while ahead is not None and self._ahead.get(batch) is ahead:
+            now = time.monotonic()
+            known = self._store.ledger.get(batch) is not None
+            own = known and self._store.followed(batch, now)
+            if not own and now - ahead.partial.confirmed_at >= FOLLOW_SECONDS:
+                await ahead.partial.read()
+            await anyio.sleep(FOLLOW_SECONDS)
+
+    def log_changes(self, batches: Iterable[str], now: float) -> None:
+        """Log batches whose items may start no more, or again."""
+        for batch in batches:
+            suspended_at = self._suspended_at.get(batch)
+            may_start = self.may_start(batch, now)
+            if suspended_at is None and not may_start:
+                self._suspended_at[batch] = now
+                log_event("batch_suspended", "warning", batch=batch, view_age=self.age(batch, now))
+            elif suspended_at is not None and may_start:
+                del self._suspended_at[batch]
+                log_event("batch_resumed", batch=batch, seconds=now - suspended_at)
--- a/src/stagewalk/gateway/runner_choice.py
+++ b/src/stagewalk/gateway/runner_choice.py
@@ -9,6 +9,7 @@
 import time
 
 import anyio.abc
+from expression import Result
 
 from stagewalk.batches.ledger import NOBODY
 from stagewalk.batches.records import BatchHeader
@@ -25,6 +26,7 @@
 from stagewalk.gateway.runner_messages import RunBatch, RunnerAnswer
 from stagewalk.logs.lines import log_event
 from stagewalk.peer_calls.client import PeerClient
+from stagewalk.ports.partitioned_log import LogFailure
 
 NODES_ASKED = 2
 
@@ -77,10 +79,34 @@
             return min(answers, key=lambda answer: answer.other_items).process
         return NOBODY if self._runner.stopping else str(self._identity)
 
-    async def tell(self, process: str, batch: str, offset: int) -> None:
-        """Tell the process that is to run a batch where its records begin, and note that."""
+    async def known_place(self, batch: str) -> Result[BatchPlace | None, LogFailure]:
+        """Return the place of a batch that was handed in before, maybe at another node."""
+        return await self._open_batches.find(batch)
+
+    async def tell(self, process: str, header: BatchHeader, offset: int) -> None:
+        """Tell the process that is to run a batch where its records begin, and note that.
+
+        The batch may have been handed in at another node meanwhile, or even have ended: then its
+        records begin before this submission, and what is noted stays.
+        """
         assert self._tasks is not None
-        place = self._store.place(batch, offset, process)
+        batch = header.batch
+        found = await self._open_batches.find(batch)
+        if found.is_error():
+            # From this submission on the log may show less than the whole batch: its runner waits
+            # until it has read all.
+            return
+        known = found.ok
+        if known is not None:
+            log_event(
+                "batch_resubmitted",
+                batch=batch,
+                offset=offset,
+                first_offset=known.offset,
+                ended=known.ended,
+            )
+            return
+        place = BatchPlace(self._store.partition(batch), offset, process, tenant=header.tenant)
         run = RunBatch(batch, place.partition, offset)
         peer = self._nodes.peer_of(process)
         if process == str(self._identity):
@@ -125,10 +151,10 @@
             await self._store.catch_up(run.batch)
             return
         place = BatchPlace(run.partition, run.offset, str(self._identity))
-        partial = self._store.read_from(place)
+        partial = self._store.read_from(place, self._runner.ahead_changed)
         if not await partial.read():
             log_event("partial_read_failed", "warning", batch=run.batch, offset=run.offset)
             return
-        batch = partial.ledger.get(run.batch)
+        batch = partial.whole(run.batch)
         if batch is not None and batch.runner == str(self._identity):
             self._runner.begin_ahead(batch, partial, batch.epoch)
--- a/src/stagewalk/gateway/settings.py
+++ b/src/stagewalk/gateway/settings.py
@@ -28,10 +28,13 @@
         How long nobody may order engines between two holders.
     stop_grace
         How long a process has from the request to stop until it is killed.
+    batch_end
+        How long after a batch's end was acknowledged its items may still reach workers.
     """
 
     lease_quiet: Positive = 3.0
     stop_grace: Positive = 8.0
+    batch_end: Positive = 3.0
 
 
 class Processor(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/src/stagewalk/gateway/takeover_service.py
+++ b/src/stagewalk/gateway/takeover_service.py
@@ -6,8 +6,9 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
-from stagewalk.batches.ledger import Batch
+from stagewalk.batches.ledger import NOBODY, Batch
 from stagewalk.batches.records import BatchClaimed
 from stagewalk.batches.takeover import OpenBatch, RunnerState, Takeovers
 from stagewalk.core.identities import Address
@@ -65,7 +66,15 @@
             now = time.monotonic()
             if not self._runner.stopping and self._store.following:
                 self._claim_orphans(now)
-            self._store.ledger.forget(now)
+            self._forget(now)
+
+    def _forget(self, now: float) -> None:
+        """Forget batches that ended long ago; one replica forgets their places for all."""
+        assert self._tasks is not None
+        replicas = self._replicas()
+        for name in self._store.ledger.forget(now):
+            if self._takeovers.place(name, NOBODY, replicas) == 0:
+                self._tasks.start_soon(self._open_batches.drop, name)
 
     async def resume_own(self) -> bool:
         """Go on with the batches of this machine's last process, before the whole log is read.
@@ -78,10 +87,11 @@
         assert self._tasks is not None
         if not self._policy.resume_first:
             return False
-        places = await self._open_batches.list()
-        for place in places.values():
+        listed = await self._open_batches.list()
+        places = {b: p for b, p in listed.default_value({}).items() if not p.ended}
+        for batch, place in places.items():
             if self._nodes.runner_state(place.runner) is RunnerState.MINE_BEFORE:
-                self._tasks.start_soon(self._resume_from, place)
+                self._tasks.start_soon(self._resume, batch, place)
         return bool(places)
 
     def probe_targets(self) -> dict[str, Address]:
@@ -100,19 +110,22 @@
                 targets[batch.runner] = peer
         return targets
 
-    async def _resume_from(self, place: BatchPlace) -> None:
-        partial = self._store.read_from(place)
+    async def _resume(self, name: str, place: BatchPlace) -> None:
+        """Go on with a batch from its place; of others that lie there, an end may lie before."""
+        partial = self._store.read_from(place, self._runner.ahead_changed)
         for _ in range(READ_ATTEMPTS):
             if await partial.read():
                 break
             await anyio.sleep(READ_RETRY_SECONDS)
         else:
             return
-        for batch in partial.open_batches():
-            if self._nodes.runner_state(batch.runner) is RunnerState.MINE_BEFORE:
-                epoch = batch.epoch + 1
-                self._claim(batch, RunnerState.MINE_BEFORE, place)
-                self._runner.begin_ahead(batch, partial, epoch)
+        batch = partial.whole(name)
+        if batch is None or not batch.open:
+            return
+        if self._nodes.runner_state(batch.runner) is RunnerState.MINE_BEFORE:
+            epoch = batch.epoch + 1
+            self._claim(batch, RunnerState.MINE_BEFORE, place)
+            self._runner.begin_ahead(batch, partial, epoch)
 
     def _replicas(self) -> list[str]:
         return [node.node for node in self._nodes.replicas()]
@@ -138,5 +151,5 @@
         )
         self._store.post(name, BatchClaimed(name, str(self._identity), batch.epoch + 1))
         if place is not None and self._tasks is not None:
-            noted = self._store.place(name, place.offset, str(self._identity))
+            noted = msgspec.structs.replace(place, runner=str(self._identity))
             self._tasks.start_soon(self._open_batches.note, name, noted)
--- a/src/stagewalk/ports/workers.py
+++ b/src/stagewalk/ports/workers.py
@@ -13,10 +13,21 @@
 
 HeaderList = tuple[tuple[str, str], ...]
 
+POOL_SECONDS = 0.3
+CONNECT_SECONDS = 0.6
+"""How long an attempt at a worker waits for a place among the connections to it, and then for its
+connection to come up."""
+
+SEND_SECONDS = POOL_SECONDS + CONNECT_SECONDS
+"""Longest time from the start of an attempt until its request is on its way, or it has failed. What
+must not reach a worker after some moment is decided this long before it."""
+
 
 class AttemptFault(StrEnum):
     """How an attempt at a worker failed, by what it proves about execution."""
 
+    WITHHELD = "withheld"
+    """This process did not hand it to the worker's client: what allowed it was no longer true."""
     NOT_SENT = "not_sent"
     """No byte of the request reached the worker."""
     NOT_RUN = "not_run"
--- a/src/stagewalk/scoring/core.py
+++ b/src/stagewalk/scoring/core.py
@@ -98,6 +98,9 @@
 ServiceOf = Callable[[Route], str]
 """Chooses the service whose turn it is on a route."""
 
+MayStart = Callable[[str, float], bool]
+"""Whether something of a batch may be sent to a worker at a time of the steady clock."""
+
 
 class ScoreCalls:
     """The score calls of samples whose text is whole.
@@ -114,6 +117,8 @@
         Numbers of attempts, shared with whoever else starts attempts.
     policy
         Which mechanisms of decision are in use.
+    may_start
+        Whether calls for a batch may be sent now.
     """
 
     def __init__(
@@ -125,12 +130,14 @@
         zone: str,
         numbers: Iterator[int],
         policy: Policy = ALL_ON,
+        may_start: MayStart = lambda _batch, _now: True,
     ) -> None:
         self._workers = workers
         self._route_of = route_of
         self._service_of = service_of
         self._zone = zone
         self._numbers = numbers
+        self._may_start = may_start
         self._most_at_once = MOST_AT_ONCE if policy.score_hedges else 1
         self._calls: dict[tuple[str, str], _PendingCall] = {}
         self._attempts: dict[int, _PendingCall] = {}
@@ -264,6 +271,8 @@
 
         No more are under way than may all fail.
         """
+        if not self._may_start(pending.batch, now):
+            return False
         under_way = pending.under_way.values()
         room = min(self._most_at_once, pending.allowed_failures(route) - pending.failures)
         if len(under_way) >= room:
--- a/tests/batches/test_scheduler.py
+++ b/tests/batches/test_scheduler.py
@@ -43,8 +43,13 @@
             self.workers.announce(announcement(name, versions={"m": 1}), 0.0)
         self.workers.announce(announcement("s1", service="scorers"), 0.0)
         route = batch_route(single_version)
+        self.view_current = True
         self.scheduler = BatchScheduler(
-            self.workers, lambda _host, _path: route, lambda _route: "scorers", "z1"
+            self.workers,
+            lambda _host, _path: route,
+            lambda _route: "scorers",
+            "z1",
+            may_start=lambda _batch, _now: self.view_current,
         )
         self.ledger = RecordingLedger()
         self.attempts: dict[str, StartItem] = {}
@@ -492,3 +497,47 @@
         self.assertEqual([], [r for r in bench.recorded if isinstance(r, ItemFinished)])
         bench.tick(1.5)
         self.assertFalse(bench.recorded[-1].succeeded)
+
+
+class StaleViewTests(testtools.TestCase):
+    """Without a recent view of the log nobody here knows whether a batch has ended."""
+
+    def test_no_item_starts_from_a_stale_view_and_all_start_once_it_is_recent(self) -> None:
+        bench = Bench()
+        bench.view_current = False
+        bench.open(item("x"), item("y"))
+        bench.tick(5.0)
+        self.assertEqual({}, bench.attempts)
+        bench.view_current = True
+        bench.tick()
+        self.assertEqual({"x", "y"}, set(bench.attempts))
+
+    def test_a_broken_attempt_is_not_repeated_from_a_stale_view(self) -> None:
+        bench = Bench()
+        bench.open(item("x"))
+        first = bench.attempts["x"]
+        bench.view_current = False
+        bench.break_off("x")
+        bench.tick(1.0)
+        self.assertIs(first, bench.attempts["x"])
+        bench.view_current = True
+        bench.tick()
+        self.assertIsNot(first, bench.attempts["x"])
+
+    def test_what_runs_goes_on_and_is_recorded(self) -> None:
+        bench = Bench()
+        bench.open(item("x"))
+        bench.view_current = False
+        bench.run_whole("x")
+        self.assertEqual([ItemFinished("b", "x", True, "d1\nd2", (1,))], bench.recorded)
+
+    def test_no_score_is_asked_for_from_a_stale_view(self) -> None:
+        bench = Bench()
+        bench.open(scored_item("x"))
+        bench.view_current = False
+        bench.run_whole("x")
+        bench.tick(1.0)
+        self.assertEqual({}, bench.scoring)
+        bench.view_current = True
+        bench.tick()
+        self.assertEqual({"x"}, set(bench.scoring))
--- /dev/null
+++ b/tests/batches/test_view_lease.py
@@ -0,0 +1,18 @@
+"""Items start only from a view that would show their batch's end in time."""
+
+from __future__ import annotations
+
+import testtools
+
+from stagewalk.batches.view_lease import LAG_SECONDS, longest_view_age
+from stagewalk.ports.workers import SEND_SECONDS
+
+
+class LongestViewAgeTests(testtools.TestCase):
+    def test_what_is_sent_from_the_oldest_view_arrives_within_the_bound(self) -> None:
+        bound = 3.0
+        self.assertLessEqual(longest_view_age(bound) + SEND_SECONDS + LAG_SECONDS, bound)
+        self.assertGreater(longest_view_age(bound), 0.0)
+
+    def test_a_bound_shorter_than_a_send_lets_nothing_start_from_an_old_view(self) -> None:
+        self.assertEqual(0.0, longest_view_age(SEND_SECONDS / 2.0))
--- a/tests/gateway/test_batches.py
+++ b/tests/gateway/test_batches.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import time
+from unittest import mock
+
 import anyio
 import testtools
 
+from stagewalk.gateway.batch_store import FOLLOWED_SECONDS
 from stagewalk.ports.workers import AttemptFault
 from tests.gateway.support import Site, run, until
 
@@ -59,12 +63,32 @@
     def test_an_acceptance_that_may_have_landed_is_not_called_refused(self) -> None:
         async def scenario(site: Site) -> None:
             node = await site.start("n1")
+
+            async def current() -> bool:
+                return node.gateway.store.followed("b1", time.monotonic())
+
+            await until(current)
             node.log.faults.silent = True
             unknown = await site.submit(node, "b1", "x")
             self.assertEqual(504, unknown.status_code)
 
         run(scenario)
 
+    def test_a_node_that_cannot_look_up_whether_it_knows_a_batch_appends_nothing(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            node.gateway.store.set_following(False)
+            with mock.patch.object(node.gateway._roles, "update"):
+                await anyio.sleep(FOLLOWED_SECONDS)
+                node.log.faults.silent = True
+                refused = await site.submit(node, "b1", "x")
+                self.assertEqual(503, refused.status_code)
+                self.assertTrue(node.gateway.store.idle)
+                node.log.faults.silent = False
+            self.assertEqual(404, (await site.call(node, "GET", "/v1/batches/b1")).status_code)
+
+        run(scenario)
+
     def test_a_node_that_cannot_be_sure_says_so_and_never_that_there_is_no_batch(self) -> None:
         async def scenario(site: Site) -> None:
             one, other = await site.start("n1"), await site.start("n2")
--- a/tests/gateway/test_early_views.py
+++ b/tests/gateway/test_early_views.py
@@ -51,6 +51,10 @@
     def view_age(self, _batch: str, _now: float) -> float:
         return float("inf")
 
+    @staticmethod
+    def partition(_batch: str) -> int:
+        return 0
+
     async def end(self, batch: str, _seconds: float):
         self.ended.append(batch)
 
@@ -66,7 +70,7 @@
         self.early = EarlyViews(self.client, TOPIC, self.places)
         self.store = UnreadStore()
         self.reads = LedgerReads(
-            self.store, PlainDialect(), early=self.early, starting=lambda: True
+            self.store, PlainDialect(), self.places, early=self.early, starting=lambda: True
         )
 
     async def append(self, *records: BatchRecord) -> int:
--- a/tests/gateway/test_ledger_reads.py
+++ b/tests/gateway/test_ledger_reads.py
@@ -18,6 +18,8 @@
     encode_message,
 )
 from stagewalk.gateway.ledger_reads import LedgerReads
+from stagewalk.gateway.open_batches import OpenBatches
+from stagewalk_standins.partitioned_log import MemoryLog
 from stagewalk_standins.plain_dialect import PlainDialect
 from tests.batches.support import item, submitted
 
@@ -25,6 +27,7 @@
 ITEMS_OF_A_GROUP = 8
 WANTED = 4
 DUE = 7.5
+NO_PLACES = OpenBatches(MemoryLog().client())
 
 
 class CutOffStore:
@@ -50,7 +53,7 @@
 
 
 def passed_on(store: CutOffStore, call: ResultsCall) -> LedgerAnswer:
-    content = anyio.run(LedgerReads(store, PlainDialect()).handle, encode_message(call))
+    content = anyio.run(LedgerReads(store, PlainDialect(), NO_PLACES).handle, encode_message(call))
     answer = decode_answer(content)
     assert answer is not None
     return answer
@@ -61,7 +64,7 @@
         """Found on the grown site: a position read elsewhere was empty at a replica cut off."""
         call = ResultsCall("b", 1, 0.0)
         self.assertTrue(passed_on(CutOffStore(1.5), call).unsure)
-        own = anyio.run(LedgerReads(CutOffStore(1.5), PlainDialect()).carry_out, call)
+        own = anyio.run(LedgerReads(CutOffStore(1.5), PlainDialect(), NO_PLACES).carry_out, call)
         self.assertEqual(200, own.status)
 
     def test_a_fresh_replica_answers(self) -> None:
@@ -121,7 +124,9 @@
     def play(self, scenario: Callable[[LedgerReads, GrowingStore], Awaitable[None]]) -> None:
         async def main() -> None:
             store = GrowingStore(GROUPS, ITEMS_OF_A_GROUP)
-            reads = LedgerReads(store, PlainDialect(), lambda _batch: DUE, hold_results=True)
+            reads = LedgerReads(
+                store, PlainDialect(), NO_PLACES, lambda _batch: DUE, hold_results=True
+            )
             await scenario(reads, store)
 
         anyio.run(main)
--- /dev/null
+++ b/tests/gateway/test_open_batches.py
@@ -0,0 +1,53 @@
+"""A batch's noted place never lies behind the batch's end, in whatever order nodes write."""
+
+from __future__ import annotations
+
+import anyio
+import msgspec
+import testtools
+
+from stagewalk.gateway.open_batches import OPEN_BATCHES, BatchPlace, OpenBatches
+from stagewalk_standins.partitioned_log import MemoryLog
+
+
+class OpenBatchesTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = MemoryLog()
+        self.client = self.log.client()
+        self.places = OpenBatches(self.client)
+
+    def test_a_mark_of_an_end_is_repeated_until_it_is_certain(self) -> None:
+        async def scenario() -> None:
+            await self.places.note("b", BatchPlace(0, 7, "n#1", tenant="t"))
+            self.client.faults.delay_appends = 2
+            self.assertTrue(await self.places.mark_ended("b", 0, "t", 2.0))
+            place = (await self.places.find("b")).ok
+            self.assertTrue(place.ended)
+            self.assertTrue(place.belongs_to("t"))
+            self.assertFalse(place.belongs_to("other"))
+
+        anyio.run(scenario)
+
+    def test_an_end_that_can_not_be_marked_is_told(self) -> None:
+        async def scenario() -> None:
+            self.client.faults.down = True
+            self.assertFalse(await self.places.mark_ended("b", 0, None, 0.25))
+
+        anyio.run(scenario)
+
+    def test_a_log_that_does_not_answer_is_no_log_without_batches(self) -> None:
+        async def scenario() -> None:
+            self.assertIsNone((await self.places.find("b")).ok)
+            self.client.faults.silent = True
+            self.assertTrue((await self.places.find("b")).is_error())
+
+        anyio.run(scenario)
+
+    def test_places_of_an_earlier_release_are_read(self) -> None:
+        async def scenario() -> None:
+            before = msgspec.msgpack.encode((3, 12, "n#1"))
+            await self.client.append_keyed(OPEN_BATCHES, "b", before)
+            self.assertEqual(BatchPlace(3, 12, "n#1"), (await self.places.find("b")).ok)
+
+        anyio.run(scenario)
--- a/tests/gateway/test_runner_choice.py
+++ b/tests/gateway/test_runner_choice.py
@@ -13,8 +13,16 @@
 from stagewalk.core.policy import ALL_ON, Policy
 from stagewalk.directory.node_table import NodeAnnouncement
 from stagewalk.gateway.identity import ProcessId
+from stagewalk.gateway.open_batches import BatchPlace, OpenBatches
 from stagewalk.gateway.runner_choice import RunnerChoice
-from stagewalk.gateway.runner_messages import AskRunner, RunnerAnswer, decode_call, encode_message
+from stagewalk.gateway.runner_messages import (
+    AskRunner,
+    RunBatch,
+    RunnerAnswer,
+    decode_call,
+    encode_message,
+)
+from stagewalk_standins.partitioned_log import MemoryLog
 
 TRAINER = BatchHeader("b1", "h.example", "/run/b1", 1, "m", 0, 4)
 
@@ -88,3 +96,76 @@
     def test_the_mechanism_can_be_switched_off(self) -> None:
         peers = FakePeers({USUAL.node: 80})
         self.assertEqual(f"{USUAL.node}#1", choose(peers, Policy(spread_trainers=False)))
+
+
+class ToldRunners:
+    """Nodes that note what they are told."""
+
+    def __init__(self) -> None:
+        self.told: list[RunBatch] = []
+
+    async def call(
+        self, _peer: Address, _path: str, content: bytes, _seconds: float
+    ) -> bytes | None:
+        call = decode_call(content)
+        assert isinstance(call, RunBatch)
+        self.told.append(call)
+        return encode_message(RunnerAnswer("n1#1", True))
+
+
+class TellTests(testtools.TestCase):
+    """What a runner is told of a batch shows the batch's end, however often it is handed in."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.client = MemoryLog().client()
+        self.places = OpenBatches(self.client)
+        self.peers = ToldRunners()
+        self.choice = RunnerChoice(
+            identity=ProcessId("own", 1),
+            nodes=mock.Mock(peer_of=lambda _process: Address("10.0.0.1", 1)),
+            store=mock.Mock(partition=lambda _batch: 2),
+            runner=mock.Mock(stopping=False),
+            client=self.peers,  # type: ignore[arg-type]
+            open_batches=self.places,
+            policy=ALL_ON,
+        )
+
+    async def submit(self, offset: int) -> None:
+        async with anyio.create_task_group() as tasks:
+            self.choice.start(tasks)
+            await self.choice.tell("n1#1", TRAINER, offset)
+
+    def test_the_first_submission_is_noted_and_told(self) -> None:
+        async def scenario() -> None:
+            await self.submit(7)
+            self.assertEqual([RunBatch("b1", 2, 7)], self.peers.told)
+            self.assertEqual(BatchPlace(2, 7, "n1#1"), (await self.places.find("b1")).ok)
+
+        anyio.run(scenario)
+
+    def test_a_later_submission_neither_moves_the_place_nor_is_told(self) -> None:
+        async def scenario() -> None:
+            await self.submit(7)
+            await self.submit(9)
+            self.assertEqual([RunBatch("b1", 2, 7)], self.peers.told)
+            self.assertEqual(7, (await self.places.find("b1")).ok.offset)
+
+        anyio.run(scenario)
+
+    def test_a_submission_that_lands_after_the_end_is_not_told(self) -> None:
+        async def scenario() -> None:
+            self.assertTrue(await self.places.mark_ended("b1", 2, None, 1.0))
+            await self.submit(9)
+            self.assertEqual([], self.peers.told)
+            self.assertTrue((await self.places.find("b1")).ok.ended)
+
+        anyio.run(scenario)
+
+    def test_while_the_places_are_unknown_no_runner_reads_from_the_middle(self) -> None:
+        async def scenario() -> None:
+            self.client.faults.down = True
+            await self.submit(9)
+            self.assertEqual([], self.peers.told)
+
+        anyio.run(scenario)
--- a/tests/gateway/test_takeover.py
+++ b/tests/gateway/test_takeover.py
@@ -77,7 +77,7 @@
             runner = await runner_of(site, nodes, "b1")
 
             async def noted() -> bool:
-                return "b1" in await OpenBatches(nodes["n1"].log).list()
+                return "b1" in (await OpenBatches(nodes["n1"].log).list()).ok
 
             await until(noted)
             for node in nodes.values():
