A follower that skips dropped history passes for whole: failing tests

Cause: PartitionFollower goes on behind a gap (410) with all it knew before, and confirms the view. An end or a result that lay in the gap is never learnt. Change: tests only.

--- /dev/null
+++ b/tests/gateway/test_dropped_history.py
@@ -0,0 +1,89 @@
+"""A view whose follower lost a part of the log for good is not taken for a whole one.
+
+The log drops its oldest records. A node that read a batch's beginning and then nothing for longer
+(it held no replica, or was cut off) goes on behind the gap. What lay in the gap, an end or a
+result, it never learns: not having seen an end counts as there being none.
+"""
+
+from __future__ import annotations
+
+import anyio
+import msgspec
+import testtools
+
+from stagewalk.batches.records import BatchRecord, ItemFinished, encode_record
+from stagewalk.gateway.batch_store import PARTITIONS, TOPIC, BatchStore
+from stagewalk.gateway.ledger_messages import ResultsCall
+from stagewalk.gateway.ledger_reads import LedgerReads
+from stagewalk.ports.partitioned_log import Partition, ProducerSequence
+from stagewalk_standins.partitioned_log import MemoryLog
+from stagewalk_standins.plain_dialect import PlainDialect
+from tests.batches.support import item, submitted
+from tests.gateway.support import Site, run, until
+
+ONLY = Partition(TOPIC, 0)
+ITEMS = tuple(f"x{n}" for n in range(20))
+RECORD_BYTES = 1_000_000
+BELIEVED_DEAD_SECONDS = 10.0
+"""Longer than a silent node is believed alive once the log answers again (3 s, restarted once)."""
+
+
+def forget_the_past(site: Site) -> None:
+    for number in range(PARTITIONS):
+        partition = Partition(TOPIC, number)
+        site.log.drop_history(partition, site.log.kept(partition).end)
+
+
+class DroppedHistoryTests(testtools.TestCase):
+    def test_a_batch_whose_end_was_dropped_unread_is_not_run(self) -> None:
+        """The order: open here, cut off, ended elsewhere, its history dropped, its runner gone."""
+
+        async def scenario(site: Site) -> None:
+            for name in ("e1", "e2"):
+                site.workers.workers[name].event_seconds = 0.5
+            runner = await site.start("n1", peers=None)
+            await site.submit(runner, "b1", *ITEMS)
+            other = await site.start("n2")
+
+            async def known() -> bool:
+                return other.gateway.store.ledger.get("b1") is not None
+
+            await until(known)
+            other.log.faults.down = True
+            answer = await site.call(runner, "DELETE", "/v1/batches/b1")
+            self.assertEqual(200, answer.status_code)
+            runner.scope.cancel()
+            await runner.ended.wait()
+            forget_the_past(site)
+            before = dict(site.workers.arrivals)
+            other.log.faults.down = False
+            await anyio.sleep(BELIEVED_DEAD_SECONDS)
+            self.assertEqual(before, dict(site.workers.arrivals))
+
+        run(scenario)
+
+    def test_results_behind_a_gap_are_not_shown_at_the_places_of_others(self) -> None:
+        """A result read at a position must be there at every node, and each be read once."""
+        log = MemoryLog()
+        client = log.client()
+
+        async def append(*records: BatchRecord) -> None:
+            sequence = ProducerSequence(f"p{client.calls}", 1, 1)
+            await client.append(ONLY, [encode_record(record) for record in records], sequence)
+
+        async def scenario() -> None:
+            store = BatchStore(log.client(), "p", RECORD_BYTES, RECORD_BYTES, 1)
+            reads = LedgerReads(store, PlainDialect())
+            await append(submitted(item("x"), item("y"), item("z"), batch="b"))
+            await append(ItemFinished("b", "x", True, "t", (1,)))
+            self.assertTrue(await store.catch_up("b"))
+            await append(ItemFinished("b", "y", True, "t", (1,)))
+            log.drop_history(ONLY, log.kept(ONLY).end)
+            await append(ItemFinished("b", "z", True, "t", (1,)))
+            await store.catch_up("b")
+            answer = await reads.carry_out(ResultsCall("b", 0, 0.0))
+            if answer.status == 200:
+                shown = [row[2] for row in msgspec.json.decode(answer.content)["results"]]
+                self.assertEqual(["x", "y", "z"][: len(shown)], shown)
+
+        anyio.run(scenario)
