Another tenant's batch id is accepted where no replica is held: failing test

Cause: BatchCalls.submit asks the node's own ledger only; a node without a replica has read nothing. Evidence on: 202 instead of 409 for a batch that the ledger will never hold. Ruled out: the same call at the replica (409, the test beside it). Change: tests only. Conclusion: open; red until mended, not entered in KNOWN-RED.txt here.

--- a/tests/gateway/test_tenants.py
+++ b/tests/gateway/test_tenants.py
@@ -5,6 +5,7 @@
 import io
 from contextlib import redirect_stderr
 from dataclasses import replace
+from unittest import mock
 
 import anyio
 import testtools
@@ -168,6 +169,30 @@
 
         run(scenario)
 
+    def test_another_tenants_batch_is_not_taken_where_no_replica_is_held(self) -> None:
+        """A node that doesn't follow the batches has read of none, and must not go by that."""
+        patched = mock.patch("stagewalk.directory.ledger_replicas.LEDGER_REPLICAS", 1)
+        patched.start()
+        self.addCleanup(patched.stop)
+
+        async def scenario(site: Site) -> None:
+            site.publish(2, tenants=(A, B))
+            nodes = [await site.start(name) for name in ("n1", "n2")]
+
+            async def settled() -> bool:
+                return sum(node.gateway.store.following for node in nodes) == 1
+
+            await until(settled)
+            nodes.sort(key=lambda node: not node.gateway.store.following)
+            replica, other = nodes
+            await site.submit(replica, "b1", "i1", key="key-a1")
+            await site.until_listed(replica, "b1", 1, key="key-a1")
+            answer = await site.submit(other, "b1", "i2", key="key-b1")
+            self.assertEqual(409, answer.status_code)
+            self.assertNotIn("i2", site.workers.arrivals)
+
+        run(scenario)
+
     def test_another_tenant_neither_reads_nor_ends_nor_takes_a_batch(self) -> None:
         async def scenario(site: Site) -> None:
             site.publish(2, tenants=(A, B))
