A view that lost a part of the log's history drops the batches it knew

Cause: the same as of items run after their batch's end: a follower that went on behind a gap (it had not read for longer than history is kept: a node that gave its replica up, or was cut off) kept all it knew and passed for whole. A batch that had ended in the gap was claimed and run, 20 of 20 items; results in the gap were missing from the positions shown. Ruled out: the takeover itself (the same run without the gap starts nothing). Change: a gap drops the partition's batches from the ledger; one that is run here is closed and released for whoever knows it. In the tests taken in, LedgerReads gets the places it needs now.

--- a/src/stagewalk/batches/ledger.py
+++ b/src/stagewalk/batches/ledger.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
@@ -39,6 +39,8 @@
     LISTED = "listed"
     ENDED = "ended"
     RUNNER = "runner"
+    LOST = "lost"
+    """Records of it were dropped from the log before they were read here."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +137,11 @@
         """Return a batch."""
         return self._batches.get(batch)
 
+    @property
+    def names(self) -> Collection[str]:
+        """Return the names of all batches."""
+        return self._batches.keys()
+
     def open_batches(self) -> list[Batch]:
         """Return the batches of which something is left to run."""
         return [batch for batch in self._batches.values() if batch.open]
@@ -177,10 +184,24 @@
             if batch.ended and now - batch.ended_at > FORGET_AFTER_SECONDS
         ]
         for name in forgotten:
-            for item in self._batches.pop(name).items:
-                self._kept.pop(item, None)
+            self._drop(name)
         return forgotten
 
+    def lose(self, batches: Collection[str]) -> None:
+        """Drop batches of which records are missing: they may have ended, or have more results."""
+        for name in batches:
+            if name in self._batches:
+                self._on_change(self._batches[name], LedgerChange.LOST)
+                self._drop(name)
+        self._parts = {key: p for key, p in self._parts.items() if key[0] not in batches}
+        self._result_parts = {
+            key: p for key, p in self._result_parts.items() if key[0] not in batches
+        }
+
+    def _drop(self, batch: str) -> None:
+        for item in self._batches.pop(batch).items:
+            self._kept.pop(item, None)
+
     def _submitted(self, record: BatchSubmitted, now: float) -> None:
         name = record.header.batch
         if name in self._batches:
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -145,6 +145,8 @@
             self._carry_out(self._scheduler.listed(name, batch.results[-1].item))
         elif change is LedgerChange.ENDED:
             self._end(name)
+        elif change is LedgerChange.LOST:
+            self._lose(name)
         elif batch.epoch < (self._views.ahead_epoch(name) or 0):
             return
         elif mine:
@@ -171,6 +173,12 @@
         self._carry_out(self._scheduler.progress(batch))
         self._close(batch, ENDED)
 
+    def _lose(self, batch: str) -> None:
+        """Leave a batch that may have ended unread to those who know."""
+        if self.runs(batch):
+            self._close(batch, "history lost")
+            self._store.post(batch, BatchReleased(batch, str(self._identity)))
+
     def _yield(self, batch: Batch) -> None:
         """Leave a batch to the process that took it over."""
         name = batch.header.batch
--- a/src/stagewalk/gateway/batch_store.py
+++ b/src/stagewalk/gateway/batch_store.py
@@ -2,16 +2,24 @@
 
 from __future__ import annotations
 
+import math
 import time
 import uuid
 from collections.abc import Callable
+from functools import partial
 
 import anyio
 import anyio.abc
 import xxhash
 from expression import Result
 
-from stagewalk.batches.ledger import Batch, BatchLedger, ChangeListener, LedgerChange
+from stagewalk.batches.ledger import (
+    FORGET_AFTER_SECONDS,
+    Batch,
+    BatchLedger,
+    ChangeListener,
+    LedgerChange,
+)
 from stagewalk.batches.records import (
     BatchEnded,
     BatchRecord,
@@ -56,8 +64,13 @@
         numbers = [Partition(TOPIC, n) for n in range(min(PARTITIONS, partitions))]
         self._log = log
         self._followers = [
-            PartitionFollower(log, p, self._apply, READ_PAUSE_SECONDS) for p in numbers
+            PartitionFollower(
+                log, p, self._apply, READ_PAUSE_SECONDS, partial(self._lose, p.number)
+            )
+            for p in numbers
         ]
+        self._lost_at: dict[int, float] = {}
+        """By partition, when records of it were last found to be gone unread (steady clock)."""
         self._following = True
         self._follows = anyio.Event()
         self.set_following(False)
@@ -178,6 +191,16 @@
             return
         self.ledger.apply(decoded, time.monotonic())
 
+    def _lose(self, partition: int) -> None:
+        """Drop what is known of a partition: ends and results may lie in what was not read."""
+        self._lost_at[partition] = time.monotonic()
+        self.ledger.lose([name for name in self.ledger.names if self.partition(name) == partition])
+
+    def lacks_history(self, batch: str, now: float) -> bool:
+        """Whether a batch that isn't known here may have begun in records that were not read."""
+        lost_at = self._lost_at.get(self.partition(batch), -math.inf)
+        return now - lost_at < FORGET_AFTER_SECONDS
+
     def _changed(self, batch: Batch, change: LedgerChange) -> None:
         news = self._news.pop(batch.header.batch, None)
         if news is not None:
--- a/src/stagewalk/gateway/ledger_reads.py
+++ b/src/stagewalk/gateway/ledger_reads.py
@@ -242,9 +242,22 @@
         batch = self._store.ledger.get(name)
         if batch is not None:
             return batch
-        if current:
-            return refusal(404, "there is no such batch")
-        return refusal(503, "the view is too old", COME_BACK_SECONDS)
+        if not current:
+            return refusal(503, "the view is too old", COME_BACK_SECONDS)
+        if not await self._certain(name):
+            return refusal(503, "the batch's records are no longer all kept", COME_BACK_SECONDS)
+        return refusal(404, "there is no such batch")
+
+    async def _certain(self, name: str) -> bool:
+        """Whether a batch that a current view doesn't know does not exist.
+
+        It may have begun in records that the log dropped before they were read here; then its place
+        is still noted.
+        """
+        if not self._store.lacks_history(name, time.monotonic()):
+            return True
+        place = await self._open_batches.find(name)
+        return place.is_ok() and place.ok is None
 
     async def _shows(self, batch: Batch, position: int, oldest_seconds: float) -> bool:
         """Whether the view is known to hold all that anyone was shown, up to a position."""
--- a/src/stagewalk/partitioned_log/follower.py
+++ b/src/stagewalk/partitioned_log/follower.py
@@ -38,6 +38,11 @@
 
     `catch_up` and the loop may read at the same time; a record is applied by whichever comes
     first, and the other one skips it.
+
+    Parameters
+    ----------
+    on_gap
+        Called once records were dropped before they were read: what lay in them is never learnt.
     """
 
     def __init__(
@@ -46,11 +51,13 @@
         partition: Partition,
         apply: Callable[[PartitionRecord], None],
         pause_seconds: float = 0.0,
+        on_gap: Callable[[], None] = lambda: None,
     ) -> None:
         self._log = log
         self._partition = partition
         self._apply = apply
         self._pause_seconds = pause_seconds
+        self._on_gap = on_gap
         self.next_offset = 0
         self._last_record_at = time.monotonic()
         self.freshness = Freshness(str(partition))
@@ -124,6 +131,7 @@
                 first_offset=failure.first_offset,
             )
             self.next_offset = failure.first_offset
+            self._on_gap()
         self.freshness.fail(failure.detail)
 
 
--- a/tests/gateway/test_dropped_history.py
+++ b/tests/gateway/test_dropped_history.py
@@ -15,6 +15,7 @@
 from stagewalk.gateway.batch_store import PARTITIONS, TOPIC, BatchStore
 from stagewalk.gateway.ledger_messages import ResultsCall
 from stagewalk.gateway.ledger_reads import LedgerReads
+from stagewalk.gateway.open_batches import BatchPlace, OpenBatches
 from stagewalk.ports.partitioned_log import Partition, ProducerSequence
 from stagewalk_standins.partitioned_log import MemoryLog
 from stagewalk_standins.plain_dialect import PlainDialect
@@ -73,7 +74,7 @@
 
         async def scenario() -> None:
             store = BatchStore(log.client(), "p", RECORD_BYTES, RECORD_BYTES, 1)
-            reads = LedgerReads(store, PlainDialect())
+            reads = LedgerReads(store, PlainDialect(), OpenBatches(client))
             await append(submitted(item("x"), item("y"), item("z"), batch="b"))
             await append(ItemFinished("b", "x", True, "t", (1,)))
             self.assertTrue(await store.catch_up("b"))
@@ -87,3 +88,24 @@
                 self.assertEqual(["x", "y", "z"][: len(shown)], shown)
 
         anyio.run(scenario)
+
+    def test_a_batch_that_began_in_dropped_records_is_not_said_to_be_unknown(self) -> None:
+        """Others may know it: only one whose place is not noted does not exist."""
+        log = MemoryLog()
+        client = log.client()
+
+        async def status(reads: LedgerReads, batch: str) -> int:
+            return (await reads.carry_out(ResultsCall(batch, 0, 0.0))).status
+
+        async def scenario() -> None:
+            places = OpenBatches(client)
+            store = BatchStore(log.client(), "p", RECORD_BYTES, RECORD_BYTES, 1)
+            reads = LedgerReads(store, PlainDialect(), places)
+            record = encode_record(submitted(item("x"), batch="b"))
+            await client.append(ONLY, [record], ProducerSequence("p", 1, 1))
+            await places.note("b", BatchPlace(0, 0, "n#1"))
+            log.drop_history(ONLY, log.kept(ONLY).end)
+            self.assertEqual(503, await status(reads, "b"))
+            self.assertEqual(404, await status(reads, "nowhere"))
+
+        anyio.run(scenario)
