Keyed views are called current that are not: failing tests

Cause: KeyedFollower confirms as of when it handled an answer, not as of when the log gave it; and after any page, though one read brings 256 KB at most and a keyed page doesn't tell the end. Evidence on: an answer that lay 0.4 s in a paused process gives an age of 0.00002 s; renew returns True with the newest of five records unread. Ruled out: PartitionFollower, whose same two cases pass; listings, which count from their begin. Change: tests only.

--- a/tests/partitioned_log/test_follower.py
+++ b/tests/partitioned_log/test_follower.py
@@ -4,6 +4,7 @@
 
 import math
 import time
+from dataclasses import replace
 
 import anyio
 import testtools
@@ -248,3 +249,54 @@
             self.assertEqual({"a": b"2"}, self.values)
 
         anyio.run(main)
+
+    def test_an_answer_that_lay_unread_while_the_process_was_paused_is_not_fresh(self) -> None:
+        """Workers and nodes are judged by the time as of which their list is known."""
+        paused = 0.4
+
+        class PausedClient(MemoryLogClient):
+            async def read_keyed(
+                self, partition: Partition, offset: int, wait_seconds: float
+            ) -> Result[KeyedPage, LogFailure]:
+                answer = await super().read_keyed(partition, offset, wait_seconds)
+                await anyio.sleep(paused)
+                return answer
+
+        async def main() -> float:
+            client = PausedClient(self.log)
+            follower = KeyedFollower(client, PLACE, self.replace, self.apply)
+            await follower._step(0.0)
+            self.log.put_key(PLACE, "a", b"1")
+            await follower._step(0.0)
+            return follower.freshness.age(time.monotonic())
+
+        self.assertGreaterEqual(anyio.run(main), paused)
+
+    def test_a_read_that_did_not_reach_the_end_does_not_make_the_view_current(self) -> None:
+        """A read brings 256 KB at most: what gathered during an outage may be more."""
+
+        class PagedClient(MemoryLogClient):
+            async def read_keyed(
+                self, partition: Partition, offset: int, wait_seconds: float
+            ) -> Result[KeyedPage, LogFailure]:
+                answer = await super().read_keyed(partition, offset, wait_seconds)
+                return answer.map(
+                    lambda page: replace(
+                        page,
+                        records=page.records[:2],
+                        next_offset=min(page.next_offset, offset + 2),
+                    )
+                )
+
+        async def main() -> None:
+            follower = KeyedFollower(PagedClient(self.log), PLACE, self.replace, self.apply)
+            self.assertTrue(await follower.renew(0.0, 1.0))
+            for number in range(5):
+                self.log.put_key(PLACE, "key", b"%d" % number)
+            asked_at = time.monotonic()
+            current = await follower.renew(0.0, 1.0)
+            newest = self.values.get("key") == b"4"
+            self.assertTrue(newest or not current, "an old view was called current")
+            self.assertTrue(newest or follower.freshness.confirmed_at < asked_at)
+
+        anyio.run(main)
