The lease on duties is neither taken nor kept by a view that lacks records

A process whose view began behind the holder's win (history is kept 300 s) saw nobody and took the lease without the quiet time; a holder whose reads were refused while its appends were taken counted its renewals although another's win lay before them, unread, and both could act. Ruled out: that acquiring goes by an unread end; it is a conditional append after a whole reading. Change: a renewal under a fence above the known one names the holder, since only who won renews; after a gap the lease counts as held for as long as a silent holder's would; a renewal counts once the holder has read beyond it (its own follower's reading, no further call). Before: both tests fail, three runs of three. After: they pass, as does that of a lease which passes on when it isn't renewed.

--- a/src/stagewalk/gateway/duty_lease.py
+++ b/src/stagewalk/gateway/duty_lease.py
@@ -9,6 +9,7 @@
 import anyio.abc
 
 from stagewalk.leases.log_lease import (
+    LEASE_SECONDS,
     Acquire,
     DutyRecord,
     LeaseRecord,
@@ -28,6 +29,8 @@
 CURRENT_SECONDS = 1.0
 APPEND_SECONDS = 3.0
 CATCH_UP_SECONDS = 0.5
+READ_BACK_SECONDS = 0.02
+"""Between two looks whether a renewal was read back, as often as the records are read."""
 
 PlanListener = Callable[[str, bytes], None]
 """Takes a valid plan: its subject and its content."""
@@ -52,7 +55,13 @@
         self._log = log
         self._partition = partition
         self._lease = lease
-        self._follower = PartitionFollower(log, partition, self._apply, pause_seconds=0.02)
+        self._follower = PartitionFollower(
+            log,
+            partition,
+            self._apply,
+            pause_seconds=0.02,
+            on_gap=lambda: lease.note_gap(time.monotonic()),
+        )
         self._appender = PartitionAppender(log, partition, producer, call_bytes)
         self._followed = anyio.Event()
         self._plan_listeners: dict[str, PlanListener] = {}
@@ -178,9 +187,16 @@
     async def _renew(self, step: Renew) -> None:
         sent_at = time.monotonic()
         answer = await self._appender.append([step.record.encode()], APPEND_SECONDS)
-        if answer.is_ok():
+        if answer.is_ok() and await self._has_read(answer.ok):
             self._lease.renewal_taken(sent_at, step.record.fence)
 
+    async def _has_read(self, offset: int) -> bool:
+        """Wait until the records up to an offset were read: another's win may lie before it."""
+        with anyio.move_on_after(LEASE_SECONDS):
+            while self._follower.next_offset <= offset:
+                await anyio.sleep(READ_BACK_SECONDS)
+        return self._follower.next_offset > offset
+
     def _apply(self, record: PartitionRecord) -> None:
         decoded = decode_lease_record(record.payload)
         before = self._lease.holder
--- a/src/stagewalk/leases/log_lease.py
+++ b/src/stagewalk/leases/log_lease.py
@@ -145,6 +145,7 @@
         self._valid_until = -math.inf
         self._may_act_from = math.inf
         self._renewed_at = -math.inf
+        self._gap_at = -math.inf
 
     @property
     def holder(self) -> str:
@@ -177,11 +178,20 @@
         elif record.fence == self._fence:
             self._heard_at = now
             self._released = self._released or record.released
+        elif record.fence > self._fence:
+            self._adopt(record, now)
 
     def skip(self, next_offset: int) -> None:
         """Note that the partition ends further on."""
         self._end = max(self._end, next_offset)
 
+    def note_gap(self, now: float) -> None:
+        """Note that records were dropped before they were read: somebody may hold the lease.
+
+        Its renewals tell who, if it lives.
+        """
+        self._gap_at = now
+
     def decide(self, now: float, current: bool) -> Acquire | Renew | None:
         """Return what to append now; `current` says that all records were read just now."""
         if self.held:
@@ -217,12 +227,13 @@
 
     def _won(self, offset: int, record: LeaseRecord, now: float) -> None:
         """Take a new holder: nobody acts until the last one's orders are long past."""
-        first = self._holder == ""
+        first = self._holder == "" and self._gap_at == -math.inf
         quiet_from = self._heard_at if self._released else self._heard_at + LEASE_SECONDS
         self._may_act_from = now if first else max(now, quiet_from + self._quiet)
         if machine_of(record.holder) == machine_of(self._holder):
             # The process before is gone for sure: one machine is one holder.
             self._may_act_from = now
+        self._gap_at = -math.inf
         self._holder = record.holder
         self._fence = offset
         self._heard_at = now
@@ -230,7 +241,20 @@
         self._valid_until = -math.inf
         self._renewed_at = -math.inf
 
+    def _adopt(self, record: LeaseRecord, now: float) -> None:
+        """Take a holder whose win was not read: only who has won renews under its fence."""
+        self._gap_at = -math.inf
+        self._holder = record.holder
+        self._fence = record.fence
+        self._heard_at = now
+        self._released = record.released
+        self._valid_until = -math.inf
+
     def _free_at(self) -> float:
+        after_gap = self._gap_at + LEASE_SECONDS + EXPIRY_MARGIN_SECONDS + self._acquire_jitter
+        return max(after_gap, self._free_by_records())
+
+    def _free_by_records(self) -> float:
         if self._holder == "" or machine_of(self._holder) == machine_of(self._own):
             return -math.inf
         expires = 0.0 if self._released else LEASE_SECONDS + EXPIRY_MARGIN_SECONDS
