Usage is summed only after the counts were read that came before the holder's time

Cause: the same: near the time when a report is due a window was summed from the counts there were, also by a holder that had never read any. {} was reported for {a: 3}; under a win that the log had dropped, a plan counted as void and the window was summed anew, {a: 4} where {a: 3} was written. Ruled out: windows summed in time, which wait for a view that is whole to their end. Change: a holder reads the counts to their end once before it decides anything.

--- a/src/stagewalk/gateway/usage_service.py
+++ b/src/stagewalk/gateway/usage_service.py
@@ -93,14 +93,20 @@
             self._appender.post([record.encode() for record in self._meter.take_records()])
 
     async def _report(self) -> None:
+        held_since: float | None = None
         while True:
             await anyio.sleep(STEP_SECONDS)
             await self._duties.wait_until_active()
             if not self._duties.held:
                 self._follower.pause()
+                held_since = None
                 continue
-            self._follower.resume()
-            if self._duties.may_act():
+            if held_since is None:
+                held_since = time.monotonic()
+                self._follower.resume()
+            # Counts that were told before this process held the lease are read first.
+            read = self._follower.freshness.confirmed_at >= held_since
+            if read and self._duties.may_act():
                 await self._step()
 
     async def _step(self) -> None:
