An append that another node may have carried out is not told as refused

Cause: a node that the log refuses passes its append on; if that other node is lost after it passed it on, the straight way's refusal was the answer. The appender took that for certain: a trainer was told 503 for a batch that runs, and the sequence was used again, so that the log answered another append with the first one's offset: told as taken (202), and not in the log. Ruled out: the appender beside a log that is called straight. Change: of two failures of one call an unknown outcome counts above a refusal; where no other node is known nothing was sent, which is a refusal now. Before: three failing tests. After: they pass, 11 of the relay in all.

--- a/src/stagewalk/log_relay/relayed_log.py
+++ b/src/stagewalk/log_relay/relayed_log.py
@@ -145,7 +145,7 @@
                 return relayed
             answer = await straight()
             self._choice.note_straight(_error_of(answer), time.monotonic())
-            return answer
+            return _outcome(answer, relayed)
         relay_after = 0.0 if relaying else wait_seconds + SILENCE_SECONDS
         return await self._race(
             straight, lambda: self._relay(call, pick, wait_seconds), relay_after
@@ -159,9 +159,10 @@
     ) -> Result[Value, LogFailure]:
         """Call straight, and through another node once that failed or was silent for a time.
 
-        The first success counts; without any, the straight way's failure.
+        The first success counts; without any, see `_outcome`.
         """
         answers: list[Result[Value, LogFailure]] = []
+        relayed: list[Result[Value, LogFailure]] = []
         failed = anyio.Event()
         async with anyio.create_task_group() as tasks:
 
@@ -178,13 +179,15 @@
                 if not failed.is_set():
                     self._choice.note_straight(_NO_ANSWER, time.monotonic())
                 answer = await relay()
+                relayed.append(answer)
                 if answer.is_ok():
-                    answers.insert(0, answer)
                     tasks.cancel_scope.cancel()
 
             tasks.start_soon(go_straight)
             tasks.start_soon(go_around)
-        return answers[0]
+        if not relayed:
+            return answers[0]
+        return _outcome(answers[0], relayed[0]) if answers else relayed[0]
 
     async def _relay(
         self, call: LogCall, pick: Callable[[LogAnswer], Value | None], wait_seconds: float
@@ -193,7 +196,7 @@
         before = self._choice.relaying
         peer, answer = await self._ask_around(call, wait_seconds + ANSWER_SECONDS)
         if peer is None:
-            return Error(LogFailure(LogFault.UNKNOWN, "no other node is known"))
+            return Error(LogFailure(LogFault.REFUSED, "no other node is known"))
         failure = _failure_of(answer)
         worked = answer is not None and (failure is None or failure.fault not in _UNSETTLED)
         self._choice.note_relay(worked, time.monotonic())
@@ -238,6 +241,21 @@
 _UNSETTLED = frozenset({LogFault.REFUSED, LogFault.UNKNOWN})
 
 
+def _outcome(
+    straight: Result[Value, LogFailure], relayed: Result[Value, LogFailure]
+) -> Result[Value, LogFailure]:
+    """Return what became of a call that went both ways.
+
+    Another node that did not answer may have passed the call on: a refusal of the straight way
+    proves nothing then, and a caller who took it for certain would tell that what is in the log is
+    not, and use its sequence for something else.
+    """
+    if straight.is_ok() or relayed.is_ok():
+        return straight if straight.is_ok() else relayed
+    refused = straight.error.fault is LogFault.REFUSED
+    return relayed if refused and relayed.error.fault is LogFault.UNKNOWN else straight
+
+
 def _error_of(answer: Result[Value, LogFailure]) -> LogFailure | None:
     return answer.error if answer.is_error() else None
 
