--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -94,10 +94,10 @@
             self.add_worker(name, service)
         self.publish(1)
 
-    def add_worker(self, name: str, service: str) -> None:
+    def add_worker(self, name: str, service: str, slots: int = 4) -> None:
         versions = {"m": 1} if service == "engines" else {}
-        self.workers.workers[name] = MemoryWorker(versions=dict(versions))
-        entry = announcement(name, service=service, versions=versions)
+        self.workers.workers[name] = MemoryWorker(versions=dict(versions), slots=slots)
+        entry = announcement(name, service=service, versions=versions, slots=slots)
         self.log.put_key(self.dialect.workers, name, msgspec.json.encode(entry))
 
     def publish(
@@ -117,9 +117,17 @@
         value = msgspec.json.encode(NamedVersion("m", version))
         self.log.put_key(self.dialect.operators, "version/m", value)
 
-    async def start(self, name: str, *, ready: bool = True, **changes: object) -> Running:
+    async def start(
+        self,
+        name: str,
+        *,
+        ready: bool = True,
+        log: MemoryLogClient | None = None,
+        **changes: object,
+    ) -> Running:
+        """Start a gateway, with a client of the log of its own if one is given."""
         settings = replace(gateway_settings(name), **changes)
-        log = self.log.client()
+        log = log or self.log.client()
         dependencies = Dependencies(log, self.workers, self.dialect, self.duties)
         gateway = Gateway(settings, dependencies)
         running = Running(gateway, log, f"http://{settings.front}", str(settings.front))
