--- a/tests/gateway/test_ended_batches.py
+++ b/tests/gateway/test_ended_batches.py
@@ -62,10 +62,11 @@
 async def not_noted(site: Site, batch: str) -> None:
     """Wait until a batch is not among the open ones any more."""
 
-    async def dropped() -> bool:
-        return batch not in await OpenBatches(site.log.client()).list()
+    async def ended() -> bool:
+        place = (await OpenBatches(site.log.client()).find(batch)).ok
+        return place is None or place.ended
 
-    await until(dropped)
+    await until(ended)
 
 
 async def identity(node: Running) -> str:
@@ -175,7 +176,7 @@
                 return store.following and store.read_whole("b1")
 
             await until(read)
-            place = Partition(TOPIC, store.place("b1", 0, "").partition)
+            place = Partition(TOPIC, store.partition("b1"))
             log.follow = anyio.Event()
             await anyio.sleep(FOLLOWED_SECONDS + 0.4)
             record = submitted(
@@ -210,20 +211,17 @@
         async def scenario(site: Site) -> None:
             slow_engines(site)
             node = await site.start("n1")
-            place = node.gateway.store.place("ended", 0, "")
+            store = node.gateway.store
+            number = store.partition("ended")
             names = (f"open{n}" for n in range(100))
-            other = next(
-                name
-                for name in names
-                if node.gateway.store.place(name, 0, "").partition == place.partition
-            )
+            other = next(name for name in names if store.partition(name) == number)
             await site.submit(node, "ended", *MANY)
             await started(site)
             await self.end(site, node, "ended")
             ended_at = anyio.current_time()
             await not_noted(site, "ended")
             await site.submit(node, other, "still open")
-            partition = Partition(TOPIC, place.partition)
+            partition = Partition(TOPIC, number)
             first = next(r for r in map(decode_record, site.log.payloads(partition)) if r)
             again = msgspec.structs.replace(first, submission="again")
             await append(site.log, partition, [encode_record(again)])
