--- a/src/stagewalk/batches/scheduler.py
+++ b/src/stagewalk/batches/scheduler.py
@@ -15,6 +15,7 @@
 from stagewalk.batches.evidence import note_pace, note_refusal
 from stagewalk.batches.item_run import FAILURE_PAUSE_SECONDS, ItemRun, RunningAttempt
 from stagewalk.batches.item_scores import ItemScores
+from stagewalk.batches.item_starts import ItemStarts
 from stagewalk.batches.ledger import Batch, KeptText
 from stagewalk.batches.length_estimate import LengthEstimate
 from stagewalk.batches.messages import (
@@ -24,11 +25,9 @@
     AttemptHead,
     SchedulerEvent,
     SchedulerInstruction,
-    StartItem,
     StopItem,
     Tick,
 )
-from stagewalk.batches.placement import choose_engine
 from stagewalk.batches.records import BatchItem
 from stagewalk.core.policy import ALL_ON, Policy
 from stagewalk.scoring.core import MayStart, ScoreCalls, ServiceOf
@@ -39,11 +38,6 @@
 TELL_EVENTS = 20
 """An item that has made this many events more than the log holds tells them."""
 
-RETURNED_PRIORITY = 4
-"""Of an item that came back, one above the engines' default: its trainer waits for its group
-whichever others are whole, and of an engine whose memory runs out the newest of the least urgent
-runs is stopped."""
-
 SUCCESS = 200
 IMPOSSIBLE = 422
 """The worker says that the item can never be done."""
@@ -75,16 +69,15 @@
         self._may_start = may_start
         self._workers = workers
         self._route_of = route_of
-        self._zone = zone
         self._runs: dict[str, BatchRun] = {}
         self._attempts: dict[int, tuple[BatchRun, ItemRun]] = {}
-        self._numbers = itertools.count(1)
+        numbers = itertools.count(1)
         calls = ScoreCalls(
             workers,
             route_of,
             service_of,
             zone=zone,
-            numbers=self._numbers,
+            numbers=numbers,
             policy=policy,
             may_start=may_start,
         )
@@ -92,6 +85,9 @@
         self._told_at = 0.0
         self._lengths = LengthEstimate()
         self._watch = AttemptWatch(workers, route_of, self._lengths)
+        self._starts = ItemStarts(
+            self._watch, self._lengths, numbers, zone=zone, policy=policy, may_start=may_start
+        )
 
     @property
     def batches(self) -> set[str]:
@@ -338,59 +334,13 @@
 
     def _start_items(self, now: float) -> list[SchedulerInstruction]:
         instructions: list[SchedulerInstruction] = []
-        waiting = [
-            (run, item)
-            for run in self._runs.values()
-            if self._may_start(run.name, now)
-            for item in run.items.values()
-            if item.waiting and item.not_before <= now
-        ]
-        waiting.sort(key=lambda pair: self._start_order(*pair))
-        for run, item in waiting:
-            start = self._start(run, item, now)
+        for run, item in self._starts.due(self._runs.values(), now):
+            start = self._starts.begin(run, item, now)
             if start is not None:
+                self._attempts[start.attempt] = (run, item)
                 instructions.append(start)
         return instructions
 
-    def _start(self, run: BatchRun, item: ItemRun, now: float) -> StartItem | None:
-        siblings = {
-            other.running.worker
-            for other in run.items.values()
-            if other.running is not None and other.spec.group == item.spec.group
-        }
-        worker = choose_engine(
-            self._watch.candidates(run.batch, item),
-            item.spec.model,
-            now,
-            zone=self._zone,
-            siblings=siblings,
-            avoid=item.last_worker,
-            policy=self._policy,
-        )
-        if worker is None:
-            return None
-        attempt = next(self._numbers)
-        name = worker.announcement.worker
-        item.running = RunningAttempt(attempt, name, now, now, len(item.events))
-        self._attempts[attempt] = (run, item)
-        worker.note_sent()
-        resume = len(item.events) or None
-        header = run.batch.header
-        return StartItem(
-            attempt,
-            header.batch,
-            header.host,
-            item.spec,
-            name,
-            resume,
-            header.tenant,
-            RETURNED_PRIORITY if item.known_events else None,
-        )
-
-    def _start_order(self, run: BatchRun, item: ItemRun) -> tuple[float, float, str]:
-        """Older batches first, within one the items expected to run longest."""
-        return run.batch.seen_at, -self._lengths.events(item), item.spec.group
-
     # How attempts end here.
 
     def _leave(self, item: ItemRun, now: float, reason: str) -> list[SchedulerInstruction]:
--- a/tests/batches/test_scheduler.py
+++ b/tests/batches/test_scheduler.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from stagewalk.batches.item_starts import RETURNED_PRIORITY
 from stagewalk.batches.messages import (
     AttemptBroken,
     AttemptEnded,
@@ -15,7 +16,7 @@
     Tick,
 )
 from stagewalk.batches.records import BatchItem, ItemFinished, ItemProgress
-from stagewalk.batches.scheduler import RETURNED_PRIORITY, BatchScheduler
+from stagewalk.batches.scheduler import BatchScheduler
 from stagewalk.ports.workers import (
     AttemptFailure,
     AttemptFault,
