Of a call that went both ways to the log the surest outcome counts

And a node that reads through another one never got over dropped history, because the straight way's refusal hid what the log had said. Ruled out: that the peers' client can't tell (a connection that does not come up carried nothing). Change: the peers' client tells not sent from unknown; of two failures what the log said counts first, then an unknown outcome, then a refusal.

--- a/src/stagewalk/log_relay/relayed_log.py
+++ b/src/stagewalk/log_relay/relayed_log.py
@@ -26,7 +26,7 @@
 from stagewalk.log_relay.path_choice import PathChoice
 from stagewalk.log_relay.server import CUT_OFF
 from stagewalk.logs.lines import log_event
-from stagewalk.peer_calls.client import PeerClient
+from stagewalk.peer_calls.client import PeerClient, PeerFault
 from stagewalk.ports.partitioned_log import (
     KeyedPage,
     LogFailure,
@@ -52,6 +52,7 @@
 """Nodes asked in a row that say at once that they are cut off too."""
 
 _NO_ANSWER = LogFailure(LogFault.UNKNOWN, "no answer yet")
+_NOT_TAKEN = LogFailure(LogFault.REFUSED, "the asked node takes no connection")
 
 Peers = Callable[[], list[Address]]
 """Returns where other nodes take relayed calls."""
@@ -234,8 +235,11 @@
         return self._choice.straight_fails
 
     async def _send(self, peer: Address, call: LogCall, seconds: float) -> LogAnswer | None:
-        content = await self._client.call(peer, RELAY_PATH, encode_message(call), seconds)
-        return None if content is None else decode_answer(content)
+        message = encode_message(call)
+        answer = await self._client.exchange(peer, RELAY_PATH, message, seconds)
+        if answer.is_error():
+            return LogAnswer(failure=_NOT_TAKEN) if answer.error is PeerFault.NOT_SENT else None
+        return decode_answer(answer.ok)
 
 
 _UNSETTLED = frozenset({LogFault.REFUSED, LogFault.UNKNOWN})
@@ -244,16 +248,22 @@
 def _outcome(
     straight: Result[Value, LogFailure], relayed: Result[Value, LogFailure]
 ) -> Result[Value, LogFailure]:
-    """Return what became of a call that went both ways.
+    """Return what became of a call that went both ways: what tells most of it.
 
+    A success, else what the log said of the call by either way, such as that records are gone.
     Another node that did not answer may have passed the call on: a refusal of the straight way
     proves nothing then, and a caller who took it for certain would tell that what is in the log is
     not, and use its sequence for something else.
     """
-    if straight.is_ok() or relayed.is_ok():
-        return straight if straight.is_ok() else relayed
-    refused = straight.error.fault is LogFault.REFUSED
-    return relayed if refused and relayed.error.fault is LogFault.UNKNOWN else straight
+    return min(straight, relayed, key=_certainty)
+
+
+def _certainty(answer: Result[Value, LogFailure]) -> int:
+    if answer.is_ok():
+        return 0
+    if answer.error.fault not in _UNSETTLED:
+        return 1
+    return 2 if answer.error.fault is LogFault.UNKNOWN else 3
 
 
 def _error_of(answer: Result[Value, LogFailure]) -> LogFailure | None:
--- a/src/stagewalk/peer_calls/client.py
+++ b/src/stagewalk/peer_calls/client.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
+
 import anyio
 import httpx
+from expression import Error, Ok, Result
 
 from stagewalk.adapters.connection_pools import ConnectionPools
 from stagewalk.adapters.http_calls import describe, process_url
@@ -19,6 +22,18 @@
 KEEPALIVE_SECONDS = 10.0
 
 
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class PeerFault(StrEnum):
+    """Why a call of another node brought no answer."""
+
+    NOT_SENT = "not_sent"
+    """The node took no connection: it got no byte of the call."""
+    UNKNOWN = "unknown"
+    """It may have carried the call out."""
+
+
 class PeerClient:
     """HTTP client of other nodes' listeners for peers."""
 
@@ -28,7 +43,14 @@
     async def call(
         self, peer: Address, path: str, content: bytes, answer_seconds: float
     ) -> bytes | None:
-        """Return the answer's bytes, None if none came or the node refused.
+        """Return the answer's bytes, None if none came or the node refused; see `exchange`."""
+        answer = await self.exchange(peer, path, content, answer_seconds)
+        return answer.ok if answer.is_ok() else None
+
+    async def exchange(
+        self, peer: Address, path: str, content: bytes, answer_seconds: float
+    ) -> Result[bytes, PeerFault]:
+        """Return the answer's bytes, or what its lack proves.
 
         Parameters
         ----------
@@ -53,5 +75,6 @@
                     await response.aread()
         except (httpx.HTTPError, TimeoutError) as error:
             log_event("peer_call_failed", "debug", peer=str(peer), detail=describe(error))
-            return None
-        return response.content if response.is_success else None
+            not_sent = isinstance(error, _NOT_SENT)
+            return Error(PeerFault.NOT_SENT if not_sent else PeerFault.UNKNOWN)
+        return Ok(response.content) if response.is_success else Error(PeerFault.UNKNOWN)
--- a/tests/log_relay/test_review_failures.py
+++ b/tests/log_relay/test_both_ways.py
@@ -6,13 +6,14 @@
 
 import anyio
 import testtools
+from expression import Ok, Result
 
 from stagewalk.core.identities import Address
 from stagewalk.log_relay.relayed_log import RelayedLog
 from stagewalk.log_relay.server import LogRelay
 from stagewalk.partitioned_log.appender import AppendOutcome, PartitionAppender
 from stagewalk.partitioned_log.follower import PartitionFollower
-from stagewalk.peer_calls.client import PeerClient
+from stagewalk.peer_calls.client import PeerClient, PeerFault
 from stagewalk.ports.partitioned_log import LogFault, Partition, ProducerSequence
 from stagewalk_standins.partitioned_log import MemoryLog
 
@@ -28,10 +29,10 @@
     def __init__(self, relay: LogRelay) -> None:
         self._relay = relay
 
-    async def call(
+    async def exchange(
         self, _peer: Address, _path: str, content: bytes, _seconds: float
-    ) -> bytes | None:
-        return await self._relay.handle(content)
+    ) -> Result[bytes, PeerFault]:
+        return Ok(await self._relay.handle(content) or b"")
 
 
 def nobody_listens() -> Address:
--- a/tests/log_relay/test_lost_answers.py
+++ b/tests/log_relay/test_lost_answers.py
@@ -10,11 +10,13 @@
 
 import anyio
 import testtools
+from expression import Error
 
 from stagewalk.core.identities import Address
 from stagewalk.log_relay.relayed_log import RelayedLog
 from stagewalk.log_relay.server import LogRelay
 from stagewalk.partitioned_log.appender import AppendOutcome, PartitionAppender
+from stagewalk.peer_calls.client import PeerFault
 from stagewalk.ports.partitioned_log import LogFault, Partition, ProducerSequence
 from stagewalk_standins.partitioned_log import MemoryLog, MemoryLogClient
 
@@ -31,11 +33,11 @@
         self._relay = relay
         self.lost = False
 
-    async def call(self, peer, path, content, answer_seconds):
+    async def exchange(self, peer, path, content, answer_seconds):
         if not self.lost:
             self.lost = True
             await self._relay.handle(content)
-        return None
+        return Error(PeerFault.UNKNOWN)
 
 
 class LostAnswerTests(testtools.TestCase):
--- a/tests/log_relay/test_relayed_log.py
+++ b/tests/log_relay/test_relayed_log.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 import testtools
+from expression import Ok
 
 from stagewalk.core.identities import Address
 from stagewalk.log_relay.messages import LogAnswer, encode_message
@@ -41,9 +42,9 @@
         self.nodes = nodes
         self.asked: list[Address] = []
 
-    async def call(self, peer, path, content, answer_seconds):
+    async def exchange(self, peer, path, content, answer_seconds):
         self.asked.append(peer)
-        return await self.nodes[peer].handle(content)
+        return Ok(await self.nodes[peer].handle(content))
 
 
 def address(number: int) -> Address:
