An end is remembered for twice as long as the log keeps records

A batch handed in again 240 s after its end was new to every node. Ruled out: that the marks cover it; they were dropped 240 s after the end, before the log's records. Who finds its own submission behind an end appends an end behind it. A batch that opens in a view with a gap is looked up among the marks first.

--- a/src/stagewalk/batches/ledger.py
+++ b/src/stagewalk/batches/ledger.py
@@ -27,6 +27,10 @@
 FORGET_AFTER_SECONDS = 240.0
 """How long an ended batch is kept."""
 
+ENDED_KNOWN_SECONDS = 600.0
+"""How long it is known after that that a batch has ended: twice what the log keeps its records, so
+that a submission which lies behind the end is never taken for a new batch."""
+
 NOBODY = ""
 EVENT_SEPARATOR = "\n"
 """Between the events of a text."""
@@ -132,6 +136,8 @@
         self._parts: dict[tuple[str, str], dict[int, BatchSubmitted]] = {}
         self._result_parts: dict[tuple[str, str, str], dict[int, str]] = {}
         self._kept: dict[str, KeptText] = {}
+        self._ended_at: dict[str, float] = {}
+        """Batches whose end was read, those too whose submission was not, and when."""
 
     def get(self, batch: str) -> Batch | None:
         """Return a batch."""
@@ -177,14 +183,13 @@
                 self._released(record, now)
 
     def forget(self, now: float) -> list[str]:
-        """Drop batches that ended long ago, and return their names."""
-        forgotten = [
-            name
-            for name, batch in self._batches.items()
-            if batch.ended and now - batch.ended_at > FORGET_AFTER_SECONDS
-        ]
+        """Drop batches that ended long ago; return those whose end is remembered no more."""
+        for name, batch in list(self._batches.items()):
+            if batch.ended and now - batch.ended_at > FORGET_AFTER_SECONDS:
+                self._drop(name)
+        forgotten = [n for n, at in self._ended_at.items() if now - at > ENDED_KNOWN_SECONDS]
         for name in forgotten:
-            self._drop(name)
+            del self._ended_at[name]
         return forgotten
 
     def lose(self, batches: Collection[str]) -> None:
@@ -204,7 +209,7 @@
 
     def _submitted(self, record: BatchSubmitted, now: float) -> None:
         name = record.header.batch
-        if name in self._batches:
+        if name in self._batches or name in self._ended_at:
             return
         key = (name, record.submission)
         parts = self._parts.setdefault(key, {})
@@ -264,6 +269,7 @@
             )
 
     def _ended(self, record: BatchEnded, now: float) -> None:
+        self._ended_at.setdefault(record.batch, now)
         batch = self._batches.get(record.batch)
         if batch is None or batch.ended:
             return
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -31,6 +31,7 @@
 from stagewalk.gateway.early_start import PartialLedger
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.node_service import NodeService
+from stagewalk.gateway.open_batches import OpenBatches
 from stagewalk.gateway.run_views import RunViews
 from stagewalk.gateway.score_sender import ScoreSender
 from stagewalk.logs.lines import log_event
@@ -48,6 +49,7 @@
 
 TICK_SECONDS = 0.05
 SUCCESS = 200
+LOOK_UP_RETRY_SECONDS = 0.1
 ENDED = "ended"
 KeptTextOf = Callable[[BatchItem], KeptText | None]
 ITEM_METHOD = "POST"
@@ -68,6 +70,7 @@
         nodes: NodeService,
         rollouts: VersionRollouts,
         views: RunViews,
+        places: OpenBatches,
         on_item_started: Callable[[float], None] = lambda _view_age: None,
     ) -> None:
         self._identity = identity
@@ -78,6 +81,7 @@
         self._nodes = nodes
         self._rollouts = rollouts
         self._views = views
+        self._places = places
         self._on_item_started = on_item_started
         self._tasks: anyio.abc.TaskGroup | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
@@ -149,11 +153,28 @@
             self._lose(name)
         elif batch.epoch < (self._views.ahead_epoch(name) or 0):
             return
+        elif mine and self._store.lacks_history(name, time.monotonic()):
+            self._open_unless_ended(batch)
         elif mine:
             self._open(batch)
         else:
             self._yield(batch)
 
+    def _open_unless_ended(self, batch: Batch) -> None:
+        """Run a batch whose end may lie in records that the log dropped before they were read."""
+
+        async def check() -> None:
+            name = batch.header.batch
+            while (place := await self._places.find(name)).is_error():
+                await anyio.sleep(LOOK_UP_RETRY_SECONDS)
+            if place.ok is not None and place.ok.ended:
+                self._store.note_ended(name)
+            elif batch.runner == str(self._identity) and not self._stopping:
+                self._open(batch)
+
+        assert self._tasks is not None
+        self._tasks.start_soon(check)
+
     def ahead_changed(self, batch: Batch, change: LedgerChange) -> None:
         """Take what a partial view tells of a batch that was begun ahead of this node's view."""
         name = batch.header.batch
--- a/src/stagewalk/gateway/batch_store.py
+++ b/src/stagewalk/gateway/batch_store.py
@@ -196,6 +196,10 @@
         self._lost_at[partition] = time.monotonic()
         self.ledger.lose([name for name in self.ledger.names if self.partition(name) == partition])
 
+    def note_ended(self, batch: str) -> None:
+        """Take a batch for ended whose end is noted, but was dropped from the log unread."""
+        self.ledger.apply(BatchEnded(batch), time.monotonic())
+
     def lacks_history(self, batch: str, now: float) -> bool:
         """Whether a batch that isn't known here may have begun in records that were not read."""
         lost_at = self._lost_at.get(self.partition(batch), -math.inf)
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -145,6 +145,7 @@
             nodes=self._nodes,
             rollouts=self._rollouts,
             views=run_views,
+            places=open_batches,
             on_item_started=self._metrics.item_view_age.observe,
         )
         self._runners = RunnerChoice(
--- a/src/stagewalk/gateway/runner_choice.py
+++ b/src/stagewalk/gateway/runner_choice.py
@@ -12,7 +12,7 @@
 from expression import Result
 
 from stagewalk.batches.ledger import NOBODY
-from stagewalk.batches.records import BatchHeader
+from stagewalk.batches.records import BatchEnded, BatchHeader
 from stagewalk.batches.takeover import affinity
 from stagewalk.core.identities import Address
 from stagewalk.core.policy import Policy
@@ -105,6 +105,9 @@
                 first_offset=known.offset,
                 ended=known.ended,
             )
+            if known.ended:
+                # Whoever reads the log from between the end and this submission sees an end too.
+                self._store.post(batch, BatchEnded(batch))
             return
         place = BatchPlace(self._store.partition(batch), offset, process, tenant=header.tenant)
         run = RunBatch(batch, place.partition, offset)
