Views behind dropped history: looked up before a batch is taken, told as lost, and kept quiet after

A node whose view began behind dropped history counted as current and took an ended batch in again, without looking for its mark; a run begun ahead whose partial view lost records stood still for good, since nobody else took it over while its runner lived; the quiet time after a gap in the lease's records had no effect. Change: a node that lacks history looks before it takes a batch; a partial view whose records are gone ends the run, which is released for others; after a gap a winner keeps the quiet time, also on the machine that held the lease before. A submission that lies before the noted place is noted over it. Score calls are checked again when sent, as items are. A bound no longer than a send is refused by the settings, since nothing could start.

--- a/src/stagewalk/batches/view_lease.py
+++ b/src/stagewalk/batches/view_lease.py
@@ -13,6 +13,9 @@
 """Left for the process itself between the decision to start an item and its sending: a hundred
 items of a batch that start together take some 0.2 s."""
 
+SHORTEST_BATCH_END_SECONDS = SEND_SECONDS + LAG_SECONDS
+"""With a bound no longer than this no view would be recent enough for anything to start."""
+
 
 def longest_view_age(batch_end_seconds: float) -> float:
     """Return how old a view may be from which an item is started.
@@ -22,4 +25,4 @@
     batch_end_seconds
         How long after a batch's end was acknowledged its items may still reach workers.
     """
-    return max(0.0, batch_end_seconds - SEND_SECONDS - LAG_SECONDS)
+    return max(0.0, batch_end_seconds - SHORTEST_BATCH_END_SECONDS)
--- a/src/stagewalk/gateway/batch_calls.py
+++ b/src/stagewalk/gateway/batch_calls.py
@@ -120,7 +120,8 @@
         if known is not None:
             await self._reply_known(exchange, known.header.belongs_to(caller.tenant))
             return True
-        if self._store.followed(batch, time.monotonic()):
+        now = time.monotonic()
+        if self._store.followed(batch, now) and not self._store.lacks_history(batch, now):
             return False
         place = await self._runners.known_place(batch)
         if place.is_error():
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -85,7 +85,7 @@
         self._on_item_started = on_item_started
         self._tasks: anyio.abc.TaskGroup | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
-        self._scores = ScoreSender(client, workers, self._handle)
+        self._scores = ScoreSender(client, workers, self._handle, views.may_start)
         self._stopping = False
         self._begun = anyio.Event()
 
@@ -226,7 +226,7 @@
         assert self._tasks is not None
         self._views.begin_ahead(name, partial, epoch)
         self._begin(batch, partial.ledger.kept_text)
-        self._tasks.start_soon(self._views.follow, name)
+        self._tasks.start_soon(self._views.follow, name, self._lose)
 
     def _left(self, name: str, epoch: int) -> bool:
         """Whether this node's own view tells that a batch isn't this process's to run.
--- a/src/stagewalk/gateway/early_start.py
+++ b/src/stagewalk/gateway/early_start.py
@@ -15,7 +15,7 @@
 from stagewalk.batches.ledger import Batch, BatchLedger, ChangeListener
 from stagewalk.batches.records import BatchSubmitted, decode_record
 from stagewalk.gateway.open_batches import BatchPlace, OpenBatches
-from stagewalk.ports.partitioned_log import Partition, PartitionedLog
+from stagewalk.ports.partitioned_log import LogFault, Partition, PartitionedLog
 
 MARGIN_RECORDS = 100
 """So many records before the noted place of a batch are read as well: were it handed in twice, the
@@ -50,6 +50,8 @@
         self.first_offset = offset
         self.confirmed_at = -math.inf
         """When it was last known to hold all records up to the partition's end (steady clock)."""
+        self.lost = False
+        """Whether records were dropped before they were read here: it can't be read on."""
         self.ledger = BatchLedger(on_change)
 
     async def read(self) -> bool:
@@ -59,6 +61,7 @@
                 asked_at = time.monotonic()
                 answer = await self._log.read(self._partition, self._next_offset, 0.0)
                 if answer.is_error():
+                    self.lost = self.lost or answer.error.fault is LogFault.DROPPED
                     return False
                 page = answer.ok
                 for record in page.records:
--- a/src/stagewalk/gateway/run_views.py
+++ b/src/stagewalk/gateway/run_views.py
@@ -71,8 +71,15 @@
         """Whether items of a batch may be sent to workers now."""
         return self.age(batch, now) <= longest_view_age(self._batch_end_seconds())
 
-    async def follow(self, batch: str) -> None:
-        """Keep the partial view of a batch current, until this node's own view takes over."""
+    async def follow(self, batch: str, on_lost: Callable[[str], None]) -> None:
+        """Keep the partial view of a batch current, until this node's own view takes over.
+
+        Parameters
+        ----------
+        on_lost
+            Told of the batch if neither view will ever tell of it again: the partial one missed
+            records that the log dropped, and the own one doesn't know the batch.
+        """
         ahead = self._ahead.get(batch)
         while ahead is not None and self._ahead.get(batch) is ahead:
             now = time.monotonic()
@@ -80,6 +87,9 @@
             own = known and self._store.followed(batch, now)
             if not own and now - ahead.partial.confirmed_at >= FOLLOW_SECONDS:
                 await ahead.partial.read()
+            if ahead.partial.lost and not known:
+                on_lost(batch)
+                return
             await anyio.sleep(FOLLOW_SECONDS)
 
     def log_changes(self, batches: Iterable[str], now: float) -> None:
--- a/src/stagewalk/gateway/runner_choice.py
+++ b/src/stagewalk/gateway/runner_choice.py
@@ -86,7 +86,7 @@
     async def tell(self, process: str, header: BatchHeader, offset: int) -> None:
         """Tell the process that is to run a batch where its records begin, and note that.
 
-        The batch may have been handed in at another node meanwhile, or even have ended: then its
+        The batch may have been handed in at another node before, or even have ended: then its
         records begin before this submission, and what is noted stays.
         """
         assert self._tasks is not None
@@ -97,7 +97,7 @@
             # until it has read all.
             return
         known = found.ok
-        if known is not None:
+        if known is not None and (known.ended or known.offset <= offset):
             log_event(
                 "batch_resubmitted",
                 batch=batch,
--- a/src/stagewalk/gateway/score_sender.py
+++ b/src/stagewalk/gateway/score_sender.py
@@ -15,6 +15,7 @@
     OutboundRequest,
     WorkerClient,
 )
+from stagewalk.scoring.core import MayStart
 from stagewalk.scoring.messages import (
     ScoreAnswered,
     ScoreBroken,
@@ -38,12 +39,17 @@
     ----------
     tell
         Takes what became of an attempt.
+    may_start
+        Whether something of a batch may be sent to a worker at a time.
     """
 
-    def __init__(self, client: WorkerClient, workers: WorkerTable, tell: EventSink) -> None:
+    def __init__(
+        self, client: WorkerClient, workers: WorkerTable, tell: EventSink, may_start: MayStart
+    ) -> None:
         self._client = client
         self._workers = workers
         self._tell = tell
+        self._may_start = may_start
         self._tasks: anyio.abc.TaskGroup | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
 
@@ -78,6 +84,9 @@
         if worker is None:
             gone = AttemptFailure(AttemptFault.NOT_SENT, "the worker is gone")
             return ScoreBroken(send.attempt, gone)
+        if not self._may_start(send.batch, time.monotonic()):
+            withheld = AttemptFailure(AttemptFault.WITHHELD, "the view of the log is too old")
+            return ScoreBroken(send.attempt, withheld)
         request = OutboundRequest(
             request_id=send.call.call,
             method=SCORE_METHOD,
--- a/src/stagewalk/gateway/settings.py
+++ b/src/stagewalk/gateway/settings.py
@@ -9,6 +9,7 @@
 import msgspec
 from expression import Result, effect
 
+from stagewalk.batches.view_lease import SHORTEST_BATCH_END_SECONDS
 from stagewalk.core.errors import StagewalkError
 from stagewalk.core.identities import Address, Placement
 from stagewalk.core.policy import ALL_ON, Policy
@@ -17,6 +18,7 @@
 from stagewalk.settings.node_settings import LogLevel, Name, PositiveInteger
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
+BatchEnd = Annotated[float, msgspec.Meta(gt=SHORTEST_BATCH_END_SECONDS)]
 
 
 class Timing(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -34,7 +36,7 @@
 
     lease_quiet: Positive = 3.0
     stop_grace: Positive = 8.0
-    batch_end: Positive = 3.0
+    batch_end: BatchEnd = 3.0
 
 
 class Processor(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/src/stagewalk/leases/log_lease.py
+++ b/src/stagewalk/leases/log_lease.py
@@ -227,12 +227,15 @@
 
     def _won(self, offset: int, record: LeaseRecord, now: float) -> None:
         """Take a new holder: nobody acts until the last one's orders are long past."""
-        first = self._holder == "" and self._gap_at == -math.inf
         quiet_from = self._heard_at if self._released else self._heard_at + LEASE_SECONDS
-        self._may_act_from = now if first else max(now, quiet_from + self._quiet)
-        if machine_of(record.holder) == machine_of(self._holder):
-            # The process before is gone for sure: one machine is one holder.
-            self._may_act_from = now
+        # Whoever won in records that were not read may have renewed until they were dropped.
+        quiet_from = max(quiet_from, self._gap_at + LEASE_SECONDS)
+        certain = self._gap_at == -math.inf
+        first = self._holder == ""
+        # A process before on the same machine is gone for sure: one machine is one holder.
+        same_machine = machine_of(record.holder) == machine_of(self._holder)
+        at_once = certain and (first or same_machine)
+        self._may_act_from = now if at_once else max(now, quiet_from + self._quiet)
         self._gap_at = -math.inf
         self._holder = record.holder
         self._fence = offset
--- a/src/stagewalk/scoring/core.py
+++ b/src/stagewalk/scoring/core.py
@@ -32,6 +32,9 @@
 """How long a call waits after a failed attempt; twice as long after each further one."""
 
 
+_NO_FAULT_OF_THE_WORKER = (AttemptFault.NOT_RUN, AttemptFault.WITHHELD)
+
+
 class ScoreOutcome(StrEnum):
     """What an answer means for its sample."""
 
@@ -216,7 +219,7 @@
         attempt = pending.under_way.pop(event.attempt)
         attempt.worker.note_ended()
         attempt.worker.note_load(event.failure.load, now)
-        if event.failure.fault is not AttemptFault.NOT_RUN:
+        if event.failure.fault not in _NO_FAULT_OF_THE_WORKER:
             attempt.worker.note_failure(now)
         self._pause(pending, now)
 
--- a/tests/batches/test_scheduler.py
+++ b/tests/batches/test_scheduler.py
@@ -332,7 +332,22 @@
 
     def test_a_long_item_leaves_an_engine_that_turns_out_slow(self) -> None:
         bench = Bench(engines=("e1", "e2"))
+        slow = self.run_beside_a_slow_one(bench)
+        self.assertIn("faster elsewhere", bench.stopped.values())
+        self.assertNotEqual(slow, bench.attempts["x"].worker)
+
+    def test_an_item_stays_at_a_slow_engine_while_it_may_not_start_elsewhere(self) -> None:
+        """The view of the log is too old to start anything; what runs goes on."""
+        bench = Bench(engines=("e1", "e2"))
+        slow = self.run_beside_a_slow_one(bench, view_current=False)
+        self.assertEqual({}, bench.stopped)
+        self.assertEqual(slow, bench.attempts["x"].worker)
+
+    @staticmethod
+    def run_beside_a_slow_one(bench: Bench, *, view_current: bool = True) -> str:
+        """Run two items, one at an engine four times as slow; return that engine."""
         bench.open(item("x"), item("y"))
+        bench.view_current = view_current
         slow = bench.attempts["x"].worker
         for number in range(1, 80):
             bench.now += 0.04
@@ -344,8 +359,7 @@
                     if bench.attempts[name].worker == slow or name == "y":
                         bench.event(name, expected)
             bench.tick()
-        self.assertIn("faster elsewhere", bench.stopped.values())
-        self.assertNotEqual(slow, bench.attempts["x"].worker)
+        return slow
 
     def test_an_engine_that_just_failed_is_not_asked_again_while_others_are_only_full(self) -> None:
         bench = Bench(engines=("e1", "e2"))
--- a/tests/gateway/test_early_views.py
+++ b/tests/gateway/test_early_views.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import anyio
 import msgspec
 import testtools
@@ -13,10 +15,14 @@
     ItemFinished,
     encode_record,
 )
-from stagewalk.gateway.early_start import MARGIN_RECORDS, EarlyViews
+from stagewalk.core.policy import ALL_ON
+from stagewalk.gateway.early_start import MARGIN_RECORDS, EarlyViews, PartialLedger
+from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.ledger_messages import EndCall, ItemCall, ResultsCall
 from stagewalk.gateway.ledger_reads import LedgerReads
 from stagewalk.gateway.open_batches import BatchPlace, OpenBatches
+from stagewalk.gateway.runner_choice import RunnerChoice
+from stagewalk.gateway.runner_messages import RunBatch
 from stagewalk.ports.partitioned_log import Partition, ProducerSequence
 from stagewalk_standins.partitioned_log import MemoryLog
 from stagewalk_standins.plain_dialect import PlainDialect
@@ -143,3 +149,40 @@
             self.assertIsNotNone(answer.come_back_seconds)
 
         anyio.run(scenario)
+
+    def test_a_batch_that_is_marked_as_ended_is_not_shown_as_an_open_one(self) -> None:
+        """Its mark tells no place; its end may not be in the log yet."""
+
+        async def scenario() -> None:
+            await self.note("b", await self.append(submitted(item("x"), batch="b")))
+            await self.places.mark_ended("b", 0, None, 1.0)
+            self.assertIsNone(await self.early.find("b"))
+
+        anyio.run(scenario)
+
+    def test_a_told_batch_with_records_before_its_place_is_not_begun(self) -> None:
+        async def scenario() -> None:
+            await self.append(finished("b", "x"))
+            offset = await self.append(submitted(item("x"), item("y"), batch="b", runner="n#1"))
+            runner = mock.Mock(stopping=False)
+            store = mock.Mock(
+                followed=lambda _batch, _now: False,
+                view_age=lambda _batch, _now: 0.0,
+                read_from=lambda place, _changed: PartialLedger(self.client, PLACE, place.offset),
+            )
+            choice = RunnerChoice(
+                identity=ProcessId("n", 1),
+                nodes=mock.Mock(known=True),
+                store=store,
+                runner=runner,
+                client=mock.Mock(),
+                open_batches=self.places,
+                policy=ALL_ON,
+            )
+            await choice._take(RunBatch("b", 0, offset))
+            runner.begin_ahead.assert_called_once()
+            runner.begin_ahead.reset_mock()
+            await choice._take(RunBatch("b", 0, 0))
+            runner.begin_ahead.assert_not_called()
+
+        anyio.run(scenario)
--- a/tests/gateway/test_run_views.py
+++ b/tests/gateway/test_run_views.py
@@ -8,14 +8,24 @@
 
 import anyio
 import testtools
+from expression import Result
 
-from stagewalk.batches.records import BatchEnded, encode_record
+from stagewalk.batches.evidence import note_refusal
+from stagewalk.batches.messages import StartItem
+from stagewalk.batches.records import BatchEnded, ScoreCall, encode_record
 from stagewalk.batches.view_lease import longest_view_age
+from stagewalk.gateway.batch_runner import BatchRunner
 from stagewalk.gateway.early_start import PartialLedger
+from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.run_views import RunViews
-from stagewalk.ports.partitioned_log import Partition, ProducerSequence
-from stagewalk_standins.partitioned_log import MemoryLog
+from stagewalk.gateway.score_sender import ScoreSender
+from stagewalk.ports.partitioned_log import LogFailure, Partition, ProducerSequence, RecordPage
+from stagewalk.ports.workers import AttemptFailure, AttemptFault
+from stagewalk.scoring.messages import ScoreEvent, SendScore
+from stagewalk.workers.table import WorkerTable
+from stagewalk_standins.partitioned_log import MemoryLog, MemoryLogClient
 from tests.batches.support import item, submitted
+from tests.workers.support import announcement
 
 PLACE = Partition("batches", 0)
 BOUND = 3.0
@@ -45,6 +55,7 @@
         super().setUp()
         self.log = MemoryLog()
         self.client = self.log.client()
+        self.lost: list[str] = []
 
     async def partial(self, seen: list[str]) -> PartialLedger:
         sequence = ProducerSequence("p", 1, 1)
@@ -84,7 +95,7 @@
             partial = await self.partial(seen)
             views.begin_ahead("b", partial, 0)
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(views.follow, "b")
+                tasks.start_soon(views.follow, "b", self.lost.append)
                 await self.client.append(
                     PLACE, [encode_record(BatchEnded("b"))], ProducerSequence("p", 1, 2)
                 )
@@ -104,7 +115,7 @@
             confirmed_at = partial.confirmed_at
             self.client.faults.silent = True
             with anyio.move_on_after(0.6):
-                await views.follow("b")
+                await views.follow("b", self.lost.append)
             self.assertEqual(confirmed_at, partial.confirmed_at)
 
         anyio.run(scenario)
@@ -115,8 +126,118 @@
             views.begin_ahead("b", await self.partial([]), 0)
             calls = self.client.calls
             with anyio.move_on_after(0.6):
-                await views.follow("b")
+                await views.follow("b", self.lost.append)
             self.assertEqual(calls, self.client.calls)
             self.assertTrue(views.may_start("b", time.monotonic() + BOUND))
 
         anyio.run(scenario)
+
+    def test_a_partial_view_whose_records_were_dropped_unread_is_told_as_lost(self) -> None:
+        """Neither view would ever tell of the batch again, and nobody else would take it over."""
+
+        async def scenario() -> None:
+            views = views_of(FakeStore())
+            partial = await self.partial([])
+            views.begin_ahead("b", partial, 0)
+            sequence = ProducerSequence("p", 1, 2)
+            await self.client.append(PLACE, [encode_record(BatchEnded("other"))], sequence)
+            self.log.drop_history(PLACE, self.log.kept(PLACE).end)
+            with anyio.fail_after(5.0):
+                await views.follow("b", self.lost.append)
+            self.assertEqual(["b"], self.lost)
+
+        anyio.run(scenario)
+
+    def test_a_partial_view_is_as_old_as_the_question_that_was_answered(self) -> None:
+        """An answer may lie unread for long while the process is paused."""
+        paused = 0.3
+
+        class PausedClient(MemoryLogClient):
+            async def read(
+                self, partition: Partition, offset: int, wait_seconds: float
+            ) -> Result[RecordPage, LogFailure]:
+                answer = await super().read(partition, offset, wait_seconds)
+                await anyio.sleep(paused)
+                return answer
+
+        async def scenario() -> None:
+            partial = PartialLedger(PausedClient(self.log), PLACE, 0)
+            await partial.read()
+            self.assertGreaterEqual(time.monotonic() - partial.confirmed_at, paused)
+
+        anyio.run(scenario)
+
+
+class FakeViews:
+    """Views that are recent enough until they are not."""
+
+    def __init__(self) -> None:
+        self.recent = True
+
+    def may_start(self, _batch: str, _now: float) -> bool:
+        return self.recent
+
+    def age(self, _batch: str, _now: float) -> float:
+        return 0.0
+
+
+class WithheldTests(testtools.TestCase):
+    """The process may come late to an attempt that was decided in time."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.views = FakeViews()
+        self.client = mock.Mock()
+        self.workers = WorkerTable()
+        self.workers.announce(announcement("e1", versions={"m": 1}), 0.0)
+
+    def test_an_item_is_not_sent_from_a_view_that_grew_old_since_it_was_decided(self) -> None:
+        scheduler = mock.Mock(batches=set())
+        scheduler.handle.return_value = []
+        runner = BatchRunner(
+            identity=ProcessId("n", 1),
+            store=mock.Mock(),
+            scheduler=scheduler,
+            client=self.client,
+            workers=self.workers,
+            nodes=mock.Mock(),
+            rollouts=mock.Mock(),
+            views=self.views,  # type: ignore[arg-type]
+            places=mock.Mock(),
+        )
+
+        async def scenario() -> None:
+            async with anyio.create_task_group() as tasks:
+                runner.start(tasks)
+                runner._start_item(StartItem(1, "b", "h", item("x"), "e1", None))
+                self.views.recent = False
+                await anyio.sleep(0.05)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(scenario)
+        self.client.stream.assert_not_called()
+        ((told, _now), _) = scheduler.handle.call_args
+        self.assertIs(AttemptFault.WITHHELD, told.failure.fault)
+
+    def test_a_score_call_is_not_sent_from_a_view_that_grew_old_since_it_was_decided(self) -> None:
+        told: list[ScoreEvent] = []
+        sender = ScoreSender(self.client, self.workers, told.append, self.views.may_start)
+        call = ScoreCall("c", "h", "/score/x", b"")
+
+        async def scenario() -> None:
+            async with anyio.create_task_group() as tasks:
+                sender.start(tasks)
+                sender.send(SendScore(1, "b", "x", call, "e1", 1.0, None))
+                self.views.recent = False
+
+        anyio.run(scenario)
+        self.client.send.assert_not_called()
+        (broken,) = told
+        self.assertIs(AttemptFault.WITHHELD, broken.failure.fault)
+
+    def test_the_worker_is_not_to_blame(self) -> None:
+        worker = self.workers.worker("e1")
+        withheld = AttemptFailure(AttemptFault.WITHHELD, "")
+        with mock.patch.object(type(worker), "note_failure") as blamed:
+            note_refusal(worker, "m", withheld, 0.0)
+        blamed.assert_not_called()
--- a/tests/gateway/test_second_submissions.py
+++ b/tests/gateway/test_second_submissions.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import time
+
 import anyio
 import msgspec
 import testtools
 
 from stagewalk.batches.records import (
     BatchEnded,
+    BatchHeader,
     BatchRecord,
     ItemFinished,
     decode_record,
     encode_record,
 )
-from stagewalk.gateway.batch_store import TOPIC, BatchStore
+from stagewalk.batches.takeover import affinity
+from stagewalk.gateway.batch_store import PARTITIONS, TOPIC, BatchStore
 from stagewalk.gateway.early_start import EarlyViews
 from stagewalk.gateway.ledger_messages import ResultsCall
 from stagewalk.gateway.ledger_reads import LedgerReads
@@ -22,14 +26,16 @@
 from stagewalk_standins.partitioned_log import MemoryLog
 from stagewalk_standins.plain_dialect import PlainDialect
 from tests.batches.support import item, submitted
-from tests.gateway.hindered_logs import append
-from tests.gateway.support import Site, run
+from tests.gateway.hindered_logs import SlowHistoryLog, append, write_history
+from tests.gateway.support import Site, run, until
 from tests.gateway.test_ended_batches import BOUND_SECONDS, MANY, slow_engines, started
 
 LONGER_SECONDS = 4.0
 ONLY = Partition(TOPIC, 0)
 RECORD_BYTES = 1_000_000
 MORE_THAN_THE_MARGIN = 150
+FRESH_SECONDS = 1.0
+RECOVERY_SECONDS = 5.0
 
 
 class SecondSubmissionTests(testtools.TestCase):
@@ -41,6 +47,41 @@
         """The log dropped no more than the first submission; its end is there to be read."""
         self.assert_not_run(end_is_kept=True)
 
+    def test_an_ended_batch_is_not_run_where_it_is_handed_in_to_a_view_that_lacks_it(self) -> None:
+        """The log forgot its history; a node started since follows the rest.
+
+        That view passes for whole: the batch is appended without a look for its mark. The look
+        after the append finds it, and tells nobody; but the node reads its own record back.
+        """
+
+        async def scenario(site: Site) -> None:
+            slow_engines(site)
+            node = await site.start("n1")
+            await site.submit(node, "b1", *MANY)
+            await started(site)
+            answer = await site.call(node, "DELETE", "/v1/batches/b1")
+            self.assertEqual(200, answer.status_code)
+            ended_at = anyio.current_time()
+            node.scope.cancel()
+            await node.ended.wait()
+            for number in range(PARTITIONS):
+                place = Partition(TOPIC, number)
+                site.log.drop_history(place, site.log.kept(place).end)
+            again = await site.start("n2")
+            store = again.gateway.store
+
+            async def followed() -> bool:
+                return store.followed("b1", time.monotonic())
+
+            await until(followed)
+            await anyio.sleep_until(ended_at + BOUND_SECONDS)
+            site.workers.arrivals.clear()
+            await site.submit(again, "b1", *MANY)
+            await anyio.sleep(LONGER_SECONDS)
+            self.assertEqual({}, dict(site.workers.arrivals))
+
+        run(scenario)
+
     def assert_not_run(self, *, end_is_kept: bool) -> None:
         """Have a batch handed in, ended and handed in again, its oldest records dropped.
 
@@ -130,3 +171,75 @@
                 self.assertEqual(["x", "y"][: len(shown)], shown)
 
         anyio.run(scenario)
+
+
+class DroppedPartialViewTests(testtools.TestCase):
+    def test_a_run_begun_ahead_whose_partial_view_lost_records_goes_on_somewhere(self) -> None:
+        """The runner is cut off, the log drops its history, all is well again.
+
+        Its partial view fails for good, its own view never learns of the batch, and it still counts
+        as the runner: the other node, whose view is whole, leaves the batch to it.
+        """
+
+        async def scenario(site: Site) -> None:
+            await write_history(site.log)
+            slow_engines(site)
+            trainer = BatchHeader("b1", "h.example", "/run/batch", 0, "m", 0, 0).trainer
+            first, second = sorted(("n1", "n2"), key=lambda name: affinity(trainer, name))
+            usual = await site.start(first, log=SlowHistoryLog(site.log), peers=None)
+            other = await site.start(second, peers=None)
+
+            async def both() -> bool:
+                answers = [await site.call(n, "GET", "/v1/resolve") for n in (usual, other)]
+                return all(len(a.json()["addresses"]) == 2 for a in answers)
+
+            await until(both)
+            self.assertEqual(202, (await site.submit(usual, "b1", *MANY)).status_code)
+            await started(site)
+            self.assertTrue(usual.gateway._runner.runs("b1"))
+
+            async def known() -> bool:
+                return other.gateway.store.ledger.get("b1") is not None
+
+            await until(known)
+            usual.log.faults.down = True
+            await anyio.sleep(0.5)
+            partition = Partition(TOPIC, other.gateway.store.partition("b1"))
+            await append(site.log, partition, [encode_record(BatchEnded("old"))] * 5)
+
+            async def all_read() -> bool:
+                return other.gateway.store.view_age("b1", time.monotonic()) < FRESH_SECONDS
+
+            await anyio.sleep(FRESH_SECONDS)
+            await until(all_read)
+            for number in range(PARTITIONS):
+                place = Partition(TOPIC, number)
+                site.log.drop_history(place, site.log.kept(place).end)
+            usual.log.faults.down = False
+            await anyio.sleep(RECOVERY_SECONDS)
+            before = sum(site.workers.arrivals.values())
+            self.assertLess(len(site.workers.arrivals), len(MANY))
+            await anyio.sleep(LONGER_SECONDS)
+            self.assertLess(before, sum(site.workers.arrivals.values()))
+
+        run(scenario)
+
+
+class RunsAheadTests(testtools.TestCase):
+    def test_a_run_begun_ahead_goes_on_until_the_own_view_is_read(self) -> None:
+        """Its partial view is read on; the lease on that view would lapse otherwise."""
+
+        async def scenario(site: Site) -> None:
+            await write_history(site.log)
+            slow_engines(site)
+            node = await site.start("n1", log=SlowHistoryLog(site.log), peers=None)
+            self.assertEqual(202, (await site.submit(node, "b1", *MANY)).status_code)
+            await started(site)
+            await anyio.sleep(BOUND_SECONDS)
+            self.assertFalse(node.gateway.store.read_whole("b1"))
+            before = sum(site.workers.arrivals.values())
+            await anyio.sleep(1.5)
+            self.assertFalse(node.gateway.store.read_whole("b1"))
+            self.assertLess(before, sum(site.workers.arrivals.values()))
+
+        run(scenario)
--- a/tests/platform_adapter/test_workers.py
+++ b/tests/platform_adapter/test_workers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+from unittest import mock
 
+import anyio
 import testtools
 
 from stagewalk.ports.workers import (
@@ -12,6 +14,7 @@
     OutboundRequest,
     StreamEvent,
     StreamHead,
+    StreamPart,
     VersionOrder,
     WorkerLoad,
     WorkerTarget,
@@ -150,6 +153,32 @@
         play([Scripted(respond("200 OK", **SIGNED)) for _ in range(3)], scenario)
 
 
+class SendBoundTests(testtools.TestCase):
+    def test_a_request_that_finds_no_place_in_the_pool_in_time_is_not_sent(self) -> None:
+        """It would reach the worker whenever another one ends, however long after its decision."""
+        outcome = []
+
+        async def ignore(_part: StreamPart) -> None:
+            pass
+
+        async def scenario(server: ScriptedServer) -> None:
+            workers = PlatformWorkers()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(workers.stream, target(server), request(), ignore)
+                with anyio.fail_after(5.0):
+                    while not server.requests:
+                        await anyio.sleep(0.01)
+                outcome.append(await workers.stream(target(server), request(), ignore))
+                tasks.cancel_scope.cancel()
+            outcome.append(len(server.requests))
+
+        with mock.patch("stagewalk_platform.workers.WORKER_CONNECTIONS", 1):
+            play([Scripted(b"", after_seconds=10.0)], scenario)
+        result, requests = outcome
+        self.assertIs(AttemptFault.NOT_SENT, result.error.fault)
+        self.assertEqual(1, requests)
+
+
 class StreamTests(testtools.TestCase):
     def stream(self, content: bytes, **kinds: bool):
         parts: list[StreamHead | StreamEvent] = []
