--- a/src/stagewalk/batches/view_lease.py
+++ b/src/stagewalk/batches/view_lease.py
@@ -10,8 +10,8 @@
 from stagewalk.ports.workers import SEND_SECONDS
 
 LAG_SECONDS = 0.3
-"""Left for the process itself between the decision to start an item and its sending: a hundred
-items of a batch that start together take some 0.2 s."""
+"""Left for the process itself, whose loop may come late to a connection that is up; loops that come
+more than 0.2 s late are logged as stalled."""
 
 SHORTEST_BATCH_END_SECONDS = SEND_SECONDS + LAG_SECONDS
 """With a bound no longer than this no view would be recent enough for anything to start."""
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -50,6 +50,8 @@
 TICK_SECONDS = 0.05
 SUCCESS = 200
 LOOK_UP_RETRY_SECONDS = 0.1
+"""Between two looks for a batch's mark while the log does not answer, as between two reads."""
+
 ENDED = "ended"
 KeptTextOf = Callable[[BatchItem], KeptText | None]
 ITEM_METHOD = "POST"
--- a/src/stagewalk/gateway/open_batches.py
+++ b/src/stagewalk/gateway/open_batches.py
@@ -22,6 +22,8 @@
 """How long whoever notes a batch waits for the log: a note that is late is worth less."""
 
 MARK_RETRY_SECONDS = 0.1
+"""Between two tries to mark an end, as between two of an append."""
+
 DROPPED = b""
 
 
