--- a/src/stagewalk/batches/ledger.py
+++ b/src/stagewalk/batches/ledger.py
@@ -85,6 +85,8 @@
         Number of claims so far.
     seen_at
         When this node first saw it.
+    first_offset
+        Of the first record of the submission that is in force here.
     """
 
     header: BatchHeader
@@ -97,6 +99,7 @@
     listed: set[str] = field(default_factory=set)
     ended: bool = False
     ended_at: float = 0.0
+    first_offset: int = 0
     whole_groups: int = 0
     """Groups whose items all have a result."""
     _missing: Counter[str] = field(default_factory=Counter)
@@ -127,13 +130,21 @@
 ChangeListener = Callable[[Batch, LedgerChange], None]
 
 
+@dataclass(slots=True)
+class _Submission:
+    """The parts of a submission read so far, by number."""
+
+    first_offset: int
+    parts: dict[int, BatchSubmitted] = field(default_factory=dict)
+
+
 class BatchLedger:
     """All batches of the partitions followed."""
 
     def __init__(self, on_change: ChangeListener) -> None:
         self._on_change = on_change
         self._batches: dict[str, Batch] = {}
-        self._parts: dict[tuple[str, str], dict[int, BatchSubmitted]] = {}
+        self._submissions: dict[tuple[str, str], _Submission] = {}
         self._result_parts: dict[tuple[str, str, str], dict[int, str]] = {}
         self._kept: dict[str, KeptText] = {}
         self._ended_at: dict[str, float] = {}
@@ -164,11 +175,11 @@
             return replace(kept, score="", score_failures=0)
         return kept
 
-    def apply(self, record: BatchRecord, now: float) -> None:
-        """Fold one record in."""
+    def apply(self, record: BatchRecord, now: float, offset: int = 0) -> None:
+        """Fold one record in, which lies at an offset of its partition."""
         match record:
             case BatchSubmitted():
-                self._submitted(record, now)
+                self._submitted(record, now, offset)
             case ItemFinished():
                 self._item_finished(record)
             case ItemFinishedPart():
@@ -198,7 +209,9 @@
             if name in self._batches:
                 self._on_change(self._batches[name], LedgerChange.LOST)
                 self._drop(name)
-        self._parts = {key: p for key, p in self._parts.items() if key[0] not in batches}
+        self._submissions = {
+            key: s for key, s in self._submissions.items() if key[0] not in batches
+        }
         self._result_parts = {
             key: p for key, p in self._result_parts.items() if key[0] not in batches
         }
@@ -207,18 +220,26 @@
         for item in self._batches.pop(batch).items:
             self._kept.pop(item, None)
 
-    def _submitted(self, record: BatchSubmitted, now: float) -> None:
+    def _submitted(self, record: BatchSubmitted, now: float, offset: int) -> None:
         name = record.header.batch
         if name in self._batches or name in self._ended_at:
             return
         key = (name, record.submission)
-        parts = self._parts.setdefault(key, {})
+        submission = self._submissions.setdefault(key, _Submission(offset))
+        parts = submission.parts
         parts[record.part] = record
         if len(parts) < record.parts:
             return
-        del self._parts[key]
+        del self._submissions[key]
         items = {item.item: item for number in sorted(parts) for item in parts[number].items}
-        batch = Batch(record.header, items, record.runner, now, runner_since=now)
+        batch = Batch(
+            record.header,
+            items,
+            record.runner,
+            now,
+            runner_since=now,
+            first_offset=submission.first_offset,
+        )
         self._batches[name] = batch
         self._on_change(batch, LedgerChange.OPENED)
 
--- a/src/stagewalk/gateway/batch_store.py
+++ b/src/stagewalk/gateway/batch_store.py
@@ -189,7 +189,7 @@
         if decoded is None:
             log_event("record_unreadable", "warning", topic=TOPIC, offset=record.offset)
             return
-        self.ledger.apply(decoded, time.monotonic())
+        self.ledger.apply(decoded, time.monotonic(), record.offset)
 
     def _lose(self, partition: int) -> None:
         """Drop what is known of a partition: ends and results may lie in what was not read."""
@@ -200,10 +200,20 @@
         """Take a batch for ended whose end is noted, but was dropped from the log unread."""
         self.ledger.apply(BatchEnded(batch), time.monotonic())
 
+    def first_offset(self, batch: str, now: float) -> int | None:
+        """Return where a batch's records begin; None if they may begin before this node's view."""
+        known = self.ledger.get(batch)
+        if known is None or not self.followed(batch, now) or self.lacks_history(batch, now):
+            return None
+        return known.first_offset
+
+    def lost_at(self, batch: str) -> float:
+        """Return when records of a batch's partition were last found to be gone unread."""
+        return self._lost_at.get(self.partition(batch), -math.inf)
+
     def lacks_history(self, batch: str, now: float) -> bool:
         """Whether a batch that isn't known here may have begun in records that were not read."""
-        lost_at = self._lost_at.get(self.partition(batch), -math.inf)
-        return now - lost_at < FORGET_AFTER_SECONDS
+        return now - self.lost_at(batch) < FORGET_AFTER_SECONDS
 
     def _changed(self, batch: Batch, change: LedgerChange) -> None:
         news = self._news.pop(batch.header.batch, None)
--- a/src/stagewalk/gateway/early_start.py
+++ b/src/stagewalk/gateway/early_start.py
@@ -15,7 +15,12 @@
 from stagewalk.batches.ledger import Batch, BatchLedger, ChangeListener
 from stagewalk.batches.records import BatchSubmitted, decode_record
 from stagewalk.gateway.open_batches import BatchPlace, OpenBatches
-from stagewalk.ports.partitioned_log import LogFault, Partition, PartitionedLog
+from stagewalk.ports.partitioned_log import (
+    LogFault,
+    Partition,
+    PartitionedLog,
+    PartitionRecord,
+)
 
 MARGIN_RECORDS = 100
 """So many records before the noted place of a batch are read as well: were it handed in twice, the
@@ -66,19 +71,19 @@
                 page = answer.ok
                 for record in page.records:
                     if record.offset >= self._next_offset:
-                        self._apply(record.payload)
+                        self._apply(record)
                 self._next_offset = max(self._next_offset, page.next_offset)
                 if page.next_offset >= page.end:
                     self.confirmed_at = asked_at
                     return True
 
-    def _apply(self, payload: bytes) -> None:
-        decoded = decode_record(payload)
+    def _apply(self, record: PartitionRecord) -> None:
+        decoded = decode_record(record.payload)
         if decoded is None:
             return
         if not isinstance(decoded, BatchSubmitted) and self.ledger.get(decoded.batch) is None:
             self._began_before.add(decoded.batch)
-        self.ledger.apply(decoded, time.monotonic())
+        self.ledger.apply(decoded, time.monotonic(), record.offset)
 
     def whole(self, name: str) -> Batch | None:
         """Return a batch of which all records were read, None if there is none."""
@@ -103,16 +108,21 @@
         self._partials: dict[int, PartialLedger] = {}
 
     async def find(self, name: str) -> Batch | None:
-        """Return an open batch with all its results so far; None if it can't be told."""
+        """Return an open batch with all its results so far; None if it can't be told.
+
+        Only a certain place will do: results may lie before any other one.
+        """
         place = await self._place(name)
-        if place is None or place.ended:
+        if place is None or place.ended or not place.certain:
             return None
         partial = self._partial(place)
         return partial.whole(name) if await partial.read() else None
 
     async def _place(self, name: str) -> BatchPlace | None:
         now = time.monotonic()
-        if name not in self._places and now - self._listed_at > LIST_SECONDS:
+        known = self._places.get(name)
+        unsure = known is None or not known.certain
+        if unsure and now - self._listed_at > LIST_SECONDS:
             self._listed_at = now
             listed = await self._open_batches.list()
             self._places = listed.default_value(self._places)
--- a/src/stagewalk/gateway/ledger_reads.py
+++ b/src/stagewalk/gateway/ledger_reads.py
@@ -87,6 +87,8 @@
         self._open_batches = open_batches
         self._due_seconds = due_seconds
         self._hold_results = hold_results
+        self._whole_since: dict[str, float] = {}
+        """By batch whose results are known to be whole, the last loss of records at that time."""
 
     async def handle(self, content: bytes) -> bytes | None:
         """Carry out a call that another node passed on; None if the bytes spell none."""
@@ -121,6 +123,8 @@
         batch = await self._find(call)
         if isinstance(batch, LedgerAnswer):
             return batch
+        if not await self._positions_known(batch):
+            return refusal(503, "the batch's records are no longer all kept", COME_BACK_SECONDS)
         if not await self._shows(batch, call.position, oldest_seconds):
             return refusal(503, "the view is too old", COME_BACK_SECONDS)
         await self._wait_for_results(batch, call)
@@ -203,8 +207,14 @@
         if not batch.ended:
             # Marked first: whoever hands the batch in again must not find it open after its end.
             began = time.monotonic()
-            partition, tenant = self._store.partition(call.batch), batch.header.tenant
-            if not await self._open_batches.mark_ended(call.batch, partition, tenant, END_SECONDS):
+            marked = await self._open_batches.mark_ended(
+                call.batch,
+                self._store.partition(call.batch),
+                batch.header.tenant,
+                END_SECONDS,
+                first_offset=self._store.first_offset(call.batch, began),
+            )
+            if not marked:
                 return refusal(503, "the log did not answer", COME_BACK_SECONDS)
             left = max(0.0, END_SECONDS - (time.monotonic() - began))
             outcome = await self._store.end(call.batch, left)
@@ -259,6 +269,27 @@
         place = await self._open_batches.find(name)
         return place.is_ok() and place.ok is None
 
+    async def _positions_known(self, batch: Batch) -> bool:
+        """Whether a batch's results stand here at the positions that they have for ever.
+
+        Where the log dropped records before they were read here, the batch may have been handed in
+        before, and have had results there: then its place is noted before what is known of it.
+        """
+        name = batch.header.batch
+        if not self._store.lacks_history(name, time.monotonic()):
+            return True
+        lost_at = self._store.lost_at(name)
+        if self._whole_since.get(name) == lost_at:
+            return True
+        place = (await self._open_batches.find(name)).default_value(None)
+        if place is None or place.offset < batch.first_offset:
+            return False
+        self._whole_since = {
+            known: at for known, at in self._whole_since.items() if self._store.ledger.get(known)
+        }
+        self._whole_since[name] = lost_at
+        return True
+
     async def _shows(self, batch: Batch, position: int, oldest_seconds: float) -> bool:
         """Whether the view is known to hold all that anyone was shown, up to a position."""
         name = batch.header.batch
--- a/src/stagewalk/gateway/open_batches.py
+++ b/src/stagewalk/gateway/open_batches.py
@@ -40,6 +40,10 @@
         Whether the batch's end was asked for: its place tells nothing then.
     tenant
         Whose batch it is, see `BatchHeader`.
+    certain
+        Whether `offset` is of the first record there ever was of the batch, as found by a node
+        whose view held all records: results read from there on stand at their own positions. The
+        first submission's note may be lost, and a second one's be the only place.
     """
 
     partition: int
@@ -47,6 +51,7 @@
     runner: str
     ended: bool = False
     tenant: str | None = None
+    certain: bool = False
 
     def belongs_to(self, tenant: str | None) -> bool:
         """Whether a tenant may read and end the batch."""
@@ -66,15 +71,29 @@
     def __init__(self, log: PartitionedLog) -> None:
         self._log = log
 
-    async def note(self, batch: str, place: BatchPlace) -> None:
-        """Note where a batch is and who runs it."""
-        await self._put(batch, msgspec.msgpack.encode(place))
+    async def note(self, batch: str, place: BatchPlace) -> bool:
+        """Note where a batch is and who runs it; return whether the log took it in time."""
+        return await self._put(batch, msgspec.msgpack.encode(place))
 
     async def mark_ended(
-        self, batch: str, partition: int, tenant: str | None, timeout_seconds: float
+        self,
+        batch: str,
+        partition: int,
+        tenant: str | None,
+        timeout_seconds: float,
+        *,
+        first_offset: int | None = None,
     ) -> bool:
-        """Note that a batch's end is about to be appended; return whether that is certain."""
-        value = msgspec.msgpack.encode(BatchPlace(partition, 0, NOBODY, True, tenant))
+        """Note that a batch's end is about to be appended; return whether that is certain.
+
+        Parameters
+        ----------
+        first_offset
+            Of the batch's first record, None if this node's view can't tell.
+        """
+        certain = first_offset is not None
+        place = BatchPlace(partition, first_offset or 0, NOBODY, True, tenant, certain)
+        value = msgspec.msgpack.encode(place)
         until = time.monotonic() + timeout_seconds
         with anyio.move_on_after(timeout_seconds):
             while True:
@@ -104,11 +123,13 @@
         places = {r.key: _decode(r.value) for r in listing.ok.records if r.value}
         return Ok({batch: place for batch, place in places.items() if place is not None})
 
-    async def _put(self, batch: str, value: bytes) -> None:
+    async def _put(self, batch: str, value: bytes) -> bool:
         with anyio.move_on_after(NOTE_SECONDS):
             answer = await self._log.append_keyed(OPEN_BATCHES, batch, value)
             if answer.is_error():
                 log_event("open_batch_not_noted", batch=batch, fault=answer.error.fault)
+            return answer.is_ok()
+        return False
 
 
 def _decode(value: bytes) -> BatchPlace | None:
--- a/src/stagewalk/gateway/runner_calls.py
+++ b/src/stagewalk/gateway/runner_calls.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from stagewalk.core.identities import Address
 from stagewalk.gateway.runner_messages import (
     AskRunner,
@@ -29,14 +31,14 @@
     describe
         Tells of this process, and how busy it is for others than a trainer.
     take
-        Takes a batch that this process is to run.
+        Takes a batch that this process is to run; returns whether it noted the batch's place.
     """
 
     def __init__(
         self,
         client: PeerClient,
         describe: Callable[[str], RunnerAnswer],
-        take: Callable[[RunBatch], Awaitable[None]],
+        take: Callable[[RunBatch], Awaitable[bool]],
     ) -> None:
         self._client = client
         self._describe = describe
@@ -46,9 +48,9 @@
         """Ask a node about itself; None if no answer came."""
         return await self._call(peer, AskRunner(trainer))
 
-    async def tell(self, peer: Address, run: RunBatch) -> bool:
-        """Tell a node of a batch it is to run; return whether it heard."""
-        return await self._call(peer, run) is not None
+    async def tell(self, peer: Address, run: RunBatch) -> RunnerAnswer | None:
+        """Tell a node of a batch it is to run; None if no answer came."""
+        return await self._call(peer, run)
 
     async def handle(self, content: bytes) -> bytes | None:
         """Answer another node's call; None if the bytes spell none."""
@@ -57,8 +59,8 @@
             return None
         if isinstance(call, AskRunner):
             return encode_message(self._describe(call.trainer))
-        await self._take(call)
-        return encode_message(self._describe(""))
+        noted = await self._take(call)
+        return encode_message(msgspec.structs.replace(self._describe(""), noted=noted))
 
     async def _call(self, peer: Address, call: RunnerCall) -> RunnerAnswer | None:
         content = await self._client.call(peer, RUNNER_PATH, encode_message(call), ANSWER_SECONDS)
--- a/src/stagewalk/gateway/runner_choice.py
+++ b/src/stagewalk/gateway/runner_choice.py
@@ -7,14 +7,15 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass, field
 
+import anyio
 import anyio.abc
 from expression import Result
 
 from stagewalk.batches.ledger import NOBODY
 from stagewalk.batches.records import BatchEnded, BatchHeader
 from stagewalk.batches.takeover import affinity
-from stagewalk.core.identities import Address
 from stagewalk.core.policy import Policy
 from stagewalk.directory.node_table import NodeAnnouncement
 from stagewalk.gateway.batch_runner import BatchRunner
@@ -29,6 +30,17 @@
 from stagewalk.ports.partitioned_log import LogFailure
 
 NODES_ASKED = 2
+NOTED_SECONDS = 0.2
+"""How long whoever took a batch waits until its runner has noted the place, before it notes one
+itself: two calls of the log and one between nodes take some 15 ms."""
+
+
+@dataclass(slots=True)
+class _HandOver:
+    """What became of telling a runner of its batch."""
+
+    noted: bool = False
+    done: anyio.Event = field(default_factory=anyio.Event)
 
 
 class RunnerChoice:
@@ -110,17 +122,26 @@
                 self._store.post(batch, BatchEnded(batch))
             return
         place = BatchPlace(self._store.partition(batch), offset, process, tenant=header.tenant)
-        run = RunBatch(batch, place.partition, offset)
+        hand_over = _HandOver()
+        self._tasks.start_soon(
+            self._hand_over, process, RunBatch(batch, place.partition, offset), hand_over
+        )
+        with anyio.move_on_after(NOTED_SECONDS):
+            await hand_over.done.wait()
+        if not hand_over.noted:
+            await self._open_batches.note(batch, place)
+
+    async def _hand_over(self, process: str, run: RunBatch, hand_over: _HandOver) -> None:
+        """Have a process run a batch; it notes the batch's place if its view tells that."""
         peer = self._nodes.peer_of(process)
         if process == str(self._identity):
-            self._tasks.start_soon(self._take, run)
+            hand_over.noted = await self._take(run)
         elif peer is not None and self._policy.ask_runner:
-            self._tasks.start_soon(self._tell, peer, run)
-        await self._open_batches.note(batch, place)
-
-    async def _tell(self, peer: Address, run: RunBatch) -> None:
-        if not await self.calls.tell(peer, run):
-            log_event("runner_notify_failed", "warning", batch=run.batch, peer=str(peer))
+            answer = await self.calls.tell(peer, run)
+            if answer is None:
+                log_event("runner_notify_failed", "warning", batch=run.batch, peer=str(peer))
+            hand_over.noted = answer is not None and answer.noted
+        hand_over.done.set()
 
     async def _ask(self, node: NodeAnnouncement, trainer: str) -> RunnerAnswer | None:
         """Return a node's answer if it is willing to run a trainer's batch."""
@@ -139,8 +160,14 @@
         willing = not self._runner.stopping and self._nodes.known
         return RunnerAnswer(str(self._identity), willing, self._runner.items_of_others(trainer))
 
-    async def _take(self, run: RunBatch) -> None:
-        """Read of a batch that this process is to run, without waiting for the log to wake it."""
+    async def _take(self, run: RunBatch) -> bool:
+        """Read of a batch that this process is to run, without waiting for the log to wake it.
+
+        Returns
+        -------
+        bool
+            Whether the place where the batch's records begin was noted.
+        """
         now = time.monotonic()
         followed = self._store.followed(run.batch, now)
         log_event(
@@ -152,12 +179,23 @@
         )
         if followed:
             await self._store.catch_up(run.batch)
-            return
+            return await self._note_certain(run)
         place = BatchPlace(run.partition, run.offset, str(self._identity))
         partial = self._store.read_from(place, self._runner.ahead_changed)
         if not await partial.read():
             log_event("partial_read_failed", "warning", batch=run.batch, offset=run.offset)
-            return
+            return False
         batch = partial.whole(run.batch)
         if batch is not None and batch.runner == str(self._identity):
             self._runner.begin_ahead(batch, partial, batch.epoch)
+        return False
+
+    async def _note_certain(self, run: RunBatch) -> bool:
+        """Note where a batch begins, if this node's view holds all that there ever was of it."""
+        batch = self._store.ledger.get(run.batch)
+        offset = self._store.first_offset(run.batch, time.monotonic())
+        if batch is None or offset is None or batch.ended:
+            return False
+        tenant = batch.header.tenant
+        place = BatchPlace(run.partition, offset, batch.runner, tenant=tenant, certain=True)
+        return await self._open_batches.note(run.batch, place)
--- a/src/stagewalk/gateway/runner_messages.py
+++ b/src/stagewalk/gateway/runner_messages.py
@@ -43,11 +43,14 @@
     ----------
     other_items
         Attempts at items of other trainers that it has under way.
+    noted
+        Whether it has noted the place of the batch that it was told of.
     """
 
     process: str
     willing: bool
     other_items: int = 0
+    noted: bool = False
 
 
 _CALLS: msgspec.msgpack.Decoder[RunnerCall] = msgspec.msgpack.Decoder(RunnerCall)
--- a/tests/gateway/test_early_views.py
+++ b/tests/gateway/test_early_views.py
@@ -40,6 +40,7 @@
     """A store that has read nothing yet, and must not read everything on demand."""
 
     following = False
+    first_offset = staticmethod(lambda _batch, _now: None)
 
     def __init__(self) -> None:
         self.ended: list[str] = []
@@ -85,7 +86,7 @@
         return (await self.client.append(PLACE, payloads, sequence)).ok
 
     async def note(self, batch: str, offset: int) -> None:
-        await self.places.note(batch, BatchPlace(0, offset, "n#1"))
+        await self.places.note(batch, BatchPlace(0, offset, "n#1", certain=True))
 
     async def old_batches(self, count: int) -> None:
         for number in range(count):
--- a/tests/gateway/test_ledger_reads.py
+++ b/tests/gateway/test_ledger_reads.py
@@ -34,6 +34,7 @@
     """A replica's view that is some time old and can't be brought up to date."""
 
     following = True
+    lacks_history = staticmethod(lambda _batch, _now: False)
 
     def __init__(self, age: float, ages_while_waiting: float = 0.0) -> None:
         self.ledger = BatchLedger(lambda _batch, _change: None)
@@ -79,6 +80,7 @@
     """A replica's view of a step whose items get their results one after the other."""
 
     following = True
+    lacks_history = staticmethod(lambda _batch, _now: False)
 
     def __init__(self, groups: int, items: int) -> None:
         self.ledger = BatchLedger(lambda _batch, _change: None)
--- a/tests/gateway/test_open_batches.py
+++ b/tests/gateway/test_open_batches.py
@@ -29,6 +29,17 @@
 
         anyio.run(scenario)
 
+    def test_a_mark_of_an_end_keeps_where_the_batch_begins_if_that_is_certain(self) -> None:
+        async def scenario() -> None:
+            await self.places.mark_ended("b", 0, None, 1.0, first_offset=7)
+            place = (await self.places.find("b")).ok
+            self.assertEqual((7, True), (place.offset, place.certain))
+            await self.places.mark_ended("b", 0, None, 1.0)
+            place = (await self.places.find("b")).ok
+            self.assertEqual((0, False), (place.offset, place.certain))
+
+        anyio.run(scenario)
+
     def test_an_end_that_can_not_be_marked_is_told(self) -> None:
         async def scenario() -> None:
             self.client.faults.down = True
--- a/tests/gateway/test_runner_choice.py
+++ b/tests/gateway/test_runner_choice.py
@@ -103,6 +103,8 @@
 
     def __init__(self) -> None:
         self.told: list[RunBatch] = []
+        self.noted = False
+        """Whether they say that they noted the batch's place."""
 
     async def call(
         self, _peer: Address, _path: str, content: bytes, _seconds: float
@@ -110,7 +112,7 @@
         call = decode_call(content)
         assert isinstance(call, RunBatch)
         self.told.append(call)
-        return encode_message(RunnerAnswer("n1#1", True))
+        return encode_message(RunnerAnswer("n1#1", True, noted=self.noted))
 
 
 class TellTests(testtools.TestCase):
@@ -118,6 +120,9 @@
 
     def setUp(self) -> None:
         super().setUp()
+        self.setUp_places()
+
+    def setUp_places(self) -> None:
         self.client = MemoryLog().client()
         self.places = OpenBatches(self.client)
         self.peers = ToldRunners()
@@ -144,6 +149,38 @@
 
         anyio.run(scenario)
 
+    def test_a_place_that_the_runner_noted_is_left_as_it_is(self) -> None:
+        """The runner's is certain, since its view held all records; the submitter's never is."""
+
+        async def scenario() -> None:
+            self.peers.noted = True
+            await self.submit(7)
+            self.assertIsNone((await self.places.find("b1")).ok)
+
+        anyio.run(scenario)
+
+    def test_a_runner_whose_view_is_whole_notes_a_certain_place(self) -> None:
+        for offset in (3, None):
+
+            async def scenario(offset: int | None = offset) -> None:
+                store = mock.Mock(
+                    followed=lambda _batch, _now: True,
+                    view_age=lambda _batch, _now: 0.0,
+                    catch_up=mock.AsyncMock(),
+                    first_offset=lambda _batch, _now: offset,
+                )
+                batch = mock.Mock(header=TRAINER, runner="n1#1", ended=False)
+                store.ledger.get = lambda _name: batch
+                self.choice._store = store
+                noted = await self.choice._take(RunBatch("b2", 2, 7))
+                self.assertEqual(offset is not None, noted)
+                place = (await self.places.find("b2")).ok
+                certain = BatchPlace(2, 3, "n1#1", certain=True)
+                self.assertEqual(certain if noted else None, place)
+
+            self.setUp_places()
+            anyio.run(scenario)
+
     def test_a_later_submission_neither_moves_the_place_nor_is_told(self) -> None:
         async def scenario() -> None:
             await self.submit(7)
--- a/tests/gateway/test_second_submissions.py
+++ b/tests/gateway/test_second_submissions.py
@@ -143,6 +143,32 @@
 
         anyio.run(scenario)
 
+    def test_a_batch_handed_in_behind_dropped_history_is_shown(self) -> None:
+        """Its noted place lies behind what was dropped: nothing of it can be missing."""
+        log = MemoryLog()
+        client = log.client()
+
+        async def put(*records: BatchRecord) -> int:
+            sequence = ProducerSequence(f"p{client.calls}", 1, 1)
+            answer = await client.append(ONLY, [encode_record(r) for r in records], sequence)
+            return answer.ok
+
+        async def scenario() -> None:
+            store = BatchStore(log.client(), "p", RECORD_BYTES, RECORD_BYTES, 1)
+            reads = LedgerReads(store, PlainDialect(), OpenBatches(client))
+            log.drop_history(ONLY, await put(BatchEnded("old")) + 1)
+            place = BatchPlace(0, await put(submitted(item("x"), batch="b")), "n#1")
+            await put(ItemFinished("b", "x", True, "t", (1,)))
+            await store.catch_up("b")
+            unnoted = await reads.carry_out(ResultsCall("b", 0, 0.0))
+            self.assertEqual(503, unnoted.status)
+            await OpenBatches(client).note("b", place)
+            answer = await reads.carry_out(ResultsCall("b", 0, 0.0))
+            shown = [row[2] for row in msgspec.json.decode(answer.content)["results"]]
+            self.assertEqual(["x"], shown)
+
+        anyio.run(scenario)
+
     def test_a_place_noted_behind_results_does_not_move_them(self) -> None:
         """The first submission's note was lost; the second one's is the only place there is.
 
