--- /dev/null
+++ b/src/stagewalk/gateway/batch_services.py
@@ -0,0 +1,154 @@
+"""Everything that keeps, runs and shows batches on one gateway, put together."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import anyio.abc
+
+from stagewalk.batches.ledger import Batch
+from stagewalk.batches.scheduler import BatchScheduler
+from stagewalk.gateway.batch_calls import BatchCalls
+from stagewalk.gateway.batch_runner import BatchRunner
+from stagewalk.gateway.batch_store import TOPIC, BatchStore
+from stagewalk.gateway.early_start import EarlyViews
+from stagewalk.gateway.identity import ProcessId
+from stagewalk.gateway.ledger_calls import LEDGER_PATH, LedgerCalls
+from stagewalk.gateway.ledger_reads import LedgerReads
+from stagewalk.gateway.node_service import NodeService
+from stagewalk.gateway.open_batches import OpenBatches
+from stagewalk.gateway.run_views import RunViews
+from stagewalk.gateway.runner_calls import RUNNER_PATH
+from stagewalk.gateway.runner_choice import RunnerChoice
+from stagewalk.gateway.runner_probes import RunnerProbes
+from stagewalk.gateway.send_rules import SendRules
+from stagewalk.gateway.settings import GatewaySettings
+from stagewalk.gateway.takeover_service import TakeoverService
+from stagewalk.peer_calls.client import PeerClient
+from stagewalk.peer_calls.server import PeerHandler
+from stagewalk.ports.dialect import Dialect
+from stagewalk.ports.partitioned_log import PartitionedLog
+from stagewalk.ports.workers import WorkerClient
+from stagewalk.routes.table import RouteTable
+from stagewalk.version_rollouts.core import VersionRollouts
+from stagewalk.workers.table import WorkerTable
+
+
+class BatchServices:
+    """The batch ledger's replica, the runner, and the calls about both.
+
+    Parameters
+    ----------
+    settings
+        Returns the settings in force: they change while the process runs.
+    starting
+        Whether the log is left to those that look for open batches.
+    on_item_started
+        Takes the age of the view by which an item was started, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Callable[[], GatewaySettings],
+        log: PartitionedLog,
+        identity: ProcessId,
+        producer: str,
+        dialect: Dialect,
+        client: WorkerClient,
+        peer_client: PeerClient,
+        nodes: NodeService,
+        workers: WorkerTable,
+        routes: RouteTable,
+        rules: SendRules,
+        rollouts: VersionRollouts,
+        starting: Callable[[], bool],
+        on_item_started: Callable[[float], None],
+    ) -> None:
+        limits, policy = settings().log_limits, settings().policy
+        self._routes = routes
+        self.store = BatchStore(
+            log, producer, limits.record_bytes, limits.call_bytes, limits.partitions
+        )
+        places = OpenBatches(log)
+        views = RunViews(self.store, lambda: settings().timing.batch_end)
+        self.runner = BatchRunner(
+            identity=identity,
+            store=self.store,
+            scheduler=BatchScheduler(
+                workers,
+                routes.find,
+                lambda route: routes.choose_back_end(route).service,
+                rules.eligibility,
+                policy,
+                may_start=views.may_start,
+            ),
+            client=client,
+            workers=workers,
+            eligibility=rules.eligibility,
+            nodes=nodes,
+            rollouts=rollouts,
+            views=views,
+            places=places,
+            on_item_started=on_item_started,
+        )
+        self.runners = RunnerChoice(
+            identity=identity,
+            nodes=nodes,
+            store=self.store,
+            runner=self.runner,
+            client=peer_client,
+            open_batches=places,
+            policy=policy,
+        )
+        self.takeovers = TakeoverService(
+            identity=identity,
+            store=self.store,
+            runner=self.runner,
+            nodes=nodes,
+            open_batches=places,
+            policy=policy,
+        )
+        self._probes = RunnerProbes(
+            self.runners.calls,
+            nodes.liveness,
+            self.takeovers.probe_targets,
+            self.store.wait_until_following,
+        )
+        self._reads = LedgerReads(
+            self.store,
+            dialect,
+            places,
+            self._due_seconds,
+            hold_results=policy.hold_results,
+            early=EarlyViews(log, TOPIC, places),
+            starting=starting,
+        )
+        calls = LedgerCalls(
+            self._reads,
+            peer_client,
+            rules.proximity,
+            nodes.replicas,
+            lambda: self.store.following,
+            may_hold=lambda: nodes.may_hold_batches,
+        )
+        self.calls = BatchCalls(self.store, self.runners, calls, dialect, routes.find)
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start all of them."""
+        self.store.start(tasks)
+        self.runner.start(tasks)
+        self.runners.start(tasks)
+        self.takeovers.start(tasks)
+        tasks.start_soon(self._probes.run)
+
+    @property
+    def peer_handlers(self) -> dict[str, PeerHandler]:
+        """Return by path what answers other nodes' calls."""
+        return {LEDGER_PATH: self._reads.handle, RUNNER_PATH: self.runners.calls.handle}
+
+    def _due_seconds(self, batch: Batch) -> float:
+        """Return how long after its submission a batch's results are due."""
+        route = self._routes.find(batch.header.host, batch.header.path)
+        return math.inf if route is None else route.due_seconds
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -11,34 +11,21 @@
 import anyio
 import anyio.abc
 
-from stagewalk.batches.ledger import Batch
-from stagewalk.batches.scheduler import BatchScheduler
 from stagewalk.core.identities import Address
 from stagewalk.forwarding.forwarder import Forwarder
 from stagewalk.forwarding.stream_forwarder import StreamForwarder
 from stagewalk.gateway.app import GatewayApp
-from stagewalk.gateway.batch_calls import BatchCalls
-from stagewalk.gateway.batch_runner import BatchRunner
-from stagewalk.gateway.batch_store import TOPIC, BatchStore
+from stagewalk.gateway.batch_services import BatchServices
 from stagewalk.gateway.caller_gate import CallerGate
 from stagewalk.gateway.duty_services import DutyServices
-from stagewalk.gateway.early_start import EarlyViews
 from stagewalk.gateway.identity import ProcessId
-from stagewalk.gateway.ledger_calls import LEDGER_PATH, LedgerCalls
-from stagewalk.gateway.ledger_reads import LedgerReads
 from stagewalk.gateway.metrics import GatewayMetrics, GatewayState
 from stagewalk.gateway.node_service import NodeService
-from stagewalk.gateway.open_batches import OpenBatches
 from stagewalk.gateway.published_records import PublishedRecords
 from stagewalk.gateway.role_keeper import RoleKeeper
-from stagewalk.gateway.run_views import RunViews
-from stagewalk.gateway.runner_calls import RUNNER_PATH
-from stagewalk.gateway.runner_choice import RunnerChoice
-from stagewalk.gateway.runner_probes import RunnerProbes
 from stagewalk.gateway.send_rules import SendRules
 from stagewalk.gateway.settings import GatewaySettings
 from stagewalk.gateway.settings_reload import SettingsLoader, reload_settings
-from stagewalk.gateway.takeover_service import TakeoverService
 from stagewalk.log_relay.relayed_log import RELAY_PATH, RelayedLog, RelayPeers
 from stagewalk.log_relay.server import LogRelay
 from stagewalk.logs.budget import LogBudget
@@ -106,7 +93,6 @@
         self._straight = MeasuredLog(dependencies.log, self._metrics.log_called)
         peer_client = PeerClient()
         log = self._log_view = RelayedLog(self._straight, self._peers, peer_client)
-        limits = settings.log_limits
         self._dialect = dependencies.dialect
         self._identity = ProcessId(settings.name, time.time_ns() // 1_000_000)
         producer = f"{settings.name}-{uuid.uuid4().hex}"
@@ -136,71 +122,24 @@
             policy=policy,
             batch_regions=lambda: self._routes.batch_regions,
         )
-        self.store = BatchStore(
-            log, producer, limits.record_bytes, limits.call_bytes, limits.partitions
-        )
-        open_batches = OpenBatches(log)
-        run_views = RunViews(self.store, lambda: self.settings.timing.batch_end)
-        self._runner = BatchRunner(
+        self._batches = BatchServices(
+            settings=lambda: self.settings,
+            log=log,
             identity=self._identity,
-            store=self.store,
-            scheduler=BatchScheduler(
-                self._workers,
-                self._routes.find,
-                lambda route: self._routes.choose_back_end(route).service,
-                eligibility,
-                policy,
-                may_start=run_views.may_start,
-            ),
+            producer=producer,
+            dialect=self._dialect,
             client=dependencies.workers,
-            workers=self._workers,
-            eligibility=eligibility,
+            peer_client=peer_client,
             nodes=self._nodes,
+            workers=self._workers,
+            routes=self._routes,
+            rules=self._rules,
             rollouts=self._rollouts,
-            views=run_views,
-            places=open_batches,
-            on_item_started=self._metrics.item_view_age.observe,
-        )
-        self._runners = RunnerChoice(
-            identity=self._identity,
-            nodes=self._nodes,
-            store=self.store,
-            runner=self._runner,
-            client=peer_client,
-            open_batches=open_batches,
-            policy=policy,
-        )
-        self._takeovers = TakeoverService(
-            identity=self._identity,
-            store=self.store,
-            runner=self._runner,
-            nodes=self._nodes,
-            open_batches=open_batches,
-            policy=policy,
-        )
-        self._probes = RunnerProbes(
-            self._runners.calls,
-            self._nodes.liveness,
-            self._takeovers.probe_targets,
-            self.store.wait_until_following,
-        )
-        self._ledger_reads = LedgerReads(
-            self.store,
-            self._dialect,
-            open_batches,
-            self._due_seconds,
-            hold_results=policy.hold_results,
-            early=EarlyViews(log, TOPIC, open_batches),
             starting=lambda: self._roles.starting,
+            on_item_started=self._metrics.item_view_age.observe,
         )
-        self._ledger_calls = LedgerCalls(
-            self._ledger_reads,
-            peer_client,
-            self._rules.proximity,
-            self._nodes.replicas,
-            lambda: self.store.following,
-            may_hold=lambda: self._nodes.may_hold_batches,
-        )
+        self.store = self._batches.store
+        self._runner, self._runners = self._batches.runner, self._batches.runners
         self._published = PublishedRecords(
             log,
             self._dialect,
@@ -251,11 +190,7 @@
         async with anyio.create_task_group() as tasks:
             self._published.start(tasks)
             self._nodes.start(tasks)
-            self.store.start(tasks)
-            self._runner.start(tasks)
-            self._runners.start(tasks)
-            self._takeovers.start(tasks)
-            tasks.start_soon(self._probes.run)
+            self._batches.start(tasks)
             tasks.start_soon(self._rules.cold_lease_service.run)
             self._duties.start(tasks)
             tasks.start_soon(self._housekeep)
@@ -264,15 +199,9 @@
                 for listener in listeners:
                     servers.start_soon(serve_http, app, listener, self._exit)
                 if self.settings.peers is not None:
-                    app_for_peers = PeerApp(
-                        {
-                            RELAY_PATH: LogRelay(
-                                self._straight, lambda: self._log_view.cut_off
-                            ).handle,
-                            LEDGER_PATH: self._ledger_reads.handle,
-                            RUNNER_PATH: self._runners.calls.handle,
-                        }
-                    )
+                    relay = LogRelay(self._straight, lambda: self._log_view.cut_off)
+                    handlers = {RELAY_PATH: relay.handle, **self._batches.peer_handlers}
+                    app_for_peers = PeerApp(handlers)
                     peers = open_listener(self.settings.peers)
                     servers.start_soon(serve_http, app_for_peers, peers, self._exit)
             await self._finish_appends()
@@ -285,11 +214,6 @@
             while not (self.store.idle and self._duties.idle):
                 await anyio.sleep(STEP_SECONDS)
 
-    def _due_seconds(self, batch: Batch) -> float:
-        """Return how long after its submission a batch's results are due."""
-        route = self._routes.find(batch.header.host, batch.header.path)
-        return math.inf if route is None else route.due_seconds
-
     def _view_age(self, now: float) -> float:
         return self._published.view_age(now)
 
@@ -311,9 +235,7 @@
             routes=self._routes,
             forwarder=self._forwarder,
             streams=self._streams,
-            batches=BatchCalls(
-                self.store, self._runners, self._ledger_calls, self._dialect, self._routes.find
-            ),
+            batches=self._batches.calls,
             nodes=self._nodes,
             dialect=self._dialect,
             buffered_body_bytes=BUFFERED_BODY_BYTES,
@@ -364,7 +286,7 @@
 
     async def _housekeep(self) -> None:
         await self._nodes.wait_until_known()
-        if await self._takeovers.resume_own():
+        if await self._batches.takeovers.resume_own():
             # Those who ran batches go on first: the whole log is read by all nodes at once.
             alone = self._nodes.alone
             wait_seconds = RESTART_SECONDS if alone else RESUME_SECONDS
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 from tests.soak.job import Job
-from tests.soak.run import ENDING_GATEWAYS, GATEWAYS, Kind
+from tests.soak.run import ENDING_GATEWAYS, GATEWAYS, ZONE_GATEWAYS, Kind
 
 OUTPUT = Path(__file__).resolve().parents[2] / "out" / "soak"
 
@@ -27,7 +27,7 @@
     parser.add_argument("--jobs", type=int, default=1, help="soaks beside each other")
     parser.add_argument("--output", type=Path, default=OUTPUT)
     arguments = parser.parse_args()
-    usual = ENDING_GATEWAYS if arguments.kind is Kind.ENDED else GATEWAYS
+    usual = {Kind.ENDED: ENDING_GATEWAYS, Kind.ZONES: ZONE_GATEWAYS}.get(arguments.kind, GATEWAYS)
     seeds = [int(seed) for seed in arguments.seeds.split(",") if seed]
     jobs = [
         Job(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,11 +20,16 @@
 from tests.soak.series import FaultSeries
 from tests.soak.touch import SOAK, TouchRecord
 from tests.soak.world import HOST, World
+from tests.soak.zones import HOME_ROUTE, ZoneOperator
 
 CALM_SECONDS = 40.0
 """How long all that was accepted may take once nothing fails any more."""
 
 REQUESTERS = ("ask", "ask", "once")
+ZONE_REQUESTERS = (HOME_ROUTE, "ask", "ask", "ask")
+"""Beside the others: enough that a cold worker gets more than it withstands if all send."""
+
+ZONE_GATEWAYS = 7
 GATEWAYS = 4
 ENDING_GATEWAYS = 10
 """More than hold a replica of the batches, so that roles move when gateways fall."""
@@ -49,6 +54,13 @@
     """Every promise, at few gateways."""
     ENDED = "ended"
     """Batches that are ended early and handed in again, at many gateways."""
+    ZONES = "zones"
+    """Zones that are evacuated, workers that are cold, and routes with homes."""
+
+    @property
+    def in_series(self) -> bool:
+        """Whether faults come in series, with calm between them."""
+        return self is not Kind.ALL
 
 
 class Stalls:
@@ -105,9 +117,11 @@
     # Peers that die by design make asyncio warn for each byte it can't write.
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     ending = kind is Kind.ENDED
-    world = World(directory, seed, gateways, SLOW_ENGINES if ending else 1.0)
+    zones = kind is Kind.ZONES
+    world = World(directory, seed, gateways, SLOW_ENGINES if ending else 1.0, zones=zones)
     callers, stalls = Callers(world, seed), Stalls(world.touch)
-    faults: Faults | FaultSeries = FaultSeries(world, seed) if ending else Faults(world, seed)
+    faults = FaultSeries(world, seed) if kind.in_series else Faults(world, seed)
+    operator = _operator(world, seed)
     async with anyio.create_task_group() as servers:
         try:
             servers.start_soon(stalls.watch)
@@ -116,13 +130,17 @@
                 endings = EndingCallers(world, seed)
                 if ending:
                     _start_endings(endings, tasks)
-                for route in REQUESTERS:
+                for route in (*REQUESTERS, *(ZONE_REQUESTERS if zones else ())):
                     tasks.start_soon(callers.request, route)
+                if operator is not None:
+                    tasks.start_soon(operator.run)
                 tasks.start_soon(callers.train)
                 async with anyio.create_task_group() as trouble:
                     trouble.start_soon(faults.run)
                     await anyio.sleep(seconds)
                     faults.stop.set()
+                    if operator is not None:
+                        operator.stop.set()
                 log_event("soak_calm", "debug", seed=seed)
                 callers.stop.set()
                 endings.stop.set()
@@ -146,6 +164,13 @@
     )
 
 
+def _operator(world: World, seed: int) -> ZoneOperator | None:
+    """Return who evacuates zones, None where there is only one."""
+    if world.zone_rules is None:
+        return None
+    return ZoneOperator(world.log, world.zone_rules, seed, world.chill_zone)
+
+
 def _start_endings(endings: EndingCallers, tasks: anyio.abc.TaskGroup) -> None:
     for number in range(ENDING_TRAINERS):
         tasks.start_soon(endings.train, number)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,10 +15,11 @@
 from testtools.content import text_content
 
 from tests.soak.ended import BOUND_SECONDS, PROMISE, EndedBatches
-from tests.soak.run import Kind, soak
+from tests.soak.run import ZONE_GATEWAYS, Kind, soak
 from tests.soak.senders import Connection, StartedItem, processes_at, started_items
 from tests.soak.touch import SETTLED_SECONDS, STORE, TouchRecord
 from tests.soak.world import SOAK_HOST, GatewayProcess, World, own_address
+from tests.soak.zones import COLD_PROMISE, EVACUATION_PROMISE, HOME_PROMISE
 
 SECONDS = 10.0
 SEED = 11
@@ -27,6 +28,9 @@
 ENDED_GATEWAYS = 8
 """More than hold a replica of the batches."""
 
+ZONES_SECONDS = 25.0
+ZONES_SEED = 1
+
 MOST_SECONDS = 180.0
 """Far above what a test takes: only a hanging one is cut off."""
 
@@ -70,6 +74,21 @@
 
         anyio.run(scenario)
 
+    def test_evacuated_zones_cold_workers_and_homes_are_heeded(self) -> None:
+        """Zones are evacuated and come back cold while gateways and the store fail in series."""
+
+        async def scenario() -> None:
+            with anyio.fail_after(MOST_SECONDS):
+                report = await soak(
+                    ZONES_SEED, ZONES_SECONDS, self.directory, ZONE_GATEWAYS, Kind.ZONES
+                )
+            self.addDetail("report", text_content("\n".join(report.lines())))
+            self.assertEqual([], report.checker.violations)
+            for promise in (EVACUATION_PROMISE, COLD_PROMISE, HOME_PROMISE):
+                self.assertGreater(report.checker.checked[promise], 0, promise)
+
+        anyio.run(scenario)
+
     def test_a_signal_to_reread_settings_while_starting_ends_nothing(self) -> None:
         """Found by seed 3: the signal came before its handler, and ended the process."""
 
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -15,6 +15,8 @@
 from stagewalk.ports.partitioned_log import Partition
 from stagewalk_standins.partitioned_log import MemoryLog
 from tests.soak.asgi import Call, Reply, Send, start_answer
+from tests.soak.senders import Connection
+from tests.soak.zones import ZoneRules
 
 ANNOUNCEMENTS = Partition("keyed.servers", 0)
 HEARTBEAT_SECONDS = 1.0
@@ -67,7 +69,11 @@
         truth: Truth,
         chooser: random.Random,
         version: int | None,
+        zone: str = "z1",
+        rules: ZoneRules | None = None,
     ) -> None:
+        self.zone = zone
+        self._rules = rules
         self.link = name
         self.name = name
         """Identity of this start."""
@@ -94,8 +100,14 @@
         self.name = f"{self.link}.{self._starts}"
         self.draining = False
         self._orders, self._fence, self._ordered = 0, -1, None
+        self.chill()
         self.announce(log)
 
+    def chill(self) -> None:
+        """Be cold from now on, where the soak has cold workers."""
+        if self._rules is not None:
+            self._rules.chill(self.name)
+
     @property
     def version(self) -> int | None:
         if self._ordered is not None and anyio.current_time() >= self._ordered[1]:
@@ -112,7 +124,8 @@
         entry = {
             "service": self.service,
             "address": str(self.address),
-            "zone": "z1",
+            "zone": self.zone,
+            "cold_remaining_ms": self._cold_left() * 1000.0,
             "version": "1",
             "slots": SLOTS,
             "state": "draining" if self.draining else "ready",
@@ -121,6 +134,9 @@
         }
         log.put_key(ANNOUNCEMENTS, self.name, msgspec.json.encode(entry))
 
+    def _cold_left(self) -> float:
+        return 0.0 if self._rules is None else self._rules.cold_left(self.name)
+
     async def handle(self, call: Call, send: Send) -> Reply | None:
         if call.headers.get("x-target-instance", self.name) != self.name:
             return Reply(421, headers=self._headers(call))
@@ -128,6 +144,9 @@
             return self._report()
         if call.path == "/-/order":
             return self._order(msgspec.json.decode(call.body))
+        if self._rules is not None:
+            connection = Connection(*call.ports)
+            self._rules.arrived(self.name, self.zone, call.path, connection)
         full = self._running >= 4 * SLOTS or self._loading
         if full or self._chooser.random() < REFUSED_SHARE:
             return Reply(503, headers=(*self._headers(call), ("x-not-executed", "1")))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -29,6 +29,14 @@
 from tests.soak.store import StoreServer
 from tests.soak.touch import STORE, TouchRecord
 from tests.soak.workers import HEARTBEAT_SECONDS, Truth, WorkerServer
+from tests.soak.zones import (
+    COLD_RATE,
+    COLD_SECONDS,
+    HOME_REGION,
+    HOME_ROUTE,
+    REGIONS,
+    ZoneRules,
+)
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "h.example"
@@ -40,8 +48,8 @@
 
 SETTINGS = """
 name = "{name}"
-region = "r1"
-zone = "z1"
+region = "{region}"
+zone = "{zone}"
 [listen]
 front = "{front}"
 readiness = "{front}"
@@ -52,6 +60,8 @@
 [timing]
 lease_quiet = 1.0
 stop_grace = 8.0
+[zones]
+{zones}
 """
 
 
@@ -163,10 +173,19 @@
     slow_engines
         How many times longer than usual an engine takes for an event. Engines that aren't of the
         usual pace are called without a link between, so that the caller can be told.
+    zones
+        Whether workers and gateways are spread over zones, some of which are evacuated, workers are
+        cold once they come back, and one route has a home. All workers are called without a link.
     """
 
     def __init__(
-        self, directory: Path, seed: int, gateways: int, slow_engines: float = 1.0
+        self,
+        directory: Path,
+        seed: int,
+        gateways: int,
+        slow_engines: float = 1.0,
+        *,
+        zones: bool = False,
     ) -> None:
         self.chooser = random.Random(seed)
         self.directory = directory
@@ -179,16 +198,20 @@
             self.touch, lambda: [gateway.name for gateway in self.gateways], self._senders_of
         )
         self.truth.on_run = self.ended.arrived
+        self.zone_rules = (
+            ZoneRules(self.checker.expect, self.touch, self._senders_of) if zones else None
+        )
         self._slow_engines = slow_engines
         self.version = 1
         self.configuration = 0
         self.store = StoreServer(self.log, self.chooser)
         self._store_address = own_address()
         self._stop = anyio.Event()
-        self.workers = [self._worker(f"engine-{n}", "engines", 1) for n in range(3)]
-        self.workers += [self._worker(f"app-{n}", "app", None) for n in range(2)]
-        self.workers += [self._scorer(f"scorer-{n}") for n in range(2)]
-        self.gateways = [self._gateway(f"gateway-{n}") for n in range(gateways)]
+        each = len(REGIONS) if zones else 2
+        self.workers = [self._worker(f"engine-{n}", "engines", 1, n) for n in range(3)]
+        self.workers += [self._worker(f"app-{n}", "app", None, n) for n in range(each)]
+        self.workers += [self._scorer(f"scorer-{n}", n) for n in range(each)]
+        self.gateways = [self._gateway(f"gateway-{n}", n) for n in range(gateways)]
         links = [
             StreamLink(g.link, str(self._links[g.link]), str(self._store_address))
             for g in self.gateways
@@ -202,30 +225,62 @@
             trust_env=False, timeout=6.0, limits=httpx.Limits(max_keepalive_connections=0)
         )
 
-    def _worker(self, name: str, service: str, version: int | None) -> WorkerServer:
+    def _zone(self, number: int) -> str:
+        """Return the zone of the machine of a number."""
+        return sorted(REGIONS)[number % len(REGIONS)] if self.zone_rules is not None else "z1"
+
+    def _worker(self, name: str, service: str, version: int | None, number: int) -> WorkerServer:
         # The address that is announced is the link's; the worker listens behind it.
         self._targets = getattr(self, "_targets", {})
         self._targets[name] = own_address()
         direct = version is not None and self._slow_engines != 1.0
+        direct = direct or self.zone_rules is not None
         address = self._targets[name] if direct else own_address()
-        worker = WorkerServer(name, service, address, self.truth, self.chooser, version)
+        zone = self._zone(number)
+        worker = WorkerServer(
+            name, service, address, self.truth, self.chooser, version, zone, self.zone_rules
+        )
         if version is not None:
             worker.slow = worker.usual_slow = self._slow_engines
         return worker
 
-    def _scorer(self, name: str) -> ScorerServer:
+    def _scorer(self, name: str, number: int) -> ScorerServer:
         self._targets[name] = own_address()
-        scorer = ScorerServer(name, "scorers", own_address(), self.truth, self.chooser, None)
+        direct = self.zone_rules is not None
+        scorer = ScorerServer(
+            name,
+            "scorers",
+            self._targets[name] if direct else own_address(),
+            self.truth,
+            self.chooser,
+            None,
+            self._zone(number),
+            self.zone_rules,
+        )
         scorer.scores = self.scores
         return scorer
 
-    def _gateway(self, name: str) -> GatewayProcess:
+    def chill_zone(self, zone: str) -> None:
+        """Let all workers of a zone be cold, as after a failure that it comes back from."""
+        for worker in self.workers:
+            if worker.zone == zone:
+                worker.chill()
+
+    def _gateway(self, name: str, number: int) -> GatewayProcess:
         self._links: dict[str, Address] = getattr(self, "_links", {})
         link, front = f"store-{name}", own_address()
         self._links[link] = own_address()
         settings = self.directory / f"{name}.toml"
         settings.write_text(
-            SETTINGS.format(name=name, front=front, peers=own_address(), store=self._links[link])
+            SETTINGS.format(
+                name=name,
+                region=REGIONS[self._zone(number)],
+                zone=self._zone(number),
+                zones="\n".join(f'{zone} = "{region}"' for zone, region in REGIONS.items()),
+                front=front,
+                peers=own_address(),
+                store=self._links[link],
+            )
         )
         return GatewayProcess(name, front, settings, link, self.touch)
 
@@ -342,17 +397,24 @@
                 for n in range(2, self.configuration + 1)
             ),
         ]
-        services = [
+        services: list[dict] = [
             {"name": "engines", "max_connections": 200, "engine": {"slots": 8}},
             {"name": "app", "max_connections": 200},
             {"name": "scorers", "max_connections": 200},
         ]
+        if self.zone_rules is not None:
+            routes.append(_route(HOME_ROUTE, f"/{HOME_ROUTE}/", "safe", "app", [HOME_REGION]))
+            for service in services:
+                service |= {"cold_start_s": COLD_SECONDS, "cold_per_s": COLD_RATE}
         value = {"version": self.configuration, "routes": routes, "services": services}
         self.log.put_key(OPERATORS, "config", msgspec.json.encode(value))
 
 
-def _route(name: str, prefix: str, kind: str, service: str) -> dict:
+def _route(
+    name: str, prefix: str, kind: str, service: str, regions: list[str] | None = None
+) -> dict:
     return {
+        "allowed_regions": regions or [],
         "name": name,
         "host": HOST,
         "path_prefix": prefix,
