A home test with a home node: a lone node elsewhere refuses batches that are bound

Change: the node outside refuses with when to come back until a node at home lives, then takes and shows the batch.

--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -220,12 +220,23 @@
     def test_requests_items_and_scores_stay_at_home(self) -> None:
         async def scenario(site: Site) -> None:
             await two_zones(site)
-            home = frozenset({"r2"})
-            site.publish(2, tuple(replace(route, allowed_regions=home) for route in ROUTES))
-            node = await site.start("n1", zones={"z1": "r1", "z2": "r2"})
+            regions = frozenset({"r2"})
+            site.publish(2, tuple(replace(route, allowed_regions=regions) for route in ROUTES))
+            zones = {"z1": "r1", "z2": "r2"}
+            node = await site.start("n1", zones=zones)
             self.assertEqual({200}, await ask(site, node, count=3))
-            await site.submit(node, "b1", "x", "y", scored_by="/score/s")
+            refused = await site.submit(node, "b0", "x")
+            self.assertEqual((503, "1"), (refused.status_code, refused.headers["retry-after"]))
+            home = await site.start("n2", zones=zones, placement=Placement("r2", "z2"))
+
+            async def taken() -> bool:
+                answer = await site.submit(node, "b1", "x", "y", scored_by="/score/s")
+                return answer.status_code == 202
+
+            await until(taken)
             await site.until_listed(node, "b1", 2)
+            self.assertFalse(node.gateway.store.following)
+            self.assertTrue(home.gateway.store.following)
             self.assertEqual({"a3", "e3"}, site.workers.reached_since(0.0))
             site.log.drop_key(site.dialect.workers, "a3")
 
