An item's view is asked as its first byte goes; a listing older than what was read takes nothing back

Cause: an attempt whose connection turns out unusable waits for the pool and a connection twice, 1.8 s, while the lease on its batch's view allows for 0.9 s (suspected in the postmortem of ended batches, not shown). And a keyed view whose history was dropped took any listing, also one that lags behind what it had read: an evacuation or a leaving worker would have been taken back. Change: permits of items and score calls are confirmed by the view of their batch too, 2.7 s old at most for a bound of 3.0 s; a first listing that ends before what was ever read is refused and read again. mark_cold in place of chill. Ruled out: a shorter lease at the start, which would suspend items more often for a case that is rare.

--- a/src/stagewalk/batches/view_lease.py
+++ b/src/stagewalk/batches/view_lease.py
@@ -26,3 +26,12 @@
         How long after a batch's end was acknowledged its items may still reach workers.
     """
     return max(0.0, batch_end_seconds - SHORTEST_BATCH_END_SECONDS)
+
+
+def longest_view_age_at_send(batch_end_seconds: float) -> float:
+    """Return how old a view may be as the first byte of an item goes.
+
+    An attempt whose connection turns out unusable waits for the pool and another connection once
+    more, twice as long as is allowed for when the item starts.
+    """
+    return max(0.0, batch_end_seconds - LAG_SECONDS)
--- a/src/stagewalk/cold_starts/core.py
+++ b/src/stagewalk/cold_starts/core.py
@@ -75,7 +75,7 @@
         """Note that views are current again, or for the first time, after a gap."""
         self._renewed_at = now
 
-    def chill(self, worker: Worker, seconds: float, now: float) -> None:
+    def mark_cold(self, worker: Worker, seconds: float, now: float) -> None:
         """Take that a worker stays cold for some seconds."""
         worker.cold_until = max(worker.cold_until, now + seconds + COLD_MARGIN_SECONDS)
         self._cold_until = max(self._cold_until, worker.cold_until)
--- a/src/stagewalk/eligibility/core.py
+++ b/src/stagewalk/eligibility/core.py
@@ -105,9 +105,19 @@
             self._cold.want(wanted, now)
 
     def permit(
-        self, worker: Worker, scope: RequestScope | None, now: float
+        self,
+        worker: Worker,
+        scope: RequestScope | None,
+        now: float,
+        may_send: Callable[[float], bool] = lambda _now: True,
     ) -> Result[SendPermit, Denial]:
-        """Return the permission to send a request to a worker, or why there is none."""
+        """Return the permission to send a request to a worker, or why there is none.
+
+        Parameters
+        ----------
+        may_send
+            Whether whoever sends it still wants it sent at a time; asked as it is to go.
+        """
         if scope is None:
             self.on_denied(Denial.NO_ROUTE)
             return Error(Denial.NO_ROUTE)
@@ -119,6 +129,9 @@
         reserved_at = None if service is None else self._cold.reserve(worker, service, now)
 
         def confirm(at: float) -> Denial | None:
+            if not may_send(at):
+                self.on_denied(Denial.VIEW_TOO_OLD)
+                return Denial.VIEW_TOO_OLD
             return self._confirm(worker, scope, reserved_at, at)
 
         return Ok(SendPermit(WorkerTable.target(worker), confirm))
@@ -176,4 +189,4 @@
         for worker in self._workers.all():
             service = self._routes.service(worker.announcement.service)
             if worker.announcement.zone == zone and service is not None and service.cold_rate > 0.0:
-                self._cold.chill(worker, service.cold_seconds, now)
+                self._cold.mark_cold(worker, service.cold_seconds, now)
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -86,7 +86,7 @@
         self._on_item_started = on_item_started
         self._tasks: anyio.abc.TaskGroup | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
-        self._scores = ScoreSender(client, workers, eligibility, self._handle, views.may_start)
+        self._scores = ScoreSender(client, workers, eligibility, self._handle, views)
         self._stopping = False
         self._begun = anyio.Event()
 
@@ -350,7 +350,9 @@
             withheld = AttemptFailure(AttemptFault.WITHHELD, "the view of the log is too old")
             return AttemptBroken(start.attempt, withheld)
         scope = self._eligibility.scope(start.host, start.item.path, start.tenant)
-        permit = self._eligibility.permit(worker, scope, now)
+        permit = self._eligibility.permit(
+            worker, scope, now, lambda at: self._views.may_send(start.batch, at)
+        )
         if permit.is_error():
             return self._broken(start, AttemptFailure(AttemptFault.WITHHELD, permit.error.value))
         request = OutboundRequest(
--- a/src/stagewalk/gateway/published_records.py
+++ b/src/stagewalk/gateway/published_records.py
@@ -172,7 +172,7 @@
         service = self._routes.service(worker.announcement.service)
         if service is not None and service.cold_rate > 0.0:
             log_event("worker_cold", worker=worker.announcement.worker, seconds=seconds)
-        self._cold.chill(worker, seconds, now)
+        self._cold.mark_cold(worker, seconds, now)
 
     def _log_worker_change(self, worker: str, change: str) -> None:
         """Log a change of belief, where requests may hang on it.
--- a/src/stagewalk/gateway/run_views.py
+++ b/src/stagewalk/gateway/run_views.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from stagewalk.batches.view_lease import longest_view_age
+from stagewalk.batches.view_lease import longest_view_age, longest_view_age_at_send
 from stagewalk.gateway.batch_store import BatchStore
 from stagewalk.gateway.early_start import PartialLedger
 from stagewalk.logs.lines import log_event
@@ -71,6 +71,10 @@
         """Whether items of a batch may be sent to workers now."""
         return self.age(batch, now) <= longest_view_age(self._batch_end_seconds())
 
+    def may_send(self, batch: str, now: float) -> bool:
+        """Whether an item that was started may reach a worker now."""
+        return self.age(batch, now) <= longest_view_age_at_send(self._batch_end_seconds())
+
     async def follow(self, batch: str, on_lost: Callable[[str], None]) -> None:
         """Keep the partial view of a batch current, until this node's own view takes over.
 
--- a/src/stagewalk/gateway/score_sender.py
+++ b/src/stagewalk/gateway/score_sender.py
@@ -9,6 +9,7 @@
 import anyio.abc
 
 from stagewalk.eligibility.core import Eligibility
+from stagewalk.gateway.run_views import RunViews
 from stagewalk.logs.lines import log_event
 from stagewalk.ports.workers import (
     AttemptFailure,
@@ -16,7 +17,6 @@
     OutboundRequest,
     WorkerClient,
 )
-from stagewalk.scoring.core import MayStart
 from stagewalk.scoring.messages import (
     ScoreAnswered,
     ScoreBroken,
@@ -42,8 +42,8 @@
         Permits sends.
     tell
         Takes what became of an attempt.
-    may_start
-        Whether something of a batch may be sent to a worker at a time.
+    views
+        Tell whether something of a batch may be sent to a worker at a time.
     """
 
     def __init__(
@@ -52,13 +52,13 @@
         workers: WorkerTable,
         eligibility: Eligibility,
         tell: EventSink,
-        may_start: MayStart,
+        views: RunViews,
     ) -> None:
         self._client = client
         self._workers = workers
         self._eligibility = eligibility
         self._tell = tell
-        self._may_start = may_start
+        self._views = views
         self._tasks: anyio.abc.TaskGroup | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
 
@@ -94,11 +94,13 @@
             gone = AttemptFailure(AttemptFault.NOT_SENT, "the worker is gone")
             return ScoreBroken(send.attempt, gone)
         now = time.monotonic()
-        if not self._may_start(send.batch, now):
+        if not self._views.may_start(send.batch, now):
             withheld = AttemptFailure(AttemptFault.WITHHELD, "the view of the log is too old")
             return ScoreBroken(send.attempt, withheld)
         scope = self._eligibility.scope(send.call.host, send.call.path, send.tenant)
-        permit = self._eligibility.permit(worker, scope, now)
+        permit = self._eligibility.permit(
+            worker, scope, now, lambda at: self._views.may_send(send.batch, at)
+        )
         if permit.is_error():
             withheld = AttemptFailure(AttemptFault.WITHHELD, permit.error.value)
             return ScoreBroken(send.attempt, withheld)
--- a/src/stagewalk/partitioned_log/follower.py
+++ b/src/stagewalk/partitioned_log/follower.py
@@ -177,6 +177,8 @@
         self.pause_seconds = pause_seconds
         self.wait_seconds = wait_seconds
         self._next_offset: int | None = None
+        self._highest_offset = 0
+        """Up to where the partition was ever read: an older listing would take changes back."""
         self._read_now: anyio.Event | None = None
         self._asked_at = -math.inf
         """When the last read was sent that brought the view up to date."""
@@ -264,6 +266,7 @@
                 self._next_offset = next_offset
                 self._apply(record)
         self._next_offset = max(next_offset, page.next_offset)
+        self._highest_offset = max(self._highest_offset, self._next_offset)
 
     async def _list(self) -> bool:
         began = time.monotonic()
@@ -271,9 +274,12 @@
         if listing.is_error():
             self.freshness.fail(listing.error.detail)
             return False
+        if self._next_offset is None and listing.ok.next_offset < self._highest_offset:
+            self.freshness.fail("a listing older than what was read")
+            return False
         if self._next_offset is None or self._next_offset <= listing.ok.next_offset:
             self._replace(listing.ok.records)
-            self._next_offset = listing.ok.next_offset
+            self._next_offset = self._highest_offset = listing.ok.next_offset
         self.freshness.confirm(began)
         return True
 
--- a/src/stagewalk/ports/denials.py
+++ b/src/stagewalk/ports/denials.py
@@ -10,6 +10,8 @@
 
     NO_ROUTE = "no_route"
     """The configuration in force has no route for it."""
+    VIEW_TOO_OLD = "view_too_old"
+    """Its batch may have ended: the view that showed it as open is too old by now."""
     WORKER_LEAVING = "worker_leaving"
     """It drains, or its entry is gone."""
     ZONE_EVACUATED = "zone_evacuated"
--- a/tests/batches/test_view_lease.py
+++ b/tests/batches/test_view_lease.py
@@ -4,7 +4,11 @@
 
 import testtools
 
-from stagewalk.batches.view_lease import LAG_SECONDS, longest_view_age
+from stagewalk.batches.view_lease import (
+    LAG_SECONDS,
+    longest_view_age,
+    longest_view_age_at_send,
+)
 from stagewalk.ports.workers import SEND_SECONDS
 
 
@@ -14,5 +18,12 @@
         self.assertLessEqual(longest_view_age(bound) + SEND_SECONDS + LAG_SECONDS, bound)
         self.assertGreater(longest_view_age(bound), 0.0)
 
+    def test_an_item_that_waits_longer_than_allowed_for_is_judged_as_it_goes(self) -> None:
+        bound = 3.0
+        self.assertLessEqual(longest_view_age_at_send(bound) + LAG_SECONDS, bound)
+        twice = longest_view_age(bound) + 2.0 * SEND_SECONDS
+        self.assertGreater(twice, longest_view_age_at_send(bound))
+        self.assertEqual(0.0, longest_view_age_at_send(LAG_SECONDS / 2.0))
+
     def test_a_bound_shorter_than_a_send_lets_nothing_start_from_an_old_view(self) -> None:
         self.assertEqual(0.0, longest_view_age(SEND_SECONDS / 2.0))
--- a/tests/cold_starts/senders.py
+++ b/tests/cold_starts/senders.py
@@ -88,12 +88,12 @@
         self.read_at = now
         evacuated = self.world.evacuated_from <= now < COLD_AT
         if self.evacuated and not evacuated:
-            self.cold.chill(self.worker, COLD_SECONDS, now)
+            self.cold.mark_cold(self.worker, COLD_SECONDS, now)
         self.evacuated = evacuated
         if now >= COLD_AT + self.world.entry_lag:
             left = COLD_AT + COLD_SECONDS - now
             if left > 0.0:
-                self.cold.chill(self.worker, left, now)
+                self.cold.mark_cold(self.worker, left, now)
 
     def lease(self) -> None:
         """Win the lease, as the service that looks after it does."""
--- a/tests/cold_starts/test_senders.py
+++ b/tests/cold_starts/test_senders.py
@@ -72,7 +72,7 @@
 
     def test_without_doubt_after_an_evacuation_the_entry_comes_too_late(self) -> None:
         with (
-            mock.patch.object(core.ColdStarts, "chill", lambda *_: None),
+            mock.patch.object(core.ColdStarts, "mark_cold", lambda *_: None),
             mock.patch.object(core, "UNKNOWN_SECONDS", 0.0),
         ):
             self.assertGreater(self.broken(), BOUND)
--- a/tests/eligibility/support.py
+++ b/tests/eligibility/support.py
@@ -36,7 +36,7 @@
         self.leases = ColdLeases("own#1")
         self.view_age = 0.0
         self.cold = ColdStarts(self.leases, lambda _now: self.view_age)
-        workers.on_cold = self.cold.chill
+        workers.on_cold = self.cold.mark_cold
         proximity = Proximity(Placement("r1", "z1"), zones)
         self.eligibility = Eligibility(workers, self.routes, proximity, self.evacuations, self.cold)
         self.publish(routes, services, tenants)
--- a/tests/eligibility/test_core.py
+++ b/tests/eligibility/test_core.py
@@ -68,6 +68,14 @@
         self.assertEqual(Denial.WORKER_LEAVING, leaving.confirm(9.2))
         self.assertEqual(Denial.WORKER_LEAVING, gone.confirm(9.2))
 
+    def test_a_permit_is_denied_once_its_sender_may_not_send_any_more(self) -> None:
+        known = self.table.worker("a")
+        assert known is not None
+        scope = RequestScope(ROUTE)
+        permit = self.rules.eligibility.permit(known, scope, 9.0, lambda at: at < 10.0).ok
+        self.assertIsNone(permit.confirm(9.9))
+        self.assertEqual(Denial.VIEW_TOO_OLD, permit.confirm(10.0))
+
     def test_a_doubted_worker_serves_if_the_sure_ones_are_evacuated(self) -> None:
         """Its entry vanished while the list's store was away."""
         self.table.remove("c", 9.0, disturbed_at=9.0)
--- a/tests/gateway/test_run_views.py
+++ b/tests/gateway/test_run_views.py
@@ -14,17 +14,19 @@
 from stagewalk.batches.messages import StartItem
 from stagewalk.batches.records import BatchEnded, ScoreCall, encode_record
 from stagewalk.batches.view_lease import longest_view_age
+from stagewalk.eligibility.core import RequestScope
 from stagewalk.gateway.batch_runner import BatchRunner
 from stagewalk.gateway.early_start import PartialLedger
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.run_views import RunViews
 from stagewalk.gateway.score_sender import ScoreSender
+from stagewalk.ports.denials import Denial
 from stagewalk.ports.partitioned_log import LogFailure, Partition, ProducerSequence, RecordPage
 from stagewalk.ports.workers import AttemptFailure, AttemptFault
 from stagewalk.scoring.messages import ScoreEvent, SendScore
 from stagewalk.workers.table import WorkerTable
 from stagewalk_standins.partitioned_log import MemoryLog, MemoryLogClient
-from tests.batches.support import item, submitted
+from tests.batches.support import batch_route, item, submitted
 from tests.eligibility.support import unrestricted
 from tests.workers.support import announcement
 
@@ -178,6 +180,8 @@
     def may_start(self, _batch: str, _now: float) -> bool:
         return self.recent
 
+    may_send = may_start
+
     def age(self, _batch: str, _now: float) -> float:
         return 0.0
 
@@ -224,7 +228,7 @@
     def test_a_score_call_is_not_sent_from_a_view_that_grew_old_since_it_was_decided(self) -> None:
         told: list[ScoreEvent] = []
         sender = ScoreSender(
-            self.client, self.workers, unrestricted(self.workers), told.append, self.views.may_start
+            self.client, self.workers, unrestricted(self.workers), told.append, self.views
         )
         call = ScoreCall("c", "h", "/score/x", b"")
 
@@ -239,6 +243,27 @@
         (broken,) = told
         self.assertIs(AttemptFault.WITHHELD, broken.failure.fault)
 
+    def test_an_item_whose_connection_comes_up_after_the_bound_is_not_sent(self) -> None:
+        """A connection that turned out unusable makes it wait for another one."""
+        permit = unrestricted(self.workers).permit(
+            self.workers.worker("e1"),
+            RequestScope(batch_route()),
+            0.0,
+            lambda now: self.views.may_send("b", now),
+        )
+        self.assertIsNone(permit.ok.confirm(0.1))
+        self.views.recent = False
+        self.assertIs(Denial.VIEW_TOO_OLD, permit.ok.confirm(0.2))
+
+    def test_the_view_at_the_send_may_be_older_by_what_a_send_takes(self) -> None:
+        for age, start, send in (
+            (LEASE, True, True),
+            (LEASE + 0.5, False, True),
+            (2.8, False, False),
+        ):
+            views = views_of(FakeStore(age, ("b",)))
+            self.assertEqual((start, send), (views.may_start("b", 0.0), views.may_send("b", 0.0)))
+
     def test_the_worker_is_not_to_blame(self) -> None:
         worker = self.workers.worker("e1")
         withheld = AttemptFailure(AttemptFault.WITHHELD, "")
--- a/tests/partitioned_log/test_follower.py
+++ b/tests/partitioned_log/test_follower.py
@@ -8,7 +8,7 @@
 
 import anyio
 import testtools
-from expression import Result
+from expression import Ok, Result
 
 from stagewalk.partitioned_log.follower import KeyedFollower, PartitionFollower
 from stagewalk.ports.partitioned_log import (
@@ -166,6 +166,34 @@
 
         anyio.run(main)
 
+    def test_a_listing_older_than_what_was_read_takes_nothing_back(self) -> None:
+        """The log dropped its history, and what it lists first lags behind what it gave before."""
+
+        class LaggingClient(MemoryLogClient):
+            lists = 0
+
+            async def newest(self, partition: Partition) -> Result[KeyedPage, LogFailure]:
+                self.lists += 1
+                old = KeyedPage((KeyedRecord("a", b"1", 0),), 1, 1)
+                return Ok(old) if self.lists == 2 else await super().newest(partition)
+
+        async def scenario() -> None:
+            client = LaggingClient(self.log)
+            follower = KeyedFollower(client, PLACE, self.replace, self.apply, wait_seconds=0.05)
+            self.log.put_key(PLACE, "a", b"1")
+            self.assertTrue(await follower.renew(0.0, 1.0))
+            self.log.put_key(PLACE, "b", b"2")
+            self.assertTrue(await follower.renew(0.0, 1.0))
+            self.log.put_key(PLACE, "c", b"3")
+            self.log.drop_history(PLACE, 3)
+            await follower.renew(0.0, 0.5)
+            self.assertFalse(await follower.renew(0.0, 0.5))
+            self.assertIn("b", self.values)
+            self.assertTrue(await follower.renew(0.0, 0.5))
+            self.assertEqual({"a", "b", "c"}, set(self.values))
+
+        anyio.run(scenario)
+
     def test_a_view_that_is_too_old_is_read_again_at_once(self) -> None:
         follower = KeyedFollower(
             self.client, PLACE, self.replace, self.apply, pause_seconds=60.0, wait_seconds=0.0
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -168,7 +168,7 @@
     """Return who evacuates zones, None where there is only one."""
     if world.zone_rules is None:
         return None
-    return ZoneOperator(world.log, world.zone_rules, seed, world.chill_zone)
+    return ZoneOperator(world.log, world.zone_rules, seed, world.mark_zone_cold)
 
 
 def _start_endings(endings: EndingCallers, tasks: anyio.abc.TaskGroup) -> None:
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -100,13 +100,13 @@
         self.name = f"{self.link}.{self._starts}"
         self.draining = False
         self._orders, self._fence, self._ordered = 0, -1, None
-        self.chill()
+        self.mark_cold()
         self.announce(log)
 
-    def chill(self) -> None:
+    def mark_cold(self) -> None:
         """Be cold from now on, where the soak has cold workers."""
         if self._rules is not None:
-            self._rules.chill(self.name)
+            self._rules.mark_cold(self.name)
 
     @property
     def version(self) -> int | None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -260,11 +260,11 @@
         scorer.scores = self.scores
         return scorer
 
-    def chill_zone(self, zone: str) -> None:
+    def mark_zone_cold(self, zone: str) -> None:
         """Let all workers of a zone be cold, as after a failure that it comes back from."""
         for worker in self.workers:
             if worker.zone == zone:
-                worker.chill()
+                worker.mark_cold()
 
     def _gateway(self, name: str, number: int) -> GatewayProcess:
         self._links: dict[str, Address] = getattr(self, "_links", {})
--- a/tests/soak/zones.py
+++ b/tests/soak/zones.py
@@ -63,7 +63,7 @@
         self.evacuated_at: dict[str, float] = {}
         self._cold: defaultdict[str, ColdSpell] = defaultdict(ColdSpell)
 
-    def chill(self, worker: str) -> None:
+    def mark_cold(self, worker: str) -> None:
         """Let a worker be cold from now on."""
         self._cold[worker].until = time.monotonic() + COLD_SECONDS
 
@@ -107,17 +107,17 @@
 
     Parameters
     ----------
-    chill
+    mark_cold
         Lets all workers of a zone be cold.
     """
 
     def __init__(
-        self, log: MemoryLog, rules: ZoneRules, seed: int, chill: Callable[[str], None]
+        self, log: MemoryLog, rules: ZoneRules, seed: int, mark_cold: Callable[[str], None]
     ) -> None:
         self._log = log
         self._rules = rules
         self._chooser = random.Random(f"operator {seed}")
-        self._chill = chill
+        self._mark_cold = mark_cold
         self.stop = anyio.Event()
         self.evacuations = 0
 
@@ -141,7 +141,7 @@
         self.evacuations += 1
 
     def _take_back(self, zone: str) -> None:
-        self._chill(zone)
+        self._mark_cold(zone)
         del self._rules.evacuated_at[zone]
         self._log.put_key(OPERATORS, f"evacuate/{zone}", None)
 
