--- a/tests/explain/test_story.py
+++ b/tests/explain/test_story.py
@@ -37,6 +37,22 @@
     line(10.1, "n1", "request_ended", request="r2", workers="w1", outcome="answered_200"),
     line(50.0, "n1", "worker_changed", worker="w2", change="gone"),
 )
+EVACUATED = (
+    line(8.5, "n1", "zone_evacuated", zone="z1"),
+    line(8.6, "n2", "zone_evacuated", zone="z1"),
+    line(9.5, "n1", "worker_cold", worker="w2", seconds="3.0"),
+    line(9.9, "n1", "attempt_failed", "warning", request="r5", worker="w2", fault="withheld"),
+    line(
+        10.0,
+        "n1",
+        "request_ended",
+        "warning",
+        request="r5",
+        workers="w2",
+        outcome="not_run",
+        denied="zone_evacuated:4",
+    ),
+)
 ITEM = (
     line(1.0, "n1", "batch_opened", batch="b1", epoch="0"),
     line(1.1, "n1", "item_started", item="i1", batch="b1", attempt="7", worker="w1"),
@@ -84,6 +100,16 @@
 
 
 class StoryTests(testtools.TestCase):
+    def test_a_request_that_no_worker_might_get(self) -> None:
+        """Why: the zone that its node knew to be evacuated, and the worker that was cold."""
+        found = story("r5", *EVACUATED)
+        self.assertEqual(
+            [("n1", "zone_evacuated"), ("n1", "worker_cold")],
+            [(x.node, x.event) for x in found.around],
+        )
+        assert found.ending is not None
+        self.assertEqual("zone_evacuated:4", found.ending.get("denied"))
+
     def test_a_refused_request_with_its_attempts_and_what_its_worker_went_through(self) -> None:
         found = story("r1", *REFUSED)
         self.assertEqual(Kind.REQUEST, found.kind)
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -5,7 +5,8 @@
 import testtools
 from prometheus_client.parser import text_string_to_metric_families
 
-from tests.gateway.support import Running, Site, run
+from stagewalk.ports.denials import Denial
+from tests.gateway.support import Running, Site, run, until
 
 
 async def samples(
@@ -40,6 +41,23 @@
 
         run(scenario)
 
+    def test_evacuated_zones_and_denied_requests_are_counted(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            site.evacuate("z1")
+
+            async def evacuated() -> bool:
+                return (await samples(site, node))["stagewalk_evacuated_zones", ()] == 1.0
+
+            await until(evacuated)
+            self.assertEqual(0.0, (await samples(site, node))["stagewalk_cold_leases", ()])
+            node.gateway._metrics.send_denied(Denial.ZONE_EVACUATED)
+            denied = (("reason", "zone_evacuated"),)
+            seen = await samples(site, node)
+            self.assertEqual(1.0, seen["stagewalk_send_denials_total", denied])
+
+        run(scenario)
+
     def test_a_log_that_refuses_is_seen_in_the_calls(self) -> None:
         async def scenario(site: Site) -> None:
             node = await site.start("n1")
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -52,10 +52,17 @@
             ("[timing]", "[policy]\nmoves = 1\n[timing]", "policy.moves"),
             ("[timing]", "[policy]\nluck = true\n[timing]", "policy.luck"),
             ('address = "10.0.0.9:90"', "address = 7", "log.address"),
+            ("[timing]", '[zones]\nz1 = "r2"\n[timing]', "zones.z1"),
+            ("[timing]", "[zones]\nz2 = 7\n[timing]", "zones[...]"),
         ):
             error = self.load(GOOD.replace(old, new)).error
             self.assertEqual(field, error.field)
 
+    def test_the_regions_of_zones(self) -> None:
+        self.assertEqual({}, self.load(GOOD).ok.zones)
+        zones = self.load(GOOD + '[zones]\nz1 = "r1"\nz2 = "r2"\n').ok.zones
+        self.assertEqual({"z1": "r1", "z2": "r2"}, zones)
+
     def test_a_file_that_is_missing_or_no_toml(self) -> None:
         self.assertTrue(load_gateway_settings(Path("/nowhere/x.toml")).is_error())
         self.assertTrue(self.load("= 1").is_error())
--- a/tests/platform_adapter/test_dialect.py
+++ b/tests/platform_adapter/test_dialect.py
@@ -9,7 +9,7 @@
 
 from stagewalk.batches.records import ItemFinished, ScoreCall
 from stagewalk.core.identities import Address
-from stagewalk.ports.dialect import NamedVersion
+from stagewalk.ports.dialect import NamedVersion, ZoneEvacuation
 from stagewalk.ports.partitioned_log import KeyedRecord
 from stagewalk.routes.route import BackEnd, RouteKind
 from stagewalk.tenants.tenant import Tenant
@@ -81,6 +81,27 @@
         without = self.dialect.operator_record(record("config", CONFIGURATION))
         self.assertIsNone(without.tenants)
 
+    def test_an_evacuation_and_its_end(self) -> None:
+        key = "evacuate/hall-north"
+        given = self.dialect.operator_record(KeyedRecord(key, b"{}", 3))
+        self.assertEqual(ZoneEvacuation("hall-north", in_force=True), given)
+        taken_back = self.dialect.operator_record(KeyedRecord(key, None, 4))
+        self.assertEqual(ZoneEvacuation("hall-north", in_force=False), taken_back)
+
+    def test_homes_and_cold_starts(self) -> None:
+        route = {**CONFIGURATION["routes"][0], "allowed_regions": ["r1", "r2"]}
+        service = {"name": "s1", "cold_start_s": 3.0, "cold_per_s": 11.0}
+        tenants = [{"name": "t", "allowed_regions": ["r1"]}, {"name": "u", "allowed_regions": None}]
+        value = {"version": 8, "routes": [route], "services": [service], "tenants": tenants}
+        decoded = self.dialect.operator_record(record("config", value))
+        self.assertEqual({"r1", "r2"}, decoded.routes[0].allowed_regions)
+        (cold,) = decoded.services
+        self.assertEqual((3.0, 11.0), (cold.cold_seconds, cold.cold_rate))
+        self.assertEqual([{"r1"}, set()], [tenant.allowed_regions for tenant in decoded.tenants])
+        plain = self.dialect.operator_record(record("config", CONFIGURATION))
+        self.assertEqual({0.0}, {service.cold_rate for service in plain.services})
+        self.assertEqual({frozenset()}, {route.allowed_regions for route in plain.routes})
+
     def test_a_named_version(self) -> None:
         decoded = self.dialect.operator_record(record("version/m", {"model": "m", "version": 8}))
         self.assertEqual(NamedVersion("m", 8), decoded)
@@ -99,8 +120,10 @@
             "slots": 16,
             "state": "draining",
             "models": [{"name": "m", "version": 3, "adapters": []}],
+            "cold_remaining_ms": 1500,
         }
         decoded = self.dialect.worker_announcement(record("i-1", entry))
+        self.assertEqual(1.5, decoded.cold_seconds)
         self.assertEqual(Address("10.0.0.9", 8080), decoded.address)
         self.assertTrue(decoded.draining)
         self.assertEqual({"m": 3}, decoded.versions)
