--- a/src/stagewalk/forwarding/attempt_failures.py
+++ b/src/stagewalk/forwarding/attempt_failures.py
@@ -6,6 +6,7 @@
 
 from stagewalk.forwarding.policy import ForwardedRequest
 from stagewalk.logs.lines import log_event
+from stagewalk.ports.denials import Denial
 from stagewalk.ports.workers import AttemptFailure, AttemptFault
 from stagewalk.workers.worker import Worker
 
@@ -32,3 +33,12 @@
         occupancy=worker.occupancy(now),
         attempts=state.spent,
     )
+
+
+def note_withheld_attempt(
+    request_id: str, state: ForwardedRequest, worker: Worker, denial: Denial
+) -> None:
+    """Count an attempt that was denied its permit: nothing of it was sent."""
+    worker.note_ended()
+    withheld = AttemptFailure(AttemptFault.WITHHELD, denial.value)
+    note_failed_attempt(request_id, state, worker, withheld)
--- a/src/stagewalk/forwarding/forwarder.py
+++ b/src/stagewalk/forwarding/forwarder.py
@@ -13,7 +13,7 @@
 
 from stagewalk.core.policy import ALL_ON, Policy
 from stagewalk.eligibility.core import Eligibility, RequestScope
-from stagewalk.forwarding.attempt_failures import note_failed_attempt
+from stagewalk.forwarding.attempt_failures import note_failed_attempt, note_withheld_attempt
 from stagewalk.forwarding.policy import ForwardedRequest, Unanswered, evidence_of, is_success
 from stagewalk.logs.lines import log_event
 from stagewalk.ports.workers import (
@@ -175,9 +175,7 @@
         scope = RequestScope(state.route, request.tenant)
         permit = self._eligibility.permit(worker, scope, began)
         if permit.is_error():
-            worker.note_ended()
-            withheld = AttemptFailure(AttemptFault.WITHHELD, permit.error.value)
-            note_failed_attempt(request.request_id, state, worker, withheld)
+            note_withheld_attempt(request.request_id, state, worker, permit.error)
             return
         outbound = OutboundRequest(
             request_id=request.request_id,
--- a/src/stagewalk/forwarding/stream_forwarder.py
+++ b/src/stagewalk/forwarding/stream_forwarder.py
@@ -10,7 +10,7 @@
 from expression import Error, Ok, Result
 
 from stagewalk.eligibility.core import Eligibility, RequestScope
-from stagewalk.forwarding.attempt_failures import note_failed_attempt
+from stagewalk.forwarding.attempt_failures import note_failed_attempt, note_withheld_attempt
 from stagewalk.forwarding.forwarder import (
     BegunListener,
     InboundRequest,
@@ -135,9 +135,7 @@
         scope = RequestScope(state.route, request.tenant)
         permit = self._eligibility.permit(worker, scope, now)
         if permit.is_error():
-            worker.note_ended()
-            withheld = AttemptFailure(AttemptFault.WITHHELD, permit.error.value)
-            note_failed_attempt(request.request_id, state, worker, withheld)
+            note_withheld_attempt(request.request_id, state, worker, permit.error)
             return None
         outbound = OutboundRequest(
             request_id=request.request_id,
--- a/tests/gateway/test_second_submissions.py
+++ b/tests/gateway/test_second_submissions.py
@@ -148,10 +148,8 @@
         log = MemoryLog()
         client = log.client()
 
-        async def put(*records: BatchRecord) -> int:
-            sequence = ProducerSequence(f"p{client.calls}", 1, 1)
-            answer = await client.append(ONLY, [encode_record(r) for r in records], sequence)
-            return answer.ok
+        async def put(record: BatchRecord) -> int:
+            return await append(log, ONLY, [encode_record(record)])
 
         async def scenario() -> None:
             store = BatchStore(log.client(), "p", RECORD_BYTES, RECORD_BYTES, 1)
