Sight: logs name the content of requests that lose their worker, and how contact was lost

Cause: a try's lines could not be told to be of the same request as another try's, and a closed connection looked like an answer that came late. Change: contact_loss and content on attempt_failed, content on request_ended of what may have run. No decision changes.

--- a/src/stagewalk/forwarding/attempt_failures.py
+++ b/src/stagewalk/forwarding/attempt_failures.py
@@ -4,6 +4,7 @@
 
 import time
 
+from stagewalk.forwarding.inbound import InboundRequest
 from stagewalk.forwarding.policy import ForwardedRequest
 from stagewalk.logs.lines import log_event
 from stagewalk.ports.denials import Denial
@@ -12,7 +13,7 @@
 
 
 def note_failed_attempt(
-    request_id: str, state: ForwardedRequest, worker: Worker, failure: AttemptFailure
+    request: InboundRequest, state: ForwardedRequest, worker: Worker, failure: AttemptFailure
 ) -> None:
     """Count a failed attempt; a worker that failed without refusing is avoided for a while.
 
@@ -26,19 +27,27 @@
     log_event(
         "attempt_failed",
         "warning",
-        request=request_id,
+        request=request.request_id,
         worker=worker.announcement.worker,
         fault=failure.fault,
         detail=failure.detail,
         occupancy=worker.occupancy(now),
         attempts=state.spent,
+        **_loss_fields(request, failure),
     )
 
 
 def note_withheld_attempt(
-    request_id: str, state: ForwardedRequest, worker: Worker, denial: Denial
+    request: InboundRequest, state: ForwardedRequest, worker: Worker, denial: Denial
 ) -> None:
     """Count an attempt that was denied its permit: nothing of it was sent."""
     worker.note_ended()
     withheld = AttemptFailure(AttemptFault.WITHHELD, denial.value)
-    note_failed_attempt(request_id, state, worker, withheld)
+    note_failed_attempt(request, state, worker, withheld)
+
+
+def _loss_fields(request: InboundRequest, failure: AttemptFailure) -> dict[str, str]:
+    """Return what tells whether requests of one content lose their workers again and again."""
+    if failure.contact_loss is None:
+        return {}
+    return {"contact_loss": failure.contact_loss.value, "content": request.content().digest}
--- a/src/stagewalk/forwarding/forwarder.py
+++ b/src/stagewalk/forwarding/forwarder.py
@@ -14,12 +14,12 @@
 from stagewalk.core.policy import ALL_ON, Policy
 from stagewalk.eligibility.core import Eligibility, RequestScope
 from stagewalk.forwarding.attempt_failures import note_failed_attempt, note_withheld_attempt
+from stagewalk.forwarding.inbound import InboundRequest
 from stagewalk.forwarding.policy import ForwardedRequest, Unanswered, evidence_of, is_success
 from stagewalk.logs.lines import log_event
 from stagewalk.ports.workers import (
     AttemptFailure,
     AttemptFault,
-    HeaderList,
     OutboundRequest,
     WorkerAnswer,
     WorkerClient,
@@ -40,25 +40,6 @@
 GOOD_OUTCOMES = frozenset({"answered_200", "stream_200"})
 
 
-@dataclass(frozen=True, slots=True)
-class InboundRequest:
-    """A caller's request, whole.
-
-    Attributes
-    ----------
-    tenant, priority
-        As in `OutboundRequest`.
-    """
-
-    request_id: str
-    method: str
-    target: str
-    headers: HeaderList
-    body: bytes
-    tenant: str | None = None
-    priority: int | None = None
-
-
 @dataclass(slots=True)
 class _Settled:
     """Where attempts leave the answer that wins."""
@@ -175,7 +156,7 @@
         scope = RequestScope(state.route, request.tenant)
         permit = self._eligibility.permit(worker, scope, began)
         if permit.is_error():
-            note_withheld_attempt(request.request_id, state, worker, permit.error)
+            note_withheld_attempt(request, state, worker, permit.error)
             return
         outbound = OutboundRequest(
             request_id=request.request_id,
@@ -198,7 +179,7 @@
                 state.note_unanswered(began)
         now = time.monotonic()
         if result.is_error():
-            note_failed_attempt(request.request_id, state, worker, result.error)
+            note_failed_attempt(request, state, worker, result.error)
             return
         answer = result.ok
         state.note_run(began)
@@ -206,7 +187,7 @@
         worker.note_connection(outbound.repeatable and not answer.leaving, now)
         if is_success(answer.status) and not answer.genuine:
             damaged = AttemptFailure(AttemptFault.MAY_HAVE_RUN, "an answer without signature")
-            note_failed_attempt(request.request_id, state, worker, damaged)
+            note_failed_attempt(request, state, worker, damaged)
             return
         worker.note_success(now - began, now)
         state.under_way -= 1
@@ -219,6 +200,7 @@
 ) -> None:
     """Log how a forwarded request ended, which workers it went to and what chose them."""
     good = outcome in GOOD_OUTCOMES
+    content = {} if good or not state.may_have_run else {"content": request.content().digest}
     log_event(
         "request_ended",
         "info" if good else "warning",
@@ -232,6 +214,7 @@
         attempts=state.spent,
         denied=_count_denials(state),
         seconds=time.monotonic() - state.began_at,
+        **content,
     )
 
 
--- a/src/stagewalk/forwarding/stream_forwarder.py
+++ b/src/stagewalk/forwarding/stream_forwarder.py
@@ -13,10 +13,10 @@
 from stagewalk.forwarding.attempt_failures import note_failed_attempt, note_withheld_attempt
 from stagewalk.forwarding.forwarder import (
     BegunListener,
-    InboundRequest,
     ignore_begun,
     log_request_end,
 )
+from stagewalk.forwarding.inbound import InboundRequest
 from stagewalk.forwarding.policy import Ending, ForwardedRequest, Unanswered, evidence_of
 from stagewalk.ports.workers import (
     AttemptFailure,
@@ -135,7 +135,7 @@
         scope = RequestScope(state.route, request.tenant)
         permit = self._eligibility.permit(worker, scope, now)
         if permit.is_error():
-            note_withheld_attempt(request.request_id, state, worker, permit.error)
+            note_withheld_attempt(request, state, worker, permit.error)
             return None
         outbound = OutboundRequest(
             request_id=request.request_id,
@@ -163,7 +163,7 @@
         if result.is_ok():
             state.under_way -= 1
             return result.ok
-        note_failed_attempt(request.request_id, state, worker, result.error)
+        note_failed_attempt(request, state, worker, result.error)
         return None
 
     def _zone_evacuated(self, zone: str, now: float) -> None:
--- a/src/stagewalk/gateway/app.py
+++ b/src/stagewalk/gateway/app.py
@@ -11,7 +11,8 @@
 
 from stagewalk.directory.caller_subset import CallerPlace
 from stagewalk.evacuation.zones import Evacuations
-from stagewalk.forwarding.forwarder import Forwarder, InboundRequest
+from stagewalk.forwarding.forwarder import Forwarder
+from stagewalk.forwarding.inbound import InboundRequest
 from stagewalk.forwarding.policy import COME_BACK_SECONDS, Ending, Unanswered
 from stagewalk.forwarding.stream_forwarder import StreamForwarder
 from stagewalk.gateway.batch_calls import BatchCalls
--- a/src/stagewalk/ports/workers.py
+++ b/src/stagewalk/ports/workers.py
@@ -43,6 +43,15 @@
         return self is not AttemptFault.MAY_HAVE_RUN
 
 
+class ContactLoss(StrEnum):
+    """How contact with a worker was lost after a request had been sent."""
+
+    CLOSED = "closed"
+    """The connection ended before a whole answer: at once where the worker's process ended."""
+    SILENT = "silent"
+    """Nothing whole came in time: a worker whose machine is gone, or one that is slow."""
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerLoad:
     """Load a worker told with an answer."""
@@ -116,11 +125,18 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptFailure:
-    """An attempt without a usable answer."""
+    """An attempt without a usable answer.
+
+    Attributes
+    ----------
+    contact_loss
+        How contact was lost, None if the worker answered or the request never reached it.
+    """
 
     fault: AttemptFault
     detail: str
     load: WorkerLoad | None = None
+    contact_loss: ContactLoss | None = None
 
 
 @dataclass(frozen=True, slots=True)
