--- a/src/stagewalk_standins/memory_workers.py
+++ b/src/stagewalk_standins/memory_workers.py
@@ -4,6 +4,7 @@
 
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -13,6 +14,7 @@
 from stagewalk.ports.workers import (
     AttemptFailure,
     AttemptFault,
+    ContactLoss,
     OrderOutcome,
     OutboundRequest,
     StreamEnd,
@@ -26,6 +28,13 @@
 )
 
 SUCCESS = 200
+CRASH_SECONDS = 0.02
+"""How long a worker works on a request that crashes it."""
+
+_CONNECTION_REFUSED = AttemptFailure(AttemptFault.NOT_SENT, "connection refused")
+_CONNECTION_CLOSED = AttemptFailure(
+    AttemptFault.MAY_HAVE_RUN, "connection closed", contact_loss=ContactLoss.CLOSED
+)
 
 
 @dataclass(slots=True)
@@ -53,6 +62,8 @@
     orders: list[VersionOrder] = field(default_factory=list)
     running: int = 0
     slots: int = 4
+    ended: anyio.Event = field(default_factory=anyio.Event)
+    """Set once its process has crashed: whatever ran there has lost its connection."""
 
     @property
     def load(self) -> WorkerLoad:
@@ -82,6 +93,11 @@
         """How long a connection takes to come up."""
         self.log: list[Arrival] = []
         """Requests that reached a worker, in order."""
+        self.crashing: set[bytes] = set()
+        """Bodies of requests that crash each worker that begins to run them."""
+        self.crashes: list[str] = []
+        """Workers that ended so, in order."""
+        self.on_crash: Callable[[str], None] = lambda _worker: None
 
     async def _connect(self, permit: SendPermit) -> AttemptFailure | None:
         """Confirm a permit once the connection is there, and note the arrival."""
@@ -102,6 +118,8 @@
         """Answer with the worker's name and the body."""
         target = permit.target
         worker = self.workers[target.worker]
+        if worker.ended.is_set():
+            return Error(_CONNECTION_REFUSED)
         if worker.faults and worker.faults[0] is AttemptFault.NOT_SENT:
             return Error(AttemptFailure(worker.faults.pop(0), "scripted"))
         withheld = await self._connect(permit)
@@ -111,12 +129,14 @@
         self.tenants[request.request_id] = request.tenant
         worker.running += 1
         try:
-            await anyio.sleep(worker.answer_seconds)
+            await self._work(target.worker, request, worker.answer_seconds)
         except BaseException:
             self.cancelled += 1
             raise
         finally:
             worker.running -= 1
+        if worker.ended.is_set():
+            return Error(_CONNECTION_CLOSED)
         if worker.faults:
             return Error(AttemptFailure(worker.faults.pop(0), "scripted", worker.load))
         headers = (("x-worker", target.worker),)
@@ -130,24 +150,47 @@
     ) -> Result[StreamEnd, AttemptFailure]:
         """Make an item's events; a scripted fault strikes after the first of them."""
         worker = self.workers[permit.target.worker]
+        if worker.ended.is_set():
+            return Error(_CONNECTION_REFUSED)
         withheld = await self._connect(permit)
         if withheld is not None:
             return Error(withheld)
         self.arrivals[request.request_id] += 1
         self.tenants[request.request_id] = request.tenant
+        await self._work(permit.target.worker, request, 0.0)
+        if worker.ended.is_set():
+            return Error(_CONNECTION_CLOSED)
         fault = worker.faults.pop(0) if worker.faults else None
         if fault is not None and fault.proves_not_run:
             return Error(AttemptFailure(fault, "scripted", worker.load))
         version = max(worker.versions.values(), default=1)
         await deliver(StreamHead(SUCCESS, (), (version,), worker.load))
         for number in range((request.resume_after or 0) + 1, worker.events + 1):
-            await anyio.sleep(worker.event_seconds)
+            await self._work(permit.target.worker, request, worker.event_seconds)
+            if worker.ended.is_set():
+                return Error(_CONNECTION_CLOSED)
             data = f"{request.request_id}-{number}"
             await deliver(StreamEvent(number, data, None, data.encode()))
             if fault is not None:
                 return Error(AttemptFailure(fault, "scripted", worker.load))
         return Ok(StreamEnd(SUCCESS))
 
+    async def _work(self, name: str, request: OutboundRequest, seconds: float) -> None:
+        """Work for a time, less if the worker crashes meanwhile, which the request may cause."""
+        worker = self.workers[name]
+        if request.body in self.crashing:
+            await anyio.sleep(CRASH_SECONDS)
+            self.crash(name)
+        with anyio.move_on_after(seconds):
+            await worker.ended.wait()
+
+    def crash(self, name: str) -> None:
+        """End a worker's process: what runs there is lost, and nobody listens any more."""
+        if not self.workers[name].ended.is_set():
+            self.workers[name].ended.set()
+            self.crashes.append(name)
+            self.on_crash(name)
+
     async def report(self, target: WorkerTarget) -> Result[WorkerReport, AttemptFailure]:
         """Report its versions."""
         worker = self.workers[target.worker]
