--- a/src/stagewalk/batches/attempt_watch.py
+++ b/src/stagewalk/batches/attempt_watch.py
@@ -61,7 +61,7 @@
         route = self._route_of(batch.header.host, item.spec.path)
         if route is None:
             return []
-        scope = RequestScope(route, batch.header.tenant)
+        scope = RequestScope(route, item.content, batch.header.tenant)
         workers: list[Worker] = []
         for back_end in route.back_ends:
             found = self._eligibility.candidates(back_end.service, scope, now)
--- a/src/stagewalk/batches/item_run.py
+++ b/src/stagewalk/batches/item_run.py
@@ -9,12 +9,21 @@
 
 from stagewalk.batches.ledger import EVENT_SEPARATOR
 from stagewalk.batches.records import BatchItem, ItemFinished, ItemProgress
+from stagewalk.quarantine.content import RequestContent
 
 PACE_GAPS = 3
 FAILURE_PAUSE_SECONDS = 0.1
 """How long an item whose attempt failed waits before the next one."""
 
 
+ITEM_METHOD = "POST"
+
+
+def item_content(host: str, item: BatchItem) -> RequestContent:
+    """Return what decides how a worker runs an item: the same in any batch of its route's host."""
+    return RequestContent(ITEM_METHOD, host, item.path, item.body)
+
+
 @dataclass(slots=True)
 class RunningAttempt:
     """An attempt under way. Times are of the steady clock."""
@@ -65,6 +74,7 @@
     """
 
     spec: BatchItem
+    content: RequestContent
     events: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
     running: RunningAttempt | None = None
@@ -79,6 +89,11 @@
     told_score_failures: int | None = None
     known_events: int = 0
 
+    @classmethod
+    def begin(cls, host: str, spec: BatchItem) -> ItemRun:
+        """Return an item of which nothing has been made, of a batch at a host."""
+        return cls(spec, item_content(host, spec))
+
     @property
     def waiting(self) -> bool:
         """Whether it needs an attempt."""
--- a/src/stagewalk/batches/scheduler.py
+++ b/src/stagewalk/batches/scheduler.py
@@ -125,7 +125,7 @@
         for name, spec in batch.items.items():
             if name in batch.listed:
                 continue
-            item = ItemRun(spec)
+            item = ItemRun.begin(batch.header.host, spec)
             run.items[name] = item
             kept = kept_text(spec)
             item.known_events = 0 if kept is None else len(kept.events)
--- a/src/stagewalk/eligibility/core.py
+++ b/src/stagewalk/eligibility/core.py
@@ -16,9 +16,10 @@
 from stagewalk.evacuation.zones import Evacuations
 from stagewalk.ports.denials import Denial
 from stagewalk.ports.send_permits import SendPermit
+from stagewalk.quarantine.content import RequestContent
 from stagewalk.regions.distance import Proximity
 from stagewalk.regions.homes import AllowedRegions, allows
-from stagewalk.routes.route import Route, Service
+from stagewalk.routes.route import Route, RouteKind, Service
 from stagewalk.routes.table import RouteTable
 from stagewalk.workers.table import WorkerTable
 from stagewalk.workers.worker import Worker
@@ -26,9 +27,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestScope:
-    """What binds a request to regions: its route, and whose it is."""
+    """What decides where a request may run: its route, its content, and whose it is."""
 
     route: Route
+    content: RequestContent
     tenant: str | None = None
 
 
@@ -46,8 +48,12 @@
     denied: Mapping[str, Denial] = field(default_factory=dict)
 
 
+HoldCheck = Callable[[RequestContent, bool], bool]
+"""Whether a request is held back now, as workers ended under it; told whether it is an item."""
+
+
 class Eligibility:
-    """Judges sends by evacuations, cold starts and the regions that a request is bound to."""
+    """Judges sends by evacuations, cold starts, regions, and what is held back."""
 
     def __init__(
         self,
@@ -56,7 +62,10 @@
         proximity: Proximity,
         evacuations: Evacuations,
         cold: ColdStarts,
+        *,
+        held: HoldCheck,
     ) -> None:
+        self._held = held
         self._workers = workers
         self._routes = routes
         self._proximity = proximity
@@ -78,16 +87,20 @@
         """Return the zones being evacuated."""
         return self._evacuations
 
-    def scope(self, host: str, path: str, tenant: str | None) -> RequestScope | None:
-        """Return what binds a request to regions, None if no route takes it."""
-        route = self._routes.find(host, path)
-        return None if route is None else RequestScope(route, tenant)
+    def scope(self, path: str, content: RequestContent, tenant: str | None) -> RequestScope | None:
+        """Return what decides where a request may run, None if no route takes it."""
+        route = self._routes.find(content.host, path)
+        return None if route is None else RequestScope(route, content, tenant)
 
     def candidates(self, service: str, scope: RequestScope, now: float) -> Candidates:
         """Return the workers of a service that a request may be sent to now.
 
         Many items ask at the same moment, so what was found for one counts for all of them.
         """
+        if self._is_held(scope):
+            serving = self._workers.serving(service)
+            denied = {w.announcement.worker: Denial.CRASHES_WORKERS for w in serving}
+            return Candidates([], denied)
         if now != self._found_at:
             self._found.clear()
             self._found_at = now
@@ -123,6 +136,8 @@
             return Error(Denial.NO_ROUTE)
         service = self._routes.service(worker.announcement.service)
         denial = self._judge(worker, service, self._allowed(scope), now)
+        if denial is None and self._is_held(scope):
+            denial = Denial.CRASHES_WORKERS
         if denial is not None:
             self.on_denied(denial)
             return Error(denial)
@@ -149,6 +164,9 @@
         denied = {name: denial for name, denial in judged.items() if denial is not None}
         return Candidates(self._workers.usable(service, denied), denied)
 
+    def _is_held(self, scope: RequestScope) -> bool:
+        return self._held(scope.content, scope.route.kind is RouteKind.BATCH)
+
     def _allowed(self, scope: RequestScope) -> AllowedRegions:
         return self._routes.regions_of(scope.route, scope.tenant)
 
@@ -178,6 +196,8 @@
         """Judge a request as its first byte is to go, and count it at a cold worker."""
         if self._workers.worker(worker.announcement.worker) is not worker:
             return Denial.WORKER_LEAVING
+        if self._is_held(scope):
+            return Denial.CRASHES_WORKERS
         denial = self._judge(worker, None, self._allowed(scope), now)
         service = self._routes.service(worker.announcement.service)
         if denial is not None or service is None:
--- a/src/stagewalk/explain/story.py
+++ b/src/stagewalk/explain/story.py
@@ -39,7 +39,7 @@
 SYSTEM_EVENTS = frozenset({"lease_held", "version_named", "zone_evacuated", "zone_restored"})
 """What concerns every batch. Every node tells it; the first one's line is enough."""
 
-_IDENTIFYING_FIELDS = ("request", "batch", "item", "window")
+_IDENTIFYING_FIELDS = ("request", "batch", "item", "window", "content")
 
 
 class Kind(StrEnum):
@@ -48,6 +48,8 @@
     REQUEST = "request"
     BATCH = "batch"
     ITEM = "item"
+    CONTENT = "content"
+    """What requests of several ids have in common, where workers ended under them."""
     WINDOW = "window"
     """A window of time that usage is reported for."""
 
@@ -56,6 +58,7 @@
     Kind.REQUEST: ("request_ended", "caller_denied"),
     Kind.BATCH: ("batch_ended", "batch_refused"),
     Kind.ITEM: ("item_finished",),
+    Kind.CONTENT: ("request_held_back", "request_cleared", "held_request_lifted"),
     Kind.WINDOW: ("usage_reported",),
 }
 """Events that tell how what an id names ended."""
@@ -133,7 +136,7 @@
         for field_name in _IDENTIFYING_FIELDS
         if line.get(field_name) == identity
     }
-    kinds = (Kind.ITEM, Kind.BATCH, Kind.REQUEST, Kind.WINDOW)
+    kinds = (Kind.ITEM, Kind.BATCH, Kind.REQUEST, Kind.WINDOW, Kind.CONTENT)
     return next((kind for kind in kinds if kind in named), None)
 
 
--- a/src/stagewalk/forwarding/attempt_failures.py
+++ b/src/stagewalk/forwarding/attempt_failures.py
@@ -50,4 +50,4 @@
     """Return what tells whether requests of one content lose their workers again and again."""
     if failure.contact_loss is None:
         return {}
-    return {"contact_loss": failure.contact_loss.value, "content": request.content().digest}
+    return {"contact_loss": failure.contact_loss.value, "content": request.content.digest}
--- a/src/stagewalk/forwarding/forwarder.py
+++ b/src/stagewalk/forwarding/forwarder.py
@@ -12,11 +12,12 @@
 from expression import Error, Ok, Result
 
 from stagewalk.core.policy import ALL_ON, Policy
-from stagewalk.eligibility.core import Eligibility, RequestScope
+from stagewalk.eligibility.core import Eligibility
 from stagewalk.forwarding.attempt_failures import note_failed_attempt, note_withheld_attempt
 from stagewalk.forwarding.inbound import InboundRequest
 from stagewalk.forwarding.policy import ForwardedRequest, Unanswered, evidence_of, is_success
 from stagewalk.logs.lines import log_event
+from stagewalk.ports.crash_reports import CrashReports, SentRequest
 from stagewalk.ports.workers import (
     AttemptFailure,
     AttemptFault,
@@ -55,12 +56,14 @@
         client: WorkerClient,
         eligibility: Eligibility,
         routes: RouteTable,
+        crashes: CrashReports,
         *,
         policy: Policy = ALL_ON,
         on_begun: BegunListener = ignore_begun,
     ) -> None:
         self._client = client
         self._eligibility = eligibility
+        self._crashes = crashes
         self._routes = routes
         self._policy = policy
         self._on_begun = on_begun
@@ -79,6 +82,8 @@
             with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - time.monotonic())):
                 await self._attempt_until_settled(request, state, service, settled)
         finally:
+            if settled.answer is None:
+                self._crashes.tell(request.content)
             if state.began_running is not None:
                 self._on_begun(request.tenant, state.began_running)
         now = time.monotonic()
@@ -86,14 +91,22 @@
             outcome = f"answered_{settled.answer.status}"
             log_request_end(request, state, self._routes.version, outcome)
             return Ok(settled.answer)
+        await self._crashes.told(request.content)
         ending = state.ending(now)
         log_request_end(request, state, self._routes.version, ending.value)
         return Error(state.unanswered(ending))
 
     async def _attempt_until_settled(
-        self, request: InboundRequest, state: ForwardedRequest, service: str, settled: _Settled
+        self,
+        request: InboundRequest,
+        state: ForwardedRequest,
+        service: str,
+        settled: _Settled,
     ) -> None:
         while settled.answer is None:
+            state.withheld = await self._crashes.denial(request.content)
+            if state.withheld is not None:
+                return
             worker = self._choose(request, service, state)
             if worker is None or not state.may_try_again(time.monotonic()):
                 return
@@ -120,6 +133,7 @@
             self._start(state, worker)
             tasks.start_soon(attempt, worker)
             await anyio.sleep(delay)
+            state.suspected = self._crashes.known_level(request.content) > 0
             second = self._choose(request, service, state)
             if second is not None and state.may_hedge(time.monotonic()):
                 self._start(state, second)
@@ -129,7 +143,7 @@
         self, request: InboundRequest, service: str, state: ForwardedRequest
     ) -> Worker | None:
         now = time.monotonic()
-        scope = RequestScope(state.route, request.tenant)
+        scope = request.scope(state.route)
         found = self._eligibility.candidates(service, scope, now)
         self._eligibility.want(found, now)
         state.denied = found.denied
@@ -150,11 +164,15 @@
         worker.note_sent()
 
     async def _attempt(
-        self, request: InboundRequest, state: ForwardedRequest, worker: Worker, settled: _Settled
+        self,
+        request: InboundRequest,
+        state: ForwardedRequest,
+        worker: Worker,
+        settled: _Settled,
     ) -> None:
         began = time.monotonic()
-        scope = RequestScope(state.route, request.tenant)
-        permit = self._eligibility.permit(worker, scope, began)
+        known_level = self._crashes.known_level(request.content)
+        permit = self._eligibility.permit(worker, request.scope(state.route), began)
         if permit.is_error():
             note_withheld_attempt(request, state, worker, permit.error)
             return
@@ -179,6 +197,10 @@
                 state.note_unanswered(began)
         now = time.monotonic()
         if result.is_error():
+            sent = SentRequest(
+                request.request_id, request.content, worker, state.route.name, known_level, began
+            )
+            await self._crashes.lost(sent, result.error)
             note_failed_attempt(request, state, worker, result.error)
             return
         answer = result.ok
@@ -190,6 +212,7 @@
             note_failed_attempt(request, state, worker, damaged)
             return
         worker.note_success(now - began, now)
+        self._crashes.answered(request.content)
         state.under_way -= 1
         if state.accepts(answer, now):
             settled.answer = answer
@@ -200,7 +223,7 @@
 ) -> None:
     """Log how a forwarded request ended, which workers it went to and what chose them."""
     good = outcome in GOOD_OUTCOMES
-    content = {} if good or not state.may_have_run else {"content": request.content().digest}
+    content = {} if good or not state.may_have_run else {"content": request.content.digest}
     log_event(
         "request_ended",
         "info" if good else "warning",
--- a/src/stagewalk/forwarding/inbound.py
+++ b/src/stagewalk/forwarding/inbound.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from stagewalk.eligibility.core import RequestScope
 from stagewalk.ports.workers import HeaderList
 from stagewalk.quarantine.content import RequestContent
+from stagewalk.routes.route import Route
 
 HOST_HEADER = "host"
 
@@ -28,7 +30,14 @@
     tenant: str | None = None
     priority: int | None = None
 
-    def content(self) -> RequestContent:
-        """Return what decides how a worker runs it."""
+    content: RequestContent = field(init=False)
+    """What decides how a worker runs it."""
+
+    def __post_init__(self) -> None:
         host = next((value for name, value in self.headers if name.lower() == HOST_HEADER), "")
-        return RequestContent(self.method, host, self.target, self.body)
+        content = RequestContent(self.method, host, self.target, self.body)
+        object.__setattr__(self, "content", content)
+
+    def scope(self, route: Route) -> RequestScope:
+        """Return what decides where it may run."""
+        return RequestScope(route, self.content, self.tenant)
--- a/src/stagewalk/forwarding/policy.py
+++ b/src/stagewalk/forwarding/policy.py
@@ -109,6 +109,10 @@
     last_failure: AttemptFailure | None = None
     denied: Mapping[str, Denial] = field(default_factory=dict)
     """By worker that it might not be sent to when one was chosen last, why."""
+    withheld: Denial | None = None
+    """Why it must not be sent to any worker at all."""
+    suspected: bool = False
+    """Whether workers ended under its content: it is sent to one worker at a time then."""
 
     def started(self, worker: str, evidence: Evidence) -> None:
         """Note that an attempt began at a worker that was chosen by some evidence."""
@@ -152,7 +156,12 @@
 
     def may_hedge(self, now: float) -> bool:
         """Whether an attempt beside the one under way is allowed."""
-        return self.route.repeatable and self.under_way == 1 and self.may_try_again(now)
+        return (
+            self.route.repeatable
+            and not self.suspected
+            and self.under_way == 1
+            and self.may_try_again(now)
+        )
 
     def hedge_after(self, usual_latency: float | None) -> float:
         """Return after how many seconds without an answer to try a second worker."""
@@ -180,8 +189,11 @@
         """Return how it ended, and when its caller should come back."""
         if ending is not Ending.NOT_RUN:
             return Unanswered(ending)
-        denials = () if self.tried else self.denied.values()
-        return Unanswered(ending, come_back_seconds(set(denials), COME_BACK_SECONDS))
+        if self.withheld is not None:
+            denials = {self.withheld}
+        else:
+            denials = set() if self.tried else set(self.denied.values())
+        return Unanswered(ending, come_back_seconds(denials, COME_BACK_SECONDS))
 
 
 def hedge_delay(route: Route, usual_latency: float | None) -> float:
--- a/src/stagewalk/forwarding/stream_forwarder.py
+++ b/src/stagewalk/forwarding/stream_forwarder.py
@@ -9,7 +9,7 @@
 import anyio
 from expression import Error, Ok, Result
 
-from stagewalk.eligibility.core import Eligibility, RequestScope
+from stagewalk.eligibility.core import Eligibility
 from stagewalk.forwarding.attempt_failures import note_failed_attempt, note_withheld_attempt
 from stagewalk.forwarding.forwarder import (
     BegunListener,
@@ -18,6 +18,7 @@
 )
 from stagewalk.forwarding.inbound import InboundRequest
 from stagewalk.forwarding.policy import Ending, ForwardedRequest, Unanswered, evidence_of
+from stagewalk.ports.crash_reports import CrashReports, SentRequest
 from stagewalk.ports.workers import (
     AttemptFailure,
     AttemptFault,
@@ -71,10 +72,12 @@
         client: WorkerClient,
         eligibility: Eligibility,
         routes: RouteTable,
+        crashes: CrashReports,
         on_begun: BegunListener = ignore_begun,
     ) -> None:
         self._on_begun = on_begun
         self._client = client
+        self._crashes = crashes
         self._eligibility = eligibility
         self._routes = routes
         self._under_way: dict[_Attempt, None] = {}
@@ -96,27 +99,38 @@
         service = self._routes.choose_back_end(route).service
         progress = _Progress(last_event=resume_after)
         ended: StreamEnd | None = None
-        with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - time.monotonic())):
-            while ended is None:
-                now = time.monotonic()
-                scope = RequestScope(route, request.tenant)
-                found = self._eligibility.candidates(service, scope, now)
-                self._eligibility.want(found, now)
-                state.denied = found.denied
-                proximity = self._eligibility.proximity
-                worker = choose_worker(found.workers, now, proximity, state.tried)
-                if worker is None or not state.may_try_again(now):
-                    break
-                ended = await self._attempt(request, state, worker, progress, consume)
+        try:
+            with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - time.monotonic())):
+                while ended is None:
+                    state.withheld = await self._crashes.denial(request.content)
+                    worker = self._choose(request, service, state)
+                    if worker is None or not state.may_try_again(time.monotonic()):
+                        break
+                    ended = await self._attempt(request, state, worker, progress, consume)
+        finally:
+            if ended is None:
+                self._crashes.tell(request.content)
         if ended is not None:
             log_request_end(request, state, self._routes.version, f"stream_{ended.status}")
             return Ok(ended)
+        await self._crashes.told(request.content)
         ending = state.ending(time.monotonic())
         if progress.started and ending is Ending.NOT_RUN:
             ending = Ending.UNKNOWN
         log_request_end(request, state, self._routes.version, ending.value)
         return Error(state.unanswered(ending))
 
+    def _choose(
+        self, request: InboundRequest, service: str, state: ForwardedRequest
+    ) -> Worker | None:
+        if state.withheld is not None:
+            return None
+        now = time.monotonic()
+        found = self._eligibility.candidates(service, request.scope(state.route), now)
+        self._eligibility.want(found, now)
+        state.denied = found.denied
+        return choose_worker(found.workers, now, self._eligibility.proximity, state.tried)
+
     async def _attempt(
         self,
         request: InboundRequest,
@@ -132,8 +146,8 @@
             await self._pass_on(part, worker, progress, consume, request.tenant)
 
         now = time.monotonic()
-        scope = RequestScope(state.route, request.tenant)
-        permit = self._eligibility.permit(worker, scope, now)
+        known_level = self._crashes.known_level(request.content)
+        permit = self._eligibility.permit(worker, request.scope(state.route), now)
         if permit.is_error():
             note_withheld_attempt(request, state, worker, permit.error)
             return None
@@ -162,7 +176,12 @@
             worker.note_ended()
         if result.is_ok():
             state.under_way -= 1
+            self._crashes.answered(request.content)
             return result.ok
+        sent = SentRequest(
+            request.request_id, request.content, worker, state.route.name, known_level, now
+        )
+        await self._crashes.lost(sent, result.error)
         note_failed_attempt(request, state, worker, result.error)
         return None
 
--- a/src/stagewalk/gateway/app.py
+++ b/src/stagewalk/gateway/app.py
@@ -18,6 +18,7 @@
 from stagewalk.gateway.batch_calls import BatchCalls
 from stagewalk.gateway.caller_gate import Caller, CallerGate
 from stagewalk.gateway.exchange import OpaqueExchange
+from stagewalk.gateway.held_requests import HeldRequests
 from stagewalk.gateway.metrics import GatewayMetrics
 from stagewalk.gateway.node_service import NodeService
 from stagewalk.gateway.replies import reply_empty, reply_error, reply_json
@@ -72,6 +73,7 @@
         refresh: Callable[[], Awaitable[None]],
         gate: CallerGate,
         evacuations: Evacuations,
+        held: HeldRequests,
     ) -> None:
         self._routes = routes
         self._forwarder = forwarder
@@ -89,6 +91,7 @@
         self._refresh = refresh
         self._gate = gate
         self._evacuations = evacuations
+        self._held = held
         self._fixed: dict[str, Endpoint] = {
             dialect.callers.ready_path: self._readiness,
             dialect.callers.resolve_path: self._resolve,
@@ -140,6 +143,9 @@
         if fixed is not None:
             await fixed(exchange)
             return
+        if self._held.takes(exchange):
+            await self._held.serve(exchange)
+            return
         await self._refresh()
         if self._routes.configuration is None:
             await reply_error(exchange, 503, "no configuration is known yet", COME_BACK_SECONDS)
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -10,10 +10,6 @@
 
 from stagewalk.batches.ledger import Batch, KeptText, LedgerChange
 from stagewalk.batches.messages import (
-    AttemptBroken,
-    AttemptEnded,
-    AttemptEvent,
-    AttemptHead,
     RecordItem,
     SchedulerEvent,
     SchedulerInstruction,
@@ -27,17 +23,14 @@
 from stagewalk.gateway.batch_store import BatchStore
 from stagewalk.gateway.early_start import PartialLedger
 from stagewalk.gateway.identity import ProcessId
+from stagewalk.gateway.item_sender import ItemSender
 from stagewalk.gateway.node_service import NodeService
 from stagewalk.gateway.open_batches import OpenBatches
 from stagewalk.gateway.run_views import RunViews
 from stagewalk.gateway.score_sender import ScoreSender
 from stagewalk.logs.lines import log_event
+from stagewalk.ports.crash_reports import CrashReports
 from stagewalk.ports.workers import (
-    AttemptFailure,
-    AttemptFault,
-    OutboundRequest,
-    StreamHead,
-    StreamPart,
     WorkerClient,
 )
 from stagewalk.scoring.messages import SendScore, StopScore
@@ -45,14 +38,11 @@
 from stagewalk.workers.table import WorkerTable
 
 TICK_SECONDS = 0.05
-SUCCESS = 200
 LOOK_UP_RETRY_SECONDS = 0.1
 """Between two looks for a batch's mark while the log does not answer, as between two reads."""
 
 ENDED = "ended"
 KeptTextOf = Callable[[BatchItem], KeptText | None]
-ITEM_METHOD = "POST"
-HOST_HEADER = "host"
 
 
 class BatchRunner:
@@ -71,14 +61,12 @@
         rollouts: VersionRollouts,
         views: RunViews,
         places: OpenBatches,
+        crashes: CrashReports,
         on_item_started: Callable[[float], None] = lambda _view_age: None,
     ) -> None:
         self._identity = identity
         self._store = store
         self._scheduler = scheduler
-        self._client = client
-        self._workers = workers
-        self._eligibility = eligibility
         self._nodes = nodes
         self._rollouts = rollouts
         self._views = views
@@ -86,7 +74,12 @@
         self._on_item_started = on_item_started
         self._tasks: anyio.abc.TaskGroup | None = None
         self._scopes: dict[int, anyio.CancelScope] = {}
-        self._scores = ScoreSender(client, workers, eligibility, self._handle, views)
+        self._sender = ItemSender(
+            client, workers, eligibility, self._handle, views, crashes=crashes
+        )
+        self._scores = ScoreSender(
+            client, workers, eligibility, self._handle, views, crashes=crashes
+        )
         self._stopping = False
         self._begun = anyio.Event()
 
@@ -334,67 +327,7 @@
 
     async def _run_item(self, start: StartItem, scope: anyio.CancelScope) -> None:
         with scope:
-            event = await self._attempt(start)
+            event = await self._sender.attempt(start)
         if not scope.cancelled_caught:
             self._scopes.pop(start.attempt, None)
             self._handle(event)
-
-    async def _attempt(self, start: StartItem) -> AttemptEnded | AttemptBroken:
-        worker = self._workers.worker(start.worker)
-        if worker is None:
-            gone = AttemptFailure(AttemptFault.NOT_SENT, "the worker is gone")
-            return AttemptBroken(start.attempt, gone)
-        now = time.monotonic()
-        if not self._views.may_start(start.batch, now):
-            # Decided in time, but this task came to its turn late: the loop was busy or stopped.
-            withheld = AttemptFailure(AttemptFault.WITHHELD, "the view of the log is too old")
-            return AttemptBroken(start.attempt, withheld)
-        scope = self._eligibility.scope(start.host, start.item.path, start.tenant)
-        permit = self._eligibility.permit(
-            worker, scope, now, lambda at: self._views.may_send(start.batch, at)
-        )
-        if permit.is_error():
-            return self._broken(start, AttemptFailure(AttemptFault.WITHHELD, permit.error.value))
-        request = OutboundRequest(
-            request_id=start.item.item,
-            method=ITEM_METHOD,
-            target=start.item.path,
-            headers=((HOST_HEADER, start.host), *start.item.headers),
-            body=start.item.body,
-            deadline_seconds=None,
-            resume_after=start.resume_after,
-            tenant=start.tenant,
-            priority=start.priority,
-        )
-
-        async def deliver(part: StreamPart) -> None:
-            if isinstance(part, StreamHead):
-                self._handle(AttemptHead(start.attempt, part))
-            else:
-                self._handle(AttemptEvent(start.attempt, part))
-
-        result = await self._client.stream(permit.ok, request, deliver)
-        if result.is_ok():
-            log_event(
-                "text_whole" if result.ok.status == SUCCESS else "item_attempt_refused",
-                item=start.item.item,
-                batch=start.batch,
-                attempt=start.attempt,
-                worker=start.worker,
-                status=result.ok.status,
-            )
-            return AttemptEnded(start.attempt, result.ok.status)
-        return self._broken(start, result.error)
-
-    @staticmethod
-    def _broken(start: StartItem, failure: AttemptFailure) -> AttemptBroken:
-        log_event(
-            "item_attempt_failed",
-            "warning",
-            item=start.item.item,
-            attempt=start.attempt,
-            worker=start.worker,
-            fault=failure.fault,
-            detail=failure.detail,
-        )
-        return AttemptBroken(start.attempt, failure)
--- a/src/stagewalk/gateway/batch_services.py
+++ b/src/stagewalk/gateway/batch_services.py
@@ -27,6 +27,7 @@
 from stagewalk.gateway.takeover_service import TakeoverService
 from stagewalk.peer_calls.client import PeerClient
 from stagewalk.peer_calls.server import PeerHandler
+from stagewalk.ports.crash_reports import CrashReports
 from stagewalk.ports.dialect import Dialect
 from stagewalk.ports.partitioned_log import PartitionedLog
 from stagewalk.ports.workers import WorkerClient
@@ -62,6 +63,7 @@
         workers: WorkerTable,
         routes: RouteTable,
         rules: SendRules,
+        crashes: CrashReports,
         rollouts: VersionRollouts,
         starting: Callable[[], bool],
         on_item_started: Callable[[float], None],
@@ -91,6 +93,7 @@
             rollouts=rollouts,
             views=views,
             places=places,
+            crashes=crashes,
             on_item_started=on_item_started,
         )
         self.runners = RunnerChoice(
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -17,7 +17,9 @@
 from stagewalk.gateway.app import GatewayApp
 from stagewalk.gateway.batch_services import BatchServices
 from stagewalk.gateway.caller_gate import CallerGate
+from stagewalk.gateway.crash_watch import CrashWatch
 from stagewalk.gateway.duty_services import DutyServices
+from stagewalk.gateway.held_requests import HeldRequests
 from stagewalk.gateway.identity import ProcessId
 from stagewalk.gateway.metrics import GatewayMetrics, GatewayState
 from stagewalk.gateway.node_service import NodeService
@@ -122,6 +124,16 @@
             policy=policy,
             batch_regions=lambda: self._routes.batch_regions,
         )
+        self._crashes = CrashWatch(
+            log=log,
+            partition=NODES,
+            node=settings.name,
+            suspects=self._rules.suspects,
+            workers=self._workers,
+            probe=dependencies.workers.is_listening,
+        )
+        self._crashes.renew_view = self._nodes.renew
+        self._nodes.strikes = self._crashes
         self._batches = BatchServices(
             settings=lambda: self.settings,
             log=log,
@@ -134,6 +146,7 @@
             workers=self._workers,
             routes=self._routes,
             rules=self._rules,
+            crashes=self._crashes,
             rollouts=self._rollouts,
             starting=lambda: self._roles.starting,
             on_item_started=self._metrics.item_view_age.observe,
@@ -169,9 +182,9 @@
         client = dependencies.workers
         begun = self._duties.count_begun
         self._forwarder = Forwarder(
-            client, eligibility, self._routes, policy=policy, on_begun=begun
+            client, eligibility, self._routes, self._crashes, policy=policy, on_begun=begun
         )
-        self._streams = StreamForwarder(client, eligibility, self._routes, begun)
+        self._streams = StreamForwarder(client, eligibility, self._routes, self._crashes, begun)
         self._exit = anyio.Event()
         self._stopping = False
         self._stop_by = math.inf
@@ -192,6 +205,7 @@
             self._nodes.start(tasks)
             self._batches.start(tasks)
             tasks.start_soon(self._rules.cold_lease_service.run)
+            tasks.start_soon(self._crashes.run)
             self._duties.start(tasks)
             tasks.start_soon(self._housekeep)
             self._log("gateway_started")
@@ -231,6 +245,7 @@
         return list(dict.fromkeys(addresses))
 
     def _build_app(self) -> GatewayApp:
+        metrics = self.settings.metrics
         return GatewayApp(
             routes=self._routes,
             forwarder=self._forwarder,
@@ -249,6 +264,7 @@
                 self._dialect.callers.request_id,
             ),
             evacuations=self._rules.evacuations,
+            held=HeldRequests(self._crashes, None if metrics is None else metrics.port),
         )
 
     async def _refresh_views(self) -> None:
@@ -276,6 +292,8 @@
             awaited_scores=self._runner.awaited_scores,
             evacuated_zones=len(self._rules.evacuations.zones),
             cold_leases=self._rules.cold_leases(now),
+            worker_ends=self._crashes.suspects,
+            requests_held_back=len(self._crashes.held_contents()),
             view_ages={freshness.name: freshness.age(now) for freshness in followers},
         )
 
@@ -303,6 +321,7 @@
                 log_event("loop_stalled", "warning", seconds=lag)
             self._workers.expire(time.monotonic())
             self._rules.expire(time.monotonic())
+            self._crashes.step(time.monotonic())
             self._duties.sample_clock()
             for kind, count in self._log_budget.take_dropped().items():
                 log_event("log_lines_dropped", "warning", kind=kind, count=count)
--- a/src/stagewalk/gateway/exchange.py
+++ b/src/stagewalk/gateway/exchange.py
@@ -48,6 +48,9 @@
     ) -> None:
         super().__init__(scope, receive, send, limits, budget, last=last)
         self.target = _target(scope)
+        server = scope.get("server")
+        self.port: int | None = None if server is None else server[1]
+        """Of the listener that it came to."""
         self.header_list: HeaderList = tuple(
             (name.decode("latin-1"), value.decode("latin-1")) for name, value in scope["headers"]
         )
--- /dev/null
+++ b/src/stagewalk/gateway/held_requests.py
@@ -0,0 +1,50 @@
+"""Operators' look at requests that are held back: listed, and lifted, at the metrics' address."""
+
+from __future__ import annotations
+
+import msgspec
+
+from stagewalk.gateway.crash_watch import CrashWatch
+from stagewalk.gateway.exchange import OpaqueExchange
+from stagewalk.gateway.replies import reply_empty, reply_error, reply_json
+from stagewalk.logs.lines import log_event
+
+HELD_PATH = "/held-requests"
+
+
+class HeldRequests:
+    """Serves `GET /held-requests` and `DELETE /held-requests/CONTENT`.
+
+    Parameters
+    ----------
+    port
+        Of the listener that is not for callers; None: nothing is served.
+    """
+
+    def __init__(self, crashes: CrashWatch, port: int | None) -> None:
+        self._crashes = crashes
+        self._port = port
+
+    def takes(self, exchange: OpaqueExchange) -> bool:
+        """Whether an exchange is for this: callers' paths of the same name are theirs."""
+        path = exchange.path
+        mine = path == HELD_PATH or path.startswith(f"{HELD_PATH}/")
+        return mine and exchange.port is not None and exchange.port == self._port
+
+    async def serve(self, exchange: OpaqueExchange) -> None:
+        """Answer an exchange."""
+        content = exchange.path.removeprefix(HELD_PATH).removeprefix("/")
+        if exchange.method == "GET" and not content:
+            await reply_json(exchange, msgspec.json.encode(self._crashes.held_contents()))
+        elif exchange.method == "DELETE" and content:
+            await self._lift(exchange, content)
+        else:
+            await reply_error(exchange, 405, "GET the list, or DELETE one by its content")
+
+    async def _lift(self, exchange: OpaqueExchange, content: str) -> None:
+        known = self._crashes.lift(content)
+        log_event("held_request_lifted", content=content, known=known)
+        if known:
+            await reply_empty(exchange, 200)
+        else:
+            await reply_error(exchange, 404, "no worker end is known of that content")
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -48,6 +48,8 @@
     awaited_scores: int
     evacuated_zones: int
     cold_leases: int
+    worker_ends: int
+    requests_held_back: int
     view_ages: dict[str, float]
 
 
@@ -76,6 +78,8 @@
             ("running_attempts", "Attempts at items under way.", state.running_attempts),
             ("awaited_scores", "Items whose text is whole, not scored.", state.awaited_scores),
             ("evacuated_zones", "Zones whose workers get nothing.", state.evacuated_zones),
+            ("worker_ends", "Worker ends remembered, by request.", state.worker_ends),
+            ("requests_held_back", "Requests that crash workers.", state.requests_held_back),
             ("cold_leases", "Cold workers that this node may send to.", state.cold_leases),
         ):
             yield GaugeMetricFamily(f"stagewalk_{name}", text, value=float(value))
--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -24,6 +24,7 @@
 from stagewalk.log_relay.relayed_log import RelayPeers
 from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.follower import KeyedFollower
+from stagewalk.ports.keyed_records import KeyedRecords, NoKeyedRecords
 from stagewalk.ports.partitioned_log import KeyedRecord, Partition, PartitionedLog
 from stagewalk.regions.homes import AllowedRegions, allows
 
@@ -112,6 +113,9 @@
         self._calls = CallRate(time.monotonic())
         self._calls_per_second = 0.0
         self._liveness = RunnerLiveness()
+        self.strikes: KeyedRecords = NoKeyedRecords()
+        """Takes what nodes tell of workers that ended: it stands beside their announcements, which
+        every node reads before it serves, so it costs no reads of its own."""
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start announcing and following."""
@@ -146,6 +150,10 @@
         """Read announcements once more if the view of them is too old to name nodes to a caller."""
         await self._follower.refresh(OLDEST_VIEW_SECONDS, REFRESH_SECONDS)
 
+    async def renew(self, oldest_seconds: float, timeout_seconds: float) -> bool:
+        """Return whether all is known that nodes told so many seconds ago; read if it isn't."""
+        return await self._follower.renew(oldest_seconds, timeout_seconds)
+
     def set_serving(self, serving: bool) -> None:
         """Say from now on whether callers may be sent here."""
         if serving != self._serves:
@@ -338,10 +346,11 @@
         self._view_at = max(self._view_at, confirmed_at)
 
     def _replace(self, records: tuple[KeyedRecord, ...]) -> None:
+        self.strikes.replace(tuple(record for record in records if self.strikes.owns(record)))
         listing = {
             record.offset: announcement
             for record in records
-            if (announcement := _decode(record)) is not None
+            if not self.strikes.owns(record) and (announcement := _decode(record)) is not None
         }
         now = time.monotonic()
         self._table.announced(listing, now)
@@ -355,6 +364,9 @@
         self._known.set()
 
     def _apply(self, record: KeyedRecord) -> None:
+        if self.strikes.owns(record):
+            self.strikes.apply(record)
+            return
         announcement = _decode(record)
         if announcement is None:
             return
--- a/src/stagewalk/gateway/score_sender.py
+++ b/src/stagewalk/gateway/score_sender.py
@@ -11,6 +11,7 @@
 from stagewalk.eligibility.core import Eligibility
 from stagewalk.gateway.run_views import RunViews
 from stagewalk.logs.lines import log_event
+from stagewalk.ports.crash_reports import FIRST_TOLD_LEVEL, CrashReports, SentRequest
 from stagewalk.ports.workers import (
     AttemptFailure,
     AttemptFault,
@@ -18,15 +19,16 @@
     WorkerClient,
 )
 from stagewalk.scoring.messages import (
+    SCORE_METHOD,
     ScoreAnswered,
     ScoreBroken,
     ScoreEvent,
     SendScore,
     StopScore,
+    score_content,
 )
 from stagewalk.workers.table import WorkerTable
 
-SCORE_METHOD = "POST"
 HOST_HEADER = "host"
 SUCCESS = 200
 
@@ -44,6 +46,8 @@
         Takes what became of an attempt.
     views
         Tell whether something of a batch may be sent to a worker at a time.
+    crashes
+        Take which calls lost their worker.
     """
 
     def __init__(
@@ -53,7 +57,10 @@
         eligibility: Eligibility,
         tell: EventSink,
         views: RunViews,
+        *,
+        crashes: CrashReports,
     ) -> None:
+        self._crashes = crashes
         self._client = client
         self._workers = workers
         self._eligibility = eligibility
@@ -97,7 +104,11 @@
         if not self._views.may_start(send.batch, now):
             withheld = AttemptFailure(AttemptFault.WITHHELD, "the view of the log is too old")
             return ScoreBroken(send.attempt, withheld)
-        scope = self._eligibility.scope(send.call.host, send.call.path, send.tenant)
+        content = score_content(send.call)
+        denial = await self._crashes.denial(content)
+        if denial is not None:
+            return ScoreBroken(send.attempt, AttemptFailure(AttemptFault.WITHHELD, denial.value))
+        scope = self._eligibility.scope(send.call.path, content, send.tenant)
         permit = self._eligibility.permit(
             worker, scope, now, lambda at: self._views.may_send(send.batch, at)
         )
@@ -113,9 +124,15 @@
             deadline_seconds=send.deadline_seconds,
             tenant=send.tenant,
         )
+        known_level = self._crashes.known_level(content)
         result = await self._client.send(permit.ok, request)
         if result.is_ok():
+            self._crashes.answered(content)
             return ScoreAnswered(send.attempt, result.ok)
+        route = "" if scope is None else scope.route.name
+        sent = SentRequest(send.call.call, content, worker, route, known_level, now)
+        await self._crashes.lost(sent, result.error)
+        self._crashes.tell(content, FIRST_TOLD_LEVEL)
         return ScoreBroken(send.attempt, result.error)
 
 
--- a/src/stagewalk/gateway/send_rules.py
+++ b/src/stagewalk/gateway/send_rules.py
@@ -1,7 +1,8 @@
-"""What decides whether requests may be sent, put together: zones, cold workers, regions."""
+"""What decides whether requests may be sent, put together."""
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 
 from stagewalk.cold_starts.core import ColdStarts
@@ -12,6 +13,8 @@
 from stagewalk.gateway.settings import GatewaySettings
 from stagewalk.leases.log_lease import new_holder
 from stagewalk.ports.partitioned_log import PartitionedLog
+from stagewalk.quarantine.content import RequestContent
+from stagewalk.quarantine.core import CrashSuspects
 from stagewalk.regions.distance import Proximity
 from stagewalk.routes.table import RouteTable
 from stagewalk.workers.table import WorkerTable
@@ -46,7 +49,10 @@
         self.evacuations = Evacuations()
         self.cold = ColdStarts(self._leases, view_age)
         self.proximity = Proximity(settings.placement, settings.zones)
-        self.eligibility = Eligibility(workers, routes, self.proximity, self.evacuations, self.cold)
+        self.suspects = CrashSuspects(settings.name)
+        self.eligibility = Eligibility(
+            workers, routes, self.proximity, self.evacuations, self.cold, held=self._held
+        )
         self.cold_lease_service = ColdLeaseService(
             log=log, node=settings.name, cold=self.cold, leases=self._leases, replicas=replicas
         )
@@ -55,6 +61,9 @@
         """Return the number of cold workers that this node may send to."""
         return self._leases.held(now)
 
+    def _held(self, content: RequestContent, item: bool) -> bool:
+        return self.suspects.any and self.suspects.held(content, time.time(), item=item)
+
     def expire(self, now: float) -> None:
         """Forget workers that are gone, and leases that are over."""
         self.cold.keep_only(self._workers, now)
--- a/src/stagewalk/ports/partitioned_log.py
+++ b/src/stagewalk/ports/partitioned_log.py
@@ -110,7 +110,7 @@
     async def append_keyed(
         self, partition: Partition, key: str, value: bytes
     ) -> Result[int, LogFailure]:
-        """Set a key of a compacted topic; return the offset."""
+        """Set a key of a compacted topic, or drop it with an empty value; return the offset."""
 
     async def read(
         self, partition: Partition, offset: int, wait_seconds: float
--- a/src/stagewalk/ports/workers.py
+++ b/src/stagewalk/ports/workers.py
@@ -228,6 +228,9 @@
     ) -> Result[StreamEnd, AttemptFailure]:
         """Send a request and deliver its head and whole events as they arrive."""
 
+    async def is_listening(self, target: WorkerTarget) -> bool | None:
+        """Return whether any process listens at a worker's address; None if that can't be told."""
+
     async def report(self, target: WorkerTarget) -> Result[WorkerReport, AttemptFailure]:
         """Ask an engine about itself."""
 
--- a/src/stagewalk/quarantine/content.py
+++ b/src/stagewalk/quarantine/content.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from dataclasses import dataclass, field
 
 DIGEST_BYTES = 16
 """Nobody can find two requests with one digest of this length (2**64 tries for a chance of a half),
@@ -11,6 +12,7 @@
 _PURPOSE = b"request content"
 
 
+@dataclass(slots=True)
 class RequestContent:
     """Method, host, path with query and body: what a worker's run depends on.
 
@@ -18,14 +20,11 @@
     whoever sends a request that crashes a worker, it crashes. So none of these counts.
     """
 
-    __slots__ = ("_body", "_digest", "_host", "_method", "_target")
-
-    def __init__(self, method: str, host: str, target: str, body: bytes) -> None:
-        self._method = method
-        self._host = host
-        self._target = target
-        self._body = body
-        self._digest = ""
+    method: str
+    host: str
+    target: str
+    body: bytes
+    _digest: str = field(default="", init=False, compare=False, repr=False)
 
     @property
     def digest(self) -> str:
@@ -36,9 +35,9 @@
         """
         if not self._digest:
             hashed = hashlib.blake2b(digest_size=DIGEST_BYTES, person=_PURPOSE)
-            for part in (self._method, self._host.lower(), self._target):
+            for part in (self.method, self.host.lower(), self.target):
                 encoded = part.encode(errors="surrogateescape")
                 hashed.update(len(encoded).to_bytes(4, "big") + encoded)
-            hashed.update(self._body)
+            hashed.update(self.body)
             self._digest = hashed.hexdigest()
         return self._digest
--- a/src/stagewalk/scoring/core.py
+++ b/src/stagewalk/scoring/core.py
@@ -16,8 +16,15 @@
 from stagewalk.eligibility.core import Eligibility, RequestScope
 from stagewalk.forwarding.policy import SERVER_ERROR, hedge_delay, is_success
 from stagewalk.ports.workers import AttemptFault
+from stagewalk.quarantine.content import RequestContent
 from stagewalk.routes.route import Route
-from stagewalk.scoring.messages import ScoreAnswered, ScoreBroken, SendScore, StopScore
+from stagewalk.scoring.messages import (
+    ScoreAnswered,
+    ScoreBroken,
+    SendScore,
+    StopScore,
+    score_content,
+)
 from stagewalk.workers.selection import choose_worker
 from stagewalk.workers.worker import Worker
 
@@ -80,6 +87,7 @@
     batch: str
     item: str
     call: ScoreCall
+    content: RequestContent
     batch_attempts: int
     failures: int
     tenant: str | None = None
@@ -167,7 +175,9 @@
         tenant
             Whose batch it is.
         """
-        pending = _PendingCall(batch, item, call, batch_attempts, failures, tenant)
+        pending = _PendingCall(
+            batch, item, call, score_content(call), batch_attempts, failures, tenant
+        )
         self._calls.setdefault((batch, item), pending)
 
     def drop(self, batch: str, item: str, reason: str) -> list[StopScore]:
@@ -282,7 +292,7 @@
 
     def _choose(self, pending: _PendingCall, route: Route, now: float) -> Worker | None:
         """Return the worker for the next attempt, of those not tried in this round."""
-        scope = RequestScope(route, pending.tenant)
+        scope = RequestScope(route, pending.content, pending.tenant)
         found = self._eligibility.candidates(self._service_of(route), scope, now)
         self._eligibility.want(found, now)
         proximity = self._eligibility.proximity
--- a/src/stagewalk/scoring/messages.py
+++ b/src/stagewalk/scoring/messages.py
@@ -6,6 +6,14 @@
 
 from stagewalk.batches.records import ScoreCall
 from stagewalk.ports.workers import AttemptFailure, WorkerAnswer
+from stagewalk.quarantine.content import RequestContent
+
+SCORE_METHOD = "POST"
+
+
+def score_content(call: ScoreCall) -> RequestContent:
+    """Return what decides how a worker runs a score call."""
+    return RequestContent(SCORE_METHOD, call.host, call.path, call.body)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk_standins/memory_workers.py
+++ b/src/stagewalk_standins/memory_workers.py
@@ -32,6 +32,9 @@
 """How long a worker works on a request that crashes it."""
 
 _CONNECTION_REFUSED = AttemptFailure(AttemptFault.NOT_SENT, "connection refused")
+_NO_ANSWER = AttemptFailure(
+    AttemptFault.MAY_HAVE_RUN, "no answer in time", contact_loss=ContactLoss.SILENT
+)
 _CONNECTION_CLOSED = AttemptFailure(
     AttemptFault.MAY_HAVE_RUN, "connection closed", contact_loss=ContactLoss.CLOSED
 )
@@ -97,6 +100,8 @@
         """Bodies of requests that crash each worker that begins to run them."""
         self.crashes: list[str] = []
         """Workers that ended so, in order."""
+        self.silent_crashes = False
+        """Whether a crash takes the machine: nothing tells it but the entry that goes."""
         self.on_crash: Callable[[str], None] = lambda _worker: None
 
     async def _connect(self, permit: SendPermit) -> AttemptFailure | None:
@@ -130,13 +135,15 @@
         worker.running += 1
         try:
             await self._work(target.worker, request, worker.answer_seconds)
+            if worker.ended.is_set() and self.silent_crashes:
+                await anyio.sleep((request.deadline_seconds or 0.0) - CRASH_SECONDS)
         except BaseException:
             self.cancelled += 1
             raise
         finally:
             worker.running -= 1
         if worker.ended.is_set():
-            return Error(_CONNECTION_CLOSED)
+            return Error(_NO_ANSWER if self.silent_crashes else _CONNECTION_CLOSED)
         if worker.faults:
             return Error(AttemptFailure(worker.faults.pop(0), "scripted", worker.load))
         headers = (("x-worker", target.worker),)
@@ -191,6 +198,10 @@
             self.crashes.append(name)
             self.on_crash(name)
 
+    async def is_listening(self, target: WorkerTarget) -> bool | None:
+        """Return whether the worker's process runs."""
+        return not self.workers[target.worker].ended.is_set()
+
     async def report(self, target: WorkerTarget) -> Result[WorkerReport, AttemptFailure]:
         """Report its versions."""
         worker = self.workers[target.worker]
--- a/src/stagewalk_standins/partitioned_log.py
+++ b/src/stagewalk_standins/partitioned_log.py
@@ -159,8 +159,8 @@
     async def append_keyed(
         self, partition: Partition, key: str, value: bytes
     ) -> Result[int, LogFailure]:
-        """Set a key."""
-        return await self._change(lambda: Ok(self._log.put_key(partition, key, value)))
+        """Set a key, or drop it with an empty value."""
+        return await self._change(lambda: Ok(self._log.put_key(partition, key, value or None)))
 
     async def read(
         self, partition: Partition, offset: int, wait_seconds: float
--- a/tests/eligibility/support.py
+++ b/tests/eligibility/support.py
@@ -10,6 +10,8 @@
 from stagewalk.eligibility.core import Eligibility
 from stagewalk.evacuation.zones import Evacuations
 from stagewalk.ports.send_permits import SendPermit, WorkerTarget
+from stagewalk.quarantine.content import RequestContent
+from stagewalk.quarantine.core import CrashSuspects
 from stagewalk.regions.distance import Proximity
 from stagewalk.routes.route import CallerLimits, Route, RouteConfiguration, Service
 from stagewalk.routes.table import RouteTable
@@ -38,9 +40,16 @@
         self.cold = ColdStarts(self.leases, lambda _now: self.view_age)
         workers.on_cold = self.cold.mark_cold
         proximity = Proximity(Placement("r1", "z1"), zones)
-        self.eligibility = Eligibility(workers, self.routes, proximity, self.evacuations, self.cold)
+        self.suspects = CrashSuspects("own")
+        self.unix_seconds = 0.0
+        self.eligibility = Eligibility(
+            workers, self.routes, proximity, self.evacuations, self.cold, held=self._held
+        )
         self.publish(routes, services, tenants)
 
+    def _held(self, content: RequestContent, item: bool) -> bool:
+        return self.suspects.held(content, self.unix_seconds, item=item)
+
     def publish(
         self,
         routes: Sequence[Route],
--- a/tests/eligibility/test_core.py
+++ b/tests/eligibility/test_core.py
@@ -11,6 +11,7 @@
 from stagewalk.eligibility.come_back import COME_BACK_AFTER, come_back_seconds
 from stagewalk.eligibility.core import RequestScope
 from stagewalk.ports.denials import Denial
+from stagewalk.quarantine.content import RequestContent
 from stagewalk.routes.route import Route, Service
 from stagewalk.tenants.tenant import Tenant
 from stagewalk.workers.table import WorkerTable
@@ -19,6 +20,7 @@
 from tests.workers.support import announcement
 
 ROUTE = batch_route()
+CONTENT = RequestContent("POST", "h.example", "/run/x", b"body")
 SERVICE = Service("s", 100, True, cold_seconds=3.0, cold_rate=2.0)
 ROOT = Path(__file__).resolve().parent.parent.parent
 
@@ -36,14 +38,14 @@
         self.rules = Rules(self.table, [ROUTE], [SERVICE])
 
     def found(self, route: Route = ROUTE, tenant: str | None = None, now: float = 9.0) -> list[str]:
-        scope = RequestScope(route, tenant)
+        scope = RequestScope(route, CONTENT, tenant)
         candidates = self.rules.eligibility.candidates("s", scope, now)
         return sorted(w.announcement.worker for w in candidates.workers)
 
     def permit(self, worker: str, now: float = 9.0):
         known = self.table.worker(worker)
         assert known is not None
-        return self.rules.eligibility.permit(known, RequestScope(ROUTE), now)
+        return self.rules.eligibility.permit(known, RequestScope(ROUTE, CONTENT), now)
 
     def test_nothing_is_denied_where_nothing_is_restricted(self) -> None:
         self.assertEqual(["a", "b", "c"], self.found())
@@ -71,7 +73,7 @@
     def test_a_permit_is_denied_once_its_sender_may_not_send_any_more(self) -> None:
         known = self.table.worker("a")
         assert known is not None
-        scope = RequestScope(ROUTE)
+        scope = RequestScope(ROUTE, CONTENT)
         permit = self.rules.eligibility.permit(known, scope, 9.0, lambda at: at < 10.0).ok
         self.assertIsNone(permit.confirm(9.9))
         self.assertEqual(Denial.VIEW_TOO_OLD, permit.confirm(10.0))
@@ -113,7 +115,7 @@
         self.assertEqual(["b", "c"], self.found())
         self.assertEqual(Denial.COLD_WITHOUT_LEASE, self.permit("a").error)
         self.assertTrue(self.rules.cold.idle)
-        candidates = self.rules.eligibility.candidates("s", RequestScope(ROUTE), 9.0)
+        candidates = self.rules.eligibility.candidates("s", RequestScope(ROUTE, CONTENT), 9.0)
         self.rules.eligibility.want(candidates, 9.0)
         self.assertEqual(["a"], self.rules.cold.wanted(9.0, lambda _worker: True))
         self.assertEqual(["a", "b", "c"], self.found(now=11.4))
@@ -145,9 +147,9 @@
         self.assertEqual([Denial.ZONE_EVACUATED, Denial.ZONE_EVACUATED, Denial.NO_ROUTE], told)
 
     def test_a_route_that_is_gone_permits_nothing(self) -> None:
-        self.assertIsNone(self.rules.eligibility.scope("h.example", "/other/", None))
-        scope = self.rules.eligibility.scope("h.example", "/run/x", "t")
-        self.assertEqual(RequestScope(ROUTE, "t"), scope)
+        self.assertIsNone(self.rules.eligibility.scope("/other/", CONTENT, None))
+        scope = self.rules.eligibility.scope("/run/x", CONTENT, "t")
+        self.assertEqual(RequestScope(ROUTE, CONTENT, "t"), scope)
 
 
 class ComeBackTests(testtools.TestCase):
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from stagewalk.batches.records import BatchItem, ScoreCall
-from stagewalk.core.identities import Placement
+from stagewalk.core.identities import Address, Placement
 from stagewalk.gateway.daemon import Dependencies, Gateway
 from stagewalk.gateway.settings import GatewaySettings, LogLimits, Timing
 from stagewalk.ports.dialect import NamedVersion
@@ -33,6 +33,9 @@
 from tests.workers.support import announcement
 
 HOST = "h.example"
+PORTS: dict[str, int] = {}
+"""Of workers, by the first part of their names: one that starts again keeps its address."""
+
 PATIENCE_SECONDS = 20.0
 
 
@@ -100,7 +103,8 @@
         versions = {"m": 1} if service == "engines" else {}
         self.workers.workers[name] = MemoryWorker(versions=dict(versions), slots=slots)
         entry = announcement(name, service=service, versions=versions, slots=slots, zone=zone)
-        entry = replace(entry, cold_seconds=cold_seconds)
+        port = PORTS.setdefault(name.partition(".")[0], len(PORTS) + 1)
+        entry = replace(entry, cold_seconds=cold_seconds, address=Address("10.0.0.1", port))
         self.log.put_key(self.dialect.workers, name, msgspec.json.encode(entry))
 
     def evacuate(self, zone: str, in_force: bool = True) -> None:
--- a/tests/gateway/test_run_views.py
+++ b/tests/gateway/test_run_views.py
@@ -23,11 +23,13 @@
 from stagewalk.ports.denials import Denial
 from stagewalk.ports.partitioned_log import LogFailure, Partition, ProducerSequence, RecordPage
 from stagewalk.ports.workers import AttemptFailure, AttemptFault
+from stagewalk.quarantine.content import RequestContent
 from stagewalk.scoring.messages import ScoreEvent, SendScore
 from stagewalk.workers.table import WorkerTable
 from stagewalk_standins.partitioned_log import MemoryLog, MemoryLogClient
 from tests.batches.support import batch_route, item, submitted
 from tests.eligibility.support import unrestricted
+from tests.quarantine.support import NoCrashes
 from tests.workers.support import announcement
 
 PLACE = Partition("batches", 0)
@@ -210,6 +212,7 @@
             rollouts=mock.Mock(),
             views=self.views,  # type: ignore[arg-type]
             places=mock.Mock(),
+            crashes=NoCrashes(),
         )
 
         async def scenario() -> None:
@@ -228,7 +231,12 @@
     def test_a_score_call_is_not_sent_from_a_view_that_grew_old_since_it_was_decided(self) -> None:
         told: list[ScoreEvent] = []
         sender = ScoreSender(
-            self.client, self.workers, unrestricted(self.workers), told.append, self.views
+            self.client,
+            self.workers,
+            unrestricted(self.workers),
+            told.append,
+            self.views,
+            crashes=NoCrashes(),
         )
         call = ScoreCall("c", "h", "/score/x", b"")
 
@@ -247,7 +255,7 @@
         """A connection that turned out unusable makes it wait for another one."""
         permit = unrestricted(self.workers).permit(
             self.workers.worker("e1"),
-            RequestScope(batch_route()),
+            RequestScope(batch_route(), RequestContent("POST", "h.example", "/run/x", b"")),
             0.0,
             lambda now: self.views.may_send("b", now),
         )
