Soak learns requests that crash their workers

Cause: none of its kinds had a worker that ends under a request. Change: kind 'crashes': workers that end under two bodies and start again under new identities, callers that come back at any gateway, others beside them; judged by what workers saw, for gateways in touch, and by what other callers are told.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,12 +14,19 @@
 from stagewalk.logs.lines import log_event
 from tests.soak.callers import READ_SECONDS, Callers
 from tests.soak.checker import Checker
+from tests.soak.crashes import (
+    CRASHING_BODIES,
+    FRAIL_WORKERS,
+    CrashCallers,
+    CrashJudge,
+    FrailWorker,
+)
 from tests.soak.ended import PROMISE, EndedBatches
 from tests.soak.ending import EndingCallers
 from tests.soak.faults import Faults
 from tests.soak.series import FaultSeries
 from tests.soak.touch import SOAK, TouchRecord
-from tests.soak.world import HOST, World
+from tests.soak.world import HOST, World, own_address
 from tests.soak.zones import HOME_ROUTE, ZoneOperator
 
 CALM_SECONDS = 40.0
@@ -35,6 +42,9 @@
 """More than hold a replica of the batches, so that roles move when gateways fall."""
 
 ENDING_TRAINERS = 4
+ASKERS = 4
+"""Callers of the workers that crash, each with some 15 requests a second."""
+
 INSPECTORS = 4
 SLOW_ENGINES = 4.0
 """Batches run for seconds, so that a run that doesn't hear of its batch's end is seen."""
@@ -54,6 +64,8 @@
     """Every promise, at few gateways."""
     ENDED = "ended"
     """Batches that are ended early and handed in again, at many gateways."""
+    CRASHES = "crashes"
+    """Requests that crash the workers that run them, beside others."""
     ZONES = "zones"
     """Zones that are evacuated, workers that are cold, and routes with homes."""
 
@@ -90,6 +102,8 @@
     injected: dict[str, int]
     steps: int
     ended: EndedBatches
+    crashes: dict[str, int]
+    """Ends by what they were under, and other requests served and sent."""
     stalls: Stalls
     troubles: list[str]
     """What failed when, a line each."""
@@ -103,6 +117,7 @@
             f"  checked {n} x {promise}" for promise, n in sorted(self.checker.checked.items())
         ]
         text += [f"  {count} {kind}" for kind, count in self.ended.counts().items()]
+        text += [f"  {count} {kind}" for kind, count in self.crashes.items()]
         text.append(
             f"  {self.stalls.count} stalls of the soak, {self.stalls.longest:.2f} s at most"
         )
@@ -122,6 +137,7 @@
     callers, stalls = Callers(world, seed), Stalls(world.touch)
     faults = FaultSeries(world, seed) if kind.in_series else Faults(world, seed)
     operator = _operator(world, seed)
+    crashes = CrashScene(world, seed)
     async with anyio.create_task_group() as servers:
         try:
             servers.start_soon(stalls.watch)
@@ -134,6 +150,8 @@
                     tasks.start_soon(callers.request, route)
                 if operator is not None:
                     tasks.start_soon(operator.run)
+                if kind is Kind.CRASHES:
+                    crashes.start(servers, tasks)
                 tasks.start_soon(callers.train)
                 async with anyio.create_task_group() as trouble:
                     trouble.start_soon(faults.run)
@@ -144,6 +162,7 @@
                 log_event("soak_calm", "debug", seed=seed)
                 callers.stop.set()
                 endings.stop.set()
+                crashes.callers.stop.set()
             await _calm(world, callers)
             if ending:
                 await anyio.sleep(WATCHED_SECONDS)
@@ -159,11 +178,44 @@
         dict(faults.injected),
         callers.steps,
         world.ended,
+        crashes.counts() if kind is Kind.CRASHES else {},
         stalls,
         world.touch.history,
     )
 
 
+class CrashScene:
+    """Frail workers and their callers, put together."""
+
+    def __init__(self, world: World, seed: int) -> None:
+        self._seed = seed
+        expect = world.checker.expect
+        self._judge = CrashJudge(expect, world.touch)
+        fronts = {gateway.name: gateway.front for gateway in world.gateways}
+        self.callers = CrashCallers(world.client, fronts, self._judge, expect, seed)
+        self._workers = [
+            FrailWorker(f"frail-{n}", own_address(), world.log, self._judge)
+            for n in range(FRAIL_WORKERS)
+        ]
+
+    def start(self, servers: anyio.abc.TaskGroup, tasks: anyio.abc.TaskGroup) -> None:
+        """Start workers, and callers that run until they are told to stop."""
+        for worker in self._workers:
+            servers.start_soon(worker.run, self._seed)
+        for body in CRASHING_BODIES:
+            tasks.start_soon(self.callers.come_back, body)
+        for _ in range(ASKERS):
+            tasks.start_soon(self.callers.ask)
+
+    def counts(self) -> dict[str, int]:
+        """Return counts for the report."""
+        others = {
+            "other requests of that service sent": self.callers.sent,
+            "of them served": self.callers.served,
+        }
+        return self._judge.counts() | others
+
+
 def _operator(world: World, seed: int) -> ZoneOperator | None:
     """Return who evacuates zones, None where there is only one."""
     if world.zone_rules is None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,7 @@
 import testtools
 from testtools.content import text_content
 
+from tests.soak.crashes import BYSTANDER_PROMISE
 from tests.soak.ended import BOUND_SECONDS, PROMISE, EndedBatches
 from tests.soak.run import ZONE_GATEWAYS, Kind, soak
 from tests.soak.senders import Connection, StartedItem, processes_at, started_items
@@ -28,6 +29,10 @@
 ENDED_GATEWAYS = 8
 """More than hold a replica of the batches."""
 
+CRASHES_SECONDS = 20.0
+CRASHES_SEED = 1
+CRASHES_GATEWAYS = 5
+
 ZONES_SECONDS = 25.0
 ZONES_SEED = 1
 
@@ -74,6 +79,20 @@
 
         anyio.run(scenario)
 
+    def test_a_request_that_crashes_workers_stops_reaching_them(self) -> None:
+        """It comes back at any gateway, while gateways and the store fail in series."""
+
+        async def scenario() -> None:
+            with anyio.fail_after(MOST_SECONDS):
+                report = await soak(
+                    CRASHES_SEED, CRASHES_SECONDS, self.directory, CRASHES_GATEWAYS, Kind.CRASHES
+                )
+            self.addDetail("report", text_content("\n".join(report.lines())))
+            self.assertEqual([], report.checker.violations)
+            self.assertGreater(report.checker.checked[BYSTANDER_PROMISE], 0)
+
+        anyio.run(scenario)
+
     def test_evacuated_zones_cold_workers_and_homes_are_heeded(self) -> None:
         """Zones are evacuated and come back cold while gateways and the store fail in series."""
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -23,6 +23,7 @@
 from stagewalk_standins.partitioned_log import MemoryLog
 from tests.soak.asgi import application, serve
 from tests.soak.checker import Checker
+from tests.soak.crashes import FRAIL_ROUTE, FRAIL_SERVICE
 from tests.soak.ended import EndedBatches
 from tests.soak.scorers import SCORE_ATTEMPTS, ScorerServer, ScoreTruth
 from tests.soak.senders import Connection, processes_at
@@ -392,6 +393,7 @@
             _route("once", "/once/", "unsafe", "app"),
             _route("score", "/score/", "safe", "scorers"),
             _route("run", "/run/", "rollout", "engines"),
+            _route(FRAIL_ROUTE, f"/{FRAIL_ROUTE}/", "safe", FRAIL_SERVICE),
             *(
                 _route(f"new-{n}", f"/new-{n}/", "safe", "app")
                 for n in range(2, self.configuration + 1)
@@ -401,6 +403,7 @@
             {"name": "engines", "max_connections": 200, "engine": {"slots": 8}},
             {"name": "app", "max_connections": 200},
             {"name": "scorers", "max_connections": 200},
+            {"name": FRAIL_SERVICE, "max_connections": 200},
         ]
         if self.zone_rules is not None:
             routes.append(_route(HOME_ROUTE, f"/{HOME_ROUTE}/", "safe", "app", [HOME_REGION]))
