--- a/tests/eligibility/test_core.py
+++ b/tests/eligibility/test_core.py
@@ -12,7 +12,8 @@
 from stagewalk.eligibility.core import RequestScope
 from stagewalk.ports.denials import Denial
 from stagewalk.quarantine.content import RequestContent
-from stagewalk.routes.route import Route, Service
+from stagewalk.quarantine.records import CrashStrike
+from stagewalk.routes.route import Route, RouteKind, Service
 from stagewalk.tenants.tenant import Tenant
 from stagewalk.workers.table import WorkerTable
 from tests.batches.support import batch_route
@@ -47,6 +48,33 @@
         assert known is not None
         return self.rules.eligibility.permit(known, RequestScope(ROUTE, CONTENT), now)
 
+    def hold(self, at: float = 0.0) -> None:
+        for level in (1, 2, 3):
+            worker = f"gone{level}"
+            strike = CrashStrike(CONTENT.digest, worker, worker, level, int(at * 1000), "n", "r")
+            self.rules.suspects.add(strike)
+
+    def test_a_request_that_crashes_workers_gets_none_and_others_do(self) -> None:
+        route = replace(ROUTE, kind=RouteKind.REPEATABLE)
+        self.hold()
+        found = self.rules.eligibility.candidates("s", RequestScope(route, CONTENT), 9.0)
+        self.assertEqual([], found.workers)
+        self.assertEqual({Denial.CRASHES_WORKERS}, set(found.denied.values()))
+        other = RequestScope(route, replace(CONTENT, body=b"other"))
+        self.assertEqual(3, len(self.rules.eligibility.candidates("s", other, 9.0).workers))
+
+    def test_a_request_that_is_found_out_while_it_waits_for_a_connection_is_not_sent(self) -> None:
+        scope = RequestScope(replace(ROUTE, kind=RouteKind.REPEATABLE), CONTENT)
+        known = self.table.worker("a")
+        assert known is not None
+        permit = self.rules.eligibility.permit(known, scope, 9.0).ok
+        self.assertIsNone(permit.confirm(9.1))
+        self.hold()
+        self.assertIs(Denial.CRASHES_WORKERS, permit.confirm(9.2))
+        self.assertIs(
+            Denial.CRASHES_WORKERS, self.rules.eligibility.permit(known, scope, 9.3).error
+        )
+
     def test_nothing_is_denied_where_nothing_is_restricted(self) -> None:
         self.assertEqual(["a", "b", "c"], self.found())
         self.assertIsNone(self.permit("a").ok.confirm(9.5))
--- a/tests/explain/test_story.py
+++ b/tests/explain/test_story.py
@@ -53,6 +53,12 @@
         denied="zone_evacuated:4",
     ),
 )
+CRASHING = (
+    line(1.0, "n1", "attempt_failed", "warning", request="r7", worker="w1", content="c0ffee"),
+    line(1.0, "n1", "worker_ended_under_request", "warning", request="r7", content="c0ffee"),
+    line(1.2, "n2", "worker_ended_under_request", "warning", request="r8", content="c0ffee"),
+    line(5.0, "n1", "request_held_back", "warning", content="c0ffee", ends_in_a_row="3"),
+)
 ITEM = (
     line(1.0, "n1", "batch_opened", batch="b1", epoch="0"),
     line(1.1, "n1", "item_started", item="i1", batch="b1", attempt="7", worker="w1"),
@@ -100,6 +106,14 @@
 
 
 class StoryTests(testtools.TestCase):
+    def test_a_content_tells_of_all_tries_of_a_request(self) -> None:
+        found = story("c0ffee", *CRASHING)
+        self.assertEqual(Kind.CONTENT, found.kind)
+        self.assertEqual(4, len(found.own))
+        assert found.ending is not None
+        self.assertEqual("request_held_back", found.ending.event)
+        self.assertEqual(Kind.REQUEST, story("r7", *CRASHING).kind)
+
     def test_a_request_that_no_worker_might_get(self) -> None:
         """Why: the zone that its node knew to be evacuated, and the worker that was cold."""
         found = story("r5", *EVACUATED)
--- a/tests/forwarding/test_policy.py
+++ b/tests/forwarding/test_policy.py
@@ -4,7 +4,9 @@
 
 import testtools
 
+from stagewalk.eligibility.come_back import COME_BACK_AFTER
 from stagewalk.forwarding.policy import Ending, Evidence, ForwardedRequest
+from stagewalk.ports.denials import Denial
 from stagewalk.ports.workers import AttemptFailure, AttemptFault, WorkerAnswer
 from stagewalk.routes.route import BackEnd, Route, RouteKind
 
@@ -46,6 +48,23 @@
         self.after(state, AttemptFault.NOT_RUN)
         self.assertFalse(state.may_try_again(0.1))
 
+    def test_a_suspect_runs_at_one_worker_at_a_time(self) -> None:
+        state = request()
+        state.started("w", EVIDENCE)
+        self.assertTrue(state.may_hedge(0.1))
+        state.suspected = True
+        self.assertFalse(state.may_hedge(0.1))
+
+    def test_what_is_held_back_is_refused_truthfully_with_when_to_come_back(self) -> None:
+        state = request()
+        state.withheld = Denial.CRASHES_WORKERS
+        self.assertIs(Ending.NOT_RUN, state.ending(0.1))
+        told = state.unanswered(Ending.NOT_RUN)
+        self.assertEqual(COME_BACK_AFTER[Denial.CRASHES_WORKERS], told.come_back_seconds)
+        ran = self.after(state, AttemptFault.MAY_HAVE_RUN)
+        self.assertIs(Ending.UNKNOWN, ran.ending(0.1))
+        self.assertIsNone(ran.unanswered(Ending.UNKNOWN).come_back_seconds)
+
     def test_nothing_starts_when_time_is_over(self) -> None:
         state = self.after(request(), AttemptFault.NOT_RUN)
         self.assertFalse(state.may_try_again(0.99))
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -325,6 +325,30 @@
 
         scenario(body)
 
+    def test_workers_that_end_at_the_same_moment_count_once(self) -> None:
+        """As where a rack loses power, and a popular request is under way at each of them."""
+
+        async def body(site: Site, nodes: list[Running]) -> None:
+            apps = ("a1", "a2", "a3")
+            for name in apps:
+                site.workers.workers[name].answer_seconds = 0.3
+            async with anyio.create_task_group() as tasks:
+                for n in range(9):
+                    tasks.start_soon(site.call, nodes[n % 2], "POST", "/once/y", b"popular")
+                await anyio.sleep(0.2)
+                running = [name for name in apps if site.workers.workers[name].running]
+                for name in apps:
+                    site.workers.crash(name)
+            self.assertEqual(3, len(running))
+            popular = replace(ASKED, target="/once/y", body=b"popular")
+            for node in nodes:
+                self.assertEqual(1, node.gateway._crashes.known_level(popular))
+            await until_served(site, nodes, "/once/z")
+            answer = await site.call(nodes[0], "POST", "/once/y", b"popular")
+            self.assertEqual(200, answer.status_code)
+
+        scenario(body)
+
     def test_a_broken_answer_of_a_worker_that_lives_is_no_end(self) -> None:
         async def body(site: Site, nodes: list[Running]) -> None:
             for name in ("a1", "a2", "a3"):
--- a/tests/platform_adapter/test_workers.py
+++ b/tests/platform_adapter/test_workers.py
@@ -12,6 +12,7 @@
 from stagewalk.ports.send_permits import SendPermit, WorkerTarget
 from stagewalk.ports.workers import (
     AttemptFault,
+    ContactLoss,
     OrderOutcome,
     OutboundRequest,
     StreamEvent,
@@ -119,6 +120,35 @@
         self.assertEqual(AttemptFault.MAY_HAVE_RUN, self.fault(b"noise\r\n\r\n", close=True))
         self.assertEqual(AttemptFault.MAY_HAVE_RUN, self.fault(b"", reset=True))
 
+    def test_how_contact_was_lost_tells_an_end_from_a_late_answer(self) -> None:
+        cases = (
+            (Scripted(b"", close=True), ContactLoss.CLOSED),
+            (Scripted(b"", reset=True), ContactLoss.CLOSED),
+            (Scripted(respond("200 OK", b"whole", **SIGNED)[:-2], close=True), ContactLoss.CLOSED),
+            (Scripted(b"", after_seconds=0.5), ContactLoss.SILENT),
+            (Scripted(respond("421 Misdirected")), None),
+            (Scripted(respond("200 OK", b"ok", **{**SIGNED, "x_request_id": "q0"})), None),
+        )
+        for answer, loss in cases:
+            result, _ = self.send(answer, deadline_seconds=0.2)
+            self.assertIs(loss, result.error.contact_loss)
+
+    def test_a_port_that_nobody_listens_at_is_told_from_one_that_takes_connections(self) -> None:
+        async def scenario(server: ScriptedServer) -> None:
+            workers = PlatformWorkers()
+            self.assertIs(True, await workers.is_listening(target(server)))
+            nobody = WorkerTarget("i-1", type(server.address)("127.0.0.1", 1))
+            self.assertIs(False, await workers.is_listening(nobody))
+
+        play([Scripted(b"")], scenario)
+
+    def test_a_machine_that_says_nothing_is_neither(self) -> None:
+        async def scenario(server: ScriptedServer) -> None:
+            with mock.patch("anyio.connect_tcp", lambda *_arguments: anyio.sleep(9.0)):
+                self.assertIsNone(await PlatformWorkers().is_listening(target(server)))
+
+        play([], scenario)
+
     def test_an_unframed_answer_that_is_reset_is_not_whole(self) -> None:
         content = respond("200 OK", b"part", framed=False, **SIGNED)
         self.assertEqual(AttemptFault.MAY_HAVE_RUN, self.fault(content, reset=True))
