A worker's start is what is believed, and an entry of another writer names no worker

Cause: everything kept of a worker hung on its name, and a name that had said it leaves was not used for 300 s, though a worker may start again under it; an entry that lacked fields, or held them out of range, was used; one that could not be read left the earlier entry in use where it came by the log and not where it came by a listing; one nested 100,000 deep raised RecursionError in the follower's loop. An old test's entry lacked fields that each entry has: it has them now.

--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -112,7 +112,12 @@
         )
         eligibility, evacuations = self._rules.eligibility, self._rules.evacuations
         eligibility.on_denied = self._metrics.send_denied
-        self._rollouts = VersionRollouts(self._workers, policy, lambda: evacuations.zones)
+        self._rollouts = VersionRollouts(
+            self._workers,
+            policy,
+            lambda: evacuations.zones,
+            lambda service: self._routes.service(service) is not None,
+        )
         self._nodes = NodeService(
             log=log,
             partition=NODES,
--- a/src/stagewalk/gateway/published_records.py
+++ b/src/stagewalk/gateway/published_records.py
@@ -26,7 +26,7 @@
 from stagewalk.routes.table import RouteTable
 from stagewalk.version_rollouts.core import VersionRollouts
 from stagewalk.workers.table import WorkerTable
-from stagewalk.workers.worker import Worker
+from stagewalk.workers.worker import Worker, WorkerAnnouncement
 
 DENIAL_VIEW_SECONDS = 0.25
 """Callers are turned away by a view at most so old: a twelfth of the time in which a configuration
@@ -37,6 +37,10 @@
 well below the 1.5 s that callers of short requests wait."""
 
 
+MOST_UNREADABLE = 256
+"""Keys of entries that were told as unusable; beyond that each read of one tells it."""
+
+
 class PublishedRecords:
     """Keeps routes, workers, named versions and evacuations as the newest records tell them."""
 
@@ -60,6 +64,7 @@
         self._workers.on_change = self._log_worker_change
         self._pace = LISTED_PACE
         self._listing = False
+        self._unreadable: set[str] = set()
         self._rollouts = rollouts
         self._operators_follower = KeyedFollower(
             log,
@@ -145,24 +150,37 @@
             )
 
     def _replace_workers(self, records: tuple[KeyedRecord, ...]) -> None:
-        announcements = [
-            announcement
-            for record in records
-            if (announcement := self._dialect.worker_announcement(record)) is not None
-        ]
+        decoded = {record.key: self._worker_entry(record) for record in records}
+        announcements = [entry for entry in decoded.values() if entry is not None]
+        unreadable = [key for key, entry in decoded.items() if entry is None]
         self._listing = True
-        self._workers.replace(announcements, time.monotonic(), self._disturbed_at())
+        self._workers.replace(
+            announcements, time.monotonic(), self._disturbed_at(), unreadable=unreadable
+        )
         self._listing = False
-        log_event("workers_listed", count=len(announcements))
+        log_event("workers_listed", count=len(announcements), unreadable=len(unreadable))
+
+    def _worker_entry(self, record: KeyedRecord) -> WorkerAnnouncement | None:
+        """Decode a worker's entry; one that names no worker to use is told once for each key."""
+        entry = self._dialect.worker_announcement(record)
+        if entry is not None:
+            self._unreadable.discard(record.key)
+        elif record.value is not None and record.key not in self._unreadable:
+            if len(self._unreadable) < MOST_UNREADABLE:
+                self._unreadable.add(record.key)
+            log_event("worker_entry_unusable", "warning", key=record.key, offset=record.offset)
+        return entry
 
     def _apply_worker(self, record: KeyedRecord) -> None:
         now = time.monotonic()
         if record.value is None:
             self._workers.remove(record.key, now, self._disturbed_at())
             return
-        announcement = self._dialect.worker_announcement(record)
+        announcement = self._worker_entry(record)
         if announcement is not None:
             self._workers.announce(announcement, now)
+        else:
+            self._workers.discard(record.key)
 
     def _disturbed_at(self) -> float:
         return self._workers_follower.freshness.disturbed_at
--- a/src/stagewalk/ports/send_permits.py
+++ b/src/stagewalk/ports/send_permits.py
@@ -17,10 +17,19 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerTarget:
-    """Where to send, and which worker must be there."""
+    """Where to send, and which worker must be there.
+
+    Attributes
+    ----------
+    worker
+        What the worker answers to.
+    start
+        Identity of its start, empty if that is `worker`: connections are kept to a start.
+    """
 
     worker: str
     address: Address
+    start: str = ""
 
 
 Confirm = Callable[[float], Denial | None]
--- a/src/stagewalk/version_rollouts/core.py
+++ b/src/stagewalk/version_rollouts/core.py
@@ -61,6 +61,8 @@
     evacuated
         Returns the zones whose engines get nothing: they belong to no set, and are not ordered to
         load what they would not serve.
+    configured
+        Whether a service is in the configuration in force: entries of others are not followed.
     """
 
     def __init__(
@@ -68,9 +70,11 @@
         workers: WorkerTable,
         policy: Policy = ALL_ON,
         evacuated: Callable[[], Container[str]] = tuple,
+        configured: Callable[[str], bool] = lambda _service: True,
     ) -> None:
         self._workers = workers
         self._evacuated = evacuated
+        self._configured = configured
         self._policy = policy
         self._named: dict[str, int] = {}
         self._lag: dict[str, int] = {}
@@ -182,7 +186,12 @@
     def _engines(self) -> list[Worker]:
         """Return the listed workers that may get work."""
         evacuated = self._evacuated()
-        return [w for w in self._workers.all() if w.announcement.zone not in evacuated]
+        return [
+            worker
+            for worker in self._workers.all()
+            if worker.announcement.zone not in evacuated
+            and self._configured(worker.announcement.service)
+        ]
 
     def _models(self) -> list[str]:
         """Return the models that are trained."""
--- a/src/stagewalk/workers/table.py
+++ b/src/stagewalk/workers/table.py
@@ -12,25 +12,34 @@
 """How long after trouble with the list a missing entry is doubted rather than believed: entries
 that lapsed meanwhile are back about two seconds after its end, if their workers live."""
 
+EARLIER_START_SECONDS = 3.6
+"""An entry of an earlier start is believed again after three heartbeats without the later one."""
+
 LEFT_MEMORY_SECONDS = 300.0
 """How long it is remembered which workers said that they leave."""
 
 
 class WorkerTable:
-    """Workers by identity. An entry that says `draining` or is gone gets no new work.
+    """Workers by the identity of their start. An entry that says `draining` or is gone gets no new
+    work.
 
     Entries also vanish while the list's store is down, of workers that serve on. So a worker
     whose entry vanished around an outage stays usable for a moment, as a last resort, until
     its next heartbeat would have brought it back.
 
     A worker that said it leaves never takes that back: an entry of before, written late, changes
-    nothing. Each start of a worker has an identity of its own.
+    nothing. A worker may start again under its name. That is another worker then, and the one
+    before is gone; an entry of an earlier start, written late, changes nothing while the later one
+    is heard of.
     """
 
     def __init__(self) -> None:
         self._workers: dict[str, Worker] = {}
+        self._start_of: dict[str, str] = {}
+        """By the name that an entry is listed under, its start."""
         self._doubted_until: dict[str, float] = {}
         self._by_service: dict[str, list[Worker]] = {}
+        self._starts_told = False
         self._left_at: dict[str, float] = {}
         self.on_change: Callable[[str, str], None] = lambda _worker, _change: None
         """Told of each change of belief: the worker and a word for the change."""
@@ -39,27 +48,39 @@
         more, and when the entry was read."""
 
     def replace(
-        self, announcements: Iterable[WorkerAnnouncement], now: float, disturbed_at: float
+        self,
+        announcements: Iterable[WorkerAnnouncement],
+        now: float,
+        disturbed_at: float,
+        unreadable: Iterable[str] = (),
     ) -> None:
-        """Take a whole list."""
-        listed = {announcement.worker: announcement for announcement in announcements}
-        for worker in list(self._workers):
-            if worker not in listed:
-                self.remove(worker, now, disturbed_at)
+        """Take a whole list, and the names of entries in it that can't be read."""
+        listed = {announcement.listed_as: announcement for announcement in announcements}
+        for name in unreadable:
+            self.discard(name)
+        for name in list(self._start_of):
+            if name not in listed:
+                self.remove(name, now, disturbed_at)
         for announcement in listed.values():
             self.announce(announcement, now)
 
     def announce(self, announcement: WorkerAnnouncement, now: float) -> None:
         """Take a worker's entry."""
+        if self._replaced_by_later(announcement, now):
+            return
         if announcement.draining:
             self._left_at[announcement.worker] = now
         elif announcement.worker in self._left_at:
             announcement = replace(announcement, draining=True)
+        earlier = self._start_of.get(announcement.listed_as)
+        if earlier is not None and earlier != announcement.worker:
+            self._drop(earlier)
         known = self._workers.get(announcement.worker)
         self._doubted_until.pop(announcement.worker, None)
         if known is None:
             worker = Worker(announcement, now, versions=dict(announcement.versions))
             self._workers[announcement.worker] = worker
+            self._start_of[announcement.listed_as] = announcement.worker
             self._index()
             self.on_change(announcement.worker, "joined")
             self._note_cold(worker, now)
@@ -72,17 +93,24 @@
         known.heard_at = now
         self._note_cold(known, now)
 
-    def remove(self, worker: str, now: float, disturbed_at: float) -> None:
-        """Take the news that a worker's entry is gone."""
-        known = self._workers.get(worker)
+    def remove(self, name: str, now: float, disturbed_at: float) -> None:
+        """Take the news that the entry under a name is gone."""
+        known = self._workers.get(self._start_of.get(name, ""))
         if known is None:
             return
+        start = known.announcement.worker
         believed_at = disturbed_at + DOUBT_SECONDS
         if now < believed_at and not known.announcement.draining:
-            self._doubted_until.setdefault(worker, believed_at)
-            self.on_change(worker, "doubted")
+            self._doubted_until.setdefault(start, believed_at)
+            self.on_change(start, "doubted")
             return
-        self._drop(worker)
+        self._drop(start)
+
+    def discard(self, name: str) -> None:
+        """Take that the entry under a name names no worker to use: nothing speaks for one."""
+        start = self._start_of.get(name)
+        if start is not None:
+            self._drop(start)
 
     def expire(self, now: float) -> None:
         """Drop doubted workers that did not come back; forget who left long ago."""
@@ -93,9 +121,9 @@
             if now >= until:
                 self._drop(worker)
 
-    def worker(self, name: str) -> Worker | None:
-        """Return a listed worker."""
-        return self._workers.get(name)
+    def worker(self, start: str) -> Worker | None:
+        """Return a listed worker by the identity of its start."""
+        return self._workers.get(start)
 
     def serving(self, service: str) -> list[Worker]:
         """Return a service's workers that are listed and don't leave, doubted ones too."""
@@ -113,24 +141,49 @@
 
     def all(self) -> list[Worker]:
         """Return all listed workers."""
-        return list(self._workers.values())
+        return [worker for worker in self._workers.values() if self._trusted(worker)]
 
     @staticmethod
     def target(worker: Worker) -> WorkerTarget:
         """Return where to send."""
-        return WorkerTarget(worker.announcement.worker, worker.announcement.address)
+        announcement = worker.announcement
+        return WorkerTarget(announcement.listed_as, announcement.address, announcement.worker)
 
-    @staticmethod
-    def _serves(worker: Worker) -> bool:
-        return not worker.announcement.draining
+    def _replaced_by_later(self, announcement: WorkerAnnouncement, now: float) -> bool:
+        """Whether an entry is of a start before the one that is known, which is still heard of.
+
+        A worker's time of day may step back between two starts: the later one is then believed once
+        nothing was heard of the other for longer than its heartbeats last.
+        """
+        known = self._workers.get(self._start_of.get(announcement.listed_as, ""))
+        if known is None:
+            return False
+        born, known_born = announcement.born_milliseconds, known.announcement.born_milliseconds
+        if known_born is None:
+            return False
+        earlier = born is None or born < known_born
+        return earlier and now - known.heard_at < EARLIER_START_SECONDS
+
+    def _trusted(self, worker: Worker) -> bool:
+        """Whether an entry says when its worker started, where most entries do.
+
+        Another writer's entry may lack it. By the most, since one such entry must not discredit the
+        workers of a deployment where none says it.
+        """
+        return worker.announcement.born_milliseconds is not None or not self._starts_told
+
+    def _serves(self, worker: Worker) -> bool:
+        return not worker.announcement.draining and self._trusted(worker)
 
     def _note_cold(self, worker: Worker, now: float) -> None:
         if worker.announcement.cold_seconds > 0.0:
             self.on_cold(worker, worker.announcement.cold_seconds, now)
 
     def _drop(self, worker: str) -> None:
-        self._workers.pop(worker, None)
+        dropped = self._workers.pop(worker, None)
         self._doubted_until.pop(worker, None)
+        if dropped is not None:
+            self._start_of.pop(dropped.announcement.listed_as, None)
         self._index()
         self.on_change(worker, "gone")
 
@@ -139,3 +192,5 @@
         for worker in self._workers.values():
             by_service.setdefault(worker.announcement.service, []).append(worker)
         self._by_service = by_service
+        born = sum(w.announcement.born_milliseconds is not None for w in self._workers.values())
+        self._starts_told = 2 * born > len(self._workers)
--- a/src/stagewalk/workers/worker.py
+++ b/src/stagewalk/workers/worker.py
@@ -33,13 +33,18 @@
     Attributes
     ----------
     worker
-        Identity of this start of the worker.
+        Identity of this start of the worker: whatever is kept of a worker is kept of a start.
     versions
         Weight version by model, empty for workers without models.
     spot
         Whether the platform may take it away at short notice.
     cold_seconds
         How much longer it stays cold, as of when this was written.
+    name
+        What its entry is listed under, and what it answers to; empty if that is `worker`. It may
+        be the same after a start.
+    born_milliseconds
+        When it started, in Unix time; None if it doesn't say.
     """
 
     worker: str
@@ -51,6 +56,18 @@
     versions: dict[str, int] = field(default_factory=dict)
     spot: bool = False
     cold_seconds: float = 0.0
+    name: str = ""
+    born_milliseconds: int | None = None
+
+    @property
+    def listed_as(self) -> str:
+        """Return what its entry is listed under."""
+        return self.name or self.worker
+
+
+def start_identity(name: str, born_milliseconds: int | None) -> str:
+    """Return the identity of a worker's start: of its name alone where it doesn't say when."""
+    return name if born_milliseconds is None else f"{name}@{born_milliseconds}"
 
 
 @dataclass(slots=True)
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -98,11 +98,28 @@
         self.publish(1)
 
     def add_worker(
-        self, name: str, service: str, slots: int = 4, zone: str = "z1", cold_seconds: float = 0.0
+        self,
+        name: str,
+        service: str,
+        slots: int = 4,
+        zone: str = "z1",
+        cold_seconds: float = 0.0,
+        *,
+        born: int | None = None,
+        draining: bool = False,
     ) -> None:
         versions = {"m": 1} if service == "engines" else {}
-        self.workers.workers[name] = MemoryWorker(versions=dict(versions), slots=slots)
-        entry = announcement(name, service=service, versions=versions, slots=slots, zone=zone)
+        if not draining:
+            self.workers.workers[name] = MemoryWorker(versions=dict(versions), slots=slots)
+        entry = announcement(
+            name,
+            service=service,
+            versions=versions,
+            slots=slots,
+            zone=zone,
+            born=born,
+            draining=draining,
+        )
         port = PORTS.setdefault(name.partition(".")[0], len(PORTS) + 1)
         entry = replace(entry, cold_seconds=cold_seconds, address=Address("10.0.0.1", port))
         self.log.put_key(self.dialect.workers, name, msgspec.json.encode(entry))
--- /dev/null
+++ b/tests/gateway/test_worker_starts.py
@@ -0,0 +1,114 @@
+"""Workers that start again under their names, through whole gateways."""
+
+from __future__ import annotations
+
+import testtools
+
+from stagewalk.ports.workers import AttemptFault
+from tests.gateway.support import Site, run, until
+
+
+class WorkerStartTests(testtools.TestCase):
+    def test_a_worker_that_left_is_used_again_once_it_started_under_its_name(self) -> None:
+        async def scenario(site: Site) -> None:
+            for name in ("a1", "a2"):
+                site.log.drop_key(site.dialect.workers, name)
+            site.add_worker("a3", "app", born=1_000)
+            node = await site.start("n1")
+            site.add_worker("a3", "app", born=1_000, draining=True)
+
+            async def answered(status: int) -> bool:
+                return (await site.call(node, "GET", "/ask/x")).status_code == status
+
+            await until(lambda: answered(503))
+            site.log.drop_key(site.dialect.workers, "a3")
+            site.add_worker("a3", "app", born=9_000)
+            await until(lambda: answered(200))
+
+        run(scenario)
+
+    def test_an_item_whose_engine_started_again_goes_on_and_the_count_there_is_right(self) -> None:
+        async def scenario(site: Site) -> None:
+            for name in ("e1", "e2"):
+                site.log.drop_key(site.dialect.workers, name)
+            site.add_worker("e3", "engines", born=1_000)
+            first = site.workers.workers["e3"]
+            first.event_seconds = 0.2
+            node = await site.start("n1")
+            await site.submit(node, "b1", "x")
+            await until(lambda: _soon(site.workers.arrivals["x"] > 0))
+            site.workers.crash("e3")
+            site.add_worker("e3", "engines", born=9_000)
+            self.assertEqual(["x"], await site.until_listed(node, "b1", 1))
+            (engine,) = [
+                worker
+                for worker in node.gateway._workers.all()
+                if worker.announcement.listed_as == "e3"
+            ]
+            self.assertEqual("e3@9000", engine.announcement.worker)
+            self.assertEqual(0, engine.in_flight)
+
+        run(scenario)
+
+    def test_versions_are_ordered_anew_of_an_engine_that_started_again(self) -> None:
+        async def scenario(site: Site) -> None:
+            for name in ("e1", "e2"):
+                site.log.drop_key(site.dialect.workers, name)
+            site.add_worker("e3", "engines", born=1_000)
+            await site.start("n1")
+            site.name_version(2)
+            await until(lambda: _soon(site.workers.workers["e3"].versions["m"] == 2))
+            site.add_worker("e3", "engines", born=9_000)
+            await until(lambda: _soon(site.workers.workers["e3"].versions["m"] == 2))
+
+        run(scenario)
+
+    def test_two_ends_of_one_worker_are_two_ends(self) -> None:
+        """Where workers keep their names, a request that crashes them is found out just so."""
+
+        async def scenario(site: Site) -> None:
+            for name in ("a1", "a2"):
+                site.log.drop_key(site.dialect.workers, name)
+            node = await site.start("n1")
+            body = b"crashes it"
+            site.workers.crashing.add(body)
+            for born in range(1_000, 9_000, 1_000):
+                site.add_worker("a3", "app", born=born)
+
+                async def reached() -> bool:
+                    answer = await site.call(node, "POST", "/ask/x", b"harmless")
+                    return answer.status_code == 200
+
+                await until(reached)
+                await site.call(node, "POST", "/ask/x", body)
+            self.assertEqual(5, len(site.workers.crashes))
+
+        run(scenario)
+
+    def test_a_worker_whose_entry_another_writer_spoilt_gets_nothing_and_others_do(self) -> None:
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            site.log.put_key(site.dialect.workers, "a1", b"no entry")
+
+            async def only_other() -> bool:
+                answers = [await site.call(node, "GET", "/ask/x") for _ in range(4)]
+                return all(answer.headers.get("x-worker") == "a2" for answer in answers)
+
+            await until(only_other)
+            late = await site.start("n2")
+            answers = [await site.call(late, "GET", "/ask/x") for _ in range(4)]
+            self.assertEqual({"a2"}, {answer.headers["x-worker"] for answer in answers})
+            site.workers.workers["a2"].faults = [AttemptFault.NOT_RUN]
+            site.add_worker("a1", "app")
+
+            async def both() -> bool:
+                answers = [await site.call(node, "GET", "/ask/x") for _ in range(6)]
+                return {answer.headers.get("x-worker") for answer in answers} == {"a1", "a2"}
+
+            await until(both)
+
+        run(scenario)
+
+
+async def _soon(condition: bool) -> bool:
+    return condition
--- a/tests/platform_adapter/test_dialect.py
+++ b/tests/platform_adapter/test_dialect.py
@@ -117,8 +117,10 @@
             "service": "s",
             "address": "10.0.0.9:8080",
             "zone": "z",
+            "version": "v1",
             "slots": 16,
             "state": "draining",
+            "sequence": 4,
             "models": [{"name": "m", "version": 3, "adapters": []}],
             "cold_remaining_ms": 1500,
         }
--- a/tests/workers/support.py
+++ b/tests/workers/support.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from stagewalk.core.identities import Address
-from stagewalk.workers.worker import WorkerAnnouncement
+from stagewalk.workers.worker import WorkerAnnouncement, start_identity
 
 
 def announcement(
@@ -14,7 +14,16 @@
     slots: int = 4,
     draining: bool = False,
     versions: dict[str, int] | None = None,
+    born: int | None = None,
 ) -> WorkerAnnouncement:
     return WorkerAnnouncement(
-        worker, service, Address("10.0.0.1", 80), zone, slots, draining, versions or {}
+        start_identity(worker, born),
+        service,
+        Address("10.0.0.1", 80),
+        zone,
+        slots,
+        draining,
+        versions or {},
+        name=worker,
+        born_milliseconds=born,
     )
--- a/tests/workers/test_table.py
+++ b/tests/workers/test_table.py
@@ -8,7 +8,7 @@
 
 from stagewalk.ports.workers import WorkerLoad
 from stagewalk.workers.selection import choose_worker
-from stagewalk.workers.table import DOUBT_SECONDS, WorkerTable
+from stagewalk.workers.table import DOUBT_SECONDS, EARLIER_START_SECONDS, WorkerTable
 from stagewalk.workers.worker import WARM_SECONDS, Worker
 from tests.eligibility.support import NEAR_Z1
 from tests.workers.support import announcement
@@ -27,6 +27,70 @@
         for name in ("a", "b"):
             self.table.announce(announcement(name), 0.0)
 
+    def listed_as(self) -> set[str]:
+        return {worker.announcement.listed_as for worker in self.table.usable("s")}
+
+    def test_a_worker_that_left_and_starts_again_under_its_name_is_used(self) -> None:
+        self.table.announce(announcement("a", draining=True, born=1_000), 1.0)
+        self.table.remove("a", 5.0, CALM)
+        self.table.announce(announcement("a", born=9_000), 9.0)
+        self.assertEqual({"a", "b"}, self.listed_as())
+
+    def test_nothing_that_is_kept_of_a_worker_outlasts_its_start(self) -> None:
+        changes: list[tuple[str, str]] = []
+        self.table.on_change = lambda *change: changes.append(change)
+        self.table.announce(announcement("c", born=1_000, versions={"m": 7}), 1.0)
+        before = self.table.worker("c@1000")
+        assert before is not None
+        before.note_sent()
+        before.note_failure(2.0)
+        before.loading_until["m"] = 99.0
+        self.table.announce(announcement("c", born=5_000, versions={"m": 1}), 5.0)
+        after = self.table.worker("c@5000")
+        assert after is not None
+        self.assertIsNone(self.table.worker("c@1000"))
+        kept = (after.in_flight, after.failures, after.versions, after.loading_until)
+        self.assertEqual((0, 0, {"m": 1}, {}), kept)
+        self.assertEqual([("c@1000", "joined"), ("c@1000", "gone"), ("c@5000", "joined")], changes)
+
+    def test_an_entry_of_an_earlier_start_written_late_changes_nothing(self) -> None:
+        self.table.announce(announcement("c", born=5_000), 5.0)
+        for late in (announcement("c", born=1_000, draining=True), announcement("c")):
+            self.table.announce(late, 6.0)
+            known = self.table.worker("c@5000")
+            assert known is not None
+            self.assertFalse(known.announcement.draining)
+
+    def test_a_start_whose_clock_stepped_back_is_believed_once_the_other_is_silent(self) -> None:
+        self.table.announce(announcement("c", born=5_000), 5.0)
+        self.table.announce(announcement("c", born=1_000), 5.0 + EARLIER_START_SECONDS - 0.1)
+        self.assertIsNone(self.table.worker("c@1000"))
+        self.table.announce(announcement("c", born=1_000), 5.1 + EARLIER_START_SECONDS)
+        self.assertIsNotNone(self.table.worker("c@1000"))
+        self.assertIsNone(self.table.worker("c@5000"))
+
+    def test_who_said_that_it_leaves_never_takes_that_back_within_its_start(self) -> None:
+        self.table.announce(announcement("c", born=5_000, draining=True), 5.0)
+        self.table.announce(announcement("c", born=5_000), 6.0)
+        self.assertEqual({"a", "b"}, self.listed_as())
+
+    def test_an_entry_without_a_start_is_not_used_where_most_entries_tell_theirs(self) -> None:
+        for name in ("c", "d", "e"):
+            self.table.announce(announcement(name, born=1_000), 1.0)
+        self.assertEqual({"c", "d", "e"}, self.listed_as())
+        self.assertEqual(3, len(self.table.all()))
+
+    def test_one_entry_that_tells_its_start_discredits_no_others(self) -> None:
+        self.table.announce(announcement("c", born=1_000), 1.0)
+        self.assertEqual({"a", "b", "c"}, self.listed_as())
+
+    def test_an_entry_that_names_no_worker_takes_its_worker_out_at_once(self) -> None:
+        """Also around an outage, when a worker whose entry vanished is doubted only."""
+        self.table.discard("a")
+        self.assertEqual({"b"}, names(self.table))
+        self.table.replace([announcement("a")], 10.0, 9.9, unreadable=["b"])
+        self.assertEqual({"a"}, names(self.table))
+
     def test_a_draining_worker_gets_no_new_work(self) -> None:
         self.table.announce(announcement("a", draining=True), 1.0)
         self.assertEqual({"b"}, names(self.table))
