--- a/src/stagewalk/adapters/engine_stream.py
+++ b/src/stagewalk/adapters/engine_stream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import time
 
 import anyio
 import httpx
@@ -27,6 +26,7 @@
 from stagewalk.core.events import AttemptChunk, AttemptFailed, AttemptFinished, AttemptRefused
 from stagewalk.core.instructions import StartAttempt
 from stagewalk.ports.engines import AttemptSink, FinalAttemptEvent
+from stagewalk.steady_clock import steady_seconds
 
 ATTEMPT_GRACE_SECONDS = 5.0
 """How long a stream may outlive its request's deadline before it is given up."""
@@ -70,7 +70,7 @@
         await self._deliver(final)
 
     def _seconds_left(self) -> float:
-        left = self._start.request.deadline - time.monotonic()
+        left = self._start.request.deadline - steady_seconds()
         return max(0.0, left) + ATTEMPT_GRACE_SECONDS
 
     async def _follow(self) -> FinalAttemptEvent:
--- a/src/stagewalk/eligibility/core.py
+++ b/src/stagewalk/eligibility/core.py
@@ -122,14 +122,14 @@
         worker: Worker,
         scope: RequestScope | None,
         now: float,
-        may_send: Callable[[float], bool] = lambda _now: True,
+        withheld: Callable[[float], Denial | None] = lambda _now: None,
     ) -> Result[SendPermit, Denial]:
         """Return the permission to send a request to a worker, or why there is none.
 
         Parameters
         ----------
-        may_send
-            Whether whoever sends it still wants it sent at a time; asked as it is to go.
+        withheld
+            Why whoever sends it no longer wants it sent at a time; asked as it is to go.
         """
         if scope is None:
             self.on_denied(Denial.NO_ROUTE)
@@ -144,9 +144,10 @@
         reserved_at = None if service is None else self._cold.reserve(worker, service, now)
 
         def confirm(at: float) -> Denial | None:
-            if not may_send(at):
-                self.on_denied(Denial.VIEW_TOO_OLD)
-                return Denial.VIEW_TOO_OLD
+            reason = withheld(at)
+            if reason is not None:
+                self.on_denied(reason)
+                return reason
             return self._confirm(worker, scope, reserved_at, at)
 
         return Ok(SendPermit(WorkerTable.target(worker), confirm))
--- a/src/stagewalk/forwarding/attempt_failures.py
+++ b/src/stagewalk/forwarding/attempt_failures.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import time
-
 from stagewalk.forwarding.inbound import InboundRequest
 from stagewalk.forwarding.policy import ForwardedRequest
 from stagewalk.logs.lines import log_event
 from stagewalk.ports.denials import Denial
 from stagewalk.ports.workers import AttemptFailure, AttemptFault
+from stagewalk.steady_clock import steady_seconds
 from stagewalk.workers.worker import Worker
 
 
@@ -19,7 +18,7 @@
 
     One that was not even tried is not to blame.
     """
-    now = time.monotonic()
+    now = steady_seconds()
     state.failed(failure)
     worker.note_load(failure.load, now)
     if failure.fault not in (AttemptFault.NOT_RUN, AttemptFault.WITHHELD):
--- a/src/stagewalk/forwarding/forwarder.py
+++ b/src/stagewalk/forwarding/forwarder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -27,6 +26,7 @@
 )
 from stagewalk.routes.route import Route, RouteKind
 from stagewalk.routes.table import RouteTable
+from stagewalk.steady_clock import steady_seconds
 from stagewalk.workers.selection import choose_worker
 from stagewalk.workers.worker import Worker
 
@@ -75,18 +75,18 @@
 
         Cancelling this call closes the connections of all its attempts.
         """
-        state = ForwardedRequest(route, deadline_at, time.monotonic())
+        state = ForwardedRequest(route, deadline_at, steady_seconds())
         service = self._routes.choose_back_end(route).service
         settled = _Settled()
         try:
-            with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - time.monotonic())):
+            with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - steady_seconds())):
                 await self._attempt_until_settled(request, state, service, settled)
         finally:
             if settled.answer is None:
                 self._crashes.tell(request.content)
             if state.began_running is not None:
                 self._on_begun(request.tenant, state.began_running)
-        now = time.monotonic()
+        now = steady_seconds()
         if settled.answer is not None:
             outcome = f"answered_{settled.answer.status}"
             log_request_end(request, state, self._routes.version, outcome)
@@ -108,7 +108,7 @@
             if state.withheld is not None:
                 return
             worker = self._choose(request, service, state)
-            if worker is None or not state.may_try_again(time.monotonic()):
+            if worker is None or not state.may_try_again(steady_seconds()):
                 return
             await self._attempt_with_hedge(request, state, service, worker, settled)
 
@@ -128,21 +128,21 @@
                 if settled.answer is not None or state.under_way == 0:
                     tasks.cancel_scope.cancel()
 
-            now = time.monotonic()
+            now = steady_seconds()
             delay = state.hedge_after(worker.recent_latency(now))
             self._start(state, worker)
             tasks.start_soon(attempt, worker)
             await anyio.sleep(delay)
             state.suspected = self._crashes.known_level(request.content) > 0
             second = self._choose(request, service, state)
-            if second is not None and state.may_hedge(time.monotonic()):
+            if second is not None and state.may_hedge(steady_seconds()):
                 self._start(state, second)
                 tasks.start_soon(attempt, second)
 
     def _choose(
         self, request: InboundRequest, service: str, state: ForwardedRequest
     ) -> Worker | None:
-        now = time.monotonic()
+        now = steady_seconds()
         scope = request.scope(state.route)
         found = self._eligibility.candidates(service, scope, now)
         self._eligibility.want(found, now)
@@ -159,7 +159,7 @@
 
     @staticmethod
     def _start(state: ForwardedRequest, worker: Worker) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         state.started(worker.announcement.worker, evidence_of(worker, now))
         worker.note_sent()
 
@@ -170,9 +170,10 @@
         worker: Worker,
         settled: _Settled,
     ) -> None:
-        began = time.monotonic()
+        began = steady_seconds()
         known_level = self._crashes.known_level(request.content)
-        permit = self._eligibility.permit(worker, request.scope(state.route), began)
+        scope = request.scope(state.route)
+        permit = self._eligibility.permit(worker, scope, began, state.late)
         if permit.is_error():
             note_withheld_attempt(request, state, worker, permit.error)
             return
@@ -195,7 +196,7 @@
             worker.note_ended()
             if not proves_not_run:
                 state.note_unanswered(began)
-        now = time.monotonic()
+        now = steady_seconds()
         if result.is_error():
             sent = SentRequest(
                 request.request_id, request.content, worker, state.route.name, known_level, began
@@ -236,7 +237,7 @@
         load_ages=",".join(format(e.load_age, ".2f") for e in state.evidence),
         attempts=state.spent,
         denied=_count_denials(state),
-        seconds=time.monotonic() - state.began_at,
+        seconds=steady_seconds() - state.began_at,
         **content,
     )
 
--- a/src/stagewalk/forwarding/policy.py
+++ b/src/stagewalk/forwarding/policy.py
@@ -174,6 +174,10 @@
         self.may_have_run = True
         return not self.may_try_again(now)
 
+    def late(self, now: float) -> Denial | None:
+        """Return why it must not be sent at a time: a machine that slept finds its time over."""
+        return Denial.OUT_OF_TIME if now >= self.deadline_at else None
+
     def worker_seconds(self, now: float) -> float:
         """Return how long a worker may still work on it."""
         return max(0.001, self.deadline_at - now - DEADLINE_RESERVE_SECONDS)
--- a/src/stagewalk/forwarding/stream_forwarder.py
+++ b/src/stagewalk/forwarding/stream_forwarder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -30,6 +29,7 @@
 )
 from stagewalk.routes.route import Route
 from stagewalk.routes.table import RouteTable
+from stagewalk.steady_clock import steady_seconds
 from stagewalk.workers.selection import choose_worker
 from stagewalk.workers.worker import Worker
 
@@ -95,16 +95,16 @@
 
         After an error the caller's answer, if it has begun, must not look complete.
         """
-        state = ForwardedRequest(route, deadline_at, time.monotonic())
+        state = ForwardedRequest(route, deadline_at, steady_seconds())
         service = self._routes.choose_back_end(route).service
         progress = _Progress(last_event=resume_after)
         ended: StreamEnd | None = None
         try:
-            with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - time.monotonic())):
+            with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - steady_seconds())):
                 while ended is None:
                     state.withheld = await self._crashes.denial(request.content)
                     worker = self._choose(request, service, state)
-                    if worker is None or not state.may_try_again(time.monotonic()):
+                    if worker is None or not state.may_try_again(steady_seconds()):
                         break
                     ended = await self._attempt(request, state, worker, progress, consume)
         finally:
@@ -114,7 +114,7 @@
             log_request_end(request, state, self._routes.version, f"stream_{ended.status}")
             return Ok(ended)
         await self._crashes.told(request.content)
-        ending = state.ending(time.monotonic())
+        ending = state.ending(steady_seconds())
         if progress.started and ending is Ending.NOT_RUN:
             ending = Ending.UNKNOWN
         log_request_end(request, state, self._routes.version, ending.value)
@@ -125,7 +125,7 @@
     ) -> Worker | None:
         if state.withheld is not None:
             return None
-        now = time.monotonic()
+        now = steady_seconds()
         found = self._eligibility.candidates(service, request.scope(state.route), now)
         self._eligibility.want(found, now)
         state.denied = found.denied
@@ -139,15 +139,16 @@
         progress: _Progress,
         consume: StreamConsumer,
     ) -> StreamEnd | None:
-        state.started(worker.announcement.worker, evidence_of(worker, time.monotonic()))
+        state.started(worker.announcement.worker, evidence_of(worker, steady_seconds()))
         worker.note_sent()
 
         async def deliver(part: StreamPart) -> None:
             await self._pass_on(part, worker, progress, consume, request.tenant)
 
-        now = time.monotonic()
+        now = steady_seconds()
         known_level = self._crashes.known_level(request.content)
-        permit = self._eligibility.permit(worker, request.scope(state.route), now)
+        scope = request.scope(state.route)
+        permit = self._eligibility.permit(worker, scope, now, state.late)
         if permit.is_error():
             note_withheld_attempt(request, state, worker, permit.error)
             return None
@@ -200,10 +201,10 @@
         tenant: str | None,
     ) -> None:
         if isinstance(part, StreamHead):
-            worker.note_load(part.load, time.monotonic())
+            worker.note_load(part.load, steady_seconds())
             if part.status == SUCCESS and not progress.started:
                 progress.started = True
-                self._on_begun(tenant, time.monotonic())
+                self._on_begun(tenant, steady_seconds())
                 await consume(part)
             return
         if part.number != progress.last_event + 1:
--- a/src/stagewalk/gateway/app.py
+++ b/src/stagewalk/gateway/app.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 import traceback
 from collections.abc import Awaitable, Callable
 
@@ -30,6 +29,7 @@
 from stagewalk.routes.route import CallerLimits, Route, RouteKind
 from stagewalk.routes.table import RouteTable
 from stagewalk.settings.node_settings import Limits
+from stagewalk.steady_clock import steady_seconds
 
 Endpoint = Callable[[OpaqueExchange], Awaitable[None]]
 
@@ -178,7 +178,7 @@
             await self._forward(exchange, caller, route)
 
     async def _forward(self, exchange: OpaqueExchange, caller: Caller, route: Route) -> None:
-        began = time.monotonic()
+        began = steady_seconds()
         body = await exchange.body()
         if body.is_error():
             await reply_error(exchange, 413, body.error.detail)
@@ -194,7 +194,7 @@
         await self._reply_unanswered(exchange, route, outcome.error, began)
 
     async def _forward_stream(self, exchange: OpaqueExchange, caller: Caller, route: Route) -> None:
-        began = time.monotonic()
+        began = steady_seconds()
         body = await exchange.body()
         if body.is_error():
             await reply_error(exchange, 413, body.error.detail)
--- a/src/stagewalk/gateway/autoscale_service.py
+++ b/src/stagewalk/gateway/autoscale_service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import Counter
 from collections.abc import Callable
 
@@ -19,6 +18,7 @@
 from stagewalk.partitioned_log.freshness import Freshness
 from stagewalk.ports.duties import DutyClient, DutyHolder, DutyOutcome, WorkerOrder
 from stagewalk.routes.table import RouteTable
+from stagewalk.steady_clock import steady_seconds
 from stagewalk.workers.table import WorkerTable
 
 PLAN_PREFIX = "workers"
@@ -65,7 +65,7 @@
         while True:
             await anyio.sleep(STEP_SECONDS)
             await self._duties.wait_until_active()
-            current = self._workers_view.age(time.monotonic()) < CURRENT_SECONDS
+            current = self._workers_view.age(steady_seconds()) < CURRENT_SECONDS
             if current and self._duties.may_act():
                 await self._step()
 
@@ -75,7 +75,7 @@
             self._routes.scaled_services,
             self._workers.all(),
             open_items,
-            time.monotonic(),
+            steady_seconds(),
             self._evacuations.zones,
         )
         async with anyio.create_task_group() as tasks:
@@ -99,7 +99,7 @@
         if stands and self._duties.may_act(fence):
             holder = DutyHolder(str(self._identity), fence)
             outcome = await self._client.order_workers(holder, order)
-        self._autoscaler.sent(order, outcome, time.monotonic())
+        self._autoscaler.sent(order, outcome, steady_seconds())
         log_event(
             "workers_ordered",
             "info" if outcome is DutyOutcome.DONE else "warning",
--- a/src/stagewalk/gateway/batch_calls.py
+++ b/src/stagewalk/gateway/batch_calls.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-
 import msgspec
 
 from stagewalk.eligibility.come_back import COME_BACK_AFTER
@@ -22,6 +20,7 @@
 from stagewalk.ports.dialect import Dialect, Submission
 from stagewalk.scoring.core import RouteOf
 from stagewalk.scoring.submission import find_unroutable_score
+from stagewalk.steady_clock import steady_seconds
 
 SUBMIT_SECONDS = 3.0
 """How long a submission may wait for the log."""
@@ -69,7 +68,7 @@
             await reply_error(exchange, 503, str(unroutable), COME_BACK_SECONDS)
             return
         stalled_since = self._store.appends_stalled(batch)
-        if stalled_since is not None and time.monotonic() - stalled_since > STALLED_SECONDS:
+        if stalled_since is not None and steady_seconds() - stalled_since > STALLED_SECONDS:
             log_event("batch_refused", "warning", batch=batch, cause="log takes no appends")
             await reply_error(exchange, 503, "the log takes no appends", COME_BACK_SECONDS)
             return
@@ -127,7 +126,7 @@
         if known is not None:
             await self._reply_known(exchange, known.header.belongs_to(caller.tenant))
             return True
-        now = time.monotonic()
+        now = steady_seconds()
         if self._store.followed(batch, now) and not self._store.lacks_history(batch, now):
             return False
         place = await self._runners.known_place(batch)
--- a/src/stagewalk/gateway/batch_runner.py
+++ b/src/stagewalk/gateway/batch_runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import anyio
@@ -34,6 +33,7 @@
     WorkerClient,
 )
 from stagewalk.scoring.messages import SendScore, StopScore
+from stagewalk.steady_clock import steady_seconds
 from stagewalk.version_rollouts.core import VersionRollouts
 from stagewalk.workers.table import WorkerTable
 
@@ -147,7 +147,7 @@
             self._lose(name)
         elif batch.epoch < (self._views.ahead_epoch(name) or 0):
             return
-        elif mine and self._store.lacks_history(name, time.monotonic()):
+        elif mine and self._store.lacks_history(name, steady_seconds()):
             self._open_unless_ended(batch)
         elif mine:
             self._open(batch)
@@ -246,15 +246,15 @@
             epoch=batch.epoch,
             ahead=self._views.ahead_epoch(name) is not None,
             read_from=self._views.read_from(name),
-            view_age=self._views.age(name, time.monotonic()),
+            view_age=self._views.age(name, steady_seconds()),
         )
-        self._carry_out(self._scheduler.open(batch, kept_text, time.monotonic()))
+        self._carry_out(self._scheduler.open(batch, kept_text, steady_seconds()))
         self._begun.set()
         self._handle(Tick())
 
     def _close(self, batch: str, reason: str) -> None:
         if self.runs(batch):
-            view_age = self._views.age(batch, time.monotonic())
+            view_age = self._views.age(batch, steady_seconds())
             log_event("batch_closed", batch=batch, reason=reason, view_age=view_age)
         self._carry_out(self._scheduler.close(batch, reason))
         self._views.drop(batch)
@@ -269,10 +269,10 @@
                 await self._begun.wait()
             await anyio.sleep(TICK_SECONDS)
             self._handle(Tick())
-            self._views.log_changes(self._scheduler.batches, time.monotonic())
+            self._views.log_changes(self._scheduler.batches, steady_seconds())
 
     def _handle(self, event: SchedulerEvent) -> None:
-        self._carry_out(self._scheduler.handle(event, time.monotonic()))
+        self._carry_out(self._scheduler.handle(event, steady_seconds()))
 
     def _carry_out(self, instructions: list[SchedulerInstruction]) -> None:
         for instruction in instructions:
@@ -307,7 +307,7 @@
         scope = anyio.CancelScope()
         self._scopes[start.attempt] = scope
         self._tasks.start_soon(self._run_item, start, scope)
-        view_age = self._views.age(start.batch, time.monotonic())
+        view_age = self._views.age(start.batch, steady_seconds())
         self._on_item_started(view_age)
         log_event(
             "item_started",
--- a/src/stagewalk/gateway/batch_store.py
+++ b/src/stagewalk/gateway/batch_store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import time
 import uuid
 from collections.abc import Callable
 from functools import partial
@@ -37,6 +36,7 @@
 from stagewalk.partitioned_log.freshness import Freshness
 from stagewalk.ports.dialect import Submission
 from stagewalk.ports.partitioned_log import Partition, PartitionedLog, PartitionRecord
+from stagewalk.steady_clock import steady_seconds
 
 TOPIC = "batches"
 PARTITIONS = 6
@@ -189,16 +189,16 @@
         if decoded is None:
             log_event("record_unreadable", "warning", topic=TOPIC, offset=record.offset)
             return
-        self.ledger.apply(decoded, time.monotonic(), record.offset)
+        self.ledger.apply(decoded, steady_seconds(), record.offset)
 
     def _lose(self, partition: int) -> None:
         """Drop what is known of a partition: ends and results may lie in what was not read."""
-        self._lost_at[partition] = time.monotonic()
+        self._lost_at[partition] = steady_seconds()
         self.ledger.lose([name for name in self.ledger.names if self.partition(name) == partition])
 
     def note_ended(self, batch: str) -> None:
         """Take a batch for ended whose end is noted, but was dropped from the log unread."""
-        self.ledger.apply(BatchEnded(batch), time.monotonic())
+        self.ledger.apply(BatchEnded(batch), steady_seconds())
 
     def first_offset(self, batch: str, now: float) -> int | None:
         """Return where a batch's records begin; None if they may begin before this node's view."""
--- a/src/stagewalk/gateway/cold_lease_service.py
+++ b/src/stagewalk/gateway/cold_lease_service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import anyio
@@ -14,6 +13,7 @@
 from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.follower import PartitionFollower
 from stagewalk.ports.partitioned_log import LogFault, Partition, PartitionedLog, PartitionRecord
+from stagewalk.steady_clock import steady_seconds
 
 COLD_STARTS = Partition("cold_starts", 0)
 STEP_SECONDS = 0.1
@@ -49,7 +49,7 @@
             log,
             COLD_STARTS,
             self._apply,
-            on_gap=lambda: leases.note_gap(time.monotonic()),
+            on_gap=lambda: leases.note_gap(steady_seconds()),
         )
         self._follower.pause()
         cold.on_wanted = self._wake
@@ -70,15 +70,15 @@
         if not self._due() or not await self._follower.catch_up(CATCH_UP_SECONDS):
             return
         # What was read may have given some of them to others.
-        acquire = self._leases.acquire(self._due(), self._follower.next_offset, time.monotonic())
+        acquire = self._leases.acquire(self._due(), self._follower.next_offset, steady_seconds())
         if acquire is not None:
             await self._acquire(acquire)
 
     def _due(self) -> list[str]:
-        return self._cold.wanted(time.monotonic(), self._comes_first)
+        return self._cold.wanted(steady_seconds(), self._comes_first)
 
     async def _acquire(self, acquire: AcquireLeases) -> None:
-        sent_at = time.monotonic()
+        sent_at = steady_seconds()
         answer = await self._log.append_at(COLD_STARTS, acquire.record.encode(), acquire.end)
         if answer.is_ok():
             self._leases.taken(acquire.record, sent_at)
@@ -96,7 +96,7 @@
         if lease is None:
             log_event("record_unreadable", "warning", topic=COLD_STARTS.topic, offset=record.offset)
             return
-        self._leases.apply(lease, time.monotonic())
+        self._leases.apply(lease, steady_seconds())
 
     def _comes_first(self, worker: str) -> bool:
         nodes = self._replicas()
--- a/src/stagewalk/gateway/crash_watch.py
+++ b/src/stagewalk/gateway/crash_watch.py
@@ -19,6 +19,7 @@
 from stagewalk.quarantine.core import CrashSuspects, HeldContent, next_level
 from stagewalk.quarantine.losses import Loss, LossWatch, WorkerStart
 from stagewalk.quarantine.records import KEY_PREFIX, CrashStrike, decode_strike
+from stagewalk.steady_clock import steady_seconds
 from stagewalk.workers.table import WorkerTable
 
 Probe = Callable[[WorkerTarget], Awaitable[bool | None]]
@@ -56,7 +57,7 @@
     """A token bucket of appends."""
 
     tokens: float = BURST_APPENDS
-    filled_at: float = field(default_factory=time.monotonic)
+    filled_at: float = field(default_factory=steady_seconds)
 
     def seconds_until_next(self, now: float) -> float:
         """Take a token; return how long to wait for it."""
@@ -131,7 +132,7 @@
             sent.route,
             sent.known_level,
             sent.sent_at,
-            time.monotonic(),
+            steady_seconds(),
             time.time(),
         )
         self._losses.add(loss)
@@ -224,7 +225,7 @@
         while True:
             await self._work.wait()
             while self._unsent:
-                await anyio.sleep(self._pace.seconds_until_next(time.monotonic()))
+                await anyio.sleep(self._pace.seconds_until_next(steady_seconds()))
                 await self._append_first()
             self._work = anyio.Event()
             self._idle.set()
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -41,6 +41,7 @@
 from stagewalk.ports.partitioned_log import Partition, PartitionedLog
 from stagewalk.ports.workers import WorkerClient
 from stagewalk.routes.table import RouteTable
+from stagewalk.steady_clock import steady_seconds
 from stagewalk.version_rollouts.core import VersionRollouts
 from stagewalk.workers.table import WorkerTable
 
@@ -54,7 +55,7 @@
 those who look for them have the reads to themselves meanwhile."""
 
 STALL_SECONDS = 0.2
-"""A loop that comes this much late was kept from running, or the machine was."""
+"""A loop that comes this much late was kept from running, or the machine was stopped or asleep."""
 
 STEP_SECONDS = 0.1
 LEAVE_SECONDS = 3.5
@@ -280,7 +281,7 @@
 
     def _state(self) -> GatewayState:
         """Return what the gauges show."""
-        now = time.monotonic()
+        now = steady_seconds()
         followers = (
             *self._published.freshness,
             *self.store.freshness,
@@ -313,20 +314,20 @@
             # Those who ran batches go on first: the whole log is read by all nodes at once.
             alone = self._nodes.alone
             wait_seconds = RESTART_SECONDS if alone else RESUME_SECONDS
-            self._roles.follow_from(time.monotonic() + wait_seconds)
+            self._roles.follow_from(steady_seconds() + wait_seconds)
         await self._nodes.settle()
         while True:
             self._nodes.set_serving(self._ready() and not self._stopping)
-            self._roles.update(self._stopping, time.monotonic())
-            due = anyio.current_time() + self._roles.pace.housekeeping
-            await anyio.sleep_until(due)
-            lag = anyio.current_time() - due
+            self._roles.update(self._stopping, steady_seconds())
+            due = steady_seconds() + self._roles.pace.housekeeping
+            await anyio.sleep(self._roles.pace.housekeeping)
+            lag = steady_seconds() - due
             self._metrics.loop_lag.observe(lag)
             if lag > STALL_SECONDS:
                 log_event("loop_stalled", "warning", seconds=lag)
-            self._workers.expire(time.monotonic())
-            self._rules.expire(time.monotonic())
-            self._crashes.step(time.monotonic())
+            self._workers.expire(steady_seconds())
+            self._rules.expire(steady_seconds())
+            self._crashes.step(steady_seconds())
             self._duties.sample_clock()
             for kind, count in self._log_budget.take_dropped().items():
                 log_event("log_lines_dropped", "warning", kind=kind, count=count)
--- a/src/stagewalk/gateway/duty_lease.py
+++ b/src/stagewalk/gateway/duty_lease.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import anyio
@@ -22,6 +21,7 @@
 from stagewalk.partitioned_log.appender import PartitionAppender
 from stagewalk.partitioned_log.follower import PartitionFollower
 from stagewalk.ports.partitioned_log import Partition, PartitionedLog, PartitionRecord
+from stagewalk.steady_clock import steady_seconds
 
 TOPIC = "leases"
 DUTIES_PARTITION = 0
@@ -60,7 +60,7 @@
             partition,
             self._apply,
             pause_seconds=0.02,
-            on_gap=lambda: lease.note_gap(time.monotonic()),
+            on_gap=lambda: lease.note_gap(steady_seconds()),
         )
         self._appender = PartitionAppender(log, partition, producer, call_bytes)
         self._followed = anyio.Event()
@@ -89,7 +89,7 @@
     def may_act(self, fence: int | None = None) -> bool:
         """Whether this process may act as the holder now, under the given fence if there is one."""
         same = fence is None or fence == self._lease.fence
-        return same and self._lease.may_act(time.monotonic())
+        return same and self._lease.may_act(steady_seconds())
 
     def overtaken(self, fence: int) -> None:
         """Note that someone obeyed a higher fence than this one."""
@@ -159,7 +159,7 @@
             await anyio.sleep(STEP_SECONDS)
             await self._followed.wait()
             if not self._stopping:
-                await self._keep(time.monotonic())
+                await self._keep(steady_seconds())
 
     async def _keep(self, now: float) -> None:
         assert self._tasks is not None
@@ -168,12 +168,12 @@
         if isinstance(step, Renew):
             self._tasks.start_soon(self._renew, step)
         elif isinstance(step, Acquire) and await self._follower.catch_up(CATCH_UP_SECONDS):
-            step = self._lease.decide(time.monotonic(), current=True)
+            step = self._lease.decide(steady_seconds(), current=True)
             if isinstance(step, Acquire):
                 await self._acquire(step)
 
     async def _acquire(self, step: Acquire) -> None:
-        sent_at = time.monotonic()
+        sent_at = steady_seconds()
         answer = await self._log.append_at(self._partition, step.record.encode(), step.end)
         log_event(
             "lease_acquire",
@@ -185,7 +185,7 @@
             self._lease.renewal_taken(sent_at, answer.ok)
 
     async def _renew(self, step: Renew) -> None:
-        sent_at = time.monotonic()
+        sent_at = steady_seconds()
         answer = await self._appender.append([step.record.encode()], APPEND_SECONDS)
         if answer.is_ok() and await self._has_read(answer.ok):
             self._lease.renewal_taken(sent_at, step.record.fence)
@@ -207,7 +207,7 @@
             case PlanRecord():
                 self._take_plan(decoded)
             case LeaseRecord():
-                self._lease.apply(record.offset, decoded, time.monotonic())
+                self._lease.apply(record.offset, decoded, steady_seconds())
                 if self._lease.holder != before:
                     log_event("lease_held", holder=self._lease.holder, fence=self._lease.fence)
 
--- a/src/stagewalk/gateway/early_start.py
+++ b/src/stagewalk/gateway/early_start.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import math
-import time
 from collections.abc import Mapping
 
 import anyio
@@ -21,6 +20,7 @@
     PartitionedLog,
     PartitionRecord,
 )
+from stagewalk.steady_clock import steady_seconds
 
 MARGIN_RECORDS = 100
 """So many records before the noted place of a batch are read as well: were it handed in twice, the
@@ -63,7 +63,7 @@
         """Read to the partition's end; return whether the log answered."""
         async with self._reading:
             while True:
-                asked_at = time.monotonic()
+                asked_at = steady_seconds()
                 answer = await self._log.read(self._partition, self._next_offset, 0.0)
                 if answer.is_error():
                     self.lost = self.lost or answer.error.fault is LogFault.DROPPED
@@ -83,7 +83,7 @@
             return
         if not isinstance(decoded, BatchSubmitted) and self.ledger.get(decoded.batch) is None:
             self._began_before.add(decoded.batch)
-        self.ledger.apply(decoded, time.monotonic(), record.offset)
+        self.ledger.apply(decoded, steady_seconds(), record.offset)
 
     def whole(self, name: str) -> Batch | None:
         """Return a batch of which all records were read, None if there is none."""
@@ -119,7 +119,7 @@
         return partial.whole(name) if await partial.read() else None
 
     async def _place(self, name: str) -> BatchPlace | None:
-        now = time.monotonic()
+        now = steady_seconds()
         known = self._places.get(name)
         unsure = known is None or not known.certain
         if unsure and now - self._listed_at > LIST_SECONDS:
--- a/src/stagewalk/gateway/item_sender.py
+++ b/src/stagewalk/gateway/item_sender.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 from stagewalk.batches.item_run import ITEM_METHOD, item_content
@@ -27,6 +26,7 @@
     StreamPart,
     WorkerClient,
 )
+from stagewalk.steady_clock import steady_seconds
 from stagewalk.workers.table import WorkerTable
 
 SUCCESS = 200
@@ -73,14 +73,14 @@
         if worker is None:
             gone = AttemptFailure(AttemptFault.NOT_SENT, "the worker is gone")
             return AttemptBroken(start.attempt, gone)
-        now = time.monotonic()
+        now = steady_seconds()
         if not self._views.may_start(start.batch, now):
             # Decided in time, but this task came to its turn late: the loop was busy or stopped.
             withheld = AttemptFailure(AttemptFault.WITHHELD, "the view of the log is too old")
             return AttemptBroken(start.attempt, withheld)
         scope = self._eligibility.scope(start.item.path, content, start.tenant)
         permit = self._eligibility.permit(
-            worker, scope, now, lambda at: self._views.may_send(start.batch, at)
+            worker, scope, now, lambda at: self._views.denial(start.batch, at)
         )
         if permit.is_error():
             return self._broken(start, AttemptFailure(AttemptFault.WITHHELD, permit.error.value))
--- a/src/stagewalk/gateway/ledger_calls.py
+++ b/src/stagewalk/gateway/ledger_calls.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 
 from stagewalk.directory.node_table import NodeAnnouncement
@@ -20,6 +19,7 @@
 from stagewalk.logs.lines import log_event
 from stagewalk.peer_calls.client import PeerClient
 from stagewalk.regions.distance import Proximity
+from stagewalk.steady_clock import steady_seconds
 
 LEDGER_PATH = "/ledger"
 ANSWER_SECONDS = 1.0
@@ -71,7 +71,7 @@
             if answer is not None and not answer.unsure:
                 return answer
             unsure = answer or unsure
-            self._avoid_until[replica.node] = time.monotonic() + AVOID_SECONDS
+            self._avoid_until[replica.node] = steady_seconds() + AVOID_SECONDS
             log_event(
                 "ledger_call_failed",
                 "warning",
@@ -86,7 +86,7 @@
 
     def _nearest(self) -> list[NodeAnnouncement]:
         """Return the replicas in the order to ask them: sound ones first, then near ones."""
-        now = time.monotonic()
+        now = steady_seconds()
 
         def place(replica: NodeAnnouncement) -> tuple[bool, int, float]:
             avoided = now < self._avoid_until.get(replica.node, 0.0)
--- a/src/stagewalk/gateway/ledger_reads.py
+++ b/src/stagewalk/gateway/ledger_reads.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import time
 from collections.abc import Callable
 
 import anyio
@@ -27,6 +26,7 @@
 from stagewalk.logs.lines import log_event
 from stagewalk.partitioned_log.appender import AppendOutcome
 from stagewalk.ports.dialect import Dialect
+from stagewalk.steady_clock import steady_seconds
 
 END_SECONDS = 2.0
 PAGE_BYTES = 900_000
@@ -138,7 +138,7 @@
             position=call.position,
             count=len(page),
             known=len(batch.results),
-            view_age=self._store.view_age(call.batch, time.monotonic()),
+            view_age=self._store.view_age(call.batch, steady_seconds()),
         )
         next_position = call.position + len(page)
         return LedgerAnswer(200, self._dialect.results(len(batch.items), next_position, page))
@@ -153,8 +153,8 @@
         """Show results of an open batch before the whole log is read."""
         if not batch.header.belongs_to(call.tenant):
             return self._deny(call)
-        until = time.monotonic() + min(LONGEST_WAIT_SECONDS, call.wait_seconds)
-        while call.position >= len(batch.results) and batch.open and time.monotonic() < until:
+        until = steady_seconds() + min(LONGEST_WAIT_SECONDS, call.wait_seconds)
+        while call.position >= len(batch.results) and batch.open and steady_seconds() < until:
             await anyio.sleep(EARLY_READ_SECONDS)
             batch = await self._find_early(call.batch) or batch
         if call.position > len(batch.results):
@@ -173,12 +173,12 @@
 
     async def _wait_for_results(self, batch: Batch, call: ResultsCall) -> None:
         """Wait for a first result, or for the last ones of a step, as long as the caller offers."""
-        until = time.monotonic() + min(LONGEST_WAIT_SECONDS, call.wait_seconds)
+        until = steady_seconds() + min(LONGEST_WAIT_SECONDS, call.wait_seconds)
         due_at = batch.seen_at + self._due_seconds(batch)
         while self._worth_waiting(batch, call.position):
             none_yet = call.position >= len(batch.results)
             # Groups count as they are read: what is there is shown when the step is due.
-            left = (until if none_yet else min(until, due_at)) - time.monotonic()
+            left = (until if none_yet else min(until, due_at)) - steady_seconds()
             if left <= 0.0:
                 return
             await self._store.wait_for_news(call.batch, left)
@@ -206,7 +206,7 @@
             return batch
         if not batch.ended:
             # Marked first: whoever hands the batch in again must not find it open after its end.
-            began = time.monotonic()
+            began = steady_seconds()
             marked = await self._open_batches.mark_ended(
                 call.batch,
                 self._store.partition(call.batch),
@@ -216,7 +216,7 @@
             )
             if not marked:
                 return refusal(503, "the log did not answer", COME_BACK_SECONDS)
-            left = max(0.0, END_SECONDS - (time.monotonic() - began))
+            left = max(0.0, END_SECONDS - (steady_seconds() - began))
             outcome = await self._store.end(call.batch, left)
             if outcome.is_error():
                 status = 503 if outcome.error is AppendOutcome.NOT_APPENDED else 504
@@ -226,7 +226,7 @@
                 batch=call.batch,
                 listed=len(batch.listed),
                 of=len(batch.items),
-                view_age=self._store.view_age(call.batch, time.monotonic()),
+                view_age=self._store.view_age(call.batch, steady_seconds()),
             )
         return LedgerAnswer(200, b"{}")
 
@@ -264,7 +264,7 @@
         It may have begun in records that the log dropped before they were read here; then its place
         is still noted.
         """
-        if not self._store.lacks_history(name, time.monotonic()):
+        if not self._store.lacks_history(name, steady_seconds()):
             return True
         place = await self._open_batches.find(name)
         return place.is_ok() and place.ok is None
@@ -276,7 +276,7 @@
         before, and have had results there: then its place is noted before what is known of it.
         """
         name = batch.header.batch
-        if not self._store.lacks_history(name, time.monotonic()):
+        if not self._store.lacks_history(name, steady_seconds()):
             return True
         lost_at = self._store.lost_at(name)
         if self._whole_since.get(name) == lost_at:
@@ -298,7 +298,7 @@
         return await self._store.catch_up(name) and position <= len(batch.results)
 
     def _stale(self, name: str, oldest_seconds: float) -> bool:
-        age = self._store.view_age(name, time.monotonic())
+        age = self._store.view_age(name, steady_seconds())
         if self._store.following:
             return age > oldest_seconds
         return age > MAXIMUM_UNFOLLOWED_AGE_SECONDS
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -19,6 +18,7 @@
 
 from stagewalk.logs.budget import LogBudget
 from stagewalk.ports.denials import Denial
+from stagewalk.steady_clock import steady_seconds
 
 _LAG_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0)
 _CALL_BUCKETS = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0)
@@ -154,7 +154,7 @@
     def request_ended(self, kind: str, outcome: str, began: float) -> None:
         """Count a request that began at a steady time."""
         self._requests.labels(kind, outcome).inc()
-        self._latency.labels(kind).observe(time.monotonic() - began)
+        self._latency.labels(kind).observe(steady_seconds() - began)
 
     def send_denied(self, denial: Denial) -> None:
         """Count a request that was denied a worker."""
--- a/src/stagewalk/gateway/node_service.py
+++ b/src/stagewalk/gateway/node_service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -27,6 +26,7 @@
 from stagewalk.ports.keyed_records import KeyedRecords, NoKeyedRecords
 from stagewalk.ports.partitioned_log import KeyedRecord, Partition, PartitionedLog
 from stagewalk.regions.homes import AllowedRegions, allows
+from stagewalk.steady_clock import steady_seconds
 
 READ_WAIT_SECONDS = 1.0
 """How long a read waits for a first announcement."""
@@ -110,7 +110,7 @@
         self._roles = Roles(replica=False, listed=False)
         self._roles_as_of = -math.inf
         self._living = 1
-        self._calls = CallRate(time.monotonic())
+        self._calls = CallRate(steady_seconds())
         self._calls_per_second = 0.0
         self._liveness = RunnerLiveness()
         self.strikes: KeyedRecords = NoKeyedRecords()
@@ -292,7 +292,7 @@
         known = self._table.known(identity.node)
         if known is None or not known.ledger_replica:
             return RunnerState.GONE
-        now = time.monotonic()
+        now = steady_seconds()
         if self._liveness.gone(process, now):
             return RunnerState.GONE
         if self._liveness.replaced(process, now):
@@ -324,9 +324,9 @@
         await self._known.wait()
         while True:
             self._beat += 1
-            self._calls_per_second = self._calls.take(time.monotonic())
+            self._calls_per_second = self._calls.take(steady_seconds())
             own = self._own()
-            self._table.announce(own, time.monotonic())
+            self._table.announce(own, steady_seconds())
             answer = await self._log.append_keyed(self._partition, own.node, own.encode())
             wait_seconds = own.renewal_seconds
             if answer.is_error():
@@ -352,7 +352,7 @@
             for record in records
             if not self.strikes.owns(record) and (announcement := _decode(record)) is not None
         }
-        now = time.monotonic()
+        now = steady_seconds()
         self._table.announced(listing, now)
         if self.known:
             return
@@ -371,7 +371,7 @@
         if announcement is None:
             return
         before = self._table.known(announcement.node)
-        self._table.announce(announcement, time.monotonic())
+        self._table.announce(announcement, steady_seconds())
         taken = self._table.known(announcement.node) is announcement
         if taken and before is not None and before.front != announcement.front:
             log_event(
--- a/src/stagewalk/gateway/open_batches.py
+++ b/src/stagewalk/gateway/open_batches.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import time
-
 import anyio
 import msgspec
 from expression import Error, Ok, Result
@@ -16,6 +14,7 @@
 from stagewalk.batches.records import owns_batch
 from stagewalk.logs.lines import log_event
 from stagewalk.ports.partitioned_log import LogFailure, Partition, PartitionedLog
+from stagewalk.steady_clock import steady_seconds
 
 OPEN_BATCHES = Partition("keyed.batches", 0)
 NOTE_SECONDS = 0.2
@@ -94,13 +93,13 @@
         certain = first_offset is not None
         place = BatchPlace(partition, first_offset or 0, NOBODY, True, tenant, certain)
         value = msgspec.msgpack.encode(place)
-        until = time.monotonic() + timeout_seconds
+        until = steady_seconds() + timeout_seconds
         with anyio.move_on_after(timeout_seconds):
             while True:
                 answer = await self._log.append_keyed(OPEN_BATCHES, batch, value)
                 if answer.is_ok():
                     return True
-                if time.monotonic() + MARK_RETRY_SECONDS >= until:
+                if steady_seconds() + MARK_RETRY_SECONDS >= until:
                     break
                 await anyio.sleep(MARK_RETRY_SECONDS)
         log_event("batch_end_not_marked", "warning", batch=batch, waited_seconds=timeout_seconds)
--- a/src/stagewalk/gateway/order_service.py
+++ b/src/stagewalk/gateway/order_service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import Counter
 from collections.abc import Callable
 
@@ -15,6 +14,7 @@
 from stagewalk.leases.log_lease import DutyRecord
 from stagewalk.logs.lines import log_event
 from stagewalk.ports.workers import OrderOutcome, VersionOrder, WorkerClient
+from stagewalk.steady_clock import steady_seconds
 from stagewalk.version_rollouts.core import OrderVersion, VersionRollouts
 from stagewalk.workers.table import WorkerTable
 
@@ -54,9 +54,9 @@
             await anyio.sleep(STEP_SECONDS)
             await self._duties.wait_until_active()
             if self._duties.may_act():
-                self._rollouts.note_open_items(self._open_items(), time.monotonic())
-                for order in self._rollouts.decide(time.monotonic()):
-                    self._rollouts.order_started(order, time.monotonic())
+                self._rollouts.note_open_items(self._open_items(), steady_seconds())
+                for order in self._rollouts.decide(steady_seconds()):
+                    self._rollouts.order_started(order, steady_seconds())
                     self._tasks.start_soon(self._send, order)
 
     def _open_items(self) -> Counter[str]:
@@ -67,12 +67,12 @@
         return counts
 
     def _order_announced(self, record: DutyRecord) -> None:
-        self._rollouts.expect_load(record.subject, record.detail, record.number, time.monotonic())
+        self._rollouts.expect_load(record.subject, record.detail, record.number, steady_seconds())
 
     async def _send(self, order: OrderVersion) -> None:
         fence = self._duties.fence
         outcome = await self._order(order, fence)
-        now = time.monotonic()
+        now = steady_seconds()
         log_event(
             "version_order",
             worker=order.worker,
--- a/src/stagewalk/gateway/published_records.py
+++ b/src/stagewalk/gateway/published_records.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import time
 from collections.abc import Callable
 
 import anyio.abc
@@ -24,6 +23,7 @@
 from stagewalk.ports.dialect import Dialect, NamedVersion, ZoneEvacuation
 from stagewalk.ports.partitioned_log import KeyedRecord, PartitionedLog
 from stagewalk.routes.table import RouteTable
+from stagewalk.steady_clock import steady_seconds
 from stagewalk.version_rollouts.core import VersionRollouts
 from stagewalk.workers.table import WorkerTable
 from stagewalk.workers.worker import Worker, WorkerAnnouncement
@@ -37,6 +37,11 @@
 well below the 1.5 s that callers of short requests wait."""
 
 
+OLDEST_PUBLISHED_SECONDS = 2.0
+"""A view of what operators publish that is older is read again before a request is served: reads
+of it end every second. Without that a machine that slept served its first second of requests by the
+routes, keys and evacuations of before."""
+
 MOST_UNREADABLE = 256
 """Keys of entries that were told as unusable; beyond that each read of one tells it."""
 
@@ -111,8 +116,10 @@
         self._operators_follower.wait_seconds = pace.configuration_wait
 
     async def refresh(self) -> None:
-        """Read workers' entries once more if the view of them is too old to forward a request."""
+        """Read once more what is too old to serve a request from: entries of workers, and what
+        operators publish, which only a process that did not run can find so old."""
         await self._workers_follower.refresh(OLDEST_VIEW_SECONDS, REFRESH_SECONDS)
+        await self._operators_follower.refresh(OLDEST_PUBLISHED_SECONDS, REFRESH_SECONDS)
 
     async def renew_configuration(self) -> bool:
         """Return whether the view of what operators publish is current; read if it isn't."""
@@ -130,14 +137,14 @@
                 self._apply_published(record)
             elif published.in_force:
                 evacuated.add(published.zone)
-        self._evacuations.replace(evacuated, time.monotonic())
+        self._evacuations.replace(evacuated, steady_seconds())
 
     def _apply_published(self, record: KeyedRecord) -> None:
         published = self._dialect.operator_record(record)
         if published is None:
             log_event("published_unreadable", "warning", key=record.key, offset=record.offset)
         elif isinstance(published, ZoneEvacuation):
-            self._evacuations.take(published.zone, published.in_force, time.monotonic())
+            self._evacuations.take(published.zone, published.in_force, steady_seconds())
         elif isinstance(published, NamedVersion):
             if self._rollouts.name_version(published.model, published.version):
                 log_event("version_named", model=published.model, version=published.version)
@@ -155,7 +162,7 @@
         unreadable = [key for key, entry in decoded.items() if entry is None]
         self._listing = True
         self._workers.replace(
-            announcements, time.monotonic(), self._disturbed_at(), unreadable=unreadable
+            announcements, steady_seconds(), self._disturbed_at(), unreadable=unreadable
         )
         self._listing = False
         log_event("workers_listed", count=len(announcements), unreadable=len(unreadable))
@@ -172,7 +179,7 @@
         return entry
 
     def _apply_worker(self, record: KeyedRecord) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         if record.value is None:
             self._workers.remove(record.key, now, self._disturbed_at())
             return
@@ -214,7 +221,7 @@
         gap = confirmed_at - self._confirmed_at
         self._confirmed_at = confirmed_at
         if gap > OLDEST_WARM_VIEW_SECONDS:
-            self._on_renewed(time.monotonic())
+            self._on_renewed(steady_seconds())
 
 
 def _log_zone_evacuated(zone: str, _now: float) -> None:
--- a/src/stagewalk/gateway/role_keeper.py
+++ b/src/stagewalk/gateway/role_keeper.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import time
 
 from stagewalk.directory.ledger_replicas import ReplicaRole
 from stagewalk.directory.read_pace import LISTED_PACE, ReadPace, read_pace
@@ -13,6 +12,7 @@
 from stagewalk.gateway.node_service import NodeService
 from stagewalk.gateway.published_records import PublishedRecords
 from stagewalk.logs.lines import log_event
+from stagewalk.steady_clock import steady_seconds
 
 
 class RoleKeeper:
@@ -47,7 +47,7 @@
     @property
     def starting(self) -> bool:
         """Whether the log is left to those that look for open batches."""
-        return time.monotonic() < self._follow_from
+        return steady_seconds() < self._follow_from
 
     def update(self, stopping: bool, now: float) -> None:
         """Compare the roles this node has with those it should have."""
--- a/src/stagewalk/gateway/run_views.py
+++ b/src/stagewalk/gateway/run_views.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -13,6 +12,8 @@
 from stagewalk.gateway.batch_store import BatchStore
 from stagewalk.gateway.early_start import PartialLedger
 from stagewalk.logs.lines import log_event
+from stagewalk.ports.denials import Denial
+from stagewalk.steady_clock import steady_seconds
 
 FOLLOW_SECONDS = 0.25
 """How often the partition of a batch is read that was begun ahead of this node's view, as often as
@@ -75,6 +76,10 @@
         """Whether an item that was started may reach a worker now."""
         return self.age(batch, now) <= longest_view_age_at_send(self._batch_end_seconds())
 
+    def denial(self, batch: str, now: float) -> Denial | None:
+        """Return why an item that was started must not reach a worker now."""
+        return None if self.may_send(batch, now) else Denial.VIEW_TOO_OLD
+
     async def follow(self, batch: str, on_lost: Callable[[str], None]) -> None:
         """Keep the partial view of a batch current, until this node's own view takes over.
 
@@ -86,7 +91,7 @@
         """
         ahead = self._ahead.get(batch)
         while ahead is not None and self._ahead.get(batch) is ahead:
-            now = time.monotonic()
+            now = steady_seconds()
             known = self._store.ledger.get(batch) is not None
             own = known and self._store.followed(batch, now)
             if not own and now - ahead.partial.confirmed_at >= FOLLOW_SECONDS:
--- a/src/stagewalk/gateway/runner_choice.py
+++ b/src/stagewalk/gateway/runner_choice.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass, field
 
 import anyio
@@ -28,6 +27,7 @@
 from stagewalk.logs.lines import log_event
 from stagewalk.peer_calls.client import PeerClient
 from stagewalk.ports.partitioned_log import LogFailure
+from stagewalk.steady_clock import steady_seconds
 
 NODES_ASKED = 2
 NOTED_SECONDS = 0.2
@@ -172,7 +172,7 @@
         bool
             Whether the place where the batch's records begin was noted.
         """
-        now = time.monotonic()
+        now = steady_seconds()
         followed = self._store.followed(run.batch, now)
         log_event(
             "batch_assigned",
@@ -197,7 +197,7 @@
     async def _note_certain(self, run: RunBatch) -> bool:
         """Note where a batch begins, if this node's view holds all that there ever was of it."""
         batch = self._store.ledger.get(run.batch)
-        offset = self._store.first_offset(run.batch, time.monotonic())
+        offset = self._store.first_offset(run.batch, steady_seconds())
         if batch is None or offset is None or batch.ended:
             return False
         tenant = batch.header.tenant
--- a/src/stagewalk/gateway/runner_probes.py
+++ b/src/stagewalk/gateway/runner_probes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -12,6 +11,7 @@
 from stagewalk.core.identities import Address
 from stagewalk.gateway.runner_calls import RunnerCalls
 from stagewalk.logs.lines import log_event
+from stagewalk.steady_clock import steady_seconds
 
 PROBE_SECONDS = 0.4
 
@@ -52,7 +52,7 @@
 
     async def _probe(self, process: str, peer: Address) -> None:
         answer = await self._calls.ask(peer)
-        now = time.monotonic()
+        now = steady_seconds()
         if answer is not None:
             self._liveness.note_answer(process, answer.process, now)
             return
--- a/src/stagewalk/gateway/score_sender.py
+++ b/src/stagewalk/gateway/score_sender.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import anyio
@@ -27,6 +26,7 @@
     StopScore,
     score_content,
 )
+from stagewalk.steady_clock import steady_seconds
 from stagewalk.workers.table import WorkerTable
 
 HOST_HEADER = "host"
@@ -87,12 +87,12 @@
             scope.cancel()
 
     async def _run(self, send: SendScore, scope: anyio.CancelScope) -> None:
-        began = time.monotonic()
+        began = steady_seconds()
         with scope:
             event = await self._attempt(send)
         if not scope.cancelled_caught:
             self._scopes.pop(send.attempt, None)
-            _log_outcome(send, event, time.monotonic() - began)
+            _log_outcome(send, event, steady_seconds() - began)
             self._tell(event)
 
     async def _attempt(self, send: SendScore) -> ScoreEvent:
@@ -100,7 +100,7 @@
         if worker is None:
             gone = AttemptFailure(AttemptFault.NOT_SENT, "the worker is gone")
             return ScoreBroken(send.attempt, gone)
-        now = time.monotonic()
+        now = steady_seconds()
         if not self._views.may_start(send.batch, now):
             withheld = AttemptFailure(AttemptFault.WITHHELD, "the view of the log is too old")
             return ScoreBroken(send.attempt, withheld)
@@ -110,7 +110,7 @@
             return ScoreBroken(send.attempt, AttemptFailure(AttemptFault.WITHHELD, denial.value))
         scope = self._eligibility.scope(send.call.path, content, send.tenant)
         permit = self._eligibility.permit(
-            worker, scope, now, lambda at: self._views.may_send(send.batch, at)
+            worker, scope, now, lambda at: self._views.denial(send.batch, at)
         )
         if permit.is_error():
             withheld = AttemptFailure(AttemptFault.WITHHELD, permit.error.value)
--- a/src/stagewalk/gateway/takeover_service.py
+++ b/src/stagewalk/gateway/takeover_service.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-
 import anyio
 import anyio.abc
 import msgspec
@@ -19,6 +17,7 @@
 from stagewalk.gateway.node_service import NodeService
 from stagewalk.gateway.open_batches import BatchPlace, OpenBatches
 from stagewalk.logs.lines import log_event
+from stagewalk.steady_clock import steady_seconds
 
 SUPERVISE_SECONDS = 0.1
 IDLE_SECONDS = 1.0
@@ -63,7 +62,7 @@
         """Take over what is without a runner, for ever."""
         while True:
             await anyio.sleep(SUPERVISE_SECONDS if self._store.following else IDLE_SECONDS)
-            now = time.monotonic()
+            now = steady_seconds()
             may_run = not self._runner.stopping and self._nodes.may_hold_batches
             if may_run and self._store.following:
                 self._claim_orphans(now)
--- a/src/stagewalk/gateway/usage_service.py
+++ b/src/stagewalk/gateway/usage_service.py
@@ -15,6 +15,7 @@
 from stagewalk.partitioned_log.follower import PartitionFollower
 from stagewalk.ports.duties import DutyClient, DutyHolder, DutyOutcome, UsageReport
 from stagewalk.ports.partitioned_log import Partition, PartitionedLog, PartitionRecord
+from stagewalk.steady_clock import steady_seconds
 from stagewalk.usage.account import UsageAccount
 from stagewalk.usage.meter import UsageMeter
 from stagewalk.usage.records import decode_counts, decode_usage, encode_counts
@@ -51,7 +52,7 @@
         self._identity = identity
         self._duties = duties
         self._client = client
-        self._clock = WallClock(time.time(), time.monotonic())
+        self._clock = WallClock(time.time(), steady_seconds())
         self._meter = UsageMeter(producer, window_seconds)
         self._account = UsageAccount()
         self._reporting = UsageReporting(window_seconds, due_seconds)
@@ -83,7 +84,7 @@
 
     def sample_clock(self) -> None:
         """Compare the time of day with the steady clock."""
-        self._clock.sample(time.time(), time.monotonic())
+        self._clock.sample(time.time(), steady_seconds())
 
     async def _tell(self) -> None:
         while True:
@@ -102,7 +103,7 @@
                 held_since = None
                 continue
             if held_since is None:
-                held_since = time.monotonic()
+                held_since = steady_seconds()
                 self._follower.resume()
             # Counts that were told before this process held the lease are read first.
             read = self._follower.freshness.confirmed_at >= held_since
@@ -110,7 +111,7 @@
                 await self._step()
 
     async def _step(self) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         for step in self._reporting.decide(
             self._account, self._clock.at(now), now, self._seen_to(now)
         ):
@@ -154,7 +155,7 @@
             outcome = await self._client.report_usage(holder, report)
         else:
             outcome = DutyOutcome.REFUSED
-        self._reporting.sent(step.window, outcome, time.monotonic())
+        self._reporting.sent(step.window, outcome, steady_seconds())
         if outcome is DutyOutcome.CONFLICT:
             self._duties.overtaken(fence)
         log_event(
--- a/src/stagewalk/log_relay/relayed_log.py
+++ b/src/stagewalk/log_relay/relayed_log.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
@@ -37,6 +36,7 @@
     ProducerSequence,
     RecordPage,
 )
+from stagewalk.steady_clock import steady_seconds
 
 Value = TypeVar("Value")
 
@@ -150,12 +150,12 @@
         wait_seconds: float = 0.0,
     ) -> Result[Value, LogFailure]:
         relaying = self._choice.relaying
-        if not self._choice.straight_first(time.monotonic()):
+        if not self._choice.straight_first(steady_seconds()):
             relayed = await self._relay(call, pick, wait_seconds)
             if relayed.is_ok():
                 return relayed
             answer = await straight()
-            self._choice.note_straight(_error_of(answer), time.monotonic())
+            self._choice.note_straight(_error_of(answer), steady_seconds())
             return _outcome(answer, relayed)
         relay_after = 0.0 if relaying else wait_seconds + SILENCE_SECONDS
         return await self._race(
@@ -180,7 +180,7 @@
             async def go_straight() -> None:
                 answer = await straight()
                 answers.insert(0, answer)
-                if self._choice.note_straight(_error_of(answer), time.monotonic()):
+                if self._choice.note_straight(_error_of(answer), steady_seconds()):
                     tasks.cancel_scope.cancel()
                 failed.set()
 
@@ -188,7 +188,7 @@
                 with anyio.move_on_after(relay_after):
                     await failed.wait()
                 if not failed.is_set():
-                    self._choice.note_straight(_NO_ANSWER, time.monotonic())
+                    self._choice.note_straight(_NO_ANSWER, steady_seconds())
                 answer = await relay()
                 relayed.append(answer)
                 if answer.is_ok():
@@ -210,7 +210,7 @@
             return Error(LogFailure(LogFault.REFUSED, "no other node is known"))
         failure = _failure_of(answer)
         worked = answer is not None and (failure is None or failure.fault not in _UNSETTLED)
-        self._choice.note_relay(worked, time.monotonic())
+        self._choice.note_relay(worked, steady_seconds())
         self._peer = peer if worked else None
         if worked and not before:
             log_event("log_relayed", through=str(peer))
--- a/src/stagewalk/logs/lines.py
+++ b/src/stagewalk/logs/lines.py
@@ -9,7 +9,6 @@
 import logging
 import re
 import sys
-import time
 from collections.abc import Callable, Mapping
 from datetime import UTC, datetime
 from typing import Any
@@ -18,6 +17,7 @@
 import msgspec
 
 from stagewalk.logs.budget import LogBudget
+from stagewalk.steady_clock import steady_seconds
 
 LogValue = str | int | float | bool | None
 
@@ -125,7 +125,7 @@
         event = str(message.get("message_type", "message"))
         budget = self._budget
         failure = level >= LEVELS["warning"]
-        if budget is not None and not budget.allows(event, failure, time.monotonic()):
+        if budget is not None and not budget.allows(event, failure, steady_seconds()):
             return
         taken = self._write(format_line(message, self._node) + "\n")
         if budget is not None and taken is False:
--- a/src/stagewalk/node/core_runner.py
+++ b/src/stagewalk/node/core_runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 import traceback
 from collections.abc import Callable
 from typing import Protocol
@@ -15,6 +14,7 @@
 from stagewalk.node.event_queue import EventQueue
 from stagewalk.node.metrics import NodeMetrics
 from stagewalk.node.node_core import NodeStatus
+from stagewalk.steady_clock import steady_seconds
 
 Clock = Callable[[], float]
 
@@ -42,7 +42,7 @@
         events: EventQueue,
         carry_out: Callable[[Instruction], None],
         metrics: NodeMetrics,
-        clock: Clock = time.monotonic,
+        clock: Clock = steady_seconds,
     ) -> None:
         self._core = core
         self._events = events
--- a/src/stagewalk/node/edge/call_desk.py
+++ b/src/stagewalk/node/edge/call_desk.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import time
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -17,6 +16,7 @@
 from stagewalk.node.event_queue import EventQueue
 from stagewalk.node.metrics import NodeMetrics
 from stagewalk.node.open_calls import AnswerPiece, LastAnswer, OpenCall, OpenCalls
+from stagewalk.steady_clock import steady_seconds
 
 ANSWER_GRACE_SECONDS = 5.0
 """How long after its deadline the core's answer to a call is still waited for."""
@@ -57,7 +57,7 @@
             await exchange.fail(dataclasses.replace(opened.error, ran=unasked))
             return
         call = opened.ok
-        began = time.monotonic()
+        began = steady_seconds()
         self._metrics.open_calls.inc()
         try:
             outcome = await self._converse(exchange, call, ask, answer)
@@ -68,7 +68,7 @@
                 with anyio.CancelScope(shield=True):
                     await self._events.put(CallAbandoned(call.id))
         self._count(endpoint, outcome)
-        self._metrics.request_latency.labels(endpoint=endpoint).observe(time.monotonic() - began)
+        self._metrics.request_latency.labels(endpoint=endpoint).observe(steady_seconds() - began)
 
     async def _converse(
         self,
--- a/src/stagewalk/node/edge/completions.py
+++ b/src/stagewalk/node/edge/completions.py
@@ -40,6 +40,7 @@
 from stagewalk.node.metrics import NodeMetrics
 from stagewalk.node.open_calls import AnswerPiece, LastAnswer, OpenCall
 from stagewalk.settings.node_settings import Limits
+from stagewalk.steady_clock import steady_seconds
 
 COMPLETIONS_ENDPOINT = "completions"
 ANSWERS_ENDPOINT = "answers"
@@ -76,7 +77,7 @@
         desk: CallDesk,
         limits: Limits,
         metrics: NodeMetrics,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = steady_seconds,
     ) -> None:
         self._desk = desk
         self._limits = limits
--- a/src/stagewalk/node/edge/rollouts.py
+++ b/src/stagewalk/node/edge/rollouts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -27,6 +26,7 @@
 )
 from stagewalk.node.open_calls import LastAnswer, OpenCall
 from stagewalk.settings.node_settings import Limits
+from stagewalk.steady_clock import steady_seconds
 
 LOTS_ENDPOINT = "rollouts"
 PULLS_ENDPOINT = "rollouts_pull"
@@ -37,7 +37,7 @@
     """`POST /v1/rollouts` and `POST /v1/rollouts/pull`."""
 
     def __init__(
-        self, desk: CallDesk, limits: Limits, clock: Callable[[], float] = time.monotonic
+        self, desk: CallDesk, limits: Limits, clock: Callable[[], float] = steady_seconds
     ) -> None:
         self._desk = desk
         self._limits = limits
--- a/src/stagewalk/partitioned_log/appender.py
+++ b/src/stagewalk/partitioned_log/appender.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -23,6 +22,7 @@
     PartitionedLog,
     ProducerSequence,
 )
+from stagewalk.steady_clock import steady_seconds
 
 RETRY_SECONDS = 0.1
 SLOW_RETRY_SECONDS = 0.3
@@ -180,7 +180,7 @@
 
     def _note_failure(self, fault: LogFault, detail: str, failures: int) -> None:
         if self.struggling_since is None:
-            self.struggling_since = time.monotonic()
+            self.struggling_since = steady_seconds()
         if failures == QUICK_RETRIES:
             log_event(
                 "appends_stalled",
--- a/src/stagewalk/partitioned_log/follower.py
+++ b/src/stagewalk/partitioned_log/follower.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import time
 from collections.abc import Callable
 
 import anyio
@@ -20,6 +19,7 @@
     PartitionRecord,
     RecordPage,
 )
+from stagewalk.steady_clock import steady_seconds
 
 RETRY_SECONDS = 0.1
 SLOW_RETRY_SECONDS = 0.4
@@ -60,7 +60,7 @@
         self._pause_seconds = pause_seconds
         self._on_gap = on_gap
         self.next_offset = 0
-        self._last_record_at = time.monotonic()
+        self._last_record_at = steady_seconds()
         self.freshness = Freshness(str(partition))
         self._resumed = anyio.Event()
         self._resumed.set()
@@ -97,13 +97,13 @@
     def _wait_seconds(self) -> float:
         if not self.freshness.ever_confirmed:
             return 0.0
-        quiet = time.monotonic() - self._last_record_at
+        quiet = steady_seconds() - self._last_record_at
         return ACTIVE_WAIT_SECONDS if quiet < ACTIVE_SECONDS else IDLE_WAIT_SECONDS
 
     async def _read(self, wait_seconds: float) -> bool:
         """Read once, and on to the end if there is more; return whether the log answered."""
         while True:
-            began = time.monotonic()
+            began = steady_seconds()
             answer = await self._log.read(self._partition, self.next_offset, wait_seconds)
             if answer.is_error():
                 self._note_failure(answer.error)
@@ -116,7 +116,7 @@
 
     def _apply_page(self, page: RecordPage) -> None:
         if page.records:
-            self._last_record_at = time.monotonic()
+            self._last_record_at = steady_seconds()
         for record in page.records:
             if record.offset == self.next_offset:
                 self.next_offset += 1
@@ -143,7 +143,7 @@
     without records says that the log had let the read wait to its end.
     """
     waited = 0.0 if page.records else wait_seconds
-    return min(time.monotonic(), began + waited)
+    return min(steady_seconds(), began + waited)
 
 
 class KeyedFollower:
@@ -201,7 +201,7 @@
         Callers that come meanwhile wait for the read that is under way. While the log fails, nobody
         waits: the loop that follows finds out when it answers again.
         """
-        fresh = self.freshness.age(time.monotonic()) <= oldest_seconds
+        fresh = self.freshness.age(steady_seconds()) <= oldest_seconds
         if fresh or self.freshness.failing:
             return
         with anyio.move_on_after(timeout_seconds):
@@ -217,7 +217,7 @@
         here unread while the process was paused, and it is tried also while the log fails. Callers
         that come together share one read.
         """
-        sent_after = time.monotonic() - oldest_seconds
+        sent_after = steady_seconds() - oldest_seconds
         with anyio.move_on_after(timeout_seconds):
             while self._asked_at < sent_after:
                 if self._read_now is not None:
@@ -235,7 +235,7 @@
             self._read_now = None
 
     async def _step(self, wait_seconds: float) -> bool:
-        began = time.monotonic()
+        began = steady_seconds()
         if await self._read(wait_seconds):
             self._asked_at = max(self._asked_at, began)
             return True
@@ -243,7 +243,7 @@
 
     async def _read(self, wait_seconds: float) -> bool:
         while self._next_offset is not None:
-            began = time.monotonic()
+            began = steady_seconds()
             answer = await self._log.read_keyed(self._partition, self._next_offset, wait_seconds)
             if answer.is_error():
                 if answer.error.fault is LogFault.DROPPED:
@@ -269,7 +269,7 @@
         self._highest_offset = max(self._highest_offset, self._next_offset)
 
     async def _list(self) -> bool:
-        began = time.monotonic()
+        began = steady_seconds()
         listing = await self._log.newest(self._partition)
         if listing.is_error():
             self.freshness.fail(listing.error.detail)
--- a/src/stagewalk/partitioned_log/freshness.py
+++ b/src/stagewalk/partitioned_log/freshness.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import math
-import time
 from collections.abc import Callable
 
 from stagewalk.logs.lines import log_event
+from stagewalk.steady_clock import steady_seconds
 
 LOST_AFTER_FAILURES = 3
 OUTAGE_GAP_SECONDS = 3.0
@@ -64,7 +64,7 @@
     def fail(self, detail: str) -> None:
         """Note that a call failed."""
         self._failures += 1
-        self.disturbed_at = time.monotonic()
+        self.disturbed_at = steady_seconds()
         if self._failures == 1:
             log_event("log_read_failed", partition=self._name, detail=detail)
         if self._failures == LOST_AFTER_FAILURES:
--- a/src/stagewalk/partitioned_log/measured_log.py
+++ b/src/stagewalk/partitioned_log/measured_log.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeVar
 
@@ -16,6 +15,7 @@
     ProducerSequence,
     RecordPage,
 )
+from stagewalk.steady_clock import steady_seconds
 
 Value = TypeVar("Value")
 
@@ -76,8 +76,8 @@
         call: Awaitable[Result[Value, LogFailure]],
         wait_seconds: float = 0.0,
     ) -> Result[Value, LogFailure]:
-        began = time.monotonic()
+        began = steady_seconds()
         result = await call
         outcome = ANSWERED if result.is_ok() else result.error.fault.value
-        self._observe(operation, outcome, max(0.0, time.monotonic() - began - wait_seconds))
+        self._observe(operation, outcome, max(0.0, steady_seconds() - began - wait_seconds))
         return result
--- a/src/stagewalk/ports/denials.py
+++ b/src/stagewalk/ports/denials.py
@@ -10,6 +10,8 @@
 
     NO_ROUTE = "no_route"
     """The configuration in force has no route for it."""
+    OUT_OF_TIME = "out_of_time"
+    """Its caller's time was over before its first byte could go."""
     VIEW_TOO_OLD = "view_too_old"
     """Its batch may have ended: the view that showed it as open is too old by now."""
     WORKER_LEAVING = "worker_leaving"
--- a/src/stagewalk_standins/memory_workers.py
+++ b/src/stagewalk_standins/memory_workers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -26,6 +25,7 @@
     WorkerLoad,
     WorkerReport,
 )
+from stagewalk.steady_clock import steady_seconds
 
 SUCCESS = 200
 CRASH_SECONDS = 0.02
@@ -114,10 +114,10 @@
     async def _connect(self, permit: SendPermit) -> AttemptFailure | None:
         """Confirm a permit once the connection is there, and note the arrival."""
         await anyio.sleep(self.connect_seconds)
-        denial = permit.confirm(time.monotonic())
+        denial = permit.confirm(steady_seconds())
         if denial is not None:
             return AttemptFailure(AttemptFault.WITHHELD, denial.value)
-        self.log.append(Arrival(time.monotonic(), permit.target.worker))
+        self.log.append(Arrival(steady_seconds(), permit.target.worker))
         return None
 
     def reached_since(self, at: float) -> set[str]:
--- a/src/stagewalk_standins/partitioned_log.py
+++ b/src/stagewalk_standins/partitioned_log.py
@@ -71,6 +71,8 @@
         So many of the next appends get no answer and are done when `run_delayed` is called.
     sleep_through
         Reads that wait are not woken by a record.
+    sleep_through_keyed
+        The same for reads of compacted topics.
     """
 
     down: bool = False
@@ -78,6 +80,7 @@
     lose_answers: int = 0
     delay_appends: int = 0
     sleep_through: bool = False
+    sleep_through_keyed: bool = False
 
 
 class MemoryLog:
@@ -191,6 +194,8 @@
         if refused is not None:
             return Error(refused)
         kept = self._log.kept(partition)
+        if self.faults.sleep_through_keyed and kept.end <= offset:
+            await anyio.sleep(wait_seconds)
         await _wait_for_record(kept, offset, wait_seconds)
         refused = await self._refusal()
         if refused is not None:
--- a/tests/eligibility/test_core.py
+++ b/tests/eligibility/test_core.py
@@ -102,7 +102,9 @@
         known = self.table.worker("a")
         assert known is not None
         scope = RequestScope(ROUTE, CONTENT)
-        permit = self.rules.eligibility.permit(known, scope, 9.0, lambda at: at < 10.0).ok
+        permit = self.rules.eligibility.permit(
+            known, scope, 9.0, lambda at: None if at < 10.0 else Denial.VIEW_TOO_OLD
+        ).ok
         self.assertIsNone(permit.confirm(9.9))
         self.assertEqual(Denial.VIEW_TOO_OLD, permit.confirm(10.0))
 
--- a/tests/gateway/test_batches.py
+++ b/tests/gateway/test_batches.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from unittest import mock
 
 import anyio
@@ -10,6 +9,7 @@
 
 from stagewalk.gateway.batch_store import FOLLOWED_SECONDS
 from stagewalk.ports.workers import AttemptFault
+from stagewalk.steady_clock import steady_seconds
 from tests.gateway.support import Site, run, until
 
 
@@ -65,7 +65,7 @@
             node = await site.start("n1")
 
             async def current() -> bool:
-                return node.gateway.store.followed("b1", time.monotonic())
+                return node.gateway.store.followed("b1", steady_seconds())
 
             await until(current)
             node.log.faults.silent = True
--- a/tests/gateway/test_cold_starts.py
+++ b/tests/gateway/test_cold_starts.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import time
-
 import anyio
 import testtools
 
 from stagewalk.gateway.cold_lease_service import COLD_STARTS
 from stagewalk.routes.route import Service
+from stagewalk.steady_clock import steady_seconds
 from stagewalk_standins.memory_workers import Arrival
 from tests.gateway.support import Running, Site, run, until
 
@@ -28,7 +27,7 @@
 
 async def keep_asking(site: Site, node: Running, until_at: float) -> None:
     number = 0
-    while time.monotonic() < until_at:
+    while steady_seconds() < until_at:
         number += 1
         name = f"{node.address}-{number}"
         await ask(site, node, name)
@@ -47,7 +46,7 @@
 
         async def warm() -> bool:
             answers = [await ask(site, node, "q") for node in nodes]
-            leases = [n.gateway._rules.cold_leases(time.monotonic()) for n in nodes]
+            leases = [n.gateway._rules.cold_leases(steady_seconds()) for n in nodes]
             return answers == [200] * count and not any(leases)
 
         await anyio.sleep(2.0)
@@ -59,7 +58,7 @@
             self.start(site)
             nodes = await self.ready(site, 3)
             site.add_worker("cold", "app", slots=64, cold_seconds=COLD_SECONDS)
-            began = time.monotonic()
+            began = steady_seconds()
             # With nobody else to ask, all requests are meant for the cold one.
             for name in ("a1", "a2"):
                 site.log.drop_key(site.dialect.workers, name)
@@ -82,7 +81,7 @@
                 return node.gateway._workers.worker("cold") is not None
 
             await until(listed)
-            began = time.monotonic()
+            began = steady_seconds()
             node.log.faults.down = True
             await keep_asking(site, node, began + 1.5)
             self.assertNotIn("cold", site.workers.reached_since(began))
--- a/tests/gateway/test_evacuation.py
+++ b/tests/gateway/test_evacuation.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import replace
 
 import anyio
 import testtools
 
 from stagewalk.core.identities import Placement
+from stagewalk.steady_clock import steady_seconds
 from stagewalk_standins.memory_workers import MemoryWorker
 from tests.gateway.support import ROUTES, Running, Site, run, until
 
@@ -30,7 +30,7 @@
     statuses: set[int] = set()
     for number in range(count):
         for path in ("/ask/x", "/once/x", "/resume/x"):
-            name = f"{path}{number}{time.monotonic()}"
+            name = f"{path}{number}{steady_seconds()}"
             answer = await site.call(node, "POST", path, stagewalk_request_id=name)
             statuses.add(answer.status_code)
     return statuses
@@ -53,14 +53,14 @@
             node = await site.start("n1")
             site.evacuate("z1")
             await in_force(site, node)
-            since = time.monotonic()
+            since = steady_seconds()
             self.assertEqual({200}, await ask(site, node))
             await site.submit(node, "b1", "x", "y", "z", scored_by="/score/s")
             await site.until_listed(node, "b1", 3)
             self.assertEqual({"a3", "e3"}, site.workers.reached_since(since))
             site.evacuate("z1", in_force=False)
             await in_force(site, node, zones=0)
-            since = time.monotonic()
+            since = steady_seconds()
             self.assertEqual({200}, await ask(site, node))
             self.assertTrue(AWAY & site.workers.reached_since(since))
 
@@ -112,7 +112,7 @@
             site.evacuate("z1")
             await in_force(site, node)
             node.log.faults.silent = True
-            since = time.monotonic()
+            since = steady_seconds()
             self.assertEqual({200}, await ask(site, node, count=3))
             self.assertEqual({"a3", "e3"}, site.workers.reached_since(since))
 
@@ -127,9 +127,9 @@
             site.evacuate("z1")
             site.evacuate("z2")
             await in_force(site, node, zones=2)
-            since = time.monotonic()
+            since = steady_seconds()
             answer = await site.call(node, "POST", "/ask/x", stagewalk_request_id="q")
-            self.assertLess(time.monotonic() - since, 0.1)
+            self.assertLess(steady_seconds() - since, 0.1)
             self.assertEqual(503, answer.status_code)
             self.assertGreaterEqual(float(answer.headers["retry-after"]), 1.0)
             self.assertEqual({503}, await ask(site, node, count=2))
@@ -190,9 +190,9 @@
 
                 await until(listed)
                 site.evacuate("z1")
-                began = time.monotonic()
+                began = steady_seconds()
                 await site.until_listed(node, "b1", 1)
-            self.assertLess(time.monotonic() - began, 2.0)
+            self.assertLess(steady_seconds() - began, 2.0)
             self.assertEqual(["".join(f"q-{n}" for n in range(1, 31))], texts)
             self.assertEqual((2, 2), (site.workers.arrivals["q"], site.workers.arrivals["x"]))
 
--- a/tests/gateway/test_lease_views.py
+++ b/tests/gateway/test_lease_views.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -13,6 +12,7 @@
 from stagewalk.gateway.duty_lease import DUTIES_PARTITION, TOPIC, DutyLease
 from stagewalk.leases.log_lease import LEASE_SECONDS, LogLease, new_holder
 from stagewalk.ports.partitioned_log import LogFailure, LogFault, Partition, RecordPage
+from stagewalk.steady_clock import steady_seconds
 from stagewalk_standins.partitioned_log import MemoryLog, MemoryLogClient
 
 LEASES = Partition(TOPIC, DUTIES_PARTITION)
@@ -67,8 +67,8 @@
         return duties
 
     async def assert_never_both(self, first: DutyLease, second: DutyLease) -> None:
-        until_time = time.monotonic() + WATCHED_SECONDS
-        while time.monotonic() < until_time:
+        until_time = steady_seconds() + WATCHED_SECONDS
+        while steady_seconds() < until_time:
             self.assertFalse(first.may_act() and second.may_act(), "two act as the holder")
             await anyio.sleep(STEP_SECONDS)
 
@@ -114,9 +114,9 @@
             await until(first.may_act)
             second = self.start(tasks, "n2", self.log.client())
             client.faults.down = True
-            began = time.monotonic()
+            began = steady_seconds()
             await until(second.may_act)
-            self.assertGreaterEqual(time.monotonic() - began, LEASE_SECONDS - 1.0)
+            self.assertGreaterEqual(steady_seconds() - began, LEASE_SECONDS - 1.0)
             self.assertFalse(first.may_act())
 
         run(scenario)
--- a/tests/gateway/test_ledger_reads.py
+++ b/tests/gateway/test_ledger_reads.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -19,6 +18,7 @@
 )
 from stagewalk.gateway.ledger_reads import LedgerReads
 from stagewalk.gateway.open_batches import OpenBatches
+from stagewalk.steady_clock import steady_seconds
 from stagewalk_standins.partitioned_log import MemoryLog
 from stagewalk_standins.plain_dialect import PlainDialect
 from tests.batches.support import item, submitted
@@ -89,7 +89,7 @@
         specs = tuple(msgspec.structs.replace(spec, group=spec.item[0]) for spec in record.items)
         header = msgspec.structs.replace(record.header, wanted_groups=WANTED)
         self.ledger.apply(
-            msgspec.structs.replace(record, items=specs, header=header), time.monotonic()
+            msgspec.structs.replace(record, items=specs, header=header), steady_seconds()
         )
         self.batch = self.ledger.get("b")
         self._news = anyio.Event()
@@ -161,10 +161,10 @@
         async def scenario(reads: LedgerReads, store: GrowingStore) -> None:
             store.finish(31)
             for wait, longest in ((0.2, 0.4), (1.0, 0.4)):
-                store.batch.seen_at = time.monotonic() - (DUE - 0.2 if wait == 1.0 else 0.0)
-                began = time.monotonic()
+                store.batch.seen_at = steady_seconds() - (DUE - 0.2 if wait == 1.0 else 0.0)
+                began = steady_seconds()
                 answer = await reads.carry_out(ResultsCall("b", 30, wait))
                 self.assertEqual(1, len(answer_items(answer)))
-                self.assertLess(time.monotonic() - began, longest)
+                self.assertLess(steady_seconds() - began, longest)
 
         self.play(scenario)
--- a/tests/gateway/test_run_views.py
+++ b/tests/gateway/test_run_views.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import time
 from unittest import mock
 
 import anyio
@@ -25,6 +24,7 @@
 from stagewalk.ports.workers import AttemptFailure, AttemptFault
 from stagewalk.quarantine.content import RequestContent
 from stagewalk.scoring.messages import ScoreEvent, SendScore
+from stagewalk.steady_clock import steady_seconds
 from stagewalk.workers.table import WorkerTable
 from stagewalk_standins.partitioned_log import MemoryLog, MemoryLogClient
 from tests.batches.support import batch_route, item, submitted
@@ -107,7 +107,7 @@
                 with anyio.fail_after(5.0):
                     while "ended" not in seen:
                         await anyio.sleep(0.02)
-                self.assertLess(views.age("b", time.monotonic()), LEASE)
+                self.assertLess(views.age("b", steady_seconds()), LEASE)
                 views.drop("b")
 
         anyio.run(scenario)
@@ -133,7 +133,7 @@
             with anyio.move_on_after(0.6):
                 await views.follow("b", self.lost.append)
             self.assertEqual(calls, self.client.calls)
-            self.assertTrue(views.may_start("b", time.monotonic() + BOUND))
+            self.assertTrue(views.may_start("b", steady_seconds() + BOUND))
 
         anyio.run(scenario)
 
@@ -168,7 +168,7 @@
         async def scenario() -> None:
             partial = PartialLedger(PausedClient(self.log), PLACE, 0)
             await partial.read()
-            self.assertGreaterEqual(time.monotonic() - partial.confirmed_at, paused)
+            self.assertGreaterEqual(steady_seconds() - partial.confirmed_at, paused)
 
         anyio.run(scenario)
 
@@ -257,7 +257,7 @@
             self.workers.worker("e1"),
             RequestScope(batch_route(), RequestContent("POST", "h.example", "/run/x", b"")),
             0.0,
-            lambda now: self.views.may_send("b", now),
+            lambda now: None if self.views.may_send("b", now) else Denial.VIEW_TOO_OLD,
         )
         self.assertIsNone(permit.ok.confirm(0.1))
         self.views.recent = False
--- a/tests/gateway/test_second_submissions.py
+++ b/tests/gateway/test_second_submissions.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-
 import anyio
 import msgspec
 import testtools
@@ -23,6 +21,7 @@
 from stagewalk.gateway.ledger_reads import LedgerReads
 from stagewalk.gateway.open_batches import BatchPlace, OpenBatches
 from stagewalk.ports.partitioned_log import Partition, ProducerSequence
+from stagewalk.steady_clock import steady_seconds
 from stagewalk_standins.partitioned_log import MemoryLog
 from stagewalk_standins.plain_dialect import PlainDialect
 from tests.batches.support import item, submitted
@@ -71,7 +70,7 @@
             store = again.gateway.store
 
             async def followed() -> bool:
-                return store.followed("b1", time.monotonic())
+                return store.followed("b1", steady_seconds())
 
             await until(followed)
             await anyio.sleep_until(ended_at + BOUND_SECONDS)
@@ -232,7 +231,7 @@
             await append(site.log, partition, [encode_record(BatchEnded("old"))] * 5)
 
             async def all_read() -> bool:
-                return other.gateway.store.view_age("b1", time.monotonic()) < FRESH_SECONDS
+                return other.gateway.store.view_age("b1", steady_seconds()) < FRESH_SECONDS
 
             await anyio.sleep(FRESH_SECONDS)
             await until(all_read)
--- a/tests/node/test_engine_stream.py
+++ b/tests/node/test_engine_stream.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -33,6 +32,7 @@
 from stagewalk.core.instructions import CancelAttempt, OrderEngine, StartAttempt
 from stagewalk.core.platform import EngineOrder, OrderKind, OrderOutcome
 from stagewalk.ports.engines import AttemptEvent
+from stagewalk.steady_clock import steady_seconds
 from tests.node.running_node import free_address, serving
 
 ATTEMPT = AttemptId("attempt-1")
@@ -98,7 +98,7 @@
 def start(address: Address, deadline_seconds: float = 30.0) -> StartAttempt:
     request = CompletionRequest(
         RequestId("r1"), TenantName("archive"), ModelName("qari"), "read", 8, True,
-        time.monotonic() + deadline_seconds, Priority.INTERACTIVE, seed=5,
+        steady_seconds() + deadline_seconds, Priority.INTERACTIVE, seed=5,
     )  # fmt: skip
     return StartAttempt(ATTEMPT, ENGINE, address, request, 0, "")
 
