Crash watch: a worker is asked again after a second, one that left is no end, nodes forget at different times

Change: an end found by a probe counts for 1 s; a closed connection of a worker that is listed no more is none; nodes forget within half of the time again, the first one drops the records; looked for every 10 s.

--- a/src/stagewalk/gateway/crash_watch.py
+++ b/src/stagewalk/gateway/crash_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -21,6 +22,7 @@
 from stagewalk.quarantine.records import KEY_PREFIX, CrashStrike, decode_strike
 from stagewalk.steady_clock import steady_seconds
 from stagewalk.workers.table import WorkerTable
+from stagewalk.workers.worker import Worker
 
 Probe = Callable[[WorkerTarget], Awaitable[bool | None]]
 """Tells whether anybody listens at a worker's address; None if that can't be told."""
@@ -48,8 +50,12 @@
 """Bounds what a node appends while many workers end at once. A node that serves 8 requests a second
 has one or two under way as a zone loses power."""
 
-MOST_ENDED = 256
-"""Worker starts remembered as ended, so that requests lost together need one probe."""
+ENDED_SECONDS = 1.0
+"""How long a worker that was found ended needs no other probe: requests lost together share one. A
+node that was cut off is refused at workers that live, so it asks again after that."""
+
+EXPIRE_SECONDS = 10.0
+"""Between two looks for what may be forgotten: one over 2,048 ends takes some 4 ms."""
 
 
 @dataclass(slots=True)
@@ -99,7 +105,8 @@
         self._work = anyio.Event()
         self._idle = anyio.Event()
         self._idle.set()
-        self._ended: dict[str, None] = {}
+        self._ended_at: dict[str, float] = {}
+        self._expired_at = -math.inf
         self.renew_view: RenewView = _never_renewed
 
     # What senders ask and tell.
@@ -123,7 +130,11 @@
     async def lost(self, sent: SentRequest, failure: AttemptFailure) -> None:
         """Take that contact with a worker was lost, and find out whether the worker ended."""
         announcement = sent.worker.announcement
-        if failure.contact_loss is None or announcement.draining:
+        listed = self._workers.worker(announcement.worker) is sent.worker
+        closed = failure.contact_loss is ContactLoss.CLOSED
+        # One that leaves is listed as draining, or no more, before its connections close.
+        leaves = announcement.draining or (closed and not listed)
+        if failure.contact_loss is None or leaves:
             return
         loss = Loss(
             sent.request_id,
@@ -136,11 +147,7 @@
             time.time(),
         )
         self._losses.add(loss)
-        ended = announcement.worker in self._ended
-        if not ended and failure.contact_loss is ContactLoss.CLOSED:
-            ended = await self._probe(WorkerTable.target(sent.worker)) is False
-        if ended:
-            self._note_ended(announcement.worker)
+        if closed and await self._has_ended(sent.worker):
             for explained in self._losses.ended(announcement.worker):
                 self._strike(explained)
 
@@ -211,11 +218,11 @@
         """Look for evidence about lost workers, and forget what no longer matters."""
         if self._losses:
             for loss in self._losses.due(self._workers, now):
-                self._note_ended(loss.start.worker)
                 self._strike(loss)
                 for strike in self._untold.pop(loss.content, ()):
                     self._append(strike.key, strike.encode())
-        if self._suspects.any:
+        if self._suspects.any and now - self._expired_at > EXPIRE_SECONDS:
+            self._expired_at = now
             for strike in self._suspects.expired(time.time()):
                 self._untold.pop(strike.content, None)
                 self._append(strike.key, b"")
@@ -290,10 +297,15 @@
             log_event("request_cleared", content=content, reason=reason, ends=len(strikes))
         return bool(strikes)
 
-    def _note_ended(self, worker: str) -> None:
-        self._ended[worker] = None
-        if len(self._ended) > MOST_ENDED:
-            del self._ended[next(iter(self._ended))]
+    async def _has_ended(self, worker: Worker) -> bool:
+        """Whether nobody listens at a worker's address; asked once for all that is lost there."""
+        name, now = worker.announcement.worker, steady_seconds()
+        self._ended_at = {w: at for w, at in self._ended_at.items() if now - at < ENDED_SECONDS}
+        if name not in self._ended_at:
+            if await self._probe(WorkerTable.target(worker)) is not False:
+                return False
+            self._ended_at[name] = now
+        return True
 
 
 async def _never_renewed(_oldest_seconds: float, _timeout_seconds: float) -> bool:
--- a/src/stagewalk/quarantine/core.py
+++ b/src/stagewalk/quarantine/core.py
@@ -66,6 +66,10 @@
         times = (strike.at_milliseconds for strike in self.strikes.values())
         self.newest_milliseconds = max(times, default=0)
 
+    @property
+    def newest_seconds(self) -> float:
+        return self.newest_milliseconds / 1000.0
+
     @property
     def one_address(self) -> bool:
         return len({strike.address for strike in self.strikes.values()}) == 1
@@ -196,18 +200,27 @@
             self.add(strike)
 
     def expired(self, unix_seconds: float) -> list[CrashStrike]:
-        """Forget what no longer matters; return it."""
+        """Forget what no longer matters; return it, for its records to be dropped.
+
+        Nodes forget at different times: the first one drops the records, which spares the others
+        the same call.
+        """
         faded = [
             content
             for content, suspect in self._suspects.items()
-            if unix_seconds > suspect.newest_milliseconds / 1000.0 + _remembered_seconds(suspect)
+            if unix_seconds
+            > suspect.newest_seconds + self._spread(content, _remembered_seconds(suspect))
         ]
         return [strike for content in faded for strike in self.clear(content)]
 
     def _held_until(self, content: str, suspect: _Suspect, item: bool) -> float:
         seconds = hold_seconds(suspect.level - _needed_level(suspect, item))
-        spread = zlib.crc32(f"{self._node}/{content}".encode()) / 2**32 * HOLD_SPREAD
-        return suspect.newest_milliseconds / 1000.0 + seconds * (1.0 + spread)
+        return suspect.newest_seconds + self._spread(content, seconds)
+
+    def _spread(self, content: str, seconds: float) -> float:
+        """Return a time that differs from node to node, up to half as long again."""
+        share = zlib.crc32(f"{self._node}/{content}".encode()) / 2**32
+        return seconds * (1.0 + HOLD_SPREAD * share)
 
     def _forget_oldest(self) -> None:
         """Make room: contents that are not held back go first, the oldest of them before others."""
