Soak: starts under the same name, and another writer among the workers' entries

Cause: each start of the soak's workers had a new name, and nobody else wrote entries. Change: half of the starts keep their names, entries and reports tell when a worker started, and a writer of its own lists what is no worker (fields missing or wrong, bytes, deep nesting, no start) at an address where it listens: nothing may reach it.

--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -28,6 +28,7 @@
 RUN_SECONDS = 0.02
 DOWN_SECONDS = (1.0, 3.0)
 CRASHING_BODIES = (b"crashes whoever runs it", b"crashes them too")
+NEW_NAME_SHARE = 0.5
 POPULAR_BODY = b"popular"
 VISIT_SECONDS = (0.5, 4.0)
 PAUSE_SECONDS = 0.04
@@ -98,19 +99,20 @@
         self._log = log
         self._judge = judge
         self._starts = 0
+        self._born = 0
+        self.identity = name
+        """What it answers to, the same for several starts now and then."""
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.StreamWriter] = set()
 
-    @property
-    def identity(self) -> str:
-        """Return the identity of this start."""
-        return f"{self._name}.{self._starts}"
-
     async def run(self, seed: int) -> None:
         """Serve, and start again after each end, for ever."""
         chooser = random.Random(f"{self._name} {seed}")
         while True:
             self._starts += 1
+            self._born = time.time_ns() // 1_000_000
+            if chooser.random() < NEW_NAME_SHARE:
+                self.identity = f"{self._name}.{self._starts}"
             ended = anyio.Event()
             self._server = await asyncio.start_server(
                 lambda reader, writer, ended=ended: self._serve(reader, writer, ended),
@@ -143,6 +145,8 @@
             "slots": 8,
             "state": "ready",
             "sequence": beat,
+            "cold_remaining_ms": 0,
+            "born": self._born,
             "models": [],
         }
         return msgspec.json.encode(entry)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -24,6 +24,7 @@
 from tests.soak.ended import PROMISE, EndedBatches
 from tests.soak.ending import EndingCallers
 from tests.soak.faults import Faults
+from tests.soak.foreign import ForeignWriter
 from tests.soak.series import FaultSeries
 from tests.soak.touch import SOAK, TouchRecord
 from tests.soak.world import HOST, World, own_address
@@ -103,7 +104,7 @@
     steps: int
     ended: EndedBatches
     crashes: dict[str, int]
-    """Ends by what they were under, and other requests served and sent."""
+    """Ends by what they were under, other requests served and sent, entries of another writer."""
     stalls: Stalls
     troubles: list[str]
     """What failed when, a line each."""
@@ -138,6 +139,7 @@
     faults = FaultSeries(world, seed) if kind.in_series else Faults(world, seed)
     operator = _operator(world, seed)
     crashes = CrashScene(world, seed)
+    foreign = ForeignWriter(world.log, own_address(), world.checker.expect, seed)
     async with anyio.create_task_group() as servers:
         try:
             servers.start_soon(stalls.watch)
@@ -150,6 +152,7 @@
                     tasks.start_soon(callers.request, route)
                 if operator is not None:
                     tasks.start_soon(operator.run)
+                servers.start_soon(foreign.run)
                 if kind is Kind.CRASHES:
                     crashes.start(servers, tasks)
                 tasks.start_soon(callers.train)
@@ -178,7 +181,7 @@
         dict(faults.injected),
         callers.steps,
         world.ended,
-        crashes.counts() if kind is Kind.CRASHES else {},
+        (crashes.counts() if kind is Kind.CRASHES else {}) | dict(foreign.written),
         stalls,
         world.touch.history,
     )
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import random
+import time
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -26,6 +27,8 @@
 LOAD_SECONDS = 0.3
 REFUSED_SHARE = 0.03
 FEWEST_EVENTS, MOST_EVENTS = 3, 24
+NEW_NAME_SHARE = 0.5
+"""Of the starts after a planned end."""
 
 
 def answer_to(request: str, body: bytes) -> bytes:
@@ -76,8 +79,9 @@
         self._rules = rules
         self.link = name
         self.name = name
-        """Identity of this start."""
+        """What it answers to, the same for several starts now and then."""
         self._starts = 1
+        self._born = time.time_ns() // 1_000_000
         self.service = service
         self.address = address
         self._version = version
@@ -94,10 +98,12 @@
         self._beat = 0
 
     def start_anew(self, log: MemoryLog) -> None:
-        """End and start again: who said that it leaves comes back only under a new identity."""
+        """End and start again, under another name or under the same."""
         log.put_key(ANNOUNCEMENTS, self.name, None)
         self._starts += 1
-        self.name = f"{self.link}.{self._starts}"
+        self._born = max(self._born + 1, time.time_ns() // 1_000_000)
+        if self._chooser.random() < NEW_NAME_SHARE:
+            self.name = f"{self.link}.{self._starts}"
         self.draining = False
         self._orders, self._fence, self._ordered = 0, -1, None
         self.mark_cold()
@@ -130,6 +136,7 @@
             "slots": SLOTS,
             "state": "draining" if self.draining else "ready",
             "sequence": self._beat,
+            "born": self._born,
             "models": [] if self.version is None else [{"name": "m", "version": self.version}],
         }
         log.put_key(ANNOUNCEMENTS, self.name, msgspec.json.encode(entry))
@@ -190,7 +197,7 @@
             return Reply(409)
         self._fence = order["fence"]
         self._orders += 1
-        self._truth.fences[self.name].append((order["fence"], order["holder"]))
+        self._truth.fences[f"{self.name}@{self._born}"].append((order["fence"], order["holder"]))
         self._ordered = order["version"], anyio.current_time() + LOAD_SECONDS
         return Reply(202)
 
@@ -201,6 +208,7 @@
                 "models": [{"name": "m", "version": self.version or 0, "adapters": []}],
                 "busy": self._loading,
                 "sequence": self._orders,
+                "born": self._born,
                 "num_waiting": 0,
                 "num_running": self._running,
                 "kv_used": 0,
