--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -349,6 +349,29 @@
 
         scenario(body)
 
+    def test_a_worker_that_left_without_saying_so_has_not_crashed(self) -> None:
+        """Its entry goes first; it serves what it has for a while, and closes its connections."""
+
+        async def body(site: Site, nodes: list[Running]) -> None:
+            for name in ("a2", "a3"):
+                site.log.drop_key(site.dialect.workers, name)
+            await until_served(site, nodes)
+            site.workers.workers["a1"].answer_seconds = 2.0
+
+            async def left() -> bool:
+                return nodes[0].gateway._workers.worker("a1") is None
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(site.call, nodes[0], "POST", "/once/y", b"unlucky")
+                await anyio.sleep(0.1)
+                site.log.drop_key(site.dialect.workers, "a1")
+                await until(left)
+                self.assertEqual(1, site.workers.workers["a1"].running)
+                site.workers.crash("a1")
+            self.assertEqual(0, nodes[0].gateway._crashes.suspects)
+
+        scenario(body)
+
     def test_a_broken_answer_of_a_worker_that_lives_is_no_end(self) -> None:
         async def body(site: Site, nodes: list[Running]) -> None:
             for name in ("a1", "a2", "a3"):
