Crash watch: what is still to be told outlasts a listing, and waits within bounds

Cause: read as a newcomer would: a listing (after dropped history) forgot ends whose append was still under way, and brought back what was cleared and not yet dropped; ends that nobody was told of stayed for good where their content was pushed out of the table. Change: a listing is taken first, then what this node has still to tell; ends of contents that are no longer remembered go too. Figures: five tests of the watch alone.

--- a/src/stagewalk/gateway/crash_watch.py
+++ b/src/stagewalk/gateway/crash_watch.py
@@ -204,10 +204,16 @@
         self._take(strike)
 
     def replace(self, records: tuple[KeyedRecord, ...]) -> None:
-        """Take all records; what others could not learn yet stays."""
+        """Take all records; what this node has still to tell goes before them."""
         self._suspects.replace(())
         for record in records:
             self.apply(record)
+        for key, value in self._unsent.items():
+            strike = decode_strike(value)
+            if strike is None:
+                self._suspects.drop(key)
+            else:
+                self._take(strike)
         for strikes in self._untold.values():
             for strike in strikes:
                 self._take(strike)
@@ -224,8 +230,8 @@
         if self._suspects.any and now - self._expired_at > EXPIRE_SECONDS:
             self._expired_at = now
             for strike in self._suspects.expired(time.time()):
-                self._untold.pop(strike.content, None)
                 self._append(strike.key, b"")
+            self._untold = {c: ends for c, ends in self._untold.items() if c in self._suspects}
 
     async def run(self) -> None:
         """Append what other nodes are to learn, for ever."""
--- a/src/stagewalk/quarantine/core.py
+++ b/src/stagewalk/quarantine/core.py
@@ -118,6 +118,10 @@
         """Return the number of ends remembered."""
         return self._count
 
+    def __contains__(self, digest: object) -> bool:
+        """Whether any end is remembered of the content of a digest."""
+        return digest in self._suspects
+
     def level(self, content: RequestContent) -> int:
         """Return how many worker ends in a row are known of a content."""
         if not self._suspects:
--- /dev/null
+++ b/tests/gateway/test_crash_watch.py
@@ -0,0 +1,113 @@
+"""What a node still has to tell of worker ends, while the log is away or listed anew."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+import anyio
+import testtools
+
+from stagewalk.gateway.crash_watch import MOST_UNSENT, CrashWatch
+from stagewalk.ports.crash_reports import SentRequest
+from stagewalk.ports.partitioned_log import KeyedRecord, Partition
+from stagewalk.ports.workers import AttemptFailure, AttemptFault, ContactLoss
+from stagewalk.quarantine.content import RequestContent
+from stagewalk.quarantine.core import MOST_STRIKES, CrashSuspects
+from stagewalk.steady_clock import steady_seconds
+from stagewalk.workers.table import WorkerTable
+from stagewalk_standins.partitioned_log import MemoryLog
+from tests.workers.support import announcement
+
+NODES = Partition("keyed.nodes", 0)
+CLOSED = AttemptFailure(AttemptFault.MAY_HAVE_RUN, "closed", contact_loss=ContactLoss.CLOSED)
+CONTENT = RequestContent("POST", "h", "/x", b"body")
+
+
+class CrashWatchTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = MemoryLog()
+        self.client = self.log.client()
+        self.table = WorkerTable()
+        self.suspects = CrashSuspects("n1")
+        self.watch = CrashWatch(
+            log=self.client,
+            partition=NODES,
+            node="n1",
+            suspects=self.suspects,
+            workers=self.table,
+            probe=mock.AsyncMock(return_value=False),
+        )
+
+    async def end(self, worker: str, content: RequestContent = CONTENT) -> None:
+        """Have a worker end under a request."""
+        self.table.announce(announcement(worker), 0.0)
+        known = self.table.worker(worker)
+        assert known is not None
+        level = self.watch.known_level(content)
+        sent = SentRequest("q", content, known, "r", level, steady_seconds())
+        await self.watch.lost(sent, CLOSED)
+
+    def test_what_is_still_to_be_told_outlasts_a_listing(self) -> None:
+        async def scenario() -> None:
+            await self.end("a")
+            self.watch.replace(())
+            self.assertEqual(1, self.watch.known_level(CONTENT))
+            self.watch.tell(CONTENT)
+            self.watch.replace(())
+            self.assertEqual(1, self.watch.known_level(CONTENT))
+
+        anyio.run(scenario)
+
+    def test_what_was_cleared_and_not_yet_dropped_does_not_come_back(self) -> None:
+        async def scenario() -> None:
+            await self.end("a")
+            (strike,) = self.suspects.strikes(CONTENT)
+            self.watch.tell(CONTENT)
+            self.watch.answered(CONTENT)
+            self.watch.replace((KeyedRecord(strike.key, strike.encode(), 1),))
+            self.assertEqual(0, self.watch.known_level(CONTENT))
+
+        anyio.run(scenario)
+
+    def test_a_record_under_another_ones_key_is_none(self) -> None:
+        async def scenario() -> None:
+            await self.end("a")
+            (strike,) = self.suspects.strikes(CONTENT)
+            self.watch.answered(CONTENT)
+            self.watch.apply(KeyedRecord(strike.key + "x", strike.encode(), 1))
+            self.watch.apply(KeyedRecord(strike.key, b"noise", 1))
+            self.assertEqual(0, self.watch.known_level(CONTENT))
+
+        anyio.run(scenario)
+
+    def test_what_waits_is_bounded_however_many_contents_there_are(self) -> None:
+        async def scenario() -> None:
+            for n in range(MOST_STRIKES + 300):
+                content = RequestContent("POST", "h", "/x", str(n).encode())
+                await self.end(f"w{n % 7}", content)
+                if n % 2:
+                    self.watch.tell(content)
+            self.watch.step(steady_seconds())
+            self.assertLessEqual(len(self.watch._untold), MOST_STRIKES)
+            self.assertLessEqual(len(self.watch._unsent), MOST_UNSENT)
+            self.assertLessEqual(self.watch.suspects, MOST_STRIKES)
+
+        anyio.run(scenario)
+
+    def test_an_end_is_told_before_old_suspicions_are_dropped(self) -> None:
+        async def scenario() -> None:
+            other = RequestContent("POST", "h", "/y", b"")
+            await self.end("a", other)
+            self.watch.tell(other)
+            self.watch.answered(other)
+            await self.end("b")
+            self.watch.tell(CONTENT)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.watch.run)
+                await self.watch.told(CONTENT)
+                tasks.cancel_scope.cancel()
+            values = [record.value for record in self.log.kept(NODES).keyed]
+            self.assertEqual([True, False], [value is not None for value in values])
+
+        anyio.run(scenario)
