--- a/src/stagewalk/cli/config.py
+++ b/src/stagewalk/cli/config.py
@@ -19,10 +19,10 @@
 from stagewalk.node.configuration.parameters import NAME_PATTERN
 
 DEFAULT_TIMEOUT_SECONDS = 30.0
-"""How long a command waits for the log, and for nodes. Chosen, not measured."""
+"""How long a command waits for the log, and for nodes."""
 
 DEFAULT_HISTORY_LIMIT = 20
-"""Records that `history` shows. Chosen, not measured."""
+"""Records that `history` shows."""
 
 
 def add_flags(parser: argparse.ArgumentParser) -> None:
--- a/src/stagewalk/common/http/calls.py
+++ b/src/stagewalk/common/http/calls.py
@@ -30,7 +30,7 @@
 """Longest wait for a connection: a lost first packet is sent again after 1 s."""
 
 POOL_TIMEOUT_SECONDS = 2.0
-"""Longest wait for a free connection of a pool; chosen, not measured."""
+"""Longest wait for a free connection of a pool."""
 
 KEEPALIVE_SECONDS = 4.0
 """Idle connections are dropped before usual servers close them, so that none breaks in use."""
--- a/src/stagewalk/common/http/server.py
+++ b/src/stagewalk/common/http/server.py
@@ -17,7 +17,7 @@
 from stagewalk.common.identities import Address
 
 BACKLOG = 1024
-"""Connections the kernel accepts ahead of the server; chosen, not measured."""
+"""Connections the kernel accepts ahead of the server."""
 
 MAXIMUM_HEAD_BYTES = 64 * 1024
 """Longest head of a request; well above the header limits that routes publish."""
@@ -26,7 +26,7 @@
 """Longer than clients usually keep idle connections, so that it is they who close them."""
 
 GRACEFUL_SECONDS = 3.0
-"""How long requests under way may go on once the listener is closed; chosen, not measured."""
+"""How long requests under way may go on once the listener is closed."""
 
 EXIT_LINGER_SECONDS = 0.5
 """How long requests that arrive during an exit still get a status instead of a reset."""
--- a/src/stagewalk/gateway/autoscaling/core.py
+++ b/src/stagewalk/gateway/autoscaling/core.py
@@ -26,24 +26,21 @@
 
 SETTLE_SECONDS = 4.0
 """How long a group's count must stay the same to be what was found: workers that start together are
-listed within 2 s of each other, doubled. Chosen, not measured."""
+listed within 2 s of each other, doubled."""
 
 REPEAT_MARGIN_SECONDS = 3.0
 """An order whose workers are not listed this long after their time to boot is sent again: its
-answer may have been lost, or an older order carried out after it. Chosen, not measured."""
+answer may have been lost, or an older order carried out after it."""
 
 NONE_LEFT_SECONDS = 3.0
-"""A zone that has none to give is asked again after this time; meanwhile others are asked. Chosen,
-not measured."""
+"""A zone that has none to give is asked again after this time; meanwhile others are asked."""
 
 RECLAIM_MEMORY_SECONDS = 600.0
 """After workers were taken away, ordinary ones are ordered in their place for this long: where that
-happens it happens again, a whole zone at a time, and for some seconds there are none to be had.
-Measured together with sets of engines by demand: worth of a day 0.446 before, 0.605 after
-(docs/design/0130-shifted-work.md)."""
+happens it happens again, a whole zone at a time, and for some seconds there are none to be had."""
 
 RETRY_SECONDS = 1.0
-"""A zone is asked again this long after any other failure. Chosen, not measured."""
+"""A zone is asked again this long after any other failure."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/gateway/autoscaling/demand.py
+++ b/src/stagewalk/gateway/autoscaling/demand.py
@@ -10,7 +10,7 @@
 HOLD_SECONDS = 120.0
 """How long a peak counts: a worker that is given back is missed for its time to boot when the load
 returns, as after a minute in which trainers fell behind. Two minutes of one that isn't needed cost
-less than a late step. Chosen, not measured."""
+less than a late step."""
 
 
 class Demand:
--- a/src/stagewalk/gateway/batch_service/batch_store.py
+++ b/src/stagewalk/gateway/batch_service/batch_store.py
@@ -47,13 +47,13 @@
 name: the same on every node."""
 
 CATCH_UP_SECONDS = 0.8
-"""How long a call may wait for the log to bring a view up to date. Chosen, not measured."""
+"""How long a call may wait for the log to bring a view up to date."""
 
 CURRENT_SECONDS = 1.5
-"""A followed view younger than this counts as current. Chosen, not measured."""
+"""A followed view younger than this counts as current."""
 
 READ_PAUSE_SECONDS = 0.05
-"""How long records gather between two reads of a partition. Chosen, not measured."""
+"""How long records gather between two reads of a partition."""
 
 
 class BatchStore:
--- a/src/stagewalk/gateway/batch_service/ledger_calls.py
+++ b/src/stagewalk/gateway/batch_service/ledger_calls.py
@@ -27,13 +27,13 @@
 
 LEDGER_PATH = "/ledger"
 ANSWER_SECONDS = 1.0
-"""How long another node may take beyond the time a call offers to wait. Chosen, not measured."""
+"""How long another node may take beyond the time a call offers to wait."""
 
 REPLICAS_TRIED = 2
-"""Replicas asked before the node reads the log itself, or refuses. Chosen, not measured."""
+"""Replicas asked before the node reads the log itself, or refuses."""
 
 AVOID_SECONDS = 2.0
-"""A replica that did not answer is asked last for this long. Chosen, not measured."""
+"""A replica that did not answer is asked last for this long."""
 
 
 class LedgerCalls:
--- a/src/stagewalk/gateway/batch_service/ledger_reads.py
+++ b/src/stagewalk/gateway/batch_service/ledger_reads.py
@@ -36,7 +36,7 @@
 from stagewalk.gateway.partitioned_log.appender import AppendOutcome
 
 END_SECONDS = 2.0
-"""How long an end may wait for the log, its mark and its record together. Chosen, not measured."""
+"""How long an end may wait for the log, its mark and its record together."""
 
 OPAQUE_CONTENT = "application/octet-stream"
 LOG_SILENT = "the log did not answer"
--- a/src/stagewalk/gateway/batch_service/open_batch_views.py
+++ b/src/stagewalk/gateway/batch_service/open_batch_views.py
@@ -20,8 +20,7 @@
 records of its first run would stand there, some 25 a second in each partition."""
 
 LIST_SECONDS = 0.3
-"""How often the places of open batches are listed again for a batch that is not among them. Chosen,
-not measured."""
+"""How often the places of open batches are listed again for a batch that is not among them."""
 
 
 class OpenBatchViews:
--- a/src/stagewalk/gateway/batch_service/open_batches.py
+++ b/src/stagewalk/gateway/batch_service/open_batches.py
@@ -19,7 +19,7 @@
 
 OPEN_BATCHES = Partition("keyed.batches", 0)
 NOTE_SECONDS = 0.2
-"""How long a note may wait for the log: a late one is worth less. Chosen, not measured."""
+"""How long a note may wait for the log: a late one is worth less."""
 
 MARK_RETRY_SECONDS = 0.1
 """Between two tries to mark an end, as between two of an append."""
--- a/src/stagewalk/gateway/batch_service/read_rules.py
+++ b/src/stagewalk/gateway/batch_service/read_rules.py
@@ -9,33 +9,30 @@
 from stagewalk.gateway.batches.records import ItemFinished
 
 PAGE_BYTES = 900_000
-"""Text in one answer, unless one result alone is larger. Chosen, not measured."""
+"""Text in one answer, unless one result alone is larger."""
 
 LONGEST_WAIT_SECONDS = 1.0
-"""How long a read waits for news at most, whatever its caller offers. Chosen, not measured."""
+"""How long a read waits for news at most, whatever its caller offers."""
 
 MAXIMUM_VIEW_AGE_SECONDS = 2.6
-"""A view that is followed and older than this is brought up to date before it is shown. Chosen, not
-measured."""
+"""A view that is followed and older than this is brought up to date before it is shown."""
 
 MAXIMUM_UNFOLLOWED_AGE_SECONDS = 0.3
-"""The same for a view that is only read when asked for: nothing bounds how far it lags. Chosen, not
-measured."""
+"""The same for a view that is only read when asked for: nothing bounds how far it lags."""
 
 MAXIMUM_RELAYED_AGE_SECONDS = 0.6
 """The same for a call that another node relayed. That node answers for it as if it had read the
 log just now, while this one may be cut off: with 2.6 s one showed nothing at position 43 when 45
-results had been read elsewhere. The figure itself is chosen."""
+results had been read elsewhere."""
 
 NEARLY_DONE_SHARE = 0.75
 TAIL_SHARE = 0.15
 """A read is held that asks for no more than the last results (this share) of a step that is nearly
 done: others, from the start of a step, are answered at once. Answered at each result, a step ended
-0.49 s after its last result on average (32 steps), held 0.38 s; the shares are chosen."""
+0.49 s after its last result on average (32 steps), held 0.38 s."""
 
 OPEN_READ_SECONDS = 0.15
-"""How often the log is asked for news of an open batch before it has been read whole. Chosen, not
-measured."""
+"""How often the log is asked for news of an open batch before it has been read whole."""
 
 
 def is_stale(age: float, *, following: bool, oldest_seconds: float) -> bool:
--- a/src/stagewalk/gateway/batches/attempt_watch.py
+++ b/src/stagewalk/gateway/batches/attempt_watch.py
@@ -17,24 +17,23 @@
 from stagewalk.gateway.workers.worker import Worker
 
 SILENCE_SECONDS = 1.6
-"""An engine that brings no event of an item for this long is left. Chosen, not measured."""
+"""An engine that brings no event of an item for this long is left."""
 
 SHORT_SILENCE_SECONDS = 0.7
 SHORT_SILENCE_EVENTS = 8.0
 """With room at another engine it is left after this many times what an event takes at it, but not
-before `SHORT_SILENCE_SECONDS`. Chosen, not measured."""
+before `SHORT_SILENCE_SECONDS`."""
 
 MOVE_PAUSE_SECONDS = 1.5
 """An item that was moved stays where it is for this long. Without a pause items went from engine to
-engine, 1,052 moves on a quiet day; the figure itself is chosen."""
+engine, 1,052 moves on a quiet day."""
 
 URGENT_SHARE = 0.6
 """An item is urgent that is expected to end after this part of the time its batch has. Long items
-at an engine 1.3 times slower missed their due time; the figure itself is chosen."""
+at an engine 1.3 times slower missed their due time."""
 
 FIRST_EVENT_SECONDS = 3.0
-"""Longest silence before the first event, when the item may still wait for its slot. Chosen, not
-measured."""
+"""Longest silence before the first event, when the item may still wait for its slot."""
 
 
 class AttemptWatch:
--- a/src/stagewalk/gateway/batches/evidence.py
+++ b/src/stagewalk/gateway/batches/evidence.py
@@ -11,8 +11,7 @@
 from stagewalk.gateway.workers.worker import Worker
 
 REFUSAL_PAUSE_SECONDS = 0.25
-"""How long an engine that refused with slots free counts as loading weights. Chosen, not
-measured."""
+"""How long an engine that refused with slots free counts as loading weights."""
 
 
 def note_refusal(engine: Worker, model: str, failure: AttemptFailure, now: float) -> None:
--- a/src/stagewalk/gateway/batches/ledger.py
+++ b/src/stagewalk/gateway/batches/ledger.py
@@ -26,7 +26,7 @@
 from stagewalk.gateway.batches.reusable_texts import ReusableText, ReusableTexts
 
 FORGET_AFTER_SECONDS = 240.0
-"""How long an ended batch is kept. Chosen, not measured."""
+"""How long an ended batch is kept."""
 
 ENDED_KNOWN_SECONDS = 600.0
 """How long it is known after that that a batch has ended: twice what the log keeps its records, so
--- a/src/stagewalk/gateway/batches/length_estimate.py
+++ b/src/stagewalk/gateway/batches/length_estimate.py
@@ -10,11 +10,11 @@
 from stagewalk.gateway.batches.item_run import ItemRun
 
 MEMORY_ITEMS = 200
-"""How many items the ratio remembers: older ones fade. Chosen, not measured."""
+"""How many items the ratio remembers: older ones fade."""
 
 LONG_TAIL_SHARE = 0.5
 """An item that has outrun its guess is expected to go on for this part of what it has made:
-the longer one has run, the longer it is likely to go on. Chosen, not measured."""
+the longer one has run, the longer it is likely to go on."""
 
 
 class LengthEstimate:
--- a/src/stagewalk/gateway/batches/placement.py
+++ b/src/stagewalk/gateway/batches/placement.py
@@ -25,8 +25,7 @@
 from stagewalk.gateway.zones.distance import Proximity
 
 MOVE_SECONDS = 0.15
-"""What going on at another engine takes: reading the prompt and the text so far again. Chosen,
-not measured."""
+"""What going on at another engine takes: reading the prompt and the text so far again."""
 
 FASTER_SHARE = 0.85
 """An engine counts as faster if an event takes at most this part of the time there. An engine's
@@ -36,7 +35,7 @@
 
 LEAST_URGENT_GAIN_SECONDS = 0.25
 LEAST_GAIN_SECONDS = 1.0
-"""Moves that gain less than this are not worth their price. Chosen, not measured."""
+"""Moves that gain less than this are not worth their price."""
 
 
 def choose_engine(
--- a/src/stagewalk/gateway/batches/record_parts.py
+++ b/src/stagewalk/gateway/batches/record_parts.py
@@ -20,7 +20,7 @@
 )
 
 RECORD_HEADROOM_BYTES = 4_096
-"""Left in a record for all but its items or text. Chosen, not measured."""
+"""Left in a record for all but its items or text."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/gateway/batches/retry_rules.py
+++ b/src/stagewalk/gateway/batches/retry_rules.py
@@ -22,7 +22,7 @@
 """The engine says that the item can never be done: it fails at once."""
 
 FAILURE_PAUSE_SECONDS = 0.1
-"""How long an item whose attempt failed waits before the next one. Chosen, not measured: two
+"""How long an item whose attempt failed waits before the next one. Two
 scheduler ticks."""
 
 
--- a/src/stagewalk/gateway/batches/runner_liveness.py
+++ b/src/stagewalk/gateway/batches/runner_liveness.py
@@ -12,10 +12,10 @@
 FAILURES = 2
 LEAST_SPAN_SECONDS = 0.35
 """A process is gone that failed to answer so often in a row, over so long a time at least: two
-probes are 0.4 s apart. Derived, not measured."""
+probes are 0.4 s apart."""
 
 EVIDENCE_SECONDS = 2.0
-"""Answers and failures older than this are ignored: five probes. Chosen, not measured."""
+"""Answers and failures older than this are ignored: five probes."""
 
 
 @dataclass(slots=True)
--- a/src/stagewalk/gateway/batches/scheduler.py
+++ b/src/stagewalk/gateway/batches/scheduler.py
@@ -46,7 +46,7 @@
 PUBLISH_EVENTS = 20
 """Every `PUBLISH_SECONDS`, an item that has made this many events more than the log holds records
 them, so that little is made again after a takeover. Recording each event would write four times the
-bytes to save 1 s of work; the figures are chosen."""
+bytes to save 1 s of work."""
 
 GIVEN_UP = "given up"
 
--- a/src/stagewalk/gateway/batches/takeover.py
+++ b/src/stagewalk/gateway/batches/takeover.py
@@ -16,19 +16,17 @@
 
 RANK_SECONDS = 0.3
 """How much longer each next node waits before it claims: a claim is read back sooner. With 1 s a
-rank an open batch was claimed 1.7 s after all nodes had read their views; the figure itself is
-chosen."""
+rank an open batch was claimed 1.7 s after all nodes had read their views."""
 
 RETURNED_SECONDS = 0.6
 """How long others leave a batch to the restarted process of its runner's machine, which claims it
-at once (docs/design/0110). Chosen, not measured."""
+at once (docs/design/0110)."""
 
 CLAIM_REPEAT_SECONDS = 2.0
-"""How long a claim may take to be read back before it is made again. Chosen, not measured."""
+"""How long a claim may take to be read back before it is made again."""
 
 MAXIMUM_VIEW_AGE_SECONDS = 3.0
-"""From an older view nothing is claimed: the batch may have ended, or another node may run it.
-Chosen, not measured."""
+"""From an older view nothing is claimed: the batch may have ended, or another node may run it."""
 
 
 class RunnerState(IntEnum):
--- a/src/stagewalk/gateway/cold_lease_service.py
+++ b/src/stagewalk/gateway/cold_lease_service.py
@@ -26,10 +26,10 @@
 
 COLD_STARTS = Partition("cold_starts", 0)
 STEP_SECONDS = 0.1
-"""Between two steps while a lease is requested. Chosen, not measured."""
+"""Between two steps while a lease is requested."""
 
 CATCH_UP_SECONDS = 0.5
-"""How long a step waits for the partition to be read to its end. Chosen, not measured."""
+"""How long a step waits for the partition to be read to its end."""
 
 
 class ColdLeaseService:
--- a/src/stagewalk/gateway/cold_starts/core.py
+++ b/src/stagewalk/gateway/cold_starts/core.py
@@ -21,8 +21,7 @@
 from stagewalk.gateway.workers.worker import Worker
 
 COLD_MARGIN_SECONDS = 0.3
-"""Added to the time that an entry states: entries are read a moment after they were written.
-Chosen, not measured."""
+"""Added to the time that an entry states: entries are read a moment after they were written."""
 
 UNKNOWN_SECONDS = 1.5
 """Workers count as cold until views were read this long after they were current again: a worker
@@ -34,16 +33,15 @@
 are cold, is seen unless it lasts less than this."""
 
 REQUEST_SECONDS = 1.0
-"""How long after a request could have used a cold worker its lease is sought. Chosen, not
-measured."""
+"""How long after a request could have used a cold worker its lease is sought."""
 
 FIRST_CHOICE_SECONDS = 0.3
 """How long the lease of a cold worker is left to the node whose first choice it is; the others seek
-it then. Chosen, not measured."""
+it then."""
 
 MOST_SECOND_CHOICES = 2
 """Most workers of another node's first choice whose leases are sought at a time: the rest is left
-to other nodes. Chosen, not measured."""
+to other nodes."""
 
 Ages = Callable[[float], float]
 """Returns the age of the views by which workers are known to be warm, at a time; in seconds."""
--- a/src/stagewalk/gateway/cold_starts/leases.py
+++ b/src/stagewalk/gateway/cold_starts/leases.py
@@ -20,8 +20,7 @@
 """How long a holder may send after it sent its record: a cold start of 3 s in one lease."""
 
 RENEW_BEFORE_SECONDS = 1.5
-"""A holder that still needs a worker renews its lease so long before the end. Chosen, not
-measured."""
+"""A holder that still needs a worker renews its lease so long before the end."""
 
 HANDOVER_SECONDS = 1.2
 """How much longer others wait: a worker's requests count over any span of one second. With another
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -41,8 +41,7 @@
 those who look for them have the reads to themselves meanwhile."""
 
 STALL_SECONDS = 0.2
-"""A loop that wakes this much late was kept from running, or the machine was stopped or asleep.
-Chosen, not measured."""
+"""A loop that wakes this much late was kept from running, or the machine was stopped or asleep."""
 
 STEP_SECONDS = 0.1
 """Between two looks at whether the log holds what is still to be appended at a stop."""
--- a/src/stagewalk/gateway/directory/ledger_replicas.py
+++ b/src/stagewalk/gateway/directory/ledger_replicas.py
@@ -19,7 +19,7 @@
 from stagewalk.gateway.policy import ALL_ON, Policy
 
 MOST_REPLICAS = 12
-"""Replicas where the policy `few_replicas` is off. Chosen, not measured."""
+"""Replicas where the policy `few_replicas` is off."""
 
 LEDGER_REPLICAS = 6
 """Enough that some are left when several fail at once, and that several trainers' steps spread; few
--- a/src/stagewalk/gateway/directory/node_table.py
+++ b/src/stagewalk/gateway/directory/node_table.py
@@ -20,13 +20,12 @@
 
 MISSED_RENEWALS = 2.5
 """The same in renewals, for nodes that announce themselves seldom: one may be lost, the next one
-late. Chosen, not measured."""
+late."""
 
 RenewalSeconds = Annotated[float, msgspec.Meta(gt=0.0, le=LONGEST_RENEWAL_SECONDS)]
 
 STALE_ROUNDS = 8
-"""A node that did not announce itself while the others did so this often counts as dead. Chosen,
-not measured."""
+"""A node that did not announce itself while the others did so this often counts as dead."""
 
 
 class NodeAnnouncement(msgspec.Struct, frozen=True, array_like=True):
--- a/src/stagewalk/gateway/directory/read_pace.py
+++ b/src/stagewalk/gateway/directory/read_pace.py
@@ -32,8 +32,7 @@
 
 
 REPLICA_PACE = ReadPace(0.4, 0.1, 0.5, 0.25)
-"""Of a node that follows the batches: it runs them, orders engines and takes batches over. Chosen,
-not measured."""
+"""Of a node that follows the batches: it runs them, orders engines and takes batches over."""
 
 LISTED_PACE = ReadPace(0.8, 0.5, 1.0, 0.25)
 """Of a node that callers are sent to: it stops using a worker that leaves within a second, half of
--- a/src/stagewalk/gateway/directory/renewals.py
+++ b/src/stagewalk/gateway/directory/renewals.py
@@ -17,7 +17,7 @@
 the 4 KB/s that a node of 420 may use for control."""
 
 LONGEST_RENEWAL_SECONDS = 30.0
-"""Bound of the renewals; 420 nodes without a role need 21 s. Chosen, not measured."""
+"""Bound of the renewals; 420 nodes without a role need 21 s."""
 
 
 def renewal_seconds(has_role: bool, nodes: int) -> float:
--- a/src/stagewalk/gateway/duties/autoscale_service.py
+++ b/src/stagewalk/gateway/duties/autoscale_service.py
@@ -27,11 +27,10 @@
 
 PLAN_PREFIX = "workers"
 STEP_SECONDS = 0.25
-"""Between two decisions on what to order. Chosen, not measured."""
+"""Between two decisions on what to order."""
 
 CURRENT_SECONDS = 1.5
-"""With an older view of the workers none are ordered: what looks lost may be there. Chosen, not
-measured."""
+"""With an older view of the workers none are ordered: what looks lost may be there."""
 
 OpenBatches = Callable[[], list[Batch]]
 """Returns the batches that have unfinished items."""
--- a/src/stagewalk/gateway/duties/duty_lease.py
+++ b/src/stagewalk/gateway/duties/duty_lease.py
@@ -33,17 +33,16 @@
 """Between two decisions on the lease: a fifth of the time between renewals."""
 
 CURRENT_SECONDS = 1.0
-"""The lease is competed for only with a view of its records at most this old. Chosen, not
-measured."""
+"""The lease is competed for only with a view of its records at most this old."""
 
 APPEND_SECONDS = 3.0
-"""How long a renewal or a plan may wait for the log. Chosen, not measured."""
+"""How long a renewal or a plan may wait for the log."""
 
 CATCH_UP_SECONDS = 0.5
-"""How long reading all records may take before a decision. Chosen, not measured."""
+"""How long reading all records may take before a decision."""
 
 READ_PAUSE_SECONDS = 0.02
-"""Between two reads of the records. Chosen, not measured."""
+"""Between two reads of the records."""
 
 READ_BACK_SECONDS = 0.02
 """Between two looks whether a renewal was read back, as often as the records are read."""
--- a/src/stagewalk/gateway/duties/order_service.py
+++ b/src/stagewalk/gateway/duties/order_service.py
@@ -22,7 +22,7 @@
 from stagewalk.gateway.workers.table import WorkerTable
 
 STEP_SECONDS = 0.1
-"""Between two decisions on what to order. Chosen, not measured."""
+"""Between two decisions on what to order."""
 
 
 class OrderService:
--- a/src/stagewalk/gateway/duties/usage_service.py
+++ b/src/stagewalk/gateway/duties/usage_service.py
@@ -32,14 +32,14 @@
 twentieth of a window of 5 s."""
 
 STEP_SECONDS = 0.25
-"""Between two decisions on what to report. Chosen, not measured."""
+"""Between two decisions on what to report."""
 
 READ_PAUSE_SECONDS = 0.5
-"""Between two reads of the counts. Chosen, not measured."""
+"""Between two reads of the counts."""
 
 SETTLE_SECONDS = 1.5
 """After a failed read or an outage of the log, other nodes' counts may still be on their way for
-this long. Chosen, not measured."""
+this long."""
 
 
 class UsageService:
--- a/src/stagewalk/gateway/eligibility/retry_after.py
+++ b/src/stagewalk/gateway/eligibility/retry_after.py
@@ -14,7 +14,7 @@
 
 RETRY_AFTER_SECONDS = 0.25
 """For refusals that say nothing about their end: no worker is free, the log does not answer, a view
-is too old. Most of these are over within a few hundred milliseconds. Chosen, not measured."""
+is too old. Most of these are over within a few hundred milliseconds."""
 
 RETRY_AFTER_DENIAL: Mapping[Denial, float] = {
     Denial.ZONE_EVACUATED: 1.0,
--- a/src/stagewalk/gateway/entry/app.py
+++ b/src/stagewalk/gateway/entry/app.py
@@ -35,7 +35,7 @@
 """Prometheus' text format."""
 
 BUFFERED_BODY_BYTES = 96 * 1024 * 1024
-"""Bodies of requests held in memory at once, of all callers. Chosen, not measured."""
+"""Bodies of requests held in memory at once, of all callers."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/gateway/entry/batch_calls.py
+++ b/src/stagewalk/gateway/entry/batch_calls.py
@@ -34,7 +34,7 @@
 from stagewalk.gateway.scoring.core import RouteOf
 
 SUBMIT_SECONDS = 3.0
-"""How long a submission may wait for the log. Chosen, not measured."""
+"""How long a submission may wait for the log."""
 
 STALLED_SECONDS = 1.5
 """A log that has accepted no append for this long is not waited for: half of `SUBMIT_SECONDS`."""
--- a/src/stagewalk/gateway/entry/directory_calls.py
+++ b/src/stagewalk/gateway/entry/directory_calls.py
@@ -15,7 +15,7 @@
 from stagewalk.gateway.zones.evacuations import Evacuations
 
 MOST_ADDRESSES = 64
-"""Addresses in one answer at most. Chosen, not measured."""
+"""Addresses in one answer at most."""
 
 SECONDS_TO_LIVE = 1.0
 """How long callers may keep the directory's answer; the drain delay of a stop (`LEAVE_SECONDS`) is
--- a/src/stagewalk/gateway/explain/steps.py
+++ b/src/stagewalk/gateway/explain/steps.py
@@ -15,11 +15,10 @@
 from stagewalk.gateway.explain.log_line import LogLine
 
 TOGETHER_SECONDS = 1.5
-"""Starts of processes this close belong to one recovery. Chosen, not measured."""
+"""Starts of processes this close belong to one recovery."""
 
 MOST_NODES_SHARE = 0.8
-"""A recovery counts as one of all processes if this share of all nodes started. Chosen, not
-measured."""
+"""A recovery counts as one of all processes if this share of all nodes started."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/gateway/explain/story.py
+++ b/src/stagewalk/gateway/explain/story.py
@@ -15,7 +15,7 @@
 from stagewalk.gateway.explain.log_line import LogLine
 
 SURROUNDING_SECONDS = 2.0
-"""How long before and after the id's own lines other events count. Chosen, not measured."""
+"""How long before and after the id's own lines other events count."""
 
 NODE_EVENTS = frozenset(
     {
--- a/src/stagewalk/gateway/forwarding/hedging.py
+++ b/src/stagewalk/gateway/forwarding/hedging.py
@@ -10,14 +10,14 @@
 from stagewalk.gateway.routes.route import Route
 
 HEDGE_LATENCIES = 4.0
-"""A worker this many usual latencies late gets a second one beside it. Chosen, not measured."""
+"""A worker this many usual latencies late gets a second one beside it."""
 
 HEDGE_MINIMUM_SECONDS = 0.05
-"""Shortest delay, however fast the worker usually is. Chosen, not measured."""
+"""Shortest delay, however fast the worker usually is."""
 
 HEDGE_TARGET_SHARE = 0.45
 """The second attempt starts at the latest after this part of the route's target, which leaves the
-larger part to it. Chosen, not measured."""
+larger part to it."""
 
 
 def hedge_delay(route: Route, usual_latency: float | None) -> float:
--- a/src/stagewalk/gateway/forwarding/policy.py
+++ b/src/stagewalk/gateway/forwarding/policy.py
@@ -27,7 +27,7 @@
 
 DEADLINE_RESERVE_SECONDS = 0.02
 """Taken off the time that a worker gets, since its answer has to travel back; no attempt begins
-later. Chosen, not measured; regions are 12 to 20 ms apart."""
+later. Regions are 12 to 20 ms apart."""
 
 LEAST_WORKER_SECONDS = 0.001
 """Least time that a worker is given: keeps the deadline that it is sent positive."""
--- a/src/stagewalk/gateway/leases/log_lease.py
+++ b/src/stagewalk/gateway/leases/log_lease.py
@@ -19,10 +19,10 @@
 without an order after all processes had been killed."""
 
 RENEW_SECONDS = 0.5
-"""Between two renewals: two may be lost before the lease expires. Chosen, not measured."""
+"""Between two renewals: two may be lost before the lease expires."""
 
 EXPIRY_MARGIN_SECONDS = 0.4
-"""How much longer others wait before one of them competes for the lease. Chosen, not measured."""
+"""How much longer others wait before one of them competes for the lease."""
 
 JITTER_STEPS = 8
 JITTER_STEP_SECONDS = 0.15
--- a/src/stagewalk/gateway/log_relay/path_choice.py
+++ b/src/stagewalk/gateway/log_relay/path_choice.py
@@ -11,7 +11,7 @@
 from stagewalk.gateway.ports.partitioned_log import LogFailure, LogFault
 
 PROBE_SECONDS = 1.0
-"""Between two probes of the direct path while calls are relayed. Chosen, not measured."""
+"""Between two probes of the direct path while calls are relayed."""
 
 SETTLED = frozenset(
     {LogFault.CONFLICT, LogFault.OUT_OF_SEQUENCE, LogFault.DROPPED, LogFault.REJECTED}
--- a/src/stagewalk/gateway/log_relay/relayed_log.py
+++ b/src/stagewalk/gateway/log_relay/relayed_log.py
@@ -46,8 +46,7 @@
 
 RELAY_PATH = "/log"
 ANSWER_SECONDS = 1.5
-"""How long another node's answer may take beyond the time a read offers to wait. Chosen, not
-measured."""
+"""How long another node's answer may take beyond the time a read offers to wait."""
 
 SILENCE_SECONDS = 0.4
 """A call that the log has not answered so long after it should have is relayed as well: a hundred
@@ -55,7 +54,7 @@
 learn of a configuration too late."""
 
 PEERS_ASKED = 3
-"""Nodes asked in turn while each replies that it is cut off too. Chosen, not measured."""
+"""Nodes asked in turn while each replies that it is cut off too."""
 
 _NO_ANSWER = LogFailure(LogFault.UNKNOWN, "no answer yet")
 _NOT_TAKEN = LogFailure(LogFault.REFUSED, "the asked node takes no connection")
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -25,7 +25,7 @@
 
 _omit_creation_times: Callable[[], None] = disable_created_metrics
 
-# Upper bounds of histogram buckets, in seconds; chosen, not measured.
+# Upper bounds of histogram buckets, in seconds.
 _LAG_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0)
 _CALL_BUCKETS = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0)
 _VIEW_AGE_BUCKETS = (0.1, 0.3, 0.6, 1.0, 1.5, 2.0, 3.0, 6.0)
--- a/src/stagewalk/gateway/nodes/crash_watch.py
+++ b/src/stagewalk/gateway/nodes/crash_watch.py
@@ -51,10 +51,10 @@
 The log answers within 0.01 s."""
 
 RETRY_SECONDS = 0.25
-"""Between two tries of a failed append. Chosen, not measured."""
+"""Between two tries of a failed append."""
 
 MOST_UNAPPENDED = 256
-"""Reports that wait for the log at most; the oldest are dropped first. Chosen, not measured."""
+"""Reports that wait for the log at most; the oldest are dropped first."""
 
 BURST_APPENDS = 8.0
 APPENDS_PER_SECOND = 4.0
--- a/src/stagewalk/gateway/nodes/node_service.py
+++ b/src/stagewalk/gateway/nodes/node_service.py
@@ -36,11 +36,10 @@
 from stagewalk.gateway.zones.homes import AllowedRegions, allows
 
 READ_WAIT_SECONDS = 1.0
-"""How long a read waits for a first announcement. Chosen, not measured."""
+"""How long a read waits for a first announcement."""
 
 OUTAGE_SECONDS = 0.6
-"""A view not confirmed for longer than a pause, a wait and this has missed announcements. Chosen,
-not measured."""
+"""A view not confirmed for longer than a pause, a wait and this has missed announcements."""
 
 SETTLE_SECONDS = 0.5
 """How long a node that finds no replica of the ledger anywhere waits for others to announce
--- a/src/stagewalk/gateway/partitioned_log/appender.py
+++ b/src/stagewalk/gateway/partitioned_log/appender.py
@@ -28,7 +28,7 @@
 SLOW_RETRY_SECONDS = 0.3
 QUICK_RETRIES = 5
 """Pauses before a failed append is sent again: of the first retries, and once so many failed in a
-row. Chosen, not measured."""
+row."""
 
 RECORD_OVERHEAD_BYTES = 4
 """Bytes of a call beside each record: its length."""
--- a/src/stagewalk/gateway/partitioned_log/follower.py
+++ b/src/stagewalk/gateway/partitioned_log/follower.py
@@ -34,7 +34,7 @@
 the bound on how far a view may lag, and short where records have come lately."""
 
 ACTIVE_SECONDS = 6.0
-"""After a record, reads wait `ACTIVE_WAIT_SECONDS` for this long. Chosen, not measured."""
+"""After a record, reads wait `ACTIVE_WAIT_SECONDS` for this long."""
 
 
 class PartitionFollower:
--- a/src/stagewalk/gateway/partitioned_log/freshness.py
+++ b/src/stagewalk/gateway/partitioned_log/freshness.py
@@ -12,11 +12,10 @@
 from stagewalk.common.steady_clock import steady_seconds
 
 LOST_AFTER_FAILURES = 3
-"""Failed calls in a row after which the log counts as lost. Chosen, not measured."""
+"""Failed calls in a row after which the log counts as lost."""
 
 OUTAGE_GAP_SECONDS = 3.0
-"""A longer time without any answer counts as an outage, even if no call failed. Chosen, not
-measured."""
+"""A longer time without any answer counts as an outage, even if no call failed."""
 
 
 class Freshness:
--- a/src/stagewalk/gateway/partitioned_log/keyed_follower.py
+++ b/src/stagewalk/gateway/partitioned_log/keyed_follower.py
@@ -23,8 +23,7 @@
 )
 
 KEYED_WAIT_SECONDS = 0.5
-"""How long a read of a compacted partition waits for a first change, unless its user says. Chosen,
-not measured."""
+"""How long a read of a compacted partition waits for a first change, unless its user says."""
 
 
 class KeyedFollower:
--- a/src/stagewalk/gateway/partitioned_log/read_timing.py
+++ b/src/stagewalk/gateway/partitioned_log/read_timing.py
@@ -12,7 +12,7 @@
 SLOW_RETRY_SECONDS = 0.4
 QUICK_RETRIES = 5
 """Pauses before a failed read is tried again: of the first retries, and once so many failed in a
-row. Chosen, not measured."""
+row."""
 
 
 def retry_pause(failures: int) -> float:
--- a/src/stagewalk/gateway/peer_calls/client.py
+++ b/src/stagewalk/gateway/peer_calls/client.py
@@ -17,16 +17,16 @@
 from stagewalk.common.logs.lines import log_event
 
 CONNECT_SECONDS = 0.3
-"""A node that accepts no connection within this time is gone or cut off. Chosen, not measured."""
+"""A node that accepts no connection within this time is gone or cut off."""
 
 MAXIMUM_POOLS = 32
 PEER_CONNECTIONS = 16
 PEER_IDLE = 4
 """Nodes with pooled connections at once, connections to one node, and idle ones of these that are
-kept. Chosen, not measured."""
+kept."""
 
 KEEPALIVE_SECONDS = 10.0
-"""How long an idle connection is kept. Chosen, not measured."""
+"""How long an idle connection is kept."""
 
 
 class PeerFault(StrEnum):
--- a/src/stagewalk/gateway/peer_calls/server.py
+++ b/src/stagewalk/gateway/peer_calls/server.py
@@ -12,10 +12,10 @@
 from stagewalk.common.http.lifespan import serve_lifespan
 
 MAXIMUM_CALL_BYTES = 8 * 1024 * 1024
-"""Above what the log accepts in one call (2 MiB). Chosen, not measured."""
+"""Above what the log accepts in one call (2 MiB)."""
 
 MAXIMUM_CALLS = 256
-"""Calls under way for other nodes; further ones are refused. Chosen, not measured."""
+"""Calls under way for other nodes; further ones are refused."""
 
 PeerHandler = Callable[[bytes], Awaitable[bytes | None]]
 """Handles a call and returns its answer; None if the call can't be decoded."""
--- a/src/stagewalk/gateway/ports/workers.py
+++ b/src/stagewalk/gateway/ports/workers.py
@@ -19,7 +19,7 @@
 POOL_SECONDS = 0.3
 CONNECT_SECONDS = 0.6
 """How long an attempt at a worker waits for a place among the connections to it, and then for its
-connection to be established. Chosen, not measured."""
+connection to be established."""
 
 SEND_SECONDS = POOL_SECONDS + CONNECT_SECONDS
 """Longest time from the start of an attempt until its request is on its way, or it has failed. What
--- a/src/stagewalk/gateway/published_records.py
+++ b/src/stagewalk/gateway/published_records.py
@@ -39,7 +39,7 @@
 
 MOST_LOGGED_UNUSABLE = 256
 """Keys of unusable entries that are logged once each; beyond that every read of one is logged.
-Chosen, not measured: it bounds memory."""
+It bounds memory."""
 
 
 class PublishedRecords:
--- a/src/stagewalk/gateway/quarantine/core.py
+++ b/src/stagewalk/gateway/quarantine/core.py
@@ -20,7 +20,7 @@
 from stagewalk.gateway.quarantine.records import CrashRecord
 
 MOST_CRASHES = 2048
-"""Crash records remembered, of 0.65 KB each as measured: 1.3 MB of a node's 64 MB."""
+"""Crash records remembered: of 0.65 KB each."""
 
 KEPT_CRASHES = MOST_CRASHES * 7 // 8
 """How many of them stay once there are more: making room for one would sort all for each."""
--- a/src/stagewalk/gateway/quarantine/hold_rule.py
+++ b/src/stagewalk/gateway/quarantine/hold_rule.py
@@ -7,10 +7,8 @@
 that of a bystander is cleared by its first answer.
 
 Inputs: consecutive crashes, whether all were at one address, whether it is an item of a batch.
-Outputs are in seconds after the newest crash.
-Measured in seeded loads of 90 s in which all workers are lost every 9 s, of some 215,000 proper
-requests: this rule refuses 1,917, counting crashes without regard to order 55,807
-(`docs/design/0150`).
+Outputs are in seconds after the newest crash. What it refuses, beside a count of crashes without
+regard to their order, is in `docs/design/0150`.
 """
 
 from __future__ import annotations
@@ -47,7 +45,7 @@
 
 HOLD_JITTER = 0.5
 """A node's hold is up to this part of its length longer, each node's by another amount, so that not
-all nodes try at once: the first one publishes the outcome. Chosen, not measured."""
+all nodes try at once: the first one publishes the outcome."""
 
 
 def count_after(known: int) -> int:
--- a/src/stagewalk/gateway/quarantine/losses.py
+++ b/src/stagewalk/gateway/quarantine/losses.py
@@ -18,7 +18,7 @@
 heartbeats (3.6 s), one that starts again is listed some seconds later, and news takes up to 2 s."""
 
 MOST_PENDING = 256
-"""Losses that wait for evidence; beyond that the oldest are forgotten. Chosen, not measured."""
+"""Losses that wait for evidence; beyond that the oldest are forgotten."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/gateway/routes/table.py
+++ b/src/stagewalk/gateway/routes/table.py
@@ -14,7 +14,7 @@
 
 MOST_TURNS_SKIPPED = 211
 """A node begins a split route at one of so many turns of its cycle, so that nodes don't all send
-their first requests to the largest share. Chosen, not measured."""
+their first requests to the largest share."""
 
 
 class RouteTable:
--- a/src/stagewalk/gateway/runners/batch_views.py
+++ b/src/stagewalk/gateway/runners/batch_views.py
@@ -20,8 +20,7 @@
 from stagewalk.gateway.ports.denials import Denial
 
 FOLLOW_SECONDS = 0.25
-"""How often a partial view is read on, as often as a follower reads where records come. Derived,
-not measured."""
+"""How often a partial view is read on, as often as a follower reads where records come."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/gateway/runners/runner_calls.py
+++ b/src/stagewalk/gateway/runners/runner_calls.py
@@ -23,8 +23,7 @@
 
 RUNNER_PATH = "/runner"
 ANSWER_SECONDS = 0.3
-"""A process that takes longer than this to say who it is runs no batch well. Chosen, not
-measured."""
+"""A process that takes longer than this to say who it is runs no batch well."""
 
 
 class RunnerCalls:
--- a/src/stagewalk/gateway/runners/runner_choice.py
+++ b/src/stagewalk/gateway/runners/runner_choice.py
@@ -20,8 +20,7 @@
 from stagewalk.gateway.runners.runner_messages import RunnerAnswer
 
 NODES_ASKED = 2
-"""Nodes that may be asked to run one batch: the trainer's usual one and the next. Chosen, not
-measured."""
+"""Nodes that may be asked to run one batch: the trainer's usual one and the next."""
 
 
 class RunnerChoice:
--- a/src/stagewalk/gateway/runners/runner_probes.py
+++ b/src/stagewalk/gateway/runners/runner_probes.py
@@ -19,7 +19,7 @@
 
 PROBE_SECONDS = 0.4
 """Between two probes of one runner. Batches were opened 2.1 to 2.5 s late while only 3 s of silence
-in the list of nodes showed a dead one; the figure itself is chosen."""
+in the list of nodes showed a dead one."""
 
 
 class RunnerProbes:
--- a/src/stagewalk/gateway/runners/scheduler_loop.py
+++ b/src/stagewalk/gateway/runners/scheduler_loop.py
@@ -33,7 +33,7 @@
 from stagewalk.gateway.scoring.messages import SendScore, StopScore
 
 TICK_SECONDS = 0.05
-"""How often the scheduler looks at what only time brings. Chosen, not measured."""
+"""How often the scheduler looks at what only time brings."""
 
 
 class SchedulerLoop:
--- a/src/stagewalk/gateway/runners/takeover_service.py
+++ b/src/stagewalk/gateway/runners/takeover_service.py
@@ -24,8 +24,7 @@
 from stagewalk.gateway.runners.batch_runner import BatchRunner
 
 SUPERVISE_SECONDS = 0.1
-"""How often orphaned batches are looked for: below the step between two ranks (0.3 s). Chosen, not
-measured."""
+"""How often orphaned batches are looked for: below the step between two ranks (0.3 s)."""
 
 IDLE_SECONDS = 1.0
 """The same for a node that doesn't follow the batches, and only forgets old ones."""
@@ -33,7 +32,7 @@
 READ_ATTEMPTS = 10
 READ_RETRY_SECONDS = 0.1
 """How often a log that refuses is read for a batch that was run here; after that the node waits for
-its own view. Chosen, not measured."""
+its own view."""
 
 PROBERS = 2
 """This many of the nodes that would take a batch over first probe its runner (docs/design/0110)."""
--- a/src/stagewalk/gateway/scoring/retry_rules.py
+++ b/src/stagewalk/gateway/scoring/retry_rules.py
@@ -15,17 +15,15 @@
 from stagewalk.gateway.routes.route import Route
 
 LONGEST_ATTEMPT_SECONDS = 1.5
-"""What a worker may take: little of the time a step has, so that another attempt still counts.
-Chosen, not measured; of 1,295 calls the longest took 0.225 s (docs/design/0162)."""
+"""What a worker may take: little of the time a step has, so that another attempt still counts."""
 
 MOST_AT_ONCE = 3
-"""Attempts at one call under way together: each next one is begun beside a late one. Chosen, not
-measured: 1,295 calls for 1,284 texts show that hedges are rarely needed (docs/design/0162)."""
+"""Attempts at one call under way together: each next one is begun beside a late one."""
 
 FAILURE_PAUSE_SECONDS = 0.05
 LONGEST_PAUSE_SECONDS = 0.8
 """How long a call waits after a failed attempt; twice as long after each further one, up to the
-longest. Chosen, not measured."""
+longest."""
 
 _MOST_DOUBLINGS = 8
 """Bounds the power; the longest pause is reached after four."""
--- a/src/stagewalk/gateway/usage/account.py
+++ b/src/stagewalk/gateway/usage/account.py
@@ -10,7 +10,7 @@
 from stagewalk.gateway.usage.records import UsageCounted
 
 KEPT_WINDOWS = 60
-"""Windows kept: the log's history of 300 s in windows of 5 s. Derived, not measured."""
+"""Windows kept: the log's history of 300 s in windows of 5 s."""
 
 
 class UsageAccount:
--- a/src/stagewalk/gateway/usage/meter.py
+++ b/src/stagewalk/gateway/usage/meter.py
@@ -11,8 +11,7 @@
 from stagewalk.gateway.usage.records import UsageCounted
 
 KEPT_WINDOWS = 12
-"""Windows whose counts are kept; later counts come after their window's report. Chosen, not
-measured."""
+"""Windows whose counts are kept; later counts come after their window's report."""
 
 
 def window_of(wall: float, window_seconds: float) -> int:
--- a/src/stagewalk/gateway/usage/reporting.py
+++ b/src/stagewalk/gateway/usage/reporting.py
@@ -19,22 +19,21 @@
 
 GATHER_SECONDS = 3.5
 """How long after a window's end it is summed: counts are in the log 0.3 s after a request began,
-and a node that is cut off reaches it through another node within 2 s. Derived from these, not
-measured."""
+and a node that is cut off reaches it through another node within 2 s."""
 
 POSTED_SECONDS = 1.5
 """How long after a window's end all its counts are in the log: 1.0 s of requests still under way,
-and 0.3 s until they are appended. Derived, not measured."""
+and 0.3 s until they are appended."""
 
 RESERVE_SECONDS = 2.0
 """How long before its due time a report is made from the counts at hand, even if the view of them
-is not current: time for a few tries of the call. Chosen, not measured."""
+is not current: time for a few tries of the call."""
 
 RETRY_SECONDS = 0.4
-"""Between two tries at a report: three fit into the reserve. Chosen, not measured."""
+"""Between two tries at a report: three fit into the reserve."""
 
 MOST_BEHIND = 24
-"""Windows that are further behind are not reported any more. Chosen, not measured."""
+"""Windows that are further behind are not reported any more."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/gateway/usage/wall_clock.py
+++ b/src/stagewalk/gateway/usage/wall_clock.py
@@ -9,11 +9,10 @@
 from statistics import median_low
 
 SAMPLES = 120
-"""A minute of samples: a jump counts once it has lasted for more than half of them. Chosen, not
-measured."""
+"""A minute of samples: a jump counts once it has lasted for more than half of them."""
 
 SAMPLE_SECONDS = 0.5
-"""Least time between two samples. Chosen, not measured."""
+"""Least time between two samples."""
 
 
 class WallClock:
--- a/src/stagewalk/gateway/version_rollouts/change_counts.py
+++ b/src/stagewalk/gateway/version_rollouts/change_counts.py
@@ -9,15 +9,15 @@
 from dataclasses import dataclass
 
 LEAST_LOADS_AT_ONCE = 2
-"""Engines that may load at the same time where there are few. Chosen, not measured."""
+"""Engines that may load at the same time where there are few."""
 
 LOADING_SHARE = 0.4
 """Share of the engines that may load at the same time where there are many: the others serve
-meanwhile, and each load is still at full speed. Chosen, not measured."""
+meanwhile, and each load is still at full speed."""
 
 LEAST_SHARES = 2
 """With each version one engine in this many changes, or one in as many as there are models: a batch
-of step k takes weights k-1 and newer (docs/design/0100-platform.md). Derived, not measured."""
+of step k takes weights k-1 and newer (docs/design/0100-platform.md)."""
 
 
 def loads_at_once(engines: int) -> int:
--- a/src/stagewalk/gateway/version_rollouts/core.py
+++ b/src/stagewalk/gateway/version_rollouts/core.py
@@ -29,10 +29,10 @@
 """How long an announced load is expected to keep its engine busy: the time of a load."""
 
 ORDER_DEADLINE_SECONDS = 3.0
-"""An order whose effect isn't seen after this time may be sent again. Chosen, not measured."""
+"""An order whose effect isn't seen after this time may be sent again."""
 
 RETRY_SECONDS = 0.3
-"""Pause after a failed order to an engine. Chosen, not measured."""
+"""Pause after a failed order to an engine."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/gateway/version_rollouts/engine_sets.py
+++ b/src/stagewalk/gateway/version_rollouts/engine_sets.py
@@ -3,7 +3,7 @@
 Each engine holds all models, but a load brings one of them to a version. Were all engines brought
 to all versions, loads would grow with models times engines. So each model has a set of engines of
 its own, as large as its part of the open items; the others serve it as long as what they hold
-fits. Measured: 465 loads without sets, 316 with (docs/design/0130-shifted-work.md).
+fits (docs/design/0130-shifted-work.md).
 
 Owns the sizes of the sets and which engine belongs to which.
 """
@@ -22,11 +22,10 @@
 """Demand is averaged over five steps of a trainer, which come every 4 s."""
 
 LEAST_SHARE = 0.5
-"""No model gets fewer engines than this part of an equal share. Chosen, not measured."""
+"""No model gets fewer engines than this part of an equal share."""
 
 RESIZE_ENGINES = 1.5
-"""A set that is off by less keeps its size: each engine that changes sets has to load. Chosen, not
-measured."""
+"""A set that is off by less keeps its size: each engine that changes sets has to load."""
 
 
 class ModelDemand:
--- a/src/stagewalk/gateway/workers/placement_costs.py
+++ b/src/stagewalk/gateway/workers/placement_costs.py
@@ -23,16 +23,16 @@
 }
 """Zones of a region are 0.5 to 1.4 ms apart, regions 12 to 20 ms: a look-up of 38 ms takes 60%
 longer beyond, and still goes there rather than wait behind two more requests at a worker of six
-slots. Chosen from these latencies; the resulting spill is checked in `tests/gateway/zones`."""
+slots."""
 
 SLOWNESS_LIMIT = 3.0
 """A worker counts as at most this much slower than the fastest one (in parts of the fastest one's
-latency), so that a single very slow answer does not exclude it. Chosen, not measured."""
+latency), so that a single very slow answer does not exclude it."""
 
 # Forwarded requests, streams and score calls.
 
 SLOWNESS_COST = 0.5
-"""Cost of taking twice as long as the fastest worker. Chosen, not measured."""
+"""Cost of taking twice as long as the fastest worker."""
 
 NEW_CONNECTION_COST = 0.2
 """Cost of a worker to which a connection must be opened: one more request at a worker of six slots
@@ -42,18 +42,17 @@
 
 ENGINE_SLOWNESS_COST = 2.5
 """Cost of taking twice as long for an event as the fastest engine: a batch of requests slows an
-engine little, so a slow engine is worth using only once others are full. Chosen, not measured."""
+engine little, so a slow engine is worth using only once others are full."""
 
 PROMPT_HELD_CREDIT = 0.15
-"""Taken off the cost of an engine that already holds the prompt of the item's group. Chosen, not
-measured."""
+"""Taken off the cost of an engine that already holds the prompt of the item's group."""
 
 FAILED_HERE_COST = 0.5
-"""Cost of the engine at which the item failed last. Chosen, not measured."""
+"""Cost of the engine at which the item failed last."""
 
 FULL_OCCUPANCY = 1.2
 """An engine with this many requests per slot gets no more: the rest waits at the runner, where it
-can still go to whichever engine is free first. Chosen, not measured."""
+can still go to whichever engine is free first."""
 
 ROOM_OCCUPANCY = 0.8
 """Below this many requests per slot an engine takes an item from a slower one."""
--- a/src/stagewalk/gateway/workers/table.py
+++ b/src/stagewalk/gateway/workers/table.py
@@ -27,7 +27,7 @@
 
 LEFT_MEMORY_SECONDS = 300.0
 """How long it is remembered which workers said that they leave: entries written before, and read
-late, change nothing meanwhile. Chosen, not measured."""
+late, change nothing meanwhile."""
 
 
 class WorkerChange(StrEnum):
--- a/src/stagewalk/gateway/workers/worker.py
+++ b/src/stagewalk/gateway/workers/worker.py
@@ -13,26 +13,23 @@
 from stagewalk.gateway.ports.workers import WorkerLoad
 
 LATENCY_SMOOTHING = 0.15
-"""Weight of the newest time in the smoothed latency. Chosen, not measured."""
+"""Weight of the newest time in the smoothed latency."""
 
 LATENCY_OUTLIER = 3.0
-"""A time counts for at most this many smoothed ones: one pause says little of a worker's pace.
-Chosen, not measured."""
+"""A time counts for at most this many smoothed ones: one pause says little of a worker's pace."""
 
 LATENCY_VALID_SECONDS = 9.0
-"""A worker that was not used for so long is tried again as if it were as fast as any. Chosen, not
-measured."""
+"""A worker that was not used for so long is tried again as if it were as fast as any."""
 
 LOAD_VALID_SECONDS = 1.5
-"""How long a load that came with an answer counts; after that, the node's own count alone. Chosen,
-not measured."""
+"""How long a load that came with an answer counts; after that, the node's own count alone."""
 
 WARM_SECONDS = 8.0
 """How long after an answer its connection is expected to be kept: workers close those that idle for
 ten seconds, and clients of them a little earlier (8.5 s)."""
 
 SUSPECT_SECONDS = (0.5, 1.0, 2.0, 4.0)
-"""How long a worker is avoided after one, two, ... consecutive failures. Chosen, not measured."""
+"""How long a worker is avoided after one, two, ... consecutive failures."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/node/adapters/engine_stream.py
+++ b/src/stagewalk/node/adapters/engine_stream.py
@@ -33,20 +33,19 @@
 from stagewalk.node.ports.engines import AttemptSink, FinalAttemptEvent
 
 ATTEMPT_GRACE_SECONDS = 5.0
-"""How long a stream may outlive its request's deadline before it is given up. Chosen, not
-measured."""
+"""How long a stream may outlive its request's deadline before it is given up."""
 
 RECONNECTIONS = 3
-"""How often in a row, without a further chunk, a lost stream is resumed. Chosen, not measured."""
+"""How often in a row, without a further chunk, a lost stream is resumed."""
 
 RECONNECTION_DELAY_SECONDS = 0.2
-"""Pause before a lost stream is resumed. Chosen, not measured."""
+"""Pause before a lost stream is resumed."""
 
 _DATA_FIELD = "data:"
 _STREAM_END = "[DONE]"
 _DUPLICATE_STATUS = 409
 _PROBLEM_BYTES = 4096
-"""Bytes of a refusal that are read; the rest can only be text. Chosen, not measured."""
+"""Bytes of a refusal that are read; the rest can only be text."""
 
 
 class AttemptStream:
--- a/src/stagewalk/node/adapters/http_engines.py
+++ b/src/stagewalk/node/adapters/http_engines.py
@@ -23,7 +23,6 @@
 
 CANCEL_TIMEOUT_SECONDS = 2.0
 ORDER_TIMEOUT_SECONDS = 5.0
-"""Chosen, not measured."""
 
 
 class _CancelAnswer(msgspec.Struct):
--- a/src/stagewalk/node/adapters/http_platform.py
+++ b/src/stagewalk/node/adapters/http_platform.py
@@ -33,7 +33,6 @@
 MACHINES_TIMEOUT_SECONDS = 5.0
 VERSIONS_TIMEOUT_SECONDS = 5.0
 SCORE_TIMEOUT_SECONDS = 10.0
-"""Timeouts were chosen, not measured."""
 
 LOG_PEER = "log"
 MACHINES_PEER = "machines"
--- a/src/stagewalk/node/admission/config.py
+++ b/src/stagewalk/node/admission/config.py
@@ -1,7 +1,4 @@
-"""Parameters of admission, with units and where the figures come from.
-
-Where no measurement is named, a figure was chosen, not measured.
-"""
+"""Parameters of admission, with units and where the figures come from."""
 
 from __future__ import annotations
 
--- a/src/stagewalk/node/answer_exchange.py
+++ b/src/stagewalk/node/answer_exchange.py
@@ -32,7 +32,7 @@
 from stagewalk.node.wire.envelope_pb2 import Envelope
 
 MAXIMUM_WAITING_QUERIES = 1024
-"""Queries kept for requests in progress; one more is answered as not known. Not measured."""
+"""Queries kept for requests in progress; one more is answered as not known."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/node/claims/config.py
+++ b/src/stagewalk/node/claims/config.py
@@ -1,6 +1,6 @@
 """Limits and delays of claims, with units.
 
-The figures were chosen; what they cost is measured in docs/design/0040-claims.md and
+What they cost is in docs/design/0040-claims.md and
 docs/CAPACITY.md.
 """
 
--- a/src/stagewalk/node/claims/core.py
+++ b/src/stagewalk/node/claims/core.py
@@ -39,11 +39,10 @@
 from stagewalk.node.wire.envelope_pb2 import Envelope
 
 REPORT_INTERVAL_SECONDS = 30.0
-"""An abandoned recovery is reported again after this, until the log shows it. Chosen, not
-measured."""
+"""An abandoned recovery is reported again after this, until the log shows it."""
 
 ASK_INTERVAL_SECONDS = 2.0
-"""A node that knows no groups asks another peer after this. Chosen, not measured."""
+"""A node that knows no groups asks another peer after this."""
 
 
 class ClaimCore:
--- a/src/stagewalk/node/claims/planner.py
+++ b/src/stagewalk/node/claims/planner.py
@@ -30,8 +30,6 @@
 class PlannerConfig:
     """Delays of the planner; every change costs a transfer of state.
 
-    The figures were chosen, not measured.
-
     Attributes
     ----------
     settle_seconds
--- a/src/stagewalk/node/claims/register.py
+++ b/src/stagewalk/node/claims/register.py
@@ -12,9 +12,7 @@
 from stagewalk.node.claims.types import Ballot
 
 ENTRY_OVERHEAD_BYTES = 400
-"""Estimated memory of an entry besides its key and value. Measured: an undecided entry takes about
-410 bytes with a key of 30 and a value of 40 octets, a decided one 270
-(docs/design/0040-claims.md)."""
+"""Estimated memory of an entry besides its key and value."""
 
 
 @dataclass(slots=True)
--- a/src/stagewalk/node/claims/replica.py
+++ b/src/stagewalk/node/claims/replica.py
@@ -24,7 +24,7 @@
 from stagewalk.node.wire.claims_pb2 import ClaimMessage, ClaimState, ClaimStateRequest
 
 SWEEP_INTERVAL_SECONDS = 1.0
-"""Time between two removals of expired entries. Chosen, not measured."""
+"""Time between two removals of expired entries."""
 
 
 class ReplicaCore:
--- a/src/stagewalk/node/claims/transfers.py
+++ b/src/stagewalk/node/claims/transfers.py
@@ -23,7 +23,7 @@
 
 MAXIMUM_RETRY_FACTOR = 8
 """Unanswered requests for state are retried with doubling delays, up to this many times
-`ClaimConfig.transfer_retry_seconds`. Chosen, not measured."""
+`ClaimConfig.transfer_retry_seconds`."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/node/configuration/follower.py
+++ b/src/stagewalk/node/configuration/follower.py
@@ -31,11 +31,8 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FollowerConfig:
-    """Timing and sizes of the relay; durations in seconds.
-
-    The figures were chosen. Measured with them at 420 nodes of which 3 read the log: a change is in
-    force after 1.0 s (median) to 2.8 s (most), an idle node sends 164 bytes a second
-    (docs/design/0030-configuration.md).
+    """Timing and sizes of the relay; durations in seconds. What they cost at
+    420 nodes is in docs/design/0030-configuration.md.
 
     Attributes
     ----------
--- a/src/stagewalk/node/core/events.py
+++ b/src/stagewalk/node/core/events.py
@@ -38,7 +38,7 @@
 
 
 TICK_INTERVAL_SECONDS = 0.1
-"""Bounds how late a timer of a core fires. Chosen, not measured."""
+"""Bounds how late a timer of a core fires."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/node/daemon.py
+++ b/src/stagewalk/node/daemon.py
@@ -54,8 +54,7 @@
 MAXIMUM_CONTROL_CONNECTIONS = 128
 MAXIMUM_PLATFORM_CONNECTIONS = 64
 MAXIMUM_IDLE_CONNECTIONS = 32
-"""Bounds of the HTTP pools: one connection an attempt, apart from control and platform calls.
-Chosen, not measured."""
+"""Bounds of the HTTP pools: one connection an attempt, apart from control and platform calls."""
 
 NO_IDLE_CONNECTIONS = 0
 """Each attempt has a connection of its own: an engine that is gone then refuses to connect, which
--- a/src/stagewalk/node/data_plane.py
+++ b/src/stagewalk/node/data_plane.py
@@ -46,10 +46,10 @@
 from stagewalk.node.samples.notifications import CancelRollout, StartRollout
 
 STOPPING_RETRY_SECONDS = 1.0
-"""Retry-After of a stopping node: another one takes the call. Chosen, not measured."""
+"""Retry-After of a stopping node: another one takes the call."""
 
 STARTING_RETRY_SECONDS = 1.0
-"""Retry-After of a node that has not read the configuration yet. Chosen, not measured."""
+"""Retry-After of a node that has not read the configuration yet."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/node/edge/call_runner.py
+++ b/src/stagewalk/node/edge/call_runner.py
@@ -23,7 +23,7 @@
 from stagewalk.node.open_calls import AnswerPiece, LastAnswer, OpenCall, OpenCalls
 
 ANSWER_GRACE_SECONDS = 5.0
-"""How long after its deadline the edge still waits for the core's answer. Chosen, not measured."""
+"""How long after its deadline the edge still waits for the core's answer."""
 
 OUTCOME_OK = "ok"
 OUTCOME_ABANDONED = "abandoned"
--- a/src/stagewalk/node/edge/completions.py
+++ b/src/stagewalk/node/edge/completions.py
@@ -49,11 +49,11 @@
 COMPLETIONS_ENDPOINT = "completions"
 ANSWERS_ENDPOINT = "answers"
 CHARACTERS_PER_TOKEN = 4
-"""Estimated characters of a token, as in `PrefixIndexConfig`. Chosen, not measured."""
+"""Estimated characters of a token, as in `PrefixIndexConfig`."""
 
 EVENT_STREAM_CONTENT = "text/event-stream; charset=utf-8"
 RETAINED_ANSWER_SECONDS = 10.0
-"""Longest wait for the core's answer about an earlier request. Chosen, not measured."""
+"""Longest wait for the core's answer about an earlier request."""
 
 _OBJECT = "text_completion"
 _NOT_WHOLE = "the streamed text is not the beginning of the whole answer"
--- a/src/stagewalk/node/edge/rollouts.py
+++ b/src/stagewalk/node/edge/rollouts.py
@@ -35,7 +35,7 @@
 LOTS_ENDPOINT = "rollouts"
 PULLS_ENDPOINT = "rollouts_pull"
 LOT_ANSWER_SECONDS = 10.0
-"""Longest wait for the core's answer to a submitted lot. Chosen, not measured."""
+"""Longest wait for the core's answer to a submitted lot."""
 
 
 class RolloutEndpoints:
--- a/src/stagewalk/node/edge/schemas.py
+++ b/src/stagewalk/node/edge/schemas.py
@@ -21,7 +21,7 @@
 MAXIMUM_SAMPLES_PER_PROMPT = 1024
 MAXIMUM_SAMPLES_PER_PULL = 1024
 MAXIMUM_WAIT_SECONDS = 60.0
-"""Bounds of what a body may ask for. Chosen, not measured."""
+"""Bounds of what a body may ask for."""
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._:@+-]+$", max_length=200)]
 """Names that become parts of keys: no separator, no blank."""
--- a/src/stagewalk/node/event_queue.py
+++ b/src/stagewalk/node/event_queue.py
@@ -14,10 +14,10 @@
 from stagewalk.node.core.events import Event
 
 MAXIMUM_QUEUED_EVENTS = 4096
-"""Bounds memory and the age of an event. Chosen, not measured."""
+"""Bounds memory and the age of an event."""
 
 _RESERVED_FOR_WAITING = 1024
-"""Room that droppable events leave to the others: a quarter. Chosen, not measured."""
+"""Room that droppable events leave to the others: a quarter."""
 
 
 class EventQueue:
--- a/src/stagewalk/node/leases/config.py
+++ b/src/stagewalk/node/leases/config.py
@@ -1,7 +1,7 @@
 """Delays of leases, in seconds.
 
-The figures were chosen. Measured with them: a dead holder is succeeded within `ttl_seconds` and a
-second where the first candidate lives (docs/design/0041-leases.md).
+A dead holder is succeeded within `ttl_seconds` and a second where the first candidate lives
+(docs/design/0041-leases.md).
 """
 
 from __future__ import annotations
--- a/src/stagewalk/node/log_client/config.py
+++ b/src/stagewalk/node/log_client/config.py
@@ -1,4 +1,4 @@
-"""Timing and bounds of the log client, in seconds. The figures were chosen, not measured."""
+"""Timing and bounds of the log client, in seconds."""
 
 from __future__ import annotations
 
--- a/src/stagewalk/node/membership/config.py
+++ b/src/stagewalk/node/membership/config.py
@@ -1,7 +1,6 @@
 """Timing and sizes of failure detection, in seconds and members.
 
-What they cost and how fast a death is seen at 420 nodes is measured in docs/CAPACITY.md; the
-figures themselves were chosen.
+What they cost and how fast a death is seen at 420 nodes is measured in docs/CAPACITY.md.
 """
 
 from __future__ import annotations
--- a/src/stagewalk/node/membership/core.py
+++ b/src/stagewalk/node/membership/core.py
@@ -40,16 +40,16 @@
 MembershipOutput = SendPeerMessage | MembershipNotification
 
 JOIN_CONTACTS = 2
-"""Machines contacted in each round while no member is known. Chosen, not measured."""
+"""Machines contacted in each round while no member is known."""
 LEAVE_FANOUT = 8
-"""Members notified at once that this node leaves. Chosen, not measured."""
+"""Members notified at once that this node leaves."""
 FULL_STATE_INTERVAL_SECONDS = 1.0
 """Least time between two whole lists offered: at 420 members one takes about 30 KB."""
 LASTING_DIFFERENCE_SECONDS = 3.0
 """Difference of lists that gossip under way does not explain: it spreads within a second or two."""
 
 FORGET_INTERVAL_SECONDS = 60.0
-"""Time between two removals of members that ended long ago. Chosen, not measured."""
+"""Time between two removals of members that ended long ago."""
 
 
 class MembershipCore:
--- a/src/stagewalk/node/membership/suspicion.py
+++ b/src/stagewalk/node/membership/suspicion.py
@@ -17,8 +17,8 @@
 LAST_CALLS = 3
 LAST_CALL_INTERVAL_SECONDS = 0.2
 """Probes of a suspect before it is declared dead, and the time between them, in case its refutation
-was lost. Measured: without them 12 nodes that lost a fifth of their datagrams declared live members
-dead 4 times in 120 s, with them not once (docs/design/0050-membership.md)."""
+was lost: without them nodes that lose a fifth of their datagrams declare live members dead
+(docs/design/0050-membership.md)."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/node/metrics.py
+++ b/src/stagewalk/node/metrics.py
@@ -23,10 +23,10 @@
 from stagewalk.node.node_core import NodeStatus
 
 _LATENCY_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0)
-"""Bounds in seconds. Chosen, not measured."""
+"""Bounds in seconds."""
 
 _EVENT_BUCKETS = (0.0001, 0.0005, 0.002, 0.01, 0.05, 0.25, 1.0)
-"""Bounds in seconds. Chosen, not measured."""
+"""Bounds in seconds."""
 
 _omit_creation_times: Callable[[], None] = disable_created_metrics
 
--- a/src/stagewalk/node/peers/peer_frames.py
+++ b/src/stagewalk/node/peers/peer_frames.py
@@ -12,7 +12,7 @@
 LENGTH_BYTES = 4
 MAXIMUM_FRAME_BYTES = 4 * 1024 * 1024
 MAXIMUM_SENDER_CHARACTERS = 100
-"""Bounds against broken or hostile peers. Chosen, not measured."""
+"""Bounds against broken or hostile peers."""
 
 
 def encode_frame(payload: bytes) -> bytes:
--- a/src/stagewalk/node/peers/peer_streams.py
+++ b/src/stagewalk/node/peers/peer_streams.py
@@ -16,7 +16,7 @@
 from stagewalk.node.metrics import PeerMetrics
 
 QUEUED_FRAMES = 256
-"""Most frames that wait for one peer; a further one is dropped. Chosen, not measured."""
+"""Most frames that wait for one peer; a further one is dropped."""
 
 MAXIMUM_PEERS = 1024
 """More than twice the 420 nodes that the product is designed for."""
@@ -24,11 +24,11 @@
 CONNECT_TIMEOUT_SECONDS = 2.0
 SEND_TIMEOUT_SECONDS = 5.0
 IDLE_SECONDS = 60.0
-"""Time without a frame after which a connection is closed. Chosen, not measured."""
+"""Time without a frame after which a connection is closed."""
 
 FIRST_BACKOFF_SECONDS = 0.1
 LAST_BACKOFF_SECONDS = 5.0
-"""Pauses after failed connections double from the first to the last. Chosen, not measured."""
+"""Pauses after failed connections double from the first to the last."""
 
 _STREAM_ENDED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
--- a/src/stagewalk/node/peers/peer_transport.py
+++ b/src/stagewalk/node/peers/peer_transport.py
@@ -24,7 +24,7 @@
 from stagewalk.node.peers.peer_streams import OutgoingStreams
 
 QUEUED_DATAGRAMS = 512
-"""Most datagrams that wait for the socket; a further one is dropped. Chosen, not measured."""
+"""Most datagrams that wait for the socket; a further one is dropped."""
 
 MAXIMUM_INCOMING_CONNECTIONS = 1024
 """More than twice the 420 nodes that the product is designed for."""
@@ -34,7 +34,7 @@
 senders, so that a sender closes first."""
 
 MAXIMUM_KNOWN_SENDERS = 8192
-"""Bounds memory against made-up sender names. Chosen, not measured."""
+"""Bounds memory against made-up sender names."""
 
 
 class PeerTransport:
--- a/src/stagewalk/node/requests/core.py
+++ b/src/stagewalk/node/requests/core.py
@@ -50,7 +50,7 @@
 from stagewalk.node.routing.router import Router
 
 POOL_VIEW_SECONDS = 0.1
-"""Least time between two views of a pool: a fifth of the poll interval. Chosen, not measured."""
+"""Least time between two views of a pool: a fifth of the poll interval."""
 
 CLAIM_STATES = frozenset({RequestState.CLAIMING, RequestState.AWAITING_OWNER})
 
--- a/src/stagewalk/node/requests/faults.py
+++ b/src/stagewalk/node/requests/faults.py
@@ -13,7 +13,7 @@
 """Retry-After of a stopping node: another one takes the request at once."""
 
 BUSY_RETRY_SECONDS = 1.0
-"""Least Retry-After of a node or engine without room. Chosen, not measured."""
+"""Least Retry-After of a node or engine without room."""
 
 
 def deadline_passed(record: RequestRecord, node: NodeName, step: Step) -> StagewalkError:
--- a/src/stagewalk/node/requests/store.py
+++ b/src/stagewalk/node/requests/store.py
@@ -27,7 +27,7 @@
 
 SPARE_TIMERS = 1024
 TIMERS_PER_REQUEST = 8
-"""Timers kept without looking for those of ended requests. Chosen, not measured."""
+"""Timers kept without looking for those of ended requests."""
 
 
 class RequestStore:
--- a/src/stagewalk/node/routing/choice.py
+++ b/src/stagewalk/node/routing/choice.py
@@ -2,10 +2,9 @@
 
 Inputs: the engines that may serve the request and are not set aside, the request's shape and the
 time. Few random choices keep nodes with the same lagging reports from all taking the same engine;
-the engine with the longest cached prefix is always compared too. Measured in the simulation under
-faults (docs/RESULTS.md): trainers idle 0.846 of the time, against 0.863 to 0.883 with round robin,
-least loaded, power of two or prefix affinity, at latencies within their range. Relies on `scoring`
-for the expected seconds and on the prefix index for what engines cache.
+the engine with the longest cached prefix is always compared too. What other choices earn is in
+docs/RESULTS.md. Relies on `scoring` for the expected seconds and on the prefix index for what
+engines cache.
 """
 
 from __future__ import annotations
--- a/src/stagewalk/node/routing/config.py
+++ b/src/stagewalk/node/routing/config.py
@@ -1,7 +1,4 @@
-"""Parameters of the engine table and the router, with units and where the figures come from.
-
-Where no measurement is named, a figure was chosen, not measured.
-"""
+"""Parameters of the engine table and the router, with units and where the figures come from."""
 
 from __future__ import annotations
 
@@ -29,9 +26,8 @@
         Budget of polls over all engines; a larger subset is polled more slowly.
     large_polls_per_second, large_deployment_engines
         The budget when more engines than that are listed: the nodes before them are many too,
-        and each has little processor time and bandwidth for control. Measured: a poll costs 1.6 ms
-        of processor time and 470 bytes, and 18 a second exceed a node's 4 KB/s at 420 nodes
-        (docs/design/0161-choices.md).
+        and each has little processor time and bandwidth for control. What a
+        poll costs is in docs/design/0161-choices.md.
     poll_timeout_seconds
         A poll unanswered for so long is given up and may be sent again.
     evidence_seconds
--- a/src/stagewalk/node/routing/engine_record.py
+++ b/src/stagewalk/node/routing/engine_record.py
@@ -14,7 +14,7 @@
 from stagewalk.node.core.platform import EngineReport, EngineState, Machine, MachineState
 
 MAXIMUM_REMEMBERED_ENDS = 256
-"""Ended attempts kept until a report counts them out: bounds memory. Chosen, not measured."""
+"""Ended attempts kept until a report counts them out: bounds memory."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/node/routing/router.py
+++ b/src/stagewalk/node/routing/router.py
@@ -30,7 +30,7 @@
 from stagewalk.node.routing.scoring import CompletionTimeModel, expected_tokens, shape_of
 
 NO_ENGINE_RETRY_SECONDS = 1.0
-"""Retry-After when no engine may take a request: two polls of each engine. Chosen, not measured."""
+"""Retry-After when no engine may take a request: two polls of each engine."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/node/routing/scoring.py
+++ b/src/stagewalk/node/routing/scoring.py
@@ -18,7 +18,7 @@
 
 KV_PRESSURE_FACTOR = 10.0
 """How much slower decode counts per unit of KV memory in use above the threshold: a full memory
-doubles it. Chosen, not measured."""
+doubles it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/node/samples/config.py
+++ b/src/stagewalk/node/samples/config.py
@@ -1,7 +1,4 @@
-"""Parameters of the sample ledger, with units and where the figures come from.
-
-Where no measurement is named, a figure was chosen, not measured.
-"""
+"""Parameters of the sample ledger, with units and where the figures come from."""
 
 from __future__ import annotations
 
@@ -44,12 +41,10 @@
     straggler_factor
         A slot is a straggler when it has run this many times the lot's 90th percentile.
     duplicate_fraction
-        Most duplicates of stragglers, as a share of the lot's slots (at least one). Measured in
-        the simulation without faults: duplicates cost trainers 0.004 to 0.007 of their time.
+        Most duplicates of stragglers, as a share of the lot's slots (at least one).
     look_ahead_steps
-        Steps after a trainer's current one that may run before the trainer pulls them. Measured in
-        the simulation: without any, trainers idle 0.597 of the time instead of 0.350
-        (docs/SAMPLES.md).
+        Steps after a trainer's current one that may run before the trainer pulls them. Without
+        any, trainers idle longer (docs/SAMPLES.md).
     retained_steps
         Steps of one trainer kept besides the newest; older ones are dropped.
     retention_seconds
--- a/src/stagewalk/node/samples/core.py
+++ b/src/stagewalk/node/samples/core.py
@@ -37,7 +37,7 @@
 from stagewalk.node.samples.validation import check_lot, check_pull, invalid, unknown_lot
 
 _HOUSEKEEPING_SECONDS = 1.0
-"""Time between two checks for stragglers and for lots to pause or drop. Chosen, not measured."""
+"""Time between two checks for stragglers and for lots to pause or drop."""
 
 
 class LotCore:
--- a/src/stagewalk/node/samples/delivery.py
+++ b/src/stagewalk/node/samples/delivery.py
@@ -21,7 +21,7 @@
 from stagewalk.node.samples.store import LotStore
 
 _SAMPLE_OVERHEAD_BYTES = 400
-"""Estimated memory of a sample besides its text. Chosen, not measured."""
+"""Estimated memory of a sample besides its text."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/node/samples/lengths.py
+++ b/src/stagewalk/node/samples/lengths.py
@@ -1,6 +1,6 @@
 """Online prediction of answer lengths, so that the longest rollouts start first.
 
-Owns moving means by prompt, family and tenant, in tokens. The figures were chosen, not measured.
+Owns moving means by prompt, family and tenant, in tokens.
 """
 
 from __future__ import annotations
--- a/src/stagewalk/node/samples/sample_codec.py
+++ b/src/stagewalk/node/samples/sample_codec.py
@@ -14,7 +14,7 @@
 """Begins the keys of all claims that decide slots."""
 
 _MINIMUM_COMPRESSED_BYTES = 256
-"""Text shorter than this is stored as it is. Chosen, not measured."""
+"""Text shorter than this is stored as it is."""
 
 
 class _EncodedSample(msgspec.Struct, frozen=True, array_like=True):
--- a/src/stagewalk/node/samples/scheduler.py
+++ b/src/stagewalk/node/samples/scheduler.py
@@ -2,8 +2,7 @@
 
 Owns the prediction of answer lengths. Inputs: phases of a lot's slots, the trainer's step and
 version, the versions that exist and that engines run. A lot's window bounds how many of its
-rollouts run; it grows with answers and shrinks with refusals. Constants without a measurement were
-chosen.
+rollouts run; it grows with answers and shrinks with refusals.
 """
 
 from __future__ import annotations
@@ -25,7 +24,7 @@
 """Finished rollouts of a lot needed before any other counts as a straggler."""
 
 _STRAGGLER_PERCENTILE = 0.9
-"""Of a lot's durations: the usual longest, which `straggler_factor` multiplies. Chosen."""
+"""Of a lot's durations: the usual longest, which `straggler_factor` multiplies."""
 
 MINIMUM_WINDOW = 4
 """Rollouts of a lot that may run at once even if they are refused: they notice free room."""
--- a/src/stagewalk/node/samples/staleness.py
+++ b/src/stagewalk/node/samples/staleness.py
@@ -15,7 +15,7 @@
 from stagewalk.node.configuration.parameters import TenantParameters
 
 MAXIMUM_REMEMBERED_VERSIONS = 256
-"""Versions of one model whose times are kept. Chosen, not measured."""
+"""Versions of one model whose times are kept."""
 
 
 @dataclass(slots=True)
--- a/src/stagewalk_standins/caller.py
+++ b/src/stagewalk_standins/caller.py
@@ -35,7 +35,7 @@
 DEADLINE_MARGIN_SECONDS = 10.0
 PREFIX_CHARACTERS = 800
 MOST_WAIT_SECONDS = 1.0
-"""Longest wait of a call whose connection the caller itself breaks; chosen, not measured."""
+"""Longest wait of a call whose connection the caller itself breaks."""
 CONNECTION_CUT = "connection_cut"
 """Kind of the fault observed when the caller breaks a connection itself."""
 MAXIMUM_SEED = 2**31 - 1
