Load reports with four figures; interfaces of place limits and engine memory

Cause: workers of some services report a fourth figure, how long work takes there now; a report of four figures was dropped whole, so each choice knew this node's own requests alone. Change: WorkerLoad has a pace; three and four figures are told apart, anything else is no report. Empty hooks for the parts to come: EngineRoom (engines' memory) and PlaceLimits (shares of places), both without effect by default; switches in Policy; move_choice split from placement. Ruled out: one module for all choices of engines, where several parts would meet in one file. Conclusion: a base for the parts under hard load.

--- a/src/stagewalk/gateway/batches/attempt_starter.py
+++ b/src/stagewalk/gateway/batches/attempt_starter.py
@@ -11,10 +11,12 @@
 from stagewalk.gateway.batches.attempt_watch import AttemptWatch
 from stagewalk.gateway.batches.attempts import Attempts
 from stagewalk.gateway.batches.batch_run import BatchRun
+from stagewalk.gateway.batches.engine_room import EngineRoom
 from stagewalk.gateway.batches.item_run import ItemRun, RunningAttempt
 from stagewalk.gateway.batches.length_estimate import LengthEstimate
 from stagewalk.gateway.batches.messages import StartItem
 from stagewalk.gateway.batches.placement import choose_engine
+from stagewalk.gateway.place_shares.demand import PlaceLimits
 from stagewalk.gateway.policy import Policy
 from stagewalk.gateway.scoring.core import MayStart
 from stagewalk.gateway.workers.worker import Worker
@@ -42,6 +44,10 @@
         Where this node is: near engines are preferred.
     may_start
         Whether items of a batch may be sent to workers at a time.
+    room
+        Which engines have memory for an item.
+    limits
+        How many places the items of each trainer may have.
     """
 
     def __init__(
@@ -55,7 +61,11 @@
         proximity: Proximity,
         policy: Policy,
         may_start: MayStart,
+        room: EngineRoom,
+        limits: PlaceLimits,
     ) -> None:
+        self._room = room
+        self._limits = limits
         self._runs = runs
         self._attempts = attempts
         self._watch = watch
@@ -107,8 +117,9 @@
             for other in run.items.values()
             if other.running is not None and other.spec.group == item.spec.group
         }
+        found = self._watch.candidates(run.batch, item, now, request_leases=True)
         return choose_engine(
-            self._watch.candidates(run.batch, item, now, request_leases=True),
+            [engine for engine in found if self._room.fits(engine, item, now)],
             item.spec.model,
             now,
             proximity=self._proximity,
--- a/src/stagewalk/gateway/batches/attempt_watch.py
+++ b/src/stagewalk/gateway/batches/attempt_watch.py
@@ -10,7 +10,7 @@
 from stagewalk.gateway.batches.batch import Batch
 from stagewalk.gateway.batches.item_run import ItemRun
 from stagewalk.gateway.batches.length_estimate import LengthEstimate
-from stagewalk.gateway.batches.placement import faster_engine, has_room_elsewhere
+from stagewalk.gateway.batches.move_choice import faster_engine, has_room_elsewhere
 from stagewalk.gateway.eligibility.core import Eligibility, RequestScope
 from stagewalk.gateway.scoring.core import RouteOf
 from stagewalk.gateway.workers.table import WorkerTable
--- a/src/stagewalk/gateway/batches/placement.py
+++ b/src/stagewalk/gateway/batches/placement.py
@@ -1,8 +1,8 @@
-"""Decides which engine an item goes to, and when moving it to another one pays. Pure.
+"""Decides which engine an item goes to. Pure.
 
-Inputs: the engines that may run the item, their occupancy (parts of their slots), their seconds for
-an event, and the number of events expected to come. Owns the bounds of moves. Relies on
-`workers.placement_costs` for the costs, which are parts of a full engine.
+Inputs: the engines that may run the item, their occupancy (parts of their slots) and their seconds
+for an event. Relies on `workers.placement_costs` for the costs, which are parts of a full engine.
+When a move to another engine pays is `move_choice`.
 """
 
 from __future__ import annotations
@@ -15,8 +15,6 @@
     FAILED_HERE_COST,
     FULL_OCCUPANCY,
     PROMPT_HELD_CREDIT,
-    ROOM_OCCUPANCY,
-    URGENT_ROOM_OCCUPANCY,
     distance_cost,
     fastest_latency,
     slowness,
@@ -24,19 +22,6 @@
 from stagewalk.gateway.workers.worker import Worker
 from stagewalk.gateway.zones.distance import Proximity
 
-MOVE_SECONDS = 0.15
-"""What going on at another engine takes: reading the prompt and the text so far again."""
-
-FASTER_SHARE = 0.85
-"""An engine counts as faster if an event takes at most this part of the time there. An engine's
-pace differs by 5% with its load and by as much with what is seen of it: without this bound long
-items went from one engine to the next, 387 moves on a day of 4,232 items, and those that moved
-four times or more took 9.4 s for what takes 7.1 s where they stay."""
-
-LEAST_URGENT_GAIN_SECONDS = 0.25
-LEAST_GAIN_SECONDS = 1.0
-"""Moves that gain less than this are not worth their price."""
-
 
 def choose_engine(
     engines: Sequence[Worker],
@@ -75,44 +60,3 @@
         return engine.occupancy(now) + distance + failed_here + pace - shared
 
     return min(free, key=cost)
-
-
-def faster_engine(
-    current: Worker, engines: Sequence[Worker], model: str, now: float, *, left: float, urgent: bool
-) -> Worker | None:
-    """Return an engine with room at which an item would be done well before it is at its own.
-
-    Going on elsewhere costs reading the prompt and what was made so far again. `left` is the
-    number of events expected to come.
-    """
-    pace = current.recent_latency(now)
-    if pace is None:
-        return None
-    pause = max(0.0, current.loading_until.get(model, now) - now)
-    best: Worker | None = None
-    best_gain = LEAST_URGENT_GAIN_SECONDS if urgent else LEAST_GAIN_SECONDS
-    room = URGENT_ROOM_OCCUPANCY if urgent else ROOM_OCCUPANCY
-    for engine in engines:
-        other = engine.recent_latency(now)
-        if engine is current or other is None or engine.suspect(now):
-            continue
-        if other > FASTER_SHARE * pace and not pause:
-            continue
-        has_room = engine.occupancy(now) < room and not engine.loading(model, now)
-        gain = left * (pace - other) + pause - MOVE_SECONDS
-        if has_room and gain > best_gain:
-            best, best_gain = engine, gain
-    return best
-
-
-def has_room_elsewhere(
-    current: Worker | None, engines: Sequence[Worker], model: str, now: float
-) -> bool:
-    """Whether another engine could take an item at once."""
-    return any(
-        engine is not current
-        and not engine.suspect(now)
-        and not engine.loading(model, now)
-        and engine.occupancy(now) < ROOM_OCCUPANCY
-        for engine in engines
-    )
--- a/src/stagewalk/gateway/batches/scheduler.py
+++ b/src/stagewalk/gateway/batches/scheduler.py
@@ -19,6 +19,7 @@
 from stagewalk.gateway.batches.attempts import Attempts
 from stagewalk.gateway.batches.batch import Batch
 from stagewalk.gateway.batches.batch_run import BatchRun
+from stagewalk.gateway.batches.engine_room import EngineRoom, UnknownRoom
 from stagewalk.gateway.batches.item_moves import ItemMoves
 from stagewalk.gateway.batches.item_run import ItemRun
 from stagewalk.gateway.batches.item_scores import ItemScores
@@ -37,6 +38,7 @@
 from stagewalk.gateway.batches.reusable_texts import FindText, ReusableText
 from stagewalk.gateway.batches.version_rules import may_reuse
 from stagewalk.gateway.eligibility.core import Eligibility
+from stagewalk.gateway.place_shares.demand import PlaceLimits, UnlimitedPlaces
 from stagewalk.gateway.policy import ALL_ON, Policy
 from stagewalk.gateway.scoring.core import MayStart, RouteOf, ScoreCalls, ServiceOf
 from stagewalk.gateway.scoring.messages import ScoreAnswered, ScoreBroken
@@ -59,6 +61,10 @@
     may_start
         Whether a batch is known to be open from a view that is recent enough at a time:
         nothing of it is sent to a worker otherwise. What is under way goes on.
+    room
+        Which engines have memory for an item.
+    limits
+        How many places the items of each trainer may have.
     """
 
     def __init__(
@@ -70,6 +76,8 @@
         policy: Policy = ALL_ON,
         *,
         may_start: MayStart = lambda _batch, _now: True,
+        room: EngineRoom | None = None,
+        limits: PlaceLimits | None = None,
     ) -> None:
         self._policy = policy
         self._route_of = route_of
@@ -97,6 +105,8 @@
             proximity=eligibility.proximity,
             policy=policy,
             may_start=may_start,
+            room=room or UnknownRoom(),
+            limits=limits or UnlimitedPlaces(),
         )
         self._moves = ItemMoves(
             self._attempts, workers, watch, self._starter, policy=policy, may_start=may_start
--- a/src/stagewalk/gateway/policy.py
+++ b/src/stagewalk/gateway/policy.py
@@ -47,6 +47,16 @@
         Run batches of different trainers on different nodes.
     warm_connections
         Prefer workers to which a connection is kept for requests that may go over one.
+    reported_pace
+        Tell a worker's own speed from the pace that it reports for the moment.
+    admission
+        Queue forwarded requests at a service whose workers report their load, in fair order.
+    place_shares
+        Share engines' places among trainers while they ask for more than there are.
+    engine_memory
+        Place items where the engine's memory has room for them.
+    copies
+        Run the last items that a step waits for at a second engine.
     """
 
     kept_text: bool = True
@@ -65,6 +75,11 @@
     hold_results: bool = True
     spread_trainers: bool = True
     warm_connections: bool = True
+    reported_pace: bool = True
+    admission: bool = True
+    place_shares: bool = True
+    engine_memory: bool = True
+    copies: bool = True
 
 
 ALL_ON = Policy()
--- a/src/stagewalk/gateway/ports/workers.py
+++ b/src/stagewalk/gateway/ports/workers.py
@@ -57,11 +57,21 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerLoad:
-    """Load that a worker reported with an answer, in requests."""
+    """Load that a worker reported with an answer.
+
+    Attributes
+    ----------
+    running, waiting, slots
+        Requests, and how many it runs at once.
+    pace
+        How long work takes there at the moment, in parts of the usual: 1.0 is usual, 2.0 twice as
+        long. It varies many times a second. None: the worker doesn't say.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/batches/test_placement.py
+++ b/tests/gateway/batches/test_placement.py
@@ -4,7 +4,8 @@
 
 import testtools
 
-from stagewalk.gateway.batches.placement import choose_engine, faster_engine
+from stagewalk.gateway.batches.move_choice import faster_engine
+from stagewalk.gateway.batches.placement import choose_engine
 from stagewalk.gateway.policy import ALL_ON, Policy
 from stagewalk.gateway.workers.worker import Worker
 from tests.gateway.eligibility.support import NEAR_Z1
