Soak: a load of more items than places, and two builds side by side

Cause: the soak knew neither workers that state their pace, nor an engine's memory, nor trainers that compete, and ran one build alone. GatewayProcess has a module of its own; kept seeds draw what they drew. Ruled out: a fourth figure in all kinds, which would change the scenarios of kept seeds. Conclusion: parts to come are tried here under faults, and beside the build before them.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,6 +1,8 @@
-"""python -m tests.soak [--kind K] [--seconds S] [--seeds N,N,...] [--gateways G] [--jobs J].
+"""python -m tests.soak [--kind K] [--seconds S] [--seeds N,N,...] [--gateways G] [--jobs J]
+    [--earlier CHECKOUT].
 
-Soaks on fresh seeds, or on given ones, several beside each other if asked to.
+Soaks on fresh seeds, or on given ones, several beside each other if asked to. With another commit's
+checkout each start of a gateway runs either build.
 """
 
 from __future__ import annotations
@@ -25,6 +27,7 @@
     parser.add_argument("--seeds", default="", help="a fresh one if none is given")
     parser.add_argument("--gateways", type=int, default=0)
     parser.add_argument("--jobs", type=int, default=1, help="soaks beside each other")
+    parser.add_argument("--earlier", type=Path, help="a checkout of another commit to run too")
     parser.add_argument("--output", type=Path, default=OUTPUT)
     arguments = parser.parse_args()
     usual = {Kind.ENDED: ENDING_GATEWAYS, Kind.ZONES: ZONE_GATEWAYS}.get(arguments.kind, GATEWAYS)
@@ -36,6 +39,7 @@
             arguments.kind,
             arguments.gateways or usual,
             arguments.output,
+            arguments.earlier,
         )
         for seed in seeds or [random.SystemRandom().randrange(1_000_000)]
     ]
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -54,13 +54,17 @@
                 )
             await anyio.sleep(PAUSE_SECONDS)
 
-    async def train(self) -> None:
-        """Hand in a step, read it whole, end it, name the next version, again and again."""
+    async def train(self, host: str = HOST) -> None:
+        """Hand in a step, read it whole, end it, name the next version, again and again.
+
+        Other hosts' trainers train on the versions that the first one names.
+        """
         while not self.stop.is_set():
             batch = uuid.uuid4().hex
             seen = BatchSeen(
                 tuple(f"{batch[:8]}-{n}" for n in range(STEP_ITEMS)),
                 max(1, self._world.version - 1),
+                host=host,
             )
             self._world.checker.batches[batch] = seen
             await self._submit(batch, seen)
@@ -71,11 +75,12 @@
             if seen.accepted and not seen.complete and not self.stop.is_set():
                 await self._end(batch, seen)
             self.steps += seen.complete
-            self._world.name_version()
+            if host == HOST:
+                self._world.name_version()
 
     async def _submit(self, batch: str, seen: BatchSeen) -> None:
         content = submission_of(seen.items, seen.minimum_version)
-        headers = {"host": HOST, "x-request-id": batch}
+        headers = {"host": seen.host, "x-request-id": batch}
         with anyio.move_on_after(STEP_SECONDS):
             while not seen.accepted:
                 answer = await self._call("POST", f"/run/{batch}", content, headers)
@@ -88,7 +93,7 @@
         position = self._chooser.randint(0, len(seen.positions))
         gateway = self._gateway()
         answer = await self._call(
-            "GET", f"/-/lots/{batch}?after_rev={position}", b"", {"host": HOST}, gateway
+            "GET", f"/-/lots/{batch}?after_rev={position}", b"", {"host": seen.host}, gateway
         )
         if answer is None:
             return
@@ -101,7 +106,7 @@
     async def _end(self, batch: str, seen: BatchSeen) -> None:
         seen.ended = True
         while True:
-            answer = await self._call("DELETE", f"/-/lots/{batch}", b"", {"host": HOST})
+            answer = await self._call("DELETE", f"/-/lots/{batch}", b"", {"host": seen.host})
             if answer is not None and answer.status_code == httpx.codes.OK:
                 return
             await anyio.sleep(READ_SECONDS)
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -21,6 +21,7 @@
     accepted: bool = False
     ended: bool = False
     positions: dict[int, dict] = field(default_factory=dict)
+    host: str = "h.example"
 
     @property
     def complete(self) -> bool:
--- /dev/null
+++ b/tests/soak/gateway_process.py
@@ -0,0 +1,105 @@
+"""One gateway process of a soak, and the builds that its starts may run."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from stagewalk.common.identities import Address
+from tests.soak.touch import TouchRecord
+
+ROOT = Path(__file__).resolve().parents[2]
+STOP_SECONDS = 15.0
+
+
+class Builds:
+    """The builds that gateways run: this one alone, or each start one of two, drawn anew.
+
+    Parameters
+    ----------
+    earlier
+        A checkout of an earlier commit; None: there is none.
+    """
+
+    def __init__(self, earlier: Path | None, seed: int) -> None:
+        self._all = (ROOT,) if earlier is None else (earlier, ROOT)
+        self._chooser = random.Random(seed)
+
+    def draw(self) -> Path:
+        """Return the root of the build that a start runs."""
+        return self._chooser.choice(self._all)
+
+
+@dataclass
+class GatewayProcess:
+    """One gateway, and its own way to the store."""
+
+    name: str
+    front: Address
+    settings: Path
+    link: str
+    touch: TouchRecord
+    builds: Builds
+    process: subprocess.Popen[bytes] | None = None
+    frozen: bool = False
+    exits: list[int] = field(default_factory=list)
+    _log: Path = field(init=False)
+    _log_begins: int = field(default=0, init=False)
+    """Size of the log when the process was started last."""
+
+    @property
+    def sound(self) -> bool:
+        return self.process is not None and self.process.poll() is None and not self.frozen
+
+    def start(self, log: Path) -> None:
+        self.touch.note(self.name, "started")
+        self._log = log
+        self._log_begins = log.stat().st_size if log.exists() else 0
+        build = self.builds.draw()
+        if build != ROOT:
+            self.touch.note(self.name, f"runs the build in {build.name}")
+        environment = {"PATH": os.environ["PATH"], "STAGEWALK_BOOT": str(self.settings)}
+        with log.open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, "platform/start.py"],
+                cwd=build,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+
+    @property
+    def serves(self) -> bool:
+        """Whether the process that was started last has said that it serves."""
+        with self._log.open("rb") as log:
+            log.seek(self._log_begins)
+            return b"event=gateway_started" in log.read()
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.process is None:
+            return
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self.touch.set(self.name, "frozen", number == signal.SIGSTOP)
+        elif number != signal.SIGHUP:
+            self.touch.note(self.name, number.name)
+        self.process.send_signal(number)
+
+    def reap(self) -> int | None:
+        """Wait for the end of a process that was asked or made to end."""
+        if self.process is None:
+            return None
+        try:
+            code = self.process.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            code = self.process.wait()
+        self.touch.note(self.name, f"ended with {code}")
+        self.process = None
+        self.exits.append(code)
+        return code
--- a/tests/soak/job.py
+++ b/tests/soak/job.py
@@ -19,6 +19,7 @@
     kind: Kind
     gateways: int
     output: Path
+    earlier: Path | None = None
 
     def run(self) -> tuple[str, bool]:
         """Run it in this process; return its report and whether all promises held."""
@@ -27,7 +28,9 @@
         directory.mkdir(parents=True, exist_ok=True)
         for log in directory.glob("*.log"):
             log.unlink()
-        report = anyio.run(soak, self.seed, self.seconds, directory, self.gateways, self.kind)
+        report = anyio.run(
+            soak, self.seed, self.seconds, directory, self.gateways, self.kind, self.earlier
+        )
         text = "\n".join(report.lines())
         (directory / "report.txt").write_text(text + "\n")
         (directory / "troubles.txt").write_text("\n".join(report.troubles) + "\n")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -69,11 +69,13 @@
     """Requests that crash the workers that run them, beside others."""
     ZONES = "zones"
     """Zones that are evacuated, workers that are cold, and routes with homes."""
+    LOAD = "load"
+    """More items than engines have places and memory for, at workers that share their machines."""
 
     @property
     def in_series(self) -> bool:
         """Whether faults come in series, with calm between them."""
-        return self is not Kind.ALL
+        return self not in (Kind.ALL, Kind.LOAD)
 
 
 class Stalls:
@@ -127,14 +129,28 @@
 
 
 async def soak(
-    seed: int, seconds: float, directory: Path, gateways: int = GATEWAYS, kind: Kind = Kind.ALL
+    seed: int,
+    seconds: float,
+    directory: Path,
+    gateways: int = GATEWAYS,
+    kind: Kind = Kind.ALL,
+    earlier: Path | None = None,
 ) -> SoakReport:
     """Run one soak; logs of the gateways are left in the directory."""
     # Peers that die by design make asyncio warn for each byte it can't write.
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     ending = kind is Kind.ENDED
     zones = kind is Kind.ZONES
-    world = World(directory, seed, gateways, SLOW_ENGINES if ending else 1.0, zones=zones)
+    loaded = kind is Kind.LOAD
+    world = World(
+        directory,
+        seed,
+        gateways,
+        SLOW_ENGINES if ending else 1.0,
+        zones=zones,
+        loaded=loaded,
+        earlier=earlier,
+    )
     callers, stalls = Callers(world, seed), Stalls(world.touch)
     faults = FaultSeries(world, seed) if kind.in_series else Faults(world, seed)
     operator = _operator(world, seed)
@@ -155,7 +171,8 @@
                 servers.start_soon(foreign.run)
                 if kind is Kind.CRASHES:
                     crashes.start(servers, tasks)
-                tasks.start_soon(callers.train)
+                for host in world.hosts:
+                    tasks.start_soon(callers.train, host)
                 async with anyio.create_task_group() as trouble:
                     trouble.start_soon(faults.run)
                     await anyio.sleep(seconds)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,7 +16,7 @@
 
 from tests.soak.crashes import BYSTANDER_PROMISE
 from tests.soak.ended import BOUND_SECONDS, PROMISE, EndedBatches
-from tests.soak.run import ZONE_GATEWAYS, Kind, soak
+from tests.soak.run import GATEWAYS, ZONE_GATEWAYS, Kind, soak
 from tests.soak.senders import Connection, StartedItem, processes_at, started_items
 from tests.soak.touch import SETTLED_SECONDS, STORE, TouchRecord
 from tests.soak.world import SOAK_HOST, GatewayProcess, World, own_address
@@ -36,6 +36,9 @@
 ZONES_SECONDS = 25.0
 ZONES_SEED = 1
 
+LOAD_SECONDS = 15.0
+LOAD_SEED = 9101
+
 MOST_SECONDS = 180.0
 """Far above what a test takes: only a hanging one is cut off."""
 
@@ -108,6 +111,19 @@
 
         anyio.run(scenario)
 
+    def test_every_promise_holds_while_trainers_ask_for_more_than_there_is(self) -> None:
+        """Three trainers share engines whose pace changes, while everything fails by turns."""
+
+        async def scenario() -> None:
+            with anyio.fail_after(MOST_SECONDS):
+                report = await soak(LOAD_SEED, LOAD_SECONDS, self.directory, GATEWAYS, Kind.LOAD)
+            self.addDetail("report", text_content("\n".join(report.lines())))
+            self.assertEqual([], report.checker.violations)
+            self.assertGreater(report.steps, 0)
+            self.assertGreater(report.checker.checked["the whole text"], 0)
+
+        anyio.run(scenario)
+
     def test_a_signal_to_reread_settings_while_starting_ends_nothing(self) -> None:
         """Found by seed 3: the signal came before its handler, and ended the process."""
 
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -25,6 +25,8 @@
 EVENT_SECONDS = 0.02
 ANSWER_SECONDS = 0.02
 LOAD_SECONDS = 0.3
+PACES = (0.7, 3.0)
+"""How many times longer than usual work takes at a worker that shares its machine."""
 REFUSED_SHARE = 0.03
 FEWEST_EVENTS, MOST_EVENTS = 3, 24
 NEW_NAME_SHARE = 0.5
@@ -90,6 +92,9 @@
         self.usual_slow = 1.0
         self.slow = 1.0
         self.draining = False
+        self.shares_machine = False
+        """Whether it says how long work takes at the moment, beside its load."""
+        self._pace = 1.0
         self._truth = truth
         self._chooser = chooser
         self._running = 0
@@ -171,7 +176,7 @@
         if self.version is not None:
             await self._stream(request, call, send)
             return None
-        await anyio.sleep(ANSWER_SECONDS * self.slow)
+        await anyio.sleep(self._work_seconds(ANSWER_SECONDS))
         return Reply(200, answer_to(request, call.body), self._headers(call))
 
     async def _stream(self, item: str, call: Call, send: Send) -> None:
@@ -180,7 +185,7 @@
         headers = (*self._headers(call), ("x-weight-versions", str(version)))
         await start_answer(send, 200, (*headers, ("content-type", "text/event-stream")))
         for number in range(int(call.headers.get("last-event-id", "0")) + 1, events_of(item) + 1):
-            await anyio.sleep(EVENT_SECONDS * self.slow)
+            await anyio.sleep(self._work_seconds(EVENT_SECONDS))
             changed = ""
             if self.version != version:
                 version = self.version
@@ -221,5 +226,15 @@
         return (
             ("x-request-id", call.headers.get("x-request-id", "")),
             ("x-response-signature", f"sig-{self.name}"),
-            ("x-instance-load", f"{self._running},0,{SLOTS}"),
+            ("x-instance-load", self._load()),
         )
+
+    def _load(self) -> str:
+        load = f"{self._running},0,{SLOTS}"
+        return f"{load},{round(100.0 * self._pace)}" if self.shares_machine else load
+
+    def _work_seconds(self, usual: float) -> float:
+        """Return how long a piece of work takes now, on a machine that others may use too."""
+        if self.shares_machine:
+            self._pace = self._chooser.uniform(*PACES)
+        return usual * self.slow * self._pace
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -2,13 +2,8 @@
 
 from __future__ import annotations
 
-import os
 import random
-import signal
 import socket
-import subprocess
-import sys
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import anyio
@@ -25,6 +20,7 @@
 from tests.soak.checker import Checker
 from tests.soak.crashes import FRAIL_ROUTE, FRAIL_SERVICE
 from tests.soak.ended import EndedBatches
+from tests.soak.gateway_process import Builds, GatewayProcess
 from tests.soak.scorers import SCORE_ATTEMPTS, ScorerServer, ScoreTruth
 from tests.soak.senders import Connection, processes_at
 from tests.soak.store import StoreServer
@@ -39,12 +35,16 @@
     ZoneRules,
 )
 
-ROOT = Path(__file__).resolve().parents[2]
 HOST = "h.example"
+OTHER_HOSTS = ("i.example", "j.example")
+"""Of the further trainers of a loaded soak."""
+
+ENGINE_TOKENS = 6_000
+"""Memory of an engine of a loaded soak: its slots are not all used by the longest items."""
+
 SOAK_HOST = "127.0.0.77"
 OPERATORS = Partition("keyed.op", 0)
 START_SECONDS = 30.0
-STOP_SECONDS = 15.0
 SUPERVISE_SECONDS = 0.5
 
 SETTINGS = """
@@ -100,72 +100,6 @@
     _ADDRESSES.host = f"127.1.{process // 250 % 250 + 1}.{process % 250 + 1}"
 
 
-@dataclass
-class GatewayProcess:
-    """One gateway, and its own way to the store."""
-
-    name: str
-    front: Address
-    settings: Path
-    link: str
-    touch: TouchRecord
-    process: subprocess.Popen[bytes] | None = None
-    frozen: bool = False
-    exits: list[int] = field(default_factory=list)
-    _log: Path = field(init=False)
-    _log_begins: int = field(default=0, init=False)
-    """Size of the log when the process was started last."""
-
-    @property
-    def sound(self) -> bool:
-        return self.process is not None and self.process.poll() is None and not self.frozen
-
-    def start(self, log: Path) -> None:
-        self.touch.note(self.name, "started")
-        self._log = log
-        self._log_begins = log.stat().st_size if log.exists() else 0
-        environment = {"PATH": os.environ["PATH"], "STAGEWALK_BOOT": str(self.settings)}
-        with log.open("ab") as output:
-            self.process = subprocess.Popen(
-                [sys.executable, "platform/start.py"],
-                cwd=ROOT,
-                env=environment,
-                stdin=subprocess.DEVNULL,
-                stdout=output,
-                stderr=output,
-            )
-
-    @property
-    def serves(self) -> bool:
-        """Whether the process that was started last has said that it serves."""
-        with self._log.open("rb") as log:
-            log.seek(self._log_begins)
-            return b"event=gateway_started" in log.read()
-
-    def signal(self, number: signal.Signals) -> None:
-        if self.process is None:
-            return
-        if number in (signal.SIGSTOP, signal.SIGCONT):
-            self.touch.set(self.name, "frozen", number == signal.SIGSTOP)
-        elif number != signal.SIGHUP:
-            self.touch.note(self.name, number.name)
-        self.process.send_signal(number)
-
-    def reap(self) -> int | None:
-        """Wait for the end of a process that was asked or made to end."""
-        if self.process is None:
-            return None
-        try:
-            code = self.process.wait(STOP_SECONDS)
-        except subprocess.TimeoutExpired:
-            self.process.kill()
-            code = self.process.wait()
-        self.touch.note(self.name, f"ended with {code}")
-        self.process = None
-        self.exits.append(code)
-        return code
-
-
 class World:
     """Everything a soak runs.
 
@@ -177,6 +111,10 @@
     zones
         Whether workers and gateways are spread over zones, some of which are evacuated, workers are
         cold once they come back, and one route has a home. All workers are called without a link.
+    loaded
+        Whether several trainers ask for more than there is room, at workers that share machines.
+    earlier
+        A checkout of an earlier commit: each start of a gateway runs either build.
     """
 
     def __init__(
@@ -187,7 +125,12 @@
         slow_engines: float = 1.0,
         *,
         zones: bool = False,
+        loaded: bool = False,
+        earlier: Path | None = None,
     ) -> None:
+        self._builds = Builds(earlier, seed)
+        self._loaded = loaded
+        self.hosts = (HOST, *OTHER_HOSTS) if loaded else (HOST,)
         self.chooser = random.Random(seed)
         self.directory = directory
         self.log = MemoryLog()
@@ -241,6 +184,7 @@
         worker = WorkerServer(
             name, service, address, self.truth, self.chooser, version, zone, self.zone_rules
         )
+        worker.shares_machine = self._loaded
         if version is not None:
             worker.slow = worker.usual_slow = self._slow_engines
         return worker
@@ -283,7 +227,7 @@
                 store=self._links[link],
             )
         )
-        return GatewayProcess(name, front, settings, link, self.touch)
+        return GatewayProcess(name, front, settings, link, self.touch, self._builds)
 
     @property
     def linked_workers(self) -> list[WorkerServer]:
@@ -385,6 +329,10 @@
         value = msgspec.json.encode({"model": "m", "version": self.version})
         self.log.put_key(OPERATORS, "version/m", value)
 
+    def _engine(self) -> dict:
+        memory = {"kv_capacity_tokens": ENGINE_TOKENS, "stride": 8} if self._loaded else {}
+        return {"slots": 8, **memory}
+
     def publish(self) -> None:
         """Publish the next configuration: it has one route more than the one before."""
         self.configuration += 1
@@ -392,7 +340,7 @@
             _route("ask", "/ask/", "safe", "app"),
             _route("once", "/once/", "unsafe", "app"),
             _route("score", "/score/", "safe", "scorers"),
-            _route("run", "/run/", "rollout", "engines"),
+            *(_route("run", "/run/", "rollout", "engines", host=host) for host in self.hosts),
             _route(FRAIL_ROUTE, f"/{FRAIL_ROUTE}/", "safe", FRAIL_SERVICE),
             *(
                 _route(f"new-{n}", f"/new-{n}/", "safe", "app")
@@ -400,7 +348,7 @@
             ),
         ]
         services: list[dict] = [
-            {"name": "engines", "max_connections": 200, "engine": {"slots": 8}},
+            {"name": "engines", "max_connections": 200, "engine": self._engine()},
             {"name": "app", "max_connections": 200},
             {"name": "scorers", "max_connections": 200},
             {"name": FRAIL_SERVICE, "max_connections": 200},
@@ -414,12 +362,17 @@
 
 
 def _route(
-    name: str, prefix: str, kind: str, service: str, regions: list[str] | None = None
+    name: str,
+    prefix: str,
+    kind: str,
+    service: str,
+    regions: list[str] | None = None,
+    host: str = HOST,
 ) -> dict:
     return {
         "allowed_regions": regions or [],
-        "name": name,
-        "host": HOST,
+        "name": name if host == HOST else f"{name}-{host}",
+        "host": host,
         "path_prefix": prefix,
         "type": kind,
         "timeout_ms": 3_000,
