Test of a bystander: crash the worker once the request runs there, not after 0.1 s

A suspect is sent only after one more read of other nodes' reports, of up to 0.3 s, so that the request may still wait. Change: the test waits until a worker runs the request; its checks are as before, and a request that is never sent still fails it. Conclusion: the test raced the read; the gateway did as it should.

--- a/tests/gateway/nodes/test_crashing_requests.py
+++ b/tests/gateway/nodes/test_crashing_requests.py
@@ -336,6 +336,16 @@
         scenario(body)
 
 
+async def running_worker(site: Site) -> str:
+    """Return a worker that runs a request, once there is one: news may be read before it is sent."""
+
+    async def running() -> bool:
+        return any(worker.running for worker in site.workers.workers.values())
+
+    await until(running)
+    return next(name for name, worker in site.workers.workers.items() if worker.running)
+
+
 class BystanderTests(testtools.TestCase):
     def test_a_request_that_was_only_there_is_served_and_forgotten(self) -> None:
         """Workers end under it one after the other, and each time it has an answer before long."""
@@ -346,9 +356,7 @@
             for _ in range(4):
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(site.call, nodes[0], "POST", "/once/y", b"popular")
-                    await anyio.sleep(0.1)
-                    busy = [w for w, worker in site.workers.workers.items() if worker.running]
-                    site.workers.crash(busy[0])
+                    site.workers.crash(await running_worker(site))
                 await until_served(site, nodes, "/once/z")
                 self.assertEqual(
                     200, (await site.call(nodes[1], "POST", "/once/y", b"popular")).status_code
