--- a/tests/gateway/nodes/test_crashing_requests.py
+++ b/tests/gateway/nodes/test_crashing_requests.py
@@ -337,7 +337,7 @@
 
 
 async def running_worker(site: Site) -> str:
-    """Return a worker that runs a request, once there is one: news may be read before it is sent."""
+    """Return a worker that runs a request, once there is one: news may be read before."""
 
     async def running() -> bool:
         return any(worker.running for worker in site.workers.workers.values())
