--- a/tests/platform_adapter/test_workers.py
+++ b/tests/platform_adapter/test_workers.py
@@ -109,6 +109,11 @@
         result, _ = self.send(Scripted(respond("503 Busy", **SIGNED)))
         self.assertEqual(503, result.ok.status)
 
+    def test_a_refusal_brings_the_load_that_explains_it(self) -> None:
+        full = {**SIGNED, "x_not_executed": "1", "x_instance_load": "6,18,6,250"}
+        result, _ = self.send(Scripted(respond("503 Busy", **full)))
+        self.assertEqual(WorkerLoad(6, 18, 6, 2.5), result.error.load)
+
     def test_another_worker_at_the_address(self) -> None:
         content = respond("421 Misdirected", x_instance_id="i-2")
         self.assertEqual(AttemptFault.WRONG_WORKER, self.fault(content))
