A machine's own speed is told apart from the pace that its worker reports for the moment

Cause: a worker's latency was smoothed over some seven answers or events, which on an engine with six runs is 50 ms: a machine that is slow for some hundred milliseconds counted as a slow machine, and was one again a moment later. Change: workers.speed keeps a machine's own speed (times divided by the pace reported with them, smoothed over 1.5 s of observation, each bounded) and the pace that lasts (the lowest of two half seconds). recent_latency, and with it slowness, placement, moves, hedges and score calls, go by these where a worker reports its pace; the pace of the moment stretches only what is done within 0.3 s of its report. Occupancy takes off own requests that ended since the report. Policy.reported_pace switches it off. Ruled out: a smoothed pace (the mean of swings of 2.5 for 15% of the time still varies by a tenth over three seconds, the lowest pace does not); dividing by old paces (the swing has passed by then). Conclusion: without a pace in the reports each value is computed as before.

--- a/src/stagewalk/gateway/assembly.py
+++ b/src/stagewalk/gateway/assembly.py
@@ -181,7 +181,7 @@
 
     def _cluster(self, log: LogAccess) -> ClusterState:
         routes = RouteTable(self._settings.name)
-        workers = WorkerTable()
+        workers = WorkerTable(reads_pace=self._settings.policy.reported_pace)
         eligibility_services = EligibilityServices(
             settings=self._settings,
             log=log.relayed,
--- a/src/stagewalk/gateway/batches/attempt_watch.py
+++ b/src/stagewalk/gateway/batches/attempt_watch.py
@@ -126,13 +126,14 @@
         if current is None:
             return False
         left = self._lengths.events_left(item)
+        seconds = current.recent_latency(now) or current.latency or 0.0
         faster = faster_engine(
             current,
             self.candidates(batch, item, now),
             item.spec.model,
             now,
             left=left,
-            urgent=self._urgent(batch, item, left * (current.latency or 0.0), now),
+            urgent=self._urgent(batch, item, left * seconds, now),
         )
         return faster is not None
 
--- a/src/stagewalk/gateway/batches/placement.py
+++ b/src/stagewalk/gateway/batches/placement.py
@@ -16,7 +16,7 @@
     FULL_OCCUPANCY,
     PROMPT_HELD_CREDIT,
     distance_cost,
-    fastest_latency,
+    fastest,
     slowness,
 )
 from stagewalk.gateway.workers.worker import Worker
@@ -48,7 +48,7 @@
     ]
     if not free:
         return None
-    fastest = fastest_latency(free, now)
+    shortest = fastest(engine.recent_latency(now) for engine in free)
 
     def cost(engine: Worker) -> float:
         name = engine.announcement.worker
@@ -56,7 +56,7 @@
         near_first = policy.zone_preference
         distance = distance_cost(proximity, engine) if near_first else 0.0
         failed_here = FAILED_HERE_COST if name == avoid else 0.0
-        pace = ENGINE_SLOWNESS_COST * slowness(engine, fastest, now) if policy.pace else 0.0
-        return engine.occupancy(now) + distance + failed_here + pace - shared
+        slow = slowness(engine.recent_latency(now), shortest) if policy.pace else 0.0
+        return engine.occupancy(now) + distance + failed_here + ENGINE_SLOWNESS_COST * slow - shared
 
     return min(free, key=cost)
--- a/src/stagewalk/gateway/workers/placement_costs.py
+++ b/src/stagewalk/gateway/workers/placement_costs.py
@@ -67,15 +67,13 @@
     return DISTANCE_COST[proximity.distance(worker.announcement.zone)]
 
 
-def fastest_latency(workers: Iterable[Worker], now: float) -> float:
-    """Return the shortest recent latency in seconds, 0 if none is known."""
-    latencies = [latency for w in workers if (latency := w.recent_latency(now)) is not None]
-    return min(latencies, default=0.0)
+def fastest(latencies: Iterable[float | None]) -> float:
+    """Return the shortest of the latencies that are known, in seconds; 0 if none is."""
+    return min((latency for latency in latencies if latency is not None), default=0.0)
 
 
-def slowness(worker: Worker, fastest: float, now: float) -> float:
+def slowness(latency: float | None, fastest: float) -> float:
     """Return how many times longer a worker takes than the fastest one, less one."""
-    latency = worker.recent_latency(now)
     if latency is None or fastest <= 0.0:
         return 0.0
     return min(SLOWNESS_LIMIT, latency / fastest - 1.0)
--- a/src/stagewalk/gateway/workers/selection.py
+++ b/src/stagewalk/gateway/workers/selection.py
@@ -12,7 +12,7 @@
     NEW_CONNECTION_COST,
     SLOWNESS_COST,
     distance_cost,
-    fastest_latency,
+    fastest,
     slowness,
 )
 from stagewalk.gateway.workers.worker import Worker
@@ -35,12 +35,18 @@
     candidates = [w for w in workers if w.announcement.worker not in tried]
     if not candidates:
         return None
-    fastest = fastest_latency(candidates, now)
+    shortest = fastest(_expected_latency(worker, now) for worker in candidates)
 
     def cost(worker: Worker) -> tuple[bool, float]:
         distance = distance_cost(proximity, worker)
         connection = NEW_CONNECTION_COST if prefer_warm and not worker.warm(now) else 0.0
-        late = slowness(worker, fastest, now) * SLOWNESS_COST
+        late = slowness(_expected_latency(worker, now), shortest) * SLOWNESS_COST
         return worker.suspect(now), worker.occupancy(now) + distance + connection + late
 
     return min(candidates, key=cost)
+
+
+def _expected_latency(worker: Worker, now: float) -> float | None:
+    """Return how long an answer begun now is expected to take, in seconds; None if not known."""
+    usual = worker.recent_latency(now)
+    return None if usual is None else worker.expected_seconds(usual, now)
--- a/src/stagewalk/gateway/workers/table.py
+++ b/src/stagewalk/gateway/workers/table.py
@@ -69,9 +69,15 @@
     A worker that said that it leaves keeps leaving: an older entry, written late, changes nothing.
     A worker may start again under its name. That is another worker then, and the one before is
     gone; an entry of an earlier start, written late, changes nothing while the later one is seen.
+
+    Parameters
+    ----------
+    reads_pace
+        Whether the pace that workers report is used.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, reads_pace: bool = True) -> None:
+        self._reads_pace = reads_pace
         self._workers: dict[str, Worker] = {}
         self._start_of: dict[str, str] = {}
         """By the name that an entry is listed under, its start."""
@@ -122,7 +128,12 @@
         known = self._workers.get(announcement.worker)
         self._stale_until.pop(announcement.worker, None)
         if known is None:
-            worker = Worker(announcement, now, versions=dict(announcement.versions))
+            worker = Worker(
+                announcement,
+                now,
+                versions=dict(announcement.versions),
+                reads_pace=self._reads_pace,
+            )
             self._workers[announcement.worker] = worker
             self._start_of[announcement.listed_as] = announcement.worker
             self._index()
--- a/src/stagewalk/gateway/workers/worker.py
+++ b/src/stagewalk/gateway/workers/worker.py
@@ -1,16 +1,23 @@
 """What is believed of one worker, and how old that is. Pure.
 
 Owns a worker's entry, what this node has seen of its answers, and how long each of these counts.
-Choosing among workers is `workers.selection`; which of them are listed, `workers.table`.
+Choosing among workers is `workers.selection`; which of them are listed, `workers.table`. Relies on
+`workers.speed` for what is told of machines whose workers report a pace.
 """
 
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from stagewalk.common.identities import Address
 from stagewalk.gateway.ports.workers import WorkerLoad
+from stagewalk.gateway.workers.speed import (
+    PACE_VALID_SECONDS,
+    LastingPace,
+    OwnSpeed,
+    seconds_at_pace,
+)
 
 LATENCY_SMOOTHING = 0.15
 """Weight of the newest time in the smoothed latency."""
@@ -86,8 +93,10 @@
         Consecutive failures.
     load_at
         When the load was received.
-    sent_since_load
-        Requests that this node sent to it since then.
+    sent_since_load, ended_since_load
+        Requests that this node sent to it since then, and that ended there.
+    reads_pace
+        Whether the pace that it reports is used.
     """
 
     announcement: WorkerAnnouncement
@@ -98,9 +107,14 @@
     load: WorkerLoad | None = None
     load_at: float = -math.inf
     sent_since_load: int = 0
+    ended_since_load: int = 0
+    reads_pace: bool = True
     latency: float | None = None
     """Smoothed time to a whole answer, of engines to the next event, in seconds."""
     latency_at: float = -math.inf
+    speed: OwnSpeed = field(default_factory=OwnSpeed)
+    """The machine's own, of a worker that reports a pace."""
+    lasting_pace: LastingPace = field(default_factory=LastingPace)
     versions: dict[str, int] = field(default_factory=dict)
     """Version by model: the newest evidence of the list, reports and answers."""
     warm_until: float = -math.inf
@@ -136,12 +150,29 @@
         """Whether it is expected to refuse a model's requests while it loads weights."""
         return now < self.loading_until.get(model, -math.inf)
 
+    @property
+    def paced(self) -> bool:
+        """Whether its last report said how long work takes there at the moment."""
+        return self.load is not None and self.load.pace is not None
+
+    def recent_load(self, now: float) -> WorkerLoad | None:
+        """Return the load that it reported of late, None if it reported none or that is old."""
+        return self.load if now - self.load_at <= LOAD_VALID_SECONDS else None
+
+    def recent_pace(self, now: float) -> float | None:
+        """Return the pace of the moment, None if it reported none or that is old."""
+        load = self.load if now - self.load_at <= PACE_VALID_SECONDS else None
+        return None if load is None else load.pace
+
     def occupancy(self, now: float) -> float:
         """Return the requests it is believed to have, running and waiting, per slot."""
         slots = max(1, self.announcement.slots)
-        if self.load is None or now - self.load_at > LOAD_VALID_SECONDS:
+        load = self.recent_load(now)
+        if load is None:
             return self.in_flight / slots
-        reported = self.load.running + self.load.waiting + self.sent_since_load
+        reported = load.running + load.waiting + self.sent_since_load
+        if self.paced:
+            reported -= self.ended_since_load
         return max(reported, self.in_flight) / slots
 
     def note_sent(self) -> None:
@@ -152,25 +183,55 @@
     def note_ended(self) -> None:
         """Count a request that ended there, however it did."""
         self.in_flight -= 1
+        self.ended_since_load += 1
 
     def note_load(self, load: WorkerLoad | None, now: float) -> None:
         """Record the load that came with an answer, if one did."""
-        if load is not None:
-            self.load = load
-            self.load_at = now
-            self.sent_since_load = 0
+        if load is None:
+            return
+        if not self.reads_pace:
+            load = replace(load, pace=None)
+        self.load = load
+        self.load_at = now
+        self.sent_since_load = 0
+        self.ended_since_load = 0
+        if load.pace is not None:
+            self.lasting_pace.note(load.pace, now)
 
     def recent_latency(self, now: float) -> float | None:
-        """Return its smoothed latency in seconds, None if there is none of late."""
-        return self.latency if now - self.latency_at < LATENCY_VALID_SECONDS else None
+        """Return the time that its answers or events usually take, None if none is known of late.
+
+        Returns
+        -------
+        float or None
+            In seconds; of a worker that reports its pace the machine's own, at the pace that lasts:
+            the pace of the moment is in `expected_seconds`.
+        """
+        if now - self.latency_at >= LATENCY_VALID_SECONDS:
+            return None
+        if self.paced and self.speed.seconds is not None:
+            return self.speed.seconds * self.lasting_pace.pace(now)
+        return self.latency
+
+    def expected_seconds(self, work: float, now: float) -> float:
+        """Return how long work takes that begins now and usually takes `work` seconds there."""
+        pace = self.recent_pace(now)
+        if pace is None:
+            return work
+        seconds_left = PACE_VALID_SECONDS - (now - self.load_at)
+        return seconds_at_pace(work, pace / self.lasting_pace.pace(now), seconds_left)
 
     def note_success(self, seconds: float, now: float) -> None:
         """Record the seconds that an answer or event took; clear its failures."""
         if now - self.latency_at >= LATENCY_VALID_SECONDS:
             self.latency = None
+            self.speed.forget()
         self.latency_at = now
         self.failures = 0
         self.suspect_until = -math.inf
+        if self.paced:
+            pace = self.recent_pace(now) or self.lasting_pace.pace(now)
+            self.speed.note(seconds / pace, now)
         before = self.latency
         if before is None:
             self.latency = seconds
--- /dev/null
+++ b/tests/gateway/workers/test_speed.py
@@ -0,0 +1,136 @@
+"""A machine's own speed is told apart from the pace of the moment."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterator
+
+import testtools
+
+from stagewalk.gateway.batches.move_choice import FASTER_SHARE
+from stagewalk.gateway.ports.workers import WorkerLoad
+from stagewalk.gateway.workers.speed import OWN_SPEED_SECONDS, PACE_VALID_SECONDS
+from stagewalk.gateway.workers.worker import LATENCY_SMOOTHING, LOAD_VALID_SECONDS, Worker
+from tests.gateway.workers.support import announcement
+
+EVENT = 0.04
+SLOW = 2.5
+SLOW_SHARE = 0.15
+SLOW_SPANS = (0.05, 0.1, 0.25)
+"""Seconds that a slow moment lasts, at `SLOW` times the usual."""
+
+REPORT_EVERY = (0.05, 0.4, 2.0)
+"""Seconds between two reports, the last of them longer than any report counts."""
+
+
+def swinging_pace(now: float, slow_span: float) -> float:
+    return SLOW if now % (slow_span / SLOW_SHARE) < slow_span else 1.0
+
+
+def worker(slots: int = 6) -> Worker:
+    return Worker(announcement("w", slots=slots), 0.0)
+
+
+def run(machine: Worker, event: float, slow_span: float, report_every: float) -> Iterator[float]:
+    """Let events come for ten seconds; give the time of each once it was noted."""
+    now, reported_at, phase = 100.0, 0.0, event
+    while now < 110.0:
+        pace = swinging_pace(now + phase, slow_span)
+        if now - reported_at >= report_every:
+            machine.note_load(WorkerLoad(3, 0, 6, pace), now)
+            reported_at = now
+        seconds = event * pace
+        now += seconds
+        machine.note_success(seconds, now)
+        yield now
+
+
+class OwnSpeedTests(testtools.TestCase):
+    def test_swings_neither_hide_nor_feign_a_difference_between_machines(self) -> None:
+        for slow_span, report_every in itertools.product(SLOW_SPANS, REPORT_EVERY):
+            first, other, slow = worker(), worker(), worker()
+            runs = (
+                run(first, EVENT, slow_span, report_every),
+                run(other, EVENT * 1.001, slow_span * 1.1, report_every * 0.9),
+                run(slow, EVENT * 1.3, slow_span, report_every),
+            )
+            case = f"slow for {slow_span} s, reports every {report_every} s"
+            for now, _, _ in zip(*runs, strict=False):
+                if now < 100.0 + 2 * OWN_SPEED_SECONDS:
+                    continue
+                like = [machine.recent_latency(now) or 0.0 for machine in (first, other)]
+                self.assertGreater(min(like), FASTER_SHARE * max(like), f"{case}, at {now}")
+                slower = slow.recent_latency(now) or 0.0
+                self.assertLessEqual(min(like), FASTER_SHARE * slower, f"{case}, at {now}")
+
+    def test_a_slowness_that_lasts_counts_within_two_seconds_and_ends_as_soon(self) -> None:
+        machine = worker()
+        for now in run(machine, EVENT, 0.1, 0.1):
+            started = now
+        usual = machine.recent_latency(started) or 0.0
+        for slow, least, most in ((3.0, 2.0, 4.0), (1.0, 0.5, 1.5)):
+            for n in range(20):
+                now = started + n * 0.1
+                machine.note_load(WorkerLoad(3, 0, 6, slow), now)
+                machine.note_success(slow * EVENT, now)
+            latency = machine.recent_latency(now) or 0.0
+            self.assertTrue(least * usual < latency < most * usual, f"{slow}: {latency / usual}")
+            started = now + 0.1
+
+    def test_without_a_pace_the_latency_is_as_before(self) -> None:
+        machine = worker()
+        machine.note_load(WorkerLoad(3, 0, 6), 0.0)
+        machine.note_success(0.1, 0.0)
+        machine.note_success(0.2, 0.1)
+        self.assertAlmostEqual(0.1 + 0.1 * LATENCY_SMOOTHING, machine.recent_latency(0.1))
+        self.assertEqual(0.5, machine.expected_seconds(0.5, 0.1))
+
+    def test_where_the_pace_is_switched_off_it_is_no_part_of_a_report(self) -> None:
+        machine = Worker(announcement("w"), 0.0, reads_pace=False)
+        machine.note_load(WorkerLoad(3, 0, 6, 2.5), 0.0)
+        self.assertFalse(machine.paced)
+        self.assertIsNone(machine.recent_pace(0.0))
+
+
+class PaceOfTheMomentTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.machine = worker()
+        self.machine.note_load(WorkerLoad(3, 0, 6, SLOW), 10.0)
+
+    def test_a_short_request_takes_as_long_as_the_moment_says(self) -> None:
+        self.assertAlmostEqual(0.1, self.machine.expected_seconds(0.04, 10.0))
+
+    def test_a_long_run_loses_less_than_the_moment_lasts(self) -> None:
+        lost = self.machine.expected_seconds(4.0, 10.0) - 4.0
+        self.assertTrue(0.0 < lost < PACE_VALID_SECONDS)
+
+    def test_it_fades_and_is_forgotten(self) -> None:
+        fading = [self.machine.expected_seconds(0.2, 10.0 + age) for age in (0.0, 0.1, 0.2, 0.31)]
+        self.assertEqual(sorted(fading, reverse=True), fading)
+        self.assertEqual(0.2, fading[-1])
+
+
+class ReportAgeTests(testtools.TestCase):
+    def test_none_three_figures_four_and_old_ones_are_told_apart(self) -> None:
+        silent, three, four = worker(), worker(), worker()
+        three.note_load(WorkerLoad(4, 2, 6), 10.0)
+        four.note_load(WorkerLoad(4, 2, 6, 1.2), 10.0)
+        self.assertEqual((None, None), (silent.recent_load(10.0), silent.recent_pace(10.0)))
+        self.assertEqual((1.0, None), (three.occupancy(10.1), three.recent_pace(10.1)))
+        self.assertEqual((1.0, 1.2), (four.occupancy(10.1), four.recent_pace(10.1)))
+        later = 10.1 + PACE_VALID_SECONDS
+        self.assertEqual((1.0, None), (four.occupancy(later), four.recent_pace(later)))
+        old = 10.1 + LOAD_VALID_SECONDS
+        self.assertEqual((0.0, None), (four.occupancy(old), four.recent_load(old)))
+        self.assertTrue(four.paced)
+
+    def test_own_requests_since_the_report_are_added_and_taken_off(self) -> None:
+        machine = worker()
+        machine.note_sent()
+        machine.note_load(WorkerLoad(3, 0, 6, 1.0), 10.0)
+        machine.note_sent()
+        self.assertEqual(4 / 6, machine.occupancy(10.1))
+        machine.note_ended()
+        machine.note_ended()
+        self.assertEqual(2 / 6, machine.occupancy(10.1))
