Nodes that read the same load reports choose apart

Cause: many nodes read the same report; if each takes the best worker, all take the same one. Change: where workers report their pace, a node draws among those that cost at most one request more than the best one, own requests since the report added; of these the near and connected ones first, and never a full one beside one with a slot free. The random numbers are seeded by the node's name and passed in by Eligibility, which all choosers ask for their candidates. Ruled out: two at random and the better of them (it takes the far and unconnected as often); a draw among all that tie only (reports differ by one request nearly always). Conclusion: without a pace in the reports the first of the best is taken as before.

--- a/src/stagewalk/gateway/eligibility/core.py
+++ b/src/stagewalk/gateway/eligibility/core.py
@@ -13,6 +13,7 @@
 import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from random import Random
 
 from expression import Error, Ok, Result
 
@@ -73,6 +74,8 @@
         Returns whether a content is held back now.
     on_denied
         Called for each request that was denied a permit, or denied as it was to be sent.
+    draws
+        Random numbers of this node, for choices among what `candidates` returns.
     """
 
     def __init__(
@@ -85,7 +88,9 @@
         *,
         held: HoldCheck,
         on_denied: DenialListener = ignore_denial,
+        draws: Random | None = None,
     ) -> None:
+        self._draws = draws
         self._held = held
         self._on_denied = on_denied
         self._workers = workers
@@ -103,6 +108,11 @@
         """Return where this node is among the zones."""
         return self._proximity
 
+    @property
+    def draws(self) -> Random | None:
+        """Return this node's random numbers; None: of equal workers the first is taken."""
+        return self._draws
+
     @property
     def evacuations(self) -> Evacuations:
         """Return the zones being evacuated."""
--- a/src/stagewalk/gateway/eligibility_services.py
+++ b/src/stagewalk/gateway/eligibility_services.py
@@ -8,6 +8,7 @@
 
 import time
 from collections.abc import Callable
+from random import Random
 
 from stagewalk.gateway.cold_lease_service import ColdLeaseService
 from stagewalk.gateway.cold_starts.core import ColdStarts
@@ -64,6 +65,7 @@
             self.cold,
             held=self._held,
             on_denied=on_denied,
+            draws=Random(settings.name),
         )
         self.cold_lease_service = ColdLeaseService(
             log=log, node=settings.name, cold=self.cold, leases=self._leases, replicas=replicas
--- a/src/stagewalk/gateway/forwarding/attempts.py
+++ b/src/stagewalk/gateway/forwarding/attempts.py
@@ -109,6 +109,7 @@
             self._eligibility.proximity,
             state.tried,
             prefer_warm=repeatable and self._prefer_warm,
+            draws=self._eligibility.draws,
         )
 
     @staticmethod
--- a/src/stagewalk/gateway/scoring/core.py
+++ b/src/stagewalk/gateway/scoring/core.py
@@ -287,9 +287,9 @@
         scope = RequestScope(route, pending.content, pending.tenant)
         found = self._eligibility.candidates(self._service_of(route), scope, now)
         self._eligibility.request_leases(found, now)
-        proximity = self._eligibility.proximity
-        chosen = choose_worker(found.workers, now, proximity, pending.tried)
+        proximity, draws = self._eligibility.proximity, self._eligibility.draws
+        chosen = choose_worker(found.workers, now, proximity, pending.tried, draws=draws)
         if chosen is None and not pending.under_way:
             pending.tried.clear()
-            chosen = choose_worker(found.workers, now, proximity)
+            chosen = choose_worker(found.workers, now, proximity, draws=draws)
         return chosen
--- a/src/stagewalk/gateway/workers/placement_costs.py
+++ b/src/stagewalk/gateway/workers/placement_costs.py
@@ -38,6 +38,10 @@
 """Cost of a worker to which a connection must be opened: one more request at a worker of six slots
 (0.17) is no reason to open one, two (0.33) are."""
 
+NEAR_BEST_REQUESTS = 1.0
+"""Where workers report their pace, those that cost at most this many requests more than the best
+one are drawn from: other nodes read the same reports, and send as well."""
+
 # Items of batches, at engines.
 
 ENGINE_SLOWNESS_COST = 2.5
--- a/src/stagewalk/gateway/workers/selection.py
+++ b/src/stagewalk/gateway/workers/selection.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
+from random import Random
 
+from stagewalk.gateway.workers.near_best import Choice, draw_near_best, take_best
 from stagewalk.gateway.workers.placement_costs import (
+    NEAR_BEST_REQUESTS,
     NEW_CONNECTION_COST,
     SLOWNESS_COST,
     distance_cost,
@@ -26,24 +29,44 @@
     tried: Collection[str] = (),
     *,
     prefer_warm: bool = False,
+    draws: Random | None = None,
 ) -> Worker | None:
     """Return the worker expected to answer first, none that was tried already.
 
     Workers that failed lately come last; among the others the emptier, the faster and the
     nearer one wins, and with `prefer_warm` one to which a connection is kept.
+
+    Parameters
+    ----------
+    draws
+        Random numbers of this node: where workers report their pace, those nearly as good as the
+        best one are drawn from. None: the best one is taken.
     """
     candidates = [w for w in workers if w.announcement.worker not in tried]
     if not candidates:
         return None
-    shortest = fastest(_expected_latency(worker, now) for worker in candidates)
+    choices = _choices(candidates, now, proximity, prefer_warm=prefer_warm)
+    best = take_best(choices).worker
+    if draws is None or not best.paced:
+        return best
+    margin = NEAR_BEST_REQUESTS / max(1, best.announcement.slots)
+    return draw_near_best(choices, margin, now, draws).worker
+
+
+def _choices(
+    candidates: Sequence[Worker], now: float, proximity: Proximity, *, prefer_warm: bool
+) -> list[Choice]:
+    """Return what each candidate costs, in parts of a full worker."""
+    latencies = [_expected_latency(worker, now) for worker in candidates]
+    shortest = fastest(latencies)
 
-    def cost(worker: Worker) -> tuple[bool, float]:
-        distance = distance_cost(proximity, worker)
+    def choice(worker: Worker, latency: float | None) -> Choice:
         connection = NEW_CONNECTION_COST if prefer_warm and not worker.warm(now) else 0.0
-        late = slowness(_expected_latency(worker, now), shortest) * SLOWNESS_COST
-        return worker.suspect(now), worker.occupancy(now) + distance + connection + late
+        fixed = distance_cost(proximity, worker) + connection
+        late = slowness(latency, shortest) * SLOWNESS_COST
+        return Choice(worker, worker.occupancy(now) + fixed + late, fixed, worker.suspect(now))
 
-    return min(candidates, key=cost)
+    return [choice(*pair) for pair in zip(candidates, latencies, strict=True)]
 
 
 def _expected_latency(worker: Worker, now: float) -> float | None:
