Items go where they are expected to end first; moves go by the machine's own speed

Cause: the placement added occupancy and slowness whatever an item's length, and moves compared latencies of the last 50 ms. A refusal without a load counted as weights being loaded, though the engine had just told that it was full. Placement takes the first to end, and draws among those within one request of it. faster_engine judges only machines whose own speed has settled. note_refusal looks at the load told just before. Ruled out: keeping fast engines free for long items (starts are ordered longest first already).

--- a/src/stagewalk/gateway/batches/attempt_starter.py
+++ b/src/stagewalk/gateway/batches/attempt_starter.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
+from random import Random
 
 from stagewalk.gateway.batches.attempt_watch import AttemptWatch
 from stagewalk.gateway.batches.attempts import Attempts
@@ -48,6 +49,8 @@
         Which engines have memory for an item.
     limits
         How many places the items of each trainer may have.
+    draws
+        Random numbers of this node, for the choice among like engines.
     """
 
     def __init__(
@@ -63,7 +66,9 @@
         may_start: MayStart,
         room: EngineRoom,
         limits: PlaceLimits,
+        draws: Random | None = None,
     ) -> None:
+        self._draws = draws
         self._room = room
         self._limits = limits
         self._runs = runs
@@ -126,6 +131,8 @@
             siblings=siblings,
             avoid=item.last_worker,
             policy=self._policy,
+            events=self._lengths.events_left(item),
+            draws=self._draws,
         )
 
     def _order(self, run: BatchRun, item: ItemRun) -> tuple[float, float, str]:
--- a/src/stagewalk/gateway/batches/evidence.py
+++ b/src/stagewalk/gateway/batches/evidence.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from stagewalk.gateway.batches.item_run import RunningAttempt
-from stagewalk.gateway.ports.workers import AttemptFailure, AttemptFault
+from stagewalk.gateway.ports.workers import AttemptFailure, AttemptFault, WorkerLoad
 from stagewalk.gateway.workers.worker import Worker
 
 REFUSAL_PAUSE_SECONDS = 0.25
@@ -21,10 +21,17 @@
     engine.note_load(failure.load, now)
     if failure.fault is not AttemptFault.NOT_RUN:
         engine.note_failure(now)
-    elif failure.load is None or failure.load.running < failure.load.slots:
+    elif not _full(engine, failure.load, now):
         engine.loading_until[model] = now + REFUSAL_PAUSE_SECONDS
 
 
+def _full(engine: Worker, told: WorkerLoad | None, now: float) -> bool:
+    """Whether an engine refused for want of a slot, by what it told then or just before."""
+    if told is None and engine.paced:
+        told = engine.recent_load(now)
+    return told is not None and told.running >= told.slots
+
+
 def note_pace(engine: Worker, attempt: RunningAttempt, events: int, now: float) -> None:
     """Record an engine's time per event; the first one comes with the head and gives none.
 
--- a/src/stagewalk/gateway/batches/move_choice.py
+++ b/src/stagewalk/gateway/batches/move_choice.py
@@ -2,7 +2,8 @@
 
 Inputs: the engines that may run the item, their occupancy (parts of their slots), their seconds for
 an event, and the number of events expected to come. Owns the bounds of moves. Relies on
-`workers.placement_costs` for what counts as room.
+`workers.placement_costs` for what counts as room. Where workers report their pace, an engine's time
+is its machine's own: no item moves since its engine is slow for a moment.
 """
 
 from __future__ import annotations
@@ -35,7 +36,7 @@
     number of events expected to come.
     """
     pace = current.recent_latency(now)
-    if pace is None:
+    if pace is None or not _judged(current):
         return None
     pause = max(0.0, current.loading_until.get(model, now) - now)
     best: Worker | None = None
@@ -43,7 +44,7 @@
     room = URGENT_ROOM_OCCUPANCY if urgent else ROOM_OCCUPANCY
     for engine in engines:
         other = engine.recent_latency(now)
-        if engine is current or other is None or engine.suspect(now):
+        if engine is current or other is None or engine.suspect(now) or not _judged(engine):
             continue
         if other > FASTER_SHARE * pace and not pause:
             continue
@@ -54,6 +55,11 @@
     return best
 
 
+def _judged(engine: Worker) -> bool:
+    """Whether its machine's own speed is known, so far as its worker lets one tell."""
+    return engine.speed.settled or not engine.paced
+
+
 def has_room_elsewhere(
     current: Worker | None, engines: Sequence[Worker], model: str, now: float
 ) -> bool:
--- a/src/stagewalk/gateway/batches/placement.py
+++ b/src/stagewalk/gateway/batches/placement.py
@@ -1,19 +1,24 @@
 """Decides which engine an item goes to. Pure.
 
-Inputs: the engines that may run the item, their occupancy (parts of their slots) and their seconds
-for an event. Relies on `workers.placement_costs` for the costs, which are parts of a full engine.
-When a move to another engine pays is `move_choice`.
+Inputs: the engines that may run the item, their occupancy (parts of their slots), their seconds for
+an event, and the number of events expected. Relies on `expected_end` where workers report their
+pace; elsewhere on `workers.placement_costs` for costs, which are parts of a full engine. When a
+move to another engine pays is `move_choice`.
 """
 
 from __future__ import annotations
 
 from collections.abc import Collection, Sequence
+from random import Random
 
+from stagewalk.gateway.batches.expected_end import FULL_STRETCH, expected_end
 from stagewalk.gateway.policy import ALL_ON, Policy
+from stagewalk.gateway.workers.near_best import Choice, draw_near_best, take_best
 from stagewalk.gateway.workers.placement_costs import (
     ENGINE_SLOWNESS_COST,
     FAILED_HERE_COST,
     FULL_OCCUPANCY,
+    NEAR_BEST_REQUESTS,
     PROMPT_HELD_CREDIT,
     distance_cost,
     fastest,
@@ -32,11 +37,21 @@
     siblings: Collection[str],
     avoid: str,
     policy: Policy = ALL_ON,
+    events: float = 0.0,
+    draws: Random | None = None,
 ) -> Worker | None:
     """Return the engine with room that is expected to finish an item first.
 
     An engine that failed lately has room because nothing runs there: it is asked again only
     once it may be sound, or if no other is listed.
+
+    Parameters
+    ----------
+    events
+        Events of the item that are expected to come.
+    draws
+        Random numbers of this node: of engines that report their pace one is drawn that is nearly
+        as good as the best. None: the best one is taken.
     """
     sound = [engine for engine in engines if not (policy.suspicion and engine.suspect(now))]
     free = [
@@ -48,15 +63,46 @@
     ]
     if not free:
         return None
-    shortest = fastest(engine.recent_latency(now) for engine in free)
 
-    def cost(engine: Worker) -> float:
+    def fixed_cost(engine: Worker) -> float:
         name = engine.announcement.worker
         shared = PROMPT_HELD_CREDIT if policy.siblings and name in siblings else 0.0
-        near_first = policy.zone_preference
-        distance = distance_cost(proximity, engine) if near_first else 0.0
+        distance = distance_cost(proximity, engine) if policy.zone_preference else 0.0
         failed_here = FAILED_HERE_COST if name == avoid else 0.0
-        slow = slowness(engine.recent_latency(now), shortest) if policy.pace else 0.0
-        return engine.occupancy(now) + distance + failed_here + ENGINE_SLOWNESS_COST * slow - shared
+        return distance + failed_here - shared
+
+    latencies = [engine.recent_latency(now) if policy.pace else None for engine in free]
+    shortest = fastest(latencies)
+    if shortest > 0.0 and any(engine.paced for engine in free):
+        ends = [
+            _end_choice(engine, fixed_cost(engine), events, latency or shortest, now)
+            for engine, latency in zip(free, latencies, strict=True)
+        ]
+        return _first_to_end(ends, now, draws).worker
+    costs = [
+        _cost_choice(engine, fixed_cost(engine), slowness(latency, shortest), now)
+        for engine, latency in zip(free, latencies, strict=True)
+    ]
+    return take_best(costs).worker
+
+
+def _cost_choice(engine: Worker, fixed: float, slow: float, now: float) -> Choice:
+    """Return what an engine costs, in parts of a full one."""
+    return Choice(engine, engine.occupancy(now) + fixed + ENGINE_SLOWNESS_COST * slow, fixed)
+
+
+def _end_choice(
+    engine: Worker, fixed: float, events: float, event_seconds: float, now: float
+) -> Choice:
+    """Return what an engine costs in seconds: its expected end, stretched by the fixed costs."""
+    end = expected_end(engine, events, event_seconds, now)
+    return Choice(engine, end * (1.0 + FULL_STRETCH * fixed), fixed)
+
 
-    return min(free, key=cost)
+def _first_to_end(choices: Sequence[Choice], now: float, draws: Random | None) -> Choice:
+    """Return the engine that ends first, or one at which a request less would do so."""
+    best = take_best(choices)
+    if draws is None:
+        return best
+    one_request = NEAR_BEST_REQUESTS / max(1, best.worker.announcement.slots)
+    return draw_near_best(choices, best.cost * FULL_STRETCH * one_request, now, draws)
--- a/src/stagewalk/gateway/batches/scheduler.py
+++ b/src/stagewalk/gateway/batches/scheduler.py
@@ -107,6 +107,7 @@
             may_start=may_start,
             room=room or UnknownRoom(),
             limits=limits or UnlimitedPlaces(),
+            draws=eligibility.draws,
         )
         self._moves = ItemMoves(
             self._attempts, workers, watch, self._starter, policy=policy, may_start=may_start
--- a/src/stagewalk/gateway/workers/near_best.py
+++ b/src/stagewalk/gateway/workers/near_best.py
@@ -8,14 +8,14 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from operator import attrgetter
 from random import Random
+from typing import NamedTuple
 
 from stagewalk.gateway.workers.worker import Worker
 
 
-@dataclass(frozen=True, slots=True)
-class Choice:
+class Choice(NamedTuple):
     """A worker that could be taken, and what that costs.
 
     Attributes
@@ -36,7 +36,8 @@
 
 def take_best(choices: Sequence[Choice]) -> Choice:
     """Return the choice that costs least."""
-    return min(choices, key=lambda choice: (choice.last_resort, choice.cost))
+    preferred = [choice for choice in choices if not choice.last_resort]
+    return min(preferred or choices, key=attrgetter("cost"))
 
 
 def draw_near_best(choices: Sequence[Choice], margin: float, now: float, draws: Random) -> Choice:
--- a/src/stagewalk/gateway/workers/selection.py
+++ b/src/stagewalk/gateway/workers/selection.py
@@ -59,14 +59,18 @@
     """Return what each candidate costs, in parts of a full worker."""
     latencies = [_expected_latency(worker, now) for worker in candidates]
     shortest = fastest(latencies)
-
-    def choice(worker: Worker, latency: float | None) -> Choice:
+    distances: dict[str, float] = {}
+    choices = []
+    for worker, latency in zip(candidates, latencies, strict=True):
+        zone = worker.announcement.zone
+        if zone not in distances:
+            distances[zone] = distance_cost(proximity, worker)
         connection = NEW_CONNECTION_COST if prefer_warm and not worker.warm(now) else 0.0
-        fixed = distance_cost(proximity, worker) + connection
+        fixed = distances[zone] + connection
         late = slowness(latency, shortest) * SLOWNESS_COST
-        return Choice(worker, worker.occupancy(now) + fixed + late, fixed, worker.suspect(now))
-
-    return [choice(*pair) for pair in zip(candidates, latencies, strict=True)]
+        cost = worker.occupancy(now) + fixed + late
+        choices.append(Choice(worker, cost, fixed, worker.suspect(now)))
+    return choices
 
 
 def _expected_latency(worker: Worker, now: float) -> float | None:
--- a/src/stagewalk/gateway/workers/speed.py
+++ b/src/stagewalk/gateway/workers/speed.py
@@ -101,6 +101,8 @@
 
     _before: _Span = field(default_factory=_Span)
     _current: _Span = field(default_factory=_Span)
+    _pace: float = 1.0
+    _until: float = -math.inf
 
     def note(self, pace: float, now: float) -> None:
         """Add a pace that was reported."""
@@ -109,14 +111,16 @@
             self._before = self._current
             self._current = _Span(number)
         self._current.note(pace)
+        self._pace = self._lowest()
+        self._until = (number + 2) * LASTING_SECONDS
 
     def pace(self, now: float) -> float:
         """Return it, the usual one if too few reports tell another."""
-        number = math.floor(now / LASTING_SECONDS)
+        return self._pace if now < self._until else 1.0
+
+    def _lowest(self) -> float:
         successive = self._before.number == self._current.number - 1
-        if not successive or number - self._current.number > 1:
-            return 1.0
-        if self._before.reports + self._current.reports < LEAST_LASTING_REPORTS:
+        if not successive or self._before.reports + self._current.reports < LEAST_LASTING_REPORTS:
             return 1.0
         return min(self._before.lowest, self._current.lowest)
 
--- a/src/stagewalk/gateway/workers/worker.py
+++ b/src/stagewalk/gateway/workers/worker.py
@@ -161,8 +161,9 @@
 
     def recent_pace(self, now: float) -> float | None:
         """Return the pace of the moment, None if it reported none or that is old."""
-        load = self.load if now - self.load_at <= PACE_VALID_SECONDS else None
-        return None if load is None else load.pace
+        if self.load is None or now - self.load_at > PACE_VALID_SECONDS:
+            return None
+        return self.load.pace
 
     def occupancy(self, now: float) -> float:
         """Return the requests it is believed to have, running and waiting, per slot."""
--- /dev/null
+++ b/tests/gateway/batches/test_uneven_engines.py
@@ -0,0 +1,137 @@
+"""Engines of machines that differ, and that are slow for a moment."""
+
+from __future__ import annotations
+
+from random import Random
+
+import testtools
+
+from stagewalk.gateway.batches.evidence import REFUSAL_PAUSE_SECONDS, note_refusal
+from stagewalk.gateway.batches.move_choice import faster_engine
+from stagewalk.gateway.batches.placement import choose_engine
+from stagewalk.gateway.ports.workers import AttemptFailure, AttemptFault, WorkerLoad
+from stagewalk.gateway.workers.worker import Worker
+from tests.gateway.eligibility.support import NEAR_Z1
+from tests.gateway.workers.support import announcement
+
+EVENT = 0.04
+SLOTS = 6
+LONG = 100.0
+NOW = 20.0
+SPAN = 4.0
+
+
+def engine(name: str, factor: float = 1.0, *, pace: float = 1.0, zone: str = "z1") -> Worker:
+    """Return an engine seen for `SPAN` seconds until `NOW`, with a pace reported just then."""
+    made = announcement(name, slots=SLOTS, zone=zone, versions={"m": 5})
+    worker = Worker(made, 0.0, versions={"m": 5})
+    events = int(SPAN / EVENT)
+    for n in range(events):
+        now = NOW - SPAN + n * EVENT
+        worker.note_load(WorkerLoad(0, 0, SLOTS, 1.0), now)
+        worker.note_success(factor * EVENT, now)
+    worker.note_load(WorkerLoad(0, 0, SLOTS, pace), NOW)
+    return worker
+
+
+def choose(engines: list[Worker], events: float, draws: Random | None = None) -> Worker | None:
+    return choose_engine(
+        engines, "m", NOW, proximity=NEAR_Z1, siblings=(), avoid="", events=events, draws=draws
+    )
+
+
+class PlacementTests(testtools.TestCase):
+    def test_a_machine_half_as_fast_gets_the_short_items(self) -> None:
+        fast, slow = engine("fast"), engine("slow", 2.0)
+        at_slow = []
+        lengths = [float(n) for n in range(60, 0, -5)]
+        for events in lengths:
+            found = choose([slow, fast], events)
+            assert found is not None
+            found.note_sent()
+            if found is slow:
+                at_slow.append(events)
+        self.assertTrue(at_slow)
+        self.assertEqual(lengths[-len(at_slow) :], at_slow)
+
+    def test_a_slow_moment_keeps_short_items_away_and_no_long_ones(self) -> None:
+        for events, expected in ((4.0, "usual"), (LONG, "slow for a moment")):
+            usual, moment = engine("usual"), engine("slow for a moment", pace=2.5)
+            usual.note_sent()
+            found = choose([moment, usual], events)
+            self.assertEqual(expected, found.announcement.worker)
+
+    def test_a_long_item_waits_at_no_full_engine_while_one_is_free(self) -> None:
+        full, free = engine("full"), engine("free", 1.3)
+        for _ in range(SLOTS):
+            full.note_sent()
+        self.assertIs(free, choose([full, free], LONG))
+
+    def test_runners_with_the_same_reports_choose_apart(self) -> None:
+        chosen = set()
+        for node in range(40):
+            found = choose([engine(f"e{n}") for n in range(6)], LONG, Random(f"node-{node}"))
+            chosen.add(found.announcement.worker)
+        self.assertEqual(6, len(chosen))
+
+    def test_an_engine_of_which_nothing_is_known_is_tried(self) -> None:
+        made = announcement("new", slots=SLOTS, versions={"m": 5})
+        new = Worker(made, 0.0, versions={"m": 5})
+        known = engine("known")
+        known.note_sent()
+        self.assertIs(new, choose([known, new], LONG))
+
+
+class MoveTests(testtools.TestCase):
+    def faster(self, current: Worker, others: list[Worker], now: float = NOW) -> Worker | None:
+        return faster_engine(current, others, "m", now, left=LONG, urgent=True)
+
+    def test_a_momentary_slowness_moves_no_item(self) -> None:
+        current, other = engine("current"), engine("other")
+        now = NOW
+        while now < NOW + 0.4:
+            now += 2.5 * EVENT
+            current.note_load(WorkerLoad(1, 0, SLOTS, 2.5), now)
+            current.note_success(2.5 * EVENT, now)
+            self.assertIsNone(self.faster(current, [other], now))
+
+    def test_nor_one_that_no_report_explains(self) -> None:
+        current, other = engine("current"), engine("other")
+        now = NOW
+        while now < NOW + 0.4:
+            now += 2.5 * EVENT
+            current.note_success(2.5 * EVENT, now)
+            self.assertIsNone(self.faster(current, [other], now))
+
+    def test_a_slow_machine_is_left(self) -> None:
+        fast = engine("fast")
+        self.assertIs(fast, self.faster(engine("current", 1.5), [fast]))
+
+    def test_no_machine_is_judged_by_a_few_events(self) -> None:
+        current = engine("current", 1.5)
+        made = announcement("other", slots=SLOTS, versions={"m": 5})
+        other = Worker(made, 0.0, versions={"m": 5})
+        other.note_load(WorkerLoad(0, 0, SLOTS, 1.0), NOW)
+        other.note_success(EVENT, NOW)
+        self.assertIsNone(self.faster(current, [other]))
+
+
+class RefusalTests(testtools.TestCase):
+    def loading_after(self, known: WorkerLoad | None, told: WorkerLoad | None) -> bool:
+        made = announcement("e", slots=SLOTS, versions={"m": 5})
+        worker = Worker(made, 0.0, versions={"m": 5})
+        worker.note_load(known, NOW)
+        failure = AttemptFailure(AttemptFault.NOT_RUN, "status 503", told)
+        note_refusal(worker, "m", failure, NOW + 0.1)
+        return worker.loading("m", NOW + 0.1 + REFUSAL_PAUSE_SECONDS / 2)
+
+    def test_a_full_engine_is_told_from_one_that_loads_weights(self) -> None:
+        full, free = WorkerLoad(6, 18, SLOTS, 1.0), WorkerLoad(2, 0, SLOTS, 1.0)
+        self.assertFalse(self.loading_after(None, full))
+        self.assertTrue(self.loading_after(full, free))
+        self.assertFalse(self.loading_after(full, None))
+        self.assertTrue(self.loading_after(free, None))
+        self.assertTrue(self.loading_after(None, None))
+
+    def test_without_a_pace_a_refusal_that_tells_no_load_counts_as_loading(self) -> None:
+        self.assertTrue(self.loading_after(WorkerLoad(6, 18, SLOTS), None))
--- /dev/null
+++ b/tests/gateway/workers/choice_cost.py
@@ -0,0 +1,69 @@
+"""Prints what a choice among many workers costs, in microseconds of processor time.
+
+Run as `python -m tests.gateway.workers.choice_cost`.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from random import Random
+
+from stagewalk.gateway.batches.move_choice import faster_engine
+from stagewalk.gateway.batches.placement import choose_engine
+from stagewalk.gateway.ports.workers import WorkerLoad
+from stagewalk.gateway.workers.selection import choose_worker
+from stagewalk.gateway.workers.worker import Worker
+from tests.gateway.eligibility.support import NEAR_Z1
+from tests.gateway.workers.support import announcement
+
+WORKERS = 600
+ROUNDS = 200
+NOW = 100.0
+
+
+def workers(pace: float | None) -> list[Worker]:
+    made = []
+    for n in range(WORKERS):
+        worker = Worker(announcement(f"w{n}", zone=f"z{n % 3 + 1}", slots=8), 0.0)
+        for step in range(20):
+            worker.note_load(WorkerLoad(n % 7, 0, 8, pace), NOW - 2.0 + 0.1 * step)
+            worker.note_success(0.04 + 0.0001 * (n % 50), NOW - 2.0 + 0.1 * step)
+        made.append(worker)
+    return made
+
+
+def microseconds(act: Callable[[], object]) -> float:
+    began = time.process_time()
+    for _ in range(ROUNDS):
+        act()
+    return (time.process_time() - began) / ROUNDS * 1e6
+
+
+def main() -> None:
+    draws = Random("node")
+    for label, pace in (("no pace", None), ("pace", 1.1)):
+        pool = workers(pace)
+        costs = {
+            "worker for a request": lambda pool=pool: choose_worker(
+                pool, NOW, NEAR_Z1, prefer_warm=True, draws=draws
+            ),
+            "engine for an item": lambda pool=pool: choose_engine(
+                pool, "m", NOW, proximity=NEAR_Z1, siblings=(), avoid="", events=50, draws=draws
+            ),
+            "faster engine": lambda pool=pool: faster_engine(
+                pool[0], pool, "m", NOW, left=50.0, urgent=True
+            ),
+            "report and time noted": lambda pool=pool, pace=pace: note(pool[0], pace),
+        }
+        for name, act in costs.items():
+            print(f"{label:8} {name:24} {microseconds(act):8.1f} us, {WORKERS} workers")
+
+
+def note(worker: Worker, pace: float | None) -> None:
+    worker.note_load(WorkerLoad(3, 0, 8, pace), NOW)
+    worker.note_success(0.04, NOW)
+
+
+if __name__ == "__main__":
+    main()
