Choices among many workers: distances once a zone, fewer calls a worker

Change: what a zone costs is computed once a choice; occupancy and the expected latency in one call each. Ruled out: a choice among a few drawn at random (it would lose the kept connections).

--- a/src/stagewalk/gateway/batches/placement.py
+++ b/src/stagewalk/gateway/batches/placement.py
@@ -20,9 +20,9 @@
     FULL_OCCUPANCY,
     NEAR_BEST_REQUESTS,
     PROMPT_HELD_CREDIT,
-    distance_cost,
     fastest,
     slowness,
+    zone_costs,
 )
 from stagewalk.gateway.workers.worker import Worker
 from stagewalk.gateway.zones.distance import Proximity
@@ -64,10 +64,12 @@
     if not free:
         return None
 
+    distances = zone_costs(proximity, free)
+
     def fixed_cost(engine: Worker) -> float:
         name = engine.announcement.worker
         shared = PROMPT_HELD_CREDIT if policy.siblings and name in siblings else 0.0
-        distance = distance_cost(proximity, engine) if policy.zone_preference else 0.0
+        distance = distances[engine.announcement.zone] if policy.zone_preference else 0.0
         failed_here = FAILED_HERE_COST if name == avoid else 0.0
         return distance + failed_here - shared
 
--- a/src/stagewalk/gateway/workers/placement_costs.py
+++ b/src/stagewalk/gateway/workers/placement_costs.py
@@ -71,6 +71,12 @@
     return DISTANCE_COST[proximity.distance(worker.announcement.zone)]
 
 
+def zone_costs(proximity: Proximity, workers: Iterable[Worker]) -> dict[str, float]:
+    """Return what the distance of each zone costs that has one of the workers."""
+    one_of_zone = {worker.announcement.zone: worker for worker in workers}
+    return {zone: distance_cost(proximity, worker) for zone, worker in one_of_zone.items()}
+
+
 def fastest(latencies: Iterable[float | None]) -> float:
     """Return the shortest of the latencies that are known, in seconds; 0 if none is."""
     return min((latency for latency in latencies if latency is not None), default=0.0)
--- a/src/stagewalk/gateway/workers/selection.py
+++ b/src/stagewalk/gateway/workers/selection.py
@@ -14,9 +14,9 @@
     NEAR_BEST_REQUESTS,
     NEW_CONNECTION_COST,
     SLOWNESS_COST,
-    distance_cost,
     fastest,
     slowness,
+    zone_costs,
 )
 from stagewalk.gateway.workers.worker import Worker
 from stagewalk.gateway.zones.distance import Proximity
@@ -57,23 +57,14 @@
     candidates: Sequence[Worker], now: float, proximity: Proximity, *, prefer_warm: bool
 ) -> list[Choice]:
     """Return what each candidate costs, in parts of a full worker."""
-    latencies = [_expected_latency(worker, now) for worker in candidates]
+    latencies = [worker.expected_latency(now) for worker in candidates]
     shortest = fastest(latencies)
-    distances: dict[str, float] = {}
+    distances = zone_costs(proximity, candidates)
     choices = []
     for worker, latency in zip(candidates, latencies, strict=True):
-        zone = worker.announcement.zone
-        if zone not in distances:
-            distances[zone] = distance_cost(proximity, worker)
         connection = NEW_CONNECTION_COST if prefer_warm and not worker.warm(now) else 0.0
-        fixed = distances[zone] + connection
+        fixed = distances[worker.announcement.zone] + connection
         late = slowness(latency, shortest) * SLOWNESS_COST
         cost = worker.occupancy(now) + fixed + late
         choices.append(Choice(worker, cost, fixed, worker.suspect(now)))
     return choices
-
-
-def _expected_latency(worker: Worker, now: float) -> float | None:
-    """Return how long an answer begun now is expected to take, in seconds; None if not known."""
-    usual = worker.recent_latency(now)
-    return None if usual is None else worker.expected_seconds(usual, now)
--- a/src/stagewalk/gateway/workers/worker.py
+++ b/src/stagewalk/gateway/workers/worker.py
@@ -168,11 +168,11 @@
     def occupancy(self, now: float) -> float:
         """Return the requests it is believed to have, running and waiting, per slot."""
         slots = max(1, self.announcement.slots)
-        load = self.recent_load(now)
-        if load is None:
+        load = self.load
+        if load is None or now - self.load_at > LOAD_VALID_SECONDS:
             return self.in_flight / slots
         reported = load.running + load.waiting + self.sent_since_load
-        if self.paced:
+        if load.pace is not None:
             reported -= self.ended_since_load
         return max(reported, self.in_flight) / slots
 
@@ -214,6 +214,13 @@
             return self.speed.seconds * self.lasting_pace.pace(now)
         return self.latency
 
+    def expected_latency(self, now: float) -> float | None:
+        """Return how long an answer begun now is expected to take, in seconds; None if unknown."""
+        usual = self.recent_latency(now)
+        if usual is None or now - self.load_at > PACE_VALID_SECONDS:
+            return usual
+        return self.expected_seconds(usual, now)
+
     def expected_seconds(self, work: float, now: float) -> float:
         """Return how long work takes that begins now and usually takes `work` seconds there."""
         pace = self.recent_pace(now)
