Metric of the load reports known of workers, by kind

Cause: an operator could not see whether workers' reports arrive, carry a pace, or are old. Change: ReportKind (none, old, load, load_and_pace) of each worker; gauge stagewalk_load_reports by kind. Ruled out: a label a worker (600 series a node).

--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -191,6 +191,7 @@
             configuration=self._routes.version,
             serving_nodes=len(self._nodes.serving()),
             workers=len(self._workers.all()),
+            load_reports=self._workers.report_kinds(now),
             holds_replica=self.store.following,
             listed=self._nodes.listed,
             holds_lease=self._duties.lease.held,
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -22,6 +22,7 @@
 from stagewalk.common.logs.budget import LogBudget
 from stagewalk.common.steady_clock import steady_seconds
 from stagewalk.gateway.ports.denials import Denial
+from stagewalk.gateway.workers.worker import ReportKind
 
 _omit_creation_times: Callable[[], None] = disable_created_metrics
 
@@ -45,6 +46,7 @@
     configuration: int
     serving_nodes: int
     workers: int
+    load_reports: dict[ReportKind, int]
     holds_replica: bool
     listed: bool
     holds_lease: bool
@@ -94,6 +96,12 @@
         for partition, age in sorted(state.view_ages.items()):
             ages.add_metric([partition], age)
         yield ages
+        reports = GaugeMetricFamily(
+            "stagewalk_load_reports", "Workers by the load report known of them.", labels=["kind"]
+        )
+        for kind, count in state.load_reports.items():
+            reports.add_metric([kind], count)
+        yield reports
         events = CounterMetricFamily(
             "stagewalk_events", "Log events, dropped ones too.", labels=["event", "failure"]
         )
--- a/src/stagewalk/gateway/workers/table.py
+++ b/src/stagewalk/gateway/workers/table.py
@@ -8,13 +8,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Container, Iterable
 from dataclasses import replace
 from enum import StrEnum
 from typing import Protocol
 
 from stagewalk.gateway.ports.send_permits import WorkerTarget
-from stagewalk.gateway.workers.worker import Worker, WorkerAnnouncement
+from stagewalk.gateway.workers.worker import ReportKind, Worker, WorkerAnnouncement
 
 STALE_SECONDS = 2.2
 """How long after trouble with the list a worker whose entry is missing counts as stale rather than
@@ -202,6 +203,11 @@
         """Return all listed workers."""
         return [worker for worker in self._workers.values() if self._trusted(worker)]
 
+    def report_kinds(self, now: float) -> dict[ReportKind, int]:
+        """Return of how many workers each kind of load report is known, of every kind."""
+        counts = Counter(worker.report_kind(now) for worker in self.all())
+        return {kind: counts[kind] for kind in ReportKind}
+
     @staticmethod
     def target(worker: Worker) -> WorkerTarget:
         """Return where to send."""
--- a/src/stagewalk/gateway/workers/worker.py
+++ b/src/stagewalk/gateway/workers/worker.py
@@ -9,6 +9,7 @@
 
 import math
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
 
 from stagewalk.common.identities import Address
 from stagewalk.gateway.ports.workers import WorkerLoad
@@ -39,6 +40,16 @@
 """How long a worker is avoided after one, two, ... consecutive failures."""
 
 
+class ReportKind(StrEnum):
+    """What a worker said of its load last; the values are labels of a metric."""
+
+    NONE = "none"
+    OLD = "old"
+    """A report that counts no more."""
+    LOAD = "load"
+    PACED = "load_and_pace"
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerAnnouncement:
     """What the platform's list says of a worker.
@@ -155,6 +166,14 @@
         """Whether its last report said how long work takes there at the moment."""
         return self.load is not None and self.load.pace is not None
 
+    def report_kind(self, now: float) -> ReportKind:
+        """Return what kind of report is known of it."""
+        if self.load is None:
+            return ReportKind.NONE
+        if self.recent_load(now) is None:
+            return ReportKind.OLD
+        return ReportKind.PACED if self.paced else ReportKind.LOAD
+
     def recent_load(self, now: float) -> WorkerLoad | None:
         """Return the load that it reported of late, None if it reported none or that is old."""
         return self.load if now - self.load_at <= LOAD_VALID_SECONDS else None
--- a/tests/gateway/workers/test_speed.py
+++ b/tests/gateway/workers/test_speed.py
@@ -10,7 +10,13 @@
 from stagewalk.gateway.batches.move_choice import FASTER_SHARE
 from stagewalk.gateway.ports.workers import WorkerLoad
 from stagewalk.gateway.workers.speed import OWN_SPEED_SECONDS, PACE_VALID_SECONDS
-from stagewalk.gateway.workers.worker import LATENCY_SMOOTHING, LOAD_VALID_SECONDS, Worker
+from stagewalk.gateway.workers.table import WorkerTable
+from stagewalk.gateway.workers.worker import (
+    LATENCY_SMOOTHING,
+    LOAD_VALID_SECONDS,
+    ReportKind,
+    Worker,
+)
 from tests.gateway.workers.support import announcement
 
 EVENT = 0.04
@@ -112,6 +118,15 @@
 
 
 class ReportAgeTests(testtools.TestCase):
+    def test_the_table_counts_workers_by_what_they_reported(self) -> None:
+        table = WorkerTable()
+        for name in ("silent", "old", "three", "four"):
+            table.announce(announcement(name), 0.0)
+        table.worker("old").note_load(WorkerLoad(1, 0, 4, 1.0), 5.0)
+        table.worker("three").note_load(WorkerLoad(1, 0, 4), 10.0)
+        table.worker("four").note_load(WorkerLoad(1, 0, 4, 1.0), 10.0)
+        self.assertEqual(dict.fromkeys(ReportKind, 1), table.report_kinds(10.1))
+
     def test_none_three_figures_four_and_old_ones_are_told_apart(self) -> None:
         silent, three, four = worker(), worker(), worker()
         three.note_load(WorkerLoad(4, 2, 6), 10.0)
