--- a/src/stagewalk/gateway/workers/placement_costs.py
+++ b/src/stagewalk/gateway/workers/placement_costs.py
@@ -38,6 +38,10 @@
 """Cost of a worker to which a connection must be opened: one more request at a worker of six slots
 (0.17) is no reason to open one, two (0.33) are."""
 
+NEAR_BEST_REQUESTS = 1.0
+"""Where workers report their pace, those that cost at most this many requests more than the best
+one are drawn from: other nodes read the same reports, and send as well."""
+
 # Items of batches, at engines.
 
 ENGINE_SLOWNESS_COST = 2.5
@@ -67,15 +71,19 @@
     return DISTANCE_COST[proximity.distance(worker.announcement.zone)]
 
 
-def fastest_latency(workers: Iterable[Worker], now: float) -> float:
-    """Return the shortest recent latency in seconds, 0 if none is known."""
-    latencies = [latency for w in workers if (latency := w.recent_latency(now)) is not None]
-    return min(latencies, default=0.0)
+def zone_costs(proximity: Proximity, workers: Iterable[Worker]) -> dict[str, float]:
+    """Return what the distance of each zone costs that has one of the workers."""
+    one_of_zone = {worker.announcement.zone: worker for worker in workers}
+    return {zone: distance_cost(proximity, worker) for zone, worker in one_of_zone.items()}
+
+
+def fastest(latencies: Iterable[float | None]) -> float:
+    """Return the shortest of the latencies that are known, in seconds; 0 if none is."""
+    return min((latency for latency in latencies if latency is not None), default=0.0)
 
 
-def slowness(worker: Worker, fastest: float, now: float) -> float:
+def slowness(latency: float | None, fastest: float) -> float:
     """Return how many times longer a worker takes than the fastest one, less one."""
-    latency = worker.recent_latency(now)
     if latency is None or fastest <= 0.0:
         return 0.0
     return min(SLOWNESS_LIMIT, latency / fastest - 1.0)
--- a/src/stagewalk/gateway/workers/selection.py
+++ b/src/stagewalk/gateway/workers/selection.py
@@ -6,14 +6,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
+from random import Random
 
+from stagewalk.gateway.workers.near_best import Choice, draw_near_best, take_best
 from stagewalk.gateway.workers.placement_costs import (
+    NEAR_BEST_REQUESTS,
     NEW_CONNECTION_COST,
     SLOWNESS_COST,
-    distance_cost,
-    fastest_latency,
+    fastest,
     slowness,
+    zone_costs,
 )
 from stagewalk.gateway.workers.worker import Worker
 from stagewalk.gateway.zones.distance import Proximity
@@ -26,21 +29,42 @@
     tried: Collection[str] = (),
     *,
     prefer_warm: bool = False,
+    draws: Random | None = None,
 ) -> Worker | None:
     """Return the worker expected to answer first, none that was tried already.
 
     Workers that failed lately come last; among the others the emptier, the faster and the
     nearer one wins, and with `prefer_warm` one to which a connection is kept.
+
+    Parameters
+    ----------
+    draws
+        Random numbers of this node: where workers report their pace, those nearly as good as the
+        best one are drawn from. None: the best one is taken.
     """
     candidates = [w for w in workers if w.announcement.worker not in tried]
     if not candidates:
         return None
-    fastest = fastest_latency(candidates, now)
+    choices = _choices(candidates, now, proximity, prefer_warm=prefer_warm)
+    best = take_best(choices).worker
+    if draws is None or not best.paced:
+        return best
+    margin = NEAR_BEST_REQUESTS / max(1, best.announcement.slots)
+    return draw_near_best(choices, margin, now, draws).worker
 
-    def cost(worker: Worker) -> tuple[bool, float]:
-        distance = distance_cost(proximity, worker)
-        connection = NEW_CONNECTION_COST if prefer_warm and not worker.warm(now) else 0.0
-        late = slowness(worker, fastest, now) * SLOWNESS_COST
-        return worker.suspect(now), worker.occupancy(now) + distance + connection + late
 
-    return min(candidates, key=cost)
+def _choices(
+    candidates: Sequence[Worker], now: float, proximity: Proximity, *, prefer_warm: bool
+) -> list[Choice]:
+    """Return what each candidate costs, in parts of a full worker."""
+    latencies = [worker.expected_latency(now) for worker in candidates]
+    shortest = fastest(latencies)
+    distances = zone_costs(proximity, candidates)
+    choices = []
+    for worker, latency in zip(candidates, latencies, strict=True):
+        connection = NEW_CONNECTION_COST if prefer_warm and not worker.warm(now) else 0.0
+        fixed = distances[worker.announcement.zone] + connection
+        late = slowness(latency, shortest) * SLOWNESS_COST
+        cost = worker.occupancy(now) + fixed + late
+        choices.append(Choice(worker, cost, fixed, worker.suspect(now)))
+    return choices
--- a/src/stagewalk/gateway/workers/table.py
+++ b/src/stagewalk/gateway/workers/table.py
@@ -8,13 +8,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Container, Iterable
 from dataclasses import replace
 from enum import StrEnum
 from typing import Protocol
 
 from stagewalk.gateway.ports.send_permits import WorkerTarget
-from stagewalk.gateway.workers.worker import Worker, WorkerAnnouncement
+from stagewalk.gateway.workers.worker import ReportKind, Worker, WorkerAnnouncement
 
 STALE_SECONDS = 2.2
 """How long after trouble with the list a worker whose entry is missing counts as stale rather than
@@ -69,9 +70,15 @@
     A worker that said that it leaves keeps leaving: an older entry, written late, changes nothing.
     A worker may start again under its name. That is another worker then, and the one before is
     gone; an entry of an earlier start, written late, changes nothing while the later one is seen.
+
+    Parameters
+    ----------
+    reads_pace
+        Whether the pace that workers report is used.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, reads_pace: bool = True) -> None:
+        self._reads_pace = reads_pace
         self._workers: dict[str, Worker] = {}
         self._start_of: dict[str, str] = {}
         """By the name that an entry is listed under, its start."""
@@ -122,7 +129,12 @@
         known = self._workers.get(announcement.worker)
         self._stale_until.pop(announcement.worker, None)
         if known is None:
-            worker = Worker(announcement, now, versions=dict(announcement.versions))
+            worker = Worker(
+                announcement,
+                now,
+                versions=dict(announcement.versions),
+                reads_pace=self._reads_pace,
+            )
             self._workers[announcement.worker] = worker
             self._start_of[announcement.listed_as] = announcement.worker
             self._index()
@@ -191,6 +203,11 @@
         """Return all listed workers."""
         return [worker for worker in self._workers.values() if self._trusted(worker)]
 
+    def report_kinds(self, now: float) -> dict[ReportKind, int]:
+        """Return of how many workers each kind of load report is known, of every kind."""
+        counts = Counter(worker.report_kind(now) for worker in self.all())
+        return {kind: counts[kind] for kind in ReportKind}
+
     @staticmethod
     def target(worker: Worker) -> WorkerTarget:
         """Return where to send."""
