--- a/src/stagewalk/gateway/place_shares/demand.py
+++ b/src/stagewalk/gateway/place_shares/demand.py
@@ -43,6 +43,11 @@
     running: int
     waiting: int
 
+    @property
+    def items(self) -> int:
+        """Return how many places its items would take if there were enough."""
+        return self.running + self.waiting
+
 
 class PlaceLimits(Protocol):
     """How many places a claimant's items may have."""
