Nodes that run batches announce what their items ask of engines

Cause: shares need the demand of all runners. Change: a last field of the announcement, claims; a build that doesn't know it passes it over, and it takes no byte where nothing is stated. The claims of a process that stops, or that probes found gone, don't count.

--- a/src/stagewalk/gateway/directory/node_table.py
+++ b/src/stagewalk/gateway/directory/node_table.py
@@ -13,6 +13,7 @@
 
 from stagewalk.common.identities import Address, NodeName
 from stagewalk.gateway.directory.renewals import LONGEST_RENEWAL_SECONDS, RENEWAL_SECONDS
+from stagewalk.gateway.place_shares.claims import ServiceClaims
 
 ALIVE_SECONDS = 3.0
 """A node that announced nothing for this long, while the log answers, counts as dead: three
@@ -55,6 +56,8 @@
         True once a planned stop has begun.
     calls_per_second
         Rate of callers' requests that it received, smoothed.
+    claims
+        What the items that it runs ask of engines; None: it says nothing of that. The last field.
     """
 
     node: str
@@ -71,6 +74,7 @@
     listed: bool = True
     stopping: bool = False
     calls_per_second: float = 0.0
+    claims: tuple[ServiceClaims, ...] | None = None
 
     @property
     def alive_seconds(self) -> float:
@@ -89,8 +93,9 @@
         return Address(host, int(port)) if host and port.isdecimal() else None
 
     def encode(self) -> bytes:
-        """Return the record's value."""
-        return msgspec.msgpack.encode(self)
+        """Return the record's value; claims that aren't stated take no byte of it."""
+        fields = msgspec.structs.astuple(self)
+        return msgspec.msgpack.encode(fields if self.claims is not None else fields[:-1])
 
 
 def decode_announcement(value: bytes) -> NodeAnnouncement | None:
--- a/src/stagewalk/gateway/nodes/node_service.py
+++ b/src/stagewalk/gateway/nodes/node_service.py
@@ -25,11 +25,13 @@
 from stagewalk.gateway.directory.read_pace import LISTED_PACE, OLDEST_VIEW_SECONDS, REFRESH_SECONDS
 from stagewalk.gateway.directory.renewals import RENEWAL_SECONDS
 from stagewalk.gateway.log_relay.relayed_log import RelayPeers
-from stagewalk.gateway.nodes.identity import parse_process_id
+from stagewalk.gateway.nodes.identity import ProcessId, parse_process_id
 from stagewalk.gateway.nodes.own_node import OwnNode
 from stagewalk.gateway.nodes.relay_choice import choose_relay_peers
 from stagewalk.gateway.nodes.runner_state import judge_runner
 from stagewalk.gateway.partitioned_log.keyed_follower import KeyedFollower
+from stagewalk.gateway.place_shares.claims import ServiceClaims, rises_markedly
+from stagewalk.gateway.place_shares.limits import OtherNodes
 from stagewalk.gateway.policy import Policy
 from stagewalk.gateway.ports.keyed_records import KeyedRecords
 from stagewalk.gateway.ports.partitioned_log import KeyedRecord, Partition, PartitionedLog
@@ -108,6 +110,7 @@
         self._settled = anyio.Event()
         self._alone = False
         self._wake = anyio.Event()
+        self._announced_early = False
         self._roles = Roles(replica=False, listed=False)
         self._roles_as_of = -math.inf
         self._living = 1
@@ -179,6 +182,41 @@
             self._own.replica = replica
             self._wake.set()
 
+    def set_claims(self, claims: tuple[ServiceClaims, ...] | None) -> None:
+        """Set what the items run here ask of engines.
+
+        It is announced with the next renewal; at once if other nodes know of much less, but only
+        once before that renewal.
+        """
+        self._own.claims = claims
+        announced = self._table.known(self._identity.node)
+        if announced is None or announced.incarnation != self._identity.incarnation:
+            return
+        if rises_markedly(announced.claims or (), claims or ()):
+            self._wake_early()
+
+    def claims_of_others(self) -> OtherNodes:
+        """Return what the other nodes that run batches announced of their claims.
+
+        A process that stops has handed its batches over, and one that is gone has lost them: what
+        it asked for is asked for by its successors.
+        """
+        running = [
+            node
+            for node in self._others()
+            if node.ledger_replica and not node.stopping and self._runs(node)
+        ]
+        return OtherNodes(self._view_at, [node.claims for node in running])
+
+    def _runs(self, node: NodeAnnouncement) -> bool:
+        process = str(ProcessId(node.node, node.incarnation))
+        return self.runner_state(process) is RunnerState.RUNS
+
+    def _wake_early(self) -> None:
+        if not self._announced_early:
+            self._announced_early = True
+            self._wake.set()
+
     @property
     def liveness(self) -> RunnerLiveness:
         """Return what direct probes of runners showed."""
@@ -289,8 +327,10 @@
                 wait_seconds = RENEWAL_SECONDS
             self._wake = anyio.Event()
             if self._own.matches(own):
-                with anyio.move_on_after(wait_seconds):
+                with anyio.move_on_after(wait_seconds) as renewal:
                     await self._wake.wait()
+                if renewal.cancelled_caught:
+                    self._announced_early = False
 
     def _view_confirmed(self, confirmed_at: float) -> None:
         """Move the view's time on; after an outage, restart every living node's failure timeout."""
--- a/src/stagewalk/gateway/nodes/own_node.py
+++ b/src/stagewalk/gateway/nodes/own_node.py
@@ -11,6 +11,7 @@
 from stagewalk.gateway.directory.node_table import NodeAnnouncement
 from stagewalk.gateway.directory.renewals import renewal_seconds
 from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.place_shares.claims import ServiceClaims
 
 
 @dataclass(slots=True)
@@ -33,6 +34,8 @@
         Announcements made.
     calls_per_second
         Rate of callers' requests, smoothed.
+    claims
+        What the items run here ask of engines; None: other nodes aren't told.
     """
 
     identity: ProcessId
@@ -46,6 +49,7 @@
     stopping: bool = False
     beat: int = 0
     calls_per_second: float = 0.0
+    claims: tuple[ServiceClaims, ...] | None = None
 
     def announcement(self, living: int) -> NodeAnnouncement:
         """Return the announcement of this node, one of so many living nodes."""
@@ -64,6 +68,7 @@
             listed=self.listed,
             stopping=self.stopping,
             calls_per_second=round(self.calls_per_second, 1),
+            claims=self.claims if self.replica else None,
         )
 
     def matches(self, announced: NodeAnnouncement) -> bool:
--- a/tests/gateway/nodes/test_node_service.py
+++ b/tests/gateway/nodes/test_node_service.py
@@ -18,6 +18,7 @@
 from stagewalk.gateway.policy import ALL_ON
 from stagewalk.gateway.ports.partitioned_log import Partition
 from tests.gateway.memory_log import MemoryLog, MemoryLogClient
+from tests.gateway.place_shares.support import ALPHA, BETA, claims, demand
 from tests.gateway.support import until
 
 NODES = Partition("keyed.nodes", 0)
@@ -162,6 +163,82 @@
 
         run(nodes, scenario)
 
+    def test_claims_of_runners_are_known_but_not_of_those_that_stop_or_are_gone(self) -> None:
+        stated = claims(demand(BETA, 30))
+        put(self.log, msgspec.structs.replace(other(1), claims=stated))
+        put(self.log, msgspec.structs.replace(other(2), claims=stated, stopping=True))
+        put(self.log, msgspec.structs.replace(other(3), claims=stated))
+        put(self.log, other(4))
+        put(self.log, msgspec.structs.replace(other(5), ledger_replica=False))
+        nodes = service(self.log)
+
+        async def scenario() -> None:
+            self.assertEqual([stated, stated, None], list(nodes.claims_of_others().claims))
+            self.assertFalse(nodes.claims_of_others().complete)
+            with mock.patch.object(nodes.liveness, "gone", lambda process, _: process[6] in "34"):
+                self.assertEqual([stated], list(nodes.claims_of_others().claims))
+
+        run(nodes, scenario)
+
+    def test_a_runner_that_was_replaced_counts_once(self) -> None:
+        put(self.log, msgspec.structs.replace(other(1), claims=claims(demand(BETA, 30))))
+        nodes = service(self.log)
+
+        async def scenario() -> None:
+            later = claims(demand(BETA, 7))
+            put(self.log, msgspec.structs.replace(other(1, incarnation=2), claims=later))
+
+            async def replaced() -> bool:
+                return [later] == list(nodes.claims_of_others().claims)
+
+            await until(replaced)
+
+        run(nodes, scenario)
+
+    def test_a_step_that_begins_is_announced_before_the_renewal_and_once(self) -> None:
+        nodes = service(self.log)
+
+        async def scenario() -> None:
+            nodes.set_replica(True)
+            nodes.set_claims(())
+
+            async def announced() -> bool:
+                own = self.announced()
+                return own is not None and own.claims == ()
+
+            await until(announced)
+            await anyio.sleep(RENEWAL_SECONDS)
+            began = self.announced().beat
+            nodes.set_claims(claims(demand(ALPHA, 50)))
+
+            async def told() -> bool:
+                return self.announced().claims == claims(demand(ALPHA, 50))
+
+            with anyio.fail_after(RENEWAL_SECONDS / 2):
+                await until(told)
+            for items in (100, 200, 400):
+                nodes.set_claims(claims(demand(ALPHA, items)))
+                await anyio.sleep(0.05)
+            self.assertLessEqual(self.announced().beat, began + 2)
+
+        run(nodes, scenario)
+
+    def test_a_node_without_a_replica_announces_no_claims(self) -> None:
+        nodes = service(self.log)
+
+        async def scenario() -> None:
+            nodes.set_claims(())
+            nodes.set_serving(True)
+
+            async def told() -> bool:
+                own = self.announced()
+                return own is not None and own.serving
+
+            await until(told)
+            self.assertIsNone(self.announced().claims)
+
+        run(nodes, scenario)
+
     def test_a_role_is_told_at_once_and_renewed_often(self) -> None:
         for number in range(194):
             put(self.log, other(number))
