Items start within their claimant's share, least slack first

Cause: items start oldest batch first and longest first, as far as engines show room. Change: where places are limited, a claimant's items start only within its share; the trainer with the least slack first, one that can't be in time any more last (its share is kept for it), within a step the groups it waits for first. Where places suffice the order is as before.

--- a/src/stagewalk/gateway/batches/attempt_starter.py
+++ b/src/stagewalk/gateway/batches/attempt_starter.py
@@ -1,12 +1,15 @@
-"""Decides which waiting items start next, in which order, and begins their attempts. Pure.
+"""Decides which waiting items start next and begins their attempts. Pure.
 
-Owns the order of starts and the priority of returned items. Relies on `placement` for the engine,
-on `attempt_watch` for the candidates, and on `length_estimate` for how long an item will run.
+Owns the use of each claimant's places and the priority of returned items. Relies on `start_order`
+for the order, on `placement` for the engine, and on `attempt_watch` for the candidates.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+import math
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
 
 from stagewalk.gateway.batches.attempt_watch import AttemptWatch
 from stagewalk.gateway.batches.attempts import Attempts
@@ -15,10 +18,27 @@
 from stagewalk.gateway.batches.item_run import ItemRun, RunningAttempt
 from stagewalk.gateway.batches.length_estimate import LengthEstimate
 from stagewalk.gateway.batches.messages import StartItem
+from stagewalk.gateway.batches.place_demand import (
+    ClaimantPlaces,
+    WithheldStarts,
+    claimant_of,
+    claimant_places,
+    engine_service,
+    place_demands,
+    withheld_starts,
+)
 from stagewalk.gateway.batches.placement import choose_engine
-from stagewalk.gateway.place_shares.demand import PlaceLimits
+from stagewalk.gateway.batches.start_order import (
+    StepBounds,
+    WaitingItem,
+    order_ample,
+    order_scarce,
+    usual_event_seconds,
+)
+from stagewalk.gateway.place_shares.demand import Claimant, PlaceDemand, PlaceLimits
 from stagewalk.gateway.policy import Policy
-from stagewalk.gateway.scoring.core import MayStart
+from stagewalk.gateway.scoring.core import MayStart, RouteOf
+from stagewalk.gateway.workers.table import WorkerTable
 from stagewalk.gateway.workers.worker import Worker
 from stagewalk.gateway.zones.distance import Proximity
 
@@ -29,6 +49,15 @@
 and its step ended after 12.6 s instead of 8."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Places:
+    """The places that a batch's items take, and how many of them there are for its claimant."""
+
+    claimant: Claimant
+    service: str
+    most: float
+
+
 class AttemptStarter:
     """Begins attempts at items.
 
@@ -38,6 +67,10 @@
         The batches run here, by name.
     attempts
         Where attempts that begin are added.
+    workers
+        The engines, for their usual pace.
+    route_of
+        Finds the route of a batch: its service, and when it is due.
     numbers
         Numbers of attempts, shared with the score calls.
     proximity
@@ -58,12 +91,16 @@
         lengths: LengthEstimate,
         numbers: Iterator[int],
         *,
+        workers: WorkerTable,
+        route_of: RouteOf,
         proximity: Proximity,
         policy: Policy,
         may_start: MayStart,
         room: EngineRoom,
         limits: PlaceLimits,
     ) -> None:
+        self._workers = workers
+        self._route_of = route_of
         self._room = room
         self._limits = limits
         self._runs = runs
@@ -76,16 +113,88 @@
         self._may_start = may_start
 
     def start_due(self, now: float) -> list[StartItem]:
-        """Begin attempts at the items that wait for one, as far as engines have room."""
+        """Begin attempts at the items that wait for one, as far as engines have room.
+
+        Items whose claimant has all its places taken stay waiting.
+        """
         waiting = [
-            (run, item)
+            WaitingItem(run, item)
             for run in self._runs.values()
             if self._may_start(run.name, now)
             for item in run.items.values()
             if item.waiting and item.not_before <= now
         ]
-        waiting.sort(key=lambda pair: self._order(*pair))
-        return [start for run, item in waiting for start in self.start(run, item, now)]
+        places = {run.name: self._places(run, now) for run in self._runs.values()}
+        ample = [pair for pair in waiting if math.isinf(places[pair.run.name].most)]
+        starts = [
+            start
+            for pair in order_ample(ample, self._lengths)
+            for start in self.start(pair.run, pair.item, now)
+        ]
+        if len(ample) < len(waiting):
+            scarce = [pair for pair in waiting if math.isfinite(places[pair.run.name].most)]
+            starts += self._start_within_shares(scarce, places, now)
+        return starts
+
+    def place_demands(self) -> list[PlaceDemand]:
+        """Return what the items of each claimant ask of each service's engines."""
+        return place_demands(self._runs.values(), self._route_of)
+
+    def claimant_places(self, now: float) -> list[ClaimantPlaces]:
+        """Return the places that each claimant's items have and may have."""
+        return claimant_places(self.place_demands(), self._limits, now)
+
+    def withheld(self, now: float) -> list[WithheldStarts]:
+        """Return the batches of which items wait because of their claimant's share."""
+        return withheld_starts(self._runs.values(), self.claimant_places(now), self._route_of)
+
+    def _places(self, run: BatchRun, now: float) -> _Places:
+        claimant, service = claimant_of(run), engine_service(run, self._route_of)
+        return _Places(claimant, service, self._limits.most(claimant, service, now))
+
+    def _start_within_shares(
+        self, waiting: list[WaitingItem], places: Mapping[str, _Places], now: float
+    ) -> list[StartItem]:
+        """Begin attempts at items of claimants whose places are limited."""
+        taken = self._taken(places)
+        free = [
+            pair
+            for pair in waiting
+            if taken[places[pair.run.name]] + 1 <= places[pair.run.name].most
+        ]
+        bounds = self._bounds({pair.run.name: pair.run for pair in free}.values(), places, now)
+        starts: list[StartItem] = []
+        for pair in order_scarce(free, bounds, self._lengths, now):
+            share = places[pair.run.name]
+            if taken[share] + 1 > share.most:
+                continue
+            begun = self.start(pair.run, pair.item, now)
+            taken[share] += len(begun)
+            starts += begun
+        return starts
+
+    def _taken(self, places: Mapping[str, _Places]) -> Counter[_Places]:
+        """Return how many places each claimant's items have."""
+        taken: Counter[_Places] = Counter()
+        for run in self._runs.values():
+            taken[places[run.name]] += sum(item.running is not None for item in run.items.values())
+        return taken
+
+    def _bounds(
+        self, runs: Iterable[BatchRun], places: Mapping[str, _Places], now: float
+    ) -> dict[str, StepBounds]:
+        """Return by batch what bounds when it is whole."""
+        bounds: dict[str, StepBounds] = {}
+        paces: dict[str, float] = {}
+        for run in runs:
+            share, header = places[run.name], run.batch.header
+            if share.service not in paces:
+                engines = self._workers.serving(share.service)
+                paces[share.service] = usual_event_seconds(engines, now)
+            route = self._route_of(header.host, header.path)
+            due_seconds = math.inf if route is None else route.due_seconds
+            bounds[run.name] = StepBounds(due_seconds, share.most, paces[share.service])
+        return bounds
 
     def start(self, run: BatchRun, item: ItemRun, now: float) -> list[StartItem]:
         """Begin an attempt at an item; nothing if no engine has room for it."""
@@ -127,7 +236,3 @@
             avoid=item.last_worker,
             policy=self._policy,
         )
-
-    def _order(self, run: BatchRun, item: ItemRun) -> tuple[float, float, str]:
-        """Older batches first, within one the items expected to run longest."""
-        return run.batch.seen_at, -self._lengths.events(item), item.spec.group
--- /dev/null
+++ b/src/stagewalk/gateway/batches/place_demand.py
@@ -0,0 +1,102 @@
+"""What the items of the batches run here ask of engines. Pure.
+
+Owns whose places an item takes: those of its batch's trainer and tenant, at the service that the
+batch's route names first. Relies on `batch_run` for the items.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from stagewalk.gateway.batches.batch_run import BatchRun
+from stagewalk.gateway.place_shares.demand import Claimant, PlaceDemand, PlaceLimits
+from stagewalk.gateway.scoring.core import RouteOf
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimantPlaces:
+    """The places of one claimant's items at one node.
+
+    Attributes
+    ----------
+    taken
+        Items at an engine.
+    waiting
+        Items that could begin.
+    most
+        How many places they may have, infinite if any.
+    """
+
+    claimant: Claimant
+    service: str
+    taken: int
+    waiting: int
+    most: float
+
+
+@dataclass(frozen=True, slots=True)
+class WithheldStarts:
+    """A batch of which items wait because their claimant has all its places taken."""
+
+    batch: str
+    waiting: int
+    places: ClaimantPlaces
+
+
+def claimant_of(run: BatchRun) -> Claimant:
+    """Return whose places the items of a batch take."""
+    header = run.batch.header
+    return Claimant(header.tenant, header.trainer)
+
+
+def engine_service(run: BatchRun, route_of: RouteOf) -> str:
+    """Return the service whose engines run a batch's items; empty if no route names one."""
+    route = route_of(run.batch.header.host, run.batch.header.path)
+    return "" if route is None else route.back_ends[0].service
+
+
+def place_demands(runs: Iterable[BatchRun], route_of: RouteOf) -> list[PlaceDemand]:
+    """Return the demand of each claimant at each service."""
+    running: Counter[tuple[Claimant, str]] = Counter()
+    waiting: Counter[tuple[Claimant, str]] = Counter()
+    for run in runs:
+        key = claimant_of(run), engine_service(run, route_of)
+        running[key] += sum(item.running is not None for item in run.items.values())
+        waiting[key] += sum(item.waiting for item in run.items.values())
+    return [PlaceDemand(*key, running[key], waiting[key]) for key in running]
+
+
+def claimant_places(
+    demands: Iterable[PlaceDemand], limits: PlaceLimits, now: float
+) -> list[ClaimantPlaces]:
+    """Return what each claimant has and may have."""
+    return [
+        ClaimantPlaces(
+            demand.claimant,
+            demand.service,
+            demand.running,
+            demand.waiting,
+            limits.most(demand.claimant, demand.service, now),
+        )
+        for demand in demands
+    ]
+
+
+def withheld_starts(
+    runs: Iterable[BatchRun], places: Sequence[ClaimantPlaces], route_of: RouteOf
+) -> list[WithheldStarts]:
+    """Return the batches of which items wait for their claimant's share alone."""
+    full = {
+        (claimant.claimant, claimant.service): claimant
+        for claimant in places
+        if claimant.taken + 1 > claimant.most
+    }
+    withheld: list[WithheldStarts] = []
+    for run in runs if full else ():
+        claimant = full.get((claimant_of(run), engine_service(run, route_of)))
+        waiting = sum(item.waiting for item in run.items.values())
+        if claimant is not None and waiting > 0:
+            withheld.append(WithheldStarts(run.name, waiting, claimant))
+    return withheld
--- a/src/stagewalk/gateway/batches/scheduler.py
+++ b/src/stagewalk/gateway/batches/scheduler.py
@@ -33,12 +33,13 @@
     SchedulerInstruction,
     Tick,
 )
+from stagewalk.gateway.batches.place_demand import ClaimantPlaces, WithheldStarts
 from stagewalk.gateway.batches.records import BatchItem
 from stagewalk.gateway.batches.retry_rules import is_overdue
 from stagewalk.gateway.batches.reusable_texts import FindText, ReusableText
 from stagewalk.gateway.batches.version_rules import may_reuse
 from stagewalk.gateway.eligibility.core import Eligibility
-from stagewalk.gateway.place_shares.demand import PlaceLimits, UnlimitedPlaces
+from stagewalk.gateway.place_shares.demand import PlaceDemand, PlaceLimits, UnlimitedPlaces
 from stagewalk.gateway.policy import ALL_ON, Policy
 from stagewalk.gateway.scoring.core import MayStart, RouteOf, ScoreCalls, ServiceOf
 from stagewalk.gateway.scoring.messages import ScoreAnswered, ScoreBroken
@@ -102,6 +103,8 @@
             watch,
             lengths,
             numbers,
+            workers=workers,
+            route_of=route_of,
             proximity=eligibility.proximity,
             policy=policy,
             may_start=may_start,
@@ -134,6 +137,19 @@
         """Return the number of attempts under way at items of other trainers."""
         return sum(running.run.batch.header.trainer != trainer for running in self._attempts)
 
+    @property
+    def place_demands(self) -> list[PlaceDemand]:
+        """Return what the items run here ask of engines, by claimant and service."""
+        return self._starter.place_demands()
+
+    def claimant_places(self, now: float) -> list[ClaimantPlaces]:
+        """Return the places that each claimant's items have and may have."""
+        return self._starter.claimant_places(now)
+
+    def withheld(self, now: float) -> list[WithheldStarts]:
+        """Return the batches of which items wait because of their claimant's share."""
+        return self._starter.withheld(now)
+
     @property
     def scoring(self) -> int:
         """Return the number of items whose text is whole and whose score is awaited."""
