--- a/src/stagewalk/gateway/runners/runner_service.py
+++ b/src/stagewalk/gateway/runners/runner_service.py
@@ -20,6 +20,8 @@
 from stagewalk.gateway.nodes.node_service import NodeService
 from stagewalk.gateway.peer_calls.client import PeerClient
 from stagewalk.gateway.peer_calls.server import PeerHandler
+from stagewalk.gateway.place_shares.demand import PlaceLimits
+from stagewalk.gateway.place_shares.limits import ShareLimits
 from stagewalk.gateway.policy import Policy
 from stagewalk.gateway.ports.workers import WorkerClient
 from stagewalk.gateway.quarantine.crash_reports import CrashReports
@@ -28,6 +30,7 @@
 from stagewalk.gateway.runners.batch_runner import BatchRunner
 from stagewalk.gateway.runners.batch_views import BatchViews
 from stagewalk.gateway.runners.checked_sends import CheckedSends
+from stagewalk.gateway.runners.place_sharing import PlaceSharing
 from stagewalk.gateway.runners.runner_calls import RUNNER_PATH, RunnerCallHandler, RunnerCalls
 from stagewalk.gateway.runners.runner_choice import RunnerChoice
 from stagewalk.gateway.runners.runner_probes import RunnerProbes
@@ -74,13 +77,27 @@
         on_item_started: Callable[[float], None],
     ) -> None:
         views = BatchViews(store, batch_end_seconds)
-        scheduler = _build_scheduler(access, policy, views)
+        limits = ShareLimits()
+        scheduler = _build_scheduler(access, policy, views, limits)
+        self.place_sharing = PlaceSharing(
+            limits,
+            nodes=nodes,
+            scheduler=scheduler,
+            workers=access.workers,
+            evacuations=access.eligibility_services.evacuations,
+        )
+        self._share_places = policy.place_shares
         self.runner = BatchRunner(
             identity=identity,
             store=store,
             scheduler=scheduler,
             loop=SchedulerLoop(
-                scheduler, store, views, _build_sends(access, views), on_item_started
+                scheduler,
+                store,
+                views,
+                _build_sends(access, views),
+                on_item_started,
+                on_opened=self._batch_opened,
             ),
             rollouts=rollouts,
             views=views,
@@ -120,6 +137,13 @@
         self.assignments.start(tasks)
         self.takeovers.start(tasks)
         tasks.start_soon(self._probes.run)
+        if self._share_places:
+            tasks.start_soon(self.place_sharing.run)
+
+    def _batch_opened(self) -> None:
+        """Count a batch's demand before its items take places."""
+        if self._share_places:
+            self.place_sharing.update()
 
     @property
     def peer_handlers(self) -> dict[str, PeerHandler]:
@@ -128,7 +152,9 @@
         return {RUNNER_PATH: handler.handle}
 
 
-def _build_scheduler(access: WorkerAccess, policy: Policy, views: BatchViews) -> BatchScheduler:
+def _build_scheduler(
+    access: WorkerAccess, policy: Policy, views: BatchViews, limits: PlaceLimits
+) -> BatchScheduler:
     return BatchScheduler(
         access.workers,
         access.routes.find,
@@ -136,6 +162,7 @@
         access.eligibility_services.eligibility,
         policy,
         may_start=views.may_start,
+        limits=limits,
     )
 
 
--- a/src/stagewalk/gateway/runners/scheduler_loop.py
+++ b/src/stagewalk/gateway/runners/scheduler_loop.py
@@ -43,6 +43,8 @@
     ----------
     on_item_started
         Observes the age of the view by which an item was started, in seconds.
+    on_opened
+        Called before items of a batch that was opened are started.
     """
 
     def __init__(
@@ -52,11 +54,14 @@
         views: BatchViews,
         sends: CheckedSends,
         on_item_started: Callable[[float], None] = lambda _view_age: None,
+        *,
+        on_opened: Callable[[], None] = lambda: None,
     ) -> None:
         self._scheduler = scheduler
         self._store = store
         self._views = views
         self._on_item_started = on_item_started
+        self._on_opened = on_opened
         self._items = ItemSender(sends, self.handle)
         self._scores = ScoreSender(sends)
         self._attempts = AttemptTasks(self.handle)
@@ -70,6 +75,7 @@
     def wake(self) -> None:
         """Let the scheduler look at a batch that was opened, without waiting for the tick."""
         self._begun.set()
+        self._on_opened()
         self.handle(Tick())
 
     def handle(self, event: SchedulerEvent) -> None:
