--- a/src/stagewalk/gateway/batch_services.py
+++ b/src/stagewalk/gateway/batch_services.py
@@ -25,6 +25,7 @@
 from stagewalk.gateway.peer_calls.server import PeerHandler
 from stagewalk.gateway.ports.partitioned_log import PartitionedLog
 from stagewalk.gateway.runners.batch_runner import BatchRunner
+from stagewalk.gateway.runners.place_sharing import PlaceSharing
 from stagewalk.gateway.runners.runner_service import RunnerService, WorkerAccess
 from stagewalk.gateway.runners.takeover_service import TakeoverService
 from stagewalk.gateway.settings import GatewaySettings
@@ -120,6 +121,11 @@
         """Return the service that takes batches over."""
         return self._running.takeovers
 
+    @property
+    def place_sharing(self) -> PlaceSharing:
+        """Return what shares engines' places among trainers."""
+        return self._running.place_sharing
+
     @property
     def peer_handlers(self) -> dict[str, PeerHandler]:
         """Return by path what answers other nodes' calls."""
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -202,6 +202,7 @@
             worker_ends=self._crashes.suspects,
             requests_held_back=len(self._crashes.held_contents()),
             view_ages={freshness.name: freshness.age(now) for freshness in followers},
+            claimant_places=self._batches.place_sharing.claimants(),
         )
 
     # Keeping house.
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from prometheus_client import (
@@ -21,6 +21,7 @@
 
 from stagewalk.common.logs.budget import LogBudget
 from stagewalk.common.steady_clock import steady_seconds
+from stagewalk.gateway.batches.place_demand import ClaimantPlaces
 from stagewalk.gateway.ports.denials import Denial
 
 _omit_creation_times: Callable[[], None] = disable_created_metrics
@@ -40,6 +41,8 @@
     ----------
     view_ages
         By followed partition, seconds since its view was complete.
+    claimant_places
+        Engines' places of each trainer whose items run here.
     """
 
     configuration: int
@@ -56,6 +59,7 @@
     worker_ends: int
     requests_held_back: int
     view_ages: dict[str, float]
+    claimant_places: Sequence[ClaimantPlaces] = ()
 
 
 class _StateCollector(Collector):
@@ -94,6 +98,7 @@
         for partition, age in sorted(state.view_ages.items()):
             ages.add_metric([partition], age)
         yield ages
+        yield from _claimant_gauges(state.claimant_places)
         events = CounterMetricFamily(
             "stagewalk_events", "Log events, dropped ones too.", labels=["event", "failure"]
         )
@@ -102,6 +107,33 @@
         yield events
 
 
+def _claimant_gauges(places: Sequence[ClaimantPlaces]) -> Iterable[Metric]:
+    """Return demand, use and share of places; one without a limit has a share of infinity."""
+    labels = ["tenant", "trainer", "service"]
+    for name, text, value in (
+        ("place_demand", "Places that a trainer's items here ask for.", _asked),
+        ("places_taken", "Places that they have.", _taken),
+        ("place_share", "Places that they may have.", _most),
+    ):
+        gauge = GaugeMetricFamily(f"stagewalk_{name}", text, labels=labels)
+        for found in places:
+            claimant = found.claimant
+            gauge.add_metric([claimant.tenant or "", claimant.trainer, found.service], value(found))
+        yield gauge
+
+
+def _asked(places: ClaimantPlaces) -> float:
+    return float(places.taken + places.waiting)
+
+
+def _taken(places: ClaimantPlaces) -> float:
+    return float(places.taken)
+
+
+def _most(places: ClaimantPlaces) -> float:
+    return places.most
+
+
 class GatewayMetrics:
     """Counters and histograms of one gateway."""
 
