--- a/src/stagewalk/gateway/explain/story.py
+++ b/src/stagewalk/gateway/explain/story.py
@@ -31,6 +31,7 @@
         "log_relayed",
         "log_history_dropped",
         "log_lines_dropped",
+        "place_shares_changed",
         "plan_void",
         "lease_released",
     }
