--- a/src/stagewalk/gateway/batches/start_order.py
+++ b/src/stagewalk/gateway/batches/start_order.py
@@ -80,20 +80,35 @@
     bounds
         By batch, what bounds when it is whole.
     """
-    runs = {pair.run.name: pair.run for pair in waiting}
+    steps: dict[str, list[WaitingItem]] = {}
+    for pair in waiting:
+        steps.setdefault(pair.run.name, []).append(pair)
+    runs = {name: pairs[0].run for name, pairs in steps.items()}
     outlooks = {name: _outlook(run, bounds[name], lengths, now) for name, run in runs.items()}
-    least: dict[Claimant, float] = {}
+    slacks: dict[Claimant, float] = {}
     for name, run in runs.items():
         claimant = claimant_of(run)
-        least[claimant] = min(least.get(claimant, math.inf), outlooks[name].slack_seconds)
-    slacks = {name: least[claimant_of(run)] for name, run in runs.items()}
+        slacks[claimant] = min(slacks.get(claimant, math.inf), outlooks[name].slack_seconds)
 
-    def key(pair: WaitingItem) -> tuple[bool, float, float, bool, float, str]:
-        name, group = pair.run.name, pair.item.spec.group
-        slack = slacks[name]
-        spare = group not in outlooks[name].awaited
-        length = lengths.events(pair.item)
-        return slack < 0.0, slack, pair.run.batch.seen_at, spare, -length, group
+    def urgency(name: str) -> tuple[bool, float, float, str]:
+        slack = slacks[claimant_of(runs[name])]
+        return slack < 0.0, slack, runs[name].batch.seen_at, name
+
+    return [
+        pair
+        for name in sorted(steps, key=urgency)
+        for pair in _order_step(steps[name], outlooks[name].awaited, lengths)
+    ]
+
+
+def _order_step(
+    waiting: Collection[WaitingItem], awaited: Collection[str], lengths: LengthEstimate
+) -> list[WaitingItem]:
+    """Return a step's waiting items: awaited groups first, of these the longest items."""
+
+    def key(pair: WaitingItem) -> tuple[bool, float, str]:
+        group = pair.item.spec.group
+        return group not in awaited, -lengths.events(pair.item), group
 
     return sorted(waiting, key=key)
 
@@ -116,17 +131,12 @@
 
 @dataclass(slots=True)
 class _GroupRest:
-    """What is left of a group, in events."""
+    """What is left of a group, in events; whether it came back from an earlier batch."""
 
     events: float = 0.0
     longest: float = 0.0
     returned: bool = False
 
-    def add(self, item: ItemRun, events: float) -> None:
-        self.events += events
-        self.longest = max(self.longest, events)
-        self.returned = self.returned or item.known_events > 0
-
 
 def _outlook(run: BatchRun, bounds: StepBounds, lengths: LengthEstimate, now: float) -> _Outlook:
     left_seconds = run.batch.seen_at + bounds.due_seconds - now
@@ -151,9 +161,16 @@
     """
     groups: dict[str, _GroupRest] = {}
     for item in run.items.values():
-        unfinished = item.running is not None or item.waiting
-        rest = groups.setdefault(item.spec.group, _GroupRest())
-        rest.add(item, max(1.0, lengths.events_left(item)) if unfinished else 0.0)
+        rest = groups.get(item.spec.group)
+        if rest is None:
+            rest = groups[item.spec.group] = _GroupRest()
+        if item.known_events > 0:
+            rest.returned = True
+        if item.running is None and not item.waiting:
+            continue
+        left = max(1.0, lengths.events_left(item))
+        rest.events += left
+        rest.longest = max(rest.longest, left)
     return groups
 
 
