Engines' memory and items' prompts as the platform states them

Cause: a service's engine section and the token headers of items were kept and read by nobody, so nothing could be placed by memory. Ruled out: storing a prompt's tokens with each item: the records would grow by fields that the headers beside them hold already, and batches stored by older builds would lack them; a strict section: a configuration with an engine section that can't be read must still come into force. Change: Service.engine (memory in tokens, tokens of an event); Dialect.prompt reads an item's parts and the most that comes out from its headers. Conclusion: what EngineMemory needs, without a new stored field.

--- a/src/stagewalk/gateway/dialect.py
+++ b/src/stagewalk/gateway/dialect.py
@@ -12,6 +12,7 @@
 from expression import Result
 
 from stagewalk.common.errors import StagewalkError
+from stagewalk.gateway.batches.prompt import Prompt
 from stagewalk.gateway.batches.records import BatchHeader, BatchItem, ItemFinished
 from stagewalk.gateway.ports.partitioned_log import KeyedRecord, Partition
 from stagewalk.gateway.routes.route import RouteConfiguration
@@ -105,6 +106,9 @@
     ) -> Result[Submission, StagewalkError]:
         """Decode a batch; the error names the field at fault."""
 
+    def prompt(self, item: BatchItem) -> Prompt:
+        """Return what an item's headers state of its prompt; nothing of it is stored apart."""
+
     def results(self, total: int, next_position: int, results: list[ItemFinished]) -> bytes:
         """Encode a page of results."""
 
--- a/src/stagewalk/gateway/routes/route.py
+++ b/src/stagewalk/gateway/routes/route.py
@@ -108,6 +108,22 @@
     zone_prices: dict[str, float]
 
 
+@dataclass(frozen=True, slots=True)
+class EngineLimits:
+    """What an engine of a service holds at once.
+
+    Attributes
+    ----------
+    memory_tokens
+        Tokens of all its runs together: their prompts, shared parts once, and what they made.
+    tokens_per_event
+        Tokens that one event of a stream carries.
+    """
+
+    memory_tokens: int
+    tokens_per_event: float = 1.0
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
     """A service whose workers are back ends.
@@ -121,12 +137,15 @@
     cold_rate
         Requests a second that a cold worker withstands from all senders together; 0.0: as many as
         at any other time.
+    engine
+        What its engines hold; None: its workers are no engines, or it isn't known.
     """
 
     name: str
     scaling: Scaling | None = None
     cold_seconds: float = 0.0
     cold_rate: float = 0.0
+    engine: EngineLimits | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/plain_dialect.py
+++ b/tests/gateway/plain_dialect.py
@@ -6,6 +6,7 @@
 from expression import Error, Ok, Result
 
 from stagewalk.common.errors import ErrorKind, StagewalkError, Step
+from stagewalk.gateway.batches.prompt import UNKNOWN_PROMPT, Prompt
 from stagewalk.gateway.batches.records import BatchHeader, BatchItem, ItemFinished
 from stagewalk.gateway.dialect import (
     CallerInterface,
@@ -106,6 +107,10 @@
         )
         return Ok(Submission(header, decoded.items))
 
+    def prompt(self, _item: BatchItem) -> Prompt:
+        """Return that headers state nothing of a prompt."""
+        return UNKNOWN_PROMPT
+
     def results(self, total: int, next_position: int, results: list[ItemFinished]) -> bytes:
         """Encode a page of results."""
         return msgspec.json.encode(ResultsPage(total, next_position, results))
