An engine that has not begun a run gets no further item; other nodes' runs by its reports

Change: a run that hasn't begun keeps its engine from getting another; reports are remembered for 4 s, fewer as time goes by, and a run of another node counts as the mean of those here. Items of a batch that no engine can take are not tried one by one. An item waits for memory 0.5 s at most.

--- a/src/stagewalk/gateway/batches/attempt_events.py
+++ b/src/stagewalk/gateway/batches/attempt_events.py
@@ -36,8 +36,10 @@
 
     Parameters
     ----------
-    lengths, memory
-        Learn from texts that are whole.
+    lengths
+        Learns from texts that are whole.
+    memory
+        Learns from the load that engines report.
     """
 
     def __init__(
@@ -69,9 +71,11 @@
         worker = self._workers.worker(running.worker)
         if worker is not None:
             worker.note_load(event.head.load, now)
+            self._memory.note_report(worker, event.head.load, now)
         if event.head.status != SUCCESS:
             return []
         running.last_event_at = now
+        running.begun = True
         for version in event.head.versions:
             stop = self._apply_version(known, version, now)
             if stop is not None:
@@ -115,7 +119,6 @@
         )
         if outcome is AttemptOutcome.TEXT_WHOLE:
             self._lengths.learn(item)
-            self._memory.learn(item, self._workers.worker(ended.worker))
             return self._scores.text_whole(run, item, now)
         if outcome is AttemptOutcome.FAILED:
             return [run.fail(item)]
@@ -129,6 +132,7 @@
             return []
         worker = self._workers.worker(ended.worker)
         if worker is not None:
+            self._memory.note_report(worker, event.failure.load, now)
             note_refusal(worker, ended.item.spec.model, event.failure, now)
         self._attempts.retry_later(ended.item, ended.worker, now)
         return [*self._starter.start_due(now)]
--- a/src/stagewalk/gateway/batches/attempt_starter.py
+++ b/src/stagewalk/gateway/batches/attempt_starter.py
@@ -65,6 +65,8 @@
         limits: PlaceLimits,
     ) -> None:
         self._room = room
+        self._closed: set[str] = set()
+        """Batches whose items no engine can take at the moment."""
         self._limits = limits
         self._runs = runs
         self._attempts = attempts
@@ -85,7 +87,13 @@
             if item.waiting and item.not_before <= now
         ]
         waiting.sort(key=lambda pair: self._order(*pair))
-        return [start for run, item in waiting for start in self.start(run, item, now)]
+        self._closed.clear()
+        return [
+            start
+            for run, item in waiting
+            if run.name not in self._closed
+            for start in self.start(run, item, now)
+        ]
 
     def start(self, run: BatchRun, item: ItemRun, now: float) -> list[StartItem]:
         """Begin an attempt at an item; nothing if no engine has room for it."""
@@ -130,7 +138,10 @@
             policy=self._policy,
             fits=room.fits,
         )
-        return engine or room.last_resort()
+        engine = engine or room.last_resort()
+        if engine is None and found and room.closed:
+            self._closed.add(run.name)
+        return engine
 
     def _order(self, run: BatchRun, item: ItemRun) -> tuple[float, float, str]:
         """Older batches first, within one the items expected to run longest."""
--- a/src/stagewalk/gateway/batches/engine_memory.py
+++ b/src/stagewalk/gateway/batches/engine_memory.py
@@ -9,16 +9,20 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from statistics import fmean
 
 from stagewalk.gateway.batches.attempts import Attempts, RunningItem
 from stagewalk.gateway.batches.engine_room import RoomSearch
 from stagewalk.gateway.batches.item_run import ItemRun
 from stagewalk.gateway.batches.length_estimate import LengthEstimate
 from stagewalk.gateway.batches.messages import ItemWithheld
+from stagewalk.gateway.ports.workers import WorkerLoad
 from stagewalk.gateway.routes.route import EngineLimits, Service
+from stagewalk.gateway.workers.table import WorkerTable
 from stagewalk.gateway.workers.worker import Worker
 
 ServiceNamed = Callable[[str], Service | None]
@@ -27,19 +31,23 @@
 """Part of an engine's memory that is left free: lengths are guesses, and runs of other nodes are
 known by their number alone."""
 
-MOST_WITHHELD_SECONDS = 1.0
+MOST_WITHHELD_SECONDS = 0.5
 """An item that no engine has memory for waits at most this long: then it goes where least is
 lacking, since a run that is stopped and read again costs its step less than a longer wait."""
 
 MOST_ENGINES_ASKED = 32
 """How many engines, the cheapest first, are asked for one item: others are busier still."""
 
+OTHERS_VALID_SECONDS = 4.0
+"""How long the runs of other nodes that a report told of count, fewer as time goes by: runs take
+seconds, and an engine reports only with answers."""
+
+MOST_RUNS_SAMPLED = 200
+"""Of how many runs of this node the mean is taken, which stands for a run of another node."""
+
 RUNS_VALID_SECONDS = 0.2
 """How long what runs are expected to hold counts: an engine makes a few events meanwhile."""
 
-MEMORY_RUNS = 200
-"""How many runs the mean of a run remembers: older ones fade."""
-
 
 def unknown_service(_name: str) -> Service | None:
     """Return that no service is known."""
@@ -103,16 +111,15 @@
     whole_tokens: float
 
 
-@dataclass(slots=True)
-class _MeanRun:
-    """The tokens of a run's prompt and text, smoothed over the runs that ended."""
+@dataclass(frozen=True, slots=True)
+class _OtherRuns:
+    """Requests of other nodes at an engine, as of a report."""
 
-    tokens: float = 0.0
-    learnt: int = 0
+    count: int
+    at: float
 
-    def add(self, tokens: float) -> None:
-        self.learnt = min(MEMORY_RUNS, self.learnt + 1)
-        self.tokens += (tokens - self.tokens) / self.learnt
+    def left(self, now: float) -> float:
+        return self.count * max(0.0, 1.0 - (now - self.at) / OTHERS_VALID_SECONDS)
 
 
 class EngineMemory:
@@ -126,31 +133,45 @@
 
     def __init__(
         self,
+        workers: WorkerTable,
         attempts: Attempts,
         lengths: LengthEstimate,
         service: ServiceNamed,
     ) -> None:
+        self._workers = workers
         self._attempts = attempts
         self._lengths = lengths
         self._service = service
         self._known: dict[str, _EngineRuns] = {}
         """By engine, none from before `_known_since`."""
         self._known_since = -math.inf
-        self._means: dict[str, _MeanRun] = {}
-        """By service."""
+        self._others: dict[str, _OtherRuns] = {}
+        """By engine."""
+        self._usual_run: dict[str, float] = {}
+        """By service, tokens of a run here in the mean: other nodes run the like."""
         self._withheld: list[ItemWithheld] = []
 
-    def learn(self, item: ItemRun, engine: Worker | None) -> None:
-        """Update the mean of a run with an item whose text is whole."""
-        limits = None if engine is None else self._limits(engine)
-        if engine is None or limits is None:
+    def note_report(self, engine: Worker, load: WorkerLoad | None, now: float) -> None:
+        """Record what an engine reported of its load: how many runs are of other nodes."""
+        if load is None or self._limits(engine) is None:
             return
-        tokens = item.prompt.tokens + len(item.events) * limits.tokens_per_event
-        self._means.setdefault(engine.announcement.service, _MeanRun()).add(tokens)
+        others = max(0, load.running + load.waiting - engine.in_flight)
+        self._others[engine.announcement.worker] = _OtherRuns(others, now)
 
     def fits(self, engine: Worker, item: ItemRun, now: float) -> bool:
         """Whether an engine is expected to run an item without stopping it or another one."""
-        return self.lacking(engine, item, now) <= 0.0
+        return not self.keeps_waiting(engine) and self.lacking(engine, item, now) <= 0.0
+
+    def keeps_waiting(self, engine: Worker) -> bool:
+        """Whether an engine has not begun a run of this node yet.
+
+        Nodes that fill an engine in the same moment know nothing of each other until it reports
+        its load with the head of an answer; and an engine that is full begins nothing.
+        """
+        if self._limits(engine) is None:
+            return False
+        attempts = self._attempts.at(engine.announcement.worker).values()
+        return any(running.item.unbegun for running in attempts)
 
     def search(self, item: ItemRun, now: float) -> RoomSearch:
         """Begin a search for a waiting item."""
@@ -165,14 +186,15 @@
         limits = self._limits(engine)
         if limits is None:
             return 0.0
-        others = self._others(engine, now)
+        others = self._others_at(engine, now)
         if not others and not engine.in_flight:
             return 0.0
         known = self._runs_at(engine, limits, now)
         added = self._expected_run(item, limits)
         prompts = known.prompt_tokens
         prompts += sum(p.tokens for p in item.prompt.parts if p.part not in known.parts)
-        other_run = self._mean_run(engine) or item.prompt.tokens + added.held + added.left
+        own_size = item.prompt.tokens + added.held + added.left
+        other_run = self._usual_run.get(engine.announcement.service, own_size)
         room = limits.memory_tokens * (1.0 - MARGIN_SHARE) - prompts - others * other_run
         whole = known.whole_tokens + added.held + added.left
         if whole <= room:
@@ -188,19 +210,20 @@
         withheld, self._withheld = self._withheld, []
         return withheld
 
-    def expected_tokens(self, workers: Iterable[Worker], now: float) -> dict[str, int]:
+    def expected_tokens(self, now: float) -> dict[str, int]:
         """Return the tokens that the engines with runs of this node are expected to hold at most.
 
         Runs of other nodes are included.
         """
         expected: dict[str, int] = {}
-        for engine in workers:
+        for engine in self._workers.all():
             name = engine.announcement.worker
             limits = self._limits(engine)
             if limits is None or not self._attempts.at(name):
                 continue
             known = self._runs_at(engine, limits, now)
-            others = self._others(engine, now) * self._mean_run(engine)
+            usual_run = self._usual_run.get(engine.announcement.service, 0.0)
+            others = self._others_at(engine, now) * usual_run
             expected[name] = round(known.prompt_tokens + others + expected_peak(known.runs))
         return expected
 
@@ -208,20 +231,17 @@
         service = self._service(engine.announcement.service)
         return None if service is None else service.engine
 
-    def _mean_run(self, engine: Worker) -> float:
-        """Return the tokens of a run of an engine's service in the mean, 0.0 if none is known."""
-        mean = self._means.get(engine.announcement.service)
-        return 0.0 if mean is None else mean.tokens
-
-    def _others(self, engine: Worker, now: float) -> int:
+    def _others_at(self, engine: Worker, now: float) -> float:
         """Return how many requests of other nodes an engine is believed to have."""
-        requests = round(engine.occupancy(now) * max(1, engine.announcement.slots))
-        return max(0, requests - engine.in_flight)
+        reported = self._others.get(engine.announcement.worker)
+        return 0.0 if reported is None else reported.left(now)
 
     def _runs_at(self, engine: Worker, limits: EngineLimits, now: float) -> _EngineRuns:
         if now - self._known_since > RUNS_VALID_SECONDS:
             self._known.clear()
             self._known_since = now
+            self._note_usual_runs()
+            self._others = {name: r for name, r in self._others.items() if r.left(now) > 0.0}
         name = engine.announcement.worker
         attempts = self._attempts.at(name)
         known = self._known.get(name)
@@ -230,6 +250,19 @@
             known = self._known[name] = self._expect(attempts, limits)
         return known
 
+    def _note_usual_runs(self) -> None:
+        tokens: dict[str, list[float]] = {}
+        for running in itertools.islice(self._attempts, MOST_RUNS_SAMPLED):
+            attempt = running.item.running
+            engine = None if attempt is None else self._workers.worker(attempt.worker)
+            limits = None if engine is None else self._limits(engine)
+            if engine is None or limits is None:
+                continue
+            run = self._expected_run(running.item, limits)
+            of_service = tokens.setdefault(engine.announcement.service, [])
+            of_service.append(run.held + run.left + running.item.prompt.tokens)
+        self._usual_run = {service: fmean(found) for service, found in tokens.items()}
+
     def _expect(self, attempts: dict[int, RunningItem], limits: EngineLimits) -> _EngineRuns:
         items = [running.item for running in attempts.values()]
         runs = [self._expected_run(item, limits) for item in items]
@@ -259,7 +292,7 @@
         self._least_lacking = math.inf
 
     def fits(self, engine: Worker) -> bool:
-        if self._asked == MOST_ENGINES_ASKED:
+        if self._asked == MOST_ENGINES_ASKED or self._memory.keeps_waiting(engine):
             return False
         self._asked += 1
         lacking = self._memory.lacking(engine, self._item, self._now)
@@ -267,6 +300,10 @@
             self._best, self._least_lacking = engine, lacking
         return lacking <= 0.0
 
+    @property
+    def closed(self) -> bool:
+        return self._asked == 0
+
     def last_resort(self) -> Worker | None:
         """Return the engine where least is lacking once the item has waited long enough."""
         if self._best is None:
--- a/src/stagewalk/gateway/batches/engine_room.py
+++ b/src/stagewalk/gateway/batches/engine_room.py
@@ -17,6 +17,10 @@
     def fits(self, engine: Worker) -> bool:
         """Whether an engine, which could take the item otherwise, has memory for it."""
 
+    @property
+    def closed(self) -> bool:
+        """Whether no engine could take any item: others of its batch need not be tried now."""
+
     def last_resort(self) -> Worker | None:
         """Return where the item goes although no engine asked for had room; None: it waits."""
 
@@ -47,5 +51,9 @@
     def fits(self, engine: Worker) -> bool:
         return True
 
+    @property
+    def closed(self) -> bool:
+        return False
+
     def last_resort(self) -> Worker | None:
         return None
--- a/src/stagewalk/gateway/batches/item_run.py
+++ b/src/stagewalk/gateway/batches/item_run.py
@@ -38,6 +38,8 @@
     last_event_at: float
     events_before: int
     """Events held already when it began."""
+    begun: bool = False
+    """Whether the engine has begun to answer."""
     version: int | None = None
     """Weight version that makes the next event."""
     gaps: deque[float] = field(default_factory=lambda: deque(maxlen=PACE_GAPS))
@@ -107,6 +109,11 @@
         """Whether it needs an attempt."""
         return self.running is None and not self.recording and not self.scoring
 
+    @property
+    def unbegun(self) -> bool:
+        """Whether its engine has not begun to answer its attempt."""
+        return self.running is not None and not self.running.begun
+
     @property
     def scoring(self) -> bool:
         """Whether its text is whole and its score is awaited."""
--- a/src/stagewalk/gateway/batches/scheduler.py
+++ b/src/stagewalk/gateway/batches/scheduler.py
@@ -87,7 +87,6 @@
         self._policy = policy
         self._route_of = route_of
         self._prompt_of = prompt_of
-        self._workers = workers
         self._runs: dict[str, BatchRun] = {}
         self._attempts = Attempts(workers)
         numbers = itertools.count(1)
@@ -102,7 +101,7 @@
         self._scores = ItemScores(calls, self._runs, route_of)
         self._published_at = 0.0
         lengths = LengthEstimate()
-        self._memory = EngineMemory(self._attempts, lengths, service)
+        self._memory = EngineMemory(workers, self._attempts, lengths, service)
         room = self._memory if policy.engine_memory else UnknownRoom()
         watch = AttemptWatch(workers, eligibility, route_of, lengths, room=room)
         self._starter = AttemptStarter(
@@ -142,7 +141,7 @@
 
     def engine_tokens(self, now: float) -> dict[str, int]:
         """Return the tokens that engines with attempts under way are expected to hold at most."""
-        return self._memory.expected_tokens(self._workers.all(), now)
+        return self._memory.expected_tokens(now)
 
     def running_of_others(self, trainer: str) -> int:
         """Return the number of attempts under way at items of other trainers."""
--- a/tests/gateway/batches/bench_engine_memory.py
+++ b/tests/gateway/batches/bench_engine_memory.py
@@ -26,6 +26,7 @@
 ENGINES = 600
 RUNS_AT_AN_ENGINE = 6
 SLOTS = 8
+LOAD = WorkerLoad(RUNS_AT_AN_ENGINE + 1, 0, SLOTS)
 TICKS = 20
 CHOICES_IN_A_TICK = 20
 LIMITS = EngineLimits(75_317, 78.0)
@@ -46,14 +47,17 @@
             engine = self.engines[number % ENGINES]
             one = _item(number)
             one.running = RunningAttempt(number, engine.announcement.worker, 0.0, 0.0, 0)
+            one.running.begun = True
             one.events = ["text"] * (number % 17)
             attempts.add(number, run, one)
             engine.note_sent()
         for engine in self.engines:
-            engine.note_load(WorkerLoad(RUNS_AT_AN_ENGINE + 1, 0, SLOTS), 0.0)
+            engine.note_load(LOAD, 0.0)
         self.memory = EngineMemory(
-            attempts, LengthEstimate(), lambda name: Service(name, engine=limits)
+            workers, attempts, LengthEstimate(), lambda name: Service(name, engine=limits)
         )
+        for engine in self.engines:
+            self.memory.note_report(engine, LOAD, 0.0)
 
 
 def _item(number: int) -> ItemRun:
@@ -85,7 +89,7 @@
     by_memory = microseconds(roomy.memory, roomy.engines)
     in_vain = microseconds(crowded.memory, crowded.engines)
     began = perf_counter()
-    roomy.memory.expected_tokens(roomy.engines, 9.0)
+    roomy.memory.expected_tokens(9.0)
     gauges = (perf_counter() - began) * 1e6
     print(f"{ENGINES} engines, us a choice: {by_slots:.0f} by slots, {by_memory:.0f} by memory,")
     print(f"{in_vain:.0f} if no engine has memory; {gauges:.0f} us for all gauges")
--- a/tests/gateway/batches/test_engine_memory.py
+++ b/tests/gateway/batches/test_engine_memory.py
@@ -7,6 +7,7 @@
 from stagewalk.gateway.batches.engine_memory import (
     MARGIN_SHARE,
     MOST_WITHHELD_SECONDS,
+    OTHERS_VALID_SECONDS,
     ExpectedRun,
     expected_peak,
 )
@@ -41,6 +42,16 @@
     return Bench(engines=engines, service=engines_with_memory, prompt_of=prompt_of, **kept)
 
 
+def fill(world: Bench) -> None:
+    """Let engines begin whatever they were given until nothing more is."""
+    begun: set[str] = set()
+    while waiting := set(world.attempts) - begun:
+        for name in waiting:
+            world.head(name)
+        begun |= waiting
+        world.tick()
+
+
 class PeakTests(testtools.TestCase):
     def test_runs_that_end_give_their_memory_back(self) -> None:
         self.assertEqual(0.0, expected_peak([]))
@@ -73,6 +84,7 @@
     def test_an_item_that_no_engine_has_memory_for_waits_until_a_run_ends(self) -> None:
         world = bench("e1")
         world.open(item("x", 500), item("y", 500))
+        fill(world)
         self.assertEqual(["x"], list(world.attempts))
         self.assertEqual(1, len(world.withheld))
         (said,) = world.withheld
@@ -88,6 +100,7 @@
         world = bench("e1", "e2")
         world.open(item("x", 700), item("y", 440))
         world.open_more(item("z", 600))
+        fill(world)
         self.assertEqual({"x", "y"}, set(world.attempts))
         world.tick(MOST_WITHHELD_SECONDS / 2)
         self.assertEqual({"x", "y"}, set(world.attempts))
@@ -102,35 +115,48 @@
     def test_a_prompt_that_siblings_share_counts_once(self) -> None:
         world = bench("e1", prompt_of=group_prompt)
         world.open(*(item(f"x{number}", 100) for number in range(3)))
+        fill(world)
         self.assertEqual(3, len(world.attempts))
         apart = bench("e1", prompt_of=group_prompt)
         apart.open(*(item(f"x{number}", 100, group=f"g{number}") for number in range(3)))
+        fill(apart)
         self.assertEqual(2, len(apart.attempts))
 
     def test_runs_of_other_nodes_count_as_a_usual_run(self) -> None:
         world = bench("e1")
-        world.open(item("w", 300), item("x", 300))
-        world.head("w", load=WorkerLoad(3, 0, 4))
-        world.run_whole("x", events=30)
-        world.workers.worker("e1").note_load(WorkerLoad(3, 0, 4), world.now)
+        world.open(item("x", 300))
+        world.head("x", load=WorkerLoad(3, 0, 4))
         world.open_more(item("y", 200))
         self.assertNotIn("y", world.attempts)
-        world.workers.worker("e1").note_load(WorkerLoad(1, 0, 4), world.now)
-        world.tick(0.1)
+        world.tick(OTHERS_VALID_SECONDS / 2)
         self.assertIn("y", world.attempts)
 
+    def test_an_engine_that_has_not_begun_gets_no_further_item(self) -> None:
+        world = bench("e1", "e2")
+        world.open(*(item(f"x{number}", 20) for number in range(4)))
+        self.assertEqual({"e1", "e2"}, {start.worker for start in world.attempts.values()})
+        self.assertEqual(2, len(world.attempts))
+        self.assertEqual([], world.withheld)
+        first = next(iter(world.attempts.values()))
+        world.head(first.item.item)
+        world.tick()
+        self.assertEqual(3, len(world.attempts))
+        self.assertEqual(first.worker, list(world.attempts.values())[-1].worker)
+
     def test_what_an_item_may_make_at_most_bounds_the_guess(self) -> None:
         def bounded(_item: BatchItem) -> Prompt:
             return Prompt((), most_made=100)
 
         world = bench("e1", prompt_of=bounded)
         world.open(item("x", 600), item("y", 600), item("z", 600))
+        fill(world)
         self.assertEqual(3, len(world.attempts))
 
     def test_a_short_item_fits_where_memory_is_needed_only_after_its_end(self) -> None:
         world = bench("e1")
         world.open(item("x", 450), item("y", 350))
         world.open_more(item("z", 30))
+        fill(world)
         self.assertIn("z", world.attempts)
 
     def test_the_switch_turns_it_off(self) -> None:
