--- a/src/stagewalk/gateway/batches/attempt_events.py
+++ b/src/stagewalk/gateway/batches/attempt_events.py
@@ -8,6 +8,7 @@
 
 from stagewalk.gateway.batches.attempt_starter import AttemptStarter
 from stagewalk.gateway.batches.attempts import Attempts, RunningItem
+from stagewalk.gateway.batches.engine_memory import EngineMemory
 from stagewalk.gateway.batches.evidence import note_pace, note_refusal
 from stagewalk.gateway.batches.item_scores import ItemScores
 from stagewalk.gateway.batches.length_estimate import LengthEstimate
@@ -37,6 +38,8 @@
     ----------
     lengths
         Learns from texts that are whole.
+    memory
+        Learns from the load that engines report.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         starter: AttemptStarter,
         scores: ItemScores,
         lengths: LengthEstimate,
+        memory: EngineMemory,
     ) -> None:
         self._attempts = attempts
         self._workers = workers
@@ -55,6 +59,7 @@
         self._starter = starter
         self._scores = scores
         self._lengths = lengths
+        self._memory = memory
 
     def head(self, event: AttemptHead, now: float) -> list[SchedulerInstruction]:
         """Handle the head of an answer: the worker's load, and the weights of the next events."""
@@ -66,9 +71,11 @@
         worker = self._workers.worker(running.worker)
         if worker is not None:
             worker.note_load(event.head.load, now)
+            self._memory.note_report(worker, event.head.load, now)
         if event.head.status != SUCCESS:
             return []
         running.last_event_at = now
+        running.begun = True
         for version in event.head.versions:
             stop = self._apply_version(known, version, now)
             if stop is not None:
@@ -125,6 +132,7 @@
             return []
         worker = self._workers.worker(ended.worker)
         if worker is not None:
+            self._memory.note_report(worker, event.failure.load, now)
             note_refusal(worker, ended.item.spec.model, event.failure, now)
         self._attempts.retry_later(ended.item, ended.worker, now)
         return [*self._starter.start_due(now)]
--- a/src/stagewalk/gateway/batches/attempt_starter.py
+++ b/src/stagewalk/gateway/batches/attempt_starter.py
@@ -107,6 +107,8 @@
         self._workers = workers
         self._route_of = route_of
         self._room = room
+        self._closed: set[str] = set()
+        """Batches whose items no engine can take at the moment."""
         self._limits = limits
         self._runs = runs
         self._attempts = attempts
@@ -129,11 +131,13 @@
             for item in run.items.values()
             if item.waiting and item.not_before <= now
         ]
+        self._closed.clear()
         places = {run.name: self._places(run, now) for run in self._runs.values()}
         ample = [pair for pair in waiting if math.isinf(places[pair.run.name].most)]
         starts = [
             start
             for pair in order_ample(ample, self._lengths)
+            if pair.run.name not in self._closed
             for start in self.start(pair.run, pair.item, now)
         ]
         if len(ample) < len(waiting):
@@ -171,7 +175,7 @@
         starts: list[StartItem] = []
         for pair in order_scarce(free, bounds, self._lengths, now):
             share = places[pair.run.name]
-            if taken[share] + 1 > share.most:
+            if taken[share] + 1 > share.most or pair.run.name in self._closed:
                 continue
             begun = self.start(pair.run, pair.item, now)
             taken[share] += len(begun)
@@ -209,6 +213,7 @@
         attempt = next(self._numbers)
         name = worker.announcement.worker
         item.running = RunningAttempt(attempt, name, now, now, len(item.events))
+        item.withheld_since = None
         worker.note_sent()
         self._attempts.add(attempt, run, item)
         header = run.batch.header
@@ -232,8 +237,9 @@
             if other.running is not None and other.spec.group == item.spec.group
         }
         found = self._watch.candidates(run.batch, item, now, request_leases=True)
-        return choose_engine(
-            [engine for engine in found if self._room.fits(engine, item, now)],
+        room = self._room.search(item, now)
+        engine = choose_engine(
+            found,
             item.spec.model,
             now,
             proximity=self._proximity,
@@ -242,4 +248,9 @@
             policy=self._policy,
             events=self._lengths.events_left(item),
             draws=self._draws,
+            fits=room.fits,
         )
+        engine = engine or room.last_resort()
+        if engine is None and found and room.closed:
+            self._closed.add(run.name)
+        return engine
--- a/src/stagewalk/gateway/batches/item_run.py
+++ b/src/stagewalk/gateway/batches/item_run.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from stagewalk.gateway.batches.prompt import UNKNOWN_PROMPT, Prompt
 from stagewalk.gateway.batches.records import BatchItem, ItemFinished, ItemProgress
 from stagewalk.gateway.batches.reusable_texts import EVENT_SEPARATOR
 from stagewalk.gateway.quarantine.content import RequestContent
@@ -37,6 +38,8 @@
     last_event_at: float
     events_before: int
     """Events held already when it began."""
+    begun: bool = False
+    """Whether the engine has begun to answer."""
     version: int | None = None
     """Weight version that makes the next event."""
     gaps: deque[float] = field(default_factory=lambda: deque(maxlen=PACE_GAPS))
@@ -74,6 +77,8 @@
         What of that the log holds; None while the log does not hold the whole text.
     known_events
         Events made of it in an earlier batch, at least; 0 for an item that is new.
+    withheld_since
+        Since when no engine has had memory for it; None while it runs, or if one has.
     """
 
     spec: BatchItem
@@ -91,17 +96,24 @@
     score_failures: int = 0
     published_score_failures: int | None = None
     known_events: int = 0
+    prompt: Prompt = UNKNOWN_PROMPT
+    withheld_since: float | None = None
 
     @classmethod
-    def begin(cls, host: str, spec: BatchItem) -> ItemRun:
+    def begin(cls, host: str, spec: BatchItem, prompt: Prompt = UNKNOWN_PROMPT) -> ItemRun:
         """Return an item of which nothing has been made, of a batch at a host."""
-        return cls(spec, item_content(host, spec))
+        return cls(spec, item_content(host, spec), prompt=prompt)
 
     @property
     def waiting(self) -> bool:
         """Whether it needs an attempt."""
         return self.running is None and not self.recording and not self.scoring
 
+    @property
+    def unbegun(self) -> bool:
+        """Whether its engine has not begun to answer its attempt."""
+        return self.running is not None and not self.running.begun
+
     @property
     def scoring(self) -> bool:
         """Whether its text is whole and its score is awaited."""
--- a/src/stagewalk/gateway/batches/placement.py
+++ b/src/stagewalk/gateway/batches/placement.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
+from functools import partial
+from operator import attrgetter
 from random import Random
 
 from stagewalk.gateway.batches.expected_end import FULL_STRETCH, expected_end
@@ -39,6 +41,7 @@
     policy: Policy = ALL_ON,
     events: float = 0.0,
     draws: Random | None = None,
+    fits: Callable[[Worker], bool] = lambda _engine: True,
 ) -> Worker | None:
     """Return the engine with room that is expected to finish an item first.
 
@@ -52,6 +55,8 @@
     draws
         Random numbers of this node: of engines that report their pace one is drawn that is nearly
         as good as the best. None: the best one is taken.
+    fits
+        Whether an engine's memory has room for the item.
     """
     sound = [engine for engine in engines if not (policy.suspicion and engine.suspect(now))]
     free = [
@@ -80,12 +85,26 @@
             _end_choice(engine, fixed_cost(engine), events, latency or shortest, now)
             for engine, latency in zip(free, latencies, strict=True)
         ]
-        return _first_to_end(ends, now, draws).worker
+        return _take_fitting(ends, partial(_first_to_end, now=now, draws=draws), fits)
     costs = [
         _cost_choice(engine, fixed_cost(engine), slowness(latency, shortest), now)
         for engine, latency in zip(free, latencies, strict=True)
     ]
-    return take_best(costs).worker
+    return _take_fitting(costs, take_best, fits)
+
+
+def _take_fitting(
+    choices: Sequence[Choice],
+    take: Callable[[Sequence[Choice]], Choice],
+    fits: Callable[[Worker], bool],
+) -> Worker | None:
+    """Return what is taken of the engines with memory for the item; mostly the first one has."""
+    first = take(choices)
+    if fits(first.worker):
+        return first.worker
+    others = sorted((c for c in choices if c is not first), key=attrgetter("cost"))
+    fitting = [choice for choice in others if fits(choice.worker)]
+    return take(fitting).worker if fitting else None
 
 
 def _cost_choice(engine: Worker, fixed: float, slow: float, now: float) -> Choice:
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -44,6 +44,8 @@
         By followed partition, seconds since its view was complete.
     claimant_places
         Engines' places of each trainer whose items run here.
+    engine_tokens
+        By engine with runs of this node, the most tokens that it is expected to hold.
     """
 
     configuration: int
@@ -61,6 +63,7 @@
     worker_ends: int
     requests_held_back: int
     view_ages: dict[str, float]
+    engine_tokens: dict[str, int]
     claimant_places: Sequence[ClaimantPlaces] = ()
 
 
@@ -107,6 +110,14 @@
             reports.add_metric([kind], count)
         yield reports
         yield from _claimant_gauges(state.claimant_places)
+        tokens = GaugeMetricFamily(
+            "stagewalk_engine_expected_tokens",
+            "Most tokens that an engine with runs of this node is expected to hold.",
+            labels=["engine"],
+        )
+        for engine, count in sorted(state.engine_tokens.items()):
+            tokens.add_metric([engine], float(count))
+        yield tokens
         events = CounterMetricFamily(
             "stagewalk_events", "Log events, dropped ones too.", labels=["event", "failure"]
         )
--- a/src/stagewalk/gateway/runners/runner_service.py
+++ b/src/stagewalk/gateway/runners/runner_service.py
@@ -14,6 +14,7 @@
 
 from stagewalk.gateway.batch_service.batch_store import BatchStore
 from stagewalk.gateway.batch_service.open_batches import OpenBatches
+from stagewalk.gateway.batches.prompt import PromptOf
 from stagewalk.gateway.batches.scheduler import BatchScheduler
 from stagewalk.gateway.eligibility_services import EligibilityServices
 from stagewalk.gateway.nodes.identity import ProcessId
@@ -56,6 +57,8 @@
 
     Parameters
     ----------
+    prompt_of
+        Reads an item's prompt.
     batch_end_seconds
         Returns how long after a batch's end was acknowledged its items may still reach workers.
     on_item_started
@@ -73,12 +76,13 @@
         access: WorkerAccess,
         rollouts: VersionRollouts,
         policy: Policy,
+        prompt_of: PromptOf,
         batch_end_seconds: Callable[[], float],
         on_item_started: Callable[[float], None],
     ) -> None:
         views = BatchViews(store, batch_end_seconds)
         limits = ShareLimits()
-        scheduler = _build_scheduler(access, policy, views, limits)
+        scheduler = _build_scheduler(access, policy, views, limits, prompt_of)
         self.place_sharing = PlaceSharing(
             limits,
             nodes=nodes,
@@ -153,7 +157,11 @@
 
 
 def _build_scheduler(
-    access: WorkerAccess, policy: Policy, views: BatchViews, limits: PlaceLimits
+    access: WorkerAccess,
+    policy: Policy,
+    views: BatchViews,
+    limits: PlaceLimits,
+    prompt_of: PromptOf,
 ) -> BatchScheduler:
     return BatchScheduler(
         access.workers,
@@ -163,6 +171,8 @@
         policy,
         may_start=views.may_start,
         limits=limits,
+        service=access.routes.service,
+        prompt_of=prompt_of,
     )
 
 
