Held memory: a budget for what callers and workers hold up, and who is cut off

Cause: request bodies, whole answers and streams for slow readers are counted nowhere together; a node has 160 to 552 MB in all. Ruled out: a bound for each kind by itself (their sum is what ends the process), refusing everybody at the bound (one caller that reads nothing would block all). Change: the setting memory.limit_mb, from the platform's limits.memory_mb; a budget of a fifth of it; large bodies are refused from half of it; at the bound those callers go that are furthest behind, first those that may resume. Nothing uses it yet.

--- a/src/stagewalk/gateway/settings.py
+++ b/src/stagewalk/gateway/settings.py
@@ -58,6 +58,12 @@
 DEFAULT_PROCESSOR = Processor()
 
 
+class Memory(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """What this process may use of the machine's memory, in MB of a million bytes."""
+
+    limit_mb: Positive
+
+
 class LogLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Limits of the log: bytes a record, bytes a call, and partitions a topic has."""
 
@@ -126,6 +132,8 @@
         Which mechanisms of decision are in use.
     duties
         None: the platform has none.
+    memory
+        None: it isn't known; what is held for slow callers and workers has no common bound.
     autoscaling
         How many workers are ordered.
     zones
@@ -146,6 +154,7 @@
     processor: Processor = DEFAULT_PROCESSOR
     policy: Policy = ALL_ON
     duties: DutySettings | None = None
+    memory: Memory | None = None
     autoscaling: Autoscaling = DEFAULT_AUTOSCALING
     zones: Mapping[str, str] = field(default_factory=dict)
 
@@ -180,6 +189,7 @@
     processor: Processor = Processor()
     policy: Policy = ALL_ON
     duties: _DutiesSection | None = None
+    memory: Memory | None = None
     autoscaling: Autoscaling = DEFAULT_AUTOSCALING
     zones: dict[Name, Name] = {}
 
@@ -223,6 +233,7 @@
         processor=file.processor,
         policy=file.policy,
         duties=duties,
+        memory=file.memory,
         autoscaling=file.autoscaling,
         zones=file.zones,
     )
--- /dev/null
+++ b/tests/gateway/held_memory/test_budget.py
@@ -0,0 +1,164 @@
+"""The budget of held bytes, what bodies take of it, and who is cut off when it is used up."""
+
+from __future__ import annotations
+
+import testtools
+
+from stagewalk.gateway.held_memory.bodies import LARGE_BODY_BYTES, HeldBody
+from stagewalk.gateway.held_memory.budget import MEGABYTE, MemoryBudget
+from stagewalk.gateway.held_memory.reader_choice import READER_SHARE, SLOW_SECONDS, readers_to_cut
+from stagewalk.gateway.held_memory.readers import CutOff, CutOffReason, Readers, WaitingReader
+
+
+def reader(name: str, since: float = 0.0, size: int = 0, resumable: bool = False) -> WaitingReader:
+    made = WaitingReader(name, resumable, lambda: None)
+    if size:
+        made.parts.append((since, size))
+        made.held_bytes = size
+    return made
+
+
+def names(readers: list[WaitingReader]) -> list[str]:
+    return [chosen.request_id for chosen in readers]
+
+
+class BudgetTests(testtools.TestCase):
+    def test_a_share_of_the_nodes_memory(self) -> None:
+        self.assertEqual(40 * MEGABYTE, MemoryBudget.of_node(200.0).maximum_bytes)
+
+    def test_what_is_taken_is_counted_until_it_is_given_back(self) -> None:
+        budget = MemoryBudget(100)
+        self.assertTrue(budget.take(60))
+        self.assertFalse(budget.take(41))
+        self.assertTrue(budget.take(40))
+        budget.give_back(60)
+        self.assertEqual((40, 100), (budget.held_bytes, budget.peak_bytes))
+
+    def test_a_taker_that_finds_too_few_has_others_make_room(self) -> None:
+        budget = MemoryBudget(100)
+        budget.add(90)
+        asked: list[int] = []
+
+        def give(missing: int) -> None:
+            asked.append(missing)
+            budget.give_back(missing)
+
+        budget.reclaim_by(give)
+        self.assertTrue(budget.take(30))
+        self.assertEqual(([20], 100), (asked, budget.held_bytes))
+
+
+class BodyTests(testtools.TestCase):
+    def test_large_bodies_are_refused_while_small_ones_go_on(self) -> None:
+        budget = MemoryBudget(10 * LARGE_BODY_BYTES)
+        first = HeldBody(budget)
+        self.assertTrue(first.take(5 * LARGE_BODY_BYTES))
+        second = HeldBody(budget)
+        self.assertFalse(second.admits(LARGE_BODY_BYTES + 1))
+        self.assertTrue(second.admits(LARGE_BODY_BYTES))
+        self.assertFalse(second.take(LARGE_BODY_BYTES + 1))
+        self.assertTrue(second.take(LARGE_BODY_BYTES))
+        self.assertFalse(second.take(1))
+
+    def test_a_body_is_held_until_its_request_ends(self) -> None:
+        budget = MemoryBudget(100)
+        body = HeldBody(budget)
+        body.take(30)
+        body.give_back(30)
+        self.assertEqual(30, budget.held_bytes)
+        body.close()
+        body.close()
+        self.assertEqual(0, budget.held_bytes)
+
+
+class ChoiceTests(testtools.TestCase):
+    def test_the_one_furthest_behind_goes_first(self) -> None:
+        readers = [reader("late", 3.0, 50), reader("latest", 1.0, 50), reader("up", 9.9, 50)]
+        self.assertEqual(["latest"], names(readers_to_cut(readers, 50, 10.0, 0.0)))
+        self.assertEqual(["latest", "late"], names(readers_to_cut(readers, 51, 10.0, 0.0)))
+
+    def test_those_that_may_resume_go_before_those_that_may_not(self) -> None:
+        readers = [reader("lost", 1.0, 50), reader("resumes", 5.0, 50, resumable=True)]
+        self.assertEqual(["resumes"], names(readers_to_cut(readers, 50, 10.0, 0.0)))
+
+    def test_callers_that_hold_nothing_or_keep_up_are_spared(self) -> None:
+        readers = [reader("idle"), reader("up", 9.5, 50)]
+        self.assertEqual([], readers_to_cut(readers, 50, 10.0, SLOW_SECONDS))
+
+    def test_all_go_if_even_they_are_too_few(self) -> None:
+        readers = [reader("a", 1.0, 10), reader("b", 2.0, 10)]
+        self.assertEqual(["a", "b"], names(readers_to_cut(readers, 1_000, 10.0, 0.0)))
+
+
+class ReadersTests(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.budget = MemoryBudget(1_600)
+        self.told: list[CutOff] = []
+        self.readers = Readers(self.budget, self.told.append)
+        self.cut: list[str] = []
+
+    def add(self, name: str, resumable: bool = False) -> WaitingReader:
+        added = WaitingReader(name, resumable, lambda: self.cut.append(name))
+        self.readers.add(added)
+        return added
+
+    def test_parts_are_given_back_in_the_order_they_came(self) -> None:
+        caller = self.add("a")
+        for at in (1.0, 2.0, 3.0):
+            self.readers.hold_part(caller, 30, at)
+        self.readers.release(caller, 40)
+        self.assertEqual((50, 2.0), (caller.held_bytes, caller.behind_since))
+        self.readers.remove(caller)
+        self.assertEqual(0, self.budget.held_bytes)
+
+    def test_a_caller_is_cut_off_at_its_own_bound(self) -> None:
+        caller, other = self.add("a"), self.add("b")
+        own = int(self.budget.maximum_bytes * READER_SHARE)
+        self.readers.hold_part(other, own, 1.0)
+        self.readers.hold_part(caller, own, 1.0)
+        self.assertEqual([], self.cut)
+        self.readers.hold_part(caller, 1, 5.0)
+        self.assertEqual((["a"], own), (self.cut, self.budget.held_bytes))
+        self.assertEqual(
+            [CutOff("a", CutOffReason.READER_LIMIT, own + 1, 4.0, False, own * 2 + 1)], self.told
+        )
+
+    def test_a_caller_that_was_cut_off_holds_nothing_more(self) -> None:
+        caller = self.add("a")
+        self.readers.hold_part(caller, 200, 1.0)
+        self.readers.hold_part(caller, 50, 1.0)
+        self.readers.release(caller, 200)
+        self.readers.remove(caller)
+        self.assertEqual((0, ["a"]), (self.budget.held_bytes, self.cut))
+
+    def test_at_the_nodes_bound_the_slowest_makes_room(self) -> None:
+        callers = [self.add(str(number)) for number in range(17)]
+        for number, caller in enumerate(callers):
+            self.readers.hold_part(caller, 95, float(number))
+        self.assertEqual(["0"], self.cut)
+        self.assertLessEqual(self.budget.held_bytes, self.budget.maximum_bytes)
+        self.assertEqual([CutOffReason.NODE_LIMIT], [told.reason for told in self.told])
+
+    def test_a_stream_ends_if_others_than_readers_hold_everything(self) -> None:
+        self.budget.add(1_600)
+        self.readers.hold_part(self.add("a"), 10, 1.0)
+        self.assertEqual(["a"], self.cut)
+        self.assertEqual(1_600, self.budget.held_bytes)
+
+    def test_a_request_gets_room_from_slow_callers_only(self) -> None:
+        self.budget.reclaim_by(lambda missing: self.readers.make_room(missing, 10.0))
+        slow, prompt = self.add("slow"), self.add("prompt")
+        self.readers.hold_part(slow, 100, 1.0)
+        self.readers.hold_part(prompt, 100, 9.9)
+        self.budget.add(1_400)
+        self.assertFalse(self.budget.take(150))
+        self.assertEqual(["slow"], self.cut)
+        self.assertTrue(self.budget.take(100))
+        self.assertEqual(["slow"], self.cut)
+
+    def test_a_whole_answer_is_held_though_it_is_larger_than_a_streams_bound(self) -> None:
+        caller = self.add("a")
+        self.readers.hold_answer(caller, 1_000, 1.0)
+        self.readers.release(caller, 400)
+        self.assertEqual((600, [], 600), (caller.held_bytes, self.cut, self.budget.held_bytes))
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -63,6 +63,12 @@
         zones = self.load(GOOD + '[zones]\nz1 = "r1"\nz2 = "r2"\n').ok.zones
         self.assertEqual({"z1": "r1", "z2": "r2"}, zones)
 
+    def test_the_memory_of_the_process_is_optional_and_positive(self) -> None:
+        self.assertIsNone(self.load(GOOD).ok.memory)
+        self.assertEqual(200.0, self.load(GOOD + "[memory]\nlimit_mb = 200\n").ok.memory.limit_mb)
+        error = self.load(GOOD + "[memory]\nlimit_mb = 0\n").error
+        self.assertEqual("memory.limit_mb", error.field)
+
     def test_a_file_that_is_missing_or_no_toml(self) -> None:
         self.assertTrue(load_gateway_settings(Path("/nowhere/x.toml")).is_error())
         self.assertTrue(self.load("= 1").is_error())
