Workers are read at their own pace, and what callers hold up is bounded by the node's memory

Cause: a stream's events were written to the caller within the read of the worker's stream, so a caller that does not read left the worker's answer unread: the worker cuts it off after seconds, that counts as a lost contact, and the stream stalls again elsewhere. Bodies counted only until they had arrived, whole answers not at all. A body that found no room was answered 413, which callers don't repeat. Change: with memory.limit_mb a stream is read into a buffer and written by a second task; a caller at a sixteenth of the budget, or the one furthest behind at the node's bound, is cut off: connection aborted, worker's run cancelled, nothing recorded against the worker. Bodies are held until their request ends, whole answers until they are read, written in pieces. Large bodies are refused (503, Retry-After) from half of the budget, late ones are 408. Without the setting streams and bodies run as before.

--- a/src/stagewalk/common/http/body_budget.py
+++ b/src/stagewalk/common/http/body_budget.py
@@ -2,6 +2,21 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
+
+class ByteBudget(Protocol):
+    """What an exchange asks before it keeps more of its body."""
+
+    def admits(self, announced_bytes: int) -> bool:
+        """Whether a body of an announced length would fit now."""
+
+    def take(self, count: int) -> bool:
+        """Use bytes of the budget; return whether there were enough."""
+
+    def give_back(self, count: int) -> None:
+        """Return bytes to the budget: the body was handed on, or dropped."""
+
 
 class BodyBudget:
     """Counts bytes in use against a maximum, so that many uploads can't exhaust the memory."""
@@ -9,6 +24,10 @@
     def __init__(self, maximum_bytes: int) -> None:
         self._free_bytes = maximum_bytes
 
+    def admits(self, _announced_bytes: int) -> bool:
+        """Return true: a body is refused once it finds too few bytes as it arrives."""
+        return True
+
     def take(self, count: int) -> bool:
         """Use bytes of the budget; return whether there were enough."""
         if count > self._free_bytes:
--- a/src/stagewalk/common/http/exchange.py
+++ b/src/stagewalk/common/http/exchange.py
@@ -15,7 +15,7 @@
 from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, HTTPScope
 
 from stagewalk.common.errors import ErrorKind, Ran, StagewalkError, Step
-from stagewalk.common.http.body_budget import BodyBudget
+from stagewalk.common.http.body_budget import ByteBudget
 from stagewalk.common.http.peer_names import BUSY_RETRY_SECONDS, CALLER_PEER, EDGE_PEER
 from stagewalk.common.http.problems import (
     BODY_FIELD,
@@ -23,6 +23,7 @@
     problem_status,
     render_problem,
 )
+from stagewalk.common.http.server_connection import transport_of
 from stagewalk.common.settings.fields import Limits
 
 JSON_CONTENT = "application/json"
@@ -31,6 +32,9 @@
 LINGER_SECONDS = 2.0
 """How long an answered caller may go on sending its body before the connection is closed."""
 
+WRITE_BUFFER_BYTES = 16_384
+"""Held in the process for a caller that doesn't read, besides what the kernel holds."""
+
 RETRY_COUNT_HEADERS = ("x-retry-count", "x-stainless-retry-count")
 """Headers by which callers, and OpenAI's clients, count how often they sent a request before."""
 
@@ -56,7 +60,7 @@
         receive: ASGIReceiveCallable,
         send: ASGISendCallable,
         limits: Limits,
-        budget: BodyBudget,
+        budget: ByteBudget,
         *,
         last: Callable[[], bool],
     ) -> None:
@@ -80,7 +84,7 @@
         self._last = last
         self._budget = budget
         self._body = bytearray()
-        self._fault = _too_large(limits) if self._announces_too_much() else None
+        self._fault = self._announced_fault()
         self._body_settled = anyio.Event()
         self._body_ended = anyio.Event()
         self._on_disconnect: Callable[[], None] | None = None
@@ -178,12 +182,29 @@
         """Send a part of the response's body, waiting while the caller reads slowly."""
         await self._send({"type": "http.response.body", "body": part, "more_body": not last})
 
+    def bound_write_buffer(self) -> None:
+        """Let `write` wait for a caller that reads slowly before much of its answer is held."""
+        transport = transport_of(self._send)
+        if transport is not None:
+            transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+
+    def abort(self) -> None:
+        """Drop the connection and what its caller has not read: closing would wait for it."""
+        transport = transport_of(self._send)
+        if transport is not None:
+            transport.abort()
+
     def _says_resent(self) -> bool:
         return any(self._headers.get(name, "0") != "0" for name in RETRY_COUNT_HEADERS)
 
-    def _announces_too_much(self) -> bool:
+    def _announced_fault(self) -> StagewalkError | None:
+        """Return why a body of the length that the caller announces is refused unread."""
         length = self._headers.get("content-length", "")
-        return length.isdecimal() and int(length) > self._limits.body_bytes
+        if not length.isdecimal():
+            return None
+        if int(length) > self._limits.body_bytes:
+            return _too_large(self._limits)
+        return None if self._budget.admits(int(length)) else _too_many_bodies()
 
     def _take(self, part: bytes, more: bool) -> None:
         if self._fault is None:
--- a/src/stagewalk/gateway/assembly.py
+++ b/src/stagewalk/gateway/assembly.py
@@ -10,12 +10,16 @@
 import uuid
 from dataclasses import dataclass
 
+from stagewalk.common.logs.lines import log_event
+from stagewalk.common.steady_clock import steady_seconds
 from stagewalk.gateway.batch_services import BatchServices
 from stagewalk.gateway.dialect import Dialect
 from stagewalk.gateway.duty_services import DutyServices
 from stagewalk.gateway.eligibility_services import EligibilityServices
 from stagewalk.gateway.forwarding.forwarder import Forwarder
 from stagewalk.gateway.forwarding.stream_forwarder import StreamForwarder
+from stagewalk.gateway.held_memory.budget import MemoryBudget
+from stagewalk.gateway.held_memory.readers import CutOff, Readers
 from stagewalk.gateway.log_relay.relayed_log import RelayedLog, RelayPeers
 from stagewalk.gateway.metrics import GatewayMetrics
 from stagewalk.gateway.nodes.crash_watch import CrashWatch
@@ -48,6 +52,8 @@
     dialect: Dialect
     duties: DutyClient | None = None
     """None: the platform has no duties but those at the workers."""
+    memory: MemoryBudget | None = None
+    """What `workers` counts answers against; None: the node's memory is not known."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +106,7 @@
     roles: RoleController
     log_reserve: LogReserve
     forwarders: Forwarders
+    readers: Readers | None
 
 
 class _Links:
@@ -158,7 +165,8 @@
             published,
             log_reserve=log_reserve,
         )
-        forwarders = self._forwarders(cluster, duties)
+        readers = self._readers()
+        forwarders = self._forwarders(cluster, duties, readers)
         self._links.nodes = cluster.nodes
         self._links.published = published
         return GatewayParts(
@@ -171,6 +179,7 @@
             roles=roles,
             log_reserve=log_reserve,
             forwarders=forwarders,
+            readers=readers,
         )
 
     def _log(self) -> LogAccess:
@@ -287,7 +296,31 @@
             evacuations=cluster.eligibility_services.evacuations,
         )
 
-    def _forwarders(self, cluster: ClusterState, duties: DutyServices) -> Forwarders:
+    def _readers(self) -> Readers | None:
+        """Return the callers that answers are held for, None if the node's memory is not known."""
+        budget = self._dependencies.memory
+        if budget is None:
+            return None
+        readers = Readers(budget, self._note_cut_off)
+        budget.reclaim_by(lambda missing: readers.make_room(missing, steady_seconds()))
+        return readers
+
+    def _note_cut_off(self, cut_off: CutOff) -> None:
+        self._metrics.reader_cut_off(cut_off.reason.value)
+        log_event(
+            "reader_cut_off",
+            "warning",
+            request=cut_off.request_id,
+            reason=cut_off.reason.value,
+            held_bytes=cut_off.held_bytes,
+            seconds_behind=cut_off.seconds_behind,
+            resumable=cut_off.resumable,
+            node_held_bytes=cut_off.node_held_bytes,
+        )
+
+    def _forwarders(
+        self, cluster: ClusterState, duties: DutyServices, readers: Readers | None
+    ) -> Forwarders:
         client, eligibility_services = self._dependencies.workers, cluster.eligibility_services
         begun = duties.count_begun
         return Forwarders(
@@ -300,6 +333,11 @@
                 on_begun=begun,
             ),
             StreamForwarder(
-                client, eligibility_services.eligibility, cluster.routes, cluster.crashes, begun
+                client,
+                eligibility_services.eligibility,
+                cluster.routes,
+                cluster.crashes,
+                begun,
+                readers=readers,
             ),
         )
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -147,6 +147,7 @@
             ready=self._ready,
             stopping=lambda: self._stopping,
             refresh=self._refresh_views,
+            readers=self._parts.readers,
         )
 
     def _build_endpoints(self) -> Endpoints:
@@ -186,6 +187,7 @@
     def _state(self) -> GatewayState:
         """Return what the gauges show."""
         now = steady_seconds()
+        budget = None if self._parts.readers is None else self._parts.readers.budget
         followers = (*self._published.freshness, *self.store.freshness)
         return GatewayState(
             configuration=self._routes.version,
@@ -201,6 +203,8 @@
             cold_leases=self._eligibility_services.cold_leases(now),
             worker_ends=self._crashes.suspects,
             requests_held_back=len(self._crashes.held_contents()),
+            held_bytes=0 if budget is None else budget.held_bytes,
+            peak_held_bytes=0 if budget is None else budget.peak_bytes,
             view_ages={freshness.name: freshness.age(now) for freshness in followers},
         )
 
--- a/src/stagewalk/gateway/entry/app.py
+++ b/src/stagewalk/gateway/entry/app.py
@@ -13,7 +13,7 @@
 from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, HTTPScope, Scope
 
 from stagewalk.common.http.asgi import run_exchange, serve_connection
-from stagewalk.common.http.body_budget import BodyBudget
+from stagewalk.common.http.body_budget import BodyBudget, ByteBudget
 from stagewalk.common.settings.fields import Limits
 from stagewalk.gateway.dialect import CallerInterface
 from stagewalk.gateway.eligibility.retry_after import RETRY_AFTER_SECONDS
@@ -24,6 +24,8 @@
 from stagewalk.gateway.entry.forwarded_calls import ForwardedCalls
 from stagewalk.gateway.entry.quarantine_calls import QuarantineCalls
 from stagewalk.gateway.entry.replies import reply_empty, reply_error
+from stagewalk.gateway.held_memory.bodies import HeldBody
+from stagewalk.gateway.held_memory.readers import Readers
 from stagewalk.gateway.metrics import GatewayMetrics
 from stagewalk.gateway.routes.route import CallerLimits, Route, RouteKind
 from stagewalk.gateway.routes.table import RouteTable
@@ -35,7 +37,8 @@
 """Prometheus' text format."""
 
 BUFFERED_BODY_BYTES = 96 * 1024 * 1024
-"""Bodies of requests held in memory at once, of all callers."""
+"""Bodies of requests that are arriving at once, of all callers, where the node's memory is not
+known."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +60,8 @@
         Whether this node knows enough to serve.
     stopping
         Whether a stop was requested: each response then closes its connection.
+    readers
+        Counts what is held for callers against the node's memory; None: that isn't known.
     refresh
         Renews the views that a caller's request is served from, if they are too old.
     """
@@ -72,6 +77,7 @@
         ready: Callable[[], bool],
         stopping: Callable[[], bool],
         refresh: Callable[[], Awaitable[None]],
+        readers: Readers | None = None,
     ) -> None:
         self._routes = routes
         self._endpoints = endpoints
@@ -82,7 +88,8 @@
         self._stopping = stopping
         self._refresh = refresh
         self._batch_prefixes = (spelling.batches_prefix, spelling.items_prefix)
-        self._budget = BodyBudget(BUFFERED_BODY_BYTES)
+        self._readers = readers
+        self._arriving = BodyBudget(BUFFERED_BODY_BYTES)
         self._fixed: dict[str, Endpoint] = {
             spelling.ready_path: self._readiness,
             spelling.resolve_path: endpoints.directory.resolve,
@@ -97,10 +104,28 @@
 
     async def _serve_exchange(
         self, scope: HTTPScope, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        if self._readers is None:
+            await self._run_exchange(scope, receive, send, self._arriving)
+            return
+        held = HeldBody(self._readers.budget)
+        try:
+            await self._run_exchange(scope, receive, send, held)
+        finally:
+            held.close()
+
+    async def _run_exchange(
+        self,
+        scope: HTTPScope,
+        receive: ASGIReceiveCallable,
+        send: ASGISendCallable,
+        budget: ByteBudget,
     ) -> None:
         published = self._published_limits()
         limits = Limits(body_bytes=published.body_bytes, buffered_body_bytes=BUFFERED_BODY_BYTES)
-        exchange = OpaqueExchange(scope, receive, send, limits, self._budget, last=self._stopping)
+        exchange = OpaqueExchange(
+            scope, receive, send, limits, budget, last=self._stopping, readers=self._readers
+        )
         await run_exchange(
             exchange,
             partial(self._serve_within_limits, exchange, published),
--- a/src/stagewalk/gateway/entry/batch_calls.py
+++ b/src/stagewalk/gateway/entry/batch_calls.py
@@ -26,7 +26,12 @@
 from stagewalk.gateway.eligibility.retry_after import RETRY_AFTER_DENIAL, RETRY_AFTER_SECONDS
 from stagewalk.gateway.entry.caller_authentication import Caller
 from stagewalk.gateway.entry.exchange import OpaqueExchange
-from stagewalk.gateway.entry.replies import RETRY_AFTER_HEADER, reply_empty, reply_error
+from stagewalk.gateway.entry.replies import (
+    RETRY_AFTER_HEADER,
+    reply_body_refused,
+    reply_empty,
+    reply_error,
+)
 from stagewalk.gateway.partitioned_log.appender import AppendOutcome
 from stagewalk.gateway.ports.denials import Denial
 from stagewalk.gateway.runners.batch_assignments import BatchAssignments
@@ -93,7 +98,7 @@
         batch = exchange.header(self._spelling.request_id) or ""
         body = await exchange.body()
         if body.is_error():
-            await reply_error(exchange, 413, body.error.detail)
+            await reply_body_refused(exchange, body.error, batch)
             return
         if await self._replied_known(exchange, batch, caller):
             return
--- a/src/stagewalk/gateway/entry/exchange.py
+++ b/src/stagewalk/gateway/entry/exchange.py
@@ -6,13 +6,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from functools import cached_property
+from collections.abc import Callable, Iterable
+from functools import cached_property, partial
 
+import anyio
+from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, HTTPScope
+
+from stagewalk.common.http.asgi import BrokenResponseError
+from stagewalk.common.http.body_budget import ByteBudget
 from stagewalk.common.http.exchange import Exchange
+from stagewalk.common.settings.fields import Limits
+from stagewalk.common.steady_clock import steady_seconds
+from stagewalk.gateway.held_memory.readers import Readers, WaitingReader
 from stagewalk.gateway.ports.workers import HeaderList
 
 STREAM_STATUS = 200
+PIECE_BYTES = 65_536
+"""A whole answer is written in such pieces, so that little of it is held twice."""
+
 LINE_BYTES = 4
 """What a header's line has beside its name and value: ": " and the line's end."""
 
@@ -35,7 +46,27 @@
 
 
 class OpaqueExchange(Exchange):
-    """Knows the request's target and headers exactly as they came."""
+    """Knows the request's target and headers exactly as they came.
+
+    Parameters
+    ----------
+    readers
+        Counts what its caller has not read; None: that isn't counted.
+    """
+
+    def __init__(
+        self,
+        scope: HTTPScope,
+        receive: ASGIReceiveCallable,
+        send: ASGISendCallable,
+        limits: Limits,
+        budget: ByteBudget,
+        *,
+        last: Callable[[], bool],
+        readers: Readers | None = None,
+    ) -> None:
+        super().__init__(scope, receive, send, limits, budget, last=last)
+        self._readers = readers
 
     @cached_property
     def target(self) -> str:
@@ -77,14 +108,51 @@
         dropped = HOP_HEADERS | named
         return tuple(pair for pair in self.header_list if pair[0].lower() not in dropped)
 
-    async def relay(self, status: int, headers: Iterable[tuple[str, str]], body: bytes) -> None:
-        """Send a whole response with given headers, its content type among them."""
+    async def relay(
+        self,
+        status: int,
+        headers: Iterable[tuple[str, str]],
+        body: bytes,
+        request_id: str = "",
+    ) -> None:
+        """Send a whole response with given headers, its content type among them.
+
+        Raises
+        ------
+        BrokenResponseError
+            Its caller read too slowly, and was cut off.
+        """
         kept = [pair for pair in headers if pair[0].lower() not in HOP_HEADERS]
-        await self.begin(status, (*kept, ("content-length", str(len(body)))))
-        await self.write(body, last=True)
+        length = ("content-length", str(len(body)))
+        if self._readers is None:
+            await self.begin(status, (*kept, length))
+            await self._write_pieces(body, lambda _size: None)
+            return
+        self.bound_write_buffer()
+        with anyio.CancelScope() as writing:
+            reader = WaitingReader(request_id, False, writing.cancel)
+            self._readers.add(reader)
+            try:
+                self._readers.hold_answer(reader, len(body), steady_seconds())
+                await self.begin(status, (*kept, length))
+                await self._write_pieces(body, partial(self._readers.release, reader))
+            finally:
+                self._readers.remove(reader)
+        if reader.was_cut_off:
+            self.abort()
+            raise BrokenResponseError(f"the caller of {request_id} read too slowly")
+
+    async def _write_pieces(self, body: bytes, on_written: Callable[[int], None]) -> None:
+        """Write a whole body in pieces; tell the size of each that its caller has taken."""
+        for start in range(0, max(1, len(body)), PIECE_BYTES):
+            piece = body[start : start + PIECE_BYTES]
+            await self.write(piece, last=start + PIECE_BYTES >= len(body))
+            on_written(len(piece))
 
     async def begin_stream(self, headers: Iterable[tuple[str, str]]) -> None:
         """Send the head of a stream of unknown length."""
+        if self._readers is not None:
+            self.bound_write_buffer()
         await self.begin(
             STREAM_STATUS, tuple(pair for pair in headers if pair[0].lower() not in HOP_HEADERS)
         )
--- a/src/stagewalk/gateway/entry/forwarded_calls.py
+++ b/src/stagewalk/gateway/entry/forwarded_calls.py
@@ -11,7 +11,7 @@
 from stagewalk.gateway.dialect import CallerInterface
 from stagewalk.gateway.entry.caller_authentication import Caller
 from stagewalk.gateway.entry.exchange import OpaqueExchange
-from stagewalk.gateway.entry.replies import reply_error
+from stagewalk.gateway.entry.replies import reply_body_refused, reply_error
 from stagewalk.gateway.forwarding.forwarder import Forwarder
 from stagewalk.gateway.forwarding.inbound import InboundRequest
 from stagewalk.gateway.forwarding.policy import Ending, Unanswered
@@ -63,7 +63,7 @@
             return
         answer = outcome.ok
         self._metrics.request_ended(route.kind.value, str(answer.status), began)
-        await exchange.relay(answer.status, answer.headers, answer.body)
+        await exchange.relay(answer.status, answer.headers, answer.body, request.request_id)
 
     async def forward_stream(self, exchange: OpaqueExchange, caller: Caller, route: Route) -> None:
         """Forward a request and relay its answer as it arrives.
@@ -90,6 +90,7 @@
             began + self._allowed_seconds(exchange, route),
             self._last_event(exchange),
             relay_part,
+            on_cut_off=exchange.abort,
         )
         if outcome.is_error():
             if exchange.started:
@@ -101,18 +102,19 @@
         if exchange.started:
             await exchange.write(b"", last=True)
         else:
-            await exchange.relay(ended.status, ended.headers, ended.body)
+            await exchange.relay(ended.status, ended.headers, ended.body, request.request_id)
 
     async def _read_request(
         self, exchange: OpaqueExchange, caller: Caller
     ) -> InboundRequest | None:
         """Return the whole request; None if its body was refused and the caller answered."""
+        request_id = exchange.header(self._spelling.request_id) or ""
         body = await exchange.body()
         if body.is_error():
-            await reply_error(exchange, 413, body.error.detail)
+            await reply_body_refused(exchange, body.error, request_id)
             return None
         return InboundRequest(
-            request_id=exchange.header(self._spelling.request_id) or "",
+            request_id=request_id,
             method=exchange.method,
             target=exchange.target,
             headers=exchange.end_to_end_headers(),
--- a/src/stagewalk/gateway/entry/replies.py
+++ b/src/stagewalk/gateway/entry/replies.py
@@ -9,11 +9,18 @@
 
 import msgspec
 
+from stagewalk.common.errors import ErrorKind, StagewalkError
+from stagewalk.common.logs.lines import log_event
 from stagewalk.gateway.entry.exchange import OpaqueExchange
 
 JSON_CONTENT = "application/json"
 RETRY_AFTER_HEADER = "retry-after"
 
+BODY_TOO_LARGE = 413
+BODY_REFUSED_STATUS = {ErrorKind.TIMEOUT: 408, ErrorKind.OVERLOADED: 503}
+"""Statuses of bodies that were not read whole, other than those that are larger than is allowed:
+both say that the request was sent to no worker."""
+
 
 async def reply_json(exchange: OpaqueExchange, content: bytes, status: int = 200) -> None:
     """Reply with JSON."""
@@ -38,3 +45,12 @@
         headers.append((RETRY_AFTER_HEADER, f"{retry_after_seconds:g}"))
     content = msgspec.json.encode({"error": detail})
     await exchange.respond(status, JSON_CONTENT, content, headers)
+
+
+async def reply_body_refused(
+    exchange: OpaqueExchange, error: StagewalkError, request_id: str
+) -> None:
+    """Reply to a request whose body was not read whole, and which so reached no worker."""
+    status = BODY_REFUSED_STATUS.get(error.kind, BODY_TOO_LARGE)
+    log_event("body_refused", "warning", request=request_id, status=status, detail=error.detail)
+    await reply_error(exchange, status, error.detail, error.retry_after_seconds)
--- /dev/null
+++ b/src/stagewalk/gateway/forwarding/relay_buffer.py
@@ -0,0 +1,99 @@
+"""Holds parts of a stream between its worker, read at the worker's pace, and its caller.
+
+Owns the order of the parts and the task that writes them. A worker whose answer stays unread cuts
+it off after seconds, so reading never waits for the caller. Relies on `held_memory.readers` for the
+bounds, by which a caller that is too far behind is cut off.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import anyio
+
+from stagewalk.common.steady_clock import steady_seconds
+from stagewalk.gateway.held_memory.readers import Readers, WaitingReader
+from stagewalk.gateway.ports.workers import StreamHead, StreamPart
+
+PART_OVERHEAD_BYTES = 300
+"""Of an event besides its bytes: its objects and its place in the buffer. Events are mostly shorter
+than that."""
+
+StreamConsumer = Callable[[StreamPart], Awaitable[None]]
+Produced = TypeVar("Produced")
+
+
+class RelayBuffer:
+    """Parts of one stream that its caller has not read yet.
+
+    Parameters
+    ----------
+    consume
+        Writes a part to the caller, waiting while it reads slowly.
+    resumable
+        Whether the caller may ask for the rest of a stream that was cut off.
+    """
+
+    def __init__(
+        self, readers: Readers, consume: StreamConsumer, request_id: str, *, resumable: bool
+    ) -> None:
+        self._readers = readers
+        self._consume = consume
+        self._parts: deque[StreamPart] = deque()
+        self._changed = anyio.Event()
+        self._ended = False
+        self._scope = anyio.CancelScope()
+        self._reader = WaitingReader(request_id, resumable, self._scope.cancel)
+
+    @property
+    def was_cut_off(self) -> bool:
+        """Whether the caller was cut off: its answer must not look complete."""
+        return self._reader.was_cut_off
+
+    async def put(self, part: StreamPart) -> None:
+        """Have a part written to the caller; returns at once."""
+        self._readers.hold_part(self._reader, _held_bytes(part), steady_seconds())
+        if not self._reader.was_cut_off:
+            self._parts.append(part)
+            self._changed.set()
+
+    async def relay(self, produce: Callable[[], Awaitable[Produced]]) -> Produced | None:
+        """Write to the caller what `produce` puts, until it has ended and all is written.
+
+        Returns
+        -------
+        Produced or None
+            What `produce` returned, None if the caller was cut off before all was written.
+        """
+        self._readers.add(self._reader)
+        produced: Produced | None = None
+        try:
+            with self._scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._write)
+                    produced = await produce()
+                    self._ended = True
+                    self._changed.set()
+        finally:
+            self._parts.clear()
+            self._readers.remove(self._reader)
+        return None if self._reader.was_cut_off else produced
+
+    async def _write(self) -> None:
+        while self._parts or not self._ended:
+            if not self._parts:
+                self._changed = anyio.Event()
+                await self._changed.wait()
+                continue
+            part = self._parts.popleft()
+            await self._consume(part)
+            self._readers.release(self._reader, _held_bytes(part))
+
+
+def _held_bytes(part: StreamPart) -> int:
+    """Return what a part takes in memory: an event is there as it came, and as text."""
+    if isinstance(part, StreamHead):
+        return PART_OVERHEAD_BYTES + sum(len(name) + len(value) for name, value in part.headers)
+    return PART_OVERHEAD_BYTES + len(part.raw) + len(part.data)
--- a/src/stagewalk/gateway/forwarding/stream_forwarder.py
+++ b/src/stagewalk/gateway/forwarding/stream_forwarder.py
@@ -1,7 +1,8 @@
 """Forwards streams of events as they arrive; where allowed, goes on at another worker.
 
 Owns what a stream's caller has got, the order of its events, and streams that move away from a zone
-that is being evacuated. Relies on `forwarding.policy` for every decision, on `forwarding.attempts`
+that is being evacuated. Relies on `forwarding.relay_buffer` to read workers whatever the callers'
+pace, on `forwarding.policy` for every decision, on `forwarding.attempts`
 for what each attempt does, and on the `WorkerClient` to send.
 """
 
@@ -27,6 +28,8 @@
 )
 from stagewalk.gateway.forwarding.inbound import InboundRequest
 from stagewalk.gateway.forwarding.policy import Ending, ForwardedRequest, Unanswered
+from stagewalk.gateway.forwarding.relay_buffer import RelayBuffer, StreamConsumer
+from stagewalk.gateway.held_memory.readers import Readers
 from stagewalk.gateway.ports.workers import (
     AttemptFailure,
     AttemptFault,
@@ -42,7 +45,6 @@
 
 SUCCESS = 200
 _Stream = Callable[[], Awaitable[Result[StreamEnd, AttemptFailure]]]
-StreamConsumer = Callable[[StreamPart], Awaitable[None]]
 
 
 class OutOfOrderError(Exception):
@@ -78,8 +80,18 @@
 _MOVED = AttemptFailure(AttemptFault.MAY_HAVE_RUN, "moved: the worker's zone is evacuated")
 
 
+def ignore_cut_off() -> None:
+    """Do nothing."""
+
+
 class StreamForwarder:
-    """Forwards streams. The head the caller sees is that of the first worker that answered."""
+    """Forwards streams. The head the caller sees is that of the first worker that answered.
+
+    Parameters
+    ----------
+    readers
+        Counts what is held for slow callers; None: a worker is read at its caller's pace.
+    """
 
     def __init__(
         self,
@@ -88,12 +100,15 @@
         routes: RouteTable,
         crashes: CrashReports,
         on_begun: BegunListener = ignore_begun,
+        *,
+        readers: Readers | None = None,
     ) -> None:
         self._client = client
         self._eligibility = eligibility
         self._crashes = crashes
         self._routes = routes
         self._on_begun = on_begun
+        self._readers = readers
         self._attempts = Attempts(eligibility, crashes, prefer_warm=False)
         self._open: dict[_OpenStream, None] = {}
         eligibility.evacuations.listen(self._zone_evacuated, lambda _zone, _now: None)
@@ -105,18 +120,29 @@
         deadline_at: float,
         resume_after: int,
         consume: StreamConsumer,
+        *,
+        on_cut_off: Callable[[], None] = ignore_cut_off,
     ) -> Result[StreamEnd, Unanswered]:
         """Pass a stream on; return how the worker ended it, or how it ended without.
 
         After an error the caller's answer, if it has begun, must not look complete.
+
+        Parameters
+        ----------
+        on_cut_off
+            Called if the caller read too slowly, once its stream has ended.
         """
         state = ForwardedRequest(route, deadline_at, steady_seconds())
         service = self._routes.choose_back_end(route).service
-        streamed = _Streamed(request, state, service, consume, resume_after)
+        buffer = self._open_buffer(request, route, consume)
+        streamed = _Streamed(
+            request, state, service, consume if buffer is None else buffer.put, resume_after
+        )
+        attempts = partial(self._attempt_until_ended, streamed)
         ended: StreamEnd | None = None
         try:
             with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - steady_seconds())):
-                ended = await self._attempt_until_ended(streamed)
+                ended = await (attempts() if buffer is None else buffer.relay(attempts))
         finally:
             if ended is None:
                 self._crashes.publish(request.content)
@@ -128,8 +154,18 @@
         if streamed.started and ending is Ending.NOT_RUN:
             ending = Ending.UNKNOWN
         log_request_end(streamed, self._routes.version, ending.value)
+        if buffer is not None and buffer.was_cut_off:
+            on_cut_off()
         return Error(state.unanswered(ending))
 
+    def _open_buffer(
+        self, request: InboundRequest, route: Route, consume: StreamConsumer
+    ) -> RelayBuffer | None:
+        """Return the buffer between a stream's workers and its caller, None if it has none."""
+        if self._readers is None:
+            return None
+        return RelayBuffer(self._readers, consume, request.request_id, resumable=route.resumable)
+
     async def _attempt_until_ended(self, streamed: _Streamed) -> StreamEnd | None:
         ended: StreamEnd | None = None
         while ended is None:
--- a/src/stagewalk/gateway/held_memory/bodies.py
+++ b/src/stagewalk/gateway/held_memory/bodies.py
@@ -28,18 +28,21 @@
         self._held = 0
 
     def admits(self, announced_bytes: int) -> bool:
-        """Whether a body of an announced length would fit now."""
-        return self._fits(announced_bytes, announced_bytes)
+        """Whether a body of an announced length would fit now.
+
+        A small one is asked for as it arrives: others may make room for it then.
+        """
+        return announced_bytes <= LARGE_BODY_BYTES or self._leaves_room(announced_bytes)
 
     def take(self, count: int) -> bool:
         """Hold more of the body; return whether there were enough bytes."""
         size = self._held + count
-        if size > LARGE_BODY_BYTES:
-            taken = self._fits(size, count)
+        if size <= LARGE_BODY_BYTES:
+            taken = self._budget.take(count)
+        else:
+            taken = self._leaves_room(count)
             if taken:
                 self._budget.add(count)
-        else:
-            taken = self._budget.take(count)
         if taken:
             self._held = size
         return taken
@@ -52,9 +55,7 @@
         self._budget.give_back(self._held)
         self._held = 0
 
-    def _fits(self, size: int, count: int) -> bool:
-        """Whether more bytes fit, of a body that is of some size with them."""
-        left = 0
-        if size > LARGE_BODY_BYTES:
-            left = int(self._budget.maximum_bytes * (1.0 - LARGE_BODIES_SHARE))
+    def _leaves_room(self, count: int) -> bool:
+        """Whether so much more of a large body leaves enough for small ones."""
+        left = int(self._budget.maximum_bytes * (1.0 - LARGE_BODIES_SHARE))
         return self._budget.missing_bytes(count, left) <= 0
--- a/src/stagewalk/gateway/held_memory/readers.py
+++ b/src/stagewalk/gateway/held_memory/readers.py
@@ -98,6 +98,11 @@
         self._reader_limit = int(budget.maximum_bytes * READER_SHARE)
         self._readers: dict[WaitingReader, None] = {}
 
+    @property
+    def budget(self) -> MemoryBudget:
+        """Return the node's budget."""
+        return self._budget
+
     def __len__(self) -> int:
         return len(self._readers)
 
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -55,6 +55,8 @@
     cold_leases: int
     worker_ends: int
     requests_held_back: int
+    held_bytes: int
+    peak_held_bytes: int
     view_ages: dict[str, float]
 
 
@@ -85,6 +87,8 @@
             ("evacuated_zones", "Zones whose workers get nothing.", state.evacuated_zones),
             ("worker_ends", "Worker ends remembered, by request.", state.worker_ends),
             ("requests_held_back", "Requests that crash workers.", state.requests_held_back),
+            ("held_bytes", "Bytes held for callers and workers.", state.held_bytes),
+            ("peak_held_bytes", "Most of them at any time.", state.peak_held_bytes),
             ("cold_leases", "Cold workers that this node may send to.", state.cold_leases),
         ):
             yield GaugeMetricFamily(f"stagewalk_{name}", text, value=float(value))
@@ -136,6 +140,12 @@
             ["reason"],
             registry=self._registry,
         )
+        self._cut_offs = Counter(
+            "stagewalk_readers_cut_off",
+            "Callers that were cut off as they read too slowly, by the bound.",
+            ["reason"],
+            registry=self._registry,
+        )
         self._loop_lag = Histogram(
             "stagewalk_loop_lag_seconds",
             "How late the process's event loop came back to a task that slept.",
@@ -162,6 +172,10 @@
         """Count a request that was denied a worker."""
         self._denials.labels(denial.value).inc()
 
+    def reader_cut_off(self, reason: str) -> None:
+        """Count a caller that read too slowly."""
+        self._cut_offs.labels(reason).inc()
+
     def loop_woke_late(self, seconds: float) -> None:
         """Record how late the event loop woke a task that slept."""
         self._loop_lag.observe(seconds)
--- a/tests/gateway/memory_workers.py
+++ b/tests/gateway/memory_workers.py
@@ -50,6 +50,8 @@
         Number of events it makes of each item.
     event_seconds
         How long an event takes.
+    event_padding
+        Bytes that each event has besides its name.
     faults
         Faults of the next requests, one each.
     statuses
@@ -58,6 +60,7 @@
 
     events: int = 3
     event_seconds: float = 0.01
+    event_padding: int = 0
     answer_seconds: float = 0.0
     faults: list[AttemptFault] = field(default_factory=list)
     statuses: list[int] = field(default_factory=list)
@@ -183,7 +186,7 @@
             await self._work(permit.target.worker, request, worker.event_seconds)
             if worker.ended.is_set():
                 return Error(_CONNECTION_CLOSED)
-            data = f"{request.request_id}-{number}"
+            data = f"{request.request_id}-{number}" + "." * worker.event_padding
             await deliver(StreamEvent(number, data, None, data.encode()))
             if fault is not None:
                 return Error(AttemptFailure(fault, "scripted", worker.load))
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -16,6 +16,7 @@
 from stagewalk.gateway.batches.records import BatchItem
 from stagewalk.gateway.daemon import Gateway
 from stagewalk.gateway.dialect import NamedVersion
+from stagewalk.gateway.held_memory.budget import MemoryBudget
 from stagewalk.gateway.routes.route import (
     BackEnd,
     CallerLimits,
@@ -159,7 +160,8 @@
         """Start a gateway, with a client of the log of its own if one is given."""
         settings = replace(gateway_settings(name), **changes)
         log = log or self.log.client()
-        dependencies = Dependencies(log, self.workers, self.dialect, self.duties)
+        memory = None if settings.memory is None else MemoryBudget.of_node(settings.memory.limit_mb)
+        dependencies = Dependencies(log, self.workers, self.dialect, self.duties, memory)
         gateway = Gateway(settings, dependencies)
         running = Running(gateway, log, f"http://{settings.front}", str(settings.front))
         self._tasks.start_soon(self._run, running)
