--- a/src/stagewalk/gateway/forwarding/attempts.py
+++ b/src/stagewalk/gateway/forwarding/attempts.py
@@ -173,13 +173,15 @@
 def record_failure(attempt: Attempt, failure: AttemptFailure) -> None:
     """Count a failed attempt, and log it; avoid its worker for a while.
 
-    A worker that refused the request, or was not even tried, is not avoided.
+    A worker that refused the request, was not even tried, or answered more than this node may hold
+    is not avoided.
     """
     request, state, worker = attempt.request, attempt.state, attempt.worker
     now = steady_seconds()
     state.failed(failure)
     worker.note_load(failure.load, now)
-    if failure.fault not in (AttemptFault.NOT_RUN, AttemptFault.WITHHELD):
+    blameless = failure.own_limit or failure.fault in (AttemptFault.NOT_RUN, AttemptFault.WITHHELD)
+    if not blameless:
         worker.note_failure(now)
     log_event(
         "attempt_failed",
--- a/src/stagewalk/gateway/ports/workers.py
+++ b/src/stagewalk/gateway/ports/workers.py
@@ -143,13 +143,16 @@
     Attributes
     ----------
     contact_loss
-        How contact was lost, None if the worker answered or the request never reached it.
+        How contact was lost, None if the worker answered, doesn't read, or was never reached.
+    own_limit
+        Whether a limit of this node ended it, which says nothing about the worker.
     """
 
     fault: AttemptFault
     detail: str
     load: WorkerLoad | None = None
     contact_loss: ContactLoss | None = None
+    own_limit: bool = False
 
 
 @dataclass(frozen=True, slots=True)
