Connections to workers are counted by what for and why no kept one was used

Change: the transport's trace tells which requests open one, the end of each what became of it: first, surge, idle_closed, worker_closes, refused (a refusal isn't read to its end), cut, lost, not_kept; by item, score, forwarded, report, order, probe. Metric stagewalk_worker_connections_opened, and a line every 10 s where there are any.

--- a/src/stagewalk/gateway/assembly.py
+++ b/src/stagewalk/gateway/assembly.py
@@ -8,6 +8,8 @@
 
 import time
 import uuid
+from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from stagewalk.common.logs.lines import log_event
@@ -30,7 +32,7 @@
 from stagewalk.gateway.peer_calls.client import PeerClient
 from stagewalk.gateway.ports.duties import DutyClient
 from stagewalk.gateway.ports.partitioned_log import Partition, PartitionedLog
-from stagewalk.gateway.ports.workers import WorkerClient
+from stagewalk.gateway.ports.workers import ConnectionReason, SendPurpose, WorkerClient
 from stagewalk.gateway.published_records import PublishedRecords
 from stagewalk.gateway.role_controller import LogReserve, RoleController
 from stagewalk.gateway.routes.table import RouteTable
@@ -54,6 +56,8 @@
     """None: the platform has no duties but those at the workers."""
     memory: MemoryBudget | None = None
     """What `workers` counts answers against; None: the node's memory is not known."""
+    opened_connections: Callable[[], Counter[tuple[SendPurpose, ConnectionReason]]] = Counter
+    """Connections that `workers` opened since the start, by what for and why."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -18,6 +18,7 @@
 from stagewalk.common.logs.lines import log_event
 from stagewalk.common.steady_clock import steady_seconds
 from stagewalk.gateway.assembly import Dependencies, GatewayAssembly
+from stagewalk.gateway.connections_log import ConnectionsLog
 from stagewalk.gateway.entry.app import Endpoints, GatewayApp
 from stagewalk.gateway.entry.caller_authentication import CallerAuthenticator
 from stagewalk.gateway.entry.directory_calls import DirectoryCalls
@@ -66,6 +67,8 @@
     ) -> None:
         self._live_settings = LiveSettings(settings, load_again)
         self._dialect = dependencies.dialect
+        self._opened_connections = dependencies.opened_connections
+        self._connections_log = ConnectionsLog(dependencies.opened_connections)
         self._log_budget = log_budget or LogBudget()
         self._metrics = GatewayMetrics(self._state, self._log_budget)
         parts = GatewayAssembly(self._live_settings, dependencies, self._metrics).build()
@@ -205,6 +208,7 @@
             requests_held_back=len(self._crashes.held_contents()),
             held_bytes=0 if budget is None else budget.held_bytes,
             peak_held_bytes=0 if budget is None else budget.peak_bytes,
+            opened_connections=self._opened_connections(),
             view_ages={freshness.name: freshness.age(now) for freshness in followers},
         )
 
@@ -223,6 +227,7 @@
             self._crashes.step(steady_seconds())
             self._duties.sample_clock()
             self._log_dropped_lines()
+            self._connections_log.write(steady_seconds())
 
     async def _resume_batches(self) -> None:
         """Resume batches that this node ran before it was restarted.
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from prometheus_client import (
@@ -22,6 +22,7 @@
 from stagewalk.common.logs.budget import LogBudget
 from stagewalk.common.steady_clock import steady_seconds
 from stagewalk.gateway.ports.denials import Denial
+from stagewalk.gateway.ports.workers import ConnectionReason, SendPurpose
 
 _omit_creation_times: Callable[[], None] = disable_created_metrics
 
@@ -40,6 +41,8 @@
     ----------
     view_ages
         By followed partition, seconds since its view was complete.
+    opened_connections
+        To workers, by purpose and reason.
     """
 
     configuration: int
@@ -58,6 +61,7 @@
     held_bytes: int
     peak_held_bytes: int
     view_ages: dict[str, float]
+    opened_connections: Mapping[tuple[SendPurpose, ConnectionReason], int]
 
 
 class _StateCollector(Collector):
@@ -98,6 +102,14 @@
         for partition, age in sorted(state.view_ages.items()):
             ages.add_metric([partition], age)
         yield ages
+        opened = CounterMetricFamily(
+            "stagewalk_worker_connections_opened",
+            "Connections opened to workers, by what for and why no kept one was used.",
+            labels=["purpose", "reason"],
+        )
+        for (purpose, reason), count in sorted(state.opened_connections.items()):
+            opened.add_metric([purpose, reason], count)
+        yield opened
         events = CounterMetricFamily(
             "stagewalk_events", "Log events, dropped ones too.", labels=["event", "failure"]
         )
--- a/src/stagewalk/gateway/ports/workers.py
+++ b/src/stagewalk/gateway/ports/workers.py
@@ -55,6 +55,38 @@
     """Nothing whole came in time: a worker whose machine is gone, or one that is slow."""
 
 
+class SendPurpose(StrEnum):
+    """What a worker is called for."""
+
+    FORWARDED = "forwarded"
+    ITEM = "item"
+    SCORE = "score"
+    REPORT = "report"
+    ORDER = "order"
+    PROBE = "probe"
+
+
+class ConnectionReason(StrEnum):
+    """Why a new connection to a worker was opened."""
+
+    FIRST = "first"
+    """None had been opened to it."""
+    SURGE = "surge"
+    """All were in use."""
+    IDLE_CLOSED = "idle_closed"
+    """An idle one was closed, by either side."""
+    WORKER_CLOSES = "worker_closes"
+    """The worker said that it closes the last one."""
+    REFUSED = "refused"
+    """The last one brought a refusal, which was not read to its end."""
+    CUT = "cut"
+    """This node had ended the request on the last one."""
+    LOST = "lost"
+    """The last one broke."""
+    NOT_KEPT = "not_kept"
+    """The request may not go over a kept one."""
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerLoad:
     """Load that a worker reported with an answer.
@@ -96,6 +128,8 @@
         caller's headers stay as they are.
     priority
         0 is the most urgent; None: the worker's default.
+    purpose
+        For counts only.
     """
 
     request_id: str
@@ -109,6 +143,7 @@
     expected_version: int | None = None
     tenant: str | None = None
     priority: int | None = None
+    purpose: SendPurpose = SendPurpose.FORWARDED
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/gateway/runners/item_sender.py
+++ b/src/stagewalk/gateway/runners/item_sender.py
@@ -22,6 +22,7 @@
 from stagewalk.gateway.ports.workers import (
     AttemptFailure,
     OutboundRequest,
+    SendPurpose,
     StreamEnd,
     StreamHead,
     StreamPart,
@@ -94,6 +95,7 @@
         resume_after=start.resume_after,
         tenant=start.tenant,
         priority=start.priority,
+        purpose=SendPurpose.ITEM,
     )
 
 
--- a/src/stagewalk/gateway/runners/score_sender.py
+++ b/src/stagewalk/gateway/runners/score_sender.py
@@ -8,7 +8,7 @@
 from stagewalk.common.logs.lines import log_event
 from stagewalk.common.steady_clock import steady_seconds
 from stagewalk.gateway.forwarding.inbound import HOST_HEADER
-from stagewalk.gateway.ports.workers import OutboundRequest
+from stagewalk.gateway.ports.workers import OutboundRequest, SendPurpose
 from stagewalk.gateway.runners.checked_sends import CheckedSends, PlannedSend
 from stagewalk.gateway.scoring.messages import (
     SCORE_METHOD,
@@ -61,6 +61,7 @@
         body=send.call.body,
         deadline_seconds=send.deadline_seconds,
         tenant=send.tenant,
+        purpose=SendPurpose.SCORE,
     )
 
 
--- /dev/null
+++ b/tests/gateway/test_connections_log.py
@@ -0,0 +1,42 @@
+"""The log is told of opened connections now and then, and of nothing where there are none."""
+
+from __future__ import annotations
+
+from collections import Counter
+from unittest import mock
+
+import testtools
+
+from stagewalk.gateway.connections_log import LOG_SECONDS, ConnectionsLog
+from stagewalk.gateway.ports.workers import ConnectionReason, SendPurpose
+
+ITEM = (SendPurpose.ITEM, ConnectionReason.SURGE)
+SCORE = (SendPurpose.SCORE, ConnectionReason.FIRST)
+
+
+class ConnectionsLogTests(testtools.TestCase):
+    def test_only_what_is_new_is_told_and_not_too_often(self) -> None:
+        counts: Counter[tuple[SendPurpose, ConnectionReason]] = Counter()
+        lines: list[dict[str, object]] = []
+
+        def note(_event: str, **fields: object) -> None:
+            lines.append(fields)
+
+        log = ConnectionsLog(counts.copy)
+        with mock.patch("stagewalk.gateway.connections_log.log_event", note):
+            log.write(1.0)
+            counts[ITEM] += 2
+            log.write(2.0)
+            self.assertEqual([], lines)
+            log.write(1.0 + LOG_SECONDS)
+            counts[ITEM] += 1
+            counts[SCORE] += 1
+            log.write(1.0 + 2 * LOG_SECONDS)
+            log.write(1.0 + 3 * LOG_SECONDS)
+        self.assertEqual(
+            [
+                {"count": 2, "by": "item/surge:2"},
+                {"count": 2, "by": "item/surge:1,score/first:1"},
+            ],
+            lines,
+        )
--- /dev/null
+++ b/tests/platform_adapter/test_connection_counts.py
@@ -0,0 +1,107 @@
+"""Connections opened to workers are counted by what for and why no kept one was used."""
+
+from __future__ import annotations
+
+import anyio
+import testtools
+
+from stagewalk.gateway.ports.workers import ConnectionReason, SendPurpose, StreamPart
+from stagewalk_platform.connection_counts import MAXIMUM_PEERS, ConnectionCounts, ConnectionEnd
+from stagewalk_platform.workers import PlatformWorkers
+from tests.gateway.eligibility.support import granted
+from tests.platform_adapter.scripted_server import Scripted, ScriptedServer, chunked, play, respond
+from tests.platform_adapter.test_workers import EVENTS, ORDER, SIGNED, request, target
+
+GOOD = Scripted(respond("200 OK", b"ok", **SIGNED))
+REFUSED = Scripted(respond("503 Busy", b"busy", **SIGNED, x_not_executed="1"))
+CLOSING = Scripted(respond("200 OK", b"ok", **SIGNED, connection="close"), close=True)
+CUT_SHORT = Scripted(respond("200 OK", b"whole", **SIGNED)[:-2], close=True)
+
+
+class SentTests(testtools.TestCase):
+    def count(self, *answers: Scripted, **changes: object) -> dict[str, int]:
+        """Send a request for each answer, one after the other; return the counts by reason."""
+        counts = ConnectionCounts()
+
+        async def scenario(server: ScriptedServer) -> None:
+            client = PlatformWorkers(counts=counts)
+            for _ in answers:
+                await client.send(granted(target(server)), request(**changes))
+            opened.append(server.connections)
+
+        opened: list[int] = []
+        play(list(answers), scenario)
+        self.assertEqual(opened, [counts.opened().total()])
+        return {reason.value: n for (_, reason), n in counts.opened().items()}
+
+    def test_a_kept_connection_is_opened_once(self) -> None:
+        self.assertEqual({"first": 1}, self.count(GOOD, GOOD, GOOD))
+
+    def test_why_the_last_one_was_not_there(self) -> None:
+        for answer, reason in (
+            (REFUSED, "refused"),
+            (CLOSING, "worker_closes"),
+            (CUT_SHORT, "lost"),
+            (Scripted(GOOD.content, close=True), "idle_closed"),
+        ):
+            self.assertEqual({"first": 1, reason: 1}, self.count(answer, GOOD), reason)
+
+    def test_what_may_not_go_over_a_kept_one(self) -> None:
+        self.assertEqual({"not_kept": 2}, self.count(GOOD, GOOD, repeatable=False))
+
+    def test_requests_at_a_time_need_connections_of_their_own(self) -> None:
+        counts = ConnectionCounts()
+
+        async def scenario(server: ScriptedServer) -> None:
+            client = PlatformWorkers(counts=counts)
+            async with anyio.create_task_group() as tasks:
+                for _ in range(2):
+                    tasks.start_soon(client.send, granted(target(server)), request())
+
+        slow = Scripted(GOOD.content, after_seconds=0.2)
+        play([slow, slow], scenario)
+        self.assertEqual(
+            {ConnectionReason.FIRST: 1, ConnectionReason.SURGE: 1},
+            {reason: n for (_, reason), n in counts.opened().items()},
+        )
+
+    def test_a_stream_that_is_left_costs_the_next_request_a_connection(self) -> None:
+        counts = ConnectionCounts()
+
+        async def scenario(server: ScriptedServer) -> None:
+            client = PlatformWorkers(counts=counts)
+            item = request(purpose=SendPurpose.ITEM)
+
+            async def leave(_part: StreamPart) -> None:
+                scope.cancel()
+                await anyio.sleep(1.0)
+
+            with anyio.CancelScope() as scope:
+                await client.stream(granted(target(server)), item, leave)
+            await client.order_version(target(server), ORDER)
+
+        play([Scripted(chunked(EVENTS, **SIGNED)), Scripted(respond("202 Accepted"))], scenario)
+        self.assertEqual(
+            {
+                (SendPurpose.ITEM, ConnectionReason.FIRST): 1,
+                (SendPurpose.ORDER, ConnectionReason.CUT): 1,
+            },
+            counts.opened(),
+        )
+
+
+class RememberedTests(testtools.TestCase):
+    def test_workers_unused_longest_are_forgotten(self) -> None:
+        counts = ConnectionCounts()
+        for number in range(MAXIMUM_PEERS + 1):
+            counts.count_opened(f"i-{number}", SendPurpose.ITEM)
+            counts.note_end(f"i-{number}", ConnectionEnd.LOST)
+        counts.count_opened("i-0", SendPurpose.ITEM)
+        counts.count_opened(f"i-{MAXIMUM_PEERS}", SendPurpose.ITEM)
+        self.assertEqual(
+            {
+                (SendPurpose.ITEM, ConnectionReason.FIRST): MAXIMUM_PEERS + 2,
+                (SendPurpose.ITEM, ConnectionReason.LOST): 1,
+            },
+            counts.opened(),
+        )
