--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from prometheus_client import (
@@ -23,6 +23,7 @@
 from stagewalk.common.steady_clock import steady_seconds
 from stagewalk.gateway.batches.place_demand import ClaimantPlaces
 from stagewalk.gateway.ports.denials import Denial
+from stagewalk.gateway.ports.workers import ConnectionReason, SendPurpose
 from stagewalk.gateway.workers.worker import ReportKind
 
 _omit_creation_times: Callable[[], None] = disable_created_metrics
@@ -46,6 +47,8 @@
         Engines' places of each trainer whose items run here.
     engine_tokens
         By engine with runs of this node, the most tokens that it is expected to hold.
+    opened_connections
+        To workers, by purpose and reason.
     """
 
     configuration: int
@@ -62,8 +65,11 @@
     cold_leases: int
     worker_ends: int
     requests_held_back: int
+    held_bytes: int
+    peak_held_bytes: int
     view_ages: dict[str, float]
     engine_tokens: dict[str, int]
+    opened_connections: Mapping[tuple[SendPurpose, ConnectionReason], int]
     claimant_places: Sequence[ClaimantPlaces] = ()
 
 
@@ -94,6 +100,8 @@
             ("evacuated_zones", "Zones whose workers get nothing.", state.evacuated_zones),
             ("worker_ends", "Worker ends remembered, by request.", state.worker_ends),
             ("requests_held_back", "Requests that crash workers.", state.requests_held_back),
+            ("held_bytes", "Bytes held for callers and workers.", state.held_bytes),
+            ("peak_held_bytes", "Most of them at any time.", state.peak_held_bytes),
             ("cold_leases", "Cold workers that this node may send to.", state.cold_leases),
         ):
             yield GaugeMetricFamily(f"stagewalk_{name}", text, value=float(value))
@@ -118,6 +126,14 @@
         for engine, count in sorted(state.engine_tokens.items()):
             tokens.add_metric([engine], float(count))
         yield tokens
+        opened = CounterMetricFamily(
+            "stagewalk_worker_connections_opened",
+            "Connections opened to workers, by what for and why no kept one was used.",
+            labels=["purpose", "reason"],
+        )
+        for (purpose, reason), count in sorted(state.opened_connections.items()):
+            opened.add_metric([purpose, reason], count)
+        yield opened
         events = CounterMetricFamily(
             "stagewalk_events", "Log events, dropped ones too.", labels=["event", "failure"]
         )
@@ -187,6 +203,12 @@
             ["reason"],
             registry=self._registry,
         )
+        self._cut_offs = Counter(
+            "stagewalk_readers_cut_off",
+            "Callers that were cut off as they read too slowly, by the bound.",
+            ["reason"],
+            registry=self._registry,
+        )
         self._loop_lag = Histogram(
             "stagewalk_loop_lag_seconds",
             "How late the process's event loop came back to a task that slept.",
@@ -213,6 +235,10 @@
         """Count a request that was denied a worker."""
         self._denials.labels(denial.value).inc()
 
+    def reader_cut_off(self, reason: str) -> None:
+        """Count a caller that read too slowly."""
+        self._cut_offs.labels(reason).inc()
+
     def loop_woke_late(self, seconds: float) -> None:
         """Record how late the event loop woke a task that slept."""
         self._loop_lag.observe(seconds)
