--- a/src/stagewalk/gateway/batches/attempt_events.py
+++ b/src/stagewalk/gateway/batches/attempt_events.py
@@ -117,6 +117,9 @@
             run_failures=item.run_failures,
             route=self._route_of(run.batch.header.host, item.spec.path),
         )
+        worker = self._workers.worker(ended.worker)
+        if worker is not None:
+            worker.note_connection(True, now)
         if outcome is AttemptOutcome.TEXT_WHOLE:
             self._lengths.learn(item)
             return self._scores.text_whole(run, item, now)
--- a/src/stagewalk/gateway/batches/placement.py
+++ b/src/stagewalk/gateway/batches/placement.py
@@ -21,6 +21,7 @@
     FAILED_HERE_COST,
     FULL_OCCUPANCY,
     NEAR_BEST_REQUESTS,
+    NEW_CONNECTION_COST,
     PROMPT_HELD_CREDIT,
     fastest,
     slowness,
@@ -76,7 +77,9 @@
         shared = PROMPT_HELD_CREDIT if policy.siblings and name in siblings else 0.0
         distance = distances[engine.announcement.zone] if policy.zone_preference else 0.0
         failed_here = FAILED_HERE_COST if name == avoid else 0.0
-        return distance + failed_here - shared
+        opens = policy.warm_connections and engine.paced and not engine.warm(now)
+        connection = NEW_CONNECTION_COST if opens else 0.0
+        return distance + failed_here + connection - shared
 
     latencies = [engine.recent_latency(now) if policy.pace else None for engine in free]
     shortest = fastest(latencies)
--- a/tests/gateway/batches/test_uneven_engines.py
+++ b/tests/gateway/batches/test_uneven_engines.py
@@ -74,6 +74,20 @@
             chosen.add(found.announcement.worker)
         self.assertEqual(6, len(chosen))
 
+    def test_of_like_engines_one_is_taken_to_which_a_connection_is_kept(self) -> None:
+        engines = [engine(f"e{n}") for n in range(8)]
+        engines[5].note_connection(True, NOW)
+        for seed in range(20):
+            self.assertIs(engines[5], choose(engines, LONG, Random(seed)))
+            self.assertIs(engines[5], choose(engines, 2.0, Random(seed)))
+
+    def test_a_connection_is_opened_rather_than_wait(self) -> None:
+        full, free = engine("full"), engine("free")
+        for _ in range(SLOTS):
+            full.note_sent()
+        full.kept_connections, full.warm_until = 2 * SLOTS, NOW + 1.0
+        self.assertIs(free, choose([full, free], LONG))
+
     def test_an_engine_of_which_nothing_is_known_is_tried(self) -> None:
         made = announcement("new", slots=SLOTS, versions={"m": 5})
         new = Worker(made, 0.0, versions={"m": 5})
