An absurd pace counts as ten times, or a tenth of, the usual

Cause: times are divided by the pace reported with them; a single report of a pace of thousands made a machine look that much faster than all others until its estimate had settled, and drew all long items. Change: paces are bounded to 0.1 to 10.0 as they are noted; a test. Ruled out: to drop such a report whole (its requests and slots may be sound). Conclusion: a worker that misreports loses or gains at most what a slow machine would.

--- a/src/stagewalk/gateway/workers/speed.py
+++ b/src/stagewalk/gateway/workers/speed.py
@@ -15,6 +15,11 @@
 PACE_VALID_SECONDS = 0.3
 """How long a reported pace says how long work takes: it varies many times a second."""
 
+LEAST_PACE = 0.1
+LARGEST_PACE = 10.0
+"""A pace beyond these counts as the nearest of them: a single absurd report must not make its
+machine look many times as fast as it is."""
+
 OWN_SPEED_SECONDS = 1.5
 """Time over which a machine's own speed is smoothed: many of its slow moments, few of its items."""
 
@@ -125,6 +130,11 @@
         return min(self._before.lowest, self._current.lowest)
 
 
+def plausible_pace(pace: float) -> float:
+    """Return a reported pace within its bounds."""
+    return max(LEAST_PACE, min(LARGEST_PACE, pace))
+
+
 def seconds_at_pace(work: float, pace: float, seconds_left: float) -> float:
     """Return how long work takes that begins now.
 
--- a/src/stagewalk/gateway/workers/worker.py
+++ b/src/stagewalk/gateway/workers/worker.py
@@ -17,6 +17,7 @@
     PACE_VALID_SECONDS,
     LastingPace,
     OwnSpeed,
+    plausible_pace,
     seconds_at_pace,
 )
 
@@ -209,8 +210,10 @@
         """Record the load that came with an answer, if one did."""
         if load is None:
             return
-        if not self.reads_pace:
-            load = replace(load, pace=None)
+        if load.pace is not None:
+            pace = plausible_pace(load.pace) if self.reads_pace else None
+            if pace != load.pace:
+                load = replace(load, pace=pace)
         self.load = load
         self.load_at = now
         self.sent_since_load = 0
--- a/tests/gateway/workers/test_speed.py
+++ b/tests/gateway/workers/test_speed.py
@@ -9,7 +9,11 @@
 
 from stagewalk.gateway.batches.move_choice import FASTER_SHARE
 from stagewalk.gateway.ports.workers import WorkerLoad
-from stagewalk.gateway.workers.speed import OWN_SPEED_SECONDS, PACE_VALID_SECONDS
+from stagewalk.gateway.workers.speed import (
+    LARGEST_PACE,
+    OWN_SPEED_SECONDS,
+    PACE_VALID_SECONDS,
+)
 from stagewalk.gateway.workers.table import WorkerTable
 from stagewalk.gateway.workers.worker import (
     LATENCY_SMOOTHING,
@@ -83,6 +87,12 @@
             self.assertTrue(least * usual < latency < most * usual, f"{slow}: {latency / usual}")
             started = now + 0.1
 
+    def test_an_absurd_pace_makes_no_machine_look_fast(self) -> None:
+        machine = worker()
+        machine.note_load(WorkerLoad(3, 0, 6, 9_999_999.0), 100.0)
+        machine.note_success(EVENT, 100.0)
+        self.assertGreaterEqual(machine.recent_latency(100.0) or 0.0, EVENT / LARGEST_PACE)
+
     def test_without_a_pace_the_latency_is_as_before(self) -> None:
         machine = worker()
         machine.note_load(WorkerLoad(3, 0, 6), 0.0)
