Admission of forwarded requests: learned bound, fair queue, times to return

Cause: a forwarded request took the cheapest worker or ended at once. Nothing bounded what a node has under way at a service, nobody went before anybody, and all refused callers were told to return after 0.25 s. Change: pure modules in gateway.admission. An additive-increase, multiplicative-decrease bound from refusals, queues at the workers, and times divided by the stated pace; start-time fair queueing by tenant within classes of urgency; one start in four for those that return, one for those overdue; a request waits only while it can start in time, which is decided as it comes and once more after a tenth of its target.

--- /dev/null
+++ b/src/stagewalk/gateway/admission/recent_values.py
@@ -0,0 +1,59 @@
+"""Counts and extremes of the last moments, without keeping each value. Pure.
+
+Owns an exponentially decaying count, from which rates are read, and the largest value of a span.
+"""
+
+from __future__ import annotations
+
+import math
+
+MEMORY_SECONDS = 1.0
+"""An event counts for about so long. Long against the time of a short request, short against that
+of a change of load."""
+
+SPAN_SECONDS = 15.0
+"""A largest value is that of the last one to two spans of this length."""
+
+
+class RecentCount:
+    """An exponentially decaying count of events."""
+
+    def __init__(self) -> None:
+        self._count = 0.0
+        self._at = -math.inf
+
+    def add(self, now: float) -> None:
+        """Count an event."""
+        self._count = self.value(now) + 1.0
+        self._at = now
+
+    def value(self, now: float) -> float:
+        """Return about how many events there were in the last `MEMORY_SECONDS`."""
+        return self._count * math.exp(min(0.0, (self._at - now) / MEMORY_SECONDS))
+
+    def rate(self, now: float) -> float:
+        """Return the events a second."""
+        return self.value(now) / MEMORY_SECONDS
+
+
+class SpanMaximum:
+    """The largest value of the last one to two spans of time."""
+
+    def __init__(self) -> None:
+        self._began = -math.inf
+        self._current = -math.inf
+        self._before = -math.inf
+
+    def note(self, value: float, now: float) -> None:
+        """Record a value."""
+        if now - self._began >= SPAN_SECONDS:
+            recent = now - self._began < 2.0 * SPAN_SECONDS
+            self._before = self._current if recent else -math.inf
+            self._current = -math.inf
+            self._began = now
+        self._current = max(self._current, value)
+
+    @property
+    def value(self) -> float:
+        """Return the largest, minus infinity before the first one."""
+        return max(self._current, self._before)
--- /dev/null
+++ b/tests/gateway/admission/benchmark.py
@@ -0,0 +1,90 @@
+"""Microseconds of admission's decisions: `python -m tests.gateway.admission.benchmark`.
+
+3,200 requests a second ask one service of 600 workers, for room for two thirds of them.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections import deque
+
+from stagewalk.gateway.admission.decisions import Place, Queued
+from stagewalk.gateway.admission.fair_queue import QueuedRequest, Waiting
+from stagewalk.gateway.admission.service_admission import ServiceAdmission, patience_ends_at
+from stagewalk.gateway.ports.workers import WorkerLoad
+from stagewalk.gateway.workers.worker import Worker
+from tests.gateway.workers.support import announcement
+
+REQUESTS = 32_000
+ARRIVALS_PER_SECOND = 3_200.0
+WORKERS = 600
+SLOTS = 1
+PLACES = 750
+HOLDING_SECONDS = 0.35
+TARGET_SECONDS = 1.0
+
+
+class _Clock:
+    """Adds up the time that decisions take."""
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+        self.decisions = 0
+
+    def time(self, decide, *arguments):
+        began = time.perf_counter()
+        result = decide(*arguments)
+        self.seconds += time.perf_counter() - began
+        self.decisions += 1
+        return result
+
+    def __str__(self) -> str:
+        return f"{1e6 * self.seconds / max(1, self.decisions):6.1f} us x {self.decisions}"
+
+
+def main() -> None:
+    for tenants in (72, 1_000):
+        _play(tenants)
+
+
+def _play(tenants: int) -> None:
+    rng = random.Random(1)
+    workers = [Worker(announcement(f"w{n}", slots=SLOTS), 0.0) for n in range(WORKERS)]
+    for worker in workers:
+        worker.note_load(WorkerLoad(SLOTS, 0, SLOTS, 1.0), 0.0)
+    admission = ServiceAdmission(lambda: workers, rng)
+    admission.note_held("r", HOLDING_SECONDS)
+    offers, reviews, starts = _Clock(), _Clock(), _Clock()
+    ends: deque[float] = deque()
+    patient: deque[Waiting] = deque()
+    counts = {"at once": 0, "queued": 0, "rejected": 0}
+    for n in range(REQUESTS):
+        now = n / ARRIVALS_PER_SECOND
+        while ends and ends[0] <= now:
+            ends.popleft()
+            admission.release()
+            ends.extend(now + HOLDING_SECONDS for _ in starts.time(admission.start_due, now))
+        while patient and patience_ends_at(patient[0].request) <= now:
+            waiting = patient.popleft()
+            if not waiting.started:
+                reviews.time(admission.review, waiting, now)
+        tenant = f"t{min(rng.randrange(tenants), rng.randrange(tenants))}"
+        request = QueuedRequest("", "r", tenant, 5, now, now + 5.0, TARGET_SECONDS)
+        decision = offers.time(admission.offer, request, now)
+        if isinstance(decision, Place):
+            ends.append(now + HOLDING_SECONDS)
+            counts["at once"] += 1
+        elif isinstance(decision, Queued):
+            patient.append(decision.waiting)
+            counts["queued"] += 1
+        else:
+            counts["rejected"] += 1
+    total = offers.seconds + reviews.seconds + starts.seconds
+    print(f"{tenants} tenants: {counts}, waiting {admission.waiting}")
+    print(f"  offer {offers}, review {reviews}, start {starts}")
+    print(f"  together {1e6 * total / REQUESTS:.1f} us a request")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/gateway/admission/play.py
@@ -0,0 +1,237 @@
+"""Nodes, workers and callers on a virtual clock, for tests of what callers get from admission."""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+
+from stagewalk.gateway.admission.decisions import Place, Rejection
+from stagewalk.gateway.admission.fair_queue import QueuedRequest, Waiting
+from stagewalk.gateway.admission.service_admission import ServiceAdmission
+from stagewalk.gateway.ports.workers import WorkerLoad
+from stagewalk.gateway.workers.worker import Worker
+from tests.gateway.workers.support import announcement
+
+CALLER_SHARE = 1.0 / 3.0
+"""Part of their time left that callers wait at most before they return."""
+
+
+@dataclass
+class Call:
+    """What one caller asked for, and what it got."""
+
+    tenant: str
+    asked_at: float
+    target: float
+    deadline_at: float
+    urgency: int = 5
+    tried_at: float = 0.0
+    """When it asked last."""
+    served_at: float | None = None
+    refused_waits: list[float] = field(default_factory=list)
+
+    @property
+    def seconds(self) -> float | None:
+        return None if self.served_at is None else self.served_at - self.asked_at
+
+
+@dataclass
+class PlayedWorker:
+    """Runs so many requests at once, queues as many more, and refuses the rest."""
+
+    name: str
+    slots: int
+    seconds: float
+    running: int = 0
+    queue: list[Callable[[], None]] = field(default_factory=list)
+    lost: bool = False
+
+    @property
+    def load(self) -> WorkerLoad:
+        return WorkerLoad(self.running, len(self.queue), self.slots, 1.0)
+
+
+class Node:
+    """One node with its own view of all workers."""
+
+    def __init__(self, play: Play, rng: random.Random) -> None:
+        self.play = play
+        self.views = {
+            worker.name: Worker(announcement(worker.name, slots=worker.slots), 0.0)
+            for worker in play.workers
+        }
+        self.admission = ServiceAdmission(self.usable, rng)
+        self.starts: dict[Waiting, Callable[[], None]] = {}
+
+    def usable(self) -> list[Worker]:
+        return [self.views[worker.name] for worker in self.play.workers if not worker.lost]
+
+    def ask(self, call: Call) -> None:
+        now = call.tried_at = self.play.now
+        request = QueuedRequest(
+            "", "r", call.tenant, call.urgency, now, call.deadline_at, call.target
+        )
+        decision = self.admission.offer(request, now)
+        if isinstance(decision, Place):
+            self.send(call, request, now)
+        elif isinstance(decision, Rejection):
+            self.refuse(call, request, decision.retry_after_seconds)
+        else:
+            self.starts[decision.waiting] = lambda: self.send(call, request, self.play.now)
+            self.look(call, request, decision.waiting)
+
+    def look(self, call: Call, request: QueuedRequest, waiting: Waiting) -> None:
+        self.start_due()
+        if waiting.started or waiting not in self.starts:
+            return
+        now = self.play.now
+        rejection = self.admission.review(waiting, now)
+        if rejection is not None:
+            del self.starts[waiting]
+            self.refuse(call, request, rejection.retry_after_seconds)
+            return
+        later = self.admission.seconds_until_turn(waiting, now)
+        self.play.after(later, lambda: self.look(call, request, waiting))
+
+    def start_due(self) -> None:
+        for waiting in self.admission.start_due(self.play.now):
+            self.starts.pop(waiting)()
+
+    def send(self, call: Call, request: QueuedRequest, since: float, tried: str = "") -> None:
+        """Send to the emptiest worker as this node sees it, once more after a refusal."""
+        views = [view for view in self.usable() if view.announcement.worker != tried]
+        view = min(views, key=lambda view: view.occupancy(self.play.now), default=None)
+        if view is None:
+            self.end(call, request, since, ran=False)
+            return
+        worker = self.play.named[view.announcement.worker]
+        view.note_sent()
+
+        def answered(seconds: float | None) -> None:
+            now = self.play.now
+            view.note_ended()
+            view.note_load(worker.load, now)
+            limit, in_flight = self.admission.limit, self.admission.in_flight
+            if seconds is None:
+                limit.note_refused(in_flight, now)
+                if tried:
+                    self.end(call, request, since, ran=False)
+                else:
+                    self.send(call, request, since, view.announcement.worker)
+                return
+            limit.note_answered(seconds, worker.load.waiting / worker.slots, in_flight, now)
+            self.end(call, request, since, ran=True)
+
+        self.play.arrive(worker, answered)
+
+    def end(self, call: Call, request: QueuedRequest, since: float, *, ran: bool) -> None:
+        now = self.play.now
+        if ran:
+            self.admission.note_held("r", now - since)
+            if now <= call.deadline_at:
+                call.served_at = now
+        self.admission.release()
+        if not ran:
+            self.refuse(call, request, self.admission.retry_after(request, now))
+        self.start_due()
+
+    def refuse(self, call: Call, request: QueuedRequest, retry_after: float) -> None:
+        """Have the caller come back, to any node, as long as that helps."""
+        now = self.play.now
+        call.refused_waits.append(now - request.arrived_at)
+        left = call.deadline_at - now
+        later = min(retry_after, CALLER_SHARE * left)
+        if left > 0.1:
+            self.play.after(later, lambda: self.play.ask(call))
+
+
+class Play:
+    """The clock, the workers and the nodes."""
+
+    def __init__(
+        self, *, nodes: int = 1, workers: int = 3, slots: int = 6, seconds: float = 0.04
+    ) -> None:
+        self.now = 0.0
+        self.rng = random.Random(7)
+        self.workers = [PlayedWorker(f"w{i}", slots, seconds) for i in range(workers)]
+        self.named = {worker.name: worker for worker in self.workers}
+        self.nodes = [Node(self, random.Random(i)) for i in range(nodes)]
+        self.calls: list[Call] = []
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = count()
+
+    def after(self, seconds: float, action: Callable[[], None]) -> None:
+        heappush(self._events, (self.now + seconds, next(self._numbers), action))
+
+    def demand(
+        self,
+        tenants: Iterable[str],
+        rate: float,
+        begin: float,
+        end: float,
+        *,
+        target: float = 0.4,
+        timeout: float = 2.0,
+        urgency: int = 5,
+    ) -> None:
+        """Have each tenant ask so many times a second, at random moments."""
+        for tenant in tenants:
+            at = begin + self.rng.expovariate(rate)
+            while at < end:
+                call = Call(tenant, at, target, at + timeout, urgency)
+                self.calls.append(call)
+                self.after(at, lambda call=call: self.ask(call))
+                at += self.rng.expovariate(rate)
+
+    def ask(self, call: Call) -> None:
+        self.rng.choice(self.nodes).ask(call)
+
+    def arrive(self, worker: PlayedWorker, answered: Callable[[float | None], None]) -> None:
+        began = self.now
+
+        def run() -> None:
+            worker.running += 1
+            self.after(worker.seconds * self.rng.uniform(0.7, 1.3), end)
+
+        def end() -> None:
+            worker.running -= 1
+            if worker.queue:
+                worker.queue.pop(0)()
+            answered(self.now - began)
+
+        if worker.running < worker.slots:
+            run()
+        elif len(worker.queue) < worker.slots:
+            worker.queue.append(run)
+        else:
+            self.after(0.001, lambda: answered(None))
+
+    def run(self, until: float) -> None:
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heappop(self._events)
+            action()
+
+
+def by_tenant(calls: Iterable[Call]) -> dict[str, list[Call]]:
+    grouped: dict[str, list[Call]] = defaultdict(list)
+    for call in calls:
+        grouped[call.tenant].append(call)
+    return grouped
+
+
+def served_share(calls: Iterable[Call], within: float = float("inf")) -> float:
+    calls = list(calls)
+    return sum(c.seconds is not None and c.seconds <= within for c in calls) / len(calls)
+
+
+def percentile(values: Iterable[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def longest_refused_wait(calls: Iterable[Call]) -> float:
+    return max((wait for call in calls for wait in call.refused_waits), default=0.0)
--- /dev/null
+++ b/tests/gateway/admission/test_fair_queue.py
@@ -0,0 +1,120 @@
+"""Who starts next: by urgency, tenant, and when an answer is due."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+
+from stagewalk.gateway.admission.fair_queue import FairQueue, QueuedRequest, Waiting
+
+
+def waiting(
+    tenant: str, number: int = 0, *, urgency: int = 5, due: float = 1.0, returning: bool = False
+) -> Waiting:
+    request = QueuedRequest(f"{tenant}{number}", "r", tenant, urgency, 0.0, 9.0, due)
+    return Waiting(request, 1.0, returning)
+
+
+def filled(*entries: Waiting) -> FairQueue:
+    queue = FairQueue()
+    for entry in entries:
+        queue.push(entry)
+    return queue
+
+
+def order(queue: FairQueue) -> list[str]:
+    return [queue.pop().request.request_id for _ in range(len(queue))]
+
+
+class OrderTests(testtools.TestCase):
+    def test_the_most_urgent_class_goes_first(self) -> None:
+        queue = filled(waiting("a", urgency=7), waiting("b", urgency=0), waiting("c", urgency=3))
+        self.assertEqual(["b0", "c0", "a0"], order(queue))
+
+    def test_single_requests_go_before_the_rest_of_one_tenants_queue(self) -> None:
+        queue = filled(*(waiting("a", n) for n in range(50)), waiting("b"), waiting("c"))
+        self.assertEqual(["a0", "b0", "c0", "a1"], order(queue)[:4])
+
+    def test_a_tenant_that_started_much_waits_for_one_that_comes_later(self) -> None:
+        queue = filled(*(waiting("a", n) for n in range(4)))
+        for n in range(3):
+            queue.pop()
+            queue.push(waiting("b", n))
+            self.assertEqual("b", queue.pop().request.tenant)
+
+    def test_starts_without_waiting_count(self) -> None:
+        queue = FairQueue()
+        queue.note_start(waiting("b"))
+        queue.push(waiting("b"))
+        queue.push(waiting("a"))
+        self.assertEqual(["a0", "b0"], order(queue))
+
+    def test_within_a_tenant_who_is_due_first_goes_first(self) -> None:
+        queue = filled(waiting("a", 1, due=3.0), waiting("a", 2, due=1.0), waiting("a", 3, due=2.0))
+        self.assertEqual(["a2", "a3", "a1"], order(queue))
+
+    def test_a_costly_request_moves_its_tenant_further_back(self) -> None:
+        costly = [Waiting(waiting("a", n).request, 4.0, False) for n in range(2)]
+        queue = filled(*costly, *(waiting("b", n) for n in range(5)))
+        self.assertEqual(["a0", "b0", "b1", "b2", "b3", "a1", "b4"], order(queue))
+
+    def test_one_start_in_four_is_a_returning_requests(self) -> None:
+        queue = filled(
+            *(waiting(f"n{n}") for n in range(12)),
+            *(waiting(f"r{n}", returning=True) for n in range(12)),
+        )
+        first = order(queue)[:12]
+        self.assertEqual(3, sum(name.startswith("r") for name in first))
+
+    def test_returns_give_a_tenant_no_more_than_its_share(self) -> None:
+        queue = filled(
+            *(waiting("a", n) for n in range(20)),
+            *(waiting("a", n, returning=True) for n in range(20)),
+            *(waiting(f"t{n}") for n in range(20)),
+        )
+        self.assertLessEqual(sum(name.startswith("a") for name in order(queue)[:20]), 2)
+
+    def test_an_overdue_request_starts_out_of_order(self) -> None:
+        late = waiting("z", urgency=9)
+        queue = filled(*(waiting("a", n) for n in range(20)), late)
+        queue.add_overdue(late)
+        self.assertIn("z0", order(queue)[:4])
+
+
+class BookkeepingTests(testtools.TestCase):
+    def test_each_request_starts_or_is_removed_once_whatever_the_order(self) -> None:
+        rng = random.Random(11)
+        queue, inside, started = FairQueue(), [], []
+        for n in range(4000):
+            action = rng.random()
+            if action < 0.5 or not inside:
+                entry = waiting(
+                    f"t{rng.randrange(9)}",
+                    n,
+                    urgency=rng.randrange(3),
+                    due=rng.random(),
+                    returning=rng.random() < 0.3,
+                )
+                entry.cost = rng.choice((0.2, 1.0, 8.0))
+                queue.push(entry)
+                inside.append(entry)
+            elif action < 0.7:
+                removed = inside.pop(rng.randrange(len(inside)))
+                self.assertTrue(queue.remove(removed))
+                self.assertFalse(queue.remove(removed))
+            elif action < 0.8:
+                queue.add_overdue(rng.choice(inside))
+            else:
+                started.append(queue.pop())
+                inside.remove(started[-1])
+            self.assertEqual(len(inside), len(queue))
+        self.assertEqual(len(started), len({id(entry) for entry in started}))
+
+    def test_the_number_ahead_is_that_which_starts_before(self) -> None:
+        entries = [waiting(f"t{n % 5}", n, due=float(n % 7)) for n in range(40)]
+        last = waiting("t2", 99, due=9.0)
+        ahead = filled(*entries).ahead_of(last)
+        queue = filled(*entries, last)
+        self.assertEqual(ahead, queue.ahead_of(last))
+        self.assertEqual(ahead, order(queue).index("t299"))
