Forwarded requests and streams wait for a place where workers report their pace

Cause: the decisions of gateway.admission had no caller. Change: forwarding.admission_gate holds a request back before its first attempt, wakes it in its turn, and learns from each attempt; Attempts asks it for both forwarders. A hedge needs room and nobody waiting. A rejection ends as not run with its own Retry-After; so does a request that full workers refused. A stop refuses what waits before the listeners close. Events request_queued and request_rejected, a gauge, a counter by reason and a histogram of waits. Ruled out: a place for each attempt (a retry would queue again behind others); the gate in entry.forwarded_calls (the back end of a split route is chosen later). Conclusion: services whose workers state no pace, and policy.admission = false, are served as before.

--- a/src/stagewalk/gateway/assembly.py
+++ b/src/stagewalk/gateway/assembly.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 import uuid
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
 from stagewalk.gateway.dialect import Dialect
 from stagewalk.gateway.duty_services import DutyServices
 from stagewalk.gateway.eligibility_services import EligibilityServices
+from stagewalk.gateway.forwarding.admission_gate import AdmissionGate
 from stagewalk.gateway.forwarding.forwarder import Forwarder
 from stagewalk.gateway.forwarding.stream_forwarder import StreamForwarder
 from stagewalk.gateway.log_relay.relayed_log import RelayedLog, RelayPeers
@@ -85,6 +87,7 @@
 
     whole: Forwarder
     streams: StreamForwarder
+    gate: AdmissionGate
 
 
 @dataclass(frozen=True, slots=True)
@@ -290,16 +293,29 @@
     def _forwarders(self, cluster: ClusterState, duties: DutyServices) -> Forwarders:
         client, eligibility_services = self._dependencies.workers, cluster.eligibility_services
         begun = duties.count_begun
+        gate = AdmissionGate(
+            cluster.workers.usable,
+            random.Random(self._producer),
+            self._metrics,
+            enabled=self._settings.policy.admission,
+        )
         return Forwarders(
             Forwarder(
                 client,
                 eligibility_services.eligibility,
                 cluster.routes,
                 cluster.crashes,
+                gate,
                 policy=self._settings.policy,
                 on_begun=begun,
             ),
             StreamForwarder(
-                client, eligibility_services.eligibility, cluster.routes, cluster.crashes, begun
+                client,
+                eligibility_services.eligibility,
+                cluster.routes,
+                cluster.crashes,
+                gate,
+                on_begun=begun,
             ),
+            gate,
         )
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -201,6 +201,7 @@
             cold_leases=self._eligibility_services.cold_leases(now),
             worker_ends=self._crashes.suspects,
             requests_held_back=len(self._crashes.held_contents()),
+            requests_waiting=self._parts.forwarders.gate.waiting,
             view_ages={freshness.name: freshness.age(now) for freshness in followers},
         )
 
@@ -272,6 +273,7 @@
         self._runner.hand_over()
         self._stop_by = began + self.settings.timing.stop_grace - EXIT_RESERVE_SECONDS
         await anyio.sleep_until(began + LEAVE_SECONDS)
+        self._parts.forwarders.gate.stop()
         # The listeners need up to four seconds to answer what is under way, so they don't wait for
         # a log that accepts nothing; appending goes on beside them.
         self._exit.set()
--- /dev/null
+++ b/src/stagewalk/gateway/forwarding/admission_gate.py
@@ -0,0 +1,268 @@
+"""Holds forwarded requests back until their service has a place for them, or refuses them.
+
+A thin shell of `admission`: it wakes requests that wait, tells what became of those that started,
+and writes down each decision. In force at services whose workers report the pace of their work;
+requests to other services pass at once.
+Owns the tasks that wait, and one `ServiceAdmission` for each such service. Relies on it for every
+decision.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import anyio
+
+from stagewalk.common.logs.lines import log_event
+from stagewalk.common.steady_clock import steady_seconds
+from stagewalk.gateway.admission.decisions import Expectation, Place, Rejection
+from stagewalk.gateway.admission.fair_queue import QueuedRequest, Waiting
+from stagewalk.gateway.admission.service_admission import ServiceAdmission
+from stagewalk.gateway.ports.workers import WorkerLoad
+from stagewalk.gateway.workers.worker import Worker
+
+REPORTS_VALID_SECONDS = 10.0
+"""Admission ends at a service that reported no pace for so long."""
+
+ServiceWorkers = Callable[[str], Sequence[Worker]]
+"""Returns the workers of a service that may get new work."""
+
+
+class AdmissionListener(Protocol):
+    """Called for each decision about a request."""
+
+    def request_admitted(self, wait_seconds: float) -> None:
+        """Handle a request that got its place after so many seconds, 0.0 if at once."""
+
+    def request_rejected(self, reason: str) -> None:
+        """Handle a request that was refused."""
+
+
+class _NoListener:
+    def request_admitted(self, wait_seconds: float) -> None:
+        pass
+
+    def request_rejected(self, reason: str) -> None:
+        pass
+
+
+@dataclass(slots=True)
+class _Service:
+    """Admission at one service, and the events of those that wait."""
+
+    name: str
+    core: ServiceAdmission
+    reported_at: float
+    """When its workers reported a pace last."""
+    woken: dict[Waiting, anyio.Event] = field(default_factory=dict)
+
+    def wake_started(self, now: float) -> None:
+        """Start what may start now."""
+        if self.core.waiting:
+            for waiting in self.core.start_due(now):
+                self.woken[waiting].set()
+
+
+@dataclass(slots=True, eq=False)
+class HeldPlace:
+    """A request's place at a service, from its admission to its end."""
+
+    service: _Service
+    route: str
+    since: float
+
+    def release(self, *, ran: bool) -> None:
+        """Give the place to who is next.
+
+        Parameters
+        ----------
+        ran
+            Whether a worker ran the request: only then its time tells how long others take.
+        """
+        now = steady_seconds()
+        if ran:
+            self.service.core.note_held(self.route, now - self.since)
+        self.service.core.release()
+        self.service.wake_started(now)
+
+    def may_hedge(self) -> bool:
+        """Whether there is room for a second attempt beside a slow one."""
+        return self.service.core.may_hedge(steady_seconds())
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptOutcome:
+    """How an attempt ended at a worker, as far as admission learns from it.
+
+    Attributes
+    ----------
+    load
+        What the worker reported with its answer or refusal, None if nothing.
+    refused
+        Whether the worker said that it did not run it.
+    seconds
+        Time of a whole answer; None for streams and failures.
+    """
+
+    load: WorkerLoad | None
+    refused: bool = False
+    seconds: float | None = None
+
+
+class AdmissionGate:
+    """Admission of forwarded requests, by service.
+
+    Parameters
+    ----------
+    enabled
+        Whether any request is held back at all.
+    """
+
+    def __init__(
+        self,
+        workers: ServiceWorkers,
+        rng: random.Random,
+        listener: AdmissionListener | None = None,
+        *,
+        enabled: bool = True,
+    ) -> None:
+        self._workers = workers
+        self._rng = rng
+        self._listener = listener or _NoListener()
+        self._enabled = enabled
+        self._stopping = False
+        self._services: dict[str, _Service] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return sum(service.core.waiting for service in self._services.values())
+
+    async def enter(self, name: str, request: QueuedRequest) -> HeldPlace | Rejection | None:
+        """Return the place of a request once it has one, or why it is refused.
+
+        None: the service's requests are not held back. Cancelling gives the turn to the next one.
+        """
+        service, now = self._services.get(name), steady_seconds()
+        if service is None or now - service.reported_at > REPORTS_VALID_SECONDS:
+            return None
+        decision = service.core.offer(request, now)
+        if isinstance(decision, Rejection):
+            self._log_rejection(service, request, decision, now)
+            return decision
+        if not isinstance(decision, Place):
+            rejection = await self._wait(service, decision.waiting, decision.expectation)
+            if rejection is not None:
+                return rejection
+        began = steady_seconds()
+        self._listener.request_admitted(began - now)
+        return HeldPlace(service, request.route, began)
+
+    def note_outcome(self, name: str, outcome: AttemptOutcome) -> None:
+        """Learn from an attempt that ended at one of a service's workers."""
+        if not self._enabled:
+            return
+        now, load = steady_seconds(), outcome.load
+        service = self._services.get(name)
+        if load is not None and load.pace is not None:
+            if service is None:
+                service = self._services[name] = self._open(name)
+            service.reported_at = now
+        if service is None:
+            return
+        core = service.core
+        full = load is None or load.running + load.waiting >= load.slots
+        if outcome.refused and full:
+            core.limit.note_refused(core.in_flight, now)
+        elif not outcome.refused and load is not None:
+            seconds = outcome.seconds
+            if seconds is not None and load.pace:
+                seconds /= load.pace
+            queued = load.waiting / max(1, load.slots)
+            core.limit.note_answered(seconds, queued, core.in_flight, now)
+
+    def retry_after(self, name: str, request: QueuedRequest) -> float | None:
+        """Return when a caller may return whose request only full workers got; None: as usual."""
+        service, now = self._services.get(name), steady_seconds()
+        if service is None or now - service.reported_at > REPORTS_VALID_SECONDS:
+            return None
+        return service.core.retry_after(request, now)
+
+    def stop(self) -> None:
+        """Refuse what waits, before the listeners close, and what can't start at once after."""
+        self._stopping = True
+        for service in self._services.values():
+            service.core.stop()
+            for event in service.woken.values():
+                event.set()
+
+    def _open(self, name: str) -> _Service:
+        core = ServiceAdmission(lambda: self._workers(name), self._rng)
+        if self._stopping:
+            core.stop()
+        return _Service(name, core, steady_seconds())
+
+    async def _wait(
+        self, service: _Service, waiting: Waiting, expected: Expectation
+    ) -> Rejection | None:
+        """Wait until a request starts or is refused."""
+        request, core = waiting.request, service.core
+        _log_queued(service, request, expected)
+        woken = service.woken[waiting] = anyio.Event()
+        try:
+            while True:
+                now = steady_seconds()
+                service.wake_started(now)
+                if waiting.started:
+                    return None
+                rejection = core.review(waiting, now)
+                if rejection is not None:
+                    self._log_rejection(service, request, rejection, now)
+                    return rejection
+                with anyio.move_on_after(core.seconds_until_turn(waiting, now)):
+                    await woken.wait()
+        except BaseException:
+            core.withdraw(waiting)
+            service.wake_started(steady_seconds())
+            raise
+        finally:
+            del service.woken[waiting]
+
+    def _log_rejection(
+        self, service: _Service, request: QueuedRequest, rejection: Rejection, now: float
+    ) -> None:
+        self._listener.request_rejected(rejection.reason.value)
+        log_event(
+            "request_rejected",
+            "warning",
+            reason=rejection.reason,
+            waited_seconds=now - request.arrived_at,
+            retry_after_seconds=rejection.retry_after_seconds,
+            **_fields(service, request, rejection.expectation),
+        )
+
+
+def _log_queued(service: _Service, request: QueuedRequest, expected: Expectation) -> None:
+    log_event("request_queued", "info", **_fields(service, request, expected))
+
+
+def _fields(
+    service: _Service, request: QueuedRequest, expected: Expectation
+) -> dict[str, str | int | float]:
+    """Return what a request was judged by."""
+    return {
+        "request": request.request_id,
+        "service": service.name,
+        "route": request.route,
+        "tenant": request.tenant,
+        "urgency": request.urgency,
+        "ahead": expected.ahead,
+        "ahead_of_tenant": expected.ahead_of_tenant,
+        "expected_seconds": expected.wait_seconds,
+        "allowed_seconds": expected.allowed_seconds,
+        "in_flight": expected.in_flight,
+        "limit": expected.limit,
+    }
--- a/src/stagewalk/gateway/forwarding/attempts.py
+++ b/src/stagewalk/gateway/forwarding/attempts.py
@@ -3,18 +3,22 @@
 Owns what `Forwarder` and `StreamForwarder` do alike at each attempt. They own what differs: how a
 request is sent, and which answer reaches the caller.
 Relies on `ForwardedRequest` for what is allowed, on `Eligibility` for where a request may go, on
-`choose_worker` for which of these it goes to, and on `CrashReports` for what crashed workers.
+`choose_worker` for which of these it goes to, on `AdmissionGate` for when its first attempt may
+begin, and on `CrashReports` for what crashed workers.
 """
 
 from __future__ import annotations
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from stagewalk.common.logs.lines import log_event
 from stagewalk.common.steady_clock import steady_seconds
+from stagewalk.gateway.admission.decisions import Rejection
+from stagewalk.gateway.admission.fair_queue import QueuedRequest
 from stagewalk.gateway.eligibility.core import Eligibility, RequestScope
+from stagewalk.gateway.forwarding.admission_gate import AdmissionGate, AttemptOutcome, HeldPlace
 from stagewalk.gateway.forwarding.inbound import InboundRequest
 from stagewalk.gateway.forwarding.policy import ForwardedRequest, evidence_of
 from stagewalk.gateway.ports.denials import Denial
@@ -42,6 +46,23 @@
     request: InboundRequest
     state: ForwardedRequest
     service: str
+    place: HeldPlace | None = field(init=False, default=None)
+    """Its place at the service; None before it has one, and where none is needed."""
+    admitted: bool = field(init=False, default=False)
+
+    def queued(self) -> QueuedRequest:
+        """Return it as it asks for a place."""
+        request, state = self.request, self.state
+        route = state.route
+        return QueuedRequest(
+            request.request_id,
+            route.name,
+            request.tenant or "",
+            route.priority if request.priority is None else request.priority,
+            state.began_at,
+            state.deadline_at,
+            route.target_seconds,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,17 +100,23 @@
     """
 
     def __init__(
-        self, eligibility: Eligibility, crashes: CrashReports, *, prefer_warm: bool
+        self,
+        eligibility: Eligibility,
+        crashes: CrashReports,
+        gate: AdmissionGate,
+        *,
+        prefer_warm: bool,
     ) -> None:
         self._eligibility = eligibility
         self._crashes = crashes
+        self._gate = gate
         self._prefer_warm = prefer_warm
 
     async def next_worker(self, forwarding: Forwarding) -> Worker | None:
         """Return the worker of the next attempt, None if there is to be no other attempt."""
         state = forwarding.state
         state.withheld = await self._crashes.denial(forwarding.request.content)
-        if state.withheld is not None:
+        if state.withheld is not None or not await self._admit(forwarding):
             return None
         worker = self.choose(forwarding)
         return worker if state.may_try_again(steady_seconds()) else None
@@ -111,6 +138,32 @@
             prefer_warm=repeatable and self._prefer_warm,
         )
 
+    def release(self, forwarding: Forwarding) -> None:
+        """Give back the place of a request that ended, however it did."""
+        if forwarding.place is not None:
+            state = forwarding.state
+            forwarding.place.release(ran=state.answered or state.may_have_run)
+            forwarding.place = None
+
+    def note_refused(self, forwarding: Forwarding) -> None:
+        """Set when the caller may return of a request that full workers refused."""
+        state = forwarding.state
+        if state.tried and state.return_after_seconds is None:
+            after = self._gate.retry_after(forwarding.service, forwarding.queued())
+            state.return_after_seconds = after
+
+    async def _admit(self, forwarding: Forwarding) -> bool:
+        """Wait for the request's place at its service; return whether it may be sent."""
+        if forwarding.admitted:
+            return True
+        entered = await self._gate.enter(forwarding.service, forwarding.queued())
+        if isinstance(entered, Rejection):
+            forwarding.state.return_after_seconds = entered.retry_after_seconds
+            return False
+        forwarding.place = entered
+        forwarding.admitted = True
+        return True
+
     @staticmethod
     def start(state: ForwardedRequest, worker: Worker) -> None:
         """Count an attempt at a worker."""
@@ -157,11 +210,22 @@
         )
         await self._crashes.connection_lost(sent, failure)
         record_failure(attempt, failure)
+        refused = failure.fault is AttemptFault.NOT_RUN
+        self._note_outcome(attempt, AttemptOutcome(failure.load, refused))
 
     def record_answered(self, attempt: Attempt) -> None:
         """Record an attempt that its worker ran to a whole answer."""
         self._crashes.answered(attempt.request.content)
         attempt.state.under_way -= 1
+        attempt.state.answered = True
+        worker = attempt.worker
+        load = worker.load if worker.load_at >= attempt.began_at else None
+        whole = attempt.state.route.kind is not RouteKind.STREAM
+        seconds = steady_seconds() - attempt.began_at if whole else None
+        self._note_outcome(attempt, AttemptOutcome(load, seconds=seconds))
+
+    def _note_outcome(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
+        self._gate.note_outcome(attempt.worker.announcement.service, outcome)
 
 
 def record_denied(attempt: Attempt, denial: Denial) -> None:
--- a/src/stagewalk/gateway/forwarding/forwarder.py
+++ b/src/stagewalk/gateway/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 
 from stagewalk.common.steady_clock import steady_seconds
 from stagewalk.gateway.eligibility.core import Eligibility
+from stagewalk.gateway.forwarding.admission_gate import AdmissionGate
 from stagewalk.gateway.forwarding.attempts import (
     Attempt,
     Attempts,
@@ -28,7 +29,7 @@
     record_failure,
 )
 from stagewalk.gateway.forwarding.inbound import InboundRequest
-from stagewalk.gateway.forwarding.policy import ForwardedRequest, Unanswered, is_success
+from stagewalk.gateway.forwarding.policy import Ending, ForwardedRequest, Unanswered, is_success
 from stagewalk.gateway.policy import ALL_ON, Policy
 from stagewalk.gateway.ports.workers import (
     AttemptFailure,
@@ -60,6 +61,7 @@
         eligibility: Eligibility,
         routes: RouteTable,
         crashes: CrashReports,
+        gate: AdmissionGate,
         *,
         policy: Policy = ALL_ON,
         on_begun: BegunListener = ignore_begun,
@@ -69,7 +71,7 @@
         self._crashes = crashes
         self._routes = routes
         self._on_begun = on_begun
-        self._attempts = Attempts(eligibility, crashes, prefer_warm=policy.warm_connections)
+        self._attempts = Attempts(eligibility, crashes, gate, prefer_warm=policy.warm_connections)
 
     async def forward(
         self, request: InboundRequest, route: Route, deadline_at: float
@@ -89,6 +91,7 @@
             with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - steady_seconds())):
                 await self._attempt_until_answered(whole)
         finally:
+            self._attempts.release(whole)
             if whole.answer is None:
                 self._crashes.publish(request.content)
             if state.began_running is not None:
@@ -99,6 +102,8 @@
             return Ok(whole.answer)
         await self._crashes.wait_published(request.content)
         ending = state.ending(now)
+        if ending is Ending.NOT_RUN:
+            self._attempts.note_refused(whole)
         log_request_end(whole, self._routes.version, ending.value)
         return Error(state.unanswered(ending))
 
@@ -125,6 +130,8 @@
             tasks.start_soon(attempt, worker)
             await anyio.sleep(delay)
             state.suspected = self._crashes.known_crashes(whole.request.content) > 0
+            if whole.place is not None and not whole.place.may_hedge():
+                return
             second = self._attempts.choose(whole)
             if second is not None and state.may_hedge(steady_seconds()):
                 self._attempts.start(state, second)
--- a/src/stagewalk/gateway/forwarding/policy.py
+++ b/src/stagewalk/gateway/forwarding/policy.py
@@ -115,6 +115,10 @@
     """Why it was denied each worker that it was denied, by worker, as one was chosen last."""
     withheld: Denial | None = None
     """Why it must not be sent to any worker at all."""
+    answered: bool = False
+    """Whether a worker ran an attempt to a whole answer."""
+    return_after_seconds: float | None = None
+    """When its caller may return, if its service had no place for it."""
     suspected: bool = False
     """Whether workers ended under its content: it is sent to one worker at a time then."""
 
@@ -196,6 +200,8 @@
         """Return how it ended, and when its caller may send it again."""
         if ending is not Ending.NOT_RUN:
             return Unanswered(ending)
+        if self.return_after_seconds is not None:
+            return Unanswered(ending, self.return_after_seconds)
         if self.withheld is not None:
             denials = {self.withheld}
         else:
--- a/src/stagewalk/gateway/forwarding/stream_forwarder.py
+++ b/src/stagewalk/gateway/forwarding/stream_forwarder.py
@@ -16,6 +16,7 @@
 
 from stagewalk.common.steady_clock import steady_seconds
 from stagewalk.gateway.eligibility.core import Eligibility
+from stagewalk.gateway.forwarding.admission_gate import AdmissionGate
 from stagewalk.gateway.forwarding.attempts import (
     Attempt,
     Attempts,
@@ -87,6 +88,8 @@
         eligibility: Eligibility,
         routes: RouteTable,
         crashes: CrashReports,
+        gate: AdmissionGate,
+        *,
         on_begun: BegunListener = ignore_begun,
     ) -> None:
         self._client = client
@@ -94,7 +97,7 @@
         self._crashes = crashes
         self._routes = routes
         self._on_begun = on_begun
-        self._attempts = Attempts(eligibility, crashes, prefer_warm=False)
+        self._attempts = Attempts(eligibility, crashes, gate, prefer_warm=False)
         self._open: dict[_OpenStream, None] = {}
         eligibility.evacuations.listen(self._zone_evacuated, lambda _zone, _now: None)
 
@@ -118,6 +121,7 @@
             with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - steady_seconds())):
                 ended = await self._attempt_until_ended(streamed)
         finally:
+            self._attempts.release(streamed)
             if ended is None:
                 self._crashes.publish(request.content)
         if ended is not None:
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -29,6 +29,7 @@
 _LAG_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0)
 _CALL_BUCKETS = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0)
 _VIEW_AGE_BUCKETS = (0.1, 0.3, 0.6, 1.0, 1.5, 2.0, 3.0, 6.0)
+_WAIT_BUCKETS = (0.0, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
 _LATENCY_BUCKETS = (0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
 
 
@@ -55,6 +56,7 @@
     cold_leases: int
     worker_ends: int
     requests_held_back: int
+    requests_waiting: int
     view_ages: dict[str, float]
 
 
@@ -85,6 +87,7 @@
             ("evacuated_zones", "Zones whose workers get nothing.", state.evacuated_zones),
             ("worker_ends", "Worker ends remembered, by request.", state.worker_ends),
             ("requests_held_back", "Requests that crash workers.", state.requests_held_back),
+            ("requests_waiting", "Requests that wait for a place.", state.requests_waiting),
             ("cold_leases", "Cold workers that this node may send to.", state.cold_leases),
         ):
             yield GaugeMetricFamily(f"stagewalk_{name}", text, value=float(value))
@@ -136,6 +139,18 @@
             ["reason"],
             registry=self._registry,
         )
+        self._rejections = Counter(
+            "stagewalk_admission_rejections",
+            "Requests refused before any worker got them, by reason.",
+            ["reason"],
+            registry=self._registry,
+        )
+        self._admission_waits = Histogram(
+            "stagewalk_admission_wait_seconds",
+            "How long admitted requests waited for a place, 0 if they got one at once.",
+            buckets=_WAIT_BUCKETS,
+            registry=self._registry,
+        )
         self._loop_lag = Histogram(
             "stagewalk_loop_lag_seconds",
             "How late the process's event loop came back to a task that slept.",
@@ -162,6 +177,14 @@
         """Count a request that was denied a worker."""
         self._denials.labels(denial.value).inc()
 
+    def request_admitted(self, wait_seconds: float) -> None:
+        """Count a request that got its place after so many seconds."""
+        self._admission_waits.observe(wait_seconds)
+
+    def request_rejected(self, reason: str) -> None:
+        """Count a request that was refused a place."""
+        self._rejections.labels(reason).inc()
+
     def loop_woke_late(self, seconds: float) -> None:
         """Record how late the event loop woke a task that slept."""
         self._loop_lag.observe(seconds)
--- a/tests/gateway/memory_workers.py
+++ b/tests/gateway/memory_workers.py
@@ -65,13 +65,15 @@
     orders: list[VersionOrder] = field(default_factory=list)
     running: int = 0
     slots: int = 4
+    pace: float | None = None
+    """Stated with each load; None: it states none."""
     ended: anyio.Event = field(default_factory=anyio.Event)
     """Set once its process has crashed: whatever ran there has lost its connection."""
 
     @property
     def load(self) -> WorkerLoad:
         """Return its load."""
-        return WorkerLoad(self.running, 0, self.slots)
+        return WorkerLoad(self.running, 0, self.slots, self.pace)
 
 
 def _scripted(worker: MemoryWorker) -> AttemptFailure:
