--- a/src/stagewalk/cli/explain.py
+++ b/src/stagewalk/cli/explain.py
@@ -1,6 +1,7 @@
 """`stagewalk explain`: print from logs what became of a request, a batch or an item.
 
-Owns the text that is printed; relies on `gateway.explain.story` for events and first failure.
+Owns the text that is printed; relies on `gateway.explain.story` for events and first failure, and
+on `gateway.explain.waits` for what a request waited for.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 
 from stagewalk.cli.log_files import add_log_arguments, read_logs
 from stagewalk.gateway.explain.story import Story, find_story
+from stagewalk.gateway.explain.waits import describe_waits
 
 EXIT_FOUND = 0
 EXIT_UNKNOWN_ID = 1
@@ -53,6 +55,7 @@
         if first is None
         else f"first failure: {first.at - began:+.3f} s at {first.node}: {first.describe()}"
     )
+    text += describe_waits(story.own)
     ending = story.ending
     if ending is not None:
         text.append(f"ended: {ending.at - began:+.3f} s at {ending.node}: {ending.describe()}")
--- a/src/stagewalk/gateway/admission/service_admission.py
+++ b/src/stagewalk/gateway/admission/service_admission.py
@@ -84,6 +84,9 @@
 LOOK_SECONDS = 0.1
 """A request that waits is looked at again after so long: all workers may be gone."""
 
+MOST_LOOKS_PER_SECOND = 500.0
+"""With many waiting, each is looked at less often: bounds what a long queue costs."""
+
 LEAST_LOOK_SECONDS = 0.002
 """Shortest time between two looks at it: less than that is a busy loop."""
 
@@ -155,7 +158,7 @@
                 self._start(waiting, now)
                 return Place(request)
         expectation = self._expect(waiting, now)
-        reason = self._reason_to_refuse(expectation, now)
+        reason = self._reason_to_end(request, now) or self._reason_to_refuse(expectation, now)
         if reason is not None:
             return self._reject(request, reason, expectation, now)
         self._queue.push(waiting, now)
@@ -164,14 +167,15 @@
     def review(self, waiting: Waiting, now: float) -> Rejection | None:
         """Judge a request that waits once more; remove it if it is refused."""
         request = waiting.request
+        reason = self._reason_to_end(request, now)
+        if waiting.committed and reason is None:
+            return None
         expectation = self._expect(waiting, now, told=True)
-        reason = self._reason_to_refuse(expectation, now, committed=waiting.committed)
-        if waiting.committed and now > self._last_start(request):
-            reason = RejectionReason.TOO_LATE
+        reason = reason or self._reason_to_refuse(expectation, now)
         if reason is not None:
             self._queue.remove(waiting)
             return self._reject(request, reason, expectation, now)
-        if not waiting.committed and now >= patience_ends_at(request):
+        if now >= patience_ends_at(request):
             waiting.committed = True
             latest = now + expectation.allowed_seconds
             heappush(self._committed, (latest, next(self._numbers), waiting))
@@ -225,7 +229,8 @@
         paced = self._limit.next_start_at
         if paced > now:
             next_at = min(next_at, paced)
-        return max(LEAST_LOOK_SECONDS, min(next_at - now, LOOK_SECONDS))
+        look = max(LOOK_SECONDS, len(self._queue) / MOST_LOOKS_PER_SECOND)
+        return max(LEAST_LOOK_SECONDS, min(next_at - now, look))
 
     def retry_after(self, request: QueuedRequest, now: float) -> float:
         """Return when a caller may return whose request all workers that got it refused."""
@@ -282,15 +287,15 @@
             limit=self._limit.value,
         )
 
-    def _reason_to_refuse(
-        self, expectation: Expectation, now: float, *, committed: bool = False
-    ) -> RejectionReason | None:
+    def _reason_to_end(self, request: QueuedRequest, now: float) -> RejectionReason | None:
+        """Return why a request is refused even if it was committed."""
         if self._current_survey(now).workers == 0:
             return RejectionReason.NO_WORKER
         if self._stopping:
             return RejectionReason.STOPPING
-        if committed:
-            return None
+        return RejectionReason.TOO_LATE if now > self._last_start(request) else None
+
+    def _reason_to_refuse(self, expectation: Expectation, now: float) -> RejectionReason | None:
         if len(self._queue) > MOST_WAITING:
             return RejectionReason.QUEUE_FULL
         return None if expectation.in_time else RejectionReason.TOO_LATE
--- /dev/null
+++ b/src/stagewalk/gateway/explain/waits.py
@@ -0,0 +1,45 @@
+"""Says why a request waited for a place at its service, and why it was refused one. Pure.
+
+Owns the sentences; relies on the fields of `request_queued`, `request_rejected` and
+`request_ended`, and on `log_line` for parsed lines.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from stagewalk.gateway.explain.log_line import LogLine
+
+_REASONS = {
+    "too_late": "it would have started too late",
+    "queue_full": "the queue was full",
+    "no_worker": "the service had no worker",
+    "stopping": "the node stopped",
+}
+
+
+def describe_waits(lines: Iterable[LogLine]) -> list[str]:
+    """Return a sentence for each wait and refusal among a request's lines."""
+    sentences: list[str] = []
+    for line in lines:
+        if line.event == "request_queued":
+            sentences.append(f"queued at {line.get('service')}: {_position(line)}")
+        elif line.event == "request_rejected":
+            reason = _REASONS.get(line.get("reason"), line.get("reason"))
+            sentences.append(
+                f"refused after {line.get('waited_seconds')} s, since {reason}: {_position(line)}"
+            )
+        elif line.event == "request_ended" and line.get("waited_seconds"):
+            sentences.append(f"waited {line.get('waited_seconds')} s for its place")
+    return sentences
+
+
+def _position(line: LogLine) -> str:
+    """Return what it was judged by."""
+    tenant = line.get("tenant") or "no tenant"
+    return (
+        f"{line.get('ahead')} before it, {line.get('ahead_of_tenant')} waiting of {tenant}, "
+        f"urgency {line.get('urgency')}; expected {line.get('expected_seconds')} s "
+        f"where {line.get('allowed_seconds')} s were left; "
+        f"{line.get('in_flight')} under way of at most {line.get('limit')}"
+    )
--- a/src/stagewalk/gateway/forwarding/attempts.py
+++ b/src/stagewalk/gateway/forwarding/attempts.py
@@ -38,6 +38,9 @@
 
 GOOD_OUTCOMES = frozenset({"answered_200", "stream_200"})
 
+_LEAST_LOGGED_WAIT_SECONDS = 0.001
+"""Shorter waits for a place are not told of."""
+
 
 @dataclass(slots=True)
 class Forwarding:
@@ -49,6 +52,8 @@
     place: HeldPlace | None = field(init=False, default=None)
     """Its place at the service; None before it has one, and where none is needed."""
     admitted: bool = field(init=False, default=False)
+    waited_seconds: float = field(init=False, default=0.0)
+    """How long it waited for its place."""
 
     def queued(self) -> QueuedRequest:
         """Return it as it asks for a place."""
@@ -156,7 +161,9 @@
         """Wait for the request's place at its service; return whether it may be sent."""
         if forwarding.admitted:
             return True
+        began = steady_seconds()
         entered = await self._gate.enter(forwarding.service, forwarding.queued())
+        forwarding.waited_seconds = steady_seconds() - began
         if isinstance(entered, Rejection):
             forwarding.state.return_after_seconds = entered.retry_after_seconds
             return False
@@ -268,6 +275,8 @@
     """
     request, state = forwarding.request, forwarding.state
     good = outcome in GOOD_OUTCOMES
+    waited = forwarding.waited_seconds
+    waits = {"waited_seconds": waited} if waited >= _LEAST_LOGGED_WAIT_SECONDS else {}
     content = {} if good or not state.may_have_run else {"content": request.content.digest}
     log_event(
         "request_ended",
@@ -282,6 +291,7 @@
         attempts=state.spent,
         denied=_count_denials(state),
         seconds=steady_seconds() - state.began_at,
+        **waits,
         **content,
     )
 
--- a/tests/gateway/explain/test_story.py
+++ b/tests/gateway/explain/test_story.py
@@ -29,6 +29,35 @@
     return found
 
 
+QUEUED = (
+    line(
+        1.0,
+        "n1",
+        "request_queued",
+        request="r9",
+        service="app",
+        tenant="t1",
+        urgency="5",
+        ahead="4",
+        ahead_of_tenant="3",
+        expected_seconds="0.1",
+        allowed_seconds="0.2",
+        in_flight="8",
+        limit="8.5",
+    ),
+    line(
+        1.04,
+        "n1",
+        "request_rejected",
+        "warning",
+        request="r9",
+        service="app",
+        reason="too_late",
+        tenant="t1",
+        waited_seconds="0.04",
+    ),
+    line(1.05, "n1", "request_ended", "warning", request="r9", outcome="not_run"),
+)
 REFUSED = (
     line(9.0, "n1", "worker_changed", worker="w1", change="draining"),
     line(9.5, "n2", "worker_changed", worker="w1", change="draining"),
@@ -233,6 +262,11 @@
         self.assertEqual(2, code)
         self.assertIn("/nowhere/n.log", output)
 
+    def test_why_a_request_waited_and_was_refused_is_said(self) -> None:
+        text = "\n".join(render_story(story("r9", *QUEUED)))
+        self.assertIn("queued at app: 4 before it, 3 waiting of t1", text)
+        self.assertIn("refused after 0.04 s, since it would have started too late", text)
+
     def test_lines_of_others_stand_in_brackets(self) -> None:
         text = "\n".join(render_story(story("r1", *REFUSED)))
         self.assertIn("(n1)  worker_changed", text)
