--- a/src/stagewalk/gateway/assembly.py
+++ b/src/stagewalk/gateway/assembly.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 import uuid
 from collections import Counter
@@ -18,6 +19,7 @@
 from stagewalk.gateway.dialect import Dialect
 from stagewalk.gateway.duty_services import DutyServices
 from stagewalk.gateway.eligibility_services import EligibilityServices
+from stagewalk.gateway.forwarding.admission_gate import AdmissionGate
 from stagewalk.gateway.forwarding.forwarder import Forwarder
 from stagewalk.gateway.forwarding.stream_forwarder import StreamForwarder
 from stagewalk.gateway.held_memory.budget import MemoryBudget
@@ -95,6 +97,7 @@
 
     whole: Forwarder
     streams: StreamForwarder
+    gate: AdmissionGate
 
 
 @dataclass(frozen=True, slots=True)
@@ -327,12 +330,19 @@
     ) -> Forwarders:
         client, eligibility_services = self._dependencies.workers, cluster.eligibility_services
         begun = duties.count_begun
+        gate = AdmissionGate(
+            cluster.workers.usable,
+            random.Random(self._producer),
+            self._metrics,
+            enabled=self._settings.policy.admission,
+        )
         return Forwarders(
             Forwarder(
                 client,
                 eligibility_services.eligibility,
                 cluster.routes,
                 cluster.crashes,
+                gate,
                 policy=self._settings.policy,
                 on_begun=begun,
             ),
@@ -341,7 +351,9 @@
                 eligibility_services.eligibility,
                 cluster.routes,
                 cluster.crashes,
-                begun,
+                gate,
+                on_begun=begun,
                 readers=readers,
             ),
+            gate,
         )
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -211,6 +211,7 @@
             held_bytes=0 if budget is None else budget.held_bytes,
             peak_held_bytes=0 if budget is None else budget.peak_bytes,
             opened_connections=self._opened_connections(),
+            requests_waiting=self._parts.forwarders.gate.waiting,
             view_ages={freshness.name: freshness.age(now) for freshness in followers},
             claimant_places=self._batches.place_sharing.claimants(),
         )
@@ -284,6 +285,7 @@
         self._runner.hand_over()
         self._stop_by = began + self.settings.timing.stop_grace - EXIT_RESERVE_SECONDS
         await anyio.sleep_until(began + LEAVE_SECONDS)
+        self._parts.forwarders.gate.stop()
         # The listeners need up to four seconds to answer what is under way, so they don't wait for
         # a log that accepts nothing; appending goes on beside them.
         self._exit.set()
