A stream's place at its service is free once the worker is done, whatever its caller still reads

Cause: with workers read at their own pace a slow caller kept the admission place of a worker that had ended. Change: the place is given back as the attempts end.

--- a/src/stagewalk/gateway/forwarding/stream_forwarder.py
+++ b/src/stagewalk/gateway/forwarding/stream_forwarder.py
@@ -146,7 +146,6 @@
             with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - steady_seconds())):
                 ended = await (attempts() if buffer is None else buffer.relay(attempts))
         finally:
-            self._attempts.release(streamed)
             if ended is None:
                 self._crashes.publish(request.content)
         if ended is not None:
@@ -170,12 +169,16 @@
         return RelayBuffer(self._readers, consume, request.request_id, resumable=route.resumable)
 
     async def _attempt_until_ended(self, streamed: _Streamed) -> StreamEnd | None:
+        """Return how a worker ended the stream; its caller may still have to read the rest."""
         ended: StreamEnd | None = None
-        while ended is None:
-            worker = await self._attempts.next_worker(streamed)
-            if worker is None:
-                return None
-            ended = await self._attempt(streamed, worker)
+        try:
+            while ended is None:
+                worker = await self._attempts.next_worker(streamed)
+                if worker is None:
+                    return None
+                ended = await self._attempt(streamed, worker)
+        finally:
+            self._attempts.release(streamed)
         return ended
 
     async def _attempt(self, streamed: _Streamed, worker: Worker) -> StreamEnd | None:
