Streams wait by their first event; rules of one service's admission as tests

Cause: the time a request keeps its place was taken off its target. A stream's target is the time to its first event, so a service of streams of some seconds let none wait longer than a tenth of it. Change: QueuedRequest says that it is streamed; a stream that full workers refused gets its time to return from the queue as whole answers do. Tests of single decisions: deadlines, no worker, stop, callers that leave, reports of half-empty workers, hedges.

--- a/src/stagewalk/gateway/admission/fair_queue.py
+++ b/src/stagewalk/gateway/admission/fair_queue.py
@@ -59,6 +59,8 @@
         0 is the most urgent.
     target_seconds
         Time after `arrived_at` within which an answer has its full worth.
+    streamed
+        Whether that is the time to its first event, which says nothing of how long it runs.
     """
 
     request_id: str
@@ -68,6 +70,7 @@
     arrived_at: float
     deadline_at: float
     target_seconds: float
+    streamed: bool = False
 
     @property
     def due_at(self) -> float:
--- a/src/stagewalk/gateway/admission/service_admission.py
+++ b/src/stagewalk/gateway/admission/service_admission.py
@@ -354,7 +354,9 @@
         """Return until when it is to start: for its target, but patience is granted to all."""
         target = request.target_seconds
         share = SURE_WAIT_SHARE if sure else MOST_WAIT_SHARE
-        wait = min(share * target, target - self._holding(request))
+        wait = share * target
+        if not request.streamed:
+            wait = min(wait, target - self._holding(request))
         of_deadline = share * (self._last_start(request) - request.arrived_at)
         return request.arrived_at + min(max(wait, PATIENCE_SHARE * target), of_deadline)
 
--- a/src/stagewalk/gateway/forwarding/attempts.py
+++ b/src/stagewalk/gateway/forwarding/attempts.py
@@ -67,6 +67,7 @@
             state.began_at,
             state.deadline_at,
             route.target_seconds,
+            streamed=route.kind is RouteKind.STREAM,
         )
 
 
--- a/src/stagewalk/gateway/forwarding/stream_forwarder.py
+++ b/src/stagewalk/gateway/forwarding/stream_forwarder.py
@@ -131,6 +131,8 @@
         ending = state.ending(steady_seconds())
         if streamed.started and ending is Ending.NOT_RUN:
             ending = Ending.UNKNOWN
+        if ending is Ending.NOT_RUN:
+            self._attempts.note_refused(streamed)
         log_request_end(streamed, self._routes.version, ending.value)
         return Error(state.unanswered(ending))
 
--- /dev/null
+++ b/tests/gateway/admission/test_service_admission.py
@@ -0,0 +1,109 @@
+"""Which request starts, waits or is refused at one service."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+
+from stagewalk.gateway.admission.decisions import Decision, Place, Queued, Rejection
+from stagewalk.gateway.admission.decisions import RejectionReason as Reason
+from stagewalk.gateway.admission.fair_queue import QueuedRequest
+from stagewalk.gateway.admission.service_admission import ServiceAdmission
+from stagewalk.gateway.ports.workers import WorkerLoad
+from stagewalk.gateway.workers.worker import Worker
+from tests.gateway.workers.support import announcement
+
+SLOTS = 4
+PLACES = 5
+
+
+class Service:
+    """One worker of four slots, whose requests keep their places for so long."""
+
+    def __init__(self, holding_seconds: float = 0.1) -> None:
+        self.workers = [Worker(announcement("w", slots=SLOTS), 0.0)]
+        self.admission = ServiceAdmission(lambda: self.workers, random.Random(1))
+        self.admission.note_held("r", holding_seconds)
+
+    def ask(
+        self,
+        now: float = 0.0,
+        *,
+        target: float = 1.0,
+        allowed: float = 5.0,
+        streamed: bool = False,
+    ) -> Decision:
+        request = QueuedRequest("", "r", "t", 5, now, now + allowed, target, streamed)
+        return self.admission.offer(request, now)
+
+    def fill(self) -> None:
+        for _ in range(PLACES):
+            assert isinstance(self.ask(), Place)
+
+
+class ServiceAdmissionTests(testtools.TestCase):
+    def test_a_request_starts_at_once_while_there_are_places(self) -> None:
+        service = Service()
+        service.fill()
+        self.assertIsInstance(service.ask(), Queued)
+
+    def test_what_can_not_start_in_time_is_refused_as_it_comes(self) -> None:
+        service = Service(holding_seconds=2.0)
+        service.fill()
+        refused = service.ask()
+        self.assertIsInstance(refused, Rejection)
+        self.assertEqual(Reason.TOO_LATE, refused.reason)
+
+    def test_what_the_deadline_leaves_no_time_for_is_refused(self) -> None:
+        service = Service()
+        service.fill()
+        self.assertIsInstance(service.ask(allowed=0.1), Rejection)
+
+    def test_a_long_stream_may_wait_for_its_first_event(self) -> None:
+        service = Service(holding_seconds=1.5)
+        service.fill()
+        self.assertIsInstance(service.ask(), Rejection)
+        self.assertIsInstance(service.ask(streamed=True), Queued)
+
+    def test_all_workers_gone_is_said_to_those_that_come_and_those_that_wait(self) -> None:
+        service = Service()
+        service.fill()
+        queued = service.ask()
+        service.workers.clear()
+        refused = service.admission.review(queued.waiting, 0.1)
+        self.assertEqual(Reason.NO_WORKER, refused.reason)
+        self.assertEqual(Reason.NO_WORKER, service.ask(0.1).reason)
+        self.assertEqual(0, service.admission.waiting)
+
+    def test_a_stop_refuses_what_waits_and_starts_what_has_a_place(self) -> None:
+        service = Service()
+        service.fill()
+        queued = service.ask()
+        service.admission.stop()
+        refused = service.admission.review(queued.waiting, 0.01)
+        self.assertEqual(Reason.STOPPING, refused.reason)
+        service.admission.release()
+        self.assertIsInstance(service.ask(0.02), Place)
+
+    def test_a_caller_that_leaves_gives_back_its_turn_or_its_place(self) -> None:
+        service = Service()
+        service.fill()
+        first, second = service.ask(), service.ask()
+        service.admission.withdraw(first.waiting)
+        service.admission.release()
+        self.assertEqual([second.waiting], service.admission.start_due(0.01))
+        service.admission.withdraw(second.waiting)
+        self.assertIsInstance(service.ask(0.02), Place)
+
+    def test_a_worker_that_says_it_is_half_empty_gets_more_than_the_bound(self) -> None:
+        service = Service()
+        service.fill()
+        service.workers[0].note_load(WorkerLoad(0, 0, SLOTS, 1.0), 0.1)
+        self.assertIsInstance(service.ask(0.2), Place)
+
+    def test_a_hedge_needs_room_and_nobody_that_waits(self) -> None:
+        service = Service()
+        self.assertTrue(service.admission.may_hedge(0.0))
+        service.fill()
+        self.assertFalse(service.admission.may_hedge(0.0))
