--- a/src/stagewalk/gateway/forwarding/stream_forwarder.py
+++ b/src/stagewalk/gateway/forwarding/stream_forwarder.py
@@ -155,6 +155,8 @@
         ending = state.ending(steady_seconds())
         if streamed.started and ending is Ending.NOT_RUN:
             ending = Ending.UNKNOWN
+        if ending is Ending.NOT_RUN:
+            self._attempts.note_refused(streamed)
         log_request_end(streamed, self._routes.version, ending.value)
         if buffer is not None and buffer.was_cut_off:
             on_cut_off()
