--- /dev/null
+++ b/tests/gateway/batches/engine_pool.py
@@ -0,0 +1,309 @@
+"""Schedulers over engines that run, queue and stop items as engines with a bounded memory do.
+
+Time is simulated in steps of `STEP_SECONDS`. Several schedulers, one for each trainer, share the
+engines and know of each other only what engines report with the heads of answers.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from stagewalk.gateway.batches.messages import (
+    AttemptEnded,
+    AttemptEvent,
+    AttemptHead,
+    RecordItem,
+    SchedulerEvent,
+    SchedulerInstruction,
+    StartItem,
+    StopItem,
+    Tick,
+)
+from stagewalk.gateway.batches.prompt import Prompt, PromptPart
+from stagewalk.gateway.batches.records import BatchItem, ItemFinished
+from stagewalk.gateway.batches.scheduler import BatchScheduler
+from stagewalk.gateway.policy import ALL_ON, Policy
+from stagewalk.gateway.ports.workers import StreamEvent, StreamHead, WorkerLoad
+from stagewalk.gateway.routes.route import EngineLimits, Service
+from stagewalk.gateway.workers.table import WorkerTable
+from tests.gateway.batches.support import RecordingLedger, batch_route, submitted
+from tests.gateway.eligibility.support import unrestricted
+from tests.gateway.workers.support import announcement
+
+STEP_SECONDS = 0.01
+TICK_STEPS = 5
+ZONES = ("z1", "z2", "z3")
+WHOLE = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """Engines and items of a deployment."""
+
+    engines: int = 24
+    slots: int = 6
+    memory_tokens: int = 27_650
+    tokens_per_event: int = 59
+    event_seconds: float = 0.05
+    speeds: tuple[float, ...] = (0.55, 1.2, 1.2, 1.2)
+    """Parts of the usual time, by turns."""
+    prompt_tokens: int = 260
+    mean_events: float = 14.5
+    most_events: int = 104
+    groups: tuple[tuple[int, int], ...] = ((12, 8), (4, 16), (12, 8))
+    """Groups of a batch and items of a group, by trainer."""
+    every_seconds: float = 4.0
+    guess_spread: float = 0.6
+
+
+@dataclass(slots=True)
+class Run:
+    """An attempt at an engine."""
+
+    trainer: int
+    attempt: int
+    item: BatchItem
+    events: int
+    made: float
+    order: int
+    begun: bool = False
+
+
+@dataclass(slots=True)
+class Engine:
+    """An engine: newest runs are stopped while memory lacks, and go on once there is room."""
+
+    name: str
+    speed: float
+    running: list[Run] = field(default_factory=list)
+    queue: list[Run] = field(default_factory=list)
+    preempted: int = 0
+    slow: float = 1.0
+
+
+class EnginePool:
+    """Engines, the trainers' schedulers and what they made of their steps."""
+
+    def __init__(self, shape: Shape, seed: int, policy: Policy = ALL_ON) -> None:
+        self.shape = shape
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.engines = {
+            f"e{i}": Engine(f"e{i}", shape.speeds[i % len(shape.speeds)])
+            for i in range(shape.engines)
+        }
+        self.lengths: dict[str, int] = {}
+        self.steps: dict[str, Step] = {}
+        self.ended_at: dict[str, float] = {}
+        """By item, when its text was whole."""
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._runs: dict[tuple[int, int], tuple[Engine, Run]] = {}
+        self._trainers = [Trainer(self, number, policy) for number in range(len(shape.groups))]
+
+    @property
+    def runs(self) -> list[tuple[Engine, Run]]:
+        """Return the attempts at engines, waiting ones included."""
+        return list(self._runs.values())
+
+    def pace(self, engine: Engine) -> float:
+        """Return the seconds that an event takes at an engine at the moment."""
+        usual = self.shape.event_seconds * engine.speed * engine.slow
+        return usual * (1 + 0.03 * len(engine.running))
+
+    @property
+    def preempted(self) -> int:
+        """Return how many runs were stopped for lack of memory."""
+        return sum(engine.preempted for engine in self.engines.values())
+
+    def at(self, seconds: float, action: Callable[[], None]) -> None:
+        """Do something at a time."""
+        heapq.heappush(self._due, (seconds, next(self._numbers), action))
+
+    def play(self, steps: int) -> None:
+        """Submit so many steps of each trainer and run until all are whole."""
+        for step in range(steps):
+            for trainer in self._trainers:
+                offset = 0.3 * trainer.number
+                self.at(step * self.shape.every_seconds + offset, trainer.next_step)
+        for count in itertools.count():
+            self.now = count * STEP_SECONDS
+            while self._due and self._due[0][0] <= self.now:
+                heapq.heappop(self._due)[2]()
+            if count % TICK_STEPS == 0:
+                for trainer in self._trainers:
+                    trainer.handle(Tick())
+            for engine in self.engines.values():
+                self._advance(engine)
+            if not self._due and all(step.left == 0 for step in self.steps.values()):
+                return
+            assert self.now < 300.0, "items never end"
+
+    def start(self, trainer: int, start: StartItem) -> None:
+        """Let an engine take an attempt."""
+        engine = self.engines[start.worker]
+        made = float(start.resume_after or 0)
+        length = self.lengths[start.item.item]
+        run = Run(trainer, start.attempt, start.item, length, made, next(self._numbers))
+        self._runs[trainer, start.attempt] = engine, run
+        engine.queue.append(run)
+
+    def stop(self, trainer: int, attempt: int) -> None:
+        """Let an engine drop an attempt."""
+        engine, run = self._runs.pop((trainer, attempt))
+        for runs in (engine.running, engine.queue):
+            if run in runs:
+                runs.remove(run)
+
+    def _tokens(self, runs: Sequence[Run]) -> int:
+        groups = {run.item.group for run in runs}
+        texts = sum(math.ceil(run.made) for run in runs) * self.shape.tokens_per_event
+        return len(groups) * self.shape.prompt_tokens + 16 * len(runs) + texts
+
+    def _advance(self, engine: Engine) -> None:
+        shape = self.shape
+        while engine.queue and len(engine.running) < shape.slots:
+            if self._tokens([*engine.running, engine.queue[0]]) > shape.memory_tokens:
+                break
+            engine.running.append(engine.queue.pop(0))
+        pace = self.pace(engine)
+        for run in list(engine.running):
+            if run in engine.running:
+                self._make(engine, run, STEP_SECONDS / pace)
+        while self._tokens(engine.running) > shape.memory_tokens and len(engine.running) > 1:
+            newest = max(engine.running, key=lambda run: run.order)
+            engine.running.remove(newest)
+            engine.queue.insert(0, newest)
+            engine.preempted += 1
+
+    def _make(self, engine: Engine, run: Run, events: float) -> None:
+        trainer = self._trainers[run.trainer]
+        before = math.floor(run.made)
+        run.made = min(float(run.events), run.made + events)
+        if not run.begun:
+            run.begun = True
+            load = WorkerLoad(len(engine.running), len(engine.queue), self.shape.slots)
+            trainer.handle(AttemptHead(run.attempt, StreamHead(WHOLE, (), (1,), load)))
+        for number in range(before + 1, math.floor(run.made) + 1):
+            if (run.trainer, run.attempt) in self._runs:
+                event = StreamEvent(number, "text", None, b"")
+                trainer.handle(AttemptEvent(run.attempt, event))
+        if run.made >= run.events and (run.trainer, run.attempt) in self._runs:
+            self.stop(run.trainer, run.attempt)
+            self.ended_at[run.item.item] = self.now
+            trainer.handle(AttemptEnded(run.attempt, WHOLE))
+
+
+@dataclass(slots=True)
+class Step:
+    """A batch of a trainer."""
+
+    asked_at: float
+    groups: dict[str, int]
+    """Items without a result by group."""
+    whole_at: list[float] = field(default_factory=list)
+    """When each group was whole."""
+
+    @property
+    def left(self) -> int:
+        """Return the items without a result."""
+        return sum(self.groups.values())
+
+    def seconds(self, share: float = 0.9) -> float:
+        """Return how long the groups took that a trainer waits for."""
+        return sorted(self.whole_at)[math.ceil(share * len(self.groups)) - 1] - self.asked_at
+
+
+class Trainer:
+    """A trainer's batches, run by a scheduler of its own."""
+
+    def __init__(self, pool: EnginePool, number: int, policy: Policy) -> None:
+        self.number = number
+        self._pool = pool
+        self._step = 0
+        shape = pool.shape
+        self.workers = WorkerTable()
+        for i, name in enumerate(pool.engines):
+            entry = announcement(name, zone=ZONES[i % 3], slots=shape.slots, versions={"m": 1})
+            self.workers.announce(entry, 0.0)
+        route = batch_route()
+        limits = EngineLimits(shape.memory_tokens, shape.tokens_per_event)
+        self.scheduler = BatchScheduler(
+            self.workers,
+            lambda _host, _path: route,
+            lambda _route: "scorers",
+            unrestricted(self.workers, route),
+            policy,
+            service=lambda name: Service(name, engine=limits),
+            prompt_of=self._prompt_of,
+        )
+        self._ledger = RecordingLedger()
+
+    def next_step(self) -> None:
+        """Submit the next batch."""
+        shape, chance = self._pool.shape, self._pool.random
+        name = f"t{self.number}-{self._step}"
+        self._step += 1
+        groups, of_group = shape.groups[self.number]
+        items: list[BatchItem] = []
+        for group in range(groups):
+            for number in range(of_group):
+                item = f"{name}-{group}-{number}"
+                length = self._pool.lengths[item] = _length(shape, chance)
+                guess = (
+                    length * shape.tokens_per_event * chance.lognormvariate(0.0, shape.guess_spread)
+                )
+                label = f"{name}-{group}"
+                items.append(BatchItem(item, f"/run/{item}", (), b"", label, "m", round(guess)))
+        counts = {f"{name}-{group}": of_group for group in range(groups)}
+        self._pool.steps[name] = Step(self._pool.now, counts)
+        batch = self._ledger.open(submitted(*items, batch=name))
+        find = self._ledger.ledger.reusable_text
+        self._carry_out(self.scheduler.open(batch, find, self._pool.now))
+        self.handle(Tick())
+
+    def handle(self, event: SchedulerEvent) -> None:
+        """Give the scheduler an event."""
+        self._carry_out(self.scheduler.handle(event, self._pool.now))
+
+    def _carry_out(self, instructions: Sequence[SchedulerInstruction]) -> None:
+        for instruction in instructions:
+            if isinstance(instruction, StartItem):
+                self._pool.start(self.number, instruction)
+            elif isinstance(instruction, StopItem):
+                self._pool.stop(self.number, instruction.attempt)
+            elif isinstance(instruction, RecordItem):
+                self._record(instruction)
+
+    def _record(self, instruction: RecordItem) -> None:
+        record = instruction.record
+        if not isinstance(record, ItemFinished):
+            return
+        assert record.succeeded, record
+        step = self._pool.steps[record.batch]
+        group = record.item.rpartition("-")[0]
+        step.groups[group] -= 1
+        if step.groups[group] == 0:
+            step.whole_at.append(self._pool.now)
+        self._carry_out(self.scheduler.listed(record.batch, record.item))
+        if step.left == 0:
+            self._carry_out(self.scheduler.close(record.batch, "ended"))
+
+    def _prompt_of(self, item: BatchItem) -> Prompt:
+        shape = self._pool.shape
+        parts = PromptPart(item.group, shape.prompt_tokens), PromptPart(item.item, 16)
+        return Prompt(parts, shape.most_events * shape.tokens_per_event)
+
+
+def _length(shape: Shape, chance: random.Random) -> int:
+    """Return the events of a text: a long tail, as texts of reasoning models have."""
+    spread = 0.84
+    length = shape.mean_events * chance.lognormvariate(-spread * spread / 2, spread)
+    if chance.random() < 0.08:
+        length *= 5.0
+    return max(2, min(shape.most_events, round(length)))
