Items are passed over only where others alike found every engine closed

Cause: items of a batch may name different models or lie on different routes: one route's full engines kept items of another from being tried in that tick. Change: alike are items of one batch, model and directory of their path, which decides the route. Tests for it and for the room that a stopped run gives back. Conclusion: no item waits for engines that it can't go to.

--- a/src/stagewalk/gateway/batches/attempt_starter.py
+++ b/src/stagewalk/gateway/batches/attempt_starter.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
 
 from stagewalk.gateway.batches.attempt_watch import AttemptWatch
 from stagewalk.gateway.batches.attempts import Attempts
@@ -65,8 +66,8 @@
         limits: PlaceLimits,
     ) -> None:
         self._room = room
-        self._closed: set[str] = set()
-        """Batches whose items no engine can take at the moment."""
+        self._closed: set[_AlikeItems] = set()
+        """Items that no engine can take at the moment."""
         self._limits = limits
         self._runs = runs
         self._attempts = attempts
@@ -91,7 +92,7 @@
         return [
             start
             for run, item in waiting
-            if run.name not in self._closed
+            if _alike(run, item) not in self._closed
             for start in self.start(run, item, now)
         ]
 
@@ -140,9 +141,28 @@
         )
         engine = engine or room.last_resort()
         if engine is None and found and room.closed:
-            self._closed.add(run.name)
+            self._closed.add(_alike(run, item))
         return engine
 
     def _order(self, run: BatchRun, item: ItemRun) -> tuple[float, float, str]:
         """Older batches first, within one the items expected to run longest."""
         return run.batch.seen_at, -self._lengths.events(item), item.spec.group
+
+
+@dataclass(frozen=True, slots=True)
+class _AlikeItems:
+    """Items that may go to the same engines: of one batch, model and route.
+
+    Attributes
+    ----------
+    directory
+        Their paths up to the last slash, which decide the route.
+    """
+
+    batch: str
+    model: str
+    directory: str
+
+
+def _alike(run: BatchRun, item: ItemRun) -> _AlikeItems:
+    return _AlikeItems(run.name, item.spec.model, item.spec.path.rpartition("/")[0])
--- a/src/stagewalk/gateway/batches/engine_room.py
+++ b/src/stagewalk/gateway/batches/engine_room.py
@@ -19,7 +19,7 @@
 
     @property
     def closed(self) -> bool:
-        """Whether no engine could take any item: others of its batch need not be tried now."""
+        """Whether no engine could take any item: others alike need not be tried now."""
 
     def last_resort(self) -> Worker | None:
         """Return where the item goes although no engine asked for had room; None: it waits."""
--- a/tests/gateway/batches/test_engine_memory.py
+++ b/tests/gateway/batches/test_engine_memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import testtools
 
 from stagewalk.gateway.batches.engine_memory import (
@@ -159,6 +160,24 @@
         fill(world)
         self.assertIn("z", world.attempts)
 
+    def test_a_stopped_run_gives_its_room_back(self) -> None:
+        world = bench("e1")
+        world.open(item("x", 500))
+        world.head("x")
+        self.assertEqual({"e1": 500}, world.scheduler.engine_tokens(world.now))
+        world.take(world.scheduler.close("b", "ended"))
+        self.assertEqual({}, world.scheduler.engine_tokens(world.now))
+        world.open_more(item("y", 500))
+        self.assertIn("y", world.attempts)
+
+    def test_items_of_another_route_are_tried_though_engines_of_the_first_are_closed(self) -> None:
+        world = bench("e1")
+        elsewhere = msgspec.structs.replace(item("z", 20), path="/run/other/z")
+        world.open(item("w", 60), item("x", 50), item("y", 40), elsewhere)
+        self.assertEqual(["w"], list(world.attempts))
+        closed = world.scheduler._starter._closed
+        self.assertEqual({"/run", "/run/other"}, {alike.directory for alike in closed})
+
     def test_the_switch_turns_it_off(self) -> None:
         world = bench("e1", policy=Policy(engine_memory=False))
         world.open(item("x", 500), item("y", 500))
