What is expected of an item is reckoned once a search; withheld items are tried each 0.1 s

Cause: where more is asked than there is memory, each tick tried every withheld item at every engine; the model's processor time was three times that of slots alone. Ruled out: trying none until a run ends (reports of other nodes free room as well). Change: one expectation a search; a pause of 0.1 s for a withheld item.

--- a/src/stagewalk/gateway/batches/engine_memory.py
+++ b/src/stagewalk/gateway/batches/engine_memory.py
@@ -35,6 +35,9 @@
 """An item that no engine has memory for waits at most this long: then it goes where least is
 lacking, since a run that is stopped and read again costs its step less than a longer wait."""
 
+WITHHELD_PAUSE_SECONDS = 0.1
+"""How long such an item waits until engines are asked again: they free little memory meanwhile."""
+
 MOST_ENGINES_ASKED = 32
 """How many engines, the cheapest first, are asked for one item: others are busier still."""
 
@@ -153,14 +156,14 @@
 
     def note_report(self, engine: Worker, load: WorkerLoad | None, now: float) -> None:
         """Record what an engine reported of its load: how many runs are of other nodes."""
-        if load is None or self._limits(engine) is None:
+        if load is None or self.limits(engine) is None:
             return
         others = max(0, load.running + load.waiting - engine.in_flight)
         self._others[engine.announcement.worker] = _OtherRuns(others, now)
 
     def fits(self, engine: Worker, item: ItemRun, now: float) -> bool:
         """Whether an engine is expected to run an item without stopping it or another one."""
-        return not self.keeps_waiting(engine) and self.lacking(engine, item, now) <= 0.0
+        return _MemorySearch(self, item, now).fits(engine)
 
     def keeps_waiting(self, engine: Worker) -> bool:
         """Whether an engine has not begun a run of this node yet.
@@ -168,29 +171,44 @@
         Nodes that fill an engine in the same moment know nothing of each other until it reports
         its load with the head of an answer; and an engine that is full begins nothing.
         """
-        if self._limits(engine) is None:
-            return False
-        attempts = self._attempts.at(engine.announcement.worker).values()
-        return any(running.item.unbegun for running in attempts)
+        attempts = self._attempts.at(engine.announcement.worker)
+        return any(running.item.unbegun for running in reversed(attempts.values()))
 
     def search(self, item: ItemRun, now: float) -> RoomSearch:
         """Begin a search for a waiting item."""
         return _MemorySearch(self, item, now)
 
-    def lacking(self, engine: Worker, item: ItemRun, now: float) -> float:
+    def limits(self, engine: Worker) -> EngineLimits | None:
+        """Return what an engine holds, None if that isn't known."""
+        service = self._service(engine.announcement.service)
+        return None if service is None else service.engine
+
+    def expected_run(self, item: ItemRun, limits: EngineLimits) -> ExpectedRun:
+        """Return what an item holds and is expected to make at engines with such limits."""
+        scale = limits.tokens_per_event
+        held = len(item.events) * scale
+        left = self._lengths.expected_left(item, scale) * scale
+        if item.prompt.most_made is not None:
+            left = min(left, max(0.0, item.prompt.most_made - held))
+        return ExpectedRun(held, left)
+
+    def lacking(
+        self, engine: Worker, limits: EngineLimits, item: ItemRun, added: ExpectedRun, now: float
+    ) -> float:
         """Return how many tokens an engine lacks for an item; 0.0 or less: there is room.
 
         Runs of the engine count as long as the item is expected to run: what they need after its
         end is none of its concern. An engine with nothing running takes any item.
+
+        Parameters
+        ----------
+        added
+            What is expected of the item, see `expected_run`.
         """
-        limits = self._limits(engine)
-        if limits is None:
-            return 0.0
         others = self._others_at(engine, now)
         if not others and not engine.in_flight:
             return 0.0
         known = self._runs_at(engine, limits, now)
-        added = self._expected_run(item, limits)
         prompts = known.prompt_tokens
         prompts += sum(p.tokens for p in item.prompt.parts if p.part not in known.parts)
         own_size = item.prompt.tokens + added.held + added.left
@@ -218,7 +236,7 @@
         expected: dict[str, int] = {}
         for engine in self._workers.all():
             name = engine.announcement.worker
-            limits = self._limits(engine)
+            limits = self.limits(engine)
             if limits is None or not self._attempts.at(name):
                 continue
             known = self._runs_at(engine, limits, now)
@@ -227,10 +245,6 @@
             expected[name] = round(known.prompt_tokens + others + expected_peak(known.runs))
         return expected
 
-    def _limits(self, engine: Worker) -> EngineLimits | None:
-        service = self._service(engine.announcement.service)
-        return None if service is None else service.engine
-
     def _others_at(self, engine: Worker, now: float) -> float:
         """Return how many requests of other nodes an engine is believed to have."""
         reported = self._others.get(engine.announcement.worker)
@@ -255,30 +269,22 @@
         for running in itertools.islice(self._attempts, MOST_RUNS_SAMPLED):
             attempt = running.item.running
             engine = None if attempt is None else self._workers.worker(attempt.worker)
-            limits = None if engine is None else self._limits(engine)
+            limits = None if engine is None else self.limits(engine)
             if engine is None or limits is None:
                 continue
-            run = self._expected_run(running.item, limits)
+            run = self.expected_run(running.item, limits)
             of_service = tokens.setdefault(engine.announcement.service, [])
             of_service.append(run.held + run.left + running.item.prompt.tokens)
         self._usual_run = {service: fmean(found) for service, found in tokens.items()}
 
     def _expect(self, attempts: dict[int, RunningItem], limits: EngineLimits) -> _EngineRuns:
         items = [running.item for running in attempts.values()]
-        runs = [self._expected_run(item, limits) for item in items]
+        runs = [self.expected_run(item, limits) for item in items]
         parts = {p.part: p.tokens for item in items for p in item.prompt.parts}
         newest = next(reversed(attempts), 0)
         whole = sum(run.held + run.left for run in runs)
         return _EngineRuns(len(items), newest, runs, parts, sum(parts.values()), whole)
 
-    def _expected_run(self, item: ItemRun, limits: EngineLimits) -> ExpectedRun:
-        scale = limits.tokens_per_event
-        held = len(item.events) * scale
-        left = self._lengths.expected_left(item, scale) * scale
-        if item.prompt.most_made is not None:
-            left = min(left, max(0.0, item.prompt.most_made - held))
-        return ExpectedRun(held, left)
-
 
 class _MemorySearch:
     """A search of the engines that could take an item: keeps where least is lacking."""
@@ -288,14 +294,23 @@
         self._item = item
         self._now = now
         self._asked = 0
+        self._limits: EngineLimits | None = None
+        self._added = ExpectedRun(0.0, 0.0)
+        """What is expected of the item at engines with these limits."""
         self._best: Worker | None = None
         self._least_lacking = math.inf
 
     def fits(self, engine: Worker) -> bool:
+        limits = self._memory.limits(engine)
+        if limits is None:
+            return True
         if self._asked == MOST_ENGINES_ASKED or self._memory.keeps_waiting(engine):
             return False
         self._asked += 1
-        lacking = self._memory.lacking(engine, self._item, self._now)
+        if limits is not self._limits:
+            self._limits = limits
+            self._added = self._memory.expected_run(self._item, limits)
+        lacking = self._memory.lacking(engine, limits, self._item, self._added, self._now)
         if lacking < self._least_lacking:
             self._best, self._least_lacking = engine, lacking
         return lacking <= 0.0
@@ -313,5 +328,7 @@
             item.withheld_since = self._now
             lacking = round(self._least_lacking)
             self._memory.note_withheld(ItemWithheld(item.spec.item, self._asked, lacking))
-        waited = self._now - item.withheld_since
-        return self._best if waited >= MOST_WITHHELD_SECONDS else None
+        if self._now - item.withheld_since >= MOST_WITHHELD_SECONDS:
+            return self._best
+        item.not_before = self._now + WITHHELD_PAUSE_SECONDS
+        return None
