Only engines that keep a run waiting close a batch's other items

Cause: where no memory is configured, items after one that found every engine full were passed over too: a change for deployments that this part must not touch. Change: closed means that an engine with a known memory kept a run waiting and none had memory to ask for. Conclusion: without a memory in the configuration placement is as before.

--- a/src/stagewalk/gateway/batches/engine_memory.py
+++ b/src/stagewalk/gateway/batches/engine_memory.py
@@ -294,6 +294,7 @@
         self._item = item
         self._now = now
         self._asked = 0
+        self._kept_waiting = False
         self._limits: EngineLimits | None = None
         self._added = ExpectedRun(0.0, 0.0)
         """What is expected of the item at engines with these limits."""
@@ -304,7 +305,10 @@
         limits = self._memory.limits(engine)
         if limits is None:
             return True
-        if self._asked == MOST_ENGINES_ASKED or self._memory.keeps_waiting(engine):
+        if self._asked == MOST_ENGINES_ASKED:
+            return False
+        if self._memory.keeps_waiting(engine):
+            self._kept_waiting = True
             return False
         self._asked += 1
         if limits is not self._limits:
@@ -317,7 +321,7 @@
 
     @property
     def closed(self) -> bool:
-        return self._asked == 0
+        return self._kept_waiting and self._asked == 0
 
     def last_resort(self) -> Worker | None:
         """Return the engine where least is lacking once the item has waited long enough."""
