--- a/src/stagewalk/gateway/batches/attempt_starter.py
+++ b/src/stagewalk/gateway/batches/attempt_starter.py
@@ -107,8 +107,8 @@
         self._workers = workers
         self._route_of = route_of
         self._room = room
-        self._closed: set[str] = set()
-        """Batches whose items no engine can take at the moment."""
+        self._closed: set[_AlikeItems] = set()
+        """Items that no engine can take at the moment."""
         self._limits = limits
         self._runs = runs
         self._attempts = attempts
@@ -137,7 +137,7 @@
         starts = [
             start
             for pair in order_ample(ample, self._lengths)
-            if pair.run.name not in self._closed
+            if _alike(pair.run, pair.item) not in self._closed
             for start in self.start(pair.run, pair.item, now)
         ]
         if len(ample) < len(waiting):
@@ -175,7 +175,7 @@
         starts: list[StartItem] = []
         for pair in order_scarce(free, bounds, self._lengths, now):
             share = places[pair.run.name]
-            if taken[share] + 1 > share.most or pair.run.name in self._closed:
+            if taken[share] + 1 > share.most or _alike(pair.run, pair.item) in self._closed:
                 continue
             begun = self.start(pair.run, pair.item, now)
             taken[share] += len(begun)
@@ -252,5 +252,24 @@
         )
         engine = engine or room.last_resort()
         if engine is None and found and room.closed:
-            self._closed.add(run.name)
+            self._closed.add(_alike(run, item))
         return engine
+
+
+@dataclass(frozen=True, slots=True)
+class _AlikeItems:
+    """Items that may go to the same engines: of one batch, model and route.
+
+    Attributes
+    ----------
+    directory
+        Their paths up to the last slash, which decide the route.
+    """
+
+    batch: str
+    model: str
+    directory: str
+
+
+def _alike(run: BatchRun, item: ItemRun) -> _AlikeItems:
+    return _AlikeItems(run.name, item.spec.model, item.spec.path.rpartition("/")[0])
