The log tells what a process was doing as its memory reached a new peak

Cause: 137 MB at peak on a machine of 200 were seen, and nothing told what the process held then. Ruled out: tracing allocations in use (it doubles what is measured).

--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -27,6 +27,7 @@
 from stagewalk.gateway.log_relay.relayed_log import RELAY_PATH
 from stagewalk.gateway.log_relay.server import LogRelay
 from stagewalk.gateway.metrics import GatewayMetrics, GatewayState
+from stagewalk.gateway.peak_memory import PeakMemory
 from stagewalk.gateway.peer_calls.server import PeerApp
 from stagewalk.gateway.settings import GatewaySettings
 from stagewalk.gateway.settings_reload import LiveSettings, SettingsLoader
@@ -68,6 +69,7 @@
         self._live_settings = LiveSettings(settings, load_again)
         self._dialect = dependencies.dialect
         self._opened_connections = dependencies.opened_connections
+        self._peak_memory = PeakMemory()
         self._connections_log = ConnectionsLog(dependencies.opened_connections)
         self._log_budget = log_budget or LogBudget()
         self._metrics = GatewayMetrics(self._state, self._log_budget)
@@ -212,6 +214,17 @@
             view_ages={freshness.name: freshness.age(now) for freshness in followers},
         )
 
+    def _held(self) -> dict[str, int]:
+        """Return how many there are of what takes memory."""
+        readers = self._parts.readers
+        return {
+            "held_bytes": 0 if readers is None else readers.budget.held_bytes,
+            "batches": len(self.store.ledger.names),
+            "running_batches": self._runner.running_batches,
+            "running_attempts": self._runner.running_attempts,
+            "connections_opened": self._opened_connections().total(),
+        }
+
     # Keeping house.
 
     async def _housekeep(self) -> None:
@@ -228,6 +241,7 @@
             self._duties.sample_clock()
             self._log_dropped_lines()
             self._connections_log.write(steady_seconds())
+            self._peak_memory.write(self._held)
 
     async def _resume_batches(self) -> None:
         """Resume batches that this node ran before it was restarted.
