Connections that idled too long are closed also where their worker is left alone

Cause: a pool of httpx looks at its idle connections only as it is used. To a worker that got nothing more they stayed, 32 of them at most for each of 256, closed by the worker after 10 s but held here with 23 to 37 KB and a descriptor each (machines have 1,638 to 10,250). Change: as a pool is given back, pools that nobody used for the keep-alive time are closed, oldest first.

--- a/src/stagewalk/common/http/connection_pools.py
+++ b/src/stagewalk/common/http/connection_pools.py
@@ -1,8 +1,10 @@
 """Kept connections to many peers: a pool for each.
 
 A pool of `httpx` checks each of its idle connections on every request, with a system call each.
-One pool for all peers would make a request dearer with each peer. Owns the pools and closes those
-unused longest; relies on `http.calls` for their transport.
+One pool for all peers would make a request dearer with each peer. A pool looks at its idle
+connections only as it is used, so those to a peer that is left alone would stay, with their memory
+and descriptors, also once the peer has closed them. Owns the pools and closes those unused longest;
+relies on `http.calls` for their transport.
 """
 
 from __future__ import annotations
@@ -16,16 +18,19 @@
 import httpx
 
 from stagewalk.common.http.calls import open_transport
+from stagewalk.common.steady_clock import steady_seconds
 
 
 @dataclass(slots=True)
 class _Pool:
     transport: httpx.AsyncHTTPTransport
     users: int = 0
+    released_at: float = 0.0
+    """Steady time of the end of its last use."""
 
 
 class ConnectionPools:
-    """Pools by peer; those unused longest are closed when there are too many.
+    """Pools by peer; closed once their connections have idled too long, or there are too many.
 
     Parameters
     ----------
@@ -70,14 +75,21 @@
             yield pool.transport
         finally:
             pool.users -= 1
-            await self._close_surplus()
+            pool.released_at = steady_seconds()
+            self._pools.move_to_end(peer)
+            await self._close_unused(pool.released_at)
 
-    async def _close_surplus(self) -> None:
-        surplus = len(self._pools) - self._maximum_pools
-        if surplus <= 0:
-            return
-        unused = [peer for peer, pool in self._pools.items() if pool.users == 0]
-        closed = [self._pools.pop(peer) for peer in unused[:surplus]]
+    async def _close_unused(self, now: float) -> None:
+        """Close pools that idled too long, and those unused longest where there are too many."""
+        closing: list[str] = []
+        for peer, pool in self._pools.items():
+            if pool.users > 0:
+                continue
+            surplus = len(self._pools) - len(closing) - self._maximum_pools
+            if surplus <= 0 and now - pool.released_at <= self._keepalive_seconds:
+                break
+            closing.append(peer)
+        closed = [self._pools.pop(peer) for peer in closing]
         with anyio.CancelScope(shield=True):
             for pool in closed:
                 await pool.transport.aclose()
--- a/tests/common/http/test_connection_pools.py
+++ b/tests/common/http/test_connection_pools.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import anyio
 import testtools
 
@@ -49,3 +51,40 @@
             self.assertEqual(1, len(kept))
 
         anyio.run(scenario)
+
+    def test_a_pool_whose_connections_idled_too_long_is_closed_as_another_is_used(self) -> None:
+        now = [100.0]
+
+        async def scenario() -> None:
+            kept = pools(9)
+            async with kept.use("a") as first:
+                pass
+            now[0] += 4.0
+            async with kept.use("b"):
+                now[0] += 1.0
+            self.assertEqual(2, len(kept))
+            now[0] += 0.5
+            async with kept.use("c"):
+                pass
+            self.assertEqual(2, len(kept))
+            async with kept.use("a") as new:
+                self.assertIsNot(first, new)
+
+        with mock.patch("stagewalk.common.http.connection_pools.steady_seconds", lambda: now[0]):
+            anyio.run(scenario)
+
+    def test_a_long_use_keeps_a_pool_and_its_end_starts_its_idle_time(self) -> None:
+        now = [100.0]
+
+        async def scenario() -> None:
+            kept = pools(9)
+            async with kept.use("a") as first:
+                now[0] += 60.0
+                async with kept.use("b"):
+                    pass
+            now[0] += 5.0
+            async with kept.use("a") as again:
+                self.assertIs(first, again)
+
+        with mock.patch("stagewalk.common.http.connection_pools.steady_seconds", lambda: now[0]):
+            anyio.run(scenario)
