--- a/tests/gateway/test_engine_tokens.py
+++ b/tests/gateway/test_engine_tokens.py
@@ -10,7 +10,12 @@
 from stagewalk.common.logs.budget import LogBudget
 from stagewalk.gateway.metrics import GatewayMetrics, GatewayState
 
-IDLE = GatewayState(*[0] * 3, *[False] * 3, *[0] * 7, view_ages={}, engine_tokens={})
+COUNTED = {
+    field.name: {} if "dict" in str(field.type) or "Mapping" in str(field.type) else 0
+    for field in dataclasses.fields(GatewayState)
+    if field.default is dataclasses.MISSING
+}
+IDLE = GatewayState(**COUNTED)
 
 
 class EngineTokensTests(testtools.TestCase):
