Places count by their engine's own speed

Cause: a slot at each engine was one place. Ruled out: engines fixed for each claimant (nothing could be lent); a share of fast engines apart from one of slow ones.

--- a/src/stagewalk/gateway/batches/attempt_starter.py
+++ b/src/stagewalk/gateway/batches/attempt_starter.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from random import Random
@@ -21,11 +20,15 @@
 from stagewalk.gateway.batches.messages import StartItem
 from stagewalk.gateway.batches.place_demand import (
     ClaimantPlaces,
+    ServiceClaimant,
+    WeightAt,
     WithheldStarts,
     claimant_of,
     claimant_places,
     engine_service,
+    has_place,
     place_demands,
+    taken_places,
     withheld_starts,
 )
 from stagewalk.gateway.batches.placement import choose_engine
@@ -37,6 +40,7 @@
     usual_event_seconds,
 )
 from stagewalk.gateway.place_shares.demand import Claimant, PlaceDemand, PlaceLimits
+from stagewalk.gateway.place_shares.places import EnginePlaces
 from stagewalk.gateway.policy import Policy
 from stagewalk.gateway.scoring.core import MayStart, RouteOf
 from stagewalk.gateway.workers.table import WorkerTable
@@ -58,6 +62,11 @@
     service: str
     most: float
 
+    @property
+    def key(self) -> ServiceClaimant:
+        """Return whose places they are, and at which service."""
+        return self.claimant, self.service
+
 
 class AttemptStarter:
     """Begins attempts at items.
@@ -151,7 +160,8 @@
 
     def claimant_places(self, now: float) -> list[ClaimantPlaces]:
         """Return the places that each claimant's items have and may have."""
-        return claimant_places(self.place_demands(), self._limits, now)
+        taken = taken_places(self._runs.values(), self._route_of, self._weight_at(now))
+        return claimant_places(self.place_demands(), taken, self._limits, now)
 
     def withheld(self, now: float) -> list[WithheldStarts]:
         """Return the batches of which items wait because of their claimant's share."""
@@ -165,29 +175,37 @@
         self, waiting: list[WaitingItem], places: Mapping[str, _Places], now: float
     ) -> list[StartItem]:
         """Begin attempts at items of claimants whose places are limited."""
-        taken = self._taken(places)
+        weight_at = self._weight_at(now)
+        taken = taken_places(self._runs.values(), self._route_of, weight_at)
         free = [
             pair
             for pair in waiting
-            if taken[places[pair.run.name]] + 1 <= places[pair.run.name].most
+            if has_place(taken[places[pair.run.name].key], places[pair.run.name].most)
         ]
         bounds = self._bounds({pair.run.name: pair.run for pair in free}.values(), places, now)
         starts: list[StartItem] = []
         for pair in order_scarce(free, bounds, self._lengths, now):
             share = places[pair.run.name]
-            if taken[share] + 1 > share.most or _alike(pair.run, pair.item) in self._closed:
+            if not has_place(taken[share.key], share.most):
+                continue
+            if _alike(pair.run, pair.item) in self._closed:
                 continue
             begun = self.start(pair.run, pair.item, now)
-            taken[share] += len(begun)
+            taken[share.key] += sum(weight_at(share.service, start.worker) for start in begun)
             starts += begun
         return starts
 
-    def _taken(self, places: Mapping[str, _Places]) -> Counter[_Places]:
-        """Return how many places each claimant's items have."""
-        taken: Counter[_Places] = Counter()
-        for run in self._runs.values():
-            taken[places[run.name]] += sum(item.running is not None for item in run.items.values())
-        return taken
+    def _weight_at(self, now: float) -> WeightAt:
+        """Return what tells how many places an item takes at an engine."""
+        by_service: dict[str, EnginePlaces] = {}
+
+        def weight_at(service: str, worker: str) -> float:
+            if service not in by_service:
+                by_service[service] = EnginePlaces(self._workers.serving(service), now)
+            engine = self._workers.worker(worker)
+            return 1.0 if engine is None else by_service[service].weight(engine)
+
+        return weight_at
 
     def _bounds(
         self, runs: Iterable[BatchRun], places: Mapping[str, _Places], now: float
--- a/src/stagewalk/gateway/batches/place_demand.py
+++ b/src/stagewalk/gateway/batches/place_demand.py
@@ -7,13 +7,19 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from stagewalk.gateway.batches.batch_run import BatchRun
 from stagewalk.gateway.place_shares.demand import Claimant, PlaceDemand, PlaceLimits
 from stagewalk.gateway.scoring.core import RouteOf
 
+ServiceClaimant = tuple[Claimant, str]
+"""A claimant, and a service whose engines run its items."""
+
+WeightAt = Callable[[str, str], float]
+"""Returns how many places an item takes, by service and engine."""
+
 
 @dataclass(frozen=True, slots=True)
 class ClaimantPlaces:
@@ -22,7 +28,7 @@
     Attributes
     ----------
     taken
-        Items at an engine.
+        Places of items at an engine, each by the engine's speed.
     waiting
         Items that could begin.
     most
@@ -31,7 +37,7 @@
 
     claimant: Claimant
     service: str
-    taken: int
+    taken: float
     waiting: int
     most: float
 
@@ -68,15 +74,34 @@
     return [PlaceDemand(*key, running[key], waiting[key]) for key in running]
 
 
+def taken_places(
+    runs: Iterable[BatchRun], route_of: RouteOf, weight_at: WeightAt
+) -> dict[ServiceClaimant, float]:
+    """Return the places that each claimant's items have at each service."""
+    taken: dict[ServiceClaimant, float] = {}
+    for run in runs:
+        service = engine_service(run, route_of)
+        key = claimant_of(run), service
+        taken[key] = taken.get(key, 0.0) + sum(
+            weight_at(service, item.running.worker)
+            for item in run.items.values()
+            if item.running is not None
+        )
+    return taken
+
+
 def claimant_places(
-    demands: Iterable[PlaceDemand], limits: PlaceLimits, now: float
+    demands: Iterable[PlaceDemand],
+    taken: Mapping[ServiceClaimant, float],
+    limits: PlaceLimits,
+    now: float,
 ) -> list[ClaimantPlaces]:
     """Return what each claimant has and may have."""
     return [
         ClaimantPlaces(
             demand.claimant,
             demand.service,
-            demand.running,
+            taken.get((demand.claimant, demand.service), 0.0),
             demand.waiting,
             limits.most(demand.claimant, demand.service, now),
         )
@@ -84,6 +109,11 @@
     ]
 
 
+def has_place(taken: float, most: float) -> bool:
+    """Whether a claimant may have one more item at an engine, whichever that will be."""
+    return taken + 1.0 <= most
+
+
 def withheld_starts(
     runs: Iterable[BatchRun], places: Sequence[ClaimantPlaces], route_of: RouteOf
 ) -> list[WithheldStarts]:
@@ -91,7 +121,7 @@
     full = {
         (claimant.claimant, claimant.service): claimant
         for claimant in places
-        if claimant.taken + 1 > claimant.most
+        if not has_place(claimant.taken, claimant.most)
     }
     withheld: list[WithheldStarts] = []
     for run in runs if full else ():
--- a/src/stagewalk/gateway/runners/place_sharing.py
+++ b/src/stagewalk/gateway/runners/place_sharing.py
@@ -21,7 +21,7 @@
 from stagewalk.gateway.place_shares.claims import build_claims
 from stagewalk.gateway.place_shares.demand import PlaceDemand
 from stagewalk.gateway.place_shares.limits import ShareLimits
-from stagewalk.gateway.place_shares.places import count_places
+from stagewalk.gateway.place_shares.places import EnginePlaces
 from stagewalk.gateway.place_shares.shares import ServiceShares
 from stagewalk.gateway.workers.table import WorkerTable
 from stagewalk.gateway.zones.evacuations import Evacuations
@@ -88,7 +88,7 @@
 
     def _places(self, own: list[PlaceDemand], now: float) -> dict[str, float]:
         return {
-            service: count_places(self._workers.usable(service), self._evacuations.zones, now)
+            service: EnginePlaces(self._workers.usable(service), now).total(self._evacuations.zones)
             for service in {demand.service for demand in own}
         }
 
--- a/tests/gateway/place_shares/benchmark_shares.py
+++ b/tests/gateway/place_shares/benchmark_shares.py
@@ -18,7 +18,7 @@
 from stagewalk.gateway.place_shares.claims import build_claims
 from stagewalk.gateway.place_shares.demand import Claimant, PlaceDemand
 from stagewalk.gateway.place_shares.limits import OtherNodes, ShareLimits
-from stagewalk.gateway.place_shares.places import count_places
+from stagewalk.gateway.place_shares.places import EnginePlaces
 from stagewalk.gateway.workers.table import WorkerTable
 from tests.gateway.batches.support import batch_route, header, item
 from tests.gateway.workers.support import announcement
@@ -58,7 +58,7 @@
     table = WorkerTable()
     for n in range(WORKERS):
         table.announce(announcement(f"e{n}", slots=SLOTS), 0.0)
-    counted = _microseconds(lambda: count_places(table.usable(SERVICE), (), 0.0), 200)
+    counted = _microseconds(lambda: EnginePlaces(table.usable(SERVICE), 0.0).total(()), 200)
     print(f"{WORKERS} workers: places {counted:.0f} us")
 
 
--- a/tests/gateway/place_shares/test_limits.py
+++ b/tests/gateway/place_shares/test_limits.py
@@ -16,7 +16,7 @@
     OtherNodes,
     ShareLimits,
 )
-from stagewalk.gateway.place_shares.places import count_places
+from stagewalk.gateway.place_shares.places import EnginePlaces
 from stagewalk.gateway.place_shares.shares import HEADROOM
 from stagewalk.gateway.workers.table import WorkerTable
 from tests.gateway.place_shares.support import (
@@ -175,7 +175,7 @@
         self.workers.announce(entry, 0.0)
 
     def _places(self, evacuated: frozenset[str] = frozenset()) -> int:
-        return count_places(self.workers.usable(SERVICE), evacuated, 1.0)
+        return EnginePlaces(self.workers.usable(SERVICE), 1.0).total(evacuated)
 
     def _assert_shared(self, places: int) -> None:
         """The shares of all nodes fill so many places, and overfill them by the headroom alone."""
