--- a/src/stagewalk/gateway/place_shares/places.py
+++ b/src/stagewalk/gateway/place_shares/places.py
@@ -1,8 +1,9 @@
 """How many places a service's engines have, and how many an item at one of them takes. Pure.
 
-Answers an uneven fleet: a slot of an engine twice as fast is two places, so that no claimant has its
-share at the fast engines and another one at the slow ones. Where engines report no pace their own
-speed is not known, and each slot is a place. Relies on `workers` for what is known of an engine.
+Answers an uneven fleet: a slot of an engine twice as fast is two places, so that no claimant has
+its share at the fast engines and another one at the slow ones. Where engines report no pace their
+own speed is not known, and each slot is a place. Relies on `workers` for what is known of an
+engine.
 """
 
 from __future__ import annotations
