--- a/src/stagewalk/gateway/policy.py
+++ b/src/stagewalk/gateway/policy.py
@@ -55,8 +55,6 @@
         Share engines' places among trainers while they ask for more than there are.
     engine_memory
         Place items where the engine's memory has room for them.
-    copies
-        Run the last items that a step waits for at a second engine.
     """
 
     kept_text: bool = True
@@ -79,7 +77,6 @@
     admission: bool = True
     place_shares: bool = True
     engine_memory: bool = True
-    copies: bool = True
 
 
 ALL_ON = Policy()
