Ledger: a listed text is held once, not a second time cut into its events

Ruled out: bodies (8 bytes to 4 kB: 2.3 to 4.9 KB an item on a process that only follows), connections (23 to 48 KB each, 5 opened there), pages of reads (256 KB at most), tasks (199). Change: a listed text is cut into events only where an item goes on from it.

--- a/src/stagewalk/gateway/batches/reusable_texts.py
+++ b/src/stagewalk/gateway/batches/reusable_texts.py
@@ -45,18 +45,36 @@
 """Finds what was made of an item before, None if nothing was."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Listed:
+    """The text of a listed result: cut into events only where an item goes on from it.
+
+    Results are most of what a ledger holds, so their text must not be there a second time.
+    """
+
+    spec: BatchItem
+    result: ItemFinished
+
+    def cut(self) -> ReusableText:
+        """Return the text as it is reused."""
+        events = tuple(self.result.text.split(EVENT_SEPARATOR))
+        return ReusableText(
+            self.spec, events, self.result.versions, whole=True, score=self.result.score
+        )
+
+
 class ReusableTexts:
     """The most that is known of each item's text."""
 
     def __init__(self) -> None:
-        self._texts: dict[str, ReusableText] = {}
+        self._texts: dict[str, ReusableText | _Listed] = {}
 
     def find(self, item: BatchItem) -> ReusableText | None:
         """Return what was made of the same item before, in this batch or an earlier one.
 
         A score belongs to one call: an item that returns with another one is scored anew.
         """
-        known = self._texts.get(item.item)
+        known = self._known(item.item)
         if known is None or (known.spec.path, known.spec.body) != (item.path, item.body):
             return None
         if known.spec.score_call != item.score_call:
@@ -65,14 +83,11 @@
 
     def apply_result(self, spec: BatchItem, result: ItemFinished) -> None:
         """Set the text of a result that succeeded."""
-        events = tuple(result.text.split(EVENT_SEPARATOR))
-        self._texts[spec.item] = ReusableText(
-            spec, events, result.versions, whole=True, score=result.score
-        )
+        self._texts[spec.item] = _Listed(spec, result)
 
     def apply_progress(self, spec: BatchItem, progress: ItemProgress) -> None:
         """Set the text made so far, unless more is known already."""
-        known = self._texts.get(spec.item)
+        known = self._known(spec.item)
         if known is None or _holds_more(progress, known):
             self._texts[spec.item] = ReusableText(
                 spec,
@@ -86,6 +101,10 @@
         """Drop an item's text."""
         self._texts.pop(item, None)
 
+    def _known(self, item: str) -> ReusableText | None:
+        known = self._texts.get(item)
+        return known.cut() if isinstance(known, _Listed) else known
+
 
 def _holds_more(progress: ItemProgress, known: ReusableText) -> bool:
     """Whether progress holds more than what is known: more text, or more tries at its score."""
