--- a/src/stagewalk/gateway/batches/placement.py
+++ b/src/stagewalk/gateway/batches/placement.py
@@ -59,17 +59,9 @@
     fits
         Whether an engine's memory has room for the item.
     """
-    sound = [engine for engine in engines if not (policy.suspicion and engine.suspect(now))]
-    free = [
-        engine
-        for engine in sound or engines
-        if engine.occupancy(now) < FULL_OCCUPANCY
-        and not engine.loading(model, now)
-        and not (policy.suspicion and engine.on_trial)
-    ]
+    free = _free_engines(engines, model, now, policy)
     if not free:
         return None
-
     distances = zone_costs(proximity, free)
 
     def fixed_cost(engine: Worker) -> float:
@@ -96,6 +88,20 @@
     return _take_fitting(costs, take_best, fits)
 
 
+def _free_engines(
+    engines: Sequence[Worker], model: str, now: float, policy: Policy
+) -> list[Worker]:
+    """Return the engines with a slot, or nearly one; those that failed lately only if all did."""
+    sound = [engine for engine in engines if not (policy.suspicion and engine.suspect(now))]
+    return [
+        engine
+        for engine in sound or engines
+        if engine.occupancy(now) < FULL_OCCUPANCY
+        and not engine.loading(model, now)
+        and not (policy.suspicion and engine.on_trial)
+    ]
+
+
 def _take_fitting(
     choices: Sequence[Choice],
     take: Callable[[Sequence[Choice]], Choice],
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -26,11 +26,12 @@
 from stagewalk.gateway.entry.quarantine_calls import QuarantineCalls
 from stagewalk.gateway.log_relay.relayed_log import RELAY_PATH
 from stagewalk.gateway.log_relay.server import LogRelay
-from stagewalk.gateway.metrics import GatewayMetrics, GatewayState
+from stagewalk.gateway.metrics import GatewayMetrics
 from stagewalk.gateway.peak_memory import PeakMemory
 from stagewalk.gateway.peer_calls.server import PeerApp
 from stagewalk.gateway.settings import GatewaySettings
 from stagewalk.gateway.settings_reload import LiveSettings, SettingsLoader
+from stagewalk.gateway.state_metrics import GatewayState
 
 RESUME_SECONDS = 0.25
 """How long a node that starts leaves the log's reads to runners resuming batches that they owned
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -1,12 +1,12 @@
 """Metrics of the gateway, on a registry of its own. Units are in the names.
 
-Owns names, help texts and buckets. Gauges are read from `GatewayState` when they are scraped.
+Owns names, help texts and buckets of what is counted as it happens. What is read when it is scraped
+is in `state_metrics`.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable
 
 from prometheus_client import (
     CollectorRegistry,
@@ -16,15 +16,11 @@
     disable_created_metrics,
     generate_latest,
 )
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
-from prometheus_client.registry import Collector
 
 from stagewalk.common.logs.budget import LogBudget
 from stagewalk.common.steady_clock import steady_seconds
-from stagewalk.gateway.batches.place_demand import ClaimantPlaces
 from stagewalk.gateway.ports.denials import Denial
-from stagewalk.gateway.ports.workers import ConnectionReason, SendPurpose
-from stagewalk.gateway.workers.worker import ReportKind
+from stagewalk.gateway.state_metrics import GatewayState, StateCollector
 
 _omit_creation_times: Callable[[], None] = disable_created_metrics
 
@@ -36,142 +32,6 @@
 _LATENCY_BUCKETS = (0.01, 0.03, 0.06, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
 
 
-@dataclass(frozen=True, slots=True)
-class GatewayState:
-    """State of a gateway at one moment, for its gauges.
-
-    Attributes
-    ----------
-    view_ages
-        By followed partition, seconds since its view was complete.
-    claimant_places
-        Engines' places of each trainer whose items run here.
-    engine_tokens
-        By engine with runs of this node, the most tokens that it is expected to hold.
-    opened_connections
-        To workers, by purpose and reason.
-    """
-
-    configuration: int
-    serving_nodes: int
-    workers: int
-    load_reports: dict[ReportKind, int]
-    holds_replica: bool
-    listed: bool
-    holds_lease: bool
-    running_batches: int
-    running_attempts: int
-    awaited_scores: int
-    evacuated_zones: int
-    cold_leases: int
-    worker_ends: int
-    requests_held_back: int
-    held_bytes: int
-    peak_held_bytes: int
-    requests_waiting: int
-    view_ages: dict[str, float]
-    engine_tokens: dict[str, int]
-    opened_connections: Mapping[tuple[SendPurpose, ConnectionReason], int]
-    claimant_places: Sequence[ClaimantPlaces] = ()
-
-
-class _StateCollector(Collector):
-    """Reads gauges and event counts when they are scraped; nothing is updated in between."""
-
-    def __init__(self, state: Callable[[], GatewayState], budget: LogBudget) -> None:
-        self._state = state
-        self._budget = budget
-
-    def describe(self) -> Iterable[Metric]:
-        """Return nothing: names are known once they are collected."""
-        return ()
-
-    def collect(self) -> Iterable[Metric]:
-        """Return all gauges, and the events counted by the logs' budget."""
-        state = self._state()
-        for name, text, value in (
-            ("configuration_version", "Configuration in force.", state.configuration),
-            ("serving_nodes", "Nodes known to serve.", state.serving_nodes),
-            ("workers", "Workers listed.", state.workers),
-            ("ledger_replica", "1 while this node follows the batches.", state.holds_replica),
-            ("listed", "1 while callers are sent to this node.", state.listed),
-            ("orders_lease", "1 while this node holds the lease on orders.", state.holds_lease),
-            ("running_batches", "Batches run here.", state.running_batches),
-            ("running_attempts", "Attempts at items under way.", state.running_attempts),
-            ("awaited_scores", "Items whose text is whole, not scored.", state.awaited_scores),
-            ("evacuated_zones", "Zones whose workers get nothing.", state.evacuated_zones),
-            ("worker_ends", "Worker ends remembered, by request.", state.worker_ends),
-            ("requests_held_back", "Requests that crash workers.", state.requests_held_back),
-            ("held_bytes", "Bytes held for callers and workers.", state.held_bytes),
-            ("peak_held_bytes", "Most of them at any time.", state.peak_held_bytes),
-            ("requests_waiting", "Requests that wait for a place.", state.requests_waiting),
-            ("cold_leases", "Cold workers that this node may send to.", state.cold_leases),
-        ):
-            yield GaugeMetricFamily(f"stagewalk_{name}", text, value=float(value))
-        ages = GaugeMetricFamily(
-            "stagewalk_view_age_seconds", "Age of a partition's view.", labels=["partition"]
-        )
-        for partition, age in sorted(state.view_ages.items()):
-            ages.add_metric([partition], age)
-        yield ages
-        reports = GaugeMetricFamily(
-            "stagewalk_load_reports", "Workers by the load report known of them.", labels=["kind"]
-        )
-        for kind, count in state.load_reports.items():
-            reports.add_metric([kind], count)
-        yield reports
-        yield from _claimant_gauges(state.claimant_places)
-        tokens = GaugeMetricFamily(
-            "stagewalk_engine_expected_tokens",
-            "Most tokens that an engine with runs of this node is expected to hold.",
-            labels=["engine"],
-        )
-        for engine, count in sorted(state.engine_tokens.items()):
-            tokens.add_metric([engine], float(count))
-        yield tokens
-        opened = CounterMetricFamily(
-            "stagewalk_worker_connections_opened",
-            "Connections opened to workers, by what for and why no kept one was used.",
-            labels=["purpose", "reason"],
-        )
-        for (purpose, reason), count in sorted(state.opened_connections.items()):
-            opened.add_metric([purpose, reason], count)
-        yield opened
-        events = CounterMetricFamily(
-            "stagewalk_events", "Log events, dropped ones too.", labels=["event", "failure"]
-        )
-        for (event, failure), count in sorted(self._budget.events.items()):
-            events.add_metric([event, str(failure).lower()], count)
-        yield events
-
-
-def _claimant_gauges(places: Sequence[ClaimantPlaces]) -> Iterable[Metric]:
-    """Return demand, use and share of places; one without a limit has a share of infinity."""
-    labels = ["tenant", "trainer", "service"]
-    for name, text, value in (
-        ("place_demand", "Places that a trainer's items here ask for.", _asked),
-        ("places_taken", "Places that they have.", _taken),
-        ("place_share", "Places that they may have.", _most),
-    ):
-        gauge = GaugeMetricFamily(f"stagewalk_{name}", text, labels=labels)
-        for found in places:
-            claimant = found.claimant
-            gauge.add_metric([claimant.tenant or "", claimant.trainer, found.service], value(found))
-        yield gauge
-
-
-def _asked(places: ClaimantPlaces) -> float:
-    return float(places.taken + places.waiting)
-
-
-def _taken(places: ClaimantPlaces) -> float:
-    return float(places.taken)
-
-
-def _most(places: ClaimantPlaces) -> float:
-    return places.most
-
-
 class GatewayMetrics:
     """Counters and histograms of one gateway."""
 
@@ -179,7 +39,7 @@
         _omit_creation_times()
         self._registry = CollectorRegistry()
         ProcessCollector(registry=self._registry)
-        self._registry.register(_StateCollector(state, budget))
+        self._registry.register(StateCollector(state, budget))
         self._log_calls = Histogram(
             "stagewalk_log_call_seconds",
             "Calls of the log, by operation and outcome, without the time a read offers to wait.",
--- a/tests/gateway/test_engine_tokens.py
+++ b/tests/gateway/test_engine_tokens.py
@@ -8,7 +8,8 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from stagewalk.common.logs.budget import LogBudget
-from stagewalk.gateway.metrics import GatewayMetrics, GatewayState
+from stagewalk.gateway.metrics import GatewayMetrics
+from stagewalk.gateway.state_metrics import GatewayState
 
 COUNTED = {
     field.name: {} if "dict" in str(field.type) or "Mapping" in str(field.type) else 0
