--- a/tests/run.sh
+++ b/tests/run.sh
@@ -16,19 +16,23 @@
 check "$BIN/mypy"
 check "$BIN/lint-imports" --no-cache
 if [ "${1:-}" != checks-only ]; then
-  # Most tests wait for processes or timers, so three groups run beside each other.
+  # Most tests wait for processes or timers, so several groups run beside each other.
   mkdir -p out
   rm -f out/counts-*
   "$BIN/python" -m tests.runner --folders=process,soak --counts=out/counts-process >out/process.log 2>&1 &
   processes=$!
-  "$BIN/python" -m tests.runner --folders=gateway --counts=out/counts-gateway >out/gateway.log 2>&1 &
-  gateways=$!
+  gateways=()
+  for part in 1 2 3; do
+    "$BIN/python" -m tests.runner --folders=gateway --part=$part/3 \
+      --counts=out/counts-gateway-$part >out/gateway-$part.log 2>&1 &
+    gateways+=($!)
+  done
   "$BIN/python" -m tests.runner --without=process,soak,gateway --counts=out/counts-others
-  wait "$gateways"
-  cat out/gateway.log
+  wait "${gateways[@]}"
+  cat out/gateway-*.log
   wait "$processes"
   cat out/process.log
-  for counts in out/counts-process out/counts-gateway out/counts-others; do
+  for counts in out/counts-process out/counts-gateway-{1,2,3} out/counts-others; do
     read -r group_passed group_failed < <(cat "$counts" 2>/dev/null || echo "0 1")
     passed=$((passed + group_passed))
     failed=$((failed + group_failed))
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -1,6 +1,7 @@
 """Runs tests with a fixed seed, prints failures, and writes the counts to out/test-counts.
 
-    python -m tests.runner [--folders FOLDER,... | --without FOLDER,...] [--counts FILE] [PATTERN]
+    python -m tests.runner [--folders FOLDER,... | --without FOLDER,...] [--part I/N]
+        [--counts FILE] [PATTERN]
 
 A test listed in KNOWN-RED.txt (one line each: test id, cause, issue) may fail without failing
 the run; it is printed. A listed test that passes fails the run, so that the list stays true.
@@ -13,6 +14,8 @@
 import sys
 import time
 import unittest
+import zlib
+from collections.abc import Iterator
 from pathlib import Path
 
 from hypothesis import settings
@@ -50,6 +53,7 @@
     parser.add_argument("pattern", nargs="?", default="test_*.py", help="of file names")
     parser.add_argument("--folders", default="", help="run only these folders of tests/")
     parser.add_argument("--without", default="", help="leave these folders of tests/ out")
+    parser.add_argument("--part", default="1/1", help="the I-th of N parts, of whole modules")
     parser.add_argument("--counts", type=Path, default=ROOT / "out" / "test-counts")
     return parser.parse_args()
 
@@ -63,7 +67,28 @@
         if folder not in left_out:
             start = str(ROOT / "tests" / folder)
             suite.addTests(unittest.TestLoader().discover(start, arguments.pattern, str(ROOT)))
-    return suite
+    return part_of(suite, arguments.part)
+
+
+def part_of(suite: unittest.TestSuite, part: str) -> unittest.TestSuite:
+    """Return one of several parts that together hold each test once."""
+    number, parts = map(int, part.split("/"))
+    if not 1 <= number <= parts:
+        raise SystemExit(f"no part {part}")
+    chosen = unittest.TestSuite()
+    for test in flatten(suite):
+        if zlib.crc32(test.__class__.__module__.encode()) % parts == number - 1:
+            chosen.addTest(test)
+    return chosen
+
+
+def flatten(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
+    """Return the tests of a suite and the suites in it."""
+    for test in suite:
+        if isinstance(test, unittest.TestSuite):
+            yield from flatten(test)
+        else:
+            yield test
 
 
 def main() -> int:
