Soak: a failing score that is not given up tells when and where it failed

Its logs were gone with the test. Ruled out: a wider bound; an entry in KNOWN-RED.txt, which fails the run whenever the test passes. Change: the violation tells the times and the scorers. Conclusion: open; runners that were killed before they recorded a failure ask again, which the bound of three runs allows for.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -115,7 +115,8 @@
         for call, failures in self.scores.failures.items():
             if always_fails(call):
                 enough = failures <= 3 * SCORE_ATTEMPTS
-                self.expect("a failing score is given up", enough, f"{call}: {failures} times")
+                detail = f"{call}: {failures} times ({'; '.join(self.scores.failed[call])})"
+                self.expect("a failing score is given up", enough, detail)
         for worker, orders in self.truth.fences.items():
             fences = [fence for fence, _ in orders]
             self.expect("the fence only grows", fences == sorted(fences), f"{worker}: {orders}")
--- a/tests/soak/scorers.py
+++ b/tests/soak/scorers.py
@@ -39,6 +39,8 @@
 
     signed: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
     failures: Counter[str] = field(default_factory=Counter)
+    failed: dict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
+    """By call, when and at which scorer each failure was."""
     calls: list[tuple[str, bool]] = field(default_factory=list)
     """Each call that came, and whether its text was whole by then."""
 
@@ -75,6 +77,8 @@
 
     def _fail(self, name: str, call: Call) -> Reply:
         self.scores.failures[name] += 1
+        at = f"{anyio.current_time():.2f} s at {self.name}"
+        self.scores.failed[name].append(at)
         return Reply(SERVER_ERROR, b"", self._headers(call))
 
     def _draw(self) -> str:
