Review, case 3: the signal comes when the other gateways have just read

Change: five gateways, a moment right after an announcement, and up to four stops in a run; the check is the same.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,12 +1,12 @@
 """A planned stop of a gateway, and requests that reach it more than 3 s after its SIGTERM.
 
-Clients ask the other gateway for addresses within half a second of the signal, and keep the answer
+Clients ask the other gateways for addresses within half a second of the signal, and keep the answer
 for three times its `ttl_s`. Near the end of that time they send a request to the stopping gateway.
 Its worker streams a piece every 0.2 s, and sends the last one before `grace_s` is over.
 
 Exit code 1: such a request was passed on to a worker and its connection closed without a complete
-answer; 0: none was; 2: the case could not run, or no answer named the stopping gateway any more.
-With TROUBLE=0 no gateway is stopped.
+answer; 0: none was; 2: the case could not run. If no answer names the stopping gateway any more,
+another one is stopped, `ROUNDS` times at most. With TROUBLE=0 no gateway is stopped.
 """
 
 from __future__ import annotations
@@ -36,6 +36,8 @@
 from record import Record  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+GATEWAYS = 5
+ROUNDS = 4
 CLIENTS = 12
 ASKED_EVERY_SECONDS = 0.04
 LIFETIMES_KEPT = 3.0
@@ -51,6 +53,11 @@
 SETTLED_SECONDS = 4.0
 """Longer than `contact_ms`: no disruption before the requests."""
 
+ANNOUNCEMENTS_TOPIC = "keyed.nodes"
+READ_SECONDS = 0.03
+"""The signal comes this long after a gateway has announced itself: the others have just read that,
+and read again after a pause. At other moments they may learn of the stop at once."""
+
 ROUTE: dict[str, object] = {
     "path_prefix": "/advice/",
     "type": "streaming",
@@ -61,18 +68,12 @@
 }
 
 
-@dataclass
+@dataclass(frozen=True)
 class Fate:
-    """What became of a client's request.
-
-    Attributes
-    ----------
-    sent_at
-        Seconds after the signal; None if the client's answer didn't name the stopping gateway.
-    """
+    """What became of a client's request, and how many seconds after the signal it was sent."""
 
-    sent_at: float | None = None
-    lost: bool = False
+    sent_at: float
+    lost: bool
 
 
 class Case:
@@ -82,6 +83,7 @@
         self._record = record
         self._began: set[str] = set()
         self._signalled_at = 0.0
+        self._requests = 0
 
     def worker(self, name: str) -> Worker:
         """Return a worker that streams its answers for some seconds."""
@@ -102,18 +104,33 @@
         return Worker(name, run)
 
     async def play(self, running: Deployment) -> list[Fate]:
-        """Stop the first gateway, and let clients that know of it send their requests."""
-        stopping, other = running.gateways
+        """Stop gateways in turn until one was sent requests; return what became of these."""
+        for stopping in running.gateways[:ROUNDS]:
+            fates = await self._stop(running, stopping)
+            if fates:
+                return fates
+            self._record.write("no answer named it any more; it is started again")
+            stopping.start()
+            await running.wait_ready(stopping)
+        return []
+
+    async def _stop(self, running: Deployment, stopping: Gateway) -> list[Fate]:
+        """Stop a gateway, and let clients that know of it send their requests."""
+        others = [gateway for gateway in running.gateways if gateway is not stopping]
         await asyncio.sleep(SETTLED_SECONDS)
+        await running.store.wait_for_record(ANNOUNCEMENTS_TOPIC)
+        await asyncio.sleep(READ_SECONDS)
         self._signalled_at = self._now()
         if TROUBLE:
             self._record.write(f"SIGTERM to {stopping.name}")
             stopping.signal(signal.SIGTERM)
         clients = [
-            asyncio.create_task(self._client(running, number, stopping, other))
+            asyncio.create_task(
+                self._client(running, number, stopping, others[number % len(others)])
+            )
             for number in range(CLIENTS)
         ]
-        fates = [await client for client in clients]
+        fates = [fate for client in clients if (fate := await client) is not None]
         left = self._signalled_at + GRACE_SECONDS - self._now()
         await asyncio.sleep(max(0.0, left))
         self._record.write(f"{stopping.name}: exit code {stopping.exit_code}")
@@ -121,25 +138,24 @@
 
     async def _client(
         self, running: Deployment, number: int, stopping: Gateway, other: Gateway
-    ) -> Fate:
+    ) -> Fate | None:
         await asyncio.sleep((number + 1) * ASKED_EVERY_SECONDS)
         asked_at = self._now()
         target = f"/-/resolve?name={HOST_NAME}&region=new-england&zone=hall-north"
         resolved = await call(other.front, "GET", target, {"Host": HOST_NAME}, seconds=1.0)
         answer = json.loads(resolved.body) if resolved.status == 200 else {"addresses": []}
         if stopping.front not in answer["addresses"]:
-            return Fate()
+            return None
         kept = LIFETIMES_KEPT * answer["ttl_s"]
         self._record.write(f"client {number} is told of {stopping.name}, keeps that for {kept} s")
         await asyncio.sleep(asked_at + kept - SENT_BEFORE_EXPIRY_SECONDS - self._now())
-        fate = Fate(self._now() - self._signalled_at)
-        request_id = f"{number:016x}"
+        sent_at = self._now() - self._signalled_at
+        self._requests += 1
+        request_id = f"{self._requests:016x}"
         headers = {"X-Deadline-Ms": str(DEADLINE_MS)}
         reply = await running.send(stopping, request_id, f"/advice/{number}", headers)
-        assert fate.sent_at is not None
-        late = fate.sent_at > EXCUSED_UNTIL_SECONDS
-        fate.lost = late and not reply.complete and request_id in self._began
-        return fate
+        late = sent_at > EXCUSED_UNTIL_SECONDS
+        return Fate(sent_at, late and not reply.complete and request_id in self._began)
 
     @staticmethod
     def _now() -> float:
@@ -156,18 +172,17 @@
     case = Case(record)
     workers = [case.worker(f"i-{number:08x}") for number in range(1, 4)]
     try:
-        async with deployed(record, ROUTE, workers, gateways=2) as running:
+        async with deployed(record, ROUTE, workers, GATEWAYS) as running:
             fates = await case.play(running)
     except NotRunnableError as error:
         record.write(f"the case could not run: {error}")
         return 2
-    sent = [fate for fate in fates if fate.sent_at is not None]
-    record.write(f"{len(sent)} requests were sent to the stopping gateway")
-    for fate in sent:
+    record.write(f"{len(fates)} requests were sent to the stopping gateway")
+    for fate in fates:
         record.write(f"sent {fate.sent_at:.3f} s after the signal: {'LOST' if fate.lost else 'ok'}")
-    if not sent:
+    if not fates:
         return 2
-    return 1 if any(fate.lost for fate in sent) else 0
+    return 1 if any(fate.lost for fate in fates) else 0
 
 
 if __name__ == "__main__":
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -67,6 +67,10 @@
         payload = bytes([len(encoded)]) + encoded + json.dumps(value).encode()
         self._partitions[topic, 0].append([payload], keyed=True)
 
+    async def wait_for_record(self, topic: str) -> None:
+        """Wait until another record is appended to partition 0 of a topic."""
+        await self._partitions[topic, 0].grown.wait()
+
     async def handle(self, request: Request, _stream: ChunkedStream) -> Answer:
         """Answer a call."""
         await asyncio.sleep(ANSWER_SECONDS)
