Streams: an error status never completes a stream that has begun

What callers saw: a resumable stream broke off at its worker, the worker that was to resume it answered 500, and the caller got status 200, some events and the last chunk: an answer that looks whole.

Cause: StreamForwarder._attempt returned every complete response as the end of the request, whatever its status. Once the head was passed on, the endpoint could only write the last chunk.

Evidence: all of 204, 404, 422, 429, 500, 502, 503 and 504 completed the stream, with and without the buffer for slow readers, and after a move out of an evacuated zone.

Change: ForwardedRequest.accepts_end decides. Once the head was passed on, only status 200 ends the stream; another status ends the attempt. If the route and the deadline allow another attempt, it follows; otherwise the connection is broken off. The attempt is logged as attempt_failed with its status, which request_ended alone didn't tell.

--- a/src/stagewalk/gateway/forwarding/attempts.py
+++ b/src/stagewalk/gateway/forwarding/attempts.py
@@ -247,7 +247,7 @@
     The worker is not avoided if it refused the request, if nothing was sent to it, or if a limit of
     this node ended the attempt.
     """
-    request, state, worker = attempt.request, attempt.state, attempt.worker
+    state, worker = attempt.state, attempt.worker
     now = steady_seconds()
     state.failed(failure)
     worker.record_load(failure.load, now)
@@ -257,16 +257,21 @@
     )
     if not blameless:
         worker.record_failure(now)
+    log_failure(attempt, failure)
+
+
+def log_failure(attempt: Attempt, failure: AttemptFailure) -> None:
+    """Log an attempt that did not end its request."""
     log_event(
         "attempt_failed",
         "warning",
-        request=request.request_id,
-        worker=worker.announcement.worker,
+        request=attempt.request.request_id,
+        worker=attempt.worker.announcement.worker,
         fault=failure.fault,
         detail=failure.detail,
-        occupancy=worker.occupancy(now),
-        attempts=state.attempts_used,
-        **_contact_loss_fields(request, failure),
+        occupancy=attempt.worker.occupancy(steady_seconds()),
+        attempts=attempt.state.attempts_used,
+        **_contact_loss_fields(attempt.request, failure),
     )
 
 
--- a/src/stagewalk/gateway/forwarding/policy.py
+++ b/src/stagewalk/gateway/forwarding/policy.py
@@ -18,6 +18,7 @@
 from stagewalk.gateway.routes.route import Route
 from stagewalk.gateway.workers.worker import Worker
 
+HTTP_OK = 200
 SERVER_ERROR = 500
 SUCCESS_FROM = 200
 SUCCESS_BELOW = 300
@@ -180,6 +181,22 @@
         self.may_have_run = True
         return not self.may_retry(now)
 
+    def accepts_end(self, status: int, *, begun: bool) -> bool:
+        """Whether a worker's complete response to a streamed request is final.
+
+        A caller that has received the head of a stream can only be sent the rest of its events.
+        A response with another status ends that worker's attempt; it must not end the stream.
+
+        Parameters
+        ----------
+        begun
+            Whether the head of the stream was passed on to the caller.
+        """
+        if status == HTTP_OK or not begun:
+            return True
+        self.may_have_run = True
+        return False
+
     def deadline_denial(self, now: float) -> Denial | None:
         """Return the denial of a request whose deadline has passed, None before that.
 
--- a/src/stagewalk/gateway/forwarding/stream_forwarder.py
+++ b/src/stagewalk/gateway/forwarding/stream_forwarder.py
@@ -23,11 +23,12 @@
     Forwarding,
     RunStartListener,
     ignore_run_start,
+    log_failure,
     log_request_end,
     record_denied,
 )
 from stagewalk.gateway.forwarding.inbound import InboundRequest
-from stagewalk.gateway.forwarding.policy import Ending, ForwardedRequest, Unanswered
+from stagewalk.gateway.forwarding.policy import HTTP_OK, Ending, ForwardedRequest, Unanswered
 from stagewalk.gateway.forwarding.relay_buffer import RelayBuffer, StreamConsumer
 from stagewalk.gateway.held_memory.readers import ResponseReaders
 from stagewalk.gateway.ports.workers import (
@@ -43,7 +44,6 @@
 from stagewalk.gateway.routes.table import RouteTable
 from stagewalk.gateway.workers.worker import Worker
 
-HTTP_OK = 200
 _Stream = Callable[[], Awaitable[Result[StreamEnd, AttemptFailure]]]
 
 
@@ -129,7 +129,8 @@
     ) -> Result[StreamEnd, Unanswered]:
         """Forward a stream; return the end sent by the worker, or how it ended without one.
 
-        After an error, an answer that has started must not look complete to the caller.
+        Once the stream has started, only the end of its events is returned. After an error, an
+        answer that has started must not look complete to the caller.
 
         Parameters
         ----------
@@ -203,7 +204,12 @@
         result = await self._run(attempt, stream)
         if result.is_ok():
             self._attempts.record_answered(attempt)
-            return result.ok
+            if state.accepts_end(result.ok.status, begun=streamed.started):
+                return result.ok
+            # The worker is not avoided, as after an error status of a whole response.
+            detail = f"status {result.ok.status} to a stream that has begun"
+            log_failure(attempt, AttemptFailure(AttemptFault.MAY_HAVE_RUN, detail))
+            return None
         await self._attempts.record_unanswered(attempt, result.error)
         return None
 
--- a/tests/gateway/forwarding/test_policy.py
+++ b/tests/gateway/forwarding/test_policy.py
@@ -90,6 +90,14 @@
         other.started("w", EVIDENCE)
         self.assertFalse(other.accepts(answer, 0.1))
 
+    def test_only_a_status_of_200_ends_a_stream_that_has_begun(self) -> None:
+        for status in (204, 206, 404, 422, 500, 503, 504):
+            state = request(RouteKind.STREAM)
+            self.assertTrue(state.accepts_end(status, begun=False))
+            self.assertFalse(state.accepts_end(status, begun=True))
+            self.assertEqual(Ending.UNKNOWN, state.ending(0.1))
+        self.assertTrue(request(RouteKind.STREAM).accepts_end(200, begun=True))
+
     def test_deadline_sent_to_a_worker_is_the_remaining_time_and_positive(self) -> None:
         state = request()
         self.assertLess(state.worker_deadline_seconds(0.6), 0.4)
--- a/tests/gateway/memory_workers.py
+++ b/tests/gateway/memory_workers.py
@@ -114,6 +114,9 @@
         """Workers that crashed, in order."""
         self.silent_crashes = False
         """Whether connections of a crashed worker time out instead of being closed."""
+        self.stream_script: list[AttemptFault | int | None] = []
+        """Outcomes of the next attempts of streams, in order, whichever worker gets them: a fault
+        after the first event, an answer with a status, or None for the worker's own behaviour."""
         self.on_crash: Callable[[str], None] = lambda _worker: None
 
     async def _connect(self, permit: SendPermit) -> AttemptFailure | None:
@@ -179,7 +182,11 @@
         await self._work(permit.target.worker, request, 0.0)
         if worker.ended.is_set():
             return Error(_CONNECTION_CLOSED)
-        fault = worker.faults.pop(0) if worker.faults else None
+        scripted = self.stream_script.pop(0) if self.stream_script else None
+        if isinstance(scripted, int):
+            await deliver(StreamHead(scripted, (), (), worker.load))
+            return Ok(StreamEnd(scripted, (), b"scripted"))
+        fault = scripted or (worker.faults.pop(0) if worker.faults else None)
         if fault is not None and fault.proves_not_run:
             return Error(AttemptFailure(fault, "scripted", worker.load))
         version = max(worker.versions.values(), default=1)
