HTTP: a request that is unanswered when the process exits gets a true status

What callers saw: a request that was still unanswered when a stopping process cancelled its handlers got a 500 with an empty body, which the server sends for an application that returns without a response. It told neither that the process stopped nor whether the request may have run.

Cause: run_exchange answered for handlers that crashed, not for handlers that were cancelled.

Change: run_exchange takes a response for that case. The gateway answers 504 if it had received the whole request, since its outcome is unknown, and 503 with Retry-After if it had not, which proves that nothing ran. The node answers with its usual problem, ran=unknown. The event exchange_stopped names the path. A response that has begun is not touched, and a caller that has disconnected gets nothing.

--- a/src/stagewalk/common/http/asgi.py
+++ b/src/stagewalk/common/http/asgi.py
@@ -1,7 +1,8 @@
 """Dispatches ASGI connections and runs the handler of an HTTP exchange.
 
 Covers what all applications share: the lifespan protocol, rejecting WebSockets, detecting
-disconnects, releasing the body's memory, and logging crashes of a handler.
+disconnects, releasing the body's memory, logging crashes of a handler, and the last answer when the
+server cancels a handler at the end of its shutdown.
 """
 
 from __future__ import annotations
@@ -19,6 +20,9 @@
 WEBSOCKET_POLICY_VIOLATION = 1008
 """WebSocket close code (RFC 6455, 7.4.1): this server accepts no WebSockets."""
 
+LAST_ANSWER_SECONDS = 0.1
+"""How long writing the answer of a cancelled handler may take."""
+
 HttpHandler = Callable[[HTTPScope, ASGIReceiveCallable, ASGISendCallable], Awaitable[None]]
 
 
@@ -42,6 +46,7 @@
     exchange: Exchange,
     handle: Callable[[], Awaitable[None]],
     respond_crashed: Callable[[], Awaitable[None]],
+    respond_stopped: Callable[[], Awaitable[None]],
     *,
     cancel_on_disconnect: bool = False,
 ) -> None:
@@ -53,6 +58,8 @@
         Serves the exchange.
     respond_crashed
         Responds if the handler crashed before it sent a status.
+    respond_stopped
+        Responds if the server cancelled the handler before it sent a status.
     cancel_on_disconnect
         Whether to cancel the handler when the caller disconnects.
 
@@ -74,6 +81,12 @@
             log_event("exchange_failed", "error", path=exchange.path, trace=trace)
             if not exchange.started:
                 await respond_crashed()
+        except anyio.get_cancelled_exc_class():
+            if not exchange.started and not exchange.disconnected:
+                log_event("exchange_stopped", "warning", path=exchange.path)
+                with anyio.move_on_after(LAST_ANSWER_SECONDS, shield=True):
+                    await respond_stopped()
+            raise
         finally:
             exchange.release_body()
         tasks.cancel_scope.cancel()
--- a/src/stagewalk/common/http/exchange.py
+++ b/src/stagewalk/common/http/exchange.py
@@ -112,6 +112,11 @@
         if self._on_disconnect is not None:
             self._on_disconnect()
 
+    @property
+    def received_whole(self) -> bool:
+        """Whether the whole request was received."""
+        return self._body_ended.is_set() and not self.disconnected
+
     async def body(self) -> Result[bytes, StagewalkError]:
         """Wait for the whole body, within the limits of size and time, and return it."""
         if self._fault is None:
--- a/src/stagewalk/gateway/entry/app.py
+++ b/src/stagewalk/gateway/entry/app.py
@@ -130,6 +130,7 @@
             exchange,
             partial(self._serve_within_limits, exchange, published),
             partial(reply_error, exchange, 500, "internal error"),
+            partial(_reply_stopped, exchange),
             cancel_on_disconnect=True,
         )
 
@@ -193,3 +194,13 @@
 
     async def _show_metrics(self, exchange: OpaqueExchange) -> None:
         await exchange.respond(200, METRICS_CONTENT_TYPE, self._metrics.render())
+
+
+async def _reply_stopped(exchange: OpaqueExchange) -> None:
+    """Reply to a request that is unanswered when the process exits."""
+    if exchange.received_whole:
+        await reply_error(exchange, 504, "the node stops, and the outcome is unknown")
+    else:
+        await reply_error(
+            exchange, 503, "the node stops, and the request did not arrive", retry_after_seconds=0.0
+        )
--- a/src/stagewalk/node/edge/app.py
+++ b/src/stagewalk/node/edge/app.py
@@ -64,7 +64,10 @@
     ) -> None:
         exchange = Exchange(scope, receive, send, self._limits, self._budget, last=self._stopping)
         await run_exchange(
-            exchange, partial(self._route, exchange), partial(_respond_crashed, exchange)
+            exchange,
+            partial(self._route, exchange),
+            partial(_respond_unknown, exchange, "internal error"),
+            partial(_respond_unknown, exchange, "the node exits before the call has ended"),
         )
 
     async def _route(self, exchange: Exchange) -> None:
@@ -95,12 +98,12 @@
     )
 
 
-async def _respond_crashed(exchange: Exchange) -> None:
+async def _respond_unknown(exchange: Exchange, detail: str) -> None:
     failure = StagewalkError(
         ErrorKind.OUTCOME_UNKNOWN,
         ErrorStep.DELIVERY,
         EDGE_PEER,
-        "internal error",
+        detail,
         ExecutionStatus.UNKNOWN,
     )
     await exchange.fail(failure)
--- a/tests/common/http/test_asgi.py
+++ b/tests/common/http/test_asgi.py
@@ -1,4 +1,4 @@
-"""Dispatch of ASGI connections, and handling of a handler's exception."""
+"""Dispatch of ASGI connections, and handling of a handler's exception or cancellation."""
 
 from __future__ import annotations
 
@@ -48,15 +48,22 @@
         await anyio.sleep_forever()
         raise AssertionError("unreachable")
 
-    def run_handler(self, handle: Callable[[Exchange], Awaitable[None]]) -> None:
+    def run_handler(
+        self, handle: Callable[[Exchange], Awaitable[None]], cancel_after: float | None = None
+    ) -> None:
         async def main() -> None:
             limits = Limits(body_bytes=10, buffered_body_bytes=10)
             exchange = Exchange(
                 SCOPE, self.receive, self.send, limits, BodyBudget(10), last=lambda: False
             )
-            await run_exchange(
-                exchange, partial(handle, exchange), partial(exchange.start_response, 500, ())
-            )
+            with anyio.move_on_after(cancel_after):
+                await run_exchange(
+                    exchange,
+                    partial(handle, exchange),
+                    partial(exchange.start_response, 500, ()),
+                    partial(exchange.start_response, 504, ()),
+                    cancel_on_disconnect=True,
+                )
 
         anyio.run(main)
 
@@ -90,3 +97,30 @@
 
         self.assertRaises(BaseExceptionGroup, self.run_handler, abort)
         self.assertEqual([], self.crashes)
+
+    def test_a_handler_that_is_cancelled_before_the_status_still_gets_a_response(self) -> None:
+        async def hang(_exchange: Exchange) -> None:
+            await anyio.sleep_forever()
+
+        self.run_handler(hang, cancel_after=0.01)
+        self.assertEqual(["exchange_stopped"], self.crashes)
+        self.assertEqual([504], [message["status"] for message in self.sent])
+
+    def test_nothing_follows_a_status_if_the_handler_is_cancelled(self) -> None:
+        async def hang(exchange: Exchange) -> None:
+            await exchange.start_response(200, ())
+            await anyio.sleep_forever()
+
+        self.run_handler(hang, cancel_after=0.01)
+        self.assertEqual([200], [message["status"] for message in self.sent])
+
+    def test_a_caller_that_has_disconnected_gets_no_response(self) -> None:
+        async def disconnect() -> dict:
+            return {"type": "http.disconnect"}
+
+        async def hang(_exchange: Exchange) -> None:
+            await anyio.sleep_forever()
+
+        self.receive = disconnect  # type: ignore[method-assign]
+        self.run_handler(hang)
+        self.assertEqual([], self.sent)
