Gateway: a planned stop follows the grace period, and refuses what can't end in it

With a grace period of 3 s the process outlived it.

Cause: drain delay, linger and graceful time-out were constants that added up to 7.0 s, whatever timing.stop_grace said; only the wait for appends followed the setting. No rule asked whether a request that arrives during the stop can end in time.

Change: StopSchedule decides when listeners close and which requests are still served; StopTimes gives every other part its time. A request is served if its deadline lies within the schedule, or, while callers can't know of the stop, if its route's requests usually end in time; any other is refused at once (503, not run, Retry-After). OpenRequests ends what is in flight when the time is up, so that each forwarder says what it knows: 502 if a worker may have run the request, 503 if not. Connections close after that, and appends are given up, all within the grace period. Calls of other nodes keep the shorter time-out.

Ruled out: refusing everything from SIGTERM on, since most callers can't know of the stop for 1.5 s; serving everything until the end, since that cuts off what another node could have served.

--- a/src/stagewalk/gateway/assembly.py
+++ b/src/stagewalk/gateway/assembly.py
@@ -21,6 +21,7 @@
 from stagewalk.gateway.eligibility_services import EligibilityServices
 from stagewalk.gateway.forwarding.admission_gate import AdmissionGate
 from stagewalk.gateway.forwarding.forwarder import Forwarder
+from stagewalk.gateway.forwarding.open_requests import OpenRequests
 from stagewalk.gateway.forwarding.stream_forwarder import StreamForwarder
 from stagewalk.gateway.held_memory.budget import MemoryBudget
 from stagewalk.gateway.held_memory.readers import CutOff, ResponseReaders
@@ -98,6 +99,7 @@
     whole: Forwarder
     streams: StreamForwarder
     gate: AdmissionGate
+    open_requests: OpenRequests
 
 
 @dataclass(frozen=True, slots=True)
@@ -336,6 +338,7 @@
             self._metrics,
             enabled=self._settings.policy.admission,
         )
+        open_requests = OpenRequests()
         return Forwarders(
             Forwarder(
                 client,
@@ -343,6 +346,7 @@
                 cluster.routes,
                 cluster.crashes,
                 gate,
+                open_requests=open_requests,
                 policy=self._settings.policy,
                 on_begun=begun,
             ),
@@ -352,8 +356,10 @@
                 cluster.routes,
                 cluster.crashes,
                 gate,
+                open_requests=open_requests,
                 on_begun=begun,
                 readers=readers,
             ),
             gate,
+            open_requests,
         )
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -6,17 +6,28 @@
 
 from __future__ import annotations
 
-import math
 import signal
+import socket
+from collections.abc import Callable
+from dataclasses import replace
 
 import anyio
 import anyio.abc
-
-from stagewalk.common.http.server import open_listener, serve_http
+from hypercorn.typing import ASGIFramework
+
+from stagewalk.common.http.server import (
+    EXIT_LINGER_SECONDS,
+    GRACEFUL_TIMEOUT_SECONDS,
+    ShutdownTimes,
+    open_listener,
+    serve_http,
+    shutdown_times,
+)
 from stagewalk.common.identities import Address
 from stagewalk.common.logs.budget import LogBudget
 from stagewalk.common.logs.lines import log_event
 from stagewalk.common.steady_clock import steady_seconds
+from stagewalk.common.stop_times import StopTimes
 from stagewalk.gateway.assembly import Dependencies, GatewayAssembly
 from stagewalk.gateway.connections_log import ConnectionsLog
 from stagewalk.gateway.entry.app import Endpoints, GatewayApp
@@ -32,6 +43,7 @@
 from stagewalk.gateway.settings import GatewaySettings
 from stagewalk.gateway.settings_reload import LiveSettings, SettingsLoader
 from stagewalk.gateway.state_metrics import GatewayState
+from stagewalk.gateway.stop_schedule import StopSchedule
 
 RESUME_LOG_RESERVE_SECONDS = 0.25
 """How long a starting node delays reading the whole batch ledger if any batch is open. The log's
@@ -51,9 +63,6 @@
 """How long cached directory answers may still point here after a stop was announced: three times
 their time to live (1 s), and the time until other nodes read the announcement."""
 
-EXIT_RESERVE_SECONDS = 0.5
-"""Part of the shutdown grace period reserved for the process to exit after waiting for the log."""
-
 
 class Gateway:
     """One gateway process."""
@@ -82,8 +91,8 @@
         self.store = parts.batches.store
         self._published, self._duties, self._roles = parts.published, parts.duties, parts.roles
         self._exit = anyio.Event()
-        self._stopping = False
-        self._stop_by = math.inf
+        self._stop_schedule: StopSchedule | None = None
+        """Set once a stop is requested."""
 
     @property
     def settings(self) -> GatewaySettings:
@@ -106,10 +115,10 @@
             self._log("gateway_started")
             async with anyio.create_task_group() as servers:
                 for listener in listeners:
-                    servers.start_soon(serve_http, app, listener, self._exit)
+                    self._serve(servers, app, listener, self._caller_shutdown_times)
                 if self.settings.peers is not None:
                     peers = open_listener(self.settings.peers)
-                    servers.start_soon(serve_http, self._build_peer_app(), peers, self._exit)
+                    self._serve(servers, self._build_peer_app(), peers, self._peer_shutdown_times)
             await self._finish_appends()
             self._log("gateway_stopped")
             tasks.cancel_scope.cancel()
@@ -122,15 +131,38 @@
         tasks.start_soon(self._crashes.run)
         self._duties.start(tasks)
         tasks.start_soon(self._run_housekeeping)
+        tasks.start_soon(self._end_requests)
 
     async def _finish_appends(self) -> None:
-        """Wait until pending records are appended, at most until the shutdown deadline."""
-        with anyio.move_on_at(self._stop_by):
+        """Wait until pending records are appended, as long as the stop allows."""
+        stop = self._stop_schedule
+        with anyio.move_on_after(None if stop is None else _left(stop.times.cleanup_ends_at)):
             while not (self.store.idle and self._duties.idle):
                 await anyio.sleep(POLL_INTERVAL_SECONDS)
 
     # Serving.
 
+    def _serve(
+        self,
+        servers: anyio.abc.TaskGroup,
+        app: ASGIFramework,
+        listener: socket.socket,
+        times: Callable[[], ShutdownTimes],
+    ) -> None:
+        servers.start_soon(serve_http, app, listener, self._exit, EXIT_LINGER_SECONDS, times)
+
+    def _caller_shutdown_times(self) -> ShutdownTimes:
+        """Return how long callers' requests may still take when the listeners have closed."""
+        stop = self._stop_schedule
+        return ShutdownTimes() if stop is None else shutdown_times(stop.times, steady_seconds())
+
+    def _peer_shutdown_times(self) -> ShutdownTimes:
+        """Return the same for calls of other nodes, which may be reads that wait for records."""
+        times = self._caller_shutdown_times()
+        return replace(
+            times, graceful_seconds=min(GRACEFUL_TIMEOUT_SECONDS, times.graceful_seconds)
+        )
+
     def _addresses(self) -> list[Address]:
         settings = self.settings
         addresses = [settings.front, settings.readiness, settings.directory]
@@ -149,7 +181,7 @@
             metrics=self._metrics,
             caller_interface=caller_interface,
             ready=self._ready,
-            stopping=lambda: self._stopping,
+            stopping=self._is_stopping,
             refresh=self._refresh_views,
             readers=self._parts.readers,
         )
@@ -164,6 +196,7 @@
                 forwarders.streams,
                 self._metrics,
                 self._dialect.callers,
+                stop=lambda: self._stop_schedule,
             ),
             batches=self._batches.calls,
             directory=DirectoryEndpoint(self._nodes, self._routes, evacuations, self._dialect),
@@ -235,8 +268,8 @@
         await self._resume_batches()
         await self._nodes.wait_until_settled()
         while True:
-            self._nodes.set_serving(self._ready() and not self._stopping)
-            self._roles.update(self._stopping, steady_seconds())
+            self._nodes.set_serving(self._ready() and not self._is_stopping())
+            self._roles.update(self._is_stopping(), steady_seconds())
             await self._sleep_and_measure_lag(self._roles.pace.housekeeping_interval_seconds)
             self._workers.expire(steady_seconds())
             self._eligibility_services.expire(steady_seconds())
@@ -279,7 +312,7 @@
             async for signal_number in signals:
                 if signal_number == signal.SIGHUP:
                     self.reload()
-                elif not self._stopping:
+                elif not self._is_stopping():
                     await self.stop()
 
     def reload(self) -> None:
@@ -291,21 +324,30 @@
         self._live_settings.reload()
         self._duties.lease.set_quiet_seconds(self.settings.timing.lease_quiet)
 
+    def _is_stopping(self) -> bool:
+        return self._stop_schedule is not None
+
     async def stop(self) -> None:
         """Announce the stop, hand over batches, and exit after the drain delay."""
-        began = anyio.current_time()
-        self._stopping = True
+        times = StopTimes(steady_seconds(), self.settings.timing.stop_grace)
+        stop = self._stop_schedule = StopSchedule(times, DRAIN_DELAY_SECONDS, EXIT_LINGER_SECONDS)
         self._log("stop_requested")
         self._nodes.set_stopping()
         self._duties.lease.stop()
         self._runner.hand_over()
-        self._stop_by = began + self.settings.timing.stop_grace - EXIT_RESERVE_SECONDS
-        await anyio.sleep_until(began + DRAIN_DELAY_SECONDS)
+        await anyio.sleep(_left(stop.listeners_close_at))
         self._parts.forwarders.gate.stop()
-        # Listeners may take up to four seconds to finish requests, so they are stopped without
-        # waiting for pending appends, which continue meanwhile.
+        # Listeners may take seconds to finish requests, so they are stopped without waiting for
+        # pending appends, which continue meanwhile.
         self._exit.set()
 
+    async def _end_requests(self) -> None:
+        """End requests that are still in flight when a stop's time for them is up."""
+        await self._exit.wait()
+        if self._stop_schedule is not None:
+            await anyio.sleep(_left(self._stop_schedule.times.requests_end_at))
+            self._parts.forwarders.open_requests.end_all()
+
     def _log(self, event: str) -> None:
         log_event(
             event,
@@ -313,3 +355,8 @@
             front=str(self.settings.front),
             configuration=self._routes.version,
         )
+
+
+def _left(at: float) -> float:
+    """Return the seconds until a steady time, at least 0."""
+    return max(0.0, at - steady_seconds())
--- a/src/stagewalk/gateway/entry/forwarded_calls.py
+++ b/src/stagewalk/gateway/entry/forwarded_calls.py
@@ -1,12 +1,15 @@
 """Forwards callers' requests to workers and relays the answers.
 
-Sets the deadline of a forwarded request and the status of one that got no answer. `forwarding`
-makes the attempts and retries.
+Sets the deadline of a forwarded request and the status of one that got no answer, and refuses
+requests that a stop would cut off. `forwarding` makes the attempts and retries.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from stagewalk.common.http.asgi import BrokenResponseError
+from stagewalk.common.logs.lines import log_event
 from stagewalk.common.steady_clock import steady_seconds
 from stagewalk.gateway.dialect import CallerInterface
 from stagewalk.gateway.entry.caller_authentication import Caller
@@ -15,11 +18,16 @@
 from stagewalk.gateway.forwarding.forwarder import Forwarder
 from stagewalk.gateway.forwarding.inbound import InboundRequest
 from stagewalk.gateway.forwarding.policy import Ending, Unanswered
+from stagewalk.gateway.forwarding.route_durations import RouteDurations
 from stagewalk.gateway.forwarding.stream_forwarder import StreamForwarder
 from stagewalk.gateway.metrics import GatewayMetrics
 from stagewalk.gateway.ports.workers import StreamHead, StreamPart
 from stagewalk.gateway.routes.route import Route
 from stagewalk.gateway.routes.table import RouteTable
+from stagewalk.gateway.stop_schedule import StopSchedule
+
+STOPPING_RETRY_AFTER_SECONDS = 0.05
+"""Retry delay for a request that a stopping node refuses: another node can serve it at once."""
 
 UNANSWERED_STATUS = {
     Ending.NOT_RUN: 503,
@@ -31,10 +39,17 @@
     Ending.UNKNOWN: "a worker may have run the request",
     Ending.DEADLINE_EXCEEDED: "the request's time is over",
 }
+REFUSED_BY_STOP = Unanswered(Ending.NOT_RUN, STOPPING_RETRY_AFTER_SECONDS)
 
 
 class ForwardingEndpoints:
-    """Endpoints of routes that workers answer, with a whole response or a stream."""
+    """Endpoints of routes that workers answer, with a whole response or a stream.
+
+    Parameters
+    ----------
+    stop
+        Returns the schedule of the requested stop, None before one is requested.
+    """
 
     def __init__(
         self,
@@ -43,26 +58,33 @@
         streams: StreamForwarder,
         metrics: GatewayMetrics,
         caller_interface: CallerInterface,
+        *,
+        stop: Callable[[], StopSchedule | None] = lambda: None,
     ) -> None:
         self._routes = routes
         self._forwarder = forwarder
         self._streams = streams
         self._metrics = metrics
         self._caller_interface = caller_interface
+        self._stop = stop
+        self._durations = RouteDurations()
 
     async def forward(self, exchange: OpaqueExchange, caller: Caller, route: Route) -> None:
         """Forward a request and relay its whole answer."""
         began = steady_seconds()
+        deadline_at = began + self._timeout_seconds(exchange, route)
+        if not self._is_served(exchange, route, began, deadline_at):
+            await self._reply_unanswered(exchange, route, REFUSED_BY_STOP, began)
+            return
         request = await self._read_request(exchange, caller)
         if request is None:
             return
-        deadline_at = began + self._timeout_seconds(exchange, route)
         outcome = await self._forwarder.forward(request, route, deadline_at)
         if outcome.is_error():
             await self._reply_unanswered(exchange, route, outcome.error, began)
             return
         answer = outcome.ok
-        self._metrics.request_ended(route.kind.value, str(answer.status), began)
+        self._record_answered(route, answer.status, began)
         await exchange.relay(answer.status, answer.headers, answer.body, request.request_id)
 
     async def forward_stream(self, exchange: OpaqueExchange, caller: Caller, route: Route) -> None:
@@ -74,6 +96,10 @@
             The stream had started and can't be completed.
         """
         began = steady_seconds()
+        deadline_at = began + self._timeout_seconds(exchange, route)
+        if not self._is_served(exchange, route, began, deadline_at):
+            await self._reply_unanswered(exchange, route, REFUSED_BY_STOP, began)
+            return
         request = await self._read_request(exchange, caller)
         if request is None:
             return
@@ -87,7 +113,7 @@
         outcome = await self._streams.forward(
             request,
             route,
-            began + self._timeout_seconds(exchange, route),
+            deadline_at,
             self._last_event_number(exchange),
             relay_part,
             on_cut_off=exchange.abort,
@@ -98,7 +124,7 @@
             await self._reply_unanswered(exchange, route, outcome.error, began)
             return
         ended = outcome.ok
-        self._metrics.request_ended(route.kind.value, str(ended.status), began)
+        self._record_answered(route, ended.status, began)
         if exchange.started:
             await exchange.write(b"", last=True)
         else:
@@ -135,6 +161,31 @@
             return min(route.timeout_seconds, int(text) / 1000.0)
         return route.timeout_seconds
 
+    def _is_served(
+        self, exchange: OpaqueExchange, route: Route, arrived_at: float, deadline_at: float
+    ) -> bool:
+        """Whether a request is served, which a requested stop may prevent; logs a refusal."""
+        stop, longest = self._stop(), self._durations.longest(route.name)
+        if stop is None or stop.serves(arrived_at, deadline_at, longest):
+            return True
+        log_event(
+            "request_rejected",
+            "warning",
+            reason="stopping",
+            request=exchange.header(self._caller_interface.request_id) or "",
+            route=route.name,
+            deadline_seconds=deadline_at - arrived_at,
+            longest_seconds=longest,
+            allowed_seconds=stop.times.requests_end_at - arrived_at,
+            retry_after_seconds=STOPPING_RETRY_AFTER_SECONDS,
+        )
+        return False
+
+    def _record_answered(self, route: Route, status: int, began: float) -> None:
+        self._metrics.request_ended(route.kind.value, str(status), began)
+        now = steady_seconds()
+        self._durations.record(route.name, now - began, now)
+
     async def _reply_unanswered(
         self, exchange: OpaqueExchange, route: Route, unanswered: Unanswered, began: float
     ) -> None:
--- a/src/stagewalk/gateway/forwarding/forwarder.py
+++ b/src/stagewalk/gateway/forwarding/forwarder.py
@@ -28,6 +28,7 @@
     record_failure,
 )
 from stagewalk.gateway.forwarding.inbound import InboundRequest
+from stagewalk.gateway.forwarding.open_requests import OpenRequests
 from stagewalk.gateway.forwarding.policy import Ending, ForwardedRequest, Unanswered, is_success
 from stagewalk.gateway.policy import DEFAULT_POLICY, Policy
 from stagewalk.gateway.ports.workers import (
@@ -52,7 +53,13 @@
 
 
 class Forwarder:
-    """Forwards requests with buffered answers to the workers of their route's services."""
+    """Forwards requests with buffered answers to the workers of their route's services.
+
+    Parameters
+    ----------
+    open_requests
+        Ends requests at their deadline or at the end of a stop.
+    """
 
     def __init__(
         self,
@@ -62,6 +69,7 @@
         crashes: CrashReports,
         gate: AdmissionGate,
         *,
+        open_requests: OpenRequests,
         policy: Policy = DEFAULT_POLICY,
         on_begun: RunStartListener = ignore_run_start,
     ) -> None:
@@ -69,6 +77,7 @@
         self._eligibility = eligibility
         self._crashes = crashes
         self._routes = routes
+        self._open_requests = open_requests
         self._on_begun = on_begun
         self._attempts = Attempts(eligibility, crashes, gate, prefer_warm=policy.warm_connections)
 
@@ -87,7 +96,7 @@
         state = ForwardedRequest(route, deadline_at, steady_seconds())
         buffered = _BufferedRequest(request, state, self._routes.choose_back_end(route).service)
         try:
-            with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - steady_seconds())):
+            with self._open_requests.until(deadline_at):
                 await self._attempt_until_answered(buffered)
         finally:
             self._attempts.release(buffered)
--- a/src/stagewalk/gateway/forwarding/stream_forwarder.py
+++ b/src/stagewalk/gateway/forwarding/stream_forwarder.py
@@ -28,6 +28,7 @@
     record_denied,
 )
 from stagewalk.gateway.forwarding.inbound import InboundRequest
+from stagewalk.gateway.forwarding.open_requests import OpenRequests
 from stagewalk.gateway.forwarding.policy import HTTP_OK, Ending, ForwardedRequest, Unanswered
 from stagewalk.gateway.forwarding.relay_buffer import RelayBuffer, StreamConsumer
 from stagewalk.gateway.held_memory.readers import ResponseReaders
@@ -91,6 +92,8 @@
 
     Parameters
     ----------
+    open_requests
+        Ends requests at their deadline or at the end of a stop.
     readers
         Bounds the data buffered for slow callers; None: no buffering, a worker's stream is read
         only as fast as its caller reads.
@@ -104,6 +107,7 @@
         crashes: CrashReports,
         gate: AdmissionGate,
         *,
+        open_requests: OpenRequests,
         on_begun: RunStartListener = ignore_run_start,
         readers: ResponseReaders | None = None,
     ) -> None:
@@ -111,6 +115,7 @@
         self._eligibility = eligibility
         self._crashes = crashes
         self._routes = routes
+        self._open_requests = open_requests
         self._on_begun = on_begun
         self._readers = readers
         self._attempts = Attempts(eligibility, crashes, gate, prefer_warm=False)
@@ -146,7 +151,7 @@
         attempts = partial(self._attempt_until_ended, streamed)
         ended: StreamEnd | None = None
         try:
-            with anyio.move_on_at(anyio.current_time() + max(0.0, deadline_at - steady_seconds())):
+            with self._open_requests.until(deadline_at):
                 ended = await (attempts() if buffer is None else buffer.relay(attempts))
         finally:
             if ended is None:
