Node: timing.stop_grace bounds a planned stop

What operators saw: a stopping node waited for its calls in flight without a limit, up to the longest deadline of its callers, and then gave unread answers a constant 3.5 s. Where the platform kills a process sooner, all calls in flight were cut off without a word.

Cause: as in the gateway, no setting had a part in the times of a stop.

Change: the optional setting timing.stop_grace says when the process is killed. Shortly before that, the node exits even if calls are in flight: they get an error with ran=unknown, and streams that have begun are broken off. Until then unread answers have as much time as is left. Without the setting nothing changes.

--- a/src/stagewalk/common/settings/fields.py
+++ b/src/stagewalk/common/settings/fields.py
@@ -7,6 +7,7 @@
 import msgspec
 
 PositiveInteger = Annotated[int, msgspec.Meta(ge=1)]
+PositiveSeconds = Annotated[float, msgspec.Meta(gt=0.0)]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=100)]
 LogLevel = Literal["debug", "info", "warning", "error"]
 
--- a/src/stagewalk/node/daemon.py
+++ b/src/stagewalk/node/daemon.py
@@ -1,7 +1,7 @@
 """The node's process: opens resources, wires the parts around the core, serves until a stop.
 
-Owns identity, signals and exit code. Relies on the core to say when everything in flight has ended
-after a planned stop.
+Owns identity, signals, exit code and the times of a planned stop. Relies on the core to say when
+everything in flight has ended after it.
 """
 
 from __future__ import annotations
@@ -19,9 +19,17 @@
 import anyio.abc
 
 from stagewalk.common.http.calls import open_client, open_transport
-from stagewalk.common.http.server import open_listener, serve_http
+from stagewalk.common.http.server import (
+    EXIT_LINGER_SECONDS,
+    ShutdownTimes,
+    open_listener,
+    serve_http,
+    shutdown_times,
+)
 from stagewalk.common.identities import Incarnation, NodeName, Placement
 from stagewalk.common.logs.lines import configure_logs, log_event
+from stagewalk.common.steady_clock import steady_seconds
+from stagewalk.common.stop_times import StopTimes
 from stagewalk.node.adapters.http_engines import HttpEngineClient
 from stagewalk.node.adapters.http_platform import (
     HttpLogService,
@@ -119,6 +127,9 @@
         self._peers = PeerTransport(settings.peer_listen, self._events, self._metrics.peers)
         self._exit = anyio.Event()
         self._stopping = False
+        self._stop_times: StopTimes | None = None
+        """Set once a stop is requested, if the platform limits its time."""
+        self._stop_requested = anyio.Event()
 
     async def run(self) -> None:
         """Serve until the core says that everything in flight has ended after a stop."""
@@ -130,11 +141,18 @@
             execute = self._build_instruction_runner(engines, services, tasks)
             runner = CoreRunner(self._core, self._events, execute, self._metrics.core)
             tasks.start_soon(self._watch_signals)
+            tasks.start_soon(self._exit_in_time)
             await tasks.start(self._peers.run)
             tasks.start_soon(runner.run)
             tasks.start_soon(runner.tick)
             self._log("node_started")
-            await serve_http(self._build_app(runner), listener, self._exit)
+            await serve_http(
+                self._build_app(runner),
+                listener,
+                self._exit,
+                EXIT_LINGER_SECONDS,
+                self._shutdown_times,
+            )
             self._log("node_stopped")
             tasks.cancel_scope.cancel()
 
@@ -187,9 +205,26 @@
     async def request_stop(self) -> None:
         """Begin a planned stop: the core refuses new requests and ends what is in flight."""
         self._stopping = True
+        grace = self._settings.timing.stop_grace
+        if grace is not None:
+            self._stop_times = StopTimes(steady_seconds(), grace)
+        self._stop_requested.set()
         self._log("stop_requested")
         await self._events.put(StopRequested())
 
+    async def _exit_in_time(self) -> None:
+        """Exit before the grace period of a stop is over, even if calls are still in flight."""
+        await self._stop_requested.wait()
+        if self._stop_times is not None:
+            ends_at = self._stop_times.requests_end_at - EXIT_LINGER_SECONDS
+            await anyio.sleep(max(0.0, ends_at - steady_seconds()))
+            self._exit_process()
+
+    def _shutdown_times(self) -> ShutdownTimes:
+        """Return how long answers may still take when the listener has closed."""
+        stop = self._stop_times
+        return ShutdownTimes() if stop is None else shutdown_times(stop, steady_seconds())
+
     def _exit_process(self) -> None:
         self._calls.closed = True
         self._exit.set()
--- a/src/stagewalk/node/settings.py
+++ b/src/stagewalk/node/settings.py
@@ -17,7 +17,7 @@
 from stagewalk.common.identities import Address
 from stagewalk.common.settings.addresses import parse_listen_address, parse_service_url
 from stagewalk.common.settings.decoding import decode_table, read_table
-from stagewalk.common.settings.fields import Limits, LogLevel, Name
+from stagewalk.common.settings.fields import Limits, LogLevel, Name, PositiveSeconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +30,22 @@
     scorer: str
 
 
+class Timing(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Time bounds set by the platform, in seconds.
+
+    Attributes
+    ----------
+    stop_grace
+        Time from the request to stop until the process is killed; None: it isn't killed, and calls
+        in flight may take as long as they need.
+    """
+
+    stop_grace: PositiveSeconds | None = None
+
+
+DEFAULT_TIMING = Timing()
+
+
 @dataclass(frozen=True, slots=True)
 class NodeSettings:
     """Checked settings of a node.
@@ -53,6 +69,7 @@
     limits: Limits
     log_level: LogLevel
     peer_advertise: Address | None = None
+    timing: Timing = DEFAULT_TIMING
 
     @property
     def peer_address(self) -> Address:
@@ -76,6 +93,7 @@
     platform: _PlatformSection
     peer_advertise: str | None = None
     limits: Limits = Limits()
+    timing: Timing = DEFAULT_TIMING
     log_level: LogLevel = "info"
 
 
@@ -138,4 +156,5 @@
         limits=file.limits,
         log_level=file.log_level,
         peer_advertise=peer_advertise,
+        timing=file.timing,
     )
--- a/tests/node/running_node.py
+++ b/tests/node/running_node.py
@@ -20,7 +20,7 @@
 from stagewalk.common.settings.fields import Limits
 from stagewalk.node.daemon import Daemon
 from stagewalk.node.node_core import NodeIdentity
-from stagewalk.node.settings import NodeSettings, PlatformUrls
+from stagewalk.node.settings import DEFAULT_TIMING, NodeSettings, PlatformUrls, Timing
 from tests.node.echo_core import EchoCore
 
 NOWHERE = "http://127.0.0.1:1"
@@ -52,10 +52,12 @@
             return Address("127.0.0.1", port)
 
 
-def node_settings(limits: Limits) -> NodeSettings:
+def node_settings(limits: Limits, timing: Timing = DEFAULT_TIMING) -> NodeSettings:
     urls = PlatformUrls(NOWHERE, NOWHERE, NOWHERE, NOWHERE)
     listen, peer_listen = free_address(), free_address()
-    return NodeSettings("n1", "region", "zone", listen, peer_listen, urls, limits, "info")
+    return NodeSettings(
+        "n1", "region", "zone", listen, peer_listen, urls, limits, "info", timing=timing
+    )
 
 
 @dataclass
@@ -64,6 +66,7 @@
     daemon: Daemon
     core: EchoCore
     client: httpx.AsyncClient
+    ended: anyio.Event
 
     async def post(self, path: str, body: object, **headers: str) -> httpx.Response:
         return await self.client.post(path, json=body, headers=headers)
@@ -73,21 +76,29 @@
 
 
 @asynccontextmanager
-async def running_node(limits: Limits = Limits()) -> AsyncIterator[RunningNode]:  # noqa: B008
-    settings = node_settings(limits)
+async def running_node(
+    limits: Limits = Limits(),  # noqa: B008
+    timing: Timing = DEFAULT_TIMING,
+) -> AsyncIterator[RunningNode]:
+    settings = node_settings(limits, timing)
     cores: list[EchoCore] = []
 
     def new_core(identity: NodeIdentity, generator: random.Random) -> EchoCore:
         cores.append(EchoCore(identity, generator))
         return cores[0]
 
-    daemon = Daemon(settings, new_core)
+    daemon, ended = Daemon(settings, new_core), anyio.Event()
+
+    async def run() -> None:
+        await daemon.run()
+        ended.set()
+
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(daemon.run)
+        tasks.start_soon(run)
         url = f"http://{settings.listen}"
         async with httpx.AsyncClient(base_url=url, trust_env=False) as client:
             await eventually(lambda: _healthy(client))
-            yield RunningNode(settings, daemon, cores[0], client)
+            yield RunningNode(settings, daemon, cores[0], client, ended)
         tasks.cancel_scope.cancel()
 
 
--- a/tests/node/settings/test_node_settings.py
+++ b/tests/node/settings/test_node_settings.py
@@ -12,7 +12,7 @@
 from stagewalk.cli.main import run
 from stagewalk.common.errors import ErrorStep, StagewalkError
 from stagewalk.common.identities import Address
-from stagewalk.node.settings import load_node_settings
+from stagewalk.node.settings import Timing, load_node_settings
 
 EXAMPLE = Path(__file__).parents[3] / "deployments" / "example-node.toml"
 
@@ -32,6 +32,12 @@
         self.assertEqual(Address("127.0.0.1", 8080), settings.listen)
         self.assertEqual("http://127.0.0.1:9001", settings.platform.log)
 
+    def test_the_grace_period_is_positive_and_unlimited_if_it_is_not_set(self) -> None:
+        self.assertEqual(60.0, load_node_settings(EXAMPLE, {}).ok.timing.stop_grace)
+        self.assertIsNone(Timing().stop_grace)
+        error = self.error_of("stop_grace = 60", "stop_grace = 0.0")
+        self.assertIn("timing.stop_grace", str(error))
+
     def test_flags_override_the_file(self) -> None:
         overrides = {"name": "other", "listen": "[::1]:81", "platform.log": "http://10.0.0.1:1/"}
         settings = load_node_settings(EXAMPLE, overrides | {"zone": None}).ok
