Soak: planned stops that overlap, beside requests that may outlast them

The new kind "stops" runs gateways with grace periods of 3, 5, 8 and 12 s, which are stopped in series that overlap, beside changes of settings and configuration. 40 callers send streams and whole requests of 0.02 to 12 s to any gateway until its process is gone, half of them on connections that they keep; three more read nothing of large streams. Workers break some resumable streams off, and answer some resumptions with 500, 503, 504 or 422. Four promises: nothing is cut off beyond what the contract allows, a process ends within its grace, a stream that looks complete is whole, and a failure without a worker's signature has a status that says what the gateway knows.

--- a/tests/soak/gateway_process.py
+++ b/tests/soak/gateway_process.py
@@ -4,6 +4,7 @@
 
 import os
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -15,6 +16,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 STOP_SECONDS = 15.0
+_GRACE = re.compile(r"^stop_grace = (.*)$", re.MULTILINE)
 
 
 class Builds:
@@ -81,6 +83,28 @@
             log.seek(self._log_begins)
             return b"event=gateway_started" in log.read()
 
+    @property
+    def grace_seconds(self) -> float:
+        """Return the grace period of its settings."""
+        found = _GRACE.search(self.settings.read_text())
+        assert found is not None
+        return float(found.group(1))
+
+    def set_grace(self, seconds: float) -> None:
+        """Change the grace period of its settings, for the next start."""
+        text = self.settings.read_text()
+        self.settings.write_text(_GRACE.sub(f"stop_grace = {seconds}", text))
+
+    def ends_within(self, seconds: float) -> bool:
+        """Wait for the process; return whether it ended in time."""
+        if self.process is None:
+            return True
+        try:
+            self.process.wait(seconds)
+        except subprocess.TimeoutExpired:
+            return False
+        return True
+
     def signal(self, number: signal.Signals) -> None:
         if self.process is None:
             return
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -26,6 +26,7 @@
 from tests.soak.faults import Faults
 from tests.soak.foreign import ForeignWriter
 from tests.soak.series import FaultSeries
+from tests.soak.stops import LONG_ROUTES, LONG_SERVICES, StopScene, StopSeries
 from tests.soak.touch import SOAK, TouchRecord
 from tests.soak.world import HOST, World, own_address
 from tests.soak.zones import HOME_ROUTE, ZoneOperator
@@ -71,11 +72,13 @@
     """Zones that are evacuated, workers that are cold, and routes with homes."""
     LOAD = "load"
     """More items than engines have places and memory for, at workers that share their machines."""
+    STOPS = "stops"
+    """Planned stops that overlap, beside requests that may take longer than a grace period."""
 
     @property
     def in_series(self) -> bool:
         """Whether faults come in series, with calm between them."""
-        return self not in (Kind.ALL, Kind.LOAD)
+        return self not in (Kind.ALL, Kind.LOAD, Kind.STOPS)
 
 
 class Stalls:
@@ -106,7 +109,8 @@
     steps: int
     ended: EndedBatches
     crashes: dict[str, int]
-    """Ends by what they were under, other requests served and sent, entries of another writer."""
+    """Ends by what they were under, other requests served and sent, outcomes of long requests,
+    entries of another writer."""
     stalls: Stalls
     troubles: list[str]
     """What failed when, a line each."""
@@ -142,6 +146,7 @@
     ending = kind is Kind.ENDED
     zones = kind is Kind.ZONES
     loaded = kind is Kind.LOAD
+    stopping = kind is Kind.STOPS
     world = World(
         directory,
         seed,
@@ -150,9 +155,16 @@
         zones=zones,
         loaded=loaded,
         earlier=earlier,
+        further_routes=LONG_ROUTES if stopping else (),
+        further_services=LONG_SERVICES if stopping else (),
     )
     callers, stalls = Callers(world, seed), Stalls(world.touch)
-    faults = FaultSeries(world, seed) if kind.in_series else Faults(world, seed)
+    stops = StopScene(world, seed)
+    faults: FaultSeries | Faults | StopSeries
+    if stopping:
+        faults = StopSeries(world, seed, stops)
+    else:
+        faults = FaultSeries(world, seed) if kind.in_series else Faults(world, seed)
     operator = _operator(world, seed)
     crashes = CrashScene(world, seed)
     foreign = ForeignWriter(world.log, own_address(), world.checker.expect, seed)
@@ -171,6 +183,8 @@
                 servers.start_soon(foreign.run)
                 if kind is Kind.CRASHES:
                     crashes.start(servers, tasks)
+                if stopping:
+                    stops.start(servers, tasks)
                 for host in world.hosts:
                     tasks.start_soon(callers.train, host)
                 async with anyio.create_task_group() as trouble:
@@ -183,6 +197,7 @@
                 callers.stop.set()
                 endings.stop.set()
                 crashes.callers.stop.set()
+                stops.stop.set()
             await _calm(world, callers)
             if ending:
                 await anyio.sleep(WATCHED_SECONDS)
@@ -198,7 +213,7 @@
         dict(faults.injected),
         callers.steps,
         world.ended,
-        (crashes.counts() if kind is Kind.CRASHES else {}) | dict(foreign.written),
+        (crashes.counts() if kind is Kind.CRASHES else {}) | stops.counts() | dict(foreign.written),
         stalls,
         world.touch.history,
     )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,7 @@
 from tests.soak.ended import BOUND_SECONDS, PROMISE, EndedBatches
 from tests.soak.run import GATEWAYS, ZONE_GATEWAYS, Kind, soak
 from tests.soak.senders import Connection, StartedItem, processes_at, started_items
+from tests.soak.stops import CUT_PROMISE, GRACE_PROMISE, TOLD_PROMISE, WHOLE_PROMISE
 from tests.soak.touch import SETTLED_SECONDS, STORE, TouchRecord
 from tests.soak.world import SOAK_HOST, GatewayProcess, World, own_address
 from tests.soak.zones import COLD_PROMISE, EVACUATION_PROMISE, HOME_PROMISE
@@ -39,6 +40,9 @@
 LOAD_SECONDS = 15.0
 LOAD_SEED = 9101
 
+STOPS_SECONDS = 15.0
+STOPS_SEED = 1
+
 MOST_SECONDS = 180.0
 """Far above what a test takes: only a hanging one is cut off."""
 
@@ -124,6 +128,19 @@
 
         anyio.run(scenario)
 
+    def test_planned_stops_cut_off_nothing_and_end_within_their_grace(self) -> None:
+        """Gateways stop by turns while requests run that may take longer, and streams resume."""
+
+        async def scenario() -> None:
+            with anyio.fail_after(MOST_SECONDS):
+                report = await soak(STOPS_SEED, STOPS_SECONDS, self.directory, GATEWAYS, Kind.STOPS)
+            self.addDetail("report", text_content("\n".join(report.lines())))
+            self.assertEqual([], report.checker.violations)
+            for promise in (CUT_PROMISE, GRACE_PROMISE, TOLD_PROMISE, WHOLE_PROMISE):
+                self.assertGreater(report.checker.checked[promise], 0, promise)
+
+        anyio.run(scenario)
+
     def test_a_signal_to_reread_settings_while_starting_ends_nothing(self) -> None:
         """Found by seed 3: the signal came before its handler, and ended the process."""
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -4,6 +4,7 @@
 
 import random
 import socket
+from collections.abc import Sequence
 from pathlib import Path
 
 import anyio
@@ -115,6 +116,8 @@
         Whether several trainers ask for more than there is room, at workers that share machines.
     earlier
         A checkout of an earlier commit: each start of a gateway runs either build.
+    further_routes, further_services
+        Published beside the usual ones; their workers belong to whoever asks for them.
     """
 
     def __init__(
@@ -127,7 +130,10 @@
         zones: bool = False,
         loaded: bool = False,
         earlier: Path | None = None,
+        further_routes: Sequence[dict] = (),
+        further_services: Sequence[dict] = (),
     ) -> None:
+        self._further_routes, self._further_services = further_routes, further_services
         self._builds = Builds(earlier, seed)
         self._loaded = loaded
         self.hosts = (HOST, *OTHER_HOSTS) if loaded else (HOST,)
@@ -352,7 +358,9 @@
             {"name": "app", "max_connections": 200},
             {"name": "scorers", "max_connections": 200},
             {"name": FRAIL_SERVICE, "max_connections": 200},
+            *self._further_services,
         ]
+        routes += self._further_routes
         if self.zone_rules is not None:
             routes.append(_route(HOME_ROUTE, f"/{HOME_ROUTE}/", "safe", "app", [HOME_REGION]))
             for service in services:
