Metrics: streams that are broken off are counted

What operators saw: a stream that broke off after its head was missing from stagewalk_forwarded_requests_total, so the alarm of requests that end without an answer could not see it; only the log told.

Cause: the endpoint raised for a broken response before it counted.

Change: such a stream is counted by how it ended, like any other request without a worker's answer. The checks of both endpoints before they forward a request are in one method now.

Test: test_streams_that_are_broken_off_are_counted_by_how_they_ended failed before (no sample).

--- a/src/stagewalk/gateway/entry/forwarded_calls.py
+++ b/src/stagewalk/gateway/entry/forwarded_calls.py
@@ -73,10 +73,7 @@
         """Forward a request and relay its whole answer."""
         began = steady_seconds()
         deadline_at = began + self._timeout_seconds(exchange, route)
-        if not self._is_served(exchange, route, began, deadline_at):
-            await self._reply_unanswered(exchange, route, REFUSED_BY_STOP, began)
-            return
-        request = await self._read_request(exchange, caller)
+        request = await self._accept(exchange, caller, route, began, deadline_at)
         if request is None:
             return
         outcome = await self._forwarder.forward(request, route, deadline_at)
@@ -97,10 +94,7 @@
         """
         began = steady_seconds()
         deadline_at = began + self._timeout_seconds(exchange, route)
-        if not self._is_served(exchange, route, began, deadline_at):
-            await self._reply_unanswered(exchange, route, REFUSED_BY_STOP, began)
-            return
-        request = await self._read_request(exchange, caller)
+        request = await self._accept(exchange, caller, route, began, deadline_at)
         if request is None:
             return
 
@@ -120,6 +114,7 @@
         )
         if outcome.is_error():
             if exchange.started:
+                self._metrics.request_ended(route.kind.value, outcome.error.ending.value, began)
                 raise BrokenResponseError(route.name)
             await self._reply_unanswered(exchange, route, outcome.error, began)
             return
@@ -130,6 +125,20 @@
         else:
             await exchange.relay(ended.status, ended.headers, ended.body, request.request_id)
 
+    async def _accept(
+        self,
+        exchange: OpaqueExchange,
+        caller: Caller,
+        route: Route,
+        began: float,
+        deadline_at: float,
+    ) -> InboundRequest | None:
+        """Return the whole request; None if it was refused and a reply was sent."""
+        if self._is_served(exchange, route, began, deadline_at):
+            return await self._read_request(exchange, caller)
+        await self._reply_unanswered(exchange, route, REFUSED_BY_STOP, began)
+        return None
+
     async def _read_request(
         self, exchange: OpaqueExchange, caller: Caller
     ) -> InboundRequest | None:
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
+
+import httpx
 import testtools
 from prometheus_client.parser import text_string_to_metric_families
 
 from stagewalk.gateway.ports.denials import Denial
+from stagewalk.gateway.ports.workers import AttemptFault
 from tests.gateway.support import Running, Site, run, until
 
 
@@ -41,6 +45,20 @@
 
         run(scenario)
 
+    def test_streams_that_are_broken_off_are_counted_by_how_they_ended(self) -> None:
+        """They were left out, so that the alarm of failed requests could not see them."""
+
+        async def scenario(site: Site) -> None:
+            node = await site.start("n1")
+            site.workers.stream_script = [AttemptFault.MAY_HAVE_RUN]
+            with contextlib.suppress(httpx.RemoteProtocolError):
+                await site.call(node, "POST", "/stream/x", stagewalk_request_id="q1")
+            broken = (("kind", "stream"), ("outcome", "unknown"))
+            seen = await samples(site, node)
+            self.assertEqual(1.0, seen.get(("stagewalk_forwarded_requests_total", broken)))
+
+        run(scenario)
+
     def test_evacuated_zones_and_denied_requests_are_counted(self) -> None:
         async def scenario(site: Site) -> None:
             node = await site.start("n1")
