Streams: a resumable stream that has not begun is retried after a server error

What callers saw: a 500 of the first worker ended a resumable stream, though the route allowed further attempts; a request of a repeatable route would have been sent to another worker.

Cause: as with streams that have begun, any complete response of a worker ended the request.

Change: ForwardedRequest decides by the same rule for whole answers and for streams that have not begun: a server error is final only once no further attempt is allowed. Streams that may not be resumed still run once.

--- a/src/stagewalk/gateway/forwarding/policy.py
+++ b/src/stagewalk/gateway/forwarding/policy.py
@@ -176,12 +176,9 @@
 
     def accepts(self, answer: WorkerAnswer, now: float) -> bool:
         """Whether an answer is final; after a server error another attempt may be allowed."""
-        if answer.status < SERVER_ERROR:
-            return True
-        self.may_have_run = True
-        return not self.may_retry(now)
+        return self._accepts_status(answer.status, now)
 
-    def accepts_end(self, status: int, *, begun: bool) -> bool:
+    def accepts_end(self, status: int, now: float, *, begun: bool) -> bool:
         """Whether a worker's complete response to a streamed request is final.
 
         A caller that has received the head of a stream can only be sent the rest of its events.
@@ -192,10 +189,16 @@
         begun
             Whether the head of the stream was passed on to the caller.
         """
-        if status == HTTP_OK or not begun:
+        if not begun:
+            return self._accepts_status(status, now)
+        self.may_have_run = True
+        return status == HTTP_OK
+
+    def _accepts_status(self, status: int, now: float) -> bool:
+        if status < SERVER_ERROR:
             return True
         self.may_have_run = True
-        return False
+        return not self.may_retry(now)
 
     def deadline_denial(self, now: float) -> Denial | None:
         """Return the denial of a request whose deadline has passed, None before that.
--- a/src/stagewalk/gateway/forwarding/stream_forwarder.py
+++ b/src/stagewalk/gateway/forwarding/stream_forwarder.py
@@ -209,10 +209,11 @@
         result = await self._run(attempt, stream)
         if result.is_ok():
             self._attempts.record_answered(attempt)
-            if state.accepts_end(result.ok.status, begun=streamed.started):
+            if state.accepts_end(result.ok.status, steady_seconds(), begun=streamed.started):
                 return result.ok
             # The worker is not avoided, as after an error status of a whole response.
-            detail = f"status {result.ok.status} to a stream that has begun"
+            begun = "has" if streamed.started else "has not"
+            detail = f"status {result.ok.status} to a stream that {begun} begun"
             log_failure(attempt, AttemptFailure(AttemptFault.MAY_HAVE_RUN, detail))
             return None
         await self._attempts.record_unanswered(attempt, result.error)
