Batches: an item that can't be sent is refused before its batch is accepted

Cause: nothing checked whether what a trainer hands in as data can be sent in the head of a request; the client library found out at the send.

A batch with an item that can't be is refused with 400, and the error names the item, the field and the character at fault.

--- a/src/stagewalk/gateway/entry/batch_calls.py
+++ b/src/stagewalk/gateway/entry/batch_calls.py
@@ -21,7 +21,7 @@
     ResultsCall,
 )
 from stagewalk.gateway.batch_service.read_rules import MAXIMUM_WAIT_SECONDS
-from stagewalk.gateway.batches.submission import find_unroutable_score
+from stagewalk.gateway.batches.submission import find_unroutable_score, find_unsendable
 from stagewalk.gateway.dialect import Dialect, Submission
 from stagewalk.gateway.eligibility.retry_after import (
     DEFAULT_RETRY_AFTER_SECONDS,
@@ -109,6 +109,11 @@
         if decoded.is_error():
             await reply_error(exchange, 400, str(decoded.error))
             return
+        unsendable = find_unsendable(decoded.ok.items)
+        if unsendable is not None:
+            log_event("batch_refused", "warning", batch=batch, cause=str(unsendable))
+            await reply_error(exchange, 400, str(unsendable))
+            return
         refusal = self._refusal(batch, decoded.ok)
         if refusal is not None:
             await self._refuse(exchange, batch, refusal)
