Runners: an exception of one attempt ends its item alone

Cause: AttemptTasks let the exception through to the task group that also holds the tasks which keep the process alive.

Change: the exception ends that attempt. It is logged as attempt_raised with the request's id and trace and counted in stagewalk_attempts_raised_total; the item fails, since the attempt would raise at any worker and on any node. Leases, announcements, followers, appends and the scheduler's tick still end the process.

--- a/src/stagewalk/gateway/assembly.py
+++ b/src/stagewalk/gateway/assembly.py
@@ -270,6 +270,7 @@
             rollouts=cluster.rollouts,
             starting=lambda: log_reserve.active,
             on_item_started=self._metrics.item_started,
+            on_attempt_raised=self._metrics.attempt_raised,
         )
 
     def _published(self, log: LogAccess, cluster: ClusterState) -> PublishedRecords:
--- a/src/stagewalk/gateway/batch_services.py
+++ b/src/stagewalk/gateway/batch_services.py
@@ -61,6 +61,7 @@
         rollouts: VersionRollouts,
         starting: Callable[[], bool],
         on_item_started: Callable[[float], None],
+        on_attempt_raised: Callable[[], None],
     ) -> None:
         limits, policy = settings().log_limits, settings().policy
         self._routes = access.routes
@@ -80,6 +81,7 @@
             prompt_of=dialect.prompt,
             batch_end_seconds=lambda: settings().timing.batch_end,
             on_item_started=on_item_started,
+            on_attempt_raised=on_attempt_raised,
         )
         self._ledger_handler = LedgerCallHandler(
             self.store,
--- a/src/stagewalk/gateway/batches/item_scores.py
+++ b/src/stagewalk/gateway/batches/item_scores.py
@@ -99,6 +99,13 @@
                 instructions.append(run.fail(item))
         return [*instructions, *self.due(now)]
 
+    def raised(self, attempt: int) -> list[SchedulerInstruction]:
+        """Fail the item whose score call ended with an exception of this process."""
+        result, stops = self._calls.raised(attempt)
+        run = None if result is None else self._runs.get(result.batch)
+        item = None if run is None or result is None else run.items.get(result.item)
+        return [*stops] if run is None or item is None else [*stops, run.fail(item)]
+
     def publish_overdue(self, now: float) -> list[RecordItem]:
         """Publish complete texts that have waited too long for their score."""
         if not self.pending:
--- a/src/stagewalk/gateway/batches/messages.py
+++ b/src/stagewalk/gateway/batches/messages.py
@@ -44,12 +44,30 @@
     failure: AttemptFailure
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptRaised:
+    """An attempt at an item or a score call ended with an exception of this process.
+
+    It would end in the same way at any worker and on any node, so it is not retried.
+    """
+
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed, or another change may allow items to start."""
 
 
-SchedulerEvent = AttemptHead | AttemptEvent | AttemptEnded | ItemAttemptFailed | ScoreEvent | Tick
+SchedulerEvent = (
+    AttemptHead
+    | AttemptEvent
+    | AttemptEnded
+    | ItemAttemptFailed
+    | AttemptRaised
+    | ScoreEvent
+    | Tick
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/stagewalk/gateway/batches/scheduler.py
+++ b/src/stagewalk/gateway/batches/scheduler.py
@@ -29,6 +29,7 @@
     AttemptEnded,
     AttemptEvent,
     AttemptHead,
+    AttemptRaised,
     ItemAttemptFailed,
     SchedulerEvent,
     SchedulerInstruction,
@@ -234,11 +235,20 @@
                 return self._events.ended(event, now)
             case ItemAttemptFailed():
                 return self._events.failed(event, now)
+            case AttemptRaised():
+                return self._raised(event)
             case ScoreAnswered() | ScoreAttemptFailed():
                 return self._scores.handle(event, now)
             case Tick():
                 return self._tick(now)
 
+    def _raised(self, event: AttemptRaised) -> list[SchedulerInstruction]:
+        """Fail the item of an attempt, or of a score call, that ended with an exception."""
+        ended = self._attempts.end(event.attempt)
+        if ended is not None:
+            return [ended.run.fail(ended.item)]
+        return self._scores.raised(event.attempt)
+
     def _tick(self, now: float) -> list[SchedulerInstruction]:
         """Handle what depends on time: timeouts, giving up, progress, moves, starts and scores."""
         instructions = self._moves.abandon_silent(now)
--- a/src/stagewalk/gateway/metrics.py
+++ b/src/stagewalk/gateway/metrics.py
@@ -78,6 +78,11 @@
             ["reason"],
             registry=self._registry,
         )
+        self._raised = Counter(
+            "stagewalk_attempts_raised",
+            "Attempts at items and score calls that ended with an exception of this process.",
+            registry=self._registry,
+        )
         self._admission_waits = Histogram(
             "stagewalk_admission_wait_seconds",
             "How long admitted requests waited for a place, 0 if they got one at once.",
@@ -97,6 +102,10 @@
             registry=self._registry,
         )
 
+    def attempt_raised(self) -> None:
+        """Count an attempt at an item or a score call that ended with an exception."""
+        self._raised.inc()
+
     def log_called(self, operation: str, outcome: str, seconds: float) -> None:
         """Record the duration of a log call."""
         self._log_calls.labels(operation, outcome).observe(seconds)
--- a/src/stagewalk/gateway/runners/runner_service.py
+++ b/src/stagewalk/gateway/runners/runner_service.py
@@ -62,6 +62,8 @@
         Returns how long after a batch's end was acknowledged its items may still reach workers.
     on_item_started
         Called with the age of the view from which an item was started, in seconds.
+    on_attempt_raised
+        Called for each attempt that ended with an exception of this process.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         prompt_of: PromptReader,
         batch_end_seconds: Callable[[], float],
         on_item_started: Callable[[float], None],
+        on_attempt_raised: Callable[[], None],
     ) -> None:
         views = BatchViews(store, batch_end_seconds)
         limits = ShareLimits()
@@ -101,6 +104,7 @@
                 _build_sends(access, views),
                 on_item_started,
                 on_opened=self._batch_opened,
+                on_raised=on_attempt_raised,
             ),
             rollouts=rollouts,
             views=views,
--- a/src/stagewalk/gateway/runners/scheduler_loop.py
+++ b/src/stagewalk/gateway/runners/scheduler_loop.py
@@ -46,6 +46,8 @@
         Called with the age of the view from which an item was started, in seconds.
     on_opened
         Called before items of a batch that was opened are started.
+    on_raised
+        Called for each attempt that ended with an exception of this process.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         on_item_started: Callable[[float], None] = lambda _view_age: None,
         *,
         on_opened: Callable[[], None] = lambda: None,
+        on_raised: Callable[[], None] = lambda: None,
     ) -> None:
         self._scheduler = scheduler
         self._store = store
@@ -65,7 +68,7 @@
         self._on_opened = on_opened
         self._items = ItemSender(sends, self.handle)
         self._scores = ScoreSender(sends)
-        self._attempts = AttemptTasks(self.handle)
+        self._attempts = AttemptTasks(self.handle, on_raised)
         self._batch_opened = anyio.Event()
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -97,7 +100,7 @@
                     self._record(instruction)
                 case SendScore():
                     attempt = partial(self._scores.attempt, instruction)
-                    self._attempts.begin(instruction.attempt, attempt)
+                    self._attempts.begin(instruction.attempt, instruction.call.call, attempt)
                 case StopScore():
                     self._attempts.cancel(instruction.attempt)
 
@@ -112,7 +115,8 @@
             self._views.log_changes(self._scheduler.batches, steady_seconds())
 
     def _start_item(self, start: StartItem) -> None:
-        self._attempts.begin(start.attempt, partial(self._items.attempt, start))
+        attempt = partial(self._items.attempt, start)
+        self._attempts.begin(start.attempt, start.item.item, attempt)
         view_age = self._views.age(start.batch, steady_seconds())
         self._on_item_started(view_age)
         log_event(
--- a/src/stagewalk/gateway/scoring/core.py
+++ b/src/stagewalk/gateway/scoring/core.py
@@ -223,6 +223,14 @@
             attempt.worker.record_failure(now)
         self._delay_retry(pending, now)
 
+    def raised(self, attempt: int) -> tuple[ScoreResult | None, list[StopScore]]:
+        """Give up a call whose attempt ended with an exception of this process."""
+        pending = self._attempts.pop(attempt, None)
+        if pending is None:
+            return None, []
+        pending.in_flight.pop(attempt).worker.record_ended()
+        return self._finish(pending, ScoreOutcome.FAILED, "", "an attempt raised an exception")
+
     def _finish(
         self, pending: _PendingCall, outcome: ScoreOutcome, score: str, reason: str
     ) -> tuple[ScoreResult, list[StopScore]]:
--- a/tests/gateway/memory_workers.py
+++ b/tests/gateway/memory_workers.py
@@ -114,6 +114,8 @@
         """Workers that crashed, in order."""
         self.silent_crashes = False
         """Whether connections of a crashed worker time out instead of being closed."""
+        self.raising: set[str] = set()
+        """Requests whose attempts raise an exception, as a fault of the adapter would."""
         self.stream_script: list[AttemptFault | int | None] = []
         """Outcomes of the next attempts of streams, in order, whichever worker gets them: a fault
         after the first event, an answer with a status, or None for the worker's own behaviour."""
@@ -136,6 +138,7 @@
         self, permit: SendPermit, request: OutboundRequest
     ) -> Result[WorkerAnswer, AttemptFailure]:
         """Answer with the worker's name and the body."""
+        self._raise_if_scripted(request)
         target = permit.target
         worker = self.workers[target.worker]
         if worker.ended.is_set():
@@ -171,6 +174,7 @@
         self, permit: SendPermit, request: OutboundRequest, deliver: StreamSink
     ) -> Result[StreamEnd, AttemptFailure]:
         """Generate an item's events; a scripted fault occurs after the first one."""
+        self._raise_if_scripted(request)
         worker = self.workers[permit.target.worker]
         if worker.ended.is_set():
             return Error(_CONNECTION_REFUSED)
@@ -201,6 +205,10 @@
                 return Error(AttemptFailure(fault, "scripted", worker.load))
         return Ok(StreamEnd(HTTP_OK))
 
+    def _raise_if_scripted(self, request: OutboundRequest) -> None:
+        if request.request_id in self.raising:
+            raise UnicodeEncodeError("ascii", request.request_id, 0, 1, "scripted")
+
     async def _work(self, name: str, request: OutboundRequest, seconds: float) -> None:
         """Work for a time, or until the worker crashes, which the request may cause."""
         worker = self.workers[name]
