Fuzz: random input to a real gateway process, and unsendable batches in the soak

The process has to live, to refuse or serve each input as it is, and to serve other requests whole beside it: bytes that are no request, forwarded requests with random methods, paths, header values and bodies, half-closed connections, batches with random items and score calls, bodies that are no batch. Each soak also submits batches that can't be sent, to any gateway.

The stand-in workers read header values as Latin-1 now, as HTTP servers do; they failed on values that aren't UTF-8.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(VENV)/bin
 PROTO := $(wildcard src/stagewalk/node/wire/proto/stagewalk/node/wire/*.proto)
 
-.PHONY: setup demo test check soak gateway-soak proto format clean platform-size platform-day
+.PHONY: setup demo test check soak gateway-soak fuzz proto format clean platform-size platform-day
 
 setup: $(VENV)/.installed
 
@@ -25,11 +25,15 @@
 	$(BIN)/stagewalk sim sweep --deployment=both --seeds=200 --duration_seconds=600 --faults=storm
 
 # Real gateway processes under random faults:
-# make gateway-soak [KIND=ended] [SOAK_SECONDS=60] [SEEDS=1,2] [GATEWAYS=10] [JOBS=1]
+# make gateway-soak [KIND=stops] [SOAK_SECONDS=60] [SEEDS=1,2] [GATEWAYS=10] [JOBS=1]
 gateway-soak: setup
 	PYTHONPATH=src:platform:. $(BIN)/python -m tests.soak --kind=$(or $(KIND),all) \
 	  --gateways=$(or $(GATEWAYS),0) --jobs=$(or $(JOBS),1) --seconds=$(or $(SOAK_SECONDS),60) --seeds=$(or $(SEEDS),)
 
+# Random input to a real gateway process: make fuzz [SECONDS=600]
+fuzz: setup
+	FUZZ_SECONDS=$(or $(SECONDS),600) PYTHONPATH=src:platform:. $(BIN)/python -m tests.runner --folders=fuzz
+
 format: setup
 	$(BIN)/ruff format . && $(BIN)/ruff check --fix .
 
--- a/tests/soak/asgi.py
+++ b/tests/soak/asgi.py
@@ -68,7 +68,7 @@
         body += message.get("body", b"")
         if not message.get("more_body", False):
             break
-    headers = {name.decode().lower(): value.decode() for name, value in scope["headers"]}
+    headers = {name.decode().lower(): value.decode("latin-1") for name, value in scope["headers"]}
     query = dict(parse_qsl(scope["query_string"].decode()))
     ports = scope["server"][1], scope["client"][1]
     return Call(scope["method"], scope["path"], query, headers, bytes(body), ports)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -28,6 +28,7 @@
 from tests.soak.series import FaultSeries
 from tests.soak.stops import LONG_ROUTES, LONG_SERVICES, StopScene, StopSeries
 from tests.soak.touch import SOAK, TouchRecord
+from tests.soak.unsendable import UnsendableBatches
 from tests.soak.world import HOST, World, own_address
 from tests.soak.zones import HOME_ROUTE, ZoneOperator
 
@@ -181,6 +182,7 @@
                 if operator is not None:
                     tasks.start_soon(operator.run)
                 servers.start_soon(foreign.run)
+                servers.start_soon(UnsendableBatches(world, seed).run)
                 if kind is Kind.CRASHES:
                     crashes.start(servers, tasks)
                 if stopping:
