Runners: a process whose incarnation is raised runs its batches

Cause: BatchRunner kept the text form of the process's identity from before the announcements were read. If they name a larger incarnation, as after a jump of the clock, the identity is raised; the runner then took records that name it as runner for another process's.

Change: the runner reads the identity at each use, as all other parts do (claims, places, assignments, probes, announcements, duties).

--- a/src/stagewalk/gateway/nodes/identity.py
+++ b/src/stagewalk/gateway/nodes/identity.py
@@ -14,7 +14,9 @@
 class ProcessId:
     """A node's name, and a number that grows with each start of its process.
 
-    `incarnation` may be raised until the node has first announced itself.
+    `incarnation` may be raised until the node has first announced itself: after a jump of the
+    machine's clock, an earlier process may have had a larger one. So no part keeps a copy, or the
+    text form, from before that.
     """
 
     node: str
--- a/src/stagewalk/gateway/runners/batch_runner.py
+++ b/src/stagewalk/gateway/runners/batch_runner.py
@@ -44,7 +44,7 @@
         views: BatchViews,
         places: BatchIndex,
     ) -> None:
-        self._process = str(identity)
+        self._identity = identity
         self._store = store
         self._scheduler = scheduler
         self._loop = loop
@@ -54,6 +54,11 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._stopping = False
 
+    @property
+    def _process(self) -> str:
+        """Return this process as records name it; its incarnation may be raised after the start."""
+        return str(self._identity)
+
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Run batches in a task group from now on."""
         self._tasks = tasks
