--- a/src/stagewalk/gateway/entry/app.py
+++ b/src/stagewalk/gateway/entry/app.py
@@ -21,7 +21,10 @@
 from stagewalk.gateway.entry.caller_authentication import Caller, CallerAuthenticator
 from stagewalk.gateway.entry.directory_calls import DirectoryEndpoint
 from stagewalk.gateway.entry.exchange import OpaqueExchange
-from stagewalk.gateway.entry.forwarded_calls import ForwardingEndpoints
+from stagewalk.gateway.entry.forwarded_calls import (
+    STOPPING_RETRY_AFTER_SECONDS,
+    ForwardingEndpoints,
+)
 from stagewalk.gateway.entry.quarantine_calls import QuarantineEndpoints
 from stagewalk.gateway.entry.replies import reply_empty, reply_error
 from stagewalk.gateway.held_memory.bodies import BodyReservation
@@ -201,6 +204,5 @@
     if exchange.received_whole:
         await reply_error(exchange, 504, "the node stops, and the outcome is unknown")
     else:
-        await reply_error(
-            exchange, 503, "the node stops, and the request did not arrive", retry_after_seconds=0.0
-        )
+        detail = "the node stops, and the request has not arrived whole"
+        await reply_error(exchange, 503, detail, STOPPING_RETRY_AFTER_SECONDS)
