--- a/tests/gateway/test_stop_serving.py
+++ b/tests/gateway/test_stop_serving.py
@@ -16,6 +16,7 @@
 
 from stagewalk.common.steady_clock import steady_seconds
 from stagewalk.gateway.settings import Timing
+from stagewalk.gateway.stop_schedule import UNAWARE_SECONDS
 from tests.gateway.support import HOST, ROUTES, Running, Site, run, until
 
 GRACE_SECONDS = 8.0
@@ -124,6 +125,33 @@
 
         run(scenario)
 
+    def test_usual_requests_are_served_while_callers_cannot_know_of_the_stop(self) -> None:
+        """Refused at once, they would cost each caller a try although they end in time."""
+
+        async def scenario(site: Site) -> None:
+            drain = 2.0 * UNAWARE_SECONDS
+            with mock.patch("stagewalk.gateway.daemon.DRAIN_DELAY_SECONDS", drain):
+                node = await start(site)
+                paths = ("/stream/x", "/once/x", "/ask/x")
+
+                async def statuses(name: str) -> list[int]:
+                    answers = [
+                        await site.call(node, "POST", path, stagewalk_request_id=f"{name}{path}")
+                        for path in paths
+                    ]
+                    return [answer.status_code for answer in answers]
+
+                self.assertEqual([200] * 3, await statuses("before"))
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(node.gateway.stop)
+                    await anyio.sleep(0.1)
+                    self.assertEqual([200] * 3, await statuses("unaware"))
+                    await anyio.sleep(UNAWARE_SECONDS)
+                    self.assertEqual([503] * 3, await statuses("aware"))
+                    await node.ended.wait()
+
+        run(scenario)
+
     def test_a_request_whose_deadline_ends_within_the_grace_is_served(self) -> None:
         async def scenario(site: Site) -> None:
             with mock.patch("stagewalk.gateway.daemon.DRAIN_DELAY_SECONDS", 1.0):
