--- a/src/stagewalk/gateway/admission/service_admission.py
+++ b/src/stagewalk/gateway/admission/service_admission.py
@@ -12,10 +12,8 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from heapq import heappop, heappush
 from itertools import count
 
@@ -38,6 +36,7 @@
 from stagewalk.gateway.admission.recent_values import RecentCount, SpanMaximum
 from stagewalk.gateway.admission.return_times import ReturnTimes
 from stagewalk.gateway.admission.tenant_rates import TenantRates
+from stagewalk.gateway.admission.worker_summary import WorkerSummary
 from stagewalk.gateway.eligibility.retry_after import DEFAULT_RETRY_AFTER_SECONDS
 from stagewalk.gateway.workers.worker import Worker
 
@@ -72,16 +71,9 @@
 its route, and as a retry otherwise, since callers retry with the time that is left. Where callers
 use different timeouts, requests with short ones are treated as retries."""
 
-LOAD_REPORT_VALID_SECONDS = 0.5
-"""How long a load report is taken as proof that a worker has spare capacity."""
-
 RESIDUAL_INTERVAL_SHARE = 0.5
 """Expected time to the next start when a request arrives, as a share of the start interval."""
 
-SPARE_OCCUPANCY = 0.5
-"""A worker with fewer requests per slot than this gets another one regardless of the limit, so that
-a limit that is too low doesn't leave workers idle."""
-
 RECHECK_SECONDS = 0.1
 """Queued requests are rechecked at this interval, since all workers may be lost meanwhile."""
 
@@ -91,18 +83,6 @@
 MINIMUM_RECHECK_SECONDS = 0.002
 """Minimum time between two rechecks of a request; avoids a busy loop."""
 
-WORKER_SUMMARY_VALID_SECONDS = 0.02
-"""How long a summary of the service's workers is reused."""
-
-
-@dataclass(slots=True)
-class _WorkerSummary:
-    """Summary of the workers at one time; `spare` requests may start beyond the limit."""
-
-    at: float = -math.inf
-    workers: int = 0
-    spare: int = 0
-
 
 class ServiceAdmission:
     """Concurrency limit and queue of one service.
@@ -114,11 +94,10 @@
     """
 
     def __init__(self, workers: Callable[[], Sequence[Worker]], rng: random.Random) -> None:
-        self._workers = workers
         self._limit = ConcurrencyLimit()
         self._queue = FairQueue()
         self._return_times = ReturnTimes(rng)
-        self._worker_summary = _WorkerSummary()
+        self._workers = WorkerSummary(workers, self._limit)
         self._in_flight = 0
         self._starts: dict[tuple[int, bool], RecentCount] = {}
         """Recent starts, by urgency and whether they are retries."""
@@ -151,7 +130,7 @@
         """Start, queue or reject a request that arrives now."""
         retried = self._is_retry(request, now)
         waiting = QueueEntry(request, self._cost(request), retried)
-        if self._current_summary(now).workers > 0 and not self._queue:
+        if self._workers.any(now) and not self._queue:
             self._committed.clear()
             self._limit.reset_if_uncongested(now)
             if self._has_place(now):
@@ -259,22 +238,8 @@
         return allowed < NEW_REQUEST_TIMEOUT_SHARE * longest.value
 
     def _has_place(self, now: float) -> bool:
-        summary = self._current_summary(now)
-        if self._limit.has_place(self._in_flight, now):
-            return True
-        if summary.spare > 0:
-            summary.spare -= 1
-            return True
-        return False
-
-    def _current_summary(self, now: float) -> _WorkerSummary:
-        summary = self._worker_summary
-        if now - summary.at >= WORKER_SUMMARY_VALID_SECONDS:
-            workers = self._workers()
-            summary.at, summary.workers = now, len(workers)
-            summary.spare = sum(_spare_places(worker, now) for worker in workers)
-            self._limit.set_slots(sum(worker.announcement.slots for worker in workers))
-        return summary
+        self._workers.update(now)
+        return self._limit.has_place(self._in_flight, now) or self._workers.take_spare_place()
 
     def _estimate_wait(
         self, waiting: QueueEntry, now: float, *, already_queued: bool = False
@@ -299,7 +264,7 @@
         self, request: AdmissionRequest, now: float
     ) -> RejectionReason | None:
         """Return a reason to reject a request even if it is committed, None if there is none."""
-        if self._current_summary(now).workers == 0:
+        if not self._workers.any(now):
             return RejectionReason.NO_WORKER
         if self._stopping:
             return RejectionReason.STOPPING
@@ -327,7 +292,7 @@
         self, request: AdmissionRequest, wait_estimate: WaitEstimate, now: float
     ) -> float:
         excess_wait = wait_estimate.wait_seconds - max(0.0, wait_estimate.allowed_seconds)
-        if self._current_summary(now).workers == 0:
+        if not self._workers.any(now):
             excess_wait = max(excess_wait, DEFAULT_RETRY_AFTER_SECONDS)
         return self._return_times.choose(
             request.urgency,
@@ -359,7 +324,7 @@
         return max(MINIMUM_AVAILABLE_SHARE * left, left - others)
 
     def _seconds_per_start(self, request: AdmissionRequest, now: float) -> float:
-        self._current_summary(now)
+        self._workers.update(now)
         return self._limit.seconds_per_start(DEFAULT_HOLDING_SHARE * request.target_seconds)
 
     def _holding(self, request: AdmissionRequest) -> float:
@@ -397,11 +362,3 @@
 def final_decision_at(request: AdmissionRequest) -> float:
     """Return when a queued request is either rejected or committed."""
     return request.arrived_at + FINAL_DECISION_SHARE * request.target_seconds
-
-
-def _spare_places(worker: Worker, now: float) -> int:
-    """Return how many more requests a worker can take, by a recent load report."""
-    if worker.load is None or now - worker.load_at > LOAD_REPORT_VALID_SECONDS:
-        return 0
-    slots = max(1, worker.announcement.slots)
-    return max(0, math.ceil((SPARE_OCCUPANCY - worker.occupancy(now)) * slots))
