Admission: a committed request that full workers refuse is queued again

Cause: a request that has waited for a tenth of its target is committed, and was promised its turn, but nothing kept the promise after its start.

Change: a committed request that workers refuse is queued again and starts beyond the limit after 10 ms, twice as long after each further refusal, at most 100 ms. One whose deadline allows no further wait starts beyond the limit. The forwarder waits again with it and may try all workers; refused attempts have not run, so they don't count against the route's attempts. A request that was not committed is refused at once, as before. New log event: request_requeued, which explain shows.

Through a complete gateway, a request that waited got 503 from refusing workers before, and 200 now (test_over_connections, seen to fail). The play of nodes in tests queues refused requests again as the forwarder does.

--- a/src/stagewalk/gateway/admission/fair_queue.py
+++ b/src/stagewalk/gateway/admission/fair_queue.py
@@ -85,6 +85,11 @@
         Whether its caller appears to have been rejected before.
     committed
         Whether it passed the final check of its expected wait, and so stays queued until it starts.
+    start_beyond_limit_at
+        When it starts whatever the limit, once it is committed (steady time).
+    retry_seconds
+        After how long it last started beyond the limit when full workers had refused it; 0 if none
+        has.
     started
         Whether it has been started.
     """
@@ -93,6 +98,8 @@
     cost: float
     retried: bool
     committed: bool = False
+    start_beyond_limit_at: float = math.inf
+    retry_seconds: float = 0.0
     started: bool = False
 
 
@@ -291,8 +298,14 @@
         overdue = self._pop_overdue() if self._starts % STARTS_PER_OVERDUE == 0 else None
         return overdue or self._classes[self._most_urgent()].pop()
 
+    def take(self, waiting: QueueEntry) -> bool:
+        """Remove a request that starts out of order; return whether it was there."""
+        taken = self._subqueue(waiting).start(waiting)
+        self._size -= taken
+        return taken
+
     def remove(self, waiting: QueueEntry) -> bool:
-        """Remove a request; return whether it was there."""
+        """Remove a request that won't start; return whether it was there."""
         removed = self._subqueue(waiting).remove(waiting)
         self._size -= removed
         return removed
--- a/src/stagewalk/gateway/admission/service_admission.py
+++ b/src/stagewalk/gateway/admission/service_admission.py
@@ -3,7 +3,8 @@
 A request is queued only while it can still be answered within its target. This is checked on
 arrival, and once more within an eighth of the target, so that a rejected caller has time to retry
 or go elsewhere. A request that passes the second check is committed: it stays queued until it
-starts, even if workers are lost.
+starts, even if workers are lost. It is queued again if full workers refuse it, and starts beyond
+the limit when it can't wait any longer.
 
 The limit on requests in flight is in `admission.limit`, the order of the queue in
 `admission.fair_queue`, and the delay before a retry in `admission.return_times`. Times are in
@@ -14,9 +15,8 @@
 
 import random
 from collections.abc import Callable, Sequence
-from heapq import heappop, heappush
-from itertools import count
 
+from stagewalk.gateway.admission.committed_requests import CommittedRequests
 from stagewalk.gateway.admission.decisions import (
     Admitted,
     Decision,
@@ -60,6 +60,11 @@
 DEFAULT_HOLDING_SHARE = 0.5
 """Assumed time in flight, as a share of the target, before any request has ended."""
 
+MINIMUM_REFUSED_RETRY_SECONDS = 0.01
+MAXIMUM_REFUSED_RETRY_SECONDS = 0.1
+"""Bounds of the time after which a committed request that full workers refused starts beyond the
+limit. It doubles with each refusal, so that workers that stay full are not flooded."""
+
 MAXIMUM_QUEUE_LENGTH = 1024
 """Maximum requests in the queue of a service; bounds memory and tasks."""
 
@@ -106,9 +111,7 @@
         """By route, the longest recent timeout of a request on arrival."""
         self._route_seconds: dict[str, float] = {}
         """By route, the smoothed time that its requests are in flight."""
-        self._committed: list[tuple[float, int, QueueEntry]] = []
-        """Heap of committed requests by their latest start time."""
-        self._sequence = count()
+        self._committed = CommittedRequests()
         self._stopping = False
 
     @property
@@ -138,7 +141,7 @@
                 self._start(waiting, now)
                 return Admitted(request)
         wait_estimate = self._estimate_wait(waiting, now)
-        reason = self._final_rejection_reason(request, now) or self._queue_rejection_reason(
+        reason = self._final_rejection_reason(waiting, now) or self._queue_rejection_reason(
             wait_estimate, now
         )
         if reason is not None:
@@ -149,7 +152,7 @@
     def recheck(self, waiting: QueueEntry, now: float) -> Rejection | None:
         """Check a queued request again; remove it from the queue if it is rejected."""
         request = waiting.request
-        reason = self._final_rejection_reason(request, now)
+        reason = self._final_rejection_reason(waiting, now)
         if waiting.committed and reason is None:
             return None
         wait_estimate = self._estimate_wait(waiting, now, already_queued=True)
@@ -159,20 +162,55 @@
             return self._reject(request, reason, wait_estimate, now)
         if now >= final_decision_at(request):
             waiting.committed = True
-            latest = now + wait_estimate.allowed_seconds
-            heappush(self._committed, (latest, next(self._sequence), waiting))
+            self._committed.add(
+                waiting,
+                start_for_target_by=now + wait_estimate.allowed_seconds,
+                start_beyond_limit_at=self._latest_start_for_deadline(request),
+            )
         return None
 
     def start_due(self, now: float) -> list[QueueEntry]:
-        """Start as many queued requests as the limit allows; return them in order."""
+        """Start as many queued requests as the limit allows; return them in order.
+
+        Committed requests that can't wait any longer start beyond the limit.
+        """
         started: list[QueueEntry] = []
+        if self._queue and self._workers.any(now):
+            beyond_limit = self._committed.take_beyond_limit(now)
+            started = [waiting for waiting in beyond_limit if self._queue.take(waiting)]
+        for waiting in started:
+            self._start(waiting, now)
         while self._queue and self._has_place(now):
-            self._mark_overdue(now)
+            for waiting in self._committed.take_overdue(now):
+                self._queue.add_overdue(waiting)
             waiting = self._queue.pop()
             self._start(waiting, now)
             started.append(waiting)
         return started
 
+    def requeue(self, waiting: QueueEntry, now: float) -> bool:
+        """Queue a committed request again after full workers refused it.
+
+        Returns
+        -------
+        bool
+            False if it stays in flight and has to be rejected: it isn't committed, or its time is
+            over.
+        """
+        if not waiting.committed or self._final_rejection_reason(waiting, now) is not None:
+            return False
+        self.release()
+        waiting.started = False
+        self._queue.push(waiting, now)
+        doubled = max(MINIMUM_REFUSED_RETRY_SECONDS, 2.0 * waiting.retry_seconds)
+        waiting.retry_seconds = min(MAXIMUM_REFUSED_RETRY_SECONDS, doubled)
+        self._committed.add(
+            waiting,
+            start_for_target_by=now,
+            start_beyond_limit_at=now + waiting.retry_seconds,
+        )
+        return True
+
     def withdraw(self, waiting: QueueEntry) -> None:
         """Remove a request whose caller disconnected, whether it is queued or in flight."""
         if waiting.started:
@@ -205,9 +243,10 @@
         it, its deadline, and the next paced start while the limit is below one.
         """
         request = waiting.request
-        next_at = self._latest_start_for_deadline(request)
-        if not waiting.committed:
-            next_at = min(next_at, final_decision_at(request))
+        if waiting.committed:
+            next_at = waiting.start_beyond_limit_at
+        else:
+            next_at = min(self._latest_start_for_deadline(request), final_decision_at(request))
         paced = self._limit.next_start_at
         if paced > now:
             next_at = min(next_at, paced)
@@ -260,15 +299,17 @@
             limit=self._limit.value,
         )
 
-    def _final_rejection_reason(
-        self, request: AdmissionRequest, now: float
-    ) -> RejectionReason | None:
+    def _final_rejection_reason(self, waiting: QueueEntry, now: float) -> RejectionReason | None:
         """Return a reason to reject a request even if it is committed, None if there is none."""
         if not self._workers.any(now):
             return RejectionReason.NO_WORKER
         if self._stopping:
             return RejectionReason.STOPPING
-        return RejectionReason.TOO_LATE if now > self._latest_start_for_deadline(request) else None
+        latest = self._latest_start_for_deadline(waiting.request)
+        if waiting.committed:
+            # The reserve allows for its start beyond the limit.
+            latest += START_DEADLINE_RESERVE_SECONDS
+        return RejectionReason.TOO_LATE if now > latest else None
 
     def _queue_rejection_reason(
         self, wait_estimate: WaitEstimate, now: float
@@ -352,12 +393,6 @@
         """Return the latest start at which a request can be answered before its deadline."""
         return request.deadline_at - START_DEADLINE_RESERVE_SECONDS - self._holding(request)
 
-    def _mark_overdue(self, now: float) -> None:
-        while self._committed and self._committed[0][0] <= now:
-            waiting = heappop(self._committed)[2]
-            if not waiting.started:
-                self._queue.add_overdue(waiting)
-
 
 def final_decision_at(request: AdmissionRequest) -> float:
     """Return when a queued request is either rejected or committed."""
--- a/src/stagewalk/gateway/explain/waits.py
+++ b/src/stagewalk/gateway/explain/waits.py
@@ -1,6 +1,7 @@
 """Describes why a request was queued or rejected by the admission control of its service. Pure.
 
-Reads the fields of the events `request_queued`, `request_rejected` and `request_ended`.
+Reads the fields of the events `request_queued`, `request_requeued`, `request_rejected` and
+`request_ended`.
 """
 
 from __future__ import annotations
@@ -23,6 +24,9 @@
     for line in lines:
         if line.event == "request_queued":
             sentences.append(f"queued at {line.get('service')}: {_queue_info(line)}")
+        elif line.event == "request_requeued":
+            waited = line.get("waited_seconds")
+            sentences.append(f"refused by full workers after {waited} s and queued again")
         elif line.event == "request_rejected":
             reason = _REASONS.get(line.get("reason"), line.get("reason"))
             sentences.append(
--- a/src/stagewalk/gateway/forwarding/admission_gate.py
+++ b/src/stagewalk/gateway/forwarding/admission_gate.py
@@ -71,6 +71,8 @@
     service: _Service
     route: str
     since: float
+    queued: QueueEntry | None = None
+    """Its entry in the queue; None if it was admitted on arrival."""
 
     def release(self, *, ran: bool) -> None:
         """Release the place, and wake the requests that may start now.
@@ -155,13 +157,40 @@
         if isinstance(decision, Rejection):
             self._log_rejection(service, request, decision, now)
             return decision
+        queued: QueueEntry | None = None
         if not isinstance(decision, Admitted):
-            rejection = await self._wait(service, decision.waiting, decision.wait_estimate)
+            queued = decision.waiting
+            _log_queued(service, request, decision.wait_estimate)
+            rejection = await self._wait(service, queued)
             if rejection is not None:
                 return rejection
         began = steady_seconds()
         self._listener.request_admitted(began - now)
-        return AdmittedPlace(service, request.route, began)
+        return AdmittedPlace(service, request.route, began, queued)
+
+    async def reenter(self, place: AdmittedPlace) -> AdmittedPlace | Rejection | None:
+        """Wait again with a request that full workers refused, if it is committed.
+
+        Returns
+        -------
+        AdmittedPlace, Rejection or None
+            None if it is not committed, or its time is over: it keeps its place. Otherwise the
+            place is given up, as it is if the call is cancelled.
+        """
+        service, queued = place.service, place.queued
+        if queued is None or not service.core.requeue(queued, steady_seconds()):
+            return None
+        log_event(
+            "request_requeued",
+            request=queued.request.request_id,
+            service=service.name,
+            retry_seconds=queued.retry_seconds,
+            waited_seconds=steady_seconds() - queued.request.arrived_at,
+        )
+        rejection = await self._wait(service, queued)
+        if rejection is not None:
+            return rejection
+        return AdmittedPlace(service, place.route, steady_seconds(), queued)
 
     def record_outcome(self, name: str, outcome: AttemptOutcome) -> None:
         """Update a service's concurrency limit with the outcome of an attempt."""
@@ -216,12 +245,9 @@
             core.stop()
         return _Service(name, core, steady_seconds())
 
-    async def _wait(
-        self, service: _Service, waiting: QueueEntry, expected: WaitEstimate
-    ) -> Rejection | None:
+    async def _wait(self, service: _Service, waiting: QueueEntry) -> Rejection | None:
         """Wait until a queued request starts or is rejected."""
         request, core = waiting.request, service.core
-        _log_queued(service, request, expected)
         woken = service.woken[waiting] = anyio.Event()
         try:
             while True:
--- a/src/stagewalk/gateway/forwarding/attempts.py
+++ b/src/stagewalk/gateway/forwarding/attempts.py
@@ -117,13 +117,20 @@
         self._prefer_warm = prefer_warm
 
     async def next_worker(self, forwarding: Forwarding) -> Worker | None:
-        """Return the worker for the next attempt, None if there must be no further attempt."""
+        """Return the worker for the next attempt, None if there must be no further attempt.
+
+        Waits again with a request that was admitted, but refused by all workers it was sent to.
+        """
         state = forwarding.state
-        state.content_denial = await self._crashes.denial(forwarding.request.content)
-        if state.content_denial is not None or not await self._admit(forwarding):
-            return None
-        worker = self.choose(forwarding)
-        return worker if state.may_retry(steady_seconds()) else None
+        while True:
+            state.content_denial = await self._crashes.denial(forwarding.request.content)
+            if state.content_denial is not None or not await self._admit(forwarding):
+                return None
+            worker = self.choose(forwarding)
+            if worker is not None and state.may_retry(steady_seconds()):
+                return worker
+            if not await self._readmit(forwarding):
+                return None
 
     def choose(self, forwarding: Forwarding) -> Worker | None:
         """Return the best eligible worker that has not been tried yet, None if there is none."""
@@ -138,7 +145,7 @@
             found.workers,
             now,
             self._eligibility.proximity,
-            state.tried,
+            state.excluded,
             prefer_warm=repeatable and self._prefer_warm,
             rng=self._eligibility.rng,
         )
@@ -171,6 +178,23 @@
         forwarding.admitted = True
         return True
 
+    async def _readmit(self, forwarding: Forwarding) -> bool:
+        """Wait for admission again after refusals; return whether the request may be sent again."""
+        state, place = forwarding.state, forwarding.place
+        if place is None or not state.only_refused:
+            return False
+        began = steady_seconds()
+        forwarding.place = None
+        entered = await self._gate.reenter(place)
+        forwarding.waited_seconds += steady_seconds() - began
+        if isinstance(entered, Rejection):
+            state.admission_retry_seconds = entered.retry_after_seconds
+            return False
+        forwarding.place = entered or place
+        if entered is not None:
+            state.requeued()
+        return entered is not None
+
     @staticmethod
     def start(state: ForwardedRequest, worker: Worker) -> None:
         """Record the start of an attempt at a worker."""
--- a/src/stagewalk/gateway/forwarding/policy.py
+++ b/src/stagewalk/gateway/forwarding/policy.py
@@ -102,6 +102,10 @@
     tried: list[str] = field(default_factory=list)
     evidence: list[SelectionEvidence] = field(default_factory=list)
     attempts_used: int = 0
+    refused_attempts: int = 0
+    """Attempts refused by workers since the request was last queued."""
+    excluded: list[str] = field(default_factory=list)
+    """Workers that are not chosen again: those tried since the request was last queued."""
     in_flight: int = 0
     may_have_run: bool = False
     answered_from: float | None = None
@@ -122,6 +126,7 @@
     def started(self, worker: str, evidence: SelectionEvidence) -> None:
         """Record the start of an attempt at a worker."""
         self.tried.append(worker)
+        self.excluded.append(worker)
         self.evidence.append(evidence)
         self.attempts_used += 1
         self.in_flight += 1
@@ -131,9 +136,22 @@
         self.in_flight -= 1
         if failure.fault in (AttemptFault.NOT_SENT, AttemptFault.WITHHELD):
             self.attempts_used -= 1
+        if failure.fault is AttemptFault.NOT_RUN:
+            self.refused_attempts += 1
         if not failure.fault.proves_not_run:
             self.may_have_run = True
 
+    @property
+    def only_refused(self) -> bool:
+        """Whether workers refused it and none has run it."""
+        return self.refused_attempts > 0 and not self.may_have_run and self.in_flight == 0
+
+    def requeued(self) -> None:
+        """Record that it was queued again after refusals, which then count no longer."""
+        self.attempts_used -= self.refused_attempts
+        self.refused_attempts = 0
+        self.excluded.clear()
+
     def record_run(self, began: float) -> None:
         """Record that a worker answered an attempt that started at `began`."""
         self.answered_from = began if self.answered_from is None else min(self.answered_from, began)
--- a/tests/gateway/admission/play.py
+++ b/tests/gateway/admission/play.py
@@ -81,8 +81,11 @@
         elif isinstance(decision, Rejection):
             self.refuse(call, request, decision.retry_after_seconds)
         else:
-            self.starts[decision.waiting] = lambda: self.send(call, request, self.simulation.now)
-            self.review(call, request, decision.waiting)
+            self.wait(call, request, decision.waiting)
+
+    def wait(self, call: Call, request: AdmissionRequest, waiting: QueueEntry) -> None:
+        self.starts[waiting] = lambda: self.send(call, request, self.simulation.now, waiting)
+        self.review(call, request, waiting)
 
     def review(self, call: Call, request: AdmissionRequest, waiting: QueueEntry) -> None:
         self.start_due()
@@ -101,12 +104,19 @@
         for waiting in self.admission.start_due(self.simulation.now):
             self.starts.pop(waiting)()
 
-    def send(self, call: Call, request: AdmissionRequest, since: float, tried: str = "") -> None:
+    def send(
+        self,
+        call: Call,
+        request: AdmissionRequest,
+        since: float,
+        waiting: QueueEntry | None = None,
+        tried: str = "",
+    ) -> None:
         """Send to the least loaded worker in this node's view, then to another one if refused."""
         views = [view for view in self.usable() if view.announcement.worker != tried]
         view = min(views, key=lambda view: view.occupancy(self.simulation.now), default=None)
         if view is None:
-            self.end(call, request, since, ran=False)
+            self.refused_by_all(call, request, since, waiting)
             return
         worker = self.simulation.workers_by_name[view.announcement.worker]
         view.record_sent()
@@ -119,15 +129,24 @@
             if seconds is None:
                 limit.record_refused(in_flight, now)
                 if tried:
-                    self.end(call, request, since, ran=False)
+                    self.refused_by_all(call, request, since, waiting)
                 else:
-                    self.send(call, request, since, view.announcement.worker)
+                    self.send(call, request, since, waiting, view.announcement.worker)
                 return
             limit.record_answered(seconds, worker.load.waiting / worker.slots, in_flight, now)
             self.end(call, request, since, ran=True)
 
         self.simulation.arrive(worker, answered)
 
+    def refused_by_all(
+        self, call: Call, request: AdmissionRequest, since: float, waiting: QueueEntry | None
+    ) -> None:
+        """Queue a committed request again; any other one ends without having run."""
+        if waiting is not None and self.admission.requeue(waiting, self.simulation.now):
+            self.wait(call, request, waiting)
+        else:
+            self.end(call, request, since, ran=False)
+
     def end(self, call: Call, request: AdmissionRequest, since: float, *, ran: bool) -> None:
         now = self.simulation.now
         if ran:
--- a/tests/gateway/admission/test_over_connections.py
+++ b/tests/gateway/admission/test_over_connections.py
@@ -11,6 +11,7 @@
 import anyio
 import testtools
 
+from stagewalk.gateway.admission.worker_summary import LOAD_REPORT_VALID_SECONDS
 from stagewalk.gateway.policy import Policy
 from stagewalk.gateway.routes.route import RouteKind
 from tests.gateway.support import Running, Site, route, run, until
@@ -111,6 +112,30 @@
 
         run(scenario)
 
+    def test_a_request_that_waited_is_served_though_full_workers_refuse_it(self) -> None:
+        """It was refused then, after a wait in which its caller could have retried elsewhere."""
+        statuses: list[int] = []
+
+        async def ask(site: Site, node: Running) -> None:
+            answer = await site.call(node, "POST", "/once/y", stagewalk_request_id="waits")
+            statuses.append(answer.status_code)
+
+        async def scenario(site: Site) -> None:
+            node = await start(site)
+            await anyio.sleep(LOAD_REPORT_VALID_SECONDS)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask_together, site, node, "/once/x", PLACES)
+                await until(lambda: _is(sum(site.workers.arrivals.values()) == PLACES))
+                tasks.start_soon(ask, site, node)
+                await until(lambda: _is(waiting(node) == 1))
+                for name in ("a1", "a2"):
+                    site.workers.workers[name].refusals = 2
+            self.assertEqual([200], statuses)
+            self.assertEqual(1, site.workers.arrivals["waits"])
+            self.assertEqual(0, site.workers.workers["a1"].refusals)
+
+        run(scenario)
+
     def test_a_caller_that_disconnects_leaves_the_queue(self) -> None:
         async def scenario(site: Site) -> None:
             node = await start(site)
--- a/tests/gateway/explain/test_timeline.py
+++ b/tests/gateway/explain/test_timeline.py
@@ -268,6 +268,11 @@
         self.assertIn("queued at app: 4 before it, 3 waiting of t1", text)
         self.assertIn("refused after 0.04 s, since it would have started too late", text)
 
+    def test_a_request_that_was_queued_again_is_shown_as_refused_by_full_workers(self) -> None:
+        requeued = line(1.02, "n1", "request_requeued", request="r9", waited_seconds="0.5")
+        text = "\n".join(render_story(timeline("r9", requeued, *QUEUED)))
+        self.assertIn("refused by full workers after 0.5 s and queued again", text)
+
     def test_surrounding_events_have_their_node_in_brackets(self) -> None:
         text = "\n".join(render_story(timeline("r1", *REFUSED)))
         self.assertIn("(n1)  worker_changed", text)
--- a/tests/gateway/memory_workers.py
+++ b/tests/gateway/memory_workers.py
@@ -56,6 +56,8 @@
         Faults of the next requests, in order.
     statuses
         Statuses of the next answers, in order.
+    refusals
+        Number of next buffered requests that it refuses on arrival, as a full worker does.
     """
 
     events: int = 3
@@ -64,6 +66,7 @@
     answer_seconds: float = 0.0
     faults: list[AttemptFault] = field(default_factory=list)
     statuses: list[int] = field(default_factory=list)
+    refusals: int = 0
     versions: dict[str, int] = field(default_factory=dict)
     orders: list[VersionOrder] = field(default_factory=list)
     running: int = 0
@@ -148,6 +151,10 @@
         withheld = await self._connect(permit)
         if withheld is not None:
             return Error(withheld)
+        if worker.refusals > 0:
+            worker.refusals -= 1
+            full = WorkerLoad(worker.slots, worker.slots, worker.slots, worker.pace)
+            return Error(AttemptFailure(AttemptFault.NOT_RUN, "full", full))
         self.arrivals[request.request_id] += 1
         self.tenants[request.request_id] = request.tenant
         worker.running += 1
