Batches: a batch of which nothing runs is logged, with what decides why

From the logs of a play one could tell which process had a batch, but not why none of its items was sent: no engine with the version, a view of the log that is too old, or full engines look alike, since nothing is logged when nothing happens.

Change: the runner logs batch_waits once if nothing of a batch has been at a worker for 2 s though items wait, with the number of engines that may run them, the version asked for, and whether its view allows a start.

--- a/src/stagewalk/gateway/batches/batch_run.py
+++ b/src/stagewalk/gateway/batches/batch_run.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -15,10 +16,20 @@
 
 @dataclass(slots=True)
 class BatchRun:
-    """A batch and its items that have no result in the log yet."""
+    """A batch and its items that have no result in the log yet.
+
+    Attributes
+    ----------
+    waits_since
+        Since when items wait and none is at a worker (steady clock); any earlier time if not so.
+    wait_reported
+        Whether the current wait was reported.
+    """
 
     batch: Batch
     items: dict[str, ItemRun] = field(default_factory=dict)
+    waits_since: float = math.inf
+    wait_reported: bool = False
 
     @property
     def name(self) -> str:
--- a/src/stagewalk/gateway/batches/messages.py
+++ b/src/stagewalk/gateway/batches/messages.py
@@ -104,6 +104,30 @@
     lacking_tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class BatchWaits:
+    """Items of a batch have been waiting and none of them has been at a worker for a while.
+
+    Attributes
+    ----------
+    items
+        How many wait.
+    candidates
+        Engines that may run the first of them; whether they have room is not considered.
+    may_start
+        Whether a recent enough view of the log shows the batch as open.
+    seconds
+        How long it has lasted.
+    """
+
+    batch: str
+    items: int
+    candidates: int
+    minimum_version: int
+    may_start: bool
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class StopItem:
     """Close an attempt's connection: the worker stops working on it."""
@@ -119,4 +143,6 @@
     record: ItemFinished | ItemProgress
 
 
-SchedulerInstruction = StartItem | ItemAwaitingMemory | StopItem | RecordItem | ScoreInstruction
+SchedulerInstruction = (
+    StartItem | ItemAwaitingMemory | BatchWaits | StopItem | RecordItem | ScoreInstruction
+)
--- a/src/stagewalk/gateway/batches/scheduler.py
+++ b/src/stagewalk/gateway/batches/scheduler.py
@@ -19,6 +19,7 @@
 from stagewalk.gateway.batches.attempts import RunningAttempts
 from stagewalk.gateway.batches.batch import Batch
 from stagewalk.gateway.batches.batch_run import BatchRun
+from stagewalk.gateway.batches.batch_waits import BatchWaitWatch
 from stagewalk.gateway.batches.engine_memory import EngineMemory, ServiceLookup, unknown_service
 from stagewalk.gateway.batches.item_moves import ItemMoves
 from stagewalk.gateway.batches.item_run import ItemRun
@@ -121,6 +122,7 @@
             limits=limits or UnlimitedPlaces(),
             rng=eligibility.rng,
         )
+        self._waits = BatchWaitWatch(watch, may_start)
         self._moves = ItemMoves(
             self._attempts, workers, watch, self._starter, policy=policy, may_start=may_start
         )
@@ -176,7 +178,7 @@
         """Begin to run a batch's remaining items, resuming from their `reusable_text`."""
         if batch.header.batch in self._runs:
             return []
-        run = BatchRun(batch)
+        run = BatchRun(batch, waits_since=now)
         self._runs[batch.header.batch] = run
         instructions: list[SchedulerInstruction] = []
         for name, spec in batch.items.items():
@@ -259,6 +261,7 @@
         instructions += self._starter.start_due(now)
         instructions += self._memory.take_withheld()
         instructions += self._scores.due(now)
+        instructions += self._waits.check(self._runs.values(), now)
         return instructions
 
     def _publish_progress(self, now: float) -> list[SchedulerInstruction]:
--- a/src/stagewalk/gateway/runners/scheduler_loop.py
+++ b/src/stagewalk/gateway/runners/scheduler_loop.py
@@ -16,6 +16,7 @@
 from stagewalk.common.steady_clock import steady_seconds
 from stagewalk.gateway.batch_service.batch_store import BatchStore
 from stagewalk.gateway.batches.messages import (
+    BatchWaits,
     ItemAwaitingMemory,
     RecordItem,
     SchedulerEvent,
@@ -94,6 +95,8 @@
                     self._start_item(instruction)
                 case ItemAwaitingMemory():
                     self._log_withheld(instruction)
+                case BatchWaits():
+                    self._log_wait(instruction)
                 case StopItem():
                     self._stop_item(instruction)
                 case RecordItem():
@@ -138,6 +141,19 @@
             lacking_tokens=withheld.lacking_tokens,
         )
 
+    @staticmethod
+    def _log_wait(waits: BatchWaits) -> None:
+        log_event(
+            "batch_waits",
+            "warning",
+            batch=waits.batch,
+            items=waits.items,
+            candidates=waits.candidates,
+            minimum_version=waits.minimum_version,
+            may_start=waits.may_start,
+            seconds=waits.seconds,
+        )
+
     def _stop_item(self, stop: StopItem) -> None:
         if self._attempts.cancel(stop.attempt):
             log_event("item_stopped", attempt=stop.attempt, reason=stop.reason)
