Nodes: a dead process's announcement never hides a live one

What callers saw: a gateway that had started while its clock was ahead, was killed and started again with the clock back could vanish for all others for as long as it ran: no callers were sent there, it got no batches and no role, and the batches that it ran were claimed by others, so that items ran twice. It was ready, and nothing was logged.

Cause: an incarnation is the start's time of day, raised once above the one that the first listing shows. An announcement of the earlier process that is written late, or read late, has the greater incarnation, and all others then drop the live process's announcements as outdated.

Change: directory.incarnations is the one place for the order of processes of a name. A process that reads an announcement of its name, made by another one, with an incarnation not below its own, raises its own above it, announces itself at once, logs both, and claims the batches that it runs anew; records under any of its incarnations are its own. Others accept a smaller incarnation once the known process is dead, since a process can't raise above what it never reads. Announcements have a random start, which earlier builds skip: two live processes of one name are told from a late announcement by it, and the one that started later goes on. Orders bear the first incarnation, so that a fence has one holder. gateway_started no longer logs an incarnation that may not stay; incarnation_chosen does.

--- a/src/stagewalk/gateway/assembly.py
+++ b/src/stagewalk/gateway/assembly.py
@@ -28,7 +28,7 @@
 from stagewalk.gateway.log_relay.relayed_log import RelayedLog, RelayPeers
 from stagewalk.gateway.metrics import GatewayMetrics
 from stagewalk.gateway.nodes.crash_watch import CrashWatch
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.nodes.node_service import NodeService
 from stagewalk.gateway.nodes.own_node import OwnNode
 from stagewalk.gateway.partitioned_log.measured_log import MeasuredLog
@@ -107,7 +107,7 @@
     """All parts of a gateway, built and connected, none of them running."""
 
     log: LogAccess
-    identity: ProcessId
+    identity: OwnIdentity
     cluster: ClusterState
     batches: BatchServices
     published: PublishedRecords
@@ -154,7 +154,7 @@
         self._settings = settings.current
         self._dependencies = dependencies
         self._metrics = metrics
-        self._identity = ProcessId(self._settings.name, time.time_ns() // 1_000_000)
+        self._identity = OwnIdentity(self._settings.name, time.time_ns() // 1_000_000)
         self._producer = f"{self._settings.name}-{uuid.uuid4().hex}"
         self._links = _Links()
 
--- a/src/stagewalk/gateway/batch_services.py
+++ b/src/stagewalk/gateway/batch_services.py
@@ -19,7 +19,7 @@
 from stagewalk.gateway.batches.batch import Batch
 from stagewalk.gateway.dialect import Dialect
 from stagewalk.gateway.entry.batch_calls import BatchEndpoints
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.nodes.node_service import NodeService
 from stagewalk.gateway.peer_calls.client import PeerClient
 from stagewalk.gateway.peer_calls.server import PeerHandler
@@ -52,7 +52,7 @@
         *,
         settings: Callable[[], GatewaySettings],
         log: PartitionedLog,
-        identity: ProcessId,
+        identity: OwnIdentity,
         producer: str,
         dialect: Dialect,
         peer_client: PeerClient,
--- a/src/stagewalk/gateway/daemon.py
+++ b/src/stagewalk/gateway/daemon.py
@@ -113,7 +113,11 @@
         app = self._build_app()
         async with anyio.create_task_group() as tasks:
             self._start_parts(tasks)
-            self._log("gateway_started")
+            log_event(
+                "gateway_started",
+                front=str(self.settings.front),
+                configuration=self._routes.version,
+            )
             async with anyio.create_task_group() as servers:
                 for listener in listeners:
                     self._serve(servers, app, listener, self._caller_shutdown_times)
@@ -133,6 +137,7 @@
         self._duties.start(tasks)
         tasks.start_soon(self._run_housekeeping)
         tasks.start_soon(self._end_requests)
+        tasks.start_soon(self._stop_if_superseded)
 
     async def _finish_appends(self) -> None:
         """Wait until pending records are appended, as long as the stop allows."""
@@ -342,6 +347,12 @@
         # pending appends, which continue meanwhile.
         self._exit.set()
 
+    async def _stop_if_superseded(self) -> None:
+        """Stop once another process of this node's name goes on in place of this one."""
+        await self._nodes.wait_until_superseded()
+        if not self._is_stopping():
+            await self.stop()
+
     async def _end_requests(self) -> None:
         """End requests that are still in flight when a stop's time for them is up."""
         await self._exit.wait()
--- a/src/stagewalk/gateway/directory/node_table.py
+++ b/src/stagewalk/gateway/directory/node_table.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from stagewalk.common.identities import Address, NodeName
+from stagewalk.gateway.directory.incarnations import is_outdated, supersedes
 from stagewalk.gateway.directory.renewals import (
     MAXIMUM_RENEWAL_INTERVAL_SECONDS,
     RENEWAL_INTERVAL_SECONDS,
@@ -39,16 +40,14 @@
 
     Attributes
     ----------
-    incarnation
-        Grows with each start of the process.
+    incarnation, beat, start, replaces, refutes
+        See `incarnations.Announced`.
     front
         Address callers connect to.
     peer
         Address other nodes connect to, empty if none.
     serving
         Whether callers may be sent to it: false before it is ready and once it stops.
-    beat
-        Grows with each announcement.
     ledger_replica
         Whether it follows all batches: it may run them, and answers calls about them.
     capacity
@@ -62,7 +61,7 @@
     calls_per_second
         Rate of callers' requests that it received, smoothed.
     claims
-        Claims on engines of the items that it runs; None: not announced. Must be the last field.
+        Claims on engines of the items that it runs; None: not announced.
     """
 
     node: str
@@ -80,6 +79,9 @@
     stopping: bool = False
     calls_per_second: float = 0.0
     claims: tuple[ServiceClaims, ...] | None = None
+    start: str = ""
+    replaces: str = ""
+    refutes: str = ""
 
     @property
     def alive_seconds(self) -> float:
@@ -98,9 +100,11 @@
         return Address(host, int(port)) if host and port.isdecimal() else None
 
     def encode(self) -> bytes:
-        """Return the record's value; without claims their field is left out."""
-        fields = msgspec.structs.astuple(self)
-        return msgspec.msgpack.encode(fields if self.claims is not None else fields[:-1])
+        """Return the record's value; the last fields are left out if they aren't set."""
+        fields = list(msgspec.structs.astuple(self))
+        while fields[-1] in (None, ""):
+            fields.pop()
+        return msgspec.msgpack.encode(fields)
 
 
 def decode_announcement(value: bytes) -> NodeAnnouncement | None:
@@ -119,15 +123,31 @@
         self._nodes: dict[str, NodeAnnouncement] = {}
         self._alive_until: dict[str, float] = {}
 
-    def announce(self, announcement: NodeAnnouncement, now: float) -> None:
-        """Apply a node's announcement, unless a later one is known."""
-        known = self._nodes.get(announcement.node)
-        if known is not None and _order(announcement) <= _order(known):
-            return
-        self._nodes[announcement.node] = announcement
-        self._alive_until[announcement.node] = now + announcement.alive_seconds
+    def announce(
+        self, announcement: NodeAnnouncement, now: float, view_at: float = math.inf
+    ) -> None:
+        """Apply a node's announcement, unless the known one stays in force.
 
-    def apply_listing(self, listing: Mapping[int, NodeAnnouncement], now: float) -> None:
+        Parameters
+        ----------
+        view_at
+            When the view was last complete; the known announcement's node is judged at that time.
+        """
+        name = announcement.node
+        known = self._nodes.get(name)
+        if known is not None and not supersedes(
+            announcement, known, known_alive=min(now, view_at) < self._alive_until[name]
+        ):
+            return
+        self._nodes[name] = announcement
+        self._alive_until[name] = now + announcement.alive_seconds
+
+    def apply_listing(
+        self,
+        listing: Mapping[int, NodeAnnouncement],
+        now: float,
+        view_at: float = math.inf,
+    ) -> None:
         """Apply the newest announcement of each node, by offset.
 
         Nodes whose announcement is much older than the newest one count as dead, since alive nodes
@@ -135,7 +155,7 @@
         """
         oldest = max(listing, default=0) - STALE_ROUNDS * len(listing)
         for offset, announcement in listing.items():
-            self.announce(announcement, now if offset >= oldest else -math.inf)
+            self.announce(announcement, now if offset >= oldest else -math.inf, view_at)
 
     def restart_timeouts(self, now: float, view_at: float) -> None:
         """Restart the failure timeout of each node that was alive when the view was last complete.
@@ -156,14 +176,10 @@
     def process_alive(self, node: str, incarnation: int, view_at: float) -> bool:
         """Whether an incarnation of a node counts as alive."""
         known = self._nodes.get(node)
-        if known is None or known.incarnation > incarnation:
+        if known is None or is_outdated(incarnation, known):
             return False
         return view_at < self._alive_until[node]
 
     def known(self, node: str) -> NodeAnnouncement | None:
         """Return a node's newest announcement."""
         return self._nodes.get(node)
-
-
-def _order(announcement: NodeAnnouncement) -> tuple[int, int]:
-    return announcement.incarnation, announcement.beat
--- a/src/stagewalk/gateway/duties/autoscale_service.py
+++ b/src/stagewalk/gateway/duties/autoscale_service.py
@@ -18,7 +18,7 @@
 from stagewalk.gateway.autoscaling.core import Autoscaler, ScalingPolicy
 from stagewalk.gateway.batches.batch import Batch
 from stagewalk.gateway.duties.duty_lease import DutyLease
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.partitioned_log.freshness import Freshness
 from stagewalk.gateway.ports.duties import DutyClient, DutyHolder, DutyOutcome, WorkerOrder
 from stagewalk.gateway.routes.table import RouteTable
@@ -42,7 +42,7 @@
     def __init__(
         self,
         *,
-        identity: ProcessId,
+        identity: OwnIdentity,
         duties: DutyLease,
         client: DutyClient,
         policy: ScalingPolicy,
@@ -103,7 +103,7 @@
         outcome = DutyOutcome.REFUSED
         stands = await self._duties.write(subject, msgspec.msgpack.encode(order), fence)
         if stands and self._duties.may_act(fence):
-            holder = DutyHolder(str(self._identity), fence)
+            holder = DutyHolder(self._identity.announced_as, fence)
             outcome = await self._client.request_worker_count(holder, order)
         self._autoscaler.sent(order, outcome, steady_seconds())
         log_event(
--- a/src/stagewalk/gateway/duties/order_service.py
+++ b/src/stagewalk/gateway/duties/order_service.py
@@ -16,7 +16,7 @@
 from stagewalk.gateway.batches.batch import Batch
 from stagewalk.gateway.duties.duty_lease import DutyLease
 from stagewalk.gateway.leases.log_lease import DutyRecord
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.ports.workers import OrderOutcome, VersionOrder, WorkerClient
 from stagewalk.gateway.version_rollouts.core import PlannedVersionOrder, VersionRollouts
 from stagewalk.gateway.workers.table import WorkerTable
@@ -31,7 +31,7 @@
     def __init__(
         self,
         *,
-        identity: ProcessId,
+        identity: OwnIdentity,
         duties: DutyLease,
         rollouts: VersionRollouts,
         workers: WorkerTable,
@@ -114,7 +114,7 @@
             VersionOrder(
                 order.model,
                 order.version,
-                str(self._identity),
+                self._identity.announced_as,
                 fence,
                 report.ok.orders_taken,
             ),
--- a/src/stagewalk/gateway/duties/usage_service.py
+++ b/src/stagewalk/gateway/duties/usage_service.py
@@ -14,7 +14,7 @@
 from stagewalk.common.logs.lines import log_event
 from stagewalk.common.steady_clock import steady_seconds
 from stagewalk.gateway.duties.duty_lease import DutyLease
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.partitioned_log.appender import PartitionAppender
 from stagewalk.gateway.partitioned_log.follower import PartitionFollower
 from stagewalk.gateway.ports.duties import DutyClient, DutyHolder, DutyOutcome, UsageReport
@@ -48,7 +48,7 @@
         self,
         *,
         log: PartitionedLog,
-        identity: ProcessId,
+        identity: OwnIdentity,
         duties: DutyLease,
         client: DutyClient,
         producer: str,
@@ -157,7 +157,7 @@
     async def _send(self, step: SendReport) -> None:
         fence = self._duties.fence
         if self._duties.may_act(fence):
-            holder = DutyHolder(str(self._identity), fence)
+            holder = DutyHolder(self._identity.announced_as, fence)
             report = UsageReport(step.window, step.counts)
             outcome = await self._client.report_usage(holder, report)
         else:
--- a/src/stagewalk/gateway/duty_services.py
+++ b/src/stagewalk/gateway/duty_services.py
@@ -16,7 +16,7 @@
 from stagewalk.gateway.duties.order_service import OrderService
 from stagewalk.gateway.duties.usage_service import UsageService
 from stagewalk.gateway.leases.log_lease import LogLease, acquire_jitter_seconds, new_holder_id
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.ports.duties import DutyClient
 from stagewalk.gateway.ports.partitioned_log import PartitionedLog
 from stagewalk.gateway.ports.workers import WorkerClient
@@ -39,7 +39,7 @@
         *,
         settings: GatewaySettings,
         log: PartitionedLog,
-        identity: ProcessId,
+        identity: OwnIdentity,
         producer: str,
         client: DutyClient | None,
         engines: WorkerClient,
--- a/src/stagewalk/gateway/nodes/node_service.py
+++ b/src/stagewalk/gateway/nodes/node_service.py
@@ -1,7 +1,8 @@
-"""Announces this node through the log and follows the other nodes' announcements.
+"""This node's view of the other nodes, and what follows from it for its roles.
 
-Owns the partition's follower and this node's own announcement. Relies on `directory` for roles and
-listings, and on `runner_state` and `relay_choice` to judge other nodes.
+Owns the follower of the partition of announcements. Relies on `own_announcements` to announce this
+node, on `directory` for roles and listings, and on `runner_state` and `relay_choice` to judge other
+nodes.
 """
 
 from __future__ import annotations
@@ -18,7 +19,6 @@
 from stagewalk.common.steady_clock import steady_seconds
 from stagewalk.gateway.batches.runner_liveness import RunnerLiveness
 from stagewalk.gateway.batches.takeover import RunnerState
-from stagewalk.gateway.directory.call_rate import CallRate
 from stagewalk.gateway.directory.caller_subset import (
     CallerLocation,
     select_nodes_for_caller,
@@ -31,14 +31,14 @@
     OLDEST_VIEW_SECONDS,
     REFRESH_TIMEOUT_SECONDS,
 )
-from stagewalk.gateway.directory.renewals import RENEWAL_INTERVAL_SECONDS
 from stagewalk.gateway.log_relay.relayed_log import RelayPeers
 from stagewalk.gateway.nodes.identity import ProcessId, parse_process_id
+from stagewalk.gateway.nodes.own_announcements import OwnAnnouncements
 from stagewalk.gateway.nodes.own_node import OwnNode
 from stagewalk.gateway.nodes.relay_choice import choose_relay_peers
 from stagewalk.gateway.nodes.runner_state import judge_runner
 from stagewalk.gateway.partitioned_log.keyed_follower import KeyedFollower
-from stagewalk.gateway.place_shares.claims import ServiceClaims, has_significant_increase
+from stagewalk.gateway.place_shares.claims import ServiceClaims
 from stagewalk.gateway.place_shares.limits import PeerClaims
 from stagewalk.gateway.policy import Policy
 from stagewalk.gateway.ports.keyed_records import KeyedRecordHandler
@@ -79,7 +79,7 @@
     Parameters
     ----------
     own
-        This node; its state is changed only by this class.
+        This node.
     batch_regions
         Returns the regions in which batches may be kept and run.
     worker_ends
@@ -104,6 +104,9 @@
         self._policy = policy
         self._batch_regions = batch_regions
         self._table = NodeTable(NodeName(own.identity.node))
+        self._announcements = OwnAnnouncements(
+            log, partition, own, self._table, lambda: self._alive_nodes
+        )
         self._follower = KeyedFollower(
             log,
             partition,
@@ -117,12 +120,9 @@
         self._known = anyio.Event()
         self._settled = anyio.Event()
         self._started_alone = False
-        self._wake = anyio.Event()
-        self._announced_early = False
         self._roles = Roles(replica=False, listed=False)
         self._roles_as_of = -math.inf
         self._alive_nodes = 1
-        self._calls = CallRate(steady_seconds())
         self._liveness = RunnerLiveness()
         self._worker_ends = worker_ends
 
@@ -141,6 +141,10 @@
         """Whether the other nodes have had time to announce themselves."""
         return self._settled.is_set()
 
+    async def wait_until_superseded(self) -> None:
+        """Wait until another process of this node's name goes on in place of this one."""
+        await self._announcements.wait_until_superseded()
+
     @property
     def started_without_replicas(self) -> bool:
         """Whether no replica of the ledger was alive anywhere when this process started."""
@@ -153,7 +157,7 @@
 
     def count_call(self) -> None:
         """Count a caller's request."""
-        self._calls.count()
+        self._announcements.count_call()
 
     async def refresh(self) -> None:
         """Read announcements again if the view is too old to answer a caller's look-up."""
@@ -165,14 +169,11 @@
 
     def set_serving(self, serving: bool) -> None:
         """Set whether callers may be sent here, and announce it."""
-        if serving != self._own.serving:
-            self._own.serving = serving
-            self._wake.set()
+        self._announcements.set_serving(serving)
 
     def set_stopping(self) -> None:
         """Announce that a planned stop has begun."""
-        self._own.stopping = True
-        self.set_serving(False)
+        self._announcements.set_stopping()
 
     def set_pause(self, seconds: float) -> None:
         """Set the pause between two reads of announcements, in seconds."""
@@ -180,28 +181,15 @@
 
     def set_listed(self, listed: bool) -> None:
         """Set whether the directory returns this node to callers, and announce it."""
-        if listed != self._own.listed:
-            self._own.listed = listed
-            self._wake.set()
+        self._announcements.set_listed(listed)
 
     def set_replica(self, replica: bool) -> None:
         """Set whether this node holds a replica of the batch ledger, and announce it."""
-        if replica != self._own.replica:
-            self._own.replica = replica
-            self._wake.set()
+        self._announcements.set_replica(replica)
 
     def set_claims(self, claims: tuple[ServiceClaims, ...] | None) -> None:
-        """Set the claims on engines of the items run here.
-
-        They are announced with the next renewal. If they exceed the announced claims by much, they
-        are announced at once, but at most once between two renewals.
-        """
-        self._own.claims = claims
-        announced = self._table.known(self._identity.node)
-        if announced is None or announced.incarnation != self._identity.incarnation:
-            return
-        if has_significant_increase(announced.claims or (), claims or ()):
-            self._wake_early()
+        """Set and announce the claims on engines of the items run here."""
+        self._announcements.set_claims(claims)
 
     def claims_of_others(self) -> PeerClaims:
         """Return the claims announced by the other nodes that run batches.
@@ -220,11 +208,6 @@
         process = str(ProcessId(node.node, node.incarnation))
         return self.runner_state(process) is RunnerState.RUNS
 
-    def _wake_early(self) -> None:
-        if not self._announced_early:
-            self._announced_early = True
-            self._wake.set()
-
     @property
     def liveness(self) -> RunnerLiveness:
         """Return the results of direct probes of runners."""
@@ -259,7 +242,7 @@
         Nodes that don't serve yet are included: a node follows the batches before it serves.
         """
         others = [node for node in self._others() if not node.stopping]
-        return [*others, self._announcement()]
+        return [*others, self._announcements.current()]
 
     async def wait_until_known(self) -> None:
         """Wait until the other nodes' announcements were read once."""
@@ -295,7 +278,7 @@
     def serving(self) -> list[NodeAnnouncement]:
         """Return the nodes that serve; for this node its own state counts."""
         others = [node for node in self._others() if node.serving]
-        return [*others, self._announcement()] if self._own.serving else others
+        return [*others, self._announcements.current()] if self._own.serving else others
 
     def peers(self) -> RelayPeers:
         """Return the addresses of other alive nodes that relay calls of the log."""
@@ -318,27 +301,9 @@
         alive = self._table.alive(self._view_at)
         return [node for node in alive if node.node != self._identity.node]
 
-    def _announcement(self) -> NodeAnnouncement:
-        return self._own.announcement(self._alive_nodes)
-
     async def _announce(self) -> None:
         await self._known.wait()
-        while True:
-            self._own.beat += 1
-            self._own.calls_per_second = self._calls.end_interval(steady_seconds())
-            own = self._announcement()
-            self._table.announce(own, steady_seconds())
-            answer = await self._log.append_keyed(self._partition, own.node, own.encode())
-            wait_seconds = own.renewal_seconds
-            if answer.is_error():
-                log_event("announcement_failed", "debug", fault=answer.error.fault)
-                wait_seconds = RENEWAL_INTERVAL_SECONDS
-            self._wake = anyio.Event()
-            if self._own.matches(own):
-                with anyio.move_on_after(wait_seconds) as renewal:
-                    await self._wake.wait()
-                if renewal.cancelled_caught:
-                    self._announced_early = False
+        await self._announcements.run()
 
     def _view_confirmed(self, confirmed_at: float) -> None:
         """Update the view's time; after an outage, restart the failure timeout of alive nodes."""
@@ -357,14 +322,16 @@
             if not self._worker_ends.owns(record) and (announcement := _decode(record)) is not None
         }
         now = steady_seconds()
-        self._table.apply_listing(listing, now)
+        of_own_name = [a for a in listing.values() if a.node == self._identity.node]
+        others = {o: a for o, a in listing.items() if a.node != self._identity.node}
+        self._table.apply_listing(others, now, self._view_at)
         if self.known:
+            for announcement in of_own_name:
+                self._announcements.judge(announcement)
             return
-        previous = self._table.known(self._identity.node)
-        if previous is not None:
-            later = previous.incarnation + 1
-            self._identity.incarnation = max(self._identity.incarnation, later)
-        self._started_alone = not any(node.ledger_replica for node in self._table.alive(now))
+        replicas = [node for node in (*self._table.alive(now), *of_own_name) if node.ledger_replica]
+        self._started_alone = not replicas
+        self._announcements.replace(of_own_name)
         self._known.set()
 
     def _apply(self, record: KeyedRecord) -> None:
@@ -374,8 +341,11 @@
         announcement = _decode(record)
         if announcement is None:
             return
+        if announcement.node == self._identity.node:
+            self._announcements.judge(announcement)
+            return
         before = self._table.known(announcement.node)
-        self._table.announce(announcement, steady_seconds())
+        self._table.announce(announcement, steady_seconds(), self._view_at)
         applied = self._table.known(announcement.node) is announcement
         if applied and before is not None and before.front != announcement.front:
             log_event(
--- a/src/stagewalk/gateway/nodes/own_node.py
+++ b/src/stagewalk/gateway/nodes/own_node.py
@@ -10,7 +10,7 @@
 from stagewalk.common.identities import Address, Placement
 from stagewalk.gateway.directory.node_table import NodeAnnouncement
 from stagewalk.gateway.directory.renewals import renewal_seconds
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.place_shares.claims import ServiceClaims
 
 
@@ -38,7 +38,7 @@
         Claims on engines of the items run here; None: they aren't announced.
     """
 
-    identity: ProcessId
+    identity: OwnIdentity
     front: Address
     peer: Address | None
     placement: Placement
@@ -69,12 +69,16 @@
             stopping=self.stopping,
             calls_per_second=round(self.calls_per_second, 1),
             claims=self.claims if self.replica else None,
+            start=self.identity.start,
+            replaces=self.identity.replaces,
+            refutes=self.identity.refutes,
         )
 
     def matches(self, announced: NodeAnnouncement) -> bool:
-        """Whether an announcement has this node's current roles and serving state."""
-        return (announced.serving, announced.ledger_replica, announced.listed) == (
-            self.serving,
-            self.replica,
-            self.listed,
-        )
+        """Whether an announcement has this node's current incarnation, roles and serving state."""
+        return (
+            announced.incarnation,
+            announced.serving,
+            announced.ledger_replica,
+            announced.listed,
+        ) == (self.identity.incarnation, self.serving, self.replica, self.listed)
--- a/src/stagewalk/gateway/nodes/runner_state.py
+++ b/src/stagewalk/gateway/nodes/runner_state.py
@@ -8,12 +8,12 @@
 from stagewalk.gateway.batches.runner_liveness import RunnerLiveness
 from stagewalk.gateway.batches.takeover import RunnerState
 from stagewalk.gateway.directory.node_table import NodeTable
-from stagewalk.gateway.nodes.identity import ProcessId, parse_process_id
+from stagewalk.gateway.nodes.identity import OwnIdentity, parse_process_id
 
 
 def judge_runner(
     process: str,
-    own: ProcessId,
+    own: OwnIdentity,
     table: NodeTable,
     liveness: RunnerLiveness,
     *,
@@ -37,7 +37,7 @@
     identity = parse_process_id(process)
     if identity is None:
         return RunnerState.GONE
-    if identity == own:
+    if own.names(process):
         return RunnerState.RUNS
     if identity.node == own.node:
         return RunnerState.MINE_BEFORE
--- a/src/stagewalk/gateway/runners/batch_assignments.py
+++ b/src/stagewalk/gateway/runners/batch_assignments.py
@@ -18,7 +18,7 @@
 from stagewalk.gateway.batch_service.batch_index import BatchIndex, BatchPlace
 from stagewalk.gateway.batch_service.batch_store import BatchStore
 from stagewalk.gateway.batches.records import BatchEnded, BatchHeader
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.nodes.node_service import NodeService
 from stagewalk.gateway.policy import Policy
 from stagewalk.gateway.ports.partitioned_log import LogFailure
@@ -46,7 +46,7 @@
     def __init__(
         self,
         *,
-        identity: ProcessId,
+        identity: OwnIdentity,
         nodes: NodeService,
         store: BatchStore,
         runner: BatchRunner,
@@ -114,7 +114,7 @@
     ) -> None:
         """Notify a process of its batch; it indexes the batch's place if its view is complete."""
         peer = self._nodes.peer_address_of(process)
-        if process == str(self._identity):
+        if self._identity.names(process):
             notification.noted = await self.accept(run)
         elif peer is not None and self._policy.ask_runner:
             answer = await self._calls.notify(peer, run)
@@ -149,7 +149,7 @@
             log_event("partial_read_failed", "warning", batch=run.batch, offset=run.offset)
             return False
         batch = partial.complete_batch(run.batch)
-        if batch is not None and batch.runner == str(self._identity):
+        if batch is not None and self._identity.names(batch.runner):
             self._runner.begin_ahead(batch, partial, batch.epoch)
         return False
 
--- a/src/stagewalk/gateway/runners/batch_runner.py
+++ b/src/stagewalk/gateway/runners/batch_runner.py
@@ -19,7 +19,7 @@
 from stagewalk.gateway.batches.records import BatchReleased
 from stagewalk.gateway.batches.reusable_texts import ReusableTextLookup
 from stagewalk.gateway.batches.scheduler import BatchScheduler
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.runners.batch_views import BatchViews
 from stagewalk.gateway.runners.scheduler_loop import SchedulerLoop
 from stagewalk.gateway.version_rollouts.core import VersionRollouts
@@ -36,7 +36,7 @@
     def __init__(
         self,
         *,
-        identity: ProcessId,
+        identity: OwnIdentity,
         store: BatchStore,
         scheduler: BatchScheduler,
         loop: SchedulerLoop,
@@ -54,11 +54,6 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._stopping = False
 
-    @property
-    def _process(self) -> str:
-        """Return this process as records name it; its incarnation may be raised after the start."""
-        return str(self._identity)
-
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Run batches in a task group from now on."""
         self._tasks = tasks
@@ -73,6 +68,18 @@
         """Whether a batch is run here."""
         return batch in self._scheduler.batches
 
+    def current_views(self) -> list[Batch]:
+        """Return the batches run here, each as the newest view of this node shows it."""
+        views = [
+            max(
+                filter(None, (self._store.ledger.get(name), self._views.ahead_batch(name))),
+                key=lambda batch: batch.epoch,
+                default=None,
+            )
+            for name in sorted(self._scheduler.batches)
+        ]
+        return [batch for batch in views if batch is not None]
+
     @property
     def busy(self) -> bool:
         """Whether batches are run here."""
@@ -108,13 +115,13 @@
         for batch in sorted(self._scheduler.batches):
             self._loop.execute(self._scheduler.progress(batch))
             self._close(batch, "stopping")
-            self._store.post(batch, BatchReleased(batch, self._process))
-            log_event("batch_released", batch=batch, runner=self._process)
+            self._store.post(batch, BatchReleased(batch, str(self._identity)))
+            log_event("batch_released", batch=batch, runner=str(self._identity))
 
     def ledger_changed(self, batch: Batch, change: LedgerChange) -> None:
         """Apply a change in this node's view: open, continue or stop running the batch."""
         name = batch.header.batch
-        assigned_here = batch.runner == self._process and not self._stopping
+        assigned_here = self._identity.names(batch.runner) and not self._stopping
         if change is LedgerChange.OPENED:
             self._rollouts.record_minimum_version(batch.header.model, batch.header.minimum_version)
         if change is LedgerChange.RESULT_ADDED:
@@ -143,7 +150,7 @@
             await anyio.sleep(LOOK_UP_RETRY_SECONDS)
         if place.ok is not None and place.ok.ended:
             self._store.record_ended(name)
-        elif batch.runner == self._process and not self._stopping:
+        elif self._identity.names(batch.runner) and not self._stopping:
             self._open(batch)
 
     def ahead_changed(self, batch: Batch, change: LedgerChange) -> None:
@@ -158,7 +165,7 @@
             case LedgerChange.ENDED:
                 self._end(name)
             case LedgerChange.RUNNER_CHANGED:
-                if batch.epoch >= epoch and batch.runner != self._process:
+                if batch.epoch >= epoch and not self._identity.names(batch.runner):
                     self._stop_taken_over(batch)
 
     def _end(self, batch: str) -> None:
@@ -169,7 +176,7 @@
         """Release a batch whose end may have been missed, so that another node can run it."""
         if self.runs(batch):
             self._close(batch, "history lost")
-            self._store.post(batch, BatchReleased(batch, self._process))
+            self._store.post(batch, BatchReleased(batch, str(self._identity)))
 
     def _stop_taken_over(self, batch: Batch) -> None:
         """Stop running a batch that another process took over."""
@@ -213,7 +220,7 @@
         known = self._store.ledger.get(name)
         if known is None:
             return False
-        taken_over = known.epoch >= epoch and known.runner != self._process
+        taken_over = known.epoch >= epoch and not self._identity.names(known.runner)
         return not known.open or taken_over
 
     def _begin(self, batch: Batch, reusable_text: ReusableTextLookup) -> None:
--- a/src/stagewalk/gateway/runners/batch_views.py
+++ b/src/stagewalk/gateway/runners/batch_views.py
@@ -16,6 +16,7 @@
 from stagewalk.common.steady_clock import steady_seconds
 from stagewalk.gateway.batch_service.batch_store import BatchStore
 from stagewalk.gateway.batch_service.partial_ledger import PartialLedger
+from stagewalk.gateway.batches.batch import Batch
 from stagewalk.gateway.batches.view_lease import maximum_view_age, maximum_view_age_at_send
 from stagewalk.gateway.ports.denials import Denial
 
@@ -58,6 +59,11 @@
         ahead = self._ahead.get(batch)
         return None if ahead is None else ahead.epoch
 
+    def ahead_batch(self, batch: str) -> Batch | None:
+        """Return a batch as its partial view shows it; None for others."""
+        ahead = self._ahead.get(batch)
+        return None if ahead is None else ahead.partial.ledger.get(batch)
+
     def read_from(self, batch: str) -> int:
         """Return the first offset of the view from which a batch was opened."""
         ahead = self._ahead.get(batch)
--- a/src/stagewalk/gateway/runners/runner_choice.py
+++ b/src/stagewalk/gateway/runners/runner_choice.py
@@ -12,7 +12,7 @@
 from stagewalk.gateway.batches.records import BatchHeader
 from stagewalk.gateway.batches.takeover import rendezvous_hash
 from stagewalk.gateway.directory.node_table import NodeAnnouncement
-from stagewalk.gateway.nodes.identity import ProcessId, parse_process_id
+from stagewalk.gateway.nodes.identity import OwnIdentity, ProcessId, parse_process_id
 from stagewalk.gateway.nodes.node_service import NodeService
 from stagewalk.gateway.policy import Policy
 from stagewalk.gateway.runners.batch_runner import BatchRunner
@@ -29,7 +29,7 @@
     def __init__(
         self,
         *,
-        identity: ProcessId,
+        identity: OwnIdentity,
         nodes: NodeService,
         runner: BatchRunner,
         calls: RunnerClient,
--- a/src/stagewalk/gateway/runners/runner_service.py
+++ b/src/stagewalk/gateway/runners/runner_service.py
@@ -16,7 +16,7 @@
 from stagewalk.gateway.batches.prompt import PromptReader
 from stagewalk.gateway.batches.scheduler import BatchScheduler
 from stagewalk.gateway.eligibility_services import EligibilityServices
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.nodes.node_service import NodeService
 from stagewalk.gateway.peer_calls.client import PeerClient
 from stagewalk.gateway.peer_calls.server import PeerHandler
@@ -69,7 +69,7 @@
     def __init__(
         self,
         *,
-        identity: ProcessId,
+        identity: OwnIdentity,
         store: BatchStore,
         places: BatchIndex,
         nodes: NodeService,
--- a/src/stagewalk/gateway/runners/takeover_service.py
+++ b/src/stagewalk/gateway/runners/takeover_service.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 import anyio
 import anyio.abc
 import msgspec
@@ -17,8 +19,13 @@
 from stagewalk.gateway.batch_service.batch_store import BatchStore
 from stagewalk.gateway.batches.batch import NO_RUNNER, Batch
 from stagewalk.gateway.batches.records import BatchClaimed
-from stagewalk.gateway.batches.takeover import OpenBatch, RunnerState, Takeovers
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.batches.takeover import (
+    CLAIM_REPEAT_SECONDS,
+    OpenBatch,
+    RunnerState,
+    Takeovers,
+)
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.nodes.node_service import NodeService
 from stagewalk.gateway.policy import Policy
 from stagewalk.gateway.runners.batch_runner import BatchRunner
@@ -44,7 +51,7 @@
     def __init__(
         self,
         *,
-        identity: ProcessId,
+        identity: OwnIdentity,
         store: BatchStore,
         runner: BatchRunner,
         nodes: NodeService,
@@ -59,6 +66,8 @@
         self._policy = policy
         self._tasks: anyio.abc.TaskGroup | None = None
         self._takeovers = Takeovers(identity.node, nodes.runner_state)
+        self._renewed_at: dict[str, float] = {}
+        """When batches run here were last claimed again, by name (steady clock)."""
 
     def start(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start the periodic check for orphaned and old batches."""
@@ -68,12 +77,12 @@
     async def _supervise(self) -> None:
         """Claim orphaned batches and drop old ones periodically."""
         while True:
+            active = self._store.following or self._runner.busy
             await anyio.sleep(
-                ORPHAN_CHECK_INTERVAL_SECONDS
-                if self._store.following
-                else IDLE_CHECK_INTERVAL_SECONDS
+                ORPHAN_CHECK_INTERVAL_SECONDS if active else IDLE_CHECK_INTERVAL_SECONDS
             )
             now = steady_seconds()
+            self._renew_claims(now)
             may_run = not self._runner.stopping and self._nodes.may_hold_batches
             if may_run and self._store.following:
                 self._claim_orphans(now)
@@ -116,7 +125,7 @@
             peer = self._nodes.peer_address_of(batch.runner)
             state = self._nodes.runner_state(batch.runner)
             rank = self._takeovers.rank(batch.header.batch, batch.runner, replicas)
-            own = batch.runner == str(self._identity) or state is RunnerState.MINE_BEFORE
+            own = self._identity.names(batch.runner) or state is RunnerState.MINE_BEFORE
             if peer is not None and not own and rank < PROBERS_PER_RUNNER:
                 targets[batch.runner] = peer
         return targets
@@ -138,6 +147,24 @@
             self._claim(batch, RunnerState.MINE_BEFORE, place)
             self._runner.begin_ahead(batch, partial, epoch)
 
+    def _renew_claims(self, now: float) -> None:
+        """Claim the batches run here whose records name an earlier incarnation of this process.
+
+        Other nodes take that one for a process that is gone, and would claim them.
+        """
+        batches = [] if self._runner.stopping else self._runner.current_views()
+        outdated = {
+            batch.header.batch: batch
+            for batch in batches
+            if self._identity.names(batch.runner) and batch.runner != str(self._identity)
+        }
+        for name in set(self._renewed_at) - set(outdated):
+            del self._renewed_at[name]
+        for name, batch in outdated.items():
+            if now - self._renewed_at.get(name, -math.inf) >= CLAIM_REPEAT_SECONDS:
+                self._renewed_at[name] = now
+                self._claim(batch, RunnerState.RUNS)
+
     def _replicas(self) -> list[str]:
         return [node.node for node in self._nodes.replicas()]
 
--- a/tests/gateway/batch_service/test_open_batch_views.py
+++ b/tests/gateway/batch_service/test_open_batch_views.py
@@ -20,7 +20,7 @@
     ItemFinished,
     encode_record,
 )
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.policy import DEFAULT_POLICY
 from stagewalk.gateway.ports.partitioned_log import Partition, ProducerSequence
 from stagewalk.gateway.runners.batch_assignments import BatchAssignments
@@ -175,7 +175,7 @@
                 ),
             )
             assignments = BatchAssignments(
-                identity=ProcessId("n", 1),
+                identity=OwnIdentity("n", 1),
                 nodes=mock.Mock(known=True),
                 store=store,
                 runner=runner,
--- a/tests/gateway/directory/test_node_table.py
+++ b/tests/gateway/directory/test_node_table.py
@@ -121,7 +121,7 @@
         self.assertIsNone(decode_announcement(b"nonsense"))
 
     def test_announcements_of_other_versions_are_read(self) -> None:
-        newest = replace(node("a"), claims=())
+        newest = replace(node("a"), claims=(), start="s2", replaces="s1", refutes="s0")
         fields = msgspec.msgpack.decode(newest.encode())
         later = msgspec.msgpack.encode([*fields, "a field of later"])
         self.assertEqual(newest, decode_announcement(later))
--- a/tests/gateway/duties/test_usage_views.py
+++ b/tests/gateway/duties/test_usage_views.py
@@ -16,7 +16,7 @@
     PlanRecord,
     new_holder_id,
 )
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.ports.partitioned_log import Partition
 from stagewalk.gateway.usage.meter import window_of
 from stagewalk.gateway.usage.records import UsageCounted, encode_counts
@@ -52,7 +52,7 @@
         )
         usage = UsageService(
             log=self.log.client(),
-            identity=ProcessId("n1", 2),
+            identity=OwnIdentity("n1", 2),
             duties=lease,
             client=duties,
             producer="new",
--- a/tests/gateway/nodes/test_node_service.py
+++ b/tests/gateway/nodes/test_node_service.py
@@ -12,7 +12,7 @@
 from stagewalk.common.identities import Address, Placement
 from stagewalk.gateway.directory.node_table import NodeAnnouncement, decode_announcement
 from stagewalk.gateway.directory.renewals import RENEWAL_INTERVAL_SECONDS
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.nodes.node_service import NodeService
 from stagewalk.gateway.nodes.own_node import OwnNode
 from stagewalk.gateway.policy import DEFAULT_POLICY
@@ -56,7 +56,7 @@
         log=client or log.client(),
         partition=NODES,
         own=OwnNode(
-            identity=ProcessId("own", incarnation),
+            identity=OwnIdentity("own", incarnation),
             front=Address("10.0.1.1", 1),
             peer=Address("10.0.1.1", 2),
             placement=Placement("r1", "z1"),
--- a/tests/gateway/nodes/test_runner_state.py
+++ b/tests/gateway/nodes/test_runner_state.py
@@ -12,10 +12,10 @@
     NodeAnnouncement,
     NodeTable,
 )
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.nodes.runner_state import judge_runner
 
-OWN = ProcessId("own", 7)
+OWN = OwnIdentity("own", 7)
 NOW = 100.0
 
 
--- a/tests/gateway/runners/test_batch_assignments.py
+++ b/tests/gateway/runners/test_batch_assignments.py
@@ -10,7 +10,7 @@
 from stagewalk.common.identities import Address
 from stagewalk.gateway.batch_service.batch_index import BatchIndex, BatchPlace
 from stagewalk.gateway.batches.records import BatchHeader
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.policy import DEFAULT_POLICY
 from stagewalk.gateway.runners.batch_assignments import BatchAssignments
 from stagewalk.gateway.runners.runner_calls import RunnerClient
@@ -56,7 +56,7 @@
         self.places = BatchIndex(self.client)
         self.peers = FakeRunners()
         self.assignments = BatchAssignments(
-            identity=ProcessId("own", 1),
+            identity=OwnIdentity("own", 1),
             nodes=mock.Mock(peer_address_of=lambda _process: Address("10.0.0.1", 1)),
             store=mock.Mock(partition=lambda _batch: 2),
             runner=mock.Mock(stopping=False),
--- a/tests/gateway/runners/test_runner_choice.py
+++ b/tests/gateway/runners/test_runner_choice.py
@@ -11,7 +11,7 @@
 from stagewalk.gateway.batches.records import BatchHeader
 from stagewalk.gateway.batches.takeover import rendezvous_hash
 from stagewalk.gateway.directory.node_table import NodeAnnouncement
-from stagewalk.gateway.nodes.identity import ProcessId
+from stagewalk.gateway.nodes.identity import OwnIdentity
 from stagewalk.gateway.policy import DEFAULT_POLICY, Policy
 from stagewalk.gateway.runners.runner_calls import RunnerClient
 from stagewalk.gateway.runners.runner_choice import RunnerChoice
@@ -64,7 +64,7 @@
     replicas: list[NodeAnnouncement] = REPLICAS,
 ) -> str | None:
     choice = RunnerChoice(
-        identity=ProcessId("own", 1),
+        identity=OwnIdentity("own", 1),
         nodes=mock.Mock(replicas=lambda: list(replicas), may_hold_batches=may_hold),
         runner=mock.Mock(stopping=False),
         calls=RunnerClient(peers),  # type: ignore[arg-type]
