Runners: batches of an earlier process with this one's incarnation are resumed

If a process is killed before its announcement is written, the next one may get the same incarnation. It took the batches of the earlier one for its own and didn't resume them from their places; they lay until it had read the whole log, which is put off by 0.25 s, or by 5 s where all nodes start at once, and takes seconds itself.

Change: whatever the index names this node for and isn't run here is resumed, whichever incarnation it names. A batch that isn't resumed from its place is logged (batch_not_resumed) with the cause: until now the log didn't tell a batch that has ended from one that couldn't be read.

--- a/src/stagewalk/gateway/runners/takeover_service.py
+++ b/src/stagewalk/gateway/runners/takeover_service.py
@@ -25,7 +25,7 @@
     RunnerState,
     Takeovers,
 )
-from stagewalk.gateway.nodes.identity import OwnIdentity
+from stagewalk.gateway.nodes.identity import OwnIdentity, parse_process_id
 from stagewalk.gateway.nodes.node_service import NodeService
 from stagewalk.gateway.policy import Policy
 from stagewalk.gateway.runners.batch_runner import BatchRunner
@@ -110,7 +110,7 @@
         listed = await self._open_batches.list()
         places = {b: p for b, p in listed.default_value({}).items() if not p.ended}
         for batch, place in places.items():
-            if self._nodes.runner_state(place.runner) is RunnerState.MINE_BEFORE:
+            if self._ran_here_before(batch, place.runner):
                 self._tasks.start_soon(self._resume, batch, place)
         return bool(places)
 
@@ -138,15 +138,40 @@
                 break
             await anyio.sleep(READ_RETRY_SECONDS)
         else:
+            self._log_not_resumed(name, place, "its records can't be read")
             return
         batch = partial.complete_batch(name)
-        if batch is None or not batch.open:
-            return
-        if self._nodes.runner_state(batch.runner) is RunnerState.MINE_BEFORE:
+        if batch is None:
+            self._log_not_resumed(name, place, "its place isn't that of its submission")
+        elif not batch.open:
+            self._log_not_resumed(name, place, "it has ended")
+        elif not self._ran_here_before(name, batch.runner):
+            self._log_not_resumed(name, place, f"{batch.runner} runs it")
+        else:
             epoch = batch.epoch + 1
             self._claim(batch, RunnerState.MINE_BEFORE, place)
             self._runner.begin_ahead(batch, partial, epoch)
 
+    @staticmethod
+    def _log_not_resumed(batch: str, place: BatchPlace, cause: str) -> None:
+        log_event(
+            "batch_not_resumed",
+            "warning",
+            batch=batch,
+            partition=place.partition,
+            offset=place.offset,
+            cause=cause,
+        )
+
+    def _ran_here_before(self, batch: str, runner: str) -> bool:
+        """Whether a batch was assigned to a process of this node and isn't run here now.
+
+        An earlier process may have had this one's incarnation, if it wasn't announced in time.
+        """
+        identity = parse_process_id(runner)
+        own_node = identity is not None and identity.node == self._identity.node
+        return own_node and not self._runner.runs(batch)
+
     def _renew_claims(self, now: float) -> None:
         """Claim the batches run here whose records name an earlier incarnation of this process.
 
--- a/tests/gateway/runners/test_takeover.py
+++ b/tests/gateway/runners/test_takeover.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import time
 from unittest import mock
 
 import anyio
 import testtools
 
+from stagewalk.gateway.assembly import NODES_PARTITION
 from stagewalk.gateway.batch_service.batch_index import BatchIndex
 from tests.gateway.support import Running, Site, run, until
 
@@ -30,7 +32,7 @@
 
 
 class TakeoverTests(testtools.TestCase):
-    def patch(self, name: str, value: float) -> None:
+    def patch(self, name: str, value: object) -> None:
         patched = mock.patch(name, value)
         patched.start()
         self.addCleanup(patched.stop)
@@ -98,6 +100,38 @@
 
         run(scenario)
 
+    def test_a_process_resumes_batches_of_an_earlier_one_that_had_its_incarnation(self) -> None:
+        """It took them for its own, and left them until it had read the whole log."""
+
+        async def scenario(site: Site) -> None:
+            now = time.time_ns()
+            self.patch("stagewalk.gateway.assembly.time.time_ns", lambda: now)
+            earlier = await site.start("n1")
+            make_slow(site)
+            await site.submit(earlier, "b1", "x")
+            await runner_of(site, {"n1": earlier}, "b1")
+
+            async def indexed() -> bool:
+                return "b1" in (await BatchIndex(earlier.log).list()).ok
+
+            await until(indexed)
+            earlier.scope.cancel()
+            await earlier.ended.wait()
+            site.log.drop_key(NODES_PARTITION, "n1")
+            make_slow(site, seconds=0.01)
+            before = site.workers.arrivals["x"]
+            with mock.patch("stagewalk.gateway.daemon.RESTART_LOG_RESERVE_SECONDS", NEVER):
+                again = await site.start("n1")
+                same = again.gateway._identity.incarnation
+                self.assertEqual(earlier.gateway._identity.incarnation, same)
+
+                async def resumed() -> bool:
+                    return site.workers.arrivals["x"] > before
+
+                await until(resumed)
+
+        run(scenario)
+
     def test_a_restarted_node_does_not_resume_a_batch_that_was_taken_over(self) -> None:
         async def scenario(site: Site) -> None:
             nodes = {name: await site.start(name) for name in ("n1", "n2")}
