--- a/src/stagewalk/gateway/nodes/node_service.py
+++ b/src/stagewalk/gateway/nodes/node_service.py
@@ -323,14 +323,14 @@
         }
         now = steady_seconds()
         of_own_name = [a for a in listing.values() if a.node == self._identity.node]
-        others = {o: a for o, a in listing.items() if a.node != self._identity.node}
-        self._table.apply_listing(others, now, self._view_at)
         if self.known:
+            others = {o: a for o, a in listing.items() if a.node != self._identity.node}
+            self._table.apply_listing(others, now, self._view_at)
             for announcement in of_own_name:
                 self._announcements.judge(announcement)
             return
-        replicas = [node for node in (*self._table.alive(now), *of_own_name) if node.ledger_replica]
-        self._started_alone = not replicas
+        self._table.apply_listing(listing, now)
+        self._started_alone = not any(node.ledger_replica for node in self._table.alive(now))
         self._announcements.replace(of_own_name)
         self._known.set()
 
--- a/src/stagewalk/gateway/nodes/own_announcements.py
+++ b/src/stagewalk/gateway/nodes/own_announcements.py
@@ -141,8 +141,10 @@
 
     def judge(self, announced: NodeAnnouncement) -> None:
         """Raise this node's incarnation, or stop, after an announcement of its name."""
+        if announced.start == self._identity.start or self._superseded.is_set():
+            return
         verdict = judge_own_name(self.current(), announced)
-        if verdict is OwnNameVerdict.IGNORE or self._superseded.is_set():
+        if verdict is OwnNameVerdict.IGNORE:
             return
         before = self._identity.incarnation
         if verdict is OwnNameVerdict.RAISE:
