Node: a dead process's fact doesn't end a live one

What operators saw: a node that had started while its clock was ahead, and again when it was back, stopped as superseded by its own dead process, and again after each restart, until the time of day had passed the earlier start.

Cause: a fact of the node's name with a greater incarnation was taken for another process that runs. It has the node's own address, where only one process can run.

Change: membership.incarnations is the one place for the order of a fact and the node's own. A later fact with the node's address, or without one, lets the node stop in order and start again in the same process with a greater incarnation (ExitProcess.restart_above). Its incarnation isn't raised while it runs, since votes in claims, leases and orders bind it; all in flight ends or is claimed anew as at a planned restart. A fact with another address ends the node as before; a stop that the operator asks for is not turned into a restart. The origin of a message of its own name without an address counts with the address that it came from.

--- a/src/stagewalk/node/core/instructions.py
+++ b/src/stagewalk/node/core/instructions.py
@@ -9,7 +9,15 @@
 from enum import StrEnum
 
 from stagewalk.common.errors import StagewalkError
-from stagewalk.common.identities import Address, AttemptId, CallId, EngineName, ModelName, RecordId
+from stagewalk.common.identities import (
+    Address,
+    AttemptId,
+    CallId,
+    EngineName,
+    Incarnation,
+    ModelName,
+    RecordId,
+)
 from stagewalk.node.core.completions import CompletionRequest, CompletionResult, TokenChunk
 from stagewalk.node.core.platform import EngineOrder
 from stagewalk.node.core.rollouts import RolloutLot, SamplePage
@@ -177,7 +185,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ExitProcess:
-    """Exit: a stop was requested and everything in flight has ended."""
+    """Exit: a stop was requested and everything in flight has ended.
+
+    Attributes
+    ----------
+    restart_above
+        Start again with an incarnation above this one; None: stay stopped.
+    """
+
+    restart_above: Incarnation | None = None
 
 
 Instruction = (
--- a/src/stagewalk/node/daemon.py
+++ b/src/stagewalk/node/daemon.py
@@ -76,8 +76,14 @@
     """Run a node until it is asked to stop; return the process's exit code."""
     undo_logs = configure_logs(settings.log_level)
     _exempt_loaded_modules_from_collection()
+    above: Incarnation | None = None
     try:
-        anyio.run(Daemon(settings, core_factory).run, backend="asyncio")
+        while True:
+            daemon = Daemon(settings, core_factory, above)
+            anyio.run(daemon.run, backend="asyncio")
+            if daemon.restart_above is None:
+                break
+            above = daemon.restart_above
     except Exception as error:
         trace = "".join(traceback.format_exception(error))
         log_event("node_failed", "error", node=settings.name, cause=_cause(error), trace=trace)
@@ -94,14 +100,22 @@
     return f"{type(error).__name__}: {error}"
 
 
-def new_identity(settings: NodeSettings) -> NodeIdentity:
+def new_identity(settings: NodeSettings, above: Incarnation | None = None) -> NodeIdentity:
     """Return this process's identity.
 
     The incarnation is the wall clock in milliseconds, as nodes keep no state across restarts.
+
+    Parameters
+    ----------
+    above
+        Incarnation of an earlier process that is known to be greater; None: none is known.
     """
+    incarnation = time.time_ns() // 1_000_000
+    if above is not None:
+        incarnation = max(incarnation, above + 1)
     return NodeIdentity(
         name=NodeName(settings.name),
-        incarnation=Incarnation(time.time_ns() // 1_000_000),
+        incarnation=Incarnation(incarnation),
         address=settings.peer_address,
         placement=Placement(settings.region, settings.zone),
     )
@@ -114,11 +128,25 @@
 
 
 class Daemon:
-    """One node: its core and the tasks that do I/O for it."""
+    """One node: its core and the tasks that do I/O for it.
+
+    Parameters
+    ----------
+    above
+        See `new_identity`.
+
+    Attributes
+    ----------
+    restart_above
+        Once it has run: see `ExitProcess`.
+    """
 
-    def __init__(self, settings: NodeSettings, core_factory: CoreFactory) -> None:
+    def __init__(
+        self, settings: NodeSettings, core_factory: CoreFactory, above: Incarnation | None = None
+    ) -> None:
+        self.restart_above: Incarnation | None = None
         self._settings = settings
-        self._identity = new_identity(settings)
+        self._identity = new_identity(settings, above)
         self._core = core_factory(self._identity, random.Random())
         self._metrics = NodeMetrics()
         self._events = EventQueue()
@@ -225,7 +253,8 @@
         stop = self._stop_times
         return ShutdownTimes() if stop is None else shutdown_times(stop, steady_seconds())
 
-    def _exit_process(self) -> None:
+    def _exit_process(self, restart_above: Incarnation | None = None) -> None:
+        self.restart_above = restart_above
         self._calls.closed = True
         self._exit.set()
 
--- a/src/stagewalk/node/instruction_runner.py
+++ b/src/stagewalk/node/instruction_runner.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from stagewalk.common.identities import Incarnation
 from stagewalk.common.logs.lines import LOG_LEVELS, log_event
 from stagewalk.node.core.instructions import (
     AcceptLot,
@@ -47,7 +48,7 @@
         engines: EngineTasks,
         platform: PlatformTasks,
         peers: PeerTransport,
-        exit_process: Callable[[], None],
+        exit_process: Callable[[Incarnation | None], None],
     ) -> None:
         self._handlers: dict[type[Instruction], Callable[[Any], None]] = {
             SendChunk: calls.send_chunk,
@@ -66,7 +67,7 @@
             ScoreSample: platform.score,
             SendPeerMessage: peers.send,
             WriteLogLine: _write_log_event,
-            ExitProcess: lambda _: exit_process(),
+            ExitProcess: lambda instruction: exit_process(instruction.restart_above),
         }
 
     def execute(self, instruction: Instruction) -> None:
--- a/src/stagewalk/node/membership/core.py
+++ b/src/stagewalk/node/membership/core.py
@@ -20,6 +20,7 @@
 from stagewalk.node.membership.contacts import ContactList
 from stagewalk.node.membership.dissemination import UpdateQueue
 from stagewalk.node.membership.failure_detector import FailureDetector
+from stagewalk.node.membership.incarnations import OwnFactVerdict, judge_own_fact
 from stagewalk.node.membership.member_table import (
     PRESENT_STATES,
     MemberFact,
@@ -83,7 +84,8 @@
         self._contacts = ContactList(identity.name, self._table, generator)
         self._outputs: list[MembershipOutput] = []
         self._leaving = False
-        self._greatest_incarnation = identity.incarnation
+        self._greatest_rank: tuple[int, int, int] = (identity.incarnation, 0, 0)
+        """Rank of the latest fact of this node's name that was reported as later than its own."""
         self._last_tick_at: float | None = None
         self._next_gossip_at = 0.0
         self._next_exchange_at = 0.0
@@ -123,7 +125,9 @@
         """Handle another node's message; `source` is the address it came from."""
         self._detect_pause(now)
         if sender == self.identity.name:
-            self._handle_own_fact(replace(record_to_fact(message.origin), name=sender), now)
+            origin = record_to_fact(message.origin)
+            own_fact = replace(origin, name=sender, address=origin.address or source)
+            self._handle_own_fact(own_fact, now)
             return self._drain()
         address = self._handle_origin(source, sender, message, now)
         if address is None:
@@ -270,19 +274,17 @@
     def _handle_own_fact(self, fact: MemberFact, now: float) -> None:
         """Refute a wrong fact about this node, or report that the node was superseded."""
         own = self._own_fact
-        if fact.incarnation > self._greatest_incarnation or (
-            fact.state is MemberState.LEFT and not self._leaving and fact.rank > own.rank
-        ):
-            self._greatest_incarnation = fact.incarnation
-            self._outputs.append(IdentitySuperseded(fact.incarnation))
-            return
-        if self._leaving or fact.incarnation != own.incarnation or fact.rank <= own.rank:
-            return
-        if fact.state is not MemberState.ALIVE:
-            self._detector.health.increase_penalty()
-        self._own_fact = replace(own, refutation=fact.refutation + 1)
-        self._table.apply(self._own_fact, now)
-        self._queue.add(self._own_fact)
+        verdict = judge_own_fact(own, fact, leaving=self._leaving)
+        if verdict is OwnFactVerdict.REFUTE:
+            if fact.state is not MemberState.ALIVE:
+                self._detector.health.increase_penalty()
+            self._own_fact = replace(own, refutation=fact.refutation + 1)
+            self._table.apply(self._own_fact, now)
+            self._queue.add(self._own_fact)
+        elif verdict is not OwnFactVerdict.IGNORE and fact.rank > self._greatest_rank:
+            self._greatest_rank = fact.rank
+            elsewhere = verdict is OwnFactVerdict.STOP
+            self._outputs.append(IdentitySuperseded(fact.incarnation, elsewhere))
 
     # Suspicion
 
--- a/src/stagewalk/node/membership/notifications.py
+++ b/src/stagewalk/node/membership/notifications.py
@@ -22,11 +22,19 @@
 class IdentitySuperseded:
     """A process with a greater incarnation runs, or ran, under this node's name.
 
-    The other nodes ignore this node's facts about itself. It should stop, or start again with an
-    incarnation above `incarnation`.
+    The other nodes ignore this node's facts about itself.
+
+    Attributes
+    ----------
+    incarnation
+        The greater incarnation.
+    runs_elsewhere
+        Whether the process runs at another address, so that this one must stop. Otherwise it is
+        dead, and this one must start again with a greater incarnation.
     """
 
     incarnation: Incarnation
+    runs_elsewhere: bool
 
 
 MembershipNotification = MemberChanged | IdentitySuperseded
--- a/src/stagewalk/node/node_core.py
+++ b/src/stagewalk/node/node_core.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Any, cast, get_args
 
+from stagewalk.common.identities import Incarnation
 from stagewalk.node.answer_exchange import AnswerExchange
 from stagewalk.node.claims.notifications import (
     ClaimAbsent,
@@ -135,6 +136,8 @@
         self._read_machines_at = float("-inf")
         self._machines_known = False
         self._stopping = False
+        self._restart_above: Incarnation | None = None
+        """See `ExitProcess`."""
         self._exited = False
         self._event_handlers = self._make_event_handlers()
         self._notification_handlers = self._make_notification_handlers()
@@ -255,7 +258,7 @@
         if self._stopping and not self._exited and self.data.idle():
             self._exited = True
             output += self.control.membership.leave(now)
-            output.append(ExitProcess())
+            output.append(ExitProcess(self._restart_above))
         return output
 
     def _engine_reported(self, event: EngineReported, now: float) -> list[NodeOutput]:
@@ -302,6 +305,10 @@
         return list(self.data.lots.handle(event, now))
 
     def _stop_requested(self, event: StopRequested, now: float) -> list[NodeOutput]:
+        self._restart_above = None
+        return self._begin_stop()
+
+    def _begin_stop(self) -> list[NodeOutput]:
         if self._stopping:
             return []
         self._stopping = True
@@ -316,10 +323,17 @@
         return [WriteLogLine("member_changed", {**fields, "incarnation": changed.incarnation})]
 
     def _identity_superseded(self, superseded: IdentitySuperseded, now: float) -> list[NodeOutput]:
-        """Stop, since another process with this node's name replaces this one."""
-        fields: LogLineFields = {"level": "error", "incarnation": superseded.incarnation}
-        event = WriteLogLine("identity_superseded", fields)
-        return [event, *self._stop_requested(StopRequested(), now)]
+        """Stop for another process with this node's name, or start again above a dead one."""
+        restarts = not superseded.runs_elsewhere and not self._stopping
+        if restarts:
+            self._restart_above = superseded.incarnation
+        fields: LogLineFields = {
+            "level": "warning" if restarts else "error",
+            "incarnation": self.identity.incarnation,
+            "other_incarnation": superseded.incarnation,
+            "restarts": restarts,
+        }
+        return [WriteLogLine("identity_superseded", fields), *self._begin_stop()]
 
     def _configuration_changed(self, changed: ConfigurationChanged, now: float) -> list[NodeOutput]:
         self.data.set_tenants(changed.tenants)
--- a/src/stagewalk/simulation/node_host.py
+++ b/src/stagewalk/simulation/node_host.py
@@ -105,6 +105,7 @@
     paused: bool = False
     stopping: bool = False
     exiting_since: float | None = None
+    restart_above: Incarnation | None = None
 
 
 class Directory(Protocol):
@@ -143,6 +144,9 @@
     ) -> None:
         self.site = site
         self.incarnation = Incarnation(0)
+        self.starts = 0
+        self.clock_ahead = 0
+        """How far the time of day is ahead, as a number of starts."""
         self.peer_bytes_sent = 0
         self.network = network
         self.clock = clock
@@ -181,11 +185,19 @@
         """Return what the node's clock shows."""
         return self.clock.read(self._scheduler.now)
 
-    def start(self) -> None:
-        """Start a new incarnation with nothing but its settings."""
+    def start(self, above: Incarnation | None = None) -> None:
+        """Start a process with nothing but its settings; its incarnation is the time of day.
+
+        Parameters
+        ----------
+        above
+            Incarnation of an earlier process that is known to be greater; None: none is known.
+        """
         if self._process is not None:
             return
-        self.incarnation = Incarnation(self.incarnation + 1)
+        self.starts += 1
+        time_of_day = self.starts + self.clock_ahead
+        self.incarnation = Incarnation(max(time_of_day, 0 if above is None else above + 1))
         identity = NodeIdentity(
             NodeName(self.name), self.incarnation, self.site.address, self.endpoint.placement
         )
@@ -319,6 +331,7 @@
             case SendChunk() | FinishCall() | FailCall() | AcceptLot() | DeliverSamples():
                 self._answer(process, instruction)
             case ExitProcess():
+                process.restart_above = instruction.restart_above
                 self._exit(process)
             case _:
                 process.outbound.execute(instruction)
@@ -377,7 +390,10 @@
             self._scheduler.after(GRACEFUL_CHECK_SECONDS, lambda: self._leave_when_done(process))
             return
         self._end(0.0)
-        self._on_exit(self)
+        if process.restart_above is None:
+            self._on_exit(self)
+        else:
+            self.start(process.restart_above)
 
     def _end(self, silence_seconds: float) -> None:
         process = self._process
