Soak: gateways killed twice around a jump of their clocks, beside late writes

Two promises are checked: all gateways know each other 10 s after the last trouble, by their metrics, and no item of an open batch lies at no worker for 5 s of steady state while engines have room.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,6 +4,7 @@
 
 import base64
 import random
+import time
 import uuid
 
 import anyio
@@ -85,6 +86,7 @@
             while not seen.accepted:
                 answer = await self._call("POST", f"/run/{batch}", content, headers)
                 seen.accepted = answer is not None and answer.status_code == ACCEPTED
+                seen.accepted_at = time.monotonic()
                 if not seen.accepted:
                     await anyio.sleep(READ_SECONDS)
 
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -19,6 +20,8 @@
     items: tuple[str, ...]
     minimum_version: int
     accepted: bool = False
+    accepted_at: float = math.inf
+    """When it was accepted (monotonic clock)."""
     ended: bool = False
     positions: dict[int, dict] = field(default_factory=dict)
     host: str = "h.example"
--- a/tests/soak/gateway_process.py
+++ b/tests/soak/gateway_process.py
@@ -15,6 +15,7 @@
 from tests.soak.touch import TouchRecord
 
 ROOT = Path(__file__).resolve().parents[2]
+CLOCK_AHEAD = Path(__file__).with_name("clock_ahead.py")
 STOP_SECONDS = 15.0
 _GRACE = re.compile(r"^stop_grace = (.*)$", re.MULTILINE)
 
@@ -43,10 +44,13 @@
 
     name: str
     front: Address
+    metrics: Address
     settings: Path
     link: str
     touch: TouchRecord
     builds: Builds
+    clock_ahead_seconds: float = 0.0
+    """How far the time of day is ahead in the processes that are started from now on."""
     process: subprocess.Popen[bytes] | None = None
     frozen: bool = False
     exits: list[int] = field(default_factory=list)
@@ -68,7 +72,7 @@
         environment = {"PATH": os.environ["PATH"], "STAGEWALK_BOOT": str(self.settings)}
         with log.open("ab") as output:
             self.process = subprocess.Popen(
-                [sys.executable, "platform/start.py"],
+                [sys.executable, *self._program],
                 cwd=build,
                 env=environment,
                 stdin=subprocess.DEVNULL,
@@ -76,6 +80,12 @@
                 stderr=output,
             )
 
+    @property
+    def _program(self) -> list[str]:
+        if self.clock_ahead_seconds == 0.0:
+            return ["platform/start.py"]
+        return [str(CLOCK_AHEAD), str(self.clock_ahead_seconds)]
+
     @property
     def serves(self) -> bool:
         """Whether the process that was started last has said that it serves."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -25,6 +25,7 @@
 from tests.soak.ending import EndingCallers
 from tests.soak.faults import Faults
 from tests.soak.foreign import ForeignWriter
+from tests.soak.restarts import RestartSeries
 from tests.soak.series import FaultSeries
 from tests.soak.stops import LONG_ROUTES, LONG_SERVICES, StopScene, StopSeries
 from tests.soak.touch import SOAK, TouchRecord
@@ -49,9 +50,6 @@
 """Callers of the workers that crash, each with some 15 requests a second."""
 
 INSPECTORS = 4
-SLOW_ENGINES = 4.0
-"""Batches run for seconds, so that a run that doesn't hear of its batch's end is seen."""
-
 WATCHED_SECONDS = 6.0
 """How long workers are watched once the last end was acknowledged."""
 
@@ -75,11 +73,18 @@
     """More items than engines have places and memory for, at workers that share their machines."""
     STOPS = "stops"
     """Planned stops that overlap, beside requests that may take longer than a grace period."""
+    RESTARTS = "restarts"
+    """Gateways killed twice around a jump of their clocks, beside writes that are done late."""
 
     @property
     def in_series(self) -> bool:
         """Whether faults come in series, with calm between them."""
-        return self not in (Kind.ALL, Kind.LOAD, Kind.STOPS)
+        return self not in (Kind.ALL, Kind.LOAD, Kind.STOPS, Kind.RESTARTS)
+
+
+_ENGINE_SLOWNESS = {Kind.ENDED: 4.0, Kind.RESTARTS: 8.0}
+"""Batches run for seconds: a run that doesn't hear of its batch's end is seen, and batches are open
+while gateways are killed."""
 
 
 class Stalls:
@@ -152,7 +157,7 @@
         directory,
         seed,
         gateways,
-        SLOW_ENGINES if ending else 1.0,
+        _ENGINE_SLOWNESS.get(kind, 1.0),
         zones=zones,
         loaded=loaded,
         earlier=earlier,
@@ -161,11 +166,7 @@
     )
     callers, stalls = Callers(world, seed), Stalls(world.touch)
     stops = StopScene(world, seed)
-    faults: FaultSeries | Faults | StopSeries
-    if stopping:
-        faults = StopSeries(world, seed, stops)
-    else:
-        faults = FaultSeries(world, seed) if kind.in_series else Faults(world, seed)
+    faults = _faults(kind, world, seed, stops)
     operator = _operator(world, seed)
     crashes = CrashScene(world, seed)
     foreign = ForeignWriter(world.log, own_address(), world.checker.expect, seed)
@@ -253,6 +254,17 @@
         return self._judge.counts() | others
 
 
+def _faults(
+    kind: Kind, world: World, seed: int, stops: StopScene
+) -> FaultSeries | Faults | StopSeries | RestartSeries:
+    """Return what injects the faults of a kind of soak."""
+    if kind is Kind.STOPS:
+        return StopSeries(world, seed, stops)
+    if kind is Kind.RESTARTS:
+        return RestartSeries(world, seed)
+    return FaultSeries(world, seed) if kind.in_series else Faults(world, seed)
+
+
 def _operator(world: World, seed: int) -> ZoneOperator | None:
     """Return who evacuates zones, None where there is only one."""
     if world.zone_rules is None:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -5,6 +5,9 @@
 import base64
 import random
 import struct
+import time
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 
@@ -18,6 +21,10 @@
 from tests.soak.asgi import Call, LostAnswer, Reply, Send
 
 KEYED = "keyed."
+LATE_SECONDS = (1.0, 6.0)
+"""After how long a late write is done."""
+
+LATE_TICK_SECONDS = 0.02
 _STATUS = {
     LogFault.REFUSED: 503,
     LogFault.CONFLICT: 412,
@@ -35,12 +42,27 @@
         self._chooser = chooser
         self.down = False
         self.lost_share = 0.0
+        self.late_share = 0.0
+        """Share of writes that are not answered and are done late."""
         self.delay_seconds = 0.0
+        self._late: list[tuple[float, Callable[[], Awaitable[Reply]]]] = []
+        """Late writes, by when they are due."""
 
     @property
     def troubled(self) -> bool:
         """Whether any fault concerns all callers now."""
-        return self.down or self.lost_share > 0.0 or self.delay_seconds > 0.0
+        shares = self.lost_share + self.late_share
+        return self.down or shares > 0.0 or self.delay_seconds > 0.0 or bool(self._late)
+
+    async def write_late(self) -> None:
+        """Do the writes that are late, until cancelled."""
+        while True:
+            await anyio.sleep(LATE_TICK_SECONDS)
+            now = time.monotonic()
+            due = [write for at, write in self._late if at <= now]
+            self._late = [(at, write) for at, write in self._late if at > now]
+            for write in due:
+                await write()
 
     async def handle(self, call: Call, _send: Send) -> Reply:
         await anyio.sleep(self.delay_seconds)
@@ -57,6 +79,16 @@
         return Reply(404)
 
     async def _append(self, partition: Partition, call: Call) -> Reply:
+        if self._chooser.random() < self.late_share:
+            at = time.monotonic() + self._chooser.uniform(*LATE_SECONDS)
+            self._late.append((at, partial(self._write, partition, call)))
+            raise LostAnswer
+        reply = await self._write(partition, call)
+        if self._chooser.random() < self.lost_share:
+            raise LostAnswer
+        return reply
+
+    async def _write(self, partition: Partition, call: Call) -> Reply:
         payloads = _records(call.body)
         if partition.topic.startswith(KEYED):
             for payload in payloads:
@@ -72,8 +104,6 @@
                 call.query["producer"], int(call.query["epoch"]), int(call.query["sequence"])
             )
             result = await self._client.append(partition, payloads, sequence)
-        if self._chooser.random() < self.lost_share:
-            raise LostAnswer
         if result.is_error():
             return _failure(result.error)
         return Reply.json({"offset": result.ok, "end": result.ok + len(payloads)})
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,7 @@
 
 from tests.soak.crashes import BYSTANDER_PROMISE
 from tests.soak.ended import BOUND_SECONDS, PROMISE, EndedBatches
+from tests.soak.restarts import IDLE_PROMISE, KNOWN_PROMISE
 from tests.soak.run import GATEWAYS, ZONE_GATEWAYS, Kind, soak
 from tests.soak.senders import Connection, StartedItem, processes_at, started_items
 from tests.soak.stops import CUT_PROMISE, GRACE_PROMISE, TOLD_PROMISE, WHOLE_PROMISE
@@ -43,6 +44,10 @@
 STOPS_SECONDS = 15.0
 STOPS_SEED = 1
 
+RESTARTS_SECONDS = 16.0
+RESTARTS_SEED = 3
+RESTARTS_GATEWAYS = 5
+
 MOST_SECONDS = 180.0
 """Far above what a test takes: only a hanging one is cut off."""
 
@@ -141,6 +146,26 @@
 
         anyio.run(scenario)
 
+    def test_restarts_around_a_jump_of_clocks_hide_no_gateway_and_leave_no_item(self) -> None:
+        """Gateways are killed twice, and what the first start announced is written late."""
+
+        async def scenario() -> None:
+            with anyio.fail_after(MOST_SECONDS):
+                report = await soak(
+                    RESTARTS_SEED,
+                    RESTARTS_SECONDS,
+                    self.directory,
+                    RESTARTS_GATEWAYS,
+                    Kind.RESTARTS,
+                )
+            self.addDetail("report", text_content("\n".join(report.lines())))
+            self.assertEqual([], report.checker.violations)
+            self.assertGreater(report.injected["writes done late"], 0)
+            for promise in (KNOWN_PROMISE, IDLE_PROMISE):
+                self.assertGreater(report.checker.checked[promise], 0, promise)
+
+        anyio.run(scenario)
+
     def test_a_signal_to_reread_settings_while_starting_ends_nothing(self) -> None:
         """Found by seed 3: the signal came before its handler, and ended the process."""
 
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -59,6 +59,12 @@
     """By item and event number, the weight versions that made it."""
     fences: dict[str, list[tuple[int, str]]] = field(default_factory=lambda: defaultdict(list))
     """By worker, fence and holder of the orders it took."""
+    at_work: Counter[str] = field(default_factory=Counter)
+    """By request, how many workers are running it."""
+    seen_at: dict[str, float] = field(default_factory=dict)
+    """By request, when it last reached or left a worker (monotonic clock)."""
+    finished: set[str] = field(default_factory=set)
+    """Items whose whole text a worker has made."""
     on_run: Callable[[str, str, int, int], None] | None = None
     """Told of each run as it begins: request, worker and both ports of the connection."""
 
@@ -160,14 +166,19 @@
         if self._rules is not None:
             connection = Connection(*call.ports)
             self._rules.arrived(self.name, self.zone, call.path, connection)
+        request = call.headers.get("x-request-id", "")
+        self._truth.seen_at[request] = time.monotonic()
         full = self._running >= 4 * SLOTS or self._loading
         if full or self._chooser.random() < self.refused_share:
             return Reply(503, headers=(*self._headers(call), ("x-not-executed", "1")))
         self._running += 1
+        self._truth.at_work[request] += 1
         try:
             return await self._run(call, send)
         finally:
             self._running -= 1
+            self._truth.at_work[request] -= 1
+            self._truth.seen_at[request] = time.monotonic()
 
     async def _run(self, call: Call, send: Send) -> Reply | None:
         request = call.headers["x-request-id"]
@@ -194,8 +205,14 @@
             self._truth.made[item][number].add(version)
             event = f"{changed}id: {number}\ndata: {item}-{number}\n\n".encode()
             await send({"type": "http.response.body", "body": event, "more_body": True})
+        self._truth.finished.add(item)
         await send({"type": "http.response.body", "body": b"", "more_body": False})
 
+    @property
+    def half_full(self) -> bool:
+        """Whether at least half of its slots are in use."""
+        return 2 * self._running >= SLOTS
+
     def _order(self, order: dict) -> Reply:
         if order["fence"] < self._fence:
             return Reply(412)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -57,6 +57,7 @@
 readiness = "{front}"
 directory = "{front}"
 peers = "{peers}"
+metrics = "{metrics}"
 [log]
 address = "{store}"
 [timing]
@@ -219,7 +220,7 @@
 
     def _gateway(self, name: str, number: int) -> GatewayProcess:
         self._links: dict[str, Address] = getattr(self, "_links", {})
-        link, front = f"store-{name}", own_address()
+        link, front, metrics = f"store-{name}", own_address(), own_address()
         self._links[link] = own_address()
         settings = self.directory / f"{name}.toml"
         settings.write_text(
@@ -230,10 +231,11 @@
                 zones="\n".join(f'{zone} = "{region}"' for zone, region in REGIONS.items()),
                 front=front,
                 peers=own_address(),
+                metrics=metrics,
                 store=self._links[link],
             )
         )
-        return GatewayProcess(name, front, settings, link, self.touch, self._builds)
+        return GatewayProcess(name, front, metrics, settings, link, self.touch, self._builds)
 
     @property
     def linked_workers(self) -> list[WorkerServer]:
@@ -268,6 +270,7 @@
             target = self._targets[worker.link]
             tasks.start_soon(serve, application(worker.handle), target, self._stop)
         tasks.start_soon(self.forwarder.run)
+        tasks.start_soon(self.store.write_late)
         tasks.start_soon(self._heartbeats)
 
     def start_gateway(self, gateway: GatewayProcess) -> None:
@@ -303,12 +306,14 @@
         *,
         down: bool | None = None,
         lost_share: float | None = None,
+        late_share: float | None = None,
         delay_seconds: float | None = None,
     ) -> None:
         """Change the store's faults; those not given stay as they are."""
         store = self.store
         store.down = store.down if down is None else down
         store.lost_share = store.lost_share if lost_share is None else lost_share
+        store.late_share = store.late_share if late_share is None else late_share
         store.delay_seconds = store.delay_seconds if delay_seconds is None else delay_seconds
         self.touch.set(STORE, "faults", store.troubled)
 
