--- a/tests/process/stage.py
+++ b/tests/process/stage.py
@@ -36,6 +36,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 CONFIGURATION = Path(__file__).parent / "configuration"
+CLOCK_AHEAD = ROOT / "tests" / "clock_ahead.py"
 START_SECONDS = 20.0
 POLL_SECONDS = 0.05
 WHOLE_TEST_SECONDS = 110.0
@@ -154,8 +155,11 @@
         self.operator.observe(ProcessKilled(at=time.monotonic(), process=name))
         self.group.kill(name)
 
-    def start_again(self, name: str) -> None:
-        """Start a process that was killed or stopped; a caller sends the same requests again."""
+    def start_again(self, name: str, clock_ahead_seconds: float = 0.0) -> None:
+        """Start a process that was killed or stopped; a caller sends the same requests again.
+
+        The process's time of day may be ahead.
+        """
         everything = (
             *self.topology.service_processes,
             *self.topology.engines,
@@ -166,6 +170,10 @@
         if name in self.caller_names:
             command = (*specification.command, "--resent")
             specification = ProcessSpecification(name, command)
+        if clock_ahead_seconds > 0.0:
+            python, *program = specification.command
+            ahead = (python, str(CLOCK_AHEAD), str(clock_ahead_seconds))
+            specification = ProcessSpecification(name, (*ahead, *program))
         self.group.start(specification)
 
     async def ready_again(self, name: str) -> None:
--- a/tests/soak/gateway_process.py
+++ b/tests/soak/gateway_process.py
@@ -15,7 +15,7 @@
 from tests.soak.touch import TouchRecord
 
 ROOT = Path(__file__).resolve().parents[2]
-CLOCK_AHEAD = Path(__file__).with_name("clock_ahead.py")
+CLOCK_AHEAD = Path(__file__).resolve().parents[1] / "clock_ahead.py"
 STOP_SECONDS = 15.0
 _GRACE = re.compile(r"^stop_grace = (.*)$", re.MULTILINE)
 
@@ -82,9 +82,9 @@
 
     @property
     def _program(self) -> list[str]:
-        if self.clock_ahead_seconds == 0.0:
-            return ["platform/start.py"]
-        return [str(CLOCK_AHEAD), str(self.clock_ahead_seconds)]
+        ahead = self.clock_ahead_seconds
+        wrapper = [] if ahead == 0.0 else [str(CLOCK_AHEAD), str(ahead)]
+        return [*wrapper, "platform/start.py"]
 
     @property
     def serves(self) -> bool:
